--- /dev/null
+++ b/cli/src/main.rs
@@ -0,0 +1,3 @@
+//! Command-line tool for operators and callers of limpetweir.
+
+fn main() {}
--- /dev/null
+++ b/coordination/src/lib.rs
@@ -0,0 +1,1 @@
+//! Pure decisions: membership, ownership, quota, routing and batch scheduling.
--- /dev/null
+++ b/daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! The limpetweir daemon: wires transport, protocol, coordination and state.
--- /dev/null
+++ b/daemon/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point of the limpetweir daemon.
+
+fn main() {}
--- /dev/null
+++ b/protocol/src/lib.rs
@@ -0,0 +1,3 @@
+//! Wire types of the log, the peer links, the HTTP interfaces and the settings.
+
+pub mod peer;
--- /dev/null
+++ b/standins/examples/standin.rs
@@ -0,0 +1,3 @@
+//! Starts one stand-in process.
+
+fn main() {}
--- /dev/null
+++ b/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the platform services and backend servers.
--- /dev/null
+++ b/transport/src/lib.rs
@@ -0,0 +1,1 @@
+//! HTTP, WebSocket, log and list connections on async-io.
