--- /dev/null
+++ b/coordination/src/membership.rs
@@ -0,0 +1,307 @@
+//! Members of the fleet as seen from the platform's list and from heartbeats.
+
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
+use std::time::Duration;
+
+use limpetweir_state::{
+    BackendId,
+    Epoch,
+    GroupId,
+    Incarnation,
+    InstanceId,
+    Timestamp,
+    Version, //
+};
+
+use crate::timing::{
+    OWNER_LEASE,
+    SILENCE_LIMIT, //
+};
+
+/// State of an instance as a heartbeat reports it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Report {
+    /// The sender.
+    pub incarnation: Incarnation,
+    /// Rises with each heartbeat of the incarnation.
+    pub sequence: u64,
+    /// Whether the sender is stopping.
+    pub leaving: bool,
+    /// Whether the sender holds a configuration and accepts requests.
+    pub serving: bool,
+    /// Configuration version that the sender acts on.
+    pub config_version: Version,
+    /// Time since the sender's last confirmed read of the log; `None` if there was none.
+    pub log_age: Option<Duration>,
+    /// Instances that the sender heard within the silence limit.
+    pub hears: BTreeSet<InstanceId>,
+    /// Groups that the sender owns.
+    pub owns: BTreeMap<GroupId, Epoch>,
+    /// Online requests of the sender in flight for each backend server.
+    pub online: BTreeMap<BackendId, u32>,
+}
+
+impl Report {
+    /// Returns whether the sender confirmed a read of the log within the owner lease.
+    fn reads_log(&self) -> bool {
+        self.log_age.is_some_and(|age| age < OWNER_LEASE)
+    }
+}
+
+/// State of an instance in the platform's list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListState {
+    /// The instance runs.
+    Live,
+    /// The instance is about to stop.
+    Leaving,
+}
+
+/// What a heartbeat meant for the view of its sender.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HeartbeatOutcome {
+    /// The heartbeat is newer than the last one of the same incarnation.
+    Accepted,
+    /// The heartbeat is the first one of a new incarnation.
+    NewIncarnation,
+    /// The heartbeat is late, repeated, or of a replaced incarnation, and has no effect.
+    Stale,
+}
+
+/// What is known about one incarnation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Presence {
+    /// It was heard within the silence limit, or it started to be awaited only recently.
+    Present,
+    /// It is listed but was not heard within the silence limit.
+    Silent,
+    /// It is neither listed nor heard.
+    Absent,
+    /// A later incarnation of the same instance is known.
+    Replaced,
+}
+
+#[derive(Clone, Debug)]
+struct Peer {
+    report: Report,
+    heard_at: Timestamp,
+    /// Since when every heartbeat showed an instance that can own groups.
+    able_since: Option<Timestamp>,
+}
+
+impl Peer {
+    fn is_heard(&self, now: Timestamp) -> bool {
+        now.since(self.heard_at) < SILENCE_LIMIT
+    }
+}
+
+/// View of one instance on the members of the fleet.
+#[derive(Clone, Debug)]
+pub struct Membership {
+    own: Incarnation,
+    started_at: Timestamp,
+    /// `None` until the list was read once.
+    listed: Option<BTreeMap<InstanceId, ListState>>,
+    /// Never contains the own instance.
+    peers: BTreeMap<InstanceId, Peer>,
+}
+
+impl Membership {
+    /// Creates the view of `own`, which starts to listen at `now`.
+    pub fn new(own: Incarnation, now: Timestamp) -> Self {
+        Self {
+            own,
+            started_at: now,
+            listed: None,
+            peers: BTreeMap::new(),
+        }
+    }
+
+    /// Returns the own incarnation.
+    pub fn own(&self) -> &Incarnation {
+        &self.own
+    }
+
+    /// Replaces the list of instances by one that was read from the platform.
+    pub fn set_list(&mut self, now: Timestamp, list: BTreeMap<InstanceId, ListState>) {
+        self.peers
+            .retain(|id, peer| list.contains_key(id) || peer.is_heard(now));
+        self.listed = Some(list);
+    }
+
+    /// Records a heartbeat that arrived at `now`.
+    pub fn on_heartbeat(&mut self, now: Timestamp, report: Report) -> HeartbeatOutcome {
+        let id = report.incarnation.instance.clone();
+        if id == self.own.instance {
+            return HeartbeatOutcome::Stale;
+        }
+        let known = self.peers.get(&id);
+        let last = known.map(|peer| (peer.report.incarnation.started, peer.report.sequence));
+        let started = report.incarnation.started;
+        if last.is_some_and(|last| last >= (started, report.sequence)) {
+            return HeartbeatOutcome::Stale;
+        }
+        let same = last.is_some_and(|(last_started, _)| last_started == started);
+        let able_before = known
+            .filter(|peer| same && peer.is_heard(now))
+            .and_then(|peer| peer.able_since);
+        let able_since = self.is_able(&report).then_some(able_before.unwrap_or(now));
+        let peer = Peer {
+            report,
+            heard_at: now,
+            able_since,
+        };
+        self.peers.insert(id, peer);
+        if same {
+            HeartbeatOutcome::Accepted
+        } else {
+            HeartbeatOutcome::NewIncarnation
+        }
+    }
+
+    /// Returns whether the sender of `report` could claim groups.
+    ///
+    /// A preferred owner that cannot claim would leave its groups without an owner, so a peer
+    /// needs the log and mutual contact with a majority to be a candidate.
+    fn is_able(&self, report: &Report) -> bool {
+        let known = |id: &&InstanceId| self.is_listed(id) && **id != report.incarnation.instance;
+        let contacts = report.hears.iter().filter(known).count();
+        report.serving
+            && !report.leaving
+            && report.reads_log()
+            && report.hears.contains(&self.own.instance)
+            && self.is_majority(contacts + 1)
+    }
+
+    fn is_listed(&self, id: &InstanceId) -> bool {
+        let listed = self.listed.as_ref();
+        listed.is_some_and(|listed| listed.contains_key(id))
+    }
+
+    /// Returns whether `count` instances are more than half of the listed ones.
+    ///
+    /// The own instance counts as listed, because the list may lag behind its start. Before the
+    /// first list, and with an empty one, nothing is a majority.
+    fn is_majority(&self, count: usize) -> bool {
+        let Some(listed) = self.listed.as_ref().filter(|listed| !listed.is_empty()) else {
+            return false;
+        };
+        let unlisted_self = usize::from(!listed.contains_key(&self.own.instance));
+        2 * count > listed.len() + unlisted_self
+    }
+
+    /// Iterates over the last reports of the peers heard within the silence limit.
+    pub fn heard(&self, now: Timestamp) -> impl Iterator<Item = &Report> {
+        self.peers
+            .values()
+            .filter(move |peer| peer.is_heard(now))
+            .map(|peer| &peer.report)
+    }
+
+    /// Iterates over the listed peers that are heard and that report hearing this instance.
+    pub fn contacts(&self, now: Timestamp) -> impl Iterator<Item = &Report> {
+        self.heard(now)
+            .filter(|report| report.hears.contains(&self.own.instance))
+            .filter(|report| self.is_listed(&report.incarnation.instance))
+    }
+
+    /// Returns the names for the `hears` field of the own heartbeat.
+    pub fn hears(&self, now: Timestamp) -> BTreeSet<InstanceId> {
+        self.heard(now)
+            .map(|report| report.incarnation.instance.clone())
+            .collect()
+    }
+
+    /// Returns whether this instance and its mutual contacts are more than half of the listed.
+    pub fn hears_majority(&self, now: Timestamp) -> bool {
+        self.is_majority(self.contacts(now).count() + 1)
+    }
+
+    /// Returns whether contacts that hold a configuration, together with `own_votes` (0 or 1) of
+    /// this instance, are more than half of the listed instances.
+    ///
+    /// An instance that lost its memory in a restart cannot vouch for a version.
+    pub(crate) fn majority_holds_config(&self, now: Timestamp, own_votes: usize) -> bool {
+        let holds = |report: &&Report| report.config_version > Version(0);
+        let votes = self.contacts(now).filter(holds).count();
+        self.is_majority(votes + own_votes)
+    }
+
+    /// Returns what is known about `incarnation`.
+    pub fn presence(&self, now: Timestamp, incarnation: &Incarnation) -> Presence {
+        let id = &incarnation.instance;
+        if *id == self.own.instance {
+            return if incarnation.started < self.own.started {
+                Presence::Replaced
+            } else {
+                Presence::Present
+            };
+        }
+        let peer = self.peers.get(id);
+        let newest = peer.map(|peer| peer.report.incarnation.started);
+        if newest.is_some_and(|started| started > incarnation.started) {
+            return Presence::Replaced;
+        }
+        if peer.is_some_and(|peer| peer.is_heard(now)) {
+            return Presence::Present;
+        }
+        if !self.is_listed(id) {
+            return Presence::Absent;
+        }
+        // A peer that this instance had no time to hear yet is not silent.
+        if now.since(self.started_at) < SILENCE_LIMIT {
+            return Presence::Present;
+        }
+        Presence::Silent
+    }
+
+    /// Returns whether a heard peer other than `id` reports hearing `id`.
+    pub fn is_heard_by_peer(&self, now: Timestamp, id: &InstanceId) -> bool {
+        self.heard(now)
+            .filter(|report| report.incarnation.instance != *id)
+            .any(|report| report.hears.contains(id))
+    }
+
+    /// Returns the heard peers that can own groups, and since when they could.
+    pub fn able_peers(&self, now: Timestamp) -> BTreeMap<&InstanceId, Timestamp> {
+        self.peers
+            .iter()
+            .filter(|(id, peer)| peer.is_heard(now) && self.is_live(id))
+            .filter_map(|(id, peer)| Some((id, peer.able_since?)))
+            .collect()
+    }
+
+    fn is_live(&self, id: &InstanceId) -> bool {
+        let listed = self.listed.as_ref();
+        listed.is_some_and(|listed| listed.get(id) == Some(&ListState::Live))
+    }
+
+    /// Returns whether a heard peer reports a read of the log within the owner lease.
+    pub fn peer_reads_log(&self, now: Timestamp) -> bool {
+        self.heard(now).any(Report::reads_log)
+    }
+
+    /// Returns the heard peer with the highest configuration version.
+    pub fn newest_config(&self, now: Timestamp) -> Option<(&InstanceId, Version)> {
+        self.heard(now)
+            .map(|report| (&report.incarnation.instance, report.config_version))
+            .max_by_key(|&(_, version)| version)
+    }
+
+    /// Returns the highest epoch under which a heard peer reports owning `group`.
+    pub fn reported_epoch(&self, now: Timestamp, group: GroupId) -> Option<Epoch> {
+        self.heard(now)
+            .filter_map(|report| report.owns.get(&group).copied())
+            .max()
+    }
+
+    /// Returns the online requests that heard peers report in flight for `backend`.
+    pub fn online_at_peers(&self, now: Timestamp, backend: &BackendId) -> u32 {
+        self.heard(now)
+            .filter_map(|report| report.online.get(backend))
+            .fold(0, |sum, &count| sum.saturating_add(count))
+    }
+}
