--- a/coordination/tests/control/ownership.rs
+++ b/coordination/tests/control/ownership.rs
@@ -30,7 +30,8 @@
     group,
     incarnation,
     instance,
-    live, //
+    live,
+    report, //
 };
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -69,6 +70,30 @@
     assert_ne!(owner(&fleet, group(0)), holder);
 }
 
+/// Guards against a holder that wakes and counts one buffered heartbeat as unbroken contact.
+#[test]
+fn a_buffered_heartbeat_does_not_bridge_a_pause() {
+    let start = Timestamp::from_millis(50_000);
+    let own = incarnation("a", 1);
+    let mut members = Membership::new(own.clone(), start);
+    members.set_list(start, live(&["a", "b", "c"]));
+    let mut ownership = Ownership::new(start);
+    let mut heartbeat = report(incarnation("b", 1), 1, &["a", "c"]);
+    heartbeat.log_age = Some(2 * OWNER_LEASE);
+    members.on_heartbeat(start, heartbeat.clone());
+    ownership.tick(start, &members);
+    ownership.on_claim(start, &own, group(0), own.clone(), Epoch(1));
+    ownership.on_confirmed_read(start);
+    let woken = start + 10 * SECOND;
+    heartbeat.sequence = 2;
+    members.on_heartbeat(woken, heartbeat);
+    let before_tick = ownership.may_act(woken, group(0), &members);
+    assert_eq!(before_tick, MayAct::LeaseExpired);
+    ownership.tick(woken, &members);
+    let after_tick = ownership.may_act(woken, group(0), &members);
+    assert_eq!(after_tick, MayAct::LeaseExpired);
+}
+
 /// Guards against claiming the groups of a holder that others still hear.
 #[test]
 fn a_one_way_partition_moves_no_group() {
