--- /dev/null
+++ b/coordination/src/fair_share.rs
@@ -0,0 +1,63 @@
+//! Fair shares of dispatches between organisations.
+
+use std::collections::BTreeMap;
+
+use limpetweir_state::OrganisationId;
+
+/// Cost of one dispatch of an organisation with weight 1.
+const DISPATCH_COST: u64 = 1 << 16;
+
+/// Dispatches by which an organisation of weight 1 may be ahead of the least served waiting one.
+///
+/// Within this lead the earliest deadline decides alone.
+const MAX_LEAD: u64 = 16;
+
+/// Dispatches that each organisation has used, relative to its weight.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct FairShares {
+    used: BTreeMap<OrganisationId, u64>,
+    weights: BTreeMap<OrganisationId, u32>,
+    /// Usage of the least served waiting organisation at the last choice; never decreases.
+    ///
+    /// Usage below it counts as equal to it, so that idle time earns no credit.
+    floor: u64,
+}
+
+impl FairShares {
+    pub(crate) fn set_weight(&mut self, organisation: OrganisationId, weight: u32) {
+        self.weights.insert(organisation, weight.max(1));
+    }
+
+    fn used(&self, organisation: &OrganisationId) -> u64 {
+        let used = self.used.get(organisation).copied().unwrap_or(0);
+        used.max(self.floor)
+    }
+
+    /// Raises the floor to the least served of the `waiting` organisations.
+    pub(crate) fn observe<'a>(&mut self, waiting: impl Iterator<Item = &'a OrganisationId>) {
+        let least = waiting.map(|organisation| self.used(organisation)).min();
+        self.floor = least.unwrap_or(self.floor);
+    }
+
+    /// Returns whether `organisation` may go before less served ones.
+    pub(crate) fn is_within(&self, organisation: &OrganisationId) -> bool {
+        self.used(organisation) < self.floor + MAX_LEAD * DISPATCH_COST
+    }
+
+    pub(crate) fn charge(&mut self, organisation: &OrganisationId) {
+        let used = self.used(organisation) + self.cost(organisation);
+        self.used.insert(organisation.clone(), used);
+    }
+
+    /// Takes back the charge of a dispatch that gave way or did not run.
+    pub(crate) fn refund(&mut self, organisation: &OrganisationId) {
+        let used = self.used(organisation);
+        let refunded = used.saturating_sub(self.cost(organisation));
+        self.used.insert(organisation.clone(), refunded);
+    }
+
+    fn cost(&self, organisation: &OrganisationId) -> u64 {
+        let weight = self.weights.get(organisation).copied().unwrap_or(1);
+        DISPATCH_COST / u64::from(weight)
+    }
+}
--- /dev/null
+++ b/coordination/src/job_items.rs
@@ -0,0 +1,156 @@
+//! Items of one batch job and which of them are to run next.
+
+use std::collections::{
+    BTreeMap,
+    VecDeque, //
+};
+
+use limpetweir_state::{
+    JobId,
+    ModelId,
+    OrganisationId,
+    ServiceId,
+    UnixMillis, //
+};
+
+use crate::timing::ITEM_ATTEMPTS;
+
+/// What scheduling needs to know about a job.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct JobSpec {
+    /// The job.
+    pub job: JobId,
+    /// Organisation that is billed.
+    pub organisation: OrganisationId,
+    /// Service that runs the items.
+    pub service: ServiceId,
+    /// Model that runs the items.
+    pub model: ModelId,
+    /// Time by which the job is due.
+    pub deadline: UnixMillis,
+    /// Number of items; indexes are below it.
+    pub items: u32,
+}
+
+/// Output of earlier attempts from which the next attempt resumes.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Progress {
+    /// Generated text.
+    pub text: String,
+    /// Number of tokens in `text`.
+    pub tokens: u32,
+}
+
+/// Items of one job that have no outcome yet.
+#[derive(Clone, Debug)]
+pub(crate) struct JobItems {
+    spec: JobSpec,
+    settled: Vec<bool>,
+    /// Number of items without an outcome, including running ones.
+    open: u32,
+    /// Lowest index that was never dispatched; all indexes from it on are fresh or settled.
+    next: u32,
+    /// Items that gave way or did not run; they come first, because work was spent on them.
+    returned: VecDeque<(u32, Progress)>,
+    /// Items with a failed attempt; they come last, so that they delay no other item.
+    failed: VecDeque<u32>,
+    failures: BTreeMap<u32, u32>,
+    cancelled: bool,
+}
+
+impl JobItems {
+    /// `settled` holds the indexes with an outcome, `failures` the failed attempts by index.
+    pub(crate) fn new(
+        spec: JobSpec,
+        settled: impl IntoIterator<Item = u32>,
+        failures: impl IntoIterator<Item = (u32, u32)>,
+    ) -> Self {
+        let mut items = Self {
+            settled: vec![false; spec.items as usize],
+            open: spec.items,
+            next: 0,
+            returned: VecDeque::new(),
+            failed: VecDeque::new(),
+            failures: failures.into_iter().collect(),
+            cancelled: false,
+            spec,
+        };
+        for index in settled {
+            items.settle(index);
+        }
+        items.skip_settled();
+        items
+    }
+
+    pub(crate) fn spec(&self) -> &JobSpec {
+        &self.spec
+    }
+
+    /// Returns whether all items have an outcome or the job was cancelled.
+    pub(crate) fn is_over(&self) -> bool {
+        self.open == 0 || self.cancelled
+    }
+
+    pub(crate) fn is_waiting(&self) -> bool {
+        let fresh = self.next < self.spec.items;
+        !self.cancelled && (fresh || !self.returned.is_empty() || !self.failed.is_empty())
+    }
+
+    /// Removes and returns the item to run next.
+    pub(crate) fn take(&mut self) -> Option<(u32, Progress)> {
+        if self.cancelled {
+            return None;
+        }
+        if let Some(item) = self.returned.pop_front() {
+            return Some(item);
+        }
+        if self.next < self.spec.items {
+            let index = self.next;
+            self.next += 1;
+            self.skip_settled();
+            return Some((index, Progress::default()));
+        }
+        let index = self.failed.pop_front()?;
+        Some((index, Progress::default()))
+    }
+
+    fn skip_settled(&mut self) {
+        while self.settled.get(self.next as usize) == Some(&true) {
+            self.next += 1;
+        }
+    }
+
+    pub(crate) fn give_back(&mut self, index: u32, progress: Progress) {
+        self.returned.push_front((index, progress));
+    }
+
+    /// Counts a failed attempt; returns the count, and whether it was the last attempt.
+    pub(crate) fn fail(&mut self, index: u32) -> (u32, bool) {
+        let count = self.failures.entry(index).or_insert(0);
+        *count += 1;
+        let last = *count >= ITEM_ATTEMPTS;
+        if !last {
+            self.failed.push_back(index);
+        }
+        (*count, last)
+    }
+
+    /// Records that the item has an outcome; returns whether it had none before.
+    pub(crate) fn settle(&mut self, index: u32) -> bool {
+        match self.settled.get_mut(index as usize) {
+            Some(settled) if !*settled => {
+                *settled = true;
+                self.open -= 1;
+                self.failures.remove(&index);
+                true
+            }
+            _ => false,
+        }
+    }
+
+    pub(crate) fn cancel(&mut self) {
+        self.cancelled = true;
+        self.returned.clear();
+        self.failed.clear();
+    }
+}
--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -1,13 +1,26 @@
 //! Pure decisions: membership, ownership, quota, routing and batch scheduling.
 
+mod attempt;
+mod completions;
+mod engine_orders;
+mod fair_share;
 mod freshness;
+mod job_items;
 mod membership;
 mod ownership;
 mod rendezvous;
+mod scheduler;
+mod slot_manager;
 mod stall;
 pub mod timing;
 
+pub use attempt::{AttemptId, AttemptIdError};
+pub use completions::{BufferedSize, CompletionBatch};
+pub use engine_orders::{EngineOrder, EngineRole, EngineState, FencedOrder, OrderIssuer};
 pub use freshness::{Freshness, PublicationRefusal, ServingMode, StartStep};
+pub use job_items::{JobSpec, Progress};
 pub use membership::{HeartbeatOutcome, ListState, Membership, Presence, Report};
 pub use ownership::{ClaimFact, MayAct, Ownership};
 pub use rendezvous::{preferred_owner, rendezvous_score};
+pub use scheduler::{AttemptCounts, AttemptEnd, Dispatch, ItemState, Scheduler};
+pub use slot_manager::{SlotAction, SlotLimits, SlotManager, SlotRefusal};
--- /dev/null
+++ b/coordination/tests/batch/main.rs
@@ -0,0 +1,5 @@
+//! Tests of batch scheduling, batch slots and engine orders.
+
+mod orders;
+mod scheduler;
+mod slots;
