--- a/state/src/ids.rs
+++ b/state/src/ids.rs
@@ -95,6 +95,10 @@
     /// Name of an organisation.
     OrganisationId
 }
+string_id! {
+    /// Name of a caller's key, unique in its organisation.
+    KeyId
+}
 string_id! {
     /// Name of a service that callers reach through the fleet.
     ServiceId
