--- a/protocol/src/lib.rs
+++ b/protocol/src/lib.rs
@@ -1,3 +1,12 @@
 //! Wire types of the log, the peer links, the HTTP interfaces and the settings.
 
+mod config;
+mod config_check;
+mod config_fault;
 pub mod peer;
+
+pub use config::{
+    MAX_DOCUMENT_BYTES, RawBackend, RawConfiguration, RawDigest, RawKey, RawOrganisation,
+    RawService, parse_configuration, write_configuration,
+};
+pub use config_fault::{ConfigDocumentError, ConfigFault};
--- a/state/src/configuration.rs
+++ b/state/src/configuration.rs
@@ -18,6 +18,7 @@
 };
 use subtle::ConstantTimeEq;
 
+use crate::key::DigestPrefix;
 use crate::{
     BackendId,
     KeyDigest,
@@ -196,7 +197,7 @@
     services: BTreeMap<ServiceId, Service>,
     backends: BTreeMap<BackendId, Backend>,
     /// Every key, by the first bytes of its digest.
-    keys: BTreeMap<[u8; 2], Vec<KeyEntry>>,
+    keys: BTreeMap<DigestPrefix, Vec<KeyEntry>>,
 }
 
 impl Configuration {
--- a/state/src/key.rs
+++ b/state/src/key.rs
@@ -59,9 +59,19 @@
             .collect()
     }
 
-    /// Returns the first two bytes, by which a table of digests is divided into buckets.
-    pub(crate) fn prefix(&self) -> [u8; 2] {
-        [self.0[0], self.0[1]]
+    /// Returns the prefix by which a table of digests is divided into buckets.
+    pub(crate) fn prefix(&self) -> DigestPrefix {
+        DigestPrefix([self.0[0], self.0[1]])
+    }
+}
+
+/// The first two bytes of a digest; not printed either, as they are a part of the digest.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct DigestPrefix([u8; 2]);
+
+impl fmt::Debug for DigestPrefix {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("DigestPrefix(redacted)")
     }
 }
 
