--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -8,6 +8,7 @@
 mod job_items;
 mod membership;
 mod ownership;
+pub mod quota;
 mod rendezvous;
 mod scheduler;
 mod slot_manager;
