--- a/state/src/ids.rs
+++ b/state/src/ids.rs
@@ -111,6 +111,10 @@
     /// Identifier of a batch job: `<job group>-<hash of organisation and idempotency key>`.
     JobId
 }
+string_id! {
+    /// Identifier that an operator's tool gives to a publication, the same when it is resent.
+    PublicationId
+}
 
 /// One run of an instance's process; a restart is a new incarnation.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
--- a/state/src/lib.rs
+++ b/state/src/lib.rs
@@ -1,12 +1,21 @@
 //! Pure state: identifiers, verdicts, buckets and folds over the log.
 
+mod claims;
 mod ids;
+mod log;
+mod publications;
 mod time;
 mod verdict;
 
+pub use claims::{Claim, ClaimEvent, ClaimRecord, Claims};
 pub use ids::{
     BackendId, Epoch, GroupId, GroupKind, IdError, Incarnation, InstanceId, JobId, ModelId, Offset,
-    OrganisationId, ServiceId, Version, ZoneId,
+    OrganisationId, PublicationId, ServiceId, Version, ZoneId,
 };
+pub use log::{
+    Abandoned, Adoption, Answer, Applied, Body, Entry, Fold, QueueFull, Replica, ReplicaStatus,
+    Snapshot, SnapshotError, SnapshotPart, Step, Ticket, Writer, WriterId,
+};
+pub use publications::{Publications, Publish, PublishEvent, PublishResult};
 pub use time::{Timestamp, UnixMillis};
 pub use verdict::Verdict;
--- /dev/null
+++ b/state/tests/claims.rs
@@ -0,0 +1,106 @@
+//! Claims: epochs, releases and racing claimants.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{
+    data,
+    incarnation, //
+};
+use limpetweir_state::*;
+
+const GROUP: GroupId = GroupId {
+    kind: GroupKind::Jobs,
+    index: 3,
+};
+
+fn claim(name: &str) -> ClaimRecord {
+    ClaimRecord::Claim {
+        group: GROUP,
+        holder: incarnation(name),
+        lease: Duration::from_secs(3),
+    }
+}
+
+fn release(epoch: u64) -> ClaimRecord {
+    ClaimRecord::Release {
+        group: GROUP,
+        epoch: Epoch(epoch),
+    }
+}
+
+/// Guards against two claimants that both take themselves for the owner.
+#[test]
+fn later_of_two_claimants_owns_the_group() {
+    let mut claims = Claims::default();
+    claims.apply(Offset(4), claim("a"));
+    let event = claims.apply(Offset(5), claim("b"));
+    let ClaimEvent::Claimed { epoch, former, .. } = event else {
+        panic!("{event:?}");
+    };
+    assert_eq!(epoch, Epoch(6));
+    assert_eq!(former.unwrap().epoch, Epoch(5));
+    assert_eq!(claims.epoch_of(GROUP, &incarnation("a")), None);
+    assert_eq!(claims.epoch_of(GROUP, &incarnation("b")), Some(Epoch(6)));
+}
+
+/// Guards against a delayed release by the former owner that frees the new owner's group.
+#[test]
+fn release_with_a_stale_epoch_has_no_effect() {
+    let mut claims = Claims::default();
+    claims.apply(Offset(0), claim("a"));
+    claims.apply(Offset(1), claim("b"));
+    let stale = ClaimEvent::StaleRelease {
+        group: GROUP,
+        epoch: Epoch(1),
+    };
+    assert_eq!(claims.apply(Offset(2), release(1)), stale);
+    assert_eq!(claims.epoch_of(GROUP, &incarnation("b")), Some(Epoch(2)));
+}
+
+/// Guards against a holder that keeps acting on a group it released, and against releasing twice.
+#[test]
+fn released_group_has_no_owner() {
+    let mut claims = Claims::default();
+    claims.apply(Offset(0), claim("a"));
+    let event = claims.apply(Offset(1), release(1));
+    assert!(matches!(event, ClaimEvent::Released { .. }));
+    assert!(claims.get(GROUP).unwrap().released);
+    assert_eq!(claims.epoch_of(GROUP, &incarnation("a")), None);
+    let event = claims.apply(Offset(2), release(1));
+    assert!(matches!(event, ClaimEvent::StaleRelease { .. }));
+}
+
+/// Guards against a restarted process that takes over the claims of its former run.
+#[test]
+fn restarted_holder_does_not_own_the_group() {
+    let mut claims = Claims::default();
+    claims.apply(Offset(0), claim("a"));
+    let mut restarted = incarnation("a");
+    restarted.started += 1;
+    assert_eq!(claims.epoch_of(GROUP, &restarted), None);
+}
+
+/// Guards against a resent claim that raises the epoch although another instance claimed since.
+#[test]
+fn resent_claim_does_not_take_the_group_back() {
+    let mut replica = Replica::<Claims>::new();
+    replica.read(Offset(0), data("a", 1, claim("a")));
+    replica.read(Offset(1), data("b", 1, claim("b")));
+    let step = replica.read(Offset(2), data("a", 1, claim("a")));
+    assert_eq!(step, Step::Resent);
+    let fold = replica.fold().unwrap();
+    assert_eq!(fold.epoch_of(GROUP, &incarnation("b")), Some(Epoch(2)));
+}
+
+/// Guards against epochs that change when the claims are restored from a snapshot.
+#[test]
+fn snapshot_keeps_claims() {
+    let mut claims = Claims::default();
+    claims.apply(Offset(7), claim("a"));
+    claims.apply(Offset(8), release(8));
+    let mut buf = Vec::new();
+    claims.snapshot(&mut buf).unwrap();
+    assert_eq!(Claims::restore(&mut &buf[..]).unwrap(), claims);
+}
