Add the fold over batch jobs

Every change carries the writer's epoch and wall-clock time. The time of the records is the only clock of the fold, so that all readers drop expired results at the same offset; a Tick record moves it while a group is idle. The submission carries the retention for the same reason: readers may hold different configurations when they fold the end of a job. A cancel ends all open items at once, so later completions are neither stored nor billed.

--- a/state/src/lib.rs
+++ b/state/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod claims;
 mod ids;
+mod jobs;
 mod log;
 mod publications;
 mod time;
@@ -12,6 +13,11 @@
     BackendId, Epoch, GroupId, GroupKind, IdError, Incarnation, InstanceId, JobId, ModelId, Offset,
     OrganisationId, PublicationId, ServiceId, Version, ZoneId,
 };
+pub use jobs::{
+    Completion, ItemResult, ItemStatus, Job, JobChange, JobOutcome, JobPhase, JobRecord, Jobs,
+    JobsEvent, NewItem, OpenItem, OrganisationUsage, Outcome, Progress, ResultPage, Submission,
+    SubmissionId, Usage, job_group, job_id,
+};
 pub use log::{
     Abandoned, Adoption, Answer, Applied, Body, Entry, Fold, QueueFull, Replica, ReplicaStatus,
     Snapshot, SnapshotError, SnapshotPart, Step, Ticket, Writer, WriterId,
--- a/state/src/log/mod.rs
+++ b/state/src/log/mod.rs
@@ -8,6 +8,7 @@
 mod writer;
 
 pub use entry::{Body, Entry, SnapshotPart, WriterId};
+pub(crate) use fold::decode;
 pub use fold::{Fold, Snapshot, SnapshotError};
 pub use replica::{Adoption, Applied, Replica, ReplicaStatus, Step};
 pub use writer::{Abandoned, Answer, QueueFull, Ticket, Writer};
--- a/state/tests/common/mod.rs
+++ b/state/tests/common/mod.rs
@@ -56,3 +56,91 @@
         document: document.to_owned(),
     }
 }
+
+pub const RETENTION_MS: u64 = 1_000;
+
+pub fn record(epoch: u64, at: u64, change: JobChange) -> JobRecord {
+    JobRecord {
+        epoch: Epoch(epoch),
+        at: UnixMillis(at),
+        change,
+    }
+}
+
+pub fn organisation(name: &str) -> OrganisationId {
+    OrganisationId::try_from(name).unwrap()
+}
+
+pub fn job(name: &str) -> JobId {
+    JobId::try_from(name).unwrap()
+}
+
+pub fn new_item(n: u32) -> NewItem {
+    NewItem {
+        id: format!("item {n}").into(),
+        prompt: format!("prompt {n}").into(),
+        max_tokens: 16,
+    }
+}
+
+pub fn part(submission: u64, part: u32, items: std::ops::Range<u32>) -> JobChange {
+    JobChange::SubmitPart {
+        submission: SubmissionId(submission),
+        part,
+        items: items.map(new_item).collect(),
+    }
+}
+
+/// Submits the job named like the key, for the organisation `org`.
+pub fn head(submission: u64, parts: u32, key: &str, digest: u8) -> JobChange {
+    JobChange::Submit(Submission {
+        submission: SubmissionId(submission),
+        parts,
+        job: job(key),
+        organisation: organisation("org"),
+        key: key.into(),
+        digest: [digest; 32],
+        service: ServiceId::try_from("chat").unwrap(),
+        model: ModelId::try_from("small").unwrap(),
+        deadline: UnixMillis(60_000),
+        result_retention: std::time::Duration::from_millis(RETENTION_MS),
+    })
+}
+
+pub fn finished(index: u32, text: &str) -> Completion {
+    Completion {
+        index,
+        outcome: Outcome::Finished(text.into()),
+        usage: Usage {
+            prompt_tokens: 2,
+            completion_tokens: 3,
+        },
+    }
+}
+
+pub fn failed(index: u32) -> Completion {
+    Completion {
+        index,
+        outcome: Outcome::Failed("no engine accepts the prompt".into()),
+        usage: Usage::default(),
+    }
+}
+
+pub fn completed(key: &str, items: Vec<Completion>) -> JobChange {
+    let job = job(key);
+    JobChange::Completed { job, items }
+}
+
+pub fn cancel(key: &str) -> JobChange {
+    JobChange::Cancel { job: job(key) }
+}
+
+/// Configuration of the property tests; the seed makes each run the same.
+pub fn property(seed: u64, cases: u32) -> proptest::test_runner::Config {
+    proptest::test_runner::Config {
+        cases,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(seed),
+        failure_persistence: None,
+        ..Default::default()
+    }
+}
