Add the record codec of the log streams

The first byte is the format version, so that a later format is reported as unknown rather than malformed. Truncated, unknown and malformed records are separate errors, because a reader skips all of them but counts them apart.

--- a/protocol/src/lib.rs
+++ b/protocol/src/lib.rs
@@ -1,3 +1,4 @@
 //! Wire types of the log, the peer links, the HTTP interfaces and the settings.
 
 pub mod peer;
+pub mod records;
--- /dev/null
+++ b/protocol/src/records.rs
@@ -0,0 +1,17 @@
+//! Records of the log streams, encoded as CBOR.
+
+mod bytes;
+mod claims;
+mod config;
+mod envelope;
+mod jobs;
+mod split;
+
+pub use envelope::{RecordError, RecordFault, StreamRecord, decode, encode};
+pub use split::{split_completions, split_items, split_snapshot};
+
+/// Largest encoded record, in bytes.
+pub const MAX_RECORD_BYTES: usize = 1_024 * 1_024;
+
+/// Version of the record format, the first byte of each record.
+pub const RECORD_VERSION: u8 = 1;
