--- a/protocol/src/lib.rs
+++ b/protocol/src/lib.rs
@@ -4,6 +4,7 @@
 mod config_check;
 mod config_fault;
 pub mod peer;
+pub mod records;
 
 pub use config::{
     MAX_DOCUMENT_BYTES, RawBackend, RawConfiguration, RawDigest, RawKey, RawOrganisation,
