--- a/coordination/src/job_items.rs
+++ b/coordination/src/job_items.rs
@@ -6,6 +6,7 @@
 };
 
 use limpetweir_state::{
+    Job,
     JobId,
     ModelId,
     OrganisationId,
@@ -32,9 +33,22 @@
     pub items: u32,
 }
 
+impl From<(&JobId, &Job)> for JobSpec {
+    fn from((id, job): (&JobId, &Job)) -> Self {
+        Self {
+            job: id.clone(),
+            organisation: job.organisation().clone(),
+            service: job.service().clone(),
+            model: job.model().clone(),
+            deadline: job.progress().deadline,
+            items: job.len(),
+        }
+    }
+}
+
 /// Output of earlier attempts from which the next attempt resumes.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Progress {
+pub struct ResumePoint {
     /// Generated text.
     pub text: String,
     /// Number of tokens in `text`.
@@ -51,7 +65,7 @@
     /// Lowest index that was never dispatched; all indexes from it on are fresh or settled.
     next: u32,
     /// Items that gave way or did not run; they come first, because work was spent on them.
-    returned: VecDeque<(u32, Progress)>,
+    returned: VecDeque<(u32, ResumePoint)>,
     /// Items with a failed attempt; they come last, so that they delay no other item.
     failed: VecDeque<u32>,
     failures: BTreeMap<u32, u32>,
@@ -97,7 +111,7 @@
     }
 
     /// Removes and returns the item to run next.
-    pub(crate) fn take(&mut self) -> Option<(u32, Progress)> {
+    pub(crate) fn take(&mut self) -> Option<(u32, ResumePoint)> {
         if self.cancelled {
             return None;
         }
@@ -108,10 +122,10 @@
             let index = self.next;
             self.next += 1;
             self.skip_settled();
-            return Some((index, Progress::default()));
+            return Some((index, ResumePoint::default()));
         }
         let index = self.failed.pop_front()?;
-        Some((index, Progress::default()))
+        Some((index, ResumePoint::default()))
     }
 
     fn skip_settled(&mut self) {
@@ -120,7 +134,7 @@
         }
     }
 
-    pub(crate) fn give_back(&mut self, index: u32, progress: Progress) {
+    pub(crate) fn give_back(&mut self, index: u32, progress: ResumePoint) {
         self.returned.push_front((index, progress));
     }
 
--- a/coordination/src/ownership.rs
+++ b/coordination/src/ownership.rs
@@ -6,6 +6,9 @@
 };
 
 use limpetweir_state::{
+    Claim,
+    ClaimEvent,
+    Claims,
     Epoch,
     GroupId,
     Incarnation,
@@ -24,18 +27,7 @@
     OWNER_LEASE, //
 };
 
-/// The last valid claim of a group, as folded from the log.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ClaimFact {
-    /// The holder.
-    pub holder: Incarnation,
-    /// Epoch of the claim.
-    pub epoch: Epoch,
-    /// Whether the holder has released the group.
-    pub released: bool,
-}
-
-/// Why the holder of a group may not act for it now.
+/// Whether this instance may act for a group now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum MayAct {
     /// This instance acts under this epoch.
@@ -48,12 +40,20 @@
     LeaseExpired,
 }
 
+/// The last claim of a group.
+#[derive(Clone, Debug)]
+struct Fact {
+    claim: Claim,
+    /// Holders before this claim may act until then.
+    former_until: Timestamp,
+}
+
 /// A group held by this incarnation.
 #[derive(Clone, Copy, Debug)]
 struct Held {
     /// When the claim was read back.
     claimed_at: Timestamp,
-    /// The former holder may act before this time.
+    /// A former holder may act before this time.
     act_from: Timestamp,
     releasing: bool,
 }
@@ -64,8 +64,8 @@
 /// and when another one may claim.
 #[derive(Clone, Debug)]
 pub struct Ownership {
-    facts: BTreeMap<GroupId, ClaimFact>,
-    /// Contains exactly the groups whose fact names the own incarnation and is not released.
+    facts: BTreeMap<GroupId, Fact>,
+    /// Contains exactly the groups whose last claim names the own incarnation and is not released.
     held: BTreeMap<GroupId, Held>,
     /// Groups for which an own claim was appended and not yet read back.
     pending: BTreeSet<GroupId>,
@@ -90,87 +90,95 @@
     }
 
     /// Takes over the claims of a snapshot that was read at `now`.
-    pub fn load(
-        &mut self,
-        now: Timestamp,
-        own: &Incarnation,
-        facts: impl IntoIterator<Item = (GroupId, ClaimFact)>,
-    ) {
-        for (group, fact) in facts {
-            if fact.released {
-                self.on_claim(now, own, group, fact.holder, fact.epoch);
-                self.on_release(group, fact.epoch);
+    ///
+    /// The claims before those of a snapshot are unknown, so each is taken for a take-over.
+    pub fn load(&mut self, now: Timestamp, own: &Incarnation, claims: &Claims) {
+        for (group, claim) in claims.iter() {
+            let former_until = if claim.released {
+                now
             } else {
-                self.on_claim_after(now, own, group, fact.holder, fact.epoch, true);
+                now + claim.lease
+            };
+            self.record(now, own, group, claim, former_until);
+            if claim.released {
+                self.release(group, claim.epoch);
             }
         }
     }
 
-    /// Records a claim that was read from the log at `now`; older epochs have no effect.
-    pub fn on_claim(
+    /// Records the event of one record that was read from the log at `now`.
+    ///
+    /// `claims` is the fold just after that record.
+    pub fn on_event(
         &mut self,
         now: Timestamp,
         own: &Incarnation,
-        group: GroupId,
-        holder: Incarnation,
-        epoch: Epoch,
+        claims: &Claims,
+        event: &ClaimEvent,
     ) {
-        let former_may_act = match self.facts.get(&group) {
-            Some(fact) => !fact.released && fact.holder != holder,
-            None => false,
+        match *event {
+            ClaimEvent::Claimed { group, .. } => {
+                if let Some(claim) = claims.get(group) {
+                    let former_until = self.former_until(now, group, &claim.holder);
+                    self.record(now, own, group, claim, former_until);
+                }
+            }
+            ClaimEvent::Released { group, epoch } => self.release(group, epoch),
+            ClaimEvent::StaleRelease { .. } => {}
+        }
+    }
+
+    /// Returns until when holders other than `holder` may act if it claims `group`.
+    ///
+    /// A holder that was itself replaced may have had the longer lease.
+    fn former_until(&self, now: Timestamp, group: GroupId, holder: &Incarnation) -> Timestamp {
+        let Some(fact) = self.facts.get(&group).filter(|fact| !fact.claim.released) else {
+            return now;
         };
-        self.on_claim_after(now, own, group, holder, epoch, former_may_act);
+        if fact.claim.holder == *holder {
+            return fact.former_until;
+        }
+        fact.former_until.max(now + fact.claim.lease)
     }
 
-    fn on_claim_after(
+    /// Claims with an epoch that is not above the last one have no effect.
+    fn record(
         &mut self,
         now: Timestamp,
         own: &Incarnation,
         group: GroupId,
-        holder: Incarnation,
-        epoch: Epoch,
-        former_may_act: bool,
+        claim: &Claim,
+        former_until: Timestamp,
     ) {
         let known = self.facts.get(&group);
-        if known.is_some_and(|fact| fact.epoch >= epoch) {
+        if known.is_some_and(|fact| fact.claim.epoch >= claim.epoch) {
             return;
         }
-        if holder == *own {
+        if claim.holder == *own {
             self.pending.remove(&group);
-            self.hold(now, group, former_may_act);
+            let held = Held {
+                claimed_at: now,
+                act_from: former_until,
+                releasing: false,
+            };
+            // A repeated own claim keeps the wait of the first one.
+            self.held.entry(group).or_insert(held);
         } else {
             self.held.remove(&group);
         }
-        let fact = ClaimFact {
-            holder,
-            epoch,
-            released: false,
+        let fact = Fact {
+            claim: claim.clone(),
+            former_until,
         };
         self.facts.insert(group, fact);
     }
 
-    /// A repeated own claim keeps the wait of the first one.
-    fn hold(&mut self, now: Timestamp, group: GroupId, former_may_act: bool) {
-        let act_from = if former_may_act {
-            now + OWNER_LEASE
-        } else {
-            now
-        };
-        let held = Held {
-            claimed_at: now,
-            act_from,
-            releasing: false,
-        };
-        self.held.entry(group).or_insert(held);
-    }
-
-    /// Records a release that was read from the log; another epoch than the last has no effect.
-    pub fn on_release(&mut self, group: GroupId, epoch: Epoch) {
+    fn release(&mut self, group: GroupId, epoch: Epoch) {
         let Some(fact) = self.facts.get_mut(&group) else {
             return;
         };
-        if fact.epoch == epoch {
-            fact.released = true;
+        if fact.claim.epoch == epoch {
+            fact.claim.released = true;
             self.held.remove(&group);
         }
     }
@@ -198,16 +206,11 @@
         };
     }
 
-    /// Returns the last claim of `group`.
-    pub fn fact(&self, group: GroupId) -> Option<&ClaimFact> {
-        self.facts.get(&group)
-    }
-
     /// Returns the groups that this instance holds with their epochs, for its heartbeats.
     pub fn holds(&self) -> BTreeMap<GroupId, Epoch> {
         self.held
             .keys()
-            .filter_map(|group| Some((*group, self.facts.get(group)?.epoch)))
+            .filter_map(|group| Some((*group, self.facts.get(group)?.claim.epoch)))
             .collect()
     }
 
@@ -223,14 +226,14 @@
             return MayAct::NotHolder;
         };
         // A peer with a higher epoch has read a claim that this instance has not.
-        if members.reported_epoch(now, group) > Some(fact.epoch) {
+        if members.reported_epoch(now, group) > Some(fact.claim.epoch) {
             return MayAct::NotHolder;
         }
         if now < held.act_from {
             return MayAct::WaitUntil(held.act_from);
         }
         if self.lease_valid(now) || self.bridges_outage(now, members) {
-            MayAct::Yes(fact.epoch)
+            MayAct::Yes(fact.claim.epoch)
         } else {
             MayAct::LeaseExpired
         }
@@ -285,15 +288,14 @@
     }
 
     fn is_claimable(&self, now: Timestamp, group: GroupId, members: &Membership) -> bool {
-        let Some(fact) = self.facts.get(&group).filter(|fact| !fact.released) else {
+        let Some(fact) = self.facts.get(&group).filter(|fact| !fact.claim.released) else {
             return true;
         };
-        match members.presence(now, &fact.holder) {
+        let holder = &fact.claim.holder;
+        match members.presence(now, holder) {
             Presence::Present => false,
             Presence::Replaced => true,
-            Presence::Silent | Presence::Absent => {
-                !members.is_heard_by_peer(now, &fact.holder.instance)
-            }
+            Presence::Silent | Presence::Absent => !members.is_heard_by_peer(now, &holder.instance),
         }
     }
 
@@ -323,7 +325,7 @@
             .filter(|(_, held)| held.act_from <= now)
             .find(|(group, _)| leaving || hand_over(**group))?;
         held.releasing = true;
-        let epoch = self.facts.get(group)?.epoch;
+        let epoch = self.facts.get(group)?.claim.epoch;
         Some((*group, epoch))
     }
 }
--- a/coordination/src/scheduler.rs
+++ b/coordination/src/scheduler.rs
@@ -9,6 +9,7 @@
 use limpetweir_state::{
     Epoch,
     GroupId,
+    Job,
     JobId,
     OrganisationId,
     Timestamp, //
@@ -24,7 +25,7 @@
 use crate::job_items::{
     JobItems,
     JobSpec,
-    Progress, //
+    ResumePoint, //
 };
 use crate::timing::COMPLETION_INTERVAL;
 
@@ -44,7 +45,7 @@
     /// Index of the item in the job.
     pub index: u32,
     /// Output to resume from.
-    pub resume: Progress,
+    pub resume: ResumePoint,
 }
 
 /// How an attempt ended.
@@ -53,7 +54,7 @@
     /// The item ran to its end with this outcome.
     Finished(R),
     /// The item gave way to online requests; no failure.
-    Yielded(Progress),
+    Yielded(ResumePoint),
     /// The attempt failed; the outcome is recorded if it was the last one.
     Failed(R),
     /// The item did not run, for example because the batch manager was busy; no failure.
@@ -88,7 +89,7 @@
 struct Running {
     job: JobId,
     index: u32,
-    resume: Progress,
+    resume: ResumePoint,
 }
 
 /// Jobs of one group under one epoch of ownership.
@@ -153,6 +154,19 @@
         }
     }
 
+    /// Adds a job from the fold, with the outcomes and failed attempts that it shows.
+    pub fn add_folded(&mut self, id: &JobId, job: &Job) {
+        let spec = JobSpec::from((id, job));
+        let open: BTreeMap<u32, u32> = job
+            .open_items(0)
+            .map(|item| (item.index, item.attempts))
+            .collect();
+        let settled = (0..spec.items).filter(|index| !open.contains_key(index));
+        let failures = open.iter().filter(|(_, attempts)| **attempts > 0);
+        let failures = failures.map(|(&index, &attempts)| (index, attempts));
+        self.add_job(spec, settled, failures);
+    }
+
     /// Returns the number of running attempts.
     pub fn running(&self) -> usize {
         self.running.len()
@@ -271,7 +285,7 @@
     fn give_back(
         &mut self,
         running: Running,
-        progress: Option<Progress>,
+        progress: Option<ResumePoint>,
         refund: bool,
     ) -> ItemState {
         let Some(items) = self.jobs.get_mut(&running.job) else {
--- a/coordination/tests/batch/scheduler.rs
+++ b/coordination/tests/batch/scheduler.rs
@@ -18,19 +18,29 @@
     Dispatch,
     ItemState,
     JobSpec,
-    Progress,
+    ResumePoint,
     Scheduler, //
 };
 use limpetweir_state::{
+    Completion,
     Epoch,
+    Fold,
     GroupId,
     GroupKind,
+    JobChange,
     JobId,
+    JobRecord,
+    Jobs,
     ModelId,
+    NewItem,
+    Offset,
     OrganisationId,
     ServiceId,
+    Submission,
+    SubmissionId,
     Timestamp,
-    UnixMillis, //
+    UnixMillis,
+    Usage, //
 };
 use rand::rngs::SmallRng;
 use rand::{
@@ -186,6 +196,19 @@
     assert_eq!(served(&mut scheduler, 400)["huge"], 400);
 }
 
+/// Guards against charging an organisation for dispatches that gave way or did not run.
+#[rstest]
+#[case::yielded(AttemptEnd::Yielded(ResumePoint::default()))]
+#[case::not_run(AttemptEnd::NotRun)]
+fn an_attempt_that_gives_way_costs_no_share(#[case] end: AttemptEnd<Outcome>) {
+    let mut scheduler = scheduler(&[spec("a", "a", 100, 900), spec("b", "b", 900, 900)]);
+    for _ in 0..200 {
+        let next = dispatch(&mut scheduler).unwrap();
+        assert_eq!(next.job, job("a"), "the earlier deadline keeps its turn");
+        scheduler.on_end(next.attempt, end.clone());
+    }
+}
+
 /// Guards against a job without a free backend server that blocks other jobs.
 #[test]
 fn jobs_that_cannot_be_placed_are_passed_over() {
@@ -202,7 +225,7 @@
     for tokens in 1..=20 {
         let next = dispatch(&mut scheduler).unwrap();
         assert_eq!((next.index, next.resume.tokens), (0, tokens - 1));
-        let progress = Progress {
+        let progress = ResumePoint {
             text: "x".repeat(tokens as usize),
             tokens,
         };
@@ -218,7 +241,7 @@
 #[case::lost(AttemptEnd::Lost)]
 fn attempts_without_a_fault_of_the_item_are_no_failures(#[case] end: AttemptEnd<Outcome>) {
     let mut scheduler = scheduler(&[spec("a", "a", 100, 1)]);
-    let progress = Progress {
+    let progress = ResumePoint {
         text: "abc".to_owned(),
         tokens: 1,
     };
@@ -281,6 +304,69 @@
     assert_eq!(order, [2, 4]);
 }
 
+/// Guards against a new owner that loses outcomes or failed attempts of the fold.
+#[test]
+fn a_folded_job_goes_on_where_the_log_ends() {
+    let id = job("jobs-3-x");
+    let item = |id: &str| NewItem {
+        id: id.into(),
+        prompt: "p".into(),
+        max_tokens: 5,
+    };
+    let submission = SubmissionId(1);
+    let head = Submission {
+        submission,
+        parts: 1,
+        job: id.clone(),
+        organisation: organisation("a"),
+        key: "key".into(),
+        digest: [0; 32],
+        service: ServiceId::try_from("s").expect("accepted name"),
+        model: ModelId::try_from("m").expect("accepted name"),
+        deadline: UnixMillis(100),
+        result_retention: Duration::from_secs(60),
+    };
+    let completion = Completion {
+        index: 1,
+        outcome: limpetweir_state::Outcome::Failed("m".into()),
+        usage: Usage::default(),
+    };
+    let changes = [
+        JobChange::Open,
+        JobChange::SubmitPart {
+            submission,
+            part: 0,
+            items: ["x", "y", "z"].map(item).into(),
+        },
+        JobChange::Submit(head),
+        JobChange::Completed {
+            job: id.clone(),
+            items: vec![completion],
+        },
+        JobChange::Attempts {
+            job: id.clone(),
+            counts: vec![(2, 2)],
+        },
+    ];
+    let mut jobs = Jobs::default();
+    for (offset, change) in (0..).map(Offset).zip(changes) {
+        let record = JobRecord {
+            epoch: Epoch(7),
+            at: UnixMillis(1),
+            change,
+        };
+        jobs.apply(offset, record);
+    }
+    let mut scheduler = Scheduler::new(GROUP, Epoch(8));
+    scheduler.add_folded(&id, jobs.get(&id).unwrap());
+    let first = dispatch(&mut scheduler).unwrap();
+    let second = dispatch(&mut scheduler).unwrap();
+    assert_eq!((first.index, second.index), (0, 2));
+    assert_eq!(dispatch(&mut scheduler), None);
+    let state = scheduler.on_end(second.attempt, AttemptEnd::Failed(FAILED));
+    assert_eq!(state, ItemState::Settled);
+}
+
 /// Guards against a job that starts anew when its record is seen again.
 #[test]
 fn a_job_that_is_over_does_not_start_again() {
@@ -301,7 +387,10 @@
     let ends = [
         (AttemptEnd::Finished(OK), ItemState::Settled),
         (AttemptEnd::Failed(FAILED), ItemState::Dropped),
-        (AttemptEnd::Yielded(Progress::default()), ItemState::Dropped),
+        (
+            AttemptEnd::Yielded(ResumePoint::default()),
+            ItemState::Dropped,
+        ),
         (AttemptEnd::Lost, ItemState::Dropped),
     ];
     for (attempt, (end, state)) in attempts.into_iter().zip(ends) {
@@ -447,7 +536,7 @@
             let item = item.clone();
             let poison = item.1 % 50 == 49;
             let end = match rng.random_range(0..6) {
-                0 => AttemptEnd::Yielded(Progress::default()),
+                0 => AttemptEnd::Yielded(ResumePoint::default()),
                 1 => AttemptEnd::NotRun,
                 2 => AttemptEnd::Lost,
                 _ if poison => {
--- a/coordination/tests/control/fleet.rs
+++ b/coordination/tests/control/fleet.rs
@@ -6,7 +6,10 @@
 };
 use std::time::Duration;
 
-use limpetweir_coordination::timing::HEARTBEAT_INTERVAL;
+use limpetweir_coordination::timing::{
+    HEARTBEAT_INTERVAL,
+    OWNER_LEASE, //
+};
 use limpetweir_coordination::{
     Freshness,
     ListState,
@@ -17,11 +20,14 @@
     ServingMode, //
 };
 use limpetweir_state::{
-    Epoch,
+    ClaimRecord,
+    Claims,
+    Fold,
     GroupId,
     GroupKind,
     Incarnation,
     InstanceId,
+    Offset,
     Timestamp,
     Version, //
 };
@@ -50,6 +56,15 @@
     }
 }
 
+/// A claim of `group` by `holder` with the default lease.
+pub(crate) fn claim(group: GroupId, holder: &Incarnation) -> ClaimRecord {
+    ClaimRecord::Claim {
+        group,
+        holder: holder.clone(),
+        lease: OWNER_LEASE,
+    }
+}
+
 /// A report of a serving instance that reads the log and hears `hears`.
 pub(crate) fn report(from: Incarnation, sequence: u64, hears: &[&str]) -> Report {
     Report {
@@ -71,12 +86,6 @@
     names.iter().map(entry).collect()
 }
 
-#[derive(Clone)]
-enum Record {
-    Claim(GroupId, Incarnation),
-    Release(GroupId, Epoch),
-}
-
 pub(crate) struct Node {
     pub(crate) own: Incarnation,
     pub(crate) members: Membership,
@@ -88,6 +97,7 @@
     pub(crate) leaving: bool,
     sequence: u64,
     read: usize,
+    pub(crate) claims: Claims,
     inbox: Vec<Report>,
     confirmed_at: Option<Timestamp>,
 }
@@ -104,6 +114,7 @@
             leaving: false,
             sequence: 0,
             read: 0,
+            claims: Claims::default(),
             inbox: Vec::new(),
             confirmed_at: None,
             own,
@@ -149,8 +160,8 @@
     /// Time between an append and its effect.
     pub(crate) append_delay: Duration,
     pub(crate) groups: Vec<GroupId>,
-    log: Vec<Record>,
-    in_flight: Vec<(Timestamp, Record)>,
+    log: Vec<ClaimRecord>,
+    in_flight: Vec<(Timestamp, ClaimRecord)>,
 }
 
 impl Fleet {
@@ -287,11 +298,11 @@
         let members = &node.members;
         let mut appended = Vec::new();
         if let Some((group, epoch)) = node.ownership.next_release(now, members, node.leaving) {
-            appended.push(Record::Release(group, epoch));
+            appended.push(ClaimRecord::Release { group, epoch });
         }
         let groups = self.groups.iter().copied();
         for group in node.ownership.claims_to_make(now, groups, members, serving) {
-            appended.push(Record::Claim(group, node.own.clone()));
+            appended.push(claim(group, &node.own));
         }
         let effect = now + self.append_delay;
         let in_flight = appended.into_iter().map(|record| (effect, record));
@@ -308,14 +319,10 @@
         let now = self.now;
         let node = &mut self.nodes[i];
         while node.read < self.log.len() {
-            let epoch = Epoch(node.read as u64 + 1);
-            match self.log[node.read].clone() {
-                Record::Claim(group, holder) => {
-                    node.ownership
-                        .on_claim(now, &node.own, group, holder, epoch);
-                }
-                Record::Release(group, epoch) => node.ownership.on_release(group, epoch),
-            }
+            let record = self.log[node.read].clone();
+            let event = node.claims.apply(Offset(node.read as u64), record);
+            node.ownership
+                .on_event(now, &node.own, &node.claims, &event);
             node.read += 1;
         }
         node.ownership.on_confirmed_read(now);
--- a/coordination/tests/control/ownership.rs
+++ b/coordination/tests/control/ownership.rs
@@ -14,8 +14,13 @@
     preferred_owner, //
 };
 use limpetweir_state::{
+    ClaimRecord,
+    Claims,
     Epoch,
+    Fold,
     GroupId,
+    Incarnation,
+    Offset,
     Timestamp, //
 };
 use rand::rngs::SmallRng;
@@ -27,6 +32,7 @@
 
 use crate::fleet::{
     Fleet,
+    claim,
     group,
     incarnation,
     instance,
@@ -36,6 +42,47 @@
 
 const SECOND: Duration = Duration::from_secs(1);
 
+/// The claims of one instance without a fleet around it.
+struct Reader {
+    own: Incarnation,
+    members: Membership,
+    ownership: Ownership,
+    claims: Claims,
+    next: Offset,
+}
+
+impl Reader {
+    fn new(own: &Incarnation, now: Timestamp) -> Self {
+        Self {
+            members: Membership::new(own.clone(), now),
+            ownership: Ownership::new(now),
+            claims: Claims::default(),
+            next: Offset(0),
+            own: own.clone(),
+        }
+    }
+
+    /// Reads one record and the end of the stream.
+    fn read(&mut self, now: Timestamp, record: ClaimRecord) {
+        let event = self.claims.apply(self.next, record);
+        self.next = self.next.next();
+        self.ownership
+            .on_event(now, &self.own, &self.claims, &event);
+        self.ownership.on_confirmed_read(now);
+    }
+
+    fn may_act(&self, now: Timestamp) -> MayAct {
+        self.ownership.may_act(now, group(0), &self.members)
+    }
+}
+
+fn release(epoch: u64) -> ClaimRecord {
+    ClaimRecord::Release {
+        group: group(0),
+        epoch: Epoch(epoch),
+    }
+}
+
 fn owner(fleet: &Fleet, group: GroupId) -> usize {
     let acting = fleet.acting(group);
     assert_eq!(acting.len(), 1, "{group} has one acting owner");
@@ -75,23 +122,19 @@
 fn a_buffered_heartbeat_does_not_bridge_a_pause() {
     let start = Timestamp::from_millis(50_000);
     let own = incarnation("a", 1);
-    let mut members = Membership::new(own.clone(), start);
-    members.set_list(start, live(&["a", "b", "c"]));
-    let mut ownership = Ownership::new(start);
+    let mut reader = Reader::new(&own, start);
+    reader.members.set_list(start, live(&["a", "b", "c"]));
     let mut heartbeat = report(incarnation("b", 1), 1, &["a", "c"]);
     heartbeat.log_age = Some(2 * OWNER_LEASE);
-    members.on_heartbeat(start, heartbeat.clone());
-    ownership.tick(start, &members);
-    ownership.on_claim(start, &own, group(0), own.clone(), Epoch(1));
-    ownership.on_confirmed_read(start);
+    reader.members.on_heartbeat(start, heartbeat.clone());
+    reader.ownership.tick(start, &reader.members);
+    reader.read(start, claim(group(0), &own));
     let woken = start + 10 * SECOND;
     heartbeat.sequence = 2;
-    members.on_heartbeat(woken, heartbeat);
-    let before_tick = ownership.may_act(woken, group(0), &members);
-    assert_eq!(before_tick, MayAct::LeaseExpired);
-    ownership.tick(woken, &members);
-    let after_tick = ownership.may_act(woken, group(0), &members);
-    assert_eq!(after_tick, MayAct::LeaseExpired);
+    reader.members.on_heartbeat(woken, heartbeat);
+    assert_eq!(reader.may_act(woken), MayAct::LeaseExpired);
+    reader.ownership.tick(woken, &reader.members);
+    assert_eq!(reader.may_act(woken), MayAct::LeaseExpired);
 }
 
 /// Guards against claiming the groups of a holder that others still hear.
@@ -162,18 +205,48 @@
 fn a_take_over_waits_one_lease_from_the_read_of_the_claim() {
     let now = Timestamp::from_millis(50_000);
     let own = incarnation("a", 1);
-    let members = Membership::new(own.clone(), now);
-    let mut ownership = Ownership::new(now);
-    ownership.on_claim(now, &own, group(0), incarnation("b", 1), Epoch(1));
-    ownership.on_claim(now, &own, group(0), own.clone(), Epoch(2));
-    ownership.on_confirmed_read(now);
+    let mut reader = Reader::new(&own, now);
+    reader.read(now, claim(group(0), &incarnation("b", 1)));
+    reader.read(now, claim(group(0), &own));
     let until = now + OWNER_LEASE;
-    let may_act = ownership.may_act(now, group(0), &members);
-    assert_eq!(may_act, MayAct::WaitUntil(until));
-    ownership.on_claim(now + SECOND, &own, group(0), own.clone(), Epoch(3));
-    ownership.on_confirmed_read(until);
-    let may_act = ownership.may_act(until, group(0), &members);
-    assert_eq!(may_act, MayAct::Yes(Epoch(3)));
+    assert_eq!(reader.may_act(now), MayAct::WaitUntil(until));
+    reader.read(now + SECOND, claim(group(0), &own));
+    reader.ownership.on_confirmed_read(until);
+    assert_eq!(reader.may_act(until), MayAct::Yes(Epoch(3)));
+}
+
+/// Guards against waiting only for the last of several former holders.
+#[test]
+fn a_take_over_waits_for_the_longest_former_lease() {
+    let now = Timestamp::from_millis(50_000);
+    let own = incarnation("a", 1);
+    let mut reader = Reader::new(&own, now);
+    let long = ClaimRecord::Claim {
+        group: group(0),
+        holder: incarnation("b", 1),
+        lease: 5 * OWNER_LEASE,
+    };
+    reader.read(now, long);
+    reader.read(now, claim(group(0), &incarnation("c", 1)));
+    reader.read(now, claim(group(0), &own));
+    let until = now + 5 * OWNER_LEASE;
+    assert_eq!(reader.may_act(now), MayAct::WaitUntil(until));
+}
+
+/// Guards against an own claim from a snapshot whose former holder is unknown.
+#[test]
+fn a_claim_from_a_snapshot_is_taken_for_a_take_over() {
+    let now = Timestamp::from_millis(50_000);
+    let own = incarnation("a", 1);
+    let mut writer = Reader::new(&incarnation("b", 1), now);
+    writer.read(now, claim(group(0), &own));
+    let mut reader = Reader::new(&own, now);
+    reader.ownership.load(now, &own, &writer.claims);
+    reader.ownership.on_confirmed_read(now);
+    assert_eq!(reader.may_act(now), MayAct::WaitUntil(now + OWNER_LEASE));
+    writer.read(now, release(1));
+    reader.ownership.load(now, &own, &writer.claims);
+    assert_eq!(reader.may_act(now), MayAct::NotHolder);
 }
 
 /// Guards against an unnecessary wait after a release, and against a late release of an old epoch.
@@ -181,41 +254,27 @@
 fn a_released_group_is_taken_over_at_once() {
     let now = Timestamp::from_millis(50_000);
     let own = incarnation("a", 1);
-    let members = Membership::new(own.clone(), now);
-    let mut ownership = Ownership::new(now);
-    ownership.on_claim(now, &own, group(0), incarnation("b", 1), Epoch(1));
-    ownership.on_release(group(0), Epoch(1));
-    ownership.on_claim(now, &own, group(0), own.clone(), Epoch(3));
-    ownership.on_release(group(0), Epoch(1));
-    ownership.on_confirmed_read(now);
-    let may_act = ownership.may_act(now, group(0), &members);
-    assert_eq!(may_act, MayAct::Yes(Epoch(3)));
+    let mut reader = Reader::new(&own, now);
+    reader.read(now, claim(group(0), &incarnation("b", 1)));
+    reader.read(now, release(1));
+    reader.read(now, claim(group(0), &own));
+    reader.read(now, release(1));
+    assert_eq!(reader.may_act(now), MayAct::Yes(Epoch(3)));
 }
 
-/// Guards against two claimants of one released group that both act.
+/// Guards against two claimants of one free group that both act.
 #[test]
 fn the_last_of_two_claims_wins_after_a_wait() {
     let now = Timestamp::from_millis(50_000);
     let (a, b) = (incarnation("a", 1), incarnation("b", 1));
-    let (members_a, members_b) = (
-        Membership::new(a.clone(), now),
-        Membership::new(b.clone(), now),
-    );
-    let (mut at_a, mut at_b) = (Ownership::new(now), Ownership::new(now));
-    at_a.on_claim(now, &a, group(0), a.clone(), Epoch(1));
-    at_a.on_confirmed_read(now);
-    assert_eq!(
-        at_a.may_act(now, group(0), &members_a),
-        MayAct::Yes(Epoch(1))
-    );
-    at_b.on_claim(now, &b, group(0), a.clone(), Epoch(1));
-    at_b.on_claim(now, &b, group(0), b.clone(), Epoch(2));
-    at_b.on_confirmed_read(now);
-    let wait = MayAct::WaitUntil(now + OWNER_LEASE);
-    assert_eq!(at_b.may_act(now, group(0), &members_b), wait);
-    at_a.on_claim(now, &a, group(0), b.clone(), Epoch(2));
-    let may_act = at_a.may_act(now, group(0), &members_a);
-    assert_eq!(may_act, MayAct::NotHolder);
+    let (mut at_a, mut at_b) = (Reader::new(&a, now), Reader::new(&b, now));
+    at_a.read(now, claim(group(0), &a));
+    assert_eq!(at_a.may_act(now), MayAct::Yes(Epoch(1)));
+    at_b.read(now, claim(group(0), &a));
+    at_b.read(now, claim(group(0), &b));
+    assert_eq!(at_b.may_act(now), MayAct::WaitUntil(now + OWNER_LEASE));
+    at_a.read(now, claim(group(0), &b));
+    assert_eq!(at_a.may_act(now), MayAct::NotHolder);
 }
 
 /// Guards against a release during the take-over wait: the next claimant would act at once, while
@@ -224,19 +283,17 @@
 fn a_group_is_not_released_during_the_take_over_wait() {
     let now = Timestamp::from_millis(50_000);
     let own = incarnation("a", 1);
-    let mut members = Membership::new(own.clone(), now);
-    members.set_list(now, live(&["a"]));
-    let mut ownership = Ownership::new(now);
-    ownership.on_claim(now, &own, group(0), incarnation("b", 1), Epoch(1));
-    ownership.on_claim(now, &own, group(0), own.clone(), Epoch(2));
-    ownership.on_confirmed_read(now);
-    assert_eq!(ownership.next_release(now, &members, true), None);
+    let mut reader = Reader::new(&own, now);
+    reader.members.set_list(now, live(&["a"]));
+    reader.read(now, claim(group(0), &incarnation("b", 1)));
+    reader.read(now, claim(group(0), &own));
+    let early = reader.ownership.next_release(now, &reader.members, true);
+    assert_eq!(early, None);
     let until = now + OWNER_LEASE;
-    ownership.on_confirmed_read(until);
-    let release = ownership.next_release(until, &members, true);
+    reader.ownership.on_confirmed_read(until);
+    let release = reader.ownership.next_release(until, &reader.members, true);
     assert_eq!(release, Some((group(0), Epoch(2))));
-    let may_act = ownership.may_act(until, group(0), &members);
-    assert_eq!(may_act, MayAct::NotHolder);
+    assert_eq!(reader.may_act(until), MayAct::NotHolder);
 }
 
 /// Guards against a restart under the same name that acts on the claims of its predecessor, or
@@ -250,8 +307,8 @@
     assert!(fleet.acting(group(0)).is_empty());
     fleet.run(2 * SILENCE_LIMIT + OWNER_LEASE + SECOND);
     owner(&fleet, group(0));
-    let fact = fleet.nodes[0].ownership.fact(group(0)).unwrap();
-    assert_ne!(fact.holder, incarnation(&format!("i{holder}"), 1));
+    let claim = fleet.nodes[0].claims.get(group(0)).unwrap();
+    assert_ne!(claim.holder, incarnation(&format!("i{holder}"), 1));
 }
 
 /// Guards against a planned stop that leaves its groups to the silence limit.
@@ -306,6 +363,9 @@
     assert_eq!(claims, [group(0)]);
     let repeated = ownership.claims_to_make(now, [group(0)], &members, true);
     assert!(repeated.is_empty(), "one claim of a group is in flight");
+    ownership.on_claim_abandoned(group(0));
+    let claims = ownership.claims_to_make(now, [group(0)], &members, true);
+    assert_eq!(claims, [group(0)]);
 }
 
 /// Guards against an uneven or unstable choice of preferred owners.
