--- a/state/src/lib.rs
+++ b/state/src/lib.rs
@@ -1,12 +1,38 @@
 //! Pure state: identifiers, verdicts, buckets and folds over the log.
 
+mod bucket;
+mod claims;
+mod configuration;
 mod ids;
+mod jobs;
+mod key;
+mod limit;
+mod log;
+mod publications;
 mod time;
 mod verdict;
 
+pub use bucket::TokenBucket;
+pub use claims::{Claim, ClaimEvent, ClaimRecord, Claims};
+pub use configuration::{
+    Access, Backend, Configuration, ConfigurationError, Key, Method, Organisation, Service,
+    ServiceKind,
+};
 pub use ids::{
-    BackendId, Epoch, GroupId, GroupKind, IdError, Incarnation, InstanceId, JobId, ModelId, Offset,
-    OrganisationId, ServiceId, Version, ZoneId,
+    BackendId, Epoch, GroupId, GroupKind, IdError, Incarnation, InstanceId, JobId, KeyId, ModelId,
+    Offset, OrganisationId, PublicationId, ServiceId, Version, ZoneId,
+};
+pub use jobs::{
+    Completion, ItemResult, ItemStatus, Job, JobChange, JobOutcome, JobPhase, JobRecord, Jobs,
+    JobsEvent, NewItem, OpenItem, OrganisationUsage, Outcome, Progress, ResultPage, Submission,
+    SubmissionId, Usage, job_group, job_id,
+};
+pub use key::{DigestError, KeyDigest};
+pub use limit::{Limit, LimitError, MAX_LIMIT, MIN_BURST, MIN_RATE};
+pub use log::{
+    Abandoned, Adoption, Answer, Applied, Body, Entry, Fold, QueueFull, Replica, ReplicaStatus,
+    Snapshot, SnapshotError, SnapshotPart, Step, Ticket, Writer, WriterId,
 };
+pub use publications::{Publications, Publish, PublishEvent, PublishResult};
 pub use time::{Timestamp, UnixMillis};
 pub use verdict::Verdict;
