--- /dev/null
+++ b/standins/src/list/state.rs
@@ -0,0 +1,117 @@
+//! Content of the list and the lag with which it is shown.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::lagged::Lagged;
+
+/// State of an instance or backend server.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ServerState {
+    /// Takes new work.
+    #[default]
+    Live,
+    /// Takes no new work and will be removed.
+    Leaving,
+}
+
+/// An instance of the serving layer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Instance {
+    /// Unique name.
+    pub name: String,
+    /// Availability zone.
+    pub zone: String,
+    /// Address of the public listener.
+    pub public: String,
+    /// Address of the peer listener.
+    pub peer: String,
+    /// Live or leaving; live if absent.
+    #[serde(default)]
+    pub state: ServerState,
+}
+
+/// A backend server.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Backend {
+    /// Unique name.
+    pub name: String,
+    /// Live or leaving; live if absent.
+    #[serde(default)]
+    pub state: ServerState,
+}
+
+/// Answer of `GET /list`.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Listing {
+    /// Instances by name.
+    pub instances: Vec<Instance>,
+    /// Backend servers by name.
+    pub backends: Vec<Backend>,
+}
+
+impl Listing {
+    /// Adds an instance or replaces the one of the same name.
+    pub fn put_instance(&mut self, instance: Instance) {
+        match self
+            .instances
+            .binary_search_by(|other| other.name.cmp(&instance.name))
+        {
+            Ok(at) => self.instances[at] = instance,
+            Err(at) => self.instances.insert(at, instance),
+        }
+    }
+
+    /// Adds a backend server or replaces the one of the same name.
+    pub fn put_backend(&mut self, backend: Backend) {
+        match self
+            .backends
+            .binary_search_by(|other| other.name.cmp(&backend.name))
+        {
+            Ok(at) => self.backends[at] = backend,
+            Err(at) => self.backends.insert(at, backend),
+        }
+    }
+
+    /// Removes the instance or backend server of this name.
+    pub fn remove(&mut self, name: &str) {
+        self.instances.retain(|instance| instance.name != name);
+        self.backends.retain(|backend| backend.name != name);
+    }
+}
+
+/// The list as it is and as readers see it. Time is an argument, so tests use virtual time.
+#[derive(Debug)]
+pub struct ListState {
+    listing: Lagged<Listing>,
+}
+
+impl ListState {
+    /// Returns an empty list.
+    pub fn new(lag: Duration) -> Self {
+        Self {
+            listing: Lagged::new(Listing::default(), lag),
+        }
+    }
+
+    /// Changes the list; readers see the change after the lag.
+    pub fn change(&mut self, now: Duration, change: impl FnOnce(&mut Listing)) {
+        let mut listing = self.listing.newest().clone();
+        change(&mut listing);
+        self.listing.push(now, listing);
+    }
+
+    /// Changes the lag, also of changes that readers do not see yet.
+    pub fn set_lag(&mut self, lag: Duration) {
+        self.listing.set_lag(lag);
+    }
+
+    /// Returns the list that readers see at `now`.
+    pub fn visible(&mut self, now: Duration) -> &Listing {
+        self.listing.visible(now)
+    }
+}
