--- a/standins/src/harness.rs
+++ b/standins/src/harness.rs
@@ -167,7 +167,7 @@
         let stdin = child.stdin.take();
         let mut process = Process {
             child,
-            stdin,
+            _stdin: stdin,
             announced: Value::Null,
         };
         let lines = lines.context(NotAnnouncedSnafu {
