Add the executor runtime and the HTTP server and client

Other packages build on these interfaces. Errors of the client carry a verdict that follows from the bytes handed to the operating system, so "not run" holds at every step of a request.

--- /dev/null
+++ b/transport/src/http/io.rs
@@ -0,0 +1,94 @@
+//! A socket that counts the bytes written to it.
+
+use std::io;
+use std::net::TcpStream;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{
+    AtomicU64,
+    Ordering, //
+};
+use std::task::{
+    Context,
+    Poll, //
+};
+
+use async_io::Async;
+use futures_lite::{
+    AsyncRead,
+    AsyncWrite, //
+};
+
+/// Number of bytes a connection has handed to the operating system.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Written(Arc<AtomicU64>);
+
+impl Written {
+    pub(crate) fn get(&self) -> u64 {
+        self.0.load(Ordering::Acquire)
+    }
+
+    fn add(&self, len: usize) {
+        self.0.fetch_add(len as u64, Ordering::AcqRel);
+    }
+}
+
+/// A TCP stream that counts written bytes.
+///
+/// The count decides the verdict of a failed request: a request of which no byte was handed to the
+/// operating system cannot have run.
+#[derive(Debug)]
+pub(crate) struct CountedStream {
+    inner: Async<TcpStream>,
+    written: Written,
+}
+
+impl CountedStream {
+    pub(crate) fn new(inner: Async<TcpStream>, written: Written) -> Self {
+        Self { inner, written }
+    }
+}
+
+impl AsyncRead for CountedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.inner).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for CountedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let poll = Pin::new(&mut self.inner).poll_write(cx, buf);
+        if let Poll::Ready(Ok(len)) = &poll {
+            self.written.add(*len);
+        }
+        poll
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let poll = Pin::new(&mut self.inner).poll_write_vectored(cx, bufs);
+        if let Poll::Ready(Ok(len)) = &poll {
+            self.written.add(*len);
+        }
+        poll
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(cx)
+    }
+
+    fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_close(cx)
+    }
+}
--- /dev/null
+++ b/transport/src/http/mod.rs
@@ -0,0 +1,14 @@
+//! HTTP/1 server and client.
+
+mod body;
+mod client;
+mod io;
+mod pool;
+mod server;
+mod sse;
+
+pub use body::{Body, BodyClosed, BodyError, BodySender, BoxError, RequestBody, read_all};
+pub use client::{Client, ClientError, ClientLimits, SendOptions, TrafficClass};
+pub use pool::ClientBody;
+pub use server::{RemoteAddr, Server, ServerLimits};
+pub use sse::{DONE, Event, EventParser, EventReader, EventWriter, SseError};
--- /dev/null
+++ b/transport/src/http/pool.rs
@@ -0,0 +1,199 @@
+//! Pooled client connections and the answer bodies that return them to the pool.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::{
+    Arc,
+    Mutex,
+    MutexGuard,
+    PoisonError,
+    Weak, //
+};
+use std::task::{
+    Context,
+    Poll, //
+};
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use async_executor::Task;
+use async_io::Timer;
+use futures_lite::FutureExt;
+use http_body_util::Full;
+use hyper::body::{
+    Body,
+    Bytes,
+    Frame,
+    Incoming,
+    SizeHint, //
+};
+use hyper::client::conn::http1::SendRequest;
+
+use super::body::{
+    BodyError,
+    read_all, //
+};
+use super::client::TrafficClass;
+use super::io::Written;
+
+/// One connection of the client; dropping it closes the socket.
+#[derive(Debug)]
+pub(crate) struct Connection {
+    pub(crate) sender: SendRequest<Full<Bytes>>,
+    /// Drives the socket; cancelled on drop.
+    pub(crate) driver: Task<()>,
+    pub(crate) written: Written,
+    pub(crate) idle_since: Instant,
+}
+
+type Key = (SocketAddr, TrafficClass);
+
+/// Idle connections per address and traffic class.
+#[derive(Debug)]
+pub(crate) struct Pool {
+    idle: Mutex<HashMap<Key, Vec<Connection>>>,
+    idle_limit: usize,
+    idle_timeout: Duration,
+}
+
+impl Pool {
+    pub(crate) fn new(idle_limit: usize, idle_timeout: Duration) -> Self {
+        Self {
+            idle: Mutex::default(),
+            idle_limit,
+            idle_timeout,
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<Key, Vec<Connection>>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes the most recently used connection that is still open.
+    pub(crate) fn take(&self, key: Key) -> Option<Connection> {
+        let mut idle = self.lock();
+        let connections = idle.get_mut(&key)?;
+        while let Some(connection) = connections.pop() {
+            let fresh = connection.idle_since.elapsed() < self.idle_timeout;
+            if fresh && !connection.sender.is_closed() {
+                return Some(connection);
+            }
+        }
+        idle.remove(&key);
+        None
+    }
+
+    fn put(&self, key: Key, mut connection: Connection) {
+        if connection.sender.is_closed() {
+            return;
+        }
+        connection.idle_since = Instant::now();
+        let mut idle = self.lock();
+        let connections = idle.entry(key).or_default();
+        if connections.len() < self.idle_limit {
+            connections.push(connection);
+        }
+    }
+
+    /// Closes connections that were idle for longer than the limit or were closed by the server.
+    pub(crate) fn sweep(&self) {
+        let timeout = self.idle_timeout;
+        self.lock().retain(|_, connections| {
+            connections.retain(|c| c.idle_since.elapsed() < timeout && !c.sender.is_closed());
+            !connections.is_empty()
+        });
+    }
+}
+
+/// The body of an answer, streamed as it arrives.
+///
+/// Reading to the end returns the connection to its pool. Dropping the body earlier closes the
+/// connection, which cancels the request at the server.
+#[derive(Debug)]
+pub struct ClientBody {
+    incoming: Incoming,
+    connection: Option<Connection>,
+    pool: Weak<Pool>,
+    key: Key,
+    deadline: Option<Timer>,
+}
+
+impl ClientBody {
+    pub(crate) fn new(
+        incoming: Incoming,
+        connection: Connection,
+        pool: &Arc<Pool>,
+        key: Key,
+        deadline: Option<Instant>,
+    ) -> Self {
+        let mut body = Self {
+            incoming,
+            connection: Some(connection),
+            pool: Arc::downgrade(pool),
+            key,
+            deadline: deadline.map(Timer::at),
+        };
+        if body.incoming.is_end_stream() {
+            body.release();
+        }
+        body
+    }
+
+    /// Reads the whole body, of at most `limit` bytes.
+    pub async fn collect_bytes(self, limit: usize) -> Result<Bytes, BodyError> {
+        read_all(self, limit).await
+    }
+
+    fn release(&mut self) {
+        let Some(connection) = self.connection.take() else {
+            return;
+        };
+        if let Some(pool) = self.pool.upgrade() {
+            pool.put(self.key, connection);
+        }
+    }
+
+    fn poll_deadline(&mut self, cx: &mut Context<'_>) -> bool {
+        let timer = self.deadline.as_mut();
+        timer.is_some_and(|timer| timer.poll(cx).is_ready())
+    }
+}
+
+impl Body for ClientBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let this = self.get_mut();
+        match Pin::new(&mut this.incoming).poll_frame(cx) {
+            Poll::Ready(Some(Ok(frame))) => Poll::Ready(Some(Ok(frame))),
+            Poll::Ready(Some(Err(source))) => {
+                this.connection = None;
+                Poll::Ready(Some(Err(BodyError::Cut { source })))
+            }
+            Poll::Ready(None) => {
+                this.release();
+                Poll::Ready(None)
+            }
+            Poll::Pending if this.poll_deadline(cx) => {
+                this.connection = None;
+                Poll::Ready(Some(Err(BodyError::Deadline)))
+            }
+            Poll::Pending => Poll::Pending,
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.incoming.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.incoming.size_hint()
+    }
+}
--- /dev/null
+++ b/transport/tests/http.rs
@@ -0,0 +1,288 @@
+//! HTTP server and client against each other and against raw sockets.
+
+#![allow(clippy::unwrap_used, reason = "helpers of tests may panic")]
+
+use std::io::{
+    ErrorKind,
+    Read,
+    Write, //
+};
+use std::net::{
+    SocketAddr,
+    TcpStream, //
+};
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use hyper::body::Bytes;
+use hyper::header::CONNECTION;
+use hyper::{
+    Request,
+    Response,
+    StatusCode, //
+};
+use limpetweir_transport::http::{
+    Body,
+    BodyError,
+    BodySender,
+    Client,
+    ClientLimits,
+    EventReader,
+    EventWriter,
+    RequestBody,
+    SendOptions,
+    Server,
+    ServerLimits,
+    TrafficClass, //
+};
+use limpetweir_transport::{
+    Runtime,
+    Spawner, //
+};
+
+/// Far beyond any wait of a test; reaching it means that the test hangs.
+const HANG: Duration = Duration::from_secs(30);
+
+const LOCAL: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
+
+fn options() -> SendOptions {
+    SendOptions::within(TrafficClass::Online, HANG)
+}
+
+fn get(path: &str) -> Request<Bytes> {
+    Request::get(path).body(Bytes::new()).unwrap()
+}
+
+async fn echo(req: Request<RequestBody>) -> Response<Body> {
+    match req.into_body().collect_bytes().await {
+        Ok(bytes) => Response::new(Body::from(bytes)),
+        Err(BodyError::TooLarge { .. }) => status(StatusCode::PAYLOAD_TOO_LARGE),
+        Err(_) => status(StatusCode::BAD_REQUEST),
+    }
+}
+
+fn status(status: StatusCode) -> Response<Body> {
+    let mut response = Response::new(Body::empty());
+    *response.status_mut() = status;
+    response
+}
+
+fn echo_server(spawner: &Spawner, limits: ServerLimits) -> Server {
+    Server::start(spawner, LOCAL, limits, echo).unwrap()
+}
+
+/// Sends raw bytes and returns everything the server answers until it closes.
+fn raw_exchange(addr: SocketAddr, request: &[u8]) -> String {
+    let mut stream = TcpStream::connect(addr).unwrap();
+    stream.set_read_timeout(Some(HANG)).unwrap();
+    // The server may answer and close before it has read everything.
+    let _ = stream.write_all(request);
+    let mut answer = Vec::new();
+    if let Err(err) = stream.read_to_end(&mut answer) {
+        let text = String::from_utf8_lossy(&answer);
+        assert_ne!(
+            err.kind(),
+            ErrorKind::WouldBlock,
+            "left open after {text:?}"
+        );
+    }
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+/// Guards against a lost or mixed-up body on a reused connection.
+#[test]
+fn answers_requests_on_one_pooled_connection() {
+    let runtime = Runtime::start(2).unwrap();
+    let spawner = runtime.spawner();
+    let server = echo_server(&spawner, ServerLimits::default());
+    let client = Client::new(&spawner, ClientLimits::default());
+    let addr = server.addr();
+    runtime.block_on(async move {
+        for index in 0..20 {
+            let sent = Bytes::from(format!("body {index}"));
+            let req = Request::post("/").body(sent.clone()).unwrap();
+            let response = client.send(addr, req, options()).await.unwrap();
+            let got = response.into_body().collect_bytes(1024).await.unwrap();
+            assert_eq!(got, sent);
+        }
+    });
+}
+
+/// Guards against a handler panic that takes an executor thread down with it.
+#[test]
+fn a_panic_in_a_handler_ends_only_its_connection() {
+    let runtime = Runtime::start(1).unwrap();
+    let spawner = runtime.spawner();
+    let handler = |req: Request<RequestBody>| async move {
+        assert_ne!(req.uri().path(), "/panic", "requested by the test");
+        Response::new(Body::from("fine"))
+    };
+    let server = Server::start(&spawner, LOCAL, ServerLimits::default(), handler).unwrap();
+    let client = Client::new(&spawner, ClientLimits::default());
+    let addr = server.addr();
+    runtime.block_on(async move {
+        client
+            .send(addr, get("/panic"), options())
+            .await
+            .unwrap_err();
+        let response = client.send(addr, get("/"), options()).await.unwrap();
+        assert_eq!(response.status(), StatusCode::OK);
+    });
+}
+
+/// Guards against unbounded memory for one request.
+#[test]
+fn rejects_oversized_heads_and_bodies() {
+    let runtime = Runtime::start(1).unwrap();
+    let limits = ServerLimits {
+        head_bytes: 8192,
+        body_bytes: 1000,
+        ..ServerLimits::default()
+    };
+    let server = echo_server(&runtime.spawner(), limits);
+    let long = "a".repeat(10_000);
+    let head = format!("GET / HTTP/1.1\r\nhost: a\r\nx-long: {long}\r\n\r\n");
+    assert!(raw_exchange(server.addr(), head.as_bytes()).starts_with("HTTP/1.1 431"));
+    let many = "x: y\r\n".repeat(200);
+    let head = format!("GET / HTTP/1.1\r\nhost: a\r\n{many}\r\n");
+    assert!(raw_exchange(server.addr(), head.as_bytes()).starts_with("HTTP/1.1 431"));
+    let announced = format!("POST / HTTP/1.1\r\ncontent-length: 10000\r\n\r\n{long}");
+    assert!(raw_exchange(server.addr(), announced.as_bytes()).starts_with("HTTP/1.1 413"));
+    let chunked =
+        format!("POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n2710\r\n{long}\r\n");
+    assert!(raw_exchange(server.addr(), chunked.as_bytes()).starts_with("HTTP/1.1 413"));
+}
+
+/// Guards against a malformed request that reaches a handler or hangs its connection.
+#[test]
+fn rejects_malformed_requests() {
+    let runtime = Runtime::start(1).unwrap();
+    let server = echo_server(&runtime.spawner(), ServerLimits::default());
+    for request in [
+        "no request at all\r\n\r\n",
+        "GET / HTTP/9.9\r\n\r\n",
+        "GET / HTTP/1.1\r\nno colon\r\n\r\n",
+        "POST / HTTP/1.1\r\ncontent-length: many\r\n\r\n",
+        "POST / HTTP/1.1\r\ncontent-length: 1\r\ncontent-length: 2\r\n\r\nab",
+        "POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n",
+    ] {
+        let answer = raw_exchange(server.addr(), request.as_bytes());
+        assert!(
+            answer.starts_with("HTTP/1.1 400"),
+            "{request:?}: {answer:?}"
+        );
+    }
+}
+
+/// Guards against a connection that is held open without ever sending a request or its body.
+#[test]
+fn closes_stalled_requests() {
+    let runtime = Runtime::start(1).unwrap();
+    let limits = ServerLimits {
+        head_timeout: Duration::from_millis(20),
+        body_timeout: Duration::from_millis(20),
+        ..ServerLimits::default()
+    };
+    let server = echo_server(&runtime.spawner(), limits);
+    let answer = raw_exchange(server.addr(), b"GET / HTTP/1.1\r\nhost");
+    assert!(!answer.starts_with("HTTP/1.1 200"), "{answer:?}");
+    let body = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 5\r\n\r\nab";
+    assert!(raw_exchange(server.addr(), body).starts_with("HTTP/1.1 400"));
+}
+
+/// Guards against a planned stop that interrupts a running request.
+#[test]
+fn graceful_close_waits_for_running_requests() {
+    let runtime = Runtime::start(2).unwrap();
+    let spawner = runtime.spawner();
+    let (senders_tx, senders) = async_channel::unbounded::<BodySender>();
+    let handler = move |_req: Request<RequestBody>| {
+        let senders_tx = senders_tx.clone();
+        async move {
+            let (sender, body) = Body::channel();
+            senders_tx.send(sender).await.unwrap();
+            Response::new(body)
+        }
+    };
+    let server = Server::start(&spawner, LOCAL, ServerLimits::default(), handler).unwrap();
+    let client = Client::new(&spawner, ClientLimits::default());
+    let addr = server.addr();
+    runtime.block_on(async move {
+        let first = client.send(addr, get("/"), options()).await.unwrap();
+        assert!(!first.headers().contains_key(CONNECTION));
+        server.drain();
+        let second = client.send(addr, get("/"), options()).await.unwrap();
+        assert_eq!(second.headers()[CONNECTION], "close");
+        let closing = spawner.spawn(server.close(Instant::now() + HANG));
+        for answer in [first, second] {
+            let sender = senders.recv().await.unwrap();
+            sender.send("whole answer").await.unwrap();
+            sender.finish().await.unwrap();
+            let body = answer.into_body().collect_bytes(1024).await.unwrap();
+            assert_eq!(body, "whole answer");
+        }
+        assert!(closing.await);
+        client.send(addr, get("/"), options()).await.unwrap_err();
+    });
+}
+
+/// Guards against a partial stream that looks complete.
+#[test]
+fn an_abandoned_stream_is_an_error_for_its_reader() {
+    let runtime = Runtime::start(2).unwrap();
+    let spawner = runtime.spawner();
+    let (senders_tx, senders) = async_channel::unbounded::<BodySender>();
+    let handler = move |_req: Request<RequestBody>| {
+        let (sender, body) = Body::channel();
+        let sent = senders_tx.try_send(sender);
+        async move {
+            sent.unwrap();
+            Response::new(body)
+        }
+    };
+    let server = Server::start(&spawner, LOCAL, ServerLimits::default(), handler).unwrap();
+    let client = Client::new(&spawner, ClientLimits::default());
+    let addr = server.addr();
+    runtime.block_on(async move {
+        let response = client.send(addr, get("/"), options()).await.unwrap();
+        let sender = senders.recv().await.unwrap();
+        let mut reader = EventReader::new(response.into_body());
+        sender.send("data: 1\n\ndata: 2").await.unwrap();
+        assert_eq!(reader.next_event().await.unwrap().unwrap().data, "1");
+        drop(sender);
+        reader.next_event().await.unwrap_err();
+    });
+}
+
+/// Guards against work that goes on after its caller is gone.
+#[test]
+fn dropping_an_answer_reaches_the_writer() {
+    let runtime = Runtime::start(2).unwrap();
+    let spawner = runtime.spawner();
+    let (closed_tx, closed) = async_channel::bounded::<()>(1);
+    let tasks = spawner.clone();
+    let handler = move |_req: Request<RequestBody>| {
+        let (sender, body) = Body::channel();
+        let writer = EventWriter::new(sender);
+        let closed_tx = closed_tx.clone();
+        let work = async move {
+            writer.data("first").await.unwrap();
+            writer.closed().await;
+            closed_tx.send(()).await.unwrap();
+        };
+        tasks.spawn(work).detach();
+        async move { Response::new(body) }
+    };
+    let server = Server::start(&spawner, LOCAL, ServerLimits::default(), handler).unwrap();
+    let client = Client::new(&spawner, ClientLimits::default());
+    let addr = server.addr();
+    runtime.block_on(async move {
+        let response = client.send(addr, get("/"), options()).await.unwrap();
+        let mut reader = EventReader::new(response.into_body());
+        assert_eq!(reader.next_event().await.unwrap().unwrap().data, "first");
+        drop(reader);
+        closed.recv().await.unwrap();
+    });
+}
