--- a/transport/tests/http.rs
+++ b/transport/tests/http.rs
@@ -148,10 +148,12 @@
     let many = "x: y\r\n".repeat(200);
     let head = format!("GET / HTTP/1.1\r\nhost: a\r\n{many}\r\n");
     assert!(raw_exchange(server.addr(), head.as_bytes()).starts_with("HTTP/1.1 431"));
-    let announced = format!("POST / HTTP/1.1\r\ncontent-length: 10000\r\n\r\n{long}");
+    let announced =
+        format!("POST / HTTP/1.1\r\nconnection: close\r\ncontent-length: 10000\r\n\r\n{long}");
     assert!(raw_exchange(server.addr(), announced.as_bytes()).starts_with("HTTP/1.1 413"));
-    let chunked =
-        format!("POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n2710\r\n{long}\r\n");
+    let chunked = format!(
+        "POST / HTTP/1.1\r\nconnection: close\r\ntransfer-encoding: chunked\r\n\r\n2710\r\n{long}\r\n"
+    );
     assert!(raw_exchange(server.addr(), chunked.as_bytes()).starts_with("HTTP/1.1 413"));
 }
 
