Add the HTTP bodies and the daemon settings

Settings are read by hand-written checks after the TOML parser, because the parser alone can name neither the field of a value that is out of range nor an override as the cause.

--- /dev/null
+++ b/protocol/src/http/jobs.rs
@@ -0,0 +1,229 @@
+//! Bodies of the job interface.
+
+use std::collections::HashSet;
+use std::time::Duration;
+
+use limpetweir_state::{
+    JobId,
+    ModelId,
+    ServiceId,
+    UnixMillis, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use snafu::{
+    Snafu,
+    ensure, //
+};
+use strum::{
+    Display,
+    EnumString,
+    IntoStaticStr, //
+};
+
+/// Largest number of items in one call.
+pub const MAX_JOB_ITEMS: usize = 100_000;
+
+/// Longest accepted time to the deadline: 30 days.
+const MAX_DEADLINE_S: u64 = 30 * 24 * 3600;
+
+/// Body of `POST /v1/jobs` as received.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawJobRequest {
+    /// Service that runs the items.
+    pub service: ServiceId,
+    /// Model that runs the items.
+    pub model: ModelId,
+    /// Seconds until the results are due.
+    pub deadline_s: u64,
+    /// The items.
+    pub items: Vec<JobItem>,
+}
+
+/// One item of a job.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct JobItem {
+    /// The caller's name for the item, unique in the job.
+    pub id: String,
+    /// Prompt.
+    pub prompt: String,
+    /// Largest number of tokens to generate, at least 1.
+    pub max_tokens: u32,
+}
+
+/// A checked [`RawJobRequest`].
+#[derive(Clone, Debug, PartialEq)]
+pub struct JobRequest {
+    /// Service that runs the items.
+    pub service: ServiceId,
+    /// Model that runs the items.
+    pub model: ModelId,
+    /// Time until the results are due, between 1 s and 30 days.
+    pub deadline: Duration,
+    /// Between 1 and [`MAX_JOB_ITEMS`] items with different identifiers.
+    pub items: Vec<JobItem>,
+}
+
+/// A job request that is not accepted.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+pub enum JobRequestError {
+    /// The number of items is not accepted.
+    #[snafu(display("a job has 1 to {MAX_JOB_ITEMS} items, not {count}"))]
+    Count {
+        /// Number of items.
+        count: usize,
+    },
+    /// The deadline is not accepted.
+    #[snafu(display("deadline_s is 1 to {MAX_DEADLINE_S}, not {seconds}"))]
+    Deadline {
+        /// Given value.
+        seconds: u64,
+    },
+    /// An item generates no token.
+    #[snafu(display("max_tokens of item {id:?} must be at least 1"))]
+    NoTokens {
+        /// Identifier of the item.
+        id: String,
+    },
+    /// Two items have the same identifier.
+    #[snafu(display("the item id {id:?} occurs more than once"))]
+    DuplicateId {
+        /// The identifier.
+        id: String,
+    },
+}
+
+impl TryFrom<RawJobRequest> for JobRequest {
+    type Error = JobRequestError;
+
+    fn try_from(raw: RawJobRequest) -> Result<Self, JobRequestError> {
+        let count = raw.items.len();
+        ensure!((1..=MAX_JOB_ITEMS).contains(&count), CountSnafu { count });
+        let seconds = raw.deadline_s;
+        ensure!(
+            (1..=MAX_DEADLINE_S).contains(&seconds),
+            DeadlineSnafu { seconds }
+        );
+        check_items(&raw.items)?;
+        Ok(Self {
+            service: raw.service,
+            model: raw.model,
+            deadline: Duration::from_secs(seconds),
+            items: raw.items,
+        })
+    }
+}
+
+fn check_items(items: &[JobItem]) -> Result<(), JobRequestError> {
+    let mut ids = HashSet::with_capacity(items.len());
+    for item in items {
+        let id = item.id.as_str();
+        ensure!(item.max_tokens > 0, NoTokensSnafu { id });
+        ensure!(ids.insert(id), DuplicateIdSnafu { id });
+    }
+    Ok(())
+}
+
+/// Answer of `POST /v1/jobs`, the same for every resend of the job.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobAccepted {
+    /// Identifier for the further calls.
+    pub id: JobId,
+    /// Number of accepted items.
+    pub items: u32,
+}
+
+/// State of a job.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, Display, EnumString, IntoStaticStr, Serialize, Deserialize,
+)]
+#[strum(serialize_all = "kebab-case")]
+#[serde(rename_all = "kebab-case")]
+pub enum JobState {
+    /// Items are waiting or running.
+    Running,
+    /// Every item has its outcome.
+    Done,
+    /// The job was cancelled.
+    Cancelled,
+}
+
+/// Answer of `GET /v1/jobs/<id>` and `POST /v1/jobs/<id>/cancel`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobStatus {
+    /// The job.
+    pub id: JobId,
+    /// State of the job.
+    pub state: JobState,
+    /// Service that runs the items.
+    pub service: ServiceId,
+    /// Model that runs the items.
+    pub model: ModelId,
+    /// Time at which the results are due.
+    pub deadline: UnixMillis,
+    /// Number of items.
+    pub items: u32,
+    /// Items that completed.
+    pub completed: u32,
+    /// Items with a final failure.
+    pub failed: u32,
+    /// Usage of all finished items.
+    pub usage: ItemUsage,
+}
+
+/// Tokens that are billed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ItemUsage {
+    /// Tokens of the prompts.
+    pub prompt_tokens: u64,
+    /// Generated tokens.
+    pub completion_tokens: u64,
+}
+
+/// Answer of `GET /v1/jobs/<id>/results`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobResults {
+    /// The job.
+    pub id: JobId,
+    /// Finished items in order of their indices.
+    pub results: Vec<ItemResult>,
+    /// Value of `from` for the next page; absent after the last item of the job.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub next: Option<u32>,
+}
+
+/// One finished item.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ItemResult {
+    /// Index of the item in the submitted job.
+    pub index: u32,
+    /// The caller's name for the item.
+    pub id: String,
+    /// What became of the item.
+    #[serde(flatten)]
+    pub outcome: ItemOutcome,
+}
+
+/// What became of an item.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "outcome", rename_all = "kebab-case")]
+pub enum ItemOutcome {
+    /// The item completed.
+    Completed {
+        /// Generated text.
+        text: String,
+        /// Billed tokens.
+        usage: ItemUsage,
+    },
+    /// The item failed for good.
+    Failed {
+        /// One sentence for a person.
+        message: String,
+    },
+    /// The job was cancelled before the item completed.
+    Cancelled,
+}
--- /dev/null
+++ b/protocol/src/http/log_service.rs
@@ -0,0 +1,58 @@
+//! Answers of the log service.
+
+use base64::Engine;
+use base64::prelude::BASE64_STANDARD;
+use limpetweir_state::Offset;
+use serde::de::Error;
+use serde::{
+    Deserialize,
+    Deserializer,
+    Serialize,
+    Serializer, //
+};
+
+/// Answer of `POST /streams/<s>/records`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AppendAnswer {
+    /// Offset of the appended record.
+    pub offset: Offset,
+}
+
+/// Answer of `GET /streams/<s>/records`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReadAnswer {
+    /// First retained offset.
+    pub first: Offset,
+    /// Offset that the next appended record gets.
+    pub next: Offset,
+    /// Records in order of their offsets.
+    pub records: Vec<RecordBody>,
+}
+
+/// One record of the log.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RecordBody {
+    /// Offset of the record.
+    pub offset: Offset,
+    /// Bytes of the record, base64 on the wire.
+    #[serde(serialize_with = "to_base64", deserialize_with = "from_base64")]
+    pub data: Vec<u8>,
+}
+
+/// Answer with status 410, given when the asked offset was trimmed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TrimmedAnswer {
+    /// First retained offset.
+    pub first: Offset,
+    /// Offset that the next appended record gets.
+    pub next: Offset,
+}
+
+fn to_base64<S: Serializer>(data: &[u8], serializer: S) -> Result<S::Ok, S::Error> {
+    serializer.serialize_str(&BASE64_STANDARD.encode(data))
+}
+
+fn from_base64<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<u8>, D::Error> {
+    let text = String::deserialize(deserializer)?;
+    BASE64_STANDARD.decode(text).map_err(D::Error::custom)
+}
--- /dev/null
+++ b/protocol/src/http/mod.rs
@@ -0,0 +1,16 @@
+//! JSON bodies of the HTTP interfaces.
+
+mod addresses;
+mod error;
+mod jobs;
+mod list;
+mod log_service;
+
+pub use addresses::{AddressEntry, Addresses};
+pub use error::{ApiError, ErrorBody, ErrorKind, VERDICT_HEADER};
+pub use jobs::{
+    ItemOutcome, ItemResult, ItemUsage, JobAccepted, JobItem, JobRequest, JobRequestError,
+    JobResults, JobState, JobStatus, MAX_JOB_ITEMS, RawJobRequest,
+};
+pub use list::{BackendEntry, InstanceEntry, ListAnswer, MemberState};
+pub use log_service::{AppendAnswer, ReadAnswer, RecordBody, TrimmedAnswer};
--- /dev/null
+++ b/protocol/src/settings/load.rs
@@ -0,0 +1,221 @@
+//! Reads settings from TOML text and overrides.
+
+use std::str::FromStr;
+
+use snafu::{
+    OptionExt,
+    Snafu, //
+};
+use toml::de::{
+    DeTable,
+    DeValue, //
+};
+use toml::{
+    Spanned,
+    Table,
+    Value, //
+};
+
+use super::check::{
+    FieldError,
+    Settings, //
+};
+use super::raw::RawSettings;
+
+/// Settings that cannot be used.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+pub enum SettingsError {
+    /// The text is not TOML or a field has the wrong type or is unknown.
+    #[snafu(display("{file}:{line}: {field}: {message}"))]
+    Parse {
+        /// Name of the file.
+        file: String,
+        /// Line, counted from 1.
+        line: usize,
+        /// Path of the nearest field, or `settings` if the line has none.
+        field: String,
+        /// Cause given by the parser, which names what is accepted.
+        message: String,
+    },
+    /// A field of the file has a value that is not accepted.
+    #[snafu(display("{file}:{line}: {error}"))]
+    Field {
+        /// Name of the file.
+        file: String,
+        /// Line of the field, or the last line if the field is missing.
+        line: usize,
+        /// The field and what is accepted.
+        error: FieldError,
+    },
+    /// An override is not of the form `key=value`.
+    #[snafu(display("--set {text}: accepted is key=value, such as runtime.threads=4"))]
+    OverrideForm {
+        /// The override.
+        text: String,
+    },
+    /// An override names an unknown field or has a value of the wrong type.
+    #[snafu(display("--set {text}: {message}"))]
+    OverrideType {
+        /// The override.
+        text: String,
+        /// Cause given by the parser, which names what is accepted.
+        message: String,
+    },
+    /// An override has a value that is not accepted.
+    #[snafu(display("--set {text}: {error}"))]
+    OverrideValue {
+        /// The override.
+        text: String,
+        /// The field and what is accepted.
+        error: FieldError,
+    },
+}
+
+/// Replacement of one field of the file.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Override {
+    text: String,
+    /// Path of the field, for example `listen.public`.
+    key: String,
+    value: Value,
+}
+
+impl FromStr for Override {
+    type Err = SettingsError;
+
+    /// Parses `key=value`; a value that is not a TOML value is taken as text.
+    fn from_str(text: &str) -> Result<Self, SettingsError> {
+        let (key, value) = text.split_once('=').context(OverrideFormSnafu { text })?;
+        let key = key.trim();
+        if key.split('.').any(str::is_empty) {
+            return OverrideFormSnafu { text }.fail();
+        }
+        Ok(Self {
+            text: text.to_owned(),
+            key: key.to_owned(),
+            value: parse_value(value.trim()),
+        })
+    }
+}
+
+fn parse_value(text: &str) -> Value {
+    let parsed = Table::from_str(&format!("value = {text}"));
+    let value = parsed.ok().filter(|table| table.len() == 1);
+    value
+        .and_then(|mut table| table.remove("value"))
+        .unwrap_or_else(|| Value::String(text.to_owned()))
+}
+
+impl Settings {
+    /// Reads settings from the text of `file` and replaces single fields by `overrides`.
+    ///
+    /// An error names the file and line, or the override, then the field and what is accepted.
+    pub fn load(file: &str, text: &str, overrides: &[Override]) -> Result<Self, SettingsError> {
+        let fields = field_lines(text);
+        let parse_error = |err: toml::de::Error| parse_error(file, text, &fields, &err);
+        let from_file: RawSettings = toml::from_str(text).map_err(parse_error)?;
+        let raw = if overrides.is_empty() {
+            from_file
+        } else {
+            apply(Table::from_str(text).map_err(parse_error)?, overrides)?
+        };
+        Self::try_from(raw).map_err(|error| locate(file, text, &fields, overrides, error))
+    }
+}
+
+/// Applies overrides one by one, so that an error is that of the override which caused it.
+fn apply(mut table: Table, overrides: &[Override]) -> Result<RawSettings, SettingsError> {
+    let mut raw = RawSettings::default();
+    for change in overrides {
+        let failed = |message: String| SettingsError::OverrideType {
+            text: change.text.clone(),
+            message,
+        };
+        insert(&mut table, &change.key, change.value.clone()).map_err(failed)?;
+        let parsed = RawSettings::deserialize_table(table.clone());
+        raw = parsed.map_err(|err| failed(err.message().to_owned()))?;
+    }
+    Ok(raw)
+}
+
+impl RawSettings {
+    fn deserialize_table(table: Table) -> Result<Self, toml::de::Error> {
+        table.try_into()
+    }
+}
+
+fn insert(table: &mut Table, key: &str, value: Value) -> Result<(), String> {
+    let Some((section, rest)) = key.split_once('.') else {
+        table.insert(key.to_owned(), value);
+        return Ok(());
+    };
+    let entry = table.entry(section).or_insert_with(|| Table::new().into());
+    match entry {
+        Value::Table(inner) => insert(inner, rest, value),
+        _ => Err(format!("{section} is a single value, not a section")),
+    }
+}
+
+/// Path and line of every field in the text, in the order of the text.
+type FieldLines = Vec<(String, usize)>;
+
+fn field_lines(text: &str) -> FieldLines {
+    let mut fields = FieldLines::new();
+    // Syntax errors are reported by the reader of the settings itself.
+    if let Ok(table) = DeTable::parse(text) {
+        collect(text, "", table.get_ref(), &mut fields);
+    }
+    fields.sort_by_key(|(_, line)| *line);
+    fields
+}
+
+fn collect(text: &str, prefix: &str, table: &DeTable<'_>, fields: &mut FieldLines) {
+    for (key, value) in table {
+        let path = format!("{prefix}{}", key.get_ref());
+        fields.push((path.clone(), line_at(text, Spanned::span(key).start)));
+        if let DeValue::Table(inner) = value.get_ref() {
+            collect(text, &format!("{path}."), inner, fields);
+        }
+    }
+}
+
+fn line_at(text: &str, at: usize) -> usize {
+    let before = text.as_bytes().iter().take(at);
+    before.filter(|byte| **byte == b'\n').count() + 1
+}
+
+fn parse_error(
+    file: &str,
+    text: &str,
+    fields: &FieldLines,
+    err: &toml::de::Error,
+) -> SettingsError {
+    let line = line_at(text, err.span().map_or(0, |span| span.start));
+    let field = fields.iter().rev().find(|(_, at)| *at == line);
+    SettingsError::Parse {
+        file: file.to_owned(),
+        line,
+        field: field.map_or_else(|| "settings".to_owned(), |(path, _)| path.clone()),
+        message: err.message().replace('\n', ", "),
+    }
+}
+
+fn locate(
+    file: &str,
+    text: &str,
+    fields: &FieldLines,
+    overrides: &[Override],
+    error: FieldError,
+) -> SettingsError {
+    let change = overrides.iter().rev().find(|c| c.key == error.field);
+    if let Some(change) = change {
+        let text = change.text.clone();
+        return SettingsError::OverrideValue { text, error };
+    }
+    let field = fields.iter().find(|(path, _)| path == error.field);
+    SettingsError::Field {
+        file: file.to_owned(),
+        line: field.map_or_else(|| text.lines().count().max(1), |(_, line)| *line),
+        error,
+    }
+}
--- /dev/null
+++ b/protocol/src/settings/raw.rs
@@ -0,0 +1,114 @@
+//! The settings file as written.
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+/// The whole settings file.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawSettings {
+    /// Name of the instance, unique in the fleet; required.
+    pub name: Option<String>,
+    /// Availability zone; required.
+    pub zone: Option<String>,
+    /// Addresses to bind.
+    #[serde(default)]
+    pub listen: RawListen,
+    /// Addresses to announce where they differ from the bound ones.
+    #[serde(default)]
+    pub advertise: RawAdvertise,
+    /// Services of the platform.
+    #[serde(default)]
+    pub platform: RawPlatform,
+    /// Access of operators.
+    #[serde(default)]
+    pub operator: RawOperator,
+    /// Resources of the process.
+    #[serde(default)]
+    pub runtime: RawRuntime,
+    /// Time constants.
+    #[serde(default)]
+    pub timing: RawTiming,
+}
+
+/// Addresses to bind; port 0 lets the operating system choose.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawListen {
+    /// Listener for callers; required.
+    pub public: Option<String>,
+    /// Listener for other instances; required.
+    pub peer: Option<String>,
+    /// Listener for operators; required.
+    pub admin: Option<String>,
+}
+
+/// Addresses under which others reach the listeners.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawAdvertise {
+    /// Address for callers; the bound one by default.
+    pub public: Option<String>,
+    /// Address for other instances; the bound one by default.
+    pub peer: Option<String>,
+}
+
+/// Services of the platform.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawPlatform {
+    /// Address of the log service; required.
+    pub log: Option<String>,
+    /// Address of the list service; required.
+    pub list: Option<String>,
+}
+
+/// Access of operators.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawOperator {
+    /// SHA-256 digest of the operator key as 64 hexadecimal digits; required.
+    pub key_digest: Option<String>,
+}
+
+/// Resources of the process.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawRuntime {
+    /// Executor threads.
+    pub threads: Option<i64>,
+    /// Groups of each kind; the same on all instances.
+    pub groups: Option<i64>,
+    /// Least severe level that is logged.
+    pub log_level: Option<String>,
+}
+
+/// Time constants in milliseconds.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawTiming {
+    /// Pause between heartbeats.
+    pub heartbeat_ms: Option<i64>,
+    /// Time without heartbeat after which a peer is silent.
+    pub silence_ms: Option<i64>,
+    /// Lease of an owner.
+    pub lease_ms: Option<i64>,
+    /// Longest time without confirmation that the configuration is current.
+    pub config_freshness_ms: Option<i64>,
+    /// Longest wait of one read of the log.
+    pub long_poll_ms: Option<i64>,
+    /// Lease of a quota share.
+    pub share_lease_ms: Option<i64>,
+    /// Pause between renewals of a quota share.
+    pub share_renewal_ms: Option<i64>,
+    /// Time for which callers keep a discovery answer.
+    pub discovery_ttl_ms: Option<i64>,
+    /// Longest graceful shutdown.
+    pub drain_limit_ms: Option<i64>,
+    /// Pause between reads of the list.
+    pub list_poll_ms: Option<i64>,
+    /// Longest wait for the home of a quota.
+    pub ask_timeout_ms: Option<i64>,
+}
--- /dev/null
+++ b/protocol/tests/settings.rs
@@ -0,0 +1,172 @@
+//! Faults in settings are found at start and named precisely.
+
+#![allow(clippy::unwrap_used, reason = "helpers of tests may panic")]
+
+use std::time::Duration;
+
+use limpetweir_protocol::settings::{
+    LogLevel,
+    Override,
+    Settings, //
+};
+use rstest::rstest;
+
+const GOOD: &str = r#"name = "a1"
+zone = "zone-1"
+
+[listen]
+public = "127.0.0.1:0"
+peer = "127.0.0.1:0"
+admin = "127.0.0.1:0"
+
+[platform]
+log = "127.0.0.1:7001"
+list = "127.0.0.1:7002"
+
+[operator]
+key_digest = "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef"
+
+[runtime]
+threads = 4
+
+[timing]
+heartbeat_ms = 200
+"#;
+
+fn load(text: &str, overrides: &[&str]) -> Result<Settings, String> {
+    let overrides: Result<Vec<Override>, _> = overrides.iter().map(|o| o.parse()).collect();
+    let overrides = overrides.map_err(|err| err.to_string())?;
+    Settings::load("lw.toml", text, &overrides).map_err(|err| err.to_string())
+}
+
+/// Guards against defaults that differ from the design page.
+#[test]
+fn reads_a_file_and_fills_in_defaults() {
+    let settings = load(GOOD, &[]).unwrap();
+    assert_eq!(settings.name.as_str(), "a1");
+    assert_eq!(settings.threads, 4);
+    assert_eq!(settings.groups, 16);
+    assert_eq!(settings.log_level, LogLevel::Info);
+    assert_eq!(settings.timing.heartbeat, Duration::from_millis(200));
+    assert_eq!(settings.timing.silence, Duration::from_millis(1500));
+    assert_eq!(settings.timing.lease, Duration::from_secs(3));
+    assert_eq!(settings.operator_key.0[0..2], [0x01, 0x23]);
+}
+
+/// Guards against an override that is lost or loses its neighbours.
+#[test]
+fn overrides_replace_single_fields() {
+    let overrides = [
+        "runtime.threads=8",
+        "name=b2",
+        "advertise.public=10.0.0.1:80",
+        "runtime.log_level=\"debug\"",
+    ];
+    let settings = load(GOOD, &overrides).unwrap();
+    assert_eq!(settings.threads, 8);
+    assert_eq!(settings.name.as_str(), "b2");
+    assert_eq!(
+        settings.advertise_public,
+        Some("10.0.0.1:80".parse().unwrap())
+    );
+    assert_eq!(settings.log_level, LogLevel::Debug);
+    assert_eq!(settings.timing.heartbeat, Duration::from_millis(200));
+}
+
+/// Guards against a message that leaves the operator to search for the fault.
+#[rstest]
+#[case(
+    "name = \"a1\"",
+    "name = \"a 1\"",
+    "lw.toml:1: name: \"a 1\" is not accepted",
+    "1 to 64 of"
+)]
+#[case(
+    "zone = \"zone-1\"\n",
+    "",
+    "lw.toml:19: zone: the field is missing",
+    "1 to 64 of"
+)]
+#[case(
+    "public = \"127.0.0.1:0\"",
+    "public = \"host\"",
+    "lw.toml:5: listen.public: \"host\"",
+    "127.0.0.1:8080"
+)]
+#[case(
+    "127.0.0.1:7001",
+    "127.0.0.1:0",
+    "lw.toml:10: platform.log:",
+    "port above 0"
+)]
+#[case(
+    "0123456789abcdef\"",
+    "xyz\"",
+    "lw.toml:14: operator.key_digest:",
+    "64 hexadecimal digits"
+)]
+#[case(
+    "threads = 4",
+    "threads = 0",
+    "lw.toml:17: runtime.threads: 0",
+    "from 1 to 256"
+)]
+#[case(
+    "threads = 4",
+    "threads = \"4\"",
+    "lw.toml:17: runtime.threads:",
+    "expected i64"
+)]
+#[case(
+    "threads = 4",
+    "thread = 4",
+    "lw.toml:17: runtime.thread:",
+    "expected one of `threads`"
+)]
+#[case(
+    "threads = 4",
+    "log_level = \"loud\"",
+    "lw.toml:17: runtime.log_level:",
+    "error, warn, info"
+)]
+#[case("threads = 4", "threads = ", "lw.toml:17:", "expected")]
+#[case(
+    "heartbeat_ms = 200",
+    "heartbeat_ms = 1500",
+    "lw.toml:20: timing.silence_ms: 1500",
+    "above timing.heartbeat_ms (1500)"
+)]
+#[case(
+    "heartbeat_ms = 200",
+    "lease_ms = -1",
+    "lw.toml:20: timing.lease_ms: -1",
+    "from 1 to 86400000"
+)]
+fn faults_name_file_line_field_and_what_is_accepted(
+    #[case] from: &str,
+    #[case] to: &str,
+    #[case] place: &str,
+    #[case] accepted: &str,
+) {
+    let text = GOOD.replacen(from, to, 1);
+    assert_ne!(text, GOOD);
+    let message = load(&text, &[]).unwrap_err();
+    assert!(message.starts_with(place), "{message}");
+    assert!(message.contains(accepted), "{message}");
+}
+
+/// Guards against an override whose fault is blamed on the file.
+#[rstest]
+#[case("threads", "--set threads: accepted is key=value")]
+#[case("=4", "--set =4: accepted is key=value")]
+#[case("runtime.thread=4", "--set runtime.thread=4: unknown field `thread`")]
+#[case("runtime.threads=many", "--set runtime.threads=many: invalid type")]
+#[case(
+    "runtime.threads=0",
+    "--set runtime.threads=0: runtime.threads: 0 is not accepted"
+)]
+#[case("name.first=a", "--set name.first=a: name is a single value")]
+fn faults_of_overrides_name_the_override(#[case] change: &str, #[case] start: &str) {
+    let message = load(GOOD, &[change]).unwrap_err();
+    assert!(message.starts_with(start), "{message}");
+}
