--- a/transport/src/http/client.rs
+++ b/transport/src/http/client.rs
@@ -237,7 +237,8 @@
         // A request is written in full at once; waiting for acknowledgements only delays it.
         let _ = stream.get_ref().set_nodelay(true);
         let written = Written::default();
-        let io = FuturesIo::new(CountedStream::new(stream, written.clone()));
+        let stream = Arc::new(stream);
+        let io = FuturesIo::new(CountedStream::new(stream.clone(), written.clone()));
         let handshake = http1::Builder::new()
             .max_header_size(self.limits.head_bytes)
             .handshake(io)
@@ -254,6 +255,7 @@
             sender,
             driver,
             written,
+            stream,
             idle_since: Instant::now(),
         })
     }
--- a/transport/src/http/io.rs
+++ b/transport/src/http/io.rs
@@ -39,33 +39,39 @@
 /// operating system cannot have run.
 #[derive(Debug)]
 pub(crate) struct CountedStream {
-    inner: Async<TcpStream>,
+    inner: Arc<Async<TcpStream>>,
     written: Written,
 }
 
 impl CountedStream {
-    pub(crate) fn new(inner: Async<TcpStream>, written: Written) -> Self {
+    pub(crate) fn new(inner: Arc<Async<TcpStream>>, written: Written) -> Self {
         Self { inner, written }
     }
 }
 
+/// Returns whether an idle connection is still open and has received nothing.
+pub(crate) fn is_quiet(stream: &Async<TcpStream>) -> bool {
+    let peeked = stream.get_ref().peek(&mut [0]);
+    peeked.is_err_and(|err| err.kind() == io::ErrorKind::WouldBlock)
+}
+
 impl AsyncRead for CountedStream {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &mut [u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_read(cx, buf)
+        Pin::new(&mut &*self.inner).poll_read(cx, buf)
     }
 }
 
 impl AsyncWrite for CountedStream {
     fn poll_write(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let poll = Pin::new(&mut self.inner).poll_write(cx, buf);
+        let poll = Pin::new(&mut &*self.inner).poll_write(cx, buf);
         if let Poll::Ready(Ok(len)) = &poll {
             self.written.add(*len);
         }
@@ -73,22 +79,22 @@
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let poll = Pin::new(&mut self.inner).poll_write_vectored(cx, bufs);
+        let poll = Pin::new(&mut &*self.inner).poll_write_vectored(cx, bufs);
         if let Poll::Ready(Ok(len)) = &poll {
             self.written.add(*len);
         }
         poll
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_flush(cx)
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut &*self.inner).poll_flush(cx)
     }
 
-    fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_close(cx)
+    fn poll_close(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut &*self.inner).poll_close(cx)
     }
 }
--- a/transport/src/http/pool.rs
+++ b/transport/src/http/pool.rs
@@ -1,7 +1,10 @@
 //! Pooled client connections and the answer bodies that return them to the pool.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::net::{
+    SocketAddr,
+    TcpStream, //
+};
 use std::pin::Pin;
 use std::sync::{
     Arc,
@@ -20,7 +23,10 @@
 };
 
 use async_executor::Task;
-use async_io::Timer;
+use async_io::{
+    Async,
+    Timer, //
+};
 use futures_lite::FutureExt;
 use http_body_util::Full;
 use hyper::body::{
@@ -37,7 +43,10 @@
     read_all, //
 };
 use super::client::TrafficClass;
-use super::io::Written;
+use super::io::{
+    Written,
+    is_quiet, //
+};
 
 /// One connection of the client; dropping it closes the socket.
 #[derive(Debug)]
@@ -46,6 +55,7 @@
     /// Drives the socket; cancelled on drop.
     pub(crate) driver: Task<()>,
     pub(crate) written: Written,
+    pub(crate) stream: Arc<Async<TcpStream>>,
     pub(crate) idle_since: Instant,
 }
 
@@ -73,12 +83,16 @@
     }
 
     /// Takes the most recently used connection that is still open.
+    ///
+    /// The socket itself is asked, because the connection's task may not have run since the server
+    /// closed it, and a request written then would fail as one that may have run.
     pub(crate) fn take(&self, key: Key) -> Option<Connection> {
         let mut idle = self.lock();
         let connections = idle.get_mut(&key)?;
         while let Some(connection) = connections.pop() {
             let fresh = connection.idle_since.elapsed() < self.idle_timeout;
-            if fresh && !connection.sender.is_closed() {
+            let open = !connection.sender.is_closed() && is_quiet(&connection.stream);
+            if fresh && open {
                 return Some(connection);
             }
         }
--- /dev/null
+++ b/transport/src/peer/listener.rs
@@ -0,0 +1,262 @@
+//! The accepting side of links: receives one-way messages and answers calls.
+
+use std::future::Future;
+use std::io;
+use std::net::{
+    SocketAddr,
+    TcpListener,
+    TcpStream, //
+};
+use std::sync::Arc;
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use async_channel::{
+    Receiver,
+    Sender, //
+};
+use async_executor::Task;
+use async_io::Async;
+use futures_lite::future;
+use futures_util::{
+    Sink,
+    Stream,
+    StreamExt, //
+};
+use limpetweir_protocol::peer::{
+    CallBody,
+    CallError,
+    Hello,
+    PeerMessage,
+    ReplyBody, //
+};
+use limpetweir_state::Verdict;
+use snafu::OptionExt;
+use tokio_tungstenite::tungstenite::{
+    self,
+    Message, //
+};
+
+use super::socket::{
+    self,
+    HANDSHAKE_TIMEOUT,
+    HandshakeTimeoutSnafu,
+    LinkError,
+    Socket,
+    UnexpectedSnafu, //
+};
+use crate::runtime::{
+    Spawner,
+    sleep,
+    until, //
+};
+
+/// Pause after a failed accept; the usual cause is a lack of file descriptors.
+const ACCEPT_RETRY: Duration = Duration::from_millis(50);
+
+/// Calls of one link that may run at the same time; further ones are refused as not run.
+const MAX_RUNNING_CALLS: usize = 4096;
+
+/// Replies of one link that may wait to be sent; calls that end then wait.
+const REPLY_QUEUE: usize = 256;
+
+/// Time to retry after that a refused call names, in milliseconds.
+const BUSY_RETRY_MS: u64 = 100;
+
+/// Links below which ended ones are not removed from the list.
+const SWEEP_MIN: usize = 16;
+
+/// What an instance does with messages of its peers.
+pub trait PeerHandler: Send + Sync + 'static {
+    /// Answers a call; the future is dropped when the link closes.
+    fn call(&self, from: &Hello, body: CallBody) -> impl Future<Output = ReplyBody> + Send;
+
+    /// Takes a `Heartbeat` or a `Yield`; it must not block.
+    fn message(&self, from: &Hello, message: PeerMessage);
+}
+
+/// A listener for links; dropping it closes every accepted link.
+#[derive(Debug)]
+pub struct PeerListener {
+    addr: SocketAddr,
+    _accept: Task<()>,
+}
+
+impl PeerListener {
+    /// Binds `addr`, whose port may be 0, and serves links with `handler`.
+    ///
+    /// Fails if the address cannot be bound.
+    pub fn start<H: PeerHandler>(
+        spawner: &Spawner,
+        addr: SocketAddr,
+        hello: Hello,
+        handler: Arc<H>,
+    ) -> io::Result<Self> {
+        let listener = Async::<TcpListener>::bind(addr)?;
+        let addr = listener.get_ref().local_addr()?;
+        let accept = accept_loop(spawner.clone(), listener, hello, handler);
+        Ok(Self {
+            addr,
+            _accept: spawner.spawn(accept),
+        })
+    }
+
+    /// Returns the bound address.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+}
+
+async fn accept_loop<H: PeerHandler>(
+    spawner: Spawner,
+    listener: Async<TcpListener>,
+    hello: Hello,
+    handler: Arc<H>,
+) {
+    let mut links: Vec<Task<()>> = Vec::new();
+    let mut sweep_at = SWEEP_MIN;
+    loop {
+        match listener.accept().await {
+            Ok((stream, remote)) => {
+                let link = serve(
+                    spawner.clone(),
+                    stream,
+                    remote,
+                    hello.clone(),
+                    handler.clone(),
+                );
+                links.push(spawner.spawn(link));
+            }
+            Err(err) => {
+                log::warn!("LW1101 accept failed: {err}");
+                sleep(ACCEPT_RETRY).await;
+            }
+        }
+        if links.len() >= sweep_at {
+            links.retain(|link| !link.is_finished());
+            sweep_at = (links.len() * 2).max(SWEEP_MIN);
+        }
+    }
+}
+
+async fn serve<H: PeerHandler>(
+    spawner: Spawner,
+    stream: Async<TcpStream>,
+    remote: SocketAddr,
+    hello: Hello,
+    handler: Arc<H>,
+) {
+    let deadline = Instant::now() + HANDSHAKE_TIMEOUT;
+    let accepting = until(deadline, accept(stream, &hello)).await;
+    let (socket, peer) = match accepting.context(HandshakeTimeoutSnafu).flatten() {
+        Ok(accepted) => accepted,
+        Err(err) => {
+            log::warn!("LW1201 refused a link from {remote}: {err}");
+            return;
+        }
+    };
+    let from = peer.incarnation.clone();
+    let err = run(spawner, socket, peer, handler).await;
+    log::info!("LW1202 the link from {from} at {remote} ended: {err}");
+}
+
+async fn accept(stream: Async<TcpStream>, hello: &Hello) -> Result<(Socket, Hello), LinkError> {
+    let mut socket = socket::accept(stream).await?;
+    let peer = socket::greet(&mut socket, hello).await?;
+    Ok((socket, peer))
+}
+
+async fn run<H: PeerHandler>(
+    spawner: Spawner,
+    socket: Socket,
+    peer: Hello,
+    handler: Arc<H>,
+) -> LinkError {
+    let (replies_tx, replies) = async_channel::bounded(REPLY_QUEUE);
+    let (mut sink, mut stream) = socket.split();
+    let inbound = Inbound {
+        spawner,
+        peer: Arc::new(peer),
+        handler,
+        replies: replies_tx,
+        running: Vec::new(),
+    };
+    let reading = read_messages(inbound, &mut stream);
+    let writing = write_replies(&replies, &mut sink);
+    future::or(reading, writing).await
+}
+
+async fn write_replies<S>(replies: &Receiver<PeerMessage>, sink: &mut S) -> LinkError
+where
+    S: Sink<Message, Error = tungstenite::Error> + Unpin,
+{
+    while let Ok(reply) = replies.recv().await {
+        if let Err(err) = socket::send(sink, &reply).await {
+            return err;
+        }
+    }
+    LinkError::Closed
+}
+
+/// The receiving half of an accepted link.
+struct Inbound<H> {
+    spawner: Spawner,
+    peer: Arc<Hello>,
+    handler: Arc<H>,
+    replies: Sender<PeerMessage>,
+    /// Calls that run; dropped with the link, which cancels them.
+    running: Vec<Task<()>>,
+}
+
+async fn read_messages<H, S>(mut inbound: Inbound<H>, stream: &mut S) -> LinkError
+where
+    H: PeerHandler,
+    S: Stream<Item = Result<Message, tungstenite::Error>> + Unpin,
+{
+    loop {
+        match socket::receive(stream).await {
+            Ok(PeerMessage::Call { id, body }) => inbound.start_call(id, body).await,
+            Ok(message @ (PeerMessage::Heartbeat(_) | PeerMessage::Yield { .. })) => {
+                inbound.handler.message(&inbound.peer, message);
+            }
+            Ok(message) => {
+                let message = socket::name(&message);
+                return UnexpectedSnafu { message }.build();
+            }
+            Err(err) => return err,
+        }
+    }
+}
+
+impl<H: PeerHandler> Inbound<H> {
+    async fn start_call(&mut self, id: u64, body: CallBody) {
+        if self.running.len() >= MAX_RUNNING_CALLS {
+            self.running.retain(|call| !call.is_finished());
+        }
+        if self.running.len() >= MAX_RUNNING_CALLS {
+            let body = busy();
+            // The writer is gone only when the link ends as well.
+            let _ = self.replies.send(PeerMessage::Reply { id, body }).await;
+            return;
+        }
+        let handler = self.handler.clone();
+        let peer = self.peer.clone();
+        let replies = self.replies.clone();
+        let call = async move {
+            let body = handler.call(&peer, body).await;
+            let _ = replies.send(PeerMessage::Reply { id, body }).await;
+        };
+        self.running.push(self.spawner.spawn(call));
+    }
+}
+
+fn busy() -> ReplyBody {
+    ReplyBody::Error(CallError {
+        code: "peer_busy".to_owned(),
+        message: format!("more than {MAX_RUNNING_CALLS} calls of this link are running"),
+        verdict: Verdict::NotRun,
+        retry_after_ms: Some(BUSY_RETRY_MS),
+    })
+}
--- /dev/null
+++ b/transport/src/peer/pending.rs
@@ -0,0 +1,153 @@
+//! Calls that wait for their replies.
+
+use std::collections::HashMap;
+use std::sync::{
+    Mutex,
+    MutexGuard,
+    PoisonError, //
+};
+use std::time::Duration;
+
+use async_channel::{
+    Receiver,
+    Sender, //
+};
+use limpetweir_protocol::peer::ReplyBody;
+use limpetweir_state::Verdict;
+use snafu::Snafu;
+
+/// A call without a reply.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+pub enum CallFailure {
+    /// The link is down.
+    #[snafu(display("the link to the peer is down"))]
+    NotConnected,
+    /// Too many messages wait to be sent.
+    #[snafu(display("too many messages to the peer are waiting"))]
+    QueueFull,
+    /// The link was closed before the reply.
+    #[snafu(display("the link to the peer was closed before the reply ({verdict})"))]
+    Closed {
+        /// Whether the call may have taken effect.
+        verdict: Verdict,
+    },
+    /// The reply did not arrive in time.
+    #[snafu(display("no reply from the peer within {} ms ({verdict})", timeout.as_millis()))]
+    Timeout {
+        /// Longest accepted wait.
+        timeout: Duration,
+        /// Whether the call may have taken effect.
+        verdict: Verdict,
+    },
+}
+
+impl CallFailure {
+    /// Returns whether the call may have taken effect.
+    ///
+    /// It is `NotRun` until the call leaves the send queue for the socket.
+    pub fn verdict(&self) -> Verdict {
+        match self {
+            Self::NotConnected | Self::QueueFull => Verdict::NotRun,
+            Self::Closed { verdict } | Self::Timeout { verdict, .. } => *verdict,
+        }
+    }
+}
+
+pub(super) type CallResult = Result<ReplyBody, CallFailure>;
+
+#[derive(Debug)]
+struct Waiting {
+    reply: Sender<CallResult>,
+    /// Set before the call is handed to the socket.
+    written: bool,
+}
+
+impl Waiting {
+    fn verdict(&self) -> Verdict {
+        if self.written {
+            Verdict::MayHaveRun
+        } else {
+            Verdict::NotRun
+        }
+    }
+}
+
+/// The calls of one link that wait for their replies.
+#[derive(Debug, Default)]
+pub(super) struct Pending {
+    calls: Mutex<Calls>,
+}
+
+#[derive(Debug, Default)]
+struct Calls {
+    /// Identifiers are never used twice, so a late reply cannot meet another call.
+    next: u64,
+    waiting: HashMap<u64, Waiting>,
+}
+
+impl Pending {
+    fn lock(&self) -> MutexGuard<'_, Calls> {
+        self.calls.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Registers a call; the guard withdraws it when dropped.
+    pub(super) fn register(&self) -> (CallGuard<'_>, Receiver<CallResult>) {
+        let (reply, result) = async_channel::bounded(1);
+        let mut calls = self.lock();
+        let id = calls.next;
+        calls.next += 1;
+        let written = false;
+        calls.waiting.insert(id, Waiting { reply, written });
+        (CallGuard { pending: self, id }, result)
+    }
+
+    /// Marks a call as written; returns false if it was withdrawn and must not be sent.
+    pub(super) fn mark_written(&self, id: u64) -> bool {
+        match self.lock().waiting.get_mut(&id) {
+            Some(waiting) => {
+                waiting.written = true;
+                true
+            }
+            None => false,
+        }
+    }
+
+    /// Hands a reply to its call; returns false if no call waits for it.
+    pub(super) fn complete(&self, id: u64, body: ReplyBody) -> bool {
+        let Some(waiting) = self.lock().waiting.remove(&id) else {
+            return false;
+        };
+        waiting.reply.try_send(Ok(body)).is_ok()
+    }
+
+    /// Fails every waiting call because the link was closed.
+    pub(super) fn fail_all(&self) {
+        let waiting = std::mem::take(&mut self.lock().waiting);
+        for waiting in waiting.into_values() {
+            let verdict = waiting.verdict();
+            // The receiver is only gone if the caller gave up.
+            let _ = waiting.reply.try_send(Err(CallFailure::Closed { verdict }));
+        }
+    }
+}
+
+/// Withdraws a call when dropped, so that a call whose caller gave up is not sent any more.
+#[derive(Debug)]
+pub(super) struct CallGuard<'a> {
+    pending: &'a Pending,
+    pub(super) id: u64,
+}
+
+impl CallGuard<'_> {
+    /// Withdraws the call and returns its verdict; `None` if its result has just arrived.
+    pub(super) fn withdraw(&self) -> Option<Verdict> {
+        let waiting = self.pending.lock().waiting.remove(&self.id);
+        waiting.map(|waiting| waiting.verdict())
+    }
+}
+
+impl Drop for CallGuard<'_> {
+    fn drop(&mut self) {
+        self.withdraw();
+    }
+}
--- /dev/null
+++ b/transport/tests/peer.rs
@@ -0,0 +1,359 @@
+//! Links between instances: versions, matching of replies, and verdicts of failed calls.
+
+#![allow(clippy::unwrap_used, reason = "helpers of tests may panic")]
+
+use std::net::{
+    IpAddr,
+    Ipv4Addr,
+    SocketAddr, //
+};
+use std::sync::Arc;
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use async_channel::{
+    Receiver,
+    Sender, //
+};
+use limpetweir_protocol::peer::{
+    CallBody,
+    ConfigSnapshot,
+    Hello,
+    JobAction,
+    JobCall,
+    PEER_PROTOCOL_VERSION,
+    PeerMessage,
+    ReplyBody, //
+};
+use limpetweir_state::{
+    BackendId,
+    GroupId,
+    GroupKind,
+    Incarnation,
+    InstanceId,
+    Verdict,
+    Version, //
+};
+use limpetweir_transport::peer::{
+    CallFailure,
+    LinkError,
+    LinkEvent,
+    LinkOptions,
+    PeerHandler,
+    PeerLink,
+    PeerListener,
+    SendError, //
+};
+use limpetweir_transport::{
+    Runtime,
+    Spawner,
+    until, //
+};
+
+/// Far beyond any wait of a test; reaching it means that the test hangs.
+const HANG: Duration = Duration::from_secs(30);
+
+const LOCAL: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+
+fn hello(name: &str, version: u8) -> Hello {
+    let instance = InstanceId::try_from(name).unwrap();
+    Hello {
+        version,
+        incarnation: Incarnation {
+            instance,
+            started: 1,
+        },
+        zone: "z".try_into().unwrap(),
+    }
+}
+
+/// A call that the test answers itself.
+struct Held {
+    version: Version,
+    reply: Sender<ReplyBody>,
+}
+
+impl Held {
+    fn answer(&self) {
+        let _ = self.reply.try_send(config(self.version));
+    }
+}
+
+fn config(version: Version) -> ReplyBody {
+    ReplyBody::Config(Some(ConfigSnapshot {
+        version,
+        as_of: 0,
+        snapshot: Vec::new(),
+    }))
+}
+
+fn fetch(version: u64) -> CallBody {
+    CallBody::ConfigFetch {
+        newer_than: Version(version),
+    }
+}
+
+/// Hands every call and message to the test.
+struct TestHandler {
+    calls: Sender<Held>,
+    messages: Sender<PeerMessage>,
+}
+
+impl PeerHandler for TestHandler {
+    async fn call(&self, _from: &Hello, body: CallBody) -> ReplyBody {
+        let CallBody::ConfigFetch { newer_than } = body else {
+            return ReplyBody::CancelItem;
+        };
+        let (reply, answer) = async_channel::bounded(1);
+        let version = newer_than;
+        self.calls.send(Held { version, reply }).await.unwrap();
+        answer.recv().await.unwrap_or(ReplyBody::CancelItem)
+    }
+
+    fn message(&self, _from: &Hello, message: PeerMessage) {
+        self.messages.try_send(message).unwrap();
+    }
+}
+
+struct Peer {
+    listener: PeerListener,
+    calls: Receiver<Held>,
+    messages: Receiver<PeerMessage>,
+}
+
+fn listen(spawner: &Spawner, addr: SocketAddr, hello: Hello) -> Peer {
+    let (calls_tx, calls) = async_channel::unbounded();
+    let (messages_tx, messages) = async_channel::unbounded();
+    let handler = Arc::new(TestHandler {
+        calls: calls_tx,
+        messages: messages_tx,
+    });
+    Peer {
+        listener: PeerListener::start(spawner, addr, hello, handler).unwrap(),
+        calls,
+        messages,
+    }
+}
+
+fn dial(spawner: &Spawner, options: LinkOptions) -> (Arc<PeerLink>, Receiver<LinkEvent>) {
+    let (tx, events) = async_channel::unbounded();
+    let link = PeerLink::start(spawner, options, move |event| {
+        let _ = tx.try_send(event);
+    });
+    (Arc::new(link), events)
+}
+
+fn options(addr: SocketAddr) -> LinkOptions {
+    let hello = hello("dialler", PEER_PROTOCOL_VERSION);
+    LinkOptions::new(addr, Some("peer".try_into().unwrap()), hello)
+}
+
+async fn wait_up(events: &Receiver<LinkEvent>) {
+    let up = async { while !matches!(events.recv().await.unwrap(), LinkEvent::Up(_)) {} };
+    until(Instant::now() + HANG, up).await.unwrap();
+}
+
+/// Guards against instances that misread the messages of another version.
+#[test]
+fn links_between_versions_are_refused_on_both_sides() {
+    let runtime = Runtime::start(2).unwrap();
+    let spawner = runtime.spawner();
+    let other = PEER_PROTOCOL_VERSION + 1;
+    let newer = listen(&spawner, LOCAL, hello("peer", other));
+    let older = listen(&spawner, LOCAL, hello("peer", PEER_PROTOCOL_VERSION));
+    let to_newer = options(newer.listener.addr());
+    let mut to_older = options(older.listener.addr());
+    to_older.hello.version = other;
+    runtime.block_on(async move {
+        for (options, theirs) in [(to_newer, other), (to_older, PEER_PROTOCOL_VERSION)] {
+            let (link, events) = dial(&spawner, options);
+            let event = events.recv().await.unwrap();
+            let LinkEvent::Down(LinkError::Version { theirs: found, .. }) = event else {
+                panic!("{event:?}");
+            };
+            assert_eq!(found, theirs);
+            let failure = link.call(fetch(1), HANG).await.unwrap_err();
+            assert_eq!(failure, CallFailure::NotConnected);
+        }
+        assert!(older.calls.is_empty() && newer.calls.is_empty());
+    });
+}
+
+/// Guards against state that is attributed to an instance which moved away from its address.
+#[test]
+fn another_instance_at_the_address_is_refused() {
+    let runtime = Runtime::start(2).unwrap();
+    let spawner = runtime.spawner();
+    let peer = listen(&spawner, LOCAL, hello("stranger", PEER_PROTOCOL_VERSION));
+    let options = options(peer.listener.addr());
+    runtime.block_on(async move {
+        let (_link, events) = dial(&spawner, options);
+        let event = events.recv().await.unwrap();
+        assert!(matches!(
+            event,
+            LinkEvent::Down(LinkError::WrongPeer { .. })
+        ));
+    });
+}
+
+/// Guards against a reply that reaches another call than its own.
+#[test]
+fn crossed_replies_reach_their_calls() {
+    let runtime = Runtime::start(2).unwrap();
+    let spawner = runtime.spawner();
+    let peer = listen(&spawner, LOCAL, hello("peer", PEER_PROTOCOL_VERSION));
+    runtime.block_on(async move {
+        let (link, events) = dial(&spawner, options(peer.listener.addr()));
+        wait_up(&events).await;
+        let mut calls = Vec::new();
+        let mut held = Vec::new();
+        for version in 0..8 {
+            let link = link.clone();
+            let call = async move { link.call(fetch(version), HANG).await };
+            calls.push((version, spawner.spawn(call)));
+            held.push(peer.calls.recv().await.unwrap());
+        }
+        held.iter().rev().for_each(Held::answer);
+        for (version, call) in calls {
+            assert_eq!(call.await.unwrap(), config(Version(version)));
+        }
+    });
+}
+
+/// Guards against a late reply that is taken for the reply to the next call.
+#[test]
+fn a_late_reply_is_dropped() {
+    let runtime = Runtime::start(2).unwrap();
+    let spawner = runtime.spawner();
+    let peer = listen(&spawner, LOCAL, hello("peer", PEER_PROTOCOL_VERSION));
+    runtime.block_on(async move {
+        let (link, events) = dial(&spawner, options(peer.listener.addr()));
+        wait_up(&events).await;
+        let first = spawner.spawn({
+            let link = link.clone();
+            async move { link.call(fetch(1), Duration::from_millis(200)).await }
+        });
+        let late = peer.calls.recv().await.unwrap();
+        let failure = first.await.unwrap_err();
+        assert!(matches!(failure, CallFailure::Timeout { .. }));
+        assert_eq!(failure.verdict(), Verdict::MayHaveRun);
+        let second = spawner.spawn({
+            let link = link.clone();
+            async move { link.call(fetch(2), HANG).await }
+        });
+        let next = peer.calls.recv().await.unwrap();
+        late.answer();
+        next.answer();
+        assert_eq!(second.await.unwrap(), config(Version(2)));
+    });
+}
+
+/// Guards against calls that hang or claim "not run" after their link broke, and against a link
+/// that stays down.
+#[test]
+fn a_broken_link_fails_its_calls_and_reconnects() {
+    let runtime = Runtime::start(2).unwrap();
+    let spawner = runtime.spawner();
+    let peer = listen(&spawner, LOCAL, hello("peer", PEER_PROTOCOL_VERSION));
+    runtime.block_on(async move {
+        let addr = peer.listener.addr();
+        let (link, events) = dial(&spawner, options(addr));
+        wait_up(&events).await;
+        let call = spawner.spawn({
+            let link = link.clone();
+            async move { link.call(fetch(1), HANG).await }
+        });
+        let _held = peer.calls.recv().await.unwrap();
+        drop(peer);
+        let failure = call.await.unwrap_err();
+        let verdict = Verdict::MayHaveRun;
+        assert_eq!(failure, CallFailure::Closed { verdict });
+        let failure = link.call(fetch(2), HANG).await.unwrap_err();
+        assert_eq!(failure.verdict(), Verdict::NotRun);
+
+        let peer = listen(&spawner, addr, hello("peer", PEER_PROTOCOL_VERSION));
+        wait_up(&events).await;
+        let backend = BackendId::try_from("e1").unwrap();
+        let message = PeerMessage::Yield { backend };
+        link.notify(message.clone()).unwrap();
+        assert_eq!(peer.messages.recv().await.unwrap(), message);
+    });
+}
+
+/// Guards against unbounded memory for a peer that does not read, and against "may have run" for a
+/// call that never left the queue.
+#[test]
+fn a_full_queue_refuses_calls_as_not_run() {
+    let runtime = Runtime::start(2).unwrap();
+    let spawner = runtime.spawner();
+    runtime.block_on(async move {
+        let listener = async_io::Async::<std::net::TcpListener>::bind(LOCAL).unwrap();
+        let mut options = options(listener.get_ref().local_addr().unwrap());
+        options.queue = 1;
+        let (link, events) = dial(&spawner, options);
+        let silent = greet_and_stay_silent(&listener).await;
+        wait_up(&events).await;
+
+        let mut calls = Vec::new();
+        loop {
+            let link = link.clone();
+            let mut call = spawner.spawn(async move { link.call(large_call(), HANG).await });
+            let refused = until(Instant::now() + Duration::from_millis(200), &mut call).await;
+            match refused {
+                Some(result) => {
+                    assert_eq!(result.unwrap_err(), CallFailure::QueueFull);
+                    // With fewer calls the first one may not have left the queue yet.
+                    if calls.len() > 1 {
+                        break;
+                    }
+                }
+                None => calls.push(call),
+            }
+        }
+        let backend = BackendId::try_from("e1").unwrap();
+        let refused = link.notify(PeerMessage::Yield { backend });
+        assert_eq!(refused, Err(SendError::QueueFull));
+        drop(silent);
+        drop(listener);
+        let mut verdicts = Vec::new();
+        for call in calls {
+            verdicts.push(call.await.unwrap_err().verdict());
+        }
+        let written = verdicts.partition_point(|verdict| *verdict == Verdict::MayHaveRun);
+        let (written, queued) = verdicts.split_at(written);
+        assert!(!written.is_empty() && !queued.is_empty());
+        assert!(queued.iter().all(|verdict| *verdict == Verdict::NotRun));
+    });
+}
+
+type Silent = tokio_tungstenite::WebSocketStream<
+    tokio_util::compat::Compat<async_io::Async<std::net::TcpStream>>,
+>;
+
+async fn greet_and_stay_silent(listener: &async_io::Async<std::net::TcpListener>) -> Silent {
+    use futures_util::{SinkExt, StreamExt};
+    use tokio_util::compat::FuturesAsyncReadCompatExt;
+    let (stream, _) = listener.accept().await.unwrap();
+    let mut socket = tokio_tungstenite::accept_async(stream.compat())
+        .await
+        .unwrap();
+    let hello = PeerMessage::Hello(hello("peer", PEER_PROTOCOL_VERSION));
+    let hello = tokio_tungstenite::tungstenite::Message::binary(hello.encode().unwrap());
+    socket.send(hello).await.unwrap();
+    socket.next().await.unwrap().unwrap();
+    socket
+}
+
+/// A call that is larger than the socket buffers of one connection together.
+fn large_call() -> CallBody {
+    CallBody::Job(JobCall {
+        organisation: "o".try_into().unwrap(),
+        group: GroupId::of(GroupKind::Jobs, b"k", 1),
+        action: JobAction::Submit {
+            key: "k".to_owned(),
+            body: vec![0; 16 << 20],
+        },
+    })
+}
