--- a/protocol/src/lib.rs
+++ b/protocol/src/lib.rs
@@ -1,5 +1,15 @@
 //! Wire types of the log, the peer links, the HTTP interfaces and the settings.
 
+mod config;
+mod config_check;
+mod config_fault;
 pub mod http;
 pub mod peer;
+pub mod records;
 pub mod settings;
+
+pub use config::{
+    MAX_DOCUMENT_BYTES, RawBackend, RawConfiguration, RawDigest, RawKey, RawOrganisation,
+    RawService, parse_configuration, write_configuration,
+};
+pub use config_fault::{ConfigDocumentError, ConfigFault};
--- a/protocol/src/settings/check.rs
+++ b/protocol/src/settings/check.rs
@@ -5,8 +5,17 @@
 use std::str::FromStr;
 use std::time::Duration;
 
+use limpetweir_coordination::timing::{
+    ASK_TIMEOUT,
+    CONFIG_FRESHNESS_LIMIT,
+    CONFIG_LONG_POLL,
+    DISCOVERY_TTL,
+    LIST_POLL_INTERVAL,
+    MAX_DRAIN, //
+};
 use limpetweir_state::{
     InstanceId,
+    KeyDigest,
     ZoneId, //
 };
 use snafu::Snafu;
@@ -79,32 +88,6 @@
     pub timing: Timing,
 }
 
-/// SHA-256 digest of a key.
-#[derive(Clone, Copy, PartialEq, Eq)]
-pub struct KeyDigest(pub [u8; 32]);
-
-impl fmt::Debug for KeyDigest {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("KeyDigest(..)")
-    }
-}
-
-impl KeyDigest {
-    /// Parses 64 hexadecimal digits.
-    pub fn from_hex(text: &str) -> Option<Self> {
-        let digits = text.as_bytes();
-        if digits.len() != 64 || !digits.iter().all(u8::is_ascii_hexdigit) {
-            return None;
-        }
-        let mut digest = [0; 32];
-        for (index, byte) in digest.iter_mut().enumerate() {
-            let pair = text.get(2 * index..2 * index + 2)?;
-            *byte = u8::from_str_radix(pair, 16).ok()?;
-        }
-        Some(Self(digest))
-    }
-}
-
 /// Least severe level that is logged.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Display, EnumString, IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
@@ -125,28 +108,16 @@
 /// Time constants.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Timing {
-    /// Pause between heartbeats.
-    pub heartbeat: Duration,
-    /// Time without heartbeat after which a peer is silent; above `heartbeat`.
-    pub silence: Duration,
-    /// Lease of an owner; above `heartbeat`.
-    pub lease: Duration,
-    /// Longest time without confirmation that the configuration is current; above `long_poll`.
-    pub config_freshness: Duration,
-    /// Longest wait of one read of the log.
+    /// Longest wait of one read of the log; below half the configuration freshness limit.
     pub long_poll: Duration,
-    /// Lease of a quota share; above `share_renewal`.
-    pub share_lease: Duration,
-    /// Pause between renewals of a quota share.
-    pub share_renewal: Duration,
-    /// Time for which callers keep a discovery answer.
-    pub discovery_ttl: Duration,
-    /// Longest graceful shutdown; above `discovery_ttl`.
-    pub drain_limit: Duration,
     /// Pause between reads of the list.
     pub list_poll: Duration,
     /// Longest wait for the home of a quota.
     pub ask_timeout: Duration,
+    /// Time for which callers keep a discovery answer.
+    pub discovery_ttl: Duration,
+    /// Longest graceful shutdown; above `discovery_ttl`.
+    pub drain_limit: Duration,
 }
 
 impl TryFrom<RawSettings> for Settings {
@@ -157,7 +128,7 @@
         let zone = required("zone", raw.zone, IDENTIFIER)?;
         let threads = raw.runtime.threads.unwrap_or(DEFAULT_THREADS);
         let groups = raw.runtime.groups.unwrap_or(DEFAULT_GROUPS);
-        let digest = required("operator.key_digest", raw.operator.key_digest, DIGEST)?;
+        let digest = key_digest(raw.operator.key_digest)?;
         Ok(Self {
             name: InstanceId::try_from(name.as_str())
                 .map_err(|_| refuse("name", &name, IDENTIFIER))?,
@@ -169,8 +140,7 @@
             advertise_peer: advertised("advertise.peer", raw.advertise.peer)?,
             log: service("platform.log", raw.platform.log)?,
             list: service("platform.list", raw.platform.list)?,
-            operator_key: KeyDigest::from_hex(&digest)
-                .ok_or_else(|| refuse("operator.key_digest", &digest, DIGEST))?,
+            operator_key: digest,
             threads: within("runtime.threads", threads, 1, MAX_THREADS)?,
             groups: within("runtime.groups", groups, 1, MAX_GROUPS)?,
             log_level: level(raw.runtime.log_level)?,
@@ -183,40 +153,41 @@
     type Error = FieldError;
 
     fn try_from(raw: RawTiming) -> Result<Self, FieldError> {
-        let timing = Self {
-            heartbeat: time("timing.heartbeat_ms", raw.heartbeat_ms, 250)?,
-            silence: time("timing.silence_ms", raw.silence_ms, 1_500)?,
-            lease: time("timing.lease_ms", raw.lease_ms, 3_000)?,
-            config_freshness: time("timing.config_freshness_ms", raw.config_freshness_ms, 3_000)?,
-            long_poll: time("timing.long_poll_ms", raw.long_poll_ms, 1_000)?,
-            share_lease: time("timing.share_lease_ms", raw.share_lease_ms, 4_000)?,
-            share_renewal: time("timing.share_renewal_ms", raw.share_renewal_ms, 500)?,
-            discovery_ttl: time("timing.discovery_ttl_ms", raw.discovery_ttl_ms, 5_000)?,
-            drain_limit: time("timing.drain_limit_ms", raw.drain_limit_ms, 60_000)?,
-            list_poll: time("timing.list_poll_ms", raw.list_poll_ms, 500)?,
-            ask_timeout: time("timing.ask_timeout_ms", raw.ask_timeout_ms, 100)?,
-        };
-        timing.check_order()?;
-        Ok(timing)
+        let ttl = time(
+            "timing.discovery_ttl_ms",
+            raw.discovery_ttl_ms,
+            DISCOVERY_TTL,
+        )?;
+        let drain = time("timing.drain_limit_ms", raw.drain_limit_ms, MAX_DRAIN)?;
+        above(
+            "timing.drain_limit_ms",
+            drain,
+            "timing.discovery_ttl_ms",
+            ttl,
+        )?;
+        Ok(Self {
+            long_poll: long_poll(raw.long_poll_ms)?,
+            list_poll: time("timing.list_poll_ms", raw.list_poll_ms, LIST_POLL_INTERVAL)?,
+            ask_timeout: time("timing.ask_timeout_ms", raw.ask_timeout_ms, ASK_TIMEOUT)?,
+            discovery_ttl: ttl,
+            drain_limit: drain,
+        })
     }
 }
 
-impl Timing {
-    fn check_order(&self) -> Result<(), FieldError> {
-        let heartbeat = ("timing.heartbeat_ms", self.heartbeat);
-        let long_poll = ("timing.long_poll_ms", self.long_poll);
-        let renewal = ("timing.share_renewal_ms", self.share_renewal);
-        let ttl = ("timing.discovery_ttl_ms", self.discovery_ttl);
-        above("timing.silence_ms", self.silence, heartbeat)?;
-        above("timing.lease_ms", self.lease, heartbeat)?;
-        above(
-            "timing.config_freshness_ms",
-            self.config_freshness,
-            long_poll,
-        )?;
-        above("timing.share_lease_ms", self.share_lease, renewal)?;
-        above("timing.drain_limit_ms", self.drain_limit, ttl)
+/// Checks the long poll.
+///
+/// A read confirms the time at which it was sent, so a poll as long as the freshness limit would
+/// leave an instance without a current confirmation each time.
+fn long_poll(value: Option<i64>) -> Result<Duration, FieldError> {
+    const FIELD: &str = "timing.long_poll_ms";
+    let wait = time(FIELD, value, CONFIG_LONG_POLL)?;
+    let limit = CONFIG_FRESHNESS_LIMIT / 2;
+    if wait <= limit {
+        return Ok(wait);
     }
+    let accepted = format!("a whole number from 1 to {}", limit.as_millis());
+    Err(refuse(FIELD, wait.as_millis(), &accepted))
 }
 
 fn refuse(field: &'static str, found: impl fmt::Debug, accepted: &str) -> FieldError {
@@ -235,6 +206,17 @@
     })
 }
 
+/// Reads the digest; the found text is left out because it may be a key pasted by mistake.
+fn key_digest(value: Option<String>) -> Result<KeyDigest, FieldError> {
+    const FIELD: &str = "operator.key_digest";
+    let text = required(FIELD, value, DIGEST)?;
+    KeyDigest::from_hex(&text).map_err(|_| FieldError {
+        field: FIELD,
+        found: format!("the text of {} bytes is not accepted", text.len()),
+        accepted: DIGEST.to_owned(),
+    })
+}
+
 fn address(field: &'static str, value: Option<String>) -> Result<SocketAddr, FieldError> {
     let text = required(field, value, ADDRESS)?;
     SocketAddr::from_str(&text).map_err(|_| refuse(field, &text, ADDRESS))
@@ -275,18 +257,23 @@
     T::try_from(value).map_err(|_| refused())
 }
 
-fn time(field: &'static str, value: Option<i64>, default: u64) -> Result<Duration, FieldError> {
-    let ms = match value {
-        Some(value) => within(field, value, 1, MAX_TIME_MS)?,
-        None => default,
+fn time(
+    field: &'static str,
+    value: Option<i64>,
+    default: Duration,
+) -> Result<Duration, FieldError> {
+    let Some(value) = value else {
+        return Ok(default);
     };
+    let ms = within(field, value, 1, MAX_TIME_MS)?;
     Ok(Duration::from_millis(ms))
 }
 
 fn above(
     field: &'static str,
     value: Duration,
-    (other, bound): (&'static str, Duration),
+    other: &'static str,
+    bound: Duration,
 ) -> Result<(), FieldError> {
     if value > bound {
         return Ok(());
--- a/protocol/src/settings/load.rs
+++ b/protocol/src/settings/load.rs
@@ -54,18 +54,18 @@
         text: String,
     },
     /// An override names an unknown field or has a value of the wrong type.
-    #[snafu(display("--set {text}: {message}"))]
+    #[snafu(display("--set {key}: {message}"))]
     OverrideType {
-        /// The override.
-        text: String,
+        /// Path of the field.
+        key: String,
         /// Cause given by the parser, which names what is accepted.
         message: String,
     },
     /// An override has a value that is not accepted.
-    #[snafu(display("--set {text}: {error}"))]
+    #[snafu(display("--set {key}: {error}"))]
     OverrideValue {
-        /// The override.
-        text: String,
+        /// Path of the field.
+        key: String,
         /// The field and what is accepted.
         error: FieldError,
     },
@@ -74,7 +74,6 @@
 /// Replacement of one field of the file.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Override {
-    text: String,
     /// Path of the field, for example `listen.public`.
     key: String,
     value: Value,
@@ -91,7 +90,6 @@
             return OverrideFormSnafu { text }.fail();
         }
         Ok(Self {
-            text: text.to_owned(),
             key: key.to_owned(),
             value: parse_value(value.trim()),
         })
@@ -128,7 +126,7 @@
     let mut raw = RawSettings::default();
     for change in overrides {
         let failed = |message: String| SettingsError::OverrideType {
-            text: change.text.clone(),
+            key: change.key.clone(),
             message,
         };
         insert(&mut table, &change.key, change.value.clone()).map_err(failed)?;
@@ -209,8 +207,8 @@
 ) -> SettingsError {
     let change = overrides.iter().rev().find(|c| c.key == error.field);
     if let Some(change) = change {
-        let text = change.text.clone();
-        return SettingsError::OverrideValue { text, error };
+        let key = change.key.clone();
+        return SettingsError::OverrideValue { key, error };
     }
     let field = fields.iter().find(|(path, _)| path == error.field);
     SettingsError::Field {
--- a/protocol/src/settings/mod.rs
+++ b/protocol/src/settings/mod.rs
@@ -4,7 +4,7 @@
 mod load;
 mod raw;
 
-pub use check::{FieldError, KeyDigest, LogLevel, Settings, Timing};
+pub use check::{FieldError, LogLevel, Settings, Timing};
 pub use load::{Override, SettingsError};
 pub use raw::{
     RawAdvertise, RawListen, RawOperator, RawPlatform, RawRuntime, RawSettings, RawTiming,
--- a/protocol/src/settings/raw.rs
+++ b/protocol/src/settings/raw.rs
@@ -86,29 +86,20 @@
 }
 
 /// Time constants in milliseconds.
+///
+/// Leases and limits on which correctness across instances depends are no settings, because they
+/// must be the same on all instances.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct RawTiming {
-    /// Pause between heartbeats.
-    pub heartbeat_ms: Option<i64>,
-    /// Time without heartbeat after which a peer is silent.
-    pub silence_ms: Option<i64>,
-    /// Lease of an owner.
-    pub lease_ms: Option<i64>,
-    /// Longest time without confirmation that the configuration is current.
-    pub config_freshness_ms: Option<i64>,
     /// Longest wait of one read of the log.
     pub long_poll_ms: Option<i64>,
-    /// Lease of a quota share.
-    pub share_lease_ms: Option<i64>,
-    /// Pause between renewals of a quota share.
-    pub share_renewal_ms: Option<i64>,
-    /// Time for which callers keep a discovery answer.
-    pub discovery_ttl_ms: Option<i64>,
-    /// Longest graceful shutdown.
-    pub drain_limit_ms: Option<i64>,
     /// Pause between reads of the list.
     pub list_poll_ms: Option<i64>,
     /// Longest wait for the home of a quota.
     pub ask_timeout_ms: Option<i64>,
+    /// Time for which callers keep a discovery answer.
+    pub discovery_ttl_ms: Option<i64>,
+    /// Longest graceful shutdown.
+    pub drain_limit_ms: Option<i64>,
 }
