--- a/protocol/src/lib.rs
+++ b/protocol/src/lib.rs
@@ -3,8 +3,10 @@
 mod config;
 mod config_check;
 mod config_fault;
+pub mod http;
 pub mod peer;
 pub mod records;
+pub mod settings;
 
 pub use config::{
     MAX_DOCUMENT_BYTES, RawBackend, RawConfiguration, RawDigest, RawKey, RawOrganisation,
--- /dev/null
+++ b/protocol/src/settings/check.rs
@@ -0,0 +1,283 @@
+//! Checked settings.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::str::FromStr;
+use std::time::Duration;
+
+use limpetweir_coordination::timing::{
+    ASK_TIMEOUT,
+    CONFIG_FRESHNESS_LIMIT,
+    CONFIG_LONG_POLL,
+    DISCOVERY_TTL,
+    LIST_POLL_INTERVAL,
+    MAX_DRAIN, //
+};
+use limpetweir_state::{
+    InstanceId,
+    KeyDigest,
+    ZoneId, //
+};
+use snafu::Snafu;
+use strum::{
+    Display,
+    EnumString,
+    IntoStaticStr, //
+};
+
+use super::raw::{
+    RawSettings,
+    RawTiming, //
+};
+
+const ADDRESS: &str = "an IP address with a port, such as 127.0.0.1:8080";
+const SERVICE_ADDRESS: &str = "an IP address with a port above 0, such as 127.0.0.1:8080";
+const IDENTIFIER: &str = "1 to 64 of a-z, A-Z, 0-9, '-', '_' and '.'";
+const DIGEST: &str = "the SHA-256 digest of the operator key as 64 hexadecimal digits";
+const LEVELS: &str = "error, warn, info, debug or trace";
+
+const DEFAULT_THREADS: i64 = 2;
+const MAX_THREADS: i64 = 256;
+const DEFAULT_GROUPS: i64 = 16;
+const MAX_GROUPS: i64 = 4096;
+/// One day; longer times are a mistake in the unit.
+const MAX_TIME_MS: i64 = 24 * 3600 * 1000;
+
+/// A field whose value is not accepted.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[snafu(display("{field}: {found}; accepted is {accepted}"))]
+pub struct FieldError {
+    /// Path of the field, for example `listen.public`.
+    pub field: &'static str,
+    /// What was found.
+    pub found: String,
+    /// What is accepted.
+    pub accepted: String,
+}
+
+/// Checked settings of a daemon.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// Name of the instance.
+    pub name: InstanceId,
+    /// Availability zone of the instance.
+    pub zone: ZoneId,
+    /// Address to bind for callers; port 0 lets the operating system choose.
+    pub public: SocketAddr,
+    /// Address to bind for other instances; port 0 lets the operating system choose.
+    pub peer: SocketAddr,
+    /// Address to bind for operators; port 0 lets the operating system choose.
+    pub admin: SocketAddr,
+    /// Address announced to callers; `None` announces the bound one.
+    pub advertise_public: Option<SocketAddr>,
+    /// Address announced to other instances; `None` announces the bound one.
+    pub advertise_peer: Option<SocketAddr>,
+    /// Address of the log service.
+    pub log: SocketAddr,
+    /// Address of the list service.
+    pub list: SocketAddr,
+    /// Digest of the operator key.
+    pub operator_key: KeyDigest,
+    /// Executor threads, at least 1.
+    pub threads: usize,
+    /// Groups of each kind, at least 1.
+    pub groups: u16,
+    /// Least severe level that is logged.
+    pub log_level: LogLevel,
+    /// Time constants.
+    pub timing: Timing,
+}
+
+/// Least severe level that is logged.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Display, EnumString, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum LogLevel {
+    /// Failures that need an operator.
+    Error,
+    /// Faults that the daemon handles itself.
+    Warn,
+    /// Changes of state.
+    #[default]
+    Info,
+    /// Decisions about single requests.
+    Debug,
+    /// Everything.
+    Trace,
+}
+
+/// Time constants.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Timing {
+    /// Longest wait of one read of the log; below half the configuration freshness limit.
+    pub long_poll: Duration,
+    /// Pause between reads of the list.
+    pub list_poll: Duration,
+    /// Longest wait for the home of a quota.
+    pub ask_timeout: Duration,
+    /// Time for which callers keep a discovery answer.
+    pub discovery_ttl: Duration,
+    /// Longest graceful shutdown; above `discovery_ttl`.
+    pub drain_limit: Duration,
+}
+
+impl TryFrom<RawSettings> for Settings {
+    type Error = FieldError;
+
+    fn try_from(raw: RawSettings) -> Result<Self, FieldError> {
+        let name = required("name", raw.name, IDENTIFIER)?;
+        let zone = required("zone", raw.zone, IDENTIFIER)?;
+        let threads = raw.runtime.threads.unwrap_or(DEFAULT_THREADS);
+        let groups = raw.runtime.groups.unwrap_or(DEFAULT_GROUPS);
+        let digest = key_digest(raw.operator.key_digest)?;
+        Ok(Self {
+            name: InstanceId::try_from(name.as_str())
+                .map_err(|_| refuse("name", &name, IDENTIFIER))?,
+            zone: ZoneId::try_from(zone.as_str()).map_err(|_| refuse("zone", &zone, IDENTIFIER))?,
+            public: address("listen.public", raw.listen.public)?,
+            peer: address("listen.peer", raw.listen.peer)?,
+            admin: address("listen.admin", raw.listen.admin)?,
+            advertise_public: advertised("advertise.public", raw.advertise.public)?,
+            advertise_peer: advertised("advertise.peer", raw.advertise.peer)?,
+            log: service("platform.log", raw.platform.log)?,
+            list: service("platform.list", raw.platform.list)?,
+            operator_key: digest,
+            threads: within("runtime.threads", threads, 1, MAX_THREADS)?,
+            groups: within("runtime.groups", groups, 1, MAX_GROUPS)?,
+            log_level: level(raw.runtime.log_level)?,
+            timing: raw.timing.try_into()?,
+        })
+    }
+}
+
+impl TryFrom<RawTiming> for Timing {
+    type Error = FieldError;
+
+    fn try_from(raw: RawTiming) -> Result<Self, FieldError> {
+        let ttl = time(
+            "timing.discovery_ttl_ms",
+            raw.discovery_ttl_ms,
+            DISCOVERY_TTL,
+        )?;
+        let drain = time("timing.drain_limit_ms", raw.drain_limit_ms, MAX_DRAIN)?;
+        above(
+            "timing.drain_limit_ms",
+            drain,
+            "timing.discovery_ttl_ms",
+            ttl,
+        )?;
+        Ok(Self {
+            long_poll: long_poll(raw.long_poll_ms)?,
+            list_poll: time("timing.list_poll_ms", raw.list_poll_ms, LIST_POLL_INTERVAL)?,
+            ask_timeout: time("timing.ask_timeout_ms", raw.ask_timeout_ms, ASK_TIMEOUT)?,
+            discovery_ttl: ttl,
+            drain_limit: drain,
+        })
+    }
+}
+
+/// Checks the long poll.
+///
+/// A read confirms the time at which it was sent, so a poll as long as the freshness limit would
+/// leave an instance without a current confirmation each time.
+fn long_poll(value: Option<i64>) -> Result<Duration, FieldError> {
+    const FIELD: &str = "timing.long_poll_ms";
+    let wait = time(FIELD, value, CONFIG_LONG_POLL)?;
+    let limit = CONFIG_FRESHNESS_LIMIT / 2;
+    if wait <= limit {
+        return Ok(wait);
+    }
+    let accepted = format!("a whole number from 1 to {}", limit.as_millis());
+    Err(refuse(FIELD, wait.as_millis(), &accepted))
+}
+
+fn refuse(field: &'static str, found: impl fmt::Debug, accepted: &str) -> FieldError {
+    FieldError {
+        field,
+        found: format!("{found:?} is not accepted"),
+        accepted: accepted.to_owned(),
+    }
+}
+
+fn required<T>(field: &'static str, value: Option<T>, accepted: &str) -> Result<T, FieldError> {
+    value.ok_or_else(|| FieldError {
+        field,
+        found: "the field is missing".to_owned(),
+        accepted: accepted.to_owned(),
+    })
+}
+
+/// Reads the digest; the found text is left out because it may be a key pasted by mistake.
+fn key_digest(value: Option<String>) -> Result<KeyDigest, FieldError> {
+    const FIELD: &str = "operator.key_digest";
+    let text = required(FIELD, value, DIGEST)?;
+    KeyDigest::from_hex(&text).map_err(|_| FieldError {
+        field: FIELD,
+        found: format!("the text of {} bytes is not accepted", text.len()),
+        accepted: DIGEST.to_owned(),
+    })
+}
+
+fn address(field: &'static str, value: Option<String>) -> Result<SocketAddr, FieldError> {
+    let text = required(field, value, ADDRESS)?;
+    SocketAddr::from_str(&text).map_err(|_| refuse(field, &text, ADDRESS))
+}
+
+/// Parses an address that others connect to, so port 0 is not accepted.
+fn service(field: &'static str, value: Option<String>) -> Result<SocketAddr, FieldError> {
+    let text = required(field, value, SERVICE_ADDRESS)?;
+    let addr = SocketAddr::from_str(&text).ok().filter(|a| a.port() != 0);
+    addr.ok_or_else(|| refuse(field, &text, SERVICE_ADDRESS))
+}
+
+fn advertised(
+    field: &'static str,
+    value: Option<String>,
+) -> Result<Option<SocketAddr>, FieldError> {
+    value.map(|text| service(field, Some(text))).transpose()
+}
+
+fn level(value: Option<String>) -> Result<LogLevel, FieldError> {
+    let Some(text) = value else {
+        return Ok(LogLevel::default());
+    };
+    LogLevel::from_str(&text).map_err(|_| refuse("runtime.log_level", &text, LEVELS))
+}
+
+fn within<T: TryFrom<i64>>(
+    field: &'static str,
+    value: i64,
+    min: i64,
+    max: i64,
+) -> Result<T, FieldError> {
+    let accepted = || format!("a whole number from {min} to {max}");
+    let refused = || refuse(field, value, &accepted());
+    if !(min..=max).contains(&value) {
+        return Err(refused());
+    }
+    T::try_from(value).map_err(|_| refused())
+}
+
+fn time(
+    field: &'static str,
+    value: Option<i64>,
+    default: Duration,
+) -> Result<Duration, FieldError> {
+    let Some(value) = value else {
+        return Ok(default);
+    };
+    let ms = within(field, value, 1, MAX_TIME_MS)?;
+    Ok(Duration::from_millis(ms))
+}
+
+fn above(
+    field: &'static str,
+    value: Duration,
+    other: &'static str,
+    bound: Duration,
+) -> Result<(), FieldError> {
+    if value > bound {
+        return Ok(());
+    }
+    let accepted = format!("a value above {other} ({})", bound.as_millis());
+    Err(refuse(field, value.as_millis(), &accepted))
+}
