Add the command-line tool

The tool had no commands. It now has those of configuration, keys, jobs, online requests and explanations on top of the HTTP client of the transport package. The bodies of the admin interface had no types, so they are added to the protocol package for the daemon and the tool alike.

--- /dev/null
+++ b/cli/src/args.rs
@@ -0,0 +1,353 @@
+//! The arguments of the tool.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use clap::builder::{
+    PossibleValue,
+    ValueParser, //
+};
+use clap::{
+    Arg,
+    ArgAction,
+    ArgGroup,
+    Command,
+    value_parser, //
+};
+use limpetweir_state::{
+    JobId,
+    KeyId,
+    ModelId,
+    OrganisationId,
+    PublicationId,
+    ServiceId,
+    ZoneId, //
+};
+
+use crate::span::{
+    Deadline,
+    parse_duration, //
+};
+
+const KEYS_HELP: &str = "Keys are never arguments. The caller's key comes from --key-file or the \
+    environment variable LIMPETWEIR_KEY, the operator's key from --key-file or \
+    LIMPETWEIR_OPERATOR_KEY.\n\nExit codes: 0 success, 1 the operation was refused or failed, \
+    2 wrong usage.";
+
+/// The base of a publication.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Base {
+    /// The version in force when the command runs.
+    Current,
+    /// A given version.
+    Version(u64),
+}
+
+fn parse_base(text: &str) -> Result<Base, String> {
+    if text == "current" {
+        return Ok(Base::Current);
+    }
+    let version = text.parse().map(Base::Version);
+    version.map_err(|_| "use a version number or \"current\"".to_owned())
+}
+
+/// Checks an identifier and keeps it as its own type.
+fn id<T>() -> ValueParser
+where
+    T: for<'r> TryFrom<&'r str, Error: std::fmt::Display> + Clone + Send + Sync + 'static,
+{
+    ValueParser::new(|text: &str| T::try_from(text).map_err(|cause| cause.to_string()))
+}
+
+/// Returns the description of all arguments.
+pub fn command() -> Command {
+    Command::new("limpetweir")
+        .version(env!("CARGO_PKG_VERSION"))
+        .about("Operates a limpetweir fleet and sends requests and jobs to it")
+        .after_help(KEYS_HELP)
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .args(global_args())
+        .subcommand(config())
+        .subcommand(key())
+        .subcommand(job())
+        .subcommand(complete())
+        .subcommand(explain())
+        .subcommand(Command::new("addresses").about("Prints the addresses that a caller may use"))
+        .subcommand(completions())
+}
+
+fn global_args() -> [Arg; 6] {
+    let addresses = |name: &'static str| {
+        Arg::new(name)
+            .long(name)
+            .value_name("IP:PORT")
+            .action(ArgAction::Append)
+            .value_delimiter(',')
+            .value_parser(value_parser!(SocketAddr))
+            .global(true)
+    };
+    [
+        addresses("address").help("Public address of an instance; several with commas"),
+        addresses("admin").help("Admin address of an instance; several with commas"),
+        Arg::new("key-file")
+            .long("key-file")
+            .value_name("FILE")
+            .value_parser(value_parser!(PathBuf))
+            .global(true)
+            .help("File with the key to present"),
+        Arg::new("zone")
+            .long("zone")
+            .value_name("ZONE")
+            .value_parser(id::<ZoneId>())
+            .global(true)
+            .help("Availability zone of the caller; its instances are preferred"),
+        Arg::new("json")
+            .long("json")
+            .action(ArgAction::SetTrue)
+            .global(true)
+            .help("Prints machine-readable JSON"),
+        Arg::new("timeout")
+            .long("timeout")
+            .value_name("DURATION")
+            .default_value("30s")
+            .value_parser(parse_duration)
+            .global(true)
+            .help("Longest time for one request, with its retries"),
+    ]
+}
+
+fn document_arg() -> Arg {
+    Arg::new("file")
+        .value_name("FILE")
+        .required(true)
+        .value_parser(value_parser!(PathBuf))
+        .help("Configuration document")
+}
+
+fn config() -> Command {
+    let base = Arg::new("base")
+        .long("base")
+        .value_name("VERSION")
+        .required(true)
+        .value_parser(parse_base)
+        .help("Version that the document replaces, or \"current\" for the one in force");
+    let publication = Arg::new("id")
+        .long("id")
+        .value_name("ID")
+        .value_parser(id::<PublicationId>())
+        .help("Identity of the publication; give it again to repeat one without an answer");
+    Command::new("config")
+        .about("Checks, publishes and shows the configuration")
+        .subcommand_required(true)
+        .subcommand(
+            Command::new("check")
+                .about("Reports every fault of a document")
+                .arg(document_arg()),
+        )
+        .subcommand(
+            Command::new("publish")
+                .about("Publishes a document and waits until it is in force everywhere")
+                .args([document_arg(), base, publication]),
+        )
+        .subcommand(
+            Command::new("diff")
+                .about("Compares a document with the version in force")
+                .arg(document_arg()),
+        )
+        .subcommand(Command::new("show").about("Prints the document in force"))
+        .subcommand(Command::new("status").about("Prints the version in force on each instance"))
+}
+
+fn key() -> Command {
+    let organisation = Arg::new("organisation")
+        .value_name("ORGANISATION")
+        .required(true)
+        .value_parser(id::<OrganisationId>());
+    let file = Arg::new("file")
+        .long("file")
+        .value_name("FILE")
+        .value_parser(value_parser!(PathBuf))
+        .help("Changes this document and prints it instead of publishing");
+    let print = Arg::new("print")
+        .long("print")
+        .action(ArgAction::SetTrue)
+        .help("Prints the changed document instead of publishing it");
+    let name = Arg::new("id")
+        .long("id")
+        .value_name("KEY-ID")
+        .value_parser(id::<KeyId>())
+        .help("Name of the new key; made from the time by default");
+    let withdrawn = Arg::new("key-id")
+        .value_name("KEY-ID")
+        .required(true)
+        .value_parser(id::<KeyId>());
+    Command::new("key")
+        .about("Creates and withdraws keys of organisations")
+        .subcommand_required(true)
+        .subcommand(
+            Command::new("create")
+                .about("Creates a key, prints it once and publishes its digest")
+                .args([organisation.clone(), name, file.clone(), print.clone()]),
+        )
+        .subcommand(
+            Command::new("withdraw")
+                .about("Removes a key from the configuration")
+                .args([organisation, withdrawn, file, print]),
+        )
+}
+
+fn job() -> Command {
+    let job = Arg::new("job")
+        .value_name("JOB")
+        .required(true)
+        .value_parser(id::<JobId>());
+    let output = Arg::new("output")
+        .long("output")
+        .short('o')
+        .value_name("FILE")
+        .value_parser(value_parser!(PathBuf))
+        .help("Writes the results to a file instead of the standard output");
+    let page = Arg::new("page")
+        .long("page")
+        .value_name("ITEMS")
+        .default_value("1000")
+        .value_parser(value_parser!(u32).range(1..))
+        .help("Results in one request");
+    Command::new("job")
+        .about("Submits and follows batch jobs")
+        .subcommand_required(true)
+        .subcommand(submit())
+        .subcommand(
+            Command::new("watch")
+                .about("Shows the progress of a job until it ends")
+                .arg(job.clone()),
+        )
+        .subcommand(
+            Command::new("results")
+                .about("Prints the finished items of a job as JSON lines")
+                .args([job.clone(), output, page]),
+        )
+        .subcommand(
+            Command::new("cancel")
+                .about("Cancels a job")
+                .arg(job.clone()),
+        )
+        .subcommand(
+            Command::new("status")
+                .about("Prints the state of a job")
+                .arg(job),
+        )
+}
+
+fn submit() -> Command {
+    Command::new("submit")
+        .about("Submits a job of items from JSON lines or a JSON array")
+        .arg(
+            Arg::new("file")
+                .value_name("FILE")
+                .required(true)
+                .value_parser(value_parser!(PathBuf))
+                .help("Items with id, prompt and max_tokens; - reads the standard input"),
+        )
+        .arg(
+            Arg::new("service")
+                .long("service")
+                .required(true)
+                .value_parser(id::<ServiceId>()),
+        )
+        .arg(
+            Arg::new("model")
+                .long("model")
+                .required(true)
+                .value_parser(id::<ModelId>()),
+        )
+        .arg(
+            Arg::new("deadline")
+                .long("deadline")
+                .required(true)
+                .value_parser(value_parser!(Deadline))
+                .help("When the results are due: a duration such as 2h or a time with zone"),
+        )
+        .arg(
+            Arg::new("idempotency-key")
+                .long("idempotency-key")
+                .value_name("KEY")
+                .help("Identity of the submission; give it again to repeat one without an answer"),
+        )
+}
+
+fn complete() -> Command {
+    Command::new("complete")
+        .about("Sends one online request and prints the answer as it arrives")
+        .arg(
+            Arg::new("prompt")
+                .value_name("PROMPT")
+                .required(true)
+                .help("Prompt; - reads the standard input"),
+        )
+        .arg(
+            Arg::new("model")
+                .long("model")
+                .required(true)
+                .value_parser(id::<ModelId>()),
+        )
+        .arg(
+            Arg::new("max-tokens")
+                .long("max-tokens")
+                .default_value("256")
+                .value_parser(value_parser!(u32).range(1..)),
+        )
+        .arg(
+            Arg::new("chat")
+                .long("chat")
+                .action(ArgAction::SetTrue)
+                .help("Sends the prompt as the message of a user"),
+        )
+}
+
+fn explain() -> Command {
+    Command::new("explain")
+        .about("Prints where a request would be sent now, and why")
+        .arg(
+            Arg::new("model")
+                .long("model")
+                .value_parser(id::<ModelId>())
+                .help("Model of the request"),
+        )
+        .arg(
+            Arg::new("service")
+                .long("service")
+                .value_parser(id::<ServiceId>())
+                .help("Service of the request"),
+        )
+        .arg(
+            Arg::new("organisation")
+                .long("organisation")
+                .value_parser(id::<OrganisationId>())
+                .help("Organisation of the caller"),
+        )
+        .arg(
+            Arg::new("prompt")
+                .long("prompt")
+                .help("Beginning of the prompt, for its prefix affinity"),
+        )
+        .group(
+            ArgGroup::new("target")
+                .args(["model", "service"])
+                .multiple(true)
+                .required(true),
+        )
+}
+
+fn completions() -> Command {
+    let shells = ["bash", "elvish", "fish", "powershell", "zsh"];
+    Command::new("completions")
+        .about("Prints the completions for a shell")
+        .arg(
+            Arg::new("shell")
+                .value_name("SHELL")
+                .required(true)
+                .value_parser(shells.map(PossibleValue::new)),
+        )
+}
--- /dev/null
+++ b/cli/src/commands/key.rs
@@ -0,0 +1,221 @@
+//! `key`: creates and withdraws keys of organisations.
+
+use std::path::PathBuf;
+
+use clap::ArgMatches;
+use jiff::Timestamp;
+use limpetweir_protocol::http::PublicationOutcome;
+use limpetweir_state::{
+    KeyDigest,
+    KeyId,
+    OrganisationId,
+    Version, //
+};
+use serde_json::{
+    Value,
+    json, //
+};
+
+use super::config::{
+    check_document,
+    fetch, //
+};
+use super::publish::{
+    self,
+    Publication,
+    new_id, //
+};
+use super::{
+    arg,
+    subcommand,
+    unknown, //
+};
+use crate::document::{
+    add_key,
+    remove_key, //
+};
+use crate::error::Error;
+use crate::fleet::Fleet;
+use crate::options::{
+    Options,
+    read_text, //
+};
+use crate::output;
+use crate::secret::Secret;
+
+/// Largest number of publications when other operators publish at the same time.
+const MAX_PUBLICATIONS: usize = 5;
+
+/// A change to the keys of one organisation.
+#[derive(Debug)]
+struct Change {
+    organisation: OrganisationId,
+    key: KeyId,
+    /// Digest of a new key; `None` withdraws the key.
+    digest: Option<KeyDigest>,
+}
+
+impl Change {
+    /// Applies the change to a document and checks the result.
+    fn apply(&self, file: &str, document: &str) -> Result<String, Error> {
+        check_document(file, document)?;
+        let changed = match &self.digest {
+            Some(digest) => add_key(document, &self.organisation, &self.key, digest)?,
+            None => remove_key(document, &self.organisation, &self.key)?,
+        };
+        check_document(file, &changed)?;
+        Ok(changed)
+    }
+
+    fn to_json(&self) -> Value {
+        json!({"organisation": self.organisation, "key_id": self.key})
+    }
+}
+
+/// Runs a command of `key`.
+pub(super) fn run(matches: &ArgMatches) -> Result<(), Error> {
+    let (name, matches) = subcommand(matches)?;
+    let options = Options::new(matches)?;
+    match name {
+        "create" => create(matches, &options),
+        "withdraw" => withdraw(matches, &options),
+        other => Err(unknown(other)),
+    }
+}
+
+fn create(matches: &ArgMatches, options: &Options) -> Result<(), Error> {
+    let secret = Secret::create()?;
+    let change = Change {
+        organisation: arg::<OrganisationId>(matches, "organisation")?.clone(),
+        key: key_name(matches)?,
+        digest: Some(secret.digest()),
+    };
+    if let Some(document) = offline(matches, options, &change)? {
+        return show_document(options, &change, Some(&secret), &document);
+    }
+    let mut fleet = options.admin()?;
+    let published = async_io::block_on(publish_change(&mut fleet, &change));
+    if let Err(Error::PublicationUnknown { .. }) = published {
+        let Change {
+            organisation, key, ..
+        } = &change;
+        eprintln!("key {key} of {organisation} may exist; its secret is not shown: withdraw it");
+    }
+    let version = published?;
+    // The key is shown before the wait, because it exists even if the wait is interrupted.
+    if options.json {
+        let mut shown = change.to_json();
+        shown["secret"] = secret.expose().into();
+        shown["version"] = version.0.into();
+        output::json(&shown)?;
+    } else {
+        eprintln!("key {}, shown only now:", change.key);
+        output::line(secret.expose())?;
+    }
+    async_io::block_on(publish::wait_in_force(&mut fleet, options, version))
+}
+
+fn withdraw(matches: &ArgMatches, options: &Options) -> Result<(), Error> {
+    let change = Change {
+        organisation: arg::<OrganisationId>(matches, "organisation")?.clone(),
+        key: arg::<KeyId>(matches, "key-id")?.clone(),
+        digest: None,
+    };
+    if let Some(document) = offline(matches, options, &change)? {
+        return show_document(options, &change, None, &document);
+    }
+    let mut fleet = options.admin()?;
+    let version = async_io::block_on(async {
+        let version = publish_change(&mut fleet, &change).await?;
+        publish::wait_in_force(&mut fleet, options, version).await?;
+        Ok::<_, Error>(version)
+    })?;
+    if options.json {
+        let mut shown = change.to_json();
+        shown["version"] = version.0.into();
+        return output::json(&shown);
+    }
+    let key = &change.key;
+    output::line(&format!(
+        "key {key} is withdrawn; version {} is in force",
+        version.0
+    ))
+}
+
+fn key_name(matches: &ArgMatches) -> Result<KeyId, Error> {
+    if let Some(name) = matches.get_one::<KeyId>("id") {
+        return Ok(name.clone());
+    }
+    let name = Timestamp::now().strftime("key-%Y%m%d-%H%M%S").to_string();
+    KeyId::try_from(name).map_err(|cause| Error::usage(cause.to_string()))
+}
+
+/// Returns the changed document if it is to be printed and not published.
+fn offline(
+    matches: &ArgMatches,
+    options: &Options,
+    change: &Change,
+) -> Result<Option<String>, Error> {
+    if let Some(path) = matches.get_one::<PathBuf>("file") {
+        let document = read_text(path)?;
+        return change
+            .apply(&path.display().to_string(), &document)
+            .map(Some);
+    }
+    if !matches.get_flag("print") {
+        return Ok(None);
+    }
+    let mut fleet = options.admin()?;
+    let current = async_io::block_on(fetch(&mut fleet))?;
+    change
+        .apply(&version_name(current.version), &current.document)
+        .map(Some)
+}
+
+fn version_name(version: Version) -> String {
+    format!("version {}", version.0)
+}
+
+/// Prints a document; the secret goes to the standard error, so that it never gets into a file
+/// together with the document.
+fn show_document(
+    options: &Options,
+    change: &Change,
+    secret: Option<&Secret>,
+    document: &str,
+) -> Result<(), Error> {
+    if options.json {
+        let mut shown = change.to_json();
+        shown["document"] = document.into();
+        if let Some(secret) = secret {
+            shown["secret"] = secret.expose().into();
+        }
+        return output::json(&shown);
+    }
+    if let Some(secret) = secret {
+        eprintln!("key {}, shown only now: {}", change.key, secret.expose());
+    }
+    output::print(document)
+}
+
+/// Applies the change to the version in force, again if another publication comes first.
+async fn publish_change(fleet: &mut Fleet, change: &Change) -> Result<Version, Error> {
+    let mut tries = 1;
+    loop {
+        let current = fetch(fleet).await?;
+        let name = version_name(current.version);
+        let publication = Publication {
+            id: new_id()?,
+            base: current.version,
+            document: change.apply(&name, &current.document)?,
+        };
+        let answer = publish::send(fleet, &publication).await?;
+        if answer.outcome == PublicationOutcome::Accepted {
+            return Ok(answer.version);
+        }
+        if tries == MAX_PUBLICATIONS {
+            return Err(publish::conflict(&publication, &answer));
+        }
+        tries += 1;
+    }
+}
--- /dev/null
+++ b/cli/src/lib.rs
@@ -0,0 +1,57 @@
+//! Command-line tool for operators and callers of limpetweir.
+
+pub mod args;
+mod commands;
+pub mod document;
+mod error;
+mod fleet;
+pub mod items;
+mod options;
+mod output;
+mod random;
+pub mod retry;
+mod secret;
+pub mod span;
+
+use std::ffi::OsString;
+use std::process::ExitCode;
+
+use clap::ArgMatches;
+
+pub use error::{EXIT_FAILED, EXIT_USAGE, Error};
+
+/// Runs the tool with the given arguments, the first of which is its name.
+pub fn run(args: impl IntoIterator<Item = OsString>) -> ExitCode {
+    let env = env_logger::Env::new().filter_or("LIMPETWEIR_LOG", "warn");
+    // Fails only if the process has a logger already, which then serves.
+    let _ = env_logger::Builder::from_env(env)
+        .format_timestamp(None)
+        .try_init();
+    let matches = match args::command().try_get_matches_from(args) {
+        Ok(matches) => matches,
+        Err(err) => {
+            // Help and version are no faults and go to the standard output.
+            let _ = err.print();
+            let code = if err.use_stderr() { EXIT_USAGE } else { 0 };
+            return ExitCode::from(code);
+        }
+    };
+    let Some((name, command)) = matches.subcommand() else {
+        return ExitCode::from(EXIT_USAGE);
+    };
+    match commands::run(name, command) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            eprintln!("{}", err.report(wants_json(command)));
+            ExitCode::from(err.exit_code())
+        }
+    }
+}
+
+/// Reads the flag from the innermost command, because clap passes global options only downwards.
+fn wants_json(matches: &ArgMatches) -> bool {
+    match matches.subcommand() {
+        Some((_, inner)) => wants_json(inner),
+        None => matches.get_flag("json"),
+    }
+}
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -1,3 +1,7 @@
 //! Command-line tool for operators and callers of limpetweir.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    limpetweir::run(std::env::args_os())
+}
--- /dev/null
+++ b/cli/src/options.rs
@@ -0,0 +1,127 @@
+//! The global options and the environment.
+
+use std::env;
+use std::fs;
+use std::io::{
+    self,
+    Read, //
+};
+use std::net::SocketAddr;
+use std::path::{
+    Path,
+    PathBuf, //
+};
+use std::time::Duration;
+
+use clap::ArgMatches;
+use limpetweir_state::ZoneId;
+use limpetweir_transport::{
+    Runtime,
+    Spawner, //
+};
+use snafu::ResultExt;
+
+use crate::error::{
+    Error,
+    ReadSnafu,
+    StartSnafu, //
+};
+use crate::fleet::Fleet;
+use crate::secret::Secret;
+
+/// Environment variable with the key of a caller.
+const CALLER_KEY: &str = "LIMPETWEIR_KEY";
+
+/// Environment variable with the key of an operator.
+const OPERATOR_KEY: &str = "LIMPETWEIR_OPERATOR_KEY";
+
+/// Name of the standard input among file arguments.
+const STDIN: &str = "-";
+
+/// What holds for every command, and the threads that drive the connections.
+#[derive(Debug)]
+pub(crate) struct Options {
+    pub(crate) json: bool,
+    pub(crate) timeout: Duration,
+    pub(crate) zone: Option<ZoneId>,
+    addresses: Vec<SocketAddr>,
+    admin: Vec<SocketAddr>,
+    key_file: Option<PathBuf>,
+    runtime: Runtime,
+}
+
+impl Options {
+    /// Reads the global options of a command.
+    pub(crate) fn new(matches: &ArgMatches) -> Result<Self, Error> {
+        let many = |name: &str| -> Vec<SocketAddr> {
+            let values = matches.get_many(name);
+            values.map(|v| v.copied().collect()).unwrap_or_default()
+        };
+        let timeout = matches.get_one::<Duration>("timeout").copied();
+        Ok(Self {
+            json: matches.get_flag("json"),
+            timeout: timeout.unwrap_or(Duration::from_secs(30)),
+            zone: matches.get_one::<ZoneId>("zone").cloned(),
+            addresses: many("address"),
+            admin: many("admin"),
+            key_file: matches.get_one::<PathBuf>("key-file").cloned(),
+            runtime: Runtime::start(1).context(StartSnafu)?,
+        })
+    }
+
+    /// Returns the instances for callers.
+    pub(crate) fn public(&self) -> Result<Fleet, Error> {
+        let addresses = required(&self.addresses, "--address", "public")?;
+        let key = self.key(CALLER_KEY)?;
+        let zone = self.zone.as_ref().map(ZoneId::as_str);
+        let fleet = Fleet::new(&self.spawner(), addresses, Some(key), self.timeout);
+        Ok(fleet.with_discovery(zone))
+    }
+
+    /// Returns the instances for operators.
+    pub(crate) fn admin(&self) -> Result<Fleet, Error> {
+        let addresses = required(&self.admin, "--admin", "admin")?;
+        let key = self.key(OPERATOR_KEY)?;
+        Ok(Fleet::new(
+            &self.spawner(),
+            addresses,
+            Some(key),
+            self.timeout,
+        ))
+    }
+
+    fn spawner(&self) -> Spawner {
+        self.runtime.spawner()
+    }
+
+    fn key(&self, variable: &str) -> Result<Secret, Error> {
+        if let Some(path) = &self.key_file {
+            return Secret::read(path);
+        }
+        let Ok(text) = env::var(variable) else {
+            return Err(Error::usage(format!(
+                "no key: use --key-file FILE or the environment variable {variable}"
+            )));
+        };
+        Secret::new(&text, variable)
+    }
+}
+
+fn required(addresses: &[SocketAddr], option: &str, kind: &str) -> Result<Vec<SocketAddr>, Error> {
+    if addresses.is_empty() {
+        let message = format!("no address: use {option} IP:PORT with the {kind} address");
+        return Err(Error::usage(message));
+    }
+    Ok(addresses.to_vec())
+}
+
+/// Reads a whole text file, or the standard input for `-`.
+pub(crate) fn read_text(path: &Path) -> Result<String, Error> {
+    if path.as_os_str() != STDIN {
+        return fs::read_to_string(path).context(ReadSnafu { path });
+    }
+    let mut text = String::new();
+    let read = io::stdin().read_to_string(&mut text);
+    read.context(ReadSnafu { path })?;
+    Ok(text)
+}
--- a/protocol/src/http/mod.rs
+++ b/protocol/src/http/mod.rs
@@ -1,12 +1,17 @@
 //! JSON bodies of the HTTP interfaces.
 
 mod addresses;
+mod admin;
 mod error;
 mod jobs;
 mod list;
 mod log_service;
 
 pub use addresses::{AddressEntry, Addresses};
+pub use admin::{
+    ExplainedBackend, Explanation, FleetStatus, GroupStatus, InstanceState, InstanceStatus,
+    PublicationAnswer, PublicationOutcome, VERSION_HEADER,
+};
 pub use error::{ApiError, ErrorBody, ErrorKind, VERDICT_HEADER};
 pub use jobs::{
     ItemOutcome, ItemResult, ItemUsage, JobAccepted, JobItem, JobRequest, JobRequestError,
