Test the tool against stand-ins of instances

An unanswered key change advised to repeat a publication whose document only the ended process had; it now names the key and how to find out. The two retry loops are one.

--- a/cli/src/commands/key.rs
+++ b/cli/src/commands/key.rs
@@ -67,6 +67,22 @@
         Ok(changed)
     }
 
+    /// Replaces the advice to repeat the publication, whose document only this process has.
+    fn unanswered(&self, err: Error) -> Error {
+        let Error::PublicationUnknown { source, .. } = err else {
+            return err;
+        };
+        Error::KeyUnknown {
+            organisation: self.organisation.to_string(),
+            key: self.key.to_string(),
+            advice: match self.digest {
+                Some(_) => "withdraw it if it exists, because its secret is not kept",
+                None => "run the same command again",
+            },
+            source,
+        }
+    }
+
     fn to_json(&self) -> Value {
         json!({"organisation": self.organisation, "key_id": self.key})
     }
@@ -94,14 +110,7 @@
         return show_document(options, &change, Some(&secret), &document);
     }
     let mut fleet = options.admin()?;
-    let published = async_io::block_on(publish_change(&mut fleet, &change));
-    if let Err(Error::PublicationUnknown { .. }) = published {
-        let Change {
-            organisation, key, ..
-        } = &change;
-        eprintln!("key {key} of {organisation} may exist; its secret is not shown: withdraw it");
-    }
-    let version = published?;
+    let version = async_io::block_on(publish_change(&mut fleet, &change))?;
     // The key is shown before the wait, because it exists even if the wait is interrupted.
     if options.json {
         let mut shown = change.to_json();
@@ -209,7 +218,8 @@
             base: current.version,
             document: change.apply(&name, &current.document)?,
         };
-        let answer = publish::send(fleet, &publication).await?;
+        let answer = publish::send(fleet, &publication).await;
+        let answer = answer.map_err(|err| change.unanswered(err))?;
         if answer.outcome == PublicationOutcome::Accepted {
             return Ok(answer.version);
         }
--- a/cli/src/error.rs
+++ b/cli/src/error.rs
@@ -106,6 +106,21 @@
         #[snafu(source(from(Failure, Box::new)))]
         source: Box<Failure>,
     },
+    /// The publication of a key change was not answered, so it may have been accepted.
+    #[snafu(display(
+        "{source}; key {key} of {organisation} may be changed all the same: {advice}"
+    ))]
+    KeyUnknown {
+        /// The organisation.
+        organisation: String,
+        /// The key.
+        key: String,
+        /// How to find out.
+        advice: &'static str,
+        /// Cause.
+        #[snafu(source(from(Failure, Box::new)))]
+        source: Box<Failure>,
+    },
     /// A version was accepted but is not in force everywhere.
     #[snafu(display("version {version} is accepted but not in force on: {missing}"))]
     NotEverywhere {
@@ -187,6 +202,7 @@
         match self {
             Self::Fleet { source }
             | Self::PublicationUnknown { source, .. }
+            | Self::KeyUnknown { source, .. }
             | Self::SubmissionUnknown { source, .. } => Some(source),
             _ => None,
         }
--- a/cli/src/fleet.rs
+++ b/cli/src/fleet.rs
@@ -177,33 +177,33 @@
 
     /// Sends a request and returns its whole answer.
     pub(crate) async fn request(&mut self, call: &Call) -> Result<Answer, Failure> {
-        let deadline = Instant::now() + self.timeout;
-        let mut tries = 0;
-        loop {
-            let addresses = self.addresses().await;
-            let addr = addresses[self.current % addresses.len()];
-            let result = self.request_once(addr, call, deadline).await;
-            let Err(failure) = result else {
-                return result;
-            };
-            tries += 1;
-            self.wait(failure, call, tries, addresses.len(), deadline)
-                .await?;
-        }
+        let once =
+            async |fleet: &Self, addr, deadline| fleet.request_once(addr, call, deadline).await;
+        self.repeat(call, once).await
     }
 
     /// Sends a request and returns its answer as it arrives.
     ///
-    /// Only failures before the first byte of the answer are retried.
+    /// Only failures before the first byte of the body are retried.
     pub(crate) async fn open(&mut self, call: &Call) -> Result<Response<ClientBody>, Failure> {
+        let once = async |fleet: &Self, addr, deadline| fleet.open_once(addr, call, deadline).await;
+        self.repeat(call, once).await
+    }
+
+    /// Tries a request until it is answered or may not be tried again.
+    async fn repeat<T>(
+        &mut self,
+        call: &Call,
+        once: impl AsyncFn(&Self, SocketAddr, Instant) -> Result<T, Failure>,
+    ) -> Result<T, Failure> {
         let deadline = Instant::now() + self.timeout;
         let mut tries = 0;
         loop {
             let addresses = self.addresses().await;
             let addr = addresses[self.current % addresses.len()];
-            let result = self.open_once(addr, call, deadline).await;
-            let Err(failure) = result else {
-                return result;
+            let failure = match once(self, addr, deadline).await {
+                Ok(answer) => return Ok(answer),
+                Err(failure) => failure,
             };
             tries += 1;
             self.wait(failure, call, tries, addresses.len(), deadline)
--- /dev/null
+++ b/cli/tests/configuration.rs
@@ -0,0 +1,382 @@
+//! Publications, keys and what the admin interface reports.
+
+#![allow(clippy::unwrap_used, reason = "helpers of tests may panic")]
+
+mod support;
+
+use limpetweir_protocol::parse_configuration;
+use limpetweir_state::{
+    KeyDigest,
+    Verdict, //
+};
+use rstest::rstest;
+use serde_json::{
+    Value,
+    json, //
+};
+use support::{
+    EXAMPLE,
+    KEY,
+    Reply,
+    Seen,
+    Stub,
+    closed_address,
+    dropping_address,
+    file,
+    run_at,
+    run_with,
+    tool, //
+};
+
+const VERSION: &str = "x-limpetweir-version";
+
+fn status(first: u64, second: Value) -> Value {
+    json!({
+        "instance": "a", "version": first,
+        "instances": [
+            {"name": "a", "state": "live", "version": first},
+            {"name": "b", "state": "silent", "version": second},
+        ],
+        "groups": [{"group": "jobs-0", "holder": "a", "epoch": 3}],
+    })
+}
+
+fn accepted(request: &Seen, version: u64) -> Reply {
+    let id = id_of(request);
+    Reply::json(
+        200,
+        &json!({"outcome": "accepted", "version": version, "id": id}),
+    )
+}
+
+fn conflict(request: &Seen, version: u64) -> Reply {
+    let id = id_of(request);
+    Reply::json(
+        409,
+        &json!({"outcome": "conflict", "version": version, "id": id}),
+    )
+}
+
+fn id_of(request: &Seen) -> &str {
+    request.target.split_once("&id=").unwrap().1
+}
+
+/// Answers as an instance whose version 7 is the example, and where publications give version 8.
+fn admin(request: &Seen, earlier: usize) -> Reply {
+    match request.target.as_str() {
+        "GET /admin/config" => Reply::text(200, EXAMPLE).header(VERSION, "7"),
+        // The second instance follows one read of the status later.
+        "GET /admin/status" if earlier == 0 => Reply::json(200, &status(8, json!(7))),
+        "GET /admin/status" => Reply::json(200, &status(8, json!(8))),
+        _ => accepted(request, 8),
+    }
+}
+
+/// Guards against a publication without the operator's key, base, identity or document.
+#[rstest]
+#[case("7")]
+#[case("current")]
+fn a_publication_is_sent_and_awaited(#[case] base: &str) {
+    let stub = Stub::start(admin);
+    let file = file(&format!("publish-{base}.toml"), EXAMPLE);
+    let ran = run_at(&stub, &["config", "publish", &file, "--base", base]);
+    assert_eq!(ran.code, 0, "{ran:?}");
+    assert!(ran.out.contains("version 8 is in force"), "{ran:?}");
+    let sent = stub.seen("POST");
+    assert_eq!(sent.len(), 1);
+    assert!(sent[0].target.starts_with("POST /admin/config?base=7&id="));
+    assert_eq!(sent[0].header("authorization"), format!("Bearer {KEY}"));
+    assert_eq!(sent[0].body, EXAMPLE);
+    assert_eq!(stub.seen("GET /admin/status").len(), 2);
+}
+
+/// Guards against a faulty document that reaches the fleet.
+#[test]
+fn a_faulty_document_is_not_sent() {
+    let stub = Stub::start(admin);
+    let file = file(
+        "publish-faulty.toml",
+        &EXAMPLE.replace("slots = 32", "slots = 0"),
+    );
+    let ran = run_at(&stub, &["config", "publish", &file, "--base", "7"]);
+    assert_eq!(ran.code, 1, "{ran:?}");
+    assert!(ran.err.contains("backend.slots"), "{ran:?}");
+    assert!(stub.seen("").is_empty());
+}
+
+/// Guards against a lost answer that turns into a second publication.
+#[test]
+fn a_lost_answer_is_followed_by_the_same_publication() {
+    let stub = Stub::start(|request, earlier| {
+        if request.target.starts_with("POST") && earlier == 0 {
+            return Reply::cut("{\"outcome\":");
+        }
+        admin(request, earlier)
+    });
+    let file = file("publish-lost.toml", EXAMPLE);
+    let ran = run_at(&stub, &["config", "publish", &file, "--base", "7"]);
+    assert_eq!(ran.code, 0, "{ran:?}");
+    let sent = stub.seen("POST");
+    assert_eq!(sent.len(), 2);
+    assert_eq!(sent[0].target, sent[1].target);
+}
+
+/// Guards against an unanswered publication that the operator cannot repeat safely.
+#[test]
+fn an_unanswered_publication_names_its_identity() {
+    let file = file("publish-unknown.toml", EXAMPLE);
+    let args = [
+        "config",
+        "publish",
+        &file,
+        "--base",
+        "7",
+        "--id",
+        "my-id",
+        "--timeout",
+        "300ms",
+    ];
+    let ran = run_with(dropping_address(), &args);
+    assert_eq!(ran.code, 1, "{ran:?}");
+    assert!(ran.err.contains("--base 7 --id my-id"), "{ran:?}");
+    let ran = run_with(closed_address(), &args);
+    assert_eq!(ran.code, 1, "{ran:?}");
+    assert!(!ran.err.contains("may have been accepted"), "{ran:?}");
+}
+
+/// Guards against a conflict that is repeated, or taken for success.
+#[test]
+fn a_conflict_is_reported_with_the_current_version() {
+    let stub = Stub::start(|request, _| conflict(request, 9));
+    let file = file("publish-conflict.toml", EXAMPLE);
+    let args = ["config", "publish", &file, "--base", "7", "--json"];
+    let ran = run_at(&stub, &args);
+    assert_eq!(ran.code, 1, "{ran:?}");
+    assert_eq!(ran.json()["outcome"], "conflict");
+    assert!(ran.err.contains("--base 9"), "{ran:?}");
+    assert_eq!(stub.seen("POST").len(), 1);
+}
+
+/// Guards against a report of success while an instance has an older version.
+#[rstest]
+#[case(json!(7), "b (silent, version 7)")]
+#[case(Value::Null, "b (silent, version unknown)")]
+fn instances_without_the_version_are_named(#[case] version: Value, #[case] named: &str) {
+    let stub = Stub::start(move |request, _| match request.target.as_str() {
+        "GET /admin/status" => Reply::json(200, &status(8, version.clone())),
+        _ => accepted(request, 8),
+    });
+    let file = file("publish-partial.toml", EXAMPLE);
+    let args = [
+        "config",
+        "publish",
+        &file,
+        "--base",
+        "7",
+        "--timeout",
+        "600ms",
+    ];
+    let ran = run_at(&stub, &args);
+    assert_eq!(ran.code, 1, "{ran:?}");
+    assert!(ran.err.contains(named), "{ran:?}");
+}
+
+/// Guards against a difference that is not shown or is invented.
+#[test]
+fn a_document_is_compared_with_the_one_in_force() {
+    let stub = Stub::start(admin);
+    let same = file("diff-same.toml", EXAMPLE);
+    let ran = run_at(&stub, &["config", "diff", &same]);
+    assert_eq!((ran.code, ran.out.as_str()), (0, ""), "{ran:?}");
+    let other = EXAMPLE.replace("slots = 32", "slots = 64");
+    let other = file("diff-other.toml", &other);
+    let ran = run_at(&stub, &["config", "diff", &other]);
+    assert_eq!(ran.code, 0);
+    assert!(ran.out.contains("\n-slots = 32\n+slots = 64\n"), "{ran:?}");
+    assert!(ran.out.starts_with("--- version 7\n"), "{ran:?}");
+    let ran = run_at(&stub, &["config", "diff", &other, "--json"]);
+    assert_eq!(ran.json()["changed"], true);
+}
+
+/// Guards against a document that is changed on its way to the operator.
+#[test]
+fn the_document_and_versions_in_force_are_shown() {
+    let stub = Stub::start(admin);
+    assert_eq!(run_at(&stub, &["config", "show"]).out, EXAMPLE);
+    let shown = run_at(&stub, &["config", "show", "--json"]).json();
+    assert_eq!(shown, json!({"version": 7, "document": EXAMPLE}));
+    let ran = run_at(&stub, &["config", "status"]);
+    assert!(ran.out.contains("b         silent  7\n"), "{}", ran.out);
+    let shown = run_at(&stub, &["config", "status", "--json"]).json();
+    assert_eq!(shown["groups"][0]["epoch"], 3);
+}
+
+/// Guards against a key whose secret gets into the configuration, or whose digest does not.
+#[test]
+fn a_created_key_is_published_as_its_digest() {
+    let stub = Stub::start(admin);
+    let ran = run_at(&stub, &["key", "create", "gulf-reef", "--id", "new"]);
+    assert_eq!(ran.code, 0, "{ran:?}");
+    let secret = ran.out.trim();
+    assert!(secret.len() >= 64, "{ran:?}");
+    let sent = stub.seen("POST");
+    assert!(!sent[0].body.contains(secret));
+    let cfg = parse_configuration(&sent[0].body).unwrap();
+    let digest = KeyDigest::of_key(secret.as_bytes());
+    let (organisation, key) = cfg.find_key(&digest).unwrap();
+    assert_eq!((organisation.as_str(), key.as_str()), ("gulf-reef", "new"));
+    assert!(!ran.err.contains(secret), "{ran:?}");
+}
+
+/// Guards against a secret in the document that `--file` and `--print` give.
+#[rstest]
+#[case(true)]
+#[case(false)]
+fn a_printed_document_has_only_the_digest(#[case] from_file: bool) {
+    let stub = Stub::start(admin);
+    let path = file("key-print.toml", EXAMPLE);
+    let source = if from_file {
+        ["--file", &path]
+    } else {
+        ["--print", "--json"]
+    };
+    let mut args = vec!["key", "create", "gulf-reef"];
+    args.extend(source);
+    let ran = run_at(&stub, &args);
+    assert_eq!(ran.code, 0, "{ran:?}");
+    let (document, secret) = if from_file {
+        (
+            ran.out.clone(),
+            ran.err.trim().rsplit(' ').next().unwrap().to_owned(),
+        )
+    } else {
+        let shown = ran.json();
+        let text = |name: &str| shown[name].as_str().unwrap().to_owned();
+        (text("document"), text("secret"))
+    };
+    assert!(!document.contains(&secret));
+    let cfg = parse_configuration(&document).unwrap();
+    assert!(
+        cfg.find_key(&KeyDigest::of_key(secret.as_bytes()))
+            .is_some()
+    );
+    assert!(stub.seen("POST").is_empty());
+}
+
+/// Guards against a key change that overwrites the publication of another operator.
+#[test]
+fn a_key_change_is_repeated_on_the_newer_version() {
+    let stub = Stub::start(|request, earlier| match request.target.as_str() {
+        "GET /admin/config" if earlier == 0 => Reply::text(200, EXAMPLE).header(VERSION, "7"),
+        "GET /admin/config" => {
+            let newer = EXAMPLE.replace("slots = 32", "slots = 64");
+            Reply::text(200, newer).header(VERSION, "8")
+        }
+        "GET /admin/status" => Reply::json(200, &status(9, json!(9))),
+        target if target.starts_with("POST /admin/config?base=7") => conflict(request, 8),
+        _ => accepted(request, 9),
+    });
+    let ran = run_at(&stub, &["key", "withdraw", "fapapucs", "example-1"]);
+    assert_eq!(ran.code, 0, "{ran:?}");
+    let sent = stub.seen("POST");
+    assert_eq!(sent.len(), 2);
+    assert_ne!(id_of(&sent[0]), id_of(&sent[1]));
+    let body = &sent[1].body;
+    assert!(body.contains("slots = 64"));
+    let cfg = parse_configuration(body).unwrap();
+    let digest = KeyDigest::of_key(b"example-key-1");
+    assert!(cfg.find_key(&digest).is_none());
+}
+
+/// Guards against a key without an answer whose operator takes it for not created.
+#[test]
+fn an_unanswered_key_change_is_not_reported_as_refused() {
+    let stub = Stub::start(|request, earlier| match request.target.as_str() {
+        "GET /admin/config" => admin(request, earlier),
+        _ => Reply::cut("{"),
+    });
+    let args = [
+        "key",
+        "create",
+        "gulf-reef",
+        "--id",
+        "new",
+        "--timeout",
+        "300ms",
+    ];
+    let ran = run_at(&stub, &args);
+    assert_eq!(ran.code, 1, "{ran:?}");
+    assert!(ran.out.is_empty(), "{ran:?}");
+    assert!(
+        ran.err.contains("key new of gulf-reef may be changed"),
+        "{ran:?}"
+    );
+}
+
+/// Guards against withdrawing a key that is not there being reported as done.
+#[test]
+fn an_unknown_key_is_not_withdrawn() {
+    let stub = Stub::start(admin);
+    let ran = run_at(&stub, &["key", "withdraw", "fapapucs", "other"]);
+    assert_eq!(ran.code, 1, "{ran:?}");
+    assert!(ran.err.contains("fapapucs has no key other"), "{ran:?}");
+    assert!(stub.seen("POST").is_empty());
+}
+
+/// Guards against a refusal without its verdict and code.
+#[test]
+fn refusals_are_reported_with_code_and_verdict() {
+    let stub = Stub::start(|_, _| Reply::error(401, "unknown_key", Verdict::NotRun, None));
+    let ran = run_at(&stub, &["config", "show"]);
+    assert_eq!(ran.code, 1);
+    assert!(
+        ran.err.contains("unknown_key, status 401, not-run"),
+        "{ran:?}"
+    );
+    let ran = run_at(&stub, &["config", "show", "--json"]);
+    let err: Value = serde_json::from_str(&ran.err).unwrap();
+    assert_eq!(err["error"]["code"], "unknown_key");
+    assert_eq!(err["error"]["verdict"], "not-run");
+    assert_eq!(stub.seen("GET").len(), 2);
+}
+
+/// Guards against the caller's key at the admin listener, and against a key file that is ignored.
+#[test]
+fn a_key_file_comes_before_the_environment() {
+    let stub = Stub::start(admin);
+    let key = file("operator-key", "from-file\n");
+    let addr = stub.addr.to_string();
+    let args = ["config", "show", "--admin", &addr, "--key-file", &key];
+    let output = tool(&args).env("LIMPETWEIR_OPERATOR_KEY", KEY).output();
+    assert!(output.unwrap().status.success());
+    let seen = stub.seen("GET");
+    assert_eq!(seen[0].header("authorization"), "Bearer from-file");
+    let output = tool(&args[..4]).env("LIMPETWEIR_KEY", KEY).output();
+    assert_eq!(output.unwrap().status.code(), Some(2));
+}
+
+/// Guards against an explanation of another request than asked.
+#[test]
+fn explanations_show_choice_and_reason() {
+    let answer = json!({
+        "instance": "a", "version": 7, "service": "chat", "chosen": "engine-2",
+        "reason": "most free slots",
+        "candidates": [
+            {"backend": "engine-2", "zone": "zone-2", "eligible": true, "free_slots": 9,
+             "prefix_affinity": false, "same_zone": false, "reason": "chosen"},
+            {"backend": "engine-1", "zone": "zone-1", "eligible": false, "free_slots": -1,
+             "prefix_affinity": true, "same_zone": true, "reason": "leaving"},
+        ],
+    });
+    let stub = Stub::start(move |_, _| Reply::json(200, &answer));
+    let args = ["explain", "--model", "small", "--prompt", "a b&c=ü"];
+    let ran = run_at(&stub, &args);
+    assert_eq!(ran.code, 0, "{ran:?}");
+    assert!(ran.out.contains("engine-2: most free slots"), "{ran:?}");
+    assert!(ran.out.contains("leaving"), "{ran:?}");
+    let target = &stub.seen("GET")[0].target;
+    assert_eq!(
+        target,
+        "GET /admin/explain?model=small&prompt=a%20b%26c%3D%C3%BC"
+    );
+}
--- /dev/null
+++ b/cli/tests/jobs.rs
@@ -0,0 +1,403 @@
+//! Jobs and online requests against stand-ins of instances.
+
+#![allow(clippy::unwrap_used, reason = "helpers of tests may panic")]
+
+mod support;
+
+use std::fs;
+use std::net::SocketAddr;
+
+use limpetweir_state::Verdict;
+use rstest::rstest;
+use serde_json::{
+    Value,
+    json, //
+};
+use support::{
+    KEY,
+    Ran,
+    Reply,
+    Seen,
+    Stub,
+    closed_address,
+    dropping_address,
+    file,
+    path,
+    run_at,
+    tool, //
+};
+
+const ITEMS: &str = "{\"id\": \"a\", \"prompt\": \"p\", \"max_tokens\": 1}\n";
+
+const STREAM: &str = "data: {\"choices\":[{\"text\":\"one \"}]}\n\n\
+    data: {\"choices\":[{\"text\":\"two\"}]}\n\ndata: [DONE]\n\n";
+
+fn job_status(state: &str, completed: u32) -> Value {
+    json!({
+        "id": "0-a", "state": state, "service": "chat", "model": "small",
+        "deadline": 1_800_000_000_000_u64, "items": 3, "completed": completed, "failed": 0,
+        "usage": {"prompt_tokens": 5, "completion_tokens": 6},
+    })
+}
+
+fn addresses(list: &[SocketAddr], ttl_ms: u64) -> Reply {
+    let list: Vec<Value> = list
+        .iter()
+        .map(|addr| json!({"instance": "a", "zone": "z", "address": addr}))
+        .collect();
+    Reply::json(200, &json!({"addresses": list, "ttl_ms": ttl_ms}))
+}
+
+fn no_discovery() -> Reply {
+    Reply::error(404, "not_found", Verdict::NotRun, None)
+}
+
+fn accept_job(request: &Seen, _: usize) -> Reply {
+    match request.target.as_str() {
+        "POST /v1/jobs" => Reply::json(200, &json!({"id": "0-a", "items": 1})),
+        _ => no_discovery(),
+    }
+}
+
+fn submit(addresses: &str, file: &str, more: &[&str]) -> Ran {
+    let mut args = vec![
+        "job",
+        "submit",
+        file,
+        "--service",
+        "chat",
+        "--model",
+        "small",
+    ];
+    args.extend(["--deadline", "2h", "--address", addresses]);
+    args.extend(more);
+    tool(&args)
+        .env("LIMPETWEIR_KEY", KEY)
+        .output()
+        .unwrap()
+        .into()
+}
+
+/// Guards against a submission without its key, and against a made key that is not printed.
+#[rstest]
+#[case(&["--idempotency-key", "mine"], Some("mine"))]
+#[case(&[], None)]
+fn a_job_is_submitted_with_its_idempotency_key(#[case] more: &[&str], #[case] given: Option<&str>) {
+    let stub = Stub::start(accept_job);
+    let file = file("submit.jsonl", ITEMS);
+    let ran = submit(&stub.addr.to_string(), &file, more);
+    assert_eq!((ran.code, ran.out.as_str()), (0, "0-a\n"), "{ran:?}");
+    let sent = stub.seen("POST");
+    assert_eq!(sent.len(), 1);
+    let key = sent[0].header("idempotency-key");
+    assert!(given.is_none_or(|given| given == key));
+    assert!(
+        ran.err.contains(&format!("idempotency key {key}")),
+        "{ran:?}"
+    );
+    assert_eq!(sent[0].header("authorization"), format!("Bearer {KEY}"));
+    let body: Value = serde_json::from_str(&sent[0].body).unwrap();
+    let expected = json!({
+        "service": "chat", "model": "small", "deadline_s": 7200,
+        "items": [{"id": "a", "prompt": "p", "max_tokens": 1}],
+    });
+    assert_eq!(body, expected);
+}
+
+/// Guards against a faulty file of items that reaches the fleet or has no lines.
+#[test]
+fn faulty_items_are_not_sent() {
+    let stub = Stub::start(accept_job);
+    let file = file("submit-faulty.jsonl", &format!("{ITEMS}{{}}\n{ITEMS}"));
+    let ran = submit(&stub.addr.to_string(), &file, &[]);
+    assert_eq!(ran.code, 1, "{ran:?}");
+    let lines: Vec<&str> = ran.err.lines().collect();
+    assert!(
+        lines[0].starts_with(&format!("{file}:2: missing field")),
+        "{ran:?}"
+    );
+    assert!(
+        lines[1].starts_with(&format!("{file}:3: the id \"a\"")),
+        "{ran:?}"
+    );
+    assert!(stub.seen("").is_empty());
+}
+
+/// Guards against a second job when the answer to the first submission was lost.
+#[test]
+fn a_submission_is_repeated_with_the_same_key() {
+    let stub = Stub::start(|request, earlier| match request.target.as_str() {
+        "POST /v1/jobs" if earlier == 0 => Reply::cut("{"),
+        "POST /v1/jobs" if earlier == 1 => {
+            Reply::error(503, "log_outage", Verdict::NotRun, Some(20))
+        }
+        _ => accept_job(request, earlier),
+    });
+    let file = file("submit-lost.jsonl", ITEMS);
+    let ran = submit(&stub.addr.to_string(), &file, &[]);
+    assert_eq!(ran.code, 0, "{ran:?}");
+    let sent = stub.seen("POST");
+    assert_eq!(sent.len(), 3);
+    let keys = sent.iter().map(|r| r.header("idempotency-key"));
+    assert!(
+        keys.clone()
+            .all(|key| key == sent[0].header("idempotency-key"))
+    );
+    assert_eq!(keys.count(), 3);
+}
+
+/// Guards against an unanswered submission that the caller cannot repeat safely.
+#[test]
+fn an_unanswered_submission_names_its_key() {
+    let addr = dropping_address().to_string();
+    let file = file("submit-unknown.jsonl", ITEMS);
+    let ran = submit(
+        &addr,
+        &file,
+        &["--idempotency-key", "mine", "--timeout", "300ms"],
+    );
+    assert_eq!(ran.code, 1, "{ran:?}");
+    assert!(ran.err.contains("--idempotency-key mine"), "{ran:?}");
+}
+
+/// Guards against one dead instance that makes the tool fail.
+#[rstest]
+#[case(closed_address())]
+#[case(dropping_address())]
+fn another_address_is_tried(#[case] dead: SocketAddr) {
+    let stub = Stub::start(accept_job);
+    let file = file("submit-fallback.jsonl", ITEMS);
+    let ran = submit(&format!("{dead},{}", stub.addr), &file, &[]);
+    assert_eq!(ran.code, 0, "{ran:?}");
+    assert_eq!(stub.seen("POST /v1/jobs").len(), 1);
+}
+
+/// Guards against discovery answers that are not used, or asked for again before they expire.
+#[test]
+fn discovery_answers_are_kept_for_their_time_to_live() {
+    let target = Stub::start(|_, earlier| {
+        let state = if earlier == 0 { "running" } else { "done" };
+        Reply::json(200, &job_status(state, 3))
+    });
+    let found = [closed_address(), target.addr];
+    let entry = Stub::start(move |_, _| addresses(&found, 60_000));
+    let ran = run_at(&entry, &["job", "watch", "0-a", "--zone", "zone 1"]);
+    assert_eq!(ran.code, 2, "{ran:?}");
+    let ran = run_at(&entry, &["job", "watch", "0-a", "--zone", "zone-1"]);
+    assert_eq!(ran.code, 0, "{ran:?}");
+    assert!(ran.out.contains("done"), "{ran:?}");
+    let asked = entry.seen("");
+    assert_eq!(asked.len(), 1, "{asked:?}");
+    assert_eq!(asked[0].target, "GET /v1/addresses?zone=zone-1");
+    assert_eq!(target.seen("GET /v1/jobs/0-a").len(), 2);
+}
+
+/// Guards against an expired discovery answer that stays in use.
+#[test]
+fn expired_discovery_answers_are_replaced() {
+    let target = Stub::start(|_, earlier| {
+        let state = if earlier == 0 { "running" } else { "done" };
+        Reply::json(200, &job_status(state, 3))
+    });
+    let found = [target.addr];
+    let entry = Stub::start(move |_, _| addresses(&found, 1));
+    let ran = run_at(&entry, &["job", "watch", "0-a"]);
+    assert_eq!(ran.code, 0, "{ran:?}");
+    // The target answers the second discovery request without addresses, so the entry is asked too.
+    assert!(entry.seen("GET /v1/addresses").len() >= 2);
+}
+
+/// Guards against a cancelled job that a script takes for a finished one.
+#[test]
+fn watching_a_cancelled_job_fails() {
+    let stub = Stub::start(|request, _| match request.target.as_str() {
+        "GET /v1/jobs/0-a" => Reply::json(200, &job_status("cancelled", 1)),
+        _ => no_discovery(),
+    });
+    let ran = run_at(&stub, &["job", "watch", "0-a", "--json"]);
+    assert_eq!(ran.code, 1, "{ran:?}");
+    assert_eq!(ran.json()["state"], "cancelled");
+}
+
+/// Guards against a cancel that is not sent as such.
+#[test]
+fn a_job_is_cancelled() {
+    let stub = Stub::start(|request, _| match request.target.as_str() {
+        "POST /v1/jobs/0-a/cancel" => Reply::json(200, &job_status("cancelled", 1)),
+        _ => no_discovery(),
+    });
+    let ran = run_at(&stub, &["job", "cancel", "0-a"]);
+    assert_eq!(ran.code, 0, "{ran:?}");
+    assert!(ran.out.contains("cancelled"), "{ran:?}");
+}
+
+fn results(request: &Seen, next: [Option<u32>; 2]) -> Reply {
+    let page = |index: u32, next: Option<u32>| {
+        let usage = json!({"prompt_tokens": 1, "completion_tokens": 1});
+        let result = json!({
+            "index": index, "id": format!("i{index}"), "outcome": "completed",
+            "text": "t", "usage": usage,
+        });
+        Reply::json(
+            200,
+            &json!({"id": "0-a", "results": [result], "next": next}),
+        )
+    };
+    match request.target.as_str() {
+        "GET /v1/jobs/0-a/results?from=0&limit=1" => page(0, next[0]),
+        "GET /v1/jobs/0-a/results?from=1&limit=1" => page(1, next[1]),
+        _ => no_discovery(),
+    }
+}
+
+/// Guards against results of which only the first page is kept.
+#[test]
+fn all_pages_of_results_are_read() {
+    let stub = Stub::start(|request, _| results(request, [Some(1), None]));
+    let args = ["job", "results", "0-a", "--page", "1"];
+    let ran = run_at(&stub, &args);
+    assert_eq!(ran.code, 0, "{ran:?}");
+    let lines: Vec<Value> = ran
+        .out
+        .lines()
+        .map(|line| serde_json::from_str(line).unwrap())
+        .collect();
+    assert_eq!(lines.len(), 2);
+    assert_eq!(lines[1]["id"], "i1");
+    let path = path("results.jsonl");
+    let mut args = args.to_vec();
+    args.extend(["--output", &path]);
+    assert_eq!(run_at(&stub, &args).code, 0);
+    assert_eq!(fs::read_to_string(&path).unwrap(), ran.out);
+}
+
+/// Guards against an endless loop over a job that is still running.
+#[test]
+fn results_of_a_running_job_end() {
+    let stub = Stub::start(|request, _| results(request, [Some(1), Some(1)]));
+    let ran = run_at(&stub, &["job", "results", "0-a", "--page", "1"]);
+    assert_eq!(ran.code, 0, "{ran:?}");
+    assert_eq!(ran.out.lines().count(), 2);
+    assert!(ran.err.contains("still running"), "{ran:?}");
+}
+
+/// Guards against a partial file of results that looks like a whole one.
+#[test]
+fn a_failed_read_leaves_no_file_of_results() {
+    let stub = Stub::start(|request, _| results(request, [Some(2), None]));
+    let path = path("results-failed.jsonl");
+    let args = ["job", "results", "0-a", "--page", "1", "--output", &path];
+    let ran = run_at(&stub, &args);
+    assert_eq!(ran.code, 1, "{ran:?}");
+    assert!(!fs::exists(&path).unwrap());
+}
+
+/// Guards against a stream that is not printed in order or not asked for as a stream.
+#[test]
+fn an_answer_is_printed_as_it_arrives() {
+    let stub = Stub::start(|request, _| match request.target.as_str() {
+        "POST /v1/completions" => Reply::text(200, STREAM),
+        _ => no_discovery(),
+    });
+    let ran = run_at(&stub, &["complete", "hello", "--model", "small"]);
+    assert_eq!((ran.code, ran.out.as_str()), (0, "one two\n"), "{ran:?}");
+    let body: Value = serde_json::from_str(&stub.seen("POST")[0].body).unwrap();
+    let expected = json!({
+        "model": "small", "prompt": "hello", "max_tokens": 256, "stream": true,
+    });
+    assert_eq!(body, expected);
+}
+
+/// Guards against a partial answer that is taken for a whole one.
+#[rstest]
+#[case("data: {\"choices\":[{\"text\":\"one\"}]}\n\n", "end marker")]
+#[case(
+    "data: {\"error\":{\"code\":\"c\",\"message\":\"engine lost\",\"type\":\"server_error\",\
+     \"verdict\":\"may-have-run\"}}\n\n",
+    "engine lost"
+)]
+#[case("event: error\ndata: broken\n\n", "broken")]
+fn a_partial_answer_is_a_failure(#[case] stream: &'static str, #[case] cause: &str) {
+    let stub = Stub::start(move |request, _| match request.target.as_str() {
+        "POST /v1/chat/completions" => Reply::text(200, stream),
+        _ => no_discovery(),
+    });
+    let ran = run_at(&stub, &["complete", "hello", "--model", "small", "--chat"]);
+    assert_eq!(ran.code, 1, "{ran:?}");
+    assert!(ran.err.contains(cause), "{ran:?}");
+    assert_eq!(stub.seen("POST").len(), 1);
+}
+
+fn complete(addresses: &str) -> Ran {
+    let args = [
+        "complete",
+        "hello",
+        "--model",
+        "small",
+        "--address",
+        addresses,
+    ];
+    let output = tool(&args).env("LIMPETWEIR_KEY", KEY).output();
+    output.unwrap().into()
+}
+
+/// Guards against an online request that runs twice.
+#[test]
+fn a_request_that_may_have_run_is_not_sent_elsewhere() {
+    let stub = Stub::start(|request, _| match request.target.as_str() {
+        "POST /v1/completions" => Reply::text(200, STREAM),
+        _ => no_discovery(),
+    });
+    let lost = dropping_address();
+    let ran = complete(&format!("{lost},{}", stub.addr));
+    assert_eq!(ran.code, 1, "{ran:?}");
+    assert!(ran.err.contains("may-have-run"), "{ran:?}");
+    assert!(stub.seen("POST").is_empty());
+    let closed = closed_address();
+    let ran = complete(&format!("{closed},{}", stub.addr));
+    assert_eq!(ran.code, 0, "{ran:?}");
+}
+
+/// Guards against giving up on a rejection that says when to come back.
+#[test]
+fn a_rejected_request_is_repeated_after_the_named_time() {
+    let stub = Stub::start(|request, earlier| match request.target.as_str() {
+        "POST /v1/completions" if earlier == 0 => {
+            Reply::error(429, "rate_limited", Verdict::NotRun, Some(20))
+        }
+        "POST /v1/completions" => Reply::text(200, STREAM),
+        _ => no_discovery(),
+    });
+    let ran = complete(&stub.addr.to_string());
+    assert_eq!(ran.code, 0, "{ran:?}");
+    assert_eq!(stub.seen("POST").len(), 2);
+}
+
+/// Guards against waiting past the caller's limit for a retry that cannot succeed in time.
+#[test]
+fn a_named_time_past_the_limit_fails_at_once() {
+    let stub = Stub::start(|request, _| match request.target.as_str() {
+        "POST /v1/completions" => Reply::text(503, "")
+            .header("retry-after", "3600")
+            .header("x-limpetweir-verdict", "not-run"),
+        _ => no_discovery(),
+    });
+    let ran = complete(&stub.addr.to_string());
+    assert_eq!(ran.code, 1, "{ran:?}");
+    assert_eq!(stub.seen("POST").len(), 1);
+}
+
+/// Guards against addresses that are not those of the answer.
+#[test]
+fn addresses_are_printed() {
+    let found: SocketAddr = "127.0.0.1:9".parse().unwrap();
+    let stub = Stub::start(move |_, _| addresses(&[found], 5000));
+    let args = ["addresses", "--address", &stub.addr.to_string(), "--json"];
+    let output = tool(&args).env("LIMPETWEIR_KEY", KEY).output();
+    let ran: Ran = output.unwrap().into();
+    assert_eq!(
+        ran.json()["addresses"][0]["address"],
+        "127.0.0.1:9",
+        "{ran:?}"
+    );
+}
