--- a/coordination/src/membership.rs
+++ b/coordination/src/membership.rs
@@ -274,6 +274,14 @@
             .collect()
     }
 
+    /// Iterates over the heard peers that accept requests, are not leaving and are listed as live.
+    pub fn serving_peers(&self, now: Timestamp) -> impl Iterator<Item = &InstanceId> {
+        self.heard(now)
+            .filter(|report| report.serving && !report.leaving)
+            .map(|report| &report.incarnation.instance)
+            .filter(|id| self.is_live(id))
+    }
+
     fn is_live(&self, id: &InstanceId) -> bool {
         let listed = self.listed.as_ref();
         listed.is_some_and(|listed| listed.get(id) == Some(&ListState::Live))
--- a/coordination/tests/control/membership.rs
+++ b/coordination/tests/control/membership.rs
@@ -5,8 +5,10 @@
 use limpetweir_coordination::timing::SILENCE_LIMIT;
 use limpetweir_coordination::{
     HeartbeatOutcome,
+    ListState,
     Membership,
-    Presence, //
+    Presence,
+    Report, //
 };
 use limpetweir_state::{
     BackendId,
@@ -122,17 +124,17 @@
 
 /// Guards against a preferred owner that cannot claim, which leaves its groups without an owner.
 #[rstest]
-#[case::able(|_: &mut limpetweir_coordination::Report| (), true)]
-#[case::leaving(|r: &mut limpetweir_coordination::Report| r.leaving = true, false)]
-#[case::not_serving(|r: &mut limpetweir_coordination::Report| r.serving = false, false)]
-#[case::log_unread(|r: &mut limpetweir_coordination::Report| r.log_age = None, false)]
-#[case::minority(|r: &mut limpetweir_coordination::Report| r.hears.clear(), false)]
+#[case::able(|_: &mut Report| (), true)]
+#[case::leaving(|r: &mut Report| r.leaving = true, false)]
+#[case::not_serving(|r: &mut Report| r.serving = false, false)]
+#[case::log_unread(|r: &mut Report| r.log_age = None, false)]
+#[case::minority(|r: &mut Report| r.hears.clear(), false)]
 #[case::does_not_hear_us(
-    |r: &mut limpetweir_coordination::Report| { r.hears.remove(&instance("a")); },
+    |r: &mut Report| { r.hears.remove(&instance("a")); },
     false
 )]
 fn only_instances_that_can_claim_are_candidates(
-    #[case] change: fn(&mut limpetweir_coordination::Report),
+    #[case] change: fn(&mut Report),
     #[case] able: bool,
 ) {
     let mut members = members(&["a", "b", "c"]);
@@ -141,3 +143,25 @@
     members.on_heartbeat(START, report);
     assert_eq!(members.able_peers(START).contains_key(&instance("b")), able);
 }
+
+/// Guards against sending callers to instances that are leaving, silent or not yet serving.
+#[test]
+fn serving_peers_are_heard_live_and_not_leaving() {
+    let names = ["a", "b", "c", "d", "e", "f"];
+    let mut members = members(&names);
+    let later = START + SILENCE_LIMIT;
+    members.on_heartbeat(START, report(incarnation("b", 1), 1, &["a"]));
+    let mut leaving = report(incarnation("c", 1), 1, &["a"]);
+    leaving.leaving = true;
+    members.on_heartbeat(later, leaving);
+    let mut starting = report(incarnation("d", 1), 1, &["a"]);
+    starting.serving = false;
+    members.on_heartbeat(later, starting);
+    members.on_heartbeat(later, report(incarnation("e", 1), 1, &["a"]));
+    members.on_heartbeat(later, report(incarnation("f", 1), 1, &["a"]));
+    let mut list = live(&names);
+    list.insert(instance("f"), ListState::Leaving);
+    members.set_list(later, list);
+    let serving: Vec<_> = members.serving_peers(later).collect();
+    assert_eq!(serving, [&instance("e")]);
+}
