--- a/coordination/tests/control/ownership.rs
+++ b/coordination/tests/control/ownership.rs
@@ -296,6 +296,40 @@
     assert_eq!(reader.may_act(until), MayAct::NotHolder);
 }
 
+/// Guards against releasing all groups at once, which would leave all of them without an owner.
+#[test]
+fn groups_are_released_one_at_a_time() {
+    let now = Timestamp::from_millis(50_000);
+    let own = incarnation("a", 1);
+    let mut reader = Reader::new(&own, now);
+    reader.read(now, claim(group(0), &own));
+    reader.read(now, claim(group(1), &own));
+    let first = reader.ownership.next_release(now, &reader.members, true);
+    assert_eq!(first, Some((group(0), Epoch(1))));
+    let second = reader.ownership.next_release(now, &reader.members, true);
+    assert_eq!(second, None);
+    reader.read(now, release(1));
+    let second = reader.ownership.next_release(now, &reader.members, true);
+    assert_eq!(second, Some((group(1), Epoch(2))));
+}
+
+/// Guards against a holder that acts although a peer already holds the group under a later epoch.
+#[test]
+fn a_later_epoch_at_a_peer_stops_the_holder() {
+    let now = Timestamp::from_millis(50_000);
+    let own = incarnation("a", 1);
+    let mut reader = Reader::new(&own, now);
+    reader.read(now, claim(group(0), &own));
+    let mut heartbeat = report(incarnation("b", 1), 1, &["a"]);
+    heartbeat.owns.insert(group(0), Epoch(1));
+    reader.members.on_heartbeat(now, heartbeat.clone());
+    assert_eq!(reader.may_act(now), MayAct::Yes(Epoch(1)));
+    heartbeat.sequence = 2;
+    heartbeat.owns.insert(group(0), Epoch(2));
+    reader.members.on_heartbeat(now, heartbeat);
+    assert_eq!(reader.may_act(now), MayAct::NotHolder);
+}
+
 /// Guards against a restart under the same name that acts on the claims of its predecessor, or
 /// that leaves them unowned because peers hear the name.
 #[test]
