ownership: replace a holder that is cut off from the log only

Cause: a holder in contact with its peers but without the log stops acting when its lease ends, and no peer could claim its groups because it was still heard. Test a_holder_cut_off_from_the_log_only_is_replaced failed: no acting owner after 12 s of virtual time.

Ruled out: claiming as soon as the holder reports an old read. At the start of a log outage all reads end within one long poll of each other, so the holder's report must be two leases old. Ruled out as well: forgetting contact whenever the own lease ends while a peer still reads; that ended bridging in every outage (three tests failed).

Change: a holder in mutual contact that reports no read for two leases may be replaced; a holder that hears of a read later than its own by more than the silence limit no longer bridges an outage until it has read again. Without that rule a_replaced_holder_that_loses_sight_of_the_reader_stays_idle fails. Holders also count their lease 10% shorter, for clock rate skew.

--- a/coordination/src/membership.rs
+++ b/coordination/src/membership.rs
@@ -287,6 +287,15 @@
         listed.is_some_and(|listed| listed.get(id) == Some(&ListState::Live))
     }
 
+    /// Returns the latest time at which a heard peer read the log, as far as its heartbeats tell.
+    pub(crate) fn latest_read(&self, now: Timestamp) -> Option<Timestamp> {
+        self.peers
+            .values()
+            .filter(|peer| peer.is_heard(now))
+            .filter_map(|peer| Some(peer.heard_at - peer.report.log_age?))
+            .max()
+    }
+
     /// Returns whether a heard peer reports a read of the log within the owner lease.
     pub fn peer_reads_log(&self, now: Timestamp) -> bool {
         self.heard(now).any(Report::reads_log)
@@ -299,6 +308,18 @@
             .max_by_key(|&(_, version)| version)
     }
 
+    /// Returns whether `incarnation` is in mutual contact and reports no read of the log within two
+    /// owner leases.
+    ///
+    /// After two leases it knows from this instance's heartbeats that others still read the log.
+    pub(crate) fn is_cut_off_from_log(&self, now: Timestamp, incarnation: &Incarnation) -> bool {
+        self.heard(now)
+            .find(|report| report.incarnation == *incarnation)
+            .filter(|report| report.hears.contains(&self.own.instance))
+            .and_then(|report| report.log_age)
+            .is_some_and(|age| age >= 2 * OWNER_LEASE)
+    }
+
     /// Returns the highest epoch under which a heard peer reports owning `group`.
     pub fn reported_epoch(&self, now: Timestamp, group: GroupId) -> Option<Epoch> {
         self.heard(now)
--- a/coordination/src/ownership.rs
+++ b/coordination/src/ownership.rs
@@ -24,7 +24,9 @@
 use crate::stall::StallWatch;
 use crate::timing::{
     HANDOVER_DELAY,
-    OWNER_LEASE, //
+    HOLDER_LEASE,
+    OWNER_LEASE,
+    SILENCE_LIMIT, //
 };
 
 /// Whether this instance may act for a group now.
@@ -73,6 +75,8 @@
     confirmed_at: Option<Timestamp>,
     /// Start of the unbroken contact with a majority that lasts until the last tick.
     contact_since: Option<Timestamp>,
+    /// Start of the unbroken validity of the lease that lasts until the last tick.
+    reads_since: Option<Timestamp>,
     watch: StallWatch,
 }
 
@@ -85,6 +89,7 @@
             pending: BTreeSet::new(),
             confirmed_at: None,
             contact_since: None,
+            reads_since: None,
             watch: StallWatch::new(now),
         }
     }
@@ -199,11 +204,21 @@
     pub fn tick(&mut self, now: Timestamp, members: &Membership) {
         let continuous = !self.watch.is_stalled(now);
         self.watch.tick(now);
-        self.contact_since = if continuous && members.hears_majority(now) {
+        let reads = self.lease_valid(now);
+        // A peer that still reads the log may claim a group of this instance, so contact before
+        // that proves nothing once the peer is no longer heard. In a log outage the last reads of
+        // all instances are close together.
+        let cut_off = members.latest_read(now) > self.confirmed_at.map(|at| at + SILENCE_LIMIT);
+        self.contact_since = if continuous && !cut_off && members.hears_majority(now) {
             self.contact_since.or(Some(now))
         } else {
             None
         };
+        self.reads_since = if continuous && reads {
+            self.reads_since.or(Some(now))
+        } else {
+            None
+        };
     }
 
     /// Returns the groups that this instance holds with their epochs, for its heartbeats.
@@ -241,7 +256,7 @@
 
     fn lease_valid(&self, now: Timestamp) -> bool {
         let confirmed = self.confirmed_at;
-        confirmed.is_some_and(|sent_at| now.since(sent_at) < OWNER_LEASE)
+        confirmed.is_some_and(|sent_at| now.since(sent_at) < HOLDER_LEASE)
     }
 
     /// Returns whether a log outage extends the lease.
@@ -293,12 +308,22 @@
         };
         let holder = &fact.claim.holder;
         match members.presence(now, holder) {
-            Presence::Present => false,
+            Presence::Present => {
+                self.has_reported_reads(now) && members.is_cut_off_from_log(now, holder)
+            }
             Presence::Replaced => true,
             Presence::Silent | Presence::Absent => !members.is_heard_by_peer(now, &holder.instance),
         }
     }
 
+    /// Returns whether every heartbeat that a peer counts as heard at `now` told of reads of the log.
+    ///
+    /// A holder in mutual contact then knows that there is no log outage and does not act.
+    fn has_reported_reads(&self, now: Timestamp) -> bool {
+        self.reads_since
+            .is_some_and(|since| now.since(since) >= OWNER_LEASE)
+    }
+
     /// Returns the next group to release at `now`, and stops acting for it.
     ///
     /// One group is released at a time. A group whose take-over wait has not ended is kept, because
--- a/coordination/src/timing.rs
+++ b/coordination/src/timing.rs
@@ -8,9 +8,14 @@
 /// A peer that was not heard for this long is silent.
 pub const SILENCE_LIMIT: Duration = Duration::from_millis(1_500);
 
-/// Time for which a holder may act after a confirmed read of the claims.
+/// Time after which a holder that confirmed no read of the claims no longer acts, by any clock.
 pub const OWNER_LEASE: Duration = Duration::from_secs(3);
 
+/// Time for which a holder may act after a confirmed read of the claims, by its own clock.
+///
+/// A clock that runs slow by up to 10% still reaches this time within the owner lease.
+pub const HOLDER_LEASE: Duration = Duration::from_millis(2_700);
+
 /// Time for which a confirmed read of the configuration proves that it is current.
 pub const CONFIG_FRESHNESS_LIMIT: Duration = Duration::from_secs(3);
 
--- a/coordination/tests/control/ownership.rs
+++ b/coordination/tests/control/ownership.rs
@@ -171,6 +171,34 @@
     assert_eq!(before, during);
 }
 
+/// Guards against groups without an acting owner while their holder hears peers but no log.
+#[test]
+fn a_holder_cut_off_from_the_log_only_is_replaced() {
+    let mut fleet = Fleet::settled(3, 1);
+    let holder = owner(&fleet, group(0));
+    fleet.nodes[holder].log_reachable = false;
+    fleet.run(4 * OWNER_LEASE);
+    assert_ne!(owner(&fleet, group(0)), holder);
+}
+
+/// Guards against a holder that was replaced while cut off from the log, loses the new holder from
+/// sight, and then takes the silence of the other peers for a log outage.
+#[test]
+fn a_replaced_holder_that_loses_sight_of_the_reader_stays_idle() {
+    let mut fleet = Fleet::settled(5, 1);
+    let holder = owner(&fleet, group(0));
+    fleet.nodes[holder].log_reachable = false;
+    fleet.run(4 * OWNER_LEASE);
+    let new_holder = owner(&fleet, group(0));
+    assert_ne!(new_holder, holder);
+    for i in 0..5 {
+        fleet.nodes[i].log_reachable = i == new_holder;
+    }
+    fleet.cut = [(holder, new_holder), (new_holder, holder)].into();
+    fleet.run(10 * SECOND);
+    assert!(!fleet.acting(group(0)).contains(&holder));
+}
+
 /// Guards against a holder cut from the log that takes its partition for an outage.
 #[test]
 fn a_partition_from_the_log_is_no_outage() {
