--- /dev/null
+++ b/coordination/tests/quota_script.rs
@@ -0,0 +1,220 @@
+//! Single sequences of quota messages that random runs seldom meet.
+
+use std::time::Duration;
+
+use limpetweir_coordination::quota::{
+    HomeStart,
+    LocalAdmission,
+    QuotaAnswer,
+    QuotaBorrower,
+    QuotaHome,
+    QuotaRefusal,
+    QuotaRequest,
+    QuotaSettings,
+    SentCall, //
+};
+use limpetweir_state::{
+    Epoch,
+    Incarnation,
+    Limit,
+    OrganisationId,
+    Timestamp, //
+};
+
+fn at(ms: u64) -> Timestamp {
+    Timestamp::from_millis(ms)
+}
+
+fn organisation() -> OrganisationId {
+    OrganisationId::try_from("o").expect("valid name")
+}
+
+fn limit(rate: f64, burst: f64) -> Option<Limit> {
+    Some(Limit::new(rate, burst).expect("valid limit"))
+}
+
+fn borrower(name: &str) -> QuotaBorrower {
+    let me = Incarnation {
+        instance: name.try_into().expect("valid name"),
+        started: 1,
+    };
+    QuotaBorrower::new(me, QuotaSettings::default())
+}
+
+fn home(epoch: u64, start: HomeStart, now: Timestamp) -> QuotaHome {
+    let mut home = QuotaHome::new(Epoch(epoch), start, QuotaSettings::default(), now);
+    home.set_limit(&organisation(), limit(100.0, 100.0), now);
+    home
+}
+
+/// Offers `count` requests, so that the borrower has demand, and returns the renewal.
+fn renewal(borrower: &mut QuotaBorrower, count: u32, now: Timestamp) -> (QuotaRequest, SentCall) {
+    for _ in 0..count {
+        borrower.admit(&organisation(), now);
+    }
+    borrower.renewals(now).pop().expect("a renewal is due")
+}
+
+fn renew(borrower: &mut QuotaBorrower, home: &mut QuotaHome, count: u32, ms: u64) -> QuotaAnswer {
+    let (call, sent) = renewal(borrower, count, at(ms));
+    let answer = home.handle(&call, at(ms)).expect("the home answers");
+    borrower.on_answer(&sent, &answer, at(ms));
+    answer
+}
+
+fn rate(borrower: &QuotaBorrower, ms: u64) -> f64 {
+    let share = borrower.share(&organisation(), at(ms));
+    share.map_or(0.0, |share| share.rate)
+}
+
+/// Guards against a new home that repeats a share which the former home has reduced since, when the
+/// report of the greater share arrives late.
+#[test]
+fn late_report_does_not_restore_a_reduced_share() {
+    let mut former = home(1, HomeStart::First, at(0));
+    let (mut a, mut b) = (borrower("a"), borrower("b"));
+    renew(&mut a, &mut former, 50, 0);
+    assert_eq!(rate(&a, 0), 80.0);
+    renew(&mut b, &mut former, 50, 100);
+    // The report of 80 requests per second is on its way to the new home from here on.
+    let (late_call, late_sent) = renewal(&mut a, 50, at(500));
+    renew(&mut a, &mut former, 50, 1_000);
+    renew(&mut b, &mut former, 50, 1_100);
+    renew(&mut a, &mut former, 50, 1_500);
+    renew(&mut b, &mut former, 50, 1_600);
+    let reduced = rate(&a, 1_600);
+    assert!(reduced < 60.0 && rate(&b, 1_600) > 20.0);
+    assert!(reduced + rate(&b, 1_600) <= 80.0 + 1e-9);
+    // The former home released its group, so the new one acts at once.
+    let mut later = home(2, HomeStart::AfterRelease, at(1_700));
+    let answer = later.handle(&late_call, at(1_700)).unwrap();
+    a.on_answer(&late_sent, &answer, at(1_700));
+    assert_eq!(rate(&a, 1_700), reduced);
+}
+
+/// Guards against a borrower that follows a message of a former home after it met the new one.
+#[test]
+fn grant_of_a_former_home_is_refused() {
+    let mut former = home(1, HomeStart::First, at(0));
+    let mut a = borrower("a");
+    renew(&mut a, &mut former, 50, 0);
+    let (call, sent) = renewal(&mut a, 50, at(500));
+    let late = former.handle(&call, at(500)).unwrap();
+    let mut later = home(2, HomeStart::AfterRelease, at(600));
+    renew(&mut a, &mut later, 50, 1_000);
+    let share = a.share(&organisation(), at(1_100)).unwrap();
+    assert_eq!(share.id.epoch, Epoch(2));
+    a.on_answer(&sent, &late, at(1_100));
+    assert_eq!(a.share(&organisation(), at(1_100)).unwrap(), share);
+}
+
+/// Guards against a home that goes on lending after a borrower met its successor.
+#[test]
+fn replaced_home_refuses() {
+    let mut a = borrower("a");
+    let mut later = home(2, HomeStart::First, at(0));
+    renew(&mut a, &mut later, 50, 0);
+    let (call, _) = renewal(&mut a, 50, at(500));
+    let mut former = home(1, HomeStart::First, at(0));
+    let refusal = former.handle(&call, at(500)).unwrap_err();
+    assert!(matches!(refusal, QuotaRefusal::Replaced { .. }));
+}
+
+/// Guards against a home that acts within the former home's lease, and against a caller that is not
+/// told how long that takes.
+#[test]
+fn new_home_tells_when_it_acts() {
+    let mut later = home(2, HomeStart::AfterLoss, at(0));
+    let (call, _) = borrower("a").ask(&organisation(), 1, at(300));
+    let refusal = later.handle(&call, at(300)).unwrap_err();
+    let retry_after = Duration::from_secs(3);
+    assert_eq!(refusal, QuotaRefusal::NotActive { retry_after });
+    assert!(later.handle(&call, at(3_300)).is_ok());
+}
+
+/// Guards against a lowered limit that the home applies only at the next renewal.
+#[test]
+fn lowered_limit_is_in_force_at_once_at_the_home() {
+    let mut home = home(1, HomeStart::First, at(0));
+    home.set_limit(&organisation(), limit(1.0, 2.0), at(100));
+    let (call, _) = borrower("a").ask(&organisation(), 50, at(100));
+    let answer = home
+        .handle(
+            &QuotaRequest {
+                renew: false,
+                ..call
+            },
+            at(100),
+        )
+        .unwrap();
+    assert_eq!(answer.admitted, 2);
+    assert!(answer.retry_after.is_some());
+}
+
+/// Guards against a full burst for an organisation that is removed and added again.
+#[test]
+fn organisation_that_returns_starts_empty() {
+    let mut home = home(1, HomeStart::First, at(0));
+    let (call, _) = borrower("a").ask(&organisation(), 100, at(0));
+    let call = QuotaRequest {
+        renew: false,
+        ..call
+    };
+    assert_eq!(home.handle(&call, at(0)).unwrap().admitted, 100);
+    home.set_limits([], at(10));
+    let refusal = home.handle(&call, at(10)).unwrap_err();
+    assert!(matches!(refusal, QuotaRefusal::UnknownOrganisation { .. }));
+    home.set_limit(&organisation(), limit(100.0, 100.0), at(60));
+    assert!(home.handle(&call, at(60)).unwrap().admitted <= 5);
+}
+
+/// Guards against a share that is used after its lease, counted from the send time of the renewal.
+#[test]
+fn share_ends_with_its_lease() {
+    let mut home = home(1, HomeStart::First, at(0));
+    let mut a = borrower("a");
+    let (call, sent) = renewal(&mut a, 50, at(0));
+    let answer = home.handle(&call, at(1_000)).unwrap();
+    a.on_answer(&sent, &answer, at(2_000));
+    assert_eq!(
+        a.admit(&organisation(), at(3_999)),
+        LocalAdmission::Admitted
+    );
+    assert_eq!(a.admit(&organisation(), at(4_000)), LocalAdmission::AskHome);
+    // The home counts from the arrival of the renewal, and 10% more.
+    assert!(home.status(&organisation(), at(5_399)).unwrap().lent_rate > 0.0);
+    assert_eq!(
+        home.status(&organisation(), at(5_400)).unwrap().lent_rate,
+        0.0
+    );
+}
+
+/// Guards against an idle organisation that costs messages and memory for ever.
+#[test]
+fn idle_organisation_is_forgotten() {
+    let mut home = home(1, HomeStart::First, at(0));
+    let mut a = borrower("a");
+    renew(&mut a, &mut home, 50, 0);
+    let mut last = 0;
+    for ms in (500..60_000).step_by(500) {
+        for (call, sent) in a.renewals(at(ms)) {
+            let answer = home.handle(&call, at(ms)).unwrap();
+            a.on_answer(&sent, &answer, at(ms));
+            last = ms;
+        }
+    }
+    assert!(last < 30_000, "still renewed after {last} ms");
+    assert_eq!(
+        home.status(&organisation(), at(60_000)).unwrap().borrowers,
+        0
+    );
+}
+
+/// Guards against shares so small that they can never admit a request.
+#[test]
+fn small_burst_stays_with_the_home() {
+    let mut home = home(1, HomeStart::First, at(0));
+    home.set_limit(&organisation(), limit(10.0, 1.5), at(0));
+    let answer = renew(&mut borrower("a"), &mut home, 50, 0);
+    assert_eq!(answer.share, None);
+}
--- a/protocol/src/lib.rs
+++ b/protocol/src/lib.rs
@@ -4,6 +4,7 @@
 mod config_check;
 mod config_fault;
 pub mod peer;
+mod quota;
 pub mod records;
 
 pub use config::{
@@ -11,3 +12,4 @@
     RawService, parse_configuration, write_configuration,
 };
 pub use config_fault::{ConfigDocumentError, ConfigFault};
+pub use quota::QuotaMessageError;
--- /dev/null
+++ b/protocol/src/quota.rs
@@ -0,0 +1,155 @@
+//! Conversion of quota messages between the peer links and the quota decisions.
+
+use std::time::Duration;
+
+use limpetweir_coordination::quota::{
+    GrantId,
+    Held,
+    QuotaAnswer,
+    QuotaRequest,
+    ShareGrant, //
+};
+use snafu::{
+    Snafu, //
+    ensure,
+};
+
+use crate::peer::{
+    GrantedShare,
+    HeldShare,
+    QuotaCall,
+    QuotaReply, //
+};
+
+/// A quota message with a number that no rate, capacity, demand or amount of tokens can have.
+#[derive(Clone, Debug, PartialEq, Snafu)]
+#[snafu(display("quota message has {field} {value}: a finite number from 0 on is accepted"))]
+pub struct QuotaMessageError {
+    field: &'static str,
+    value: f64,
+}
+
+fn check(field: &'static str, value: f64) -> Result<f64, QuotaMessageError> {
+    let accepted = value.is_finite() && value >= 0.0;
+    ensure!(accepted, QuotaMessageSnafu { field, value });
+    Ok(value)
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Rounds up, so that a caller does not come back just before a token is there.
+fn millis_up(duration: Duration) -> u64 {
+    let micros = duration.as_micros().div_ceil(1_000);
+    u64::try_from(micros).unwrap_or(u64::MAX)
+}
+
+impl TryFrom<QuotaCall> for QuotaRequest {
+    type Error = QuotaMessageError;
+
+    fn try_from(raw: QuotaCall) -> Result<Self, Self::Error> {
+        Ok(Self {
+            organisation: raw.organisation,
+            borrower: raw.borrower,
+            tokens: raw.tokens,
+            demand: check("demand", raw.demand)?,
+            held: raw.held.map(Held::try_from).transpose()?,
+            renew: raw.renew,
+        })
+    }
+}
+
+impl From<QuotaRequest> for QuotaCall {
+    fn from(call: QuotaRequest) -> Self {
+        Self {
+            organisation: call.organisation,
+            borrower: call.borrower,
+            tokens: call.tokens,
+            demand: call.demand,
+            held: call.held.map(HeldShare::from),
+            renew: call.renew,
+        }
+    }
+}
+
+impl TryFrom<HeldShare> for Held {
+    type Error = QuotaMessageError;
+
+    fn try_from(raw: HeldShare) -> Result<Self, Self::Error> {
+        Ok(Self {
+            id: GrantId {
+                epoch: raw.epoch,
+                grant: raw.grant,
+            },
+            rate: check("rate", raw.rate)?,
+            cap: check("cap", raw.cap)?,
+            remaining: Duration::from_millis(raw.remaining_ms),
+        })
+    }
+}
+
+impl From<Held> for HeldShare {
+    fn from(held: Held) -> Self {
+        Self {
+            epoch: held.id.epoch,
+            grant: held.id.grant,
+            rate: held.rate,
+            cap: held.cap,
+            // A home must not count the share for less time than the borrower uses it.
+            remaining_ms: millis_up(held.remaining),
+        }
+    }
+}
+
+impl TryFrom<QuotaReply> for QuotaAnswer {
+    type Error = QuotaMessageError;
+
+    fn try_from(raw: QuotaReply) -> Result<Self, Self::Error> {
+        Ok(Self {
+            admitted: raw.admitted,
+            share: raw.share.map(ShareGrant::try_from).transpose()?,
+            retry_after: raw.retry_after_ms.map(Duration::from_millis),
+        })
+    }
+}
+
+impl From<QuotaAnswer> for QuotaReply {
+    fn from(answer: QuotaAnswer) -> Self {
+        Self {
+            admitted: answer.admitted,
+            share: answer.share.map(GrantedShare::from),
+            retry_after_ms: answer.retry_after.map(millis_up),
+        }
+    }
+}
+
+impl TryFrom<GrantedShare> for ShareGrant {
+    type Error = QuotaMessageError;
+
+    fn try_from(raw: GrantedShare) -> Result<Self, Self::Error> {
+        Ok(Self {
+            id: GrantId {
+                epoch: raw.epoch,
+                grant: raw.grant,
+            },
+            rate: check("rate", raw.rate)?,
+            cap: check("cap", raw.cap)?,
+            tokens: check("tokens", raw.tokens)?,
+            lease: Duration::from_millis(raw.lease_ms),
+        })
+    }
+}
+
+impl From<ShareGrant> for GrantedShare {
+    fn from(grant: ShareGrant) -> Self {
+        Self {
+            epoch: grant.id.epoch,
+            grant: grant.id.grant,
+            rate: grant.rate,
+            cap: grant.cap,
+            tokens: grant.tokens,
+            lease_ms: millis(grant.lease),
+        }
+    }
+}
