--- /dev/null
+++ b/coordination/src/retry.rs
@@ -0,0 +1,117 @@
+//! Which failed online requests are sent again.
+
+use std::collections::BTreeMap;
+
+use limpetweir_state::{
+    OrganisationId,
+    Verdict, //
+};
+use strum::{
+    Display,
+    IntoStaticStr, //
+};
+
+/// Attempts of one online request, the first included.
+pub const MAX_ONLINE_ATTEMPTS: u32 = 3;
+
+/// Retries that each request of an organisation adds to its budget.
+const RETRIES_PER_REQUEST: f64 = 0.1;
+
+/// Most retries that an organisation saves up, so that a quiet hour does not pay for a retry storm.
+const MAX_SAVED_RETRIES: f64 = 20.0;
+
+/// Retries that an organisation has before its first request; without one, a caller with little
+/// traffic would see each lost backend server.
+const INITIAL_RETRIES: f64 = 1.0;
+
+/// Sums of tenths round; a retry that is short by less than this is granted.
+const ROUNDING: f64 = 1e-9;
+
+/// A failed attempt of an online request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Failure {
+    /// Whether the attempt ran.
+    pub verdict: Verdict,
+    /// Whether the request may run twice.
+    pub idempotent: bool,
+    /// Whether a byte of the answer was sent to the caller.
+    pub answered: bool,
+    /// Attempts so far, the failed one included.
+    pub attempts: u32,
+}
+
+/// Why a request is not sent again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum RetryRefusal {
+    /// The caller has a part of the answer.
+    Answered,
+    /// The request may have run and must not run twice.
+    Verdict,
+    /// The request had all its attempts.
+    Attempts,
+    /// The organisation's budget is used up.
+    Budget,
+}
+
+/// What to do after a failed attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RetryDecision {
+    /// The request is sent to another backend server; the budget is charged.
+    Retry,
+    /// The caller gets the error.
+    Stop(RetryRefusal),
+}
+
+/// Retries that organisations may still use at this instance.
+#[derive(Clone, Debug, Default)]
+pub struct RetryBudget {
+    /// Saved retries of each organisation, from 0 to [`MAX_SAVED_RETRIES`].
+    saved: BTreeMap<OrganisationId, f64>,
+}
+
+impl RetryBudget {
+    fn saved(&mut self, organisation: &OrganisationId) -> &mut f64 {
+        let entry = self.saved.entry(organisation.clone());
+        entry.or_insert(INITIAL_RETRIES)
+    }
+
+    /// Counts an admitted request, not its retries.
+    pub fn on_request(&mut self, organisation: &OrganisationId) {
+        let saved = self.saved(organisation);
+        *saved = (*saved + RETRIES_PER_REQUEST).min(MAX_SAVED_RETRIES);
+    }
+
+    /// Decides whether a failed request is sent again, and charges the retry.
+    pub fn on_failure(
+        &mut self,
+        organisation: &OrganisationId,
+        failure: &Failure,
+    ) -> RetryDecision {
+        if let Some(refusal) = refusal(failure) {
+            return RetryDecision::Stop(refusal);
+        }
+        let saved = self.saved(organisation);
+        if *saved + ROUNDING < 1.0 {
+            return RetryDecision::Stop(RetryRefusal::Budget);
+        }
+        *saved = (*saved - 1.0).max(0.0);
+        RetryDecision::Retry
+    }
+
+    /// Forgets organisations that the configuration no longer has.
+    pub fn retain(&mut self, is_known: impl Fn(&OrganisationId) -> bool) {
+        self.saved.retain(|organisation, _| is_known(organisation));
+    }
+}
+
+fn refusal(failure: &Failure) -> Option<RetryRefusal> {
+    if failure.answered {
+        return Some(RetryRefusal::Answered);
+    }
+    if !failure.verdict.allows_retry(failure.idempotent) {
+        return Some(RetryRefusal::Verdict);
+    }
+    let used = failure.attempts >= MAX_ONLINE_ATTEMPTS;
+    used.then_some(RetryRefusal::Attempts)
+}
--- a/coordination/tests/quota_harness/mod.rs
+++ b/coordination/tests/quota_harness/mod.rs
@@ -162,7 +162,7 @@
         }
     }
 
-    /// Kills the home at once; its successor claims after `delay` seconds.
+    /// Kills the home at `second`; its successor claims once it is silent.
     pub(crate) fn kill_owner_at(&mut self, second: u64) {
         self.push(second * SECOND, Event::Outage);
     }
@@ -290,11 +290,10 @@
         }
         let now = self.local(to);
         let lease = self.plan.settings.owner_lease;
-        let real_lease = QuotaSettings::default().owner_lease.max(lease);
         let Some(holder) = &mut self.instances[to].holder else {
             return;
         };
-        if now.since(holder.read) >= real_lease {
+        if now.since(holder.read) >= lease {
             return;
         }
         let Ok(answer) = holder.home.handle(&call, now) else {
--- a/protocol/tests/configuration.rs
+++ b/protocol/tests/configuration.rs
@@ -97,6 +97,7 @@
     assert!(cfg.service(&status).unwrap().is_open() && !quotes.is_open());
     let chat = cfg.service_for_model(&gulf_reef, "small").unwrap();
     assert_eq!(cfg.backends_of(chat).count(), 2);
+    assert!(chat.is_idempotent("POST"));
     assert!(cfg.service_for_model(&gulf_reef, "large").is_none());
 }
 
--- a/state/src/configuration.rs
+++ b/state/src/configuration.rs
@@ -120,11 +120,15 @@
     }
 
     /// Returns whether a call with the HTTP method `method` may run twice.
+    ///
+    /// Generating text changes nothing at an engine, so calls to models may always run twice.
     pub fn is_idempotent(&self, method: &str) -> bool {
-        let ServiceKind::Plain { idempotent, .. } = &self.kind else {
-            return false;
-        };
-        method.parse().is_ok_and(|m| idempotent.contains(&m))
+        match &self.kind {
+            ServiceKind::Model { .. } => true,
+            ServiceKind::Plain { idempotent, .. } => {
+                method.parse().is_ok_and(|m| idempotent.contains(&m))
+            }
+        }
     }
 
     /// Returns whether the service runs `model`.
