--- a/protocol/src/lib.rs
+++ b/protocol/src/lib.rs
@@ -5,6 +5,7 @@
 mod config_fault;
 pub mod http;
 pub mod peer;
+mod quota;
 pub mod records;
 pub mod settings;
 
@@ -13,3 +14,4 @@
     RawService, parse_configuration, write_configuration,
 };
 pub use config_fault::{ConfigDocumentError, ConfigFault};
+pub use quota::QuotaMessageError;
