Add the daemon with its listeners, router, metrics and graceful stop

The paths that serve requests and the control loops are separate modules that still answer 404, so they can be completed without changes to the router. The instance stays in phase "starting" until the control loops confirm a configuration.

--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -1,3 +1,7 @@
 //! Entry point of the limpetweir daemon.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    limpetweird::run()
+}
--- /dev/null
+++ b/daemon/src/node.rs
@@ -0,0 +1,129 @@
+//! State that all handlers and loops of an instance share.
+
+use std::sync::atomic::{
+    AtomicU8,
+    Ordering, //
+};
+use std::time::{
+    SystemTime,
+    UNIX_EPOCH, //
+};
+
+use limpetweir_protocol::settings::Settings;
+use limpetweir_state::Incarnation;
+use limpetweir_transport::http::{
+    Client,
+    ClientLimits, //
+};
+use limpetweir_transport::{
+    Clock,
+    ListClient,
+    LogClient,
+    Spawner, //
+};
+use strum::{
+    Display,
+    FromRepr,
+    IntoStaticStr, //
+};
+
+use crate::batch::Batch;
+use crate::control::Control;
+use crate::event;
+use crate::events::PHASE_CHANGED;
+use crate::metrics::Metrics;
+use crate::online::Online;
+
+/// Whether an instance accepts requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, FromRepr, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+#[repr(u8)]
+pub enum Phase {
+    /// The instance holds no configuration yet.
+    Starting,
+    /// The instance knows that its configuration is current and accepts requests.
+    Serving,
+    /// The instance cannot confirm that its configuration is current and rejects requests.
+    Stale,
+    /// The instance is being stopped; it serves until its callers have moved away.
+    Leaving,
+}
+
+/// One instance: its identity, its clients and the state of each path.
+#[derive(Debug)]
+pub struct Node {
+    /// Checked settings.
+    pub settings: Settings,
+    /// This run of the process.
+    pub incarnation: Incarnation,
+    /// Clock of all timestamps that reach pure code.
+    pub clock: Clock,
+    /// Starts tasks on the executor threads.
+    pub spawner: Spawner,
+    /// Client for backend servers.
+    pub client: Client,
+    /// Client of the log service.
+    pub log: LogClient,
+    /// Client of the list service.
+    pub list: ListClient,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// State of the online path, in shards by organisation.
+    pub online: Online,
+    /// State of the batch path, in shards by job group.
+    pub batch: Batch,
+    /// State of the control loops.
+    pub control: Control,
+    /// A [`Phase`]; `Leaving` is final.
+    phase: AtomicU8,
+}
+
+impl Node {
+    /// Creates the state of an instance; nothing runs yet.
+    pub fn new(spawner: &Spawner, settings: Settings, metrics: Metrics) -> Self {
+        let clock = Clock::start();
+        let client = Client::new(spawner, ClientLimits::default());
+        Self {
+            incarnation: Incarnation {
+                instance: settings.name.clone(),
+                started: unix_millis(),
+            },
+            clock,
+            spawner: spawner.clone(),
+            log: LogClient::new(client.clone(), settings.log, clock),
+            list: ListClient::new(client.clone(), settings.list),
+            client,
+            metrics,
+            online: Online::new(),
+            batch: Batch::new(settings.groups),
+            control: Control::new(),
+            phase: AtomicU8::new(Phase::Starting as u8),
+            settings,
+        }
+    }
+
+    /// Returns whether the instance accepts requests.
+    pub fn phase(&self) -> Phase {
+        let phase = self.phase.load(Ordering::Acquire);
+        Phase::from_repr(phase).unwrap_or(Phase::Starting)
+    }
+
+    /// Changes the phase; an instance that leaves stays so.
+    pub fn set_phase(&self, phase: Phase) {
+        let change = |old| (old != Phase::Leaving as u8).then_some(phase as u8);
+        let old = self
+            .phase
+            .fetch_update(Ordering::AcqRel, Ordering::Acquire, change);
+        if old.is_ok_and(|old| old != phase as u8) {
+            event!(PHASE_CHANGED, "phase={phase}");
+        }
+    }
+}
+
+/// Returns the wall-clock time in milliseconds since the Unix epoch.
+fn unix_millis() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| {
+        u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+    })
+}
--- /dev/null
+++ b/daemon/tests/process.rs
@@ -0,0 +1,163 @@
+//! The daemon as a process: command line, announcement and graceful stop.
+
+#![allow(clippy::unwrap_used, reason = "helpers of tests may panic")]
+
+use std::fs;
+use std::io::{
+    BufRead,
+    BufReader,
+    Read, //
+};
+use std::net::{
+    SocketAddr,
+    TcpStream, //
+};
+use std::path::PathBuf;
+use std::process::{
+    Child,
+    Command,
+    Output,
+    Stdio, //
+};
+
+const SETTINGS: &str = r#"name = "a1"
+zone = "z1"
+listen = { public = "127.0.0.1:0", peer = "127.0.0.1:0", admin = "127.0.0.1:0" }
+platform = { log = "127.0.0.1:1", list = "127.0.0.1:1" }
+
+[operator]
+key_digest = "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef"
+
+[timing]
+discovery_ttl_ms = 1
+"#;
+
+fn settings_file(name: &str, text: &str) -> PathBuf {
+    let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+    let path = dir.join(format!("{name}.toml"));
+    fs::write(&path, text).unwrap();
+    path
+}
+
+fn daemon(config: &PathBuf, args: &[&str]) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_limpetweird"));
+    command.arg("--config").arg(config).args(args);
+    command
+}
+
+fn check(name: &str, text: &str, args: &[&str]) -> Output {
+    let config = settings_file(name, text);
+    daemon(&config, &["--check"]).args(args).output().unwrap()
+}
+
+fn stderr(output: &Output) -> String {
+    String::from_utf8(output.stderr.clone()).unwrap()
+}
+
+/// Guards against a check that starts the daemon or passes faulty settings.
+#[test]
+fn check_reports_faults_and_exits() {
+    let good = check("good", SETTINGS, &[]);
+    assert!(good.status.success(), "{}", stderr(&good));
+
+    let faulty = SETTINGS.replace("zone = \"z1\"", "zone = \"\"");
+    let bad = check("faulty", &faulty, &[]);
+    assert_eq!(bad.status.code(), Some(2));
+    let message = stderr(&bad);
+    assert!(
+        message.contains("faulty.toml:2: zone: \"\" is not accepted"),
+        "{message}"
+    );
+
+    let mended = check("mended", &faulty, &["--set", "zone=z2"]);
+    assert!(mended.status.success(), "{}", stderr(&mended));
+
+    let form = check("form", SETTINGS, &["--set", "zone"]);
+    assert_eq!(form.status.code(), Some(2));
+    assert!(stderr(&form).contains("key=value"));
+}
+
+/// Guards against a missing file that looks like empty settings.
+#[test]
+fn a_missing_file_is_named() {
+    let config = PathBuf::from("/nonexistent/limpetweir.toml");
+    let output = daemon(&config, &["--check"]).output().unwrap();
+    assert_eq!(output.status.code(), Some(2));
+    assert!(stderr(&output).contains("cannot read /nonexistent/limpetweir.toml"));
+}
+
+struct Running {
+    child: Child,
+    announced: serde_json::Value,
+}
+
+impl Running {
+    fn start(name: &str) -> Self {
+        let config = settings_file(name, SETTINGS);
+        let mut child = daemon(&config, &[])
+            .stdout(Stdio::piped())
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let mut line = String::new();
+        let mut out = BufReader::new(child.stdout.take().unwrap());
+        out.read_line(&mut line).unwrap();
+        let announced = serde_json::from_str(&line).unwrap();
+        Self { child, announced }
+    }
+
+    fn address(&self, listener: &str) -> SocketAddr {
+        self.announced[listener].as_str().unwrap().parse().unwrap()
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        // Already ended unless the test failed.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Guards against callers that cannot find an instance with a chosen port, and against a stop that
+/// does not end with success.
+#[test]
+fn announces_its_addresses_and_stops_on_sigterm() {
+    let mut running = Running::start("running");
+    assert_eq!(running.announced["name"], "a1");
+    for listener in ["public", "peer", "admin"] {
+        let addr = running.address(listener);
+        assert_ne!(addr.port(), 0);
+        TcpStream::connect(addr).unwrap();
+    }
+    let pid = running.child.id().to_string();
+    let sent = Command::new("kill").args(["-TERM", &pid]).status().unwrap();
+    assert!(sent.success());
+    assert!(running.child.wait().unwrap().success());
+    let mut log = String::new();
+    let mut err = running.child.stderr.take().unwrap();
+    err.read_to_string(&mut log).unwrap();
+    for event in ["LW1001", "LW1003", "LW1004"] {
+        assert!(
+            log.lines().any(|line| line.contains(event)),
+            "{event}: {log}"
+        );
+    }
+}
+
+/// Guards against a port conflict that is not explained.
+#[test]
+fn a_taken_port_is_reported_with_its_setting() {
+    let running = Running::start("first");
+    let taken = running.address("admin");
+    let config = settings_file("second", SETTINGS);
+    let set = format!("listen.admin={taken}");
+    let output = daemon(&config, &["--set", &set]).output().unwrap();
+    assert_eq!(output.status.code(), Some(1));
+    let log = stderr(&output);
+    assert!(log.contains("LW1002"), "{log}");
+    assert!(
+        log.contains(&format!("cannot listen on {taken} (listen.admin)")),
+        "{log}"
+    );
+}
--- a/protocol/src/http/jobs.rs
+++ b/protocol/src/http/jobs.rs
@@ -5,6 +5,7 @@
 
 use limpetweir_state::{
     JobId,
+    JobPhase,
     ModelId,
     ServiceId,
     UnixMillis, //
@@ -147,11 +148,21 @@
     /// Items are waiting or running.
     Running,
     /// Every item has its outcome.
-    Done,
+    Completed,
     /// The job was cancelled.
     Cancelled,
 }
 
+impl From<JobPhase> for JobState {
+    fn from(phase: JobPhase) -> Self {
+        match phase {
+            JobPhase::Running => Self::Running,
+            JobPhase::Completed => Self::Completed,
+            JobPhase::Cancelled => Self::Cancelled,
+        }
+    }
+}
+
 /// Answer of `GET /v1/jobs/<id>` and `POST /v1/jobs/<id>/cancel`.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobStatus {
