standins: add the engine, the plain service and the weight store

Tests of routing, resume and batch need backend servers whose answers can be predicted and whose faults can be switched on.

--- a/standins/src/clock.rs
+++ b/standins/src/clock.rs
@@ -20,4 +20,14 @@
     pub(crate) fn now(&self) -> Duration {
         self.start.elapsed()
     }
+
+    /// Converts a time on this clock into an instant for a timer.
+    pub(crate) fn instant(&self, at: Duration) -> Instant {
+        self.start + at
+    }
+}
+
+/// Converts a duration to whole milliseconds.
+pub(crate) fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- /dev/null
+++ b/standins/src/engine/control.rs
@@ -0,0 +1,132 @@
+//! Faults that tests switch on.
+
+use serde::{Deserialize, Serialize};
+
+/// A fault of the next `count` requests, each after `tokens` generated tokens.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct AfterTokens {
+    /// Requests that are affected.
+    pub count: u32,
+    /// Tokens that each of them generates before.
+    #[serde(default)]
+    pub tokens: usize,
+}
+
+/// Body of `POST /control`; absent fields leave their setting as it is.
+///
+/// Each count applies to the next requests. One request takes from at most one of `fail_before`,
+/// `fail_after`, `cut` and `end_early`, in this order.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct EngineControl {
+    /// Requests to answer 503 with `Retry-After` without running them.
+    pub fail_before: Option<u32>,
+    /// Requests that fail after some tokens: status 500, or an error event in a stream.
+    pub fail_after: Option<AfterTokens>,
+    /// Requests whose connection is closed after some tokens.
+    pub cut: Option<AfterTokens>,
+    /// Streams that end after some tokens without their end marker.
+    pub end_early: Option<AfterTokens>,
+    /// Requests to answer with the attempt id and text of the previous request.
+    pub cross: Option<u32>,
+    /// Requests to answer without the attempt id.
+    pub omit_attempt_id: Option<u32>,
+    /// Delays the start of each answer, in milliseconds.
+    pub delay_answer_ms: Option<u64>,
+    /// Stops or continues all token generation.
+    pub stall: Option<bool>,
+    /// Factor on the length of steps.
+    pub slowdown: Option<f64>,
+    /// Sets whether orders with an old fencing number are rejected.
+    pub check_fencing: Option<bool>,
+    /// Lag of `GET /load`, in milliseconds.
+    pub load_lag_ms: Option<u64>,
+    /// Lag of cache events, in milliseconds.
+    pub cache_event_lag_ms: Option<u64>,
+    /// Loses each cache event whose number is a multiple of this; 0 loses none.
+    pub cache_event_gap_every: Option<u64>,
+    /// Empties the prefix cache if true.
+    pub clear_cache: Option<bool>,
+}
+
+/// Fault of one request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Fault {
+    None,
+    FailBefore,
+    FailAfter(usize),
+    CutAfter(usize),
+    EndAfter(usize),
+}
+
+impl Fault {
+    /// Returns whether the fault strikes instead of the next token or the end.
+    pub(crate) fn strikes(self, generated: usize) -> bool {
+        match self {
+            Self::None | Self::FailBefore => false,
+            Self::FailAfter(tokens) | Self::CutAfter(tokens) | Self::EndAfter(tokens) => {
+                generated > tokens
+            }
+        }
+    }
+}
+
+/// Faults that remain for the next requests.
+#[derive(Debug, Default)]
+pub(crate) struct Faults {
+    fail_before: u32,
+    fail_after: AfterTokens,
+    cut: AfterTokens,
+    end_early: AfterTokens,
+    cross: u32,
+    omit_attempt_id: u32,
+    /// Delay of each answer, in milliseconds.
+    pub(crate) delay_answer_ms: u64,
+}
+
+impl Faults {
+    /// Takes over the faults of a control call.
+    pub(crate) fn change(&mut self, control: &EngineControl) {
+        self.fail_before = control.fail_before.unwrap_or(self.fail_before);
+        self.fail_after = control.fail_after.unwrap_or(self.fail_after);
+        self.cut = control.cut.unwrap_or(self.cut);
+        self.end_early = control.end_early.unwrap_or(self.end_early);
+        self.cross = control.cross.unwrap_or(self.cross);
+        self.omit_attempt_id = control.omit_attempt_id.unwrap_or(self.omit_attempt_id);
+        self.delay_answer_ms = control.delay_answer_ms.unwrap_or(self.delay_answer_ms);
+    }
+
+    /// Takes the fault of the next request.
+    pub(crate) fn take(&mut self, stream: bool) -> Fault {
+        if take(&mut self.fail_before) {
+            return Fault::FailBefore;
+        }
+        if take(&mut self.fail_after.count) {
+            return Fault::FailAfter(self.fail_after.tokens);
+        }
+        if take(&mut self.cut.count) {
+            return Fault::CutAfter(self.cut.tokens);
+        }
+        if stream && take(&mut self.end_early.count) {
+            return Fault::EndAfter(self.end_early.tokens);
+        }
+        Fault::None
+    }
+
+    /// Takes whether the next request is crossed.
+    pub(crate) fn take_cross(&mut self) -> bool {
+        take(&mut self.cross)
+    }
+
+    /// Takes whether the next answer lacks the attempt id.
+    pub(crate) fn take_omit(&mut self) -> bool {
+        take(&mut self.omit_attempt_id)
+    }
+}
+
+fn take(left: &mut u32) -> bool {
+    let some = *left > 0;
+    *left = left.saturating_sub(1);
+    some
+}
--- a/standins/src/http.rs
+++ b/standins/src/http.rs
@@ -5,16 +5,20 @@
     future::Future,
     io,
     net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
+    pin::Pin,
     rc::Rc,
+    task::{Context, Poll, ready},
     time::Duration,
 };
 
+use async_channel::Receiver;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
-use http_body_util::{BodyExt, Full, Limited};
+use futures_util::Stream;
+use http_body_util::{BodyExt, Limited};
 use hyper::{
-    Method, Request, Response, StatusCode,
-    body::{Bytes, Incoming},
+    HeaderMap, Method, Request, Response, StatusCode,
+    body::{Body, Bytes, Frame, Incoming, SizeHint},
     header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER},
     service::service_fn,
 };
@@ -33,6 +37,7 @@
     pub(crate) method: Method,
     pub(crate) path: String,
     pub(crate) query: Vec<(String, String)>,
+    pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
 }
 
@@ -53,6 +58,11 @@
             .map_err(|err| bad_request(format!("the body is not valid for {}: {err}", self.path)))
     }
 
+    /// Returns a header as text, if it is present and readable.
+    pub(crate) fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name).and_then(|value| value.to_str().ok())
+    }
+
     /// Returns the segments of the path.
     pub(crate) fn segments(&self) -> Vec<&str> {
         self.path
@@ -60,6 +70,19 @@
             .filter(|segment| !segment.is_empty())
             .collect()
     }
+
+    /// Returns the headers as they were received, in order.
+    pub(crate) fn header_list(&self) -> Vec<(String, String)> {
+        self.headers
+            .iter()
+            .map(|(name, value)| {
+                (
+                    name.to_string(),
+                    String::from_utf8_lossy(value.as_bytes()).into_owned(),
+                )
+            })
+            .collect()
+    }
 }
 
 /// An answer with a whole or a streamed body.
@@ -80,8 +103,43 @@
 
 impl std::error::Error for Dropped {}
 
-/// The body of an answer.
-pub(crate) type Reply = Full<Bytes>;
+/// A body: whole, or streamed from a channel. A `Dropped` item cuts the connection.
+#[derive(Debug)]
+pub(crate) enum Reply {
+    Whole(Option<Bytes>),
+    Stream(Pin<Box<Receiver<Result<Bytes, Dropped>>>>),
+}
+
+impl Body for Reply {
+    type Data = Bytes;
+    type Error = Dropped;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Dropped>>> {
+        match self.get_mut() {
+            Self::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Self::Stream(rx) => {
+                let item = ready!(rx.as_mut().poll_next(cx));
+                Poll::Ready(item.map(|item| item.map(Frame::data)))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Self::Whole(None))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(bytes) => {
+                SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
+            }
+            Self::Stream(_) => SizeHint::default(),
+        }
+    }
+}
 
 /// A stand-in's request handler.
 pub(crate) trait Service {
@@ -154,6 +212,7 @@
         method: parts.method,
         path: parts.uri.path().to_owned(),
         query: parse_query(parts.uri.query().unwrap_or_default()),
+        headers: parts.headers,
         body,
     };
     service.call(call).await
@@ -173,7 +232,7 @@
 
 /// Builds an answer with raw bytes.
 pub(crate) fn bytes(status: StatusCode, content_type: &'static str, body: Bytes) -> Answer {
-    let mut answer = Response::new(Full::new(body));
+    let mut answer = Response::new(Reply::Whole(Some(body)));
     *answer.status_mut() = status;
     answer
         .headers_mut()
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -3,10 +3,15 @@
 mod bucket;
 pub mod client;
 mod clock;
+mod content;
+pub mod engine;
 pub mod harness;
 mod http;
 mod lagged;
 pub mod list;
 pub mod log;
+pub mod plain;
+pub mod weights;
 
+pub use content::{ATTEMPT_ID, RESUME_TOKENS, content_hash};
 pub use http::bind;
--- /dev/null
+++ b/standins/tests/engine.rs
@@ -0,0 +1,523 @@
+//! Tests of the engine stand-in as a process.
+
+#![allow(
+    clippy::unwrap_used,
+    reason = "a helper that fails has to fail its test"
+)]
+
+use std::{
+    io::Write,
+    net::TcpStream,
+    time::{Duration, Instant},
+};
+
+use limpetweir_standins::{
+    ATTEMPT_ID, RESUME_TOKENS,
+    client::{self, ClientError, Exchange, Received},
+    engine::{AfterTokens, EngineControl, RequestOutcome, RequestRecord, text},
+    harness::{Launch, Process},
+};
+use rstest::rstest;
+use serde_json::{Value, json};
+
+/// Bound on waiting for another process; only a hanging test reaches it.
+const WAIT: Duration = Duration::from_secs(30);
+
+fn start(args: &[&str]) -> Process {
+    let fast = [
+        "--step-base-us",
+        "500",
+        "--step-per-sequence-us",
+        "10",
+        "--load-lag-ms",
+        "0",
+    ];
+    Launch::standin("engine")
+        .unwrap()
+        .args(fast)
+        .args(args)
+        .spawn()
+        .unwrap()
+}
+
+fn control(engine: &Process, control: &EngineControl) {
+    let answer = client::post(engine.address(), "/control", control).unwrap();
+    assert_eq!(answer.status, 200, "{}", answer.text());
+}
+
+fn completion(prompt: &str, max_tokens: usize, stream: bool) -> Value {
+    json!({ "model": "reef-1", "prompt": prompt, "max_tokens": max_tokens, "stream": stream })
+}
+
+fn send(engine: &Process, body: &Value, headers: &[(&str, &str)]) -> Result<Received, ClientError> {
+    client::send(Exchange {
+        address: engine.address(),
+        method: "POST",
+        path: "/v1/completions",
+        headers,
+        body: body.to_string().into_bytes(),
+    })
+}
+
+/// Returns the data of the server-sent events.
+fn events(answer: &Received) -> Vec<String> {
+    let text = answer.text();
+    let blocks = text.split("\n\n").filter(|block| !block.is_empty());
+    blocks
+        .map(|block| block.strip_prefix("data: ").unwrap().to_owned())
+        .collect()
+}
+
+/// Returns the text of a streamed completion so far.
+fn streamed_text(answer: &Received) -> String {
+    let events = events(answer);
+    let json = events
+        .iter()
+        .filter_map(|event| serde_json::from_str::<Value>(event).ok());
+    json.filter_map(|event| event["choices"][0]["text"].as_str().map(str::to_owned))
+        .collect()
+}
+
+fn is_done(answer: &Received) -> bool {
+    events(answer).last().is_some_and(|event| event == "[DONE]")
+}
+
+fn whole_text(answer: &Received) -> String {
+    let body: Value = answer.json().unwrap();
+    body["choices"][0]["text"].as_str().unwrap().to_owned()
+}
+
+fn records(engine: &Process) -> Vec<RequestRecord> {
+    let mut body: Value = client::get(engine.address(), "/record")
+        .unwrap()
+        .json()
+        .unwrap();
+    serde_json::from_value(body["requests"].take()).unwrap()
+}
+
+/// Waits until the only request has this outcome.
+fn await_outcome(engine: &Process, outcome: RequestOutcome) -> RequestRecord {
+    let deadline = Instant::now() + WAIT;
+    loop {
+        let mut records = records(engine);
+        if records.len() == 1 && records[0].outcome == outcome {
+            return records.remove(0);
+        }
+        assert!(Instant::now() < deadline, "not {outcome:?}: {records:?}");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// Guards against a whole answer and a stream that differ, and against a wrong usage.
+#[test]
+fn stream_and_whole_answer_have_the_same_text() {
+    let engine = start(&[]);
+    let expected = text::Text::new("reef-1", "tide table").range(0, 12);
+    let whole = send(&engine, &completion("tide table", 12, false), &[]).unwrap();
+    assert_eq!(whole_text(&whole), expected);
+    let body: Value = whole.json().unwrap();
+    assert_eq!(body["choices"][0]["finish_reason"], "length");
+    assert_eq!(body["usage"]["prompt_tokens"], 3);
+    assert_eq!(body["usage"]["completion_tokens"], 12);
+
+    let mut request = completion("tide table", 12, true);
+    request["stream_options"] = json!({ "include_usage": true });
+    let streamed = send(&engine, &request, &[]).unwrap();
+    assert_eq!(streamed.header("content-type"), Some("text/event-stream"));
+    assert_eq!(streamed_text(&streamed), expected);
+    assert!(streamed.complete && is_done(&streamed));
+    let events = events(&streamed);
+    let usage: Value = serde_json::from_str(&events[events.len() - 2]).unwrap();
+    assert_eq!(usage["usage"]["completion_tokens"], 12);
+}
+
+/// Guards against a chat answer in the form of a completion.
+#[test]
+fn chat_has_the_chat_form() {
+    let engine = start(&[]);
+    let messages = json!([{ "role": "user", "content": "tide" }]);
+    let mut request = json!({ "model": "reef-1", "messages": messages, "max_tokens": 4 });
+    let expected = text::Text::new("reef-1", "user: tide\n").range(0, 4);
+    let whole = client::post(engine.address(), "/v1/chat/completions", &request).unwrap();
+    let body: Value = whole.json().unwrap();
+    assert_eq!(body["choices"][0]["message"]["content"], expected);
+
+    request["stream"] = json!(true);
+    let streamed = client::post(engine.address(), "/v1/chat/completions", &request).unwrap();
+    let first: Value = serde_json::from_str(&events(&streamed)[0]).unwrap();
+    assert_eq!(first["object"], "chat.completion.chunk");
+    assert_eq!(first["choices"][0]["delta"]["role"], "assistant");
+    assert!(is_done(&streamed));
+}
+
+/// Guards against a resumed answer that repeats, skips or changes tokens.
+#[rstest]
+#[case(0)]
+#[case(1)]
+#[case(9)]
+#[case(20)]
+fn resumed_answer_continues_exactly(#[case] delivered: usize) {
+    let engine = start(&[]);
+    let source = text::Text::new("reef-1", "resume");
+    let resume = delivered.to_string();
+    let headers = [(RESUME_TOKENS, resume.as_str())];
+    let whole = send(&engine, &completion("resume", 20, false), &headers).unwrap();
+    assert_eq!(
+        source.range(0, delivered) + &whole_text(&whole),
+        source.range(0, 20)
+    );
+    let streamed = send(&engine, &completion("resume", 20, true), &headers).unwrap();
+    assert_eq!(
+        source.range(0, delivered) + &streamed_text(&streamed),
+        source.range(0, 20)
+    );
+    assert!(is_done(&streamed));
+    assert!(
+        records(&engine)
+            .iter()
+            .all(|record| record.generated == 20 - delivered)
+    );
+}
+
+/// Guards against an answer that cannot be matched to its attempt, and a record without it.
+#[test]
+fn attempt_id_is_echoed_and_recorded() {
+    let engine = start(&[]);
+    let headers = [(ATTEMPT_ID, "a-7"), ("x-other", "kept")];
+    let answer = send(&engine, &completion("p", 2, false), &headers).unwrap();
+    assert_eq!(answer.header(ATTEMPT_ID), Some("a-7"));
+    let record = await_outcome(&engine, RequestOutcome::Completed);
+    assert_eq!(record.attempt_id.as_deref(), Some("a-7"));
+    assert!(
+        record
+            .headers
+            .contains(&("x-other".to_owned(), "kept".to_owned()))
+    );
+    assert_eq!(record.content_hash, text::request_hash("reef-1", "p", 2));
+}
+
+/// Guards against a stream that goes on without a reader.
+#[test]
+fn closed_stream_is_cancelled() {
+    let engine = start(&["--step-base-us", "300000"]);
+    let body = completion("p", 30, true).to_string().into_bytes();
+    let exchange = Exchange {
+        address: engine.address(),
+        method: "POST",
+        path: "/v1/completions",
+        body,
+        ..Exchange::default()
+    };
+    client::send_until(exchange, |body| !body.is_empty()).unwrap();
+    let record = await_outcome(&engine, RequestOutcome::Cancelled);
+    assert!(record.generated < 30);
+    let load: Value = client::get(engine.address(), "/load")
+        .unwrap()
+        .json()
+        .unwrap();
+    assert_eq!((&load["running"], &load["waiting"]), (&json!(0), &json!(0)));
+}
+
+/// Guards against a request that runs on although its caller left before the answer.
+#[rstest]
+#[case(false)]
+#[case(true)]
+fn closed_connection_is_cancelled_before_the_first_token(#[case] stream: bool) {
+    let engine = start(&[]);
+    control(
+        &engine,
+        &EngineControl {
+            stall: Some(true),
+            ..EngineControl::default()
+        },
+    );
+    let body = completion("p", 5, stream).to_string();
+    let mut connection = TcpStream::connect(engine.address()).unwrap();
+    let length = body.len();
+    write!(
+        connection,
+        "POST /v1/completions HTTP/1.1\r\nhost: e\r\ncontent-length: {length}\r\n\r\n{body}"
+    )
+    .unwrap();
+    await_outcome(&engine, RequestOutcome::Running);
+    drop(connection);
+    await_outcome(&engine, RequestOutcome::Cancelled);
+}
+
+/// Guards against a cut stream that looks complete.
+#[test]
+fn cut_stream_is_not_complete() {
+    let engine = start(&[]);
+    let cut = AfterTokens {
+        count: 1,
+        tokens: 3,
+    };
+    control(
+        &engine,
+        &EngineControl {
+            cut: Some(cut),
+            ..EngineControl::default()
+        },
+    );
+    let answer = send(&engine, &completion("p", 9, true), &[]).unwrap();
+    assert!(!answer.complete && !is_done(&answer));
+    assert_eq!(
+        streamed_text(&answer),
+        text::Text::new("reef-1", "p").range(0, 3)
+    );
+    await_outcome(&engine, RequestOutcome::Cut);
+}
+
+/// Guards against a stream without its end marker that cannot be told from a complete one.
+#[test]
+fn stream_that_ends_early_has_no_end_marker() {
+    let engine = start(&[]);
+    let end_early = AfterTokens {
+        count: 1,
+        tokens: 9,
+    };
+    control(
+        &engine,
+        &EngineControl {
+            end_early: Some(end_early),
+            ..EngineControl::default()
+        },
+    );
+    let answer = send(&engine, &completion("p", 9, true), &[]).unwrap();
+    assert!(answer.complete && !is_done(&answer));
+    await_outcome(&engine, RequestOutcome::EndedEarly);
+}
+
+/// Guards against faults that hit more requests than were asked for.
+#[test]
+fn failures_are_counted() {
+    let engine = start(&[]);
+    let fail_after = AfterTokens {
+        count: 1,
+        tokens: 1,
+    };
+    control(
+        &engine,
+        &EngineControl {
+            fail_before: Some(1),
+            fail_after: Some(fail_after),
+            ..EngineControl::default()
+        },
+    );
+    let request = completion("p", 3, false);
+    let rejected = send(&engine, &request, &[]).unwrap();
+    assert_eq!(rejected.status, 503);
+    assert!(rejected.header("retry-after").is_some());
+    let failed = send(&engine, &request, &[]).unwrap();
+    assert_eq!(failed.status, 500);
+    assert_eq!(
+        failed.json::<Value>().unwrap()["error"]["type"],
+        "server_error"
+    );
+    assert_eq!(send(&engine, &request, &[]).unwrap().status, 200);
+    let generated: Vec<usize> = records(&engine)
+        .iter()
+        .map(|record| record.generated)
+        .collect();
+    assert_eq!(generated[0], 0);
+    assert_eq!(generated[2], 3);
+}
+
+/// Guards against a crossed answer that cannot be noticed by its attempt id.
+#[test]
+fn crossed_answer_is_that_of_the_previous_request() {
+    let engine = start(&[]);
+    send(
+        &engine,
+        &completion("first", 5, false),
+        &[(ATTEMPT_ID, "a")],
+    )
+    .unwrap();
+    control(
+        &engine,
+        &EngineControl {
+            cross: Some(1),
+            ..EngineControl::default()
+        },
+    );
+    let answer = send(
+        &engine,
+        &completion("second", 5, false),
+        &[(ATTEMPT_ID, "b")],
+    )
+    .unwrap();
+    assert_eq!(answer.header(ATTEMPT_ID), Some("a"));
+    assert_eq!(
+        whole_text(&answer),
+        text::Text::new("reef-1", "first").range(0, 5)
+    );
+    assert!(records(&engine)[1].crossed);
+}
+
+/// Guards against a poison item that succeeds on some attempt.
+#[test]
+fn poison_always_fails() {
+    let engine = start(&[]);
+    let prompt = format!("salt {}", text::POISON_MARKER);
+    for stream in [false, true, false] {
+        assert_eq!(
+            send(&engine, &completion(&prompt, 3, stream), &[])
+                .unwrap()
+                .status,
+            500
+        );
+    }
+    let records = records(&engine);
+    assert!(
+        records
+            .iter()
+            .all(|record| record.outcome == RequestOutcome::Poisoned)
+    );
+}
+
+/// Guards against malformed requests that run, and errors in another form.
+#[rstest]
+#[case(json!({ "model": "reef-1", "prompt": "p", "n": 2 }), 400, "n")]
+#[case(json!({ "model": "reef-1" }), 400, "prompt")]
+#[case(json!({ "model": "other", "prompt": "p" }), 404, "model")]
+#[case(json!({ "model": "reef-1", "prompt": "p", "max_tokens": 40000 }), 400, "prompt")]
+fn malformed_request_is_rejected(#[case] request: Value, #[case] status: u16, #[case] param: &str) {
+    let engine = start(&[]);
+    let answer = send(&engine, &request, &[]).unwrap();
+    assert_eq!(answer.status, status);
+    let body: Value = answer.json().unwrap();
+    assert_eq!(body["error"]["type"], "invalid_request_error");
+    assert_eq!(body["error"]["param"], param);
+    assert!(body["error"]["message"].is_string());
+    await_outcome(&engine, RequestOutcome::Rejected);
+}
+
+fn order(engine: &Process, kind: &str, value: &str, fencing: u64) -> u16 {
+    let order = json!({ "kind": kind, "value": value, "fencing": fencing });
+    client::post(engine.address(), "/orders", &order)
+        .unwrap()
+        .status
+}
+
+fn load(engine: &Process) -> Value {
+    client::get(engine.address(), "/load")
+        .unwrap()
+        .json()
+        .unwrap()
+}
+
+/// Guards against an engine that says that it checks fencing numbers but obeys an old manager.
+#[test]
+fn old_fencing_number_is_rejected() {
+    let engine = start(&["--load-time-ms", "0"]);
+    assert_eq!(order(&engine, "model", "reef-2", 5), 200);
+    assert_eq!(order(&engine, "adapter", "brine", 5), 200);
+    assert_eq!(order(&engine, "version", "7", 6), 200);
+    assert_eq!(order(&engine, "role", "decode", 6), 200);
+    assert_eq!(order(&engine, "model", "reef-1", 4), 409);
+    let load = load(&engine);
+    assert_eq!(load["model"], "reef-2");
+    assert_eq!(load["adapters"], json!(["brine"]));
+    assert_eq!(load["version"], "7");
+    assert_eq!(load["role"], "decode");
+    assert_eq!(load["fencing"], 6);
+}
+
+/// Guards against a stand-in that cannot show the effect of an old manager's order.
+#[test]
+fn old_fencing_number_is_ignored_if_so_configured() {
+    let engine = start(&["--load-time-ms", "0", "--ignore-fencing"]);
+    assert_eq!(order(&engine, "model", "reef-2", 5), 200);
+    assert_eq!(order(&engine, "model", "reef-3", 4), 200);
+    assert_eq!(load(&engine)["model"], "reef-3");
+    let record: Value = client::get(engine.address(), "/record")
+        .unwrap()
+        .json()
+        .unwrap();
+    assert_eq!(record["orders"][1]["order"]["fencing"], 4);
+}
+
+/// Guards against an imported cache without effect, or one taken from another model.
+#[test]
+fn exported_blocks_are_imported() {
+    let (from, to) = (start(&[]), start(&[]));
+    let prompt = "x".repeat(200);
+    send(&from, &completion(&prompt, 1, false), &[]).unwrap();
+    let export = json!({ "prompt": prompt });
+    let mut blocks: Value = client::post(from.address(), "/kv/export", &export)
+        .unwrap()
+        .json()
+        .unwrap();
+    assert_eq!(blocks["blocks"].as_array().unwrap().len(), 3);
+    assert_eq!(
+        client::post(to.address(), "/kv/import", &blocks)
+            .unwrap()
+            .status,
+        200
+    );
+    let answer = send(&to, &completion(&prompt, 1, false), &[]).unwrap();
+    let usage = &answer.json::<Value>().unwrap()["usage"];
+    assert_eq!(usage["prompt_tokens_details"]["cached_tokens"], 48);
+    blocks["model"] = json!("other");
+    assert_eq!(
+        client::post(to.address(), "/kv/import", &blocks)
+            .unwrap()
+            .status,
+        409
+    );
+}
+
+/// Guards against cache events without the gaps that readers must handle.
+#[test]
+fn cache_events_have_gaps() {
+    let engine = start(&["--cache-event-lag-ms", "0", "--cache-event-gap-every", "3"]);
+    send(&engine, &completion(&"x".repeat(256), 1, false), &[]).unwrap();
+    let body: Value = client::get(engine.address(), "/cache/events?from=1")
+        .unwrap()
+        .json()
+        .unwrap();
+    let events = body["events"].as_array().unwrap();
+    let numbers: Vec<u64> = events
+        .iter()
+        .map(|event| event["seq"].as_u64().unwrap())
+        .collect();
+    assert_eq!(numbers, [1, 2, 4]);
+    assert_eq!(body["next"], 5);
+    control(
+        &engine,
+        &EngineControl {
+            clear_cache: Some(true),
+            ..EngineControl::default()
+        },
+    );
+    let body: Value = client::get(engine.address(), "/cache/events?from=5")
+        .unwrap()
+        .json()
+        .unwrap();
+    assert_eq!(body["events"][0]["kind"], "removed");
+}
+
+/// Guards against a load or cache event that is shown before its lag.
+#[test]
+fn load_and_cache_events_lag() {
+    let engine = start(&[
+        "--load-lag-ms",
+        "3600000",
+        "--cache-event-lag-ms",
+        "3600000",
+    ]);
+    send(&engine, &completion(&"x".repeat(256), 1, false), &[]).unwrap();
+    assert_eq!(load(&engine)["cache_blocks"], 0);
+    let body: Value = client::get(engine.address(), "/cache/events")
+        .unwrap()
+        .json()
+        .unwrap();
+    assert_eq!(body["events"], json!([]));
+    let now = EngineControl {
+        load_lag_ms: Some(0),
+        cache_event_lag_ms: Some(0),
+        ..EngineControl::default()
+    };
+    control(&engine, &now);
+    assert_eq!(load(&engine)["cache_blocks"], 4);
+}
