standins: take the orders that the coordination layer issues

The engine knew one model and a free-form value, but batch managers load several models and versions and adapters per model. Orders now have the kinds load-model, unload-model, load-adapter, unload-adapter and set-role, and enumerations are kebab-case on the wire as in the other packages. A reissued order does not restart a pending load; otherwise a manager that reissues faster than the load time would never see the model. Imports follow the vertical form of the contribution guide.

--- a/standins/examples/standin.rs
+++ b/standins/examples/standin.rs
@@ -1,9 +1,27 @@
 //! Starts one stand-in process on loopback and prints its address as one JSON line.
 
-use std::{collections::BTreeMap, error::Error, io::Write, net::TcpListener, time::Duration};
+use std::{
+    collections::BTreeMap,
+    error::Error,
+    io::Write,
+    net::TcpListener,
+    time::Duration, //
+};
 
-use clap::{Arg, ArgAction, ArgMatches, Command};
-use limpetweir_standins::{bind, engine, list, log, plain, weights};
+use clap::{
+    Arg,
+    ArgAction,
+    ArgMatches,
+    Command, //
+};
+use limpetweir_standins::{
+    bind,
+    engine,
+    list,
+    log,
+    plain,
+    weights, //
+};
 
 fn main() -> Result<(), Box<dyn Error>> {
     env_logger::init();
--- a/standins/src/client.rs
+++ b/standins/src/client.rs
@@ -1,14 +1,31 @@
 //! Blocking HTTP client for tests and demos: one connection for each request.
 
-use std::{io, net::TcpStream};
+use std::{
+    io,
+    net::TcpStream, //
+};
 
 use async_io::Async;
 use futures_lite::future;
-use http_body_util::{BodyExt, Full};
-use hyper::{Request, body::Bytes, client::conn::http1, header::HOST};
-use serde::{Serialize, de::DeserializeOwned};
+use http_body_util::{
+    BodyExt,
+    Full, //
+};
+use hyper::{
+    Request,
+    body::Bytes,
+    client::conn::http1,
+    header::HOST, //
+};
+use serde::{
+    Serialize,
+    de::DeserializeOwned, //
+};
 use smol_hyper::rt::FuturesIo;
-use snafu::{ResultExt, Snafu};
+use snafu::{
+    ResultExt,
+    Snafu, //
+};
 
 /// A request to send.
 #[derive(Debug, Clone, Default)]
--- a/standins/src/clock.rs
+++ b/standins/src/clock.rs
@@ -1,6 +1,9 @@
 //! Time since the start of a stand-in.
 
-use std::time::{Duration, Instant};
+use std::time::{
+    Duration,
+    Instant, //
+};
 
 /// Measures time since the start of the process; pure models take the value as an argument.
 #[derive(Debug, Clone, Copy)]
--- a/standins/src/content.rs
+++ b/standins/src/content.rs
@@ -1,6 +1,9 @@
 //! Headers and content hashes that the backend stand-ins share.
 
-use sha2::{Digest, Sha256};
+use sha2::{
+    Digest,
+    Sha256, //
+};
 
 /// Header with the id of an attempt; backend servers echo it.
 pub const ATTEMPT_ID: &str = "x-attempt-id";
--- a/standins/src/engine/api.rs
+++ b/standins/src/engine/api.rs
@@ -1,10 +1,19 @@
 //! OpenAI-compatible bodies.
 
-use hyper::{StatusCode, body::Bytes};
+use hyper::{
+    StatusCode,
+    body::Bytes, //
+};
 use serde::Deserialize;
-use serde_json::{Value, json};
+use serde_json::{
+    Value,
+    json, //
+};
 
-use crate::http::{self, Answer};
+use crate::http::{
+    self,
+    Answer, //
+};
 
 /// Token limit of a completion without `max_tokens`.
 const DEFAULT_COMPLETION_TOKENS: usize = 16;
--- a/standins/src/engine/cache.rs
+++ b/standins/src/engine/cache.rs
@@ -1,6 +1,9 @@
 //! Prefix cache: blocks of prompt tokens in limited memory, evicted least recently used first.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{
+    BTreeMap,
+    HashMap, //
+};
 
 use crate::content::hash64;
 
--- a/standins/src/engine/control.rs
+++ b/standins/src/engine/control.rs
@@ -1,6 +1,9 @@
 //! Faults that tests switch on.
 
-use serde::{Deserialize, Serialize};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 
 /// A fault of the next `count` requests, each after `tokens` generated tokens.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
--- a/standins/src/engine/core.rs
+++ b/standins/src/engine/core.rs
@@ -1,25 +1,59 @@
 //! State of the engine behind its HTTP interface.
 
-use std::{collections::HashMap, time::Duration};
+use std::{
+    collections::HashMap,
+    time::Duration, //
+};
 
-use async_channel::{Receiver, Sender};
-use serde_json::{Value, json};
+use async_channel::{
+    Receiver,
+    Sender, //
+};
+use serde_json::{
+    Value,
+    json, //
+};
 
 use super::{
-    api::{ApiError, Request},
+    api::{
+        ApiError,
+        Request, //
+    },
     cache::PrefixCache,
-    control::{EngineControl, Fault, Faults},
+    control::{
+        EngineControl,
+        Fault,
+        Faults, //
+    },
     events::CacheEvents,
-    orders::{Order, OrderError, Orders},
-    record::{RequestOutcome, RequestRecord},
-    scheduler::{Progress, Scheduler, TimeModel, Work},
-    text::{self, Text},
+    orders::{
+        Order,
+        Orders,
+        Stale, //
+    },
+    record::{
+        RequestOutcome,
+        RequestRecord, //
+    },
+    scheduler::{
+        Progress,
+        Scheduler,
+        TimeModel,
+        Work, //
+    },
+    text::{
+        self,
+        Text, //
+    }, //
 };
 use crate::{
     clock::millis,
-    content::{ATTEMPT_ID, RESUME_TOKENS},
+    content::{
+        ATTEMPT_ID,
+        RESUME_TOKENS, //
+    },
     http::Call,
-    lagged::Lagged,
+    lagged::Lagged, //
 };
 
 /// Settings of an engine.
@@ -168,7 +202,7 @@
         self.faults.take_omit()
     }
 
-    pub(crate) fn order(&mut self, now: Duration, order: Order) -> Result<Value, OrderError> {
+    pub(crate) fn order(&mut self, now: Duration, order: Order) -> Result<Value, Stale> {
         let ordered = self.orders.order(now, order);
         self.publish(now);
         ordered.map(|()| json!({ "accepted": true, "fencing": self.orders.highest() }))
@@ -208,20 +242,17 @@
         self.events.read(now, from)
     }
 
-    /// Returns the cached blocks of a prompt.
-    pub(crate) fn export(&mut self, now: Duration, prompt: &str) -> Value {
-        let loaded = self.orders.loaded(now);
-        let blocks = PrefixCache::blocks(&loaded.model, prompt);
+    /// Returns the cached blocks of a prompt, or `None` if the model is not loaded.
+    pub(crate) fn export(&mut self, now: Duration, model: &str, prompt: &str) -> Option<Value> {
+        let version = self.orders.loaded(now).models.get(model)?;
+        let blocks = PrefixCache::blocks(model, prompt);
         let cached = self.scheduler.cache().cached(&blocks);
-        let blocks: Vec<String> = blocks
-            .iter()
-            .take(cached)
-            .map(|block| format!("{block:016x}"))
-            .collect();
-        json!({ "model": loaded.model, "version": loaded.version, "blocks": blocks })
+        let exported = blocks.iter().take(cached);
+        let exported: Vec<String> = exported.map(|block| format!("{block:016x}")).collect();
+        Some(json!({ "model": model, "version": version, "blocks": exported }))
     }
 
-    /// Stores exported blocks; false if they are of another model or version.
+    /// Stores exported blocks; false if the model is not loaded in this version.
     pub(crate) fn import(
         &mut self,
         now: Duration,
@@ -229,8 +260,8 @@
         version: &str,
         blocks: &[u64],
     ) -> bool {
-        let loaded = self.orders.loaded(now);
-        if loaded.model != model || loaded.version != version {
+        let loaded = self.orders.loaded(now).models.get(model);
+        if loaded.is_none_or(|loaded| loaded != version) {
             return false;
         }
         self.scheduler.cache_mut().store(blocks);
@@ -240,11 +271,7 @@
 
     /// Returns the names that requests may use as their model.
     pub(crate) fn models(&mut self, now: Duration) -> Vec<String> {
-        let loaded = self.orders.loaded(now);
-        let adapters = loaded.adapters.iter().cloned();
-        std::iter::once(loaded.model.clone())
-            .chain(adapters)
-            .collect()
+        self.orders.loaded(now).names().collect()
     }
 
     /// Returns the record of requests and orders.
@@ -336,7 +363,7 @@
 
     /// Checks a request and returns the number of tokens to resume from.
     fn check(&mut self, now: Duration, call: &Call, request: &Request) -> Result<usize, ApiError> {
-        if !self.models(now).contains(&request.model) {
+        if !self.orders.loaded(now).serves(&request.model) {
             return Err(ApiError {
                 status: hyper::StatusCode::NOT_FOUND,
                 kind: "invalid_request_error",
--- a/standins/src/engine/events.rs
+++ b/standins/src/engine/events.rs
@@ -1,8 +1,14 @@
 //! Cache events that are published late and with gaps.
 
-use std::{collections::VecDeque, time::Duration};
+use std::{
+    collections::VecDeque,
+    time::Duration, //
+};
 
-use serde_json::{Value, json};
+use serde_json::{
+    Value,
+    json, //
+};
 
 use super::cache::CacheChange;
 
--- a/standins/src/engine/mod.rs
+++ b/standins/src/engine/mod.rs
@@ -12,11 +12,30 @@
 pub mod text;
 
 pub use self::{
-    cache::{CacheChange, PrefixCache},
-    control::{AfterTokens, EngineControl},
+    cache::{
+        CacheChange,
+        PrefixCache, //
+    },
+    control::{
+        AfterTokens,
+        EngineControl, //
+    },
     core::EngineConfig,
-    orders::{Order, OrderKind, OrderRecord, Role},
-    record::{RequestOutcome, RequestRecord},
-    scheduler::{Progress, Scheduler, TimeModel, Work},
-    server::serve,
+    orders::{
+        Change,
+        Order,
+        OrderRecord,
+        Role, //
+    },
+    record::{
+        RequestOutcome,
+        RequestRecord, //
+    },
+    scheduler::{
+        Progress,
+        Scheduler,
+        TimeModel,
+        Work, //
+    },
+    server::serve, //
 };
--- a/standins/src/engine/orders.rs
+++ b/standins/src/engine/orders.rs
@@ -1,54 +1,77 @@
 //! Orders to load models, adapters and versions or to change the role.
 
-use std::time::Duration;
-
-use serde::{Deserialize, Serialize};
-use strum::{Display, EnumString};
-
-/// Version of a model that was just loaded.
-const FIRST_VERSION: &str = "1";
-
-/// What an order changes.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum OrderKind {
-    /// Loads the model `value`; adapters are unloaded and the version returns to "1".
-    Model,
-    /// Loads the adapter `value`, or unloads it with `remove`.
-    Adapter,
-    /// Loads the version `value` of the current model.
-    Version,
-    /// Changes the role to `value`.
-    Role,
-}
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
+    time::Duration, //
+};
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+/// Version of the model that is loaded at the start.
+pub(crate) const FIRST_VERSION: &str = "1";
 
 /// Part of the work that the engine takes. The stand-in reports it but does not act on it.
-#[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize, EnumString, Display,
-)]
-#[serde(rename_all = "snake_case")]
-#[strum(serialize_all = "snake_case")]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum Role {
     /// Prefill and decode.
     #[default]
-    Both,
+    Mixed,
     /// Prefill only.
     Prefill,
     /// Decode only.
     Decode,
 }
 
-/// Body of `POST /orders`.
+/// What an order changes; on the wire, the field `kind` names the variant.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "kind", rename_all = "kebab-case")]
+pub enum Change {
+    /// Loads a version of a model in place of any other version of it.
+    LoadModel {
+        /// Name of the model.
+        model: String,
+        /// Version to load.
+        version: String,
+    },
+    /// Unloads a model and its adapters.
+    UnloadModel {
+        /// Name of the model.
+        model: String,
+    },
+    /// Loads an adapter of a model.
+    LoadAdapter {
+        /// Name of the model.
+        model: String,
+        /// Name of the adapter.
+        adapter: String,
+    },
+    /// Unloads an adapter.
+    UnloadAdapter {
+        /// Name of the model.
+        model: String,
+        /// Name of the adapter.
+        adapter: String,
+    },
+    /// Changes the role.
+    SetRole {
+        /// The new role.
+        role: Role,
+    },
+}
+
+/// Body of `POST /orders`; repeating an order has no further effect.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct Order {
     /// What the order changes.
-    pub kind: OrderKind,
-    /// Name of the model or adapter, version or role.
-    pub value: String,
-    /// Unloads the adapter instead of loading it.
-    #[serde(default)]
-    pub remove: bool,
+    #[serde(flatten)]
+    pub change: Change,
     /// Fencing number of the sender.
     pub fencing: u64,
 }
@@ -62,30 +85,51 @@
     pub accepted: bool,
 }
 
-/// Reason for which an order has no effect.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) enum OrderError {
-    /// A higher fencing number was seen.
-    Stale { highest: u64 },
-    /// The role is not known.
-    UnknownRole(String),
+/// An order has no effect, because one with a higher fencing number was accepted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Stale {
+    /// Highest fencing number of an accepted order.
+    pub(crate) highest: u64,
+}
+
+/// A loaded adapter.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+pub(crate) struct Adapter {
+    pub(crate) model: String,
+    pub(crate) adapter: String,
 }
 
 /// What the engine has loaded.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
 pub(crate) struct Loaded {
-    pub(crate) model: String,
-    pub(crate) version: String,
-    pub(crate) adapters: Vec<String>,
+    /// Version by model.
+    pub(crate) models: BTreeMap<String, String>,
+    pub(crate) adapters: BTreeSet<Adapter>,
     pub(crate) role: Role,
 }
 
+impl Loaded {
+    /// Returns whether a request may name `name`: a model, or `<model>:<adapter>`.
+    pub(crate) fn serves(&self, name: &str) -> bool {
+        self.models.contains_key(name) || self.names().any(|other| other == name)
+    }
+
+    /// Returns the names that requests may use.
+    pub(crate) fn names(&self) -> impl Iterator<Item = String> {
+        let adapters = self
+            .adapters
+            .iter()
+            .map(|loaded| format!("{}:{}", loaded.model, loaded.adapter));
+        self.models.keys().cloned().chain(adapters)
+    }
+}
+
 /// Accepted orders and what they lead to.
 #[derive(Debug)]
 pub(crate) struct Orders {
     loaded: Loaded,
-    /// Orders that are accepted but not in effect, with their time.
-    pending: Vec<(Duration, Order)>,
+    /// Changes that are accepted but not in effect; their times never decrease.
+    pending: Vec<(Duration, Change)>,
     records: Vec<OrderRecord>,
     highest: u64,
     check_fencing: bool,
@@ -93,14 +137,12 @@
 }
 
 impl Orders {
-    /// Returns an engine that has loaded `model` without adapters.
+    /// Returns an engine that has loaded the first version of `model`.
     pub(crate) fn new(model: &str, check_fencing: bool, load_time: Duration) -> Self {
-        let loaded = Loaded {
-            model: model.to_owned(),
-            version: FIRST_VERSION.to_owned(),
-            adapters: Vec::new(),
-            role: Role::default(),
-        };
+        let mut loaded = Loaded::default();
+        loaded
+            .models
+            .insert(model.to_owned(), FIRST_VERSION.to_owned());
         Self {
             loaded,
             pending: Vec::new(),
@@ -117,20 +159,32 @@
     }
 
     /// Accepts or rejects an order. An equal fencing number is accepted.
-    pub(crate) fn order(&mut self, now: Duration, order: Order) -> Result<(), OrderError> {
+    ///
+    /// Orders take effect in the order in which they were accepted. One that repeats a pending
+    /// order does not start it again, because managers reissue orders until they are in effect.
+    pub(crate) fn order(&mut self, now: Duration, order: Order) -> Result<(), Stale> {
         self.settle(now);
-        let checked = self.check(&order);
+        let accepted = !self.check_fencing || order.fencing >= self.highest;
         self.records.push(OrderRecord {
             order: order.clone(),
-            accepted: checked.is_ok(),
+            accepted,
         });
-        checked?;
+        if !accepted {
+            return Err(Stale {
+                highest: self.highest,
+            });
+        }
         self.highest = self.highest.max(order.fencing);
-        let due = match order.kind {
-            OrderKind::Role => now,
-            OrderKind::Model | OrderKind::Adapter | OrderKind::Version => now + self.load_time,
-        };
-        self.pending.push((due, order));
+        if self
+            .pending
+            .iter()
+            .any(|(_, change)| *change == order.change)
+        {
+            return Ok(());
+        }
+        let due = now + self.time_to_apply(&order.change);
+        let last = self.pending.last().map_or(due, |(last, _)| *last);
+        self.pending.push((due.max(last), order.change));
         self.settle(now);
         Ok(())
     }
@@ -143,7 +197,7 @@
 
     /// Returns the next time at which a pending order takes effect.
     pub(crate) fn next_due(&self) -> Option<Duration> {
-        self.pending.iter().map(|(due, _)| *due).min()
+        self.pending.first().map(|(due, _)| *due)
     }
 
     /// Returns whether accepted orders are not yet in effect.
@@ -161,47 +215,47 @@
         &self.records
     }
 
-    fn check(&self, order: &Order) -> Result<(), OrderError> {
-        if self.check_fencing && order.fencing < self.highest {
-            return Err(OrderError::Stale {
-                highest: self.highest,
-            });
-        }
-        if order.kind == OrderKind::Role && order.value.parse::<Role>().is_err() {
-            return Err(OrderError::UnknownRole(order.value.clone()));
+    /// Returns zero for changes that need no loading.
+    fn time_to_apply(&self, change: &Change) -> Duration {
+        match change {
+            Change::LoadModel { model, version }
+                if self.loaded.models.get(model) != Some(version) =>
+            {
+                self.load_time
+            }
+            Change::LoadAdapter { .. } => self.load_time,
+            _ => Duration::ZERO,
         }
-        Ok(())
     }
 
-    /// Applies the orders that are due, in the order in which they were accepted.
+    /// Applies the changes that are due.
     fn settle(&mut self, now: Duration) {
-        let (due, pending) = std::mem::take(&mut self.pending)
-            .into_iter()
-            .partition(|(due, _)| *due <= now);
-        self.pending = pending;
-        let due: Vec<(Duration, Order)> = due;
-        for (_, order) in due {
-            self.apply(order);
+        let due = self.pending.partition_point(|(due, _)| *due <= now);
+        let changes: Vec<_> = self.pending.drain(..due).collect();
+        for (_, change) in changes {
+            self.apply(change);
         }
     }
 
-    fn apply(&mut self, order: Order) {
+    fn apply(&mut self, change: Change) {
         let loaded = &mut self.loaded;
-        match order.kind {
-            OrderKind::Model if loaded.model != order.value => {
-                loaded.model = order.value;
-                loaded.version = FIRST_VERSION.to_owned();
-                loaded.adapters.clear();
+        match change {
+            Change::LoadModel { model, version } => {
+                loaded.models.insert(model, version);
+            }
+            Change::UnloadModel { model } => {
+                loaded.models.remove(&model);
+                loaded.adapters.retain(|adapter| adapter.model != model);
             }
-            OrderKind::Model => {}
-            OrderKind::Adapter => {
-                loaded.adapters.retain(|adapter| *adapter != order.value);
-                if !order.remove {
-                    loaded.adapters.push(order.value);
+            Change::LoadAdapter { model, adapter } => {
+                if loaded.models.contains_key(&model) {
+                    loaded.adapters.insert(Adapter { model, adapter });
                 }
             }
-            OrderKind::Version => loaded.version = order.value,
-            OrderKind::Role => loaded.role = order.value.parse().unwrap_or(loaded.role),
+            Change::UnloadAdapter { model, adapter } => {
+                loaded.adapters.remove(&Adapter { model, adapter });
+            }
+            Change::SetRole { role } => loaded.role = role,
         }
     }
 }
--- a/standins/src/engine/record.rs
+++ b/standins/src/engine/record.rs
@@ -1,10 +1,13 @@
 //! Record of requests for tests.
 
-use serde::{Deserialize, Serialize};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 
 /// What became of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
+#[serde(rename_all = "kebab-case")]
 pub enum RequestOutcome {
     /// Waits or runs.
     Running,
--- a/standins/src/engine/scheduler.rs
+++ b/standins/src/engine/scheduler.rs
@@ -1,8 +1,14 @@
 //! Time model and scheduler of continuous batching.
 
-use std::{collections::VecDeque, time::Duration};
-
-use super::cache::{BLOCK_TOKENS, PrefixCache};
+use std::{
+    collections::VecDeque,
+    time::Duration, //
+};
+
+use super::cache::{
+    BLOCK_TOKENS,
+    PrefixCache, //
+};
 
 /// Constants of the time model.
 ///
--- a/standins/src/engine/server.rs
+++ b/standins/src/engine/server.rs
@@ -1,6 +1,12 @@
 //! HTTP interface of the engine.
 
-use std::{cell::RefCell, io, net::TcpListener, rc::Rc, time::Duration};
+use std::{
+    cell::RefCell,
+    io,
+    net::TcpListener,
+    rc::Rc,
+    time::Duration, //
+};
 
 use async_channel::Sender;
 use async_executor::LocalExecutor;
@@ -8,26 +14,60 @@
 use event_listener::Event;
 use futures_lite::future;
 use hyper::{
-    Method, Response, StatusCode,
+    Method,
+    Response,
+    StatusCode,
     body::Bytes,
-    header::{CACHE_CONTROL, CONTENT_TYPE, HeaderValue},
+    header::{
+        CACHE_CONTROL,
+        CONTENT_TYPE,
+        HeaderValue, //
+    }, //
 };
 use serde::Deserialize;
 use serde_json::json;
 
 use super::{
-    api::{self, ApiError, DONE, Form, Request, Shape, Usage},
-    control::{EngineControl, Fault},
-    core::{Admitted, Core, EngineConfig},
-    orders::{Order, OrderError},
+    api::{
+        self,
+        ApiError,
+        DONE,
+        Form,
+        Request,
+        Shape,
+        Usage, //
+    },
+    control::{
+        EngineControl,
+        Fault, //
+    },
+    core::{
+        Admitted,
+        Core,
+        EngineConfig, //
+    },
+    orders::{
+        Order,
+        Stale, //
+    },
     record::RequestOutcome,
     scheduler::Progress,
-    text::Text,
+    text::Text, //
 };
 use crate::{
     clock::Clock,
     content::ATTEMPT_ID,
-    http::{self, Answer, Call, Dropped, Outcome, Rejected, Reply, Service, bad_request},
+    http::{
+        self,
+        Answer,
+        Call,
+        Dropped,
+        Outcome,
+        Rejected,
+        Reply,
+        Service,
+        bad_request, //
+    }, //
 };
 
 /// Time to retry after that a rejection names.
@@ -184,21 +224,24 @@
         self.changed.notify(usize::MAX);
         match ordered {
             Ok(body) => Ok(http::json(StatusCode::OK, &body)),
-            Err(OrderError::Stale { highest }) => {
+            Err(Stale { highest }) => {
                 let message = "an order with a higher fencing number was accepted";
                 let body = json!({ "error": { "message": message }, "fencing": highest });
                 Ok(http::json(StatusCode::CONFLICT, &body))
             }
-            Err(OrderError::UnknownRole(role)) => {
-                Err(bad_request(format!("the role {role:?} is not known")))
-            }
         }
     }
 
     fn export(&self, now: Duration, call: &Call) -> Result<Answer, Rejected> {
         let export: Export = call.json()?;
-        let body = self.core.borrow_mut().export(now, &export.prompt);
-        Ok(http::json(StatusCode::OK, &body))
+        let exported = self
+            .core
+            .borrow_mut()
+            .export(now, &export.model, &export.prompt);
+        match exported {
+            Some(body) => Ok(http::json(StatusCode::OK, &body)),
+            None => Ok(not_loaded()),
+        }
     }
 
     fn import(&self, now: Duration, call: &Call) -> Result<Answer, Rejected> {
@@ -216,10 +259,7 @@
                 &json!({ "imported": blocks.len() }),
             ));
         }
-        Ok(http::error(
-            StatusCode::CONFLICT,
-            "another model or version is loaded",
-        ))
+        Ok(not_loaded())
     }
 
     fn record(&self, call: &Call) -> Result<Answer, Rejected> {
@@ -244,6 +284,7 @@
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct Export {
+    model: String,
     prompt: String,
 }
 
@@ -425,6 +466,10 @@
     }
 }
 
+fn not_loaded() -> Answer {
+    http::error(StatusCode::CONFLICT, "this model or version is not loaded")
+}
+
 fn engine_failed() -> ApiError {
     ApiError::server("engine_failed", "the engine failed while the request ran")
 }
--- a/standins/src/engine/text.rs
+++ b/standins/src/engine/text.rs
@@ -1,6 +1,9 @@
 //! Deterministic tokens: the text is a function of model, prompt and position only.
 
-use crate::content::{content_hash, hash64};
+use crate::content::{
+    content_hash,
+    hash64, //
+};
 
 /// Prompts with this marker always fail.
 pub const POISON_MARKER: &str = "[[poison]]";
--- a/standins/src/harness.rs
+++ b/standins/src/harness.rs
@@ -2,19 +2,51 @@
 
 use std::{
     env,
-    ffi::{OsStr, OsString},
+    ffi::{
+        OsStr,
+        OsString, //
+    },
     fs::File,
-    io::{self, BufRead, BufReader},
-    path::{Path, PathBuf},
-    process::{Child, ChildStdin, ChildStdout, Command, ExitStatus, Stdio},
-    sync::mpsc::{self, Receiver, RecvTimeoutError},
+    io::{
+        self,
+        BufRead,
+        BufReader, //
+    },
+    path::{
+        Path,
+        PathBuf, //
+    },
+    process::{
+        Child,
+        ChildStdin,
+        ChildStdout,
+        Command,
+        ExitStatus,
+        Stdio, //
+    },
+    sync::mpsc::{
+        self,
+        Receiver,
+        RecvTimeoutError, //
+    },
     thread,
-    time::{Duration, Instant},
+    time::{
+        Duration,
+        Instant, //
+    }, //
 };
 
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::{
+    Pid,
+    Signal,
+    kill_process, //
+};
 use serde_json::Value;
-use snafu::{OptionExt, ResultExt, Snafu};
+use snafu::{
+    OptionExt,
+    ResultExt,
+    Snafu, //
+};
 
 /// Time in which a process has to print its JSON line. Generous, because the machine may be busy.
 const ANNOUNCE_TIMEOUT: Duration = Duration::from_secs(30);
--- a/standins/src/http.rs
+++ b/standins/src/http.rs
@@ -4,26 +4,61 @@
     convert::Infallible,
     future::Future,
     io,
-    net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
+    net::{
+        Ipv4Addr,
+        SocketAddr,
+        TcpListener,
+        TcpStream, //
+    },
     pin::Pin,
     rc::Rc,
-    task::{Context, Poll, ready},
-    time::Duration,
+    task::{
+        Context,
+        Poll,
+        ready, //
+    },
+    time::Duration, //
 };
 
 use async_channel::Receiver;
 use async_executor::LocalExecutor;
-use async_io::{Async, Timer};
+use async_io::{
+    Async,
+    Timer, //
+};
 use futures_util::Stream;
-use http_body_util::{BodyExt, Limited};
+use http_body_util::{
+    BodyExt,
+    Limited, //
+};
 use hyper::{
-    HeaderMap, Method, Request, Response, StatusCode,
-    body::{Body, Bytes, Frame, Incoming, SizeHint},
-    header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER},
-    service::service_fn,
+    HeaderMap,
+    Method,
+    Request,
+    Response,
+    StatusCode,
+    body::{
+        Body,
+        Bytes,
+        Frame,
+        Incoming,
+        SizeHint, //
+    },
+    header::{
+        CONTENT_TYPE,
+        HeaderValue,
+        RETRY_AFTER, //
+    },
+    service::service_fn, //
+};
+use serde::{
+    Serialize,
+    de::DeserializeOwned, //
+};
+use smol_hyper::rt::{
+    FuturesIo,
+    SmolTimer, //
 };
-use serde::{Serialize, de::DeserializeOwned};
-use smol_hyper::rt::{FuturesIo, SmolTimer};
 
 /// Largest request body that a stand-in reads, in bytes.
 const MAX_BODY: usize = 64 << 20;
--- a/standins/src/lagged.rs
+++ b/standins/src/lagged.rs
@@ -1,6 +1,9 @@
 //! A value that readers see only after a lag.
 
-use std::{collections::VecDeque, time::Duration};
+use std::{
+    collections::VecDeque,
+    time::Duration, //
+};
 
 /// Keeps the versions of a value that some reader may still see.
 #[derive(Debug, Clone)]
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -13,5 +13,9 @@
 pub mod plain;
 pub mod weights;
 
-pub use content::{ATTEMPT_ID, RESUME_TOKENS, content_hash};
+pub use content::{
+    ATTEMPT_ID,
+    RESUME_TOKENS,
+    content_hash, //
+};
 pub use http::bind;
--- a/standins/src/list/mod.rs
+++ b/standins/src/list/mod.rs
@@ -3,5 +3,14 @@
 mod server;
 mod state;
 
-pub use server::{ListControl, serve};
-pub use state::{Backend, Instance, ListState, Listing, ServerState};
+pub use server::{
+    ListControl,
+    serve, //
+};
+pub use state::{
+    Backend,
+    Instance,
+    ListState,
+    Listing,
+    ServerState, //
+};
--- a/standins/src/list/server.rs
+++ b/standins/src/list/server.rs
@@ -1,17 +1,40 @@
 //! HTTP interface of the list.
 
-use std::{cell::RefCell, io, net::TcpListener, rc::Rc, time::Duration};
+use std::{
+    cell::RefCell,
+    io,
+    net::TcpListener,
+    rc::Rc,
+    time::Duration, //
+};
 
 use async_executor::LocalExecutor;
 use futures_lite::future;
-use hyper::{Method, StatusCode};
-use serde::{Deserialize, Serialize};
+use hyper::{
+    Method,
+    StatusCode, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 use serde_json::json;
 
-use super::state::{Backend, Instance, ListState};
+use super::state::{
+    Backend,
+    Instance,
+    ListState, //
+};
 use crate::{
     clock::Clock,
-    http::{self, Answer, Call, Outcome, Rejected, Service},
+    http::{
+        self,
+        Answer,
+        Call,
+        Outcome,
+        Rejected,
+        Service, //
+    }, //
 };
 
 /// Body of `POST /control`; absent fields change nothing.
--- a/standins/src/list/state.rs
+++ b/standins/src/list/state.rs
@@ -2,13 +2,16 @@
 
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 
 use crate::lagged::Lagged;
 
 /// State of an instance or backend server.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
+#[serde(rename_all = "kebab-case")]
 pub enum ServerState {
     /// Takes new work.
     #[default]
--- a/standins/src/log/mod.rs
+++ b/standins/src/log/mod.rs
@@ -3,5 +3,17 @@
 mod server;
 mod store;
 
-pub use server::{LogControl, Outage, TrimTo, serve};
-pub use store::{AppendError, LogConfig, LogStore, Page, Record, Trimmed};
+pub use server::{
+    LogControl,
+    Outage,
+    TrimTo,
+    serve, //
+};
+pub use store::{
+    AppendError,
+    LogConfig,
+    LogStore,
+    Page,
+    Record,
+    Trimmed, //
+};
--- a/standins/src/log/server.rs
+++ b/standins/src/log/server.rs
@@ -5,22 +5,48 @@
     io,
     net::TcpListener,
     rc::Rc,
-    time::{Duration, Instant},
+    time::{
+        Duration,
+        Instant, //
+    }, //
 };
 
 use async_executor::LocalExecutor;
 use async_io::Timer;
-use base64::{Engine as _, engine::general_purpose::STANDARD};
+use base64::{
+    Engine as _,
+    engine::general_purpose::STANDARD, //
+};
 use event_listener::Event;
 use futures_lite::future;
-use hyper::{Method, StatusCode};
-use serde::{Deserialize, Serialize};
+use hyper::{
+    Method,
+    StatusCode, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 use serde_json::json;
 
-use super::store::{AppendError, LogConfig, LogStore, Page, Trimmed};
+use super::store::{
+    AppendError,
+    LogConfig,
+    LogStore,
+    Page,
+    Trimmed, //
+};
 use crate::{
     clock::Clock,
-    http::{self, Answer, Call, Dropped, Outcome, Rejected, Service},
+    http::{
+        self,
+        Answer,
+        Call,
+        Dropped,
+        Outcome,
+        Rejected,
+        Service, //
+    }, //
 };
 
 /// Records in one page unless the caller asks for fewer.
@@ -31,7 +57,7 @@
 
 /// State of the service's availability.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
+#[serde(rename_all = "kebab-case")]
 pub enum Outage {
     /// All calls are served.
     #[default]
--- a/standins/src/log/store.rs
+++ b/standins/src/log/store.rs
@@ -1,8 +1,11 @@
 //! Streams of records with offsets, retention and an append bound.
 
 use std::{
-    collections::{HashMap, VecDeque},
-    time::Duration,
+    collections::{
+        HashMap,
+        VecDeque, //
+    },
+    time::Duration, //
 };
 
 use hyper::body::Bytes;
--- a/standins/src/plain.rs
+++ b/standins/src/plain.rs
@@ -1,17 +1,45 @@
 //! Plain service with idempotent tank readings and non-idempotent salinity orders.
 
-use std::{cell::RefCell, collections::BTreeMap, io, net::TcpListener, rc::Rc, time::Duration};
+use std::{
+    cell::RefCell,
+    collections::BTreeMap,
+    io,
+    net::TcpListener,
+    rc::Rc,
+    time::Duration, //
+};
 
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use futures_lite::future;
-use hyper::{Method, StatusCode, header::HeaderValue};
-use serde::{Deserialize, Serialize};
-use serde_json::{Value, json};
+use hyper::{
+    Method,
+    StatusCode,
+    header::HeaderValue, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use serde_json::{
+    Value,
+    json, //
+};
 
 use crate::{
-    content::{ATTEMPT_ID, content_hash},
-    http::{self, Answer, Call, Dropped, Outcome, Service, bad_request},
+    content::{
+        ATTEMPT_ID,
+        content_hash, //
+    },
+    http::{
+        self,
+        Answer,
+        Call,
+        Dropped,
+        Outcome,
+        Service,
+        bad_request, //
+    }, //
 };
 
 /// Time to retry after that a rejection names.
@@ -44,7 +72,7 @@
 
 /// What became of a call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
+#[serde(rename_all = "kebab-case")]
 pub enum CallOutcome {
     /// Not answered yet.
     Running,
--- a/standins/src/weights.rs
+++ b/standins/src/weights.rs
@@ -1,18 +1,41 @@
 //! Weight store with rate-limited reads of named weights.
 
-use std::{cell::RefCell, collections::BTreeMap, io, net::TcpListener, rc::Rc};
+use std::{
+    cell::RefCell,
+    collections::BTreeMap,
+    io,
+    net::TcpListener,
+    rc::Rc, //
+};
 
 use async_executor::LocalExecutor;
 use futures_lite::future;
-use hyper::{Method, StatusCode};
-use serde::{Deserialize, Serialize};
+use hyper::{
+    Method,
+    StatusCode, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 use serde_json::json;
-use sha2::{Digest, Sha256};
+use sha2::{
+    Digest,
+    Sha256, //
+};
 
 use crate::{
     bucket::Bucket,
     clock::Clock,
-    http::{self, Answer, Call, Outcome, Rejected, Service, bad_request},
+    http::{
+        self,
+        Answer,
+        Call,
+        Outcome,
+        Rejected,
+        Service,
+        bad_request, //
+    }, //
 };
 
 /// Largest weight, in bytes; content is generated in memory.
--- a/standins/tests/engine.rs
+++ b/standins/tests/engine.rs
@@ -8,17 +8,41 @@
 use std::{
     io::Write,
     net::TcpStream,
-    time::{Duration, Instant},
+    time::{
+        Duration,
+        Instant, //
+    }, //
 };
 
 use limpetweir_standins::{
-    ATTEMPT_ID, RESUME_TOKENS,
-    client::{self, ClientError, Exchange, Received},
-    engine::{AfterTokens, EngineControl, RequestOutcome, RequestRecord, text},
-    harness::{Launch, Process},
+    ATTEMPT_ID,
+    RESUME_TOKENS,
+    client::{
+        self,
+        ClientError,
+        Exchange,
+        Received, //
+    },
+    engine::{
+        AfterTokens,
+        Change,
+        EngineControl,
+        Order,
+        RequestOutcome,
+        RequestRecord,
+        Role,
+        text, //
+    },
+    harness::{
+        Launch,
+        Process, //
+    }, //
 };
 use rstest::rstest;
-use serde_json::{Value, json};
+use serde_json::{
+    Value,
+    json, //
+};
 
 /// Bound on waiting for another process; only a hanging test reaches it.
 const WAIT: Duration = Duration::from_secs(30);
@@ -392,13 +416,20 @@
     await_outcome(&engine, RequestOutcome::Rejected);
 }
 
-fn order(engine: &Process, kind: &str, value: &str, fencing: u64) -> u16 {
-    let order = json!({ "kind": kind, "value": value, "fencing": fencing });
+fn order(engine: &Process, fencing: u64, change: Change) -> u16 {
+    let order = Order { change, fencing };
     client::post(engine.address(), "/orders", &order)
         .unwrap()
         .status
 }
 
+fn load_model(model: &str, version: &str) -> Change {
+    Change::LoadModel {
+        model: model.to_owned(),
+        version: version.to_owned(),
+    }
+}
+
 fn load(engine: &Process) -> Value {
     client::get(engine.address(), "/load")
         .unwrap()
@@ -410,26 +441,47 @@
 #[test]
 fn old_fencing_number_is_rejected() {
     let engine = start(&["--load-time-ms", "0"]);
-    assert_eq!(order(&engine, "model", "reef-2", 5), 200);
-    assert_eq!(order(&engine, "adapter", "brine", 5), 200);
-    assert_eq!(order(&engine, "version", "7", 6), 200);
-    assert_eq!(order(&engine, "role", "decode", 6), 200);
-    assert_eq!(order(&engine, "model", "reef-1", 4), 409);
+    let adapter = Change::LoadAdapter {
+        model: "reef-1".into(),
+        adapter: "brine".into(),
+    };
+    assert_eq!(order(&engine, 5, load_model("reef-2", "1")), 200);
+    assert_eq!(order(&engine, 5, load_model("reef-1", "7")), 200);
+    assert_eq!(order(&engine, 6, adapter), 200);
+    assert_eq!(
+        order(&engine, 6, Change::SetRole { role: Role::Decode }),
+        200
+    );
+    assert_eq!(order(&engine, 4, load_model("reef-1", "6")), 409);
+    assert_eq!(
+        order(
+            &engine,
+            5,
+            Change::UnloadModel {
+                model: "reef-1".into()
+            }
+        ),
+        409
+    );
     let load = load(&engine);
-    assert_eq!(load["model"], "reef-2");
-    assert_eq!(load["adapters"], json!(["brine"]));
-    assert_eq!(load["version"], "7");
+    assert_eq!(load["models"], json!({ "reef-1": "7", "reef-2": "1" }));
+    assert_eq!(
+        load["adapters"],
+        json!([{ "model": "reef-1", "adapter": "brine" }])
+    );
     assert_eq!(load["role"], "decode");
     assert_eq!(load["fencing"], 6);
+    let request = json!({ "model": "reef-1:brine", "prompt": "p", "max_tokens": 2 });
+    assert_eq!(send(&engine, &request, &[]).unwrap().status, 200);
 }
 
 /// Guards against a stand-in that cannot show the effect of an old manager's order.
 #[test]
 fn old_fencing_number_is_ignored_if_so_configured() {
     let engine = start(&["--load-time-ms", "0", "--ignore-fencing"]);
-    assert_eq!(order(&engine, "model", "reef-2", 5), 200);
-    assert_eq!(order(&engine, "model", "reef-3", 4), 200);
-    assert_eq!(load(&engine)["model"], "reef-3");
+    assert_eq!(order(&engine, 5, load_model("reef-1", "2")), 200);
+    assert_eq!(order(&engine, 4, load_model("reef-1", "1")), 200);
+    assert_eq!(load(&engine)["models"], json!({ "reef-1": "1" }));
     let record: Value = client::get(engine.address(), "/record")
         .unwrap()
         .json()
@@ -437,13 +489,35 @@
     assert_eq!(record["orders"][1]["order"]["fencing"], 4);
 }
 
+/// Guards against a wire form of orders that changes without notice.
+#[test]
+fn order_has_the_documented_form() {
+    let wire = json!({ "kind": "load-model", "model": "m", "version": "2", "fencing": 3 });
+    let order = Order {
+        change: load_model("m", "2"),
+        fencing: 3,
+    };
+    assert_eq!(serde_json::to_value(&order).unwrap(), wire);
+    assert_eq!(serde_json::from_value::<Order>(wire).unwrap(), order);
+}
+
+/// Guards against a model that serves requests before it is loaded.
+#[test]
+fn model_is_served_only_after_its_load_time() {
+    let engine = start(&["--load-time-ms", "3600000"]);
+    assert_eq!(order(&engine, 1, load_model("reef-2", "1")), 200);
+    assert_eq!(load(&engine)["loading"], true);
+    let request = json!({ "model": "reef-2", "prompt": "p" });
+    assert_eq!(send(&engine, &request, &[]).unwrap().status, 404);
+}
+
 /// Guards against an imported cache without effect, or one taken from another model.
 #[test]
 fn exported_blocks_are_imported() {
     let (from, to) = (start(&[]), start(&[]));
     let prompt = "x".repeat(200);
     send(&from, &completion(&prompt, 1, false), &[]).unwrap();
-    let export = json!({ "prompt": prompt });
+    let export = json!({ "model": "reef-1", "prompt": prompt });
     let mut blocks: Value = client::post(from.address(), "/kv/export", &export)
         .unwrap()
         .json()
--- a/standins/tests/engine_model.rs
+++ b/standins/tests/engine_model.rs
@@ -7,7 +7,14 @@
 
 use std::time::Duration;
 
-use limpetweir_standins::engine::{CacheChange, PrefixCache, Scheduler, TimeModel, Work, text};
+use limpetweir_standins::engine::{
+    CacheChange,
+    PrefixCache,
+    Scheduler,
+    TimeModel,
+    Work,
+    text, //
+};
 use rstest::rstest;
 
 const MS: Duration = Duration::from_millis(1);
--- a/standins/tests/harness.rs
+++ b/standins/tests/harness.rs
@@ -1,10 +1,17 @@
 //! Tests of the process harness.
 
-use std::{os::unix::process::ExitStatusExt, path::Path, time::Duration};
+use std::{
+    os::unix::process::ExitStatusExt,
+    path::Path,
+    time::Duration, //
+};
 
 use limpetweir_standins::{
     client,
-    harness::{Launch, Processes},
+    harness::{
+        Launch,
+        Processes, //
+    }, //
 };
 
 /// Returns the state letter of a process, or `None` if there is no such process.
--- a/standins/tests/list.rs
+++ b/standins/tests/list.rs
@@ -5,9 +5,17 @@
 use limpetweir_standins::{
     client,
     harness::Launch,
-    list::{Backend, ListState, Listing, ServerState},
+    list::{
+        Backend,
+        ListState,
+        Listing,
+        ServerState, //
+    }, //
+};
+use serde_json::{
+    Value,
+    json, //
 };
-use serde_json::{Value, json};
 
 /// Guards against a list that shows a change before or long after its lag.
 #[test]
--- a/standins/tests/log.rs
+++ b/standins/tests/log.rs
@@ -9,11 +9,30 @@
 
 use hyper::body::Bytes;
 use limpetweir_standins::{
-    client::{self, ClientError, Exchange, Received},
-    harness::{Launch, Process},
-    log::{AppendError, LogConfig, LogControl, LogStore, Outage, TrimTo, Trimmed},
+    client::{
+        self,
+        ClientError,
+        Exchange,
+        Received, //
+    },
+    harness::{
+        Launch,
+        Process, //
+    },
+    log::{
+        AppendError,
+        LogConfig,
+        LogControl,
+        LogStore,
+        Outage,
+        TrimTo,
+        Trimmed, //
+    }, //
+};
+use serde_json::{
+    Value,
+    json, //
 };
-use serde_json::{Value, json};
 
 fn start(args: &[&str]) -> Process {
     Launch::standin("log").unwrap().args(args).spawn().unwrap()
--- a/standins/tests/plain.rs
+++ b/standins/tests/plain.rs
@@ -7,12 +7,27 @@
 
 use limpetweir_standins::{
     ATTEMPT_ID,
-    client::{self, ClientError, Exchange, Received},
-    harness::{Launch, Process},
-    plain::{CallOutcome, CallRecord, PlainControl},
-    weights,
+    client::{
+        self,
+        ClientError,
+        Exchange,
+        Received, //
+    },
+    harness::{
+        Launch,
+        Process, //
+    },
+    plain::{
+        CallOutcome,
+        CallRecord,
+        PlainControl, //
+    },
+    weights, //
+};
+use serde_json::{
+    Value,
+    json, //
 };
-use serde_json::{Value, json};
 
 fn start() -> Process {
     Launch::standin("plain").unwrap().spawn().unwrap()
