--- a/transport/src/http/client.rs
+++ b/transport/src/http/client.rs
@@ -188,6 +188,10 @@
         req: Request<Bytes>,
         options: SendOptions,
     ) -> Result<Response<ClientBody>, ClientError> {
+        if options.deadline.is_some_and(|at| at <= Instant::now()) {
+            let verdict = Verdict::NotRun;
+            return DeadlineSnafu { addr, verdict }.fail();
+        }
         let req = prepare(addr, req);
         let key = (addr, options.class);
         if let Some(connection) = self.reuse(key, options.deadline).await {
