--- a/coordination/tests/control/ownership.rs
+++ b/coordination/tests/control/ownership.rs
@@ -171,6 +171,34 @@
     assert_eq!(before, during);
 }
 
+/// Guards against groups without an acting owner while their holder hears peers but no log.
+#[test]
+fn a_holder_cut_off_from_the_log_only_is_replaced() {
+    let mut fleet = Fleet::settled(3, 1);
+    let holder = owner(&fleet, group(0));
+    fleet.nodes[holder].log_reachable = false;
+    fleet.run(4 * OWNER_LEASE);
+    assert_ne!(owner(&fleet, group(0)), holder);
+}
+
+/// Guards against a holder that was replaced while cut off from the log, loses the new holder from
+/// sight, and then takes the silence of the other peers for a log outage.
+#[test]
+fn a_replaced_holder_that_loses_sight_of_the_reader_stays_idle() {
+    let mut fleet = Fleet::settled(5, 1);
+    let holder = owner(&fleet, group(0));
+    fleet.nodes[holder].log_reachable = false;
+    fleet.run(4 * OWNER_LEASE);
+    let new_holder = owner(&fleet, group(0));
+    assert_ne!(new_holder, holder);
+    for i in 0..5 {
+        fleet.nodes[i].log_reachable = i == new_holder;
+    }
+    fleet.cut = [(holder, new_holder), (new_holder, holder)].into();
+    fleet.run(10 * SECOND);
+    assert!(!fleet.acting(group(0)).contains(&holder));
+}
+
 /// Guards against a holder cut from the log that takes its partition for an outage.
 #[test]
 fn a_partition_from_the_log_is_no_outage() {
@@ -296,6 +324,40 @@
     assert_eq!(reader.may_act(until), MayAct::NotHolder);
 }
 
+/// Guards against releasing all groups at once, which would leave all of them without an owner.
+#[test]
+fn groups_are_released_one_at_a_time() {
+    let now = Timestamp::from_millis(50_000);
+    let own = incarnation("a", 1);
+    let mut reader = Reader::new(&own, now);
+    reader.read(now, claim(group(0), &own));
+    reader.read(now, claim(group(1), &own));
+    let first = reader.ownership.next_release(now, &reader.members, true);
+    assert_eq!(first, Some((group(0), Epoch(1))));
+    let second = reader.ownership.next_release(now, &reader.members, true);
+    assert_eq!(second, None);
+    reader.read(now, release(1));
+    let second = reader.ownership.next_release(now, &reader.members, true);
+    assert_eq!(second, Some((group(1), Epoch(2))));
+}
+
+/// Guards against a holder that acts although a peer already holds the group under a later epoch.
+#[test]
+fn a_later_epoch_at_a_peer_stops_the_holder() {
+    let now = Timestamp::from_millis(50_000);
+    let own = incarnation("a", 1);
+    let mut reader = Reader::new(&own, now);
+    reader.read(now, claim(group(0), &own));
+    let mut heartbeat = report(incarnation("b", 1), 1, &["a"]);
+    heartbeat.owns.insert(group(0), Epoch(1));
+    reader.members.on_heartbeat(now, heartbeat.clone());
+    assert_eq!(reader.may_act(now), MayAct::Yes(Epoch(1)));
+    heartbeat.sequence = 2;
+    heartbeat.owns.insert(group(0), Epoch(2));
+    reader.members.on_heartbeat(now, heartbeat);
+    assert_eq!(reader.may_act(now), MayAct::NotHolder);
+}
+
 /// Guards against a restart under the same name that acts on the claims of its predecessor, or
 /// that leaves them unowned because peers hear the name.
 #[test]
