--- a/protocol/tests/settings.rs
+++ b/protocol/tests/settings.rs
@@ -180,3 +180,14 @@
     assert!(message.contains("64 hexadecimal digits"), "{message}");
     assert!(!message.contains("secret-key"), "{message}");
 }
+
+/// Guards against documentation whose example is refused or states other defaults.
+#[test]
+fn the_documented_example_has_the_defaults() {
+    let page = include_str!("../../docs/settings.md");
+    let (_, rest) = page.split_once("```toml\n").unwrap();
+    let (example, _) = rest.split_once("```").unwrap();
+    let documented = load(example, &[]).unwrap();
+    let (required, _) = example.split_once("[runtime]").unwrap();
+    assert_eq!(documented, load(required, &[]).unwrap());
+}
