--- /dev/null
+++ b/standins/src/engine/orders.rs
@@ -0,0 +1,261 @@
+//! Orders to load models, adapters and versions or to change the role.
+
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
+    time::Duration, //
+};
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+/// Version of the model that is loaded at the start.
+pub(crate) const FIRST_VERSION: &str = "1";
+
+/// Part of the work that the engine takes. The stand-in reports it but does not act on it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Role {
+    /// Prefill and decode.
+    #[default]
+    Mixed,
+    /// Prefill only.
+    Prefill,
+    /// Decode only.
+    Decode,
+}
+
+/// What an order changes; on the wire, the field `kind` names the variant.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "kind", rename_all = "kebab-case")]
+pub enum Change {
+    /// Loads a version of a model in place of any other version of it.
+    LoadModel {
+        /// Name of the model.
+        model: String,
+        /// Version to load.
+        version: String,
+    },
+    /// Unloads a model and its adapters.
+    UnloadModel {
+        /// Name of the model.
+        model: String,
+    },
+    /// Loads an adapter of a model.
+    LoadAdapter {
+        /// Name of the model.
+        model: String,
+        /// Name of the adapter.
+        adapter: String,
+    },
+    /// Unloads an adapter.
+    UnloadAdapter {
+        /// Name of the model.
+        model: String,
+        /// Name of the adapter.
+        adapter: String,
+    },
+    /// Changes the role.
+    SetRole {
+        /// The new role.
+        role: Role,
+    },
+}
+
+/// Body of `POST /orders`; repeating an order has no further effect.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Order {
+    /// What the order changes.
+    #[serde(flatten)]
+    pub change: Change,
+    /// Fencing number of the sender.
+    pub fencing: u64,
+}
+
+/// An order in the answer of `GET /record`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OrderRecord {
+    /// The order as received.
+    pub order: Order,
+    /// Whether it was accepted.
+    pub accepted: bool,
+}
+
+/// An order has no effect, because one with a higher fencing number was accepted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Stale {
+    /// Highest fencing number of an accepted order.
+    pub(crate) highest: u64,
+}
+
+/// A loaded adapter.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+pub(crate) struct Adapter {
+    pub(crate) model: String,
+    pub(crate) adapter: String,
+}
+
+/// What the engine has loaded.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
+pub(crate) struct Loaded {
+    /// Version by model.
+    pub(crate) models: BTreeMap<String, String>,
+    pub(crate) adapters: BTreeSet<Adapter>,
+    pub(crate) role: Role,
+}
+
+impl Loaded {
+    /// Returns whether a request may name `name`: a model, or `<model>:<adapter>`.
+    pub(crate) fn serves(&self, name: &str) -> bool {
+        self.models.contains_key(name) || self.names().any(|other| other == name)
+    }
+
+    /// Returns the names that requests may use.
+    pub(crate) fn names(&self) -> impl Iterator<Item = String> {
+        let adapters = self
+            .adapters
+            .iter()
+            .map(|loaded| format!("{}:{}", loaded.model, loaded.adapter));
+        self.models.keys().cloned().chain(adapters)
+    }
+}
+
+/// Accepted orders and what they lead to.
+#[derive(Debug)]
+pub(crate) struct Orders {
+    loaded: Loaded,
+    /// Changes that are accepted but not in effect; their times never decrease.
+    pending: Vec<(Duration, Change)>,
+    records: Vec<OrderRecord>,
+    highest: u64,
+    check_fencing: bool,
+    load_time: Duration,
+}
+
+impl Orders {
+    /// Returns an engine that has loaded the first version of `model`.
+    pub(crate) fn new(model: &str, check_fencing: bool, load_time: Duration) -> Self {
+        let mut loaded = Loaded::default();
+        loaded
+            .models
+            .insert(model.to_owned(), FIRST_VERSION.to_owned());
+        Self {
+            loaded,
+            pending: Vec::new(),
+            records: Vec::new(),
+            highest: 0,
+            check_fencing,
+            load_time,
+        }
+    }
+
+    /// Sets whether old fencing numbers are rejected.
+    pub(crate) fn set_check(&mut self, check: bool) {
+        self.check_fencing = check;
+    }
+
+    /// Accepts or rejects an order. An equal fencing number is accepted.
+    ///
+    /// Orders take effect in the order in which they were accepted. One that repeats a pending
+    /// order does not start it again, because managers reissue orders until they are in effect.
+    pub(crate) fn order(&mut self, now: Duration, order: Order) -> Result<(), Stale> {
+        self.settle(now);
+        let accepted = !self.check_fencing || order.fencing >= self.highest;
+        self.records.push(OrderRecord {
+            order: order.clone(),
+            accepted,
+        });
+        if !accepted {
+            return Err(Stale {
+                highest: self.highest,
+            });
+        }
+        self.highest = self.highest.max(order.fencing);
+        if self
+            .pending
+            .iter()
+            .any(|(_, change)| *change == order.change)
+        {
+            return Ok(());
+        }
+        let due = now + self.time_to_apply(&order.change);
+        let last = self.pending.last().map_or(due, |(last, _)| *last);
+        self.pending.push((due.max(last), order.change));
+        self.settle(now);
+        Ok(())
+    }
+
+    /// Returns what is loaded at `now`.
+    pub(crate) fn loaded(&mut self, now: Duration) -> &Loaded {
+        self.settle(now);
+        &self.loaded
+    }
+
+    /// Returns the next time at which a pending order takes effect.
+    pub(crate) fn next_due(&self) -> Option<Duration> {
+        self.pending.first().map(|(due, _)| *due)
+    }
+
+    /// Returns whether accepted orders are not yet in effect.
+    pub(crate) fn loading(&self) -> bool {
+        !self.pending.is_empty()
+    }
+
+    /// Returns the highest fencing number of an accepted order.
+    pub(crate) fn highest(&self) -> u64 {
+        self.highest
+    }
+
+    /// Returns all orders as received.
+    pub(crate) fn records(&self) -> &[OrderRecord] {
+        &self.records
+    }
+
+    /// Returns zero for changes that need no loading.
+    fn time_to_apply(&self, change: &Change) -> Duration {
+        match change {
+            Change::LoadModel { model, version }
+                if self.loaded.models.get(model) != Some(version) =>
+            {
+                self.load_time
+            }
+            Change::LoadAdapter { .. } => self.load_time,
+            _ => Duration::ZERO,
+        }
+    }
+
+    /// Applies the changes that are due.
+    fn settle(&mut self, now: Duration) {
+        let due = self.pending.partition_point(|(due, _)| *due <= now);
+        let changes: Vec<_> = self.pending.drain(..due).collect();
+        for (_, change) in changes {
+            self.apply(change);
+        }
+    }
+
+    fn apply(&mut self, change: Change) {
+        let loaded = &mut self.loaded;
+        match change {
+            Change::LoadModel { model, version } => {
+                loaded.models.insert(model, version);
+            }
+            Change::UnloadModel { model } => {
+                loaded.models.remove(&model);
+                loaded.adapters.retain(|adapter| adapter.model != model);
+            }
+            Change::LoadAdapter { model, adapter } => {
+                if loaded.models.contains_key(&model) {
+                    loaded.adapters.insert(Adapter { model, adapter });
+                }
+            }
+            Change::UnloadAdapter { model, adapter } => {
+                loaded.adapters.remove(&Adapter { model, adapter });
+            }
+            Change::SetRole { role } => loaded.role = role,
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/http.rs
@@ -0,0 +1,333 @@
+//! Thin HTTP server loop: hyper over smol-hyper on one thread.
+
+use std::{
+    convert::Infallible,
+    future::Future,
+    io,
+    net::{
+        Ipv4Addr,
+        SocketAddr,
+        TcpListener,
+        TcpStream, //
+    },
+    pin::Pin,
+    rc::Rc,
+    task::{
+        Context,
+        Poll,
+        ready, //
+    },
+    time::Duration, //
+};
+
+use async_channel::Receiver;
+use async_executor::LocalExecutor;
+use async_io::{
+    Async,
+    Timer, //
+};
+use futures_util::Stream;
+use http_body_util::{
+    BodyExt,
+    Limited, //
+};
+use hyper::{
+    HeaderMap,
+    Method,
+    Request,
+    Response,
+    StatusCode,
+    body::{
+        Body,
+        Bytes,
+        Frame,
+        Incoming,
+        SizeHint, //
+    },
+    header::{
+        CONTENT_TYPE,
+        HeaderValue,
+        RETRY_AFTER, //
+    },
+    service::service_fn, //
+};
+use serde::{
+    Serialize,
+    de::DeserializeOwned, //
+};
+use smol_hyper::rt::{
+    FuturesIo,
+    SmolTimer, //
+};
+
+/// Largest request body that a stand-in reads, in bytes.
+const MAX_BODY: usize = 64 << 20;
+
+/// Pause after a failed accept, so that an exhausted descriptor table does not cause a busy loop.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// A request whose body was read completely.
+#[derive(Debug)]
+pub(crate) struct Call {
+    pub(crate) method: Method,
+    pub(crate) path: String,
+    pub(crate) query: Vec<(String, String)>,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+impl Call {
+    /// Returns a query parameter as a number, or `default` if it is absent.
+    pub(crate) fn number(&self, name: &str, default: u64) -> Result<u64, Rejected> {
+        match self.query.iter().find(|(key, _)| key == name) {
+            None => Ok(default),
+            Some((_, value)) => value
+                .parse()
+                .map_err(|_| bad_request(format!("query parameter {name:?} is not a number"))),
+        }
+    }
+
+    /// Parses the body as JSON.
+    pub(crate) fn json<T: DeserializeOwned>(&self) -> Result<T, Rejected> {
+        serde_json::from_slice(&self.body)
+            .map_err(|err| bad_request(format!("the body is not valid for {}: {err}", self.path)))
+    }
+
+    /// Returns a header as text, if it is present and readable.
+    pub(crate) fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name).and_then(|value| value.to_str().ok())
+    }
+
+    /// Returns the segments of the path.
+    pub(crate) fn segments(&self) -> Vec<&str> {
+        self.path
+            .split('/')
+            .filter(|segment| !segment.is_empty())
+            .collect()
+    }
+
+    /// Returns the headers as they were received, in order.
+    pub(crate) fn header_list(&self) -> Vec<(String, String)> {
+        self.headers
+            .iter()
+            .map(|(name, value)| {
+                (
+                    name.to_string(),
+                    String::from_utf8_lossy(value.as_bytes()).into_owned(),
+                )
+            })
+            .collect()
+    }
+}
+
+/// An answer with a whole or a streamed body.
+pub(crate) type Answer = Response<Reply>;
+
+/// Result of a call; the error closes the connection without an answer.
+pub(crate) type Outcome = Result<Answer, Dropped>;
+
+/// The answer is withheld and the connection closed.
+#[derive(Debug)]
+pub(crate) struct Dropped;
+
+impl std::fmt::Display for Dropped {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("the answer is withheld")
+    }
+}
+
+impl std::error::Error for Dropped {}
+
+/// A body: whole, or streamed from a channel. A `Dropped` item cuts the connection.
+#[derive(Debug)]
+pub(crate) enum Reply {
+    Whole(Option<Bytes>),
+    Stream(Pin<Box<Receiver<Result<Bytes, Dropped>>>>),
+}
+
+impl Body for Reply {
+    type Data = Bytes;
+    type Error = Dropped;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Dropped>>> {
+        match self.get_mut() {
+            Self::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Self::Stream(rx) => {
+                let item = ready!(rx.as_mut().poll_next(cx));
+                Poll::Ready(item.map(|item| item.map(Frame::data)))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Self::Whole(None))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(bytes) => {
+                SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
+            }
+            Self::Stream(_) => SizeHint::default(),
+        }
+    }
+}
+
+/// A stand-in's request handler.
+pub(crate) trait Service {
+    /// Answers one call. The future is dropped when the caller closes the connection.
+    fn call(&self, call: Call) -> impl Future<Output = Outcome>;
+}
+
+/// Binds a loopback listener; port 0 lets the system choose one.
+///
+/// # Errors
+///
+/// Returns the error of the bind call.
+pub fn bind(port: u16) -> io::Result<(TcpListener, SocketAddr)> {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, port))?;
+    let addr = listener.local_addr()?;
+    Ok((listener, addr))
+}
+
+/// Accepts connections for ever and serves each in its own task.
+pub(crate) async fn serve<S: Service + 'static>(
+    executor: &LocalExecutor<'static>,
+    listener: TcpListener,
+    service: Rc<S>,
+) -> io::Result<Infallible> {
+    let listener = Async::<TcpListener>::new(listener)?;
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                executor
+                    .spawn(serve_connection(stream, Rc::clone(&service)))
+                    .detach();
+            }
+            Err(err) => {
+                log::warn!("accept failed: {err}");
+                Timer::after(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection<S: Service>(stream: Async<TcpStream>, service: Rc<S>) {
+    if let Err(err) = stream.get_ref().set_nodelay(true) {
+        log::debug!("TCP_NODELAY not set: {err}");
+    }
+    let handler = service_fn(|req: Request<Incoming>| {
+        let service = Rc::clone(&service);
+        async move { handle(&*service, req).await }
+    });
+    let served = hyper::server::conn::http1::Builder::new()
+        .timer(SmolTimer::new())
+        .serve_connection(FuturesIo::new(stream), handler)
+        .await;
+    if let Err(err) = served {
+        log::debug!("connection ended: {err}");
+    }
+}
+
+async fn handle<S: Service>(service: &S, req: Request<Incoming>) -> Outcome {
+    let (parts, body) = req.into_parts();
+    let body = match Limited::new(body, MAX_BODY).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(err) => {
+            return Ok(error(
+                StatusCode::BAD_REQUEST,
+                &format!("the body was not read: {err}"),
+            ));
+        }
+    };
+    let call = Call {
+        method: parts.method,
+        path: parts.uri.path().to_owned(),
+        query: parse_query(parts.uri.query().unwrap_or_default()),
+        headers: parts.headers,
+        body,
+    };
+    service.call(call).await
+}
+
+/// Splits a query string. Values are numbers and names, so percent encoding is not decoded.
+fn parse_query(query: &str) -> Vec<(String, String)> {
+    query
+        .split('&')
+        .filter(|pair| !pair.is_empty())
+        .map(|pair| {
+            let (key, value) = pair.split_once('=').unwrap_or((pair, ""));
+            (key.to_owned(), value.to_owned())
+        })
+        .collect()
+}
+
+/// Builds an answer with raw bytes.
+pub(crate) fn bytes(status: StatusCode, content_type: &'static str, body: Bytes) -> Answer {
+    let mut answer = Response::new(Reply::Whole(Some(body)));
+    *answer.status_mut() = status;
+    answer
+        .headers_mut()
+        .insert(CONTENT_TYPE, HeaderValue::from_static(content_type));
+    answer
+}
+
+/// Builds a JSON answer.
+pub(crate) fn json<T: Serialize>(status: StatusCode, body: &T) -> Answer {
+    match serde_json::to_vec(body) {
+        Ok(body) => bytes(status, "application/json", body.into()),
+        Err(err) => bytes(
+            StatusCode::INTERNAL_SERVER_ERROR,
+            "text/plain",
+            format!("the answer could not be encoded: {err}").into(),
+        ),
+    }
+}
+
+/// Builds an error answer of the platform services.
+pub(crate) fn error(status: StatusCode, message: &str) -> Answer {
+    json(
+        status,
+        &serde_json::json!({ "error": { "message": message } }),
+    )
+}
+
+/// Adds `Retry-After` in whole seconds, rounded up.
+pub(crate) fn with_retry_after(mut answer: Answer, after: Duration) -> Answer {
+    let seconds = after.as_secs() + u64::from(after.subsec_nanos() > 0);
+    answer
+        .headers_mut()
+        .insert(RETRY_AFTER, HeaderValue::from(seconds));
+    answer
+}
+
+/// Answers a path or method that the stand-in does not have.
+pub(crate) fn not_found(call: &Call) -> Answer {
+    error(
+        StatusCode::NOT_FOUND,
+        &format!("no such call: {} {}", call.method, call.path),
+    )
+}
+
+/// A call that is rejected before it has any effect.
+#[derive(Debug)]
+pub(crate) struct Rejected {
+    pub(crate) status: StatusCode,
+    pub(crate) message: String,
+}
+
+/// Rejects a malformed call.
+pub(crate) fn bad_request(message: String) -> Rejected {
+    Rejected {
+        status: StatusCode::BAD_REQUEST,
+        message,
+    }
+}
+
+/// Turns a rejection into an error answer.
+pub(crate) fn answer(result: Result<Answer, Rejected>) -> Answer {
+    result.unwrap_or_else(|rejected| error(rejected.status, &rejected.message))
+}
