Follow the explanation and job bodies of the daemon

The explanation had a form of its own before the handler existed; it now has the handler's. A deadline given as a time became another number of seconds when a submission was repeated, so the repetition would be refused as another job: the tool now prints the deadline in seconds with the key. A single try may take half of the time left, because a large submission needs more than 10 s.

--- a/cli/src/args.rs
+++ b/cli/src/args.rs
@@ -313,6 +313,8 @@
             Arg::new("model")
                 .long("model")
                 .value_parser(id::<ModelId>())
+                .requires("organisation")
+                .conflicts_with("service")
                 .help("Model of the request"),
         )
         .arg(
@@ -325,7 +327,7 @@
             Arg::new("organisation")
                 .long("organisation")
                 .value_parser(id::<OrganisationId>())
-                .help("Organisation of the caller"),
+                .help("Organisation of the caller; not needed for open services"),
         )
         .arg(
             Arg::new("prompt")
@@ -335,7 +337,6 @@
         .group(
             ArgGroup::new("target")
                 .args(["model", "service"])
-                .multiple(true)
                 .required(true),
         )
 }
--- a/cli/src/commands/explain.rs
+++ b/cli/src/commands/explain.rs
@@ -1,7 +1,10 @@
 //! `explain`: shows where a request would be sent, and why.
 
 use clap::ArgMatches;
-use limpetweir_protocol::http::Explanation;
+use limpetweir_protocol::http::{
+    ExplainedQuota,
+    Explanation, //
+};
 use limpetweir_state::{
     ModelId,
     OrganisationId,
@@ -42,28 +45,50 @@
 }
 
 fn show(answer: &Explanation) -> Result<(), Error> {
-    let chosen = answer.chosen.as_ref();
-    let chosen = chosen.map_or("rejected", |backend| backend.as_str());
-    let version = answer.version.0;
+    let choice = answer.choice.as_ref();
+    let choice = choice.map_or("rejected", |choice| choice.backend.as_str());
     output::line(&format!(
-        "{} at version {version}, service {}: {chosen}: {}",
-        answer.instance, answer.service, answer.reason
+        "{} ({}, version {}), service {}: {choice}",
+        answer.instance, answer.phase, answer.config_version.0, answer.service
     ))?;
-    let heading = ["BACKEND", "ZONE", "FREE", "PREFIX", "NEAR", "REASON"];
+    output::line(&answer.reason)?;
+    if let Some(quota) = &answer.quota {
+        output::line(&describe_quota(quota))?;
+    }
+    let heading = [
+        "BACKEND",
+        "FREE",
+        "OVERLOADED",
+        "PREFERRED",
+        "SAME ZONE",
+        "EXCLUDED",
+    ];
     let mut rows = vec![heading.map(str::to_owned).to_vec()];
-    for backend in &answer.candidates {
+    for backend in &answer.considered {
         rows.push(vec![
             backend.backend.to_string(),
-            backend.zone.to_string(),
-            backend.free_slots.to_string(),
-            yes_no(backend.prefix_affinity),
+            backend.free.to_string(),
+            yes_no(backend.overloaded),
+            yes_no(backend.preferred),
             yes_no(backend.same_zone),
-            backend.reason.clone(),
+            backend.exclusion.clone().unwrap_or_default(),
         ]);
     }
     output::table(&rows)
 }
 
+fn describe_quota(quota: &ExplainedQuota) -> String {
+    let home = quota.home.as_ref();
+    let home = home.map_or("without a home", |home| home.as_str());
+    let share = quota.share.map_or("no share".to_owned(), |share| {
+        format!(
+            "a share of {} requests/s, {} requests now, for {} ms",
+            share.rate, share.tokens, share.remaining_ms
+        )
+    });
+    format!("quota {} ({home}): {share}", quota.group)
+}
+
 fn yes_no(value: bool) -> String {
     let text = if value { "yes" } else { "no" };
     text.to_owned()
--- a/cli/src/commands/submit.rs
+++ b/cli/src/commands/submit.rs
@@ -39,15 +39,18 @@
 const MAX_BODY_BYTES: usize = 64 << 20;
 
 /// Longest accepted idempotency key in bytes.
-const MAX_KEY_BYTES: usize = 256;
+const MAX_KEY_BYTES: usize = 255;
 
 /// Runs `job submit`.
 pub(super) fn run(matches: &ArgMatches, options: &Options) -> Result<(), Error> {
-    let body = read_request(matches)?;
+    let request = read_request(matches)?;
+    let deadline_s = request.deadline_s;
+    let body = encode(request)?;
     let (key, header) = idempotency_key(matches)?;
     let mut fleet = options.public()?;
+    // The deadline is part of the job: a repetition with another one is refused as another job.
     // Printed first, so that the submission can be repeated if this process is interrupted.
-    eprintln!("idempotency key {key}");
+    eprintln!("idempotency key {key}, deadline {deadline_s}s");
     let call = Call::post("/v1/jobs", body)
         .json()
         .idempotent()
@@ -56,8 +59,11 @@
         Ok(answer) => answer,
         Err(source) if source.verdict() == Verdict::NotRun => return Err(source.into()),
         Err(source) => {
-            let source = Box::new(source);
-            return Err(Error::SubmissionUnknown { key, source });
+            return Err(Error::SubmissionUnknown {
+                key,
+                deadline_s,
+                source: Box::new(source),
+            });
         }
     };
     let accepted: JobAccepted = parse(&call, &answer)?;
@@ -66,35 +72,39 @@
             "id": accepted.id,
             "items": accepted.items,
             "idempotency_key": key,
+            "deadline_s": deadline_s,
         }));
     }
     output::line(accepted.id.as_str())
 }
 
-fn read_request(matches: &ArgMatches) -> Result<Vec<u8>, Error> {
+fn read_request(matches: &ArgMatches) -> Result<RawJobRequest, Error> {
     let path: &PathBuf = arg(matches, "file")?;
     let file = path.display().to_string();
     let text = read_text(path)?;
-    let refuse = |message: String| Error::usage(message);
     let items = parse_items(&text).map_err(|faults| Error::Items { file, faults })?;
     let deadline: Deadline = *arg(matches, "deadline")?;
     let deadline_s = deadline
         .seconds_from(Timestamp::now())
-        .ok_or_else(|| refuse("--deadline must be at least one second from now".to_owned()))?;
-    let raw = RawJobRequest {
+        .ok_or_else(|| Error::usage("--deadline must be at least one second from now"))?;
+    Ok(RawJobRequest {
         service: arg::<ServiceId>(matches, "service")?.clone(),
         model: arg::<ModelId>(matches, "model")?.clone(),
         deadline_s,
         items,
-    };
+    })
+}
+
+/// Checks a request and returns its body.
+fn encode(raw: RawJobRequest) -> Result<Vec<u8>, Error> {
     let body = output::to_json(&raw).into_bytes();
-    JobRequest::try_from(raw).map_err(|cause| refuse(cause.to_string()))?;
+    JobRequest::try_from(raw).map_err(|cause| Error::usage(cause.to_string()))?;
     if body.len() > MAX_BODY_BYTES {
         let message = format!(
             "the job has {} bytes; accepted are at most {MAX_BODY_BYTES}: split it",
             body.len()
         );
-        return Err(refuse(message));
+        return Err(Error::usage(message));
     }
     Ok(body)
 }
--- a/cli/src/error.rs
+++ b/cli/src/error.rs
@@ -132,9 +132,11 @@
     /// A submission was not answered, so the job may have been accepted.
     #[snafu(display(
         "{source}; the job may have been accepted: run the same command again with \
-         --idempotency-key {key}, which cannot submit it twice"
+         --idempotency-key {key} --deadline {deadline_s}s, which cannot submit it twice"
     ))]
     SubmissionUnknown {
+        /// Seconds to the deadline, which are part of the job.
+        deadline_s: u64,
         /// Idempotency key of the job.
         key: String,
         /// Cause.
--- a/cli/src/fleet.rs
+++ b/cli/src/fleet.rs
@@ -55,7 +55,7 @@
 /// Longest error body that is read, in bytes.
 const MAX_ERROR_BYTES: usize = 1 << 20;
 
-/// Longest wait for one instance when the request may be sent to another one.
+/// Time that one instance has at least when the request may be sent to another one.
 const TRY_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Longest wait for a discovery answer.
@@ -238,7 +238,7 @@
         };
         let wait = retry.wait.as_millis();
         log::warn!(
-            "LW9001 {} is tried again in {wait} ms: {failure}",
+            "LW1901 {} is tried again in {wait} ms: {failure}",
             call.name()
         );
         sleep(retry.wait).await;
@@ -275,9 +275,10 @@
         deadline: Instant,
     ) -> Result<Response<ClientBody>, Failure> {
         // A request that may run again elsewhere does not spend its whole time on one instance.
-        let limit = Instant::now() + TRY_TIMEOUT;
+        let now = Instant::now();
+        let half = deadline.saturating_duration_since(now) / 2;
         let deadline = if call.idempotent {
-            deadline.min(limit)
+            deadline.min(now + half.max(TRY_TIMEOUT))
         } else {
             deadline
         };
@@ -346,10 +347,10 @@
                     self.learn(&found, asked);
                     return;
                 }
-                Ok(_) => log::warn!("LW9002 {addr} gave no usable discovery answer"),
+                Ok(_) => log::warn!("LW1902 {addr} gave no usable discovery answer"),
                 // The request itself reports what the instance refuses.
                 Err(Failure::Refused { .. }) => return,
-                Err(failure) => log::warn!("LW9002 {addr} gave no discovery answer: {failure}"),
+                Err(failure) => log::warn!("LW1902 {addr} gave no discovery answer: {failure}"),
             }
         }
     }
--- a/cli/tests/arguments.rs
+++ b/cli/tests/arguments.rs
@@ -88,6 +88,7 @@
 #[case(&["job", "results", "0-a", "--page", "0"])]
 #[case(&["key", "create", "an organisation"])]
 #[case(&["explain", "--admin", "127.0.0.1:1"])]
+#[case(&["explain", "--model", "m", "--admin", "127.0.0.1:1"])]
 #[case(&["addresses", "--timeout", "5"])]
 #[case(&["completions", "cmd"])]
 #[case(&["addresses", "--key", "secret"])]
--- a/cli/tests/configuration.rs
+++ b/cli/tests/configuration.rs
@@ -359,24 +359,39 @@
 #[test]
 fn explanations_show_choice_and_reason() {
     let answer = json!({
-        "instance": "a", "version": 7, "service": "chat", "chosen": "engine-2",
-        "reason": "most free slots",
-        "candidates": [
-            {"backend": "engine-2", "zone": "zone-2", "eligible": true, "free_slots": 9,
-             "prefix_affinity": false, "same_zone": false, "reason": "chosen"},
-            {"backend": "engine-1", "zone": "zone-1", "eligible": false, "free_slots": -1,
-             "prefix_affinity": true, "same_zone": true, "reason": "leaving"},
+        "instance": "a", "phase": "serving", "config_version": 7, "service": "chat",
+        "quota": {"group": "quota-3", "home": "b", "share": null},
+        "reason": "engine-2 has the most free slots",
+        "choice": {"backend": "engine-2", "free": 9, "full": false, "affinity": "full",
+            "same_zone": false, "tied": 1},
+        "considered": [
+            {"backend": "engine-2", "exclusion": null, "free": 9, "overloaded": false,
+             "preferred": false, "same_zone": false},
+            {"backend": "engine-1", "exclusion": "leaving", "free": -1, "overloaded": true,
+             "preferred": true, "same_zone": true},
         ],
     });
-    let stub = Stub::start(move |_, _| Reply::json(200, &answer));
-    let args = ["explain", "--model", "small", "--prompt", "a b&c=ü"];
+    let sent = answer.clone();
+    let stub = Stub::start(move |_, _| Reply::json(200, &sent));
+    let args = [
+        "explain",
+        "--model",
+        "small",
+        "--organisation",
+        "o",
+        "--prompt",
+        "a b&c=ü",
+    ];
     let ran = run_at(&stub, &args);
     assert_eq!(ran.code, 0, "{ran:?}");
-    assert!(ran.out.contains("engine-2: most free slots"), "{ran:?}");
+    assert!(ran.out.contains("service chat: engine-2"), "{ran:?}");
+    assert!(ran.out.contains("most free slots"), "{ran:?}");
+    assert!(ran.out.contains("quota-3 (b): no share"), "{ran:?}");
     assert!(ran.out.contains("leaving"), "{ran:?}");
     let target = &stub.seen("GET")[0].target;
-    assert_eq!(
-        target,
-        "GET /admin/explain?model=small&prompt=a%20b%26c%3D%C3%BC"
-    );
+    let expected = "model=small&organisation=o&prompt=a%20b%26c%3D%C3%BC";
+    assert_eq!(target, &format!("GET /admin/explain?{expected}"));
+    let mut args = args.to_vec();
+    args.push("--json");
+    assert_eq!(run_at(&stub, &args).json(), answer);
 }
--- a/cli/tests/jobs.rs
+++ b/cli/tests/jobs.rs
@@ -157,7 +157,8 @@
         &["--idempotency-key", "mine", "--timeout", "300ms"],
     );
     assert_eq!(ran.code, 1, "{ran:?}");
-    assert!(ran.err.contains("--idempotency-key mine"), "{ran:?}");
+    let again = "--idempotency-key mine --deadline 7200s";
+    assert!(ran.err.contains(again), "{ran:?}");
 }
 
 /// Guards against one dead instance that makes the tool fail.
@@ -176,7 +177,7 @@
 #[test]
 fn discovery_answers_are_kept_for_their_time_to_live() {
     let target = Stub::start(|_, earlier| {
-        let state = if earlier == 0 { "running" } else { "done" };
+        let state = if earlier == 0 { "running" } else { "completed" };
         Reply::json(200, &job_status(state, 3))
     });
     let found = [closed_address(), target.addr];
@@ -185,7 +186,10 @@
     assert_eq!(ran.code, 2, "{ran:?}");
     let ran = run_at(&entry, &["job", "watch", "0-a", "--zone", "zone-1"]);
     assert_eq!(ran.code, 0, "{ran:?}");
-    assert!(ran.out.contains("done"), "{ran:?}");
+    assert!(
+        ran.out.contains("state              completed\n"),
+        "{ran:?}"
+    );
     let asked = entry.seen("");
     assert_eq!(asked.len(), 1, "{asked:?}");
     assert_eq!(asked[0].target, "GET /v1/addresses?zone=zone-1");
@@ -196,7 +200,7 @@
 #[test]
 fn expired_discovery_answers_are_replaced() {
     let target = Stub::start(|_, earlier| {
-        let state = if earlier == 0 { "running" } else { "done" };
+        let state = if earlier == 0 { "running" } else { "completed" };
         Reply::json(200, &job_status(state, 3))
     });
     let found = [target.addr];
--- a/protocol/src/http/admin.rs
+++ b/protocol/src/http/admin.rs
@@ -6,8 +6,7 @@
     InstanceId,
     PublicationId,
     ServiceId,
-    Version,
-    ZoneId, //
+    Version, //
 };
 use serde::{
     Deserialize,
@@ -100,21 +99,69 @@
 }
 
 /// Answer of `GET /admin/explain`: where the answering instance would send a request now.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Explanation {
     /// The instance that answers.
     pub instance: InstanceId,
+    /// Phase of that instance, such as `serving`.
+    pub phase: String,
     /// Configuration version on that instance.
-    pub version: Version,
+    pub config_version: Version,
     /// Service of the request.
     pub service: ServiceId,
-    /// Backend server that would get the request; absent if the request would be rejected.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub chosen: Option<BackendId>,
-    /// One sentence on the choice or the rejection.
+    /// Quota of the organisation on that instance; `None` if the request names no organisation.
+    #[serde(default)]
+    pub quota: Option<ExplainedQuota>,
+    /// One line on the decision, as in the log.
     pub reason: String,
-    /// Every backend server of the service, the best first.
-    pub candidates: Vec<ExplainedBackend>,
+    /// The choice; `None` if the request would be rejected.
+    #[serde(default)]
+    pub choice: Option<ExplainedChoice>,
+    /// Every backend server of the service.
+    pub considered: Vec<ExplainedBackend>,
+}
+
+/// Quota of an organisation as one instance knows it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ExplainedQuota {
+    /// Quota group of the organisation, as in `quota-3`.
+    pub group: String,
+    /// Instance that owns the group; `None` while it has no owner.
+    #[serde(default)]
+    pub home: Option<InstanceId>,
+    /// Share that the instance holds; `None` if it holds none.
+    #[serde(default)]
+    pub share: Option<ExplainedShare>,
+}
+
+/// Share of an organisation's limit on one instance.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ExplainedShare {
+    /// Requests per second.
+    pub rate: f64,
+    /// Requests that may come at once.
+    pub cap: f64,
+    /// Requests that may come now.
+    pub tokens: f64,
+    /// Milliseconds until the share expires.
+    pub remaining_ms: u64,
+}
+
+/// The chosen backend server of an [`Explanation`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ExplainedChoice {
+    /// Name of the backend server.
+    pub backend: BackendId,
+    /// Free slots before the request.
+    pub free: i64,
+    /// Whether it has no free slot, so that its batch manager is told to yield.
+    pub full: bool,
+    /// What the prefix of the prompt meant, such as `used`.
+    pub affinity: String,
+    /// Whether it is in the zone of the instance that answers.
+    pub same_zone: bool,
+    /// Number of servers of the same rank, the chosen one included.
+    pub tied: u64,
 }
 
 /// One backend server of an [`Explanation`].
@@ -122,16 +169,15 @@
 pub struct ExplainedBackend {
     /// Name of the backend server.
     pub backend: BackendId,
-    /// Its availability zone.
-    pub zone: ZoneId,
-    /// Whether it may get the request.
-    pub eligible: bool,
-    /// Slots without a request; negative when more requests than slots are in flight.
-    pub free_slots: i64,
+    /// Why it may not get the request, such as `leaving`; `None` if it may.
+    #[serde(default)]
+    pub exclusion: Option<String>,
+    /// Free slots; negative when more requests than slots are in flight.
+    pub free: i64,
+    /// Whether it has more than its part of the load.
+    pub overloaded: bool,
     /// Whether the prefix of the prompt prefers it.
-    pub prefix_affinity: bool,
+    pub preferred: bool,
     /// Whether it is in the zone of the instance that answers.
     pub same_zone: bool,
-    /// One sentence on why it is chosen, passed over or excluded.
-    pub reason: String,
 }
--- a/protocol/src/http/mod.rs
+++ b/protocol/src/http/mod.rs
@@ -9,8 +9,9 @@
 
 pub use addresses::{AddressEntry, Addresses};
 pub use admin::{
-    ExplainedBackend, Explanation, FleetStatus, GroupStatus, InstanceState, InstanceStatus,
-    PublicationAnswer, PublicationOutcome, VERSION_HEADER,
+    ExplainedBackend, ExplainedChoice, ExplainedQuota, ExplainedShare, Explanation, FleetStatus,
+    GroupStatus, InstanceState, InstanceStatus, PublicationAnswer, PublicationOutcome,
+    VERSION_HEADER,
 };
 pub use error::{ApiError, ErrorBody, ErrorKind, VERDICT_HEADER};
 pub use jobs::{
