Say when results are those of a running job

The last page has no next one while items are still open, so the end of the pages did not show that the job had ended. The tool now reads the state of the job before its results.

--- a/cli/src/commands/job.rs
+++ b/cli/src/commands/job.rs
@@ -66,7 +66,7 @@
 }
 
 /// Reads the state of a job.
-async fn read_status(fleet: &mut Fleet, job: &JobId) -> Result<JobStatus, Error> {
+pub(super) async fn read_status(fleet: &mut Fleet, job: &JobId) -> Result<JobStatus, Error> {
     fleet.json(&Call::get(format!("/v1/jobs/{job}"))).await
 }
 
--- a/cli/src/commands/results.rs
+++ b/cli/src/commands/results.rs
@@ -3,10 +3,14 @@
 use std::path::PathBuf;
 
 use clap::ArgMatches;
-use limpetweir_protocol::http::JobResults;
+use limpetweir_protocol::http::{
+    JobResults,
+    JobState, //
+};
 use limpetweir_state::JobId;
 
 use super::arg;
+use super::job::read_status;
 use crate::error::Error;
 use crate::fleet::{
     Call,
@@ -25,21 +29,18 @@
     let path = matches.get_one::<PathBuf>("output");
     let mut fleet = options.public()?;
     let mut sink = LineSink::open(path.map(PathBuf::as_path))?;
-    let complete = async_io::block_on(copy(&mut fleet, job, page, &mut sink))?;
+    // Read before the results, so that a job that had ended has all of them.
+    let status = async_io::block_on(read_status(&mut fleet, job))?;
+    async_io::block_on(copy(&mut fleet, job, page, &mut sink))?;
     sink.finish()?;
-    if !complete {
-        eprintln!("job {job} is still running: these are the items finished so far");
+    if status.state == JobState::Running {
+        eprintln!("job {job} was still running: these are the items finished so far");
     }
     Ok(())
 }
 
-/// Copies all pages; returns whether the last item of the job was among them.
-async fn copy(
-    fleet: &mut Fleet,
-    job: &JobId,
-    page: u32,
-    sink: &mut LineSink,
-) -> Result<bool, Error> {
+/// Copies all pages.
+async fn copy(fleet: &mut Fleet, job: &JobId, page: u32, sink: &mut LineSink) -> Result<(), Error> {
     let mut from = 0;
     loop {
         let call = Call::get(format!("/v1/jobs/{job}/results?from={from}&limit={page}"));
@@ -50,11 +51,15 @@
             lines.push('\n');
         }
         sink.write(&lines)?;
-        match results.next {
-            None => return Ok(true),
-            // Only items that have not finished are left.
-            Some(next) if next <= from => return Ok(false),
-            Some(next) => from = next,
+        let Some(next) = results.next else {
+            return Ok(());
+        };
+        if next <= from {
+            return Err(Error::Malformed {
+                request: call.name(),
+                cause: format!("the next page after {from} begins at {next}"),
+            });
         }
+        from = next;
     }
 }
--- a/cli/tests/jobs.rs
+++ b/cli/tests/jobs.rs
@@ -235,7 +235,7 @@
     assert!(ran.out.contains("cancelled"), "{ran:?}");
 }
 
-fn results(request: &Seen, next: [Option<u32>; 2]) -> Reply {
+fn results(request: &Seen, state: &str, next: [Option<u32>; 2]) -> Reply {
     let page = |index: u32, next: Option<u32>| {
         let usage = json!({"prompt_tokens": 1, "completion_tokens": 1});
         let result = json!({
@@ -248,6 +248,7 @@
         )
     };
     match request.target.as_str() {
+        "GET /v1/jobs/0-a" => Reply::json(200, &job_status(state, 2)),
         "GET /v1/jobs/0-a/results?from=0&limit=1" => page(0, next[0]),
         "GET /v1/jobs/0-a/results?from=1&limit=1" => page(1, next[1]),
         _ => no_discovery(),
@@ -257,7 +258,7 @@
 /// Guards against results of which only the first page is kept.
 #[test]
 fn all_pages_of_results_are_read() {
-    let stub = Stub::start(|request, _| results(request, [Some(1), None]));
+    let stub = Stub::start(|request, _| results(request, "completed", [Some(1), None]));
     let args = ["job", "results", "0-a", "--page", "1"];
     let ran = run_at(&stub, &args);
     assert_eq!(ran.code, 0, "{ran:?}");
@@ -275,20 +276,29 @@
     assert_eq!(fs::read_to_string(&path).unwrap(), ran.out);
 }
 
-/// Guards against an endless loop over a job that is still running.
+/// Guards against results of a running job that are taken for all of them.
 #[test]
-fn results_of_a_running_job_end() {
-    let stub = Stub::start(|request, _| results(request, [Some(1), Some(1)]));
+fn results_of_a_running_job_are_marked() {
+    let stub = Stub::start(|request, _| results(request, "running", [Some(1), None]));
     let ran = run_at(&stub, &["job", "results", "0-a", "--page", "1"]);
     assert_eq!(ran.code, 0, "{ran:?}");
     assert_eq!(ran.out.lines().count(), 2);
     assert!(ran.err.contains("still running"), "{ran:?}");
 }
 
+/// Guards against an endless loop over pages that do not advance.
+#[test]
+fn pages_that_do_not_advance_are_a_failure() {
+    let stub = Stub::start(|request, _| results(request, "completed", [Some(1), Some(1)]));
+    let ran = run_at(&stub, &["job", "results", "0-a", "--page", "1"]);
+    assert_eq!(ran.code, 1, "{ran:?}");
+    assert!(ran.err.contains("begins at 1"), "{ran:?}");
+}
+
 /// Guards against a partial file of results that looks like a whole one.
 #[test]
 fn a_failed_read_leaves_no_file_of_results() {
-    let stub = Stub::start(|request, _| results(request, [Some(2), None]));
+    let stub = Stub::start(|request, _| results(request, "completed", [Some(2), None]));
     let path = path("results-failed.jsonl");
     let args = ["job", "results", "0-a", "--page", "1", "--output", &path];
     let ran = run_at(&stub, &args);
