Include the events of the command-line tool in the catalogue test

The tool's events are catalogued with those of the daemon, but the test read only the sources of daemon and transport and failed on the two new entries.

--- a/daemon/tests/events.rs
+++ b/daemon/tests/events.rs
@@ -36,6 +36,7 @@
     let mut used = BTreeSet::new();
     collect_sources(&root.join("daemon/src"), &mut used);
     collect_sources(&root.join("transport/src"), &mut used);
+    collect_sources(&root.join("cli/src"), &mut used);
     let catalogue = fs::read_to_string(root.join("docs/events.md")).unwrap();
     let mut listed = BTreeSet::new();
     collect(&catalogue, "| LW", &mut listed);
