Ask the given instances for their addresses

The command first took the answer over and then asked an instance it names, which hid what the given one says and waited for instances that do not answer.

--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -58,7 +58,7 @@
 }
 
 fn addresses(options: &Options) -> Result<(), Error> {
-    let mut fleet = options.public()?;
+    let mut fleet = options.given()?;
     let zone = options.zone.as_ref().map(|zone| zone.as_str());
     let call = Call::get(addresses_path(zone));
     let answer: Addresses = async_io::block_on(fleet.json(&call))?;
--- a/cli/src/options.rs
+++ b/cli/src/options.rs
@@ -69,13 +69,22 @@
         })
     }
 
-    /// Returns the instances for callers.
+    /// Returns the instances for callers, found by discovery.
     pub(crate) fn public(&self) -> Result<Fleet, Error> {
+        let zone = self.zone.as_ref().map(ZoneId::as_str);
+        Ok(self.given()?.with_discovery(zone))
+    }
+
+    /// Returns the instances for callers that the options name.
+    pub(crate) fn given(&self) -> Result<Fleet, Error> {
         let addresses = required(&self.addresses, "--address", "public")?;
         let key = self.key(CALLER_KEY)?;
-        let zone = self.zone.as_ref().map(ZoneId::as_str);
-        let fleet = Fleet::new(&self.spawner(), addresses, Some(key), self.timeout);
-        Ok(fleet.with_discovery(zone))
+        Ok(Fleet::new(
+            &self.spawner(),
+            addresses,
+            Some(key),
+            self.timeout,
+        ))
     }
 
     /// Returns the instances for operators.
