--- a/cli/tests/jobs.rs
+++ b/cli/tests/jobs.rs
@@ -414,4 +414,5 @@
         "127.0.0.1:9",
         "{ran:?}"
     );
+    assert_eq!(stub.seen("").len(), 1);
 }
