--- a/proofs/benches/capacity/main.rs
+++ b/proofs/benches/capacity/main.rs
@@ -3,7 +3,9 @@
 //! Every line gives one quantity at three sizes and the slopes between them; docs/CAPACITY.md
 //! derives its figures from these slopes.
 
+mod documents;
 mod heartbeats;
+mod jobs;
 mod quota;
 mod report;
 mod routing;
@@ -25,4 +27,6 @@
     routing::measure();
     quota::measure();
     streams::measure();
+    documents::measure();
+    jobs::measure();
 }
