--- a/daemon/src/control/mod.rs
+++ b/daemon/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! The control loops: log streams, heartbeats, ownership, configuration and the list.
 
 mod peers;
+mod view;
 
 use std::sync::Arc;
 
@@ -15,6 +16,11 @@
 };
 
 pub(crate) use peers::PeerService;
+pub(crate) use view::{
+    Current,
+    Owner,
+    PublicInstance, //
+};
 
 use crate::node::Node;
 use crate::responses;
