batch: add the job interface of an instance and the batch managers

A job call is authenticated, checked and forwarded to the owner of its group; a batch manager runs items through SlotManager and streams them on the batch class of the client, so an online connection is never queued behind them.

--- /dev/null
+++ b/daemon/src/batch/engine.rs
@@ -0,0 +1,225 @@
+//! Streams one batch item from an engine.
+
+use std::net::SocketAddr;
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use hyper::body::Bytes;
+use hyper::header::CONTENT_TYPE;
+use hyper::{
+    Request,
+    Response,
+    StatusCode, //
+};
+use limpetweir_protocol::peer::RunItem;
+use limpetweir_state::Verdict;
+use limpetweir_transport::http::{
+    Client,
+    ClientBody,
+    EventReader,
+    SendOptions,
+    TrafficClass, //
+};
+use serde::Deserialize;
+use serde_json::json;
+
+/// Longest time of one attempt; a longer one counts as broken.
+const ATTEMPT_LIMIT: Duration = Duration::from_secs(600);
+
+/// Largest error body that is read, in bytes.
+const MAX_ERROR_BYTES: usize = 64 << 10;
+
+const ATTEMPT_ID: &str = "x-attempt-id";
+const RESUME_TOKENS: &str = "x-resume-tokens";
+
+/// What an item generated so far, including the resumed part.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Output {
+    /// Generated text.
+    pub(super) text: String,
+    /// Number of tokens in `text`.
+    pub(super) tokens: u32,
+}
+
+/// How a stream ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum StreamEnd {
+    /// The end marker arrived.
+    Finished {
+        /// Tokens of the prompt.
+        prompt_tokens: u32,
+    },
+    /// The engine did not take the item; it works.
+    NotTaken,
+    /// The engine answered that the item failed.
+    Failed {
+        /// One sentence for a person.
+        message: String,
+        /// Whether the fault lies with the item.
+        item_fault: bool,
+    },
+    /// The connection broke, or the answer was not one to this attempt.
+    Broken {
+        /// One sentence for a person.
+        message: String,
+        /// Whether the engine may have begun with the item.
+        verdict: Verdict,
+    },
+}
+
+#[derive(Deserialize)]
+struct Chunk {
+    #[serde(default)]
+    choices: Vec<Choice>,
+    usage: Option<Usage>,
+    error: Option<EngineError>,
+}
+
+#[derive(Deserialize)]
+struct Choice {
+    #[serde(default)]
+    text: String,
+    finish_reason: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct Usage {
+    prompt_tokens: u32,
+}
+
+#[derive(Deserialize)]
+struct EngineError {
+    #[serde(default)]
+    message: String,
+}
+
+/// Runs an item on the engine at `addr`, adding to `output` as tokens arrive.
+///
+/// Dropping the future closes the connection, which cancels the item at the engine.
+pub(super) async fn stream_item(
+    client: &Client,
+    addr: SocketAddr,
+    item: &RunItem,
+    output: &mut Output,
+) -> StreamEnd {
+    let req = match request(item, output.tokens) {
+        Ok(req) => req,
+        Err(err) => return item_failure(format!("the request cannot be sent: {err}")),
+    };
+    let options = SendOptions {
+        class: TrafficClass::Batch,
+        deadline: Some(Instant::now() + ATTEMPT_LIMIT),
+    };
+    let response = match client.send(addr, req, options).await {
+        Ok(response) => response,
+        Err(err) => return broken(err.to_string(), err.verdict()),
+    };
+    let echo = response.headers().get(ATTEMPT_ID);
+    if echo.is_none_or(|echo| echo.as_bytes() != item.attempt.as_bytes()) {
+        // Dropping the body closes the connection, so that its late answers reach nobody.
+        let message = "the answer does not name the attempt";
+        return broken(message.to_owned(), Verdict::MayHaveRun);
+    }
+    if !response.status().is_success() {
+        return rejected(response).await;
+    }
+    read_events(response.into_body(), output).await
+}
+
+fn request(item: &RunItem, resume_tokens: u32) -> Result<Request<Bytes>, hyper::http::Error> {
+    let body = json!({
+        "model": item.model.as_str(),
+        "prompt": item.prompt,
+        "max_tokens": item.max_tokens,
+        "stream": true,
+        "stream_options": {"include_usage": true},
+    });
+    let mut req = Request::post("/v1/completions")
+        .header(CONTENT_TYPE, "application/json")
+        .header(ATTEMPT_ID, item.attempt.as_str());
+    if resume_tokens > 0 {
+        req = req.header(RESUME_TOKENS, resume_tokens);
+    }
+    req.body(Bytes::from(body.to_string()))
+}
+
+/// An engine answers 429 and 503 when it does not take a request at the moment.
+async fn rejected(response: Response<ClientBody>) -> StreamEnd {
+    let status = response.status();
+    let busy = [
+        StatusCode::TOO_MANY_REQUESTS,
+        StatusCode::SERVICE_UNAVAILABLE,
+    ];
+    if busy.contains(&status) {
+        return StreamEnd::NotTaken;
+    }
+    let body = response.into_body().collect_bytes(MAX_ERROR_BYTES).await;
+    let chunk = body
+        .ok()
+        .and_then(|body| serde_json::from_slice(&body).ok());
+    let error = chunk.and_then(|chunk: Chunk| chunk.error);
+    let message = error.map_or_else(String::new, |error| error.message);
+    StreamEnd::Failed {
+        message: format!("the engine answered {status}: {message}"),
+        item_fault: true,
+    }
+}
+
+async fn read_events(body: ClientBody, output: &mut Output) -> StreamEnd {
+    let mut reader = EventReader::new(body);
+    let mut prompt_tokens = 0;
+    loop {
+        let event = match reader.next_event().await {
+            Ok(Some(event)) => event,
+            Ok(None) => {
+                let message = "the stream ended without its end marker";
+                return broken(message.to_owned(), Verdict::MayHaveRun);
+            }
+            Err(err) => return broken(err.to_string(), Verdict::MayHaveRun),
+        };
+        if event.is_done() {
+            // Reading the body to its end lets the connection be used again.
+            let _ = reader.next_event().await;
+            return StreamEnd::Finished { prompt_tokens };
+        }
+        let chunk: Chunk = match serde_json::from_str(&event.data) {
+            Ok(chunk) => chunk,
+            Err(err) => {
+                let message = format!("an event of the stream cannot be read: {err}");
+                return broken(message, Verdict::MayHaveRun);
+            }
+        };
+        if let Some(error) = chunk.error {
+            return item_failure(error.message);
+        }
+        if let Some(usage) = chunk.usage {
+            prompt_tokens = usage.prompt_tokens;
+        }
+        for choice in chunk.choices {
+            output.add(choice);
+        }
+    }
+}
+
+impl Output {
+    /// Adds an event; each one without a reason for the end holds one token.
+    fn add(&mut self, choice: Choice) {
+        self.text.push_str(&choice.text);
+        if choice.finish_reason.is_none() {
+            self.tokens += 1;
+        }
+    }
+}
+
+fn item_failure(message: String) -> StreamEnd {
+    StreamEnd::Failed {
+        message,
+        item_fault: true,
+    }
+}
+
+fn broken(message: String, verdict: Verdict) -> StreamEnd {
+    StreamEnd::Broken { message, verdict }
+}
--- a/daemon/src/batch/mod.rs
+++ b/daemon/src/batch/mod.rs
@@ -1,25 +1,41 @@
 //! The batch path: jobs, their owners and the batch managers of engines.
 
-use std::sync::Arc;
-
-use hyper::{
-    Request,
-    Response, //
+mod api;
+mod calls;
+mod engine;
+mod manager;
+mod metrics;
+mod reply;
+mod slots;
+
+use limpetweir_state::{
+    BackendId,
+    GroupId,
+    GroupKind, //
 };
-use limpetweir_transport::http::{
-    Body,
-    RequestBody, //
+use opentelemetry::metrics::Meter;
+
+pub(crate) use api::answer;
+pub(crate) use calls::answer_job;
+pub(crate) use manager::{
+    cancel_item,
+    on_yield,
+    run_item, //
 };
 
-use crate::node::Node;
-use crate::responses;
 use crate::sharded::Sharded;
 
+use manager::Managers;
+use metrics::BatchMetrics;
+
 /// State of the batch path.
 #[derive(Debug)]
 pub struct Batch {
     /// One shard for each job group, at the group's index.
     groups: Sharded<JobGroup>,
+    /// Batch managers of the engines that this instance acts for.
+    managers: Managers,
+    metrics: BatchMetrics,
 }
 
 /// State of one job group.
@@ -27,9 +43,11 @@
 pub struct JobGroup {}
 
 impl Batch {
-    pub(crate) fn new(groups: u16) -> Self {
+    pub(crate) fn new(groups: u16, meter: &Meter) -> Self {
         Self {
             groups: Sharded::new(usize::from(groups), |_| JobGroup {}),
+            managers: Managers::new(),
+            metrics: BatchMetrics::new(meter),
         }
     }
 
@@ -39,7 +57,7 @@
     }
 }
 
-/// Answers the job interface under `/v1/jobs`.
-pub(crate) async fn answer(_node: &Arc<Node>, req: Request<RequestBody>) -> Response<Body> {
-    responses::not_found(&req)
+/// Returns the group whose owner manages the batch slots of `backend`.
+fn engine_group(backend: &BackendId, groups: u16) -> GroupId {
+    GroupId::of(GroupKind::Engine, backend.as_str().as_bytes(), groups)
 }
--- /dev/null
+++ b/daemon/src/batch/slots.rs
@@ -0,0 +1,38 @@
+//! Capacity of backend servers for batch items, as this instance sees it.
+
+use limpetweir_coordination::SlotLimits;
+use limpetweir_state::{
+    Backend,
+    BackendId,
+    Timestamp, //
+};
+
+use crate::node::Node;
+
+/// Batch work leaves one in so many slots free for online requests to come.
+const RESERVE_SHARE: u32 = 8;
+
+/// Items that may wait at a batch manager, so that a freed slot is filled without a round trip.
+pub(super) const QUEUE_ITEMS: u32 = 2;
+
+/// Returns the limits of a backend server; one with a single slot keeps no reserve.
+pub(super) fn limits(backend: &Backend) -> SlotLimits {
+    let slots = backend.slots;
+    let reserve = slots.div_ceil(RESERVE_SHARE).min(slots.saturating_sub(1));
+    SlotLimits {
+        slots,
+        reserve,
+        queue: QUEUE_ITEMS,
+    }
+}
+
+/// Returns the online requests of this instance in flight for a backend server.
+pub(super) fn own_online(_node: &Node, _backend: &BackendId) -> u32 {
+    0
+}
+
+/// Returns the online requests of all instances in flight for a backend server.
+pub(super) fn online(node: &Node, now: Timestamp, backend: &BackendId) -> u32 {
+    let peers = node.control.online_at_peers(now, backend);
+    own_online(node, backend).saturating_add(peers)
+}
--- a/daemon/src/events.rs
+++ b/daemon/src/events.rs
@@ -52,3 +52,12 @@
 pub const PHASE_CHANGED: Event = Event::new(1006, Level::Info);
 /// A request to the admin listener had no valid operator key.
 pub const OPERATOR_REFUSED: Event = Event::new(1007, Level::Warn);
+
+/// The owner of a job group chose an engine for an item.
+pub const BATCH_PLACED: Event = Event::new(1601, Level::Debug);
+/// A batch manager started an item on its engine.
+pub const BATCH_ITEM_STARTED: Event = Event::new(1602, Level::Debug);
+/// A batch manager cancelled the stream of an item.
+pub const BATCH_ITEM_CANCELLED: Event = Event::new(1603, Level::Debug);
+/// The stream of an item broke; the engine gets no batch items for a while.
+pub const BATCH_BACKEND_FAILED: Event = Event::new(1604, Level::Warn);
