batch: add the owner of a job group, dispatch, records and cancel

The scheduler follows the fold instead of the submit call, because a call may be dropped after its record was queued and its job would then never run.

--- a/daemon/src/batch/mod.rs
+++ b/daemon/src/batch/mod.rs
@@ -2,11 +2,19 @@
 
 mod api;
 mod calls;
+mod cancel;
+mod dispatch;
 mod engine;
+mod group;
 mod manager;
 mod metrics;
+mod outcome;
+mod owner;
+mod placement;
+mod recording;
 mod reply;
 mod slots;
+mod submit;
 
 use limpetweir_state::{
     BackendId,
@@ -17,16 +25,24 @@
 
 pub(crate) use api::answer;
 pub(crate) use calls::answer_job;
+pub use calls::usage_of;
+pub use group::JobGroup;
 pub(crate) use manager::{
     cancel_item,
+    on_online_change,
     on_yield,
     run_item, //
 };
+pub(crate) use owner::{
+    flush,
+    start, //
+};
 
 use crate::sharded::Sharded;
 
 use manager::Managers;
 use metrics::BatchMetrics;
+use placement::Uses;
 
 /// State of the batch path.
 #[derive(Debug)]
@@ -35,18 +51,17 @@
     groups: Sharded<JobGroup>,
     /// Batch managers of the engines that this instance acts for.
     managers: Managers,
+    /// Batch items of the own job groups at the engines.
+    uses: Uses,
     metrics: BatchMetrics,
 }
 
-/// State of one job group.
-#[derive(Debug)]
-pub struct JobGroup {}
-
 impl Batch {
     pub(crate) fn new(groups: u16, meter: &Meter) -> Self {
         Self {
-            groups: Sharded::new(usize::from(groups), |_| JobGroup {}),
+            groups: Sharded::new(usize::from(groups), |_| JobGroup::default()),
             managers: Managers::new(),
+            uses: Uses::default(),
             metrics: BatchMetrics::new(meter),
         }
     }
--- a/daemon/src/events.rs
+++ b/daemon/src/events.rs
@@ -61,3 +61,17 @@
 pub const BATCH_ITEM_CANCELLED: Event = Event::new(1603, Level::Debug);
 /// The stream of an item broke; the engine gets no batch items for a while.
 pub const BATCH_BACKEND_FAILED: Event = Event::new(1604, Level::Warn);
+/// An attempt of an item failed.
+pub const BATCH_ITEM_FAILED: Event = Event::new(1605, Level::Info);
+/// A record of a job group was not appended.
+pub const BATCH_RECORD_FAILED: Event = Event::new(1606, Level::Warn);
+/// This instance began to act for a job group.
+pub const JOB_GROUP_OPENED: Event = Event::new(1607, Level::Info);
+/// This instance ceased to act for a job group.
+pub const JOB_GROUP_CLOSED: Event = Event::new(1608, Level::Info);
+/// The first record of a new owner was not appended.
+pub const JOB_GROUP_OPEN_FAILED: Event = Event::new(1609, Level::Warn);
+/// A job was accepted.
+pub const JOB_ACCEPTED: Event = Event::new(1610, Level::Info);
+/// A job was cancelled.
+pub const JOB_CANCELLED: Event = Event::new(1611, Level::Info);
--- a/daemon/src/node.rs
+++ b/daemon/src/node.rs
@@ -10,7 +10,10 @@
 };
 
 use limpetweir_protocol::settings::Settings;
-use limpetweir_state::Incarnation;
+use limpetweir_state::{
+    Incarnation,
+    UnixMillis, //
+};
 use limpetweir_transport::http::{
     Client,
     ClientLimits, //
@@ -86,7 +89,7 @@
         Self {
             incarnation: Incarnation {
                 instance: settings.name.clone(),
-                started: unix_millis(),
+                started: unix_millis().0,
             },
             clock,
             spawner: spawner.clone(),
@@ -120,10 +123,9 @@
     }
 }
 
-/// Returns the wall-clock time in milliseconds since the Unix epoch.
-fn unix_millis() -> u64 {
+/// Returns the wall-clock time.
+pub(crate) fn unix_millis() -> UnixMillis {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    since.map_or(0, |since| {
-        u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
-    })
+    let since = since.unwrap_or_default().as_millis();
+    UnixMillis(u64::try_from(since).unwrap_or(u64::MAX))
 }
--- a/state/src/jobs/job.rs
+++ b/state/src/jobs/job.rs
@@ -149,6 +149,11 @@
         &self.key
     }
 
+    /// Returns the SHA-256 of the request body that submitted the job.
+    pub fn digest(&self) -> &[u8; 32] {
+        &self.digest
+    }
+
     /// Returns the model service that runs the items.
     pub fn service(&self) -> &ServiceId {
         &self.service
