control: follow and append to log streams

An incarnation that opens a stream again starts its sequences at the time of its clock, above those it used before; entries with reused sequences would count as resent.

--- a/daemon/src/control/mod.rs
+++ b/daemon/src/control/mod.rs
@@ -1,6 +1,8 @@
 //! The control loops: log streams, heartbeats, ownership, configuration and the list.
 
 mod peers;
+mod stream;
+mod stream_tasks;
 mod view;
 
 use std::sync::Arc;
--- /dev/null
+++ b/daemon/src/control/stream_tasks.rs
@@ -0,0 +1,174 @@
+//! The tasks of a log stream: one reads it, one appends to it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_executor::Task;
+use futures_lite::future;
+use limpetweir_protocol::http::RecordBody;
+use limpetweir_protocol::records::{
+    self,
+    StreamRecord, //
+};
+use limpetweir_state::{
+    Answer,
+    Entry,
+    Fold,
+    Offset,
+    Timestamp, //
+};
+use limpetweir_transport::{
+    AppendOutcome,
+    ReadOutcome,
+    ReadRequest,
+    Spawner,
+    sleep, //
+};
+
+use super::stream::{
+    Stream,
+    StreamObserver, //
+};
+use crate::event;
+use crate::events::{
+    APPEND_REJECTED,
+    RECORD_SKIPPED, //
+};
+
+/// Largest number of records of one read; a record has at most 1 MiB.
+const READ_RECORDS: u32 = 128;
+
+/// Longest wait for the answer to an append; the entry is then looked for in the stream.
+const APPEND_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// The running tasks of a stream; dropping them stops the stream at once.
+#[derive(Debug)]
+pub(crate) struct StreamTasks {
+    _reader: Task<()>,
+    _appender: Task<()>,
+}
+
+type Page<R> = Vec<(Offset, Result<Entry<R>, records::RecordError>)>;
+
+impl<O: StreamObserver> Stream<O> {
+    /// Starts to read the stream and to append queued entries.
+    pub(crate) fn start(self: &Arc<Self>, spawner: &Spawner) -> StreamTasks {
+        StreamTasks {
+            _reader: spawner.spawn(self.clone().follow()),
+            _appender: spawner.spawn(self.clone().append_queued()),
+        }
+    }
+
+    async fn follow(self: Arc<Self>) {
+        loop {
+            match self.read_once().await {
+                Some(ReadOutcome::Records { sent, answer }) => {
+                    self.take_page(sent, answer.next, decode(answer.records));
+                }
+                Some(ReadOutcome::Trimmed { first, .. }) => self.on_trimmed(first),
+                Some(ReadOutcome::Unavailable { retry_after }) => sleep(retry_after).await,
+                None => {}
+            }
+        }
+    }
+
+    /// Reads one page; `None` if an unknown answer has to be resolved by another read.
+    async fn read_once(&self) -> Option<ReadOutcome> {
+        let unresolved = self.unresolved.listen();
+        let (from, wait) = self.next_read();
+        let limit = READ_RECORDS;
+        let read = self
+            .log
+            .read(&self.options.name, ReadRequest { from, limit, wait });
+        if wait.is_zero() {
+            return Some(read.await);
+        }
+        let interrupted = async {
+            unresolved.await;
+            None
+        };
+        future::or(async { Some(read.await) }, interrupted).await
+    }
+
+    fn next_read(&self) -> (Offset, Duration) {
+        let state = self.lock();
+        // Only a state without gap can resolve an answer, so a gap must not cause reads in a row.
+        let at_once = state.unknown && state.is_ready();
+        let wait = if at_once {
+            Duration::ZERO
+        } else {
+            self.options.long_poll
+        };
+        (state.next(), wait)
+    }
+
+    fn take_page(&self, sent: Timestamp, end: Offset, page: Page<<O::Fold as Fold>::Record>) {
+        let mut state = self.lock();
+        for (at, entry) in page {
+            match entry {
+                Ok(entry) => self.on_entry(&mut state, at, entry),
+                Err(err) => {
+                    let name = &self.options.name;
+                    event!(RECORD_SKIPPED, "stream={name} offset={} error={err}", at.0);
+                    self.on_unreadable(&mut state, at);
+                }
+            }
+        }
+        self.on_page(&mut state, sent, end);
+        drop(state);
+        self.appendable.notify(usize::MAX);
+    }
+
+    async fn append_queued(self: Arc<Self>) {
+        loop {
+            let appendable = self.appendable.listen();
+            let entry = self.lock().writer.poll_append();
+            match entry {
+                Some(entry) => self.append(entry).await,
+                None => appendable.await,
+            }
+        }
+    }
+
+    async fn append(&self, entry: Entry<<O::Fold as Fold>::Record>) {
+        let sequence = entry.writer.sequence;
+        let name = &self.options.name;
+        let record = match records::encode(entry) {
+            Ok(record) => record,
+            Err(err) => {
+                event!(APPEND_REJECTED, "stream={name} error={err}");
+                return self.abandon();
+            }
+        };
+        match self.log.append(name, record, APPEND_TIMEOUT).await {
+            AppendOutcome::Appended(offset) => self.answer(sequence, Answer::Appended(offset)),
+            AppendOutcome::Unknown => {
+                self.answer(sequence, Answer::Unknown);
+                self.unresolved.notify(usize::MAX);
+            }
+            AppendOutcome::Refused { retry_after } => {
+                self.answer(sequence, Answer::Rejected);
+                sleep(retry_after).await;
+            }
+            AppendOutcome::Rejected { status } => {
+                // The entry would be rejected each time and block those behind it.
+                event!(APPEND_REJECTED, "stream={name} status={status}");
+                self.answer(sequence, Answer::Rejected);
+                self.abandon();
+            }
+        }
+    }
+
+    fn answer(&self, sequence: u64, answer: Answer) {
+        let mut state = self.lock();
+        state.writer.on_answer(sequence, answer);
+        // Noted after the answer, so a read sent later has seen what the append did.
+        state.answered_at = Some(self.clock.now());
+        state.unknown = answer == Answer::Unknown;
+    }
+}
+
+fn decode<R: StreamRecord>(records: Vec<RecordBody>) -> Page<R> {
+    let decoded = |record: RecordBody| (record.offset, records::decode(&record.data));
+    records.into_iter().map(decoded).collect()
+}
--- a/daemon/src/events.rs
+++ b/daemon/src/events.rs
@@ -52,3 +52,39 @@
 pub const PHASE_CHANGED: Event = Event::new(1006, Level::Info);
 /// A request to the admin listener had no valid operator key.
 pub const OPERATOR_REFUSED: Event = Event::new(1007, Level::Warn);
+/// Records of a stream were trimmed before they were read.
+pub const STREAM_GAP: Event = Event::new(1301, Level::Warn);
+/// A snapshot ended a gap.
+pub const STREAM_RECOVERED: Event = Event::new(1302, Level::Info);
+/// A record of a stream is unreadable.
+pub const RECORD_SKIPPED: Event = Event::new(1303, Level::Error);
+/// The log service will never take an entry.
+pub const APPEND_REJECTED: Event = Event::new(1304, Level::Error);
+/// A snapshot could not be written.
+pub const SNAPSHOT_FAILED: Event = Event::new(1305, Level::Error);
+/// The instance acts on another configuration.
+pub const CONFIG_CHANGED: Event = Event::new(1401, Level::Info);
+/// An accepted configuration cannot be read by this program.
+pub const CONFIG_UNREADABLE: Event = Event::new(1402, Level::Error);
+/// A newer configuration was taken over from a peer.
+pub const CONFIG_FETCHED: Event = Event::new(1403, Level::Info);
+/// An operator's publication was decided or refused.
+pub const PUBLICATION: Event = Event::new(1404, Level::Info);
+/// This instance claims a group.
+pub const CLAIMING: Event = Event::new(1501, Level::Info);
+/// A group has a new owner.
+pub const CLAIMED: Event = Event::new(1502, Level::Info);
+/// A group was taken over from an owner that had not released it.
+pub const TAKEN_OVER: Event = Event::new(1503, Level::Warn);
+/// An owner gave a group up.
+pub const RELEASED: Event = Event::new(1504, Level::Info);
+/// A graceful stop left groups behind.
+pub const HAND_OVER_CUT: Event = Event::new(1505, Level::Warn);
+/// A link to another instance is up.
+pub const LINK_UP: Event = Event::new(1601, Level::Info);
+/// A link to another instance is down.
+pub const LINK_DOWN: Event = Event::new(1602, Level::Warn);
+/// The list names other instances than before.
+pub const LIST_CHANGED: Event = Event::new(1603, Level::Info);
+/// The list could not be read.
+pub const LIST_UNREADABLE: Event = Event::new(1604, Level::Warn);
--- a/protocol/src/lib.rs
+++ b/protocol/src/lib.rs
@@ -3,6 +3,7 @@
 mod config;
 mod config_check;
 mod config_fault;
+mod heartbeat;
 pub mod http;
 pub mod peer;
 mod quota;
--- a/protocol/src/settings/check.rs
+++ b/protocol/src/settings/check.rs
@@ -42,6 +42,8 @@
 const MAX_GROUPS: i64 = 4096;
 /// One day; longer times are a mistake in the unit.
 const MAX_TIME_MS: i64 = 24 * 3600 * 1000;
+/// A value below the true retention only costs additional snapshots.
+const DEFAULT_LOG_RETENTION: Duration = Duration::from_secs(3600);
 
 /// A field whose value is not accepted.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
@@ -118,6 +120,9 @@
     pub discovery_ttl: Duration,
     /// Longest graceful shutdown; above `discovery_ttl`.
     pub drain_limit: Duration,
+    /// Time for which the log service keeps records, or less; snapshots are written four times as
+    /// often.
+    pub log_retention: Duration,
 }
 
 impl TryFrom<RawSettings> for Settings {
@@ -171,6 +176,11 @@
             ask_timeout: time("timing.ask_timeout_ms", raw.ask_timeout_ms, ASK_TIMEOUT)?,
             discovery_ttl: ttl,
             drain_limit: drain,
+            log_retention: time(
+                "timing.log_retention_ms",
+                raw.log_retention_ms,
+                DEFAULT_LOG_RETENTION,
+            )?,
         })
     }
 }
--- a/protocol/src/settings/raw.rs
+++ b/protocol/src/settings/raw.rs
@@ -102,4 +102,6 @@
     pub discovery_ttl_ms: Option<i64>,
     /// Longest graceful shutdown.
     pub drain_limit_ms: Option<i64>,
+    /// Time for which the log service keeps records, or less.
+    pub log_retention_ms: Option<i64>,
 }
--- a/state/src/log/entry.rs
+++ b/state/src/log/entry.rs
@@ -10,7 +10,7 @@
 pub struct WriterId {
     /// Process that wrote the entry.
     pub incarnation: Incarnation,
-    /// Rises by at least 1 with each new entry of the incarnation in the stream; starts at 1.
+    /// Rises by at least 1 with each new entry of the incarnation in the stream; at least 1.
     pub sequence: u64,
 }
 
--- a/state/src/log/writer.rs
+++ b/state/src/log/writer.rs
@@ -103,6 +103,17 @@
         }
     }
 
+    /// Returns a writer whose first entry has the sequence `first`, or 1 if it is 0.
+    ///
+    /// An incarnation that opens a stream again must start above all sequences that it used there
+    /// before, or its entries count as resent.
+    pub fn starting_at(incarnation: Incarnation, limit: usize, first: u64) -> Self {
+        Self {
+            next_sequence: first.max(1),
+            ..Self::new(incarnation, limit)
+        }
+    }
+
     /// Returns the number of entries that are not read back.
     pub fn len(&self) -> usize {
         self.queue.len()
