online: answer completions, plain services, models and discovery

Adds the online path: authentication on each request, admission through shares and the quota home, routing with a log line per decision, attempts with ids that the answer must echo, retries by verdict, streams that resume on another engine, and calls of plain services.

An answer without a body used to return its connection to the pool as soon as its head arrived, so a connection with a mismatched answer could not be closed. ClientBody::close closes it, and such an answer returns its connection when it is dropped.

--- a/daemon/src/daemon.rs
+++ b/daemon/src/daemon.rs
@@ -45,6 +45,7 @@
 };
 use crate::{
     event,
+    online,
     router, //
 };
 
@@ -103,7 +104,8 @@
         let peer = listen_peer(&node)?;
         let admin = listen_admin(&node)?;
         let public = listen_public(&node)?;
-        let loops = control::start(&node);
+        let mut loops = control::start(&node);
+        loops.push(online::start(&node));
         Ok(Self {
             node,
             public,
--- a/daemon/src/node.rs
+++ b/daemon/src/node.rs
@@ -83,18 +83,19 @@
     pub fn new(spawner: &Spawner, settings: Settings, metrics: Metrics) -> Self {
         let clock = Clock::start();
         let client = Client::new(spawner, ClientLimits::default());
+        let incarnation = Incarnation {
+            instance: settings.name.clone(),
+            started: unix_millis(),
+        };
         Self {
-            incarnation: Incarnation {
-                instance: settings.name.clone(),
-                started: unix_millis(),
-            },
+            online: Online::new(&incarnation, settings.groups, metrics.meter()),
+            incarnation,
             clock,
             spawner: spawner.clone(),
             log: LogClient::new(client.clone(), settings.log, clock),
             list: ListClient::new(client.clone(), settings.list),
             client,
             metrics,
-            online: Online::new(),
             batch: Batch::new(settings.groups),
             control: Control::new(),
             phase: AtomicU8::new(Phase::Starting as u8),
--- /dev/null
+++ b/daemon/src/online/backends.rs
@@ -0,0 +1,244 @@
+//! Choice of a backend server, with the requests in flight and the recent failures of each.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use limpetweir_coordination::{
+    BackendHealth,
+    Candidate,
+    Choice,
+    ListState,
+    RetryBudget,
+    RouteDecision,
+    RouteRequest,
+    route, //
+};
+use limpetweir_protocol::peer::PeerMessage;
+use limpetweir_state::{
+    Backend,
+    BackendId,
+    Configuration,
+    GroupKind,
+    Service,
+    ServiceId,
+    Timestamp, //
+};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use crate::event;
+use crate::events::{
+    ROUTED,
+    YIELD_SENT, //
+};
+use crate::node::Node;
+
+/// Backend servers of the services of one shard.
+#[derive(Debug)]
+pub(super) struct BackendShard {
+    /// Online requests of this instance in flight; no entry is 0.
+    in_flight: BTreeMap<BackendId, u32>,
+    health: BackendHealth,
+    rng: SmallRng,
+    /// Retries of open routes, whose callers belong to no organisation, by service.
+    pub(super) open_retries: RetryBudget,
+}
+
+impl BackendShard {
+    /// Returns a shard without requests whose choices follow from `seed`.
+    pub(super) fn new(seed: u64) -> Self {
+        Self {
+            in_flight: BTreeMap::new(),
+            health: BackendHealth::default(),
+            rng: SmallRng::seed_from_u64(seed),
+            open_retries: RetryBudget::default(),
+        }
+    }
+
+    fn own(&self, backend: &BackendId) -> u32 {
+        self.in_flight.get(backend).copied().unwrap_or(0)
+    }
+}
+
+/// What a choice is made for.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Purpose<'a> {
+    /// Service whose backend servers are candidates.
+    pub(super) service: &'a ServiceId,
+    /// Start of the prompt; empty if there is none.
+    pub(super) prompt: &'a [u8],
+    /// Backend servers of earlier attempts.
+    pub(super) tried: &'a [BackendId],
+}
+
+/// A chosen backend server with a request in flight on it.
+#[derive(Debug)]
+pub(super) struct Reserved {
+    /// The backend server.
+    pub(super) backend: BackendId,
+    /// Its address.
+    pub(super) address: SocketAddr,
+    /// Counts the request until it is dropped.
+    pub(super) flight: InFlight,
+}
+
+/// Counts one request in flight on a backend server until it is dropped.
+#[derive(Debug)]
+pub(super) struct InFlight {
+    node: Arc<Node>,
+    service: ServiceId,
+    backend: BackendId,
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        let mut shard = self.node.online.backends.of_key(&self.service);
+        if let Some(count) = shard.in_flight.get_mut(&self.backend) {
+            *count -= 1;
+            if *count == 0 {
+                shard.in_flight.remove(&self.backend);
+            }
+        }
+    }
+}
+
+/// A backend server with what the control loops know of it.
+struct Seen<'a> {
+    backend: &'a Backend,
+    listed: Option<ListState>,
+    peers: u32,
+}
+
+/// Asks the control loops first, so that no lock of theirs is taken while a shard is locked.
+fn see<'a>(
+    node: &Node,
+    cfg: &'a Configuration,
+    service: &Service,
+    now: Timestamp,
+) -> Vec<Seen<'a>> {
+    let see = |name: &BackendId| {
+        Some(Seen {
+            backend: cfg.backend(name)?,
+            listed: node.control.backend_state(name),
+            peers: node.control.online_at_peers(now, name),
+        })
+    };
+    service.backends.iter().filter_map(see).collect()
+}
+
+fn decide(
+    node: &Node,
+    shard: &BackendShard,
+    seen: &[Seen<'_>],
+    purpose: &Purpose<'_>,
+    now: Timestamp,
+    rng: &mut SmallRng,
+) -> RouteDecision {
+    let candidate = |seen: &Seen<'_>| {
+        let id = &seen.backend.id;
+        (
+            shard.health.is_silent(id, now),
+            purpose.tried.contains(id),
+            shard.own(id),
+        )
+    };
+    let candidates: Vec<Candidate<'_>> = seen
+        .iter()
+        .map(|seen| {
+            let (silent, tried, own) = candidate(seen);
+            Candidate {
+                backend: seen.backend,
+                listed: seen.listed,
+                silent,
+                tried,
+                own,
+                peers: seen.peers,
+            }
+        })
+        .collect();
+    let request = RouteRequest {
+        prompt: purpose.prompt,
+        zone: &node.settings.zone,
+    };
+    route(&candidates, &request, rng)
+}
+
+/// Chooses a backend server, counts the request on it and tells a full one's manager to yield.
+///
+/// Returns `None` if no backend server of the service may get the request.
+pub(super) fn reserve(node: &Arc<Node>, purpose: &Purpose<'_>) -> Option<Reserved> {
+    let now = node.clock.now();
+    let cfg = node.control.current()?.configuration;
+    let service = cfg.service(purpose.service)?;
+    let seen = see(node, &cfg, service, now);
+    let decision = {
+        let mut shard = node.online.backends.of_key(purpose.service);
+        let mut rng = shard.rng.clone();
+        let decision = decide(node, &shard, &seen, purpose, now, &mut rng);
+        shard.rng = rng;
+        if let Some(choice) = &decision.choice {
+            *shard.in_flight.entry(choice.backend.clone()).or_default() += 1;
+        }
+        decision
+    };
+    event!(ROUTED, "service={} {decision}", purpose.service);
+    let choice = decision.choice?;
+    let flight = InFlight {
+        node: node.clone(),
+        service: purpose.service.clone(),
+        backend: choice.backend.clone(),
+    };
+    if choice.full {
+        tell_to_yield(node, &choice, now);
+    }
+    Some(Reserved {
+        address: cfg.backend(&choice.backend)?.address,
+        backend: choice.backend,
+        flight,
+    })
+}
+
+/// Returns the decision that a request would get now, without an effect on later ones.
+pub(super) fn preview(
+    node: &Node,
+    cfg: &Configuration,
+    service: &Service,
+    purpose: &Purpose<'_>,
+) -> RouteDecision {
+    let now = node.clock.now();
+    let seen = see(node, cfg, service, now);
+    let shard = node.online.backends.of_key(purpose.service);
+    let mut rng = shard.rng.clone();
+    decide(node, &shard, &seen, purpose, now, &mut rng)
+}
+
+fn tell_to_yield(node: &Node, choice: &Choice, now: Timestamp) {
+    let backend = choice.backend.clone();
+    let key = backend.as_str().as_bytes();
+    let group = node.control.group_of(GroupKind::Engine, key);
+    if let Some(owner) = node.control.owner(now, group) {
+        event!(YIELD_SENT, "backend={backend} manager={}", owner.instance);
+        let message = PeerMessage::Yield { backend };
+        node.control.notify(&owner.instance, message);
+    }
+}
+
+/// Keeps new work away from a backend server for a while.
+pub(super) fn note_failure(node: &Node, service: &ServiceId, backend: &BackendId) {
+    let now = node.clock.now();
+    let mut shard = node.online.backends.of_key(service);
+    shard.health.on_failure(backend, now);
+}
+
+/// Returns the online requests of this instance in flight, for each backend server that has any.
+pub(crate) fn in_flight(node: &Node) -> Vec<(BackendId, u32)> {
+    let shards = node.online.backends.iter();
+    shards
+        .flat_map(|shard| {
+            let counts = shard.in_flight.iter();
+            let counts: Vec<_> = counts.map(|(id, count)| (id.clone(), *count)).collect();
+            counts
+        })
+        .collect()
+}
--- /dev/null
+++ b/daemon/src/online/body.rs
@@ -0,0 +1,139 @@
+//! Bodies of callers' requests.
+
+use hyper::StatusCode;
+use hyper::body::Bytes;
+use limpetweir_transport::http::{
+    BodyError,
+    RequestBody, //
+};
+use serde::Deserialize;
+use serde_json::Value;
+
+use crate::responses::Problem;
+
+/// Largest body of an online request in bytes.
+pub(super) const MAX_BODY_BYTES: usize = 8 << 20;
+
+/// Bytes of the prompt that routing looks at.
+const PREFIX_BYTES: usize = 256;
+
+/// The two forms of a completion request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Form {
+    /// `/v1/completions`.
+    Completion,
+    /// `/v1/chat/completions`.
+    Chat,
+}
+
+impl Form {
+    /// Returns the path at the daemon and at engines.
+    pub(super) fn path(self) -> &'static str {
+        match self {
+            Self::Completion => "/v1/completions",
+            Self::Chat => "/v1/chat/completions",
+        }
+    }
+}
+
+/// What the daemon reads of a completion request; the engine gets the body as it came.
+#[derive(Clone, Debug)]
+pub(super) struct CompletionRequest {
+    /// Model.
+    pub(super) model: String,
+    /// Whether the answer is streamed.
+    pub(super) stream: bool,
+    /// Start of the prompt, for routing.
+    pub(super) prefix: Vec<u8>,
+    /// Whether the answer is one sequence of tokens, which another engine can continue.
+    pub(super) resumable: bool,
+}
+
+#[derive(Deserialize)]
+struct RawCompletion {
+    model: String,
+    #[serde(default)]
+    stream: Option<bool>,
+    prompt: Option<Value>,
+    messages: Option<Vec<Message>>,
+    n: Option<u32>,
+    best_of: Option<u32>,
+}
+
+#[derive(Deserialize)]
+struct Message {
+    role: String,
+    #[serde(default)]
+    content: Value,
+}
+
+impl CompletionRequest {
+    /// Parses a body; the engine checks the fields that are not read here.
+    pub(super) fn parse(form: Form, body: &[u8]) -> Result<Self, Problem> {
+        let raw: RawCompletion = serde_json::from_slice(body)
+            .map_err(|err| malformed(format!("the body is not a completion request: {err}")))?;
+        let prefix = match form {
+            Form::Completion => prompt_prefix(raw.prompt.as_ref())?,
+            Form::Chat => chat_prefix(raw.messages.as_deref())?,
+        };
+        let one = |count: Option<u32>| count.is_none_or(|count| count == 1);
+        Ok(Self {
+            model: raw.model,
+            stream: raw.stream.unwrap_or(false),
+            prefix,
+            resumable: one(raw.n) && one(raw.best_of),
+        })
+    }
+}
+
+fn prompt_prefix(prompt: Option<&Value>) -> Result<Vec<u8>, Problem> {
+    let mut prefix = Vec::new();
+    match prompt {
+        Some(Value::String(text)) => push(&mut prefix, text),
+        // Prompts may also be lists of texts or of tokens.
+        Some(Value::Array(parts)) if !parts.is_empty() => {
+            for part in parts.iter().take(PREFIX_BYTES) {
+                push(&mut prefix, &part.to_string());
+            }
+        }
+        _ => return Err(malformed("prompt is missing, empty or of another type")),
+    }
+    Ok(prefix)
+}
+
+fn chat_prefix(messages: Option<&[Message]>) -> Result<Vec<u8>, Problem> {
+    let messages = messages.filter(|messages| !messages.is_empty());
+    let messages = messages.ok_or_else(|| malformed("messages is missing or empty"))?;
+    let mut prefix = Vec::new();
+    for message in messages.iter().take(PREFIX_BYTES) {
+        push(&mut prefix, &message.role);
+        match &message.content {
+            Value::String(text) => push(&mut prefix, text),
+            content => push(&mut prefix, &content.to_string()),
+        }
+    }
+    Ok(prefix)
+}
+
+/// Appends the start of `text` as far as routing looks.
+fn push(prefix: &mut Vec<u8>, text: &str) {
+    let left = PREFIX_BYTES - prefix.len();
+    prefix.extend(text.bytes().take(left));
+}
+
+/// Reads the body of an online request.
+pub(super) async fn read(body: RequestBody) -> Result<Bytes, Problem> {
+    let read = body.limited(MAX_BODY_BYTES).collect_bytes().await;
+    read.map_err(|err| {
+        let (status, code) = match &err {
+            BodyError::TooLarge { .. } => (StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"),
+            BodyError::Stalled { .. } => (StatusCode::REQUEST_TIMEOUT, "body_stalled"),
+            _ => (StatusCode::BAD_REQUEST, "body_cut"),
+        };
+        Problem::not_run(status, code, err.to_string())
+    })
+}
+
+fn malformed(message: impl Into<String>) -> Problem {
+    Problem::not_run(StatusCode::BAD_REQUEST, "invalid_body", message)
+}
--- /dev/null
+++ b/daemon/src/online/call.rs
@@ -0,0 +1,369 @@
+//! One request on its way to backend servers: its attempts, retries and errors.
+
+use std::sync::Arc;
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use hyper::body::Bytes;
+use hyper::header::{
+    HeaderValue,
+    RETRY_AFTER, //
+};
+use hyper::http::request::Parts;
+use hyper::{
+    HeaderMap,
+    Request,
+    Response,
+    StatusCode, //
+};
+use limpetweir_coordination::timing::BACKEND_SILENCE;
+use limpetweir_coordination::{
+    Failure,
+    MAX_ONLINE_ATTEMPTS,
+    OnlineAttemptId,
+    RetryDecision, //
+};
+use limpetweir_state::{
+    BackendId,
+    OrganisationId,
+    ServiceId,
+    Verdict, //
+};
+use limpetweir_transport::http::{
+    ClientBody,
+    SendOptions,
+    TrafficClass, //
+};
+use limpetweir_transport::until;
+
+use super::backends::{
+    self,
+    InFlight,
+    Purpose,
+    Reserved, //
+};
+use super::metrics::AttemptResult;
+use crate::event;
+use crate::events::{
+    ANSWER_MISMATCHED,
+    ATTEMPT_FAILED, //
+};
+use crate::node::Node;
+use crate::responses::Problem;
+
+/// Header with the id of an attempt, which the answer must echo.
+pub(super) const ATTEMPT_ID: &str = "x-attempt-id";
+
+/// Header with the number of tokens that earlier attempts delivered.
+pub(super) const RESUME_TOKENS: &str = "x-resume-tokens";
+
+/// Longest time that a backend server's `Retry-After` is taken over from.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(60);
+
+/// Whom the retries of a request are counted for.
+#[derive(Clone, Debug)]
+pub(super) enum Payer {
+    /// The organisation of the caller's key.
+    Organisation(OrganisationId),
+    /// An open route; its callers share the budget of the service.
+    Open,
+}
+
+/// An admitted request.
+#[derive(Debug)]
+pub(super) struct Call {
+    pub(super) node: Arc<Node>,
+    pub(super) payer: Payer,
+    pub(super) service: ServiceId,
+    /// Method, path and headers for the backend server, without the caller's key.
+    pub(super) head: Parts,
+    pub(super) body: Bytes,
+    /// Start of the prompt; empty if there is none.
+    pub(super) prefix: Vec<u8>,
+    pub(super) idempotent: bool,
+    /// Longest wait for the head of an answer.
+    pub(super) head_limit: Duration,
+    pub(super) progress: Progress,
+}
+
+/// What became of the attempts so far.
+#[derive(Debug)]
+pub(super) struct Progress {
+    /// Backend servers of the attempts.
+    tried: Vec<BackendId>,
+    attempts: u32,
+    /// The strongest statement that any attempt needs.
+    verdict: Verdict,
+    /// Error of the last attempt that reached a backend server.
+    last: Option<Problem>,
+    started: Instant,
+    /// Time spent waiting for backend servers.
+    waited: Duration,
+}
+
+impl Progress {
+    /// Returns the state before the first attempt; `started` is when the request was complete.
+    pub(super) fn new(started: Instant) -> Self {
+        Self {
+            tried: Vec::new(),
+            attempts: 0,
+            verdict: Verdict::NotRun,
+            last: None,
+            started,
+            waited: Duration::ZERO,
+        }
+    }
+}
+
+/// The answer of a backend server to the attempt that it belongs to.
+#[derive(Debug)]
+pub(super) struct Answer {
+    pub(super) response: Response<ClientBody>,
+    pub(super) backend: BackendId,
+    pub(super) flight: InFlight,
+}
+
+/// A failed attempt.
+#[derive(Debug)]
+pub(super) enum Failed {
+    /// No backend server may get the request.
+    NoBackend,
+    /// The attempt failed with an error that the caller gets unless another one succeeds.
+    Attempt(Problem),
+}
+
+impl Call {
+    /// Makes one attempt and returns its answer, which echoes the attempt id.
+    ///
+    /// A rejection without running the request is a failure; other statuses are answers.
+    pub(super) async fn attempt(&mut self, resume: u64) -> Result<Answer, Failed> {
+        let purpose = Purpose {
+            service: &self.service,
+            prompt: &self.prefix,
+            tried: &self.progress.tried,
+        };
+        let reserved = backends::reserve(&self.node, &purpose).ok_or(Failed::NoBackend)?;
+        self.progress.tried.push(reserved.backend.clone());
+        self.progress.attempts += 1;
+        let sent = Instant::now();
+        let result = self.exchange(reserved, resume).await;
+        self.progress.waited += sent.elapsed();
+        let metrics = &self.node.online.metrics;
+        match &result {
+            Ok(_) => metrics.attempt(AttemptResult::Answered),
+            Err(problem) if problem.verdict == Verdict::NotRun => {
+                metrics.attempt(AttemptResult::NotRun);
+            }
+            Err(_) => metrics.attempt(AttemptResult::Failed),
+        }
+        result.map_err(Failed::Attempt)
+    }
+
+    async fn exchange(&self, reserved: Reserved, resume: u64) -> Result<Answer, Problem> {
+        let Reserved {
+            backend,
+            address,
+            flight,
+        } = reserved;
+        let id = self.node.online.next_attempt_id();
+        let req = self.request(&id, resume);
+        let options = SendOptions {
+            class: TrafficClass::Online,
+            deadline: None,
+        };
+        let deadline = Instant::now() + self.head_limit;
+        let sending = self.node.client.send(address, req, options);
+        let response = match until(deadline, sending).await {
+            Some(Ok(response)) => response,
+            Some(Err(err)) => {
+                backends::note_failure(&self.node, &self.service, &backend);
+                return Err(failed(&backend, "gave no answer", err.verdict()));
+            }
+            None => {
+                backends::note_failure(&self.node, &self.service, &backend);
+                return Err(failed(
+                    &backend,
+                    "gave no answer in time",
+                    Verdict::MayHaveRun,
+                ));
+            }
+        };
+        let echo = response.headers().get(ATTEMPT_ID);
+        if !id.is_echoed_by(echo.and_then(|echo| echo.to_str().ok())) {
+            response.into_body().close();
+            backends::note_failure(&self.node, &self.service, &backend);
+            event!(ANSWER_MISMATCHED, "backend={backend} attempt={id}");
+            let what = "sent an answer that does not belong to the request";
+            return Err(failed(&backend, what, Verdict::MayHaveRun));
+        }
+        if let Some(problem) = rejection(&backend, &response) {
+            return Err(problem);
+        }
+        Ok(Answer {
+            response,
+            backend,
+            flight,
+        })
+    }
+
+    fn request(&self, id: &OnlineAttemptId, resume: u64) -> Request<Bytes> {
+        let mut req = Request::new(self.body.clone());
+        *req.method_mut() = self.head.method.clone();
+        *req.uri_mut() = self.head.uri.clone();
+        *req.headers_mut() = self.head.headers.clone();
+        if let Ok(id) = HeaderValue::from_str(id.as_str()) {
+            req.headers_mut().insert(ATTEMPT_ID, id);
+        }
+        if resume > 0 {
+            let tokens = HeaderValue::from(resume);
+            req.headers_mut().insert(RESUME_TOKENS, tokens);
+        }
+        req
+    }
+
+    /// Decides about a failed attempt before a byte was sent to the caller.
+    ///
+    /// Returns the error for the caller if the request is not sent again.
+    pub(super) fn retry(&mut self, failed: Failed) -> Result<(), Problem> {
+        let problem = match failed {
+            Failed::NoBackend => return Err(self.no_backend()),
+            Failed::Attempt(problem) => problem,
+        };
+        self.note(&problem);
+        let failure = Failure {
+            verdict: problem.verdict,
+            idempotent: self.idempotent,
+            answered: false,
+            attempts: self.progress.attempts,
+        };
+        let decision = self.budget(&failure);
+        event!(
+            ATTEMPT_FAILED,
+            "service={} attempts={} verdict={} decision={decision:?} {}",
+            self.service,
+            self.progress.attempts,
+            problem.verdict,
+            problem.message
+        );
+        self.progress.last = Some(problem);
+        match decision {
+            RetryDecision::Retry => Ok(()),
+            RetryDecision::Stop(_) => Err(self.no_backend()),
+        }
+    }
+
+    /// Returns whether another attempt may continue a broken stream.
+    ///
+    /// It is not charged to the retry budget: it continues the work instead of repeating it, and a
+    /// lost engine breaks many streams at once.
+    pub(super) fn may_resume(&self) -> bool {
+        self.progress.attempts < MAX_ONLINE_ATTEMPTS
+    }
+
+    /// Records the error of an attempt, which limits what later errors may state.
+    pub(super) fn note(&mut self, problem: &Problem) {
+        if problem.verdict != Verdict::NotRun {
+            self.progress.verdict = Verdict::MayHaveRun;
+        }
+    }
+
+    /// Records a broken answer of a backend server and returns it as a failed attempt.
+    pub(super) fn broken(&self, backend: &BackendId, what: &str) -> Failed {
+        backends::note_failure(&self.node, &self.service, backend);
+        Failed::Attempt(failed(backend, what, Verdict::MayHaveRun))
+    }
+
+    /// Records the time that this instance added to the answer.
+    pub(super) fn record_added_time(&self) {
+        let total = self.progress.started.elapsed();
+        let added = total.saturating_sub(self.progress.waited);
+        self.node.online.metrics.added(added);
+    }
+
+    fn budget(&self, failure: &Failure) -> RetryDecision {
+        let online = &self.node.online;
+        match &self.payer {
+            Payer::Organisation(organisation) => {
+                let mut shard = online.organisations.of_key(organisation);
+                shard.retries.on_failure(organisation, failure)
+            }
+            Payer::Open => match OrganisationId::try_from(self.service.as_str()) {
+                Ok(key) => {
+                    let mut shard = online.backends.of_key(&self.service);
+                    shard.open_retries.on_failure(&key, failure)
+                }
+                Err(_) => RetryDecision::Retry,
+            },
+        }
+    }
+
+    /// Adds an admitted request to the retry budget.
+    pub(super) fn count_request(&self) {
+        let online = &self.node.online;
+        match &self.payer {
+            Payer::Organisation(organisation) => {
+                let mut shard = online.organisations.of_key(organisation);
+                shard.retries.on_request(organisation);
+            }
+            Payer::Open => {
+                if let Ok(key) = OrganisationId::try_from(self.service.as_str()) {
+                    let mut shard = online.backends.of_key(&self.service);
+                    shard.open_retries.on_request(&key);
+                }
+            }
+        }
+    }
+
+    /// Returns the error of a request that gets no further attempt.
+    fn no_backend(&mut self) -> Problem {
+        let mut problem = self.progress.last.take().unwrap_or_else(|| {
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            let message = format!("no backend server of service {} is available", self.service);
+            let mut problem = Problem::not_run(status, "no_backend", message);
+            problem.retry_after = Some(BACKEND_SILENCE);
+            problem
+        });
+        if self.progress.verdict != Verdict::NotRun {
+            problem.verdict = Verdict::MayHaveRun;
+        }
+        problem
+    }
+}
+
+/// Returns the error for an attempt whose backend server failed.
+pub(super) fn failed(backend: &BackendId, what: &str, verdict: Verdict) -> Problem {
+    let message = format!("backend server {backend} {what}");
+    let mut problem = Problem::not_run(StatusCode::BAD_GATEWAY, "backend_failed", message);
+    problem.verdict = verdict;
+    if verdict == Verdict::NotRun {
+        problem.status = StatusCode::SERVICE_UNAVAILABLE;
+        problem.retry_after = Some(BACKEND_SILENCE);
+    }
+    problem
+}
+
+/// Returns the error for an answer that says that the request was rejected without running.
+fn rejection(backend: &BackendId, response: &Response<ClientBody>) -> Option<Problem> {
+    let retry_after = retry_after(response.headers())?;
+    if response.status() != StatusCode::SERVICE_UNAVAILABLE {
+        return None;
+    }
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    let message = format!("backend server {backend} rejected the request without running it");
+    let mut problem = Problem::not_run(status, "backend_busy", message);
+    problem.retry_after = Some(retry_after);
+    Some(problem)
+}
+
+fn retry_after(headers: &HeaderMap) -> Option<Duration> {
+    let value = headers.get(RETRY_AFTER)?;
+    let seconds = value
+        .to_str()
+        .ok()
+        .and_then(|text| text.trim().parse().ok());
+    // A date is accepted as a rejection as well, with the shortest time.
+    let named = seconds.map_or(Duration::from_secs(1), Duration::from_secs);
+    Some(named.min(MAX_RETRY_AFTER))
+}
--- /dev/null
+++ b/daemon/src/online/home.rs
@@ -0,0 +1,165 @@
+//! The quota homes of the groups that this instance acts for.
+
+use limpetweir_coordination::MayAct;
+use limpetweir_coordination::quota::{
+    HomeStart,
+    QuotaHome,
+    QuotaRefusal,
+    QuotaRequest,
+    QuotaSettings, //
+};
+use limpetweir_protocol::peer::{
+    CallError,
+    Hello,
+    QuotaCall,
+    ReplyBody, //
+};
+use limpetweir_state::{
+    Epoch,
+    GroupId,
+    GroupKind,
+    Timestamp,
+    Verdict,
+    Version, //
+};
+
+use crate::event;
+use crate::events::{
+    QUOTA_HOME_ENDED,
+    QUOTA_HOME_STARTED,
+    QUOTA_MESSAGE_REFUSED, //
+};
+use crate::node::Node;
+
+/// State of one quota group at this instance.
+#[derive(Debug, Default)]
+pub(super) struct HomeSlot {
+    /// The home, while this instance holds the group.
+    home: Option<QuotaHome>,
+    /// Configuration version whose limits the home has.
+    version: Option<Version>,
+}
+
+/// Starts and ends homes as the ownership of their groups changes.
+pub(super) fn follow_ownership(node: &Node) {
+    for index in 0..node.settings.groups {
+        let kind = GroupKind::Quota;
+        let group = GroupId { kind, index };
+        let now = node.clock.now();
+        match node.control.may_act(now, group) {
+            MayAct::Yes(epoch) => act(node, group, epoch, now, |_| ()),
+            MayAct::NotHolder => end(node, group),
+            // The home keeps its state: the instance still holds the group and may act again.
+            MayAct::WaitUntil(_) | MayAct::LeaseExpired => {}
+        }
+    }
+}
+
+/// Answers a borrower if this instance may act for the organisation's quota group.
+pub(crate) fn answer_quota(node: &Node, from: &Hello, call: QuotaCall) -> ReplyBody {
+    if call.borrower != from.incarnation {
+        event!(
+            QUOTA_MESSAGE_REFUSED,
+            "from={} borrower={}",
+            from.incarnation,
+            call.borrower
+        );
+        return refuse("wrong_borrower", "the borrower is not the sender", None);
+    }
+    let request = match QuotaRequest::try_from(call) {
+        Ok(request) => request,
+        Err(err) => {
+            event!(QUOTA_MESSAGE_REFUSED, "from={} {err}", from.incarnation);
+            return refuse("invalid_quota_call", &err.to_string(), None);
+        }
+    };
+    let key = request.organisation.as_str().as_bytes();
+    let group = node.control.group_of(GroupKind::Quota, key);
+    let now = node.clock.now();
+    match node.control.may_act(now, group) {
+        MayAct::Yes(epoch) => {
+            let handled = act(node, group, epoch, now, |home| home.handle(&request, now));
+            handled.map_or_else(
+                |err| refuse_handled(&err),
+                |answer| ReplyBody::Quota(answer.into()),
+            )
+        }
+        MayAct::WaitUntil(at) => {
+            let wait = u64::try_from(at.since(now).as_millis()).ok();
+            refuse("home_not_active", "the quota home does not act yet", wait)
+        }
+        MayAct::NotHolder | MayAct::LeaseExpired => refuse(
+            "not_home",
+            "this instance may not act for the quota group",
+            None,
+        ),
+    }
+}
+
+/// Calls `step` with the home of `epoch`, which has the limits of the current configuration.
+fn act<T>(
+    node: &Node,
+    group: GroupId,
+    epoch: Epoch,
+    now: Timestamp,
+    step: impl FnOnce(&mut QuotaHome) -> T,
+) -> T {
+    let current = node.control.current();
+    let mut slot = node.online.homes.at(usize::from(group.index));
+    let HomeSlot { home, version } = &mut *slot;
+    if home.as_ref().is_some_and(|home| home.epoch() != epoch) {
+        *home = None;
+        *version = None;
+    }
+    let home = home.get_or_insert_with(|| start(group, epoch, now));
+    if let Some(current) = current.filter(|current| Some(current.version) > *version) {
+        let organisations = current.configuration.organisations();
+        let limits = organisations
+            .filter(|o| {
+                node.control
+                    .group_of(GroupKind::Quota, o.id.as_str().as_bytes())
+                    == group
+            })
+            .map(|o| (&o.id, o.limit));
+        home.set_limits(limits, now);
+        *version = Some(current.version);
+    }
+    step(home)
+}
+
+/// Returns the home for a claim under which this instance may act from now on.
+///
+/// Ownership has waited for the former holder already, so only its shares may live on.
+fn start(group: GroupId, epoch: Epoch, now: Timestamp) -> QuotaHome {
+    event!(QUOTA_HOME_STARTED, "group={group} epoch={}", epoch.0);
+    let start = HomeStart::AfterRelease;
+    QuotaHome::new(epoch, start, QuotaSettings::default(), now)
+}
+
+fn end(node: &Node, group: GroupId) {
+    let slot = std::mem::take(&mut *node.online.homes.at(usize::from(group.index)));
+    if let Some(home) = slot.home {
+        event!(QUOTA_HOME_ENDED, "group={group} epoch={}", home.epoch().0);
+    }
+}
+
+fn refuse_handled(err: &QuotaRefusal) -> ReplyBody {
+    let (code, wait) = match err {
+        QuotaRefusal::NotActive { retry_after } => (
+            "home_not_active",
+            u64::try_from(retry_after.as_millis()).ok(),
+        ),
+        QuotaRefusal::Replaced { .. } => ("home_replaced", None),
+        QuotaRefusal::UnknownOrganisation { .. } => ("unknown_organisation", None),
+    };
+    refuse(code, &err.to_string(), wait)
+}
+
+fn refuse(code: &str, message: &str, retry_after_ms: Option<u64>) -> ReplyBody {
+    ReplyBody::Error(CallError {
+        code: code.to_owned(),
+        message: message.to_owned(),
+        verdict: Verdict::NotRun,
+        retry_after_ms,
+    })
+}
--- a/daemon/src/online/mod.rs
+++ b/daemon/src/online/mod.rs
@@ -1,50 +1,191 @@
 //! The online path: requests of callers to engines and plain services.
 
-use std::collections::HashMap;
-use std::sync::Arc;
+mod admission;
+mod auth;
+mod backends;
+mod body;
+mod call;
+mod chunk;
+mod completions;
+mod discovery;
+mod explain;
+mod home;
+mod metrics;
+mod plain;
+mod query;
+mod stream;
 
+use std::sync::{
+    Arc,
+    Mutex,
+    PoisonError, //
+};
+use std::time::Duration;
+
+use async_executor::Task;
+use hyper::header::{
+    ALLOW,
+    HeaderValue, //
+};
 use hyper::{
+    Method,
     Request,
-    Response, //
+    Response,
+    StatusCode, //
+};
+use limpetweir_coordination::quota::{
+    QuotaBorrower,
+    QuotaSettings, //
 };
-use limpetweir_state::OrganisationId;
+use limpetweir_coordination::{
+    OnlineAttemptId,
+    OnlineAttemptIds,
+    RetryBudget, //
+};
+use limpetweir_state::Incarnation;
 use limpetweir_transport::http::{
     Body,
     RequestBody, //
 };
+use opentelemetry::metrics::Meter;
+
+pub(crate) use backends::in_flight;
+pub(crate) use explain::explain;
+pub(crate) use home::answer_quota;
 
-use crate::node::Node;
-use crate::responses;
+use self::backends::BackendShard;
+use self::body::Form;
+use self::home::HomeSlot;
+use self::metrics::{
+    OnlineMetrics,
+    Outcome, //
+};
+use crate::control::Current;
+use crate::event;
+use crate::events::REQUEST_REFUSED;
+use crate::node::{
+    Node,
+    Phase, //
+};
+use crate::responses::{
+    self,
+    Problem, //
+};
 use crate::sharded::Sharded;
 
 /// Shards of the organisations, a few times the usual number of executor threads.
 const ORGANISATION_SHARDS: usize = 16;
 
+/// Shards of the backend servers, by service.
+const BACKEND_SHARDS: usize = 16;
+
+/// Time to come back to an instance that does not serve; callers rather use another one.
+const NOT_SERVING_RETRY: Duration = Duration::from_secs(1);
+
 /// State of the online path.
 #[derive(Debug)]
 pub struct Online {
-    /// Organisations by name, in shards.
-    organisations: Sharded<HashMap<OrganisationId, OrganisationState>>,
+    /// Quota and retries of organisations, in shards by organisation.
+    organisations: Sharded<OrganisationShard>,
+    /// Backend servers, in shards by service.
+    backends: Sharded<BackendShard>,
+    /// Quota homes, one shard for each quota group, at the group's index.
+    homes: Sharded<HomeSlot>,
+    attempts: Mutex<OnlineAttemptIds>,
+    metrics: OnlineMetrics,
 }
 
-/// What an instance holds for one organisation.
-#[derive(Debug, Default)]
-pub struct OrganisationState {}
+/// What an instance holds for the organisations of one shard.
+#[derive(Debug)]
+struct OrganisationShard {
+    borrower: QuotaBorrower,
+    retries: RetryBudget,
+}
 
 impl Online {
-    pub(crate) fn new() -> Self {
+    pub(crate) fn new(me: &Incarnation, groups: u16, meter: &Meter) -> Self {
         Self {
-            organisations: Sharded::new(ORGANISATION_SHARDS, |_| HashMap::new()),
+            organisations: Sharded::new(ORGANISATION_SHARDS, |_| OrganisationShard {
+                borrower: QuotaBorrower::new(me.clone(), QuotaSettings::default()),
+                retries: RetryBudget::default(),
+            }),
+            backends: Sharded::new(BACKEND_SHARDS, |index| {
+                BackendShard::new(me.started.wrapping_add(index as u64))
+            }),
+            homes: Sharded::new(usize::from(groups), |_| HomeSlot::default()),
+            attempts: Mutex::new(OnlineAttemptIds::new(me.clone())),
+            metrics: OnlineMetrics::new(meter),
         }
     }
 
-    /// Returns the organisations; the shard of one is found by its name.
-    pub fn organisations(&self) -> &Sharded<HashMap<OrganisationId, OrganisationState>> {
-        &self.organisations
+    fn next_attempt_id(&self) -> OnlineAttemptId {
+        let attempts = self.attempts.lock();
+        attempts.unwrap_or_else(PoisonError::into_inner).next_id()
     }
 }
 
+/// Starts the loop for shares and homes; it ends when the returned task is dropped.
+pub(crate) fn start(node: &Arc<Node>) -> Task<()> {
+    node.spawner.spawn(admission::run(node.clone()))
+}
+
 /// Answers completions, models, addresses and calls of plain services.
-pub(crate) async fn answer(_node: &Arc<Node>, req: Request<RequestBody>) -> Response<Body> {
-    responses::not_found(&req)
+pub(crate) async fn answer(node: &Arc<Node>, req: Request<RequestBody>) -> Response<Body> {
+    let streamed = matches!(req.uri().path(), "/v1/completions" | "/v1/chat/completions");
+    match dispatch(node, req).await {
+        Ok(response) => {
+            let relayed = streamed && matches!(response.body(), Body::Channel(_));
+            // The outcome of a stream is counted at its end.
+            if !relayed {
+                node.online.metrics.outcome(Outcome::Complete);
+            }
+            response
+        }
+        Err(problem) => {
+            let verdict = problem.verdict;
+            event!(REQUEST_REFUSED, "code={} verdict={verdict}", problem.code);
+            node.online.metrics.refusal(problem.code, verdict.into());
+            problem.into_response()
+        }
+    }
+}
+
+async fn dispatch(node: &Arc<Node>, req: Request<RequestBody>) -> Result<Response<Body>, Problem> {
+    match (req.method(), req.uri().path()) {
+        (&Method::POST, "/v1/completions") => {
+            completions::answer(node, Form::Completion, req).await
+        }
+        (&Method::POST, "/v1/chat/completions") => completions::answer(node, Form::Chat, req).await,
+        (&Method::GET, "/v1/models") => discovery::models(node, &req),
+        (&Method::GET, "/v1/addresses") => discovery::addresses(node, &req),
+        (_, "/v1/completions" | "/v1/chat/completions") => Ok(method_not_allowed("POST")),
+        (_, "/v1/models" | "/v1/addresses") => Ok(method_not_allowed("GET")),
+        (_, path) if path.starts_with(plain::PREFIX) => plain::answer(node, req).await,
+        _ => Ok(responses::not_found(&req)),
+    }
+}
+
+fn method_not_allowed(allowed: &'static str) -> Response<Body> {
+    let status = StatusCode::METHOD_NOT_ALLOWED;
+    let message = format!("only {allowed} is accepted here");
+    let mut response = Problem::not_run(status, "method_not_allowed", message).into_response();
+    let allowed = HeaderValue::from_static(allowed);
+    response.headers_mut().insert(ALLOW, allowed);
+    response
+}
+
+/// Returns the configuration if the instance accepts requests.
+fn serving(node: &Node) -> Result<Current, Problem> {
+    let phase = node.phase();
+    let current = match phase {
+        Phase::Serving | Phase::Leaving => node.control.current(),
+        Phase::Starting | Phase::Stale => None,
+    };
+    current.ok_or_else(|| {
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        let message = format!("the instance does not accept requests now ({phase})");
+        let mut problem = Problem::not_run(status, "not_serving", message);
+        problem.retry_after = Some(NOT_SERVING_RETRY);
+        problem
+    })
 }
--- /dev/null
+++ b/daemon/src/online/plain.rs
@@ -0,0 +1,281 @@
+//! Calls of plain services.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{
+    Context,
+    Poll, //
+};
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use hyper::body::{
+    Bytes,
+    Frame,
+    SizeHint, //
+};
+use hyper::header::{
+    AUTHORIZATION,
+    CONNECTION,
+    CONTENT_LENGTH,
+    EXPECT,
+    HOST,
+    HeaderName,
+    HeaderValue,
+    PROXY_AUTHENTICATE,
+    PROXY_AUTHORIZATION,
+    TE,
+    TRAILER,
+    TRANSFER_ENCODING,
+    UPGRADE, //
+};
+use hyper::{
+    HeaderMap,
+    Request,
+    Response,
+    StatusCode,
+    Uri, //
+};
+use limpetweir_protocol::http::VERDICT_HEADER;
+use limpetweir_state::{
+    Configuration,
+    Service,
+    ServiceId,
+    ServiceKind,
+    Verdict, //
+};
+use limpetweir_transport::http::{
+    Body,
+    BodyError,
+    ClientBody,
+    RequestBody, //
+};
+
+use super::auth::{
+    self,
+    Caller, //
+};
+use super::backends::InFlight;
+use super::call::{
+    ATTEMPT_ID,
+    Answer,
+    Call,
+    Payer,
+    Progress,
+    RESUME_TOKENS, //
+};
+use super::{
+    admission,
+    body,
+    serving, //
+};
+use crate::node::Node;
+use crate::responses::Problem;
+
+/// Start of the paths of plain services.
+pub(super) const PREFIX: &str = "/services/";
+
+/// Longest wait for the head of an answer.
+const HEAD_LIMIT: Duration = Duration::from_secs(60);
+
+/// Headers that belong to one connection, and those that the daemon sets itself.
+///
+/// The key is among them: it must not reach a backend server.
+const NOT_FORWARDED: [HeaderName; 14] = [
+    AUTHORIZATION,
+    CONNECTION,
+    CONTENT_LENGTH,
+    EXPECT,
+    HOST,
+    HeaderName::from_static("keep-alive"),
+    PROXY_AUTHENTICATE,
+    PROXY_AUTHORIZATION,
+    HeaderName::from_static("proxy-connection"),
+    TE,
+    TRAILER,
+    TRANSFER_ENCODING,
+    UPGRADE,
+    HeaderName::from_static(ATTEMPT_ID),
+];
+
+/// Answers a call of `/services/<service>/<path>`.
+pub(super) async fn answer(
+    node: &Arc<Node>,
+    req: Request<RequestBody>,
+) -> Result<Response<Body>, Problem> {
+    let current = serving(node)?;
+    let target = Target::parse(req.uri());
+    let (caller, service) = admit_caller(&current.configuration, &target, req.headers())?;
+    let (idempotent, id) = (
+        service.is_idempotent(req.method().as_str()),
+        service.id.clone(),
+    );
+    let (mut head, body) = req.into_parts();
+    head.uri = target.uri()?;
+    remove_connection_headers(&mut head.headers);
+    head.headers.remove(RESUME_TOKENS);
+    let bytes = body::read(body).await?;
+    let started = Instant::now();
+    // Reading the body may have taken long.
+    let current = serving(node)?;
+    recheck(&current.configuration, caller.as_ref(), &id)?;
+    let payer = match caller {
+        Some(Caller { organisation, .. }) => {
+            admission::admit(node, &organisation).await?;
+            Payer::Organisation(organisation)
+        }
+        None => Payer::Open,
+    };
+    let call = Call {
+        node: node.clone(),
+        payer,
+        service: id,
+        head,
+        body: bytes,
+        prefix: Vec::new(),
+        idempotent,
+        head_limit: HEAD_LIMIT,
+        progress: Progress::new(started),
+    };
+    call.count_request();
+    run(call).await
+}
+
+/// Service and path of a call.
+struct Target {
+    service: String,
+    /// Path and query at the backend server.
+    path: String,
+}
+
+impl Target {
+    fn parse(uri: &Uri) -> Self {
+        let path = uri.path().strip_prefix(PREFIX).unwrap_or_default();
+        let (service, path) = path.split_once('/').unwrap_or((path, ""));
+        let query = uri.query().map_or_else(String::new, |q| format!("?{q}"));
+        Self {
+            service: service.to_owned(),
+            path: format!("/{path}{query}"),
+        }
+    }
+
+    fn service<'a>(&self, cfg: &'a Configuration) -> Option<&'a Service> {
+        let id = ServiceId::try_from(self.service.as_str()).ok()?;
+        let service = cfg.service(&id)?;
+        matches!(service.kind, ServiceKind::Plain { .. }).then_some(service)
+    }
+
+    fn uri(&self) -> Result<Uri, Problem> {
+        self.path.parse().map_err(|_| {
+            let status = StatusCode::BAD_REQUEST;
+            Problem::not_run(status, "invalid_path", "the path of the call is not valid")
+        })
+    }
+}
+
+/// Finds the service; callers without a key learn nothing about keyed ones.
+fn admit_caller<'a>(
+    cfg: &'a Configuration,
+    target: &Target,
+    headers: &HeaderMap,
+) -> Result<(Option<Caller>, &'a Service), Problem> {
+    let service = target.service(cfg);
+    if let Some(service) = service.filter(|service| service.is_open()) {
+        return Ok((None, service));
+    }
+    let caller = auth::authenticate(cfg, headers)?;
+    let service = service.ok_or_else(|| {
+        let message = format!("plain service {:?} does not exist", target.service);
+        Problem::not_run(StatusCode::NOT_FOUND, "unknown_service", message)
+    })?;
+    caller.check_access(cfg, &service.id)?;
+    Ok((Some(caller), service))
+}
+
+fn recheck(cfg: &Configuration, caller: Option<&Caller>, id: &ServiceId) -> Result<(), Problem> {
+    if let Some(caller) = caller {
+        caller.check(cfg)?;
+        return caller.check_access(cfg, id);
+    }
+    if cfg.service(id).is_some_and(Service::is_open) {
+        return Ok(());
+    }
+    let message = "the service is no longer open to callers without a key";
+    Err(Problem::not_run(
+        StatusCode::UNAUTHORIZED,
+        "key_required",
+        message,
+    ))
+}
+
+/// Removes the headers that belong to one connection, also those that `Connection` names.
+fn remove_connection_headers(headers: &mut HeaderMap) {
+    let listed: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in listed.iter().chain(&NOT_FORWARDED) {
+        headers.remove(name);
+    }
+}
+
+async fn run(mut call: Call) -> Result<Response<Body>, Problem> {
+    let answer = loop {
+        match call.attempt(0).await {
+            Ok(answer) => break answer,
+            Err(failed) => call.retry(failed)?,
+        }
+    };
+    call.record_added_time();
+    let Answer {
+        response, flight, ..
+    } = answer;
+    let (mut head, body) = response.into_parts();
+    let length = head.headers.remove(CONTENT_LENGTH);
+    remove_connection_headers(&mut head.headers);
+    if call.head.method == hyper::Method::HEAD
+        && let Some(length) = length
+    {
+        head.headers.insert(CONTENT_LENGTH, length);
+    }
+    if head.status.is_client_error() || head.status.is_server_error() {
+        let verdict = HeaderValue::from_static(Verdict::MayHaveRun.into());
+        head.headers.insert(VERDICT_HEADER, verdict);
+    }
+    let body = Body::boxed(Relayed {
+        body,
+        _flight: flight,
+    });
+    Ok(Response::from_parts(head, body))
+}
+
+/// The answer of a plain service, which counts as in flight until it is read or dropped.
+struct Relayed {
+    body: ClientBody,
+    _flight: InFlight,
+}
+
+impl hyper::body::Body for Relayed {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        Pin::new(&mut self.get_mut().body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/transport/src/http/pool.rs
+++ b/transport/src/http/pool.rs
@@ -124,7 +124,7 @@
 
 /// The body of an answer, streamed as it arrives.
 ///
-/// Reading to the end returns the connection to its pool. Dropping the body earlier closes the
+/// Reading to the end, or dropping an answer without a body, returns the connection to its pool. Dropping the body earlier closes the
 /// connection, which cancels the request at the server.
 #[derive(Debug)]
 pub struct ClientBody {
@@ -143,17 +143,18 @@
         key: Key,
         deadline: Option<Instant>,
     ) -> Self {
-        let mut body = Self {
+        Self {
             incoming,
             connection: Some(connection),
             pool: Arc::downgrade(pool),
             key,
             deadline: deadline.map(Timer::at),
-        };
-        if body.incoming.is_end_stream() {
-            body.release();
         }
-        body
+    }
+
+    /// Closes the connection, also if the answer is complete, because its sender is not trusted.
+    pub fn close(mut self) {
+        self.connection = None;
     }
 
     /// Reads the whole body, of at most `limit` bytes.
@@ -176,6 +177,15 @@
     }
 }
 
+impl Drop for ClientBody {
+    fn drop(&mut self) {
+        // An answer without a body need not be polled.
+        if self.incoming.is_end_stream() {
+            self.release();
+        }
+    }
+}
+
 impl Body for ClientBody {
     type Data = Bytes;
     type Error = BodyError;
