--- a/daemon/src/batch/api.rs
+++ b/daemon/src/batch/api.rs
@@ -60,15 +60,27 @@
     let Some(route) = Route::of(&req) else {
         return responses::not_found(&req);
     };
-    let organisation = match online::authenticate(node, req.headers()) {
-        Ok(organisation) => organisation,
-        Err(problem) => return problem.into_response(),
-    };
-    let call = match build_call(node, route, organisation, req).await {
-        Ok(call) => call,
-        Err(problem) => return problem.into_response(),
-    };
-    reply::into_response(forward(node, call).await)
+    match checked_call(node, route, req).await {
+        Ok(call) => reply::into_response(forward(node, call).await),
+        Err(problem) => problem.into_response(),
+    }
+}
+
+/// Builds the call of a caller whose key is valid, also after its body has arrived.
+async fn checked_call(
+    node: &Node,
+    route: Route,
+    req: Request<RequestBody>,
+) -> Result<JobCall, Problem> {
+    let headers = req.headers().clone();
+    let organisation = online::authenticate(node, &headers)?;
+    let call = build_call(node, route, organisation, req).await?;
+    if online::authenticate(node, &headers)? != call.organisation {
+        let status = StatusCode::UNAUTHORIZED;
+        let message = "the key was revoked while the body arrived";
+        return Err(Problem::not_run(status, "invalid_key", message));
+    }
+    Ok(call)
 }
 
 /// An operation of the job interface.
--- a/daemon/src/batch/manager.rs
+++ b/daemon/src/batch/manager.rs
@@ -340,11 +340,11 @@
 }
 
 /// Brings the manager of an engine up to date at once after this instance's online load changed.
-pub(crate) fn on_online_change(node: &Node, backend: &BackendId) {
+pub(crate) fn on_online_change(node: &Node, backend: &Backend) {
     let now = node.clock.now();
-    let mut shard = node.batch.managers.shards.of_key(backend);
-    if let Some(manager) = shard.get_mut(backend) {
-        let count = slots::own_online(node, backend);
+    let count = slots::own_online(node, backend);
+    let mut shard = node.batch.managers.shards.of_key(&backend.id);
+    if let Some(manager) = shard.get_mut(&backend.id) {
         let actions = manager.slots.set_own_online(now, count);
         manager.deliver(actions);
     }
@@ -354,7 +354,7 @@
 fn refresh(node: &Node, now: Timestamp, backend: &Backend, manager: &mut Manager) {
     let id = &backend.id;
     let mut actions = manager.slots.set_limits(now, slots::limits(backend));
-    let own = slots::own_online(node, id);
+    let own = slots::own_online(node, backend);
     actions.extend(manager.slots.set_own_online(now, own));
     let peers = node.control.online_at_peers(now, id);
     actions.extend(manager.slots.set_peers_online(now, peers));
--- a/daemon/src/batch/placement.rs
+++ b/daemon/src/batch/placement.rs
@@ -149,7 +149,7 @@
     let group = engine_group(&backend.id, node.settings.groups);
     let owner = node.control.owner(now, group)?;
     let limits = slots::limits(backend);
-    let online = slots::online(node, now, &backend.id);
+    let online = slots::all_online(node, now, backend);
     let usable = limits.slots.saturating_sub(limits.reserve);
     let usable = usable.saturating_sub(online);
     let used = node.batch.uses.lock().get(&backend.id).copied();
--- a/daemon/src/batch/slots.rs
+++ b/daemon/src/batch/slots.rs
@@ -3,11 +3,11 @@
 use limpetweir_coordination::SlotLimits;
 use limpetweir_state::{
     Backend,
-    BackendId,
     Timestamp, //
 };
 
 use crate::node::Node;
+use crate::online;
 
 /// Batch work leaves one in so many slots free for online requests to come.
 const RESERVE_SHARE: u32 = 8;
@@ -27,12 +27,12 @@
 }
 
 /// Returns the online requests of this instance in flight for a backend server.
-pub(super) fn own_online(_node: &Node, _backend: &BackendId) -> u32 {
-    0
+pub(super) fn own_online(node: &Node, backend: &Backend) -> u32 {
+    online::in_flight_on(node, backend)
 }
 
 /// Returns the online requests of all instances in flight for a backend server.
-pub(super) fn online(node: &Node, now: Timestamp, backend: &BackendId) -> u32 {
-    let peers = node.control.online_at_peers(now, backend);
+pub(super) fn all_online(node: &Node, now: Timestamp, backend: &Backend) -> u32 {
+    let peers = node.control.online_at_peers(now, &backend.id);
     own_online(node, backend).saturating_add(peers)
 }
--- a/daemon/src/batch/submit.rs
+++ b/daemon/src/batch/submit.rs
@@ -92,7 +92,7 @@
     }
     let checked = check(node, &new.organisation, body);
     match checked {
-        Ok((request, parts)) => write(node, handle, new, request, parts).await,
+        Ok((request, parts)) => write(node, handle, &new, request, parts).await,
         Err(reply) => reply,
     }
 }
@@ -234,7 +234,7 @@
 async fn write(
     node: &Arc<Node>,
     handle: &Handle,
-    new: Submitted,
+    new: &Submitted,
     request: JobRequest,
     parts: Vec<Vec<NewItem>>,
 ) -> JobReply {
@@ -244,7 +244,7 @@
     let Some(submission) = handle.with(node, |owned| owned.next_submission()) else {
         return reply::no_owner();
     };
-    let head = head(&new, request, submission, parts.len());
+    let head = head(new, request, submission, parts.len());
     let written = write_records(handle, submission, parts, head);
     match until(Instant::now() + WRITE_TIMEOUT, written).await {
         Some(Ok(())) => {}
@@ -256,7 +256,7 @@
         }
     }
     // Records of an epoch that was lost meanwhile have no effect.
-    let Some(reply) = known(handle, &new) else {
+    let Some(reply) = known(handle, new) else {
         return reply::no_owner();
     };
     event!(
--- a/daemon/src/control/mod.rs
+++ b/daemon/src/control/mod.rs
@@ -18,6 +18,12 @@
 };
 
 pub(crate) use peers::PeerService;
+pub(crate) use stream::{
+    Stream,
+    StreamObserver,
+    StreamOptions,
+    WriteError, //
+};
 pub(crate) use view::{
     Current,
     Owner,
--- a/daemon/src/node.rs
+++ b/daemon/src/node.rs
@@ -86,17 +86,18 @@
     pub fn new(spawner: &Spawner, settings: Settings, metrics: Metrics) -> Self {
         let clock = Clock::start();
         let client = Client::new(spawner, ClientLimits::default());
+        let incarnation = Incarnation {
+            instance: settings.name.clone(),
+            started: unix_millis().0,
+        };
         Self {
-            incarnation: Incarnation {
-                instance: settings.name.clone(),
-                started: unix_millis().0,
-            },
+            online: Online::new(&incarnation, settings.groups, metrics.meter()),
+            incarnation,
             clock,
             spawner: spawner.clone(),
             log: LogClient::new(client.clone(), settings.log, clock),
             list: ListClient::new(client.clone(), settings.list),
             client,
-            online: Online::new(),
             batch: Batch::new(settings.groups, metrics.meter()),
             metrics,
             control: Control::new(),
