--- a/daemon/src/batch/cancel.rs
+++ b/daemon/src/batch/cancel.rs
@@ -1,10 +1,7 @@
 //! Cancels a job: nothing of it starts or runs once the cancel is acknowledged.
 
 use std::sync::Arc;
-use std::time::{
-    Duration,
-    Instant, //
-};
+use std::time::Duration;
 
 use futures_util::future::join_all;
 use hyper::StatusCode;
@@ -21,7 +18,6 @@
     OrganisationId,
     Verdict, //
 };
-use limpetweir_transport::until;
 
 use super::calls::{
     status,
@@ -29,7 +25,7 @@
 };
 use super::group::Handle;
 use super::reply;
-use super::submit::WRITE_TIMEOUT;
+use super::submit::confirmed;
 use crate::event;
 use crate::events::JOB_CANCELLED;
 use crate::node::Node;
@@ -80,7 +76,7 @@
         return Err(reply::log_unavailable());
     }
     let change = JobChange::Cancel { job: id.clone() };
-    let written = until(Instant::now() + WRITE_TIMEOUT, handle.write(change)).await;
+    let written = confirmed(node, handle.write(change)).await;
     let unknown = || {
         let message = "the log did not confirm the cancel in time";
         let verdict = Verdict::MayHaveRun;
--- a/daemon/src/batch/manager.rs
+++ b/daemon/src/batch/manager.rs
@@ -366,6 +366,17 @@
     manager.deliver(actions);
 }
 
+/// Returns whether no engine of an engine group holds batch items.
+pub(super) fn is_idle(node: &Node, group: GroupId) -> bool {
+    let groups = node.settings.groups;
+    node.batch.managers.shards.iter().all(|shard| {
+        let mut of_group = shard
+            .iter()
+            .filter(|(backend, _)| engine_group(backend, groups) == group);
+        of_group.all(|(_, manager)| manager.items.is_empty())
+    })
+}
+
 /// Keeps the managers up to date, and stops all items of an engine that this instance lost.
 pub(super) async fn keep_managers(node: Arc<Node>) {
     loop {
--- a/daemon/src/batch/mod.rs
+++ b/daemon/src/batch/mod.rs
@@ -12,6 +12,7 @@
 mod owner;
 mod placement;
 mod recording;
+mod release;
 mod reply;
 mod slots;
 mod submit;
@@ -33,10 +34,8 @@
     on_yield,
     run_item, //
 };
-pub(crate) use owner::{
-    flush,
-    start, //
-};
+pub(crate) use owner::start;
+pub(crate) use release::flush;
 
 use crate::sharded::Sharded;
 
--- a/daemon/src/batch/owner.rs
+++ b/daemon/src/batch/owner.rs
@@ -15,10 +15,7 @@
     GroupKind,
     JobChange, //
 };
-use limpetweir_transport::{
-    sleep,
-    until, //
-};
+use limpetweir_transport::sleep;
 
 use super::dispatch::dispatch;
 use super::group::{
@@ -129,14 +126,16 @@
     }
 }
 
-/// Returns once the group is not held under `epoch` any more; an expired lease alone is no loss.
+/// Returns once the claims show that the group is not held under `epoch` any more.
+///
+/// An expired lease or a release that is not read back is no loss: outcomes are still recorded.
 async fn lost(node: &Node, group: GroupId, epoch: Epoch) {
     loop {
-        match node.control.may_act(node.clock.now(), group) {
-            MayAct::NotHolder => return,
-            MayAct::Yes(other) if other != epoch => return,
-            MayAct::Yes(_) | MayAct::WaitUntil(_) | MayAct::LeaseExpired => pause(node).await,
+        let owner = node.control.owner(node.clock.now(), group);
+        if !owner.is_some_and(|owner| owner.own && owner.epoch == epoch) {
+            return;
         }
+        pause(node).await;
     }
 }
 
@@ -157,23 +156,3 @@
     event!(JOB_GROUP_OPENED, "group={group} epoch={}", epoch.0);
     future::zip(dispatch(node, handle), record(node, handle)).await;
 }
-
-/// Stops dispatching for a group and waits until its items and outcomes are recorded, at most
-/// until `deadline`; call it before the group is released.
-pub(crate) async fn flush(node: &Node, group: GroupId, deadline: std::time::Instant) {
-    let index = usize::from(group.index);
-    let is_flushed = || {
-        let mut shard = node.batch.groups.at(index);
-        shard.owned.as_mut().is_none_or(|owned| {
-            owned.closing = true;
-            owned.running.is_empty() && owned.unrecorded == 0
-        })
-    };
-    let flushed = async {
-        while !is_flushed() {
-            sleep(POLL).await;
-        }
-    };
-    // What is not recorded by then runs again at the next owner, and is billed once.
-    until(deadline, flushed).await;
-}
--- a/daemon/src/batch/recording.rs
+++ b/daemon/src/batch/recording.rs
@@ -32,13 +32,18 @@
 pub(super) async fn record(node: &Arc<Node>, handle: &Handle) {
     loop {
         let woken = handle.news.wake.listen();
-        if handle.may_act(node) && record_next(node, handle).await {
+        if may_record(node, handle) && record_next(node, handle).await {
             continue;
         }
         woken.or(sleep(TICK)).await;
     }
 }
 
+/// A group that is being released may not act any more, but its outcomes are still recorded.
+fn may_record(node: &Node, handle: &Handle) -> bool {
+    handle.may_act(node) || handle.with(node, |owned| owned.closing) == Some(true)
+}
+
 /// Writes the next due record; returns whether there was one.
 async fn record_next(node: &Node, handle: &Handle) -> bool {
     let now = node.clock.now();
--- a/daemon/src/batch/submit.rs
+++ b/daemon/src/batch/submit.rs
@@ -6,6 +6,7 @@
     Instant, //
 };
 
+use futures_lite::FutureExt;
 use hyper::StatusCode;
 use limpetweir_protocol::http::{
     JobAccepted,
@@ -33,7 +34,10 @@
     Verdict,
     job_id, //
 };
-use limpetweir_transport::until;
+use limpetweir_transport::{
+    sleep,
+    until, //
+};
 use sha2::{
     Digest,
     Sha256, //
@@ -50,11 +54,14 @@
 };
 
 /// Longest wait for the log to confirm the records of one call.
-pub(super) const WRITE_TIMEOUT: Duration = Duration::from_secs(20);
+const WRITE_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// Time for which results stay readable after the end of a job.
 const RESULT_RETENTION: Duration = Duration::from_secs(24 * 3600);
 
+/// Pause between two looks whether the log is still reachable.
+const REACH_POLL: Duration = Duration::from_millis(100);
+
 /// A submission by its identity.
 struct Submitted {
     organisation: OrganisationId,
@@ -246,7 +253,7 @@
     };
     let head = head(new, request, submission, parts.len());
     let written = write_records(handle, submission, parts, head);
-    match until(Instant::now() + WRITE_TIMEOUT, written).await {
+    match confirmed(node, written).await {
         Some(Ok(())) => {}
         Some(Err(err)) if err.verdict() == Verdict::NotRun => return reply::log_unavailable(),
         Some(Err(_)) | None => {
@@ -290,6 +297,22 @@
     }
 }
 
+/// Waits for the log to confirm records; `None` if it is lost meanwhile or takes too long.
+///
+/// Records that were queued then take effect once the log is back, so the caller is not told that
+/// its call did not run.
+pub(super) async fn confirmed<T>(node: &Node, written: impl Future<Output = T>) -> Option<T> {
+    let out_of_reach = async {
+        while node.control.log_reachable(node.clock.now()) {
+            sleep(REACH_POLL).await;
+        }
+        None
+    };
+    let written = async { Some(written.await) };
+    let reached = written.or(out_of_reach);
+    until(Instant::now() + WRITE_TIMEOUT, reached).await?
+}
+
 async fn write_records(
     handle: &Handle,
     submission: SubmissionId,
--- a/daemon/src/daemon.rs
+++ b/daemon/src/daemon.rs
@@ -107,6 +107,7 @@
         let public = listen_public(&node)?;
         let mut loops = control::start(&node);
         loops.push(online::start(&node));
+        loops.extend(batch::start(&node));
         Ok(Self {
             node,
             public,
--- /dev/null
+++ b/daemon/tests/batch/failures.rs
@@ -0,0 +1,111 @@
+//! Jobs while instances are lost and while the log is down.
+
+use limpetweir_standins::engine::{
+    AfterTokens,
+    EngineControl, //
+};
+use limpetweir_standins::log::Outage;
+
+use crate::fleet::{
+    Fleet,
+    Setup,
+    error_code,
+    eventually,
+    items,
+    job_body, //
+};
+
+/// Guards against items that are lost or billed twice when the owner of their job is lost.
+#[test]
+fn another_instance_finishes_the_job_of_a_killed_owner() {
+    let mut fleet = Fleet::start(Setup {
+        name: "owner",
+        instances: 3,
+        engines: 2,
+        step_us: 3_000,
+    });
+    let items = items(120, 40, Some(40));
+    let job = fleet.submit(0, "taken-over", &items);
+    let owner = fleet.owner_of(&job);
+    eventually("some items are recorded", || {
+        fleet.status(owner, &job).completed >= 10
+    });
+    fleet.kill(owner);
+    let other = (owner + 1) % 3;
+    assert_eq!(fleet.submit(other, "taken-over", &items), job);
+    fleet.check_complete(other, &job, &items);
+}
+
+/// Guards against a job that is acknowledged before it is in the log.
+#[test]
+fn a_job_outlives_the_instance_that_acknowledged_it() {
+    let mut fleet = Fleet::start(Setup {
+        name: "acknowledged",
+        instances: 3,
+        engines: 1,
+        step_us: 200,
+    });
+    let items = items(30, 16, None);
+    let job = fleet.submit(0, "just-sent", &items);
+    let owner = fleet.owner_of(&job);
+    fleet.kill(owner);
+    fleet.check_complete((owner + 1) % 3, &job, &items);
+}
+
+/// Guards against a job that stops while the log is down, and against calls that are accepted but
+/// not recorded or that say "not run" and run.
+#[test]
+fn a_running_job_goes_on_while_the_log_is_down() {
+    let fleet = Fleet::start(Setup {
+        name: "outage",
+        instances: 3,
+        engines: 2,
+        step_us: 3_000,
+    });
+    let items = items(150, 40, None);
+    let job = fleet.submit(0, "during-outage", &items);
+    fleet.set_outage(Outage::Reject);
+    let new = job_body(&crate::fleet::items(3, 4, None))
+        .to_string()
+        .into_bytes();
+    let mut sent = 0;
+    eventually("new jobs are refused", || {
+        sent += 1;
+        let key = format!("refused-{sent}");
+        let answer = fleet.post_job(1, &key, new.clone());
+        assert_eq!(answer.status, 503, "{}", answer.text());
+        assert!(answer.header("retry-after").is_some());
+        answer.header("x-limpetweir-verdict") == Some("not-run")
+            && error_code(&answer, 503, "not-run") == "log_unavailable"
+    });
+    let before = fleet.outcomes()["Completed"];
+    eventually("items complete without the log", || {
+        fleet.outcomes()["Completed"] >= before + 30
+    });
+    fleet.set_outage(Outage::Off);
+    fleet.check_complete(2, &job, &items);
+    assert_eq!(fleet.outcomes()["Completed"], 150, "no item ran twice");
+}
+
+/// Guards against items that fail for good because their engines broke, or whose text has a gap
+/// or a repetition where a broken stream was resumed.
+#[test]
+fn items_resume_after_broken_streams() {
+    let fleet = Fleet::start(Setup {
+        name: "broken",
+        instances: 2,
+        engines: 2,
+        step_us: 500,
+    });
+    fleet.control_engines(&EngineControl {
+        cut: Some(AfterTokens {
+            count: 4,
+            tokens: 7,
+        }),
+        ..EngineControl::default()
+    });
+    let items = items(40, 24, None);
+    let job = fleet.submit(0, "broken-streams", &items);
+    fleet.check_complete(1, &job, &items);
+    assert_eq!(fleet.outcomes()["Cut"], 8);
+}
--- /dev/null
+++ b/daemon/tests/batch/jobs.rs
@@ -0,0 +1,129 @@
+//! Jobs without failures of instances.
+
+use limpetweir_protocol::http::{
+    JobAccepted,
+    JobState, //
+};
+use limpetweir_standins::engine::EngineControl;
+
+use crate::fleet::{
+    Fleet,
+    KEY,
+    OTHER_KEY,
+    Setup,
+    error_code,
+    eventually,
+    items,
+    job_body, //
+};
+
+/// Guards against items that are lost, run into the results twice, or held up by poison items.
+#[test]
+fn a_job_with_poison_items_completes_each_item_once() {
+    let fleet = Fleet::start(Setup {
+        name: "poison",
+        instances: 3,
+        engines: 2,
+        step_us: 200,
+    });
+    let items = items(80, 24, Some(20));
+    let job = fleet.submit(1, "night-run", &items);
+    assert_eq!(job.items, 80);
+    fleet.check_complete(2, &job, &items);
+    let status = fleet.status(0, &job);
+    assert_eq!((status.completed, status.failed), (76, 4));
+    let outcomes = fleet.outcomes();
+    assert_eq!(outcomes["Completed"], 76, "{outcomes:?}");
+    // Three attempts for each poison item.
+    assert_eq!(outcomes["Poisoned"], 12, "{outcomes:?}");
+}
+
+/// Guards against a second job for a client that did not see its acknowledgement, and against a
+/// job that changes when its key is used for something else.
+#[test]
+fn a_key_names_one_job_at_every_instance() {
+    let fleet = Fleet::start(Setup {
+        name: "resend",
+        instances: 3,
+        engines: 1,
+        step_us: 200,
+    });
+    let first = items(6, 16, None);
+    let job = fleet.submit(0, "export", &first);
+    for index in 0..3 {
+        assert_eq!(fleet.submit(index, "export", &first), job);
+    }
+    let other = job_body(&items(7, 16, None));
+    for index in 0..3 {
+        let answer = fleet.submit_body(index, "export", &other);
+        assert_eq!(
+            error_code(&answer, 409, "not-run"),
+            "idempotency_key_reused"
+        );
+    }
+    fleet.check_complete(0, &job, &first);
+    let answer = fleet.submit_body(2, "export", &other);
+    assert_eq!(
+        error_code(&answer, 409, "not-run"),
+        "idempotency_key_reused"
+    );
+    assert_eq!(fleet.status(1, &job).items, 6);
+    assert_eq!(fleet.outcomes()["Completed"], 6);
+
+    // The same key of another organisation is another job, and this one does not exist for it.
+    let headers = [("idempotency-key", "export")];
+    let body = job_body(&first).to_string().into_bytes();
+    let mut foreign = None;
+    eventually("the other organisation's job is accepted", || {
+        let answer = fleet.call(0, "POST", "/v1/jobs", OTHER_KEY, &headers, body.clone());
+        let answer = answer.unwrap();
+        foreign = (answer.status == 200).then(|| answer.json::<JobAccepted>().unwrap());
+        foreign.is_some()
+    });
+    let foreign = foreign.unwrap();
+    assert_ne!(foreign.id, job.id);
+    for (method, verb) in [("GET", ""), ("GET", "/results"), ("POST", "/cancel")] {
+        let path = format!("/v1/jobs/{}{verb}", job.id);
+        let answer = fleet.call(1, method, &path, OTHER_KEY, &[], Vec::new());
+        assert_eq!(error_code(&answer.unwrap(), 404, "not-run"), "unknown_job");
+    }
+}
+
+/// Guards against items that start or go on after a cancel was acknowledged.
+#[test]
+fn nothing_of_a_job_runs_after_its_cancel() {
+    let fleet = Fleet::start(Setup {
+        name: "cancel",
+        instances: 3,
+        engines: 2,
+        step_us: 5_000,
+    });
+    let items = items(60, 1_000, None);
+    let job = fleet.submit(0, "cancelled", &items);
+    eventually("items run", || {
+        fleet.outcomes().get("Running").is_some_and(|n| *n >= 8)
+    });
+    let path = format!("/v1/jobs/{}/cancel", job.id);
+    eventually("the cancel is acknowledged", || {
+        let answer = fleet.call(1, "POST", &path, KEY, &[], Vec::new()).unwrap();
+        assert!([200, 503].contains(&answer.status), "{}", answer.text());
+        answer.status == 200
+    });
+    // An engine notes the closed connection of a stopped item when it next looks at it.
+    let arrived = fleet.records().len();
+    eventually("the items end", || {
+        !fleet.outcomes().contains_key("Running")
+    });
+    let status = fleet.status(2, &job);
+    assert_eq!(status.state, JobState::Cancelled);
+    let again = fleet.call(2, "POST", &path, KEY, &[], Vec::new()).unwrap();
+    assert_eq!(again.status, 200, "{}", again.text());
+
+    // A later job shows that the engines work and that no item of the first one came before it.
+    let later = crate::fleet::items(4, 4, None);
+    let next = fleet.submit(0, "after", &later);
+    fleet.check_complete(1, &next, &later);
+    assert_eq!(fleet.records().len(), arrived + 4);
+    assert_eq!(fleet.status(0, &job).completed, status.completed);
+    fleet.control_engines(&EngineControl::default());
+}
