control: run the loops and give the paths their view

Entries that wait for a log that cannot be read for one lease are given up: a claim appended after an outage would take a group from its new owner. A paused process does not accept requests until its loops have run again, because the phase alone would still say that it serves.

--- a/daemon/src/batch/mod.rs
+++ b/daemon/src/batch/mod.rs
@@ -6,6 +6,16 @@
     Request,
     Response, //
 };
+use limpetweir_protocol::peer::{
+    ItemReply,
+    JobCall,
+    JobReply,
+    RunItem, //
+};
+use limpetweir_state::{
+    BackendId,
+    GroupId, //
+};
 use limpetweir_transport::http::{
     Body,
     RequestBody, //
@@ -43,3 +53,27 @@
 pub(crate) async fn answer(_node: &Arc<Node>, req: Request<RequestBody>) -> Response<Body> {
     responses::not_found(&req)
 }
+
+/// Answers a call of the job interface that another instance forwarded.
+pub(crate) async fn answer_job(_node: &Arc<Node>, _call: JobCall) -> JobReply {
+    JobReply {
+        status: 503,
+        body: Vec::new(),
+        retry_after_ms: None,
+    }
+}
+
+/// Runs an item on a backend server that this instance manages.
+pub(crate) async fn run_item(_node: &Arc<Node>, item: RunItem) -> ItemReply {
+    let attempt = item.attempt;
+    ItemReply::Busy { attempt }
+}
+
+/// Stops an item and returns once it has stopped.
+pub(crate) async fn cancel_item(_node: &Arc<Node>, _attempt: &str) {}
+
+/// Frees slots of a backend server for online requests.
+pub(crate) fn on_yield(_node: &Node, _backend: &BackendId) {}
+
+/// Writes out everything that is buffered for a group, before the group is released.
+pub(crate) async fn flush(_node: &Arc<Node>, _group: GroupId) {}
--- a/daemon/src/control/mod.rs
+++ b/daemon/src/control/mod.rs
@@ -1,23 +1,49 @@
 //! The control loops: log streams, heartbeats, ownership, configuration and the list.
 
+mod admin;
+mod decisions;
+mod figures;
+mod links;
+mod listing;
+mod observers;
 mod peers;
+mod publication;
+mod release;
+mod state;
 mod stream;
 mod stream_tasks;
 mod view;
 
-use std::sync::Arc;
+use std::sync::{
+    Arc,
+    OnceLock,
+    Weak, //
+};
 
 use async_executor::Task;
-use hyper::{
-    Request,
-    Response, //
-};
-use limpetweir_transport::http::{
-    Body,
-    RequestBody, //
+use limpetweir_coordination::timing::OWNER_LEASE;
+use limpetweir_protocol::settings::Settings;
+use limpetweir_state::Incarnation;
+use limpetweir_transport::{
+    Clock,
+    LogClient, //
 };
 
+pub(crate) use admin::answer;
 pub(crate) use peers::PeerService;
+pub(crate) use release::hand_over;
+#[allow(unused_imports, reason = "the paths use them")]
+pub(crate) use stream::{
+    Stream,
+    StreamFigures,
+    StreamObserver,
+    StreamOptions,
+    WriteError,
+    Written, //
+};
+#[allow(unused_imports, reason = "the paths use them")]
+pub(crate) use stream_tasks::StreamTasks;
+#[allow(unused_imports, reason = "the paths use them")]
 pub(crate) use view::{
     Current,
     Owner,
@@ -25,28 +51,92 @@
 };
 
 use crate::node::Node;
-use crate::responses;
+use links::Links;
+use observers::{
+    ClaimsObserver,
+    ConfigObserver, //
+};
+use state::Shared;
+
+/// Entries of the `config` and `claims` streams that may wait for the log.
+const QUEUE: usize = 4096;
 
 /// State of the control loops.
 #[derive(Debug)]
-pub struct Control {}
+pub struct Control {
+    own: Incarnation,
+    /// Groups of each kind.
+    groups: u16,
+    shared: Arc<Shared>,
+    config: Arc<Stream<ConfigObserver>>,
+    claims: Arc<Stream<ClaimsObserver>>,
+    links: Links,
+    /// Set once the loops are started.
+    node: OnceLock<Weak<Node>>,
+}
 
 impl Control {
-    pub(crate) fn new() -> Self {
-        Self {}
+    pub(crate) fn new(
+        settings: &Settings,
+        own: Incarnation,
+        log: &LogClient,
+        clock: Clock,
+    ) -> Self {
+        let shared = Shared::new(own.clone(), clock);
+        let options = |name: &str| StreamOptions {
+            name: name.to_owned(),
+            incarnation: own.clone(),
+            queue: QUEUE,
+            long_poll: settings.timing.long_poll,
+            retention: settings.timing.log_retention,
+        };
+        let config = ConfigObserver {
+            shared: shared.clone(),
+        };
+        let claims = ClaimsObserver {
+            shared: shared.clone(),
+            own: own.clone(),
+        };
+        Self {
+            groups: settings.groups,
+            config: Arc::new(Stream::new(log.clone(), clock, options("config"), config)),
+            claims: Arc::new(Stream::new(log.clone(), clock, options("claims"), claims)),
+            links: Links::default(),
+            node: OnceLock::new(),
+            shared,
+            own,
+        }
+    }
+
+    /// Gives up entries that wait for a log that cannot be read.
+    ///
+    /// A claim that is appended after an outage would take a group from its new owner, and an
+    /// operator would not learn what became of a publication.
+    fn abandon_stale_entries(&self) {
+        let now = self.shared.clock.now();
+        let is_stale = |figures: StreamFigures| {
+            let read = figures.confirmed_at;
+            figures.queued > 0 && read.is_none_or(|at| now.since(at) >= OWNER_LEASE)
+        };
+        if is_stale(self.claims.figures()) {
+            self.claims.abandon();
+        }
+        if is_stale(self.config.figures()) {
+            self.config.abandon();
+        }
     }
 }
 
 /// Starts the control loops; they end when the returned tasks are dropped.
 pub(crate) fn start(node: &Arc<Node>) -> Vec<Task<()>> {
-    let sweeping = peers::sweep_connections(node.clone());
-    vec![node.spawner.spawn(sweeping)]
-}
-
-/// Hands everything over that other instances take on, before running requests are awaited.
-pub(crate) async fn hand_over(_node: &Arc<Node>) {}
-
-/// Answers the operator interface under `/admin/`.
-pub(crate) async fn answer(_node: &Arc<Node>, req: Request<RequestBody>) -> Response<Body> {
-    responses::not_found(&req)
+    let control = &node.control;
+    let _ = control.node.set(Arc::downgrade(node));
+    figures::register(node);
+    let mut tasks = Vec::new();
+    tasks.extend(control.config.start(&node.spawner).into_tasks());
+    tasks.extend(control.claims.start(&node.spawner).into_tasks());
+    tasks.push(node.spawner.spawn(peers::sweep_connections(node.clone())));
+    tasks.push(node.spawner.spawn(listing::poll(node.clone())));
+    tasks.push(node.spawner.spawn(decisions::run(node.clone())));
+    tasks
 }
--- /dev/null
+++ b/daemon/src/control/publication.rs
@@ -0,0 +1,153 @@
+//! Publications of operators.
+
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use hyper::StatusCode;
+use limpetweir_coordination::PublicationRefusal;
+use limpetweir_protocol::http::{
+    PublicationAnswer,
+    PublicationOutcome, //
+};
+use limpetweir_state::{
+    Publish,
+    PublishResult,
+    Verdict, //
+};
+use limpetweir_transport::until;
+
+use super::stream::WriteError;
+use crate::event;
+use crate::events::PUBLICATION;
+use crate::node::Node;
+use crate::responses::Problem;
+
+/// Longest wait until a publication is read back.
+const PUBLICATION_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Time to retry after for a refused publication.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Publishes a valid document; returns once the decision is read back from the log.
+pub(super) async fn publish(node: &Node, publish: Publish) -> Result<PublicationAnswer, Problem> {
+    let id = publish.id.clone();
+    let base = publish.base;
+    let result = decide(node, publish).await;
+    match &result {
+        Ok(answer) => event!(
+            PUBLICATION,
+            "id={id} base={} outcome={} version={}",
+            base.0,
+            answer.outcome,
+            answer.version.0
+        ),
+        Err(problem) => event!(
+            PUBLICATION,
+            "id={id} base={} outcome={} verdict={}",
+            base.0,
+            problem.code,
+            problem.verdict
+        ),
+    }
+    result
+}
+
+async fn decide(node: &Node, publish: Publish) -> Result<PublicationAnswer, Problem> {
+    // A publication that was sent again has the result of the first one.
+    if let Some(answer) = decided(node, &publish) {
+        return Ok(answer);
+    }
+    may_publish(node).map_err(refused)?;
+    if let Some(answer) = outdated(node, &publish) {
+        return Ok(answer);
+    }
+    let deadline = Instant::now() + PUBLICATION_TIMEOUT;
+    let writing = node.control.config.write(publish.clone());
+    match until(deadline, writing).await {
+        Some(Ok(())) => decided(node, &publish).ok_or_else(|| unsettled(Verdict::MayHaveRun)),
+        // Another copy of the publication may have been read meanwhile.
+        Some(Err(err)) => decided(node, &publish).ok_or_else(|| failed(&err)),
+        None => decided(node, &publish).ok_or_else(|| unsettled(Verdict::MayHaveRun)),
+    }
+}
+
+fn may_publish(node: &Node) -> Result<(), PublicationRefusal> {
+    let now = node.clock.now();
+    let inner = node.control.shared.lock();
+    inner.freshness.may_publish(now, &inner.members)
+}
+
+fn decided(node: &Node, publish: &Publish) -> Option<PublicationAnswer> {
+    let result = node
+        .control
+        .config
+        .with_fold(|fold| fold.result(&publish.id));
+    let (outcome, version) = match result?? {
+        PublishResult::Accepted(version) => (PublicationOutcome::Accepted, version),
+        PublishResult::Conflict(version) => (PublicationOutcome::Conflict, version),
+    };
+    let id = publish.id.clone();
+    Some(PublicationAnswer {
+        outcome,
+        version,
+        id,
+    })
+}
+
+/// Returns the answer to a base below the current version, which needs no record to be decided.
+fn outdated(node: &Node, publish: &Publish) -> Option<PublicationAnswer> {
+    let version = node.control.config.with_fold(|fold| fold.version())?;
+    let id = publish.id.clone();
+    (publish.base < version).then_some(PublicationAnswer {
+        outcome: PublicationOutcome::Conflict,
+        version,
+        id,
+    })
+}
+
+fn unavailable(code: &'static str, message: impl Into<String>) -> Problem {
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    let mut problem = Problem::not_run(status, code, message);
+    problem.retry_after = Some(RETRY_AFTER);
+    problem
+}
+
+fn refused(refusal: PublicationRefusal) -> Problem {
+    match refusal {
+        PublicationRefusal::LogUnreachable => unavailable(
+            "log_unreachable",
+            "the log was not read to its end recently",
+        ),
+        PublicationRefusal::NoMajority => {
+            unavailable("no_majority", "the instance does not hear a majority")
+        }
+        PublicationRefusal::Outdated => {
+            unavailable("outdated", "another instance acts on a newer version")
+        }
+    }
+}
+
+fn failed(err: &WriteError) -> Problem {
+    match err {
+        WriteError::Encoding { message } => {
+            Problem::not_run(StatusCode::PAYLOAD_TOO_LARGE, "too_large", message.as_str())
+        }
+        WriteError::QueueFull { .. } => unavailable("busy", err.to_string()),
+        WriteError::Abandoned { verdict } => unsettled(*verdict),
+    }
+}
+
+/// Returns the error of a publication that was not read back.
+fn unsettled(verdict: Verdict) -> Problem {
+    let message = match verdict {
+        Verdict::NotRun => "the log became unreachable before the publication was sent",
+        Verdict::MayHaveRun | Verdict::Ran => {
+            "the publication was not read back in time; publish again with the same id"
+        }
+    };
+    let mut problem = unavailable("not_settled", message);
+    problem.verdict = verdict;
+    problem
+}
--- /dev/null
+++ b/daemon/src/control/state.rs
@@ -0,0 +1,204 @@
+//! What the control loops know: members, freshness, ownership and the list.
+
+use std::collections::BTreeMap;
+use std::sync::atomic::{
+    AtomicU64,
+    Ordering, //
+};
+use std::sync::{
+    Arc,
+    Mutex,
+    MutexGuard,
+    PoisonError,
+    RwLock, //
+};
+
+use event_listener::Event;
+use limpetweir_coordination::timing::SILENCE_LIMIT;
+use limpetweir_coordination::{
+    Freshness,
+    ListState,
+    Membership,
+    Ownership,
+    ServingMode, //
+};
+use limpetweir_protocol::http::InstanceEntry;
+use limpetweir_protocol::parse_configuration;
+use limpetweir_state::{
+    BackendId,
+    Configuration,
+    Incarnation,
+    InstanceId,
+    Publications,
+    Timestamp,
+    Version, //
+};
+use limpetweir_transport::Clock;
+
+use super::view::Current;
+use crate::event;
+use crate::events::{
+    CONFIG_CHANGED,
+    CONFIG_UNREADABLE, //
+};
+
+/// State that the loops and the observers of the streams share.
+#[derive(Debug)]
+pub(super) struct Shared {
+    pub(super) clock: Clock,
+    /// Notified when the configuration, ownership or the list changes.
+    pub(super) changed: Event,
+    /// Wakes the loop of decisions before its next heartbeat.
+    pub(super) wake: Event,
+    current: RwLock<Option<Current>>,
+    /// Until when the last decision to serve holds, in microseconds of `clock`.
+    valid_until: AtomicU64,
+    inner: Mutex<Inner>,
+}
+
+/// State under one lock, which is held only for decisions.
+#[derive(Debug)]
+pub(super) struct Inner {
+    pub(super) members: Membership,
+    pub(super) freshness: Freshness,
+    pub(super) ownership: Ownership,
+    /// Instances of the last list.
+    pub(super) instances: BTreeMap<InstanceId, InstanceEntry>,
+    /// Backend servers of the last list; `None` until the list was read once.
+    pub(super) backends: Option<BTreeMap<BackendId, ListState>>,
+    /// Send time of the last read that reached the end of the claims.
+    pub(super) claims_read: Option<Timestamp>,
+    /// Whether the last decision was to serve.
+    pub(super) serving: bool,
+    /// Version whose document cannot be read by this program.
+    unreadable: Option<Version>,
+}
+
+impl Shared {
+    pub(super) fn new(own: Incarnation, clock: Clock) -> Arc<Self> {
+        let now = clock.now();
+        let inner = Inner {
+            members: Membership::new(own, now),
+            freshness: Freshness::new(now),
+            ownership: Ownership::new(now),
+            instances: BTreeMap::new(),
+            backends: None,
+            claims_read: None,
+            serving: false,
+            unreadable: None,
+        };
+        Arc::new(Self {
+            clock,
+            changed: Event::new(),
+            wake: Event::new(),
+            current: RwLock::new(None),
+            valid_until: AtomicU64::new(u64::MAX),
+            inner: Mutex::new(inner),
+        })
+    }
+
+    pub(super) fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(super) fn current(&self) -> Option<Current> {
+        let current = self.current.read();
+        current.unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    fn version(&self) -> Option<Version> {
+        let current = self.current.read();
+        let current = current.unwrap_or_else(PoisonError::into_inner);
+        current.as_ref().map(|current| current.version)
+    }
+
+    pub(super) fn notify_changed(&self) {
+        self.changed.notify(usize::MAX);
+    }
+
+    pub(super) fn wake(&self) {
+        self.wake.notify(usize::MAX);
+    }
+
+    /// Notes whether the instance may serve, as decided at `now`.
+    pub(super) fn set_validity(&self, now: Timestamp, serving: bool) {
+        // The decision loop did not run for longer only if the process was paused.
+        let until = if serving {
+            (now + SILENCE_LIMIT).0
+        } else {
+            u64::MAX
+        };
+        self.valid_until.store(until, Ordering::Release);
+    }
+
+    /// Returns whether the last decision to serve still holds.
+    pub(super) fn is_valid(&self, now: Timestamp) -> bool {
+        now.0 <= self.valid_until.load(Ordering::Acquire)
+    }
+
+    /// Takes the state of the configuration stream; `confirmed` is the send time of a read to its
+    /// end.
+    pub(super) fn take_publications(&self, fold: &Publications, confirmed: Option<Timestamp>) {
+        let version = fold.version();
+        let known = self.version();
+        let is_first = known.is_none() && (version > Version(0) || confirmed.is_some());
+        if is_first || known.is_some_and(|known| known < version) {
+            self.replace_current(fold);
+        }
+        // An instance that cannot read the accepted document must not count as current.
+        if self.version() != Some(version) {
+            return;
+        }
+        let mut inner = self.lock();
+        match confirmed {
+            Some(sent) => inner.freshness.on_confirmed_read(sent, version),
+            None => inner.freshness.on_version(version),
+        }
+        drop(inner);
+        if is_first || known != Some(version) {
+            self.notify_changed();
+            self.wake();
+        }
+    }
+
+    fn replace_current(&self, fold: &Publications) {
+        let version = fold.version();
+        let parsed = fold
+            .document()
+            .map_or_else(|| Ok(Configuration::default()), parse_configuration);
+        let configuration = match parsed {
+            Ok(configuration) => Arc::new(configuration),
+            Err(err) => {
+                let before = self.lock().unreadable.replace(version);
+                if before != Some(version) {
+                    event!(CONFIG_UNREADABLE, "version={} error={err}", version.0);
+                }
+                return;
+            }
+        };
+        let id = fold.publication().map_or("none", |id| id.as_str());
+        event!(CONFIG_CHANGED, "version={} publication={id}", version.0);
+        let current = Current {
+            version,
+            configuration,
+        };
+        let mut slot = self.current.write().unwrap_or_else(PoisonError::into_inner);
+        // Readers and peers may bring versions at the same time; the version never moves back.
+        if slot.as_ref().is_none_or(|old| old.version < version) {
+            *slot = Some(current);
+        }
+    }
+}
+
+impl Inner {
+    /// Returns what the instance may serve.
+    pub(super) fn mode(&self, now: Timestamp) -> ServingMode {
+        self.freshness.mode(now, &self.members)
+    }
+
+    /// Returns whether the claims were read to their end within the freshness limit.
+    pub(super) fn reads_log(&self, now: Timestamp) -> bool {
+        let limit = limpetweir_coordination::timing::CONFIG_FRESHNESS_LIMIT;
+        self.claims_read.is_some_and(|at| now.since(at) < limit)
+    }
+}
--- a/daemon/src/control/stream_tasks.rs
+++ b/daemon/src/control/stream_tasks.rs
@@ -44,8 +44,15 @@
 /// The running tasks of a stream; dropping them stops the stream at once.
 #[derive(Debug)]
 pub(crate) struct StreamTasks {
-    _reader: Task<()>,
-    _appender: Task<()>,
+    reader: Task<()>,
+    appender: Task<()>,
+}
+
+impl StreamTasks {
+    /// Returns the tasks one by one.
+    pub(crate) fn into_tasks(self) -> [Task<()>; 2] {
+        [self.reader, self.appender]
+    }
 }
 
 type Page<R> = Vec<(Offset, Result<Entry<R>, records::RecordError>)>;
@@ -54,8 +61,8 @@
     /// Starts to read the stream and to append queued entries.
     pub(crate) fn start(self: &Arc<Self>, spawner: &Spawner) -> StreamTasks {
         StreamTasks {
-            _reader: spawner.spawn(self.clone().follow()),
-            _appender: spawner.spawn(self.clone().append_queued()),
+            reader: spawner.spawn(self.clone().follow()),
+            appender: spawner.spawn(self.clone().append_queued()),
         }
     }
 
--- a/daemon/src/control/view.rs
+++ b/daemon/src/control/view.rs
@@ -1,13 +1,18 @@
 //! What the online and the batch path see of the control loops.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{
+    Duration,
+    Instant, //
+};
 
 use event_listener::EventListener;
 use limpetweir_coordination::{
     ListState,
     MayAct, //
 };
+use limpetweir_protocol::http::MemberState;
 use limpetweir_protocol::peer::{
     CallBody,
     CallError,
@@ -19,13 +24,21 @@
     Configuration,
     Epoch,
     GroupId,
+    GroupKind,
     InstanceId,
     Timestamp,
+    Verdict,
     Version,
     ZoneId, //
 };
+use limpetweir_transport::until;
 
 use super::Control;
+use super::{
+    links,
+    peers, //
+};
+use crate::node::Node;
 
 /// The configuration that the instance acts on.
 #[derive(Clone, Debug)]
@@ -62,64 +75,162 @@
 impl Control {
     /// Returns the configuration, or `None` before the first one is known.
     pub(crate) fn current(&self) -> Option<Current> {
-        None
+        self.shared.current()
     }
 
     /// Returns a listener that is notified when the configuration, ownership or the list changes.
     pub(crate) fn changes(&self) -> EventListener {
-        event_listener::Event::new().listen()
+        self.shared.changed.listen()
+    }
+
+    /// Returns whether the last decision that this instance may serve still holds.
+    ///
+    /// It does not after a pause of the process, until the loops have looked at the state again.
+    pub(crate) fn is_valid(&self, now: Timestamp) -> bool {
+        self.shared.is_valid(now)
     }
 
     /// Returns whether this instance may act for `group`.
-    pub(crate) fn may_act(&self, _now: Timestamp, _group: GroupId) -> MayAct {
-        MayAct::NotHolder
+    pub(crate) fn may_act(&self, now: Timestamp, group: GroupId) -> MayAct {
+        let inner = self.shared.lock();
+        inner.ownership.may_act(now, group, &inner.members)
     }
 
     /// Returns the owner of `group` by the claims read or by a later epoch that a peer reports.
-    pub(crate) fn owner(&self, _now: Timestamp, _group: GroupId) -> Option<Owner> {
-        None
+    pub(crate) fn owner(&self, now: Timestamp, group: GroupId) -> Option<Owner> {
+        let claim = self.claims.with_fold(|claims| claims.get(group).cloned());
+        let claim = claim.flatten();
+        let epoch = claim.as_ref().map(|claim| claim.epoch);
+        if let Some(owner) = self.reported_owner(now, group, epoch) {
+            return Some(owner);
+        }
+        let claim = claim.filter(|claim| !claim.released)?;
+        let own = claim.holder == self.own;
+        // A former run of this instance's process cannot be called.
+        let is_former_run = !own && claim.holder.instance == self.own.instance;
+        (!is_former_run).then_some(Owner {
+            instance: claim.holder.instance,
+            epoch: claim.epoch,
+            own,
+        })
+    }
+
+    /// Returns the owner that a peer reports under an epoch above `known`.
+    fn reported_owner(
+        &self,
+        now: Timestamp,
+        group: GroupId,
+        known: Option<Epoch>,
+    ) -> Option<Owner> {
+        let inner = self.shared.lock();
+        let reports = inner.members.heard(now);
+        let owners = reports.filter_map(|report| Some((*report.owns.get(&group)?, report)));
+        let newer = owners.filter(|&(epoch, _)| Some(epoch) > known);
+        let (epoch, report) = newer.max_by_key(|&(epoch, _)| epoch)?;
+        Some(Owner {
+            instance: report.incarnation.instance.clone(),
+            epoch,
+            own: false,
+        })
     }
 
     /// Returns the group of `key` among the configured number of groups of its kind.
-    pub(crate) fn group_of(&self, kind: limpetweir_state::GroupKind, key: &[u8]) -> GroupId {
-        GroupId::of(kind, key, 16)
+    pub(crate) fn group_of(&self, kind: GroupKind, key: &[u8]) -> GroupId {
+        GroupId::of(kind, key, self.groups)
     }
 
     /// Returns whether the list names `backend` as live or leaving; `None` if it does not name it.
-    pub(crate) fn backend_state(&self, _backend: &BackendId) -> Option<ListState> {
-        None
+    pub(crate) fn backend_state(&self, backend: &BackendId) -> Option<ListState> {
+        let inner = self.shared.lock();
+        inner.backends.as_ref()?.get(backend).copied()
     }
 
     /// Returns the online requests that peers report in flight for `backend`.
-    pub(crate) fn online_at_peers(&self, _now: Timestamp, _backend: &BackendId) -> u32 {
-        0
+    pub(crate) fn online_at_peers(&self, now: Timestamp, backend: &BackendId) -> u32 {
+        self.shared.lock().members.online_at_peers(now, backend)
     }
 
     /// Returns the live and serving instances, this one included if it serves.
-    pub(crate) fn public_instances(&self, _now: Timestamp) -> Vec<PublicInstance> {
-        Vec::new()
+    pub(crate) fn public_instances(&self, now: Timestamp) -> Vec<PublicInstance> {
+        let leaving = self.node().is_none_or(|node| node.is_leaving());
+        let inner = self.shared.lock();
+        let mut serving: BTreeSet<&InstanceId> = inner.members.serving_peers(now).collect();
+        if inner.serving && !leaving {
+            serving.insert(&self.own.instance);
+        }
+        let entries = inner.instances.values();
+        entries
+            .filter(|entry| entry.state == MemberState::Live && serving.contains(&entry.name))
+            .map(|entry| PublicInstance {
+                instance: entry.name.clone(),
+                zone: entry.zone.clone(),
+                address: entry.public,
+            })
+            .collect()
     }
 
     /// Returns whether the log was read recently enough to append to it.
-    pub(crate) fn log_reachable(&self, _now: Timestamp) -> bool {
-        false
+    pub(crate) fn log_reachable(&self, now: Timestamp) -> bool {
+        self.shared.lock().reads_log(now)
+    }
+
+    fn node(&self) -> Option<Arc<Node>> {
+        self.node.get()?.upgrade()
     }
 
     /// Sends `message` to `to` without an answer; a message to an unreachable instance is dropped.
-    pub(crate) fn notify(&self, _to: &InstanceId, _message: PeerMessage) {}
+    pub(crate) fn notify(&self, to: &InstanceId, message: PeerMessage) {
+        if *to == self.own.instance {
+            if let Some(node) = self.node() {
+                let own = links::hello(&node);
+                peers::take_message(&node, &own, message);
+            }
+        } else if let Some(link) = self.links.get(to) {
+            let _ = link.link.notify(message);
+        }
+    }
 
     /// Calls `to` and waits at most `timeout`; a call to this instance is dispatched locally.
     pub(crate) async fn call(
         &self,
-        _to: &InstanceId,
-        _body: CallBody,
-        _timeout: Duration,
+        to: &InstanceId,
+        body: CallBody,
+        timeout: Duration,
     ) -> Result<ReplyBody, CallError> {
-        Err(CallError {
-            code: "unreachable".to_owned(),
-            message: "the instance is not reachable".to_owned(),
-            verdict: limpetweir_state::Verdict::NotRun,
-            retry_after_ms: None,
+        let reply = if *to == self.own.instance {
+            self.call_own(body, timeout).await
+        } else {
+            let link = self.links.get(to).ok_or_else(unreachable)?;
+            let reply = link.link.call(body, timeout).await;
+            reply.map_err(|err| call_error("unreachable", err.to_string(), err.verdict()))
+        };
+        match reply? {
+            ReplyBody::Error(err) => Err(err),
+            body => Ok(body),
+        }
+    }
+
+    async fn call_own(&self, body: CallBody, timeout: Duration) -> Result<ReplyBody, CallError> {
+        let node = self.node().ok_or_else(unreachable)?;
+        let running = peers::dispatch_own(node, body);
+        let reply = until(Instant::now() + timeout, running).await;
+        reply.ok_or_else(|| {
+            let message = "this instance did not answer its own call in time";
+            call_error("timeout", message.to_owned(), Verdict::MayHaveRun)
         })
     }
 }
+
+fn call_error(code: &str, message: String, verdict: Verdict) -> CallError {
+    CallError {
+        code: code.to_owned(),
+        message,
+        verdict,
+        retry_after_ms: None,
+    }
+}
+
+fn unreachable() -> CallError {
+    let message = "the instance is not reachable".to_owned();
+    call_error("unreachable", message, Verdict::NotRun)
+}
--- a/daemon/src/node.rs
+++ b/daemon/src/node.rs
@@ -83,29 +83,41 @@
     pub fn new(spawner: &Spawner, settings: Settings, metrics: Metrics) -> Self {
         let clock = Clock::start();
         let client = Client::new(spawner, ClientLimits::default());
+        let incarnation = Incarnation {
+            instance: settings.name.clone(),
+            started: unix_millis(),
+        };
+        let log = LogClient::new(client.clone(), settings.log, clock);
         Self {
-            incarnation: Incarnation {
-                instance: settings.name.clone(),
-                started: unix_millis(),
-            },
+            control: Control::new(&settings, incarnation.clone(), &log, clock),
+            incarnation,
             clock,
             spawner: spawner.clone(),
-            log: LogClient::new(client.clone(), settings.log, clock),
+            log,
             list: ListClient::new(client.clone(), settings.list),
             client,
             metrics,
             online: Online::new(),
             batch: Batch::new(settings.groups),
-            control: Control::new(),
             phase: AtomicU8::new(Phase::Starting as u8),
             settings,
         }
     }
 
     /// Returns whether the instance accepts requests.
+    ///
+    /// A process that was paused does not accept any until its loops have run again.
     pub fn phase(&self) -> Phase {
         let phase = self.phase.load(Ordering::Acquire);
-        Phase::from_repr(phase).unwrap_or(Phase::Starting)
+        match Phase::from_repr(phase).unwrap_or(Phase::Starting) {
+            Phase::Serving if !self.control.is_valid(self.clock.now()) => Phase::Stale,
+            phase => phase,
+        }
+    }
+
+    /// Returns whether the instance is being stopped.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.phase.load(Ordering::Acquire) == Phase::Leaving as u8
     }
 
     /// Changes the phase; an instance that leaves stays so.
--- a/daemon/src/online/mod.rs
+++ b/daemon/src/online/mod.rs
@@ -7,7 +7,17 @@
     Request,
     Response, //
 };
-use limpetweir_state::OrganisationId;
+use limpetweir_protocol::peer::{
+    CallError,
+    Hello,
+    QuotaCall,
+    ReplyBody, //
+};
+use limpetweir_state::{
+    BackendId,
+    OrganisationId,
+    Verdict, //
+};
 use limpetweir_transport::http::{
     Body,
     RequestBody, //
@@ -48,3 +58,18 @@
 pub(crate) async fn answer(_node: &Arc<Node>, req: Request<RequestBody>) -> Response<Body> {
     responses::not_found(&req)
 }
+
+/// Answers a borrower's message to the home of its quota.
+pub(crate) fn answer_quota(_node: &Node, _from: &Hello, _call: QuotaCall) -> ReplyBody {
+    ReplyBody::Error(CallError {
+        code: "not_supported".to_owned(),
+        message: "this instance does not answer such calls".to_owned(),
+        verdict: Verdict::NotRun,
+        retry_after_ms: None,
+    })
+}
+
+/// Returns the online requests of this instance in flight for each backend server.
+pub(crate) fn in_flight(_node: &Node) -> Vec<(BackendId, u32)> {
+    Vec::new()
+}
