--- a/daemon/src/batch/owner.rs
+++ b/daemon/src/batch/owner.rs
@@ -44,9 +44,6 @@
 /// Entries of a group that may wait for the log: a submission of 64 MiB has about as many parts.
 const QUEUE: usize = 256;
 
-/// Time for which a job log keeps its records, or less.
-const RETENTION: Duration = Duration::from_secs(3_600);
-
 /// Starts the loops of the batch path; they end when the returned tasks are dropped.
 pub(crate) fn start(node: &Arc<Node>) -> Vec<Task<()>> {
     let groups = 0..node.settings.groups;
@@ -91,7 +88,7 @@
         incarnation: node.incarnation.clone(),
         queue: QUEUE,
         long_poll: node.settings.timing.long_poll,
-        retention: RETENTION,
+        retention: node.settings.timing.log_retention,
     };
     let news = Arc::new(JobNews::default());
     let observer = JobsObserver { news: news.clone() };
--- a/daemon/src/node.rs
+++ b/daemon/src/node.rs
@@ -90,26 +90,37 @@
             instance: settings.name.clone(),
             started: unix_millis().0,
         };
+        let log = LogClient::new(client.clone(), settings.log, clock);
         Self {
+            control: Control::new(&settings, incarnation.clone(), &log, clock),
             online: Online::new(&incarnation, settings.groups, metrics.meter()),
             incarnation,
             clock,
             spawner: spawner.clone(),
-            log: LogClient::new(client.clone(), settings.log, clock),
+            log,
             list: ListClient::new(client.clone(), settings.list),
             client,
             batch: Batch::new(settings.groups, metrics.meter()),
             metrics,
-            control: Control::new(),
             phase: AtomicU8::new(Phase::Starting as u8),
             settings,
         }
     }
 
     /// Returns whether the instance accepts requests.
+    ///
+    /// A process that was paused does not accept any until its loops have run again.
     pub fn phase(&self) -> Phase {
         let phase = self.phase.load(Ordering::Acquire);
-        Phase::from_repr(phase).unwrap_or(Phase::Starting)
+        match Phase::from_repr(phase).unwrap_or(Phase::Starting) {
+            Phase::Serving if !self.control.is_valid(self.clock.now()) => Phase::Stale,
+            phase => phase,
+        }
+    }
+
+    /// Returns whether the instance is being stopped.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.phase.load(Ordering::Acquire) == Phase::Leaving as u8
     }
 
     /// Changes the phase; an instance that leaves stays so.
