--- /dev/null
+++ b/daemon/tests/fleet/main.rs
@@ -0,0 +1,8 @@
+//! Several instances over loopback, with the log and the list as processes.
+
+#![allow(clippy::unwrap_used, reason = "helpers of tests may panic")]
+
+mod configuration;
+mod outages;
+mod ownership;
+mod support;
