--- a/daemon/src/batch/mod.rs
+++ b/daemon/src/batch/mod.rs
@@ -1,45 +1,67 @@
 //! The batch path: jobs, their owners and the batch managers of engines.
 
-use std::sync::Arc;
+mod api;
+mod calls;
+mod cancel;
+mod dispatch;
+mod engine;
+mod group;
+mod manager;
+mod metrics;
+mod outcome;
+mod owner;
+mod placement;
+mod recording;
+mod release;
+mod reply;
+mod slots;
+mod submit;
 
-use hyper::{
-    Request,
-    Response, //
-};
-use limpetweir_protocol::peer::{
-    ItemReply,
-    JobCall,
-    JobReply,
-    RunItem, //
-};
 use limpetweir_state::{
     BackendId,
-    GroupId, //
+    GroupId,
+    GroupKind, //
 };
-use limpetweir_transport::http::{
-    Body,
-    RequestBody, //
+use opentelemetry::metrics::Meter;
+
+pub(crate) use api::answer;
+pub(crate) use calls::answer_job;
+pub use calls::usage_of;
+pub use group::JobGroup;
+pub(crate) use manager::{
+    cancel_item,
+    on_online_change,
+    on_yield,
+    run_item, //
 };
+pub(crate) use owner::start;
+pub(crate) use release::flush;
 
-use crate::node::Node;
-use crate::responses;
 use crate::sharded::Sharded;
 
+use manager::Managers;
+use metrics::BatchMetrics;
+use placement::Uses;
+
 /// State of the batch path.
 #[derive(Debug)]
 pub struct Batch {
     /// One shard for each job group, at the group's index.
     groups: Sharded<JobGroup>,
+    /// Batch managers of the engines that this instance acts for.
+    managers: Managers,
+    /// Batch items of the own job groups at the engines.
+    uses: Uses,
+    metrics: BatchMetrics,
 }
 
-/// State of one job group.
-#[derive(Debug)]
-pub struct JobGroup {}
-
 impl Batch {
-    pub(crate) fn new(groups: u16) -> Self {
+    pub(crate) fn new(groups: u16, meter: &Meter) -> Self {
         Self {
-            groups: Sharded::new(usize::from(groups), |_| JobGroup {}),
+            groups: Sharded::new(usize::from(groups), |_| JobGroup::default()),
+            managers: Managers::new(),
+            uses: Uses::default(),
+            metrics: BatchMetrics::new(meter),
         }
     }
 
@@ -49,31 +71,7 @@
     }
 }
 
-/// Answers the job interface under `/v1/jobs`.
-pub(crate) async fn answer(_node: &Arc<Node>, req: Request<RequestBody>) -> Response<Body> {
-    responses::not_found(&req)
-}
-
-/// Answers a call of the job interface that another instance forwarded.
-pub(crate) async fn answer_job(_node: &Arc<Node>, _call: JobCall) -> JobReply {
-    JobReply {
-        status: 503,
-        body: Vec::new(),
-        retry_after_ms: None,
-    }
-}
-
-/// Runs an item on a backend server that this instance manages.
-pub(crate) async fn run_item(_node: &Arc<Node>, item: RunItem) -> ItemReply {
-    let attempt = item.attempt;
-    ItemReply::Busy { attempt }
+/// Returns the group whose owner manages the batch slots of `backend`.
+fn engine_group(backend: &BackendId, groups: u16) -> GroupId {
+    GroupId::of(GroupKind::Engine, backend.as_str().as_bytes(), groups)
 }
-
-/// Stops an item and returns once it has stopped.
-pub(crate) async fn cancel_item(_node: &Arc<Node>, _attempt: &str) {}
-
-/// Frees slots of a backend server for online requests.
-pub(crate) fn on_yield(_node: &Node, _backend: &BackendId) {}
-
-/// Writes out everything that is buffered for a group, before the group is released.
-pub(crate) async fn flush(_node: &Arc<Node>, _group: GroupId) {}
--- a/daemon/src/daemon.rs
+++ b/daemon/src/daemon.rs
@@ -44,7 +44,9 @@
     Phase, //
 };
 use crate::{
+    batch,
     event,
+    online,
     router, //
 };
 
@@ -103,7 +105,9 @@
         let peer = listen_peer(&node)?;
         let admin = listen_admin(&node)?;
         let public = listen_public(&node)?;
-        let loops = control::start(&node);
+        let mut loops = control::start(&node);
+        loops.push(online::start(&node));
+        loops.extend(batch::start(&node));
         Ok(Self {
             node,
             public,
--- a/daemon/src/events.rs
+++ b/daemon/src/events.rs
@@ -52,6 +52,29 @@
 pub const PHASE_CHANGED: Event = Event::new(1006, Level::Info);
 /// A request to the admin listener had no valid operator key.
 pub const OPERATOR_REFUSED: Event = Event::new(1007, Level::Warn);
+
+/// The owner of a job group chose an engine for an item.
+pub const BATCH_PLACED: Event = Event::new(1601, Level::Debug);
+/// A batch manager started an item on its engine.
+pub const BATCH_ITEM_STARTED: Event = Event::new(1602, Level::Debug);
+/// A batch manager cancelled the stream of an item.
+pub const BATCH_ITEM_CANCELLED: Event = Event::new(1603, Level::Debug);
+/// The stream of an item broke; the engine gets no batch items for a while.
+pub const BATCH_BACKEND_FAILED: Event = Event::new(1604, Level::Warn);
+/// An attempt of an item failed.
+pub const BATCH_ITEM_FAILED: Event = Event::new(1605, Level::Info);
+/// A record of a job group was not appended.
+pub const BATCH_RECORD_FAILED: Event = Event::new(1606, Level::Warn);
+/// This instance began to act for a job group.
+pub const JOB_GROUP_OPENED: Event = Event::new(1607, Level::Info);
+/// This instance ceased to act for a job group.
+pub const JOB_GROUP_CLOSED: Event = Event::new(1608, Level::Info);
+/// The first record of a new owner was not appended.
+pub const JOB_GROUP_OPEN_FAILED: Event = Event::new(1609, Level::Warn);
+/// A job was accepted.
+pub const JOB_ACCEPTED: Event = Event::new(1610, Level::Info);
+/// A job was cancelled.
+pub const JOB_CANCELLED: Event = Event::new(1611, Level::Info);
 /// Records of a stream were trimmed before they were read.
 pub const STREAM_GAP: Event = Event::new(1301, Level::Warn);
 /// A snapshot ended a gap.
@@ -88,3 +111,25 @@
 pub const LIST_CHANGED: Event = Event::new(1603, Level::Info);
 /// The list could not be read.
 pub const LIST_UNREADABLE: Event = Event::new(1604, Level::Warn);
+/// A backend server was chosen for an attempt, or none was found.
+pub const ROUTED: Event = Event::new(1401, Level::Debug);
+/// An answer did not echo the id of its attempt.
+pub const ANSWER_MISMATCHED: Event = Event::new(1402, Level::Warn);
+/// An attempt failed before a byte was sent to the caller.
+pub const ATTEMPT_FAILED: Event = Event::new(1403, Level::Info);
+/// Another engine continues a broken stream.
+pub const STREAM_RESUMED: Event = Event::new(1404, Level::Info);
+/// A stream ended with an error event.
+pub const STREAM_BROKEN: Event = Event::new(1405, Level::Warn);
+/// The instance became the home of a quota group.
+pub const QUOTA_HOME_STARTED: Event = Event::new(1406, Level::Info);
+/// The instance is no longer the home of a quota group.
+pub const QUOTA_HOME_ENDED: Event = Event::new(1407, Level::Info);
+/// An online request was answered with an error.
+pub const REQUEST_REFUSED: Event = Event::new(1408, Level::Debug);
+/// The batch manager of a full backend server was told to yield.
+pub const YIELD_SENT: Event = Event::new(1409, Level::Debug);
+/// A caller left before the end of its stream.
+pub const CALLER_LEFT: Event = Event::new(1410, Level::Debug);
+/// A quota message was not valid.
+pub const QUOTA_MESSAGE_REFUSED: Event = Event::new(1411, Level::Warn);
