control: let a losing publication wait for the winning version

The racing test failed once in a run of the whole workspace: an instance that had heard the new version from a peer before it had read the log answered 503 where the operator needs 409 with the current version. The fetch takes a moment, so the publication now waits for it.

Also answers /admin/explain with the explanation of the online path.

--- a/daemon/src/control/admin.rs
+++ b/daemon/src/control/admin.rs
@@ -46,6 +46,7 @@
 use super::publication;
 use super::state::Inner;
 use crate::node::Node;
+use crate::online;
 use crate::responses::{
     self,
     Problem, //
@@ -59,6 +60,9 @@
         (&Method::GET, "/admin/config") => config(node),
         (&Method::POST, "/admin/config") => publish(node, req).await,
         (&Method::GET, "/admin/status") => status(node),
+        (&Method::GET, "/admin/explain") => {
+            online::explain(node, req.uri().query().unwrap_or_default())
+        }
         _ => responses::not_found(&req),
     }
 }
--- a/daemon/src/control/mod.rs
+++ b/daemon/src/control/mod.rs
@@ -32,23 +32,14 @@
 pub(crate) use admin::answer;
 pub(crate) use peers::PeerService;
 pub(crate) use release::hand_over;
-#[allow(unused_imports, reason = "the paths use them")]
 pub(crate) use stream::{
     Stream,
     StreamFigures,
     StreamObserver,
     StreamOptions,
-    WriteError,
-    Written, //
-};
-#[allow(unused_imports, reason = "the paths use them")]
-pub(crate) use stream_tasks::StreamTasks;
-#[allow(unused_imports, reason = "the paths use them")]
-pub(crate) use view::{
-    Current,
-    Owner,
-    PublicInstance, //
+    WriteError, //
 };
+pub(crate) use view::Current;
 
 use crate::node::Node;
 use links::Links;
--- a/daemon/src/control/publication.rs
+++ b/daemon/src/control/publication.rs
@@ -27,6 +27,9 @@
 /// Longest wait until a publication is read back.
 const PUBLICATION_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Longest wait for a version that a peer acts on.
+const CATCH_UP_LIMIT: Duration = Duration::from_secs(2);
+
 /// Time to retry after for a refused publication.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -59,7 +62,7 @@
     if let Some(answer) = decided(node, &publish) {
         return Ok(answer);
     }
-    may_publish(node).map_err(refused)?;
+    wait_until_allowed(node).await.map_err(refused)?;
     if let Some(answer) = outdated(node, &publish) {
         return Ok(answer);
     }
@@ -73,6 +76,23 @@
     }
 }
 
+/// Waits while a peer acts on a newer version, which is fetched at once.
+///
+/// An operator who lost a race then learns the current version.
+async fn wait_until_allowed(node: &Node) -> Result<(), PublicationRefusal> {
+    let deadline = Instant::now() + CATCH_UP_LIMIT;
+    loop {
+        let changed = node.control.changes();
+        let allowed = may_publish(node);
+        if allowed != Err(PublicationRefusal::Outdated) {
+            return allowed;
+        }
+        if until(deadline, changed).await.is_none() {
+            return allowed;
+        }
+    }
+}
+
 fn may_publish(node: &Node) -> Result<(), PublicationRefusal> {
     let now = node.clock.now();
     let inner = node.control.shared.lock();
