--- a/daemon/src/batch/mod.rs
+++ b/daemon/src/batch/mod.rs
@@ -1,35 +1,67 @@
 //! The batch path: jobs, their owners and the batch managers of engines.
 
-use std::sync::Arc;
+mod api;
+mod calls;
+mod cancel;
+mod dispatch;
+mod engine;
+mod group;
+mod manager;
+mod metrics;
+mod outcome;
+mod owner;
+mod placement;
+mod recording;
+mod release;
+mod reply;
+mod slots;
+mod submit;
 
-use hyper::{
-    Request,
-    Response, //
+use limpetweir_state::{
+    BackendId,
+    GroupId,
+    GroupKind, //
 };
-use limpetweir_transport::http::{
-    Body,
-    RequestBody, //
+use opentelemetry::metrics::Meter;
+
+pub(crate) use api::answer;
+pub(crate) use calls::answer_job;
+pub use calls::usage_of;
+pub use group::JobGroup;
+pub(crate) use manager::{
+    cancel_item,
+    on_online_change,
+    on_yield,
+    run_item, //
 };
+pub(crate) use owner::start;
+pub(crate) use release::flush;
 
-use crate::node::Node;
-use crate::responses;
 use crate::sharded::Sharded;
 
+use manager::Managers;
+use metrics::BatchMetrics;
+use placement::Uses;
+
 /// State of the batch path.
 #[derive(Debug)]
 pub struct Batch {
     /// One shard for each job group, at the group's index.
     groups: Sharded<JobGroup>,
+    /// Batch managers of the engines that this instance acts for.
+    managers: Managers,
+    /// Batch items of the own job groups at the engines.
+    uses: Uses,
+    metrics: BatchMetrics,
 }
 
-/// State of one job group.
-#[derive(Debug)]
-pub struct JobGroup {}
-
 impl Batch {
-    pub(crate) fn new(groups: u16) -> Self {
+    pub(crate) fn new(groups: u16, meter: &Meter) -> Self {
         Self {
-            groups: Sharded::new(usize::from(groups), |_| JobGroup {}),
+            groups: Sharded::new(usize::from(groups), |_| JobGroup::default()),
+            managers: Managers::new(),
+            uses: Uses::default(),
+            metrics: BatchMetrics::new(meter),
         }
     }
 
@@ -39,7 +71,7 @@
     }
 }
 
-/// Answers the job interface under `/v1/jobs`.
-pub(crate) async fn answer(_node: &Arc<Node>, req: Request<RequestBody>) -> Response<Body> {
-    responses::not_found(&req)
+/// Returns the group whose owner manages the batch slots of `backend`.
+fn engine_group(backend: &BackendId, groups: u16) -> GroupId {
+    GroupId::of(GroupKind::Engine, backend.as_str().as_bytes(), groups)
 }
