online: test the online path over real connections

The tests start instances in the test's process, with processes of the stand-ins for the platform and the backend servers. They need the control loops to run.

--- a/daemon/src/online/explain.rs
+++ b/daemon/src/online/explain.rs
@@ -6,7 +6,8 @@
 };
 use limpetweir_coordination::{
     Choice,
-    Considered, //
+    Considered,
+    MayAct, //
 };
 use limpetweir_state::{
     Configuration,
@@ -126,6 +127,7 @@
     json!({
         "group": group.to_string(),
         "home": home.map(|home| home.instance),
+        "acts": matches!(node.control.may_act(now, group), MayAct::Yes(_)),
         "share": share.map(|share| json!({
             "rate": share.rate,
             "cap": share.cap,
--- /dev/null
+++ b/daemon/tests/online/bodies.rs
@@ -0,0 +1,127 @@
+//! Requests that are refused before anything runs, and instances that do not serve.
+
+use limpetweir_standins::client::{
+    self,
+    Exchange, //
+};
+use limpetweir_transport::Runtime;
+use rstest::rstest;
+use serde_json::{
+    Value,
+    json, //
+};
+
+use crate::fleet::{
+    Fleet,
+    KEY,
+    Setup,
+    bearer,
+    completion,
+    error_code,
+    lone_daemon, //
+};
+
+/// Guards against malformed requests that reach an engine or end without a clear error.
+#[test]
+fn malformed_bodies_are_refused() {
+    let fleet = Fleet::start(Setup::default());
+    let bodies = [
+        ("/v1/completions", "".to_owned()),
+        ("/v1/completions", "{".to_owned()),
+        ("/v1/completions", "[]".to_owned()),
+        ("/v1/completions", json!({ "prompt": "x" }).to_string()),
+        ("/v1/completions", json!({ "model": "reef-1" }).to_string()),
+        (
+            "/v1/completions",
+            json!({ "model": "reef-1", "prompt": [] }).to_string(),
+        ),
+        (
+            "/v1/completions",
+            json!({ "model": "reef-1", "prompt": "x", "stream": 3 }).to_string(),
+        ),
+        (
+            "/v1/chat/completions",
+            json!({ "model": "reef-1", "messages": [] }).to_string(),
+        ),
+        (
+            "/v1/chat/completions",
+            json!({ "model": "reef-1", "messages": "x" }).to_string(),
+        ),
+    ];
+    let authorization = bearer(KEY);
+    for (path, body) in bodies {
+        let headers = [("authorization", authorization.as_str())];
+        let answer = fleet.send_bytes(0, "POST", path, body.into_bytes(), &headers);
+        assert_eq!(error_code(&answer, 400, "not-run"), "invalid_body");
+    }
+    assert!(fleet.engine_records(0).is_empty());
+}
+
+/// Guards against bodies that use the instance's memory without bound.
+#[rstest]
+#[case("/v1/completions")]
+#[case("/services/tanks/salinity-orders")]
+fn oversized_bodies_are_refused(#[case] path: &str) {
+    let fleet = Fleet::start(Setup::default());
+    let headers = [("authorization", &*bearer(KEY))];
+    let body = vec![b' '; (8 << 20) + 1];
+    let answer = fleet.send_bytes(0, "POST", path, body, &headers);
+    assert_eq!(error_code(&answer, 413, "not-run"), "body_too_large");
+    assert!(fleet.engine_records(0).is_empty() && fleet.plain_records(0).is_empty());
+}
+
+/// Guards against unknown names that are answered as failures of the fleet.
+#[test]
+fn unknown_names_are_refused() {
+    let fleet = Fleet::start(Setup::default());
+    let mut body = completion("tide", 4, false);
+    body["model"] = json!("reef-2");
+    let answer = fleet.send("POST", "/v1/completions", &body, KEY);
+    assert_eq!(error_code(&answer, 404, "not-run"), "unknown_model");
+    // Engines are reached through the completion interface only.
+    for path in ["/services/unknown/x", "/services/chat/record", "/services/"] {
+        let answer = fleet.send("GET", path, &Value::Null, KEY);
+        assert_eq!(error_code(&answer, 404, "not-run"), "unknown_service");
+    }
+    let answer = fleet.send("GET", "/v1/completions", &Value::Null, KEY);
+    assert_eq!(error_code(&answer, 405, "not-run"), "method_not_allowed");
+    assert!(fleet.engine_records(0).is_empty());
+}
+
+/// Guards against an engine's refusal that is reported as a failure of the fleet.
+#[test]
+fn a_refusal_by_the_engine_is_passed_on() {
+    let fleet = Fleet::start(Setup::default());
+    let answer = fleet.complete("tide", 0, false);
+    assert_eq!(
+        error_code(&answer, 400, "may-have-run"),
+        "refused_by_engine"
+    );
+    assert!(answer.text().contains("max_tokens must be at least 1"));
+}
+
+/// Guards against an instance that accepts requests without a current configuration.
+#[test]
+fn an_instance_that_does_not_serve_refuses_requests() {
+    let runtime = Runtime::start(1).unwrap();
+    let daemon = lone_daemon(&runtime);
+    let authorization = bearer(KEY);
+    let calls = [
+        ("POST", "/v1/completions"),
+        ("GET", "/v1/models"),
+        ("GET", "/v1/addresses"),
+        ("GET", "/services/notices/tanks/t1"),
+    ];
+    for (method, path) in calls {
+        let answer = client::send(Exchange {
+            address: &daemon.addresses().public.to_string(),
+            method,
+            path,
+            headers: &[("authorization", &authorization)],
+            body: Vec::new(),
+        })
+        .unwrap();
+        assert_eq!(error_code(&answer, 503, "not-run"), "not_serving");
+        assert!(answer.header("retry-after").is_some());
+    }
+}
--- /dev/null
+++ b/daemon/tests/online/main.rs
@@ -0,0 +1,12 @@
+//! The online path over real connections between instances, platform and backend servers.
+
+#![allow(clippy::unwrap_used, reason = "helpers of tests may panic")]
+
+mod backends;
+mod bodies;
+mod fleet;
+mod keys;
+mod plain;
+mod quota;
+mod raw;
+mod streams;
--- /dev/null
+++ b/daemon/tests/online/plain.rs
@@ -0,0 +1,176 @@
+//! Calls of plain services.
+
+use limpetweir_standins::client::{
+    self,
+    Exchange, //
+};
+use limpetweir_standins::plain::PlainControl;
+use rstest::rstest;
+use serde_json::{
+    Value,
+    json, //
+};
+
+use crate::fleet::{
+    Fleet,
+    KEY,
+    Setup,
+    error_code, //
+};
+
+const TWO_PLAINS: Setup = Setup {
+    instances: 1,
+    engines: 1,
+    plains: 2,
+    limit: (100_000.0, 100_000.0),
+};
+
+const ORDERS: &str = "/services/tanks/salinity-orders";
+
+fn order() -> Value {
+    json!({ "tank": "t1", "grams_per_litre": 35.0 })
+}
+
+/// Returns the number of received and of executed calls with a method over all servers.
+fn calls(fleet: &Fleet, method: &str) -> (usize, usize) {
+    let records = (0..fleet.plains.len()).flat_map(|n| fleet.plain_records(n));
+    let calls: Vec<_> = records.filter(|call| call.method == method).collect();
+    let executed = calls.iter().filter(|call| call.executed).count();
+    (calls.len(), executed)
+}
+
+fn control(fleet: &Fleet, control: &PlainControl) {
+    for n in 0..fleet.plains.len() {
+        fleet.control_plain(n, control);
+    }
+}
+
+/// Guards against open routes that ask for a key and calls that lose their path or body.
+#[test]
+fn calls_reach_open_and_keyed_services() {
+    let fleet = Fleet::start(Setup::default());
+    let reading = json!({ "litres": 12.5 });
+    let answer = fleet.send("PUT", "/services/tanks/tanks/t1", &reading, KEY);
+    assert_eq!(answer.status, 200, "{}", answer.text());
+    let answer = fleet.send("GET", "/services/tanks/tanks/t1", &Value::Null, KEY);
+    let body: Value = answer.json().unwrap();
+    assert_eq!(body["litres"], 12.5);
+    let body = reading.to_string().into_bytes();
+    let path = "/services/notices/tanks/t2";
+    let answer = fleet.send_bytes(0, "PUT", path, body, &[]);
+    assert_eq!(answer.status, 200, "{}", answer.text());
+    let answer = client::send(Exchange {
+        address: &fleet.public(0),
+        method: "GET",
+        path,
+        ..Exchange::default()
+    });
+    assert_eq!(answer.unwrap().status, 200);
+}
+
+/// Guards against a call that may not be repeated and runs twice, and against an answer that says
+/// that it did not run although it may have.
+#[rstest]
+#[case::cut_after(PlainControl { cut_after: Some(1), ..PlainControl::default() }, 1)]
+#[case::cut_before(PlainControl { cut_before: Some(1), ..PlainControl::default() }, 0)]
+#[case::crossed(PlainControl { omit_attempt_id: Some(1), ..PlainControl::default() }, 1)]
+fn a_call_that_may_have_run_is_not_repeated(#[case] fault: PlainControl, #[case] executed: usize) {
+    let fleet = Fleet::start(TWO_PLAINS);
+    control(&fleet, &fault);
+    let answer = fleet.send("POST", ORDERS, &order(), KEY);
+    assert_eq!(error_code(&answer, 502, "may-have-run"), "backend_failed");
+    assert_eq!(calls(&fleet, "POST"), (1, executed));
+}
+
+/// Guards against the answer of a failed call that is repeated or replaced.
+#[test]
+fn a_failure_after_execution_is_passed_on() {
+    let fleet = Fleet::start(TWO_PLAINS);
+    control(
+        &fleet,
+        &PlainControl {
+            fail_after: Some(1),
+            ..PlainControl::default()
+        },
+    );
+    let answer = fleet.send("POST", ORDERS, &order(), KEY);
+    assert_eq!(answer.status, 500);
+    assert_eq!(answer.header("x-limpetweir-verdict"), Some("may-have-run"));
+    assert_eq!(calls(&fleet, "POST"), (1, 1));
+}
+
+/// Guards against a call that is refused although another server could run it for the first time.
+#[test]
+fn a_rejected_call_is_sent_to_another_server() {
+    let fleet = Fleet::start(TWO_PLAINS);
+    let fault = PlainControl {
+        fail_before: Some(1),
+        ..PlainControl::default()
+    };
+    fleet.control_plain(0, &fault);
+    // Without a prompt, the choice between idle servers is random.
+    for _ in 0..100 {
+        let answer = fleet.send("POST", ORDERS, &order(), KEY);
+        assert_eq!(answer.status, 201, "{}", answer.text());
+        if calls(&fleet, "POST").0 > calls(&fleet, "POST").1 {
+            break;
+        }
+    }
+    let (received, executed) = calls(&fleet, "POST");
+    assert_eq!(received, executed + 1);
+}
+
+/// Guards against "not run" for a call that did run.
+#[test]
+fn a_call_rejected_by_each_server_did_not_run() {
+    let fleet = Fleet::start(TWO_PLAINS);
+    control(
+        &fleet,
+        &PlainControl {
+            fail_before: Some(5),
+            ..PlainControl::default()
+        },
+    );
+    let answer = fleet.send("POST", ORDERS, &order(), KEY);
+    assert_eq!(error_code(&answer, 503, "not-run"), "backend_busy");
+    assert_eq!(calls(&fleet, "POST").1, 0);
+}
+
+/// Guards against "not run" for a repeatable call that ran at one server before another rejected it.
+#[test]
+fn the_verdict_covers_all_attempts() {
+    let fleet = Fleet::start(TWO_PLAINS);
+    control(
+        &fleet,
+        &PlainControl {
+            cut_after: Some(1),
+            ..PlainControl::default()
+        },
+    );
+    let reading = json!({ "litres": 1.0 });
+    let answer = fleet.send("PUT", "/services/tanks/tanks/t1", &reading, KEY);
+    error_code(&answer, 502, "may-have-run");
+    assert_eq!(calls(&fleet, "PUT"), (2, 2));
+}
+
+/// Guards against a lost answer of a call that may be repeated.
+#[test]
+fn an_idempotent_call_is_repeated_at_another_server() {
+    let fleet = Fleet::start(TWO_PLAINS);
+    fleet.control_plain(
+        0,
+        &PlainControl {
+            cut_after: Some(1),
+            ..PlainControl::default()
+        },
+    );
+    let reading = json!({ "litres": 1.0 });
+    for _ in 0..100 {
+        let answer = fleet.send("PUT", "/services/tanks/tanks/t1", &reading, KEY);
+        assert_eq!(answer.status, 200, "{}", answer.text());
+        if !fleet.plain_records(0).is_empty() {
+            return;
+        }
+    }
+    panic!("no call reached the first server");
+}
--- /dev/null
+++ b/daemon/tests/online/quota.rs
@@ -0,0 +1,84 @@
+//! Rate and burst of an organisation over several instances.
+
+use std::thread;
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use crate::fleet::{
+    Fleet,
+    KEY,
+    Setup,
+    bearer,
+    error_code, //
+};
+
+const RATE: f64 = 40.0;
+const BURST: f64 = 20.0;
+
+/// Time over which the callers send, several renewals long.
+const SENDING: Duration = Duration::from_secs(4);
+
+/// An admitted request was admitted at some time between these two.
+#[derive(Clone, Copy)]
+struct Admitted {
+    sent: Instant,
+    answered: Instant,
+}
+
+fn send_until(fleet: &Fleet, index: usize, end: Instant) -> (Vec<Admitted>, usize) {
+    let authorization = bearer(KEY);
+    let headers = [("authorization", authorization.as_str())];
+    let mut admitted = Vec::new();
+    let mut refused = 0;
+    while Instant::now() < end {
+        let sent = Instant::now();
+        let path = "/services/tanks/tanks/t1";
+        let answer = fleet.send_bytes(index, "GET", path, Vec::new(), &headers);
+        let answered = Instant::now();
+        if answer.status == 404 {
+            admitted.push(Admitted { sent, answered });
+        } else {
+            assert_eq!(error_code(&answer, 429, "not-run"), "rate_limited");
+            assert!(answer.header("retry-after").is_some());
+            refused += 1;
+        }
+    }
+    (admitted, refused)
+}
+
+/// Guards against instances that together admit more than the rate and burst, and against refused
+/// calls that run nevertheless.
+#[test]
+fn three_instances_keep_to_the_rate_and_burst() {
+    let fleet = Fleet::start(Setup {
+        instances: 3,
+        limit: (RATE, BURST),
+        ..Setup::default()
+    });
+    let end = Instant::now() + SENDING;
+    let fleet = &fleet;
+    let (admitted, refused) = thread::scope(|scope| {
+        let callers: Vec<_> = (0..3)
+            .map(|index| scope.spawn(move || send_until(fleet, index, end)))
+            .collect();
+        let results = callers.into_iter().map(|caller| caller.join().unwrap());
+        results.fold((Vec::new(), 0), |(mut all, refused), (one, more)| {
+            all.extend(one);
+            (all, refused + more)
+        })
+    });
+    // The service answers 404 for a tank without a reading, which shows that it got the call.
+    assert_eq!(fleet.plain_records(0).len(), admitted.len());
+    assert!(!admitted.is_empty() && refused > 0);
+    for first in &admitted {
+        for last in &admitted {
+            let within = |a: &&Admitted| a.sent >= first.sent && a.answered <= last.answered;
+            let count = admitted.iter().filter(within).count();
+            let length = last.answered.saturating_duration_since(first.sent);
+            let allowed = BURST + RATE * length.as_secs_f64();
+            assert!(count as f64 <= allowed, "{count} in {length:?}");
+        }
+    }
+}
