--- a/daemon/src/batch/mod.rs
+++ b/daemon/src/batch/mod.rs
@@ -8,6 +8,7 @@
 mod group;
 mod manager;
 mod metrics;
+mod orders;
 mod outcome;
 mod owner;
 mod placement;
@@ -36,6 +37,7 @@
 };
 pub(crate) use owner::start;
 pub(crate) use release::flush;
+pub(crate) use slots::exceeds_reserve;
 
 use crate::sharded::Sharded;
 
--- a/daemon/src/batch/owner.rs
+++ b/daemon/src/batch/owner.rs
@@ -25,6 +25,7 @@
     Owned, //
 };
 use super::manager::keep_managers;
+use super::orders::keep_orders;
 use super::recording::record;
 use crate::control::{
     Stream,
@@ -55,6 +56,7 @@
         })
         .collect();
     tasks.push(node.spawner.spawn(keep_managers(node.clone())));
+    tasks.push(node.spawner.spawn(keep_orders(node.clone())));
     tasks
 }
 
--- a/daemon/src/batch/recording.rs
+++ b/daemon/src/batch/recording.rs
@@ -82,7 +82,10 @@
         let job = job.clone();
         write(handle, JobChange::Completed { job, items }).await;
     }
-    tally.count(node);
+    // Records of a lost epoch were read back without an effect.
+    if handle.stream.with_fold(|jobs| jobs.epoch()) == Some(handle.epoch) {
+        tally.count(node);
+    }
     handle.with(node, |owned| {
         owned.scheduler.confirm_completions();
         owned.unrecorded = owned.unrecorded.saturating_sub(count);
--- a/daemon/src/batch/slots.rs
+++ b/daemon/src/batch/slots.rs
@@ -36,3 +36,10 @@
     let peers = node.control.online_at_peers(now, &backend.id);
     own_online(node, backend).saturating_add(peers)
 }
+
+/// Returns whether an online request may meet batch items on a backend server of which `free` slots
+/// hold no online request, so that its manager must be told before the next heartbeat.
+pub(crate) fn exceeds_reserve(backend: &Backend, free: i64) -> bool {
+    let limits = limits(backend);
+    free <= i64::from(limits.slots.saturating_sub(limits.reserve))
+}
--- a/daemon/src/events.rs
+++ b/daemon/src/events.rs
@@ -75,6 +75,10 @@
 pub const JOB_ACCEPTED: Event = Event::new(1810, Level::Info);
 /// A job was cancelled.
 pub const JOB_CANCELLED: Event = Event::new(1811, Level::Info);
+/// An engine was ordered to change what it has loaded.
+pub const ENGINE_ORDERED: Event = Event::new(1812, Level::Info);
+/// An engine has seen a higher fencing number than that of this instance.
+pub const ENGINE_ORDER_OUTDATED: Event = Event::new(1813, Level::Warn);
 /// Records of a stream were trimmed before they were read.
 pub const STREAM_GAP: Event = Event::new(1301, Level::Warn);
 /// A snapshot ended a gap.
--- a/daemon/src/online/backends.rs
+++ b/daemon/src/online/backends.rs
@@ -165,7 +165,8 @@
     route(&candidates, &request, rng)
 }
 
-/// Chooses a backend server, counts the request on it and tells a full one's manager to yield.
+/// Chooses a backend server, counts the request on it and tells its manager to yield if it may be
+/// full of online requests and batch items.
 ///
 /// Returns `None` if no backend server of the service may get the request.
 pub(super) fn reserve(node: &Arc<Node>, purpose: &Purpose<'_>) -> Option<Reserved> {
@@ -192,7 +193,7 @@
     };
     let backend = cfg.backend(&choice.backend)?;
     batch::on_online_change(node, backend);
-    if choice.full {
+    if choice.full || batch::exceeds_reserve(backend, choice.free) {
         tell_to_yield(node, &choice, now);
     }
     Some(Reserved {
--- a/daemon/tests/batch/failures.rs
+++ b/daemon/tests/batch/failures.rs
@@ -9,6 +9,7 @@
 
 use crate::fleet::{
     Fleet,
+    KEY,
     Setup,
     error_code,
     eventually,
@@ -116,3 +117,62 @@
     fleet.check_complete(1, &job, &items);
     assert_eq!(fleet.outcomes()["Cut"], 8);
 }
+
+/// Guards against items that are lost with the batch manager that runs them, and against results
+/// that a graceful stop drops.
+#[rstest]
+#[case("member-killed", false)]
+#[case("member-stopped", true)]
+fn a_job_completes_while_each_instance_is_replaced(
+    #[case] name: &'static str,
+    #[case] graceful: bool,
+) {
+    let mut fleet = Fleet::start(Setup {
+        name,
+        instances: 4,
+        engines: 3,
+        step_us: 8_000,
+    });
+    let items = items(500, 30, Some(100));
+    let job = fleet.submit(0, "replaced", &items);
+    for lost in 0..2 {
+        let before = fleet.status(3, &job).completed;
+        eventually("items are recorded", || {
+            fleet.status(3, &job).completed >= before + 20
+        });
+        if graceful {
+            fleet.stop(lost);
+        } else {
+            fleet.kill(lost);
+        }
+    }
+    fleet.check_complete(3, &job, &items);
+    fleet.check_complete(2, &job, &items);
+}
+
+/// Guards against an owner that acts on after a pause in which another instance took over.
+#[test]
+fn a_paused_owner_has_no_effect_after_it_was_replaced() {
+    let mut fleet = Fleet::start(Setup {
+        name: "paused",
+        instances: 3,
+        engines: 2,
+        step_us: 8_000,
+    });
+    let items = items(400, 30, None);
+    let job = fleet.submit(0, "paused", &items);
+    let owner = fleet.owner_of(&job);
+    let other = (owner + 1) % 3;
+    eventually("items are recorded", || {
+        fleet.status(other, &job).completed >= 10
+    });
+    fleet.process_mut(owner).pause().unwrap();
+    eventually("another instance owns the job", || {
+        let path = format!("/v1/jobs/{}", job.id);
+        let answer = fleet.call(other, "GET", &path, KEY, &[], Vec::new());
+        answer.unwrap().status == 200
+    });
+    fleet.process_mut(owner).resume().unwrap();
+    fleet.check_complete(other, &job, &items);
+    fleet.check_complete(owner, &job, &items);
+}
--- a/daemon/tests/batch/fleet.rs
+++ b/daemon/tests/batch/fleet.rs
@@ -55,6 +55,10 @@
 pub(crate) const WAIT: Duration = Duration::from_secs(90);
 
 pub(crate) const MODEL: &str = "reef-1";
+
+/// A model of the configuration that no engine has loaded at its start.
+pub(crate) const SECOND_MODEL: &str = "reef-2";
+
 pub(crate) const KEY: &str = "key-of-the-reef-organisation";
 pub(crate) const OTHER_KEY: &str = "key-of-the-gulf-organisation";
 const OPERATOR_KEY: &str = "operator-key-of-the-test";
@@ -169,7 +173,7 @@
         }
         let names: Vec<String> = (0..self.engines.len()).map(|n| format!("e{n}")).collect();
         text += &format!(
-            "[[service]]\nid = \"chat\"\nkind = \"model\"\nmodels = [\"{MODEL}\"]\n\
+            "[[service]]\nid = \"chat\"\nkind = \"model\"\nmodels = [\"{MODEL}\", \"{SECOND_MODEL}\"]\n\
              backends = {names:?}\n"
         );
         for (name, engine) in names.iter().zip(&self.engines) {
@@ -208,6 +212,18 @@
         self.instances[index].as_ref().unwrap()
     }
 
+    pub(crate) fn process_mut(&mut self, index: usize) -> &mut Process {
+        self.instances[index].as_mut().unwrap()
+    }
+
+    /// Stops an instance gracefully and waits for its end.
+    pub(crate) fn stop(&mut self, index: usize) {
+        let mut process = self.instances[index].take().unwrap();
+        process.terminate().unwrap();
+        let status = process.wait(WAIT).unwrap();
+        assert!(status.unwrap().success(), "{status:?}");
+    }
+
     /// Kills an instance.
     pub(crate) fn kill(&mut self, index: usize) {
         self.instances[index].take().unwrap().kill().unwrap();
--- a/daemon/tests/batch/main.rs
+++ b/daemon/tests/batch/main.rs
@@ -6,4 +6,5 @@
 mod fleet;
 mod inputs;
 mod jobs;
+mod orders;
 mod yields;
--- /dev/null
+++ b/daemon/tests/batch/orders.rs
@@ -0,0 +1,58 @@
+//! Orders to the engines.
+
+use limpetweir_standins::client;
+use limpetweir_standins::engine::{
+    Change,
+    Order,
+    OrderRecord, //
+};
+use serde_json::Value;
+
+use crate::fleet::{
+    Fleet,
+    SECOND_MODEL,
+    Setup,
+    eventually, //
+};
+
+fn get(fleet: &Fleet, engine: usize, path: &str) -> Value {
+    let address = fleet.engines[engine].address();
+    client::get(address, path).unwrap().json().unwrap()
+}
+
+fn is_loaded(fleet: &Fleet, engine: usize) -> bool {
+    get(fleet, engine, "/load")["models"][SECOND_MODEL].is_string()
+}
+
+/// Guards against an engine that keeps lacking a model of the configuration, also after it lost
+/// the model again, and against orders without the epoch of their sender.
+#[test]
+fn engines_are_ordered_until_they_report_the_configured_models() {
+    let fleet = Fleet::start(Setup {
+        name: "orders",
+        instances: 2,
+        engines: 2,
+        step_us: 200,
+    });
+    for engine in 0..2 {
+        eventually("the model is loaded", || is_loaded(&fleet, engine));
+        let mut record = get(&fleet, engine, "/record");
+        let orders: Vec<OrderRecord> = serde_json::from_value(record["orders"].take()).unwrap();
+        let load = Change::LoadModel {
+            model: SECOND_MODEL.to_owned(),
+            version: "1".to_owned(),
+        };
+        assert!(orders.iter().all(|record| record.order.change == load));
+        let fencing = orders.iter().map(|record| record.order.fencing).max();
+        let fencing = fencing.unwrap();
+        assert!(fencing > 0);
+
+        let model = SECOND_MODEL.to_owned();
+        let change = Change::UnloadModel { model };
+        let order = Order { change, fencing };
+        let answer = client::post(fleet.engines[engine].address(), "/orders", &order);
+        assert_eq!(answer.unwrap().status, 200);
+        eventually("the model is unloaded", || !is_loaded(&fleet, engine));
+        eventually("the model is loaded again", || is_loaded(&fleet, engine));
+    }
+}
