--- a/daemon/tests/batch/failures.rs
+++ b/daemon/tests/batch/failures.rs
@@ -5,9 +5,11 @@
     EngineControl, //
 };
 use limpetweir_standins::log::Outage;
+use rstest::rstest;
 
 use crate::fleet::{
     Fleet,
+    KEY,
     Setup,
     error_code,
     eventually,
@@ -54,17 +56,22 @@
 
 /// Guards against a job that stops while the log is down, and against calls that are accepted but
 /// not recorded or that say "not run" and run.
-#[test]
-fn a_running_job_goes_on_while_the_log_is_down() {
+#[rstest]
+#[case("outage-reject", Outage::Reject)]
+#[case("outage-hang", Outage::Hang)]
+fn a_running_job_goes_on_while_the_log_is_down(#[case] name: &'static str, #[case] mode: Outage) {
     let fleet = Fleet::start(Setup {
-        name: "outage",
+        name,
         instances: 3,
         engines: 2,
-        step_us: 3_000,
+        step_us: 8_000,
     });
-    let items = items(150, 40, None);
+    let items = items(600, 40, None);
     let job = fleet.submit(0, "during-outage", &items);
-    fleet.set_outage(Outage::Reject);
+    eventually("items complete", || {
+        fleet.outcomes().get("Completed").is_some_and(|n| *n >= 5)
+    });
+    fleet.set_outage(mode);
     let new = job_body(&crate::fleet::items(3, 4, None))
         .to_string()
         .into_bytes();
@@ -79,12 +86,13 @@
             && error_code(&answer, 503, "not-run") == "log_unavailable"
     });
     let before = fleet.outcomes()["Completed"];
+    assert!(before < 500, "the job is too short for the outage");
     eventually("items complete without the log", || {
         fleet.outcomes()["Completed"] >= before + 30
     });
     fleet.set_outage(Outage::Off);
     fleet.check_complete(2, &job, &items);
-    assert_eq!(fleet.outcomes()["Completed"], 150, "no item ran twice");
+    assert_eq!(fleet.outcomes()["Completed"], 600, "no item ran twice");
 }
 
 /// Guards against items that fail for good because their engines broke, or whose text has a gap
@@ -109,3 +117,62 @@
     fleet.check_complete(1, &job, &items);
     assert_eq!(fleet.outcomes()["Cut"], 8);
 }
+
+/// Guards against items that are lost with the batch manager that runs them, and against results
+/// that a graceful stop drops.
+#[rstest]
+#[case("member-killed", false)]
+#[case("member-stopped", true)]
+fn a_job_completes_while_each_instance_is_replaced(
+    #[case] name: &'static str,
+    #[case] graceful: bool,
+) {
+    let mut fleet = Fleet::start(Setup {
+        name,
+        instances: 4,
+        engines: 3,
+        step_us: 8_000,
+    });
+    let items = items(500, 30, Some(100));
+    let job = fleet.submit(0, "replaced", &items);
+    for lost in 0..2 {
+        let before = fleet.status(3, &job).completed;
+        eventually("items are recorded", || {
+            fleet.status(3, &job).completed >= before + 20
+        });
+        if graceful {
+            fleet.stop(lost);
+        } else {
+            fleet.kill(lost);
+        }
+    }
+    fleet.check_complete(3, &job, &items);
+    fleet.check_complete(2, &job, &items);
+}
+
+/// Guards against an owner that acts on after a pause in which another instance took over.
+#[test]
+fn a_paused_owner_has_no_effect_after_it_was_replaced() {
+    let mut fleet = Fleet::start(Setup {
+        name: "paused",
+        instances: 3,
+        engines: 2,
+        step_us: 8_000,
+    });
+    let items = items(400, 30, None);
+    let job = fleet.submit(0, "paused", &items);
+    let owner = fleet.owner_of(&job);
+    let other = (owner + 1) % 3;
+    eventually("items are recorded", || {
+        fleet.status(other, &job).completed >= 10
+    });
+    fleet.process_mut(owner).pause().unwrap();
+    eventually("another instance owns the job", || {
+        let path = format!("/v1/jobs/{}", job.id);
+        let answer = fleet.call(other, "GET", &path, KEY, &[], Vec::new());
+        answer.unwrap().status == 200
+    });
+    fleet.process_mut(owner).resume().unwrap();
+    fleet.check_complete(other, &job, &items);
+    fleet.check_complete(owner, &job, &items);
+}
