--- a/daemon/src/daemon.rs
+++ b/daemon/src/daemon.rs
@@ -44,6 +44,7 @@
     Phase, //
 };
 use crate::{
+    batch,
     event,
     online,
     router, //
@@ -106,6 +107,7 @@
         let public = listen_public(&node)?;
         let mut loops = control::start(&node);
         loops.push(online::start(&node));
+        loops.extend(batch::start(&node));
         Ok(Self {
             node,
             public,
--- a/daemon/src/node.rs
+++ b/daemon/src/node.rs
@@ -10,7 +10,10 @@
 };
 
 use limpetweir_protocol::settings::Settings;
-use limpetweir_state::Incarnation;
+use limpetweir_state::{
+    Incarnation,
+    UnixMillis, //
+};
 use limpetweir_transport::http::{
     Client,
     ClientLimits, //
@@ -85,28 +88,39 @@
         let client = Client::new(spawner, ClientLimits::default());
         let incarnation = Incarnation {
             instance: settings.name.clone(),
-            started: unix_millis(),
+            started: unix_millis().0,
         };
+        let log = LogClient::new(client.clone(), settings.log, clock);
         Self {
+            control: Control::new(&settings, incarnation.clone(), &log, clock),
             online: Online::new(&incarnation, settings.groups, metrics.meter()),
             incarnation,
             clock,
             spawner: spawner.clone(),
-            log: LogClient::new(client.clone(), settings.log, clock),
+            log,
             list: ListClient::new(client.clone(), settings.list),
             client,
+            batch: Batch::new(settings.groups, metrics.meter()),
             metrics,
-            batch: Batch::new(settings.groups),
-            control: Control::new(),
             phase: AtomicU8::new(Phase::Starting as u8),
             settings,
         }
     }
 
     /// Returns whether the instance accepts requests.
+    ///
+    /// A process that was paused does not accept any until its loops have run again.
     pub fn phase(&self) -> Phase {
         let phase = self.phase.load(Ordering::Acquire);
-        Phase::from_repr(phase).unwrap_or(Phase::Starting)
+        match Phase::from_repr(phase).unwrap_or(Phase::Starting) {
+            Phase::Serving if !self.control.is_valid(self.clock.now()) => Phase::Stale,
+            phase => phase,
+        }
+    }
+
+    /// Returns whether the instance is being stopped.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.phase.load(Ordering::Acquire) == Phase::Leaving as u8
     }
 
     /// Changes the phase; an instance that leaves stays so.
@@ -121,10 +135,9 @@
     }
 }
 
-/// Returns the wall-clock time in milliseconds since the Unix epoch.
-fn unix_millis() -> u64 {
+/// Returns the wall-clock time.
+pub(crate) fn unix_millis() -> UnixMillis {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    since.map_or(0, |since| {
-        u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
-    })
+    let since = since.unwrap_or_default().as_millis();
+    UnixMillis(u64::try_from(since).unwrap_or(u64::MAX))
 }
--- a/daemon/src/online/backends.rs
+++ b/daemon/src/online/backends.rs
@@ -27,6 +27,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
+use crate::batch;
 use crate::event;
 use crate::events::{
     ROUTED,
@@ -164,7 +165,8 @@
     route(&candidates, &request, rng)
 }
 
-/// Chooses a backend server, counts the request on it and tells a full one's manager to yield.
+/// Chooses a backend server, counts the request on it and tells its manager to yield if it may be
+/// full of online requests and batch items.
 ///
 /// Returns `None` if no backend server of the service may get the request.
 pub(super) fn reserve(node: &Arc<Node>, purpose: &Purpose<'_>) -> Option<Reserved> {
@@ -189,11 +191,13 @@
         service: purpose.service.clone(),
         backend: choice.backend.clone(),
     };
-    if choice.full {
+    let backend = cfg.backend(&choice.backend)?;
+    batch::on_online_change(node, backend);
+    if choice.full || batch::exceeds_reserve(backend, choice.free) {
         tell_to_yield(node, &choice, now);
     }
     Some(Reserved {
-        address: cfg.backend(&choice.backend)?.address,
+        address: backend.address,
         backend: choice.backend,
         flight,
     })
@@ -242,3 +246,9 @@
         })
         .collect()
 }
+
+/// Returns the online requests of this instance in flight for one backend server.
+pub(crate) fn in_flight_on(node: &Node, backend: &Backend) -> u32 {
+    let shard = node.online.backends.of_key(&backend.service);
+    shard.own(&backend.id)
+}
--- a/daemon/src/online/mod.rs
+++ b/daemon/src/online/mod.rs
@@ -28,6 +28,7 @@
     HeaderValue, //
 };
 use hyper::{
+    HeaderMap,
     Method,
     Request,
     Response,
@@ -42,14 +43,20 @@
     OnlineAttemptIds,
     RetryBudget, //
 };
-use limpetweir_state::Incarnation;
+use limpetweir_state::{
+    Incarnation,
+    OrganisationId, //
+};
 use limpetweir_transport::http::{
     Body,
     RequestBody, //
 };
 use opentelemetry::metrics::Meter;
 
-pub(crate) use backends::in_flight;
+pub(crate) use backends::{
+    in_flight,
+    in_flight_on, //
+};
 pub(crate) use explain::explain;
 pub(crate) use home::answer_quota;
 
@@ -189,3 +196,10 @@
         problem
     })
 }
+
+/// Returns the organisation whose key a request presents, if the instance accepts requests.
+pub(crate) fn authenticate(node: &Node, headers: &HeaderMap) -> Result<OrganisationId, Problem> {
+    let current = serving(node)?;
+    let caller = auth::authenticate(&current.configuration, headers)?;
+    Ok(caller.organisation)
+}
