--- a/daemon/src/events.rs
+++ b/daemon/src/events.rs
@@ -75,6 +75,10 @@
 pub const JOB_ACCEPTED: Event = Event::new(1810, Level::Info);
 /// A job was cancelled.
 pub const JOB_CANCELLED: Event = Event::new(1811, Level::Info);
+/// An engine was ordered to change what it has loaded.
+pub const ENGINE_ORDERED: Event = Event::new(1812, Level::Info);
+/// An engine has seen a higher fencing number than that of this instance.
+pub const ENGINE_ORDER_OUTDATED: Event = Event::new(1813, Level::Warn);
 /// Records of a stream were trimmed before they were read.
 pub const STREAM_GAP: Event = Event::new(1301, Level::Warn);
 /// A snapshot ended a gap.
@@ -86,13 +90,13 @@
 /// A snapshot could not be written.
 pub const SNAPSHOT_FAILED: Event = Event::new(1305, Level::Error);
 /// The instance acts on another configuration.
-pub const CONFIG_CHANGED: Event = Event::new(1401, Level::Info);
+pub const CONFIG_CHANGED: Event = Event::new(1701, Level::Info);
 /// An accepted configuration cannot be read by this program.
-pub const CONFIG_UNREADABLE: Event = Event::new(1402, Level::Error);
+pub const CONFIG_UNREADABLE: Event = Event::new(1702, Level::Error);
 /// A newer configuration was taken over from a peer.
-pub const CONFIG_FETCHED: Event = Event::new(1403, Level::Info);
+pub const CONFIG_FETCHED: Event = Event::new(1703, Level::Info);
 /// An operator's publication was decided or refused.
-pub const PUBLICATION: Event = Event::new(1404, Level::Info);
+pub const PUBLICATION: Event = Event::new(1704, Level::Info);
 /// This instance claims a group.
 pub const CLAIMING: Event = Event::new(1501, Level::Info);
 /// A group has a new owner.
