--- a/cli/src/error.rs
+++ b/cli/src/error.rs
@@ -106,6 +106,21 @@
         #[snafu(source(from(Failure, Box::new)))]
         source: Box<Failure>,
     },
+    /// The publication of a key change was not answered, so it may have been accepted.
+    #[snafu(display(
+        "{source}; key {key} of {organisation} may be changed all the same: {advice}"
+    ))]
+    KeyUnknown {
+        /// The organisation.
+        organisation: String,
+        /// The key.
+        key: String,
+        /// How to find out.
+        advice: &'static str,
+        /// Cause.
+        #[snafu(source(from(Failure, Box::new)))]
+        source: Box<Failure>,
+    },
     /// A version was accepted but is not in force everywhere.
     #[snafu(display("version {version} is accepted but not in force on: {missing}"))]
     NotEverywhere {
@@ -117,9 +132,11 @@
     /// A submission was not answered, so the job may have been accepted.
     #[snafu(display(
         "{source}; the job may have been accepted: run the same command again with \
-         --idempotency-key {key}, which cannot submit it twice"
+         --idempotency-key {key} --deadline {deadline_s}s, which cannot submit it twice"
     ))]
     SubmissionUnknown {
+        /// Seconds to the deadline, which are part of the job.
+        deadline_s: u64,
         /// Idempotency key of the job.
         key: String,
         /// Cause.
@@ -187,6 +204,7 @@
         match self {
             Self::Fleet { source }
             | Self::PublicationUnknown { source, .. }
+            | Self::KeyUnknown { source, .. }
             | Self::SubmissionUnknown { source, .. } => Some(source),
             _ => None,
         }
--- a/cli/src/fleet.rs
+++ b/cli/src/fleet.rs
@@ -55,7 +55,7 @@
 /// Longest error body that is read, in bytes.
 const MAX_ERROR_BYTES: usize = 1 << 20;
 
-/// Longest wait for one instance when the request may be sent to another one.
+/// Time that one instance has at least when the request may be sent to another one.
 const TRY_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Longest wait for a discovery answer.
@@ -177,33 +177,33 @@
 
     /// Sends a request and returns its whole answer.
     pub(crate) async fn request(&mut self, call: &Call) -> Result<Answer, Failure> {
-        let deadline = Instant::now() + self.timeout;
-        let mut tries = 0;
-        loop {
-            let addresses = self.addresses().await;
-            let addr = addresses[self.current % addresses.len()];
-            let result = self.request_once(addr, call, deadline).await;
-            let Err(failure) = result else {
-                return result;
-            };
-            tries += 1;
-            self.wait(failure, call, tries, addresses.len(), deadline)
-                .await?;
-        }
+        let once =
+            async |fleet: &Self, addr, deadline| fleet.request_once(addr, call, deadline).await;
+        self.repeat(call, once).await
     }
 
     /// Sends a request and returns its answer as it arrives.
     ///
-    /// Only failures before the first byte of the answer are retried.
+    /// Only failures before the first byte of the body are retried.
     pub(crate) async fn open(&mut self, call: &Call) -> Result<Response<ClientBody>, Failure> {
+        let once = async |fleet: &Self, addr, deadline| fleet.open_once(addr, call, deadline).await;
+        self.repeat(call, once).await
+    }
+
+    /// Tries a request until it is answered or may not be tried again.
+    async fn repeat<T>(
+        &mut self,
+        call: &Call,
+        once: impl AsyncFn(&Self, SocketAddr, Instant) -> Result<T, Failure>,
+    ) -> Result<T, Failure> {
         let deadline = Instant::now() + self.timeout;
         let mut tries = 0;
         loop {
             let addresses = self.addresses().await;
             let addr = addresses[self.current % addresses.len()];
-            let result = self.open_once(addr, call, deadline).await;
-            let Err(failure) = result else {
-                return result;
+            let failure = match once(self, addr, deadline).await {
+                Ok(answer) => return Ok(answer),
+                Err(failure) => failure,
             };
             tries += 1;
             self.wait(failure, call, tries, addresses.len(), deadline)
@@ -238,7 +238,7 @@
         };
         let wait = retry.wait.as_millis();
         log::warn!(
-            "LW9001 {} is tried again in {wait} ms: {failure}",
+            "LW1901 {} is tried again in {wait} ms: {failure}",
             call.name()
         );
         sleep(retry.wait).await;
@@ -275,9 +275,10 @@
         deadline: Instant,
     ) -> Result<Response<ClientBody>, Failure> {
         // A request that may run again elsewhere does not spend its whole time on one instance.
-        let limit = Instant::now() + TRY_TIMEOUT;
+        let now = Instant::now();
+        let half = deadline.saturating_duration_since(now) / 2;
         let deadline = if call.idempotent {
-            deadline.min(limit)
+            deadline.min(now + half.max(TRY_TIMEOUT))
         } else {
             deadline
         };
@@ -346,10 +347,10 @@
                     self.learn(&found, asked);
                     return;
                 }
-                Ok(_) => log::warn!("LW9002 {addr} gave no usable discovery answer"),
+                Ok(_) => log::warn!("LW1902 {addr} gave no usable discovery answer"),
                 // The request itself reports what the instance refuses.
                 Err(Failure::Refused { .. }) => return,
-                Err(failure) => log::warn!("LW9002 {addr} gave no discovery answer: {failure}"),
+                Err(failure) => log::warn!("LW1902 {addr} gave no discovery answer: {failure}"),
             }
         }
     }
--- a/daemon/src/events.rs
+++ b/daemon/src/events.rs
@@ -90,13 +90,13 @@
 /// A snapshot could not be written.
 pub const SNAPSHOT_FAILED: Event = Event::new(1305, Level::Error);
 /// The instance acts on another configuration.
-pub const CONFIG_CHANGED: Event = Event::new(1401, Level::Info);
+pub const CONFIG_CHANGED: Event = Event::new(1701, Level::Info);
 /// An accepted configuration cannot be read by this program.
-pub const CONFIG_UNREADABLE: Event = Event::new(1402, Level::Error);
+pub const CONFIG_UNREADABLE: Event = Event::new(1702, Level::Error);
 /// A newer configuration was taken over from a peer.
-pub const CONFIG_FETCHED: Event = Event::new(1403, Level::Info);
+pub const CONFIG_FETCHED: Event = Event::new(1703, Level::Info);
 /// An operator's publication was decided or refused.
-pub const PUBLICATION: Event = Event::new(1404, Level::Info);
+pub const PUBLICATION: Event = Event::new(1704, Level::Info);
 /// This instance claims a group.
 pub const CLAIMING: Event = Event::new(1501, Level::Info);
 /// A group has a new owner.
