control: claim only once the others are known to be able to claim

Three instances that started together each claimed all 12 groups: 18 to 23 take-overs in the logs of the batch tests, and one lease until the last holders acted. Cause: the first read of a quiet stream waited one long poll, so all instances began to serve at the same moment, before any heartbeat had told the others. The first read no longer waits, and the first claims follow four heartbeats after the instance is able to claim. A wait counted from the first contact had not helped, because contact comes before.

--- a/daemon/src/control/decisions.rs
+++ b/daemon/src/control/decisions.rs
@@ -53,6 +53,12 @@
 /// Longest wait for a configuration from a peer.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Heartbeats for which an instance must have been able to claim before its first claims.
+///
+/// Instances that start together can claim before they know that the others can, too.
+/// Claims made at once meet those of the others, and the last holder of each group waits one lease.
+const CLAIM_AFTER_BEATS: u32 = 4;
+
 const KINDS: [GroupKind; 3] = [GroupKind::Jobs, GroupKind::Quota, GroupKind::Engine];
 
 /// What the loop has in progress.
@@ -63,6 +69,8 @@
     release: Option<Task<()>>,
     fetch: Option<Task<()>>,
     phase: Option<Phase>,
+    /// Heartbeats since this instance serves and hears a majority without a break.
+    able_beats: u32,
 }
 
 /// What is to be done after a look at the state.
@@ -163,6 +171,14 @@
         }
     }
 
+    fn count_able(&mut self, beats: bool, is_able: bool) {
+        if !is_able {
+            self.able_beats = 0;
+        } else if beats {
+            self.able_beats = self.able_beats.saturating_add(1);
+        }
+    }
+
     fn report(
         &mut self,
         inner: &Inner,
--- a/daemon/src/control/stream.rs
+++ b/daemon/src/control/stream.rs
@@ -440,6 +440,11 @@
         self.replica.status() == ReplicaStatus::Ready
     }
 
+    /// Returns whether a read has reached the end of the stream.
+    pub(super) fn is_confirmed(&self) -> bool {
+        self.confirmed_at.is_some()
+    }
+
     fn read_back(&mut self, writer: &WriterId) {
         if let Some(ticket) = self.writer.on_read(writer) {
             self.finish(ticket, Ok(()));
--- a/daemon/src/control/stream_tasks.rs
+++ b/daemon/src/control/stream_tasks.rs
@@ -99,8 +99,10 @@
 
     fn next_read(&self) -> (Offset, Duration) {
         let state = self.lock();
-        // Only a state without gap can resolve an answer, so a gap must not cause reads in a row.
-        let at_once = state.unknown && state.is_ready();
+        // The first read must not wait for a record, or an instance starts late on a quiet stream.
+        let at_once = state.unknown || !state.is_confirmed();
+        // Only a state without gap can be confirmed, so a gap must not cause reads in a row.
+        let at_once = at_once && state.is_ready();
         let wait = if at_once {
             Duration::ZERO
         } else {
