--- a/daemon/src/control/view.rs
+++ b/daemon/src/control/view.rs
@@ -90,6 +90,13 @@
         self.shared.is_valid(now)
     }
 
+    /// Returns whether the configuration is known to be current.
+    ///
+    /// The phase of a leaving instance does not tell, because it stays the same until the end.
+    pub(crate) fn is_current(&self, now: Timestamp) -> bool {
+        self.is_valid(now) && self.shared.lock().serving
+    }
+
     /// Returns whether this instance may act for `group`.
     pub(crate) fn may_act(&self, now: Timestamp, group: GroupId) -> MayAct {
         let inner = self.shared.lock();
--- a/daemon/src/online/mod.rs
+++ b/daemon/src/online/mod.rs
@@ -185,8 +185,9 @@
 fn serving(node: &Node) -> Result<Current, Problem> {
     let phase = node.phase();
     let current = match phase {
-        Phase::Serving | Phase::Leaving => node.control.current(),
-        Phase::Starting | Phase::Stale => None,
+        Phase::Serving => node.control.current(),
+        Phase::Leaving if node.control.is_current(node.clock.now()) => node.control.current(),
+        Phase::Leaving | Phase::Starting | Phase::Stale => None,
     };
     current.ok_or_else(|| {
         let status = StatusCode::SERVICE_UNAVAILABLE;
