online: start the first home of a group with full buckets

With an empty bucket, the first home of a fleet rejected requests that were within the rate: 24 of the 51 tests in daemon/tests/online failed, nearly all with 429 right after the start. The control loops now remember which claims are the first of their group, whose home knows that nothing was admitted before. All other homes still start empty. A leaving instance no longer accepts requests when its configuration is not known to be current, which its phase does not show.

--- a/daemon/src/control/observers.rs
+++ b/daemon/src/control/observers.rs
@@ -55,6 +55,7 @@
         let now = self.shared.clock.now();
         let mut inner = self.shared.lock();
         inner.ownership.on_event(now, &self.own, fold, &event);
+        inner.note_claim(&event);
         let is_history = inner.claims_read.is_none();
         drop(inner);
         if !is_history {
--- a/daemon/src/control/state.rs
+++ b/daemon/src/control/state.rs
@@ -26,7 +26,10 @@
 use limpetweir_protocol::parse_configuration;
 use limpetweir_state::{
     BackendId,
+    ClaimEvent,
     Configuration,
+    Epoch,
+    GroupId,
     Incarnation,
     InstanceId,
     Publications,
@@ -68,12 +71,32 @@
     pub(super) backends: Option<BTreeMap<BackendId, ListState>>,
     /// Send time of the last read that reached the end of the claims.
     pub(super) claims_read: Option<Timestamp>,
+    /// Groups that were claimed only once, with the epoch of that claim.
+    pub(super) first_claims: BTreeMap<GroupId, Epoch>,
     /// Whether the last decision was to serve.
     pub(super) serving: bool,
     /// Version whose document cannot be read by this program.
     unreadable: Option<Version>,
 }
 
+impl Inner {
+    /// Remembers whether a claim is the first one of its group.
+    pub(super) fn note_claim(&mut self, event: &ClaimEvent) {
+        if let ClaimEvent::Claimed {
+            group,
+            epoch,
+            former,
+        } = event
+        {
+            if former.is_none() {
+                self.first_claims.insert(*group, *epoch);
+            } else {
+                self.first_claims.remove(group);
+            }
+        }
+    }
+}
+
 impl Shared {
     pub(super) fn new(own: Incarnation, clock: Clock) -> Arc<Self> {
         let now = clock.now();
@@ -84,6 +107,7 @@
             instances: BTreeMap::new(),
             backends: None,
             claims_read: None,
+            first_claims: BTreeMap::new(),
             serving: false,
             unreadable: None,
         };
--- a/daemon/src/control/view.rs
+++ b/daemon/src/control/view.rs
@@ -96,6 +96,13 @@
         inner.ownership.may_act(now, group, &inner.members)
     }
 
+    /// Returns whether nobody has owned `group` before the claim of `epoch`.
+    ///
+    /// It is false if the claim was read from a snapshot, which does not tell.
+    pub(crate) fn is_first_claim(&self, group: GroupId, epoch: Epoch) -> bool {
+        self.shared.lock().first_claims.get(&group) == Some(&epoch)
+    }
+
     /// Returns the owner of `group` by the claims read or by a later epoch that a peer reports.
     pub(crate) fn owner(&self, now: Timestamp, group: GroupId) -> Option<Owner> {
         let claim = self.claims.with_fold(|claims| claims.get(group).cloned());
--- a/daemon/src/online/home.rs
+++ b/daemon/src/online/home.rs
@@ -105,13 +105,14 @@
     step: impl FnOnce(&mut QuotaHome) -> T,
 ) -> T {
     let current = node.control.current();
+    let is_first = node.control.is_first_claim(group, epoch);
     let mut slot = node.online.homes.at(usize::from(group.index));
     let HomeSlot { home, version } = &mut *slot;
     if home.as_ref().is_some_and(|home| home.epoch() != epoch) {
         *home = None;
         *version = None;
     }
-    let home = home.get_or_insert_with(|| start(group, epoch, now));
+    let home = home.get_or_insert_with(|| start(group, epoch, is_first, now));
     if let Some(current) = current.filter(|current| Some(current.version) > *version) {
         let organisations = current.configuration.organisations();
         let limits = organisations
@@ -128,11 +129,18 @@
 }
 
 /// Returns the home for a claim under which this instance may act from now on.
-///
-/// Ownership has waited for the former holder already, so only its shares may live on.
-fn start(group: GroupId, epoch: Epoch, now: Timestamp) -> QuotaHome {
-    event!(QUOTA_HOME_STARTED, "group={group} epoch={}", epoch.0);
-    let start = HomeStart::AfterRelease;
+fn start(group: GroupId, epoch: Epoch, is_first: bool, now: Timestamp) -> QuotaHome {
+    let start = if is_first {
+        HomeStart::First
+    } else {
+        // Ownership has waited for the former holder already, so only its shares may live on.
+        HomeStart::AfterRelease
+    };
+    event!(
+        QUOTA_HOME_STARTED,
+        "group={group} epoch={} first={is_first}",
+        epoch.0
+    );
     QuotaHome::new(epoch, start, QuotaSettings::default(), now)
 }
 
--- a/daemon/src/online/mod.rs
+++ b/daemon/src/online/mod.rs
@@ -184,10 +184,13 @@
 /// Returns the configuration if the instance accepts requests.
 fn serving(node: &Node) -> Result<Current, Problem> {
     let phase = node.phase();
-    let current = match phase {
-        Phase::Serving | Phase::Leaving => node.control.current(),
-        Phase::Starting | Phase::Stale => None,
+    // A leaving instance keeps its phase when its configuration is no longer known to be current.
+    let accepts = match phase {
+        Phase::Serving => true,
+        Phase::Leaving => node.control.is_valid(node.clock.now()),
+        Phase::Starting | Phase::Stale => false,
     };
+    let current = accepts.then(|| node.control.current()).flatten();
     current.ok_or_else(|| {
         let status = StatusCode::SERVICE_UNAVAILABLE;
         let message = format!("the instance does not accept requests now ({phase})");
