--- a/daemon/src/online/admission.rs
+++ b/daemon/src/online/admission.rs
@@ -24,7 +24,8 @@
 use limpetweir_state::{
     GroupKind,
     OrganisationId,
-    Verdict, //
+    Verdict,
+    Version, //
 };
 use limpetweir_transport::{
     sleep,
@@ -142,8 +143,10 @@
 /// Renews shares and follows the ownership of quota groups until the task is dropped.
 pub(super) async fn run(node: Arc<Node>) {
     let mut renewing: Vec<Task<()>> = Vec::new();
+    let mut version = None;
     loop {
         sleep(TICK).await;
+        forget_removed(&node, &mut version);
         home::follow_ownership(&node);
         renewing.retain(|task| !task.is_finished());
         for (request, sent) in due_renewals(&node) {
@@ -153,6 +156,19 @@
     }
 }
 
+/// Forgets the retries of organisations that a new configuration no longer has.
+fn forget_removed(node: &Node, version: &mut Option<Version>) {
+    let current = node.control.current();
+    let Some(current) = current.filter(|current| Some(current.version) != *version) else {
+        return;
+    };
+    *version = Some(current.version);
+    let cfg = &current.configuration;
+    for mut shard in node.online.organisations.iter() {
+        shard.retries.retain(|id| cfg.organisation(id).is_some());
+    }
+}
+
 fn due_renewals(node: &Node) -> Vec<(QuotaRequest, SentCall)> {
     let shards = node.online.organisations.iter();
     shards
--- a/transport/tests/http.rs
+++ b/transport/tests/http.rs
@@ -31,6 +31,7 @@
     ClientLimits,
     EventReader,
     EventWriter,
+    RemoteAddr,
     RequestBody,
     SendOptions,
     Server,
@@ -110,6 +111,34 @@
     });
 }
 
+/// Guards against a connection with a foreign answer that is used again because the answer is empty.
+#[test]
+fn a_closed_answer_ends_its_connection_also_without_a_body() {
+    let runtime = Runtime::start(2).unwrap();
+    let spawner = runtime.spawner();
+    let remote = |req: Request<RequestBody>| async move {
+        let RemoteAddr(remote) = *req.extensions().get().unwrap();
+        let mut response = status(StatusCode::NO_CONTENT);
+        let remote = remote.to_string().parse().unwrap();
+        response.headers_mut().insert("x-remote", remote);
+        response
+    };
+    let server = Server::start(&spawner, LOCAL, ServerLimits::default(), remote).unwrap();
+    let addr = server.addr();
+    let client = Client::new(&spawner, ClientLimits::default());
+    runtime.block_on(async move {
+        let first = client.send(addr, get("/"), options()).await.unwrap();
+        let (first, body) = first.into_parts();
+        drop(body);
+        let second = client.send(addr, get("/"), options()).await.unwrap();
+        let (second, body) = second.into_parts();
+        assert_eq!(first.headers["x-remote"], second.headers["x-remote"]);
+        body.close();
+        let third = client.send(addr, get("/"), options()).await.unwrap();
+        assert_ne!(second.headers["x-remote"], third.headers()["x-remote"]);
+    });
+}
+
 /// Guards against a handler panic that takes an executor thread down with it.
 #[test]
 fn a_panic_in_a_handler_ends_only_its_connection() {
