online: test the verdict where a repeated call ran before it was rejected

Both servers cut their answers in the old test, so it passed without the rule that a verdict covers all attempts. Now the second server rejects the call; without the rule the answer says not-run.

--- a/daemon/tests/online/plain.rs
+++ b/daemon/tests/online/plain.rs
@@ -140,17 +140,22 @@
 #[test]
 fn the_verdict_covers_all_attempts() {
     let fleet = Fleet::start(TWO_PLAINS);
-    control(
-        &fleet,
-        &PlainControl {
-            cut_after: Some(1),
-            ..PlainControl::default()
-        },
-    );
+    let explained = fleet.explain(0, "organisation=reef&service=tanks");
+    let first = usize::from(explained["choice"]["backend"] == "p1");
+    let cut = PlainControl {
+        cut_after: Some(1),
+        ..PlainControl::default()
+    };
+    fleet.control_plain(first, &cut);
+    let rejecting = PlainControl {
+        fail_before: Some(1),
+        ..PlainControl::default()
+    };
+    fleet.control_plain(1 - first, &rejecting);
     let reading = json!({ "litres": 1.0 });
     let answer = fleet.send("PUT", "/services/tanks/tanks/t1", &reading, KEY);
-    error_code(&answer, 502, "may-have-run");
-    assert_eq!(calls(&fleet, "PUT"), (2, 2));
+    assert_eq!(error_code(&answer, 503, "may-have-run"), "backend_busy");
+    assert_eq!(calls(&fleet, "PUT"), (2, 1));
 }
 
 /// Guards against a lost answer of a call that may be repeated.
