batch: let items wait while an engine loads their model

An engine answers 404 until a model is loaded; three such answers gave an item a final failure. They now count as not run, and the pause that follows concerns the model only, so other jobs on the engine go on.

--- a/daemon/src/batch/engine.rs
+++ b/daemon/src/batch/engine.rs
@@ -145,12 +145,14 @@
     req.body(Bytes::from(body.to_string()))
 }
 
-/// An engine answers 429 and 503 when it does not take a request at the moment.
+/// An engine answers 429 and 503 when it does not take a request at the moment, and 404 while it
+/// has not loaded the model, which its manager then orders.
 async fn rejected(response: Response<ClientBody>) -> StreamEnd {
     let status = response.status();
     let busy = [
         StatusCode::TOO_MANY_REQUESTS,
         StatusCode::SERVICE_UNAVAILABLE,
+        StatusCode::NOT_FOUND,
     ];
     if busy.contains(&status) {
         return StreamEnd::NotTaken;
--- a/daemon/src/batch/manager.rs
+++ b/daemon/src/batch/manager.rs
@@ -239,7 +239,8 @@
         let _ = ticket.signals.recv().await;
         None
     };
-    let end = cancelled.or(streamed).await;
+    // A stream that has ended counts as such, also if a cancel arrived.
+    let end = streamed.or(cancelled).await;
     let attempt = item.attempt;
     let (text, tokens) = (output.text, output.tokens);
     match end {
--- a/daemon/src/batch/placement.rs
+++ b/daemon/src/batch/placement.rs
@@ -1,6 +1,9 @@
 //! Choice of the engine for a batch item by its free slots.
 
-use std::collections::HashMap;
+use std::collections::{
+    BTreeMap,
+    HashMap, //
+};
 use std::sync::{
     Arc,
     Mutex,
@@ -18,6 +21,7 @@
     BackendId,
     Epoch,
     InstanceId,
+    ModelId,
     Timestamp, //
 };
 
@@ -28,7 +32,7 @@
 use crate::control::Current;
 use crate::node::Node;
 
-/// Time for which an engine whose manager took no item is not offered another one.
+/// Time for which an engine is not offered another item of a model of which it took none.
 const BUSY_PAUSE: Duration = Duration::from_millis(100);
 
 /// Batch items of this instance's job groups at the engines.
@@ -37,10 +41,13 @@
     backends: Mutex<HashMap<BackendId, Use>>,
 }
 
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Use {
     items: u32,
-    busy_until: Timestamp,
+    /// End of the pause of each model of which an item was not taken.
+    ///
+    /// By model, so that items of a model that is still being loaded do not hold back others.
+    busy_until: BTreeMap<ModelId, Timestamp>,
 }
 
 impl Uses {
@@ -67,17 +74,18 @@
     node: Arc<Node>,
     /// Engine and manager.
     pub(super) manager: Manager,
+    model: ModelId,
     /// Estimated free slots before the item.
     pub(super) free: u32,
 }
 
 impl Place {
-    /// Keeps further items away from the engine for a moment.
+    /// Keeps further items of the model away from the engine for a moment.
     pub(super) fn mark_busy(&self) {
         let until = self.node.clock.now() + BUSY_PAUSE;
         let mut uses = self.node.batch.uses.lock();
         let entry = uses.entry(self.manager.backend.clone()).or_default();
-        entry.busy_until = until;
+        entry.busy_until.insert(self.model.clone(), until);
     }
 }
 
@@ -93,8 +101,16 @@
 /// Engines with room for batch items at one moment.
 pub(super) struct Engines {
     current: Current,
-    /// Only engines with at least one free place.
-    free: Vec<(Manager, u32)>,
+    engines: Vec<Room>,
+}
+
+/// Room on one engine.
+struct Room {
+    manager: Manager,
+    /// Places that batch items may still take, at least one.
+    free: u32,
+    /// Models of which the engine is offered no item at the moment.
+    busy: Vec<ModelId>,
 }
 
 impl Engines {
@@ -103,16 +119,18 @@
         let now = node.clock.now();
         let current = node.control.current()?;
         let engines = current.configuration.backends();
-        let free = engines.filter_map(|backend| room(node, now, backend));
-        let free = free.collect();
-        Some(Self { current, free })
+        let engines = engines.filter_map(|backend| room(node, now, backend));
+        let engines = engines.collect();
+        Some(Self { current, engines })
     }
 
-    fn candidates(&self, spec: &JobSpec) -> impl Iterator<Item = (usize, &(Manager, u32))> {
+    fn candidates(&self, spec: &JobSpec) -> impl Iterator<Item = (usize, &Room)> {
         let service = self.current.configuration.service(&spec.service);
         let service = service.filter(|service| service.runs_model(spec.model.as_str()));
-        self.free.iter().enumerate().filter(move |(_, engine)| {
-            service.is_some_and(|service| service.backends.contains(&engine.0.backend))
+        self.engines.iter().enumerate().filter(move |(_, engine)| {
+            let id = &engine.manager.backend;
+            let runs = service.is_some_and(|service| service.backends.contains(id));
+            runs && !engine.busy.contains(&spec.model)
         })
     }
 
@@ -123,26 +141,28 @@
 
     /// Takes a place on the engine with the most free slots.
     pub(super) fn take(&mut self, node: &Arc<Node>, spec: &JobSpec) -> Option<Place> {
-        let (index, _) = self.candidates(spec).max_by_key(|(_, (_, free))| *free)?;
-        let (manager, free) = &mut self.free[index];
+        let best = self.candidates(spec).max_by_key(|(_, room)| room.free);
+        let (index, _) = best?;
+        let room = &mut self.engines[index];
         let place = Place {
             node: node.clone(),
-            manager: manager.clone(),
-            free: *free,
+            manager: room.manager.clone(),
+            model: spec.model.clone(),
+            free: room.free,
         };
         let mut uses = node.batch.uses.lock();
-        uses.entry(manager.backend.clone()).or_default().items += 1;
+        uses.entry(room.manager.backend.clone()).or_default().items += 1;
         drop(uses);
-        *free -= 1;
-        if *free == 0 {
-            self.free.swap_remove(index);
+        room.free -= 1;
+        if room.free == 0 {
+            self.engines.swap_remove(index);
         }
         Some(place)
     }
 }
 
-/// Returns the manager of an engine and the places that batch items may still take there.
-fn room(node: &Node, now: Timestamp, backend: &Backend) -> Option<(Manager, u32)> {
+/// Returns the room for batch items on an engine, if there is any.
+fn room(node: &Node, now: Timestamp, backend: &Backend) -> Option<Room> {
     if node.control.backend_state(&backend.id) != Some(ListState::Live) {
         return None;
     }
@@ -152,18 +172,25 @@
     let online = slots::all_online(node, now, backend);
     let usable = limits.slots.saturating_sub(limits.reserve);
     let usable = usable.saturating_sub(online);
-    let used = node.batch.uses.lock().get(&backend.id).copied();
+    let used = node.batch.uses.lock().get(&backend.id).cloned();
     let used = used.unwrap_or_default();
-    if usable == 0 || now < used.busy_until {
+    let free = (usable + limits.queue).saturating_sub(used.items);
+    if usable == 0 || free == 0 {
         return None;
     }
-    let free = (usable + limits.queue).saturating_sub(used.items);
-    let manager = Manager {
-        backend: backend.id.clone(),
-        instance: owner.instance,
-        epoch: owner.epoch,
-    };
-    (free > 0).then_some((manager, free))
+    let paused = used
+        .busy_until
+        .into_iter()
+        .filter(|(_, until)| now < *until);
+    Some(Room {
+        manager: Manager {
+            backend: backend.id.clone(),
+            instance: owner.instance,
+            epoch: owner.epoch,
+        },
+        free,
+        busy: paused.map(|(model, _)| model).collect(),
+    })
 }
 
 /// Returns once another instance, or the same under another epoch, manages the engine.
--- a/daemon/tests/batch/fleet.rs
+++ b/daemon/tests/batch/fleet.rs
@@ -78,6 +78,9 @@
     pub(crate) step_us: u32,
 }
 
+/// Time that an engine takes to load a model, in milliseconds.
+const LOAD_TIME_MS: &str = "2000";
+
 /// Slots of each engine.
 pub(crate) const SLOTS: usize = 8;
 
@@ -128,6 +131,7 @@
             let slots = SLOTS.to_string();
             let args = ["--step-base-us", &step, "--step-per-sequence-us", "10"];
             let launch = Launch::standin("engine").unwrap().args(args);
+            let launch = launch.args(["--load-time-ms", LOAD_TIME_MS]);
             launch.args(["--slots", &slots]).spawn().unwrap()
         };
         let instance = |index| Some(start_instance(setup, index, log.address(), list.address()));
@@ -436,6 +440,7 @@
 /// An item of a job.
 #[derive(Clone, Debug)]
 pub(crate) struct Item {
+    pub(crate) model: &'static str,
     pub(crate) id: String,
     pub(crate) prompt: String,
     pub(crate) max_tokens: u32,
@@ -448,11 +453,11 @@
 
     /// Returns the hash under which an engine records the item.
     pub(crate) fn hash(&self) -> String {
-        request_hash(MODEL, &self.prompt, self.max_tokens as usize)
+        request_hash(self.model, &self.prompt, self.max_tokens as usize)
     }
 
     fn source(&self) -> Text {
-        Text::new(MODEL, &self.prompt)
+        Text::new(self.model, &self.prompt)
     }
 
     fn tokens(&self) -> u64 {
@@ -471,6 +476,7 @@
         let poisoned = poison.is_some_and(|every| at % every == every - 1);
         let marker = if poisoned { POISON_MARKER } else { "" };
         Item {
+            model: MODEL,
             id: format!("item-{at}"),
             prompt: format!("tank {at} of the reef {marker}"),
             max_tokens,
@@ -480,11 +486,12 @@
 }
 
 pub(crate) fn job_body(items: &[Item]) -> Value {
+    let model = items.first().map_or(MODEL, |item| item.model);
     let items: Vec<Value> = items
         .iter()
         .map(|item| json!({ "id": item.id, "prompt": item.prompt, "max_tokens": item.max_tokens }))
         .collect();
-    json!({ "service": "chat", "model": MODEL, "deadline_s": 3600, "items": items })
+    json!({ "service": "chat", "model": model, "deadline_s": 3600, "items": items })
 }
 
 /// Checks that an answer is an error of the documented form and returns its code.
--- a/daemon/tests/batch/orders.rs
+++ b/daemon/tests/batch/orders.rs
@@ -12,7 +12,8 @@
     Fleet,
     SECOND_MODEL,
     Setup,
-    eventually, //
+    eventually,
+    items, //
 };
 
 fn get(fleet: &Fleet, engine: usize, path: &str) -> Value {
@@ -56,3 +57,34 @@
         eventually("the model is loaded again", || is_loaded(&fleet, engine));
     }
 }
+
+/// Guards against items that fail for good, or that hold back other jobs, while the engines load
+/// their model.
+#[test]
+fn items_wait_for_their_model() {
+    let fleet = Fleet::start(Setup {
+        name: "loading",
+        instances: 2,
+        engines: 2,
+        step_us: 200,
+    });
+    // Engines that lose the model again load it for a while, whatever the start took.
+    for engine in 0..2 {
+        eventually("the model is loaded", || is_loaded(&fleet, engine));
+        let fencing = get(&fleet, engine, "/load")["fencing"].as_u64().unwrap();
+        let model = SECOND_MODEL.to_owned();
+        let change = Change::UnloadModel { model };
+        let order = Order { change, fencing };
+        let answer = client::post(fleet.engines[engine].address(), "/orders", &order);
+        assert_eq!(answer.unwrap().status, 200);
+    }
+    let mut waiting = items(30, 8, None);
+    for item in &mut waiting {
+        item.model = SECOND_MODEL;
+    }
+    let first = fleet.submit(0, "waits", &waiting);
+    let others = items(30, 8, None);
+    let second = fleet.submit(1, "runs", &others);
+    fleet.check_complete(0, &second, &others);
+    fleet.check_complete(1, &first, &waiting);
+}
