--- a/daemon/tests/batch/fleet.rs
+++ b/daemon/tests/batch/fleet.rs
@@ -1,6 +1,9 @@
 //! Instances as processes with stand-ins for the platform and the engines.
 
-use std::collections::BTreeMap;
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
 use std::fs;
 use std::path::PathBuf;
 use std::time::{
@@ -24,10 +27,12 @@
 use limpetweir_standins::engine::text::{
     POISON_MARKER,
     Text,
-    prompt_tokens, //
+    prompt_tokens,
+    request_hash, //
 };
 use limpetweir_standins::engine::{
     EngineControl,
+    RequestOutcome,
     RequestRecord, //
 };
 use limpetweir_standins::harness::{
@@ -74,6 +79,9 @@
     pub(crate) step_us: u32,
 }
 
+/// Time that an engine takes to load a model, in milliseconds.
+const LOAD_TIME_MS: &str = "2000";
+
 /// Slots of each engine.
 pub(crate) const SLOTS: usize = 8;
 
@@ -124,6 +132,7 @@
             let slots = SLOTS.to_string();
             let args = ["--step-base-us", &step, "--step-per-sequence-us", "10"];
             let launch = Launch::standin("engine").unwrap().args(args);
+            let launch = launch.args(["--load-time-ms", LOAD_TIME_MS]);
             launch.args(["--slots", &slots]).spawn().unwrap()
         };
         let instance = |index| Some(start_instance(setup, index, log.address(), list.address()));
@@ -239,6 +248,37 @@
         (0..self.instances.len()).find(accepted).unwrap()
     }
 
+    /// Returns the lines of one event in the logs of all instances, each line once.
+    pub(crate) fn events(&self, number: &str) -> BTreeSet<String> {
+        let logs = (0..self.instances.len()).map(|index| log_file(self.setup, index));
+        let lines = logs.flat_map(|path| {
+            let text = fs::read_to_string(path).unwrap();
+            text.lines().map(str::to_owned).collect::<Vec<_>>()
+        });
+        let events = lines.filter_map(|line| Some(line.split_once(number)?.1.to_owned()));
+        events.collect()
+    }
+
+    /// Checks that the engines completed `expected` items and ran each from its start once.
+    ///
+    /// An item that is stopped just as it ends is completed again from its last token. Instances
+    /// hand groups over to preferred owners at any time; that may repeat what was in flight then.
+    pub(crate) fn check_runs(&self, expected: usize) {
+        let records = self.records();
+        let completed = records
+            .iter()
+            .filter(|record| record.outcome == RequestOutcome::Completed);
+        let items: BTreeSet<&str> = completed.clone().map(|r| r.content_hash.as_str()).collect();
+        assert_eq!(items.len(), expected);
+        let whole = completed.filter(|record| record.resume_tokens == 0).count();
+        let hand_overs = self.events("LW1503").len() + self.events("LW1504").len();
+        let in_flight = self.engines.len() * (SLOTS + 2);
+        assert!(
+            whole <= expected + hand_overs * in_flight,
+            "{whole} whole runs of {expected} items with {hand_overs} hand-overs"
+        );
+    }
+
     /// Sends a request to an instance.
     pub(crate) fn call(
         &self,
@@ -406,6 +446,7 @@
 /// An item of a job.
 #[derive(Clone, Debug)]
 pub(crate) struct Item {
+    pub(crate) model: &'static str,
     pub(crate) id: String,
     pub(crate) prompt: String,
     pub(crate) max_tokens: u32,
@@ -416,8 +457,13 @@
         self.prompt.contains(POISON_MARKER)
     }
 
+    /// Returns the hash under which an engine records the item.
+    pub(crate) fn hash(&self) -> String {
+        request_hash(self.model, &self.prompt, self.max_tokens as usize)
+    }
+
     fn source(&self) -> Text {
-        Text::new(MODEL, &self.prompt)
+        Text::new(self.model, &self.prompt)
     }
 
     fn tokens(&self) -> u64 {
@@ -436,6 +482,7 @@
         let poisoned = poison.is_some_and(|every| at % every == every - 1);
         let marker = if poisoned { POISON_MARKER } else { "" };
         Item {
+            model: MODEL,
             id: format!("item-{at}"),
             prompt: format!("tank {at} of the reef {marker}"),
             max_tokens,
@@ -445,11 +492,12 @@
 }
 
 pub(crate) fn job_body(items: &[Item]) -> Value {
+    let model = items.first().map_or(MODEL, |item| item.model);
     let items: Vec<Value> = items
         .iter()
         .map(|item| json!({ "id": item.id, "prompt": item.prompt, "max_tokens": item.max_tokens }))
         .collect();
-    json!({ "service": "chat", "model": MODEL, "deadline_s": 3600, "items": items })
+    json!({ "service": "chat", "model": model, "deadline_s": 3600, "items": items })
 }
 
 /// Checks that an answer is an error of the documented form and returns its code.
