Add stateful fuzzing of a fleet against an oracle

Instances composed of the pure code run in virtual time over fakes of the log, the links and the engines. 24 cases of the fixed seed pass; longer runs follow.

--- /dev/null
+++ b/proofs/tests/guarantees/batch.rs
@@ -0,0 +1,574 @@
+//! Batch work of one instance, and a fake of the engines.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use limpetweir_coordination::*;
+use limpetweir_state::*;
+
+use crate::log::Seen;
+use crate::network::{JobCall, Message, RunItem};
+use crate::node::{
+    Ack, ENGINES, JOB_GROUPS, Node, World, engine_group_id, engine_name, job_group_id,
+};
+
+const UNIX_START_MS: u64 = 1_796_000_000_000;
+/// Items that an owner has at the managers at once.
+const MAX_ATTEMPTS_OUT: usize = 6;
+/// Time after which a call without an answer is repeated.
+const REPEAT_MS: u64 = 1_000;
+const LIMITS: SlotLimits = SlotLimits {
+    slots: 4,
+    reserve: 1,
+    queue: 2,
+};
+
+pub(crate) fn organisation() -> OrganisationId {
+    OrganisationId::try_from("org").expect("accepted name")
+}
+
+/// Outcome of an item; each attempt writes another text.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Text {
+    text: String,
+    failed: bool,
+}
+
+impl BufferedSize for Text {
+    fn buffered_size(&self) -> usize {
+        self.text.len()
+    }
+}
+
+/// A model engine that runs every item for a second and writes a text that names the attempt.
+#[derive(Default)]
+pub(crate) struct Engine {
+    running: BTreeMap<AttemptId, Stream>,
+    ended: Vec<(Incarnation, AttemptId, AttemptEnd<Text>)>,
+    /// Items that started since the last look, as job and index.
+    pub(crate) starts: Vec<(String, u32)>,
+}
+
+struct Stream {
+    item: RunItem,
+    manager: Incarnation,
+    ends_at: u64,
+}
+
+impl Engine {
+    fn start(&mut self, now: u64, item: RunItem, manager: Incarnation) {
+        self.starts.push((item.job.to_string(), item.index));
+        let ends_at = now + 1_000;
+        let attempt = item.attempt;
+        let stream = Stream {
+            item,
+            manager,
+            ends_at,
+        };
+        self.running.insert(attempt, stream);
+    }
+
+    fn end(&mut self, attempt: AttemptId, end: AttemptEnd<Text>) {
+        if let Some(stream) = self.running.remove(&attempt) {
+            self.ended.push((stream.manager, attempt, end));
+        }
+    }
+
+    /// Ends what is due, and drops the streams whose connection was closed.
+    pub(crate) fn step(&mut self, now: u64, alive: impl Fn(&Incarnation) -> bool) {
+        self.running.retain(|_, stream| alive(&stream.manager));
+        self.ended.retain(|(manager, ..)| alive(manager));
+        let due = self.running.iter().filter(|(_, s)| s.ends_at <= now);
+        let due: Vec<_> = due.map(|(&attempt, s)| (attempt, s.item.poison)).collect();
+        for (attempt, failed) in due {
+            let text = format!("written by {attempt}");
+            let outcome = Text { text, failed };
+            let end = match failed {
+                true => AttemptEnd::Failed(outcome),
+                false => AttemptEnd::Finished(outcome),
+            };
+            self.end(attempt, end);
+        }
+    }
+
+    /// Loses all streams.
+    pub(crate) fn fail(&mut self) {
+        let attempts: Vec<_> = self.running.keys().copied().collect();
+        for attempt in attempts {
+            self.end(attempt, AttemptEnd::Lost);
+        }
+    }
+}
+
+/// What the owner of a job group keeps under one epoch.
+pub(crate) struct Owner {
+    epoch: Epoch,
+    open: Ticket,
+    opened: bool,
+    scheduler: Scheduler<Text>,
+    submits: BTreeMap<Ticket, String>,
+    cancels: BTreeMap<Ticket, (String, JobId)>,
+    /// Cancels that were read back and whose running attempts have not all ended.
+    stopping: Vec<(String, JobId)>,
+    completion: Option<Ticket>,
+    out: BTreeMap<AttemptId, Out>,
+    submissions: u64,
+    next_engine: u16,
+}
+
+/// An attempt at a manager.
+struct Out {
+    item: RunItem,
+    sent: u64,
+    stop: bool,
+    /// When the manager was seen to be replaced.
+    replaced: Option<Timestamp>,
+}
+
+/// What the manager of an engine keeps under one epoch.
+#[derive(Default)]
+pub(crate) struct Manager {
+    epoch: Option<Epoch>,
+    slots: Option<SlotManager>,
+    items: BTreeMap<AttemptId, (usize, RunItem)>,
+    /// Attempts that must not start any more; a late or repeated offer gets the same end.
+    ended: BTreeMap<AttemptId, AttemptEnd<Text>>,
+}
+
+impl Node {
+    fn push(&mut self, group: usize, epoch: Epoch, change: JobChange, now: u64) -> Option<Ticket> {
+        let at = UnixMillis(UNIX_START_MS + now);
+        let record = JobRecord { epoch, at, change };
+        self.jobs[group].writer.push(Body::Data(record)).ok()
+    }
+
+    fn now_ms(&self) -> u64 {
+        self.clock.0 / 1_000
+    }
+
+    pub(crate) fn start_call(&mut self, group: usize, call: JobCall) {
+        let Some(mut owner) = self.owners[group].take() else {
+            return;
+        };
+        if owner.opened && self.jobs[group].writer.len() < 32 {
+            self.append_call(group, &mut owner, call);
+        }
+        self.owners[group] = Some(owner);
+    }
+
+    fn append_call(&mut self, group: usize, owner: &mut Owner, call: JobCall) {
+        let (epoch, now) = (owner.epoch, self.now_ms());
+        let job = job_id(job_group_id(group), &organisation(), call.key()).expect("accepted id");
+        match call {
+            JobCall::Submit { key, items, digest } => {
+                let submission = SubmissionId(owner.submissions);
+                owner.submissions += 1;
+                let new = |n: u32| NewItem {
+                    id: format!("item-{n}").into(),
+                    prompt: if n % 5 == 4 { "poison" } else { "fine" }.into(),
+                    max_tokens: 16,
+                };
+                let half = items / 2;
+                for (part, range) in [(0, 0..half), (1, half..items)] {
+                    let items = range.map(new).collect();
+                    let change = JobChange::SubmitPart {
+                        submission,
+                        part,
+                        items,
+                    };
+                    self.push(group, epoch, change, now);
+                }
+                let change = JobChange::Submit(Submission {
+                    submission,
+                    parts: 2,
+                    job,
+                    organisation: organisation(),
+                    key: key.as_str().into(),
+                    digest: [digest; 32],
+                    service: ServiceId::try_from("chat").expect("accepted name"),
+                    model: ModelId::try_from("small").expect("accepted name"),
+                    deadline: UnixMillis(UNIX_START_MS + 60_000),
+                    result_retention: Duration::from_secs(86_400),
+                });
+                if let Some(ticket) = self.push(group, epoch, change, now) {
+                    owner.submits.insert(ticket, key);
+                }
+            }
+            JobCall::Cancel { key } => {
+                let change = JobChange::Cancel { job: job.clone() };
+                if let Some(ticket) = self.push(group, epoch, change, now) {
+                    owner.cancels.insert(ticket, (key, job));
+                }
+            }
+        }
+    }
+
+    pub(crate) fn step_owners(&mut self, now: u64, world: &mut World) {
+        for group in 0..usize::from(JOB_GROUPS) {
+            let id = job_group_id(group);
+            let events = self.read_jobs(group, now, world);
+            let act = self.may_act(id);
+            let releasing = self.releasing.is_some_and(|(other, _)| other == id);
+            let mut owner = self.owners[group].take();
+            let holds = self.ownership.holds().get(&id).copied();
+            if owner.as_ref().is_some_and(|o| Some(o.epoch) != holds) {
+                self.jobs[group].writer.abandon();
+                owner = None;
+            }
+            if let Some(epoch) = act.filter(|_| owner.is_none()) {
+                owner = self.open(group, epoch, now);
+            }
+            if let Some(owner) = &mut owner {
+                self.apply_events(group, owner, events, act.is_some());
+                if act.is_some() || releasing {
+                    self.run_owner(group, owner, now, releasing);
+                }
+            }
+            let drained = owner.as_ref().is_none_or(|owner| owner.out.is_empty());
+            if releasing && drained && self.jobs[group].writer.is_empty() {
+                self.finish_release();
+                owner = None;
+            }
+            self.owners[group] = owner;
+        }
+    }
+
+    fn read_jobs(
+        &mut self,
+        group: usize,
+        now: u64,
+        world: &mut World,
+    ) -> Vec<(Option<Ticket>, Option<JobOutcome>)> {
+        let mut events = Vec::new();
+        let on = |seen: Seen<'_, Jobs>| match seen {
+            Seen::Event(_, ticket, event) => events.push((ticket, Some(event.outcome))),
+            Seen::Recovered(_, tickets) => {
+                events.extend(tickets.into_iter().map(|ticket| (Some(ticket), None)));
+            }
+        };
+        let time = (now, self.clock);
+        let (condition, reachable) = (world.condition, self.log_reachable);
+        let stream = &mut world.jobs[group];
+        self.jobs[group].step(time, stream, condition, reachable, &self.own, on);
+        events
+    }
+
+    fn open(&mut self, group: usize, epoch: Epoch, now: u64) -> Option<Owner> {
+        self.jobs[group].replica.fold()?;
+        let open = self.push(group, epoch, JobChange::Open, now)?;
+        Some(Owner {
+            epoch,
+            open,
+            opened: false,
+            scheduler: Scheduler::new(job_group_id(group), epoch),
+            submits: BTreeMap::new(),
+            cancels: BTreeMap::new(),
+            stopping: Vec::new(),
+            completion: None,
+            out: BTreeMap::new(),
+            submissions: 0,
+            next_engine: 0,
+        })
+    }
+
+    fn apply_events(
+        &mut self,
+        group: usize,
+        owner: &mut Owner,
+        events: Vec<(Option<Ticket>, Option<JobOutcome>)>,
+        acts: bool,
+    ) {
+        for (ticket, outcome) in events {
+            let Some(ticket) = ticket else {
+                continue;
+            };
+            if ticket == owner.open {
+                owner.opened = true;
+            }
+            if owner.completion == Some(ticket) {
+                owner.completion = None;
+                owner.scheduler.confirm_completions();
+            }
+            if let (Some(key), Some(outcome)) = (owner.submits.remove(&ticket), &outcome) {
+                self.answer_submit(key, outcome);
+            }
+            let cancelled = matches!(
+                outcome,
+                Some(JobOutcome::Cancelled { .. } | JobOutcome::AlreadyEnded { .. })
+            );
+            if let Some((key, job)) = owner.cancels.remove(&ticket)
+                && cancelled
+            {
+                for attempt in owner.scheduler.cancel(&job) {
+                    if let Some(out) = owner.out.get_mut(&attempt) {
+                        (out.stop, out.sent) = (true, 0);
+                    }
+                }
+                owner.stopping.push((key, job));
+            }
+        }
+        let Some(fold) = self.jobs[group].replica.fold().filter(|_| owner.opened) else {
+            return;
+        };
+        for (id, job) in fold.iter().filter(|(_, job)| !job.has_ended()) {
+            owner.scheduler.add_folded(id, job);
+        }
+        if acts {
+            let out = &owner.out;
+            let done = |(_, job): &mut (String, JobId)| !out.values().any(|o| o.item.job == *job);
+            for (key, job) in owner.stopping.extract_if(.., done) {
+                let job = job.to_string();
+                self.acks.push(Ack::Cancelled { key, job });
+            }
+        }
+    }
+
+    fn answer_submit(&mut self, key: String, outcome: &JobOutcome) {
+        match outcome {
+            JobOutcome::Submitted { job } | JobOutcome::Resubmitted { job } => {
+                let job = job.to_string();
+                self.acks.push(Ack::Submitted { key, job });
+            }
+            JobOutcome::KeyConflict { .. } => self.acks.push(Ack::Conflict { key }),
+            _ => {}
+        }
+    }
+
+    fn run_owner(&mut self, group: usize, owner: &mut Owner, now: u64, releasing: bool) {
+        if owner.completion.is_none()
+            && let Some(batch) = owner.scheduler.take_completions(self.clock)
+        {
+            let items = batch.items.into_iter().map(completion).collect();
+            let job = batch.job;
+            let change = JobChange::Completed { job, items };
+            owner.completion = self.push(group, owner.epoch, change, now);
+        }
+        if let Some(AttemptCounts { job, counts }) = owner.scheduler.take_attempt_counts(self.clock)
+        {
+            let change = JobChange::Attempts { job, counts };
+            self.push(group, owner.epoch, change, now);
+        }
+        while !releasing && owner.opened && owner.out.len() < MAX_ATTEMPTS_OUT {
+            if !self.dispatch(group, owner) {
+                break;
+            }
+        }
+        self.repeat_calls(owner, now, releasing);
+    }
+
+    fn dispatch(&mut self, group: usize, owner: &mut Owner) -> bool {
+        let engine = owner.next_engine % ENGINES;
+        owner.next_engine += 1;
+        let Some((_, engine_epoch)) = self.holder(engine_group_id(engine.into())) else {
+            return false;
+        };
+        let Some(fold) = self.jobs[group].replica.fold() else {
+            return false;
+        };
+        let Some(next) = owner.scheduler.next(|_| true) else {
+            return false;
+        };
+        let job = fold.get(&next.job);
+        let prompt = job.and_then(|job| job.open_item(next.index));
+        let item = RunItem {
+            attempt: next.attempt,
+            engine,
+            engine_epoch,
+            job: next.job,
+            index: next.index,
+            poison: prompt.is_some_and(|item| item.prompt == "poison"),
+        };
+        let out = Out {
+            item,
+            sent: 0,
+            stop: false,
+            replaced: None,
+        };
+        owner.out.insert(next.attempt, out);
+        true
+    }
+
+    /// Sends calls and repeats those without an answer; gives up those at replaced managers.
+    fn repeat_calls(&mut self, owner: &mut Owner, now: u64, releasing: bool) {
+        let mut lost = Vec::new();
+        for (&attempt, out) in &mut owner.out {
+            let holder = self.holder(engine_group_id(out.item.engine.into()));
+            let current = holder.filter(|(_, epoch)| *epoch == out.item.engine_epoch);
+            let Some((manager, _)) = current else {
+                // A manager that was replaced may still start items for one lease.
+                let since = *out.replaced.get_or_insert(self.clock);
+                if self.clock.since(since) >= Node::lease() {
+                    lost.push(attempt);
+                }
+                continue;
+            };
+            if now < out.sent + REPEAT_MS && out.sent > 0 {
+                continue;
+            }
+            out.sent = now;
+            let item = out.item.clone();
+            let message = match out.stop || releasing {
+                true => Message::Stop(item),
+                false => Message::Run(item),
+            };
+            self.outbox.push((manager, message));
+        }
+        for attempt in lost {
+            owner.out.remove(&attempt);
+            owner.scheduler.on_end(attempt, AttemptEnd::Lost);
+        }
+    }
+
+    pub(crate) fn on_ended(&mut self, attempt: AttemptId, end: AttemptEnd<Text>) {
+        let owner = &mut self.owners[usize::from(attempt.group.index)];
+        if let Some(owner) = owner
+            && owner.out.remove(&attempt).is_some()
+        {
+            owner.scheduler.on_end(attempt, end);
+        }
+    }
+
+    pub(crate) fn on_run(&mut self, from: usize, item: RunItem, world: &mut World, now: u64) {
+        let engine = usize::from(item.engine);
+        let acts = self.may_act(engine_group_id(engine));
+        let (attempt, clock) = (item.attempt, self.clock);
+        let manager = &mut self.managers[engine];
+        let known = manager.ended.get(&attempt);
+        let managed = acts == Some(item.engine_epoch) && manager.epoch == acts;
+        let slots = manager.slots.as_mut().filter(|_| managed);
+        let Some(slots) = slots.filter(|_| known.is_none()) else {
+            let end = known.cloned().unwrap_or(AttemptEnd::NotRun);
+            let end = manager.ended.entry(attempt).or_insert(end).clone();
+            self.outbox.push((from, Message::Ended(attempt, end)));
+            return;
+        };
+        manager.items.insert(attempt, (from, item));
+        match slots.offer(clock, attempt) {
+            Ok(actions) => self.perform(engine, actions, world, now),
+            Err(_) => self.end_attempt(engine, attempt, AttemptEnd::NotRun),
+        }
+    }
+
+    pub(crate) fn on_stop(&mut self, from: usize, item: RunItem, world: &mut World, now: u64) {
+        let (engine, attempt) = (usize::from(item.engine), item.attempt);
+        let manager = &mut self.managers[engine];
+        if !manager.items.contains_key(&attempt) {
+            let end = manager.ended.entry(attempt).or_insert(AttemptEnd::NotRun);
+            let end = end.clone();
+            self.outbox.push((from, Message::Ended(attempt, end)));
+        } else if let Some(slots) = &mut manager.slots {
+            let actions = slots.stop(self.clock, attempt);
+            self.perform(engine, actions, world, now);
+        }
+    }
+
+    fn end_attempt(&mut self, engine: usize, attempt: AttemptId, end: AttemptEnd<Text>) {
+        let manager = &mut self.managers[engine];
+        if let Some((owner, _)) = manager.items.remove(&attempt) {
+            manager.ended.insert(attempt, end.clone());
+            self.outbox.push((owner, Message::Ended(attempt, end)));
+        }
+    }
+
+    fn perform(&mut self, engine: usize, actions: Vec<SlotAction>, world: &mut World, now: u64) {
+        for action in actions {
+            match action {
+                SlotAction::Start(attempt) => {
+                    if let Some((_, item)) = self.managers[engine].items.get(&attempt) {
+                        let own = self.own.clone();
+                        world.engines[engine].start(now, item.clone(), own);
+                    }
+                }
+                SlotAction::Cancel(attempt) => {
+                    let end = AttemptEnd::Yielded(ResumePoint::default());
+                    world.engines[engine].end(attempt, end);
+                }
+                SlotAction::Return(attempt) => {
+                    self.end_attempt(engine, attempt, AttemptEnd::NotRun);
+                }
+            }
+        }
+    }
+
+    pub(crate) fn step_managers(&mut self, now: u64, world: &mut World) {
+        for engine in 0..usize::from(ENGINES) {
+            let id = engine_group_id(engine);
+            let act = self.may_act(id);
+            let manager = &mut self.managers[engine];
+            if act.is_some() && manager.epoch != act {
+                manager.epoch = act;
+                manager
+                    .slots
+                    .get_or_insert_with(|| SlotManager::new(LIMITS));
+            }
+            let Some(mut slots) = manager.slots.take() else {
+                if self.releasing.is_some_and(|(other, _)| other == id) {
+                    self.finish_release();
+                }
+                continue;
+            };
+            let actions = self.drive(engine, act.is_some(), &mut slots, world);
+            let idle = slots.in_flight() == 0;
+            self.managers[engine].slots = Some(slots);
+            self.perform(engine, actions, world, now);
+            if idle && self.releasing.is_some_and(|(other, _)| other == id) {
+                self.finish_release();
+            }
+        }
+    }
+
+    fn drive(
+        &mut self,
+        engine: usize,
+        acts: bool,
+        slots: &mut SlotManager,
+        world: &mut World,
+    ) -> Vec<SlotAction> {
+        let clock = self.clock;
+        let mut actions = Vec::new();
+        let own = &self.own;
+        let mine = |(manager, ..): &mut (Incarnation, AttemptId, AttemptEnd<Text>)| manager == own;
+        let ended: Vec<_> = world.engines[engine].ended.extract_if(.., mine).collect();
+        if !acts {
+            // Without any slot nothing starts, and what waits is returned.
+            actions.extend(slots.close(clock));
+        }
+        for (_, attempt, end) in ended {
+            if end == AttemptEnd::Lost {
+                actions.extend(slots.on_backend_failure(clock));
+            }
+            actions.extend(slots.on_end(clock, attempt));
+            self.end_attempt(engine, attempt, end);
+        }
+        if let Some(claims) = self.claims.replica.fold().filter(|_| acts) {
+            for group in (0..usize::from(JOB_GROUPS)).map(job_group_id) {
+                if let Some(claim) = claims.get(group) {
+                    actions.extend(slots.on_epoch(clock, group, claim.epoch));
+                }
+            }
+        }
+        if acts {
+            let peers = self.members.online_at_peers(clock, &engine_name(engine));
+            actions.extend(slots.set_own_online(clock, self.online_load(engine)));
+            actions.extend(slots.set_peers_online(clock, peers));
+            actions.extend(slots.tick(clock));
+        }
+        actions
+    }
+}
+
+fn completion((index, text): (u32, Text)) -> Completion {
+    let (outcome, completion_tokens) = match text.failed {
+        true => (Outcome::Failed(text.text.into()), 0),
+        false => (Outcome::Finished(text.text.into()), 7),
+    };
+    let usage = Usage {
+        prompt_tokens: 1,
+        completion_tokens,
+    };
+    Completion {
+        index,
+        outcome,
+        usage,
+    }
+}
--- /dev/null
+++ b/proofs/tests/guarantees/log.rs
@@ -0,0 +1,209 @@
+//! A fake of the log service, and what an instance does with one stream.
+
+use std::collections::BTreeMap;
+
+use limpetweir_state::*;
+
+/// Time after which an append without an answer counts as unknown, in true milliseconds.
+const APPEND_TIMEOUT_MS: u64 = 1_000;
+/// Time between two reads of a stream.
+const READ_INTERVAL_MS: u64 = 250;
+/// Time between two snapshots of a stream.
+const SNAPSHOT_INTERVAL_MS: u64 = 5_000;
+
+/// Condition of the log service; the same for all streams.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Condition {
+    pub(crate) down: bool,
+    pub(crate) delay_ms: u64,
+    /// Appends take effect, but their answers are lost.
+    pub(crate) lose_answers: bool,
+}
+
+/// One stream. Offsets never change; records below `first` are trimmed.
+pub(crate) struct Stream<R> {
+    pub(crate) first: u64,
+    pub(crate) records: Vec<Entry<R>>,
+    in_flight: Vec<(u64, Entry<R>)>,
+    answers: BTreeMap<WriterId, Answer>,
+    /// `as_of` of the newest snapshot in the stream that is complete.
+    snapshot: Option<u64>,
+}
+
+impl<R> Default for Stream<R> {
+    fn default() -> Self {
+        Self {
+            first: 0,
+            records: Vec::new(),
+            in_flight: Vec::new(),
+            answers: BTreeMap::new(),
+            snapshot: None,
+        }
+    }
+}
+
+impl<R> Stream<R> {
+    /// Lets the appends that are due take effect; an outage rejects them.
+    pub(crate) fn step(&mut self, now: u64, condition: Condition) {
+        let due = |(at, _): &mut (u64, Entry<R>)| *at <= now;
+        for (_, entry) in self.in_flight.extract_if(.., due) {
+            let answer = match condition {
+                Condition { down: true, .. } => Answer::Rejected,
+                Condition { lose_answers, .. } if lose_answers => Answer::Unknown,
+                _ => Answer::Appended(Offset(self.records.len() as u64)),
+            };
+            self.answers.insert(entry.writer.clone(), answer);
+            if condition.down {
+                continue;
+            }
+            if let Body::Snapshot(part) = &entry.body
+                && part.part + 1 == part.parts
+            {
+                self.snapshot = self.snapshot.max(Some(part.as_of.0));
+            }
+            self.records.push(entry);
+        }
+    }
+
+    /// Trims everything that the newest complete snapshot covers.
+    pub(crate) fn trim(&mut self) {
+        self.first = self.first.max(self.snapshot.map_or(0, |as_of| as_of + 1));
+    }
+}
+
+/// Replica and writer of one stream at one instance.
+pub(crate) struct Channel<F: Fold> {
+    pub(crate) replica: Replica<F>,
+    pub(crate) writer: Writer<F::Record>,
+    /// The append in flight and when it was sent.
+    append: Option<(WriterId, u64)>,
+    answered_at: u64,
+    /// When the read in flight was sent, by the true and by the own clock.
+    read: Option<(u64, Timestamp)>,
+    next_read: u64,
+    next_snapshot: u64,
+}
+
+/// Something read from a stream.
+pub(crate) enum Seen<'a, F: Fold> {
+    /// A record was folded; the fold is as just after it.
+    Event(&'a F, Option<Ticket>, F::Event),
+    /// A snapshot replaced the state.
+    Recovered(&'a F, Vec<Ticket>),
+}
+
+impl<F: Fold<Record: Clone>> Channel<F> {
+    pub(crate) fn new(own: Incarnation) -> Self {
+        Self {
+            replica: Replica::new(),
+            writer: Writer::new(own, 64),
+            append: None,
+            answered_at: 0,
+            read: None,
+            next_read: 0,
+            next_snapshot: SNAPSHOT_INTERVAL_MS,
+        }
+    }
+
+    /// Sends appends and reads and takes their answers; returns the send time, by the own clock,
+    /// of a read that confirmed the state.
+    pub(crate) fn step(
+        &mut self,
+        (now, clock): (u64, Timestamp),
+        stream: &mut Stream<F::Record>,
+        condition: Condition,
+        reachable: bool,
+        own: &Incarnation,
+        mut on: impl FnMut(Seen<'_, F>),
+    ) -> Option<Timestamp> {
+        self.append(now, stream, condition, reachable);
+        let Some((sent, sent_at)) = self.read else {
+            if now >= self.next_read {
+                self.read = Some((now, clock));
+            }
+            return None;
+        };
+        if now < sent + condition.delay_ms {
+            return None;
+        }
+        self.read = None;
+        self.next_read = sent + READ_INTERVAL_MS;
+        if condition.down || !reachable {
+            return None;
+        }
+        self.replica.trimmed(Offset(stream.first));
+        while let Some(entry) = stream.records.get(self.replica.next().0 as usize) {
+            let writer = entry.writer.clone();
+            let step = self.replica.read(self.replica.next(), entry.clone());
+            let Some(fold) = self.replica.fold() else {
+                continue;
+            };
+            if matches!(step, Step::Recovered { .. }) {
+                let last = self.replica.last_sequence(own).unwrap_or(0);
+                on(Seen::Recovered(fold, self.writer.on_caught_up(last)));
+                continue;
+            }
+            let ticket = self.writer.on_read(&writer);
+            if let Step::Applied(event) = step {
+                on(Seen::Event(fold, ticket, event));
+            }
+        }
+        if self.replica.status() != ReplicaStatus::Ready {
+            return None;
+        }
+        if sent >= self.answered_at {
+            self.writer.on_read_to_end(self.replica.next());
+        }
+        Some(sent_at)
+    }
+
+    fn append(
+        &mut self,
+        now: u64,
+        stream: &mut Stream<F::Record>,
+        condition: Condition,
+        reachable: bool,
+    ) {
+        if let Some((id, sent)) = &self.append {
+            let answer = stream.answers.remove(id).filter(|_| reachable);
+            let late = now >= sent + APPEND_TIMEOUT_MS;
+            if let Some(answer) = answer.or(late.then_some(Answer::Unknown)) {
+                self.writer.on_answer(id.sequence, answer);
+                self.answered_at = now;
+                self.append = None;
+            }
+        }
+        if self.append.is_none()
+            && let Some(entry) = self.writer.poll_append()
+        {
+            self.append = Some((entry.writer.clone(), now));
+            if reachable {
+                stream.answers.remove(&entry.writer);
+                stream.in_flight.push((now + condition.delay_ms, entry));
+            }
+        }
+    }
+
+    /// Queues a snapshot in two parts when one is due.
+    pub(crate) fn write_snapshot(&mut self, now: u64) {
+        if now < self.next_snapshot || !self.writer.is_empty() {
+            return;
+        }
+        let Ok(Some(snapshot)) = self.replica.snapshot() else {
+            return;
+        };
+        self.next_snapshot = now + SNAPSHOT_INTERVAL_MS;
+        let (first, second) = snapshot.bytes.split_at(snapshot.bytes.len() / 2);
+        for (part, bytes) in [(0, first), (1, second)] {
+            let part = SnapshotPart {
+                as_of: snapshot.as_of,
+                part,
+                parts: 2,
+                bytes: bytes.to_vec(),
+            };
+            self.writer
+                .push(Body::Snapshot(part))
+                .expect("an empty queue");
+        }
+    }
+}
