--- a/proofs/tests/guarantees/fleet.rs
+++ b/proofs/tests/guarantees/fleet.rs
@@ -317,6 +317,19 @@
         }
     }
 
+    /// Returns how many items of a caller's job have an outcome at the best informed instance.
+    pub(crate) fn outcomes_of(&self, key: &str) -> usize {
+        let count = |node: &Node| {
+            let folds = node.jobs.iter().filter_map(|c| c.replica.fold());
+            let jobs = folds
+                .flat_map(Jobs::iter)
+                .filter(|(_, job)| job.key() == key);
+            let ended = jobs.map(|(_, job)| job.progress().finished + job.progress().failed);
+            ended.sum::<u32>() as usize
+        };
+        self.nodes.iter().map(count).max().unwrap_or(0)
+    }
+
     pub(crate) fn acked_cancel(&self, key: &str) -> bool {
         self.wishes.get(key).is_some_and(|wish| wish.cancelled)
     }
--- a/proofs/tests/guarantees/log.rs
+++ b/proofs/tests/guarantees/log.rs
@@ -93,14 +93,15 @@
 }
 
 impl<F: Fold<Record: Clone>> Channel<F> {
-    pub(crate) fn new(own: Incarnation) -> Self {
+    /// Returns the channel of an instance that reads at `first_read` for the first time.
+    pub(crate) fn new(own: Incarnation, first_read: u64) -> Self {
         Self {
             replica: Replica::new(),
             writer: Writer::new(own, 64),
             append: None,
             answered_at: 0,
             read: None,
-            next_read: 0,
+            next_read: first_read,
             next_snapshot: SNAPSHOT_INTERVAL_MS,
         }
     }
--- a/proofs/tests/guarantees/main.rs
+++ b/proofs/tests/guarantees/main.rs
@@ -7,3 +7,4 @@
 mod network;
 mod node;
 mod oracle;
+mod scenario;
--- a/proofs/tests/guarantees/node.rs
+++ b/proofs/tests/guarantees/node.rs
@@ -99,14 +99,16 @@
         let instance = InstanceId::try_from(format!("i{index}")).expect("accepted name");
         let own = Incarnation { instance, started };
         let clock = clock_of(index, now);
-        let jobs = (0..JOB_GROUPS).map(|_| Channel::new(own.clone()));
+        // Instances do not read and send heartbeats at the same moment.
+        let first = now + 50 * index as u64;
+        let jobs = (0..JOB_GROUPS).map(|_| Channel::new(own.clone(), first));
         Self {
             index,
             members: Membership::new(own.clone(), clock),
             ownership: Ownership::new(clock),
             freshness: Freshness::new(clock),
-            config: Channel::new(own.clone()),
-            claims: Channel::new(own.clone()),
+            config: Channel::new(own.clone(), first),
+            claims: Channel::new(own.clone(), first),
             jobs: jobs.collect(),
             owners: (0..JOB_GROUPS).map(|_| None).collect(),
             managers: (0..ENGINES).map(|_| Manager::default()).collect(),
@@ -123,8 +125,7 @@
             accepted: Vec::new(),
             read_log_at: None,
             sequence: 0,
-            // Instances do not send their heartbeats at the same moment.
-            next_beat: now + 50 * index as u64,
+            next_beat: first,
             clock,
             own,
         }
--- /dev/null
+++ b/proofs/tests/guarantees/scenario.rs
@@ -0,0 +1,165 @@
+//! Reader of the scripted scenarios in `tests/scenarios/`, one TOML file each.
+//!
+//! A file has a `failure` that it provokes and a list of `[[step]]`. A step runs the fleet to
+//! `at_ms` after its start, or until `until` holds if that is earlier, and then performs `do` and
+//! checks `expect`. An instance is named `i0` to
+//! `i4`, or by the group that it owned at the start, as in `@jobs-0`. Every scenario ends with the
+//! healing of all failures and the checks of the oracle.
+
+use std::path::{Path, PathBuf};
+
+use limpetweir_coordination::ServingMode;
+use limpetweir_state::GroupId;
+use rstest::rstest;
+use serde::Deserialize;
+
+use crate::fleet::{Fleet, STEP_MS, document};
+use crate::node::groups;
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Scenario {
+    failure: String,
+    #[serde(default)]
+    step: Vec<Step>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Step {
+    at_ms: u64,
+    until: Option<String>,
+    #[serde(default, rename = "do")]
+    acts: Vec<String>,
+    #[serde(default)]
+    expect: Vec<String>,
+}
+
+struct Run {
+    fleet: Fleet,
+    /// Owner of each group at the start.
+    owners: Vec<(String, usize)>,
+}
+
+/// Guards against the failure that the file names.
+#[rstest]
+fn scenario(#[files("tests/scenarios/*.toml")] path: PathBuf) {
+    let scenario = read(&path);
+    let fleet = Fleet::settled(5, 7);
+    let owner = |group: GroupId| (group.to_string(), fleet.acting(group)[0]);
+    let owners = groups().map(owner).collect();
+    let start = fleet.now;
+    let mut run = Run { fleet, owners };
+    for step in &scenario.step {
+        let at = start + step.at_ms;
+        assert!(at >= run.fleet.now, "steps are in order");
+        run.advance(at, step.until.as_deref());
+        for act in &step.acts {
+            run.perform(act);
+        }
+        for expected in &step.expect {
+            let holds = run.holds(expected);
+            let at = step.at_ms;
+            assert!(holds, "{}: at {at} ms: {expected}", scenario.failure);
+        }
+    }
+    run.fleet.finish();
+}
+
+fn read(path: &Path) -> Scenario {
+    let text = std::fs::read_to_string(path).expect("readable scenario");
+    toml::from_str(&text).unwrap_or_else(|e| panic!("{}: {e}", path.display()))
+}
+
+fn number<T: std::str::FromStr>(word: &str) -> T {
+    let number = word.parse().ok();
+    number.unwrap_or_else(|| panic!("{word} is no number"))
+}
+
+fn group(word: &str) -> GroupId {
+    let found = groups().find(|group| group.to_string() == word);
+    found.unwrap_or_else(|| panic!("{word} is no group"))
+}
+
+impl Run {
+    fn node(&self, word: &str) -> usize {
+        if let Some(name) = word.strip_prefix('@') {
+            let owner = self.owners.iter().find(|(group, _)| group == name);
+            return owner.unwrap_or_else(|| panic!("{word} is no owner")).1;
+        }
+        number(word.trim_start_matches('i'))
+    }
+
+    fn advance(&mut self, at: u64, until: Option<&str>) {
+        while self.fleet.now < at && !until.is_some_and(|until| self.holds(until)) {
+            self.fleet.run(STEP_MS);
+        }
+    }
+
+    fn perform(&mut self, act: &str) {
+        let words: Vec<&str> = act.split_whitespace().collect();
+        let at = words.get(1).filter(|word| word.starts_with(['i', '@']));
+        let at = at.map_or(0, |word| self.node(word));
+        let fleet = &mut self.fleet;
+        match words[0] {
+            "kill" => fleet.nodes[at].dead = true,
+            "restart" => fleet.restart(at),
+            "pause" => fleet.nodes[at].paused = true,
+            "wake" => fleet.nodes[at].paused = false,
+            "stop" => fleet.nodes[at].leaving = true,
+            "isolate" => fleet.isolate(at),
+            "cut-log" => fleet.nodes[at].log_reachable = false,
+            "cut" => {
+                let to = self.node(words[2]);
+                self.fleet.network.cut.insert((at, to));
+            }
+            "log-down" => fleet.world.condition.down = true,
+            "log-up" => fleet.world.condition.down = false,
+            "log-slow" => fleet.world.condition.delay_ms = number(words[1]),
+            "lose-answers" => fleet.world.condition.lose_answers = true,
+            "return-answers" => fleet.world.condition.lose_answers = false,
+            "trim" => fleet.trim(),
+            "heal" => fleet.heal(),
+            "fail-engine" => fleet.world.engines[number::<usize>(words[1])].fail(),
+            "submit" => fleet.submit(at, words[2], number(words[3]), 1),
+            "conflict" => fleet.submit(at, words[2], 0, 2),
+            "cancel" => fleet.cancel(words[1]),
+            "publish" => {
+                let base = (words[3] != "current").then(|| number(words[3]));
+                let document = words[4..].join(" ");
+                fleet.publish(at, words[2], base, &document);
+            }
+            other => panic!("unknown act {other}"),
+        }
+    }
+
+    fn holds(&self, expected: &str) -> bool {
+        let words: Vec<&str> = expected.split_whitespace().collect();
+        let fleet = &self.fleet;
+        if words[0] == "not" {
+            return !self.holds(&words[1..].join(" "));
+        }
+        let ends = |key: &str| fleet.outcomes_of(key);
+        match words[0] {
+            "mode" => {
+                let mode: ServingMode = fleet.nodes[self.node(words[1])].mode();
+                mode.to_string() == words[2]
+            }
+            "acts" => fleet.acting(group(words[2])) == [self.node(words[1])],
+            "owned" => fleet.acting(group(words[1])).len() == 1,
+            "submitted" => fleet.acked_submit(words[1]),
+            "cancelled" => fleet.acked_cancel(words[1]),
+            "accepted" => fleet.oracle.is_accepted(words[1]),
+            "completed" => ends(words[1]) == number::<usize>(words[2]),
+            "completed-above" => ends(words[1]) > number::<usize>(words[2]),
+            "document" => document(&fleet.nodes[self.node(words[1])]) == words[2..].join(" "),
+            "exited" => fleet.nodes[self.node(words[1])].dead,
+            "offers" => {
+                let node = &fleet.nodes[self.node(words[1])];
+                let other = &fleet.nodes[self.node(words[2])].own.instance;
+                node.members.serving_peers(node.clock).any(|id| id == other)
+            }
+            other => panic!("unknown expectation {other}"),
+        }
+    }
+}
