freshness: acknowledge a publication once a majority holds its version

Cause: a publication was acknowledged as soon as it was read back by an instance that heard a majority. When that instance was killed at once and the log went down, no other instance had read the record; they vouched for the former version and served it for the whole outage. Ruled out: the fold (one version, one document at every reader) and may_publish at the time of the answer (the majority was heard, but did not hold the version yet). Change: Freshness::may_acknowledge asks that more than half of the listed instances report the version; the answer to the operator waits for it. Result: scenario publisher_killed_just_after_the_acknowledgement failed with 'i0@1 serves 1, not 2' 4 s after the acknowledgement and passes now; the test a_publication_is_acknowledged_once_a_majority_holds_it covers the counts.

--- a/coordination/src/freshness.rs
+++ b/coordination/src/freshness.rs
@@ -154,6 +154,15 @@
         }
     }
 
+    /// Returns whether the publication that made `version` may be acknowledged at `now`.
+    ///
+    /// If this instance were the only one that holds the version when it is lost together with the
+    /// log, the others would go on with the former version and vouch for each other.
+    pub fn may_acknowledge(&self, now: Timestamp, members: &Membership, version: Version) -> bool {
+        let own_votes = usize::from(self.version >= version);
+        !self.watch.is_stalled(now) && members.majority_holds(now, version, own_votes)
+    }
+
     fn log_confirmed(&self, now: Timestamp) -> bool {
         let confirmed = self.confirmed_at;
         confirmed.is_some_and(|sent_at| now.since(sent_at) < CONFIG_FRESHNESS_LIMIT)
--- a/coordination/src/membership.rs
+++ b/coordination/src/membership.rs
@@ -225,7 +225,18 @@
     ///
     /// An instance that lost its memory in a restart cannot vouch for a version.
     pub(crate) fn majority_holds_config(&self, now: Timestamp, own_votes: usize) -> bool {
-        let holds = |report: &&Report| report.config_version > Version(0);
+        self.majority_holds(now, Version(1), own_votes)
+    }
+
+    /// Returns whether contacts that hold `version` or a newer one, together with `own_votes` (0
+    /// or 1) of this instance, are more than half of the listed instances.
+    pub(crate) fn majority_holds(
+        &self,
+        now: Timestamp,
+        version: Version,
+        own_votes: usize,
+    ) -> bool {
+        let holds = |report: &&Report| report.config_version >= version;
         let votes = self.contacts(now).filter(holds).count();
         self.is_majority(votes + own_votes)
     }
--- a/coordination/tests/control/freshness.rs
+++ b/coordination/tests/control/freshness.rs
@@ -148,3 +148,29 @@
         assert_eq!(fleet.mode(i), ServingMode::Nothing, "instance {i}");
     }
 }
+
+/// Guards against an acknowledged version that is lost to the others with the instance that
+/// acknowledged it, because a log outage began before they read it.
+#[rstest]
+#[case::alone(&[1, 1, 1, 1], false)]
+#[case::minority(&[2, 1, 1, 1], false)]
+#[case::majority(&[2, 2, 1, 1], true)]
+#[case::newer(&[3, 2, 1, 1], true)]
+fn a_publication_is_acknowledged_once_a_majority_holds_it(
+    #[case] versions: &[u64],
+    #[case] expected: bool,
+) {
+    let now = Timestamp::from_millis(10_000);
+    let names = ["i0", "i1", "i2", "i3", "i4"];
+    let mut members = Membership::new(incarnation("i0", 1), now);
+    members.set_list(now, live(&names));
+    for (name, &version) in names[1..].iter().zip(versions) {
+        let mut report = report(incarnation(name, 1), 1, &["i0"]);
+        report.config_version = Version(version);
+        members.on_heartbeat(now, report);
+    }
+    let mut freshness = Freshness::new(now);
+    freshness.on_confirmed_read(now, Version(2));
+    let may = freshness.may_acknowledge(now, &members, Version(2));
+    assert_eq!(may, expected);
+}
--- a/proofs/tests/guarantees/node.rs
+++ b/proofs/tests/guarantees/node.rs
@@ -234,18 +234,16 @@
         }
     }
 
-    /// Answers the operators whose publication was read back.
+    /// Answers the operators whose publication may be acknowledged.
     fn answer_publications(&mut self) {
-        for (id, version) in std::mem::take(&mut self.accepted) {
-            if self
-                .freshness
-                .may_publish(self.clock, &self.members)
-                .is_ok()
-            {
-                let id = id.as_str().to_owned();
-                let version = version.0;
-                self.acks.push(Ack::Accepted { id, version });
-            }
+        let (clock, members, freshness) = (self.clock, &self.members, &self.freshness);
+        let due = |(_, version): &mut (PublicationId, Version)| {
+            freshness.may_acknowledge(clock, members, *version)
+        };
+        for (id, version) in self.accepted.extract_if(.., due) {
+            let id = id.as_str().to_owned();
+            let version = version.0;
+            self.acks.push(Ack::Accepted { id, version });
         }
     }
 
