--- a/proofs/tests/guarantees/batch.rs
+++ b/proofs/tests/guarantees/batch.rs
@@ -106,7 +106,7 @@
     open: Ticket,
     opened: bool,
     scheduler: Scheduler<Text>,
-    submits: BTreeMap<Ticket, String>,
+    submits: BTreeMap<Ticket, (String, u8)>,
     cancels: BTreeMap<Ticket, (String, JobId)>,
     /// Cancels that were read back and whose running attempts have not all ended.
     stopping: Vec<(String, JobId)>,
@@ -191,7 +191,7 @@
                     result_retention: Duration::from_secs(86_400),
                 });
                 if let Some(ticket) = self.push(group, epoch, change, now) {
-                    owner.submits.insert(ticket, key);
+                    owner.submits.insert(ticket, (key, digest));
                 }
             }
             JobCall::Cancel { key } => {
@@ -289,8 +289,8 @@
                 owner.completion = None;
                 owner.scheduler.confirm_completions();
             }
-            if let (Some(key), Some(outcome)) = (owner.submits.remove(&ticket), &outcome) {
-                self.answer_submit(key, outcome);
+            if let (Some((key, body)), Some(outcome)) = (owner.submits.remove(&ticket), &outcome) {
+                self.answer_submit(key, body, outcome);
             }
             let cancelled = matches!(
                 outcome,
@@ -323,13 +323,13 @@
         }
     }
 
-    fn answer_submit(&mut self, key: String, outcome: &JobOutcome) {
+    fn answer_submit(&mut self, key: String, body: u8, outcome: &JobOutcome) {
         match outcome {
             JobOutcome::Submitted { job } | JobOutcome::Resubmitted { job } => {
                 let job = job.to_string();
-                self.acks.push(Ack::Submitted { key, job });
+                self.acks.push(Ack::Submitted { key, job, body });
             }
-            JobOutcome::KeyConflict { .. } => self.acks.push(Ack::Conflict { key }),
+            JobOutcome::KeyConflict { .. } => self.acks.push(Ack::Conflict { key, body }),
             _ => {}
         }
     }
--- a/proofs/tests/guarantees/fleet.rs
+++ b/proofs/tests/guarantees/fleet.rs
@@ -39,8 +39,8 @@
     pub(crate) network: Network,
     pub(crate) world: World,
     pub(crate) oracle: Oracle,
-    /// Answers since the start.
-    pub(crate) acks: Vec<Ack>,
+    /// Kills the next instance that acknowledges something.
+    pub(crate) kill_on_ack: bool,
     wishes: BTreeMap<String, Wish>,
     left_at: BTreeMap<usize, u64>,
     /// Instance that the next call of a caller reaches.
@@ -62,7 +62,7 @@
             network: Network::new(seed),
             world,
             oracle: Oracle::default(),
-            acks: Vec::new(),
+            kill_on_ack: false,
             wishes: BTreeMap::new(),
             left_at: BTreeMap::new(),
             turn: 0,
@@ -136,6 +136,10 @@
         for (job, item) in starts.flat_map(std::mem::take) {
             self.oracle.started(now, &job, item);
         }
+        if !acks.is_empty() && std::mem::take(&mut self.kill_on_ack) {
+            self.nodes[index].dead = true;
+            self.world.condition.down = true;
+        }
         for ack in acks {
             self.on_ack(ack);
         }
@@ -153,13 +157,13 @@
 
     fn on_ack(&mut self, ack: Ack) {
         match &ack {
-            Ack::Submitted { key, job } => {
+            Ack::Submitted { key, job, body } => {
                 if let Some(wish) = self.wishes.get_mut(key) {
                     wish.submitted = true;
-                    self.oracle.submitted(key, job, wish.items);
+                    self.oracle.submitted(key, job, wish.items, *body);
                 }
             }
-            Ack::Conflict { key } => self.oracle.conflict(key, false),
+            Ack::Conflict { key, body } => self.oracle.conflict(key, *body),
             Ack::Cancelled { key, job } => {
                 if let Some(wish) = self.wishes.get_mut(key) {
                     wish.cancelled = true;
@@ -169,7 +173,6 @@
             Ack::Accepted { id, version } => self.oracle.accepted(self.now, id, *version),
             Ack::Refused { id } => self.oracle.refused(id),
         }
-        self.acks.push(ack);
     }
 
     fn check(&mut self) {
@@ -244,6 +247,7 @@
     }
 
     pub(crate) fn heal(&mut self) {
+        self.kill_on_ack = false;
         self.network.cut.clear();
         self.network.loss = 0;
         self.network.max_delay_ms = 0;
@@ -287,6 +291,7 @@
         }
         if self.nodes[at].runs()
             && let Some(wish) = self.wishes.get(key)
+            && (digest == 1 || wish.submitted)
         {
             let (key, items) = (key.to_owned(), wish.items);
             self.nodes[at].on_job_call(JobCall::Submit { key, items, digest }, false);
@@ -301,6 +306,9 @@
 
     pub(crate) fn publish(&mut self, at: usize, id: &str, base: Option<u64>, document: &str) {
         if self.nodes[at].runs() {
+            if let Some(base) = base {
+                self.oracle.offered(id, base);
+            }
             self.nodes[at].publish(id, base, document);
         }
     }
--- a/proofs/tests/guarantees/fuzz.rs
+++ b/proofs/tests/guarantees/fuzz.rs
@@ -20,6 +20,8 @@
 pub(crate) enum Event {
     Run(u64),
     Kill(usize),
+    /// Kills the next instance that acknowledges something, and stops the log.
+    KillOnAck,
     Restart(usize),
     Pause(usize),
     Wake(usize),
@@ -65,6 +67,7 @@
             12 => (1..60u64).prop_map(|n| Event::Run(n * 50)),
             3 => (60..160u64).prop_map(|n| Event::Run(n * 50)),
             2 => node.clone().prop_map(Event::Kill),
+            1 => Just(Event::KillOnAck),
             3 => node.clone().prop_map(Event::Restart),
             2 => node.clone().prop_map(Event::Pause),
             3 => node.clone().prop_map(Event::Wake),
@@ -128,6 +131,7 @@
     match event {
         Event::Run(ms) => fleet.run(ms),
         Event::Kill(i) => fleet.nodes[i].dead = true,
+        Event::KillOnAck => fleet.kill_on_ack = true,
         Event::Restart(i) => fleet.restart(i),
         Event::Pause(i) => fleet.nodes[i].paused = true,
         Event::Wake(i) => fleet.nodes[i].paused = false,
@@ -150,7 +154,7 @@
         Event::Cancel(k) => fleet.cancel(&format!("key-{k}")),
         Event::Publish(i) => {
             let id = format!("p{publications}");
-            fleet.publish(i, &id, None, document);
+            fleet.publish(i, &id, version(i, fleet), document);
         }
         Event::Race(i, j) => {
             let base = version(i, fleet);
@@ -159,7 +163,8 @@
         }
         Event::Resend(i) => {
             let id = format!("p{publications}");
-            fleet.publish(i, &id, None, document);
+            let base = fleet.oracle.base(&id);
+            fleet.publish(i, &id, base, document);
         }
         Event::Stop(i) => fleet.nodes[i].leaving = true,
         Event::Online(i, engine, count) => fleet.set_online(i, engine, count),
--- a/proofs/tests/guarantees/node.rs
+++ b/proofs/tests/guarantees/node.rs
@@ -31,8 +31,8 @@
 /// An answer that an instance gives to a caller.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Ack {
-    Submitted { key: String, job: String },
-    Conflict { key: String },
+    Submitted { key: String, job: String, body: u8 },
+    Conflict { key: String, body: u8 },
     Cancelled { key: String, job: String },
     Accepted { id: String, version: u64 },
     Refused { id: String },
--- a/proofs/tests/guarantees/oracle.rs
+++ b/proofs/tests/guarantees/oracle.rs
@@ -21,7 +21,11 @@
     jobs: BTreeMap<String, u32>,
     /// Job of each key.
     keys: BTreeMap<String, String>,
+    /// Body with which each key was accepted first.
+    bodies: BTreeMap<String, u8>,
     cancelled: BTreeSet<String>,
+    /// Version on which each publication is based, where an operator gave it.
+    bases: BTreeMap<String, u64>,
     /// First outcome seen of each item, by job and index.
     outcomes: BTreeMap<(String, u32), String>,
     /// Publication and document of each accepted version, and when it was acknowledged.
@@ -32,17 +36,17 @@
 }
 
 impl Oracle {
-    pub(crate) fn submitted(&mut self, key: &str, job: &str, items: u32) {
+    pub(crate) fn submitted(&mut self, key: &str, job: &str, items: u32, body: u8) {
+        let first = *self.bodies.entry(key.to_owned()).or_insert(body);
+        assert_eq!(first, body, "{key} was accepted with two bodies");
         self.jobs.insert(job.to_owned(), items);
         let former = self.keys.insert(key.to_owned(), job.to_owned());
         assert!(former.is_none_or(|f| f == job), "{key} became two jobs");
     }
 
-    pub(crate) fn conflict(&self, key: &str, right_body: bool) {
-        assert!(
-            !right_body,
-            "{key}: the accepted body was called a conflict"
-        );
+    pub(crate) fn conflict(&self, key: &str, body: u8) {
+        let accepted = self.bodies.get(key);
+        assert_ne!(accepted, Some(&body), "{key}: its own body is a conflict");
     }
 
     pub(crate) fn cancelled(&mut self, job: &str) {
@@ -54,10 +58,20 @@
         assert!(!stopped, "{now}: {job}/{index} starts after its cancel");
     }
 
+    pub(crate) fn offered(&mut self, id: &str, base: u64) {
+        self.bases.insert(id.to_owned(), base);
+    }
+
+    pub(crate) fn base(&self, id: &str) -> Option<u64> {
+        self.bases.get(id).copied()
+    }
+
     pub(crate) fn accepted(&mut self, now: u64, id: &str, version: u64) {
         let entry = self.versions.entry(version);
         let (first, _) = entry.or_insert((id.to_owned(), now));
         assert_eq!(first, id, "two publications became version {version}");
+        let base = self.bases.get(id).is_none_or(|base| base + 1 == version);
+        assert!(base, "{id} became version {version} on another base");
     }
 
     pub(crate) fn refused(&self, id: &str) {
