--- a/coordination/src/ownership.rs
+++ b/coordination/src/ownership.rs
@@ -98,6 +98,8 @@
     ///
     /// The claims before those of a snapshot are unknown, so each is taken for a take-over.
     pub fn load(&mut self, now: Timestamp, own: &Incarnation, claims: &Claims) {
+        // An own claim may be among those that the snapshot hides, and would be awaited for ever.
+        self.pending.clear();
         for (group, claim) in claims.iter() {
             let former_until = if claim.released {
                 now
--- a/coordination/tests/control/ownership.rs
+++ b/coordination/tests/control/ownership.rs
@@ -277,6 +277,29 @@
     assert_eq!(reader.may_act(now), MayAct::NotHolder);
 }
 
+/// Guards against a group without an owner because the preferred one awaits its own claim, which was
+/// replaced and trimmed before it was read.
+#[test]
+fn a_claim_hidden_by_a_snapshot_is_made_again() {
+    let now = Timestamp::from_millis(50_000);
+    let own = incarnation("a", 1);
+    let mut reader = Reader::new(&own, now);
+    reader.members.set_list(now, live(&["a"]));
+    reader.ownership.on_confirmed_read(now);
+    let claims = |reader: &mut Reader| {
+        let ownership = &mut reader.ownership;
+        ownership.claims_to_make(now, [group(0)], &reader.members, true)
+    };
+    assert_eq!(claims(&mut reader), [group(0)]);
+    assert_eq!(claims(&mut reader), []);
+    let mut writer = Reader::new(&incarnation("b", 1), now);
+    writer.read(now, claim(group(0), &own));
+    writer.read(now, claim(group(0), &incarnation("b", 1)));
+    writer.read(now, release(2));
+    reader.ownership.load(now, &own, &writer.claims);
+    assert_eq!(claims(&mut reader), [group(0)]);
+}
+
 /// Guards against an unnecessary wait after a release, and against a late release of an old epoch.
 #[test]
 fn a_released_group_is_taken_over_at_once() {
