--- a/proofs/tests/guarantees/node.rs
+++ b/proofs/tests/guarantees/node.rs
@@ -284,7 +284,15 @@
         let peers = (0..world.list.len()).filter(|&peer| peer != self.index);
         let beats = peers.map(|peer| (peer, Message::Heartbeat(report.clone())));
         self.outbox.extend(beats);
-        if let Some((peer, _)) = self.freshness.fetch(clock, &self.members) {
+        let fetch = match self.freshness.start(clock, &self.members) {
+            StartStep::Fetch { peer, .. } => Some(peer),
+            StartStep::Serve => {
+                let newer = self.freshness.fetch(clock, &self.members);
+                newer.map(|(peer, _)| peer)
+            }
+            StartStep::Wait => None,
+        };
+        if let Some(peer) = fetch {
             let peer = peer.as_str()[1..].parse().expect("index of an instance");
             self.outbox.push((peer, Message::FetchConfig));
         }
