--- a/proofs/tests/guarantees/fleet.rs
+++ b/proofs/tests/guarantees/fleet.rs
@@ -73,7 +73,7 @@
     pub(crate) fn settled(count: usize, seed: u64) -> Self {
         let mut fleet = Self::new(count, seed);
         fleet.run(2_000);
-        fleet.nodes[0].publish("first", None, "k1 k2");
+        fleet.publish(0, "first", 0, "k1 k2");
         fleet.run(10_000);
         assert!(fleet.oracle.is_accepted("first"));
         for group in groups() {
@@ -304,11 +304,9 @@
         }
     }
 
-    pub(crate) fn publish(&mut self, at: usize, id: &str, base: Option<u64>, document: &str) {
+    pub(crate) fn publish(&mut self, at: usize, id: &str, base: u64, document: &str) {
         if self.nodes[at].runs() {
-            if let Some(base) = base {
-                self.oracle.offered(id, base);
-            }
+            self.oracle.offered(id, base);
             self.nodes[at].publish(id, base, document);
         }
     }
--- a/proofs/tests/guarantees/node.rs
+++ b/proofs/tests/guarantees/node.rs
@@ -348,8 +348,7 @@
     }
 
     /// Takes a publication from an operator.
-    pub(crate) fn publish(&mut self, id: &str, base: Option<u64>, document: &str) {
-        let base = base.map_or(self.freshness.version(), Version);
+    pub(crate) fn publish(&mut self, id: &str, base: u64, document: &str) {
         if self
             .freshness
             .may_publish(self.clock, &self.members)
@@ -360,7 +359,7 @@
         let id = PublicationId::try_from(id).expect("accepted id");
         let record = Publish {
             id: id.clone(),
-            base,
+            base: Version(base),
             document: document.to_owned(),
         };
         if let Ok(ticket) = self.config.writer.push(Body::Data(record)) {
--- a/proofs/tests/guarantees/scenario.rs
+++ b/proofs/tests/guarantees/scenario.rs
@@ -35,8 +35,9 @@
     expect: Vec<String>,
 }
 
-struct Run {
-    fleet: Fleet,
+/// A fleet that performs the acts of a scenario.
+pub(crate) struct Run {
+    pub(crate) fleet: Fleet,
     /// Owner of each group at the start.
     owners: Vec<(String, usize)>,
 }
@@ -45,11 +46,8 @@
 #[rstest]
 fn scenario(#[files("tests/scenarios/*.toml")] path: PathBuf) {
     let scenario = read(&path);
-    let fleet = Fleet::settled(5, 7);
-    let owner = |group: GroupId| (group.to_string(), fleet.acting(group)[0]);
-    let owners = groups().map(owner).collect();
-    let start = fleet.now;
-    let mut run = Run { fleet, owners };
+    let mut run = Run::new(Fleet::settled(5, 7));
+    let start = run.fleet.now;
     for step in &scenario.step {
         let at = start + step.at_ms;
         assert!(at >= run.fleet.now, "steps are in order");
@@ -82,6 +80,12 @@
 }
 
 impl Run {
+    pub(crate) fn new(fleet: Fleet) -> Self {
+        let owner = |group: GroupId| (group.to_string(), fleet.acting(group)[0]);
+        let owners = groups().map(owner).collect();
+        Self { fleet, owners }
+    }
+
     fn node(&self, word: &str) -> usize {
         if let Some(name) = word.strip_prefix('@') {
             let owner = self.owners.iter().find(|(group, _)| group == name);
@@ -96,7 +100,7 @@
         }
     }
 
-    fn perform(&mut self, act: &str) {
+    pub(crate) fn perform(&mut self, act: &str) {
         let words: Vec<&str> = act.split_whitespace().collect();
         let at = words.get(1).filter(|word| word.starts_with(['i', '@']));
         let at = at.map_or(0, |word| self.node(word));
@@ -125,10 +129,30 @@
             "conflict" => fleet.submit(at, words[2], 0, 2),
             "cancel" => fleet.cancel(words[1]),
             "publish" => {
-                let base = (words[3] != "current").then(|| number(words[3]));
+                let current = fleet.nodes[at].freshness.version().0;
+                let base = words[3].parse().unwrap_or(current);
+                fleet.publish(at, words[2], base, &words[4..].join(" "));
+            }
+            "race" => {
+                let base = fleet.nodes[at].freshness.version().0;
                 let document = words[4..].join(" ");
-                fleet.publish(at, words[2], base, &document);
+                fleet.publish(at, words[3], base, &document);
+                let other = self.node(words[2]);
+                let rival = words[3].replace('p', "q");
+                self.fleet.publish(other, &rival, base, &document);
+            }
+            "resend" => {
+                if let Some(base) = fleet.oracle.base(words[2]) {
+                    fleet.publish(at, words[2], base, &words[3..].join(" "));
+                }
+            }
+            "kill-on-ack" => fleet.kill_on_ack = true,
+            "lossy" => {
+                fleet.network.loss = number(words[1]);
+                fleet.network.max_delay_ms = number(words[2]);
             }
+            "online" => fleet.set_online(at, number(words[2]), number(words[3])),
+            "run" => fleet.run(number(words[1])),
             other => panic!("unknown act {other}"),
         }
     }
