--- a/proofs/tests/guarantees/batch.rs
+++ b/proofs/tests/guarantees/batch.rs
@@ -43,43 +43,32 @@
 /// A model engine that runs every item for a second and writes a text that names the attempt.
 #[derive(Default)]
 pub(crate) struct Engine {
-    running: BTreeMap<AttemptId, Stream>,
+    /// Item, manager and end of each running stream.
+    running: BTreeMap<AttemptId, (RunItem, Incarnation, u64)>,
     ended: Vec<(Incarnation, AttemptId, AttemptEnd<Text>)>,
     /// Items that started since the last look, as job and index.
     pub(crate) starts: Vec<(String, u32)>,
 }
 
-struct Stream {
-    item: RunItem,
-    manager: Incarnation,
-    ends_at: u64,
-}
-
 impl Engine {
     fn start(&mut self, now: u64, item: RunItem, manager: Incarnation) {
         self.starts.push((item.job.to_string(), item.index));
-        let ends_at = now + 1_000;
-        let attempt = item.attempt;
-        let stream = Stream {
-            item,
-            manager,
-            ends_at,
-        };
-        self.running.insert(attempt, stream);
+        let stream = (item.clone(), manager, now + 1_000);
+        self.running.insert(item.attempt, stream);
     }
 
     fn end(&mut self, attempt: AttemptId, end: AttemptEnd<Text>) {
-        if let Some(stream) = self.running.remove(&attempt) {
-            self.ended.push((stream.manager, attempt, end));
+        if let Some((_, manager, _)) = self.running.remove(&attempt) {
+            self.ended.push((manager, attempt, end));
         }
     }
 
     /// Ends what is due, and drops the streams whose connection was closed.
     pub(crate) fn step(&mut self, now: u64, alive: impl Fn(&Incarnation) -> bool) {
-        self.running.retain(|_, stream| alive(&stream.manager));
+        self.running.retain(|_, (_, manager, _)| alive(manager));
         self.ended.retain(|(manager, ..)| alive(manager));
-        let due = self.running.iter().filter(|(_, s)| s.ends_at <= now);
-        let due: Vec<_> = due.map(|(&attempt, s)| (attempt, s.item.poison)).collect();
+        let due = self.running.values().filter(|(.., end)| *end <= now);
+        let due: Vec<_> = due.map(|(item, ..)| (item.attempt, item.poison)).collect();
         for (attempt, failed) in due {
             let text = format!("written by {attempt}");
             let outcome = Text { text, failed };
@@ -104,8 +93,13 @@
 pub(crate) struct Owner {
     epoch: Epoch,
     open: Ticket,
-    opened: bool,
     scheduler: Scheduler<Text>,
+    calls: Calls,
+}
+
+#[derive(Default)]
+struct Calls {
+    opened: bool,
     submits: BTreeMap<Ticket, (String, u8)>,
     cancels: BTreeMap<Ticket, (String, JobId)>,
     /// Cancels that were read back and whose running attempts have not all ended.
@@ -150,7 +144,7 @@
         let Some(mut owner) = self.owners[group].take() else {
             return;
         };
-        if owner.opened && self.jobs[group].writer.len() < 32 {
+        if owner.calls.opened && self.jobs[group].writer.len() < 32 {
             self.append_call(group, &mut owner, call);
         }
         self.owners[group] = Some(owner);
@@ -161,8 +155,8 @@
         let job = job_id(job_group_id(group), &organisation(), call.key()).expect("accepted id");
         match call {
             JobCall::Submit { key, items, digest } => {
-                let submission = SubmissionId(owner.submissions);
-                owner.submissions += 1;
+                let submission = SubmissionId(owner.calls.submissions);
+                owner.calls.submissions += 1;
                 let new = |n: u32| NewItem {
                     id: format!("item-{n}").into(),
                     prompt: if n % 5 == 4 { "poison" } else { "fine" }.into(),
@@ -191,13 +185,13 @@
                     result_retention: Duration::from_secs(86_400),
                 });
                 if let Some(ticket) = self.push(group, epoch, change, now) {
-                    owner.submits.insert(ticket, (key, digest));
+                    owner.calls.submits.insert(ticket, (key, digest));
                 }
             }
             JobCall::Cancel { key } => {
                 let change = JobChange::Cancel { job: job.clone() };
                 if let Some(ticket) = self.push(group, epoch, change, now) {
-                    owner.cancels.insert(ticket, (key, job));
+                    owner.calls.cancels.insert(ticket, (key, job));
                 }
             }
         }
@@ -224,7 +218,9 @@
                     self.run_owner(group, owner, now, releasing);
                 }
             }
-            let drained = owner.as_ref().is_none_or(|owner| owner.out.is_empty());
+            let drained = owner
+                .as_ref()
+                .is_none_or(|owner| owner.calls.out.is_empty());
             if releasing && drained && self.jobs[group].writer.is_empty() {
                 self.finish_release();
                 owner = None;
@@ -256,18 +252,13 @@
     fn open(&mut self, group: usize, epoch: Epoch, now: u64) -> Option<Owner> {
         self.jobs[group].replica.fold()?;
         let open = self.push(group, epoch, JobChange::Open, now)?;
+        let scheduler = Scheduler::new(job_group_id(group), epoch);
+        let calls = Calls::default();
         Some(Owner {
             epoch,
             open,
-            opened: false,
-            scheduler: Scheduler::new(job_group_id(group), epoch),
-            submits: BTreeMap::new(),
-            cancels: BTreeMap::new(),
-            stopping: Vec::new(),
-            completion: None,
-            out: BTreeMap::new(),
-            submissions: 0,
-            next_engine: 0,
+            scheduler,
+            calls,
         })
     }
 
@@ -283,72 +274,74 @@
                 continue;
             };
             if ticket == owner.open {
-                owner.opened = true;
+                owner.calls.opened = true;
             }
-            if owner.completion == Some(ticket) {
-                owner.completion = None;
+            if owner.calls.completion == Some(ticket) {
+                owner.calls.completion = None;
                 owner.scheduler.confirm_completions();
             }
-            if let (Some((key, body)), Some(outcome)) = (owner.submits.remove(&ticket), &outcome) {
-                self.answer_submit(key, body, outcome);
+            if let (Some((key, body)), Some(outcome)) =
+                (owner.calls.submits.remove(&ticket), &outcome)
+            {
+                match outcome {
+                    JobOutcome::Submitted { job } | JobOutcome::Resubmitted { job } => {
+                        let job = job.to_string();
+                        self.acks.push(Ack::Submitted { key, job, body });
+                    }
+                    JobOutcome::KeyConflict { .. } => self.acks.push(Ack::Conflict { key, body }),
+                    _ => {}
+                }
             }
             let cancelled = matches!(
                 outcome,
                 Some(JobOutcome::Cancelled { .. } | JobOutcome::AlreadyEnded { .. })
             );
-            if let Some((key, job)) = owner.cancels.remove(&ticket)
+            if let Some((key, job)) = owner.calls.cancels.remove(&ticket)
                 && cancelled
             {
                 for attempt in owner.scheduler.cancel(&job) {
-                    if let Some(out) = owner.out.get_mut(&attempt) {
+                    if let Some(out) = owner.calls.out.get_mut(&attempt) {
                         (out.stop, out.sent) = (true, 0);
                     }
                 }
-                owner.stopping.push((key, job));
+                owner.calls.stopping.push((key, job));
             }
         }
-        let Some(fold) = self.jobs[group].replica.fold().filter(|_| owner.opened) else {
+        let Some(fold) = self.jobs[group]
+            .replica
+            .fold()
+            .filter(|_| owner.calls.opened)
+        else {
             return;
         };
         for (id, job) in fold.iter().filter(|(_, job)| !job.has_ended()) {
             owner.scheduler.add_folded(id, job);
         }
         if acts {
-            let out = &owner.out;
+            let out = &owner.calls.out;
             let done = |(_, job): &mut (String, JobId)| !out.values().any(|o| o.item.job == *job);
-            for (key, job) in owner.stopping.extract_if(.., done) {
+            for (key, job) in owner.calls.stopping.extract_if(.., done) {
                 let job = job.to_string();
                 self.acks.push(Ack::Cancelled { key, job });
             }
         }
     }
 
-    fn answer_submit(&mut self, key: String, body: u8, outcome: &JobOutcome) {
-        match outcome {
-            JobOutcome::Submitted { job } | JobOutcome::Resubmitted { job } => {
-                let job = job.to_string();
-                self.acks.push(Ack::Submitted { key, job, body });
-            }
-            JobOutcome::KeyConflict { .. } => self.acks.push(Ack::Conflict { key, body }),
-            _ => {}
-        }
-    }
-
     fn run_owner(&mut self, group: usize, owner: &mut Owner, now: u64, releasing: bool) {
-        if owner.completion.is_none()
+        if owner.calls.completion.is_none()
             && let Some(batch) = owner.scheduler.take_completions(self.clock)
         {
             let items = batch.items.into_iter().map(completion).collect();
             let job = batch.job;
             let change = JobChange::Completed { job, items };
-            owner.completion = self.push(group, owner.epoch, change, now);
+            owner.calls.completion = self.push(group, owner.epoch, change, now);
         }
         if let Some(AttemptCounts { job, counts }) = owner.scheduler.take_attempt_counts(self.clock)
         {
             let change = JobChange::Attempts { job, counts };
             self.push(group, owner.epoch, change, now);
         }
-        while !releasing && owner.opened && owner.out.len() < MAX_ATTEMPTS_OUT {
+        while !releasing && owner.calls.opened && owner.calls.out.len() < MAX_ATTEMPTS_OUT {
             if !self.dispatch(group, owner) {
                 break;
             }
@@ -357,8 +350,8 @@
     }
 
     fn dispatch(&mut self, group: usize, owner: &mut Owner) -> bool {
-        let engine = owner.next_engine % ENGINES;
-        owner.next_engine += 1;
+        let engine = owner.calls.next_engine % ENGINES;
+        owner.calls.next_engine += 1;
         let Some((_, engine_epoch)) = self.holder(engine_group_id(engine.into())) else {
             return false;
         };
@@ -384,20 +377,20 @@
             stop: false,
             replaced: None,
         };
-        owner.out.insert(next.attempt, out);
+        owner.calls.out.insert(next.attempt, out);
         true
     }
 
     /// Sends calls and repeats those without an answer; gives up those at replaced managers.
     fn repeat_calls(&mut self, owner: &mut Owner, now: u64, releasing: bool) {
         let mut lost = Vec::new();
-        for (&attempt, out) in &mut owner.out {
+        for (&attempt, out) in &mut owner.calls.out {
             let holder = self.holder(engine_group_id(out.item.engine.into()));
             let current = holder.filter(|(_, epoch)| *epoch == out.item.engine_epoch);
             let Some((manager, _)) = current else {
                 // A manager that was replaced may still start items for one lease.
                 let since = *out.replaced.get_or_insert(self.clock);
-                if self.clock.since(since) >= Node::lease() {
+                if self.clock.since(since) >= timing::OWNER_LEASE {
                     lost.push(attempt);
                 }
                 continue;
@@ -414,7 +407,7 @@
             self.outbox.push((manager, message));
         }
         for attempt in lost {
-            owner.out.remove(&attempt);
+            owner.calls.out.remove(&attempt);
             owner.scheduler.on_end(attempt, AttemptEnd::Lost);
         }
     }
@@ -422,7 +415,7 @@
     pub(crate) fn on_ended(&mut self, attempt: AttemptId, end: AttemptEnd<Text>) {
         let owner = &mut self.owners[usize::from(attempt.group.index)];
         if let Some(owner) = owner
-            && owner.out.remove(&attempt).is_some()
+            && owner.calls.out.remove(&attempt).is_some()
         {
             owner.scheduler.on_end(attempt, end);
         }
--- a/proofs/tests/guarantees/fleet.rs
+++ b/proofs/tests/guarantees/fleet.rs
@@ -26,6 +26,7 @@
 const DRAIN_MS: u64 = 5_000;
 
 /// What a caller wants for one idempotency key.
+#[derive(Default)]
 struct Wish {
     items: u32,
     submitted: bool,
@@ -280,14 +281,12 @@
     }
 
     pub(crate) fn submit(&mut self, at: usize, key: &str, items: u32, digest: u8) {
-        let wish = Wish {
-            items,
-            submitted: false,
-            cancel: false,
-            cancelled: false,
-        };
         if digest == 1 {
-            self.wishes.entry(key.to_owned()).or_insert(wish);
+            let wish = self.wishes.entry(key.to_owned());
+            wish.or_insert(Wish {
+                items,
+                ..Wish::default()
+            });
         }
         if self.nodes[at].runs()
             && let Some(wish) = self.wishes.get(key)
--- a/proofs/tests/guarantees/node.rs
+++ b/proofs/tests/guarantees/node.rs
@@ -1,7 +1,6 @@
 //! One instance: the pure code of the control plane, joined as the design page says.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::Duration;
 
 use limpetweir_coordination::timing::*;
 use limpetweir_coordination::*;
@@ -388,9 +387,4 @@
     pub(crate) fn online_load(&self, engine: usize) -> u32 {
         self.online.get(&engine_name(engine)).copied().unwrap_or(0)
     }
-
-    /// Longest time that a holder may act after its claim was replaced.
-    pub(crate) const fn lease() -> Duration {
-        OWNER_LEASE
-    }
 }
