--- a/proofs/tests/guarantees/batch.rs
+++ b/proofs/tests/guarantees/batch.rs
@@ -89,6 +89,9 @@
     }
 }
 
+/// Own records that were read back, and what they did unless a snapshot hides it.
+type Events = Vec<(Ticket, Option<JobOutcome>)>;
+
 /// What the owner of a job group keeps under one epoch.
 pub(crate) struct Owner {
     epoch: Epoch,
@@ -100,8 +103,7 @@
 #[derive(Default)]
 struct Calls {
     opened: bool,
-    submits: BTreeMap<Ticket, (String, u8)>,
-    cancels: BTreeMap<Ticket, (String, JobId)>,
+    waiting: BTreeMap<Ticket, (JobCall, JobId)>,
     /// Cancels that were read back and whose running attempts have not all ended.
     stopping: Vec<(String, JobId)>,
     completion: Option<Ticket>,
@@ -136,10 +138,6 @@
         self.jobs[group].writer.push(Body::Data(record)).ok()
     }
 
-    fn now_ms(&self) -> u64 {
-        self.clock.0 / 1_000
-    }
-
     pub(crate) fn start_call(&mut self, group: usize, call: JobCall) {
         let Some(mut owner) = self.owners[group].take() else {
             return;
@@ -151,20 +149,15 @@
     }
 
     fn append_call(&mut self, group: usize, owner: &mut Owner, call: JobCall) {
-        let (epoch, now) = (owner.epoch, self.now_ms());
+        let (epoch, now) = (owner.epoch, self.clock.0 / 1_000);
         let job = job_id(job_group_id(group), &organisation(), call.key()).expect("accepted id");
-        match call {
-            JobCall::Submit { key, items, digest } => {
+        let change = match &call {
+            JobCall::Cancel(_) => JobChange::Cancel { job: job.clone() },
+            JobCall::Submit(key, items, body) => {
                 let submission = SubmissionId(owner.calls.submissions);
                 owner.calls.submissions += 1;
-                let new = |n: u32| NewItem {
-                    id: format!("item-{n}").into(),
-                    prompt: if n % 5 == 4 { "poison" } else { "fine" }.into(),
-                    max_tokens: 16,
-                };
-                let half = items / 2;
-                for (part, range) in [(0, 0..half), (1, half..items)] {
-                    let items = range.map(new).collect();
+                for (part, range) in [(0, 0..items / 2), (1, items / 2..*items)] {
+                    let items = range.map(new_item).collect();
                     let change = JobChange::SubmitPart {
                         submission,
                         part,
@@ -172,28 +165,22 @@
                     };
                     self.push(group, epoch, change, now);
                 }
-                let change = JobChange::Submit(Submission {
+                JobChange::Submit(Submission {
                     submission,
                     parts: 2,
-                    job,
+                    job: job.clone(),
                     organisation: organisation(),
                     key: key.as_str().into(),
-                    digest: [digest; 32],
+                    digest: [*body; 32],
                     service: ServiceId::try_from("chat").expect("accepted name"),
                     model: ModelId::try_from("small").expect("accepted name"),
                     deadline: UnixMillis(UNIX_START_MS + 60_000),
                     result_retention: Duration::from_secs(86_400),
-                });
-                if let Some(ticket) = self.push(group, epoch, change, now) {
-                    owner.calls.submits.insert(ticket, (key, digest));
-                }
-            }
-            JobCall::Cancel { key } => {
-                let change = JobChange::Cancel { job: job.clone() };
-                if let Some(ticket) = self.push(group, epoch, change, now) {
-                    owner.calls.cancels.insert(ticket, (key, job));
-                }
+                })
             }
+        };
+        if let Some(ticket) = self.push(group, epoch, change, now) {
+            owner.calls.waiting.insert(ticket, (call, job));
         }
     }
 
@@ -218,9 +205,7 @@
                     self.run_owner(group, owner, now, releasing);
                 }
             }
-            let drained = owner
-                .as_ref()
-                .is_none_or(|owner| owner.calls.out.is_empty());
+            let drained = owner.as_ref().is_none_or(|o| o.calls.out.is_empty());
             if releasing && drained && self.jobs[group].writer.is_empty() {
                 self.finish_release();
                 owner = None;
@@ -229,23 +214,16 @@
         }
     }
 
-    fn read_jobs(
-        &mut self,
-        group: usize,
-        now: u64,
-        world: &mut World,
-    ) -> Vec<(Option<Ticket>, Option<JobOutcome>)> {
+    fn read_jobs(&mut self, group: usize, now: u64, world: &mut World) -> Events {
         let mut events = Vec::new();
         let on = |seen: Seen<'_, Jobs>| match seen {
-            Seen::Event(_, ticket, event) => events.push((ticket, Some(event.outcome))),
-            Seen::Recovered(_, tickets) => {
-                events.extend(tickets.into_iter().map(|ticket| (Some(ticket), None)));
+            Seen::Event(_, ticket, event) => {
+                events.extend(ticket.map(|t| (t, Some(event.outcome))))
             }
+            Seen::Recovered(_, tickets) => events.extend(tickets.into_iter().map(|t| (t, None))),
         };
-        let time = (now, self.clock);
-        let (condition, reachable) = (world.condition, self.log_reachable);
-        let stream = &mut world.jobs[group];
-        self.jobs[group].step(time, stream, condition, reachable, &self.own, on);
+        let link = self.link(now, world);
+        self.jobs[group].step(link, &mut world.jobs[group], &self.own, on);
         events
     }
 
@@ -262,17 +240,8 @@
         })
     }
 
-    fn apply_events(
-        &mut self,
-        group: usize,
-        owner: &mut Owner,
-        events: Vec<(Option<Ticket>, Option<JobOutcome>)>,
-        acts: bool,
-    ) {
+    fn apply_events(&mut self, group: usize, owner: &mut Owner, events: Events, acts: bool) {
         for (ticket, outcome) in events {
-            let Some(ticket) = ticket else {
-                continue;
-            };
             if ticket == owner.open {
                 owner.calls.opened = true;
             }
@@ -280,41 +249,16 @@
                 owner.calls.completion = None;
                 owner.scheduler.confirm_completions();
             }
-            if let (Some((key, body)), Some(outcome)) =
-                (owner.calls.submits.remove(&ticket), &outcome)
-            {
-                match outcome {
-                    JobOutcome::Submitted { job } | JobOutcome::Resubmitted { job } => {
-                        let job = job.to_string();
-                        self.acks.push(Ack::Submitted { key, job, body });
-                    }
-                    JobOutcome::KeyConflict { .. } => self.acks.push(Ack::Conflict { key, body }),
-                    _ => {}
-                }
-            }
-            let cancelled = matches!(
-                outcome,
-                Some(JobOutcome::Cancelled { .. } | JobOutcome::AlreadyEnded { .. })
-            );
-            if let Some((key, job)) = owner.calls.cancels.remove(&ticket)
-                && cancelled
-            {
-                for attempt in owner.scheduler.cancel(&job) {
-                    if let Some(out) = owner.calls.out.get_mut(&attempt) {
-                        (out.stop, out.sent) = (true, 0);
-                    }
-                }
-                owner.calls.stopping.push((key, job));
+            if let Some((call, job)) = owner.calls.waiting.remove(&ticket) {
+                self.on_read_back(owner, call, job, outcome);
             }
         }
-        let Some(fold) = self.jobs[group]
-            .replica
-            .fold()
+        let fold = self.jobs[group].replica.fold();
+        let jobs = fold
             .filter(|_| owner.calls.opened)
-        else {
-            return;
-        };
-        for (id, job) in fold.iter().filter(|(_, job)| !job.has_ended()) {
+            .into_iter()
+            .flat_map(Jobs::iter);
+        for (id, job) in jobs.filter(|(_, job)| !job.has_ended()) {
             owner.scheduler.add_folded(id, job);
         }
         if acts {
@@ -322,8 +266,35 @@
             let done = |(_, job): &mut (String, JobId)| !out.values().any(|o| o.item.job == *job);
             for (key, job) in owner.calls.stopping.extract_if(.., done) {
                 let job = job.to_string();
-                self.acks.push(Ack::Cancelled { key, job });
+                self.acks.push(Ack::Cancelled(key, job));
+            }
+        }
+    }
+
+    fn on_read_back(
+        &mut self,
+        owner: &mut Owner,
+        call: JobCall,
+        job: JobId,
+        outcome: Option<JobOutcome>,
+    ) {
+        use JobOutcome::*;
+        match (call, outcome) {
+            (JobCall::Submit(key, _, body), Some(Submitted { .. } | Resubmitted { .. })) => {
+                self.acks.push(Ack::Submitted(key, job.to_string(), body));
+            }
+            (JobCall::Submit(key, _, body), Some(KeyConflict { .. })) => {
+                self.acks.push(Ack::Conflict(key, body));
+            }
+            (JobCall::Cancel(key), Some(Cancelled { .. } | AlreadyEnded { .. })) => {
+                for attempt in owner.scheduler.cancel(&job) {
+                    if let Some(out) = owner.calls.out.get_mut(&attempt) {
+                        (out.stop, out.sent) = (true, 0);
+                    }
+                }
+                owner.calls.stopping.push((key, job));
             }
+            _ => {}
         }
     }
 
@@ -342,25 +313,20 @@
             self.push(group, owner.epoch, change, now);
         }
         while !releasing && owner.calls.opened && owner.calls.out.len() < MAX_ATTEMPTS_OUT {
-            if !self.dispatch(group, owner) {
+            if self.dispatch(group, owner).is_none() {
                 break;
             }
         }
         self.repeat_calls(owner, now, releasing);
     }
 
-    fn dispatch(&mut self, group: usize, owner: &mut Owner) -> bool {
+    /// Takes the next item for an engine with a manager.
+    fn dispatch(&mut self, group: usize, owner: &mut Owner) -> Option<()> {
         let engine = owner.calls.next_engine % ENGINES;
         owner.calls.next_engine += 1;
-        let Some((_, engine_epoch)) = self.holder(engine_group_id(engine.into())) else {
-            return false;
-        };
-        let Some(fold) = self.jobs[group].replica.fold() else {
-            return false;
-        };
-        let Some(next) = owner.scheduler.next(|_| true) else {
-            return false;
-        };
+        let (_, engine_epoch) = self.holder(engine_group_id(engine.into()))?;
+        let fold = self.jobs[group].replica.fold()?;
+        let next = owner.scheduler.next(|_| true)?;
         let job = fold.get(&next.job);
         let prompt = job.and_then(|job| job.open_item(next.index));
         let item = RunItem {
@@ -378,7 +344,7 @@
             replaced: None,
         };
         owner.calls.out.insert(next.attempt, out);
-        true
+        Some(())
     }
 
     /// Sends calls and repeats those without an answer; gives up those at replaced managers.
@@ -467,10 +433,8 @@
         for action in actions {
             match action {
                 SlotAction::Start(attempt) => {
-                    if let Some((_, item)) = self.managers[engine].items.get(&attempt) {
-                        let own = self.own.clone();
-                        world.engines[engine].start(now, item.clone(), own);
-                    }
+                    let (_, item) = &self.managers[engine].items[&attempt];
+                    world.engines[engine].start(now, item.clone(), self.own.clone());
                 }
                 SlotAction::Cancel(attempt) => {
                     let end = AttemptEnd::Yielded(ResumePoint::default());
@@ -490,20 +454,16 @@
             let manager = &mut self.managers[engine];
             if act.is_some() && manager.epoch != act {
                 manager.epoch = act;
-                manager
-                    .slots
-                    .get_or_insert_with(|| SlotManager::new(LIMITS));
+                let slots = manager.slots.take();
+                manager.slots = slots.or_else(|| Some(SlotManager::new(LIMITS)));
+            }
+            let mut idle = true;
+            if let Some(mut slots) = manager.slots.take() {
+                let actions = self.drive(engine, act.is_some(), &mut slots, world);
+                idle = slots.in_flight() == 0;
+                self.managers[engine].slots = Some(slots);
+                self.perform(engine, actions, world, now);
             }
-            let Some(mut slots) = manager.slots.take() else {
-                if self.releasing.is_some_and(|(other, _)| other == id) {
-                    self.finish_release();
-                }
-                continue;
-            };
-            let actions = self.drive(engine, act.is_some(), &mut slots, world);
-            let idle = slots.in_flight() == 0;
-            self.managers[engine].slots = Some(slots);
-            self.perform(engine, actions, world, now);
             if idle && self.releasing.is_some_and(|(other, _)| other == id) {
                 self.finish_release();
             }
@@ -523,7 +483,6 @@
         let mine = |(manager, ..): &mut (Incarnation, AttemptId, AttemptEnd<Text>)| manager == own;
         let ended: Vec<_> = world.engines[engine].ended.extract_if(.., mine).collect();
         if !acts {
-            // Without any slot nothing starts, and what waits is returned.
             actions.extend(slots.close(clock));
         }
         for (_, attempt, end) in ended {
@@ -555,13 +514,19 @@
         true => (Outcome::Failed(text.text.into()), 0),
         false => (Outcome::Finished(text.text.into()), 7),
     };
-    let usage = Usage {
-        prompt_tokens: 1,
-        completion_tokens,
-    };
+    let mut usage = Usage::default();
+    (usage.prompt_tokens, usage.completion_tokens) = (1, completion_tokens);
     Completion {
         index,
         outcome,
         usage,
     }
 }
+
+fn new_item(n: u32) -> NewItem {
+    NewItem {
+        id: format!("item-{n}").into(),
+        prompt: if n % 5 == 4 { "poison" } else { "fine" }.into(),
+        max_tokens: 16,
+    }
+}
--- a/proofs/tests/guarantees/fleet.rs
+++ b/proofs/tests/guarantees/fleet.rs
@@ -158,21 +158,21 @@
 
     fn on_ack(&mut self, ack: Ack) {
         match &ack {
-            Ack::Submitted { key, job, body } => {
+            Ack::Submitted(key, job, body) => {
                 if let Some(wish) = self.wishes.get_mut(key) {
                     wish.submitted = true;
                     self.oracle.submitted(key, job, wish.items, *body);
                 }
             }
-            Ack::Conflict { key, body } => self.oracle.conflict(key, *body),
-            Ack::Cancelled { key, job } => {
+            Ack::Conflict(key, body) => self.oracle.conflict(key, *body),
+            Ack::Cancelled(key, job) => {
                 if let Some(wish) = self.wishes.get_mut(key) {
                     wish.cancelled = true;
                 }
                 self.oracle.cancelled(job);
             }
-            Ack::Accepted { id, version } => self.oracle.accepted(self.now, id, *version),
-            Ack::Refused { id } => self.oracle.refused(id),
+            Ack::Accepted(id, version) => self.oracle.accepted(self.now, id, *version),
+            Ack::Refused(id) => self.oracle.refused(id),
         }
     }
 
@@ -203,10 +203,9 @@
         for (key, wish) in &self.wishes {
             let key = key.clone();
             if !wish.submitted {
-                let (items, digest) = (wish.items, 1);
-                node.on_job_call(JobCall::Submit { key, items, digest }, false);
+                node.on_job_call(JobCall::Submit(key, wish.items, 1), false);
             } else if wish.cancel && !wish.cancelled {
-                node.on_job_call(JobCall::Cancel { key }, false);
+                node.on_job_call(JobCall::Cancel(key), false);
             }
         }
     }
@@ -292,8 +291,8 @@
             && let Some(wish) = self.wishes.get(key)
             && (digest == 1 || wish.submitted)
         {
-            let (key, items) = (key.to_owned(), wish.items);
-            self.nodes[at].on_job_call(JobCall::Submit { key, items, digest }, false);
+            let call = JobCall::Submit(key.to_owned(), wish.items, digest);
+            self.nodes[at].on_job_call(call, false);
         }
     }
 
--- a/proofs/tests/guarantees/log.rs
+++ b/proofs/tests/guarantees/log.rs
@@ -84,6 +84,15 @@
     next_snapshot: u64,
 }
 
+/// What an instance meets when it calls the log.
+#[derive(Clone, Copy)]
+pub(crate) struct Link {
+    pub(crate) now: u64,
+    pub(crate) clock: Timestamp,
+    pub(crate) condition: Condition,
+    pub(crate) reachable: bool,
+}
+
 /// Something read from a stream.
 pub(crate) enum Seen<'a, F: Fold> {
     /// A record was folded; the fold is as just after it.
@@ -110,26 +119,25 @@
     /// of a read that confirmed the state.
     pub(crate) fn step(
         &mut self,
-        (now, clock): (u64, Timestamp),
+        link: Link,
         stream: &mut Stream<F::Record>,
-        condition: Condition,
-        reachable: bool,
         own: &Incarnation,
         mut on: impl FnMut(Seen<'_, F>),
     ) -> Option<Timestamp> {
-        self.append(now, stream, condition, reachable);
+        let now = link.now;
+        self.append(link, stream);
         let Some((sent, sent_at)) = self.read else {
             if now >= self.next_read {
-                self.read = Some((now, clock));
+                self.read = Some((now, link.clock));
             }
             return None;
         };
-        if now < sent + condition.delay_ms {
+        if now < sent + link.condition.delay_ms {
             return None;
         }
         self.read = None;
         self.next_read = sent + READ_INTERVAL_MS;
-        if condition.down || !reachable {
+        if link.condition.down || !link.reachable {
             return None;
         }
         self.replica.trimmed(Offset(stream.first));
@@ -158,15 +166,10 @@
         Some(sent_at)
     }
 
-    fn append(
-        &mut self,
-        now: u64,
-        stream: &mut Stream<F::Record>,
-        condition: Condition,
-        reachable: bool,
-    ) {
+    fn append(&mut self, link: Link, stream: &mut Stream<F::Record>) {
+        let now = link.now;
         if let Some((id, sent)) = &self.append {
-            let answer = stream.answers.remove(id).filter(|_| reachable);
+            let answer = stream.answers.remove(id).filter(|_| link.reachable);
             let late = now >= sent + APPEND_TIMEOUT_MS;
             if let Some(answer) = answer.or(late.then_some(Answer::Unknown)) {
                 self.writer.on_answer(id.sequence, answer);
@@ -178,9 +181,11 @@
             && let Some(entry) = self.writer.poll_append()
         {
             self.append = Some((entry.writer.clone(), now));
-            if reachable {
+            if link.reachable {
                 stream.answers.remove(&entry.writer);
-                stream.in_flight.push((now + condition.delay_ms, entry));
+                stream
+                    .in_flight
+                    .push((now + link.condition.delay_ms, entry));
             }
         }
     }
--- a/proofs/tests/guarantees/network.rs
+++ b/proofs/tests/guarantees/network.rs
@@ -11,14 +11,15 @@
 /// A call that an instance forwards to the owner of a job group.
 #[derive(Clone, Debug)]
 pub(crate) enum JobCall {
-    Submit { key: String, items: u32, digest: u8 },
-    Cancel { key: String },
+    /// Key, number of items and body.
+    Submit(String, u32, u8),
+    Cancel(String),
 }
 
 impl JobCall {
     pub(crate) fn key(&self) -> &str {
         match self {
-            Self::Submit { key, .. } | Self::Cancel { key } => key,
+            Self::Submit(key, ..) | Self::Cancel(key) => key,
         }
     }
 }
--- a/proofs/tests/guarantees/node.rs
+++ b/proofs/tests/guarantees/node.rs
@@ -7,7 +7,7 @@
 use limpetweir_state::*;
 
 use crate::batch::{Engine, Manager, Owner};
-use crate::log::{Channel, Condition, Seen, Stream};
+use crate::log::{Channel, Condition, Link, Seen, Stream};
 use crate::network::{JobCall, Message};
 
 pub(crate) const JOB_GROUPS: u16 = 2;
@@ -30,11 +30,16 @@
 /// An answer that an instance gives to a caller.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Ack {
-    Submitted { key: String, job: String, body: u8 },
-    Conflict { key: String, body: u8 },
-    Cancelled { key: String, job: String },
-    Accepted { id: String, version: u64 },
-    Refused { id: String },
+    /// Key, job and body.
+    Submitted(String, String, u8),
+    /// Key and body.
+    Conflict(String, u8),
+    /// Key and job.
+    Cancelled(String, String),
+    /// Publication and version.
+    Accepted(String, u64),
+    /// Publication.
+    Refused(String),
 }
 
 pub(crate) struct Node {
@@ -67,16 +72,17 @@
     pub(crate) clock: Timestamp,
 }
 
-pub(crate) fn job_group_id(index: usize) -> GroupId {
+fn group_id(kind: GroupKind, index: usize) -> GroupId {
     let index = u16::try_from(index).expect("few groups");
-    let kind = GroupKind::Jobs;
     GroupId { kind, index }
 }
 
+pub(crate) fn job_group_id(index: usize) -> GroupId {
+    group_id(GroupKind::Jobs, index)
+}
+
 pub(crate) fn engine_group_id(index: usize) -> GroupId {
-    let kind = GroupKind::Engine;
-    let index = u16::try_from(index).expect("few engines");
-    GroupId { kind, index }
+    group_id(GroupKind::Engine, index)
 }
 
 pub(crate) fn groups() -> impl Iterator<Item = GroupId> {
@@ -199,7 +205,17 @@
         }
     }
 
+    pub(crate) fn link(&self, now: u64, world: &World) -> Link {
+        Link {
+            now,
+            clock: self.clock,
+            condition: world.condition,
+            reachable: self.log_reachable,
+        }
+    }
+
     fn read_config(&mut self, now: u64, world: &mut World) {
+        let link = self.link(now, world);
         let publishing = &mut self.publishing;
         let mut decided = Vec::new();
         let on = |seen: Seen<'_, Publications>| {
@@ -213,11 +229,7 @@
                 decided.push((id, result));
             }
         };
-        let (reachable, condition) = (self.log_reachable, world.condition);
-        let time = (now, self.clock);
-        let stream = &mut world.config;
-        let config = &mut self.config;
-        let confirmed = config.step(time, stream, condition, reachable, &self.own, on);
+        let confirmed = self.config.step(link, &mut world.config, &self.own, on);
         self.note_version();
         if let (Some(sent_at), Some(fold)) = (confirmed, self.config.replica.fold()) {
             self.freshness.on_confirmed_read(sent_at, fold.version());
@@ -225,10 +237,7 @@
         for (id, result) in decided {
             match result {
                 PublishResult::Accepted(version) => self.accepted.push((id, version)),
-                PublishResult::Conflict(_) => {
-                    let id = id.as_str().to_owned();
-                    self.acks.push(Ack::Refused { id });
-                }
+                PublishResult::Conflict(_) => self.acks.push(Ack::Refused(id.into())),
             }
         }
     }
@@ -240,22 +249,18 @@
             freshness.may_acknowledge(clock, members, *version)
         };
         for (id, version) in self.accepted.extract_if(.., due) {
-            let id = id.as_str().to_owned();
-            let version = version.0;
-            self.acks.push(Ack::Accepted { id, version });
+            self.acks.push(Ack::Accepted(id.into(), version.0));
         }
     }
 
     fn read_claims(&mut self, now: u64, world: &mut World) {
+        let link = self.link(now, world);
         let (ownership, own, clock) = (&mut self.ownership, &self.own, self.clock);
         let on = |seen: Seen<'_, Claims>| match seen {
             Seen::Event(fold, _, event) => ownership.on_event(clock, own, fold, &event),
             Seen::Recovered(fold, _) => ownership.load(clock, own, fold),
         };
-        let (reachable, condition) = (self.log_reachable, world.condition);
-        let stream = &mut world.claims;
-        let claims = &mut self.claims;
-        let confirmed = claims.step((now, clock), stream, condition, reachable, own, on);
+        let confirmed = self.claims.step(link, &mut world.claims, own, on);
         if let Some(sent_at) = confirmed {
             self.ownership.on_confirmed_read(sent_at);
             self.read_log_at = self.read_log_at.max(Some(sent_at));
