--- a/proofs/tests/guarantees/fuzz.rs
+++ b/proofs/tests/guarantees/fuzz.rs
@@ -47,7 +47,7 @@
             2 => Just("heal".to_owned()),
             1 => Just("log-down".to_owned()),
             1 => Just("log-up".to_owned()),
-            1 => (1..50u64).prop_map(|n| format!("log-slow {}", n * 50)),
+            1 => (1..200u64).prop_map(|n| format!("log-slow {}", n * 50)),
             1 => Just("lose-answers".to_owned()),
             1 => Just("return-answers".to_owned()),
             1 => Just("trim".to_owned()),
