--- a/daemon/src/control/publication.rs
+++ b/daemon/src/control/publication.rs
@@ -14,9 +14,13 @@
 use limpetweir_state::{
     Publish,
     PublishResult,
-    Verdict, //
+    Verdict,
+    Version, //
+};
+use limpetweir_transport::{
+    sleep,
+    until, //
 };
-use limpetweir_transport::until;
 
 use super::stream::WriteError;
 use crate::event;
@@ -24,16 +28,20 @@
 use crate::node::Node;
 use crate::responses::Problem;
 
-/// Longest wait until a publication is read back.
+/// Longest wait until a publication is read back and held by a majority.
 const PUBLICATION_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Longest wait for a version that a peer acts on.
 const CATCH_UP_LIMIT: Duration = Duration::from_secs(2);
 
+/// Pause between two checks whether a majority holds a version.
+const ACKNOWLEDGE_POLL: Duration = Duration::from_millis(50);
+
 /// Time to retry after for a refused publication.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// Publishes a valid document; returns once the decision is read back from the log.
+/// Publishes a valid document; returns once the decision is read back from the log and, if the
+/// document was accepted, held by a majority.
 pub(super) async fn publish(node: &Node, publish: Publish) -> Result<PublicationAnswer, Problem> {
     let id = publish.id.clone();
     let base = publish.base;
@@ -58,24 +66,49 @@
 }
 
 async fn decide(node: &Node, publish: Publish) -> Result<PublicationAnswer, Problem> {
+    let deadline = Instant::now() + PUBLICATION_TIMEOUT;
     // A publication that was sent again has the result of the first one.
     if let Some(answer) = decided(node, &publish) {
-        return Ok(answer);
+        return acknowledge(node, answer, deadline).await;
     }
     wait_until_allowed(node).await.map_err(refused)?;
     if let Some(answer) = outdated(node, &publish) {
         return Ok(answer);
     }
-    let deadline = Instant::now() + PUBLICATION_TIMEOUT;
     let writing = node.control.config.write(publish.clone());
-    match until(deadline, writing).await {
-        Some(Ok(())) => decided(node, &publish).ok_or_else(|| unsettled(Verdict::MayHaveRun)),
-        // Another copy of the publication may have been read meanwhile.
-        Some(Err(err)) => decided(node, &publish).ok_or_else(|| failed(&err)),
-        None => decided(node, &publish).ok_or_else(|| unsettled(Verdict::MayHaveRun)),
+    let written = until(deadline, writing).await;
+    // Even after a failure, another copy of the publication may have been read meanwhile.
+    match (decided(node, &publish), written) {
+        (Some(answer), _) => acknowledge(node, answer, deadline).await,
+        (None, Some(Err(err))) => Err(failed(&err)),
+        (None, Some(Ok(())) | None) => Err(unsettled(Verdict::MayHaveRun)),
     }
 }
 
+/// Waits until a majority holds an accepted version, so that the loss of this instance cannot hide
+/// it from the others.
+async fn acknowledge(
+    node: &Node,
+    answer: PublicationAnswer,
+    deadline: Instant,
+) -> Result<PublicationAnswer, Problem> {
+    while answer.outcome == PublicationOutcome::Accepted && !may_acknowledge(node, answer.version) {
+        if Instant::now() >= deadline {
+            return Err(unsettled(Verdict::MayHaveRun));
+        }
+        sleep(ACKNOWLEDGE_POLL).await;
+    }
+    Ok(answer)
+}
+
+fn may_acknowledge(node: &Node, version: Version) -> bool {
+    let now = node.clock.now();
+    let inner = node.control.shared.lock();
+    inner
+        .freshness
+        .may_acknowledge(now, &inner.members, version)
+}
+
 /// Waits while a peer acts on a newer version, which is fetched at once.
 ///
 /// An operator who lost a race then learns the current version.
@@ -164,7 +197,7 @@
     let message = match verdict {
         Verdict::NotRun => "the log became unreachable before the publication was sent",
         Verdict::MayHaveRun | Verdict::Ran => {
-            "the publication was not read back in time; publish again with the same id"
+            "the publication is not known to be held by a majority yet; publish again with the same id"
         }
     };
     let mut problem = unavailable("not_settled", message);
