Add a benchmark of requests refused within the rate

The harness of the quota tests now has kinds of traffic, callers that go to another instance when theirs is lost, and two baselines: a fixed part of the limit for each instance, and an ask at the home for each request.

--- a/coordination/tests/quota.rs
+++ b/coordination/tests/quota.rs
@@ -22,6 +22,8 @@
 use quota_harness::{
     Fleet,
     Plan,
+    Policy,
+    Traffic,
     count_within,
     settings_for, //
 };
@@ -48,6 +50,10 @@
         outages: true,
         bursty: true,
         limit_changes: false,
+        policy: Policy::Shares,
+        traffic: Traffic::Moving,
+        one_way: (300, 2_000),
+        reconnect: false,
     }
 }
 
--- a/coordination/tests/quota_harness/mod.rs
+++ b/coordination/tests/quota_harness/mod.rs
@@ -1,11 +1,17 @@
 //! A fleet of quota homes and borrowers in virtual time, over a network that loses messages.
 
+// The tests and the benchmark each use a part of the harness.
+#![allow(dead_code)]
+
+mod bound;
+mod policy;
+mod traffic;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use limpetweir_coordination::quota::{
     HomeStart,
-    LocalAdmission,
     QuotaAnswer,
     QuotaBorrower,
     QuotaHome,
@@ -19,7 +25,8 @@
     InstanceId,
     Limit,
     OrganisationId,
-    Timestamp, //
+    Timestamp,
+    TokenBucket, //
 };
 use rand::rngs::SmallRng;
 use rand::{
@@ -27,15 +34,15 @@
     SeedableRng, //
 };
 
+pub(crate) use policy::Policy;
+pub(crate) use traffic::Traffic;
+
 const MS: u64 = 1_000;
 const SECOND: u64 = 1_000 * MS;
 
 /// Time between two reads of the claims by a holder.
 const CLAIM_READ: u64 = 300 * MS;
 
-/// Time for which a share under a former limit may be in use: a lease and 10% for clock rates.
-const LIMIT_GRACE: u64 = 4_400 * MS;
-
 /// What a run does.
 #[derive(Clone, Copy)]
 pub(crate) struct Plan {
@@ -54,6 +61,21 @@
     pub(crate) bursty: bool,
     /// Whether the limit changes.
     pub(crate) limit_changes: bool,
+    pub(crate) policy: Policy,
+    pub(crate) traffic: Traffic,
+    /// Shortest and longest time of a message on the way, in microseconds.
+    pub(crate) one_way: (u64, u64),
+    /// Whether callers of a lost instance go to another one at once.
+    pub(crate) reconnect: bool,
+}
+
+/// One request of a caller.
+#[derive(Clone, Copy)]
+pub(crate) struct Offered {
+    /// True time of its arrival.
+    pub(crate) at: u64,
+    /// Time from its arrival until the caller's instance knew that it is admitted.
+    pub(crate) admitted_after: Option<u64>,
 }
 
 enum Event {
@@ -61,15 +83,28 @@
     Phase,
     Tick(usize),
     ReadClaims(usize),
-    Call(usize, usize, u64, QuotaRequest, SentCall),
-    Answer(usize, u64, SentCall, QuotaAnswer),
+    Call(Ask, usize),
+    Answer(Ask, QuotaAnswer),
     Outage,
+    Kill(usize),
     Resume(usize),
     Restart(usize),
     Claim,
     ChangeLimit,
 }
 
+/// A message from a borrower.
+#[derive(Clone)]
+struct Ask {
+    from: usize,
+    /// Start time of the borrower's process.
+    started: u64,
+    call: QuotaRequest,
+    sent: SentCall,
+    /// Index of the request that waits for the answer.
+    request: Option<usize>,
+}
+
 struct Holder {
     home: QuotaHome,
     /// Local time of the last read of the claims that showed no newer claim.
@@ -81,6 +116,8 @@
     offset: u64,
     incarnation: Incarnation,
     borrower: QuotaBorrower,
+    /// The bucket of the policy `Policy::Static`.
+    fixed: TokenBucket,
     holder: Option<Holder>,
     up: bool,
     paused_until: u64,
@@ -107,15 +144,15 @@
     pub(crate) admitted: Vec<u64>,
     /// Admissions by shares, a part of `admitted`.
     pub(crate) by_share: Vec<u64>,
-    /// Offered requests and their true time.
-    pub(crate) offered: Vec<u64>,
+    /// Offered requests in order of time.
+    pub(crate) offered: Vec<Offered>,
 }
 
 impl Fleet {
     pub(crate) fn new(plan: Plan, seed: u64, limit: Limit) -> Self {
         let mut rng = SmallRng::seed_from_u64(seed);
         let instances = (0..plan.instances)
-            .map(|n| Instance::new(n, 0, &plan, &mut rng))
+            .map(|n| Instance::new(n, 0, limit, &plan, &mut rng))
             .collect();
         let mut fleet = Self {
             plan,
@@ -167,6 +204,11 @@
         self.push(second * SECOND, Event::Outage);
     }
 
+    /// Kills an instance at `second`.
+    pub(crate) fn kill_at(&mut self, second: u64, n: usize) {
+        self.push(second * SECOND, Event::Kill(n));
+    }
+
     fn push(&mut self, delay: u64, event: Event) {
         self.next += 1;
         self.queue.insert((self.now + delay, self.next), event);
@@ -191,9 +233,10 @@
             Event::Phase => self.phase(),
             Event::Tick(n) => self.tick(n),
             Event::ReadClaims(n) => self.read_claims(n),
-            Event::Call(from, to, started, call, sent) => self.call(from, to, started, call, sent),
-            Event::Answer(to, started, sent, answer) => self.answer(to, started, sent, answer),
+            Event::Call(ask, to) => self.call(ask, to),
+            Event::Answer(ask, answer) => self.answer(ask, answer),
             Event::Outage => self.outage(),
+            Event::Kill(n) => self.kill(n),
             Event::Resume(n) => self.resume(n),
             Event::Restart(n) => self.restart(n),
             Event::Claim => self.claim(),
@@ -202,30 +245,26 @@
     }
 
     fn offer(&mut self) {
-        let mean = SECOND as f64 / self.plan.offered;
+        let traffic = self.plan.traffic;
+        let mean = SECOND as f64 / (self.plan.offered * traffic.peak());
         let wait = -mean * (1.0 - self.rng.random::<f64>()).ln();
         self.push(1 + wait as u64, Event::Offer);
-        // Callers of some instances offer more than others, and the busiest one changes.
-        let shift = (self.now / (5 * SECOND)) as usize;
-        let n = if self.rng.random_bool(0.5) {
-            shift % self.instances.len()
-        } else {
-            self.rng.random_range(0..self.instances.len())
-        };
-        if !self.is_running(n) || !self.rng.random_bool(self.intensity) {
-            return;
-        }
-        self.offered.push(self.now);
-        let now = self.local(n);
-        let organisation = self.organisation.clone();
-        let borrower = &mut self.instances[n].borrower;
-        if borrower.admit(&organisation, now) == LocalAdmission::Admitted {
-            self.admitted.push(self.now);
-            self.by_share.push(self.now);
+        let mut n = traffic.instance(self.now, self.instances.len(), &mut self.rng);
+        if self.plan.reconnect && !self.is_running(n) {
+            let running = (0..self.instances.len()).filter(|n| self.is_running(*n));
+            let running: Vec<usize> = running.collect();
+            n = running[self.rng.random_range(0..running.len())];
+        }
+        let intensity = self.intensity * traffic.intensity(self.now);
+        if !self.is_running(n) || !self.rng.random_bool(intensity) {
             return;
         }
-        let (call, sent) = borrower.ask(&organisation, 1, now);
-        self.send_call(n, call, sent);
+        let request = self.offered.len();
+        self.offered.push(Offered {
+            at: self.now,
+            admitted_after: None,
+        });
+        self.decide(n, request);
     }
 
     fn phase(&mut self) {
@@ -241,21 +280,32 @@
         }
         let now = self.local(n);
         for (call, sent) in self.instances[n].borrower.renewals(now) {
-            self.send_call(n, call, sent);
+            self.send_call(n, call, sent, None);
         }
     }
 
-    fn send_call(&mut self, from: usize, call: QuotaRequest, sent: SentCall) {
+    fn send_call(
+        &mut self,
+        from: usize,
+        call: QuotaRequest,
+        sent: SentCall,
+        request: Option<usize>,
+    ) {
         let Some(owner) = self.owner else {
             return;
         };
         // Some borrowers still know a former home.
         let stale = self.plan.outages && self.rng.random_bool(0.3);
         let to = self.former.filter(|_| stale).unwrap_or(owner);
-        let started = self.instances[from].incarnation.started;
+        let ask = Ask {
+            from,
+            started: self.instances[from].incarnation.started,
+            call,
+            sent,
+            request,
+        };
         for delay in self.delays(from == to) {
-            let event = Event::Call(from, to, started, call.clone(), sent.clone());
-            self.push(delay, event);
+            self.push(delay, Event::Call(ask.clone(), to));
         }
     }
 
@@ -265,6 +315,7 @@
             return vec![0];
         }
         let faults = self.plan.faults;
+        let (shortest, longest) = self.plan.one_way;
         if self.rng.random_bool(faults) {
             return Vec::new();
         }
@@ -273,19 +324,19 @@
             if self.rng.random_bool(faults) {
                 return self.rng.random_range(0..6 * SECOND);
             }
-            self.rng.random_range(300..2 * MS)
+            self.rng.random_range(shortest..longest)
         };
         (0..copies).map(|_| delay()).collect()
     }
 
-    fn call(&mut self, from: usize, to: usize, started: u64, call: QuotaRequest, sent: SentCall) {
+    fn call(&mut self, ask: Ask, to: usize) {
         if !self.instances[to].up {
             return;
         }
         let resumes = self.instances[to].paused_until;
         if resumes > self.now {
             let delay = resumes - self.now + 1;
-            self.push(delay, Event::Call(from, to, started, call, sent));
+            self.push(delay, Event::Call(ask, to));
             return;
         }
         let now = self.local(to);
@@ -296,30 +347,35 @@
         if now.since(holder.read) >= lease {
             return;
         }
-        let Ok(answer) = holder.home.handle(&call, now) else {
+        let Ok(answer) = holder.home.handle(&ask.call, now) else {
             return;
         };
         for _ in 0..answer.admitted {
             self.admitted.push(self.now);
         }
-        for delay in self.delays(from == to) {
-            let event = Event::Answer(from, started, sent.clone(), answer.clone());
-            self.push(delay, event);
+        for delay in self.delays(ask.from == to) {
+            self.push(delay, Event::Answer(ask.clone(), answer.clone()));
         }
     }
 
-    fn answer(&mut self, to: usize, started: u64, sent: SentCall, answer: QuotaAnswer) {
+    fn answer(&mut self, ask: Ask, answer: QuotaAnswer) {
+        let to = ask.from;
         let instance = &self.instances[to];
-        if !instance.up || instance.incarnation.started != started {
+        if !instance.up || instance.incarnation.started != ask.started {
             return;
         }
         if instance.paused_until > self.now {
             let delay = instance.paused_until - self.now + 1;
-            self.push(delay, Event::Answer(to, started, sent, answer));
+            self.push(delay, Event::Answer(ask, answer));
             return;
         }
         let now = self.local(to);
-        self.instances[to].borrower.on_answer(&sent, &answer, now);
+        let admitted = self.instances[to]
+            .borrower
+            .on_answer(&ask.sent, &answer, now);
+        if let Some(request) = ask.request.filter(|_| admitted > 0) {
+            self.note_admitted(request);
+        }
     }
 
     fn read_claims(&mut self, n: usize) {
@@ -397,11 +453,22 @@
             self.instances[n].paused_until = self.now + pause;
             self.push(pause, Event::Resume(n));
         } else {
-            self.instances[n].up = false;
-            self.instances[n].holder = None;
-            let down = self.rng.random_range(SECOND..4 * SECOND);
-            self.push(down, Event::Restart(n));
+            self.kill(n);
+            return;
         }
+        self.replace_owner(n);
+    }
+
+    fn kill(&mut self, n: usize) {
+        self.instances[n].up = false;
+        self.instances[n].holder = None;
+        let down = self.rng.random_range(SECOND..4 * SECOND);
+        self.push(down, Event::Restart(n));
+        self.replace_owner(n);
+    }
+
+    /// Lets another instance claim the home if `n` has it.
+    fn replace_owner(&mut self, n: usize) {
         if self.owner == Some(n) {
             let silence = self.rng.random_range(1_500 * MS..2_500 * MS);
             self.push(silence, Event::Claim);
@@ -418,7 +485,8 @@
 
     fn restart(&mut self, n: usize) {
         let started = self.instances[n].incarnation.started + 1;
-        let mut instance = Instance::new(n, started, &self.plan, &mut self.rng);
+        let limit = self.limit();
+        let mut instance = Instance::new(n, started, limit, &self.plan, &mut self.rng);
         instance.clock = self.instances[n].clock;
         self.instances[n] = instance;
     }
@@ -440,94 +508,27 @@
             }
         }
     }
-
-    /// Returns the greatest excess over burst plus rate times length, over all intervals.
-    ///
-    /// `pace` is the number of seconds that the measuring clock counts in a second of true time.
-    pub(crate) fn excess(&mut self, pace: f64) -> f64 {
-        self.admitted.sort_unstable();
-        let allowed = self.allowed(pace);
-        let times = &self.admitted;
-        let mut worst = f64::NEG_INFINITY;
-        for first in 0..times.len() {
-            let mut burst = self.burst_at(times[first]);
-            let mut change = self.limits.partition_point(|(at, _)| *at <= times[first]);
-            for last in first..times.len() {
-                while self
-                    .limits
-                    .get(change)
-                    .is_some_and(|(at, _)| *at <= times[last])
-                {
-                    burst = burst.max(self.limits[change].1.burst());
-                    change += 1;
-                }
-                let count = (last - first + 1) as f64;
-                worst = worst.max(count - burst - (allowed[last] - allowed[first]));
-            }
-        }
-        worst
-    }
-
-    /// Returns the greatest burst in force at `at` or within the grace before it.
-    fn burst_at(&self, at: u64) -> f64 {
-        self.in_force(at)
-            .map(|limit| limit.burst())
-            .fold(0.0, f64::max)
-    }
-
-    fn rate_at(&self, at: u64) -> f64 {
-        self.in_force(at)
-            .map(|limit| limit.rate())
-            .fold(0.0, f64::max)
-    }
-
-    fn in_force(&self, at: u64) -> impl Iterator<Item = Limit> + '_ {
-        let limits = self.limits.iter().enumerate();
-        let current = limits.filter(move |(n, (from, _))| {
-            let until = self.limits.get(n + 1).map_or(u64::MAX, |(next, _)| *next);
-            *from <= at && at <= until.saturating_add(LIMIT_GRACE)
-        });
-        current.map(|(_, (_, limit))| *limit)
-    }
-
-    /// Returns the integral of the allowed rate from 0 to each admission.
-    fn allowed(&self, pace: f64) -> Vec<f64> {
-        let mut steps: Vec<u64> = self
-            .limits
-            .iter()
-            .flat_map(|(at, _)| [*at, at + LIMIT_GRACE + 1])
-            .collect();
-        steps.sort_unstable();
-        let mut sum = 0.0;
-        let mut from = 0;
-        let mut next = 0;
-        let mut allowed = Vec::new();
-        for time in &self.admitted {
-            while steps.get(next).is_some_and(|step| step <= time) {
-                sum += self.rate_at(from) * pace * (steps[next] - from) as f64 / SECOND as f64;
-                from = steps[next];
-                next += 1;
-            }
-            let rest = self.rate_at(from) * pace * (time - from) as f64 / SECOND as f64;
-            allowed.push(sum + rest);
-        }
-        allowed
-    }
 }
 
 impl Instance {
-    fn new(n: usize, started: u64, plan: &Plan, rng: &mut SmallRng) -> Self {
+    fn new(n: usize, started: u64, limit: Limit, plan: &Plan, rng: &mut SmallRng) -> Self {
         let name = format!("i{n}");
         let incarnation = Incarnation {
             instance: InstanceId::try_from(name).expect("valid name"),
             started,
         };
         let (slow, fast) = plan.clocks;
+        // The extremes are the hardest case, so they are always present.
+        let clock = if n.is_multiple_of(2) { slow } else { fast };
+        let offset = rng.random_range(0..1_000 * SECOND);
+        let part = plan.instances as f64;
+        let fixed = (limit.rate() / part, limit.burst() / part);
         Self {
-            // The extremes are the hardest case, so they are always present.
-            clock: if n.is_multiple_of(2) { slow } else { fast },
-            offset: rng.random_range(0..1_000 * SECOND),
+            clock,
+            offset,
             borrower: QuotaBorrower::new(incarnation.clone(), plan.settings),
+            // Empty, because the former process may have admitted all just before its end.
+            fixed: TokenBucket::empty(fixed.0, fixed.1, Timestamp(offset)),
             incarnation,
             holder: None,
             up: true,
