Lend shares for 8 s and lower them at the borrower

Cause: a share lived 4 s, but a successor acts 4.8 s to 5.8 s after the loss of the home, so shares ran out before they could be confirmed.

Ruled out: a longer lease alone, because a lowered limit would be in force only after 8.8 s when the home is lost at the same time; the new test lowered_limit_is_in_force_without_a_home fails without the change.

Change: a grant names the limit of which it is a part, and a borrower reduces its share in proportion as soon as its configuration has a lower limit.

--- a/coordination/src/quota/borrower.rs
+++ b/coordination/src/quota/borrower.rs
@@ -5,6 +5,7 @@
 
 use limpetweir_state::{
     Incarnation,
+    Limit,
     OrganisationId,
     Timestamp,
     TokenBucket, //
@@ -67,9 +68,31 @@
     id: GrantId,
     rate: f64,
     cap: f64,
+    /// Lowest rate of the organisation since the grant, in requests per second.
+    limit_rate: f64,
+    /// Lowest burst of the organisation since the grant, in requests.
+    limit_burst: f64,
     expires: Timestamp,
 }
 
+impl Share {
+    /// Returns the share with the same part of `limit`, if that is lower.
+    ///
+    /// The share stays so until the next grant, even if the limit rises again, because a report of
+    /// it must not state less than the borrower may use.
+    fn lowered(self, limit: Limit) -> Self {
+        let limit_rate = self.limit_rate.min(limit.rate());
+        let limit_burst = self.limit_burst.min(limit.burst());
+        Self {
+            rate: self.rate * (limit_rate / self.limit_rate),
+            cap: self.cap * (limit_burst / self.limit_burst),
+            limit_rate,
+            limit_burst,
+            ..self
+        }
+    }
+}
+
 /// One organisation at this instance.
 #[derive(Clone, Debug)]
 struct Local {
@@ -153,20 +176,52 @@
         alive && newer && (same_home || unchanged)
     }
 
-    fn accept(&mut self, call: &SentCall, grant: &ShareGrant, cfg: &QuotaSettings, now: Timestamp) {
+    /// Takes over a grant; `limit` is the one that this instance knows.
+    fn accept(
+        &mut self,
+        call: &SentCall,
+        grant: &ShareGrant,
+        limit: Option<Limit>,
+        cfg: &QuotaSettings,
+        now: Timestamp,
+    ) {
         let reduced = |old: Share| grant.rate < old.rate || grant.cap < old.cap;
         self.unconfirmed = self.share.is_some_and(reduced);
         self.newest = Some(grant.id);
-        self.bucket
-            .set(grant.rate / cfg.refill_skew, grant.cap, now);
-        self.bucket.deposit(grant.tokens, now);
         // A withdrawn share is kept until its expiry, so that the next call confirms it.
-        self.share = Some(Share {
+        let share = Share {
             id: grant.id,
             rate: grant.rate,
             cap: grant.cap,
+            limit_rate: grant.limit.rate(),
+            limit_burst: grant.limit.burst(),
             expires: call.sent + grant.lease,
-        });
+        };
+        // The home may not know a lowered limit yet.
+        let share = limit.map_or(share, |limit| share.lowered(limit));
+        self.bucket
+            .set(share.rate / cfg.refill_skew, share.cap, now);
+        self.bucket.deposit(grant.tokens, now);
+        self.share = Some(share);
+    }
+
+    /// Reduces the share to its part of a lowered limit.
+    fn lower(&mut self, limit: Limit, cfg: &QuotaSettings, now: Timestamp) {
+        let Some(share) = self.share else {
+            return;
+        };
+        let share = share.lowered(limit);
+        self.bucket
+            .set(share.rate / cfg.refill_skew, share.cap, now);
+        self.share = Some(share);
+    }
+
+    /// Stops the use of the share, because the organisation is not in the configuration.
+    fn withdraw(&mut self, now: Timestamp) {
+        if let Some(share) = &mut self.share {
+            (share.rate, share.cap) = (0.0, 0.0);
+        }
+        self.bucket.set(0.0, 0.0, now);
     }
 }
 
@@ -177,6 +232,8 @@
     me: Incarnation,
     cfg: QuotaSettings,
     locals: BTreeMap<OrganisationId, Local>,
+    /// Limits of the configuration at this instance; `None` until it has one.
+    limits: Option<BTreeMap<OrganisationId, Limit>>,
 }
 
 impl QuotaBorrower {
@@ -186,7 +243,29 @@
             me,
             cfg,
             locals: BTreeMap::new(),
+            limits: None,
+        }
+    }
+
+    /// Applies the limits of a whole configuration.
+    ///
+    /// A share of a lowered limit shrinks at once, although its lease may outlast the time within
+    /// which the limit must be in force and its home may be lost.
+    pub fn set_limits<'a>(
+        &mut self,
+        limits: impl IntoIterator<Item = (&'a OrganisationId, Limit)>,
+        now: Timestamp,
+    ) {
+        let limits = limits.into_iter().map(|(id, limit)| (id.clone(), limit));
+        let limits: BTreeMap<OrganisationId, Limit> = limits.collect();
+        for (organisation, local) in &mut self.locals {
+            local.expire(now);
+            match limits.get(organisation) {
+                Some(limit) => local.lower(*limit, &self.cfg, now),
+                None => local.withdraw(now),
+            }
         }
+        self.limits = Some(limits);
     }
 
     fn local(&mut self, organisation: &OrganisationId, now: Timestamp) -> &mut Local {
@@ -284,11 +363,15 @@
     /// An answer that arrives after the ask has timed out is given here as well, for its share.
     pub fn on_answer(&mut self, call: &SentCall, answer: &QuotaAnswer, now: Timestamp) -> u32 {
         let cfg = self.cfg;
+        let limits = self.limits.as_ref();
+        let limit = limits.map(|limits| limits.get(&call.organisation).copied());
+        let removed = limit == Some(None);
         let local = self.local(&call.organisation, now);
         if let Some(grant) = &answer.share
+            && !removed
             && local.accepts(call, grant, now)
         {
-            local.accept(call, grant, &cfg, now);
+            local.accept(call, grant, limit.flatten(), &cfg, now);
         }
         answer.admitted
     }
--- a/coordination/src/quota/home.rs
+++ b/coordination/src/quota/home.rs
@@ -196,8 +196,8 @@
         let recovering = self.is_recovering(now);
         let organisation = &call.organisation;
         let account = self.accounts.get_mut(organisation);
-        let account = account.filter(|account| account.limit().is_some());
-        let account = account.with_context(|| UnknownOrganisationSnafu {
+        let account = account.and_then(|account| Some((account.limit()?, account)));
+        let (limit, account) = account.with_context(|| UnknownOrganisationSnafu {
             organisation: organisation.clone(),
         })?;
         account.expire(&self.cfg, now);
@@ -219,6 +219,7 @@
                 cap: portion.cap,
                 tokens,
                 lease: self.cfg.share_lease,
+                limit,
             });
         }
         let wait = account.bucket().time_until(1, now);
--- a/coordination/src/quota/message.rs
+++ b/coordination/src/quota/message.rs
@@ -5,6 +5,7 @@
 use limpetweir_state::{
     Epoch,
     Incarnation,
+    Limit,
     OrganisationId, //
 };
 
@@ -60,6 +61,8 @@
     pub tokens: f64,
     /// Lifetime by the borrower's clock, from the send time of its call.
     pub lease: Duration,
+    /// The limit of which the share is a part.
+    pub limit: Limit,
 }
 
 /// The home's answer to a [`QuotaRequest`].
--- a/coordination/src/timing.rs
+++ b/coordination/src/timing.rs
@@ -23,7 +23,10 @@
 pub const CONFIG_LONG_POLL: Duration = Duration::from_secs(1);
 
 /// Lifetime of a quota share, counted by the borrower from the send time of its renewal.
-pub const SHARE_LEASE: Duration = Duration::from_secs(4);
+///
+/// It lasts until the successor of a lost home acts, and one renewal more: 1.5 s to 2.5 s of silence,
+/// the owner lease and 10%. Borrowers lower their shares themselves when the limit is lowered.
+pub const SHARE_LEASE: Duration = Duration::from_secs(8);
 
 /// Time between two renewals of a quota share.
 pub const SHARE_RENEWAL_INTERVAL: Duration = Duration::from_millis(500);
--- a/coordination/tests/quota.rs
+++ b/coordination/tests/quota.rs
@@ -50,6 +50,7 @@
         outages: true,
         bursty: true,
         limit_changes: false,
+        lowering: true,
         policy: Policy::Shares,
         traffic: Traffic::Moving,
         one_way: (300, 2_000),
@@ -110,6 +111,26 @@
     );
 }
 
+/// Guards against shares that follow a lowered limit only when their lease ends, because their home
+/// was lost at the same time.
+#[rstest]
+fn lowered_limit_is_in_force_without_a_home(#[values(1, 2, 3, 4)] seed: u64) {
+    let excess = |lowering| {
+        let within = Plan {
+            lowering,
+            offered: 80.0,
+            ..calm()
+        };
+        let mut fleet = Fleet::new(within, seed, limit(100.0, 200.0));
+        fleet.kill_owner_at(20);
+        fleet.set_limit_at(20, limit(10.0, 5.0));
+        fleet.run();
+        fleet.excess(1.0)
+    };
+    assert!(excess(true) <= ROUNDING);
+    assert!(excess(false) > 1.0, "the test does not see the fault");
+}
+
 /// Guards against default settings that exceed the rate as the fastest clock of the fleet counts it.
 #[rstest]
 fn bound_holds_by_the_fastest_clock_with_default_settings(#[values(1, 2, 3, 4, 5, 6)] seed: u64) {
--- a/protocol/src/peer.rs
+++ b/protocol/src/peer.rs
@@ -198,6 +198,10 @@
     pub tokens: f64,
     /// Lifetime in milliseconds, counted from the time the borrower sent its call.
     pub lease_ms: u64,
+    /// Rate of the limit of which the share is a part, in requests per second.
+    pub limit_rate: f64,
+    /// Burst of the limit of which the share is a part, in requests.
+    pub limit_burst: f64,
 }
 
 /// A configuration as an instance holds it.
--- a/protocol/src/quota.rs
+++ b/protocol/src/quota.rs
@@ -9,6 +9,10 @@
     QuotaRequest,
     ShareGrant, //
 };
+use limpetweir_state::{
+    Limit,
+    LimitError, //
+};
 use snafu::{
     Snafu, //
     ensure,
@@ -35,6 +39,18 @@
     Ok(value)
 }
 
+fn check_limit(rate: f64, burst: f64) -> Result<Limit, QuotaMessageError> {
+    let limit = Limit::new(rate, burst);
+    limit.map_err(|err| match err {
+        LimitError::Rate { rate: value } => wrong("limit rate", value),
+        LimitError::Burst { burst: value } => wrong("limit burst", value),
+    })
+}
+
+fn wrong(field: &'static str, value: f64) -> QuotaMessageError {
+    QuotaMessageError { field, value }
+}
+
 fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
@@ -137,6 +153,7 @@
             cap: check("cap", raw.cap)?,
             tokens: check("tokens", raw.tokens)?,
             lease: Duration::from_millis(raw.lease_ms),
+            limit: check_limit(raw.limit_rate, raw.limit_burst)?,
         })
     }
 }
@@ -150,6 +167,8 @@
             cap: grant.cap,
             tokens: grant.tokens,
             lease_ms: millis(grant.lease),
+            limit_rate: grant.limit.rate(),
+            limit_burst: grant.limit.burst(),
         }
     }
 }
