Ask peers for tokens of their shares when the home does not admit

Cause: tokens of a share could be used only by its own instance. While no home acts, an instance with an empty share refused although others held tokens.

Change: a borrower asks up to 10 live peers in turn, first the one that admitted last; the peer decides from its own share, so the bound holds as before. A home that did not answer is asked last for a renewal interval. After a round without a token peers are left out for 100 ms. An instance that is asked as home but does not act, or has no token as home, answers from its own share.

--- a/coordination/benches/quota/main.rs
+++ b/coordination/benches/quota/main.rs
@@ -179,6 +179,7 @@
         bursty: false,
         limit_changes: false,
         lowering: true,
+        peers: true,
         policy,
         traffic,
         one_way: user.one_way,
--- a/coordination/src/quota/borrower.rs
+++ b/coordination/src/quota/borrower.rs
@@ -5,6 +5,7 @@
 
 use limpetweir_state::{
     Incarnation,
+    InstanceId,
     Limit,
     OrganisationId,
     Timestamp,
@@ -29,6 +30,10 @@
 /// Demand in requests per second below which an organisation counts as idle.
 const MIN_DEMAND: f64 = 0.01;
 
+/// Peers that are asked in turn for one request; as many round trips within a region take less than
+/// the ask timeout.
+const MAX_PEERS: usize = 10;
+
 /// Whether the local share admits a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LocalAdmission {
@@ -111,6 +116,12 @@
     unconfirmed: bool,
     /// Send time of the last call; answers older than a lease have no effect.
     called: Timestamp,
+    /// Asks go to peers first before this time, because the home did not answer.
+    home_first_from: Timestamp,
+    /// Peers are not asked before this time, because none of them had a token.
+    peers_asked_from: Timestamp,
+    /// The peer that admitted last.
+    lender: Option<InstanceId>,
 }
 
 impl Local {
@@ -125,6 +136,9 @@
             renew_at: now,
             unconfirmed: false,
             called: now,
+            home_first_from: now,
+            peers_asked_from: now,
+            lender: None,
         }
     }
 
@@ -376,6 +390,91 @@
         answer.admitted
     }
 
+    /// Returns whether an ask goes to the home first; otherwise it goes to peers first.
+    pub fn asks_home_first(&mut self, organisation: &OrganisationId, now: Timestamp) -> bool {
+        self.local(organisation, now).home_first_from <= now
+    }
+
+    /// Notes that the home refused to act or did not answer; asks go to peers first for a renewal
+    /// interval.
+    pub fn on_home_failed(&mut self, organisation: &OrganisationId, now: Timestamp) {
+        let until = now + self.cfg.renewal_interval;
+        self.local(organisation, now).home_first_from = until;
+    }
+
+    /// Returns the peers to ask in turn for a request that the home did not admit.
+    ///
+    /// `peers` are the live instances. The one that admitted last comes first, then those after it in
+    /// the order of their names. Nobody is asked for a short time after no peer had a token, so that
+    /// an organisation above its rate costs few messages.
+    pub fn peers_to_ask(
+        &mut self,
+        organisation: &OrganisationId,
+        peers: &[InstanceId],
+        now: Timestamp,
+    ) -> Vec<InstanceId> {
+        let me = self.me.instance.clone();
+        let local = self.local(organisation, now);
+        if now < local.peers_asked_from {
+            return Vec::new();
+        }
+        let mut order: Vec<InstanceId> = peers.iter().filter(|p| **p != me).cloned().collect();
+        order.sort_unstable();
+        let first = local.lender.as_ref().unwrap_or(&me);
+        let first = order.partition_point(|peer| peer < first);
+        order.rotate_left(first);
+        order.truncate(MAX_PEERS);
+        order
+    }
+
+    /// Returns the call that asks a peer to admit `tokens` requests from its share.
+    pub fn ask_peer(&self, organisation: &OrganisationId, tokens: u32) -> QuotaRequest {
+        QuotaRequest {
+            organisation: organisation.clone(),
+            borrower: self.me.clone(),
+            tokens,
+            demand: 0.0,
+            held: None,
+            renew: false,
+        }
+    }
+
+    /// Notes that a peer admitted a request.
+    pub fn on_peer_admitted(
+        &mut self,
+        organisation: &OrganisationId,
+        peer: &InstanceId,
+        now: Timestamp,
+    ) {
+        self.local(organisation, now).lender = Some(peer.clone());
+    }
+
+    /// Notes that none of the peers had a token.
+    pub fn on_peers_empty(&mut self, organisation: &OrganisationId, now: Timestamp) {
+        let until = now + self.cfg.renewal_interval / HASTE;
+        self.local(organisation, now).peers_asked_from = until;
+    }
+
+    /// Answers a peer from the local share; the admission is decided here and now.
+    ///
+    /// It grants no share, so the answer is of use while no home acts.
+    pub fn answer_peer(&mut self, call: &QuotaRequest, now: Timestamp) -> QuotaAnswer {
+        let mut answer = QuotaAnswer {
+            admitted: 0,
+            share: None,
+            retry_after: None,
+        };
+        let Some(local) = self.locals.get_mut(&call.organisation) else {
+            return answer;
+        };
+        local.expire(now);
+        answer.admitted = local.bucket.take_up_to(call.tokens, now);
+        if answer.admitted < call.tokens {
+            answer.retry_after = local.bucket.time_until(1, now);
+        }
+        answer
+    }
+
     /// Returns the share of an organisation, or `None` if there is none.
     pub fn share(&self, organisation: &OrganisationId, now: Timestamp) -> Option<ShareStatus> {
         let mut local = self.locals.get(organisation)?.clone();
--- a/coordination/tests/quota.rs
+++ b/coordination/tests/quota.rs
@@ -51,6 +51,7 @@
         bursty: true,
         limit_changes: false,
         lowering: true,
+        peers: true,
         policy: Policy::Shares,
         traffic: Traffic::Moving,
         one_way: (300, 2_000),
--- a/coordination/tests/quota_harness/mod.rs
+++ b/coordination/tests/quota_harness/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code)]
 
 mod bound;
+mod messages;
 mod policy;
 mod traffic;
 
@@ -35,6 +36,7 @@
 };
 
 pub(crate) use policy::Policy;
+use policy::Waiting;
 pub(crate) use traffic::Traffic;
 
 const MS: u64 = 1_000;
@@ -63,6 +65,8 @@
     pub(crate) limit_changes: bool,
     /// Whether borrowers learn limits from the configuration.
     pub(crate) lowering: bool,
+    /// Whether borrowers ask peers when the home does not admit a request.
+    pub(crate) peers: bool,
     pub(crate) policy: Policy,
     pub(crate) traffic: Traffic,
     /// Shortest and longest time of a message on the way, in microseconds.
@@ -86,7 +90,9 @@
     Tick(usize),
     ReadClaims(usize),
     Call(Ask, usize),
-    Answer(Ask, QuotaAnswer),
+    /// The answer, or `None` from an instance that acts as no home and has no token.
+    Answer(Ask, Option<QuotaAnswer>),
+    Timeout(usize, u32),
     Outage,
     Kill(usize),
     Resume(usize),
@@ -103,9 +109,12 @@
     /// Start time of the borrower's process.
     started: u64,
     call: QuotaRequest,
-    sent: SentCall,
-    /// Index of the request that waits for the answer.
-    request: Option<usize>,
+    /// What the borrower remembers of a call to the home.
+    sent: Option<SentCall>,
+    /// Index of the request that waits for the answer, and the number of its ask.
+    request: Option<(usize, u32)>,
+    /// The peer that is asked for tokens of its share.
+    peer: Option<usize>,
 }
 
 struct Holder {
@@ -123,6 +132,8 @@
     fixed: TokenBucket,
     holder: Option<Holder>,
     up: bool,
+    /// Time of the last loss of the process.
+    lost: u64,
     paused_until: u64,
     /// The instance cannot read the claims before this time.
     blind_until: u64,
@@ -143,10 +154,14 @@
     /// Part of the offered requests that callers send in the current phase.
     intensity: f64,
     limits: Vec<(u64, Limit)>,
+    /// Requests that wait for an answer.
+    waiting: BTreeMap<usize, Waiting>,
     /// True time of each admission.
     pub(crate) admitted: Vec<u64>,
     /// Admissions by shares, a part of `admitted`.
     pub(crate) by_share: Vec<u64>,
+    /// Number of admissions from the share of a peer, a part of `admitted`.
+    pub(crate) by_peer: u32,
     /// Offered requests in order of time.
     pub(crate) offered: Vec<Offered>,
 }
@@ -170,8 +185,10 @@
             former: None,
             intensity: 1.0,
             limits: vec![(0, limit)],
+            waiting: BTreeMap::new(),
             admitted: Vec::new(),
             by_share: Vec::new(),
+            by_peer: 0,
             offered: Vec::new(),
         };
         for n in 0..plan.instances {
@@ -243,6 +260,7 @@
             Event::ReadClaims(n) => self.read_claims(n),
             Event::Call(ask, to) => self.call(ask, to),
             Event::Answer(ask, answer) => self.answer(ask, answer),
+            Event::Timeout(request, step) => self.time_out(request, step),
             Event::Outage => self.outage(),
             Event::Kill(n) => self.kill(n),
             Event::Resume(n) => self.resume(n),
@@ -293,100 +311,6 @@
         }
     }
 
-    fn send_call(
-        &mut self,
-        from: usize,
-        call: QuotaRequest,
-        sent: SentCall,
-        request: Option<usize>,
-    ) {
-        let Some(owner) = self.owner else {
-            return;
-        };
-        // Some borrowers still know a former home.
-        let stale = self.plan.outages && self.rng.random_bool(0.3);
-        let to = self.former.filter(|_| stale).unwrap_or(owner);
-        let ask = Ask {
-            from,
-            started: self.instances[from].incarnation.started,
-            call,
-            sent,
-            request,
-        };
-        for delay in self.delays(from == to) {
-            self.push(delay, Event::Call(ask.clone(), to));
-        }
-    }
-
-    /// Returns the delay of each copy of a message that arrives.
-    fn delays(&mut self, local: bool) -> Vec<u64> {
-        if local {
-            return vec![0];
-        }
-        let faults = self.plan.faults;
-        let (shortest, longest) = self.plan.one_way;
-        if self.rng.random_bool(faults) {
-            return Vec::new();
-        }
-        let copies = 1 + usize::from(self.rng.random_bool(faults));
-        let mut delay = || {
-            if self.rng.random_bool(faults) {
-                return self.rng.random_range(0..6 * SECOND);
-            }
-            self.rng.random_range(shortest..longest)
-        };
-        (0..copies).map(|_| delay()).collect()
-    }
-
-    fn call(&mut self, ask: Ask, to: usize) {
-        if !self.instances[to].up {
-            return;
-        }
-        let resumes = self.instances[to].paused_until;
-        if resumes > self.now {
-            let delay = resumes - self.now + 1;
-            self.push(delay, Event::Call(ask, to));
-            return;
-        }
-        let now = self.local(to);
-        let lease = self.plan.settings.owner_lease;
-        let Some(holder) = &mut self.instances[to].holder else {
-            return;
-        };
-        if now.since(holder.read) >= lease {
-            return;
-        }
-        let Ok(answer) = holder.home.handle(&ask.call, now) else {
-            return;
-        };
-        for _ in 0..answer.admitted {
-            self.admitted.push(self.now);
-        }
-        for delay in self.delays(ask.from == to) {
-            self.push(delay, Event::Answer(ask.clone(), answer.clone()));
-        }
-    }
-
-    fn answer(&mut self, ask: Ask, answer: QuotaAnswer) {
-        let to = ask.from;
-        let instance = &self.instances[to];
-        if !instance.up || instance.incarnation.started != ask.started {
-            return;
-        }
-        if instance.paused_until > self.now {
-            let delay = instance.paused_until - self.now + 1;
-            self.push(delay, Event::Answer(ask, answer));
-            return;
-        }
-        let now = self.local(to);
-        let admitted = self.instances[to]
-            .borrower
-            .on_answer(&ask.sent, &answer, now);
-        if let Some(request) = ask.request.filter(|_| admitted > 0) {
-            self.note_admitted(request);
-        }
-    }
-
     fn read_claims(&mut self, n: usize) {
         if !self.instances[n].up {
             return;
@@ -470,6 +394,7 @@
 
     fn kill(&mut self, n: usize) {
         self.instances[n].up = false;
+        self.instances[n].lost = self.now;
         self.instances[n].holder = None;
         let down = self.rng.random_range(SECOND..4 * SECOND);
         self.push(down, Event::Restart(n));
@@ -557,6 +482,7 @@
             incarnation,
             holder: None,
             up: true,
+            lost: 0,
             paused_until: 0,
             blind_until: 0,
         }
--- a/coordination/tests/quota_script.rs
+++ b/coordination/tests/quota_script.rs
@@ -16,6 +16,7 @@
 use limpetweir_state::{
     Epoch,
     Incarnation,
+    InstanceId,
     Limit,
     OrganisationId,
     Timestamp, //
@@ -218,3 +219,48 @@
     let answer = renew(&mut borrower("a"), &mut home, 50, 0);
     assert_eq!(answer.share, None);
 }
+
+/// Guards against tokens of a share that only its own instance can use while no home acts, and
+/// against a peer that admits more than its share holds or after its lease.
+#[test]
+fn peer_admits_from_its_share() {
+    let mut home = home(1, HomeStart::First, at(0));
+    let (mut lender, mut asker) = (borrower("a"), borrower("b"));
+    renew(&mut lender, &mut home, 50, 0);
+    let held = lender.share(&organisation(), at(10)).unwrap().tokens;
+    let call = asker.ask_peer(&organisation(), 1_000);
+    let answer = lender.answer_peer(&call, at(10));
+    assert_eq!(f64::from(answer.admitted), held.floor());
+    assert!(answer.admitted > 0 && answer.share.is_none());
+    assert_eq!(lender.answer_peer(&call, at(10)).admitted, 0);
+    assert_eq!(lender.answer_peer(&call, at(8_000)).admitted, 0);
+    assert_eq!(asker.answer_peer(&call, at(10)).admitted, 0);
+}
+
+/// Guards against asks that begin at peers without tokens although another peer has some, and
+/// against messages to all peers for each request above the rate.
+#[test]
+fn peers_are_asked_from_the_last_lender_on() {
+    let mut asker = borrower("b");
+    let peers = ["a", "b", "c", "d"].map(|name| InstanceId::try_from(name).unwrap());
+    let order = |asker: &mut QuotaBorrower, ms| -> Vec<String> {
+        let order = asker.peers_to_ask(&organisation(), &peers, at(ms));
+        order.iter().map(|peer| peer.as_str().to_owned()).collect()
+    };
+    assert_eq!(order(&mut asker, 0), ["c", "d", "a"]);
+    asker.on_peer_admitted(&organisation(), &peers[3], at(0));
+    assert_eq!(order(&mut asker, 0), ["d", "a", "c"]);
+    asker.on_peers_empty(&organisation(), at(0));
+    assert!(order(&mut asker, 99).is_empty());
+    assert_eq!(order(&mut asker, 100), ["d", "a", "c"]);
+}
+
+/// Guards against requests that wait for a lost home although peers can admit them.
+#[test]
+fn home_that_fails_is_asked_last() {
+    let mut asker = borrower("b");
+    assert!(asker.asks_home_first(&organisation(), at(0)));
+    asker.on_home_failed(&organisation(), at(0));
+    assert!(!asker.asks_home_first(&organisation(), at(499)));
+    assert!(asker.asks_home_first(&organisation(), at(500)));
+}
