Lend the whole rate when there are many borrowers, most of it evenly

Cause: a fifth of the rate and half of the burst were lost with the home, a busy instance took half of all shares with it, and shares that followed the noise of the demand dropped their tokens whenever they shrank.

Change: with more than two borrowers and a burst from 50 on, shares take the whole rate and 90% of the burst; a quarter follows the demand, the rest is even, because peers admit what a share lacks. A share stays as it is while its target differs by at most a quarter. A borrower that lowers its share follows what may be lent, so that a limit may become small.

--- a/coordination/src/quota.rs
+++ b/coordination/src/quota.rs
@@ -9,6 +9,7 @@
 mod borrower;
 mod home;
 mod message;
+mod portion;
 mod settings;
 
 pub use borrower::{LocalAdmission, QuotaBorrower, SentCall, ShareStatus};
--- a/coordination/src/quota/account.rs
+++ b/coordination/src/quota/account.rs
@@ -11,79 +11,27 @@
 
 use super::message::{
     GrantId,
-    Held,
     QuotaRequest, //
 };
+use super::portion::Portion;
 use super::settings::QuotaSettings;
 
-/// Part of the rate that shares take in total; the rest stays with the home for asks.
-const SHARED_RATE: f64 = 0.8;
+/// Borrowers up to which the home keeps a part of the limit for asks.
+///
+/// The loss of one of so few borrowers takes the greater part of what is lent for a lease. Among more
+/// borrowers, the loss of the home would take what it keeps for as long.
+const FEW_BORROWERS: usize = 2;
 
-/// Part of the burst that shares take in total.
-const SHARED_BURST: f64 = 0.5;
+/// Part of the shares that follows the demand; the rest is the same for each of many borrowers.
+///
+/// The loss of a borrower takes its share for a lease, while peers admit what it lacks.
+const BY_DEMAND: f64 = 0.25;
 
-/// Largest share of a borrower, as a multiple of its demand.
+/// Largest share of a few borrowers, as a multiple of their demand.
 ///
 /// Rate that a share does not use is lost, while the home can give it to any instance that asks.
 const SHARE_PER_DEMAND: f64 = 1.25;
 
-/// A share with a smaller capacity could never admit a request.
-const MIN_SHARE_CAP: f64 = 1.0;
-
-/// Rate and capacity of a share or of a sum of shares.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub(crate) struct Portion {
-    /// Requests per second.
-    pub(crate) rate: f64,
-    /// Requests.
-    pub(crate) cap: f64,
-}
-
-impl Portion {
-    fn max(self, other: Self) -> Self {
-        Self {
-            rate: self.rate.max(other.rate),
-            cap: self.cap.max(other.cap),
-        }
-    }
-
-    fn min(self, other: Self) -> Self {
-        Self {
-            rate: self.rate.min(other.rate),
-            cap: self.cap.min(other.cap),
-        }
-    }
-
-    fn plus(self, other: Self) -> Self {
-        Self {
-            rate: self.rate + other.rate,
-            cap: self.cap + other.cap,
-        }
-    }
-
-    fn minus(self, other: Self) -> Self {
-        Self {
-            rate: (self.rate - other.rate).max(0.0),
-            cap: (self.cap - other.cap).max(0.0),
-        }
-    }
-
-    fn times(self, factor: f64) -> Self {
-        Self {
-            rate: self.rate * factor,
-            cap: self.cap * factor,
-        }
-    }
-
-    /// Returns the portion, or none of it if it is too small to be of use.
-    fn usable(self) -> Self {
-        if self.cap < MIN_SHARE_CAP {
-            return Self::default();
-        }
-        self
-    }
-}
-
 /// A grant that its borrower may be using.
 #[derive(Clone, Copy, Debug)]
 struct Lent {
@@ -190,12 +138,22 @@
     }
 
     /// Returns the most that all shares together may have.
-    fn shared(&self) -> Portion {
-        let limit = self.limit;
-        Portion {
-            rate: limit.map_or(0.0, |limit| limit.rate() * SHARED_RATE),
-            cap: limit.map_or(0.0, |limit| limit.burst() * SHARED_BURST),
+    ///
+    /// A former home may have lent to many borrowers.
+    fn shared(&self, recovering: bool) -> Portion {
+        let Some(limit) = self.limit else {
+            return Portion::default();
+        };
+        if recovering || self.active() > FEW_BORROWERS {
+            return Portion::lendable(limit);
         }
+        Portion::lendable_to_few(limit)
+    }
+
+    /// Returns the number of borrowers with demand.
+    fn active(&self) -> usize {
+        let borrowers = self.borrowers.values();
+        borrowers.filter(|borrower| borrower.demand > 0.0).count()
     }
 
     fn counted(&self) -> Portion {
@@ -210,7 +168,7 @@
     fn unavailable(&self, recovering: bool) -> Portion {
         let counted = self.counted();
         if recovering {
-            return counted.max(self.shared());
+            return counted.max(self.shared(true));
         }
         counted
     }
@@ -267,22 +225,33 @@
         let lent = others
             .map(|(_, other)| other.counted())
             .fold(Portion::default(), Portion::plus);
-        let free = self.shared().minus(lent);
+        let free = self.shared(recovering).minus(lent);
         if recovering {
             // Another borrower that was not heard yet may hold all that seems free.
             let held = call.held.as_ref().map_or(Portion::default(), Portion::from);
             return held.min(free).usable();
         }
-        let total: f64 = self.borrowers.values().map(|b| b.demand).sum();
-        let shared = self.shared();
         // Rate and capacity shrink alike, so that a share lasts as long as the whole limit would.
-        let useful = total.max(shared.rate / SHARE_PER_DEMAND);
-        let part = if useful > 0.0 {
-            call.demand.max(0.0) / useful
-        } else {
-            0.0
-        };
-        shared.times(part).min(free).usable()
+        let wanted = self.shared(false).times(self.part(call.demand.max(0.0)));
+        let held = self.borrowers.get(&call.borrower);
+        let held = held.and_then(|borrower| borrower.lent.last());
+        let steady = held.map(|lent| lent.portion);
+        let steady = steady.filter(|held| held.is_near(wanted));
+        steady.unwrap_or(wanted).min(free).usable()
+    }
+
+    /// Returns the part of all shares for a borrower with `demand` requests per second.
+    fn part(&self, demand: f64) -> f64 {
+        let total: f64 = self.borrowers.values().map(|b| b.demand).sum();
+        if demand <= 0.0 {
+            return 0.0;
+        }
+        let active = self.active();
+        if active > FEW_BORROWERS {
+            return BY_DEMAND * demand / total + (1.0 - BY_DEMAND) / active as f64;
+        }
+        let useful = total.max(self.shared(false).rate / SHARE_PER_DEMAND);
+        demand / useful
     }
 
     /// Lends the borrower of `call` its share as the grant `id`.
@@ -328,12 +297,3 @@
         self.bucket.withdraw(wanted, now)
     }
 }
-
-impl From<&Held> for Portion {
-    fn from(held: &Held) -> Self {
-        Self {
-            rate: held.rate.max(0.0),
-            cap: held.cap.max(0.0),
-        }
-    }
-}
--- a/coordination/src/quota/borrower.rs
+++ b/coordination/src/quota/borrower.rs
@@ -19,6 +19,7 @@
     QuotaRequest,
     ShareGrant, //
 };
+use super::portion::Portion;
 use super::settings::QuotaSettings;
 
 /// Time over which the demand follows a change, in renewal intervals.
@@ -73,10 +74,8 @@
     id: GrantId,
     rate: f64,
     cap: f64,
-    /// Lowest rate of the organisation since the grant, in requests per second.
-    limit_rate: f64,
-    /// Lowest burst of the organisation since the grant, in requests.
-    limit_burst: f64,
+    /// The least that all shares together were allowed to take since the grant; above zero.
+    whole: Portion,
     expires: Timestamp,
 }
 
@@ -86,13 +85,11 @@
     /// The share stays so until the next grant, even if the limit rises again, because a report of
     /// it must not state less than the borrower may use.
     fn lowered(self, limit: Limit) -> Self {
-        let limit_rate = self.limit_rate.min(limit.rate());
-        let limit_burst = self.limit_burst.min(limit.burst());
+        let whole = self.whole.min(Portion::lendable(limit));
         Self {
-            rate: self.rate * (limit_rate / self.limit_rate),
-            cap: self.cap * (limit_burst / self.limit_burst),
-            limit_rate,
-            limit_burst,
+            rate: self.rate * (whole.rate / self.whole.rate),
+            cap: self.cap * (whole.cap / self.whole.cap),
+            whole,
             ..self
         }
     }
@@ -207,8 +204,7 @@
             id: grant.id,
             rate: grant.rate,
             cap: grant.cap,
-            limit_rate: grant.limit.rate(),
-            limit_burst: grant.limit.burst(),
+            whole: Portion::lendable(grant.limit),
             expires: call.sent + grant.lease,
         };
         // The home may not know a lowered limit yet.
