--- a/coordination/src/quota/borrower.rs
+++ b/coordination/src/quota/borrower.rs
@@ -5,6 +5,8 @@
 
 use limpetweir_state::{
     Incarnation,
+    InstanceId,
+    Limit,
     OrganisationId,
     Timestamp,
     TokenBucket, //
@@ -17,6 +19,7 @@
     QuotaRequest,
     ShareGrant, //
 };
+use super::portion::Portion;
 use super::settings::QuotaSettings;
 
 /// Time over which the demand follows a change, in renewal intervals.
@@ -28,6 +31,10 @@
 /// Demand in requests per second below which an organisation counts as idle.
 const MIN_DEMAND: f64 = 0.01;
 
+/// Peers that are asked in turn for one request; as many round trips within a region take less than
+/// the ask timeout.
+const MAX_PEERS: usize = 10;
+
 /// Whether the local share admits a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LocalAdmission {
@@ -67,9 +74,27 @@
     id: GrantId,
     rate: f64,
     cap: f64,
+    /// The least that all shares together were allowed to take since the grant; above zero.
+    whole: Portion,
     expires: Timestamp,
 }
 
+impl Share {
+    /// Returns the share with the same part of `limit`, if that is lower.
+    ///
+    /// The share stays so until the next grant, even if the limit rises again, because a report of
+    /// it must not state less than the borrower may use.
+    fn lowered(self, limit: Limit) -> Self {
+        let whole = self.whole.min(Portion::lendable(limit));
+        Self {
+            rate: self.rate * (whole.rate / self.whole.rate),
+            cap: self.cap * (whole.cap / self.whole.cap),
+            whole,
+            ..self
+        }
+    }
+}
+
 /// One organisation at this instance.
 #[derive(Clone, Debug)]
 struct Local {
@@ -88,6 +113,12 @@
     unconfirmed: bool,
     /// Send time of the last call; answers older than a lease have no effect.
     called: Timestamp,
+    /// Asks go to peers first before this time, because the home did not answer.
+    home_first_from: Timestamp,
+    /// Peers are not asked before this time, because none of them had a token.
+    peers_asked_from: Timestamp,
+    /// The peer that admitted last.
+    lender: Option<InstanceId>,
 }
 
 impl Local {
@@ -102,6 +133,9 @@
             renew_at: now,
             unconfirmed: false,
             called: now,
+            home_first_from: now,
+            peers_asked_from: now,
+            lender: None,
         }
     }
 
@@ -153,20 +187,51 @@
         alive && newer && (same_home || unchanged)
     }
 
-    fn accept(&mut self, call: &SentCall, grant: &ShareGrant, cfg: &QuotaSettings, now: Timestamp) {
+    /// Takes over a grant; `limit` is the one that this instance knows.
+    fn accept(
+        &mut self,
+        call: &SentCall,
+        grant: &ShareGrant,
+        limit: Option<Limit>,
+        cfg: &QuotaSettings,
+        now: Timestamp,
+    ) {
         let reduced = |old: Share| grant.rate < old.rate || grant.cap < old.cap;
         self.unconfirmed = self.share.is_some_and(reduced);
         self.newest = Some(grant.id);
-        self.bucket
-            .set(grant.rate / cfg.refill_skew, grant.cap, now);
-        self.bucket.deposit(grant.tokens, now);
         // A withdrawn share is kept until its expiry, so that the next call confirms it.
-        self.share = Some(Share {
+        let share = Share {
             id: grant.id,
             rate: grant.rate,
             cap: grant.cap,
+            whole: Portion::lendable(grant.limit),
             expires: call.sent + grant.lease,
-        });
+        };
+        // The home may not know a lowered limit yet.
+        let share = limit.map_or(share, |limit| share.lowered(limit));
+        self.bucket
+            .set(share.rate / cfg.refill_skew, share.cap, now);
+        self.bucket.deposit(grant.tokens, now);
+        self.share = Some(share);
+    }
+
+    /// Reduces the share to its part of a lowered limit.
+    fn lower(&mut self, limit: Limit, cfg: &QuotaSettings, now: Timestamp) {
+        let Some(share) = self.share else {
+            return;
+        };
+        let share = share.lowered(limit);
+        self.bucket
+            .set(share.rate / cfg.refill_skew, share.cap, now);
+        self.share = Some(share);
+    }
+
+    /// Stops the use of the share, because the organisation is not in the configuration.
+    fn withdraw(&mut self, now: Timestamp) {
+        if let Some(share) = &mut self.share {
+            (share.rate, share.cap) = (0.0, 0.0);
+        }
+        self.bucket.set(0.0, 0.0, now);
     }
 }
 
@@ -177,6 +242,8 @@
     me: Incarnation,
     cfg: QuotaSettings,
     locals: BTreeMap<OrganisationId, Local>,
+    /// Limits of the configuration at this instance; `None` until it has one.
+    limits: Option<BTreeMap<OrganisationId, Limit>>,
 }
 
 impl QuotaBorrower {
@@ -186,9 +253,31 @@
             me,
             cfg,
             locals: BTreeMap::new(),
+            limits: None,
         }
     }
 
+    /// Applies the limits of a whole configuration.
+    ///
+    /// A share of a lowered limit shrinks at once, although its lease may outlast the time within
+    /// which the limit must be in force and its home may be lost.
+    pub fn set_limits<'a>(
+        &mut self,
+        limits: impl IntoIterator<Item = (&'a OrganisationId, Limit)>,
+        now: Timestamp,
+    ) {
+        let limits = limits.into_iter().map(|(id, limit)| (id.clone(), limit));
+        let limits: BTreeMap<OrganisationId, Limit> = limits.collect();
+        for (organisation, local) in &mut self.locals {
+            local.expire(now);
+            match limits.get(organisation) {
+                Some(limit) => local.lower(*limit, &self.cfg, now),
+                None => local.withdraw(now),
+            }
+        }
+        self.limits = Some(limits);
+    }
+
     fn local(&mut self, organisation: &OrganisationId, now: Timestamp) -> &mut Local {
         let local = self.locals.entry(organisation.clone());
         let local = local.or_insert_with(|| Local::new(now));
@@ -284,15 +373,104 @@
     /// An answer that arrives after the ask has timed out is given here as well, for its share.
     pub fn on_answer(&mut self, call: &SentCall, answer: &QuotaAnswer, now: Timestamp) -> u32 {
         let cfg = self.cfg;
+        let limits = self.limits.as_ref();
+        let limit = limits.map(|limits| limits.get(&call.organisation).copied());
+        let removed = limit == Some(None);
         let local = self.local(&call.organisation, now);
         if let Some(grant) = &answer.share
+            && !removed
             && local.accepts(call, grant, now)
         {
-            local.accept(call, grant, &cfg, now);
+            local.accept(call, grant, limit.flatten(), &cfg, now);
         }
         answer.admitted
     }
 
+    /// Returns whether an ask goes to the home first; otherwise it goes to peers first.
+    pub fn asks_home_first(&mut self, organisation: &OrganisationId, now: Timestamp) -> bool {
+        self.local(organisation, now).home_first_from <= now
+    }
+
+    /// Notes that the home refused to act or did not answer; asks go to peers first for a renewal
+    /// interval.
+    pub fn on_home_failed(&mut self, organisation: &OrganisationId, now: Timestamp) {
+        let until = now + self.cfg.renewal_interval;
+        self.local(organisation, now).home_first_from = until;
+    }
+
+    /// Returns the peers to ask in turn for a request that the home did not admit.
+    ///
+    /// `peers` are the live instances. The one that admitted last comes first, then those after it in
+    /// the order of their names. Nobody is asked for a short time after no peer had a token, so that
+    /// an organisation above its rate costs few messages.
+    pub fn peers_to_ask(
+        &mut self,
+        organisation: &OrganisationId,
+        peers: &[InstanceId],
+        now: Timestamp,
+    ) -> Vec<InstanceId> {
+        let me = self.me.instance.clone();
+        let local = self.local(organisation, now);
+        if now < local.peers_asked_from {
+            return Vec::new();
+        }
+        let mut order: Vec<InstanceId> = peers.iter().filter(|p| **p != me).cloned().collect();
+        order.sort_unstable();
+        let first = local.lender.as_ref().unwrap_or(&me);
+        let first = order.partition_point(|peer| peer < first);
+        order.rotate_left(first);
+        order.truncate(MAX_PEERS);
+        order
+    }
+
+    /// Returns the call that asks a peer to admit `tokens` requests from its share.
+    pub fn ask_peer(&self, organisation: &OrganisationId, tokens: u32) -> QuotaRequest {
+        QuotaRequest {
+            organisation: organisation.clone(),
+            borrower: self.me.clone(),
+            tokens,
+            demand: 0.0,
+            held: None,
+            renew: false,
+        }
+    }
+
+    /// Notes that a peer admitted a request.
+    pub fn on_peer_admitted(
+        &mut self,
+        organisation: &OrganisationId,
+        peer: &InstanceId,
+        now: Timestamp,
+    ) {
+        self.local(organisation, now).lender = Some(peer.clone());
+    }
+
+    /// Notes that none of the peers had a token.
+    pub fn on_peers_empty(&mut self, organisation: &OrganisationId, now: Timestamp) {
+        let until = now + self.cfg.renewal_interval / HASTE;
+        self.local(organisation, now).peers_asked_from = until;
+    }
+
+    /// Answers a peer from the local share; the admission is decided here and now.
+    ///
+    /// It grants no share, so the answer is of use while no home acts.
+    pub fn answer_peer(&mut self, call: &QuotaRequest, now: Timestamp) -> QuotaAnswer {
+        let mut answer = QuotaAnswer {
+            admitted: 0,
+            share: None,
+            retry_after: None,
+        };
+        let Some(local) = self.locals.get_mut(&call.organisation) else {
+            return answer;
+        };
+        local.expire(now);
+        answer.admitted = local.bucket.take_up_to(call.tokens, now);
+        if answer.admitted < call.tokens {
+            answer.retry_after = local.bucket.time_until(1, now);
+        }
+        answer
+    }
+
     /// Returns the share of an organisation, or `None` if there is none.
     pub fn share(&self, organisation: &OrganisationId, now: Timestamp) -> Option<ShareStatus> {
         let mut local = self.locals.get(organisation)?.clone();
--- a/coordination/tests/quota_harness/mod.rs
+++ b/coordination/tests/quota_harness/mod.rs
@@ -1,11 +1,18 @@
 //! A fleet of quota homes and borrowers in virtual time, over a network that loses messages.
 
+// The tests and the benchmark each use a part of the harness.
+#![allow(dead_code)]
+
+mod bound;
+mod messages;
+mod policy;
+mod traffic;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use limpetweir_coordination::quota::{
     HomeStart,
-    LocalAdmission,
     QuotaAnswer,
     QuotaBorrower,
     QuotaHome,
@@ -19,7 +26,8 @@
     InstanceId,
     Limit,
     OrganisationId,
-    Timestamp, //
+    Timestamp,
+    TokenBucket, //
 };
 use rand::rngs::SmallRng;
 use rand::{
@@ -27,15 +35,16 @@
     SeedableRng, //
 };
 
+pub(crate) use policy::Policy;
+use policy::Waiting;
+pub(crate) use traffic::Traffic;
+
 const MS: u64 = 1_000;
 const SECOND: u64 = 1_000 * MS;
 
 /// Time between two reads of the claims by a holder.
 const CLAIM_READ: u64 = 300 * MS;
 
-/// Time for which a share under a former limit may be in use: a lease and 10% for clock rates.
-const LIMIT_GRACE: u64 = 4_400 * MS;
-
 /// What a run does.
 #[derive(Clone, Copy)]
 pub(crate) struct Plan {
@@ -54,6 +63,25 @@
     pub(crate) bursty: bool,
     /// Whether the limit changes.
     pub(crate) limit_changes: bool,
+    /// Whether borrowers learn limits from the configuration.
+    pub(crate) lowering: bool,
+    /// Whether borrowers ask peers when the home does not admit a request.
+    pub(crate) peers: bool,
+    pub(crate) policy: Policy,
+    pub(crate) traffic: Traffic,
+    /// Shortest and longest time of a message on the way, in microseconds.
+    pub(crate) one_way: (u64, u64),
+    /// Whether callers of a lost instance go to another one at once.
+    pub(crate) reconnect: bool,
+}
+
+/// One request of a caller.
+#[derive(Clone, Copy)]
+pub(crate) struct Offered {
+    /// True time of its arrival.
+    pub(crate) at: u64,
+    /// Time from its arrival until the caller's instance knew that it is admitted.
+    pub(crate) admitted_after: Option<u64>,
 }
 
 enum Event {
@@ -61,13 +89,32 @@
     Phase,
     Tick(usize),
     ReadClaims(usize),
-    Call(usize, usize, u64, QuotaRequest, SentCall),
-    Answer(usize, u64, SentCall, QuotaAnswer),
+    Call(Ask, usize),
+    /// The answer, or `None` from an instance that acts as no home and has no token.
+    Answer(Ask, Option<QuotaAnswer>),
+    Timeout(usize, u32),
     Outage,
+    Kill(usize),
     Resume(usize),
     Restart(usize),
     Claim,
     ChangeLimit,
+    SetLimit(Limit),
+}
+
+/// A message from a borrower.
+#[derive(Clone)]
+struct Ask {
+    from: usize,
+    /// Start time of the borrower's process.
+    started: u64,
+    call: QuotaRequest,
+    /// What the borrower remembers of a call to the home.
+    sent: Option<SentCall>,
+    /// Index of the request that waits for the answer, and the number of its ask.
+    request: Option<(usize, u32)>,
+    /// The peer that is asked for tokens of its share.
+    peer: Option<usize>,
 }
 
 struct Holder {
@@ -81,8 +128,12 @@
     offset: u64,
     incarnation: Incarnation,
     borrower: QuotaBorrower,
+    /// The bucket of the policy `Policy::Static`.
+    fixed: TokenBucket,
     holder: Option<Holder>,
     up: bool,
+    /// Time of the last loss of the process.
+    lost: u64,
     paused_until: u64,
     /// The instance cannot read the claims before this time.
     blind_until: u64,
@@ -103,19 +154,23 @@
     /// Part of the offered requests that callers send in the current phase.
     intensity: f64,
     limits: Vec<(u64, Limit)>,
+    /// Requests that wait for an answer.
+    waiting: BTreeMap<usize, Waiting>,
     /// True time of each admission.
     pub(crate) admitted: Vec<u64>,
     /// Admissions by shares, a part of `admitted`.
     pub(crate) by_share: Vec<u64>,
-    /// Offered requests and their true time.
-    pub(crate) offered: Vec<u64>,
+    /// Number of admissions from the share of a peer, a part of `admitted`.
+    pub(crate) by_peer: u32,
+    /// Offered requests in order of time.
+    pub(crate) offered: Vec<Offered>,
 }
 
 impl Fleet {
     pub(crate) fn new(plan: Plan, seed: u64, limit: Limit) -> Self {
         let mut rng = SmallRng::seed_from_u64(seed);
         let instances = (0..plan.instances)
-            .map(|n| Instance::new(n, 0, &plan, &mut rng))
+            .map(|n| Instance::new(n, 0, limit, &plan, &mut rng))
             .collect();
         let mut fleet = Self {
             plan,
@@ -130,8 +185,10 @@
             former: None,
             intensity: 1.0,
             limits: vec![(0, limit)],
+            waiting: BTreeMap::new(),
             admitted: Vec::new(),
             by_share: Vec::new(),
+            by_peer: 0,
             offered: Vec::new(),
         };
         for n in 0..plan.instances {
@@ -167,6 +224,16 @@
         self.push(second * SECOND, Event::Outage);
     }
 
+    /// Kills an instance at `second`.
+    pub(crate) fn kill_at(&mut self, second: u64, n: usize) {
+        self.push(second * SECOND, Event::Kill(n));
+    }
+
+    /// Changes the limit at `second`.
+    pub(crate) fn set_limit_at(&mut self, second: u64, limit: Limit) {
+        self.push(second * SECOND, Event::SetLimit(limit));
+    }
+
     fn push(&mut self, delay: u64, event: Event) {
         self.next += 1;
         self.queue.insert((self.now + delay, self.next), event);
@@ -191,41 +258,40 @@
             Event::Phase => self.phase(),
             Event::Tick(n) => self.tick(n),
             Event::ReadClaims(n) => self.read_claims(n),
-            Event::Call(from, to, started, call, sent) => self.call(from, to, started, call, sent),
-            Event::Answer(to, started, sent, answer) => self.answer(to, started, sent, answer),
+            Event::Call(ask, to) => self.call(ask, to),
+            Event::Answer(ask, answer) => self.answer(ask, answer),
+            Event::Timeout(request, step) => self.time_out(request, step),
             Event::Outage => self.outage(),
+            Event::Kill(n) => self.kill(n),
             Event::Resume(n) => self.resume(n),
             Event::Restart(n) => self.restart(n),
             Event::Claim => self.claim(),
             Event::ChangeLimit => self.change_limit(),
+            Event::SetLimit(limit) => self.set_limit(limit),
         }
     }
 
     fn offer(&mut self) {
-        let mean = SECOND as f64 / self.plan.offered;
+        let traffic = self.plan.traffic;
+        let mean = SECOND as f64 / (self.plan.offered * traffic.peak());
         let wait = -mean * (1.0 - self.rng.random::<f64>()).ln();
         self.push(1 + wait as u64, Event::Offer);
-        // Callers of some instances offer more than others, and the busiest one changes.
-        let shift = (self.now / (5 * SECOND)) as usize;
-        let n = if self.rng.random_bool(0.5) {
-            shift % self.instances.len()
-        } else {
-            self.rng.random_range(0..self.instances.len())
-        };
-        if !self.is_running(n) || !self.rng.random_bool(self.intensity) {
+        let mut n = traffic.instance(self.now, self.instances.len(), &mut self.rng);
+        if self.plan.reconnect && !self.is_running(n) {
+            let running = (0..self.instances.len()).filter(|n| self.is_running(*n));
+            let running: Vec<usize> = running.collect();
+            n = running[self.rng.random_range(0..running.len())];
+        }
+        let intensity = self.intensity * traffic.intensity(self.now);
+        if !self.is_running(n) || !self.rng.random_bool(intensity) {
             return;
         }
-        self.offered.push(self.now);
-        let now = self.local(n);
-        let organisation = self.organisation.clone();
-        let borrower = &mut self.instances[n].borrower;
-        if borrower.admit(&organisation, now) == LocalAdmission::Admitted {
-            self.admitted.push(self.now);
-            self.by_share.push(self.now);
-            return;
-        }
-        let (call, sent) = borrower.ask(&organisation, 1, now);
-        self.send_call(n, call, sent);
+        let request = self.offered.len();
+        self.offered.push(Offered {
+            at: self.now,
+            admitted_after: None,
+        });
+        self.decide(n, request);
     }
 
     fn phase(&mut self) {
@@ -241,87 +307,10 @@
         }
         let now = self.local(n);
         for (call, sent) in self.instances[n].borrower.renewals(now) {
-            self.send_call(n, call, sent);
+            self.send_call(n, call, sent, None);
         }
     }
 
-    fn send_call(&mut self, from: usize, call: QuotaRequest, sent: SentCall) {
-        let Some(owner) = self.owner else {
-            return;
-        };
-        // Some borrowers still know a former home.
-        let stale = self.plan.outages && self.rng.random_bool(0.3);
-        let to = self.former.filter(|_| stale).unwrap_or(owner);
-        let started = self.instances[from].incarnation.started;
-        for delay in self.delays(from == to) {
-            let event = Event::Call(from, to, started, call.clone(), sent.clone());
-            self.push(delay, event);
-        }
-    }
-
-    /// Returns the delay of each copy of a message that arrives.
-    fn delays(&mut self, local: bool) -> Vec<u64> {
-        if local {
-            return vec![0];
-        }
-        let faults = self.plan.faults;
-        if self.rng.random_bool(faults) {
-            return Vec::new();
-        }
-        let copies = 1 + usize::from(self.rng.random_bool(faults));
-        let mut delay = || {
-            if self.rng.random_bool(faults) {
-                return self.rng.random_range(0..6 * SECOND);
-            }
-            self.rng.random_range(300..2 * MS)
-        };
-        (0..copies).map(|_| delay()).collect()
-    }
-
-    fn call(&mut self, from: usize, to: usize, started: u64, call: QuotaRequest, sent: SentCall) {
-        if !self.instances[to].up {
-            return;
-        }
-        let resumes = self.instances[to].paused_until;
-        if resumes > self.now {
-            let delay = resumes - self.now + 1;
-            self.push(delay, Event::Call(from, to, started, call, sent));
-            return;
-        }
-        let now = self.local(to);
-        let lease = self.plan.settings.owner_lease;
-        let Some(holder) = &mut self.instances[to].holder else {
-            return;
-        };
-        if now.since(holder.read) >= lease {
-            return;
-        }
-        let Ok(answer) = holder.home.handle(&call, now) else {
-            return;
-        };
-        for _ in 0..answer.admitted {
-            self.admitted.push(self.now);
-        }
-        for delay in self.delays(from == to) {
-            let event = Event::Answer(from, started, sent.clone(), answer.clone());
-            self.push(delay, event);
-        }
-    }
-
-    fn answer(&mut self, to: usize, started: u64, sent: SentCall, answer: QuotaAnswer) {
-        let instance = &self.instances[to];
-        if !instance.up || instance.incarnation.started != started {
-            return;
-        }
-        if instance.paused_until > self.now {
-            let delay = instance.paused_until - self.now + 1;
-            self.push(delay, Event::Answer(to, started, sent, answer));
-            return;
-        }
-        let now = self.local(to);
-        self.instances[to].borrower.on_answer(&sent, &answer, now);
-    }
-
     fn read_claims(&mut self, n: usize) {
         if !self.instances[n].up {
             return;
@@ -368,6 +357,7 @@
         self.epoch += 1;
         let epoch = Epoch(self.epoch);
         let mut home = QuotaHome::new(epoch, start, self.plan.settings, now);
+        home.set_own(self.instances[n].incarnation.clone());
         home.set_limit(&self.organisation, Some(self.limit()), now);
         self.instances[n].holder = Some(Holder { home, read: now });
         self.former = self.owner;
@@ -397,11 +387,23 @@
             self.instances[n].paused_until = self.now + pause;
             self.push(pause, Event::Resume(n));
         } else {
-            self.instances[n].up = false;
-            self.instances[n].holder = None;
-            let down = self.rng.random_range(SECOND..4 * SECOND);
-            self.push(down, Event::Restart(n));
+            self.kill(n);
+            return;
         }
+        self.replace_owner(n);
+    }
+
+    fn kill(&mut self, n: usize) {
+        self.instances[n].up = false;
+        self.instances[n].lost = self.now;
+        self.instances[n].holder = None;
+        let down = self.rng.random_range(SECOND..4 * SECOND);
+        self.push(down, Event::Restart(n));
+        self.replace_owner(n);
+    }
+
+    /// Lets another instance claim the home if `n` has it.
+    fn replace_owner(&mut self, n: usize) {
         if self.owner == Some(n) {
             let silence = self.rng.random_range(1_500 * MS..2_500 * MS);
             self.push(silence, Event::Claim);
@@ -411,6 +413,7 @@
     fn resume(&mut self, n: usize) {
         let now = self.local(n);
         let limit = self.limit();
+        self.tell_limit(n);
         if let Some(holder) = &mut self.instances[n].holder {
             holder.home.set_limit(&self.organisation, Some(limit), now);
         }
@@ -418,9 +421,11 @@
 
     fn restart(&mut self, n: usize) {
         let started = self.instances[n].incarnation.started + 1;
-        let mut instance = Instance::new(n, started, &self.plan, &mut self.rng);
+        let limit = self.limit();
+        let mut instance = Instance::new(n, started, limit, &self.plan, &mut self.rng);
         instance.clock = self.instances[n].clock;
         self.instances[n] = instance;
+        self.tell_limit(n);
     }
 
     fn change_limit(&mut self) {
@@ -428,109 +433,57 @@
         self.push(wait, Event::ChangeLimit);
         let rate = self.rng.random_range(4.0..40.0);
         let burst = self.rng.random_range(2.0..60.0);
-        let limit = Limit::new(rate, burst).expect("valid limit");
+        self.set_limit(Limit::new(rate, burst).expect("valid limit"));
+    }
+
+    fn set_limit(&mut self, limit: Limit) {
         self.limits.push((self.now, limit));
         for n in 0..self.instances.len() {
             let now = self.local(n);
             if !self.is_running(n) {
                 continue;
             }
+            self.tell_limit(n);
             if let Some(holder) = &mut self.instances[n].holder {
                 holder.home.set_limit(&self.organisation, Some(limit), now);
             }
         }
     }
 
-    /// Returns the greatest excess over burst plus rate times length, over all intervals.
-    ///
-    /// `pace` is the number of seconds that the measuring clock counts in a second of true time.
-    pub(crate) fn excess(&mut self, pace: f64) -> f64 {
-        self.admitted.sort_unstable();
-        let allowed = self.allowed(pace);
-        let times = &self.admitted;
-        let mut worst = f64::NEG_INFINITY;
-        for first in 0..times.len() {
-            let mut burst = self.burst_at(times[first]);
-            let mut change = self.limits.partition_point(|(at, _)| *at <= times[first]);
-            for last in first..times.len() {
-                while self
-                    .limits
-                    .get(change)
-                    .is_some_and(|(at, _)| *at <= times[last])
-                {
-                    burst = burst.max(self.limits[change].1.burst());
-                    change += 1;
-                }
-                let count = (last - first + 1) as f64;
-                worst = worst.max(count - burst - (allowed[last] - allowed[first]));
-            }
-        }
-        worst
-    }
-
-    /// Returns the greatest burst in force at `at` or within the grace before it.
-    fn burst_at(&self, at: u64) -> f64 {
-        self.in_force(at)
-            .map(|limit| limit.burst())
-            .fold(0.0, f64::max)
-    }
-
-    fn rate_at(&self, at: u64) -> f64 {
-        self.in_force(at)
-            .map(|limit| limit.rate())
-            .fold(0.0, f64::max)
-    }
-
-    fn in_force(&self, at: u64) -> impl Iterator<Item = Limit> + '_ {
-        let limits = self.limits.iter().enumerate();
-        let current = limits.filter(move |(n, (from, _))| {
-            let until = self.limits.get(n + 1).map_or(u64::MAX, |(next, _)| *next);
-            *from <= at && at <= until.saturating_add(LIMIT_GRACE)
-        });
-        current.map(|(_, (_, limit))| *limit)
-    }
-
-    /// Returns the integral of the allowed rate from 0 to each admission.
-    fn allowed(&self, pace: f64) -> Vec<f64> {
-        let mut steps: Vec<u64> = self
-            .limits
-            .iter()
-            .flat_map(|(at, _)| [*at, at + LIMIT_GRACE + 1])
-            .collect();
-        steps.sort_unstable();
-        let mut sum = 0.0;
-        let mut from = 0;
-        let mut next = 0;
-        let mut allowed = Vec::new();
-        for time in &self.admitted {
-            while steps.get(next).is_some_and(|step| step <= time) {
-                sum += self.rate_at(from) * pace * (steps[next] - from) as f64 / SECOND as f64;
-                from = steps[next];
-                next += 1;
-            }
-            let rest = self.rate_at(from) * pace * (time - from) as f64 / SECOND as f64;
-            allowed.push(sum + rest);
+    /// Applies the limit at the borrower of instance `n`.
+    fn tell_limit(&mut self, n: usize) {
+        if !self.plan.lowering {
+            return;
         }
-        allowed
+        let now = self.local(n);
+        let limits = [(&self.organisation, self.limit())];
+        self.instances[n].borrower.set_limits(limits, now);
     }
 }
 
 impl Instance {
-    fn new(n: usize, started: u64, plan: &Plan, rng: &mut SmallRng) -> Self {
+    fn new(n: usize, started: u64, limit: Limit, plan: &Plan, rng: &mut SmallRng) -> Self {
         let name = format!("i{n}");
         let incarnation = Incarnation {
             instance: InstanceId::try_from(name).expect("valid name"),
             started,
         };
         let (slow, fast) = plan.clocks;
+        // The extremes are the hardest case, so they are always present.
+        let clock = if n.is_multiple_of(2) { slow } else { fast };
+        let offset = rng.random_range(0..1_000 * SECOND);
+        let part = plan.instances as f64;
+        let fixed = (limit.rate() / part, limit.burst() / part);
         Self {
-            // The extremes are the hardest case, so they are always present.
-            clock: if n.is_multiple_of(2) { slow } else { fast },
-            offset: rng.random_range(0..1_000 * SECOND),
+            clock,
+            offset,
             borrower: QuotaBorrower::new(incarnation.clone(), plan.settings),
+            // Empty, because the former process may have admitted all just before its end.
+            fixed: TokenBucket::empty(fixed.0, fixed.1, Timestamp(offset)),
             incarnation,
             holder: None,
             up: true,
+            lost: 0,
             paused_until: 0,
             blind_until: 0,
         }
