--- a/daemon/src/online/admission.rs
+++ b/daemon/src/online/admission.rs
@@ -23,6 +23,7 @@
 };
 use limpetweir_state::{
     GroupKind,
+    InstanceId,
     OrganisationId,
     Verdict,
     Version, //
@@ -44,32 +45,118 @@
 /// Time to come back when the home is not reachable and names none.
 const HOME_RETRY: Duration = Duration::from_secs(1);
 
-/// Admits a request from the local share or at the home of the organisation.
+/// Longest wait for the home before peers are asked.
+const HOME_LIMIT: Duration = Duration::from_millis(50);
+
+/// Longest wait for one peer.
+const PEER_LIMIT: Duration = Duration::from_millis(10);
+
+/// Admits a request from the local share, at the home of the organisation or from a peer's share.
 pub(super) async fn admit(node: &Arc<Node>, organisation: &OrganisationId) -> Result<(), Problem> {
-    let Some((request, sent)) = admit_locally(node, organisation) else {
+    if admit_locally(node, organisation) {
+        return Ok(());
+    }
+    let deadline = Instant::now() + node.settings.timing.ask_timeout;
+    if !asks_home_first(node, organisation) {
+        return match ask_peers(node, organisation, deadline).await {
+            true => Ok(()),
+            false => ask_home(node, organisation, deadline).await,
+        };
+    }
+    let home_deadline = deadline.min(Instant::now() + HOME_LIMIT);
+    let Err(refusal) = ask_home(node, organisation, home_deadline).await else {
         return Ok(());
     };
+    match ask_peers(node, organisation, deadline).await {
+        true => Ok(()),
+        false => Err(refusal),
+    }
+}
+
+fn admit_locally(node: &Node, organisation: &OrganisationId) -> bool {
+    let now = node.clock.now();
+    let mut shard = node.online.organisations.of_key(organisation);
+    shard.borrower.admit(organisation, now) == LocalAdmission::Admitted
+}
+
+fn asks_home_first(node: &Node, organisation: &OrganisationId) -> bool {
+    let now = node.clock.now();
+    let mut shard = node.online.organisations.of_key(organisation);
+    shard.borrower.asks_home_first(organisation, now)
+}
+
+/// Asks the home for one request; the error is the one for the caller.
+async fn ask_home(
+    node: &Arc<Node>,
+    organisation: &OrganisationId,
+    deadline: Instant,
+) -> Result<(), Problem> {
+    let (request, sent) = {
+        let now = node.clock.now();
+        let mut shard = node.online.organisations.of_key(organisation);
+        shard.borrower.ask(organisation, 1, now)
+    };
     let (tx, rx) = async_channel::bounded(1);
     // Goes on after the timeout and after the caller has left, because the answer renews the share.
     let asking = exchange(node.clone(), request, sent, Some(tx));
     node.spawner.spawn(asking).detach();
-    let deadline = Instant::now() + node.settings.timing.ask_timeout;
-    match until(deadline, rx.recv()).await {
-        Some(Ok(Ok(answer))) if answer.admitted > 0 => Ok(()),
-        Some(Ok(Ok(answer))) => Err(limited(answer.retry_after)),
-        Some(Ok(Err(err))) => Err(unavailable(&err.message, err.retry_after_ms)),
-        Some(Err(_)) | None => Err(unavailable("the quota home did not answer in time", None)),
+    let refusal = match until(deadline, rx.recv()).await {
+        Some(Ok(Ok(answer))) if answer.admitted > 0 => return Ok(()),
+        Some(Ok(Ok(answer))) => return Err(limited(answer.retry_after)),
+        Some(Ok(Err(err))) => unavailable(&err.message, err.retry_after_ms),
+        Some(Err(_)) | None => unavailable("the quota home did not answer in time", None),
+    };
+    let now = node.clock.now();
+    let mut shard = node.online.organisations.of_key(organisation);
+    shard.borrower.on_home_failed(organisation, now);
+    Err(refusal)
+}
+
+/// Asks live peers in turn to admit one request from their shares; returns whether one did.
+async fn ask_peers(node: &Node, organisation: &OrganisationId, deadline: Instant) -> bool {
+    let peers = peers_to_ask(node, organisation);
+    if peers.is_empty() {
+        return false;
     }
+    for peer in peers {
+        let left = deadline.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return false;
+        }
+        if ask_peer(node, organisation, &peer, left.min(PEER_LIMIT)).await {
+            let now = node.clock.now();
+            let mut shard = node.online.organisations.of_key(organisation);
+            shard.borrower.on_peer_admitted(organisation, &peer, now);
+            return true;
+        }
+    }
+    let now = node.clock.now();
+    let mut shard = node.online.organisations.of_key(organisation);
+    shard.borrower.on_peers_empty(organisation, now);
+    false
 }
 
-/// Returns the ask for the home unless the local share admits the request.
-fn admit_locally(node: &Node, organisation: &OrganisationId) -> Option<(QuotaRequest, SentCall)> {
+fn peers_to_ask(node: &Node, organisation: &OrganisationId) -> Vec<InstanceId> {
     let now = node.clock.now();
+    let live = node.control.public_instances(now).into_iter();
+    let live: Vec<InstanceId> = live.map(|public| public.instance).collect();
     let mut shard = node.online.organisations.of_key(organisation);
-    match shard.borrower.admit(organisation, now) {
-        LocalAdmission::Admitted => None,
-        LocalAdmission::AskHome => Some(shard.borrower.ask(organisation, 1, now)),
-    }
+    shard.borrower.peers_to_ask(organisation, &live, now)
+}
+
+async fn ask_peer(
+    node: &Node,
+    organisation: &OrganisationId,
+    peer: &InstanceId,
+    limit: Duration,
+) -> bool {
+    let request = {
+        let shard = node.online.organisations.of_key(organisation);
+        shard.borrower.ask_peer(organisation, 1)
+    };
+    let body = CallBody::Quota(request.into());
+    let reply = node.control.call(peer, body, limit).await;
+    matches!(reply, Ok(ReplyBody::Quota(reply)) if reply.admitted > 0)
 }
 
 type AskResult = Result<QuotaAnswer, CallError>;
@@ -146,7 +233,7 @@
     let mut version = None;
     loop {
         sleep(TICK).await;
-        forget_removed(&node, &mut version);
+        follow_configuration(&node, &mut version);
         home::follow_ownership(&node);
         renewing.retain(|task| !task.is_finished());
         for (request, sent) in due_renewals(&node) {
@@ -156,15 +243,22 @@
     }
 }
 
-/// Forgets the retries of organisations that a new configuration no longer has.
-fn forget_removed(node: &Node, version: &mut Option<Version>) {
+/// Applies the limits of a new configuration to shares and forgets the retries of organisations that
+/// it no longer has.
+fn follow_configuration(node: &Node, version: &mut Option<Version>) {
     let current = node.control.current();
     let Some(current) = current.filter(|current| Some(current.version) != *version) else {
         return;
     };
     *version = Some(current.version);
     let cfg = &current.configuration;
-    for mut shard in node.online.organisations.iter() {
+    let shards = &node.online.organisations;
+    for (index, mut shard) in shards.iter().enumerate() {
+        let own = cfg
+            .organisations()
+            .filter(|o| shards.index_of(&o.id) == index);
+        let limits = own.map(|o| (&o.id, o.limit));
+        shard.borrower.set_limits(limits, node.clock.now());
         shard.retries.retain(|id| cfg.organisation(id).is_some());
     }
 }
--- a/daemon/src/online/home.rs
+++ b/daemon/src/online/home.rs
@@ -3,6 +3,7 @@
 use limpetweir_coordination::MayAct;
 use limpetweir_coordination::quota::{
     HomeStart,
+    QuotaAnswer,
     QuotaHome,
     QuotaRefusal,
     QuotaRequest,
@@ -55,7 +56,7 @@
     }
 }
 
-/// Answers a borrower if this instance may act for the organisation's quota group.
+/// Answers a borrower as the home of its organisation or as a peer that holds a share.
 pub(crate) fn answer_quota(node: &Node, from: &Hello, call: QuotaCall) -> ReplyBody {
     if call.borrower != from.incarnation {
         event!(
@@ -73,26 +74,54 @@
             return refuse("invalid_quota_call", &err.to_string(), None);
         }
     };
+    match answer_as_home(node, &request) {
+        Ok(answer) => {
+            let own = answer_from_share(node, &request, answer.admitted);
+            let admitted = answer.admitted + own.admitted;
+            ReplyBody::Quota(QuotaAnswer { admitted, ..answer }.into())
+        }
+        Err(refusal) => {
+            let own = answer_from_share(node, &request, 0);
+            if own.admitted == 0 {
+                return refusal;
+            }
+            ReplyBody::Quota(own.into())
+        }
+    }
+}
+
+/// Admits what the home did not from this instance's own share, so that tokens of a share are of
+/// use at other instances and while no home acts.
+fn answer_from_share(node: &Node, request: &QuotaRequest, admitted: u32) -> QuotaAnswer {
+    let rest = QuotaRequest {
+        tokens: request.tokens.saturating_sub(admitted),
+        ..request.clone()
+    };
+    let now = node.clock.now();
+    let mut shard = node.online.organisations.of_key(&request.organisation);
+    shard.borrower.answer_peer(&rest, now)
+}
+
+/// Returns the answer of the home, or the refusal if this instance may not act as home.
+fn answer_as_home(node: &Node, request: &QuotaRequest) -> Result<QuotaAnswer, ReplyBody> {
     let key = request.organisation.as_str().as_bytes();
     let group = node.control.group_of(GroupKind::Quota, key);
     let now = node.clock.now();
     match node.control.may_act(now, group) {
         MayAct::Yes(epoch) => {
-            let handled = act(node, group, epoch, now, |home| home.handle(&request, now));
-            handled.map_or_else(
-                |err| refuse_handled(&err),
-                |answer| ReplyBody::Quota(answer.into()),
-            )
+            let handled = act(node, group, epoch, now, |home| home.handle(request, now));
+            handled.map_err(|err| refuse_handled(&err))
         }
         MayAct::WaitUntil(at) => {
             let wait = u64::try_from(at.since(now).as_millis()).ok();
-            refuse("home_not_active", "the quota home does not act yet", wait)
+            let message = "the quota home does not act yet";
+            Err(refuse("home_not_active", message, wait))
         }
-        MayAct::NotHolder | MayAct::LeaseExpired => refuse(
+        MayAct::NotHolder | MayAct::LeaseExpired => Err(refuse(
             "not_home",
             "this instance may not act for the quota group",
             None,
-        ),
+        )),
     }
 }
 
@@ -112,7 +141,7 @@
         *home = None;
         *version = None;
     }
-    let home = home.get_or_insert_with(|| start(group, epoch, is_first, now));
+    let home = home.get_or_insert_with(|| start(node, group, epoch, is_first, now));
     if let Some(current) = current.filter(|current| Some(current.version) > *version) {
         let organisations = current.configuration.organisations();
         let limits = organisations
@@ -129,7 +158,7 @@
 }
 
 /// Returns the home for a claim under which this instance may act from now on.
-fn start(group: GroupId, epoch: Epoch, is_first: bool, now: Timestamp) -> QuotaHome {
+fn start(node: &Node, group: GroupId, epoch: Epoch, is_first: bool, now: Timestamp) -> QuotaHome {
     let start = if is_first {
         HomeStart::First
     } else {
@@ -141,7 +170,9 @@
         "group={group} epoch={} first={is_first}",
         epoch.0
     );
-    QuotaHome::new(epoch, start, QuotaSettings::default(), now)
+    let mut home = QuotaHome::new(epoch, start, QuotaSettings::default(), now);
+    home.set_own(node.incarnation.clone());
+    home
 }
 
 fn end(node: &Node, group: GroupId) {
--- a/daemon/src/sharded.rs
+++ b/daemon/src/sharded.rs
@@ -32,11 +32,15 @@
         }
     }
 
+    /// Returns the index of the shard of `key`.
+    pub fn index_of<K: Hash + ?Sized>(&self, key: &K) -> usize {
+        let hash = self.hasher.hash_one(key);
+        usize::try_from(hash % self.shards.len() as u64).unwrap_or(0)
+    }
+
     /// Locks the shard of `key`.
     pub fn of_key<K: Hash + ?Sized>(&self, key: &K) -> MutexGuard<'_, T> {
-        let hash = self.hasher.hash_one(key);
-        let index = usize::try_from(hash % self.shards.len() as u64).unwrap_or(0);
-        self.at(index)
+        self.at(self.index_of(key))
     }
 
     /// Locks the shard with an index, such as that of a job group, modulo the number of shards.
