--- a/state/src/log/assembly.rs
+++ b/state/src/log/assembly.rs
@@ -43,6 +43,11 @@
             .open
             .entry(writer.incarnation.clone())
             .or_insert_with(|| fresh.copy_head());
+        // A writer's snapshots get newer, so an older part is a late copy. A reader in a gap does not
+        // know the sequences by which it would recognise it.
+        if fresh.as_of < assembly.as_of {
+            return None;
+        }
         if (assembly.as_of, assembly.parts) != (fresh.as_of, fresh.parts) {
             *assembly = fresh;
         }
--- a/state/tests/replica.rs
+++ b/state/tests/replica.rs
@@ -338,3 +338,30 @@
     assert!(replica.adopt(&snapshot).is_err());
     assert_eq!(version(&replica), Some(1));
 }
+
+/// Guards against a reader that stays in a gap although a complete snapshot follows, because a late
+/// copy of a part of an older snapshot of the same writer stands between its parts.
+#[test]
+fn late_part_of_an_older_snapshot_is_ignored_in_a_gap() {
+    let entries = history(6);
+    let old = snapshot_entries("a", 10, &replay_all(&entries[..3]), 2);
+    let new = snapshot_entries("a", 12, &replay_all(&entries), 2);
+    let mut replica = Config::new();
+    replica.trimmed(Offset(6));
+    replica.read(Offset(6), new[0].clone());
+    replica.read(Offset(7), old[1].clone());
+    let step = replica.read(Offset(8), new[1].clone());
+    assert!(matches!(
+        step,
+        Step::Recovered {
+            as_of: Offset(5),
+            ..
+        }
+    ));
+    assert_eq!(version(&replica), Some(6));
+}
+
+#[allow(clippy::unwrap_used)]
+fn replay_all(entries: &[Entry<Publish>]) -> Snapshot {
+    replay(entries).snapshot().unwrap().unwrap()
+}
