--- a/cli/tests/jobs.rs
+++ b/cli/tests/jobs.rs
@@ -157,7 +157,8 @@
         &["--idempotency-key", "mine", "--timeout", "300ms"],
     );
     assert_eq!(ran.code, 1, "{ran:?}");
-    assert!(ran.err.contains("--idempotency-key mine"), "{ran:?}");
+    let again = "--idempotency-key mine --deadline 7200s";
+    assert!(ran.err.contains(again), "{ran:?}");
 }
 
 /// Guards against one dead instance that makes the tool fail.
@@ -176,7 +177,7 @@
 #[test]
 fn discovery_answers_are_kept_for_their_time_to_live() {
     let target = Stub::start(|_, earlier| {
-        let state = if earlier == 0 { "running" } else { "done" };
+        let state = if earlier == 0 { "running" } else { "completed" };
         Reply::json(200, &job_status(state, 3))
     });
     let found = [closed_address(), target.addr];
@@ -185,7 +186,10 @@
     assert_eq!(ran.code, 2, "{ran:?}");
     let ran = run_at(&entry, &["job", "watch", "0-a", "--zone", "zone-1"]);
     assert_eq!(ran.code, 0, "{ran:?}");
-    assert!(ran.out.contains("done"), "{ran:?}");
+    assert!(
+        ran.out.contains("state              completed\n"),
+        "{ran:?}"
+    );
     let asked = entry.seen("");
     assert_eq!(asked.len(), 1, "{asked:?}");
     assert_eq!(asked[0].target, "GET /v1/addresses?zone=zone-1");
@@ -196,7 +200,7 @@
 #[test]
 fn expired_discovery_answers_are_replaced() {
     let target = Stub::start(|_, earlier| {
-        let state = if earlier == 0 { "running" } else { "done" };
+        let state = if earlier == 0 { "running" } else { "completed" };
         Reply::json(200, &job_status(state, 3))
     });
     let found = [target.addr];
@@ -231,7 +235,7 @@
     assert!(ran.out.contains("cancelled"), "{ran:?}");
 }
 
-fn results(request: &Seen, next: [Option<u32>; 2]) -> Reply {
+fn results(request: &Seen, state: &str, next: [Option<u32>; 2]) -> Reply {
     let page = |index: u32, next: Option<u32>| {
         let usage = json!({"prompt_tokens": 1, "completion_tokens": 1});
         let result = json!({
@@ -244,6 +248,7 @@
         )
     };
     match request.target.as_str() {
+        "GET /v1/jobs/0-a" => Reply::json(200, &job_status(state, 2)),
         "GET /v1/jobs/0-a/results?from=0&limit=1" => page(0, next[0]),
         "GET /v1/jobs/0-a/results?from=1&limit=1" => page(1, next[1]),
         _ => no_discovery(),
@@ -253,7 +258,7 @@
 /// Guards against results of which only the first page is kept.
 #[test]
 fn all_pages_of_results_are_read() {
-    let stub = Stub::start(|request, _| results(request, [Some(1), None]));
+    let stub = Stub::start(|request, _| results(request, "completed", [Some(1), None]));
     let args = ["job", "results", "0-a", "--page", "1"];
     let ran = run_at(&stub, &args);
     assert_eq!(ran.code, 0, "{ran:?}");
@@ -271,20 +276,29 @@
     assert_eq!(fs::read_to_string(&path).unwrap(), ran.out);
 }
 
-/// Guards against an endless loop over a job that is still running.
+/// Guards against results of a running job that are taken for all of them.
 #[test]
-fn results_of_a_running_job_end() {
-    let stub = Stub::start(|request, _| results(request, [Some(1), Some(1)]));
+fn results_of_a_running_job_are_marked() {
+    let stub = Stub::start(|request, _| results(request, "running", [Some(1), None]));
     let ran = run_at(&stub, &["job", "results", "0-a", "--page", "1"]);
     assert_eq!(ran.code, 0, "{ran:?}");
     assert_eq!(ran.out.lines().count(), 2);
     assert!(ran.err.contains("still running"), "{ran:?}");
 }
 
+/// Guards against an endless loop over pages that do not advance.
+#[test]
+fn pages_that_do_not_advance_are_a_failure() {
+    let stub = Stub::start(|request, _| results(request, "completed", [Some(1), Some(1)]));
+    let ran = run_at(&stub, &["job", "results", "0-a", "--page", "1"]);
+    assert_eq!(ran.code, 1, "{ran:?}");
+    assert!(ran.err.contains("begins at 1"), "{ran:?}");
+}
+
 /// Guards against a partial file of results that looks like a whole one.
 #[test]
 fn a_failed_read_leaves_no_file_of_results() {
-    let stub = Stub::start(|request, _| results(request, [Some(2), None]));
+    let stub = Stub::start(|request, _| results(request, "completed", [Some(2), None]));
     let path = path("results-failed.jsonl");
     let args = ["job", "results", "0-a", "--page", "1", "--output", &path];
     let ran = run_at(&stub, &args);
@@ -400,4 +414,5 @@
         "127.0.0.1:9",
         "{ran:?}"
     );
+    assert_eq!(stub.seen("").len(), 1);
 }
