online: apply limits before each admission, and mark asks at peers

Cause: the loop that gives borrowers the limits of a new configuration runs every 50 ms, so the first requests after a change or a pause could still use a share of the former limit. An ask at a peer that happened to be the home also reset the demand that the home had noted for the asker. Change: a shard takes the limits of the configuration that a request is checked against before it admits; an instance that may not serve admits nothing for peers; calls carry share_only. Ruled out: a shorter interval of the loop, which narrows the time but does not close it.

--- a/daemon/src/online/admission.rs
+++ b/daemon/src/online/admission.rs
@@ -1,6 +1,9 @@
 //! Admission within the rate and burst of an organisation.
 
-use std::sync::Arc;
+use std::sync::{
+    Arc,
+    MutexGuard, //
+};
 use std::time::{
     Duration,
     Instant, //
@@ -15,10 +18,15 @@
     QuotaRequest,
     SentCall, //
 };
-use limpetweir_coordination::timing::SHARE_LEASE;
+use limpetweir_coordination::timing::{
+    HOME_ASK_LIMIT,
+    PEER_ASK_LIMIT,
+    SHARE_LEASE, //
+};
 use limpetweir_protocol::peer::{
     CallBody,
     CallError,
+    QuotaCall,
     ReplyBody, //
 };
 use limpetweir_state::{
@@ -33,7 +41,11 @@
     until, //
 };
 
-use super::home;
+use super::{
+    OrganisationShard,
+    home, //
+};
+use crate::control::Current;
 use crate::node::Node;
 use crate::responses::Problem;
 
@@ -45,15 +57,15 @@
 /// Time to come back when the home is not reachable and names none.
 const HOME_RETRY: Duration = Duration::from_secs(1);
 
-/// Longest wait for the home before peers are asked.
-const HOME_LIMIT: Duration = Duration::from_millis(50);
-
-/// Longest wait for one peer.
-const PEER_LIMIT: Duration = Duration::from_millis(10);
-
 /// Admits a request from the local share, at the home of the organisation or from a peer's share.
-pub(super) async fn admit(node: &Arc<Node>, organisation: &OrganisationId) -> Result<(), Problem> {
-    if admit_locally(node, organisation) {
+///
+/// `current` is the configuration that the request is checked against; its limits apply at once.
+pub(super) async fn admit(
+    node: &Arc<Node>,
+    current: &Current,
+    organisation: &OrganisationId,
+) -> Result<(), Problem> {
+    if admit_locally(node, current, organisation) {
         return Ok(());
     }
     let deadline = Instant::now() + node.settings.timing.ask_timeout;
@@ -63,7 +75,7 @@
             false => ask_home(node, organisation, deadline).await,
         };
     }
-    let home_deadline = deadline.min(Instant::now() + HOME_LIMIT);
+    let home_deadline = deadline.min(Instant::now() + HOME_ASK_LIMIT);
     let Err(refusal) = ask_home(node, organisation, home_deadline).await else {
         return Ok(());
     };
@@ -73,12 +85,43 @@
     }
 }
 
-fn admit_locally(node: &Node, organisation: &OrganisationId) -> bool {
+fn admit_locally(node: &Node, current: &Current, organisation: &OrganisationId) -> bool {
+    let mut shard = shard_with_limits(node, current, organisation);
     let now = node.clock.now();
-    let mut shard = node.online.organisations.of_key(organisation);
     shard.borrower.admit(organisation, now) == LocalAdmission::Admitted
 }
 
+/// Locks the shard of `organisation`, whose shares have at most the limits of `current`.
+///
+/// A lowered limit is then in force with the configuration, even right after a pause of the process.
+pub(super) fn shard_with_limits<'a>(
+    node: &'a Node,
+    current: &Current,
+    organisation: &OrganisationId,
+) -> MutexGuard<'a, OrganisationShard> {
+    let shards = &node.online.organisations;
+    let index = shards.index_of(organisation);
+    let mut shard = shards.at(index);
+    apply_limits(node, current, index, &mut shard);
+    shard
+}
+
+/// Applies the limits of a newer configuration to the shares of the shard with `index`.
+fn apply_limits(node: &Node, current: &Current, index: usize, shard: &mut OrganisationShard) {
+    if shard.limits >= Some(current.version) {
+        return;
+    }
+    let cfg = &current.configuration;
+    let shards = &node.online.organisations;
+    let own = cfg
+        .organisations()
+        .filter(|o| shards.index_of(&o.id) == index);
+    let limits = own.map(|o| (&o.id, o.limit));
+    shard.borrower.set_limits(limits, node.clock.now());
+    shard.retries.retain(|id| cfg.organisation(id).is_some());
+    shard.limits = Some(current.version);
+}
+
 fn asks_home_first(node: &Node, organisation: &OrganisationId) -> bool {
     let now = node.clock.now();
     let mut shard = node.online.organisations.of_key(organisation);
@@ -123,7 +166,7 @@
         if left.is_zero() {
             return false;
         }
-        if ask_peer(node, organisation, &peer, left.min(PEER_LIMIT)).await {
+        if ask_peer(node, organisation, &peer, left.min(PEER_ASK_LIMIT)).await {
             let now = node.clock.now();
             let mut shard = node.online.organisations.of_key(organisation);
             shard.borrower.on_peer_admitted(organisation, &peer, now);
@@ -154,8 +197,11 @@
         let shard = node.online.organisations.of_key(organisation);
         shard.borrower.ask_peer(organisation, 1)
     };
-    let body = CallBody::Quota(request.into());
-    let reply = node.control.call(peer, body, limit).await;
+    let call = QuotaCall {
+        share_only: true,
+        ..request.into()
+    };
+    let reply = node.control.call(peer, CallBody::Quota(call), limit).await;
     matches!(reply, Ok(ReplyBody::Quota(reply)) if reply.admitted > 0)
 }
 
@@ -243,23 +289,15 @@
     }
 }
 
-/// Applies the limits of a new configuration to shares and forgets the retries of organisations that
-/// it no longer has.
+/// Applies a new configuration to the shards, also to those whose organisations send nothing.
 fn follow_configuration(node: &Node, version: &mut Option<Version>) {
     let current = node.control.current();
     let Some(current) = current.filter(|current| Some(current.version) != *version) else {
         return;
     };
     *version = Some(current.version);
-    let cfg = &current.configuration;
-    let shards = &node.online.organisations;
-    for (index, mut shard) in shards.iter().enumerate() {
-        let own = cfg
-            .organisations()
-            .filter(|o| shards.index_of(&o.id) == index);
-        let limits = own.map(|o| (&o.id, o.limit));
-        shard.borrower.set_limits(limits, node.clock.now());
-        shard.retries.retain(|id| cfg.organisation(id).is_some());
+    for (index, mut shard) in node.online.organisations.iter().enumerate() {
+        apply_limits(node, &current, index, &mut shard);
     }
 }
 
--- a/daemon/src/online/completions.rs
+++ b/daemon/src/online/completions.rs
@@ -75,7 +75,7 @@
     let organisation = &caller.organisation;
     let cfg = &current.configuration;
     let service = auth::service_for_model(cfg, organisation, &request.model)?;
-    admission::admit(node, organisation).await?;
+    admission::admit(node, &current, organisation).await?;
     let mut head = Request::new(());
     *head.method_mut() = Method::POST;
     *head.uri_mut() = hyper::Uri::from_static(form.path());
--- a/daemon/src/online/home.rs
+++ b/daemon/src/online/home.rs
@@ -24,6 +24,8 @@
     Version, //
 };
 
+use super::admission::shard_with_limits;
+use super::serving;
 use crate::event;
 use crate::events::{
     QUOTA_HOME_ENDED,
@@ -67,6 +69,7 @@
         );
         return refuse("wrong_borrower", "the borrower is not the sender", None);
     }
+    let share_only = call.share_only;
     let request = match QuotaRequest::try_from(call) {
         Ok(request) => request,
         Err(err) => {
@@ -74,6 +77,9 @@
             return refuse("invalid_quota_call", &err.to_string(), None);
         }
     };
+    if share_only {
+        return ReplyBody::Quota(answer_from_share(node, &request, 0).into());
+    }
     match answer_as_home(node, &request) {
         Ok(answer) => {
             let own = answer_from_share(node, &request, answer.admitted);
@@ -92,14 +98,22 @@
 
 /// Admits what the home did not from this instance's own share, so that tokens of a share are of
 /// use at other instances and while no home acts.
+///
+/// An instance that may not serve admits nothing, because it may not know a lowered limit.
 fn answer_from_share(node: &Node, request: &QuotaRequest, admitted: u32) -> QuotaAnswer {
+    let Ok(current) = serving(node) else {
+        return QuotaAnswer {
+            admitted: 0,
+            share: None,
+            retry_after: None,
+        };
+    };
     let rest = QuotaRequest {
         tokens: request.tokens.saturating_sub(admitted),
         ..request.clone()
     };
-    let now = node.clock.now();
-    let mut shard = node.online.organisations.of_key(&request.organisation);
-    shard.borrower.answer_peer(&rest, now)
+    let mut shard = shard_with_limits(node, &current, &request.organisation);
+    shard.borrower.answer_peer(&rest, node.clock.now())
 }
 
 /// Returns the answer of the home, or the refusal if this instance may not act as home.
--- a/daemon/src/online/mod.rs
+++ b/daemon/src/online/mod.rs
@@ -45,7 +45,8 @@
 };
 use limpetweir_state::{
     Incarnation,
-    OrganisationId, //
+    OrganisationId,
+    Version, //
 };
 use limpetweir_transport::http::{
     Body,
@@ -106,6 +107,8 @@
 #[derive(Debug)]
 struct OrganisationShard {
     borrower: QuotaBorrower,
+    /// Configuration version whose limits the borrower has.
+    limits: Option<Version>,
     retries: RetryBudget,
 }
 
@@ -114,6 +117,7 @@
         Self {
             organisations: Sharded::new(ORGANISATION_SHARDS, |_| OrganisationShard {
                 borrower: QuotaBorrower::new(me.clone(), QuotaSettings::default()),
+                limits: None,
                 retries: RetryBudget::default(),
             }),
             backends: Sharded::new(BACKEND_SHARDS, |index| {
--- a/daemon/src/online/plain.rs
+++ b/daemon/src/online/plain.rs
@@ -123,7 +123,7 @@
     recheck(&current.configuration, caller.as_ref(), &id)?;
     let payer = match caller {
         Some(Caller { organisation, .. }) => {
-            admission::admit(node, &organisation).await?;
+            admission::admit(node, &current, &organisation).await?;
             Payer::Organisation(organisation)
         }
         None => Payer::Open,
--- a/protocol/src/peer.rs
+++ b/protocol/src/peer.rs
@@ -140,14 +140,14 @@
     pub retry_after_ms: Option<u64>,
 }
 
-/// A borrower's message to the home of an organisation's quota.
+/// A borrower's message to the home of an organisation's quota, or to a peer that holds a share.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct QuotaCall {
     /// The organisation.
     pub organisation: OrganisationId,
     /// The borrower.
     pub borrower: Incarnation,
-    /// Requests to admit now from the home's own bucket; 0 for a pure renewal.
+    /// Requests to admit now; 0 for a pure renewal.
     pub tokens: u32,
     /// Requests per second that callers recently offered at the borrower.
     pub demand: f64,
@@ -155,6 +155,9 @@
     pub held: Option<HeldShare>,
     /// Whether the borrower asks for a renewed share.
     pub renew: bool,
+    /// Whether only the callee's own share is asked, even if the callee is the home; such a call
+    /// tells nothing of the borrower's demand and share.
+    pub share_only: bool,
 }
 
 /// A share as the borrower reports it.
--- a/protocol/src/quota.rs
+++ b/protocol/src/quota.rs
@@ -85,6 +85,7 @@
             demand: call.demand,
             held: call.held.map(HeldShare::from),
             renew: call.renew,
+            share_only: false,
         }
     }
 }
