standins: share one fleet harness between the daemon's tests

Three test directories started stand-ins and instances in nearly the same way. limpetweir_standins::fleet now starts the platform, lists instances, builds and publishes configurations, sends requests and control calls and waits with a bound. Instances inside the test's process stay in daemon/tests/common, because the stand-ins do not depend on the daemon.

Bounds are as before. Three checks became stricter in all directories: a publication is repeated only after 503 and has to be accepted as the next version, an error needs message and type, and key digests are computed without the code under test. The batch fleet now lists each instance in the zone of its settings; before, the list always said z1.

--- a/daemon/tests/batch/failures.rs
+++ b/daemon/tests/batch/failures.rs
@@ -167,13 +167,13 @@
     eventually("items are recorded", || {
         fleet.status(other, &job).completed >= 10
     });
-    fleet.process_mut(owner).pause().unwrap();
+    fleet.instance_mut(owner).pause().unwrap();
     eventually("another instance owns the job", || {
         let path = format!("/v1/jobs/{}", job.id);
         let answer = fleet.call(other, "GET", &path, KEY, &[], Vec::new());
         answer.unwrap().status == 200
     });
-    fleet.process_mut(owner).resume().unwrap();
+    fleet.instance_mut(owner).resume().unwrap();
     fleet.check_complete(other, &job, &items);
     fleet.check_complete(owner, &job, &items);
 }
--- a/daemon/tests/batch/fleet.rs
+++ b/daemon/tests/batch/fleet.rs
@@ -5,11 +5,12 @@
     BTreeSet, //
 };
 use std::fs;
-use std::path::PathBuf;
-use std::time::{
-    Duration,
-    Instant, //
+use std::ops::Deref;
+use std::path::{
+    Path,
+    PathBuf, //
 };
+use std::time::Duration;
 
 use limpetweir_protocol::http::{
     ItemOutcome,
@@ -19,11 +20,7 @@
     JobState,
     JobStatus, //
 };
-use limpetweir_standins::client::{
-    self,
-    Exchange,
-    Received, //
-};
+use limpetweir_standins::client::Received;
 use limpetweir_standins::engine::text::{
     POISON_MARKER,
     Text,
@@ -35,22 +32,24 @@
     RequestOutcome,
     RequestRecord, //
 };
+use limpetweir_standins::fleet::{
+    self,
+    Document,
+    FleetError,
+    InstanceSettings,
+    Platform,
+    ProcessInstance,
+    bearer,
+    control, //
+};
 use limpetweir_standins::harness::{
     Launch,
-    Process,
-    binary, //
-};
-use limpetweir_standins::list::{
-    Backend,
-    Instance,
-    ListControl,
-    ServerState, //
+    Process, //
 };
 use limpetweir_standins::log::{
     LogControl,
     Outage, //
 };
-use limpetweir_state::KeyDigest;
 use serde_json::{
     Value,
     json, //
@@ -66,7 +65,6 @@
 
 pub(crate) const KEY: &str = "key-of-the-reef-organisation";
 pub(crate) const OTHER_KEY: &str = "key-of-the-gulf-organisation";
-const OPERATOR_KEY: &str = "operator-key-of-the-test";
 
 /// Sizes of a fleet.
 #[derive(Clone, Copy, Debug)]
@@ -85,131 +83,95 @@
 /// Slots of each engine.
 pub(crate) const SLOTS: usize = 8;
 
-/// A running fleet; an instance that was killed is `None`.
+/// A running fleet.
 pub(crate) struct Fleet {
     // Dropped in this order: the instances end before the stand-ins.
-    pub(crate) instances: Vec<Option<Process>>,
+    members: fleet::Fleet<ProcessInstance>,
     pub(crate) engines: Vec<Process>,
-    list: Process,
-    log: Process,
     setup: Setup,
 }
 
-fn start_instance(setup: Setup, index: usize, log: &str, list: &str) -> Process {
-    let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
-    let digest = KeyDigest::of_key(OPERATOR_KEY.as_bytes()).to_hex();
-    let text = format!(
-        "name = \"a{index}\"\nzone = \"z{index}\"\n\
-         listen = {{ public = \"127.0.0.1:0\", peer = \"127.0.0.1:0\", admin = \"127.0.0.1:0\" }}\n\
-         platform = {{ log = \"{log}\", list = \"{list}\" }}\n\
-         [operator]\nkey_digest = \"{digest}\"\n[runtime]\ngroups = 4\n\
-         [timing]\ndiscovery_ttl_ms = 1000\n"
-    );
-    let path = dir.join(format!("batch-{}-{index}.toml", setup.name));
-    fs::write(&path, text).unwrap();
-    let _ = fs::remove_file(log_file(setup, index));
-    Launch::new(binary("limpetweird").unwrap())
-        .arg("--config")
-        .arg(path)
-        .stderr(log_file(setup, index))
-        .spawn()
-        .unwrap()
+/// Returns the name of an instance.
+fn name(index: usize) -> String {
+    format!("a{index}")
+}
+
+/// Directory and first part of the names of the files of instances.
+fn files(setup: Setup) -> (&'static Path, String) {
+    let directory = Path::new(env!("CARGO_TARGET_TMPDIR"));
+    (directory, format!("batch-{}", setup.name))
+}
+
+fn start_instance(setup: Setup, index: usize, platform: &Platform) -> ProcessInstance {
+    let settings = InstanceSettings {
+        groups: Some(4),
+        timing: vec![("discovery_ttl_ms", 1000)],
+        ..InstanceSettings::new(&name(index), &format!("z{index}"), platform)
+    };
+    let (directory, label) = files(setup);
+    ProcessInstance::start(&settings, directory, &label).unwrap()
 }
 
 fn log_file(setup: Setup, index: usize) -> PathBuf {
-    let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
-    dir.join(format!("batch-{}-{index}.log", setup.name))
+    let (directory, label) = files(setup);
+    ProcessInstance::log_file(directory, &label, &name(index))
+}
+
+fn engine(setup: Setup) -> Process {
+    let step = setup.step_us.to_string();
+    let slots = SLOTS.to_string();
+    let launch = Launch::standin("engine").unwrap();
+    let launch = launch.args(["--step-base-us", &step, "--step-per-sequence-us", "10"]);
+    let launch = launch.args(["--load-time-ms", LOAD_TIME_MS, "--slots", &slots]);
+    launch.spawn().unwrap()
+}
+
+impl Deref for Fleet {
+    type Target = fleet::Fleet<ProcessInstance>;
+
+    fn deref(&self) -> &Self::Target {
+        &self.members
+    }
 }
 
 impl Fleet {
     /// Starts a fleet and waits until each instance serves the configuration.
     pub(crate) fn start(setup: Setup) -> Self {
-        let log = Launch::standin("log").unwrap().spawn().unwrap();
-        let list = Launch::standin("list").unwrap();
-        let list = list.args(["--lag-ms", "0"]).spawn().unwrap();
-        let engine = |_| {
-            let step = setup.step_us.to_string();
-            let slots = SLOTS.to_string();
-            let args = ["--step-base-us", &step, "--step-per-sequence-us", "10"];
-            let launch = Launch::standin("engine").unwrap().args(args);
-            let launch = launch.args(["--load-time-ms", LOAD_TIME_MS]);
-            launch.args(["--slots", &slots]).spawn().unwrap()
-        };
-        let instance = |index| Some(start_instance(setup, index, log.address(), list.address()));
+        let platform = Platform::start(&["--lag-ms", "0"]).unwrap();
+        let mut members = fleet::Fleet::new(platform, WAIT);
+        for index in 0..setup.instances {
+            members.add(start_instance(setup, index, members.platform()));
+        }
         let fleet = Self {
-            instances: (0..setup.instances).map(instance).collect(),
-            engines: (0..setup.engines).map(engine).collect(),
-            list,
-            log,
+            members,
+            engines: (0..setup.engines).map(|_| engine(setup)).collect(),
             setup,
         };
-        fleet.announce();
-        fleet.publish();
+        let backends = (0..setup.engines).map(|n| format!("e{n}"));
+        fleet.enlist(fleet.names(), backends).unwrap();
+        fleet.publish_document();
         fleet
     }
 
-    fn announce(&self) {
-        let running = self.instances.iter().flatten();
-        let instances = running.map(|process| Instance {
-            name: process.field("name").to_owned(),
-            zone: "z1".to_owned(),
-            public: process.field("public").to_owned(),
-            peer: process.field("peer").to_owned(),
-            state: ServerState::Live,
-        });
-        let backends = (0..self.engines.len()).map(|n| Backend {
-            name: format!("e{n}"),
-            state: ServerState::Live,
-        });
-        let control = ListControl {
-            instances: instances.collect(),
-            backends: backends.collect(),
-            ..ListControl::default()
-        };
-        let answer = client::post(self.list.address(), "/control", &control).unwrap();
-        assert_eq!(answer.status, 200, "{}", answer.text());
-    }
-
-    fn document(&self) -> String {
-        let mut text = String::new();
-        for (id, key) in [("reef", KEY), ("gulf", OTHER_KEY)] {
-            let digest = KeyDigest::of_key(key.as_bytes()).to_hex();
-            text += &format!(
-                "[[organisation]]\nid = \"{id}\"\nrate = 10000.0\nburst = 10000.0\n\
-                 services = [\"chat\"]\n\
-                 [[organisation.key]]\nid = \"k1\"\nsha256 = \"{digest}\"\n"
-            );
-        }
-        let names: Vec<String> = (0..self.engines.len()).map(|n| format!("e{n}")).collect();
-        text += &format!(
-            "[[service]]\nid = \"chat\"\nkind = \"model\"\nmodels = [\"{MODEL}\", \"{SECOND_MODEL}\"]\n\
-             backends = {names:?}\n"
-        );
-        for (name, engine) in names.iter().zip(&self.engines) {
-            text += &format!(
-                "[[backend]]\nid = \"{name}\"\nservice = \"chat\"\nzone = \"z1\"\n\
-                 address = \"{}\"\nslots = {SLOTS}\nchecks_fencing = true\n",
-                engine.address()
-            );
-        }
-        text
+    fn document(&self) -> Document {
+        let models = format!("kind = \"model\"\nmodels = [\"{MODEL}\", \"{SECOND_MODEL}\"]");
+        let limit = (10_000.0, 10_000.0);
+        Document::new()
+            .organisation("reef", limit, &["chat"], &[("k1", KEY)])
+            .organisation("gulf", limit, &["chat"], &[("k1", OTHER_KEY)])
+            .service(
+                "chat",
+                &models,
+                'e',
+                self.engines.iter().map(Process::address),
+            )
     }
 
     /// Publishes the configuration and waits until it is in force at each instance.
-    fn publish(&self) {
-        let authorization = format!("Bearer {OPERATOR_KEY}");
-        let document = self.document();
-        eventually("the publication is accepted", || {
-            let answer = client::send(Exchange {
-                address: self.process(0).field("admin"),
-                method: "POST",
-                path: "/admin/config?base=0&id=first",
-                headers: &[("authorization", &authorization)],
-                body: document.as_bytes().to_vec(),
-            });
-            answer.is_ok_and(|answer| answer.status < 300)
-        });
-        for index in 0..self.instances.len() {
+    fn publish_document(&self) {
+        let text = self.document().to_string();
+        self.publish_accepted(&name(0), 0, "first", &text).unwrap();
+        for index in 0..self.setup.instances {
             eventually("the configuration is in force", || {
                 let answer = self.call(index, "GET", "/v1/jobs/0-none", KEY, &[], Vec::new());
                 answer.is_ok_and(|answer| answer.status == 404)
@@ -217,25 +179,27 @@
         }
     }
 
-    pub(crate) fn process(&self, index: usize) -> &Process {
-        self.instances[index].as_ref().unwrap()
+    /// Returns a running instance.
+    pub(crate) fn instance(&self, index: usize) -> &ProcessInstance {
+        self.get(&name(index)).unwrap()
     }
 
-    pub(crate) fn process_mut(&mut self, index: usize) -> &mut Process {
-        self.instances[index].as_mut().unwrap()
+    pub(crate) fn instance_mut(&mut self, index: usize) -> &mut ProcessInstance {
+        self.members.get_mut(&name(index)).unwrap()
     }
 
     /// Stops an instance gracefully and waits for its end.
     pub(crate) fn stop(&mut self, index: usize) {
-        let mut process = self.instances[index].take().unwrap();
-        process.terminate().unwrap();
-        let status = process.wait(WAIT).unwrap();
-        assert!(status.unwrap().success(), "{status:?}");
+        self.members
+            .remove(&name(index))
+            .unwrap()
+            .stop(WAIT)
+            .unwrap();
     }
 
     /// Kills an instance.
     pub(crate) fn kill(&mut self, index: usize) {
-        self.instances[index].take().unwrap().kill().unwrap();
+        self.members.remove(&name(index)).unwrap().kill().unwrap();
     }
 
     /// Returns the index of the instance that acknowledged a job at its owner.
@@ -245,12 +209,12 @@
             let text = fs::read_to_string(log_file(self.setup, *index)).unwrap();
             text.contains(&line)
         };
-        (0..self.instances.len()).find(accepted).unwrap()
+        (0..self.setup.instances).find(accepted).unwrap()
     }
 
     /// Returns the lines of one event in the logs of all instances, each line once.
     pub(crate) fn events(&self, number: &str) -> BTreeSet<String> {
-        let logs = (0..self.instances.len()).map(|index| log_file(self.setup, index));
+        let logs = (0..self.setup.instances).map(|index| log_file(self.setup, index));
         let lines = logs.flat_map(|path| {
             let text = fs::read_to_string(path).unwrap();
             text.lines().map(str::to_owned).collect::<Vec<_>>()
@@ -288,17 +252,11 @@
         key: &str,
         headers: &[(&str, &str)],
         body: Vec<u8>,
-    ) -> Result<Received, client::ClientError> {
-        let authorization = format!("Bearer {key}");
+    ) -> Result<Received, FleetError> {
+        let authorization = bearer(key);
         let mut all = vec![("authorization", authorization.as_str())];
         all.extend_from_slice(headers);
-        client::send(Exchange {
-            address: self.process(index).field("public"),
-            method,
-            path,
-            headers: &all,
-            body,
-        })
+        self.public(&name(index), method, path, &all, body)
     }
 
     /// Submits a body once and returns the answer.
@@ -330,10 +288,10 @@
     /// Returns the status of a job; an instance without an owner to ask is asked again.
     pub(crate) fn status(&self, index: usize, job: &JobAccepted) -> JobStatus {
         let path = format!("/v1/jobs/{}", job.id);
-        self.get(index, &path)
+        self.read(index, &path)
     }
 
-    fn get<T: serde::de::DeserializeOwned>(&self, index: usize, path: &str) -> T {
+    fn read<T: serde::de::DeserializeOwned>(&self, index: usize, path: &str) -> T {
         let mut found = None;
         eventually(path, || {
             let answer = self.call(index, "GET", path, KEY, &[], Vec::new()).unwrap();
@@ -360,7 +318,7 @@
         let mut from = Some(0);
         while let Some(start) = from {
             let path = format!("/v1/jobs/{}/results?from={start}&limit={limit}", job.id);
-            let page: JobResults = self.get(index, &path);
+            let page: JobResults = self.read(index, &path);
             assert!(page.results.len() <= limit as usize);
             results.extend(page.results);
             from = page.next;
@@ -396,16 +354,8 @@
 
     /// Returns the records of all engines.
     pub(crate) fn records(&self) -> Vec<RequestRecord> {
-        let records = self.engines.iter().flat_map(|engine| {
-            let mut body: Value = client::get(engine.address(), "/record")
-                .unwrap()
-                .json()
-                .unwrap();
-            let records: Vec<RequestRecord> =
-                serde_json::from_value(body["requests"].take()).unwrap();
-            records
-        });
-        records.collect()
+        let records = |engine| fleet::records(engine, "requests").unwrap();
+        self.engines.iter().flat_map(records).collect()
     }
 
     /// Returns the number of requests by their outcome.
@@ -417,30 +367,24 @@
         counts
     }
 
-    pub(crate) fn control_engines(&self, control: &EngineControl) {
+    pub(crate) fn control_engines(&self, change: &EngineControl) {
         for engine in &self.engines {
-            let answer = client::post(engine.address(), "/control", control).unwrap();
-            assert_eq!(answer.status, 200, "{}", answer.text());
+            control(engine, change).unwrap();
         }
     }
 
     pub(crate) fn set_outage(&self, outage: Outage) {
-        let control = LogControl {
+        let change = LogControl {
             outage: Some(outage),
             ..LogControl::default()
         };
-        let answer = client::post(self.log.address(), "/control", &control).unwrap();
-        assert_eq!(answer.status, 200, "{}", answer.text());
+        self.platform().control_log(&change).unwrap();
     }
 }
 
 /// Waits until `check` returns true.
-pub(crate) fn eventually(what: &str, mut check: impl FnMut() -> bool) {
-    let deadline = Instant::now() + WAIT;
-    while !check() {
-        assert!(Instant::now() < deadline, "{what}: not in {WAIT:?}");
-        std::thread::sleep(Duration::from_millis(20));
-    }
+pub(crate) fn eventually(what: &str, check: impl FnMut() -> bool) {
+    fleet::eventually(what, WAIT, check).unwrap();
 }
 
 /// An item of a job.
@@ -502,11 +446,5 @@
 
 /// Checks that an answer is an error of the documented form and returns its code.
 pub(crate) fn error_code(answer: &Received, status: u16, verdict: &str) -> String {
-    assert_eq!(answer.status, status, "{}", answer.text());
-    assert_eq!(answer.header("x-limpetweir-verdict"), Some(verdict));
-    let body: Value = answer.json().unwrap();
-    assert_eq!(body["error"]["verdict"], verdict, "{body}");
-    let named = body["error"]["retry_after_ms"].is_u64();
-    assert_eq!(named, answer.header("retry-after").is_some(), "{body}");
-    body["error"]["code"].as_str().unwrap().to_owned()
+    fleet::error_code(answer, status, verdict).unwrap()
 }
--- a/daemon/tests/batch/yields.rs
+++ b/daemon/tests/batch/yields.rs
@@ -7,6 +7,7 @@
     Exchange, //
 };
 use limpetweir_standins::engine::RequestOutcome;
+use limpetweir_standins::fleet::Instance;
 use serde_json::json;
 
 use crate::fleet::{
@@ -41,7 +42,7 @@
     let authorization = format!("Bearer {KEY}");
     thread::scope(|scope| {
         for at in 0..SLOTS {
-            let address = fleet.process(at % 2).field("public").to_owned();
+            let address = fleet.instance(at % 2).addresses().public.clone();
             let (body, authorization) = (body.to_string(), authorization.as_str());
             scope.spawn(move || {
                 let answer = client::send(Exchange {
--- a/daemon/tests/fleet/main.rs
+++ b/daemon/tests/fleet/main.rs
@@ -2,6 +2,8 @@
 
 #![allow(clippy::unwrap_used, reason = "helpers of tests may panic")]
 
+#[path = "../common/mod.rs"]
+mod common;
 mod configuration;
 mod outages;
 mod ownership;
--- a/daemon/tests/fleet/support.rs
+++ b/daemon/tests/fleet/support.rs
@@ -1,61 +1,39 @@
 //! A fleet of instances in the test's process.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
-use std::thread;
-use std::time::{
-    Duration,
-    Instant, //
-};
+use std::ops::Deref;
+use std::time::Duration;
 
 use limpetweir_protocol::http::{
     FleetStatus,
     ListAnswer,
-    PublicationAnswer,
     ReadAnswer, //
 };
 use limpetweir_protocol::records::{
     self,
     StreamRecord, //
 };
-use limpetweir_protocol::settings::{
-    Override,
-    Settings, //
-};
 use limpetweir_standins::client::{
     self,
-    Exchange,
     Received, //
 };
-use limpetweir_standins::harness::{
-    Launch,
-    Process, //
-};
-use limpetweir_standins::list::{
-    Instance,
-    ListControl,
-    ServerState, //
+use limpetweir_standins::fleet::{
+    self,
+    Document,
+    InstanceSettings,
+    Platform, //
 };
 use limpetweir_standins::log::LogControl;
 use limpetweir_state::{
     Entry,
-    KeyDigest,
     Offset, //
 };
-use limpetweir_transport::Runtime;
-use limpetweird::{
-    BoundAddresses,
-    Daemon, //
-};
+
+use crate::common::LocalInstance;
 
 /// Far beyond any wait of a test; reaching it means that the test hangs.
 const HANG: Duration = Duration::from_secs(60);
 
-/// Pause between two looks at a condition.
-const POLL: Duration = Duration::from_millis(20);
-
-const OPERATOR_KEY: &str = "operator-key-of-the-test";
-
 /// Groups of each kind; few, so that hand-overs end soon.
 pub(crate) const GROUPS: usize = 4;
 
@@ -64,42 +42,30 @@
 
 /// A document with one organisation of this rate.
 pub(crate) fn document(rate: u32) -> String {
-    format!("[[organisation]]\nid = \"fapapucs\"\nrate = {rate}\nburst = {rate}\nservices = []\n")
+    let limit = (f64::from(rate), f64::from(rate));
+    let document = Document::new().organisation("fapapucs", limit, &[], &[]);
+    document.to_string()
 }
 
 /// Waits until `condition` returns a value.
-pub(crate) fn wait_for<T>(what: &str, mut condition: impl FnMut() -> Option<T>) -> T {
-    let deadline = Instant::now() + HANG;
-    loop {
-        if let Some(value) = condition() {
-            return value;
-        }
-        assert!(Instant::now() < deadline, "{what} did not happen");
-        thread::sleep(POLL);
-    }
-}
-
-/// One running instance; dropping it ends it without a graceful stop.
-pub(crate) struct Member {
-    // Dropped in this order: the daemon ends before its threads.
-    daemon: Daemon,
-    runtime: Runtime,
-}
-
-impl Member {
-    fn addresses(&self) -> BoundAddresses {
-        self.daemon.addresses()
-    }
+pub(crate) fn wait_for<T>(what: &str, condition: impl FnMut() -> Option<T>) -> T {
+    fleet::wait_for(what, HANG, condition).unwrap()
 }
 
 /// The platform and the instances.
 pub(crate) struct Fleet {
-    members: BTreeMap<String, Member>,
-    log: Process,
-    list: Process,
+    members: fleet::Fleet<LocalInstance>,
     retention_ms: u64,
 }
 
+impl Deref for Fleet {
+    type Target = fleet::Fleet<LocalInstance>;
+
+    fn deref(&self) -> &Self::Target {
+        &self.members
+    }
+}
+
 impl Fleet {
     /// Starts the platform and instances with these names, and lists them all at once.
     pub(crate) fn start(names: &[&str]) -> Self {
@@ -108,11 +74,9 @@
 
     /// As [`Fleet::start`], with a retention that the instances write snapshots for.
     pub(crate) fn with_retention(names: &[&str], retention_ms: u64) -> Self {
-        let launch = |name| Launch::standin(name).unwrap().spawn().unwrap();
+        let platform = Platform::start(&[]).unwrap();
         let mut fleet = Self {
-            members: BTreeMap::new(),
-            log: launch("log"),
-            list: launch("list"),
+            members: fleet::Fleet::new(platform, HANG),
             retention_ms,
         };
         names.iter().for_each(|name| fleet.run(name));
@@ -122,51 +86,20 @@
 
     /// Starts an instance; a former one of the same name has ended.
     pub(crate) fn run(&mut self, name: &str) {
-        let runtime = Runtime::start(2).unwrap();
-        let daemon = Daemon::start(&runtime.spawner(), self.settings(name)).unwrap();
-        self.members
-            .insert(name.to_owned(), Member { daemon, runtime });
+        let settings = InstanceSettings {
+            groups: Some(GROUPS),
+            timing: vec![
+                ("discovery_ttl_ms", 1),
+                ("log_retention_ms", self.retention_ms),
+            ],
+            ..InstanceSettings::new(name, "z1", self.platform())
+        };
+        self.members.add(LocalInstance::start(&settings));
     }
 
     /// Adds running instances to the list.
     pub(crate) fn enlist(&self, names: &[&str]) {
-        let instances = names.iter().map(|name| {
-            let addresses = self.members[*name].addresses();
-            Instance {
-                name: (*name).to_owned(),
-                zone: "z1".to_owned(),
-                public: addresses.public.to_string(),
-                peer: addresses.peer.to_string(),
-                state: ServerState::Live,
-            }
-        });
-        let control = ListControl {
-            instances: instances.collect(),
-            ..ListControl::default()
-        };
-        let received = client::post(self.list.address(), "/control", &control).unwrap();
-        assert_eq!(received.status, 200);
-    }
-
-    fn settings(&self, name: &str) -> Settings {
-        let digest = KeyDigest::of_key(OPERATOR_KEY.as_bytes()).to_hex();
-        let overrides: Vec<Override> = [
-            format!("name={name}"),
-            "zone=z1".to_owned(),
-            "listen.public=127.0.0.1:0".to_owned(),
-            "listen.peer=127.0.0.1:0".to_owned(),
-            "listen.admin=127.0.0.1:0".to_owned(),
-            format!("platform.log={}", self.log.address()),
-            format!("platform.list={}", self.list.address()),
-            "timing.discovery_ttl_ms=1".to_owned(),
-            format!("timing.log_retention_ms={}", self.retention_ms),
-            format!("runtime.groups={GROUPS}"),
-            format!("operator.key_digest={digest}"),
-        ]
-        .iter()
-        .map(|text| text.parse().unwrap())
-        .collect();
-        Settings::load("test", "", &overrides).unwrap()
+        self.members.enlist(names.iter().copied(), []).unwrap();
     }
 
     /// Ends an instance without a graceful stop.
@@ -176,50 +109,24 @@
 
     /// Stops an instance gracefully; returns whether no request was cut.
     pub(crate) fn stop(&mut self, name: &str) -> bool {
-        let Member { daemon, runtime } = self.members.remove(name).unwrap();
-        runtime.block_on(daemon.stop())
+        self.members.remove(name).unwrap().stop()
     }
 
     pub(crate) fn control_log(&self, control: &LogControl) {
-        let received = client::post(self.log.address(), "/control", control).unwrap();
-        assert_eq!(received.status, 200);
-    }
-
-    fn admin(&self, name: &str) -> SocketAddr {
-        self.members[name].addresses().admin
-    }
-
-    fn call(&self, name: &str, method: &str, path: &str, body: &str) -> Received {
-        let key = format!("Bearer {OPERATOR_KEY}");
-        client::send(Exchange {
-            address: &self.admin(name).to_string(),
-            method,
-            path,
-            headers: &[("authorization", &key)],
-            body: body.as_bytes().to_vec(),
-        })
-        .unwrap()
+        self.platform().control_log(control).unwrap();
     }
 
     pub(crate) fn get(&self, name: &str, path: &str) -> Received {
-        self.call(name, "GET", path, "")
+        self.admin(name, "GET", path, "").unwrap()
     }
 
     pub(crate) fn publish(&self, name: &str, base: u64, id: &str, text: &str) -> Received {
-        let path = format!("/admin/config?base={base}&id={id}");
-        self.call(name, "POST", &path, text)
+        self.members.publish(name, base, id, text).unwrap()
     }
 
     /// Publishes a document that has to be accepted.
     pub(crate) fn publish_accepted(&self, name: &str, base: u64, id: &str, text: &str) {
-        let received = wait_for("an answer that the publication was decided", || {
-            let received = self.publish(name, base, id, text);
-            // An instance refuses publications until it hears a majority.
-            (received.status != 503).then_some(received)
-        });
-        assert_eq!(received.status, 200, "{}", received.text());
-        let answer: PublicationAnswer = received.json().unwrap();
-        assert_eq!(answer.version.0, base + 1);
+        self.members.publish_accepted(name, base, id, text).unwrap();
     }
 
     /// Returns the version and document that an instance serves, if it serves one.
@@ -243,7 +150,7 @@
     }
 
     fn settled(&self) -> Option<BTreeMap<String, (String, u64)>> {
-        let mut views: Vec<_> = self.members.keys().map(|name| self.owners(name)).collect();
+        let mut views: Vec<_> = self.names().map(|name| self.owners(name)).collect();
         let first = views.pop()??;
         let agreed = views.iter().all(|view| view.as_ref() == Some(&first));
         agreed.then_some(first)
@@ -254,7 +161,7 @@
         let groups = self.status(name).groups.into_iter();
         let owned = groups.map(|group| {
             let holder = group.holder?.to_string();
-            let runs = self.members.contains_key(&holder);
+            let runs = self.members.get(&holder).is_ok();
             runs.then_some((group.group, (holder, group.epoch.0)))
         });
         let owned: BTreeMap<_, _> = owned.collect::<Option<_>>()?;
@@ -275,7 +182,7 @@
     /// Reads a whole stream from the log.
     pub(crate) fn records<R: StreamRecord>(&self, stream: &str) -> Vec<(Offset, Entry<R>)> {
         let path = format!("/streams/{stream}/records?from=0&limit=10000");
-        let answer: ReadAnswer = client::get(self.log.address(), &path)
+        let answer: ReadAnswer = client::get(self.platform().log(), &path)
             .unwrap()
             .json()
             .unwrap();
@@ -286,7 +193,7 @@
     }
 
     pub(crate) fn names_in_list(&self) -> usize {
-        let list: ListAnswer = client::get(self.list.address(), "/list")
+        let list: ListAnswer = client::get(self.platform().list(), "/list")
             .unwrap()
             .json()
             .unwrap();
--- a/daemon/tests/listeners.rs
+++ b/daemon/tests/listeners.rs
@@ -12,14 +12,12 @@
     StatusCode, //
 };
 use limpetweir_protocol::http::ErrorBody;
-use limpetweir_protocol::settings::{
-    Override,
-    Settings, //
-};
-use limpetweir_state::{
-    KeyDigest,
-    Verdict, //
+use limpetweir_protocol::settings::Settings;
+use limpetweir_standins::fleet::{
+    InstanceSettings,
+    OPERATOR_KEY, //
 };
+use limpetweir_state::Verdict;
 use limpetweir_transport::Runtime;
 use limpetweir_transport::http::{
     Client,
@@ -36,8 +34,6 @@
 /// Far beyond any wait of a test; reaching it means that the test hangs.
 const HANG: Duration = Duration::from_secs(30);
 
-const OPERATOR_KEY: &str = "operator-key-of-the-test";
-
 struct Fixture {
     // Dropped in this order: the daemon ends before its threads.
     daemon: Daemon,
@@ -78,22 +74,11 @@
 }
 
 fn settings() -> Settings {
-    let digest = KeyDigest::of_key(OPERATOR_KEY.as_bytes()).to_hex();
-    let overrides: Vec<Override> = [
-        "name=a1",
-        "zone=z1",
-        "listen.public=127.0.0.1:0",
-        "listen.peer=127.0.0.1:0",
-        "listen.admin=127.0.0.1:0",
-        "platform.log=127.0.0.1:1",
-        "platform.list=127.0.0.1:1",
-        "timing.discovery_ttl_ms=1",
-        &format!("operator.key_digest={digest}"),
-    ]
-    .iter()
-    .map(|text| text.parse().unwrap())
-    .collect();
-    Settings::load("test", "", &overrides).unwrap()
+    let settings = InstanceSettings {
+        timing: vec![("discovery_ttl_ms", 1)],
+        ..InstanceSettings::without_platform("a1", "z1")
+    };
+    Settings::load("test", &settings.to_string(), &[]).unwrap()
 }
 
 /// Guards against callers that are sent to an instance which cannot serve them.
--- a/daemon/tests/online/bodies.rs
+++ b/daemon/tests/online/bodies.rs
@@ -4,7 +4,7 @@
     self,
     Exchange, //
 };
-use limpetweir_transport::Runtime;
+use limpetweir_standins::fleet::Instance;
 use rstest::rstest;
 use serde_json::{
     Value,
@@ -18,7 +18,7 @@
     bearer,
     completion,
     error_code,
-    lone_daemon, //
+    lone_instance, //
 };
 use crate::raw::Connection;
 
@@ -108,8 +108,7 @@
 /// Guards against an instance that accepts requests without a current configuration.
 #[test]
 fn an_instance_that_does_not_serve_refuses_requests() {
-    let runtime = Runtime::start(1).unwrap();
-    let daemon = lone_daemon(&runtime);
+    let instance = lone_instance();
     let authorization = bearer(KEY);
     let calls = [
         ("POST", "/v1/completions"),
@@ -119,7 +118,7 @@
     ];
     for (method, path) in calls {
         let answer = client::send(Exchange {
-            address: &daemon.addresses().public.to_string(),
+            address: &instance.addresses().public,
             method,
             path,
             headers: &[("authorization", &authorization)],
--- a/daemon/tests/online/fleet.rs
+++ b/daemon/tests/online/fleet.rs
@@ -1,47 +1,40 @@
 //! Instances in the test's process with stand-ins for the platform and the backend servers.
 
-use std::time::{
-    Duration,
-    Instant, //
-};
+use std::ops::Deref;
+use std::time::Duration;
 
-use limpetweir_protocol::settings::{
-    Override,
-    Settings, //
-};
-use limpetweir_standins::client::{
-    self,
-    Exchange,
-    Received, //
-};
+use limpetweir_standins::client::Received;
 use limpetweir_standins::engine::{
     EngineControl,
     RequestOutcome,
     RequestRecord, //
 };
+pub(crate) use limpetweir_standins::fleet::bearer;
+use limpetweir_standins::fleet::{
+    self,
+    Document,
+    Instance,
+    InstanceSettings,
+    Platform,
+    control,
+    records, //
+};
 use limpetweir_standins::harness::{
     Launch,
     Process, //
 };
-use limpetweir_standins::list::{
-    Backend,
-    Instance,
-    ListControl,
-    ServerState, //
-};
+use limpetweir_standins::list::ListControl;
 use limpetweir_standins::plain::{
     CallRecord,
     PlainControl, //
 };
-use limpetweir_state::KeyDigest;
-use limpetweir_transport::Runtime;
-use limpetweird::Daemon;
-use serde::de::DeserializeOwned;
 use serde_json::{
     Value,
     json, //
 };
 
+use crate::common::LocalInstance;
+
 /// Far beyond any wait of a test; reaching it means that the test hangs.
 pub(crate) const WAIT: Duration = Duration::from_secs(30);
 
@@ -53,8 +46,6 @@
 /// Key of the organisation that may use nothing.
 pub(crate) const OTHER_KEY: &str = "key-of-the-gulf-organisation";
 
-pub(crate) const OPERATOR_KEY: &str = "operator-key-of-the-test";
-
 /// Sizes of a fleet.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Setup {
@@ -80,14 +71,11 @@
 
 /// A running fleet.
 pub(crate) struct Fleet {
-    // Dropped in this order: the instances end before their threads and the stand-ins.
-    pub(crate) daemons: Vec<Daemon>,
-    _runtime: Runtime,
+    // Dropped in this order: the instances end before the stand-ins.
+    members: fleet::Fleet<LocalInstance>,
     pub(crate) engines: Vec<Process>,
     pub(crate) plains: Vec<Process>,
     pub(crate) open: Process,
-    list: Process,
-    _log: Process,
     setup: Setup,
     version: u64,
 }
@@ -105,85 +93,56 @@
     Launch::standin(name).unwrap().spawn().unwrap()
 }
 
-fn settings(index: usize, log: &str, list: &str) -> Settings {
-    let digest = KeyDigest::of_key(OPERATOR_KEY.as_bytes()).to_hex();
-    let overrides: Vec<Override> = [
-        format!("name=a{}", index + 1),
-        format!("zone=z{}", index + 1),
-        "listen.public=127.0.0.1:0".to_owned(),
-        "listen.peer=127.0.0.1:0".to_owned(),
-        "listen.admin=127.0.0.1:0".to_owned(),
-        format!("platform.log={log}"),
-        format!("platform.list={list}"),
+/// Returns the name of an instance.
+fn name(index: usize) -> String {
+    format!("a{}", index + 1)
+}
+
+fn start_instance(settings: InstanceSettings) -> LocalInstance {
+    LocalInstance::start(&InstanceSettings {
         // A busy machine must not turn an ask into a refusal; no test depends on the timeout.
-        "timing.ask_timeout_ms=10000".to_owned(),
-        "timing.discovery_ttl_ms=1000".to_owned(),
-        format!("operator.key_digest={digest}"),
-    ]
-    .iter()
-    .map(|text| text.parse().unwrap())
-    .collect();
-    Settings::load("test", "", &overrides).unwrap()
+        timing: vec![("ask_timeout_ms", 10_000), ("discovery_ttl_ms", 1000)],
+        ..settings
+    })
 }
 
 /// Starts an instance that reaches no platform service.
-pub(crate) fn lone_daemon(runtime: &Runtime) -> Daemon {
-    let settings = settings(0, "127.0.0.1:1", "127.0.0.1:1");
-    Daemon::start(&runtime.spawner(), settings).unwrap()
+pub(crate) fn lone_instance() -> LocalInstance {
+    start_instance(InstanceSettings::without_platform("a1", "z1"))
+}
+
+impl Deref for Fleet {
+    type Target = fleet::Fleet<LocalInstance>;
+
+    fn deref(&self) -> &Self::Target {
+        &self.members
+    }
 }
 
 impl Fleet {
     /// Starts a fleet and waits until each instance serves the first configuration.
     pub(crate) fn start(setup: Setup) -> Self {
-        let runtime = Runtime::start(2).unwrap();
-        let log = standin("log");
-        let list = Launch::standin("list").unwrap();
-        let list = list.args(["--lag-ms", "0"]).spawn().unwrap();
-        let start = |index| {
-            let settings = settings(index, log.address(), list.address());
-            Daemon::start(&runtime.spawner(), settings).unwrap()
-        };
+        let platform = Platform::start(&["--lag-ms", "0"]).unwrap();
         let mut fleet = Self {
-            daemons: (0..setup.instances).map(start).collect(),
-            _runtime: runtime,
+            members: fleet::Fleet::new(platform, WAIT),
             engines: (0..setup.engines).map(|_| engine()).collect(),
             plains: (0..setup.plains).map(|_| standin("plain")).collect(),
             open: standin("plain"),
-            list,
-            _log: log,
             setup,
             version: 0,
         };
-        fleet.announce();
+        for index in 0..setup.instances {
+            let zone = format!("z{}", index + 1);
+            let settings = InstanceSettings::new(&name(index), &zone, fleet.platform());
+            fleet.members.add(start_instance(settings));
+        }
+        fleet.enlist(fleet.names(), fleet.backend_names()).unwrap();
         let document = fleet.document(&[("k1", KEY)]);
         fleet.publish(&document);
         fleet.await_home();
         fleet
     }
 
-    fn announce(&self) {
-        let instances = self.daemons.iter().enumerate().map(|(index, daemon)| {
-            let addresses = daemon.addresses();
-            Instance {
-                name: addresses.name,
-                zone: format!("z{}", index + 1),
-                public: addresses.public.to_string(),
-                peer: addresses.peer.to_string(),
-                state: ServerState::Live,
-            }
-        });
-        let names = self.backend_names();
-        let live = |name| Backend {
-            name,
-            state: ServerState::Live,
-        };
-        self.control_list(&ListControl {
-            instances: instances.collect(),
-            backends: names.into_iter().map(live).collect(),
-            ..ListControl::default()
-        });
-    }
-
     fn backend_names(&self) -> Vec<String> {
         let engines = (0..self.engines.len()).map(|n| format!("e{n}"));
         let plains = (0..self.plains.len()).map(|n| format!("p{n}"));
@@ -193,56 +152,46 @@
 
     /// Changes the list.
     pub(crate) fn control_list(&self, control: &ListControl) {
-        let answer = client::post(self.list.address(), "/control", control).unwrap();
-        assert_eq!(answer.status, 200, "{}", answer.text());
+        self.platform().control_list(control).unwrap();
     }
 
     /// Returns a document in which the organisation `reef` has these keys.
-    pub(crate) fn document(&self, keys: &[(&str, &str)]) -> String {
-        let (rate, burst) = self.setup.limit;
-        let mut text = format!(
-            "[[organisation]]\nid = \"reef\"\nrate = {rate:?}\nburst = {burst:?}\n\
-             services = [\"chat\", \"tanks\"]\n"
-        );
-        for (id, key) in keys {
-            let digest = KeyDigest::of_key(key.as_bytes()).to_hex();
-            text += &format!("[[organisation.key]]\nid = \"{id}\"\nsha256 = \"{digest}\"\n");
-        }
-        let digest = KeyDigest::of_key(OTHER_KEY.as_bytes()).to_hex();
-        text += &format!(
-            "[[organisation]]\nid = \"gulf\"\nrate = 1000.0\nburst = 1000.0\n\
-             [[organisation.key]]\nid = \"k1\"\nsha256 = \"{digest}\"\n"
-        );
-        text += &service(
-            "chat",
-            "kind = \"model\"\nmodels = [\"reef-1\"]",
-            'e',
-            &self.engines,
-        );
+    pub(crate) fn document(&self, keys: &[(&str, &str)]) -> Document {
+        self.document_for(&["chat", "tanks"], keys)
+    }
+
+    /// As [`Fleet::document`], with these services for `reef`.
+    pub(crate) fn document_for(&self, services: &[&str], keys: &[(&str, &str)]) -> Document {
+        let models = "kind = \"model\"\nmodels = [\"reef-1\"]";
         let keyed = "kind = \"plain\"\naccess = \"keyed\"\nidempotent = [\"GET\", \"PUT\"]";
-        text += &service("tanks", keyed, 'p', &self.plains);
         let open = "kind = \"plain\"\naccess = \"open\"\nidempotent = [\"GET\"]";
-        text + &service("notices", open, 'o', std::slice::from_ref(&self.open))
+        Document::new()
+            .organisation("reef", self.setup.limit, services, keys)
+            .organisation("gulf", (1000.0, 1000.0), &[], &[("k1", OTHER_KEY)])
+            .service(
+                "chat",
+                models,
+                'e',
+                self.engines.iter().map(Process::address),
+            )
+            .service(
+                "tanks",
+                keyed,
+                'p',
+                self.plains.iter().map(Process::address),
+            )
+            .service("notices", open, 'o', [self.open.address()])
     }
 
     /// Publishes a document and waits until it is in force at each instance.
-    pub(crate) fn publish(&mut self, document: &str) {
-        let deadline = Instant::now() + WAIT;
-        let path = format!(
-            "/admin/config?base={}&id=publication-{}",
-            self.version, self.version
-        );
-        loop {
-            let answer = self.admin(0, "POST", &path, document);
-            if answer.status < 300 {
-                break;
-            }
-            assert!(Instant::now() < deadline, "{}", answer.text());
-            pause();
-        }
+    pub(crate) fn publish(&mut self, document: &Document) {
+        let base = self.version;
+        let id = format!("publication-{base}");
+        let text = document.to_string();
+        self.publish_accepted(&name(0), base, &id, &text).unwrap();
         self.version += 1;
         let version = self.version;
-        for index in 0..self.daemons.len() {
+        for index in 0..self.setup.instances {
             self.await_explained(index, "service=notices", |explained| {
                 explained["config_version"] == version && explained["phase"] == "serving"
             });
@@ -252,13 +201,10 @@
     /// Waits until an instance acts as the quota home and each instance sees all backend servers.
     fn await_home(&self) {
         let query = "organisation=reef&model=reef-1";
-        let deadline = Instant::now() + WAIT;
         let acts = |index| self.explain(index, query)["quota"]["acts"] == true;
-        while !(0..self.daemons.len()).any(acts) {
-            assert!(Instant::now() < deadline, "no instance acts as the home");
-            pause();
-        }
-        for index in 0..self.daemons.len() {
+        let any = || (0..self.setup.instances).any(acts);
+        fleet::eventually("an instance acts as the home", WAIT, any).unwrap();
+        for index in 0..self.setup.instances {
             self.await_explained(index, query, |explained| {
                 let home = &explained["quota"]["home"];
                 let considered = explained["considered"].as_array().unwrap();
@@ -274,20 +220,18 @@
         query: &str,
         expected: impl Fn(&Value) -> bool,
     ) {
-        let deadline = Instant::now() + WAIT;
-        loop {
-            let explained = self.explain(index, query);
-            if expected(&explained) {
-                return;
-            }
-            assert!(Instant::now() < deadline, "{explained}");
-            pause();
-        }
+        let mut last = Value::Null;
+        let reached = fleet::eventually(query, WAIT, || {
+            last = self.explain(index, query);
+            expected(&last)
+        });
+        assert!(reached.is_ok(), "{last}");
     }
 
     /// Returns the answer of the explain interface.
     pub(crate) fn explain(&self, index: usize, query: &str) -> Value {
-        let answer = self.admin(index, "GET", &format!("/admin/explain?{query}"), "");
+        let path = format!("/admin/explain?{query}");
+        let answer = self.admin(&name(index), "GET", &path, "").unwrap();
         answer.json().unwrap()
     }
 
@@ -299,26 +243,14 @@
         backend.strip_prefix('e').unwrap().parse().unwrap()
     }
 
-    fn admin(&self, index: usize, method: &str, path: &str, body: &str) -> Received {
-        let authorization = format!("Bearer {OPERATOR_KEY}");
-        client::send(Exchange {
-            address: &self.daemons[index].addresses().admin.to_string(),
-            method,
-            path,
-            headers: &[("authorization", &authorization)],
-            body: body.as_bytes().to_vec(),
-        })
-        .unwrap()
-    }
-
     /// Returns the metrics of the first instance.
     pub(crate) fn metrics(&self) -> String {
-        self.admin(0, "GET", "/metrics", "").text()
+        self.admin(&name(0), "GET", "/metrics", "").unwrap().text()
     }
 
     /// Returns the public address of an instance.
     pub(crate) fn public(&self, index: usize) -> String {
-        self.daemons[index].addresses().public.to_string()
+        self.get(&name(index)).unwrap().addresses().public.clone()
     }
 
     /// Sends a request with a key to the first instance.
@@ -340,14 +272,10 @@
         body: Vec<u8>,
         headers: &[(&str, &str)],
     ) -> Received {
-        client::send(Exchange {
-            address: &self.public(index),
-            method,
-            path,
-            headers,
-            body,
-        })
-        .unwrap()
+        let answer = self
+            .members
+            .public(&name(index), method, path, headers, body);
+        answer.unwrap()
     }
 
     /// Sends a completion with the key that may use everything.
@@ -358,88 +286,40 @@
 
     /// Returns the records of an engine.
     pub(crate) fn engine_records(&self, index: usize) -> Vec<RequestRecord> {
-        records(&self.engines[index], "requests")
+        records(&self.engines[index], "requests").unwrap()
     }
 
     /// Returns the records of a backend server of `tanks`.
     pub(crate) fn plain_records(&self, index: usize) -> Vec<CallRecord> {
-        records(&self.plains[index], "calls")
+        records(&self.plains[index], "calls").unwrap()
     }
 
     /// Waits until the last request of an engine has this outcome.
     pub(crate) fn await_outcome(&self, index: usize, outcome: RequestOutcome) {
-        let deadline = Instant::now() + WAIT;
-        loop {
-            let records = self.engine_records(index);
-            if records.last().is_some_and(|r| r.outcome == outcome) {
-                return;
-            }
-            assert!(Instant::now() < deadline, "not {outcome:?}: {records:?}");
-            pause();
-        }
+        let mut records = Vec::new();
+        let reached = fleet::eventually("the outcome", WAIT, || {
+            records = self.engine_records(index);
+            records.last().is_some_and(|r| r.outcome == outcome)
+        });
+        assert!(reached.is_ok(), "not {outcome:?}: {records:?}");
     }
 
     /// Switches faults of an engine on.
-    pub(crate) fn control_engine(&self, index: usize, control: &EngineControl) {
-        let answer = client::post(self.engines[index].address(), "/control", control).unwrap();
-        assert_eq!(answer.status, 200, "{}", answer.text());
+    pub(crate) fn control_engine(&self, index: usize, change: &EngineControl) {
+        control(&self.engines[index], change).unwrap();
     }
 
     /// Switches faults of a backend server of `tanks` on.
-    pub(crate) fn control_plain(&self, index: usize, control: &PlainControl) {
-        let answer = client::post(self.plains[index].address(), "/control", control).unwrap();
-        assert_eq!(answer.status, 200, "{}", answer.text());
+    pub(crate) fn control_plain(&self, index: usize, change: &PlainControl) {
+        control(&self.plains[index], change).unwrap();
     }
 }
 
-fn service(id: &str, fields: &str, prefix: char, processes: &[Process]) -> String {
-    let addresses: Vec<&str> = processes.iter().map(Process::address).collect();
-    service_at(id, fields, prefix, &addresses)
-}
-
-/// Returns the tables of a service and its backend servers.
-pub(crate) fn service_at(id: &str, fields: &str, prefix: char, addresses: &[&str]) -> String {
-    let names: Vec<String> = (0..addresses.len())
-        .map(|n| format!("{prefix}{n}"))
-        .collect();
-    let mut text = format!("[[service]]\nid = \"{id}\"\n{fields}\nbackends = {names:?}\n");
-    for (name, address) in names.iter().zip(addresses) {
-        text += &format!(
-            "[[backend]]\nid = \"{name}\"\nservice = \"{id}\"\nzone = \"z1\"\n\
-             address = \"{address}\"\nslots = 8\nchecks_fencing = true\n"
-        );
-    }
-    text
-}
-
-pub(crate) fn bearer(key: &str) -> String {
-    format!("Bearer {key}")
-}
-
 pub(crate) fn completion(prompt: &str, tokens: usize, stream: bool) -> Value {
     json!({ "model": MODEL, "prompt": prompt, "max_tokens": tokens, "stream": stream })
 }
 
-pub(crate) fn pause() {
-    std::thread::sleep(Duration::from_millis(10));
-}
-
-fn records<T: DeserializeOwned>(process: &Process, field: &str) -> Vec<T> {
-    let mut body: Value = client::get(process.address(), "/record")
-        .unwrap()
-        .json()
-        .unwrap();
-    serde_json::from_value(body[field].take()).unwrap()
-}
-
 /// Checks that an answer is an error of the documented form and returns its code.
 pub(crate) fn error_code(answer: &Received, status: u16, verdict: &str) -> String {
-    assert_eq!(answer.status, status, "{}", answer.text());
-    assert_eq!(answer.header("x-limpetweir-verdict"), Some(verdict));
-    let body: Value = answer.json().unwrap();
-    assert_eq!(body["error"]["verdict"], verdict, "{body}");
-    assert!(body["error"]["message"].is_string() && body["error"]["type"].is_string());
-    let named = body["error"]["retry_after_ms"].is_u64();
-    assert_eq!(named, answer.header("retry-after").is_some(), "{body}");
-    body["error"]["code"].as_str().unwrap().to_owned()
+    fleet::error_code(answer, status, verdict).unwrap()
 }
--- a/daemon/tests/online/keys.rs
+++ b/daemon/tests/online/keys.rs
@@ -18,16 +18,7 @@
     json, //
 };
 
-use crate::fleet::{
-    Fleet,
-    KEY,
-    OTHER_KEY,
-    Setup,
-    bearer,
-    completion,
-    error_code,
-    service_at, //
-};
+use crate::fleet::{Fleet, KEY, OTHER_KEY, Setup, bearer, completion, error_code};
 use crate::raw::{
     Capture,
     Connection, //
@@ -142,10 +133,9 @@
     let mut fleet = Fleet::start(Setup::default());
     let capture = Capture::start();
     let keyed = "kind = \"plain\"\naccess = \"keyed\"\nidempotent = []";
-    let document = fleet.document(&[("k1", KEY)]).replace(
-        "services = [\"chat\", \"tanks\"]",
-        "services = [\"chat\", \"tanks\", \"capture\"]",
-    ) + &service_at("capture", keyed, 'c', &[&capture.address]);
+    let document = fleet
+        .document_for(&["chat", "tanks", "capture"], &[("k1", KEY)])
+        .service("capture", keyed, 'c', [&capture.address]);
     fleet.publish(&document);
     let bearer = bearer(KEY);
     let headers = [
--- a/daemon/tests/online/main.rs
+++ b/daemon/tests/online/main.rs
@@ -4,6 +4,8 @@
 
 mod backends;
 mod bodies;
+#[path = "../common/mod.rs"]
+mod common;
 mod fleet;
 mod keys;
 mod plain;
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -5,6 +5,7 @@
 mod clock;
 mod content;
 pub mod engine;
+pub mod fleet;
 pub mod harness;
 mod http;
 mod lagged;
