tests: reuse the fleet harness for stand-in, process and batch tests

Control calls, records, waits, batch items and daemon processes were written again in each test file. They now come from the harness; the wait for the end of a daemon process has a bound. The two cases of a broken engine stream are one table, which also checks the text of both.

--- a/daemon/tests/batch/failures.rs
+++ b/daemon/tests/batch/failures.rs
@@ -21,10 +21,8 @@
 #[test]
 fn another_instance_finishes_the_job_of_a_killed_owner() {
     let mut fleet = Fleet::start(Setup {
-        name: "owner",
-        instances: 3,
-        engines: 2,
         step_us: 3_000,
+        ..Setup::named("owner")
     });
     let items = items(120, 40, Some(40));
     let job = fleet.submit(0, "taken-over", &items);
@@ -42,10 +40,8 @@
 #[test]
 fn a_job_outlives_the_instance_that_acknowledged_it() {
     let mut fleet = Fleet::start(Setup {
-        name: "acknowledged",
-        instances: 3,
         engines: 1,
-        step_us: 200,
+        ..Setup::named("acknowledged")
     });
     let items = items(30, 16, None);
     let job = fleet.submit(0, "just-sent", &items);
@@ -61,10 +57,8 @@
 #[case("outage-hang", Outage::Hang)]
 fn a_running_job_goes_on_while_the_log_is_down(#[case] name: &'static str, #[case] mode: Outage) {
     let fleet = Fleet::start(Setup {
-        name,
-        instances: 3,
-        engines: 2,
         step_us: 8_000,
+        ..Setup::named(name)
     });
     let items = items(600, 40, None);
     let job = fleet.submit(0, "during-outage", &items);
@@ -100,10 +94,9 @@
 #[test]
 fn items_resume_after_broken_streams() {
     let fleet = Fleet::start(Setup {
-        name: "broken",
         instances: 2,
-        engines: 2,
         step_us: 500,
+        ..Setup::named("broken")
     });
     fleet.control_engines(&EngineControl {
         cut: Some(AfterTokens {
@@ -128,11 +121,11 @@
     #[case] graceful: bool,
 ) {
     let mut fleet = Fleet::start(Setup {
-        name,
         // The three that are left are a majority of the listed ones.
         instances: 5,
         engines: 3,
         step_us: 8_000,
+        ..Setup::named(name)
     });
     let items = items(500, 30, Some(100));
     let job = fleet.submit(0, "replaced", &items);
@@ -155,10 +148,8 @@
 #[test]
 fn a_paused_owner_has_no_effect_after_it_was_replaced() {
     let mut fleet = Fleet::start(Setup {
-        name: "paused",
-        instances: 3,
-        engines: 2,
         step_us: 8_000,
+        ..Setup::named("paused")
     });
     let items = items(400, 30, None);
     let job = fleet.submit(0, "paused", &items);
--- a/daemon/tests/batch/fleet.rs
+++ b/daemon/tests/batch/fleet.rs
@@ -21,12 +21,7 @@
     JobStatus, //
 };
 use limpetweir_standins::client::Received;
-use limpetweir_standins::engine::text::{
-    POISON_MARKER,
-    Text,
-    prompt_tokens,
-    request_hash, //
-};
+use limpetweir_standins::engine::text::prompt_tokens;
 use limpetweir_standins::engine::{
     EngineControl,
     RequestOutcome,
@@ -37,6 +32,7 @@
     Document,
     FleetError,
     InstanceSettings,
+    Item,
     Platform,
     ProcessInstance,
     bearer,
@@ -50,10 +46,7 @@
     LogControl,
     Outage, //
 };
-use serde_json::{
-    Value,
-    json, //
-};
+use serde_json::Value;
 
 /// Far beyond any wait of a test; reaching it means that the test hangs.
 pub(crate) const WAIT: Duration = Duration::from_secs(90);
@@ -77,6 +70,18 @@
     pub(crate) step_us: u32,
 }
 
+impl Setup {
+    /// Returns a setup of 3 instances and 2 engines with steps of 200 microseconds.
+    pub(crate) fn named(name: &'static str) -> Self {
+        Self {
+            name,
+            instances: 3,
+            engines: 2,
+            step_us: 200,
+        }
+    }
+}
+
 /// Time that an engine takes to load a model, in milliseconds.
 const LOAD_TIME_MS: &str = "2000";
 
@@ -387,61 +392,14 @@
     fleet::eventually(what, WAIT, check).unwrap();
 }
 
-/// An item of a job.
-#[derive(Clone, Debug)]
-pub(crate) struct Item {
-    pub(crate) model: &'static str,
-    pub(crate) id: String,
-    pub(crate) prompt: String,
-    pub(crate) max_tokens: u32,
-}
-
-impl Item {
-    fn is_poison(&self) -> bool {
-        self.prompt.contains(POISON_MARKER)
-    }
-
-    /// Returns the hash under which an engine records the item.
-    pub(crate) fn hash(&self) -> String {
-        request_hash(self.model, &self.prompt, self.max_tokens as usize)
-    }
-
-    fn source(&self) -> Text {
-        Text::new(self.model, &self.prompt)
-    }
-
-    fn tokens(&self) -> u64 {
-        self.source().length(self.max_tokens as usize) as u64
-    }
-
-    fn text(&self) -> String {
-        let source = self.source();
-        source.range(0, source.length(self.max_tokens as usize))
-    }
-}
-
 /// Returns `count` items with different prompts; every `poison`th can never complete.
 pub(crate) fn items(count: usize, max_tokens: u32, poison: Option<usize>) -> Vec<Item> {
-    let item = |at: usize| {
-        let poisoned = poison.is_some_and(|every| at % every == every - 1);
-        let marker = if poisoned { POISON_MARKER } else { "" };
-        Item {
-            model: MODEL,
-            id: format!("item-{at}"),
-            prompt: format!("tank {at} of the reef {marker}"),
-            max_tokens,
-        }
-    };
-    (0..count).map(item).collect()
+    fleet::items(MODEL, count, max_tokens, poison)
 }
 
 pub(crate) fn job_body(items: &[Item]) -> Value {
     let model = items.first().map_or(MODEL, |item| item.model);
-    let items: Vec<Value> = items
-        .iter()
-        .map(|item| json!({ "id": item.id, "prompt": item.prompt, "max_tokens": item.max_tokens }))
-        .collect();
-    json!({ "service": "chat", "model": model, "deadline_s": 3600, "items": items })
+    fleet::job_body(model, items)
 }
 
 /// Checks that an answer is an error of the documented form and returns its code.
--- a/daemon/tests/batch/inputs.rs
+++ b/daemon/tests/batch/inputs.rs
@@ -31,10 +31,9 @@
 #[test]
 fn bad_input_is_refused_with_its_cause() {
     let fleet = Fleet::start(Setup {
-        name: "inputs",
         instances: 2,
         engines: 1,
-        step_us: 200,
+        ..Setup::named("inputs")
     });
     let item =
         |prompt: String, tokens| json!([{ "id": "a", "prompt": prompt, "max_tokens": tokens }]);
--- a/daemon/tests/batch/jobs.rs
+++ b/daemon/tests/batch/jobs.rs
@@ -20,12 +20,7 @@
 /// Guards against items that are lost, run into the results twice, or held up by poison items.
 #[test]
 fn a_job_with_poison_items_completes_each_item_once() {
-    let fleet = Fleet::start(Setup {
-        name: "poison",
-        instances: 3,
-        engines: 2,
-        step_us: 200,
-    });
+    let fleet = Fleet::start(Setup::named("poison"));
     let items = items(80, 24, Some(20));
     let job = fleet.submit(1, "night-run", &items);
     assert_eq!(job.items, 80);
@@ -45,10 +40,8 @@
 #[test]
 fn a_key_names_one_job_at_every_instance() {
     let fleet = Fleet::start(Setup {
-        name: "resend",
-        instances: 3,
         engines: 1,
-        step_us: 200,
+        ..Setup::named("resend")
     });
     let first = items(6, 16, None);
     let job = fleet.submit(0, "export", &first);
@@ -96,10 +89,8 @@
 #[test]
 fn nothing_of_a_job_runs_after_its_cancel() {
     let fleet = Fleet::start(Setup {
-        name: "cancel",
-        instances: 3,
-        engines: 2,
         step_us: 5_000,
+        ..Setup::named("cancel")
     });
     let items = items(60, 1_000, None);
     let job = fleet.submit(0, "cancelled", &items);
--- a/daemon/tests/batch/orders.rs
+++ b/daemon/tests/batch/orders.rs
@@ -30,10 +30,8 @@
 #[test]
 fn engines_are_ordered_until_they_report_the_configured_models() {
     let fleet = Fleet::start(Setup {
-        name: "orders",
         instances: 2,
-        engines: 2,
-        step_us: 200,
+        ..Setup::named("orders")
     });
     for engine in 0..2 {
         eventually("the model is loaded", || is_loaded(&fleet, engine));
@@ -63,10 +61,8 @@
 #[test]
 fn items_wait_for_their_model() {
     let fleet = Fleet::start(Setup {
-        name: "loading",
         instances: 2,
-        engines: 2,
-        step_us: 200,
+        ..Setup::named("loading")
     });
     // Engines that lose the model again load it for a while, whatever the start took.
     for engine in 0..2 {
--- a/daemon/tests/batch/yields.rs
+++ b/daemon/tests/batch/yields.rs
@@ -25,10 +25,10 @@
 #[test]
 fn items_give_way_to_online_requests_and_resume_exactly() {
     let fleet = Fleet::start(Setup {
-        name: "burst",
         instances: 2,
         engines: 1,
         step_us: 4_000,
+        ..Setup::named("burst")
     });
     let items = items(20, 300, None);
     let job = fleet.submit(0, "beside-online", &items);
--- a/daemon/tests/process.rs
+++ b/daemon/tests/process.rs
@@ -3,23 +3,28 @@
 #![allow(clippy::unwrap_used, reason = "helpers of tests may panic")]
 
 use std::fs;
-use std::io::{
-    BufRead,
-    BufReader,
-    Read, //
-};
 use std::net::{
     SocketAddr,
     TcpStream, //
 };
-use std::path::PathBuf;
+use std::path::{
+    Path,
+    PathBuf, //
+};
 use std::process::{
-    Child,
     Command,
-    Output,
-    Stdio, //
+    Output, //
+};
+use std::time::Duration;
+
+use limpetweir_standins::harness::{
+    Launch,
+    Process, //
 };
 
+/// Far beyond any wait of a test; reaching it means that the test hangs.
+const WAIT: Duration = Duration::from_secs(30);
+
 const SETTINGS: &str = r#"name = "a1"
 zone = "z1"
 listen = { public = "127.0.0.1:0", peer = "127.0.0.1:0", admin = "127.0.0.1:0" }
@@ -86,57 +91,30 @@
     assert!(stderr(&output).contains("cannot read /nonexistent/limpetweir.toml"));
 }
 
-struct Running {
-    child: Child,
-    announced: serde_json::Value,
-}
-
-impl Running {
-    fn start(name: &str) -> Self {
-        let config = settings_file(name, SETTINGS);
-        let mut child = daemon(&config, &[])
-            .stdout(Stdio::piped())
-            .stderr(Stdio::piped())
-            .spawn()
-            .unwrap();
-        let mut line = String::new();
-        let mut out = BufReader::new(child.stdout.take().unwrap());
-        out.read_line(&mut line).unwrap();
-        let announced = serde_json::from_str(&line).unwrap();
-        Self { child, announced }
-    }
-
-    fn address(&self, listener: &str) -> SocketAddr {
-        self.announced[listener].as_str().unwrap().parse().unwrap()
-    }
-}
-
-impl Drop for Running {
-    fn drop(&mut self) {
-        // Already ended unless the test failed.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
+/// Starts a daemon; its log goes to `<name>.log`.
+fn start(name: &str) -> Process {
+    let config = settings_file(name, SETTINGS);
+    let log = config.with_extension("log");
+    fs::write(&log, "").unwrap();
+    let launch = Launch::new(env!("CARGO_BIN_EXE_limpetweird")).stderr(log);
+    launch.arg("--config").arg(config).spawn().unwrap()
 }
 
 /// Guards against callers that cannot find an instance with a chosen port, and against a stop that
 /// does not end with success.
 #[test]
 fn announces_its_addresses_and_stops_on_sigterm() {
-    let mut running = Running::start("running");
-    assert_eq!(running.announced["name"], "a1");
+    let mut running = start("running");
+    assert_eq!(running.field("name"), "a1");
     for listener in ["public", "peer", "admin"] {
-        let addr = running.address(listener);
+        let addr: SocketAddr = running.field(listener).parse().unwrap();
         assert_ne!(addr.port(), 0);
         TcpStream::connect(addr).unwrap();
     }
-    let pid = running.child.id().to_string();
-    let sent = Command::new("kill").args(["-TERM", &pid]).status().unwrap();
-    assert!(sent.success());
-    assert!(running.child.wait().unwrap().success());
-    let mut log = String::new();
-    let mut err = running.child.stderr.take().unwrap();
-    err.read_to_string(&mut log).unwrap();
+    running.terminate().unwrap();
+    assert!(running.wait(WAIT).unwrap().unwrap().success());
+    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join("running.log");
+    let log = fs::read_to_string(path).unwrap();
     for event in ["LW1001", "LW1003", "LW1004"] {
         assert!(
             log.lines().any(|line| line.contains(event)),
@@ -148,8 +126,8 @@
 /// Guards against a port conflict that is not explained.
 #[test]
 fn a_taken_port_is_reported_with_its_setting() {
-    let running = Running::start("first");
-    let taken = running.address("admin");
+    let running = start("first");
+    let taken = running.field("admin");
     let config = settings_file("second", SETTINGS);
     let set = format!("listen.admin={taken}");
     let output = daemon(&config, &["--set", &set]).output().unwrap();
--- a/standins/src/fleet/mod.rs
+++ b/standins/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 mod error;
 mod group;
 mod instance;
+mod jobs;
 mod platform;
 mod process;
 mod settings;
@@ -19,6 +20,11 @@
     Addresses,
     Instance, //
 };
+pub use jobs::{
+    Item,
+    items,
+    job_body, //
+};
 pub use platform::{
     Platform,
     control,
--- a/standins/tests/engine.rs
+++ b/standins/tests/engine.rs
@@ -8,10 +8,7 @@
 use std::{
     io::Write,
     net::TcpStream,
-    time::{
-        Duration,
-        Instant, //
-    }, //
+    time::Duration, //
 };
 
 use limpetweir_standins::{
@@ -33,6 +30,7 @@
         Role,
         text, //
     },
+    fleet,
     harness::{
         Launch,
         Process, //
@@ -64,9 +62,8 @@
         .unwrap()
 }
 
-fn control(engine: &Process, control: &EngineControl) {
-    let answer = client::post(engine.address(), "/control", control).unwrap();
-    assert_eq!(answer.status, 200, "{}", answer.text());
+fn control(engine: &Process, change: &EngineControl) {
+    fleet::control(engine, change).unwrap();
 }
 
 fn completion(prompt: &str, max_tokens: usize, stream: bool) -> Value {
@@ -112,24 +109,18 @@
 }
 
 fn records(engine: &Process) -> Vec<RequestRecord> {
-    let mut body: Value = client::get(engine.address(), "/record")
-        .unwrap()
-        .json()
-        .unwrap();
-    serde_json::from_value(body["requests"].take()).unwrap()
+    fleet::records(engine, "requests").unwrap()
 }
 
 /// Waits until the only request has this outcome.
 fn await_outcome(engine: &Process, outcome: RequestOutcome) -> RequestRecord {
-    let deadline = Instant::now() + WAIT;
-    loop {
-        let mut records = records(engine);
-        if records.len() == 1 && records[0].outcome == outcome {
-            return records.remove(0);
-        }
-        assert!(Instant::now() < deadline, "not {outcome:?}: {records:?}");
-        std::thread::sleep(Duration::from_millis(5));
-    }
+    let mut last = Vec::new();
+    let found = fleet::wait_for("the outcome", WAIT, || {
+        last = records(engine);
+        let ended = last.len() == 1 && last[0].outcome == outcome;
+        ended.then(|| last.remove(0))
+    });
+    found.unwrap_or_else(|err| panic!("{err}, not {outcome:?}: {last:?}"))
 }
 
 /// Guards against a whole answer and a stream that differ, and against a wrong usage.
@@ -268,63 +259,40 @@
     await_outcome(&engine, RequestOutcome::Cancelled);
 }
 
-/// Guards against a cut stream that looks complete.
-#[test]
-fn cut_stream_is_not_complete() {
-    let engine = start(&[]);
-    let cut = AfterTokens {
-        count: 1,
-        tokens: 3,
-    };
-    control(
-        &engine,
-        &EngineControl {
-            cut: Some(cut),
-            ..EngineControl::default()
-        },
-    );
-    let answer = send(&engine, &completion("p", 9, true), &[]).unwrap();
-    assert!(!answer.complete && !is_done(&answer));
-    assert_eq!(
-        streamed_text(&answer),
-        text::Text::new("reef-1", "p").range(0, 3)
-    );
-    await_outcome(&engine, RequestOutcome::Cut);
+fn once_after(tokens: usize) -> Option<AfterTokens> {
+    Some(AfterTokens { count: 1, tokens })
 }
 
-/// Guards against a stream without its end marker that cannot be told from a complete one.
-#[test]
-fn stream_that_ends_early_has_no_end_marker() {
+/// Guards against a cut stream that looks complete, and against a stream without its end marker
+/// that cannot be told from a complete one.
+#[rstest]
+#[case::cut(EngineControl { cut: once_after(3), ..EngineControl::default() }, 3, false, RequestOutcome::Cut)]
+#[case::end_early(EngineControl { end_early: once_after(9), ..EngineControl::default() }, 9, true, RequestOutcome::EndedEarly)]
+fn a_broken_stream_has_no_end_marker(
+    #[case] fault: EngineControl,
+    #[case] tokens: usize,
+    #[case] complete: bool,
+    #[case] outcome: RequestOutcome,
+) {
     let engine = start(&[]);
-    let end_early = AfterTokens {
-        count: 1,
-        tokens: 9,
-    };
-    control(
-        &engine,
-        &EngineControl {
-            end_early: Some(end_early),
-            ..EngineControl::default()
-        },
-    );
+    control(&engine, &fault);
     let answer = send(&engine, &completion("p", 9, true), &[]).unwrap();
-    assert!(answer.complete && !is_done(&answer));
-    await_outcome(&engine, RequestOutcome::EndedEarly);
+    assert_eq!(answer.complete, complete);
+    assert!(!is_done(&answer));
+    let expected = text::Text::new("reef-1", "p").range(0, tokens);
+    assert_eq!(streamed_text(&answer), expected);
+    await_outcome(&engine, outcome);
 }
 
 /// Guards against faults that hit more requests than were asked for.
 #[test]
 fn failures_are_counted() {
     let engine = start(&[]);
-    let fail_after = AfterTokens {
-        count: 1,
-        tokens: 1,
-    };
     control(
         &engine,
         &EngineControl {
             fail_before: Some(1),
-            fail_after: Some(fail_after),
+            fail_after: once_after(1),
             ..EngineControl::default()
         },
     );
--- a/standins/tests/log.rs
+++ b/standins/tests/log.rs
@@ -15,6 +15,7 @@
         Exchange,
         Received, //
     },
+    fleet,
     harness::{
         Launch,
         Process, //
@@ -38,9 +39,8 @@
     Launch::standin("log").unwrap().args(args).spawn().unwrap()
 }
 
-fn control(log: &Process, control: &LogControl) {
-    let answer = client::post(log.address(), "/control", control).unwrap();
-    assert_eq!(answer.status, 200, "{}", answer.text());
+fn control(log: &Process, change: &LogControl) {
+    fleet::control(log, change).unwrap();
 }
 
 fn append(log: &Process, data: &str) -> Result<Received, ClientError> {
--- a/standins/tests/plain.rs
+++ b/standins/tests/plain.rs
@@ -13,6 +13,7 @@
         Exchange,
         Received, //
     },
+    fleet,
     harness::{
         Launch,
         Process, //
@@ -33,9 +34,8 @@
     Launch::standin("plain").unwrap().spawn().unwrap()
 }
 
-fn control(plain: &Process, control: &PlainControl) {
-    let answer = client::post(plain.address(), "/control", control).unwrap();
-    assert_eq!(answer.status, 200, "{}", answer.text());
+fn control(plain: &Process, change: &PlainControl) {
+    fleet::control(plain, change).unwrap();
 }
 
 fn salinity_order(plain: &Process, attempt_id: &str) -> Result<Received, ClientError> {
@@ -59,11 +59,7 @@
 }
 
 fn records(plain: &Process) -> Vec<CallRecord> {
-    let mut body: Value = client::get(plain.address(), "/record")
-        .unwrap()
-        .json()
-        .unwrap();
-    serde_json::from_value(body["calls"].take()).unwrap()
+    fleet::records(plain, "calls").unwrap()
 }
 
 /// Guards against a reading whose repetition has another effect.
