tests: share stream reading and merge cases of one shape into tables

Two test files read server-sent events in the same way; the harness does it now, and rejects an event that is no JSON in both. The faults of one configuration field with several wrong values are a list of values, and the two requests without an answer are one table.

--- a/daemon/tests/online/streams.rs
+++ b/daemon/tests/online/streams.rs
@@ -2,8 +2,7 @@
 
 use limpetweir_standins::client::{
     self,
-    Exchange,
-    Received, //
+    Exchange, //
 };
 use limpetweir_standins::engine::text::Text;
 use limpetweir_standins::engine::{
@@ -11,6 +10,11 @@
     EngineControl,
     RequestOutcome, //
 };
+use limpetweir_standins::fleet::{
+    chunks,
+    is_done,
+    streamed_text, //
+};
 use rstest::rstest;
 use serde_json::{
     Value,
@@ -39,33 +43,6 @@
     Text::new(MODEL, prompt).range(0, tokens)
 }
 
-fn events(answer: &Received) -> Vec<String> {
-    let text = answer.text();
-    let blocks = text.split("\n\n").filter(|block| !block.is_empty());
-    blocks
-        .map(|block| block.strip_prefix("data: ").unwrap().to_owned())
-        .collect()
-}
-
-fn chunks(answer: &Received) -> Vec<Value> {
-    let events = events(answer);
-    let data = events.iter().filter(|event| *event != "[DONE]");
-    data.map(|data| serde_json::from_str(data).unwrap())
-        .collect()
-}
-
-fn streamed_text(answer: &Received) -> String {
-    let chunks = chunks(answer);
-    let choices = chunks.iter().map(|chunk| &chunk["choices"][0]);
-    choices
-        .filter_map(|c| c["text"].as_str().or(c["delta"]["content"].as_str()))
-        .collect()
-}
-
-fn is_done(answer: &Received) -> bool {
-    events(answer).last().is_some_and(|event| event == "[DONE]")
-}
-
 /// Guards against answers of another form or text than the engine's.
 #[test]
 fn whole_and_streamed_answers_are_complete() {
@@ -79,8 +56,11 @@
     let streamed = fleet.complete("tide table", 12, true);
     assert_eq!(streamed.status, 200, "{}", streamed.text());
     assert_eq!(streamed.header("content-type"), Some("text/event-stream"));
-    assert_eq!(streamed_text(&streamed), expected("tide table", 12));
-    assert!(is_done(&streamed) && streamed.complete);
+    assert_eq!(
+        streamed_text(&streamed).unwrap(),
+        expected("tide table", 12)
+    );
+    assert!(is_done(&streamed).unwrap() && streamed.complete);
 }
 
 /// Guards against chat requests that are sent or counted as plain completions.
@@ -99,8 +79,8 @@
         expected(prompt, 9)
     );
     let streamed = fleet.send("POST", "/v1/chat/completions", &body(true), KEY);
-    assert_eq!(streamed_text(&streamed), expected(prompt, 9));
-    assert!(is_done(&streamed));
+    assert_eq!(streamed_text(&streamed).unwrap(), expected(prompt, 9));
+    assert!(is_done(&streamed).unwrap());
 }
 
 fn cut() -> EngineControl {
@@ -142,12 +122,12 @@
     let mut body = completion("salinity", 20, true);
     body["stream_options"] = json!({ "include_usage": true });
     let answer = fleet.send("POST", "/v1/completions", &body, KEY);
-    assert_eq!(streamed_text(&answer), expected("salinity", 20));
-    assert!(is_done(&answer) && answer.complete);
+    assert_eq!(streamed_text(&answer).unwrap(), expected("salinity", 20));
+    assert!(is_done(&answer).unwrap() && answer.complete);
     let records = fleet.engine_records(1 - first);
     assert_eq!(records.len(), 1);
     assert_eq!(records[0].resume_tokens, 5);
-    let chunks = chunks(&answer);
+    let chunks = chunks(&answer).unwrap();
     assert!(chunks.iter().all(|chunk| chunk["id"] == chunks[0]["id"]));
     let finishes = chunks
         .iter()
@@ -168,6 +148,7 @@
         "messages": [{ "role": "user", "content": "reef" }] });
     let answer = fleet.send("POST", "/v1/chat/completions", &body, KEY);
     let roles = chunks(&answer)
+        .unwrap()
         .into_iter()
         .filter(|chunk| chunk["choices"][0]["delta"]["role"].is_string());
     assert_eq!(roles.count(), 1);
@@ -182,9 +163,13 @@
     let fleet = Fleet::start(Setup::default());
     fleet.control_engine(0, &fault);
     let answer = fleet.complete("salinity", 20, true);
-    assert!(!is_done(&answer));
-    assert!(streamed_text(&answer).starts_with(&expected("salinity", 5)));
-    let chunks = chunks(&answer);
+    assert!(!is_done(&answer).unwrap());
+    assert!(
+        streamed_text(&answer)
+            .unwrap()
+            .starts_with(&expected("salinity", 5))
+    );
+    let chunks = chunks(&answer).unwrap();
     let error = &chunks.last().unwrap()["error"];
     assert_eq!(error["code"], "stream_broken");
     assert_eq!(error["verdict"], "may-have-run");
--- a/protocol/tests/configuration.rs
+++ b/protocol/tests/configuration.rs
@@ -124,34 +124,6 @@
 
 /// Guards against an accepted fault, a wrong line or field, and a message without what is accepted.
 #[rstest]
-#[case(
-    "rate = 20",
-    "rate = 0",
-    3,
-    "organisation.rate",
-    "use 0.0001 to 1000000"
-)]
-#[case(
-    "rate = 20",
-    "rate = -1.5",
-    3,
-    "organisation.rate",
-    "use 0.0001 to 1000000"
-)]
-#[case(
-    "rate = 20",
-    "rate = nan",
-    3,
-    "organisation.rate",
-    "use 0.0001 to 1000000"
-)]
-#[case(
-    "rate = 20",
-    "rate = inf",
-    3,
-    "organisation.rate",
-    "use 0.0001 to 1000000"
-)]
 #[case(
     "burst = 40.5",
     "burst = 0.5",
@@ -312,34 +284,6 @@
     "use one of"
 )]
 #[case("zone = \"z2\"", "zone = \"z/2\"", 46, "backend.zone", "use 1 to 64")]
-#[case(
-    "127.0.0.1:9001",
-    "localhost:9001",
-    39,
-    "backend.address",
-    "IP address and a port"
-)]
-#[case(
-    "127.0.0.1:9001",
-    "127.0.0.1",
-    39,
-    "backend.address",
-    "IP address and a port"
-)]
-#[case(
-    "127.0.0.1:9001",
-    "127.0.0.1:0",
-    39,
-    "backend.address",
-    "IP address and a port"
-)]
-#[case(
-    "127.0.0.1:9001",
-    "0.0.0.0:9001",
-    39,
-    "backend.address",
-    "IP address and a port"
-)]
 #[case(
     "127.0.0.1:9003",
     "127.0.0.1:9001",
@@ -347,27 +291,6 @@
     "backend.address",
     "line 39: use a different"
 )]
-#[case(
-    "slots = 4",
-    "slots = 0",
-    48,
-    "backend.slots",
-    "use a number from 1 to 65536"
-)]
-#[case(
-    "slots = 4",
-    "slots = -4",
-    48,
-    "backend.slots",
-    "use a number from 1 to 65536"
-)]
-#[case(
-    "slots = 4",
-    "slots = 65537",
-    48,
-    "backend.slots",
-    "use a number from 1 to 65536"
-)]
 #[case("slots = 4", "slots = 4.5", 48, "document", "")]
 #[case("slots = 4", "slot = 4", 48, "document", "expected one of")]
 #[case("slots = 4", "", 43, "document", "missing field `slots`")]
@@ -380,10 +303,53 @@
     #[case] field: &str,
     #[case] accepted: &str,
 ) {
+    check_fault(from, to, line, field, accepted);
+}
+
+/// Guards against a rate that no bucket can refill at.
+#[rstest]
+fn rate_is_checked(#[values("rate = 0", "rate = -1.5", "rate = nan", "rate = inf")] to: &str) {
+    check_fault(
+        "rate = 20",
+        to,
+        3,
+        "organisation.rate",
+        "use 0.0001 to 1000000",
+    );
+}
+
+/// Guards against an address that has to be looked up or cannot be connected to.
+#[rstest]
+fn address_is_checked(
+    #[values("localhost:9001", "127.0.0.1", "127.0.0.1:0", "0.0.0.0:9001")] to: &str,
+) {
+    check_fault(
+        "127.0.0.1:9001",
+        to,
+        39,
+        "backend.address",
+        "IP address and a port",
+    );
+}
+
+/// Guards against a number of slots that is not positive or not bounded.
+#[rstest]
+fn slots_is_checked(#[values("slots = 0", "slots = -4", "slots = 65537")] to: &str) {
+    check_fault(
+        "slots = 4",
+        to,
+        48,
+        "backend.slots",
+        "use a number from 1 to 65536",
+    );
+}
+
+/// Replaces `from` by `to` in the document and expects this fault.
+fn check_fault(from: &str, to: &str, line: usize, field: &str, accepted: &str) {
     let text = document();
     assert!(text.contains(from), "the fault is not planted");
     let faulty = text.replacen(from, to, 1);
-    let error = parse_configuration(&faulty).unwrap_err();
+    let error = parse_configuration(&faulty).expect_err("the fault is reported");
     let matches = |fault: &&limpetweir_protocol::ConfigFault| {
         fault.line == line && fault.field == field && fault.message.contains(accepted)
     };
--- a/standins/src/fleet/mod.rs
+++ b/standins/src/fleet/mod.rs
@@ -8,6 +8,7 @@
 mod platform;
 mod process;
 mod settings;
+mod stream;
 mod wait;
 
 pub use document::Document;
@@ -37,6 +38,12 @@
     OPERATOR_KEY,
     bearer, //
 };
+pub use stream::{
+    chunks,
+    events,
+    is_done,
+    streamed_text, //
+};
 pub use wait::{
     eventually,
     wait_for, //
--- /dev/null
+++ b/standins/src/fleet/stream.rs
@@ -0,0 +1,71 @@
+//! Reads the server-sent events of a streamed answer.
+
+use serde_json::Value;
+use snafu::OptionExt;
+
+use super::error::{
+    FleetError,
+    UnexpectedSnafu, //
+};
+use crate::client::{
+    ClientError,
+    Received, //
+};
+
+/// Data of the event that ends a complete stream.
+const END_MARKER: &str = "[DONE]";
+
+/// Returns the data of the events.
+///
+/// # Errors
+///
+/// Returns an error if a block is no event with data.
+pub fn events(answer: &Received) -> Result<Vec<String>, FleetError> {
+    let text = answer.text();
+    let blocks = text.split("\n\n").filter(|block| !block.is_empty());
+    let data = blocks.map(|block| block.strip_prefix("data: ").map(str::to_owned));
+    let events: Option<_> = data.collect();
+    events.context(UnexpectedSnafu {
+        status: answer.status,
+        text,
+    })
+}
+
+/// Returns the events without the end marker, parsed.
+///
+/// # Errors
+///
+/// Returns an error if a block is no event or an event is no JSON.
+pub fn chunks(answer: &Received) -> Result<Vec<Value>, FleetError> {
+    let parse = |data: String| {
+        let parsed = serde_json::from_str(&data);
+        parsed.map_err(|source| ClientError::Json { source }.into())
+    };
+    let events = events(answer)?.into_iter();
+    events
+        .filter(|data| data != END_MARKER)
+        .map(parse)
+        .collect()
+}
+
+/// Returns the text so far of a streamed completion or chat.
+///
+/// # Errors
+///
+/// As [`chunks`].
+pub fn streamed_text(answer: &Received) -> Result<String, FleetError> {
+    let chunks = chunks(answer)?;
+    let choices = chunks.iter().map(|chunk| &chunk["choices"][0]);
+    let texts = choices.filter_map(|c| c["text"].as_str().or(c["delta"]["content"].as_str()));
+    Ok(texts.collect())
+}
+
+/// Returns whether the last event is the end marker.
+///
+/// # Errors
+///
+/// Returns an error if a block is no event with data.
+pub fn is_done(answer: &Received) -> Result<bool, FleetError> {
+    let events = events(answer)?;
+    Ok(events.last().is_some_and(|event| event == END_MARKER))
+}
--- a/standins/tests/engine.rs
+++ b/standins/tests/engine.rs
@@ -30,7 +30,12 @@
         Role,
         text, //
     },
-    fleet,
+    fleet::{
+        self,
+        events,
+        is_done,
+        streamed_text, //
+    },
     harness::{
         Launch,
         Process, //
@@ -80,29 +85,6 @@
     })
 }
 
-/// Returns the data of the server-sent events.
-fn events(answer: &Received) -> Vec<String> {
-    let text = answer.text();
-    let blocks = text.split("\n\n").filter(|block| !block.is_empty());
-    blocks
-        .map(|block| block.strip_prefix("data: ").unwrap().to_owned())
-        .collect()
-}
-
-/// Returns the text of a streamed completion so far.
-fn streamed_text(answer: &Received) -> String {
-    let events = events(answer);
-    let json = events
-        .iter()
-        .filter_map(|event| serde_json::from_str::<Value>(event).ok());
-    json.filter_map(|event| event["choices"][0]["text"].as_str().map(str::to_owned))
-        .collect()
-}
-
-fn is_done(answer: &Received) -> bool {
-    events(answer).last().is_some_and(|event| event == "[DONE]")
-}
-
 fn whole_text(answer: &Received) -> String {
     let body: Value = answer.json().unwrap();
     body["choices"][0]["text"].as_str().unwrap().to_owned()
@@ -139,9 +121,9 @@
     request["stream_options"] = json!({ "include_usage": true });
     let streamed = send(&engine, &request, &[]).unwrap();
     assert_eq!(streamed.header("content-type"), Some("text/event-stream"));
-    assert_eq!(streamed_text(&streamed), expected);
-    assert!(streamed.complete && is_done(&streamed));
-    let events = events(&streamed);
+    assert_eq!(streamed_text(&streamed).unwrap(), expected);
+    assert!(streamed.complete && is_done(&streamed).unwrap());
+    let events = events(&streamed).unwrap();
     let usage: Value = serde_json::from_str(&events[events.len() - 2]).unwrap();
     assert_eq!(usage["usage"]["completion_tokens"], 12);
 }
@@ -159,10 +141,10 @@
 
     request["stream"] = json!(true);
     let streamed = client::post(engine.address(), "/v1/chat/completions", &request).unwrap();
-    let first: Value = serde_json::from_str(&events(&streamed)[0]).unwrap();
+    let first: Value = serde_json::from_str(&events(&streamed).unwrap()[0]).unwrap();
     assert_eq!(first["object"], "chat.completion.chunk");
     assert_eq!(first["choices"][0]["delta"]["role"], "assistant");
-    assert!(is_done(&streamed));
+    assert!(is_done(&streamed).unwrap());
 }
 
 /// Guards against a resumed answer that repeats, skips or changes tokens.
@@ -183,10 +165,10 @@
     );
     let streamed = send(&engine, &completion("resume", 20, true), &headers).unwrap();
     assert_eq!(
-        source.range(0, delivered) + &streamed_text(&streamed),
+        source.range(0, delivered) + &streamed_text(&streamed).unwrap(),
         source.range(0, 20)
     );
-    assert!(is_done(&streamed));
+    assert!(is_done(&streamed).unwrap());
     assert!(
         records(&engine)
             .iter()
@@ -278,9 +260,9 @@
     control(&engine, &fault);
     let answer = send(&engine, &completion("p", 9, true), &[]).unwrap();
     assert_eq!(answer.complete, complete);
-    assert!(!is_done(&answer));
+    assert!(!is_done(&answer).unwrap());
     let expected = text::Text::new("reef-1", "p").range(0, tokens);
-    assert_eq!(streamed_text(&answer), expected);
+    assert_eq!(streamed_text(&answer).unwrap(), expected);
     await_outcome(&engine, outcome);
 }
 
--- a/transport/tests/verdicts.rs
+++ b/transport/tests/verdicts.rs
@@ -34,6 +34,7 @@
     SendOptions,
     TrafficClass, //
 };
+use rstest::rstest;
 
 /// Far beyond any wait of a test; reaching it means that the test hangs.
 const HANG: Duration = Duration::from_secs(30);
@@ -120,19 +121,6 @@
     assert_eq!(err.verdict(), Verdict::NotRun);
 }
 
-/// Guards against "not run" for a request that the server has read.
-#[test]
-fn closed_after_the_request_may_have_run() {
-    let (runtime, client) = runtime_and_client();
-    let (addr, thread) = scripted_server(1, |_, stream| assert!(read_request(&stream)));
-    let err = runtime.block_on(async move {
-        let sent = client.send(addr, post(), options(TrafficClass::Online));
-        sent.await.unwrap_err()
-    });
-    thread.join().unwrap();
-    assert_eq!(err.verdict(), Verdict::MayHaveRun);
-}
-
 /// Guards against "not run" for a request whose answer is late.
 #[test]
 fn a_deadline_after_the_request_may_have_run() {
@@ -177,13 +165,16 @@
     thread.join().unwrap();
 }
 
-/// Guards against an answer that is not HTTP and is taken for "not run".
-#[test]
-fn a_malformed_answer_may_have_run() {
+/// Guards against "not run" for a request that the server has read, although it then closes the
+/// connection or answers something that is not HTTP.
+#[rstest]
+#[case::closed("")]
+#[case::malformed("no answer at all\r\n\r\n")]
+fn a_request_without_an_answer_may_have_run(#[case] answer: &'static str) {
     let (runtime, client) = runtime_and_client();
-    let (addr, thread) = scripted_server(1, |_, mut stream| {
+    let (addr, thread) = scripted_server(1, move |_, mut stream| {
         assert!(read_request(&stream));
-        stream.write_all(b"no answer at all\r\n\r\n").unwrap();
+        stream.write_all(answer.as_bytes()).unwrap();
     });
     let err = runtime.block_on(async move {
         let sent = client.send(addr, post(), options(TrafficClass::Online));
