tests: remove repeated setups of peers, fleets and unload orders

Four peer tests started a runtime and a listener with the same lines, two tests sent the same unload order, and three online setups repeated every default.

--- a/daemon/tests/batch/orders.rs
+++ b/daemon/tests/batch/orders.rs
@@ -25,6 +25,15 @@
     get(fleet, engine, "/load")["models"][SECOND_MODEL].is_string()
 }
 
+/// Orders an engine to unload the second model.
+fn unload(fleet: &Fleet, engine: usize, fencing: u64) {
+    let model = SECOND_MODEL.to_owned();
+    let change = Change::UnloadModel { model };
+    let order = Order { change, fencing };
+    let answer = client::post(fleet.engines[engine].address(), "/orders", &order);
+    assert_eq!(answer.unwrap().status, 200);
+}
+
 /// Guards against an engine that keeps lacking a model of the configuration, also after it lost
 /// the model again, and against orders without the epoch of their sender.
 #[test]
@@ -46,11 +55,7 @@
         let fencing = fencing.unwrap();
         assert!(fencing > 0);
 
-        let model = SECOND_MODEL.to_owned();
-        let change = Change::UnloadModel { model };
-        let order = Order { change, fencing };
-        let answer = client::post(fleet.engines[engine].address(), "/orders", &order);
-        assert_eq!(answer.unwrap().status, 200);
+        unload(&fleet, engine, fencing);
         eventually("the model is unloaded", || !is_loaded(&fleet, engine));
         eventually("the model is loaded again", || is_loaded(&fleet, engine));
     }
@@ -68,11 +73,7 @@
     for engine in 0..2 {
         eventually("the model is loaded", || is_loaded(&fleet, engine));
         let fencing = get(&fleet, engine, "/load")["fencing"].as_u64().unwrap();
-        let model = SECOND_MODEL.to_owned();
-        let change = Change::UnloadModel { model };
-        let order = Order { change, fencing };
-        let answer = client::post(fleet.engines[engine].address(), "/orders", &order);
-        assert_eq!(answer.unwrap().status, 200);
+        unload(&fleet, engine, fencing);
     }
     let mut waiting = items(30, 8, None);
     for item in &mut waiting {
--- a/daemon/tests/online/backends.rs
+++ b/daemon/tests/online/backends.rs
@@ -22,10 +22,8 @@
 const QUERY: &str = "organisation=reef&model=reef-1";
 
 const TWO_ENGINES: Setup = Setup {
-    instances: 1,
     engines: 2,
-    plains: 1,
-    limit: (100_000.0, 100_000.0),
+    ..Setup::SMALL
 };
 
 fn leave(fleet: &Fleet, names: &[&str]) {
@@ -69,7 +67,7 @@
 #[case::whole(false)]
 #[case::streamed(true)]
 fn a_request_rejected_by_its_engine_did_not_run(#[case] stream: bool) {
-    let fleet = Fleet::start(Setup::default());
+    let fleet = Fleet::start(Setup::SMALL);
     let fault = EngineControl {
         fail_before: Some(1),
         ..EngineControl::default()
@@ -86,7 +84,7 @@
 /// Guards against "not run" for a request that failed while it ran.
 #[test]
 fn a_request_that_failed_while_it_ran_may_have_run() {
-    let fleet = Fleet::start(Setup::default());
+    let fleet = Fleet::start(Setup::SMALL);
     let answer = fleet.complete("[[poison]]", 4, false);
     assert_eq!(error_code(&answer, 502, "may-have-run"), "backend_failed");
 }
@@ -107,7 +105,7 @@
 /// Guards against "not run" without a time to come back when the only engine is gone.
 #[test]
 fn a_request_without_any_engine_did_not_run() {
-    let mut fleet = Fleet::start(Setup::default());
+    let mut fleet = Fleet::start(Setup::SMALL);
     fleet.engines[0].kill().unwrap();
     for _ in 0..2 {
         let answer = fleet.complete("tide", 2, true);
@@ -142,7 +140,7 @@
 /// Guards against metrics from which an operator cannot tell what online callers got.
 #[test]
 fn metrics_count_outcomes_attempts_and_refusals() {
-    let fleet = Fleet::start(Setup::default());
+    let fleet = Fleet::start(Setup::SMALL);
     fleet.complete("tide", 2, false);
     fleet.complete("tide", 2, true);
     fleet.send("GET", "/v1/models", &Value::Null, "wrong");
@@ -165,7 +163,7 @@
 fn discovery_lists_the_instances_with_the_callers_zone_first() {
     let fleet = Fleet::start(Setup {
         instances: 3,
-        ..Setup::default()
+        ..Setup::SMALL
     });
     for zone in ["z1", "z2", "z3"] {
         let path = format!("/v1/addresses?zone={zone}");
--- a/daemon/tests/online/bodies.rs
+++ b/daemon/tests/online/bodies.rs
@@ -25,7 +25,7 @@
 /// Guards against malformed requests that reach an engine or end without a clear error.
 #[test]
 fn malformed_bodies_are_refused() {
-    let fleet = Fleet::start(Setup::default());
+    let fleet = Fleet::start(Setup::SMALL);
     let bodies = [
         ("/v1/completions", "".to_owned()),
         ("/v1/completions", "{".to_owned()),
@@ -63,7 +63,7 @@
 #[case("/v1/completions")]
 #[case("/services/tanks/salinity-orders")]
 fn oversized_bodies_are_refused(#[case] path: &str) {
-    let fleet = Fleet::start(Setup::default());
+    let fleet = Fleet::start(Setup::SMALL);
     let mut connection = Connection::open(&fleet.public(0));
     // The announced length is refused; a caller that writes on would meet a closed connection.
     connection.write_part("POST", path, KEY, (8 << 20) + 1, "");
@@ -78,7 +78,7 @@
 /// Guards against unknown names that are answered as failures of the fleet.
 #[test]
 fn unknown_names_are_refused() {
-    let fleet = Fleet::start(Setup::default());
+    let fleet = Fleet::start(Setup::SMALL);
     let mut body = completion("tide", 4, false);
     body["model"] = json!("reef-2");
     let answer = fleet.send("POST", "/v1/completions", &body, KEY);
@@ -96,7 +96,7 @@
 /// Guards against an engine's refusal that is reported as a failure of the fleet.
 #[test]
 fn a_refusal_by_the_engine_is_passed_on() {
-    let fleet = Fleet::start(Setup::default());
+    let fleet = Fleet::start(Setup::SMALL);
     let answer = fleet.complete("tide", 0, false);
     assert_eq!(
         error_code(&answer, 400, "may-have-run"),
--- a/daemon/tests/online/fleet.rs
+++ b/daemon/tests/online/fleet.rs
@@ -58,15 +58,14 @@
     pub(crate) limit: (f64, f64),
 }
 
-impl Default for Setup {
-    fn default() -> Self {
-        Self {
-            instances: 1,
-            engines: 1,
-            plains: 1,
-            limit: (100_000.0, 100_000.0),
-        }
-    }
+impl Setup {
+    /// One instance with one backend server of each service, without an effective limit.
+    pub(crate) const SMALL: Self = Self {
+        instances: 1,
+        engines: 1,
+        plains: 1,
+        limit: (100_000.0, 100_000.0),
+    };
 }
 
 /// A running fleet.
--- a/daemon/tests/online/keys.rs
+++ b/daemon/tests/online/keys.rs
@@ -58,7 +58,7 @@
 #[case::no_scheme(&["key-of-the-reef-organisation"])]
 #[case::two(&["Bearer key-of-the-reef-organisation", "Bearer key-of-the-reef-organisation"])]
 fn a_request_without_a_valid_key_is_refused(#[case] values: &[&str]) {
-    let fleet = Fleet::start(Setup::default());
+    let fleet = Fleet::start(Setup::SMALL);
     let headers: Vec<_> = values.iter().map(|v| ("authorization", *v)).collect();
     let body = completion("tide", 4, false).to_string().into_bytes();
     let calls = [
@@ -78,7 +78,7 @@
 /// Guards against an organisation that uses what it has no access to.
 #[test]
 fn an_organisation_without_access_is_refused() {
-    let fleet = Fleet::start(Setup::default());
+    let fleet = Fleet::start(Setup::SMALL);
     let body = completion("tide", 4, false);
     let answer = fleet.send("POST", "/v1/completions", &body, OTHER_KEY);
     assert_eq!(error_code(&answer, 403, "not-run"), "service_not_allowed");
@@ -96,7 +96,7 @@
 /// Guards against a key that goes on working on a connection that was open when it was revoked.
 #[test]
 fn a_revoked_key_is_refused_on_an_open_connection() {
-    let mut fleet = Fleet::start(Setup::default());
+    let mut fleet = Fleet::start(Setup::SMALL);
     let mut connection = Connection::open(&fleet.public(0));
     connection.write("GET", "/v1/models", KEY, "");
     assert_eq!(connection.read().0, 200);
@@ -114,7 +114,7 @@
 /// Guards against a key that is revoked while its caller sends the body.
 #[test]
 fn a_key_revoked_during_the_body_is_refused() {
-    let mut fleet = Fleet::start(Setup::default());
+    let mut fleet = Fleet::start(Setup::SMALL);
     let mut connection = Connection::open(&fleet.public(0));
     let body = completion("tide", 4, false).to_string();
     let (head, tail) = body.split_at(5);
@@ -130,7 +130,7 @@
 #[test]
 fn the_key_goes_no_further() {
     collect_log();
-    let mut fleet = Fleet::start(Setup::default());
+    let mut fleet = Fleet::start(Setup::SMALL);
     let capture = Capture::start();
     let keyed = "kind = \"plain\"\naccess = \"keyed\"\nidempotent = []";
     let document = fleet
--- a/daemon/tests/online/plain.rs
+++ b/daemon/tests/online/plain.rs
@@ -19,10 +19,8 @@
 };
 
 const TWO_PLAINS: Setup = Setup {
-    instances: 1,
-    engines: 1,
     plains: 2,
-    limit: (100_000.0, 100_000.0),
+    ..Setup::SMALL
 };
 
 const ORDERS: &str = "/services/tanks/salinity-orders";
@@ -48,7 +46,7 @@
 /// Guards against open routes that ask for a key and calls that lose their path or body.
 #[test]
 fn calls_reach_open_and_keyed_services() {
-    let fleet = Fleet::start(Setup::default());
+    let fleet = Fleet::start(Setup::SMALL);
     let reading = json!({ "litres": 12.5 });
     let answer = fleet.send("PUT", "/services/tanks/tanks/t1", &reading, KEY);
     assert_eq!(answer.status, 200, "{}", answer.text());
--- a/daemon/tests/online/quota.rs
+++ b/daemon/tests/online/quota.rs
@@ -66,7 +66,7 @@
     let fleet = Fleet::start(Setup {
         instances: 3,
         limit: (RATE, BURST),
-        ..Setup::default()
+        ..Setup::SMALL
     });
     let (fleet, total) = (&fleet, &AtomicUsize::new(0));
     let (admitted, refused) = thread::scope(|scope| {
--- a/daemon/tests/online/streams.rs
+++ b/daemon/tests/online/streams.rs
@@ -33,10 +33,8 @@
 use crate::raw::Connection;
 
 const TWO_ENGINES: Setup = Setup {
-    instances: 1,
     engines: 2,
-    plains: 1,
-    limit: (100_000.0, 100_000.0),
+    ..Setup::SMALL
 };
 
 fn expected(prompt: &str, tokens: usize) -> String {
@@ -46,7 +44,7 @@
 /// Guards against answers of another form or text than the engine's.
 #[test]
 fn whole_and_streamed_answers_are_complete() {
-    let fleet = Fleet::start(Setup::default());
+    let fleet = Fleet::start(Setup::SMALL);
     let whole = fleet.complete("tide table", 12, false);
     assert_eq!(whole.status, 200, "{}", whole.text());
     assert_eq!(whole.header("content-type"), Some("application/json"));
@@ -66,7 +64,7 @@
 /// Guards against chat requests that are sent or counted as plain completions.
 #[test]
 fn chat_answers_are_complete() {
-    let fleet = Fleet::start(Setup::default());
+    let fleet = Fleet::start(Setup::SMALL);
     let body = |stream| {
         json!({ "model": MODEL, "max_tokens": 9, "stream": stream,
             "messages": [{ "role": "user", "content": "when is high tide" }] })
@@ -160,7 +158,7 @@
 #[case::end_early(end_early())]
 #[case::fail_after(fail_after())]
 fn a_broken_stream_without_another_engine_ends_with_an_error(#[case] fault: EngineControl) {
-    let fleet = Fleet::start(Setup::default());
+    let fleet = Fleet::start(Setup::SMALL);
     fleet.control_engine(0, &fault);
     let answer = fleet.complete("salinity", 20, true);
     assert!(!is_done(&answer).unwrap());
@@ -180,7 +178,7 @@
 #[case::whole(false)]
 #[case::streamed(true)]
 fn a_crossed_answer_is_dropped(#[case] stream: bool) {
-    let fleet = Fleet::start(Setup::default());
+    let fleet = Fleet::start(Setup::SMALL);
     assert_eq!(fleet.complete("first", 8, stream).status, 200);
     fleet.control_engine(
         0,
@@ -228,7 +226,7 @@
 /// Guards against engines that generate for callers who left in the middle of a stream.
 #[test]
 fn a_stream_is_cancelled_when_its_caller_leaves() {
-    let fleet = Fleet::start(Setup::default());
+    let fleet = Fleet::start(Setup::SMALL);
     let received = client::send_until(
         Exchange {
             address: &fleet.public(0),
@@ -258,7 +256,7 @@
 #[case::whole(false)]
 #[case::streamed(true)]
 fn a_waiting_request_is_cancelled_when_its_caller_leaves(#[case] stream: bool) {
-    let fleet = Fleet::start(Setup::default());
+    let fleet = Fleet::start(Setup::SMALL);
     let stall = EngineControl {
         stall: Some(true),
         ..EngineControl::default()
--- a/transport/tests/peer.rs
+++ b/transport/tests/peer.rs
@@ -137,6 +137,14 @@
     }
 }
 
+/// Starts a runtime with one peer of this version.
+fn start_peer(name: &str) -> (Runtime, Spawner, Peer) {
+    let runtime = Runtime::start(2).unwrap();
+    let spawner = runtime.spawner();
+    let peer = listen(&spawner, LOCAL, hello(name, PEER_PROTOCOL_VERSION));
+    (runtime, spawner, peer)
+}
+
 fn dial(spawner: &Spawner, options: LinkOptions) -> (Arc<PeerLink>, Receiver<LinkEvent>) {
     let (tx, events) = async_channel::unbounded();
     let link = PeerLink::start(spawner, options, move |event| {
@@ -184,9 +192,7 @@
 /// Guards against state that is attributed to an instance which moved away from its address.
 #[test]
 fn another_instance_at_the_address_is_refused() {
-    let runtime = Runtime::start(2).unwrap();
-    let spawner = runtime.spawner();
-    let peer = listen(&spawner, LOCAL, hello("stranger", PEER_PROTOCOL_VERSION));
+    let (runtime, spawner, peer) = start_peer("stranger");
     let options = options(peer.listener.addr());
     runtime.block_on(async move {
         let (_link, events) = dial(&spawner, options);
@@ -201,9 +207,7 @@
 /// Guards against a reply that reaches another call than its own.
 #[test]
 fn crossed_replies_reach_their_calls() {
-    let runtime = Runtime::start(2).unwrap();
-    let spawner = runtime.spawner();
-    let peer = listen(&spawner, LOCAL, hello("peer", PEER_PROTOCOL_VERSION));
+    let (runtime, spawner, peer) = start_peer("peer");
     runtime.block_on(async move {
         let (link, events) = dial(&spawner, options(peer.listener.addr()));
         wait_up(&events).await;
@@ -225,9 +229,7 @@
 /// Guards against a late reply that is taken for the reply to the next call.
 #[test]
 fn a_late_reply_is_dropped() {
-    let runtime = Runtime::start(2).unwrap();
-    let spawner = runtime.spawner();
-    let peer = listen(&spawner, LOCAL, hello("peer", PEER_PROTOCOL_VERSION));
+    let (runtime, spawner, peer) = start_peer("peer");
     runtime.block_on(async move {
         let (link, events) = dial(&spawner, options(peer.listener.addr()));
         wait_up(&events).await;
@@ -254,9 +256,7 @@
 /// that stays down.
 #[test]
 fn a_broken_link_fails_its_calls_and_reconnects() {
-    let runtime = Runtime::start(2).unwrap();
-    let spawner = runtime.spawner();
-    let peer = listen(&spawner, LOCAL, hello("peer", PEER_PROTOCOL_VERSION));
+    let (runtime, spawner, peer) = start_peer("peer");
     runtime.block_on(async move {
         let addr = peer.listener.addr();
         let (link, events) = dial(&spawner, options(addr));
