--- a/standins/tests/engine.rs
+++ b/standins/tests/engine.rs
@@ -8,10 +8,7 @@
 use std::{
     io::Write,
     net::TcpStream,
-    time::{
-        Duration,
-        Instant, //
-    }, //
+    time::Duration, //
 };
 
 use limpetweir_standins::{
@@ -33,6 +30,12 @@
         Role,
         text, //
     },
+    fleet::{
+        self,
+        events,
+        is_done,
+        streamed_text, //
+    },
     harness::{
         Launch,
         Process, //
@@ -64,9 +67,8 @@
         .unwrap()
 }
 
-fn control(engine: &Process, control: &EngineControl) {
-    let answer = client::post(engine.address(), "/control", control).unwrap();
-    assert_eq!(answer.status, 200, "{}", answer.text());
+fn control(engine: &Process, change: &EngineControl) {
+    fleet::control(engine, change).unwrap();
 }
 
 fn completion(prompt: &str, max_tokens: usize, stream: bool) -> Value {
@@ -83,53 +85,24 @@
     })
 }
 
-/// Returns the data of the server-sent events.
-fn events(answer: &Received) -> Vec<String> {
-    let text = answer.text();
-    let blocks = text.split("\n\n").filter(|block| !block.is_empty());
-    blocks
-        .map(|block| block.strip_prefix("data: ").unwrap().to_owned())
-        .collect()
-}
-
-/// Returns the text of a streamed completion so far.
-fn streamed_text(answer: &Received) -> String {
-    let events = events(answer);
-    let json = events
-        .iter()
-        .filter_map(|event| serde_json::from_str::<Value>(event).ok());
-    json.filter_map(|event| event["choices"][0]["text"].as_str().map(str::to_owned))
-        .collect()
-}
-
-fn is_done(answer: &Received) -> bool {
-    events(answer).last().is_some_and(|event| event == "[DONE]")
-}
-
 fn whole_text(answer: &Received) -> String {
     let body: Value = answer.json().unwrap();
     body["choices"][0]["text"].as_str().unwrap().to_owned()
 }
 
 fn records(engine: &Process) -> Vec<RequestRecord> {
-    let mut body: Value = client::get(engine.address(), "/record")
-        .unwrap()
-        .json()
-        .unwrap();
-    serde_json::from_value(body["requests"].take()).unwrap()
+    fleet::records(engine, "requests").unwrap()
 }
 
 /// Waits until the only request has this outcome.
 fn await_outcome(engine: &Process, outcome: RequestOutcome) -> RequestRecord {
-    let deadline = Instant::now() + WAIT;
-    loop {
-        let mut records = records(engine);
-        if records.len() == 1 && records[0].outcome == outcome {
-            return records.remove(0);
-        }
-        assert!(Instant::now() < deadline, "not {outcome:?}: {records:?}");
-        std::thread::sleep(Duration::from_millis(5));
-    }
+    let mut last = Vec::new();
+    let found = fleet::wait_for("the outcome", WAIT, || {
+        last = records(engine);
+        let ended = last.len() == 1 && last[0].outcome == outcome;
+        ended.then(|| last.remove(0))
+    });
+    found.unwrap_or_else(|err| panic!("{err}, not {outcome:?}: {last:?}"))
 }
 
 /// Guards against a whole answer and a stream that differ, and against a wrong usage.
@@ -148,9 +121,9 @@
     request["stream_options"] = json!({ "include_usage": true });
     let streamed = send(&engine, &request, &[]).unwrap();
     assert_eq!(streamed.header("content-type"), Some("text/event-stream"));
-    assert_eq!(streamed_text(&streamed), expected);
-    assert!(streamed.complete && is_done(&streamed));
-    let events = events(&streamed);
+    assert_eq!(streamed_text(&streamed).unwrap(), expected);
+    assert!(streamed.complete && is_done(&streamed).unwrap());
+    let events = events(&streamed).unwrap();
     let usage: Value = serde_json::from_str(&events[events.len() - 2]).unwrap();
     assert_eq!(usage["usage"]["completion_tokens"], 12);
 }
@@ -168,10 +141,10 @@
 
     request["stream"] = json!(true);
     let streamed = client::post(engine.address(), "/v1/chat/completions", &request).unwrap();
-    let first: Value = serde_json::from_str(&events(&streamed)[0]).unwrap();
+    let first: Value = serde_json::from_str(&events(&streamed).unwrap()[0]).unwrap();
     assert_eq!(first["object"], "chat.completion.chunk");
     assert_eq!(first["choices"][0]["delta"]["role"], "assistant");
-    assert!(is_done(&streamed));
+    assert!(is_done(&streamed).unwrap());
 }
 
 /// Guards against a resumed answer that repeats, skips or changes tokens.
@@ -192,10 +165,10 @@
     );
     let streamed = send(&engine, &completion("resume", 20, true), &headers).unwrap();
     assert_eq!(
-        source.range(0, delivered) + &streamed_text(&streamed),
+        source.range(0, delivered) + &streamed_text(&streamed).unwrap(),
         source.range(0, 20)
     );
-    assert!(is_done(&streamed));
+    assert!(is_done(&streamed).unwrap());
     assert!(
         records(&engine)
             .iter()
@@ -268,63 +241,40 @@
     await_outcome(&engine, RequestOutcome::Cancelled);
 }
 
-/// Guards against a cut stream that looks complete.
-#[test]
-fn cut_stream_is_not_complete() {
-    let engine = start(&[]);
-    let cut = AfterTokens {
-        count: 1,
-        tokens: 3,
-    };
-    control(
-        &engine,
-        &EngineControl {
-            cut: Some(cut),
-            ..EngineControl::default()
-        },
-    );
-    let answer = send(&engine, &completion("p", 9, true), &[]).unwrap();
-    assert!(!answer.complete && !is_done(&answer));
-    assert_eq!(
-        streamed_text(&answer),
-        text::Text::new("reef-1", "p").range(0, 3)
-    );
-    await_outcome(&engine, RequestOutcome::Cut);
+fn once_after(tokens: usize) -> Option<AfterTokens> {
+    Some(AfterTokens { count: 1, tokens })
 }
 
-/// Guards against a stream without its end marker that cannot be told from a complete one.
-#[test]
-fn stream_that_ends_early_has_no_end_marker() {
+/// Guards against a cut stream that looks complete, and against a stream without its end marker
+/// that cannot be told from a complete one.
+#[rstest]
+#[case::cut(EngineControl { cut: once_after(3), ..EngineControl::default() }, 3, false, RequestOutcome::Cut)]
+#[case::end_early(EngineControl { end_early: once_after(9), ..EngineControl::default() }, 9, true, RequestOutcome::EndedEarly)]
+fn a_broken_stream_has_no_end_marker(
+    #[case] fault: EngineControl,
+    #[case] tokens: usize,
+    #[case] complete: bool,
+    #[case] outcome: RequestOutcome,
+) {
     let engine = start(&[]);
-    let end_early = AfterTokens {
-        count: 1,
-        tokens: 9,
-    };
-    control(
-        &engine,
-        &EngineControl {
-            end_early: Some(end_early),
-            ..EngineControl::default()
-        },
-    );
+    control(&engine, &fault);
     let answer = send(&engine, &completion("p", 9, true), &[]).unwrap();
-    assert!(answer.complete && !is_done(&answer));
-    await_outcome(&engine, RequestOutcome::EndedEarly);
+    assert_eq!(answer.complete, complete);
+    assert!(!is_done(&answer).unwrap());
+    let expected = text::Text::new("reef-1", "p").range(0, tokens);
+    assert_eq!(streamed_text(&answer).unwrap(), expected);
+    await_outcome(&engine, outcome);
 }
 
 /// Guards against faults that hit more requests than were asked for.
 #[test]
 fn failures_are_counted() {
     let engine = start(&[]);
-    let fail_after = AfterTokens {
-        count: 1,
-        tokens: 1,
-    };
     control(
         &engine,
         &EngineControl {
             fail_before: Some(1),
-            fail_after: Some(fail_after),
+            fail_after: once_after(1),
             ..EngineControl::default()
         },
     );
