daemon: serve through the silence limit after a planned stop began

Cause: peers name a stopping instance to callers until its leaving heartbeat arrives, but the listener closed one discovery time to live after the stop began. Callers with an answer from that gap were refused a connection. Change: the stop waits for the discovery time to live and the silence limit, and the settings require a drain limit above both. The case of the settings test for the limit now starts at the new bound.

--- a/daemon/src/daemon.rs
+++ b/daemon/src/daemon.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use async_executor::Task;
+use limpetweir_coordination::timing::SILENCE_LIMIT;
 use limpetweir_protocol::peer::{
     Hello,
     PEER_PROTOCOL_VERSION, //
@@ -142,7 +143,8 @@
         event!(STOPPING, "limit_ms={}", timing.drain_limit.as_millis());
         self.node.set_phase(Phase::Leaving);
         self.public.drain();
-        sleep(timing.discovery_ttl).await;
+        // A peer names this instance to callers until it hears of the stop or the silence limit ends.
+        sleep(timing.discovery_ttl + SILENCE_LIMIT).await;
         control::hand_over(&self.node).await;
         let complete = self.public.close(deadline).await;
         self.admin.close(deadline).await;
--- a/daemon/tests/online/fleet.rs
+++ b/daemon/tests/online/fleet.rs
@@ -283,6 +283,11 @@
         self.send("POST", "/v1/completions", &body, KEY)
     }
 
+    /// Stops an instance gracefully; returns whether no request was cut.
+    pub(crate) fn stop(&mut self, index: usize) -> bool {
+        self.members.remove(&name(index)).unwrap().stop()
+    }
+
     /// Returns the records of an engine.
     pub(crate) fn engine_records(&self, index: usize) -> Vec<RequestRecord> {
         records(&self.engines[index], "requests").unwrap()
--- a/daemon/tests/online/main.rs
+++ b/daemon/tests/online/main.rs
@@ -11,4 +11,5 @@
 mod plain;
 mod quota;
 mod raw;
+mod stop;
 mod streams;
--- a/protocol/src/settings/check.rs
+++ b/protocol/src/settings/check.rs
@@ -11,7 +11,8 @@
     CONFIG_LONG_POLL,
     DISCOVERY_TTL,
     LIST_POLL_INTERVAL,
-    MAX_DRAIN, //
+    MAX_DRAIN,
+    SILENCE_LIMIT, //
 };
 use limpetweir_state::{
     InstanceId,
@@ -164,11 +165,12 @@
             DISCOVERY_TTL,
         )?;
         let drain = time("timing.drain_limit_ms", raw.drain_limit_ms, MAX_DRAIN)?;
+        // A stop begins to wait for running requests only after this time.
         above(
             "timing.drain_limit_ms",
             drain,
-            "timing.discovery_ttl_ms",
-            ttl,
+            "timing.discovery_ttl_ms plus the silence limit",
+            ttl + SILENCE_LIMIT,
         )?;
         Ok(Self {
             long_poll: long_poll(raw.long_poll_ms)?,
--- a/protocol/tests/settings.rs
+++ b/protocol/tests/settings.rs
@@ -134,9 +134,9 @@
 #[case("threads = 4", "threads = ", "lw.toml:17:", "expected")]
 #[case(
     "list_poll_ms = 200",
-    "discovery_ttl_ms = 60000",
+    "discovery_ttl_ms = 58500",
     "lw.toml:20: timing.drain_limit_ms: 60000",
-    "above timing.discovery_ttl_ms (60000)"
+    "above timing.discovery_ttl_ms plus the silence limit (60000)"
 )]
 #[case(
     "list_poll_ms = 200",
