--- a/daemon/src/control/decisions.rs
+++ b/daemon/src/control/decisions.rs
@@ -277,8 +277,7 @@
 }
 
 async fn fetch(node: Arc<Node>, peer: InstanceId, version: Version) {
-    let held = node.control.shared.lock().freshness.version();
-    let newer_than = held;
+    let newer_than = node.control.shared.lock().freshness.version();
     let body = CallBody::ConfigFetch { newer_than };
     let reply = node.control.call(&peer, body, FETCH_TIMEOUT).await;
     let Ok(ReplyBody::Config(Some(config))) = reply else {
