--- a/daemon/tests/online/fleet.rs
+++ b/daemon/tests/online/fleet.rs
@@ -182,6 +182,11 @@
             .service("notices", open, 'o', [self.open.address()])
     }
 
+    /// Changes the limit of `reef` in later documents.
+    pub(crate) fn set_limit(&mut self, limit: (f64, f64)) {
+        self.setup.limit = limit;
+    }
+
     /// Publishes a document and waits until it is in force at each instance.
     pub(crate) fn publish(&mut self, document: &Document) {
         let base = self.version;
--- a/daemon/tests/online/quota.rs
+++ b/daemon/tests/online/quota.rs
@@ -7,6 +7,8 @@
 use std::thread;
 use std::time::Instant;
 
+use limpetweir_standins::fleet::eventually;
+
 use crate::fleet::{
     Fleet,
     KEY,
@@ -92,3 +94,46 @@
         }
     }
 }
+
+/// Returns how many of `count` requests to each instance are admitted.
+fn admitted_of(fleet: &Fleet, count: usize) -> usize {
+    let authorization = bearer(KEY);
+    let headers = [("authorization", authorization.as_str())];
+    let send = |index| {
+        fleet.send_bytes(
+            index,
+            "GET",
+            "/services/tanks/tanks/t1",
+            Vec::new(),
+            &headers,
+        )
+    };
+    let answers = (0..3 * count).map(|n| send(n % 3));
+    answers.filter(|answer| answer.status == 404).count()
+}
+
+/// Guards against shares of a former limit that outlast a lowered one at their borrowers.
+#[test]
+fn a_lowered_limit_is_in_force_with_its_configuration() {
+    let mut fleet = Fleet::start(Setup {
+        instances: 3,
+        limit: (1000.0, 3000.0),
+        ..Setup::SMALL
+    });
+    let mut shares = || {
+        admitted_of(&fleet, 30);
+        (0..3).any(|index| {
+            let explained = fleet.explain(index, "organisation=reef&model=reef-1");
+            explained["quota"]["share"].is_object()
+        })
+    };
+    eventually("an instance has a share", WAIT, &mut shares).unwrap();
+    let (rate, burst) = (0.01, 1.0);
+    fleet.set_limit((rate, burst));
+    let document = fleet.document(&[("k1", KEY)]);
+    fleet.publish(&document);
+    let in_force = Instant::now();
+    let admitted = admitted_of(&fleet, 40);
+    let allowed = burst + rate * in_force.elapsed().as_secs_f64();
+    assert!(admitted as f64 <= allowed, "{admitted} are admitted");
+}
