--- a/protocol/src/records/bytes.rs
+++ b/protocol/src/bytes.rs
@@ -10,11 +10,11 @@
     },
 };
 
-pub(super) fn serialize<S: Serializer>(bytes: &[u8], serializer: S) -> Result<S::Ok, S::Error> {
+pub(crate) fn serialize<S: Serializer>(bytes: &[u8], serializer: S) -> Result<S::Ok, S::Error> {
     serializer.serialize_bytes(bytes)
 }
 
-pub(super) fn deserialize<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<u8>, D::Error> {
+pub(crate) fn deserialize<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<u8>, D::Error> {
     deserializer.deserialize_byte_buf(BytesVisitor)
 }
 
--- a/protocol/src/lib.rs
+++ b/protocol/src/lib.rs
@@ -1,5 +1,6 @@
 //! Wire types of the log, the peer links, the HTTP interfaces and the settings.
 
+mod bytes;
 mod config;
 mod config_check;
 mod config_fault;
--- a/protocol/src/peer.rs
+++ b/protocol/src/peer.rs
@@ -215,6 +215,7 @@
     /// Offset of the last record folded into the snapshot.
     pub as_of: u64,
     /// The replica's snapshot as in the log.
+    #[serde(with = "crate::bytes")]
     pub snapshot: Vec<u8>,
 }
 
@@ -237,6 +238,7 @@
         /// The caller's idempotency key.
         key: String,
         /// JSON body of the request.
+        #[serde(with = "crate::bytes")]
         body: Vec<u8>,
     },
     /// Asks for progress.
@@ -266,6 +268,7 @@
     /// HTTP status code.
     pub status: u16,
     /// JSON body.
+    #[serde(with = "crate::bytes")]
     pub body: Vec<u8>,
     /// Milliseconds after which another try is useful.
     pub retry_after_ms: Option<u64>,
--- a/protocol/src/records.rs
+++ b/protocol/src/records.rs
@@ -1,6 +1,5 @@
 //! Records of the log streams, encoded as CBOR.
 
-mod bytes;
 mod claims;
 mod config;
 mod envelope;
--- a/protocol/src/records/envelope.rs
+++ b/protocol/src/records/envelope.rs
@@ -25,8 +25,7 @@
 
 use super::{
     MAX_RECORD_BYTES,
-    RECORD_VERSION,
-    bytes, //
+    RECORD_VERSION, //
 };
 
 /// A data record with a wire type.
@@ -51,7 +50,7 @@
         as_of: u64,
         part: u32,
         parts: u32,
-        #[serde(with = "bytes")]
+        #[serde(with = "crate::bytes")]
         bytes: Vec<u8>,
     },
 }
--- a/protocol/src/records/jobs.rs
+++ b/protocol/src/records/jobs.rs
@@ -23,10 +23,7 @@
     Serialize, //
 };
 
-use super::{
-    StreamRecord,
-    bytes, //
-};
+use super::StreamRecord;
 
 #[derive(Serialize, Deserialize)]
 #[doc(hidden)]
@@ -50,7 +47,7 @@
         job: JobId,
         organisation: OrganisationId,
         key: Box<str>,
-        #[serde(with = "bytes")]
+        #[serde(with = "crate::bytes")]
         digest: Vec<u8>,
         service: ServiceId,
         model: ModelId,
