--- a/daemon/src/args.rs
+++ b/daemon/src/args.rs
@@ -11,8 +11,29 @@
 };
 use limpetweir_protocol::settings::Override;
 
+/// Environment variable with the settings file of the subcommand `gateway`.
+const SETTINGS_VARIABLE: &str = "LIMPETWEIR_SETTINGS";
+
 /// What the command line asks for.
 #[derive(Clone, Debug)]
+pub(crate) enum Task {
+    /// Serves with the platform's list and log service.
+    Serve(Args),
+    /// Serves routed requests on a platform with a store.
+    Gateway(GatewayArgs),
+}
+
+/// Arguments of the subcommand `gateway`.
+#[derive(Clone, Debug)]
+pub(crate) struct GatewayArgs {
+    /// Settings file.
+    pub(crate) settings: PathBuf,
+    /// Whether to check the settings only.
+    pub(crate) check: bool,
+}
+
+/// Arguments without a subcommand.
+#[derive(Clone, Debug)]
 pub(crate) struct Args {
     /// Settings file.
     pub(crate) config: PathBuf,
@@ -30,6 +51,20 @@
         .required(true)
         .value_parser(value_parser!(PathBuf))
         .help("Reads the settings from a TOML file");
+    let settings = Arg::new("settings")
+        .long("settings")
+        .value_name("FILE")
+        .env(SETTINGS_VARIABLE)
+        .required(true)
+        .value_parser(value_parser!(PathBuf))
+        .help("Reads the settings from a TOML file");
+    let gateway_check = Arg::new("check")
+        .long("check")
+        .action(ArgAction::SetTrue)
+        .help("Checks the settings and exits");
+    let gateway = Command::new("gateway")
+        .about("Serves routed requests and batch jobs on a platform with a store")
+        .args([settings, gateway_check]);
     let check = Arg::new("check")
         .long("check")
         .action(ArgAction::SetTrue)
@@ -44,12 +79,21 @@
         .version(env!("CARGO_PKG_VERSION"))
         .about("Serves inference requests, batch jobs and plain services")
         .args([config, check, set])
+        .subcommand(gateway)
+        .subcommand_negates_reqs(true)
+        .args_conflicts_with_subcommands(true)
 }
 
 /// Reads the command line; exits with a message if it is not accepted.
-pub(crate) fn parse() -> Args {
-    let matches = command().get_matches();
-    from_matches(matches)
+pub(crate) fn parse() -> Task {
+    let mut matches = command().get_matches();
+    match matches.remove_subcommand() {
+        Some((_, mut matches)) => Task::Gateway(GatewayArgs {
+            settings: matches.remove_one("settings").unwrap_or_default(),
+            check: matches.get_flag("check"),
+        }),
+        None => Task::Serve(from_matches(matches)),
+    }
 }
 
 fn from_matches(mut matches: ArgMatches) -> Args {
--- a/daemon/src/run.rs
+++ b/daemon/src/run.rs
@@ -11,6 +11,8 @@
     Signals, //
 };
 use futures_lite::StreamExt;
+use limpetweir_gateway::StartError as GatewayError;
+use limpetweir_platform::Platform;
 use limpetweir_protocol::settings::{
     Settings,
     SettingsError, //
@@ -26,7 +28,9 @@
 
 use crate::args::{
     self,
-    Args, //
+    Args,
+    GatewayArgs,
+    Task, //
 };
 use crate::daemon::{
     BoundAddresses,
@@ -67,7 +71,10 @@
 
 /// Runs the daemon with the arguments of the process until a signal stops it.
 pub fn run() -> ExitCode {
-    let args = args::parse();
+    let args = match args::parse() {
+        Task::Serve(args) => args,
+        Task::Gateway(args) => return run_gateway(&args),
+    };
     let settings = match load(&args) {
         Ok(settings) => settings,
         Err(err) => {
@@ -88,6 +95,27 @@
     }
 }
 
+/// Serves routed requests on the platform until a signal stops the process.
+fn run_gateway(args: &GatewayArgs) -> ExitCode {
+    let result = if args.check {
+        limpetweir_gateway::check(&args.settings)
+    } else {
+        limpetweir_gateway::run(&args.settings, Platform::new)
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            eprintln!("error: {err}");
+            match err {
+                GatewayError::Read { .. } | GatewayError::Settings { .. } => {
+                    ExitCode::from(USAGE_ERROR)
+                }
+                _ => ExitCode::FAILURE,
+            }
+        }
+    }
+}
+
 fn load(args: &Args) -> Result<Settings, RunError> {
     let file = args.config.display().to_string();
     let text = std::fs::read_to_string(&args.config);
--- /dev/null
+++ b/gateway/src/backend.rs
@@ -0,0 +1,154 @@
+//! Backend servers as they register themselves.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use limpetweir_state::Timestamp;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// How long an entry that lapsed around an outage of the store stays in use: a live backend server
+/// registers again within about two seconds of the store's return.
+const LAPSE_GRACE: Duration = Duration::from_millis(2_300);
+
+/// Short form of a backend server's identifier, the same on all instances.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct BackendKey(pub u32);
+
+impl BackendKey {
+    /// Returns the key of the backend server called `id`.
+    pub fn of(id: &str) -> Self {
+        // The low half is as good a hash as the whole.
+        Self(xxh3_64(id.as_bytes()) as u32)
+    }
+}
+
+/// What a backend server says of itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BackendEntry {
+    /// Identifier of this start of the server, which it checks requests against.
+    pub id: String,
+    /// Service it belongs to.
+    pub service: String,
+    /// Address it serves at.
+    pub addr: SocketAddr,
+    /// Availability zone.
+    pub zone: String,
+    /// Requests it runs at once; `None` if the entry does not say.
+    pub slots: Option<u32>,
+    /// Whether it is about to leave.
+    pub draining: bool,
+    /// Time of its start in Unix milliseconds, which tells two starts under one identifier apart.
+    pub born: u64,
+}
+
+/// An entry and what this instance knows of its age.
+#[derive(Clone, Debug)]
+pub struct Backend {
+    /// The newest entry.
+    pub entry: Arc<BackendEntry>,
+    /// Key of the identifier.
+    pub key: BackendKey,
+    /// When the newest entry was read.
+    pub seen: Timestamp,
+    /// When the entry was found removed, if it was.
+    removed: Option<Timestamp>,
+}
+
+/// The backend servers known to this instance.
+#[derive(Debug, Default)]
+pub struct Backends {
+    by_id: HashMap<String, Backend>,
+    /// Time of the last failed read of the entries.
+    last_outage: Option<Timestamp>,
+}
+
+impl Backends {
+    /// Takes a new entry over; returns whether anything but its age changed.
+    pub fn update(&mut self, entry: BackendEntry, now: Timestamp) -> bool {
+        let key = BackendKey::of(&entry.id);
+        let known = self.by_id.get_mut(&entry.id);
+        if let Some(known) = known {
+            let changed = *known.entry != entry || known.removed.is_some();
+            known.removed = None;
+            known.seen = now;
+            if changed {
+                known.entry = Arc::new(entry);
+            }
+            return changed;
+        }
+        let backend = Backend {
+            key,
+            seen: now,
+            removed: None,
+            entry: Arc::new(entry),
+        };
+        self.by_id.insert(backend.entry.id.clone(), backend);
+        true
+    }
+
+    /// Notes that the entry of `id` was removed or cannot be read; returns whether it was known.
+    ///
+    /// Entries also lapse while the store is unavailable, although the servers live. Around an
+    /// outage a removed entry therefore stays in use until a live server would have returned.
+    pub fn remove(&mut self, id: &str, now: Timestamp) -> bool {
+        let around_outage = self
+            .last_outage
+            .is_some_and(|at| now.since(at) < LAPSE_GRACE);
+        match self.by_id.get_mut(id) {
+            Some(known) if around_outage && !known.entry.draining => {
+                known.removed.get_or_insert(now);
+                true
+            }
+            Some(_) => self.by_id.remove(id).is_some(),
+            None => false,
+        }
+    }
+
+    /// Keeps exactly the entries named in `ids`, as a full listing found them.
+    pub fn retain(&mut self, ids: &[String], now: Timestamp) {
+        let missing = self.by_id.keys().filter(|id| !ids.contains(id));
+        let missing: Vec<String> = missing.cloned().collect();
+        for id in missing {
+            self.remove(&id, now);
+        }
+    }
+
+    /// Notes that the entries could not be read at `now`.
+    pub fn note_outage(&mut self, now: Timestamp) {
+        self.last_outage = Some(now);
+    }
+
+    /// Drops removed entries whose servers have not returned in time.
+    pub fn sweep(&mut self, now: Timestamp) -> Vec<String> {
+        let lapsed = |b: &Backend| b.removed.is_some_and(|at| now.since(at) >= LAPSE_GRACE);
+        let gone: Vec<String> = self
+            .by_id
+            .iter()
+            .filter(|(_, backend)| lapsed(backend))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in &gone {
+            self.by_id.remove(id);
+        }
+        gone
+    }
+
+    /// Returns the backend servers of `service` that take new requests.
+    pub fn serving(&self, service: &str) -> impl Iterator<Item = &Backend> {
+        self.by_id
+            .values()
+            .filter(move |b| b.entry.service == service && !b.entry.draining)
+    }
+
+    /// Returns all backend servers.
+    pub fn iter(&self) -> impl Iterator<Item = &Backend> {
+        self.by_id.values()
+    }
+
+    /// Returns whether the backend server with `key` may get new requests.
+    pub fn get(&self, key: BackendKey) -> Option<&Backend> {
+        self.by_id.values().find(|b| b.key == key)
+    }
+}
--- /dev/null
+++ b/gateway/src/config.rs
@@ -0,0 +1,216 @@
+//! The operators' configuration in the form that requests are decided with.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// What may be repeated of a request, and how its answer looks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::EnumString)]
+#[strum(serialize_all = "kebab-case")]
+pub enum RouteKind {
+    /// An idempotent request.
+    Safe,
+    /// A request that runs at most once.
+    Unsafe,
+    /// A request whose answer is a stream of events; it runs at most once unless it is resumable.
+    Streaming,
+    /// Submissions of batch jobs.
+    Batch,
+}
+
+/// What a batch route promises of its jobs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BatchTerms {
+    /// Most tokens that an organisation may have waiting on the route; `None` is no limit.
+    pub waiting_tokens: Option<u64>,
+    /// Time from the submission to the last result.
+    pub completion_target: Duration,
+    /// Time from the submission after which an item may be given up.
+    pub retention: Duration,
+}
+
+/// One route of the configuration.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Route {
+    /// Name, unique in a configuration.
+    pub name: String,
+    /// Host that requests name.
+    pub host: String,
+    /// Start of the paths of the route; begins and ends with a slash.
+    pub prefix: String,
+    /// What may be repeated.
+    pub kind: RouteKind,
+    /// Longest time a request is kept waiting.
+    pub timeout: Duration,
+    /// Time within which an answer has its full value, for streams the first event.
+    pub objective: Duration,
+    /// Backend servers that one attempt of a caller may run on, at least 1.
+    pub attempts: u32,
+    /// Whether requests need no key.
+    pub public: bool,
+    /// Whether a broken stream may continue on another backend server.
+    pub resumable: bool,
+    /// Services and their weights; not empty, and the weights are not all zero.
+    pub services: Vec<(String, u32)>,
+    /// Terms of a batch route; present exactly for the kind `Batch`.
+    pub batch: Option<BatchTerms>,
+}
+
+impl Route {
+    /// Returns whether a request may run again after it may have run.
+    pub fn idempotent(&self) -> bool {
+        match self.kind {
+            RouteKind::Safe => true,
+            RouteKind::Streaming => self.resumable,
+            RouteKind::Unsafe | RouteKind::Batch => false,
+        }
+    }
+
+    /// Returns the service that a request with the random number `draw` goes to.
+    pub fn service(&self, draw: u32) -> &str {
+        let total: u32 = self.services.iter().map(|(_, weight)| weight).sum();
+        let mut left = draw % total.max(1);
+        for (service, weight) in &self.services {
+            if left < *weight {
+                return service;
+            }
+            left -= weight;
+        }
+        self.services.first().map_or("", |(name, _)| name)
+    }
+}
+
+/// One service of the configuration.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Service {
+    /// Requests that a backend server of the service runs at once, unless it says otherwise.
+    pub slots: u32,
+}
+
+/// An organisation, its keys and its quota.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Organisation {
+    /// Name that backend servers are told.
+    pub name: String,
+    /// Keys that callers of the organisation present.
+    pub keys: Vec<String>,
+    /// Requests per second over all instances; `None` is no limit.
+    pub rate: Option<f64>,
+    /// Requests beyond the rate that may come at once.
+    pub burst: f64,
+}
+
+/// What callers may send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallerLimits {
+    /// Largest request head in bytes.
+    pub head_bytes: usize,
+    /// Largest request body in bytes.
+    pub body_bytes: usize,
+    /// How long an idle connection is kept.
+    pub idle_timeout: Duration,
+}
+
+/// The parts of a configuration, before they are indexed.
+#[derive(Clone, Debug, Default)]
+pub struct ConfigurationParts {
+    /// Version; a later configuration has a higher one.
+    pub version: u64,
+    /// Routes in any order.
+    pub routes: Vec<Route>,
+    /// Services by name.
+    pub services: HashMap<String, Service>,
+    /// Organisations in any order.
+    pub organisations: Vec<Organisation>,
+    /// Limits of callers; `None` keeps the defaults of the server.
+    pub limits: Option<CallerLimits>,
+}
+
+/// One version of the configuration, indexed by host and key.
+#[derive(Clone, Debug)]
+pub struct Configuration {
+    version: u64,
+    services: HashMap<String, Service>,
+    limits: Option<CallerLimits>,
+    /// Routes of each host, longest prefix first.
+    by_host: HashMap<String, Vec<Arc<Route>>>,
+    by_name: HashMap<String, Arc<Route>>,
+    by_key: HashMap<String, Arc<Organisation>>,
+    organisations: HashMap<String, Arc<Organisation>>,
+}
+
+impl From<ConfigurationParts> for Configuration {
+    fn from(parts: ConfigurationParts) -> Self {
+        let mut by_host: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
+        let mut by_name = HashMap::new();
+        for route in parts.routes {
+            let route = Arc::new(route);
+            by_name.insert(route.name.clone(), route.clone());
+            by_host.entry(route.host.clone()).or_default().push(route);
+        }
+        for routes in by_host.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        }
+        let mut by_key = HashMap::new();
+        let mut organisations = HashMap::new();
+        for organisation in parts.organisations {
+            let organisation = Arc::new(organisation);
+            for key in &organisation.keys {
+                by_key.insert(key.clone(), organisation.clone());
+            }
+            organisations.insert(organisation.name.clone(), organisation);
+        }
+        Self {
+            version: parts.version,
+            services: parts.services,
+            limits: parts.limits,
+            by_host,
+            by_name,
+            by_key,
+            organisations,
+        }
+    }
+}
+
+impl Configuration {
+    /// Returns the version.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Returns the route with the longest prefix of `path` among the routes of `host`.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let routes = self.by_host.get(host)?;
+        routes.iter().find(|route| path.starts_with(&route.prefix))
+    }
+
+    /// Returns the route called `name`.
+    pub fn route_named(&self, name: &str) -> Option<&Arc<Route>> {
+        self.by_name.get(name)
+    }
+
+    /// Returns whether any route has the host `host`.
+    pub fn has_host(&self, host: &str) -> bool {
+        self.by_host.contains_key(host)
+    }
+
+    /// Returns the organisation that holds `key`.
+    pub fn holder(&self, key: &str) -> Option<&Arc<Organisation>> {
+        self.by_key.get(key)
+    }
+
+    /// Returns the organisations by name.
+    pub fn organisations(&self) -> &HashMap<String, Arc<Organisation>> {
+        &self.organisations
+    }
+
+    /// Returns the service called `name`.
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        self.services.get(name)
+    }
+
+    /// Returns the limits of callers, if the operators set any.
+    pub fn limits(&self) -> Option<CallerLimits> {
+        self.limits
+    }
+}
--- /dev/null
+++ b/gateway/src/jobs/mod.rs
@@ -0,0 +1,25 @@
+//! Batch jobs as a fold over the records of the store.
+
+mod record;
+mod table;
+mod write;
+
+pub use record::{
+    JobKey,
+    Outcome,
+    RecordError, //
+};
+pub use table::{
+    Job,
+    JobItem,
+    Listed,
+    Partition, //
+};
+pub use write::{
+    Change,
+    Decision,
+    NewItem,
+    Pending,
+    Submission,
+    decide, //
+};
--- /dev/null
+++ b/gateway/src/jobs/record.rs
@@ -0,0 +1,129 @@
+//! Records of batch jobs.
+//!
+//! A job is one record `j/<job>` with its terms and the number of its parts, and one record
+//! `p/<job>/<part>` for each part of its items, which precede it. A result is `r/<job>/<position>`,
+//! the end of a job `e/<job>`. The store keeps the newest record of each key, so the keys of a
+//! result are written once only, under the condition that the partition did not grow meanwhile.
+
+use hyper::body::Bytes;
+use serde::de::DeserializeOwned;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use serde_bytes::ByteBuf;
+use snafu::Snafu;
+
+use crate::platform::Record;
+
+/// A record of a job that cannot be read.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[snafu(display("record {key:?}: {reason}"))]
+pub struct RecordError {
+    /// Key of the record.
+    pub key: String,
+    /// What is wrong with it.
+    pub reason: String,
+}
+
+/// Key of a record, decoded.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum JobKey<'a> {
+    /// Terms of a job.
+    Job(&'a str),
+    /// Items of a job.
+    Part(&'a str, u32),
+    /// Result at a position.
+    Result(&'a str, u32),
+    /// End of a job.
+    End(&'a str),
+}
+
+impl<'a> JobKey<'a> {
+    /// Decodes the key of a record.
+    pub fn parse(key: &'a str) -> Option<Self> {
+        let (kind, rest) = key.split_once('/')?;
+        let numbered = || {
+            let (job, number) = rest.rsplit_once('/')?;
+            Some((job, number.parse().ok()?))
+        };
+        match kind {
+            "j" => Some(Self::Job(rest)),
+            "e" => Some(Self::End(rest)),
+            "p" => numbered().map(|(job, n)| Self::Part(job, n)),
+            "r" => numbered().map(|(job, n)| Self::Result(job, n)),
+            _ => None,
+        }
+    }
+
+    /// Encodes the key.
+    pub fn encode(&self) -> String {
+        match self {
+            Self::Job(job) => format!("j/{job}"),
+            Self::End(job) => format!("e/{job}"),
+            Self::Part(job, n) => format!("p/{job}/{n:04}"),
+            Self::Result(job, n) => format!("r/{job}/{n:04}"),
+        }
+    }
+}
+
+/// How an item ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
+pub enum Outcome {
+    /// Its output is whole.
+    Completed,
+    /// It was given up.
+    GivenUp,
+}
+
+/// Terms of a job.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(crate) struct JobRecord {
+    pub(crate) organisation: String,
+    pub(crate) route: String,
+    pub(crate) host: String,
+    /// Time of the submission in Unix milliseconds.
+    pub(crate) submitted: u64,
+    pub(crate) parts: u32,
+}
+
+/// One item of a part.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(crate) struct ItemRecord {
+    pub(crate) id: String,
+    pub(crate) path: String,
+    pub(crate) headers: Vec<(String, String)>,
+    pub(crate) body: ByteBuf,
+    pub(crate) tokens: u64,
+}
+
+/// Result of an item.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(crate) struct ResultRecord {
+    /// Index of the item in the job.
+    pub(crate) item: u32,
+    pub(crate) outcome: Outcome,
+    pub(crate) text: String,
+}
+
+/// Encodes the content of a record.
+pub(crate) fn encode<T: Serialize>(key: &JobKey<'_>, content: &T) -> Result<Record, RecordError> {
+    let key = key.encode();
+    let mut buf = Vec::new();
+    ciborium::into_writer(content, &mut buf).map_err(|err| RecordError {
+        key: key.clone(),
+        reason: err.to_string(),
+    })?;
+    Ok(Record {
+        key,
+        value: Bytes::from(buf),
+    })
+}
+
+/// Decodes the content of a record.
+pub(crate) fn decode<T: DeserializeOwned>(record: &Record) -> Result<T, RecordError> {
+    ciborium::from_reader(&record.value[..]).map_err(|err| RecordError {
+        key: record.key.clone(),
+        reason: err.to_string(),
+    })
+}
--- /dev/null
+++ b/gateway/src/jobs/table.rs
@@ -0,0 +1,266 @@
+//! The jobs of one partition of the store, as its records state them.
+
+use std::collections::{
+    BTreeMap,
+    HashMap, //
+};
+use std::sync::Arc;
+
+use hyper::body::Bytes;
+
+use super::record::{
+    ItemRecord,
+    JobKey,
+    JobRecord,
+    Outcome,
+    RecordError,
+    ResultRecord,
+    decode, //
+};
+use crate::platform::Record;
+use crate::report::ItemKey;
+
+/// One item of a job.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct JobItem {
+    /// Identifier that the caller gave.
+    pub id: String,
+    /// Path of the request.
+    pub path: String,
+    /// Headers of the request.
+    pub headers: Vec<(String, String)>,
+    /// Content of the request.
+    pub body: Bytes,
+    /// Prompt and most output tokens together.
+    pub tokens: u64,
+}
+
+/// A result at its position.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Listed {
+    /// Index of the item.
+    pub item: usize,
+    /// How it ended.
+    pub outcome: Outcome,
+    /// Output.
+    pub text: Arc<str>,
+}
+
+/// A job and its results.
+#[derive(Clone, Debug)]
+pub struct Job {
+    /// Organisation that submitted it.
+    pub organisation: String,
+    /// Name of its route.
+    pub route: String,
+    /// Host of its route.
+    pub host: String,
+    /// Time of the submission in Unix milliseconds.
+    pub submitted: u64,
+    /// Items in the order of the submission.
+    pub items: Vec<Arc<JobItem>>,
+    /// Results in the order of their positions.
+    pub results: Vec<Listed>,
+    /// Whether the caller ended it.
+    pub ended: bool,
+    /// Keys of the items.
+    pub keys: Vec<ItemKey>,
+    /// For each item whether it has a result.
+    done: Vec<bool>,
+}
+
+impl Job {
+    /// Returns the indices of the items that still need a run.
+    pub fn open(&self) -> impl Iterator<Item = usize> {
+        let done = if self.ended { &[][..] } else { &self.done[..] };
+        done.iter()
+            .enumerate()
+            .filter(|(_, done)| !**done)
+            .map(|(index, _)| index)
+    }
+
+    /// Returns whether the item at `index` has a result.
+    pub fn is_listed(&self, index: usize) -> bool {
+        self.done.get(index).copied().unwrap_or(false)
+    }
+
+    /// Returns the tokens of the items that still need a run.
+    pub fn waiting_tokens(&self) -> u64 {
+        self.open().map(|index| self.items[index].tokens).sum()
+    }
+
+    fn list(&mut self, record: ResultRecord) {
+        // The index fits, as it was written by an instance with the same kind of list.
+        let item = record.item as usize;
+        if item < self.done.len() && !self.done[item] {
+            self.done[item] = true;
+            self.results.push(Listed {
+                item,
+                outcome: record.outcome,
+                text: record.text.into(),
+            });
+        }
+    }
+}
+
+/// The jobs of one partition.
+#[derive(Debug, Default)]
+pub struct Partition {
+    jobs: HashMap<String, Job>,
+    /// Parts of jobs whose terms have not been read yet.
+    parts: HashMap<String, BTreeMap<u32, Vec<ItemRecord>>>,
+    /// Results and ends that were read before the terms of their job, which happens in listings.
+    early: HashMap<String, Early>,
+    /// Offset of the next record.
+    next: u64,
+    /// Whether everything before `next` has been read.
+    loaded: bool,
+}
+
+#[derive(Debug, Default)]
+struct Early {
+    terms: Option<JobRecord>,
+    results: BTreeMap<u32, ResultRecord>,
+    ended: bool,
+}
+
+impl Partition {
+    /// Returns the offset of the next record.
+    pub fn next(&self) -> u64 {
+        self.next
+    }
+
+    /// Returns whether all records before the next one have been read.
+    pub fn is_loaded(&self) -> bool {
+        self.loaded
+    }
+
+    /// Marks everything before `next` as read.
+    pub fn set_loaded(&mut self, next: u64) {
+        self.next = self.next.max(next);
+        self.loaded = true;
+    }
+
+    /// Marks the records before `next` as missed; they must be listed again.
+    pub fn set_missed(&mut self) {
+        self.loaded = false;
+    }
+
+    /// Moves the offset on after records were applied.
+    pub fn advance(&mut self, next: u64) {
+        self.next = self.next.max(next);
+    }
+
+    /// Returns the job called `id`.
+    pub fn get(&self, id: &str) -> Option<&Job> {
+        self.jobs.get(id)
+    }
+
+    /// Returns all jobs.
+    pub fn iter(&self) -> impl Iterator<Item = (&String, &Job)> {
+        self.jobs.iter()
+    }
+
+    /// Returns the tokens that an organisation has waiting on a route.
+    pub fn waiting_tokens(&self, organisation: &str, route: &str) -> u64 {
+        let jobs = self.jobs.values();
+        let jobs = jobs.filter(|j| j.organisation == organisation && j.route == route);
+        jobs.map(Job::waiting_tokens).sum()
+    }
+
+    /// Applies a record. A record that is read twice has no further effect.
+    pub fn apply(&mut self, record: &Record) -> Result<(), RecordError> {
+        let Some(key) = JobKey::parse(&record.key) else {
+            return Err(RecordError {
+                key: record.key.clone(),
+                reason: "the key names no kind of record".to_owned(),
+            });
+        };
+        if record.value.is_empty() {
+            if let JobKey::Job(id) = key {
+                self.jobs.remove(id);
+                self.early.remove(id);
+                self.parts.remove(id);
+            }
+            return Ok(());
+        }
+        match key {
+            JobKey::Job(id) => {
+                if !self.jobs.contains_key(id) {
+                    self.early.entry(id.to_owned()).or_default().terms = Some(decode(record)?);
+                    self.complete(id);
+                }
+            }
+            JobKey::Part(id, number) => {
+                if !self.jobs.contains_key(id) {
+                    let parts = self.parts.entry(id.to_owned()).or_default();
+                    parts.insert(number, decode(record)?);
+                    self.complete(id);
+                }
+            }
+            JobKey::Result(id, position) => {
+                let result: ResultRecord = decode(record)?;
+                match self.jobs.get_mut(id) {
+                    Some(job) if position as usize == job.results.len() => job.list(result),
+                    Some(_) => {}
+                    None => {
+                        let early = self.early.entry(id.to_owned()).or_default();
+                        early.results.insert(position, result);
+                    }
+                }
+            }
+            JobKey::End(id) => match self.jobs.get_mut(id) {
+                Some(job) => job.ended = true,
+                None => self.early.entry(id.to_owned()).or_default().ended = true,
+            },
+        }
+        Ok(())
+    }
+
+    /// Creates the job `id` if its terms and all of its parts are there.
+    fn complete(&mut self, id: &str) {
+        let Some(terms) = self.early.get(id).and_then(|early| early.terms.as_ref()) else {
+            return;
+        };
+        let found = self.parts.get(id).map_or(0, BTreeMap::len);
+        if found < terms.parts as usize {
+            return;
+        }
+        let parts = self.parts.remove(id).unwrap_or_default();
+        let Some(early) = self.early.remove(id) else {
+            return;
+        };
+        let Some(terms) = early.terms else {
+            return;
+        };
+        let items = parts.into_values().flatten();
+        let items: Vec<_> = items.map(|item| Arc::new(item.into())).collect();
+        let mut job = Job {
+            organisation: terms.organisation,
+            route: terms.route,
+            host: terms.host,
+            submitted: terms.submitted,
+            keys: (0..items.len()).map(|n| ItemKey::of(id, n)).collect(),
+            done: vec![false; items.len()],
+            items,
+            results: Vec::new(),
+            ended: early.ended,
+        };
+        for result in early.results.into_values() {
+            job.list(result);
+        }
+        self.jobs.insert(id.to_owned(), job);
+    }
+}
+
+impl From<ItemRecord> for JobItem {
+    fn from(item: ItemRecord) -> Self {
+        Self {
+            id: item.id,
+            path: item.path,
+            headers: item.headers,
+            body: Bytes::from(item.body.into_vec()),
+            tokens: item.tokens,
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/jobs/write.rs
@@ -0,0 +1,246 @@
+//! What is written for a change of the jobs, given the state that the write is conditional on.
+
+use std::collections::{
+    BTreeSet,
+    HashMap, //
+};
+
+use hyper::body::Bytes;
+use serde_bytes::ByteBuf;
+
+use super::record::{
+    ItemRecord,
+    JobKey,
+    JobRecord,
+    Outcome,
+    RecordError,
+    ResultRecord,
+    encode, //
+};
+use super::table::Partition;
+use crate::platform::Record;
+
+/// An item as a caller submits it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct NewItem {
+    /// Identifier that the caller gave.
+    pub id: String,
+    /// Path of the request.
+    pub path: String,
+    /// Headers of the request.
+    pub headers: Vec<(String, String)>,
+    /// Content of the request.
+    pub body: Bytes,
+    /// Prompt and most output tokens together.
+    pub tokens: u64,
+}
+
+/// A job as a caller submits it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Submission {
+    /// Identifier that the caller gave; the same one is the same job.
+    pub id: String,
+    /// Organisation of the caller.
+    pub organisation: String,
+    /// Name of the route.
+    pub route: String,
+    /// Host of the route.
+    pub host: String,
+    /// Time of the submission in Unix milliseconds.
+    pub submitted: u64,
+    /// Most tokens that the organisation may have waiting; `None` is no limit.
+    pub waiting_tokens: Option<u64>,
+    /// Items.
+    pub items: Vec<NewItem>,
+}
+
+/// A change of the jobs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// A job is submitted.
+    Submit(Submission),
+    /// An item has ended.
+    Finish {
+        /// The job.
+        job: String,
+        /// Index of the item.
+        item: usize,
+        /// How it ended.
+        outcome: Outcome,
+        /// Output.
+        text: String,
+    },
+    /// A job is ended by its caller.
+    End {
+        /// The job.
+        job: String,
+    },
+    /// A job whose results need not be kept any longer is removed.
+    Remove {
+        /// The job.
+        job: String,
+    },
+}
+
+/// Changes that go into the same append before the one that is decided.
+#[derive(Debug, Default)]
+pub struct Pending {
+    /// Items that are finished, by job.
+    finished: HashMap<String, BTreeSet<usize>>,
+    /// Whether a job is submitted or removed, on which the limit of waiting tokens depends.
+    exclusive: bool,
+}
+
+/// What a change needs, given the state of its partition.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Decision {
+    /// It has taken effect already.
+    Done,
+    /// The job does not exist.
+    NoJob,
+    /// The job does not fit below the limit of waiting tokens.
+    NoRoom {
+        /// Tokens that wait already.
+        waiting: u64,
+    },
+    /// It has to wait for the append that is being put together.
+    Later,
+    /// These records must be appended.
+    Append(Vec<Record>),
+}
+
+/// Decides what to write for `change` given the state of its partition and the changes that are
+/// written with it.
+///
+/// Records larger than `record_bytes` are split where the format allows it.
+pub fn decide(
+    state: &Partition,
+    pending: &mut Pending,
+    change: &Change,
+    record_bytes: usize,
+) -> Result<Decision, RecordError> {
+    if pending.exclusive {
+        return Ok(Decision::Later);
+    }
+    match change {
+        Change::Submit(submission) => {
+            let decision = submit(state, submission, record_bytes)?;
+            pending.exclusive = matches!(decision, Decision::Append(_));
+            Ok(decision)
+        }
+        Change::Finish {
+            job,
+            item,
+            outcome,
+            text,
+        } => {
+            let Some(known) = state.get(job) else {
+                return Ok(Decision::NoJob);
+            };
+            if known.is_listed(*item) {
+                return Ok(Decision::Done);
+            }
+            let before = pending.finished.entry(job.clone()).or_default();
+            // A job has far fewer items than the numbers hold.
+            let position = (known.results.len() + before.len()) as u32;
+            if !before.insert(*item) {
+                return Ok(Decision::Later);
+            }
+            let record = ResultRecord {
+                item: *item as u32,
+                outcome: *outcome,
+                text: text.clone(),
+            };
+            let key = JobKey::Result(job, position);
+            Ok(Decision::Append(vec![encode(&key, &record)?]))
+        }
+        Change::End { job } => Ok(match state.get(job) {
+            None => Decision::NoJob,
+            Some(known) if known.ended => Decision::Done,
+            Some(_) => Decision::Append(vec![encode(&JobKey::End(job), &true)?]),
+        }),
+        Change::Remove { job } => {
+            pending.exclusive = true;
+            Ok(remove(state, job))
+        }
+    }
+}
+
+fn submit(
+    state: &Partition,
+    submission: &Submission,
+    record_bytes: usize,
+) -> Result<Decision, RecordError> {
+    let id = &submission.id;
+    if state.get(id).is_some() {
+        return Ok(Decision::Done);
+    }
+    let wanted: u64 = submission.items.iter().map(|item| item.tokens).sum();
+    let waiting = state.waiting_tokens(&submission.organisation, &submission.route);
+    if submission
+        .waiting_tokens
+        .is_some_and(|most| waiting + wanted > most)
+    {
+        return Ok(Decision::NoRoom { waiting });
+    }
+    let mut records = Vec::new();
+    for part in split(&submission.items, record_bytes) {
+        let key = JobKey::Part(id, records.len() as u32);
+        records.push(encode(&key, &part)?);
+    }
+    let terms = JobRecord {
+        organisation: submission.organisation.clone(),
+        route: submission.route.clone(),
+        host: submission.host.clone(),
+        submitted: submission.submitted,
+        parts: records.len() as u32,
+    };
+    records.push(encode(&JobKey::Job(id), &terms)?);
+    Ok(Decision::Append(records))
+}
+
+/// Bytes of a record beside the content of its items: keys, names and the encoding.
+const ITEM_OVERHEAD: usize = 1_024;
+
+/// Splits items into parts whose records stay below `record_bytes`; an item larger than that is
+/// alone in its part.
+fn split(items: &[NewItem], record_bytes: usize) -> Vec<Vec<ItemRecord>> {
+    let mut parts = Vec::new();
+    let mut part = Vec::new();
+    let mut size = 0;
+    for item in items {
+        let len = item.body.len() + ITEM_OVERHEAD;
+        if size + len > record_bytes && !part.is_empty() {
+            parts.push(std::mem::take(&mut part));
+            size = 0;
+        }
+        size += len;
+        part.push(ItemRecord {
+            id: item.id.clone(),
+            path: item.path.clone(),
+            headers: item.headers.clone(),
+            body: ByteBuf::from(item.body.to_vec()),
+            tokens: item.tokens,
+        });
+    }
+    if !part.is_empty() {
+        parts.push(part);
+    }
+    parts
+}
+
+fn remove(state: &Partition, job: &str) -> Decision {
+    let Some(known) = state.get(job) else {
+        return Decision::Done;
+    };
+    let results = (0..known.results.len() as u32).map(|n| JobKey::Result(job, n).encode());
+    // More parts than items never exist.
+    let parts = (0..known.items.len() as u32).map(|n| JobKey::Part(job, n).encode());
+    let head = [JobKey::End(job).encode(), JobKey::Job(job).encode()];
+    let keys = results.chain(parts).chain(head);
+    let records = keys.map(|key| Record {
+        key,
+        value: Bytes::new(),
+    });
+    Decision::Append(records.collect())
+}
--- /dev/null
+++ b/gateway/src/lib.rs
@@ -0,0 +1,43 @@
+//! Routed requests and batch jobs on a platform with a store.
+//!
+//! Decisions are plain values and functions of the modules at the root; `serve` does the input and
+//! output. The platform's names and formats are behind the traits of `platform`.
+
+mod backend;
+mod batch;
+mod config;
+mod jobs;
+mod load;
+mod members;
+mod open_items;
+mod placement;
+mod platform;
+mod quota;
+mod report;
+mod serve;
+mod settings;
+mod sse;
+
+pub use backend::{Backend, BackendEntry, BackendKey, Backends};
+pub use batch::{Room, Waiting, starts, yields};
+pub use config::{
+    BatchTerms, CallerLimits, Configuration, ConfigurationParts, Organisation, Route, RouteKind,
+    Service,
+};
+pub use jobs::{
+    Change, Decision, Job, JobItem, JobKey, Listed, NewItem, Outcome, Partition, Pending,
+    RecordError, Submission, decide,
+};
+pub use load::{Load, Placed};
+pub use members::{Entry, Member, Members, SILENCE, addresses, owner};
+pub use open_items::{OpenItem, OpenItems, Phase, Progress, RunEnd, Step};
+pub use placement::{Candidate, Limits, Placement, place, retry_after};
+pub use platform::{
+    AddressQuery, AnswerHead, Batch, CallHead, DecodeError, Dialect, Forward, ItemRequest, JobCall,
+    Page, Record, ResultView, Store, StoreError, Topic,
+};
+pub use quota::{OrganisationKey, OverQuota, Quotas};
+pub use report::{BatchRun, ItemKey, Report};
+pub use serve::{Gateway, StartError, check, run};
+pub use settings::{Settings, SettingsError, StoreSettings};
+pub use sse::{Event, NotEvents, Splitter};
--- /dev/null
+++ b/gateway/src/load.rs
@@ -0,0 +1,182 @@
+//! What all instances have placed on each backend server.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use limpetweir_state::Timestamp;
+
+use crate::backend::BackendKey;
+use crate::report::{
+    BatchRun,
+    ItemKey,
+    Report, //
+};
+
+/// Requests placed on one backend server by all instances.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Placed {
+    /// Online requests.
+    pub online: u32,
+    /// Items of batch jobs.
+    pub batch: u32,
+}
+
+impl Placed {
+    /// Returns the number of requests.
+    pub fn total(self) -> u32 {
+        self.online + self.batch
+    }
+}
+
+/// The work that this instance and its peers have placed.
+#[derive(Debug, Default)]
+pub struct Load {
+    placed: HashMap<BackendKey, Placed>,
+    own_online: HashMap<BackendKey, u32>,
+    own_batch: HashMap<ItemKey, BatchRun>,
+    peers: HashMap<String, PeerLoad>,
+    /// Backend servers that gave this instance no answer, with the end of the suspicion.
+    suspects: HashMap<BackendKey, Timestamp>,
+    /// The same for what peers have reported, which is not reported again.
+    heard_suspects: HashMap<BackendKey, Timestamp>,
+}
+
+#[derive(Debug, Default)]
+struct PeerLoad {
+    online: Vec<(BackendKey, u32)>,
+    batch: Vec<BatchRun>,
+}
+
+impl Load {
+    /// Returns what is placed on `backend`.
+    pub fn placed(&self, backend: BackendKey) -> Placed {
+        self.placed.get(&backend).copied().unwrap_or_default()
+    }
+
+    /// Notes an online request that this instance sends to `backend`.
+    pub fn online_started(&mut self, backend: BackendKey) {
+        *self.own_online.entry(backend).or_default() += 1;
+        self.placed.entry(backend).or_default().online += 1;
+    }
+
+    /// Notes the end of an online request of this instance.
+    pub fn online_ended(&mut self, backend: BackendKey) {
+        if let Some(count) = self.own_online.get_mut(&backend) {
+            *count = count.saturating_sub(1);
+            if *count == 0 {
+                self.own_online.remove(&backend);
+            }
+            self.subtract(backend, 1, 0);
+        }
+    }
+
+    /// Notes an item that this instance starts.
+    pub fn batch_started(&mut self, run: BatchRun) {
+        self.batch_ended(run.item);
+        self.own_batch.insert(run.item, run);
+        self.placed.entry(run.backend).or_default().batch += 1;
+    }
+
+    /// Notes the end of an item's run at this instance.
+    pub fn batch_ended(&mut self, item: ItemKey) {
+        if let Some(run) = self.own_batch.remove(&item) {
+            self.subtract(run.backend, 0, 1);
+        }
+    }
+
+    /// Takes over what a peer has placed.
+    pub fn heard(&mut self, report: &Report) {
+        self.forget(&report.name);
+        let peer = PeerLoad {
+            online: report.online.clone(),
+            batch: report.batch.clone(),
+        };
+        for &(backend, count) in &peer.online {
+            self.placed.entry(backend).or_default().online += count;
+        }
+        for run in &peer.batch {
+            self.placed.entry(run.backend).or_default().batch += 1;
+        }
+        self.peers.insert(report.name.clone(), peer);
+    }
+
+    /// Drops what a silent peer had placed.
+    pub fn forget(&mut self, peer: &str) {
+        let Some(peer) = self.peers.remove(peer) else {
+            return;
+        };
+        for (backend, count) in peer.online {
+            self.subtract(backend, count, 0);
+        }
+        for run in peer.batch {
+            self.subtract(run.backend, 0, 1);
+        }
+    }
+
+    fn subtract(&mut self, backend: BackendKey, online: u32, batch: u32) {
+        if let Some(placed) = self.placed.get_mut(&backend) {
+            placed.online = placed.online.saturating_sub(online);
+            placed.batch = placed.batch.saturating_sub(batch);
+            if placed.total() == 0 {
+                self.placed.remove(&backend);
+            }
+        }
+    }
+
+    /// Returns the online requests of this instance by backend server.
+    pub fn own_online(&self) -> Vec<(BackendKey, u32)> {
+        self.own_online.iter().map(|(k, n)| (*k, *n)).collect()
+    }
+
+    /// Returns the items that this instance runs.
+    pub fn own_batch(&self) -> impl Iterator<Item = &BatchRun> {
+        self.own_batch.values()
+    }
+
+    /// Returns the items that all instances run on `backend`.
+    pub fn batch_on(&self, backend: BackendKey) -> impl Iterator<Item = &BatchRun> {
+        let peers = self.peers.values().flat_map(|p| p.batch.iter());
+        let all = self.own_batch.values().chain(peers);
+        all.filter(move |run| run.backend == backend)
+    }
+
+    /// Returns the peers that run `item`.
+    pub fn peers_running(&self, item: ItemKey) -> impl Iterator<Item = &str> {
+        let running = move |p: &PeerLoad| p.batch.iter().any(|run| run.item == item);
+        self.peers
+            .iter()
+            .filter(move |(_, p)| running(p))
+            .map(|(name, _)| name.as_str())
+    }
+
+    /// Notes that `backend` gave no answer; it is used last until `until`.
+    pub fn suspect(&mut self, backend: BackendKey, until: Timestamp) {
+        let end = self.suspects.entry(backend).or_insert(until);
+        *end = until.max(*end);
+    }
+
+    /// Takes over the suspicion of a peer.
+    pub fn suspect_heard(&mut self, backend: BackendKey, until: Timestamp) {
+        let end = self.heard_suspects.entry(backend).or_insert(until);
+        *end = until.max(*end);
+    }
+
+    /// Ends the suspicion of `backend`, because it answered.
+    pub fn clear(&mut self, backend: BackendKey) {
+        self.suspects.remove(&backend);
+        self.heard_suspects.remove(&backend);
+    }
+
+    /// Returns whether `backend` is suspected not to answer.
+    pub fn suspected(&self, backend: BackendKey, now: Timestamp) -> bool {
+        let both = [&self.suspects, &self.heard_suspects];
+        let mut ends = both.into_iter().filter_map(|s| s.get(&backend));
+        ends.any(|end| *end > now)
+    }
+
+    /// Returns this instance's own suspicions with the time that remains of each.
+    pub fn suspects(&self, now: Timestamp) -> Vec<(BackendKey, Duration)> {
+        let open = self.suspects.iter().filter(|(_, end)| **end > now);
+        open.map(|(key, end)| (*key, end.since(now))).collect()
+    }
+}
--- /dev/null
+++ b/gateway/src/members.rs
@@ -0,0 +1,149 @@
+//! Which instances exist, which of them are alive, and which addresses callers are told.
+
+use std::collections::BTreeMap;
+use std::net::{
+    IpAddr,
+    SocketAddr, //
+};
+use std::time::Duration;
+
+use limpetweir_coordination::rendezvous_score;
+use limpetweir_state::Timestamp;
+
+use crate::report::Report;
+
+/// Silence after which an instance is no longer named to callers and its work is taken over: four
+/// reports at the longest interval.
+pub const SILENCE: Duration = Duration::from_millis(1_000);
+
+/// Silence after which an instance is taken as gone for good; longer than cuts usually last.
+const GONE: Duration = Duration::from_secs(30);
+
+/// An instance of the gateway.
+#[derive(Clone, Debug)]
+pub struct Member {
+    /// Address that reports are sent to.
+    pub addr: IpAddr,
+    /// When the instance was first known of.
+    pub known: Timestamp,
+    /// When the last report arrived.
+    pub heard: Option<Timestamp>,
+    /// The newest report.
+    pub report: Option<Report>,
+}
+
+impl Member {
+    /// Returns whether the instance was heard recently.
+    pub fn alive(&self, now: Timestamp) -> bool {
+        self.heard.is_some_and(|at| now.since(at) < SILENCE)
+    }
+
+    fn last_sign(&self) -> Timestamp {
+        self.heard.unwrap_or(self.known)
+    }
+}
+
+/// The other instances, by name.
+#[derive(Debug, Default)]
+pub struct Members {
+    others: BTreeMap<String, Member>,
+}
+
+impl Members {
+    /// Notes that the instance `name` exists at `addr`.
+    pub fn learn(&mut self, name: &str, addr: IpAddr, now: Timestamp) {
+        let member = self.others.entry(name.to_owned()).or_insert(Member {
+            addr,
+            known: now,
+            heard: None,
+            report: None,
+        });
+        member.addr = addr;
+    }
+
+    /// Removes an instance that has left.
+    pub fn remove(&mut self, name: &str) -> Option<Member> {
+        self.others.remove(name)
+    }
+
+    /// Takes a report over; returns the previous one, or `Err` if it is not newer.
+    pub fn heard(
+        &mut self,
+        report: Report,
+        from: IpAddr,
+        now: Timestamp,
+    ) -> Result<Option<Report>, ()> {
+        self.learn(&report.name, from, now);
+        let Some(member) = self.others.get_mut(&report.name) else {
+            return Err(());
+        };
+        let newest = member.report.as_ref().map(|r| (r.boot, r.sequence));
+        if newest.is_some_and(|newest| (report.boot, report.sequence) <= newest) {
+            return Err(());
+        }
+        member.heard = Some(now);
+        Ok(member.report.replace(report))
+    }
+
+    /// Removes and returns the instances that are gone for good.
+    pub fn sweep(&mut self, now: Timestamp) -> Vec<String> {
+        let gone = |m: &Member| now.since(m.last_sign()) > GONE;
+        let names = self.others.iter().filter(|(_, m)| gone(m));
+        let names: Vec<String> = names.map(|(name, _)| name.clone()).collect();
+        for name in &names {
+            self.others.remove(name);
+        }
+        names
+    }
+
+    /// Returns all known instances.
+    pub fn iter(&self) -> impl Iterator<Item = (&String, &Member)> {
+        self.others.iter()
+    }
+
+    /// Returns the instances that were heard recently.
+    pub fn alive(&self, now: Timestamp) -> impl Iterator<Item = &Report> {
+        self.others
+            .values()
+            .filter(move |m| m.alive(now))
+            .filter_map(|m| m.report.as_ref())
+    }
+
+    /// Returns how many known instances are silent, and how many there are with this one.
+    pub fn silent(&self, now: Timestamp) -> (usize, usize) {
+        let silent = self.others.values().filter(|m| !m.alive(now)).count();
+        (silent, self.others.len() + 1)
+    }
+}
+
+/// An instance that callers may be told of.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Entry {
+    /// Address for callers.
+    pub addr: SocketAddr,
+    /// Availability zone.
+    pub zone: String,
+}
+
+/// Fewest instances that a caller is told, so that it has another address when one fails.
+const FEWEST_ADDRESSES: usize = 3;
+
+/// Returns the addresses for a caller in `zone`: those of its own zone if there are enough, because
+/// callers pick one at random and answers between zones cost time.
+pub fn addresses(entries: &[Entry], zone: Option<&str>, most: usize) -> Vec<SocketAddr> {
+    let near = entries.iter().filter(|e| Some(e.zone.as_str()) == zone);
+    let mut chosen: Vec<SocketAddr> = near.map(|e| e.addr).collect();
+    if chosen.len() < FEWEST_ADDRESSES {
+        chosen = entries.iter().map(|e| e.addr).collect();
+    }
+    chosen.truncate(most);
+    chosen
+}
+
+/// Returns the instance among `names` that is responsible for `key`.
+pub fn owner<'a>(key: u64, names: impl IntoIterator<Item = &'a str>) -> Option<&'a str> {
+    let key = key.to_be_bytes();
+    names
+        .into_iter()
+        .max_by_key(|name| (rendezvous_score(&key, name), *name))
+}
--- /dev/null
+++ b/gateway/src/open_items.rs
@@ -0,0 +1,300 @@
+//! Items of batch jobs that still need a run, and what this instance has of them.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use limpetweir_state::Timestamp;
+
+use crate::backend::BackendKey;
+use crate::batch::Waiting;
+use crate::config::Configuration;
+use crate::jobs::{
+    Job,
+    Outcome,
+    Partition, //
+};
+use crate::members::owner;
+use crate::report::ItemKey;
+
+/// Margin after the time at which an item may be given up, for clocks that differ.
+const GIVE_UP_MARGIN_MS: u64 = 500;
+
+/// Pause after a backend server turned an item away or failed it.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// Output of an item so far.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Progress {
+    /// Data of the events, in order.
+    pub data: Vec<String>,
+    /// Number of the last event.
+    pub last: Option<u64>,
+}
+
+/// What this instance does with an item.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// It waits for a slot.
+    Waiting,
+    /// It runs on a backend server.
+    Running(BackendKey),
+    /// Its result is being written.
+    Finishing,
+}
+
+/// An item that still needs a run.
+#[derive(Clone, Debug)]
+pub struct OpenItem {
+    /// The job.
+    pub job: String,
+    /// Partition of the job.
+    pub partition: usize,
+    /// Index of the item in the job.
+    pub index: usize,
+    /// When it is due, in Unix milliseconds.
+    pub due: u64,
+    /// When it may be given up, in Unix milliseconds.
+    pub give_up: u64,
+    /// Service that runs it.
+    pub service: String,
+    /// Whether its route is no longer in the configuration.
+    pub orphaned: bool,
+    /// Whether this instance is responsible for it.
+    pub mine: bool,
+    /// Whether `mine` has been decided.
+    assigned: bool,
+    /// What is done with it.
+    pub phase: Phase,
+    /// Output so far.
+    pub progress: Progress,
+    /// Runs that the backend server answered with a failure.
+    pub failures: u32,
+    /// Earliest time of the next run.
+    pub not_before: Timestamp,
+    /// Backend server of the last failed run.
+    pub avoid: Option<BackendKey>,
+}
+
+/// How a run ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RunEnd {
+    /// The output is whole.
+    Completed,
+    /// The backend server says the item can never be done.
+    Impossible,
+    /// The backend server answered with a failure.
+    Failed,
+    /// The backend server did not run it.
+    TurnedAway,
+    /// The stream broke.
+    Broken,
+    /// The slot was given up, or the item needs no run any more.
+    Stopped,
+}
+
+/// What follows the end of a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// The item waits again.
+    Wait,
+    /// Its result is written.
+    Finish(Outcome),
+    /// It needs no run any more.
+    Drop,
+}
+
+/// All open items.
+#[derive(Debug, Default)]
+pub struct OpenItems {
+    items: HashMap<ItemKey, OpenItem>,
+    /// Instances among which the items were distributed last.
+    instances: Vec<String>,
+}
+
+impl OpenItems {
+    /// Returns an item.
+    pub fn get(&self, key: ItemKey) -> Option<&OpenItem> {
+        self.items.get(&key)
+    }
+
+    /// Returns an item for a change.
+    pub fn get_mut(&mut self, key: ItemKey) -> Option<&mut OpenItem> {
+        self.items.get_mut(&key)
+    }
+
+    /// Returns all items.
+    pub fn iter(&self) -> impl Iterator<Item = (&ItemKey, &OpenItem)> {
+        self.items.iter()
+    }
+
+    /// Takes over which items are open, and distributes them among `instances`, which are sorted
+    /// by name and include `me`. Returns running items that need no run any more.
+    pub fn refresh(
+        &mut self,
+        partitions: &[Partition],
+        config: Option<&Configuration>,
+        me: &str,
+        instances: &[String],
+    ) -> Vec<ItemKey> {
+        let mut previous = std::mem::take(&mut self.items);
+        let same_instances = self.instances == instances;
+        for (partition, state) in partitions.iter().enumerate() {
+            for (id, job) in state.iter() {
+                for index in job.open() {
+                    let key = job.keys[index];
+                    let mut item = previous
+                        .remove(&key)
+                        .unwrap_or_else(|| OpenItem::new(id, partition, index));
+                    item.apply_terms(job, config);
+                    if !same_instances || !item.assigned {
+                        item.assigned = true;
+                        let names = instances.iter().map(String::as_str);
+                        item.mine = owner(key.0, names) == Some(me);
+                    }
+                    self.items.insert(key, item);
+                }
+            }
+        }
+        if !same_instances {
+            self.instances = instances.to_vec();
+        }
+        let running = |item: &OpenItem| matches!(item.phase, Phase::Running(_));
+        let ended = previous.iter().filter(|(_, item)| running(item));
+        ended.map(|(key, _)| *key).collect()
+    }
+
+    /// Returns the items of this instance that may start now.
+    pub fn waiting(&self, now: Timestamp, unix_ms: u64) -> Vec<Waiting> {
+        let ready = |item: &OpenItem| {
+            item.kept_here()
+                && item.phase == Phase::Waiting
+                && item.not_before <= now
+                && item.give_up > unix_ms
+                && !item.orphaned
+        };
+        let ready = self.items.iter().filter(|(_, item)| ready(item));
+        let waiting = ready.map(|(key, item)| Waiting {
+            item: *key,
+            due: item.due,
+            avoid: item.avoid,
+        });
+        waiting.collect()
+    }
+
+    /// Returns the items of this instance that are to be given up without another run.
+    pub fn expired(&self, unix_ms: u64) -> Vec<ItemKey> {
+        let expired = |item: &OpenItem| {
+            let late = unix_ms > item.give_up + GIVE_UP_MARGIN_MS;
+            item.kept_here() && item.phase == Phase::Waiting && (late || item.orphaned)
+        };
+        let expired = self.items.iter().filter(|(_, item)| expired(item));
+        expired.map(|(key, _)| *key).collect()
+    }
+
+    /// Returns the waiting items of which this instance holds a part of the output.
+    pub fn held(&self) -> Vec<ItemKey> {
+        let held = self.items.iter().filter(|(_, item)| {
+            item.phase == Phase::Finishing
+                || (item.phase == Phase::Waiting && item.progress.last.is_some())
+        });
+        held.map(|(key, _)| *key).collect()
+    }
+
+    /// Notes the end of a run of `key` that may be repeated `attempts` times after a failure.
+    pub fn run_ended(
+        &mut self,
+        key: ItemKey,
+        end: &RunEnd,
+        progress: Progress,
+        attempts: u32,
+        now: Timestamp,
+    ) -> Step {
+        let Some(item) = self.items.get_mut(&key) else {
+            return Step::Drop;
+        };
+        let backend = match item.phase {
+            Phase::Running(backend) => Some(backend),
+            Phase::Waiting | Phase::Finishing => None,
+        };
+        item.progress = progress;
+        item.phase = Phase::Waiting;
+        match end {
+            RunEnd::Completed => {
+                item.phase = Phase::Finishing;
+                return Step::Finish(Outcome::Completed);
+            }
+            RunEnd::Impossible => {
+                item.phase = Phase::Finishing;
+                return Step::Finish(Outcome::GivenUp);
+            }
+            RunEnd::Failed => {
+                item.failures += 1;
+                if item.failures >= attempts {
+                    item.phase = Phase::Finishing;
+                    return Step::Finish(Outcome::GivenUp);
+                }
+                item.avoid = backend;
+                item.not_before = now + RETRY_PAUSE;
+            }
+            RunEnd::TurnedAway | RunEnd::Broken => {
+                item.avoid = backend;
+                item.not_before = now + RETRY_PAUSE;
+            }
+            RunEnd::Stopped => {}
+        }
+        Step::Wait
+    }
+}
+
+impl OpenItem {
+    fn new(job: &str, partition: usize, index: usize) -> Self {
+        Self {
+            job: job.to_owned(),
+            partition,
+            index,
+            due: 0,
+            give_up: u64::MAX,
+            service: String::new(),
+            orphaned: false,
+            mine: false,
+            assigned: false,
+            phase: Phase::Waiting,
+            progress: Progress::default(),
+            failures: 0,
+            not_before: Timestamp::default(),
+            avoid: None,
+        }
+    }
+
+    /// Returns whether this instance runs the item: it is responsible, or it has a part of the
+    /// output, which another instance would have to produce again.
+    fn kept_here(&self) -> bool {
+        self.mine || self.progress.last.is_some()
+    }
+
+    fn apply_terms(&mut self, job: &Job, config: Option<&Configuration>) {
+        let Some(config) = config else {
+            return;
+        };
+        let route = config.route_named(&job.route);
+        let terms = route.and_then(|route| route.batch);
+        if let Some(route) = route {
+            // The low half of the key spreads items as well as the whole.
+            let service = route.service(job.keys[self.index].0 as u32);
+            if service != self.service {
+                self.service = service.to_owned();
+            }
+        }
+        self.orphaned = terms.is_none();
+        if let Some(terms) = terms {
+            let target = terms.completion_target.as_millis();
+            let retention = terms.retention.as_millis();
+            self.due = job
+                .submitted
+                .saturating_add(u64::try_from(target).unwrap_or(u64::MAX));
+            self.give_up = job
+                .submitted
+                .saturating_add(u64::try_from(retention).unwrap_or(u64::MAX));
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/quota.rs
@@ -0,0 +1,176 @@
+//! Rate limits of organisations across all instances.
+//!
+//! Load answered: one organisation sends several times its rate to all instances at once, while
+//! some of them are cut off from the others. Each instance counts what it admitted, tells the
+//! others, and takes their admissions off its own view of the fleet's bucket. An instance that has
+//! fallen silent is charged its even share of the rate, so that both sides of a cut together stay
+//! within the limit.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use limpetweir_state::Timestamp;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::config::Configuration;
+
+/// Part of the burst that a starting instance assumes to be free, because admissions from before
+/// the start of the whole fleet are not known.
+const START_FILL: f64 = 0.25;
+
+/// Short form of an organisation's name, the same on all instances.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct OrganisationKey(pub u32);
+
+impl OrganisationKey {
+    /// Returns the key of the organisation called `name`.
+    pub fn of(name: &str) -> Self {
+        // The low half is as good a hash as the whole.
+        Self(xxh3_64(name.as_bytes()) as u32)
+    }
+}
+
+/// View of the fleet's bucket of one organisation.
+#[derive(Debug)]
+struct Bucket {
+    rate: f64,
+    burst: f64,
+    /// May be negative when instances admitted at the same moment.
+    tokens: f64,
+    updated: Timestamp,
+    /// Requests that this instance admitted since its start.
+    admitted: u64,
+}
+
+impl Bucket {
+    fn refill(&mut self, now: Timestamp, silent_part: f64) {
+        let elapsed = now.since(self.updated).as_secs_f64();
+        self.updated = self.updated.max(now);
+        let gained = self.rate * (1.0 - silent_part) * elapsed;
+        self.tokens = (self.tokens + gained).min(self.burst);
+    }
+}
+
+/// What another instance last said it had admitted.
+#[derive(Debug, Default)]
+struct PeerCounts {
+    boot: u64,
+    admitted: HashMap<OrganisationKey, u64>,
+}
+
+/// The quota decisions of one instance.
+#[derive(Debug, Default)]
+pub struct Quotas {
+    buckets: HashMap<OrganisationKey, Bucket>,
+    peers: HashMap<String, PeerCounts>,
+    /// Part of the rate that silent instances may be using, from 0 to below 1.
+    silent_part: f64,
+}
+
+/// A refusal because an organisation is over its rate.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct OverQuota {
+    /// Time until a request is likely to be admitted.
+    pub retry_after: Duration,
+    /// Tokens in this instance's view.
+    pub tokens: f64,
+}
+
+impl Quotas {
+    /// Applies the limits of a configuration.
+    pub fn configure(&mut self, config: &Configuration, now: Timestamp) {
+        let mut buckets = std::mem::take(&mut self.buckets);
+        for (name, organisation) in config.organisations() {
+            let Some(rate) = organisation.rate else {
+                continue;
+            };
+            // A burst below one request would refuse every request.
+            let burst = organisation.burst.max(1.0);
+            let key = OrganisationKey::of(name);
+            let mut bucket = buckets.remove(&key).unwrap_or(Bucket {
+                rate,
+                burst,
+                tokens: burst * START_FILL,
+                updated: now,
+                admitted: 0,
+            });
+            bucket.refill(now, self.silent_part);
+            bucket.rate = rate;
+            bucket.burst = burst;
+            bucket.tokens = bucket.tokens.min(burst);
+            self.buckets.insert(key, bucket);
+        }
+    }
+
+    /// Sets how many of `instances` known instances are silent.
+    pub fn set_silent(&mut self, silent: usize, instances: usize, now: Timestamp) {
+        for bucket in self.buckets.values_mut() {
+            bucket.refill(now, self.silent_part);
+        }
+        // Instance counts are far below the precision of f64.
+        self.silent_part = silent as f64 / instances.max(1) as f64;
+    }
+
+    /// Admits a request of `organisation`, or says when one may be admitted.
+    pub fn admit(&mut self, organisation: &str, now: Timestamp) -> Result<(), OverQuota> {
+        let key = OrganisationKey::of(organisation);
+        let Some(bucket) = self.buckets.get_mut(&key) else {
+            return Ok(());
+        };
+        bucket.refill(now, self.silent_part);
+        if bucket.tokens >= 1.0 {
+            bucket.tokens -= 1.0;
+            bucket.admitted += 1;
+            return Ok(());
+        }
+        let rate = bucket.rate * (1.0 - self.silent_part);
+        let wait = (1.0 - bucket.tokens) / rate.max(0.1);
+        Err(OverQuota {
+            retry_after: Duration::from_secs_f64(wait.clamp(0.0, 60.0)),
+            tokens: bucket.tokens,
+        })
+    }
+
+    /// Returns a token that was taken for a request which never reached a backend server.
+    pub fn give_back(&mut self, organisation: &str) {
+        let key = OrganisationKey::of(organisation);
+        if let Some(bucket) = self.buckets.get_mut(&key) {
+            bucket.tokens = (bucket.tokens + 1.0).min(bucket.burst);
+            bucket.admitted = bucket.admitted.saturating_sub(1);
+        }
+    }
+
+    /// Returns what this instance has admitted.
+    pub fn admitted(&self) -> Vec<(OrganisationKey, u64)> {
+        let counts = self.buckets.iter().filter(|(_, b)| b.admitted > 0);
+        counts.map(|(key, b)| (*key, b.admitted)).collect()
+    }
+
+    /// Takes over what the instance `peer`, started at `boot`, says it has admitted.
+    pub fn heard(&mut self, peer: &str, boot: u64, admitted: &[(OrganisationKey, u64)]) {
+        // The first counts heard of a peer are a baseline: their admissions lie in the past.
+        let first = !self.peers.contains_key(peer);
+        let known = self.peers.entry(peer.to_owned()).or_default();
+        let restarted = known.boot != boot;
+        if restarted {
+            known.boot = boot;
+            known.admitted.clear();
+        }
+        for &(key, count) in admitted {
+            let before = known.admitted.insert(key, count).unwrap_or(0);
+            if first {
+                continue;
+            }
+            if let Some(bucket) = self.buckets.get_mut(&key) {
+                // Admissions are counted in whole requests far below the precision of f64.
+                bucket.tokens -= count as f64 - before as f64;
+                bucket.tokens = bucket.tokens.clamp(-bucket.burst, bucket.burst);
+            }
+        }
+    }
+
+    /// Forgets a peer that has left for good.
+    pub fn forget(&mut self, peer: &str) {
+        self.peers.remove(peer);
+    }
+}
--- /dev/null
+++ b/gateway/src/report.rs
@@ -0,0 +1,169 @@
+//! The report that each instance sends to the others, and its encoding.
+
+use std::net::SocketAddr;
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::backend::BackendKey;
+use crate::quota::OrganisationKey;
+
+/// Version of the encoding; reports of another version are ignored.
+const WIRE_VERSION: u8 = 1;
+
+/// Short form of an item's identity, the same on all instances.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct ItemKey(pub u64);
+
+impl ItemKey {
+    /// Returns the key of the item at `index` of `job`.
+    pub fn of(job: &str, index: usize) -> Self {
+        Self(xxh3_64(format!("{job}/{index}").as_bytes()))
+    }
+}
+
+/// An item that an instance runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BatchRun {
+    /// The item.
+    pub item: ItemKey,
+    /// Where it runs.
+    pub backend: BackendKey,
+    /// When it is due, in Unix milliseconds.
+    pub due: u64,
+}
+
+/// What an instance states of itself.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Report {
+    /// Name of the instance.
+    pub name: String,
+    /// Start of the instance in Unix milliseconds.
+    pub boot: u64,
+    /// Number of the report since the start.
+    pub sequence: u64,
+    /// Whether the instance takes requests.
+    pub ready: bool,
+    /// Whether the instance is about to stop.
+    pub leaving: bool,
+    /// Availability zone.
+    pub zone: String,
+    /// Address for callers.
+    pub public: SocketAddr,
+    /// Version of the configuration in force there; 0 if there is none.
+    pub version: u64,
+    /// Online requests that the instance has at each backend server.
+    pub online: Vec<(BackendKey, u32)>,
+    /// Items that the instance runs.
+    pub batch: Vec<BatchRun>,
+    /// Items of which the instance holds a part of the output.
+    pub held: Vec<ItemKey>,
+    /// Open items that wait at the instance.
+    pub waiting: u32,
+    /// Requests admitted since the start, by organisation.
+    pub admitted: Vec<(OrganisationKey, u64)>,
+    /// Backend servers that do not answer the instance, with the remaining time in milliseconds.
+    pub suspects: Vec<(BackendKey, u32)>,
+}
+
+/// A report on the wire; fields are encoded by position to keep it small.
+#[derive(Deserialize, Serialize)]
+struct Wire(
+    u8,
+    String,
+    u64,
+    u64,
+    u8,
+    String,
+    SocketAddr,
+    u64,
+    Vec<(u32, u32)>,
+    Vec<(u64, u32, u64)>,
+    Vec<u64>,
+    u32,
+    Vec<(u32, u64)>,
+    Vec<(u32, u32)>,
+);
+
+/// Bit of the wire's flags that is set for a ready instance.
+const READY: u8 = 1;
+/// Bit of the wire's flags that is set for a leaving instance.
+const LEAVING: u8 = 2;
+
+impl From<&Report> for Wire {
+    fn from(r: &Report) -> Self {
+        let flags = u8::from(r.ready) * READY + u8::from(r.leaving) * LEAVING;
+        let batch = r.batch.iter();
+        Self(
+            WIRE_VERSION,
+            r.name.clone(),
+            r.boot,
+            r.sequence,
+            flags,
+            r.zone.clone(),
+            r.public,
+            r.version,
+            r.online.iter().map(|(key, n)| (key.0, *n)).collect(),
+            batch.map(|b| (b.item.0, b.backend.0, b.due)).collect(),
+            r.held.iter().map(|item| item.0).collect(),
+            r.waiting,
+            r.admitted.iter().map(|(key, n)| (key.0, *n)).collect(),
+            r.suspects.iter().map(|(key, ms)| (key.0, *ms)).collect(),
+        )
+    }
+}
+
+impl From<Wire> for Report {
+    fn from(w: Wire) -> Self {
+        let batch = w.9.into_iter().map(|(item, backend, due)| BatchRun {
+            item: ItemKey(item),
+            backend: BackendKey(backend),
+            due,
+        });
+        Self {
+            name: w.1,
+            boot: w.2,
+            sequence: w.3,
+            ready: w.4 & READY != 0,
+            leaving: w.4 & LEAVING != 0,
+            zone: w.5,
+            public: w.6,
+            version: w.7,
+            online: w.8.into_iter().map(|(k, n)| (BackendKey(k), n)).collect(),
+            batch: batch.collect(),
+            held: w.10.into_iter().map(ItemKey).collect(),
+            waiting: w.11,
+            admitted: w
+                .12
+                .into_iter()
+                .map(|(k, n)| (OrganisationKey(k), n))
+                .collect(),
+            suspects: w
+                .13
+                .into_iter()
+                .map(|(k, ms)| (BackendKey(k), ms))
+                .collect(),
+        }
+    }
+}
+
+impl Report {
+    /// Encodes the report.
+    pub fn encode(&self) -> Vec<u8> {
+        let mut buf = Vec::new();
+        // Writing to a vector does not fail, and every field has an encoding.
+        if ciborium::into_writer(&Wire::from(self), &mut buf).is_err() {
+            buf.clear();
+        }
+        buf
+    }
+
+    /// Decodes a report; returns `None` for other bytes and other versions.
+    pub fn decode(bytes: &[u8]) -> Option<Self> {
+        let wire: Wire = ciborium::from_reader(bytes).ok()?;
+        (wire.0 == WIRE_VERSION).then(|| wire.into())
+    }
+}
--- /dev/null
+++ b/gateway/src/serve/job_calls.rs
@@ -0,0 +1,255 @@
+//! Calls of callers about batch jobs.
+
+use std::sync::Arc;
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use hyper::body::Bytes;
+use hyper::{
+    Response,
+    StatusCode, //
+};
+use limpetweir_transport::http::Body;
+use limpetweir_transport::until;
+
+use super::lines::{
+    JOB_CALL,
+    JOB_REFUSED,
+    line, //
+};
+use super::node::{
+    Node,
+    unix_ms, //
+};
+use super::replies::{
+    json,
+    plain,
+    retry_later, //
+};
+use super::writer::{
+    self,
+    WriteError, //
+};
+use crate::config::{
+    Organisation,
+    Route, //
+};
+use crate::jobs::{
+    Change,
+    Job,
+    Outcome,
+    Submission, //
+};
+use crate::platform::{
+    CallHead,
+    Dialect,
+    JobCall,
+    ResultView,
+    Store, //
+};
+
+/// Largest page of results in bytes of text; the page holds at least one result.
+const PAGE_BYTES: usize = 900 << 10;
+
+/// Longest time that a caller's wait for a result is honoured.
+const MAX_WAIT: Duration = Duration::from_secs(5);
+
+/// When a caller should repeat a call that the store did not take.
+const STORE_RETRY: Duration = Duration::from_millis(500);
+
+/// When a caller should submit a job again that did not fit; items end all the time.
+const ROOM_RETRY: Duration = Duration::from_millis(1_000);
+
+/// Longest time to make sure that a job does not exist.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Takes a job over.
+pub(crate) async fn submit<P: Store + Dialect>(
+    node: &Arc<Node<P>>,
+    route: &Route,
+    organisation: &Organisation,
+    call: &CallHead,
+    body: &Bytes,
+) -> Response<Body> {
+    let id = &call.request_id;
+    let items = match node.platform.submission(body) {
+        Ok(items) if !id.is_empty() => items,
+        Ok(_) => {
+            line!(JOB_REFUSED, "job={id} status=400 cause=no-identifier");
+            return plain(StatusCode::BAD_REQUEST, "the job has no identifier");
+        }
+        Err(err) => {
+            line!(JOB_REFUSED, "job={id} status=400 cause=\"{err}\"");
+            return plain(StatusCode::BAD_REQUEST, &err.to_string());
+        }
+    };
+    let count = items.len();
+    let submission = Submission {
+        id: id.clone(),
+        organisation: organisation.name.clone(),
+        route: route.name.clone(),
+        host: route.host.clone(),
+        submitted: unix_ms(),
+        waiting_tokens: route.batch.and_then(|terms| terms.waiting_tokens),
+        items,
+    };
+    let partition = node.partition_of(&organisation.name);
+    let started = Instant::now();
+    let result = writer::write(node, partition, Change::Submit(submission)).await;
+    let ms = started.elapsed().as_millis();
+    match result {
+        Ok(()) => {
+            line!(
+                JOB_CALL,
+                "job={id} call=submit items={count} status=202 ms={ms} organisation={}",
+                organisation.name
+            );
+            let mut response = plain(StatusCode::ACCEPTED, "accepted");
+            *response.body_mut() = Body::empty();
+            response
+        }
+        Err(err) => write_refused(id, "submit", &err),
+    }
+}
+
+/// Answers a change that is not in the store.
+fn write_refused(job: &str, call: &str, err: &WriteError) -> Response<Body> {
+    let response = match err {
+        WriteError::NoJob => plain(StatusCode::NOT_FOUND, "no such job"),
+        WriteError::NoRoom { waiting } => {
+            let text = format!("the job does not fit; {waiting} tokens wait already");
+            retry_later(StatusCode::TOO_MANY_REQUESTS, &text, ROOM_RETRY)
+        }
+        WriteError::NotDone(_) => {
+            let text = "the store did not take the call; it has no effect";
+            retry_later(StatusCode::SERVICE_UNAVAILABLE, text, STORE_RETRY)
+        }
+        WriteError::Unknown(_) => {
+            let text = "the store did not answer; the call may have taken effect";
+            plain(StatusCode::GATEWAY_TIMEOUT, text)
+        }
+    };
+    let status = response.status().as_u16();
+    line!(
+        JOB_REFUSED,
+        "job={job} call={call} status={status} cause=\"{err:?}\""
+    );
+    response
+}
+
+/// Answers a call about a job of `organisation`.
+pub(crate) async fn answer<P: Store + Dialect>(
+    node: &Arc<Node<P>>,
+    call: JobCall,
+    organisation: &Organisation,
+) -> Response<Body> {
+    let partition = node.partition_of(&organisation.name);
+    let (JobCall::Results { job, .. } | JobCall::Content { job, .. } | JobCall::End { job }) =
+        &call;
+    if !exists(node, partition, job, organisation) {
+        let confirmed = writer::confirm(node, partition);
+        let confirmed = until(Instant::now() + CONFIRM_TIMEOUT, confirmed).await;
+        if !matches!(confirmed, Some(Ok(()))) {
+            line!(
+                JOB_REFUSED,
+                "job={job} status=503 cause=\"unknown here, and the store does not answer\""
+            );
+            let text = "it is not known whether the job exists";
+            return retry_later(StatusCode::SERVICE_UNAVAILABLE, text, STORE_RETRY);
+        }
+        if !exists(node, partition, job, organisation) {
+            line!(
+                JOB_REFUSED,
+                "job={job} status=404 cause=no-such-job partition={partition}"
+            );
+            return plain(StatusCode::NOT_FOUND, "no such job");
+        }
+    }
+    match call {
+        JobCall::Results { job, after, wait } => {
+            results(node, partition, &job, after, wait.min(MAX_WAIT)).await
+        }
+        JobCall::Content { job, item } => content(node, partition, &job, &item),
+        JobCall::End { job } => end(node, partition, job).await,
+    }
+}
+
+fn exists<P>(
+    node: &Arc<Node<P>>,
+    partition: usize,
+    job: &str,
+    organisation: &Organisation,
+) -> bool {
+    let state = node.lock();
+    let job = state.partitions[partition].get(job);
+    job.is_some_and(|job| job.organisation == organisation.name)
+}
+
+async fn results<P: Store + Dialect>(
+    node: &Arc<Node<P>>,
+    partition: usize,
+    id: &str,
+    after: usize,
+    wait: Duration,
+) -> Response<Body> {
+    let deadline = Instant::now() + wait;
+    loop {
+        let changed = node.jobs_changed.listen();
+        {
+            let state = node.lock();
+            let Some(job) = state.partitions[partition].get(id) else {
+                return plain(StatusCode::NOT_FOUND, "no such job");
+            };
+            let complete = job.results.len() >= job.items.len();
+            if job.results.len() > after || complete || Instant::now() >= deadline {
+                return page(node, job, after);
+            }
+        }
+        until(deadline, changed).await;
+    }
+}
+
+fn page<P: Store + Dialect>(node: &Arc<Node<P>>, job: &Job, after: usize) -> Response<Body> {
+    let mut bytes = 0;
+    let mut views = Vec::new();
+    for listed in job.results.iter().skip(after) {
+        bytes += listed.text.len();
+        if bytes > PAGE_BYTES && !views.is_empty() {
+            break;
+        }
+        views.push(ResultView {
+            item: &job.items[listed.item].id,
+            completed: listed.outcome == Outcome::Completed,
+            text: &listed.text,
+        });
+    }
+    let next = after + views.len();
+    json(node.platform.results(job.items.len(), next, &views))
+}
+
+fn content<P>(node: &Arc<Node<P>>, partition: usize, job: &str, item: &str) -> Response<Body> {
+    let state = node.lock();
+    let job = state.partitions[partition].get(job);
+    let item = job.and_then(|job| job.items.iter().find(|i| i.id == item));
+    match item {
+        Some(item) => Response::new(Body::from(item.body.clone())),
+        None => plain(StatusCode::NOT_FOUND, "no such item"),
+    }
+}
+
+async fn end<P: Store + Dialect>(
+    node: &Arc<Node<P>>,
+    partition: usize,
+    job: String,
+) -> Response<Body> {
+    let change = Change::End { job: job.clone() };
+    match writer::write(node, partition, change).await {
+        Ok(()) => {
+            line!(JOB_CALL, "job={job} call=end status=200");
+            Response::new(Body::empty())
+        }
+        Err(err) => write_refused(&job, "end", &err),
+    }
+}
--- /dev/null
+++ b/gateway/src/serve/metrics.rs
@@ -0,0 +1,112 @@
+//! Counters and latency histograms in the Prometheus text format.
+
+use std::time::Duration;
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{
+    Counter,
+    Histogram,
+    MeterProvider, //
+};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{
+    Registry,
+    TextEncoder, //
+};
+
+/// Buckets of durations in seconds; the objectives lie between 0.3 and 0.5.
+const BUCKETS: [f64; 12] = [
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0, 20.0,
+];
+
+/// Metrics of one instance.
+#[derive(Debug)]
+pub(crate) struct Metrics {
+    registry: Registry,
+    /// Keeps the exporter alive.
+    _provider: SdkMeterProvider,
+    online: Counter<u64>,
+    first_byte: Histogram<f64>,
+    whole: Histogram<f64>,
+    items: Counter<u64>,
+    item_runs: Histogram<f64>,
+    store_calls: Counter<u64>,
+    lines_dropped: Counter<u64>,
+}
+
+impl Metrics {
+    /// Creates metrics with an empty registry.
+    pub(crate) fn new() -> Result<Self, String> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .without_target_info()
+            .build()
+            .map_err(|err| err.to_string())?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("limpetweir-gateway");
+        let histogram = |name: &'static str, description: &'static str| {
+            let builder = meter.f64_histogram(name).with_description(description);
+            builder.with_boundaries(BUCKETS.to_vec()).build()
+        };
+        let counter = |name: &'static str, description: &'static str| {
+            meter
+                .u64_counter(name)
+                .with_description(description)
+                .build()
+        };
+        Ok(Self {
+            online: counter("limpetweir_online_requests", "Online requests by outcome"),
+            first_byte: histogram(
+                "limpetweir_online_first_byte_seconds",
+                "Time from the request to the first byte of the answer",
+            ),
+            whole: histogram(
+                "limpetweir_online_answer_seconds",
+                "Time from the request to the end of the answer",
+            ),
+            items: counter("limpetweir_item_runs", "Runs of items by their end"),
+            item_runs: histogram("limpetweir_item_run_seconds", "Length of the runs of items"),
+            store_calls: counter("limpetweir_store_calls", "Calls to the store by outcome"),
+            lines_dropped: counter("limpetweir_log_lines_dropped", "Log lines not written"),
+            registry,
+            _provider: provider,
+        })
+    }
+
+    /// Counts an online request.
+    pub(crate) fn online(&self, outcome: &'static str, after: Duration) {
+        self.online.add(1, &[KeyValue::new("outcome", outcome)]);
+        self.whole.record(after.as_secs_f64(), &[]);
+    }
+
+    /// Records the time to the first byte of an answer.
+    pub(crate) fn first_byte(&self, after: Duration) {
+        self.first_byte.record(after.as_secs_f64(), &[]);
+    }
+
+    /// Counts a run of an item.
+    pub(crate) fn item(&self, end: &'static str, after: Duration) {
+        self.items.add(1, &[KeyValue::new("end", end)]);
+        self.item_runs.record(after.as_secs_f64(), &[]);
+    }
+
+    /// Counts a call to the store.
+    pub(crate) fn store_call(&self, ok: bool) {
+        let outcome = if ok { "ok" } else { "failed" };
+        self.store_calls
+            .add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Counts dropped log lines.
+    pub(crate) fn lines_dropped(&self, count: u64) {
+        self.lines_dropped.add(count, &[]);
+    }
+
+    /// Returns all metrics in the Prometheus text format.
+    pub(crate) fn render(&self) -> String {
+        let families = self.registry.gather();
+        let text = TextEncoder::new().encode_to_string(&families);
+        text.unwrap_or_else(|err| format!("# cannot encode the metrics: {err}\n"))
+    }
+}
--- /dev/null
+++ b/gateway/src/serve/mod.rs
@@ -0,0 +1,450 @@
+//! Input and output of an instance.
+
+mod follow;
+mod items;
+mod job_calls;
+mod lines;
+mod metrics;
+mod node;
+mod online;
+mod peers;
+mod relay;
+mod replies;
+mod writer;
+
+use std::io;
+use std::net::{
+    SocketAddr,
+    UdpSocket, //
+};
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use async_executor::Task;
+use async_io::Async;
+use async_signal::{
+    Signal,
+    Signals, //
+};
+use futures_lite::{
+    StreamExt,
+    future, //
+};
+use hyper::{
+    Request,
+    Response,
+    StatusCode, //
+};
+use limpetweir_transport::http::{
+    Body,
+    Client,
+    ClientLimits,
+    RequestBody,
+    Server,
+    ServerLimits, //
+};
+use limpetweir_transport::{
+    Runtime,
+    Spawner,
+    sleep, //
+};
+use snafu::{
+    ResultExt,
+    Snafu, //
+};
+
+use self::lines::{
+    LINES_DROPPED,
+    LogOutput,
+    PAUSED,
+    RELOAD_REFUSED,
+    RELOADED,
+    STARTED,
+    STOPPED,
+    STOPPING,
+    line, //
+};
+use self::metrics::Metrics;
+use self::node::{
+    Node,
+    unix_ms, //
+};
+use crate::members::{
+    Entry,
+    addresses, //
+};
+use crate::platform::{
+    Dialect,
+    Store,
+    Topic, //
+};
+use crate::settings::{
+    Settings,
+    SettingsError,
+    StoreSettings, //
+};
+
+/// Longest wait for a connection to a backend server; one that lives answers in milliseconds.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Time after which an idle connection to a backend server is closed; servers keep them longer.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
+
+/// Largest body that is read from a caller before the configuration is known.
+const MAX_BODY: usize = 16 << 20;
+
+/// Most addresses of one directory answer that callers look at.
+const MAX_ADDRESSES: usize = 64;
+
+/// Time for which new connections are accepted after a stop signal; callers keep an answer of the
+/// directory for two seconds, and the others have learned of the stop by then.
+const ACCEPT_AFTER_STOP: Duration = Duration::from_millis(3_200);
+
+/// Part of the grace period that is left to the end of the process.
+const GRACE_MARGIN: Duration = Duration::from_millis(700);
+
+/// Stack of the executor thread's companions is left at the default; one thread runs all tasks, as
+/// the machines have half a core.
+const THREADS: usize = 1;
+
+/// An instance that could not start.
+#[derive(Debug, Snafu)]
+pub enum StartError {
+    /// The settings file could not be read.
+    #[snafu(display("cannot read {file}: {source}"))]
+    Read {
+        /// The file.
+        file: String,
+        /// Cause given by the operating system.
+        source: io::Error,
+    },
+    /// The settings are not accepted.
+    #[snafu(context(false), display("{source}"))]
+    Settings {
+        /// The cause.
+        source: SettingsError,
+    },
+    /// A listener could not be bound.
+    #[snafu(display("cannot listen on {addr} for {purpose}: {source}"))]
+    Listen {
+        /// What the listener is for.
+        purpose: &'static str,
+        /// The address.
+        addr: SocketAddr,
+        /// Cause given by the operating system.
+        source: io::Error,
+    },
+    /// The system refused a thread or a signal handler.
+    #[snafu(display("cannot {action}: {source}"))]
+    System {
+        /// What was tried.
+        action: &'static str,
+        /// Cause given by the operating system.
+        source: io::Error,
+    },
+    /// The metrics could not be set up.
+    #[snafu(display("cannot set up the metrics: {reason}"))]
+    Metrics {
+        /// The cause.
+        reason: String,
+    },
+}
+
+/// Runs an instance until a stop signal has been handled.
+pub fn run<P, F>(file: &Path, connect: F) -> Result<(), StartError>
+where
+    P: Store + Dialect,
+    F: FnOnce(&Spawner, &StoreSettings) -> P + Send + 'static,
+{
+    let settings = read_settings(file)?;
+    let output = LogOutput::start(settings.log_level).context(SystemSnafu {
+        action: "start the log",
+    })?;
+    let runtime = Runtime::start(THREADS).context(SystemSnafu {
+        action: "start the executor thread",
+    })?;
+    let spawner = runtime.spawner();
+    let file = file.to_owned();
+    runtime.block_on(async move {
+        // Registered first, so that a signal during the start stops gracefully.
+        let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup]);
+        let signals = signals.context(SystemSnafu {
+            action: "handle signals",
+        })?;
+        let gateway = Gateway::start(&spawner, settings, connect)?;
+        gateway.run(signals, &file, &output).await;
+        output.drain(Duration::from_millis(100));
+        Ok(())
+    })
+}
+
+/// Checks the settings in `file` without serving.
+pub fn check(file: &Path) -> Result<(), StartError> {
+    read_settings(file).map(|_| ())
+}
+
+fn read_settings(file: &Path) -> Result<Settings, StartError> {
+    let name = file.display().to_string();
+    let text = std::fs::read_to_string(file);
+    let text = text.context(ReadSnafu {
+        file: name.as_str(),
+    })?;
+    Ok(Settings::load(&name, &text)?)
+}
+
+/// A running instance.
+pub struct Gateway<P> {
+    node: Arc<Node<P>>,
+    public: Server,
+    others: Vec<Server>,
+    tasks: Vec<Task<()>>,
+}
+
+impl<P: Store + Dialect> Gateway<P> {
+    /// Binds the listeners and starts all tasks.
+    pub fn start<F>(spawner: &Spawner, settings: Settings, connect: F) -> Result<Self, StartError>
+    where
+        F: FnOnce(&Spawner, &StoreSettings) -> P,
+    {
+        let platform = connect(spawner, &settings.store);
+        let metrics = Metrics::new().map_err(|reason| StartError::Metrics { reason })?;
+        let limits = ClientLimits {
+            connect_timeout: CONNECT_TIMEOUT,
+            idle_timeout: IDLE_TIMEOUT,
+            ..ClientLimits::default()
+        };
+        let client = Client::new(spawner, limits);
+        let partitions = platform.partitions(Topic::Jobs);
+        let channels = (0..partitions).map(|_| async_channel::unbounded());
+        let (writers, queues): (Vec<_>, Vec<_>) = channels.unzip();
+        let node = Node::new(
+            platform,
+            settings,
+            spawner.clone(),
+            client,
+            metrics,
+            writers,
+        );
+        let node = Arc::new(node);
+        let settings = &node.settings;
+        let peer = SocketAddr::new(settings.address, settings.peer_port);
+        let socket = Async::<UdpSocket>::bind(peer);
+        let socket = socket.context(ListenSnafu {
+            purpose: "reports",
+            addr: peer,
+        })?;
+        let socket = Arc::new(socket);
+        let limits = ServerLimits {
+            body_bytes: MAX_BODY,
+            ..ServerLimits::default()
+        };
+        let shared = node.clone();
+        let public = Server::start(spawner, settings.public, limits, move |req| {
+            online::handle(shared.clone(), req)
+        });
+        let public = public.context(ListenSnafu {
+            purpose: "callers",
+            addr: settings.public,
+        })?;
+        let mut others = Vec::new();
+        let listeners = [
+            ("readiness", settings.readiness),
+            ("directory", settings.directory),
+            ("metrics", settings.metrics),
+            ("peers", peer),
+        ];
+        for (purpose, addr) in listeners {
+            let shared = node.clone();
+            let server = Server::start(spawner, addr, ServerLimits::default(), move |req| {
+                let node = shared.clone();
+                async move { inform(&node, req) }
+            });
+            others.push(server.context(ListenSnafu { purpose, addr })?);
+        }
+        let mut tasks = vec![
+            spawner.spawn(follow::follow(node.clone(), Topic::Configuration, 0)),
+            spawner.spawn(follow::follow(node.clone(), Topic::Backends, 0)),
+            spawner.spawn(follow::follow(node.clone(), Topic::Instances, 0)),
+            spawner.spawn(peers::register(node.clone())),
+            spawner.spawn(peers::send(node.clone(), socket.clone())),
+            spawner.spawn(peers::receive(node.clone(), socket)),
+            spawner.spawn(peers::watch(node.clone())),
+            spawner.spawn(items::schedule(node.clone())),
+            spawner.spawn(items::clean(node.clone())),
+        ];
+        for (partition, queue) in (0..partitions).zip(queues) {
+            let following = follow::follow(node.clone(), Topic::Jobs, partition);
+            tasks.push(spawner.spawn(following));
+            tasks.push(spawner.spawn(writer::run(node.clone(), partition, queue)));
+        }
+        line!(
+            STARTED,
+            "name={} zone={} public={} peer={peer} store={} boot={}",
+            settings.name,
+            settings.zone,
+            settings.public,
+            settings.store.addr,
+            node.boot
+        );
+        Ok(Self {
+            node,
+            public,
+            others,
+            tasks,
+        })
+    }
+
+    /// Serves until a stop signal arrives, then stops gracefully.
+    async fn run(self, mut signals: Signals, file: &Path, output: &LogOutput) {
+        let node = self.node.clone();
+        let housekeeping = housekeeping(&node, file, output);
+        let signalled = async {
+            while let Some(signal) = signals.next().await {
+                match signal {
+                    Ok(Signal::Hup) => reload(&node, file, "signal"),
+                    Ok(_) => break,
+                    Err(err) => log::warn!("a signal could not be read: {err}"),
+                }
+            }
+        };
+        future::or(signalled, housekeeping).await;
+        self.stop().await;
+    }
+
+    async fn stop(self) {
+        let started = Instant::now();
+        let node = self.node;
+        node.leaving.store(true, Ordering::Release);
+        let open = node.open_calls.load(Ordering::Acquire);
+        line!(STOPPING, "name={} open={open}", node.settings.name);
+        node.report_due.notify(usize::MAX);
+        items::jobs_changed(&node);
+        self.public.drain();
+        sleep(ACCEPT_AFTER_STOP).await;
+        let end = started + node.settings.grace.saturating_sub(GRACE_MARGIN);
+        let whole = self.public.close(end).await;
+        if let Err(err) = peers::deregister(&node).await {
+            log::debug!("the record of this instance is not removed: {err}");
+        }
+        let open = node.open_calls.load(Ordering::Acquire);
+        let ms = started.elapsed().as_millis();
+        line!(
+            STOPPED,
+            "name={} whole={whole} open={open} ms={ms}",
+            node.settings.name
+        );
+        drop(self.others);
+        drop(self.tasks);
+    }
+}
+
+/// Pause between two rounds of housekeeping.
+const ROUND: Duration = Duration::from_millis(500);
+
+/// Rounds between two looks at the settings file.
+const ROUNDS_PER_CHECK: u32 = 10;
+
+/// Difference between the two clocks after which the process counts as having stood still.
+const PAUSE_LIMIT_MS: u64 = 400;
+
+async fn housekeeping<P: Store + Dialect>(node: &Arc<Node<P>>, file: &Path, output: &LogOutput) {
+    let mut text = std::fs::read_to_string(file).unwrap_or_default();
+    let mut round = 0_u32;
+    loop {
+        let (wall, steady) = (unix_ms(), node.now());
+        sleep(ROUND).await;
+        let wall = unix_ms().saturating_sub(wall);
+        let steady = u64::try_from(node.now().since(steady).as_millis()).unwrap_or(u64::MAX);
+        let round_ms = u64::try_from(ROUND.as_millis()).unwrap_or(u64::MAX);
+        if wall.max(steady) > round_ms + PAUSE_LIMIT_MS {
+            line!(PAUSED, "wall_ms={wall} steady_ms={steady}");
+        }
+        let dropped = output.take_dropped();
+        if dropped > 0 {
+            node.metrics.lines_dropped(dropped);
+            line!(LINES_DROPPED, "count={dropped}");
+        }
+        node.client.sweep();
+        round += 1;
+        if round % ROUNDS_PER_CHECK == 0
+            && let Ok(present) = std::fs::read_to_string(file)
+            && present != text
+        {
+            text = present;
+            reload(node, file, "change");
+        }
+    }
+}
+
+/// Reads the settings again. The log level takes effect at once, everything else with a restart.
+fn reload<P>(node: &Arc<Node<P>>, file: &Path, cause: &str) {
+    match read_settings(file) {
+        Ok(settings) => {
+            log::set_max_level(settings.log_level);
+            let restart = Settings {
+                log_level: node.settings.log_level,
+                ..settings.clone()
+            } != node.settings;
+            line!(
+                RELOADED,
+                "cause={cause} level={} needs_restart={restart}",
+                settings.log_level
+            );
+        }
+        Err(err) => line!(RELOAD_REFUSED, "cause={cause} error=\"{err}\""),
+    }
+}
+
+/// Answers questions for addresses, readiness, metrics and the configuration.
+fn inform<P: Store + Dialect>(node: &Arc<Node<P>>, req: Request<RequestBody>) -> Response<Body> {
+    let (head, _) = req.into_parts();
+    if let Some(query) = node.platform.address_query(&head) {
+        let list = entries(node);
+        if list.is_empty() {
+            let text = "no instance is ready";
+            return replies::plain(StatusCode::SERVICE_UNAVAILABLE, text);
+        }
+        let list = addresses(&list, query.zone.as_deref(), MAX_ADDRESSES);
+        let lifetime = node.settings.address_lifetime;
+        return replies::json(node.platform.addresses(&list, lifetime));
+    }
+    if node.platform.is_readiness(&head) {
+        return if node.is_ready() {
+            replies::plain(StatusCode::OK, "ready")
+        } else {
+            replies::plain(StatusCode::SERVICE_UNAVAILABLE, "not ready")
+        };
+    }
+    match head.uri.path() {
+        "/metrics" => replies::plain(StatusCode::OK, &node.metrics.render()),
+        peers::CONFIG_PATH => {
+            let record = node.lock().config_record.clone();
+            let body = record.map_or_else(Body::empty, |record| {
+                Body::from(peers::encode_record(&record))
+            });
+            Response::new(body)
+        }
+        _ => replies::plain(StatusCode::NOT_FOUND, "no such page"),
+    }
+}
+
+/// Returns the instances that take requests.
+fn entries<P>(node: &Arc<Node<P>>) -> Vec<Entry> {
+    let now = node.now();
+    let own = node.is_ready().then(|| Entry {
+        addr: node.settings.public,
+        zone: node.settings.zone.clone(),
+    });
+    let state = node.lock();
+    let others = state.members.alive(now).filter(|r| r.ready && !r.leaving);
+    let others = others.map(|r| Entry {
+        addr: r.public,
+        zone: r.zone.clone(),
+    });
+    own.into_iter().chain(others).collect()
+}
--- /dev/null
+++ b/gateway/src/serve/node.rs
@@ -0,0 +1,180 @@
+//! What all tasks of an instance share.
+
+use std::sync::atomic::{
+    AtomicBool,
+    AtomicU64,
+    Ordering, //
+};
+use std::sync::{
+    Arc,
+    Mutex,
+    MutexGuard,
+    PoisonError, //
+};
+use std::time::{
+    SystemTime,
+    UNIX_EPOCH, //
+};
+
+use async_channel::Sender;
+use event_listener::Event as Signal;
+use limpetweir_state::Timestamp;
+use limpetweir_transport::http::Client;
+use limpetweir_transport::{
+    Clock,
+    Spawner, //
+};
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use super::items::RunHandles;
+use super::metrics::Metrics;
+use super::writer::WriteRequest;
+use crate::backend::Backends;
+use crate::config::Configuration;
+use crate::jobs::Partition;
+use crate::load::Load;
+use crate::members::Members;
+use crate::open_items::OpenItems;
+use crate::platform::Record;
+use crate::quota::Quotas;
+use crate::settings::Settings;
+
+/// The state that decisions are made on.
+#[derive(Debug)]
+pub(crate) struct State {
+    /// Configuration in force; its version never decreases.
+    pub(crate) config: Option<Arc<Configuration>>,
+    /// The record of the configuration, for peers that cannot reach the store.
+    pub(crate) config_record: Option<Record>,
+    /// When the store last showed that no newer configuration exists.
+    pub(crate) config_confirmed: Option<Timestamp>,
+    pub(crate) backends: Backends,
+    pub(crate) members: Members,
+    pub(crate) load: Load,
+    pub(crate) quotas: Quotas,
+    pub(crate) partitions: Vec<Partition>,
+    pub(crate) items: OpenItems,
+    pub(crate) runs: RunHandles,
+    /// Source of random choices.
+    pub(crate) rng: SmallRng,
+    /// Seed of the choices for the present request.
+    pub(crate) draws: u64,
+    /// Mean time that an online request holds a slot, in seconds.
+    pub(crate) holding_s: f64,
+}
+
+/// One instance.
+pub(crate) struct Node<P> {
+    pub(crate) platform: P,
+    pub(crate) settings: Settings,
+    pub(crate) spawner: Spawner,
+    pub(crate) clock: Clock,
+    /// Start of the instance in Unix milliseconds.
+    pub(crate) boot: u64,
+    pub(crate) client: Client,
+    pub(crate) metrics: Metrics,
+    state: Mutex<State>,
+    pub(crate) leaving: AtomicBool,
+    /// Requests and calls that are being answered.
+    pub(crate) open_calls: AtomicU64,
+    /// Notified when the next report should go out.
+    pub(crate) report_due: Signal,
+    /// Notified when jobs have changed.
+    pub(crate) jobs_changed: Signal,
+    /// Queues of the writers, one for each partition of the jobs.
+    pub(crate) writers: Vec<Sender<WriteRequest>>,
+}
+
+impl<P> Node<P> {
+    pub(crate) fn new(
+        platform: P,
+        settings: Settings,
+        spawner: Spawner,
+        client: Client,
+        metrics: Metrics,
+        writers: Vec<Sender<WriteRequest>>,
+    ) -> Self {
+        let mut partitions = Vec::new();
+        partitions.resize_with(writers.len(), Partition::default);
+        let state = State {
+            config: None,
+            config_record: None,
+            config_confirmed: None,
+            backends: Backends::default(),
+            members: Members::default(),
+            load: Load::default(),
+            quotas: Quotas::default(),
+            partitions,
+            items: OpenItems::default(),
+            runs: RunHandles::default(),
+            rng: SmallRng::from_os_rng(),
+            draws: 0,
+            // A usual answer takes a little less than a second.
+            holding_s: 0.75,
+        };
+        Self {
+            platform,
+            settings,
+            spawner,
+            clock: Clock::start(),
+            boot: unix_ms(),
+            client,
+            metrics,
+            state: Mutex::new(state),
+            leaving: AtomicBool::new(false),
+            open_calls: AtomicU64::new(0),
+            report_due: Signal::new(),
+            jobs_changed: Signal::new(),
+            writers,
+        }
+    }
+
+    pub(crate) fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn now(&self) -> Timestamp {
+        self.clock.now()
+    }
+
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Acquire)
+    }
+
+    /// Returns whether callers may be sent here.
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.is_leaving() && self.lock().config.is_some()
+    }
+
+    /// Returns the partition of the jobs of an organisation. All of them share one, so that the
+    /// limit of waiting tokens is checked under the condition of a single append.
+    pub(crate) fn partition_of(&self, organisation: &str) -> usize {
+        let hash = xxhash_rust::xxh3::xxh3_64(organisation.as_bytes());
+        // The remainder is below the number of partitions.
+        (hash % self.writers.len().max(1) as u64) as usize
+    }
+}
+
+/// Counts a call until it is dropped.
+pub(crate) struct OpenCall<'a>(&'a AtomicU64);
+
+impl<'a> OpenCall<'a> {
+    pub(crate) fn new(count: &'a AtomicU64) -> Self {
+        count.fetch_add(1, Ordering::AcqRel);
+        Self(count)
+    }
+}
+
+impl Drop for OpenCall<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// Returns the time of day in milliseconds since the Unix epoch.
+pub(crate) fn unix_ms() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    u64::try_from(now.unwrap_or_default().as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/gateway/src/serve/online.rs
@@ -0,0 +1,527 @@
+//! Requests of callers: routing, keys, quotas and attempts at backend servers.
+
+use std::sync::Arc;
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use hyper::body::Bytes;
+use hyper::http::request;
+use hyper::{
+    Request,
+    Response,
+    StatusCode, //
+};
+use limpetweir_state::{
+    Timestamp,
+    Verdict, //
+};
+use limpetweir_transport::http::{
+    Body,
+    BodyError,
+    ClientBody,
+    RequestBody,
+    SendOptions,
+    TrafficClass, //
+};
+use rand::rngs::SmallRng;
+use rand::{
+    Rng,
+    SeedableRng, //
+};
+
+use super::lines::{
+    ATTEMPT_FAILED,
+    BACKEND_SUSPECTED,
+    REFUSED,
+    REQUEST_FAILED,
+    line, //
+};
+use super::node::{
+    Node,
+    OpenCall,
+    State, //
+};
+use super::relay::{
+    self,
+    Source, //
+};
+use super::replies::{
+    plain,
+    retry_later, //
+};
+use super::{
+    items,
+    job_calls, //
+};
+use crate::backend::{
+    BackendEntry,
+    BackendKey, //
+};
+use crate::config::{
+    Organisation,
+    Route,
+    RouteKind, //
+};
+use crate::placement::{
+    Candidate,
+    Limits,
+    Placement,
+    place,
+    retry_after, //
+};
+use crate::platform::{
+    AnswerHead,
+    CallHead,
+    Dialect,
+    Forward,
+    Store, //
+};
+
+/// Online requests that may wait at a backend server beyond its slots. With eight slots that are
+/// held for three quarters of a second each, two wait at most a fifth of a second.
+const QUEUE: u32 = 2;
+
+/// Backend servers that a request is offered to while they turn it away.
+const MAX_OFFERS: u32 = 4;
+
+/// How long a backend server that refused a connection is used last.
+pub(crate) const SUSPICION: Duration = Duration::from_millis(1_000);
+
+/// How long a caller without any news of a configuration should wait.
+const NO_CONFIG_RETRY: Duration = Duration::from_millis(500);
+
+/// Longest wait for a caller that states none.
+const DEFAULT_PATIENCE: Duration = Duration::from_secs(60);
+
+/// A request that has been admitted.
+pub(crate) struct Admitted {
+    pub(crate) head: request::Parts,
+    pub(crate) call: CallHead,
+    pub(crate) body: Bytes,
+    pub(crate) route: Arc<Route>,
+    pub(crate) service: String,
+    pub(crate) organisation: Option<Arc<Organisation>>,
+    pub(crate) arrived: Instant,
+    /// Time by which the caller has its final answer.
+    pub(crate) deadline: Instant,
+    /// Version of the configuration that admitted it.
+    pub(crate) version: u64,
+}
+
+/// Counts a request at a backend server until it is dropped.
+pub(crate) struct Placed<P: Store + Dialect> {
+    node: Arc<Node<P>>,
+    pub(crate) key: BackendKey,
+    pub(crate) entry: Arc<BackendEntry>,
+    started: Instant,
+}
+
+impl<P: Store + Dialect> Drop for Placed<P> {
+    fn drop(&mut self) {
+        let mut state = self.node.lock();
+        state.load.online_ended(self.key);
+        let held = self.started.elapsed().as_secs_f64();
+        state.holding_s += HOLDING_WEIGHT * (held - state.holding_s);
+        drop(state);
+        self.node.report_due.notify(usize::MAX);
+        items::balance(&self.node);
+    }
+}
+
+/// Weight of one request in the mean time that a slot is held.
+const HOLDING_WEIGHT: f64 = 0.05;
+
+/// Answers a request of a caller.
+pub(crate) async fn handle<P: Store + Dialect>(
+    node: Arc<Node<P>>,
+    req: Request<RequestBody>,
+) -> Response<Body> {
+    let _open = OpenCall::new(&node.open_calls);
+    let arrived = Instant::now();
+    let (head, body) = req.into_parts();
+    let call = node.platform.call(&head);
+    let id = call.request_id.clone();
+    let Some(config) = node.lock().config.clone() else {
+        line!(REFUSED, "request={id} status=503 cause=no-configuration");
+        let text = "no configuration is known yet";
+        return retry_later(StatusCode::SERVICE_UNAVAILABLE, text, NO_CONFIG_RETRY);
+    };
+    let version = config.version();
+    let path = head.uri.path();
+    let route = config.route(&call.host, path).cloned();
+    let job_call = match &route {
+        Some(_) => None,
+        None if config.has_host(&call.host) => node.platform.job_call(&head),
+        None => None,
+    };
+    if route.is_none() && job_call.is_none() {
+        let host = &call.host;
+        line!(
+            REFUSED,
+            "request={id} status=404 cause=no-route host={host} version={version}"
+        );
+        return plain(StatusCode::NOT_FOUND, "no route for this host and path");
+    }
+    let public = route.as_ref().is_some_and(|route| route.public);
+    let organisation = call
+        .key
+        .as_ref()
+        .and_then(|key| config.holder(key))
+        .cloned();
+    if organisation.is_none() && !public {
+        line!(
+            REFUSED,
+            "request={id} status=401 cause=unknown-key version={version}"
+        );
+        return plain(StatusCode::UNAUTHORIZED, "the key is not known");
+    }
+    if let (Some(job_call), Some(organisation)) = (job_call, &organisation) {
+        return job_calls::answer(&node, job_call, organisation).await;
+    }
+    let Some(route) = route else {
+        return plain(StatusCode::NOT_FOUND, "no route for this host and path");
+    };
+    let limit = config
+        .limits()
+        .map_or(usize::MAX, |limits| limits.body_bytes);
+    let body = match body.limited(limit).collect_bytes().await {
+        Ok(body) => body,
+        Err(err) => return body_refused(&id, &err),
+    };
+    if let (RouteKind::Batch, Some(organisation)) = (route.kind, &organisation) {
+        return job_calls::submit(&node, &route, organisation, &call, &body).await;
+    }
+    let patience = call.patience.unwrap_or(DEFAULT_PATIENCE);
+    let service = route.service(node.lock().rng.random()).to_owned();
+    let admitted = Admitted {
+        deadline: arrived + patience.min(route.timeout),
+        head,
+        call,
+        body,
+        service,
+        route,
+        organisation,
+        arrived,
+        version,
+    };
+    serve(node.clone(), admitted).await
+}
+
+fn body_refused(id: &str, err: &BodyError) -> Response<Body> {
+    let status = match err {
+        BodyError::TooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
+        BodyError::Stalled { .. } => StatusCode::REQUEST_TIMEOUT,
+        _ => StatusCode::BAD_REQUEST,
+    };
+    line!(
+        REFUSED,
+        "request={id} status={} cause=\"{err}\"",
+        status.as_u16()
+    );
+    plain(status, &err.to_string())
+}
+
+/// What became of one attempt at a backend server.
+enum Attempt<P: Store + Dialect> {
+    /// It answered.
+    Answered(Response<ClientBody>, AnswerHead, Placed<P>),
+    /// It did not run the request.
+    NotRun(BackendKey, String),
+    /// It may have run the request.
+    MayHaveRun(BackendKey, String),
+}
+
+/// State of a request across its attempts.
+pub(crate) struct Course {
+    /// Backend servers that turned the request away or failed it.
+    pub(crate) tried: Vec<BackendKey>,
+    /// Backend servers that may have run it.
+    pub(crate) runs: u32,
+    /// Number of the last event that the caller has.
+    pub(crate) last_event: Option<u64>,
+}
+
+/// Finds a backend server for an admitted request and passes its answer on.
+async fn serve<P: Store + Dialect>(node: Arc<Node<P>>, admitted: Admitted) -> Response<Body> {
+    let id = admitted.call.request_id.clone();
+    if let Some(refusal) = over_quota(&node, &admitted) {
+        return refusal;
+    }
+    let mut course = Course {
+        tried: Vec::new(),
+        runs: 0,
+        last_event: admitted.call.last_event,
+    };
+    loop {
+        let placed = match choose(&node, &admitted, &course) {
+            Ok(placed) => placed,
+            Err(refusal) => return refused(&node, &admitted, &course, refusal),
+        };
+        match attempt(&node, &admitted, &course, placed).await {
+            Attempt::Answered(response, head, placed) => {
+                let source = Source {
+                    response,
+                    head,
+                    placed,
+                };
+                return relay::start(node, admitted, course, source);
+            }
+            Attempt::NotRun(key, cause) => {
+                course.tried.push(key);
+                line!(
+                    ATTEMPT_FAILED,
+                    "request={id} backend={key:?} verdict=not-run cause=\"{cause}\""
+                );
+            }
+            Attempt::MayHaveRun(key, cause) => {
+                course.tried.push(key);
+                course.runs += 1;
+                line!(
+                    ATTEMPT_FAILED,
+                    "request={id} backend={key:?} verdict=may-have-run cause=\"{cause}\""
+                );
+                let again = admitted.route.idempotent() && course.runs < admitted.route.attempts;
+                if !again || admitted.deadline <= Instant::now() {
+                    return failed(&node, &admitted, &cause);
+                }
+            }
+        }
+    }
+}
+
+fn over_quota<P>(node: &Node<P>, admitted: &Admitted) -> Option<Response<Body>> {
+    let organisation = admitted.organisation.as_ref()?;
+    let now = node.now();
+    let over = node.lock().quotas.admit(&organisation.name, now).err()?;
+    let id = &admitted.call.request_id;
+    line!(
+        REFUSED,
+        "request={id} status=429 cause=over-quota organisation={} tokens={:.1} version={}",
+        organisation.name,
+        over.tokens,
+        admitted.version
+    );
+    node.metrics
+        .online("over-quota", admitted.arrived.elapsed());
+    let text = "the organisation is over its rate";
+    Some(retry_later(
+        StatusCode::TOO_MANY_REQUESTS,
+        text,
+        over.retry_after,
+    ))
+}
+
+/// Why no backend server was chosen.
+pub(crate) struct Refusal {
+    pub(crate) cause: &'static str,
+    pub(crate) retry_after: Duration,
+}
+
+/// Chooses a backend server and counts the request there.
+pub(crate) fn choose<P: Store + Dialect>(
+    node: &Arc<Node<P>>,
+    admitted: &Admitted,
+    course: &Course,
+) -> Result<Placed<P>, Refusal> {
+    let now = node.now();
+    let mut state = node.lock();
+    state.draws = state.rng.random();
+    let candidates = candidates(&state, node, admitted, course, now);
+    let running: u32 = candidates
+        .iter()
+        .map(|c| c.placed.online.min(c.slots))
+        .sum();
+    let queued: u32 = candidates
+        .iter()
+        .map(|c| c.placed.online.saturating_sub(c.slots))
+        .sum();
+    let holding = Duration::from_secs_f64(state.holding_s.clamp(0.05, 10.0));
+    if course.tried.len() >= MAX_OFFERS as usize {
+        let retry_after = retry_after(running, queued, holding);
+        return Err(Refusal {
+            cause: "turned-away",
+            retry_after,
+        });
+    }
+    let key = match place(&candidates, Limits { queue: QUEUE }) {
+        Placement::Send(key) => key,
+        Placement::Full => {
+            let retry_after = retry_after(running, queued, holding);
+            return Err(Refusal {
+                cause: "full",
+                retry_after,
+            });
+        }
+        Placement::NoBackend => {
+            let retry_after = NO_CONFIG_RETRY;
+            return Err(Refusal {
+                cause: "no-backend",
+                retry_after,
+            });
+        }
+    };
+    let Some(entry) = state.backends.get(key).map(|b| b.entry.clone()) else {
+        let retry_after = NO_CONFIG_RETRY;
+        return Err(Refusal {
+            cause: "no-backend",
+            retry_after,
+        });
+    };
+    state.load.online_started(key);
+    drop(state);
+    node.report_due.notify(usize::MAX);
+    items::balance(node);
+    Ok(Placed {
+        node: node.clone(),
+        key,
+        entry,
+        started: Instant::now(),
+    })
+}
+
+fn candidates<P>(
+    state: &State,
+    node: &Node<P>,
+    admitted: &Admitted,
+    course: &Course,
+    now: Timestamp,
+) -> Vec<Candidate> {
+    let config = state.config.as_ref();
+    let service = config.and_then(|config| config.service(&admitted.service));
+    let default_slots = service.map_or(1, |service| service.slots);
+    let mut rng = SmallRng::seed_from_u64(state.draws);
+    let backends = state.backends.serving(&admitted.service);
+    let candidates = backends.map(|backend| Candidate {
+        key: backend.key,
+        slots: backend.entry.slots.unwrap_or(default_slots),
+        placed: state.load.placed(backend.key),
+        suspect: state.load.suspected(backend.key, now),
+        tried: course.tried.contains(&backend.key),
+        slowness: 1.0,
+        local: backend.entry.zone == node.settings.zone,
+        draw: rng.random(),
+    });
+    candidates.collect()
+}
+
+/// Answers a request that no backend server takes.
+fn refused<P>(
+    node: &Node<P>,
+    admitted: &Admitted,
+    course: &Course,
+    refusal: Refusal,
+) -> Response<Body> {
+    if let Some(organisation) = &admitted.organisation {
+        node.lock().quotas.give_back(&organisation.name);
+    }
+    if course.runs > 0 {
+        return failed(node, admitted, refusal.cause);
+    }
+    let id = &admitted.call.request_id;
+    line!(
+        REFUSED,
+        "request={id} status=503 cause={} route={} tried={} retry_after_ms={} version={}",
+        refusal.cause,
+        admitted.route.name,
+        course.tried.len(),
+        refusal.retry_after.as_millis(),
+        admitted.version
+    );
+    node.metrics
+        .online(refusal.cause, admitted.arrived.elapsed());
+    let text = "no backend server can take the request now; it has not run";
+    retry_later(StatusCode::SERVICE_UNAVAILABLE, text, refusal.retry_after)
+}
+
+/// Answers a request that may have run without an answer.
+fn failed<P>(node: &Node<P>, admitted: &Admitted, cause: &str) -> Response<Body> {
+    let late = admitted.deadline <= Instant::now();
+    let status = if late {
+        StatusCode::GATEWAY_TIMEOUT
+    } else {
+        StatusCode::BAD_GATEWAY
+    };
+    let id = &admitted.call.request_id;
+    let status_code = status.as_u16();
+    line!(
+        REQUEST_FAILED,
+        "request={id} status={status_code} route={} cause=\"{cause}\" version={}",
+        admitted.route.name,
+        admitted.version
+    );
+    node.metrics.online("failed", admitted.arrived.elapsed());
+    plain(
+        status,
+        "the backend server gave no answer; the request may have run",
+    )
+}
+
+/// Sends a request to the chosen backend server and waits for the head of its answer.
+async fn attempt<P: Store + Dialect>(
+    node: &Arc<Node<P>>,
+    admitted: &Admitted,
+    course: &Course,
+    placed: Placed<P>,
+) -> Attempt<P> {
+    let key = placed.key;
+    let left = admitted.deadline.saturating_duration_since(Instant::now());
+    let forward = Forward {
+        backend: &placed.entry.id,
+        organisation: admitted.organisation.as_ref().map(|o| o.name.as_str()),
+        left: Some(left),
+        last_event: course.last_event,
+    };
+    let req = node
+        .platform
+        .forward(&admitted.head, admitted.body.clone(), &forward);
+    let options = SendOptions {
+        class: TrafficClass::Online,
+        deadline: Some(admitted.deadline),
+    };
+    match node.client.send(placed.entry.addr, req, options).await {
+        Ok(response) => {
+            let (head, body) = response.into_parts();
+            let answer = node.platform.answer(&head);
+            let ours = answer.request_id.as_deref() == Some(admitted.call.request_id.as_str());
+            if answer.not_run {
+                let cause = format!("status {}", head.status.as_u16());
+                return Attempt::NotRun(key, cause);
+            }
+            if !ours {
+                body.close();
+                let cause = "the answer belongs to another request".to_owned();
+                return Attempt::MayHaveRun(key, cause);
+            }
+            let response = Response::from_parts(head, body);
+            Attempt::Answered(response, answer, placed)
+        }
+        Err(err) => {
+            suspect(node, key, &err.to_string());
+            match err.verdict() {
+                Verdict::NotRun => Attempt::NotRun(key, err.to_string()),
+                Verdict::MayHaveRun | Verdict::Ran => Attempt::MayHaveRun(key, err.to_string()),
+            }
+        }
+    }
+}
+
+/// Uses a backend server that gave no answer last for a while.
+pub(crate) fn suspect<P>(node: &Arc<Node<P>>, key: BackendKey, cause: &str) {
+    let now = node.now();
+    let mut state = node.lock();
+    let known = state.load.suspected(key, now);
+    state.load.suspect(key, now + SUSPICION);
+    let id = state.backends.get(key).map(|b| b.entry.id.clone());
+    drop(state);
+    if !known {
+        let id = id.unwrap_or_default();
+        line!(
+            BACKEND_SUSPECTED,
+            "backend={id} for_ms={} cause=\"{cause}\"",
+            SUSPICION.as_millis()
+        );
+        node.report_due.notify(usize::MAX);
+    }
+}
--- /dev/null
+++ b/gateway/src/serve/peers.rs
@@ -0,0 +1,330 @@
+//! Reports between instances, and fetching a newer configuration from a peer.
+
+use std::net::{
+    IpAddr,
+    SocketAddr,
+    UdpSocket, //
+};
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_io::Async;
+use hyper::Request;
+use hyper::body::Bytes;
+use limpetweir_state::Timestamp;
+use limpetweir_transport::http::{
+    SendOptions,
+    TrafficClass, //
+};
+use limpetweir_transport::{
+    sleep,
+    until, //
+};
+
+use super::follow;
+use super::items;
+use super::lines::{
+    CONFIG_FETCH_FAILED,
+    CONFIG_UNREADABLE,
+    PEER_DOWN,
+    PEER_UP,
+    RECORD_SKIPPED,
+    REPORTS_FAILED,
+    line, //
+};
+use super::node::{
+    Node,
+    unix_ms, //
+};
+use crate::members::SILENCE;
+use crate::platform::{
+    Dialect,
+    Record,
+    Store,
+    StoreError,
+    Topic, //
+};
+use crate::report::Report;
+
+/// Longest time between two reports; four fit into the silence after which a peer counts as lost.
+const REPORT_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Time in which changes are gathered into one report.
+const GATHER: Duration = Duration::from_millis(2);
+
+/// Largest report in bytes that is read; a datagram holds no more.
+const MAX_REPORT: usize = 64 << 10;
+
+/// Longest time to fetch a configuration from a peer.
+const FETCH_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Largest configuration that is fetched.
+const MAX_CONFIG: usize = 8 << 20;
+
+/// Path of the configuration at the peer port.
+pub(crate) const CONFIG_PATH: &str = "/configuration";
+
+/// Pause after a failed write of this instance's record.
+const REGISTER_RETRY: Duration = Duration::from_millis(400);
+
+/// Takes over the record of an instance.
+pub(crate) fn learn<P>(node: &Arc<Node<P>>, record: &Record) {
+    if record.key == node.settings.name {
+        return;
+    }
+    let now = node.now();
+    if record.value.is_empty() {
+        let mut state = node.lock();
+        state.members.remove(&record.key);
+        state.load.forget(&record.key);
+        state.quotas.forget(&record.key);
+        return;
+    }
+    let addr = std::str::from_utf8(&record.value).ok();
+    match addr.and_then(|text| text.parse::<IpAddr>().ok()) {
+        Some(addr) => node.lock().members.learn(&record.key, addr, now),
+        None => line!(RECORD_SKIPPED, "topic=instances key={}", record.key),
+    }
+}
+
+/// Writes this instance's record until the store takes it.
+pub(crate) async fn register<P: Store + Dialect>(node: Arc<Node<P>>) {
+    let record = Record {
+        key: node.settings.name.clone(),
+        value: Bytes::from(node.settings.address.to_string()),
+    };
+    let records = [record];
+    while let Err(err) = append(&node, &records).await {
+        log::debug!("the record of this instance is not written: {err}");
+        sleep(REGISTER_RETRY).await;
+    }
+}
+
+/// Removes this instance's record; one attempt, as peers notice the silence in any case.
+pub(crate) async fn deregister<P: Store + Dialect>(node: &Arc<Node<P>>) -> Result<(), StoreError> {
+    let record = Record {
+        key: node.settings.name.clone(),
+        value: Bytes::new(),
+    };
+    append(node, &[record]).await
+}
+
+async fn append<P: Store + Dialect>(
+    node: &Arc<Node<P>>,
+    records: &[Record],
+) -> Result<(), StoreError> {
+    let result = node
+        .platform
+        .append(Topic::Instances, 0, None, records)
+        .await;
+    node.metrics.store_call(result.is_ok());
+    result.map(|_| ())
+}
+
+/// Sends reports to the other instances.
+pub(crate) async fn send<P: Store + Dialect>(node: Arc<Node<P>>, socket: Arc<Async<UdpSocket>>) {
+    let mut sequence = 0;
+    let mut failing = false;
+    loop {
+        let due = node.report_due.listen();
+        let wait = std::time::Instant::now() + REPORT_INTERVAL;
+        if until(wait, due).await.is_some() {
+            sleep(GATHER).await;
+        }
+        sequence += 1;
+        let (report, addrs) = prepare(&node, sequence);
+        let bytes = report.encode();
+        let mut failed = None;
+        for addr in addrs {
+            let addr = SocketAddr::new(addr, node.settings.peer_port);
+            // A report that the system cannot take now is superseded by the next one.
+            if let Err(err) = socket.get_ref().send_to(&bytes, addr) {
+                failed = Some((addr, err));
+            }
+        }
+        if let Some((addr, err)) = &failed
+            && !failing
+        {
+            line!(REPORTS_FAILED, "addr={addr} cause=\"{err}\"");
+        }
+        failing = failed.is_some();
+    }
+}
+
+/// Builds the report of this instance and lists where it goes.
+fn prepare<P>(node: &Arc<Node<P>>, sequence: u64) -> (Report, Vec<IpAddr>) {
+    let now = node.now();
+    let state = node.lock();
+    let waiting = state.items.waiting(now, unix_ms()).len();
+    let suspects = state.load.suspects(now).into_iter();
+    let version = state.config.as_ref().map_or(0, |config| config.version());
+    let report = Report {
+        name: node.settings.name.clone(),
+        boot: node.boot,
+        sequence,
+        ready: version > 0 && !node.is_leaving(),
+        leaving: node.is_leaving(),
+        zone: node.settings.zone.clone(),
+        public: node.settings.public,
+        version,
+        online: state.load.own_online(),
+        batch: state.load.own_batch().copied().collect(),
+        held: state.items.held(),
+        waiting: u32::try_from(waiting).unwrap_or(u32::MAX),
+        admitted: state.quotas.admitted(),
+        suspects: suspects
+            .map(|(key, left)| (key, u32::try_from(left.as_millis()).unwrap_or(u32::MAX)))
+            .collect(),
+    };
+    let mut addrs: Vec<IpAddr> = state.members.iter().map(|(_, m)| m.addr).collect();
+    // Until a first peer is known the seeds may know more.
+    if addrs.is_empty() {
+        let own = node.settings.address;
+        addrs.extend(node.settings.seeds.iter().filter(|addr| **addr != own));
+    }
+    (report, addrs)
+}
+
+/// Receives the reports of the other instances.
+pub(crate) async fn receive<P: Store + Dialect>(node: Arc<Node<P>>, socket: Arc<Async<UdpSocket>>) {
+    let mut buf = vec![0; MAX_REPORT];
+    loop {
+        match socket.recv_from(&mut buf).await {
+            Ok((len, from)) => {
+                let report = Report::decode(&buf[..len]);
+                if let Some(report) = report.filter(|r| r.name != node.settings.name) {
+                    take(&node, report, from.ip());
+                }
+            }
+            Err(err) => {
+                // A peer without a listener is reported here on some systems.
+                log::debug!("receiving a report failed: {err}");
+                sleep(GATHER).await;
+            }
+        }
+    }
+}
+
+fn take<P: Store + Dialect>(node: &Arc<Node<P>>, report: Report, from: IpAddr) {
+    let now = node.now();
+    let name = report.name.clone();
+    let version = report.version;
+    let mut state = node.lock();
+    let silent = |state: &super::node::State| {
+        let known = state.members.iter().find(|(n, _)| **n == name);
+        known.is_none_or(|(_, member)| !member.alive(now))
+    };
+    let was_silent = silent(&state);
+    let leaving = report.leaving;
+    let Ok(before) = state.members.heard(report.clone(), from, now) else {
+        return;
+    };
+    state.load.heard(&report);
+    for (backend, left) in &report.suspects {
+        let left = Duration::from_millis(u64::from(*left));
+        state.load.suspect_heard(*backend, now + left);
+    }
+    state.quotas.heard(&name, report.boot, &report.admitted);
+    let changed = was_silent || before.is_some_and(|before| before.leaving != leaving);
+    if changed {
+        refresh_silent(&mut state, now);
+    }
+    let own_version = state.config.as_ref().map_or(0, |config| config.version());
+    drop(state);
+    if was_silent {
+        line!(PEER_UP, "peer={name} addr={from} version={version}");
+    }
+    if changed {
+        items::jobs_changed(node);
+    }
+    if version > own_version {
+        let task = fetch_config(node.clone(), name, from);
+        node.spawner.spawn(task).detach();
+    }
+    items::balance(node);
+}
+
+fn refresh_silent(state: &mut super::node::State, now: Timestamp) {
+    let (silent, all) = state.members.silent(now);
+    state.quotas.set_silent(silent, all, now);
+}
+
+/// Notices peers that have fallen silent.
+pub(crate) async fn watch<P: Store + Dialect>(node: Arc<Node<P>>) {
+    let mut alive: Vec<String> = Vec::new();
+    loop {
+        sleep(SILENCE / 4).await;
+        let now = node.now();
+        let mut state = node.lock();
+        let present: Vec<String> = state.members.alive(now).map(|r| r.name.clone()).collect();
+        let lost: Vec<String> = alive
+            .iter()
+            .filter(|n| !present.contains(n))
+            .cloned()
+            .collect();
+        for name in &lost {
+            state.load.forget(name);
+        }
+        for name in state.members.sweep(now) {
+            state.quotas.forget(&name);
+        }
+        refresh_silent(&mut state, now);
+        drop(state);
+        for name in &lost {
+            line!(PEER_DOWN, "peer={name} silent_ms={}", SILENCE.as_millis());
+        }
+        if !lost.is_empty() {
+            items::jobs_changed(&node);
+        }
+        alive = present;
+    }
+}
+
+/// Fetches the configuration of a peer that has a newer one.
+async fn fetch_config<P: Store + Dialect>(node: Arc<Node<P>>, peer: String, addr: IpAddr) {
+    let addr = SocketAddr::new(addr, node.settings.peer_port);
+    let Ok(req) = Request::get(CONFIG_PATH).body(Bytes::new()) else {
+        return;
+    };
+    let options = SendOptions::within(TrafficClass::Platform, FETCH_TIMEOUT);
+    let answer = match node.client.send(addr, req, options).await {
+        Ok(response) => response.into_body().collect_bytes(MAX_CONFIG).await,
+        Err(err) => {
+            line!(CONFIG_FETCH_FAILED, "peer={peer} cause=\"{err}\"");
+            return;
+        }
+    };
+    let record = match answer {
+        Ok(body) => decode_record(&body),
+        Err(err) => {
+            line!(CONFIG_FETCH_FAILED, "peer={peer} cause=\"{err}\"");
+            return;
+        }
+    };
+    let Some(record) = record else {
+        return;
+    };
+    match node.platform.configuration(&record) {
+        Some(Ok(config)) => follow::apply_config(&node, config, &record, &peer),
+        Some(Err(err)) => line!(CONFIG_UNREADABLE, "peer={peer} cause=\"{err}\""),
+        None => {}
+    }
+}
+
+/// Encodes a record for a peer: its key, a line feed and its content.
+pub(crate) fn encode_record(record: &Record) -> Bytes {
+    let mut buf = Vec::with_capacity(record.key.len() + 1 + record.value.len());
+    buf.extend_from_slice(record.key.as_bytes());
+    buf.push(b'\n');
+    buf.extend_from_slice(&record.value);
+    buf.into()
+}
+
+fn decode_record(body: &Bytes) -> Option<Record> {
+    let end = body.iter().position(|byte| *byte == b'\n')?;
+    let key = std::str::from_utf8(&body[..end]).ok()?.to_owned();
+    Some(Record {
+        key,
+        value: body.slice(end + 1..),
+    })
+}
--- /dev/null
+++ b/gateway/src/settings.rs
@@ -0,0 +1,211 @@
+//! Settings of an instance.
+
+use std::net::{
+    IpAddr,
+    SocketAddr, //
+};
+use std::time::Duration;
+
+use log::LevelFilter;
+use serde::Deserialize;
+use snafu::{
+    ResultExt,
+    Snafu, //
+};
+
+/// Settings that are not accepted.
+#[derive(Debug, Snafu)]
+pub enum SettingsError {
+    /// The file is not TOML or has other fields than expected.
+    #[snafu(display("{file}: {source}"))]
+    Syntax {
+        /// Name of the file.
+        file: String,
+        /// Position and cause.
+        source: toml::de::Error,
+    },
+    /// A value is not accepted.
+    #[snafu(display("{file}: {field}: {reason}"))]
+    Value {
+        /// Name of the file.
+        file: String,
+        /// Name of the field.
+        field: &'static str,
+        /// What would be accepted.
+        reason: String,
+    },
+}
+
+/// Checked settings.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Name of the instance, unique on the platform.
+    pub name: String,
+    /// Availability zone.
+    pub zone: String,
+    /// Address of the machine.
+    pub address: IpAddr,
+    /// Listener for callers.
+    pub public: SocketAddr,
+    /// Listener for readiness checks.
+    pub readiness: SocketAddr,
+    /// Listener for questions for addresses.
+    pub directory: SocketAddr,
+    /// Listener for metrics.
+    pub metrics: SocketAddr,
+    /// Port for reports and fetches between instances; the same on all machines.
+    pub peer_port: u16,
+    /// Other machines of the system that may be reached while the store is not.
+    pub seeds: Vec<IpAddr>,
+    /// The store.
+    pub store: StoreSettings,
+    /// How long callers keep an answer with addresses.
+    pub address_lifetime: Duration,
+    /// Time from the stop signal after which the process is killed.
+    pub grace: Duration,
+    /// How long results of a job are kept after its submission.
+    pub result_retention: Duration,
+    /// Least severe log line that is written.
+    pub log_level: LevelFilter,
+}
+
+/// Settings of the store.
+#[derive(Clone, Debug, PartialEq)]
+pub struct StoreSettings {
+    /// Its address.
+    pub addr: SocketAddr,
+    /// Partitions of a topic, at least 1.
+    pub partitions: u32,
+    /// Largest record in bytes.
+    pub record_bytes: usize,
+    /// Largest sum of the records of one call in bytes.
+    pub call_bytes: usize,
+    /// Longest wait for a connection.
+    pub connect_timeout: Duration,
+    /// Longest wait for an answer.
+    pub timeout: Duration,
+}
+
+/// Waiting longer than this for a connection to the store only delays the next attempt; it answers
+/// in milliseconds.
+const STORE_CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
+/// Three times the answers of a store that is fifty times slower than usual would still fit.
+const STORE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Results are promised for this long after a submission, with a margin for clocks that differ.
+const RESULT_RETENTION_MARGIN: Duration = Duration::from_secs(10);
+
+#[derive(Deserialize)]
+struct Raw {
+    name: String,
+    zone: String,
+    address: IpAddr,
+    listen: RawListen,
+    #[serde(default)]
+    seeds: Vec<SocketAddr>,
+    store: RawStore,
+    stop: RawStop,
+    jobs: RawJobs,
+    #[serde(default)]
+    log: RawLog,
+}
+
+#[derive(Deserialize)]
+struct RawListen {
+    public: SocketAddr,
+    readiness: SocketAddr,
+    directory: SocketAddr,
+    metrics_port: u16,
+    peer_port: u16,
+    address_lifetime_s: u64,
+}
+
+#[derive(Deserialize)]
+struct RawStore {
+    address: SocketAddr,
+    partitions: u32,
+    record_bytes: usize,
+    call_bytes: usize,
+}
+
+#[derive(Deserialize)]
+struct RawStop {
+    grace_s: f64,
+}
+
+#[derive(Deserialize)]
+struct RawJobs {
+    result_retention_s: u64,
+}
+
+#[derive(Deserialize)]
+struct RawLog {
+    level: String,
+}
+
+impl Default for RawLog {
+    fn default() -> Self {
+        Self {
+            level: "info".to_owned(),
+        }
+    }
+}
+
+impl Settings {
+    /// Reads settings from the text of `file`; unknown fields are ignored.
+    pub fn load(file: &str, text: &str) -> Result<Self, SettingsError> {
+        let raw: Raw = toml::from_str(text).context(SyntaxSnafu { file })?;
+        let value = |field, reason: String| SettingsError::Value {
+            file: file.to_owned(),
+            field,
+            reason,
+        };
+        if raw.name.is_empty() || raw.name.len() > 200 {
+            return Err(value("name", "must have 1 to 200 characters".to_owned()));
+        }
+        if raw.store.partitions == 0 {
+            return Err(value("store.partitions", "must be at least 1".to_owned()));
+        }
+        if raw.store.record_bytes < 4_096 || raw.store.call_bytes < raw.store.record_bytes {
+            let reason = "records must hold 4096 bytes and calls at least one record".to_owned();
+            return Err(value("store.record_bytes", reason));
+        }
+        if !(1.0..=3_600.0).contains(&raw.stop.grace_s) {
+            return Err(value("stop.grace_s", "must be 1 to 3600".to_owned()));
+        }
+        if raw.listen.address_lifetime_s == 0 {
+            let reason = "must be at least 1".to_owned();
+            return Err(value("listen.address_lifetime_s", reason));
+        }
+        let level = raw.log.level.parse().map_err(|_| {
+            let reason = format!(
+                "{:?} is none of off, error, warn, info, debug",
+                raw.log.level
+            );
+            value("log.level", reason)
+        })?;
+        Ok(Self {
+            name: raw.name,
+            zone: raw.zone,
+            address: raw.address,
+            public: raw.listen.public,
+            readiness: raw.listen.readiness,
+            directory: raw.listen.directory,
+            metrics: SocketAddr::new(raw.address, raw.listen.metrics_port),
+            peer_port: raw.listen.peer_port,
+            seeds: raw.seeds.iter().map(SocketAddr::ip).collect(),
+            store: StoreSettings {
+                addr: raw.store.address,
+                partitions: raw.store.partitions,
+                record_bytes: raw.store.record_bytes,
+                call_bytes: raw.store.call_bytes,
+                connect_timeout: STORE_CONNECT_TIMEOUT,
+                timeout: STORE_TIMEOUT,
+            },
+            address_lifetime: Duration::from_secs(raw.listen.address_lifetime_s),
+            grace: Duration::from_secs_f64(raw.stop.grace_s),
+            result_retention: Duration::from_secs(raw.jobs.result_retention_s)
+                + RESULT_RETENTION_MARGIN,
+            log_level: level,
+        })
+    }
+}
