gateway: count positions from own records, end lapses with the outage, one holder a partial item

(LOST, MIXED) - give_up + margin overflowed for items read before the configuration, so they were given up at once. (MIXED) - Two instances that held a part of the same item waited for each other. (LOST) - An entry removed just after an outage stayed in use for 2.3 s from its removal rather than from the outage. (DRAIN) - Reads that waited on connections from before an outage noticed its end 6.5 s later.

Ruled out: listings of the store that lag behind its log.

--- a/gateway/src/backend.rs
+++ b/gateway/src/backend.rs
@@ -52,8 +52,8 @@
     pub key: BackendKey,
     /// When the newest entry was read.
     pub seen: Timestamp,
-    /// When the entry was found removed, if it was.
-    removed: Option<Timestamp>,
+    /// Whether the entry was found removed.
+    removed: bool,
 }
 
 /// The backend servers known to this instance.
@@ -70,8 +70,8 @@
         let key = BackendKey::of(&entry.id);
         let known = self.by_id.get_mut(&entry.id);
         if let Some(known) = known {
-            let changed = *known.entry != entry || known.removed.is_some();
-            known.removed = None;
+            let changed = *known.entry != entry || known.removed;
+            known.removed = false;
             known.seen = now;
             if changed {
                 known.entry = Arc::new(entry);
@@ -81,7 +81,7 @@
         let backend = Backend {
             key,
             seen: now,
-            removed: None,
+            removed: false,
             entry: Arc::new(entry),
         };
         self.by_id.insert(backend.entry.id.clone(), backend);
@@ -90,15 +90,13 @@
 
     /// Notes that the entry of `id` was removed or cannot be read; returns whether it was known.
     ///
-    /// Entries also lapse while the store is unavailable, although the servers live. Around an
+    /// Entries also lapse while the store is unavailable, although the servers live. After an
     /// outage a removed entry therefore stays in use until a live server would have returned.
     pub fn remove(&mut self, id: &str, now: Timestamp) -> bool {
-        let around_outage = self
-            .last_outage
-            .is_some_and(|at| now.since(at) < LAPSE_GRACE);
+        let around_outage = !self.settled(now);
         match self.by_id.get_mut(id) {
             Some(known) if around_outage && !known.entry.draining => {
-                known.removed.get_or_insert(now);
+                known.removed = true;
                 true
             }
             Some(_) => self.by_id.remove(id).is_some(),
@@ -120,9 +118,18 @@
         self.last_outage = Some(now);
     }
 
+    /// Returns whether live servers have registered again since the last outage.
+    fn settled(&self, now: Timestamp) -> bool {
+        let outage = self.last_outage;
+        outage.is_none_or(|at| now.since(at) >= LAPSE_GRACE)
+    }
+
     /// Drops removed entries whose servers have not returned in time.
     pub fn sweep(&mut self, now: Timestamp) -> Vec<String> {
-        let lapsed = |b: &Backend| b.removed.is_some_and(|at| now.since(at) >= LAPSE_GRACE);
+        if !self.settled(now) {
+            return Vec::new();
+        }
+        let lapsed = |b: &Backend| b.removed;
         let gone: Vec<String> = self
             .by_id
             .iter()
--- a/gateway/src/batch.rs
+++ b/gateway/src/batch.rs
@@ -6,6 +6,9 @@
 //! when online requests need the slots; a stopped item continues later from its last event.
 
 use std::cmp::Reverse;
+use std::time::Duration;
+
+use limpetweir_coordination::rendezvous_score;
 
 use crate::backend::BackendKey;
 use crate::load::{
@@ -39,49 +42,77 @@
     pub placed: Placed,
     /// Whether it recently gave no answer.
     pub suspect: bool,
-    /// Order in which this instance prefers servers, so that instances do not all choose the same.
-    pub preference: u64,
+    /// How long the number of requests on it has been the same.
+    pub unchanged_for: Duration,
 }
 
 impl Room {
-    fn free(&self) -> u32 {
-        self.slots.saturating_sub(self.placed.total())
+    /// Returns how many slots this instance may fill now.
+    ///
+    /// Each free slot belongs to one of the instances that have waiting items, so that instances
+    /// that decide at the same moment do not fill it twice. A slot that its instance leaves free
+    /// goes to the next one after a while.
+    fn open_to(&self, me: &str, contenders: &[&str]) -> u32 {
+        let turn = self.unchanged_for.as_micros() / TURN.as_micros();
+        let turn = usize::try_from(turn).unwrap_or(usize::MAX);
+        let free = self.placed.total()..self.slots;
+        let open = free.filter(|slot| self.rank(*slot, me, contenders) <= turn);
+        u32::try_from(open.count()).unwrap_or(u32::MAX)
+    }
+
+    /// Returns the place of this instance in the order of the instances for a slot.
+    fn rank(&self, slot: u32, me: &str, contenders: &[&str]) -> usize {
+        let key = (u64::from(self.key.0) << 32 | u64::from(slot)).to_be_bytes();
+        let own = (rendezvous_score(&key, me), me);
+        let before = |name: &&&str| (rendezvous_score(&key, name), **name) > own;
+        contenders.iter().filter(before).count()
     }
 }
 
+/// Time after which a free slot goes to the next instance; reports arrive within a few
+/// milliseconds.
+const TURN: Duration = Duration::from_millis(15);
+
 /// Chooses which waiting items start where.
 ///
-/// `contenders` instances have waiting items; each takes its part of the free slots, so that
-/// instances that decide at the same moment do not fill them twice.
+/// `contenders` are the other instances that have waiting items.
 pub fn starts(
     waiting: &mut [Waiting],
-    rooms: &mut [Room],
-    contenders: u32,
+    rooms: &[Room],
+    me: &str,
+    contenders: &[&str],
 ) -> Vec<(ItemKey, BackendKey)> {
     waiting.sort_by_key(|w| (w.due, w.item));
-    let usable = |r: &Room| !r.suspect && r.free() > 0;
-    let free: u32 = rooms.iter().filter(|r| usable(r)).map(Room::free).sum();
-    let most = free.div_ceil(contenders.max(1));
+    let usable = rooms.iter().filter(|room| !room.suspect);
+    let mut open: Vec<_> = usable
+        .map(|room| (room.open_to(me, contenders), room))
+        .filter(|(open, _)| *open > 0)
+        .collect();
     let mut chosen = Vec::new();
-    for w in waiting.iter().take(most as usize) {
-        let open = rooms.iter_mut().filter(|r| usable(r));
-        let best = open.max_by_key(|r| (Some(r.key) != w.avoid, r.free(), r.preference));
-        let Some(room) = best else {
+    for w in waiting {
+        let usable = open.iter_mut().filter(|(left, _)| *left > 0);
+        let best = usable.max_by_key(|(left, room)| (Some(room.key) != w.avoid, *left, room.key));
+        let Some((left, room)) = best else {
             break;
         };
-        room.placed.batch += 1;
+        *left -= 1;
         chosen.push((w.item, room.key));
     }
     chosen
 }
 
-/// Returns the items of this instance that must give their slots up.
+/// Returns the items of this instance that must stop: their slots are needed, or an instance that
+/// is earlier by name runs them as well.
 ///
 /// All instances order the items of a backend server in the same way, so together they stop just
 /// as many as there are requests beyond its slots.
-pub fn yields(load: &Load, slots: impl Fn(BackendKey) -> Option<u32>) -> Vec<ItemKey> {
+pub fn yields(load: &Load, me: &str, slots: impl Fn(BackendKey) -> Option<u32>) -> Vec<ItemKey> {
     let mut chosen = Vec::new();
     for own in load.own_batch() {
+        if load.peers_running(own.item).any(|peer| peer < me) {
+            chosen.push(own.item);
+            continue;
+        }
         let Some(slots) = slots(own.backend) else {
             continue;
         };
--- a/gateway/src/load.rs
+++ b/gateway/src/load.rs
@@ -39,6 +39,8 @@
     suspects: HashMap<BackendKey, Timestamp>,
     /// The same for what peers have reported, which is not reported again.
     heard_suspects: HashMap<BackendKey, Timestamp>,
+    /// When the number of requests on a backend server last changed.
+    changed: HashMap<BackendKey, Timestamp>,
 }
 
 #[derive(Debug, Default)]
@@ -54,75 +56,98 @@
     }
 
     /// Notes an online request that this instance sends to `backend`.
-    pub fn online_started(&mut self, backend: BackendKey) {
+    pub fn online_started(&mut self, backend: BackendKey, now: Timestamp) {
         *self.own_online.entry(backend).or_default() += 1;
-        self.placed.entry(backend).or_default().online += 1;
+        self.add(backend, 1, 0, now);
     }
 
     /// Notes the end of an online request of this instance.
-    pub fn online_ended(&mut self, backend: BackendKey) {
+    pub fn online_ended(&mut self, backend: BackendKey, now: Timestamp) {
         if let Some(count) = self.own_online.get_mut(&backend) {
             *count = count.saturating_sub(1);
             if *count == 0 {
                 self.own_online.remove(&backend);
             }
-            self.subtract(backend, 1, 0);
+            self.subtract(backend, 1, 0, now);
         }
     }
 
     /// Notes an item that this instance starts.
-    pub fn batch_started(&mut self, run: BatchRun) {
-        self.batch_ended(run.item);
+    pub fn batch_started(&mut self, run: BatchRun, now: Timestamp) {
+        self.batch_ended(run.item, now);
         self.own_batch.insert(run.item, run);
-        self.placed.entry(run.backend).or_default().batch += 1;
+        self.add(run.backend, 0, 1, now);
     }
 
     /// Notes the end of an item's run at this instance.
-    pub fn batch_ended(&mut self, item: ItemKey) {
+    pub fn batch_ended(&mut self, item: ItemKey, now: Timestamp) {
         if let Some(run) = self.own_batch.remove(&item) {
-            self.subtract(run.backend, 0, 1);
+            self.subtract(run.backend, 0, 1, now);
         }
     }
 
     /// Takes over what a peer has placed.
-    pub fn heard(&mut self, report: &Report) {
-        self.forget(&report.name);
+    pub fn heard(&mut self, report: &Report, now: Timestamp) {
         let peer = PeerLoad {
             online: report.online.clone(),
             batch: report.batch.clone(),
         };
-        for &(backend, count) in &peer.online {
-            self.placed.entry(backend).or_default().online += count;
+        let before = self.peers.insert(report.name.clone(), peer);
+        let mut totals = HashMap::new();
+        count(&mut totals, &report.online, &report.batch, 1);
+        if let Some(before) = before {
+            count(&mut totals, &before.online, &before.batch, -1);
         }
-        for run in &peer.batch {
-            self.placed.entry(run.backend).or_default().batch += 1;
+        // Only what differs from the last report is a change of the backend server.
+        for (backend, (online, batch)) in totals {
+            self.add(backend, online.max(0) as u32, batch.max(0) as u32, now);
+            let (online, batch) = (online.min(0), batch.min(0));
+            self.subtract(backend, online.unsigned_abs(), batch.unsigned_abs(), now);
         }
-        self.peers.insert(report.name.clone(), peer);
     }
 
     /// Drops what a silent peer had placed.
-    pub fn forget(&mut self, peer: &str) {
+    pub fn forget(&mut self, peer: &str, now: Timestamp) {
         let Some(peer) = self.peers.remove(peer) else {
             return;
         };
         for (backend, count) in peer.online {
-            self.subtract(backend, count, 0);
+            self.subtract(backend, count, 0, now);
         }
         for run in peer.batch {
-            self.subtract(run.backend, 0, 1);
+            self.subtract(run.backend, 0, 1, now);
         }
     }
 
-    fn subtract(&mut self, backend: BackendKey, online: u32, batch: u32) {
+    fn add(&mut self, backend: BackendKey, online: u32, batch: u32, now: Timestamp) {
+        if online + batch > 0 {
+            let placed = self.placed.entry(backend).or_default();
+            placed.online += online;
+            placed.batch += batch;
+            self.changed.insert(backend, now);
+        }
+    }
+
+    fn subtract(&mut self, backend: BackendKey, online: u32, batch: u32, now: Timestamp) {
+        if online + batch == 0 {
+            return;
+        }
         if let Some(placed) = self.placed.get_mut(&backend) {
             placed.online = placed.online.saturating_sub(online);
             placed.batch = placed.batch.saturating_sub(batch);
             if placed.total() == 0 {
                 self.placed.remove(&backend);
             }
+            self.changed.insert(backend, now);
         }
     }
 
+    /// Returns how long the number of requests on `backend` has been the same.
+    pub fn unchanged_for(&self, backend: BackendKey, now: Timestamp) -> Duration {
+        let changed = self.changed.get(&backend).copied().unwrap_or_default();
+        now.since(changed)
+    }
+
     /// Returns the online requests of this instance by backend server.
     pub fn own_online(&self) -> Vec<(BackendKey, u32)> {
         self.own_online.iter().map(|(k, n)| (*k, *n)).collect()
@@ -180,3 +205,19 @@
         open.map(|(key, end)| (*key, end.since(now))).collect()
     }
 }
+
+/// Adds requests to the sums of backend servers, or takes them off with a `sign` of -1.
+fn count(
+    totals: &mut HashMap<BackendKey, (i32, i32)>,
+    online: &[(BackendKey, u32)],
+    batch: &[BatchRun],
+    sign: i32,
+) {
+    for (backend, count) in online {
+        // The requests of one instance are far fewer than the number holds.
+        totals.entry(*backend).or_default().0 += sign * *count as i32;
+    }
+    for run in batch {
+        totals.entry(run.backend).or_default().1 += sign;
+    }
+}
--- a/gateway/src/open_items.rs
+++ b/gateway/src/open_items.rs
@@ -184,7 +184,7 @@
     /// Returns the items of this instance that are to be given up without another run.
     pub fn expired(&self, unix_ms: u64) -> Vec<ItemKey> {
         let expired = |item: &OpenItem| {
-            let late = unix_ms > item.give_up + GIVE_UP_MARGIN_MS;
+            let late = unix_ms > item.give_up.saturating_add(GIVE_UP_MARGIN_MS);
             item.kept_here() && item.phase == Phase::Waiting && (late || item.orphaned)
         };
         let expired = self.items.iter().filter(|(_, item)| expired(item));
--- a/gateway/src/serve/follow.rs
+++ b/gateway/src/serve/follow.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_lite::future;
 use limpetweir_transport::sleep;
 
 use super::items;
@@ -84,10 +85,22 @@
             cursor.loaded = known.is_loaded();
         }
         let result = if cursor.loaded {
-            let batch = node
-                .platform
-                .read(topic, partition, cursor.next, pace.wait)
-                .await;
+            // While the store is lost, only an answer at once tells that it is back.
+            let wait = if cursor.lost {
+                Duration::ZERO
+            } else {
+                pace.wait
+            };
+            let regained = node.store_regained.listen();
+            let read = node.platform.read(topic, partition, cursor.next, wait);
+            let repeat = async {
+                regained.await;
+                None
+            };
+            let read = async { Some(read.await) };
+            let Some(batch) = future::or(read, repeat).await else {
+                continue;
+            };
             batch.map(|batch| take_batch(&node, topic, partition, &mut cursor, batch))
         } else {
             load(&node, topic, partition, &mut cursor).await
--- a/gateway/src/serve/items.rs
+++ b/gateway/src/serve/items.rs
@@ -1,6 +1,9 @@
 //! Runs the items of batch jobs.
 
-use std::collections::HashMap;
+use std::collections::{
+    HashMap,
+    HashSet, //
+};
 use std::sync::Arc;
 use std::time::{
     Duration,
@@ -14,7 +17,6 @@
 use futures_lite::future;
 use http_body_util::BodyExt;
 use hyper::Response;
-use limpetweir_coordination::rendezvous_score;
 use limpetweir_state::Timestamp;
 use limpetweir_transport::http::{
     ClientBody,
@@ -131,7 +133,8 @@
         .iter()
         .map(|b| (b.key, slots_of(state, &b.entry)))
         .collect();
-    for key in yields(&state.load, |backend| slots.get(&backend).copied()) {
+    let me = node.settings.name.as_str();
+    for key in yields(&state.load, me, |backend| slots.get(&backend).copied()) {
         // The run itself notes its end.
         if let Some(stop) = state.runs.0.remove(&key) {
             let _ = stop.try_send(());
@@ -144,16 +147,17 @@
     if waiting.is_empty() {
         return;
     }
-    let (rivals, taken) = peer_items(state, now);
+    let taken = taken(state, me, now);
     waiting.retain(|w| !taken.contains(&w.item));
     if waiting.is_empty() {
         return;
     }
-    let me = node.settings.name.as_str();
-    let contenders = u32::try_from(rivals + 1).unwrap_or(u32::MAX);
+    let rivals = state.members.alive(now).filter(|r| r.waiting > 0);
+    let rivals: Vec<String> = rivals.map(|r| r.name.clone()).collect();
+    let rivals: Vec<&str> = rivals.iter().map(String::as_str).collect();
     for (service, mut waiting) in by_service(state, waiting) {
-        let mut rooms = rooms(state, &service, me, now);
-        for (key, backend) in starts(&mut waiting, &mut rooms, contenders) {
+        let rooms = rooms(state, &service, now);
+        for (key, backend) in starts(&mut waiting, &rooms, me, &rivals) {
             start(node, state, key, backend);
         }
     }
@@ -168,16 +172,21 @@
         .unwrap_or(1)
 }
 
-/// Returns how many peers have waiting items, and the items that peers run or hold.
-fn peer_items(state: &State, now: Timestamp) -> (usize, Vec<ItemKey>) {
-    let mut rivals = 0;
-    let mut taken = Vec::new();
+/// Returns the items that peers run, or that they continue because they hold a part of the output.
+/// Of several instances that hold a part the first by name continues.
+fn taken(state: &State, me: &str, now: Timestamp) -> HashSet<ItemKey> {
+    let holds = |item: &ItemKey| {
+        let item = state.items.get(*item);
+        item.is_some_and(|item| item.progress.last.is_some())
+    };
+    let mut taken = HashSet::new();
     for report in state.members.alive(now) {
-        rivals += usize::from(report.waiting > 0);
         taken.extend(report.batch.iter().map(|run| run.item));
-        taken.extend(report.held.iter().filter(|_| !report.leaving));
+        let first = report.name.as_str() < me;
+        let held = report.held.iter().filter(|item| first || !holds(item));
+        taken.extend(held.filter(|_| !report.leaving));
     }
-    (rivals, taken)
+    taken
 }
 
 fn by_service(state: &State, waiting: Vec<Waiting>) -> HashMap<String, Vec<Waiting>> {
@@ -190,13 +199,13 @@
     services
 }
 
-fn rooms(state: &State, service: &str, me: &str, now: Timestamp) -> Vec<Room> {
+fn rooms(state: &State, service: &str, now: Timestamp) -> Vec<Room> {
     let rooms = state.backends.serving(service).map(|b| Room {
         key: b.key,
         slots: slots_of(state, &b.entry),
         placed: state.load.placed(b.key),
         suspect: state.load.suspected(b.key, now),
-        preference: rendezvous_score(&b.key.0.to_be_bytes(), me),
+        unchanged_for: state.load.unchanged_for(b.key, now),
     });
     rooms.collect()
 }
@@ -231,11 +240,12 @@
     };
     item.phase = Phase::Running(backend);
     let due = item.due;
-    state.load.batch_started(BatchRun {
+    let run_placed = BatchRun {
         item: key,
         backend,
         due,
-    });
+    };
+    state.load.batch_started(run_placed, node.now());
     let (stop, stopped) = async_channel::bounded(1);
     state.runs.0.insert(key, stop);
     let task = execute(node.clone(), run, stopped);
@@ -311,7 +321,7 @@
     let now = node.now();
     let step = {
         let mut state = node.lock();
-        state.load.batch_ended(run.key);
+        state.load.batch_ended(run.key, now);
         state.runs.0.remove(&run.key);
         state
             .items
@@ -482,6 +492,8 @@
         };
         let partition = item.partition;
         let job = item.job.clone();
+        let (give_up, orphaned) = (item.give_up, item.orphaned);
+        let version = state.config.as_ref().map_or(0, |config| config.version());
         drop(state);
         let node = node.clone();
         let spawner = node.spawner.clone();
@@ -489,7 +501,7 @@
             let result = writer::write(&node, partition, change).await;
             line!(
                 ITEM_LISTED,
-                "job={job} outcome=GivenUp cause=expired result=\"{result:?}\""
+                "job={job} outcome=GivenUp cause=expired give_up_at={give_up} orphaned={orphaned} version={version} result=\"{result:?}\""
             );
         };
         spawner.spawn(task).detach();
--- a/gateway/src/serve/node.rs
+++ b/gateway/src/serve/node.rs
@@ -81,6 +81,9 @@
     pub(crate) open_calls: AtomicU64,
     /// Notified when the next report should go out.
     pub(crate) report_due: Signal,
+    /// Notified when the store answers again after a failure, for reads that still wait on
+    /// connections from before.
+    pub(crate) store_regained: Signal,
     /// Notified when jobs have changed.
     pub(crate) jobs_changed: Signal,
     /// Queues of the writers, one for each partition of the jobs.
@@ -126,6 +129,7 @@
             leaving: AtomicBool::new(false),
             open_calls: AtomicU64::new(0),
             report_due: Signal::new(),
+            store_regained: Signal::new(),
             jobs_changed: Signal::new(),
             writers,
         }
--- a/gateway/src/serve/online.rs
+++ b/gateway/src/serve/online.rs
@@ -120,8 +120,9 @@
 
 impl<P: Store + Dialect> Drop for Placed<P> {
     fn drop(&mut self) {
+        let now = self.node.now();
         let mut state = self.node.lock();
-        state.load.online_ended(self.key);
+        state.load.online_ended(self.key, now);
         let held = self.started.elapsed().as_secs_f64();
         state.holding_s += HOLDING_WEIGHT * (held - state.holding_s);
         drop(state);
@@ -369,7 +370,7 @@
             retry_after,
         });
     };
-    state.load.online_started(key);
+    state.load.online_started(key, now);
     drop(state);
     node.report_due.notify(usize::MAX);
     items::balance(node);
--- a/gateway/src/serve/peers.rs
+++ b/gateway/src/serve/peers.rs
@@ -76,7 +76,7 @@
     if record.value.is_empty() {
         let mut state = node.lock();
         state.members.remove(&record.key);
-        state.load.forget(&record.key);
+        state.load.forget(&record.key, now);
         state.quotas.forget(&record.key);
         return;
     }
@@ -219,7 +219,7 @@
     let Ok(before) = state.members.heard(report.clone(), from, now) else {
         return;
     };
-    state.load.heard(&report);
+    state.load.heard(&report, now);
     for (backend, left) in &report.suspects {
         let left = Duration::from_millis(u64::from(*left));
         state.load.suspect_heard(*backend, now + left);
@@ -263,7 +263,7 @@
             .cloned()
             .collect();
         for name in &lost {
-            state.load.forget(name);
+            state.load.forget(name, now);
         }
         for name in state.members.sweep(now) {
             state.quotas.forget(&name);
--- a/gateway/src/serve/writer.rs
+++ b/gateway/src/serve/writer.rs
@@ -158,8 +158,8 @@
         .await;
     node.metrics.store_call(result.is_ok());
     match result {
-        Ok(end) => {
-            applied(node, partition, at, &records, end);
+        Ok(_) => {
+            applied(node, partition, at, &records);
             for request in taken {
                 // A caller that has left does not wait for the outcome.
                 let _ = request.reply.try_send(Ok(()));
@@ -254,13 +254,9 @@
 }
 
 /// Applies records that this instance has just appended.
-fn applied<P: Store + Dialect>(
-    node: &Arc<Node<P>>,
-    partition: u32,
-    at: u64,
-    records: &[Record],
-    end: u64,
-) {
+fn applied<P: Store + Dialect>(node: &Arc<Node<P>>, partition: u32, at: u64, records: &[Record]) {
+    // The end that the store returns may lie behind later records of other instances.
+    let end = at + records.len() as u64;
     for (offset, record) in (at..).zip(records) {
         follow::take_job(node, partition, offset, record);
     }
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -89,8 +89,8 @@
 /// Waiting longer than this for a connection to the store only delays the next attempt; it answers
 /// in milliseconds.
 const STORE_CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
-/// Three times the answers of a store that is fifty times slower than usual would still fit.
-const STORE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Several times the answers of a store that is fifty times slower than usual.
+const STORE_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Results are promised for this long after a submission, with a margin for clocks that differ.
 const RESULT_RETENTION_MARGIN: Duration = Duration::from_secs(10);
 
