gateway, platform: tests of the decisions and of instances against stand-ins

The burst is divided like the rate while instances are silent; the test of the quota showed nine instances that were cut off from each other admitting nine bursts.

--- a/gateway/src/quota.rs
+++ b/gateway/src/quota.rs
@@ -47,7 +47,7 @@
         let elapsed = now.since(self.updated).as_secs_f64();
         self.updated = self.updated.max(now);
         let gained = self.rate * (1.0 - silent_part) * elapsed;
-        self.tokens = (self.tokens + gained).min(self.burst);
+        self.tokens = (self.tokens + gained).min(self.burst * (1.0 - silent_part));
     }
 }
 
@@ -58,15 +58,28 @@
     admitted: HashMap<OrganisationKey, u64>,
 }
 
+/// Part of the rate and burst that others may be using before the first of them is known.
+const UNKNOWN_PART: f64 = 0.9;
+
 /// The quota decisions of one instance.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Quotas {
     buckets: HashMap<OrganisationKey, Bucket>,
     peers: HashMap<String, PeerCounts>,
-    /// Part of the rate that silent instances may be using, from 0 to below 1.
+    /// Part of the rate and burst that silent instances may be using, from 0 to below 1.
     silent_part: f64,
 }
 
+impl Default for Quotas {
+    fn default() -> Self {
+        Self {
+            buckets: HashMap::new(),
+            peers: HashMap::new(),
+            silent_part: UNKNOWN_PART,
+        }
+    }
+}
+
 /// A refusal because an organisation is over its rate.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct OverQuota {
@@ -90,7 +103,7 @@
             let mut bucket = buckets.remove(&key).unwrap_or(Bucket {
                 rate,
                 burst,
-                tokens: burst * START_FILL,
+                tokens: burst * START_FILL * (1.0 - self.silent_part),
                 updated: now,
                 admitted: 0,
             });
@@ -109,6 +122,9 @@
         }
         // Instance counts are far below the precision of f64.
         self.silent_part = silent as f64 / instances.max(1) as f64;
+        for bucket in self.buckets.values_mut() {
+            bucket.refill(now, self.silent_part);
+        }
     }
 
     /// Admits a request of `organisation`, or says when one may be admitted.
--- a/gateway/src/serve/follow.rs
+++ b/gateway/src/serve/follow.rs
@@ -284,7 +284,11 @@
                 line!(BACKEND_CHANGED, "backend={id} state=gone cause=lapsed");
             }
         }
-        Topic::Instances => {}
+        Topic::Instances => {
+            let mut state = node.lock();
+            state.instances_read = true;
+            super::peers::refresh_silent(&mut state, now);
+        }
     }
 }
 
--- a/gateway/src/serve/node.rs
+++ b/gateway/src/serve/node.rs
@@ -52,6 +52,8 @@
     pub(crate) config_confirmed: Option<Timestamp>,
     pub(crate) backends: Backends,
     pub(crate) members: Members,
+    /// Whether the records of the instances have been read.
+    pub(crate) instances_read: bool,
     pub(crate) load: Load,
     pub(crate) quotas: Quotas,
     pub(crate) partitions: Vec<Partition>,
@@ -107,6 +109,7 @@
             config_confirmed: None,
             backends: Backends::default(),
             members: Members::default(),
+            instances_read: false,
             load: Load::default(),
             quotas: Quotas::default(),
             partitions,
--- a/gateway/src/serve/peers.rs
+++ b/gateway/src/serve/peers.rs
@@ -244,8 +244,12 @@
     items::balance(node);
 }
 
-fn refresh_silent(state: &mut super::node::State, now: Timestamp) {
+/// Tells the quotas how many instances are silent, once it is known which ones exist.
+pub(crate) fn refresh_silent(state: &mut super::node::State, now: Timestamp) {
     let (silent, all) = state.members.silent(now);
+    if !state.instances_read && all == 1 {
+        return;
+    }
     state.quotas.set_silent(silent, all, now);
 }
 
--- /dev/null
+++ b/gateway/tests/batch.rs
@@ -0,0 +1,210 @@
+//! Starting and stopping items beside online requests.
+
+use std::time::Duration;
+
+use limpetweir_gateway::{
+    BackendKey,
+    BatchRun,
+    ItemKey,
+    Load,
+    Placed,
+    Report,
+    Room,
+    Waiting,
+    starts,
+    yields, //
+};
+use limpetweir_state::Timestamp;
+use rstest::rstest;
+
+const SLOTS: u32 = 8;
+const NAMES: [&str; 9] = ["a", "b", "c", "d", "e", "f", "g", "h", "i"];
+
+fn backend(n: u32) -> BackendKey {
+    BackendKey(n)
+}
+
+fn room(n: u32, online: u32, batch: u32, unchanged_ms: u64) -> Room {
+    Room {
+        key: backend(n),
+        slots: SLOTS,
+        placed: Placed { online, batch },
+        suspect: false,
+        unchanged_for: Duration::from_millis(unchanged_ms),
+    }
+}
+
+fn waiting(count: u64, first: u64) -> Vec<Waiting> {
+    let items = first..first + count;
+    let waiting = items.map(|n| Waiting {
+        item: ItemKey(n),
+        due: 10_000 + n,
+        avoid: None,
+    });
+    waiting.collect()
+}
+
+fn others(me: &str) -> Vec<&'static str> {
+    NAMES.into_iter().filter(|name| *name != me).collect()
+}
+
+fn report(name: &str, online: &[(u32, u32)], batch: &[(u64, u32, u64)]) -> Report {
+    let batch = batch.iter().map(|&(item, on, due)| BatchRun {
+        item: ItemKey(item),
+        backend: backend(on),
+        due,
+    });
+    Report {
+        name: name.to_owned(),
+        boot: 1,
+        sequence: 1,
+        ready: true,
+        leaving: false,
+        zone: "zone".to_owned(),
+        public: ([127, 0, 0, 1], 1).into(),
+        version: 1,
+        online: online.iter().map(|&(on, n)| (backend(on), n)).collect(),
+        batch: batch.collect(),
+        held: Vec::new(),
+        waiting: 0,
+        admitted: Vec::new(),
+        suspects: Vec::new(),
+    }
+}
+
+/// Load: online requests fall off on all servers at once while every instance has items waiting.
+/// Guards against a slot that several instances fill at the same moment.
+#[test]
+fn instances_that_decide_at_once_fill_each_slot_once() {
+    let rooms: Vec<Room> = (0..12).map(|n| room(n, 4, 0, 1)).collect();
+    let mut started = vec![0; 12];
+    for me in NAMES {
+        let mut items = waiting(30, 0);
+        for (_, on) in starts(&mut items, &rooms, me, &others(me)) {
+            started[on.0 as usize] += 1;
+        }
+    }
+    assert_eq!(started, vec![4; 12]);
+}
+
+/// Guards against slots that stay empty because the instance they belong to has nothing for them.
+#[test]
+fn a_slot_that_stays_free_goes_to_every_instance() {
+    let rooms = [room(0, 4, 0, 1_000)];
+    let mut items = waiting(30, 0);
+    let started = starts(&mut items, &rooms, "a", &others("a"));
+    assert_eq!(started.len(), 4);
+}
+
+/// Guards against an item that is due later taking the slot of one that is due sooner.
+#[test]
+fn the_earliest_due_item_starts_first() {
+    let mut items = waiting(3, 0);
+    items.reverse();
+    let started = starts(&mut items, &[room(0, 7, 0, 1)], "a", &[]);
+    assert_eq!(started, [(ItemKey(0), backend(0))]);
+}
+
+/// Guards against items that queue at a full server, or run on one that does not answer.
+#[rstest]
+#[case(8, 0, false)]
+#[case(3, 5, false)]
+#[case(0, 0, true)]
+fn full_and_suspect_servers_get_no_item(
+    #[case] online: u32,
+    #[case] batch: u32,
+    #[case] suspect: bool,
+) {
+    let mut only = room(0, online, batch, 1_000);
+    only.suspect = suspect;
+    assert_eq!(starts(&mut waiting(3, 0), &[only], "a", &[]), []);
+}
+
+/// Guards against an item that returns to the server that just turned it away while others are free.
+#[test]
+fn the_server_of_the_last_failure_is_avoided() {
+    let mut items = waiting(1, 0);
+    items[0].avoid = Some(backend(0));
+    let rooms = [room(0, 0, 0, 1), room(1, 6, 0, 1)];
+    let started = starts(&mut items, &rooms, "a", &[]);
+    assert_eq!(started, [(ItemKey(0), backend(1))]);
+}
+
+/// Load: online requests rise on a server that several instances have filled with items.
+/// Guards against too many or too few items that give way, and against the earliest due one.
+#[test]
+fn as_many_items_give_way_as_slots_are_needed() {
+    let now = Timestamp::from_millis(1);
+    let runs = [(1, 0, 500), (2, 0, 900), (3, 0, 700)];
+    let mut stopped = Vec::new();
+    for (me, (item, on, due)) in ["a", "b", "c"].into_iter().zip(runs) {
+        let mut load = Load::default();
+        let own = BatchRun {
+            item: ItemKey(item),
+            backend: backend(on),
+            due,
+        };
+        load.batch_started(own, now);
+        for (name, run) in ["a", "b", "c"].into_iter().zip(runs) {
+            if name != me {
+                load.heard(&report(name, &[], &[run]), now);
+            }
+        }
+        load.heard(&report("z", &[(0, 7)], &[]), now);
+        stopped.extend(yields(&load, me, |_| Some(SLOTS)));
+    }
+    stopped.sort();
+    assert_eq!(stopped, [ItemKey(2), ItemKey(3)]);
+}
+
+/// Guards against an item that two instances run to its end after a cut between them has healed.
+#[test]
+fn of_two_runs_of_one_item_the_first_instance_continues() {
+    let now = Timestamp::from_millis(1);
+    let own = BatchRun {
+        item: ItemKey(1),
+        backend: backend(0),
+        due: 500,
+    };
+    for (me, peer, stopped) in [("a", "b", vec![]), ("b", "a", vec![ItemKey(1)])] {
+        let mut load = Load::default();
+        load.batch_started(own, now);
+        load.heard(&report(peer, &[], &[(1, 3, 500)]), now);
+        assert_eq!(yields(&load, me, |_| Some(SLOTS)), stopped);
+    }
+}
+
+/// Guards against counts that drift when reports replace each other, or when a peer is lost.
+#[test]
+fn a_report_replaces_the_one_before() {
+    let now = Timestamp::from_millis(1);
+    let mut load = Load::default();
+    load.online_started(backend(0), now);
+    load.heard(&report("p", &[(0, 3), (1, 2)], &[(9, 0, 5)]), now);
+    assert_eq!(
+        load.placed(backend(0)),
+        Placed {
+            online: 4,
+            batch: 1
+        }
+    );
+    load.heard(&report("p", &[(0, 1)], &[]), now);
+    assert_eq!(
+        load.placed(backend(0)),
+        Placed {
+            online: 2,
+            batch: 0
+        }
+    );
+    assert_eq!(load.placed(backend(1)), Placed::default());
+    load.forget("p", now);
+    assert_eq!(
+        load.placed(backend(0)),
+        Placed {
+            online: 1,
+            batch: 0
+        }
+    );
+    load.online_ended(backend(0), now);
+    assert_eq!(load.placed(backend(0)), Placed::default());
+}
--- /dev/null
+++ b/gateway/tests/formats.rs
@@ -0,0 +1,162 @@
+//! Event streams, settings and routes.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use limpetweir_gateway::{
+    Configuration,
+    ConfigurationParts,
+    NotEvents,
+    Route,
+    RouteKind,
+    Settings,
+    Splitter, //
+};
+use rstest::rstest;
+
+/// Guards against events that are cut or joined at the borders of network reads.
+#[rstest]
+#[case(1)]
+#[case(7)]
+#[case(1_000)]
+fn events_do_not_depend_on_reads(#[case] len: usize) {
+    let stream = b"id: 1\ndata: a\ndata: b\n\nid: 2\r\ndata: c\r\n\r\n: note\n\n";
+    let mut splitter = Splitter::default();
+    let mut events = Vec::new();
+    for piece in stream.chunks(len) {
+        events.extend(splitter.push(piece).expect("events"));
+    }
+    assert!(!splitter.is_partial());
+    let seen: Vec<_> = events.iter().map(|e| (e.id, e.data.as_str())).collect();
+    assert_eq!(seen, [(Some(1), "a\nb"), (Some(2), "c"), (None, "")]);
+    let raw: Vec<u8> = events.iter().flat_map(|e| e.raw.to_vec()).collect();
+    assert_eq!(raw, stream);
+}
+
+/// Guards against a stream that ends within an event and looks complete.
+#[test]
+fn a_partial_event_is_noticed() {
+    let mut splitter = Splitter::default();
+    assert_eq!(splitter.push(b"id: 1\ndata: a\n").map(|e| e.len()), Ok(0));
+    assert!(splitter.is_partial());
+}
+
+/// Guards against memory that grows without limit, and against bytes that are no text.
+#[test]
+fn other_bytes_are_no_events() {
+    let mut splitter = Splitter::default();
+    assert_eq!(splitter.push(&vec![b'x'; 2 << 20]), Err(NotEvents));
+    let mut splitter = Splitter::default();
+    assert_eq!(splitter.push(b"data: \xff\xfe\n\n"), Err(NotEvents));
+}
+
+const SETTINGS: &str = r#"
+name = "gateway-1"
+zone = "a"
+address = "10.0.0.1"
+seeds = ["10.0.0.2:1", "10.0.0.3:1"]
+[listen]
+public = "10.0.0.1:80"
+readiness = "10.0.0.1:81"
+directory = "10.0.0.1:82"
+metrics_port = 83
+peer_port = 84
+address_lifetime_s = 2
+[store]
+address = "10.0.0.9:90"
+partitions = 8
+record_bytes = 262144
+call_bytes = 2097152
+[stop]
+grace_s = 8
+[jobs]
+result_retention_s = 120
+[future]
+field = 1
+"#;
+
+/// Guards against settings of a later platform that stop the start.
+#[test]
+fn unknown_fields_are_ignored() {
+    let settings = Settings::load("file", SETTINGS).expect("settings");
+    assert_eq!(settings.name, "gateway-1");
+    assert_eq!(settings.seeds.len(), 2);
+    assert_eq!(settings.grace, Duration::from_secs(8));
+    assert_eq!(settings.metrics.port(), 83);
+}
+
+/// Guards against a wrong value that shows only while serving, and errors that name no field.
+#[rstest]
+#[case("name = \"gateway-1\"", "name = \"\"", "name")]
+#[case("partitions = 8", "partitions = 0", "store.partitions")]
+#[case("record_bytes = 262144", "record_bytes = 12", "store.record_bytes")]
+#[case("grace_s = 8", "grace_s = 0", "stop.grace_s")]
+#[case(
+    "address_lifetime_s = 2",
+    "address_lifetime_s = 0",
+    "listen.address_lifetime_s"
+)]
+#[case("peer_port = 84", "peer_port = \"x\"", "peer_port")]
+#[case("[future]", "[log]\nlevel = \"loud\"\n[future]", "log.level")]
+fn bad_settings_name_their_field(#[case] from: &str, #[case] to: &str, #[case] field: &str) {
+    let text = SETTINGS.replace(from, to);
+    let err = Settings::load("file", &text).expect_err("a wrong value");
+    let message = err.to_string();
+    assert!(
+        message.contains("file") && message.contains(field),
+        "{message}"
+    );
+}
+
+fn route(name: &str, host: &str, prefix: &str) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: host.to_owned(),
+        prefix: prefix.to_owned(),
+        kind: RouteKind::Safe,
+        timeout: Duration::from_secs(1),
+        objective: Duration::from_millis(100),
+        attempts: 2,
+        public: false,
+        resumable: false,
+        services: vec![("one".to_owned(), 9), ("two".to_owned(), 1)],
+        batch: None,
+    }
+}
+
+/// Guards against a request that goes to a shorter prefix or to another host's route.
+#[rstest]
+#[case("h", "/a/1", Some("short"))]
+#[case("h", "/a/b/1", Some("long"))]
+#[case("other", "/a/b/1", Some("other"))]
+#[case("h", "/c/1", None)]
+#[case("none", "/a/1", None)]
+fn the_longest_prefix_of_the_host_wins(
+    #[case] host: &str,
+    #[case] path: &str,
+    #[case] name: Option<&str>,
+) {
+    let config = Configuration::from(ConfigurationParts {
+        version: 1,
+        routes: vec![
+            route("short", "h", "/a/"),
+            route("long", "h", "/a/b/"),
+            route("other", "other", "/a/"),
+        ],
+        services: HashMap::new(),
+        organisations: Vec::new(),
+        limits: None,
+    });
+    let found = config.route(host, path).map(|route| route.name.as_str());
+    assert_eq!(found, name);
+}
+
+/// Guards against weights that send requests to the wrong service.
+#[test]
+fn weights_divide_requests_between_services() {
+    let route = route("r", "h", "/a/");
+    let two = (0..100)
+        .filter(|draw| route.service(*draw) == "two")
+        .count();
+    assert_eq!(two, 10);
+}
--- /dev/null
+++ b/gateway/tests/jobs.rs
@@ -0,0 +1,261 @@
+//! The fold of batch jobs, and what is written for their changes.
+
+use hyper::body::Bytes;
+use limpetweir_gateway::{
+    Change,
+    Decision,
+    NewItem,
+    Outcome,
+    Partition,
+    Pending,
+    Record,
+    Submission,
+    decide, //
+};
+use rstest::rstest;
+
+/// Largest record in these tests.
+const RECORD_BYTES: usize = 64 << 10;
+
+fn item(name: &str, body: usize) -> NewItem {
+    NewItem {
+        id: name.to_owned(),
+        path: "/path".to_owned(),
+        headers: vec![("X-Model".to_owned(), "m".to_owned())],
+        body: Bytes::from(vec![7; body]),
+        tokens: 100,
+    }
+}
+
+fn submission(id: &str, items: usize) -> Submission {
+    Submission {
+        id: id.to_owned(),
+        organisation: "org".to_owned(),
+        route: "route".to_owned(),
+        host: "host".to_owned(),
+        submitted: 1_000,
+        waiting_tokens: Some(1_000),
+        items: (0..items).map(|n| item(&format!("item-{n}"), 10)).collect(),
+    }
+}
+
+fn finish(job: &str, item: usize) -> Change {
+    Change::Finish {
+        job: job.to_owned(),
+        item,
+        outcome: Outcome::Completed,
+        text: format!("text of {item}"),
+    }
+}
+
+fn records(state: &Partition, change: &Change) -> Vec<Record> {
+    let mut pending = Pending::default();
+    match decide(state, &mut pending, change, RECORD_BYTES) {
+        Ok(Decision::Append(records)) => records,
+        other => panic!("expected records and got {other:?}"),
+    }
+}
+
+fn apply(state: &mut Partition, change: &Change) {
+    for record in records(state, change) {
+        state.apply(&record).expect("a record of this format");
+    }
+}
+
+fn with_job(items: usize) -> Partition {
+    let mut state = Partition::default();
+    apply(&mut state, &Change::Submit(submission("job", items)));
+    state
+}
+
+/// Guards against a job that is accepted twice when its answer was lost.
+#[test]
+fn a_repeated_submission_is_done_already() {
+    let state = with_job(2);
+    let again = Change::Submit(submission("job", 2));
+    let decision = decide(&state, &mut Pending::default(), &again, RECORD_BYTES);
+    assert_eq!(decision, Ok(Decision::Done));
+}
+
+/// Guards against an item that stands at two positions after two runs of it ended.
+#[test]
+fn an_item_is_listed_once() {
+    let mut state = with_job(2);
+    apply(&mut state, &finish("job", 1));
+    let decision = decide(
+        &state,
+        &mut Pending::default(),
+        &finish("job", 1),
+        RECORD_BYTES,
+    );
+    assert_eq!(decision, Ok(Decision::Done));
+    let job = state.get("job").expect("the job");
+    assert_eq!(job.results.len(), 1);
+    assert_eq!(job.results[0].item, 1);
+}
+
+/// Guards against two results with one position when several items end in one append.
+#[test]
+fn results_of_one_append_have_positions_of_their_own() {
+    let state = with_job(3);
+    let mut pending = Pending::default();
+    let mut keys = Vec::new();
+    for index in [2, 0] {
+        let decision = decide(&state, &mut pending, &finish("job", index), RECORD_BYTES);
+        let Ok(Decision::Append(records)) = decision else {
+            panic!("expected records and got {decision:?}");
+        };
+        keys.extend(records.into_iter().map(|record| record.key));
+    }
+    assert_eq!(keys, ["r/job/0000", "r/job/0001"]);
+    let again = decide(&state, &mut pending, &finish("job", 2), RECORD_BYTES);
+    assert_eq!(again, Ok(Decision::Later));
+}
+
+/// Guards against a limit of waiting tokens that is passed by two submissions of one append.
+#[test]
+fn a_second_submission_waits_for_the_next_append() {
+    let state = Partition::default();
+    let mut pending = Pending::default();
+    let first = Change::Submit(submission("a", 6));
+    let second = Change::Submit(submission("b", 6));
+    let decision = decide(&state, &mut pending, &first, RECORD_BYTES);
+    assert!(matches!(decision, Ok(Decision::Append(_))));
+    let decision = decide(&state, &mut pending, &second, RECORD_BYTES);
+    assert_eq!(decision, Ok(Decision::Later));
+}
+
+/// Guards against a job beyond the limit of waiting tokens, and against counting finished items.
+#[test]
+fn only_open_items_count_as_waiting() {
+    let mut state = with_job(6);
+    let other = Change::Submit(submission("other", 6));
+    let decision = decide(&state, &mut Pending::default(), &other, RECORD_BYTES);
+    assert_eq!(decision, Ok(Decision::NoRoom { waiting: 600 }));
+    for index in 0..2 {
+        apply(&mut state, &finish("job", index));
+    }
+    assert!(!records(&state, &other).is_empty());
+}
+
+/// Guards against items of an ended job that still run or count as waiting.
+#[test]
+fn an_ended_job_has_no_open_items() {
+    let mut state = with_job(3);
+    apply(&mut state, &finish("job", 0));
+    apply(
+        &mut state,
+        &Change::End {
+            job: "job".to_owned(),
+        },
+    );
+    let job = state.get("job").expect("the job");
+    assert!(job.ended);
+    assert_eq!(job.open().count(), 0);
+    assert_eq!(job.results.len(), 1);
+    assert_eq!(state.waiting_tokens("org", "route"), 0);
+}
+
+/// Guards against a listing that is read in the order of keys, where parts and results come before
+/// or after the terms of their job.
+#[rstest]
+#[case(false)]
+#[case(true)]
+fn records_may_arrive_in_another_order(#[case] reversed: bool) {
+    let mut state = Partition::default();
+    let mut all = Vec::new();
+    for change in [
+        Change::Submit(submission("job", 3)),
+        finish("job", 2),
+        finish("job", 0),
+    ] {
+        let new = records(&state, &change);
+        for record in &new {
+            state.apply(record).expect("a record of this format");
+        }
+        all.extend(new);
+    }
+    if reversed {
+        all.reverse();
+    } else {
+        all.sort_by(|a, b| a.key.cmp(&b.key));
+    }
+    let mut listed = Partition::default();
+    for record in &all {
+        listed.apply(record).expect("a record of this format");
+    }
+    let job = listed.get("job").expect("the job");
+    let order: Vec<usize> = job.results.iter().map(|result| result.item).collect();
+    assert_eq!(order, [2, 0]);
+    assert_eq!(job.items.len(), 3);
+}
+
+/// Guards against a record that is applied twice, once by its writer and once by the reader.
+#[test]
+fn a_record_that_is_read_twice_has_no_further_effect() {
+    let mut state = with_job(3);
+    let first = records(&state, &finish("job", 0));
+    for record in first.iter().chain(&first) {
+        state.apply(record).expect("a record of this format");
+    }
+    apply(&mut state, &finish("job", 1));
+    for record in &first {
+        state.apply(record).expect("a record of this format");
+    }
+    assert_eq!(state.get("job").expect("the job").results.len(), 2);
+}
+
+/// Guards against records above the size that the store takes.
+#[test]
+fn a_large_job_is_split_and_put_together_again() {
+    let mut large = submission("job", 0);
+    large.items = (0..20).map(|n| item(&format!("item-{n}"), 9_000)).collect();
+    large.waiting_tokens = None;
+    let mut state = Partition::default();
+    let records = records(&state, &Change::Submit(large));
+    assert!(records.len() > 3);
+    assert!(
+        records
+            .iter()
+            .all(|record| record.value.len() <= RECORD_BYTES)
+    );
+    for record in &records {
+        assert!(state.get("job").is_none());
+        state.apply(record).expect("a record of this format");
+    }
+    let items = &state.get("job").expect("the job").items;
+    let names: Vec<&str> = items.iter().map(|item| item.id.as_str()).collect();
+    assert_eq!(names[..3], ["item-0", "item-1", "item-2"]);
+    assert_eq!(names.len(), 20);
+}
+
+/// Guards against jobs that stay in the store for ever.
+#[test]
+fn a_removed_job_leaves_nothing() {
+    let mut state = with_job(2);
+    apply(&mut state, &finish("job", 0));
+    let remove = Change::Remove {
+        job: "job".to_owned(),
+    };
+    let removals = records(&state, &remove);
+    assert!(removals.iter().all(|record| record.value.is_empty()));
+    for record in &removals {
+        state.apply(record).expect("a removal");
+    }
+    assert!(state.get("job").is_none());
+}
+
+/// Guards against a record of another program that stops the reader.
+#[rstest]
+#[case("x/job", b"1")]
+#[case("j/job", b"not cbor")]
+#[case("r/job/none", b"1")]
+fn an_unreadable_record_is_reported(#[case] key: &str, #[case] value: &'static [u8]) {
+    let mut state = with_job(1);
+    let record = Record {
+        key: key.replace("j/job", "j/other"),
+        value: Bytes::from_static(value),
+    };
+    assert!(state.apply(&record).is_err());
+    assert_eq!(state.get("job").expect("the job").items.len(), 1);
+}
--- /dev/null
+++ b/gateway/tests/online.rs
@@ -0,0 +1,328 @@
+//! Placement, quotas, backend servers, members and reports.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use limpetweir_gateway::{
+    BackendEntry,
+    BackendKey,
+    Backends,
+    BatchRun,
+    Candidate,
+    Configuration,
+    ConfigurationParts,
+    Entry,
+    ItemKey,
+    Limits,
+    Members,
+    Organisation,
+    OrganisationKey,
+    Placed,
+    Placement,
+    Quotas,
+    Report,
+    addresses,
+    place,
+    retry_after, //
+};
+use limpetweir_state::Timestamp;
+use rstest::rstest;
+
+const LIMITS: Limits = Limits { queue: 2 };
+
+fn ms(ms: u64) -> Timestamp {
+    Timestamp::from_millis(ms)
+}
+
+fn candidate(n: u32, online: u32, batch: u32) -> Candidate {
+    Candidate {
+        key: BackendKey(n),
+        slots: 8,
+        placed: Placed { online, batch },
+        suspect: false,
+        tried: false,
+        slowness: 1.0,
+        local: false,
+        draw: n,
+    }
+}
+
+/// Load: a peak, with items in the slots that online requests left.
+/// Guards against requests that wait behind batch work, or behind others while a slot is free.
+#[rstest]
+#[case::free_slot([candidate(0, 8, 0), candidate(1, 6, 1)], Placement::Send(BackendKey(1)))]
+#[case::free_before_batch([candidate(0, 2, 6), candidate(1, 7, 0)], Placement::Send(BackendKey(1)))]
+#[case::batch_gives_way([candidate(0, 8, 0), candidate(1, 5, 3)], Placement::Send(BackendKey(1)))]
+#[case::shortest_queue([candidate(0, 9, 0), candidate(1, 8, 0)], Placement::Send(BackendKey(1)))]
+#[case::full([candidate(0, 10, 0), candidate(1, 10, 0)], Placement::Full)]
+fn a_request_goes_where_it_starts_first(
+    #[case] candidates: [Candidate; 2],
+    #[case] placement: Placement,
+) {
+    assert_eq!(place(&candidates, LIMITS), placement);
+}
+
+/// Guards against a second offer to a server that turned the request away, and against a server
+/// that does not answer while another one does.
+#[test]
+fn tried_and_suspect_servers_come_last() {
+    let mut tried = candidate(0, 0, 0);
+    tried.tried = true;
+    let mut suspect = candidate(1, 0, 0);
+    suspect.suspect = true;
+    let busy = candidate(2, 9, 0);
+    let send = |c: &[Candidate]| place(c, LIMITS);
+    assert_eq!(
+        send(&[tried, suspect, busy]),
+        Placement::Send(BackendKey(2))
+    );
+    assert_eq!(send(&[tried, suspect]), Placement::Send(BackendKey(1)));
+    assert_eq!(send(&[tried]), Placement::Full);
+    assert_eq!(send(&[]), Placement::NoBackend);
+}
+
+/// Guards against a time to come back that is far too soon or beyond what callers wait.
+#[rstest]
+#[case(96, 0, 200)]
+#[case(96, 60, 470)]
+#[case(8, 100, 1_500)]
+fn callers_come_back_when_there_is_room(
+    #[case] running: u32,
+    #[case] excess: u32,
+    #[case] at_most_ms: u64,
+) {
+    let after = retry_after(running, excess, Duration::from_millis(750));
+    assert!(after >= Duration::from_millis(200));
+    assert!(after <= Duration::from_millis(at_most_ms + 10), "{after:?}");
+}
+
+fn config(rate: f64, burst: f64) -> Configuration {
+    let organisation = Organisation {
+        name: "org".to_owned(),
+        keys: vec!["key".to_owned()],
+        rate: Some(rate),
+        burst,
+    };
+    Configuration::from(ConfigurationParts {
+        version: 1,
+        routes: Vec::new(),
+        services: HashMap::new(),
+        organisations: vec![organisation],
+        limits: None,
+    })
+}
+
+/// Instances that each offer requests at a steady pace and hear of each other, or not.
+struct Fleet {
+    quotas: Vec<Quotas>,
+    admitted: Vec<u64>,
+}
+
+impl Fleet {
+    fn new(count: usize, rate: f64, burst: f64) -> Self {
+        let config = config(rate, burst);
+        let mut quotas: Vec<Quotas> = Vec::new();
+        quotas.resize_with(count, Quotas::default);
+        for quota in &mut quotas {
+            quota.configure(&config, ms(0));
+        }
+        Self {
+            quotas,
+            admitted: Vec::new(),
+        }
+    }
+
+    /// Offers `per_s` requests a second at each instance from `from` to `to` seconds.
+    fn offer(&mut self, from: u64, to: u64, per_s: u64, connected: bool) {
+        let count = self.quotas.len();
+        for at in (from * 1_000)..(to * 1_000) {
+            let now = ms(at);
+            for n in 0..count {
+                let silent = if connected { 0 } else { count - 1 };
+                self.quotas[n].set_silent(silent, count, now);
+                let offered = at * per_s / 1_000 != (at + 1) * per_s / 1_000;
+                if offered && self.quotas[n].admit("org", now).is_ok() {
+                    self.admitted.push(at);
+                }
+            }
+            // Reports arrive within a few milliseconds.
+            if connected && at % 3 == 0 {
+                self.exchange();
+            }
+        }
+    }
+
+    fn exchange(&mut self) {
+        let counts: Vec<_> = self.quotas.iter().map(Quotas::admitted).collect();
+        for (n, quota) in self.quotas.iter_mut().enumerate() {
+            for (peer, count) in counts.iter().enumerate().filter(|(peer, _)| *peer != n) {
+                quota.heard(&format!("peer-{peer}"), 1, count);
+            }
+        }
+    }
+
+    /// Returns the most requests that were admitted in any five seconds.
+    fn busiest_window(&self) -> usize {
+        let starts = self.admitted.iter();
+        let counts = starts.map(|start| {
+            let window = *start..*start + 5_000;
+            self.admitted
+                .iter()
+                .filter(|at| window.contains(at))
+                .count()
+        });
+        counts.max().unwrap_or(0)
+    }
+}
+
+/// Load: one organisation sends several times its rate to nine instances at once.
+/// Guards against more requests than its rate and burst with a tenth and 20 requests on top.
+#[rstest]
+#[case::heard(true)]
+#[case::cut_off(false)]
+fn an_organisation_stays_within_its_rate(#[case] connected: bool) {
+    let (rate, burst) = (46.0, 46.0);
+    let mut fleet = Fleet::new(9, rate, burst);
+    fleet.offer(0, 12, 40, connected);
+    let most = (rate * 5.0 + burst) * 1.1 + 20.0;
+    assert!(fleet.busiest_window() as f64 <= most);
+}
+
+/// Guards against refusals of an organisation that stays below its rate.
+#[test]
+fn nothing_is_refused_below_the_rate() {
+    let mut fleet = Fleet::new(9, 46.0, 46.0);
+    fleet.offer(10, 20, 4, true);
+    assert_eq!(fleet.admitted.len(), 9 * 4 * 10);
+}
+
+/// Guards against a lowered limit that takes effect only after the old burst is used up.
+#[test]
+fn a_lowered_limit_holds_at_once() {
+    let mut fleet = Fleet::new(1, 46.0, 46.0);
+    fleet.offer(10, 11, 1, true);
+    fleet.quotas[0].configure(&config(2.0, 3.0), ms(11_000));
+    fleet.admitted.clear();
+    fleet.offer(11, 12, 100, true);
+    assert!(fleet.admitted.len() <= 5, "{}", fleet.admitted.len());
+}
+
+fn entry(id: &str, draining: bool) -> BackendEntry {
+    BackendEntry {
+        id: id.to_owned(),
+        service: "service".to_owned(),
+        addr: ([127, 0, 0, 1], 1).into(),
+        zone: "zone".to_owned(),
+        slots: Some(8),
+        draining,
+        born: 1,
+    }
+}
+
+fn serving(backends: &Backends) -> usize {
+    backends.serving("service").count()
+}
+
+/// Guards against requests to a server that is leaving or has left.
+#[test]
+fn leaving_servers_get_no_requests() {
+    let mut backends = Backends::default();
+    backends.update(entry("a", false), ms(0));
+    backends.update(entry("b", false), ms(0));
+    backends.update(entry("a", true), ms(10));
+    assert_eq!(serving(&backends), 1);
+    backends.remove("b", ms(20));
+    assert_eq!(serving(&backends), 0);
+}
+
+/// Guards against losing every server when entries lapse with an outage of the store, and against
+/// keeping one that left just after the outage.
+#[test]
+fn entries_that_lapse_with_an_outage_stay_until_servers_are_back() {
+    let mut backends = Backends::default();
+    backends.update(entry("a", false), ms(0));
+    backends.update(entry("b", false), ms(0));
+    backends.note_outage(ms(1_000));
+    backends.remove("a", ms(1_900));
+    backends.remove("b", ms(1_900));
+    assert_eq!(serving(&backends), 2);
+    backends.update(entry("a", false), ms(2_500));
+    assert_eq!(backends.sweep(ms(3_000)), Vec::<String>::new());
+    // The time runs from the outage, not from the removal.
+    assert_eq!(backends.sweep(ms(3_400)), ["b"]);
+    assert_eq!(serving(&backends), 1);
+}
+
+fn report(name: &str, boot: u64, sequence: u64) -> Report {
+    Report {
+        name: name.to_owned(),
+        boot,
+        sequence,
+        ready: true,
+        leaving: false,
+        zone: "zone".to_owned(),
+        public: ([127, 0, 0, 1], 80).into(),
+        version: 7,
+        online: vec![(BackendKey(5), 3)],
+        batch: vec![BatchRun {
+            item: ItemKey(u64::MAX),
+            backend: BackendKey(u32::MAX),
+            due: 123,
+        }],
+        held: vec![ItemKey(9)],
+        waiting: 4,
+        admitted: vec![(OrganisationKey(8), 77)],
+        suspects: vec![(BackendKey(6), 900)],
+    }
+}
+
+/// Guards against fields that change places on the wire.
+#[test]
+fn a_report_survives_its_encoding() {
+    let report = report("a", 1, 2);
+    assert_eq!(Report::decode(&report.encode()), Some(report));
+    assert_eq!(Report::decode(b"something else"), None);
+}
+
+/// Guards against an old report that arrives late and replaces a newer one, and against a restarted
+/// instance whose numbers start anew.
+#[test]
+fn late_reports_are_ignored() {
+    let addr = [127, 0, 0, 1].into();
+    let mut members = Members::default();
+    assert!(members.heard(report("a", 1, 5), addr, ms(0)).is_ok());
+    assert!(members.heard(report("a", 1, 4), addr, ms(1)).is_err());
+    assert!(members.heard(report("a", 2, 1), addr, ms(2)).is_ok());
+    assert!(members.heard(report("a", 1, 6), addr, ms(3)).is_err());
+}
+
+/// Guards against callers that are sent to an instance which is silent.
+#[test]
+fn silent_instances_are_not_named() {
+    let addr = [127, 0, 0, 1].into();
+    let mut members = Members::default();
+    members.learn("b", addr, ms(0));
+    assert!(members.heard(report("a", 1, 1), addr, ms(0)).is_ok());
+    assert_eq!(members.alive(ms(900)).count(), 1);
+    assert_eq!(members.silent(ms(900)), (1, 3));
+    assert_eq!(members.alive(ms(1_100)).count(), 0);
+    assert_eq!(members.silent(ms(1_100)), (2, 3));
+}
+
+/// Guards against callers with a single address, and against detours through other zones.
+#[test]
+fn callers_are_told_of_their_own_zone_where_it_has_enough_instances() {
+    let entry = |n: u16, zone: &str| Entry {
+        addr: SocketAddr::from(([127, 0, 0, 1], n)),
+        zone: zone.to_owned(),
+    };
+    let entries: Vec<Entry> = (0..3)
+        .map(|n| entry(n, "near"))
+        .chain((3..5).map(|n| entry(n, "far")))
+        .collect();
+    assert_eq!(addresses(&entries, Some("near"), 64).len(), 3);
+    assert_eq!(addresses(&entries, Some("far"), 64).len(), 5);
+    assert_eq!(addresses(&entries, None, 64).len(), 5);
+    assert_eq!(addresses(&entries, None, 2).len(), 2);
+}
--- /dev/null
+++ b/gateway/tests/open_items.rs
@@ -0,0 +1,202 @@
+//! Items that need a run: who runs them, what follows a run, and when they are given up.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use hyper::body::Bytes;
+use limpetweir_gateway::{
+    BackendKey,
+    BatchTerms,
+    Change,
+    Configuration,
+    ConfigurationParts,
+    Decision,
+    ItemKey,
+    NewItem,
+    OpenItems,
+    Outcome,
+    Partition,
+    Pending,
+    Phase,
+    Progress,
+    Route,
+    RouteKind,
+    RunEnd,
+    Step,
+    Submission,
+    decide, //
+};
+use limpetweir_state::Timestamp;
+use rstest::rstest;
+
+/// Time of the submission in Unix milliseconds.
+const SUBMITTED: u64 = 1_000_000;
+
+fn config() -> Configuration {
+    let route = Route {
+        name: "route".to_owned(),
+        host: "host".to_owned(),
+        prefix: "/p/".to_owned(),
+        kind: RouteKind::Batch,
+        timeout: Duration::from_secs(15),
+        objective: Duration::from_millis(400),
+        attempts: 3,
+        public: false,
+        resumable: true,
+        services: vec![("service".to_owned(), 1)],
+        batch: Some(BatchTerms {
+            waiting_tokens: None,
+            completion_target: Duration::from_secs(18),
+            retention: Duration::from_secs(60),
+        }),
+    };
+    Configuration::from(ConfigurationParts {
+        version: 1,
+        routes: vec![route],
+        services: HashMap::new(),
+        organisations: Vec::new(),
+        limits: None,
+    })
+}
+
+fn partition(items: usize) -> Partition {
+    let items = (0..items).map(|n| NewItem {
+        id: format!("item-{n}"),
+        path: "/p/1".to_owned(),
+        headers: Vec::new(),
+        body: Bytes::new(),
+        tokens: 1,
+    });
+    let submission = Submission {
+        id: "job".to_owned(),
+        organisation: "org".to_owned(),
+        route: "route".to_owned(),
+        host: "host".to_owned(),
+        submitted: SUBMITTED,
+        waiting_tokens: None,
+        items: items.collect(),
+    };
+    let mut state = Partition::default();
+    let change = Change::Submit(submission);
+    let decision = decide(&state, &mut Pending::default(), &change, 1 << 20);
+    let Ok(Decision::Append(records)) = decision else {
+        panic!("expected records and got {decision:?}");
+    };
+    for record in records {
+        state.apply(&record).expect("a record of this format");
+    }
+    state
+}
+
+fn names(names: &[&str]) -> Vec<String> {
+    names.iter().map(|name| (*name).to_owned()).collect()
+}
+
+fn open(me: &str, instances: &[&str], config: Option<&Configuration>) -> OpenItems {
+    let mut items = OpenItems::default();
+    items.refresh(&[partition(20)], config, me, &names(instances));
+    items
+}
+
+fn run(items: &mut OpenItems, key: ItemKey, end: &RunEnd, events: u64) -> Step {
+    items.get_mut(key).expect("an open item").phase = Phase::Running(BackendKey(1));
+    let progress = Progress {
+        data: (0..events).map(|n| n.to_string()).collect(),
+        last: events.checked_sub(1),
+    };
+    items.run_ended(key, end, progress, 3, Timestamp::default())
+}
+
+/// Guards against items that several instances start, or none.
+#[test]
+fn each_item_has_one_instance() {
+    let config = config();
+    let all = ["a", "b", "c"];
+    let mut owners: HashMap<ItemKey, u32> = HashMap::new();
+    for me in all {
+        let items = open(me, &all, Some(&config));
+        for waiting in items.waiting(Timestamp::default(), SUBMITTED) {
+            *owners.entry(waiting.item).or_default() += 1;
+        }
+    }
+    assert_eq!(owners.len(), 20);
+    assert!(owners.values().all(|count| *count == 1));
+}
+
+/// Guards against items of a lost instance that nobody takes over.
+#[test]
+fn the_items_of_a_lost_instance_are_taken_over() {
+    let config = config();
+    let mut items = open("a", &["a", "b"], Some(&config));
+    let before = items.waiting(Timestamp::default(), SUBMITTED).len();
+    assert!(before < 20);
+    items.refresh(&[partition(20)], Some(&config), "a", &names(&["a"]));
+    assert_eq!(items.waiting(Timestamp::default(), SUBMITTED).len(), 20);
+}
+
+/// Guards against the overflow that gave up every item which was read before the configuration.
+#[test]
+fn nothing_expires_before_the_configuration_is_known() {
+    let items = open("a", &["a"], None);
+    assert!(items.expired(SUBMITTED + 1_000).is_empty());
+    assert!(items.expired(u64::MAX - 1).is_empty());
+}
+
+/// Guards against items that are given up before their time, or never.
+#[rstest]
+#[case(59_000, 0)]
+#[case(60_400, 0)]
+#[case(60_600, 20)]
+fn an_item_expires_after_its_retention(#[case] age: u64, #[case] expired: usize) {
+    let config = config();
+    let items = open("a", &["a"], Some(&config));
+    assert_eq!(items.expired(SUBMITTED + age).len(), expired);
+}
+
+/// Guards against a wrong outcome after each way in which a run ends.
+#[rstest]
+#[case(RunEnd::Completed, Step::Finish(Outcome::Completed))]
+#[case(RunEnd::Impossible, Step::Finish(Outcome::GivenUp))]
+#[case(RunEnd::Failed, Step::Wait)]
+#[case(RunEnd::TurnedAway, Step::Wait)]
+#[case(RunEnd::Broken, Step::Wait)]
+#[case(RunEnd::Stopped, Step::Wait)]
+fn the_end_of_a_run_decides_what_follows(#[case] end: RunEnd, #[case] step: Step) {
+    let config = config();
+    let mut items = open("a", &["a"], Some(&config));
+    let key = ItemKey::of("job", 0);
+    assert_eq!(run(&mut items, key, &end, 2), step);
+    let item = items.get(key).expect("an open item");
+    assert_eq!(item.progress.last, Some(1));
+}
+
+/// Guards against giving up an item for anything but failures of its backend servers.
+#[test]
+fn only_failures_count_towards_giving_up() {
+    let config = config();
+    let mut items = open("a", &["a"], Some(&config));
+    let key = ItemKey::of("job", 0);
+    for _ in 0..10 {
+        assert_eq!(run(&mut items, key, &RunEnd::Broken, 0), Step::Wait);
+        assert_eq!(run(&mut items, key, &RunEnd::Stopped, 0), Step::Wait);
+    }
+    assert_eq!(run(&mut items, key, &RunEnd::Failed, 0), Step::Wait);
+    assert_eq!(run(&mut items, key, &RunEnd::Failed, 0), Step::Wait);
+    let last = run(&mut items, key, &RunEnd::Failed, 0);
+    assert_eq!(last, Step::Finish(Outcome::GivenUp));
+}
+
+/// Guards against a part of the output that is thrown away when the instances change.
+#[test]
+fn an_instance_keeps_the_items_it_has_output_of() {
+    let config = config();
+    let mut items = open("a", &["a"], Some(&config));
+    let all = [partition(20)];
+    let keys: Vec<ItemKey> = items.iter().map(|(key, _)| *key).collect();
+    for key in &keys {
+        run(&mut items, *key, &RunEnd::Stopped, 3);
+    }
+    items.refresh(&all, Some(&config), "a", &names(&["a", "b"]));
+    assert_eq!(items.waiting(Timestamp::default(), SUBMITTED).len(), 20);
+    assert_eq!(items.held().len(), 20);
+}
