--- a/gateway/src/quota.rs
+++ b/gateway/src/quota.rs
@@ -68,6 +68,8 @@
     peers: HashMap<String, PeerCounts>,
     /// Part of the rate and burst that silent instances may be using, from 0 to below 1.
     silent_part: f64,
+    /// Whether it is known which instances exist.
+    known: bool,
 }
 
 impl Default for Quotas {
@@ -76,6 +78,7 @@
             buckets: HashMap::new(),
             peers: HashMap::new(),
             silent_part: UNKNOWN_PART,
+            known: false,
         }
     }
 }
@@ -122,7 +125,12 @@
         }
         // Instance counts are far below the precision of f64.
         self.silent_part = silent as f64 / instances.max(1) as f64;
+        let first = !std::mem::replace(&mut self.known, true);
         for bucket in self.buckets.values_mut() {
+            if first {
+                let fill = bucket.burst * START_FILL * (1.0 - self.silent_part);
+                bucket.tokens = bucket.tokens.max(fill);
+            }
             bucket.refill(now, self.silent_part);
         }
     }
--- a/gateway/src/serve/follow.rs
+++ b/gateway/src/serve/follow.rs
@@ -57,8 +57,10 @@
             wait: ms(5_000),
             pause: ms(500),
         },
+        // The store does not wake a read that arrives while an append is in progress, so the record
+        // is seen when the wait ends; callers are promised every result within a second.
         Topic::Jobs => Pace {
-            wait: ms(5_000),
+            wait: ms(600),
             pause: ms(40),
         },
     }
--- a/gateway/src/serve/job_calls.rs
+++ b/gateway/src/serve/job_calls.rs
@@ -203,7 +203,16 @@
                 return plain(StatusCode::NOT_FOUND, "no such job");
             };
             let complete = job.results.len() >= job.items.len();
-            if job.results.len() > after || complete || Instant::now() >= deadline {
+            let over = Instant::now() >= deadline;
+            if over && job.results.len() < after + 1 && !complete {
+                let next = state.partitions[partition].next();
+                let listed = job.results.len();
+                line!(
+                    JOB_CALL,
+                    "job={id} call=results status=200 after={after} listed={listed} partition={partition} next={next}"
+                );
+            }
+            if job.results.len() > after || complete || over {
                 return page(node, job, after);
             }
         }
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -74,7 +74,8 @@
 pub struct StoreSettings {
     /// Its address.
     pub addr: SocketAddr,
-    /// Partitions of a topic, at least 1.
+    /// Partitions that the jobs are spread over, at least 1. Each one costs every instance a read
+    /// that waits all the time; one takes 250 appends per second.
     pub partitions: u32,
     /// Largest record in bytes.
     pub record_bytes: usize,
