gateway: fewer connections, reports and reads on large fleets

Cause: with 82 instances and 60 backend servers nearly every request opened a connection (11196 for 12590), since idle ones were closed after 4 s; reads of job records and reports grew with the square of the instances.

Connections are kept as long as the server states, shared by online requests and items, and preferred among equal servers; pauses between reads grow with the number of instances; reports between the periodic ones state only changed counts.

--- a/gateway/src/backend.rs
+++ b/gateway/src/backend.rs
@@ -59,7 +59,7 @@
 /// The backend servers known to this instance.
 #[derive(Debug, Default)]
 pub struct Backends {
-    by_id: HashMap<String, Backend>,
+    by_key: HashMap<BackendKey, Backend>,
     /// Time of the last failed read of the entries.
     last_outage: Option<Timestamp>,
 }
@@ -68,7 +68,7 @@
     /// Takes a new entry over; returns whether anything but its age changed.
     pub fn update(&mut self, entry: BackendEntry, now: Timestamp) -> bool {
         let key = BackendKey::of(&entry.id);
-        let known = self.by_id.get_mut(&entry.id);
+        let known = self.by_key.get_mut(&key);
         if let Some(known) = known {
             let changed = *known.entry != entry || known.removed;
             known.removed = false;
@@ -84,7 +84,7 @@
             removed: false,
             entry: Arc::new(entry),
         };
-        self.by_id.insert(backend.entry.id.clone(), backend);
+        self.by_key.insert(key, backend);
         true
     }
 
@@ -94,20 +94,21 @@
     /// outage a removed entry therefore stays in use until a live server would have returned.
     pub fn remove(&mut self, id: &str, now: Timestamp) -> bool {
         let around_outage = !self.settled(now);
-        match self.by_id.get_mut(id) {
+        let key = BackendKey::of(id);
+        match self.by_key.get_mut(&key) {
             Some(known) if around_outage && !known.entry.draining => {
                 known.removed = true;
                 true
             }
-            Some(_) => self.by_id.remove(id).is_some(),
+            Some(_) => self.by_key.remove(&key).is_some(),
             None => false,
         }
     }
 
     /// Keeps exactly the entries named in `ids`, as a full listing found them.
     pub fn retain(&mut self, ids: &[String], now: Timestamp) {
-        let missing = self.by_id.keys().filter(|id| !ids.contains(id));
-        let missing: Vec<String> = missing.cloned().collect();
+        let known = self.by_key.values().map(|b| &b.entry.id);
+        let missing: Vec<String> = known.filter(|id| !ids.contains(id)).cloned().collect();
         for id in missing {
             self.remove(&id, now);
         }
@@ -130,32 +131,28 @@
             return Vec::new();
         }
         let lapsed = |b: &Backend| b.removed;
-        let gone: Vec<String> = self
-            .by_id
-            .iter()
-            .filter(|(_, backend)| lapsed(backend))
-            .map(|(id, _)| id.clone())
-            .collect();
+        let gone = self.by_key.values().filter(|backend| lapsed(backend));
+        let gone: Vec<String> = gone.map(|backend| backend.entry.id.clone()).collect();
         for id in &gone {
-            self.by_id.remove(id);
+            self.by_key.remove(&BackendKey::of(id));
         }
         gone
     }
 
     /// Returns the backend servers of `service` that take new requests.
     pub fn serving(&self, service: &str) -> impl Iterator<Item = &Backend> {
-        self.by_id
+        self.by_key
             .values()
             .filter(move |b| b.entry.service == service && !b.entry.draining)
     }
 
     /// Returns all backend servers.
     pub fn iter(&self) -> impl Iterator<Item = &Backend> {
-        self.by_id.values()
+        self.by_key.values()
     }
 
-    /// Returns whether the backend server with `key` may get new requests.
+    /// Returns the backend server with `key`.
     pub fn get(&self, key: BackendKey) -> Option<&Backend> {
-        self.by_id.values().find(|b| b.key == key)
+        self.by_key.get(&key)
     }
 }
--- a/gateway/src/members.rs
+++ b/gateway/src/members.rs
@@ -96,6 +96,16 @@
         names
     }
 
+    /// Returns the instance called `name`.
+    pub fn get(&self, name: &str) -> Option<&Member> {
+        self.others.get(name)
+    }
+
+    /// Returns how many other instances are known.
+    pub fn count(&self) -> usize {
+        self.others.len()
+    }
+
     /// Returns all known instances.
     pub fn iter(&self) -> impl Iterator<Item = (&String, &Member)> {
         self.others.iter()
--- a/gateway/src/placement.rs
+++ b/gateway/src/placement.rs
@@ -26,6 +26,8 @@
     pub tried: bool,
     /// Mean time a request holds a slot there, relative to the other servers; 1 is the mean.
     pub slowness: f64,
+    /// Whether a connection to it is idle; a new one costs time and has a price.
+    pub connected: bool,
     /// Whether it is in the zone of this instance.
     pub local: bool,
     /// Tie breaker, drawn for each request.
@@ -75,6 +77,7 @@
         .filter_map(|c| class(c, limits).map(|class| (class, c)));
     let best = ranked.min_by(|(a, x), (b, y)| {
         let order = a.cmp(b).then(weight(x).total_cmp(&weight(y)));
+        let order = order.then(y.connected.cmp(&x.connected));
         let order = order.then(y.local.cmp(&x.local));
         order.then(x.draw.cmp(&y.draw))
     });
--- a/gateway/src/quota.rs
+++ b/gateway/src/quota.rs
@@ -18,6 +18,9 @@
 /// the start of the whole fleet are not known.
 const START_FILL: f64 = 0.25;
 
+/// Most requests of an organisation that an instance admits before its first report of them.
+const FIRST_COUNT: u64 = 4;
+
 /// Short form of an organisation's name, the same on all instances.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct OrganisationKey(pub u32);
@@ -172,19 +175,20 @@
 
     /// Takes over what the instance `peer`, started at `boot`, says it has admitted.
     pub fn heard(&mut self, peer: &str, boot: u64, admitted: &[(OrganisationKey, u64)]) {
-        // The first counts heard of a peer are a baseline: their admissions lie in the past.
-        let first = !self.peers.contains_key(peer);
-        let known = self.peers.entry(peer.to_owned()).or_default();
-        let restarted = known.boot != boot;
-        if restarted {
+        if !self.peers.contains_key(peer) {
+            self.peers.insert(peer.to_owned(), PeerCounts::default());
+        }
+        let Some(known) = self.peers.get_mut(peer) else {
+            return;
+        };
+        if known.boot != boot {
             known.boot = boot;
             known.admitted.clear();
         }
         for &(key, count) in admitted {
-            let before = known.admitted.insert(key, count).unwrap_or(0);
-            if first {
-                continue;
-            }
+            let before = known.admitted.insert(key, count);
+            // A large first count lies in the past: this instance has just started.
+            let before = before.unwrap_or(if count > FIRST_COUNT { count } else { 0 });
             if let Some(bucket) = self.buckets.get_mut(&key) {
                 // Admissions are counted in whole requests far below the precision of f64.
                 bucket.tokens -= count as f64 - before as f64;
--- a/gateway/src/serve/follow.rs
+++ b/gateway/src/serve/follow.rs
@@ -40,6 +40,20 @@
     pause: Duration,
 }
 
+/// Pause between reads for each other instance, so that the number of calls of all instances does
+/// not grow with the square of their number.
+const PAUSE_PER_PEER: Duration = Duration::from_millis(4);
+
+/// Longest addition to the pause; results must be seen by all instances within a second.
+const MAX_ADDED_PAUSE: Duration = Duration::from_millis(260);
+
+impl Pace {
+    fn pause_among(self, peers: usize) -> Duration {
+        let peers = u32::try_from(peers).unwrap_or(u32::MAX);
+        self.pause + PAUSE_PER_PEER.saturating_mul(peers).min(MAX_ADDED_PAUSE)
+    }
+}
+
 fn pace(topic: Topic) -> Pace {
     let ms = Duration::from_millis;
     match topic {
@@ -61,7 +75,7 @@
         // is seen when the wait ends; callers are promised every result within a second.
         Topic::Jobs => Pace {
             wait: ms(600),
-            pause: ms(40),
+            pause: ms(20),
         },
     }
 }
@@ -118,7 +132,8 @@
                     );
                 }
                 if !pace.pause.is_zero() {
-                    sleep(pace.pause).await;
+                    let peers = node.lock().members.count();
+                    sleep(pace.pause_among(peers)).await;
                 }
             }
             Err(StoreError::Trimmed { first }) => {
--- a/gateway/src/serve/items.rs
+++ b/gateway/src/serve/items.rs
@@ -128,13 +128,12 @@
     let now = node.now();
     let mut state = node.lock();
     let state = &mut *state;
-    let slots: HashMap<BackendKey, u32> = state
-        .backends
-        .iter()
-        .map(|b| (b.key, slots_of(state, &b.entry)))
-        .collect();
     let me = node.settings.name.as_str();
-    for key in yields(&state.load, me, |backend| slots.get(&backend).copied()) {
+    let slots = |backend| {
+        let backend = state.backends.get(backend)?;
+        Some(slots_of(state, &backend.entry))
+    };
+    for key in yields(&state.load, me, slots) {
         // The run itself notes its end.
         if let Some(stop) = state.runs.0.remove(&key) {
             let _ = stop.try_send(());
@@ -370,7 +369,8 @@
         Err(err) => return (RunEnd::Failed, err.to_string()),
     };
     let options = SendOptions {
-        class: TrafficClass::Batch,
+        // Shared with online requests, because every new connection has a price.
+        class: TrafficClass::Online,
         deadline: None,
     };
     let sent = node.client.send(run.entry.addr, req, options);
--- a/gateway/src/serve/online.rs
+++ b/gateway/src/serve/online.rs
@@ -401,6 +401,9 @@
         suspect: state.load.suspected(backend.key, now),
         tried: course.tried.contains(&backend.key),
         slowness: 1.0,
+        connected: node
+            .client
+            .has_idle(backend.entry.addr, TrafficClass::Online),
         local: backend.entry.zone == node.settings.zone,
         draw: rng.random(),
     });
--- a/gateway/src/serve/peers.rs
+++ b/gateway/src/serve/peers.rs
@@ -1,5 +1,6 @@
 //! Reports between instances, and fetching a newer configuration from a peer.
 
+use std::collections::HashMap;
 use std::net::{
     IpAddr,
     SocketAddr,
@@ -44,14 +45,23 @@
     StoreError,
     Topic, //
 };
+use crate::quota::OrganisationKey;
 use crate::report::Report;
 
 /// Longest time between two reports; four fit into the silence after which a peer counts as lost.
 const REPORT_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Time in which changes are gathered into one report.
+/// Shortest time in which changes are gathered into one report.
 const GATHER: Duration = Duration::from_millis(2);
 
+/// Time in which changes are gathered for each other instance, so that the number of reports that
+/// an instance receives per second does not grow with their number.
+const GATHER_PER_PEER: Duration = Duration::from_micros(100);
+
+/// Reports after which the counts of all organisations are stated again; the ones between state
+/// what has changed. A lost report is made up for within a second or two.
+const FULL_COUNTS_EVERY: u64 = 8;
+
 /// Largest report in bytes that is read; a datagram holds no more.
 const MAX_REPORT: usize = 64 << 10;
 
@@ -124,15 +134,23 @@
 /// Sends reports to the other instances.
 pub(crate) async fn send<P: Store + Dialect>(node: Arc<Node<P>>, socket: Arc<Async<UdpSocket>>) {
     let mut sequence = 0;
+    let mut stated: HashMap<OrganisationKey, u64> = HashMap::new();
     let mut failing = false;
     loop {
         let due = node.report_due.listen();
         let wait = std::time::Instant::now() + REPORT_INTERVAL;
         if until(wait, due).await.is_some() {
-            sleep(GATHER).await;
+            let peers = u32::try_from(node.lock().members.count()).unwrap_or(u32::MAX);
+            sleep(GATHER.max(GATHER_PER_PEER * peers)).await;
         }
         sequence += 1;
-        let (report, addrs) = prepare(&node, sequence);
+        let (mut report, addrs) = prepare(&node, sequence);
+        let admitted: HashMap<_, _> = report.admitted.iter().copied().collect();
+        if sequence % FULL_COUNTS_EVERY != 0 {
+            let changed = |(key, count): &(OrganisationKey, u64)| stated.get(key) != Some(count);
+            report.admitted.retain(changed);
+        }
+        stated = admitted;
         let bytes = report.encode();
         let mut failed = None;
         for addr in addrs {
@@ -210,11 +228,10 @@
     let name = report.name.clone();
     let version = report.version;
     let mut state = node.lock();
-    let silent = |state: &super::node::State| {
-        let known = state.members.iter().find(|(n, _)| **n == name);
-        known.is_none_or(|(_, member)| !member.alive(now))
-    };
-    let was_silent = silent(&state);
+    let was_silent = !state
+        .members
+        .get(&name)
+        .is_some_and(|member| member.alive(now));
     let leaving = report.leaving;
     let Ok(before) = state.members.heard(report.clone(), from, now) else {
         return;
--- a/gateway/tests/online.rs
+++ b/gateway/tests/online.rs
@@ -43,6 +43,7 @@
         suspect: false,
         tried: false,
         slowness: 1.0,
+        connected: false,
         local: false,
         draw: n,
     }
--- a/transport/src/http/client.rs
+++ b/transport/src/http/client.rs
@@ -20,6 +20,7 @@
 use hyper::client::conn::http1;
 use hyper::header::{
     HOST,
+    HeaderMap,
     HeaderValue, //
 };
 use hyper::{
@@ -208,6 +209,11 @@
         self.exchange(addr, connection, req, options).await
     }
 
+    /// Returns whether a connection to `addr` is idle, so that a request needs no new one.
+    pub fn has_idle(&self, addr: SocketAddr, class: TrafficClass) -> bool {
+        self.pool.has_idle((addr, class))
+    }
+
     /// Closes idle connections past their limit; call it every few seconds.
     pub fn sweep(&self) {
         self.pool.sweep();
@@ -261,6 +267,7 @@
             written,
             stream,
             idle_since: Instant::now(),
+            kept_for: None,
         })
     }
 
@@ -278,7 +285,10 @@
             None => Some(sending.await),
         };
         match answer {
-            Some(Ok(response)) => Ok(self.wrap(response, connection, addr, options)),
+            Some(Ok(response)) => {
+                connection.kept_for = kept_for(response.headers()).or(connection.kept_for);
+                Ok(self.wrap(response, connection, addr, options))
+            }
             Some(Err(source)) => {
                 let verdict = close(connection, before).await;
                 Err(ClosedSnafu { addr, verdict }.into_error(source))
@@ -314,6 +324,14 @@
     }
 }
 
+/// Returns how long the server says it keeps an idle connection.
+fn kept_for(headers: &HeaderMap) -> Option<Duration> {
+    let value = headers.get("keep-alive")?.to_str().ok()?;
+    let mut parts = value.split(',');
+    let seconds = parts.find_map(|part| part.trim().strip_prefix("timeout=")?.parse().ok());
+    seconds.map(Duration::from_secs)
+}
+
 /// Adds the `Host` header where it is missing.
 fn prepare(addr: SocketAddr, req: Request<Bytes>) -> Request<Full<Bytes>> {
     let mut req = req.map(Full::new);
--- a/transport/src/http/pool.rs
+++ b/transport/src/http/pool.rs
@@ -57,8 +57,23 @@
     pub(crate) written: Written,
     pub(crate) stream: Arc<Async<TcpStream>>,
     pub(crate) idle_since: Instant,
+    /// How long the server keeps the connection while it is idle, if it says so.
+    pub(crate) kept_for: Option<Duration>,
 }
 
+impl Connection {
+    /// Returns whether the server still keeps the connection, or the client where it says nothing.
+    fn is_fresh(&self, timeout: Duration) -> bool {
+        let limit = self
+            .kept_for
+            .map_or(timeout, |kept| kept.saturating_sub(KEPT_MARGIN));
+        self.idle_since.elapsed() < limit
+    }
+}
+
+/// Part of the time that a server keeps an idle connection which is left for a request to arrive.
+const KEPT_MARGIN: Duration = Duration::from_millis(800);
+
 type Key = (SocketAddr, TrafficClass);
 
 /// Idle connections per address and traffic class.
@@ -90,7 +105,7 @@
         let mut idle = self.lock();
         let connections = idle.get_mut(&key)?;
         while let Some(connection) = connections.pop() {
-            let fresh = connection.idle_since.elapsed() < self.idle_timeout;
+            let fresh = connection.is_fresh(self.idle_timeout);
             let open = !connection.sender.is_closed() && is_quiet(&connection.stream);
             if fresh && open {
                 return Some(connection);
@@ -100,6 +115,13 @@
         None
     }
 
+    /// Returns whether a connection is idle.
+    pub(crate) fn has_idle(&self, key: Key) -> bool {
+        let idle = self.lock();
+        let connections = idle.get(&key);
+        connections.is_some_and(|list| list.iter().any(|c| c.is_fresh(self.idle_timeout)))
+    }
+
     fn put(&self, key: Key, mut connection: Connection) {
         if connection.sender.is_closed() {
             return;
@@ -116,7 +138,7 @@
     pub(crate) fn sweep(&self) {
         let timeout = self.idle_timeout;
         self.lock().retain(|_, connections| {
-            connections.retain(|c| c.idle_since.elapsed() < timeout && !c.sender.is_closed());
+            connections.retain(|c| c.is_fresh(timeout) && !c.sender.is_closed());
             !connections.is_empty()
         });
     }
