gateway: items leave one slot of each server free

Cause: an item in the last slot of a server was stopped by the next online request, whose start waited for the report and the end of the run.

--- a/gateway/src/batch.rs
+++ b/gateway/src/batch.rs
@@ -55,7 +55,7 @@
     fn open_to(&self, me: &str, contenders: &[&str]) -> u32 {
         let turn = self.unchanged_for.as_micros() / TURN.as_micros();
         let turn = usize::try_from(turn).unwrap_or(usize::MAX);
-        let free = self.placed.total()..self.slots;
+        let free = self.placed.total()..self.slots.saturating_sub(RESERVE);
         let open = free.filter(|slot| self.rank(*slot, me, contenders) <= turn);
         u32::try_from(open.count()).unwrap_or(u32::MAX)
     }
@@ -69,6 +69,10 @@
     }
 }
 
+/// Slots of each server that items leave free, so that the next online request starts at once and
+/// stops no item.
+const RESERVE: u32 = 1;
+
 /// Time after which a free slot goes to the next instance; reports arrive within a few
 /// milliseconds.
 const TURN: Duration = Duration::from_millis(15);
