--- a/gateway/src/quota.rs
+++ b/gateway/src/quota.rs
@@ -16,7 +16,7 @@
 
 /// Part of the burst that a starting instance assumes to be free, because admissions from before
 /// the start of the whole fleet are not known.
-const START_FILL: f64 = 0.25;
+const START_FILL: f64 = 0.5;
 
 /// Most requests of an organisation that an instance admits before its first report of them.
 const FIRST_COUNT: u64 = 4;
