--- a/cli/src/args.rs
+++ b/cli/src/args.rs
@@ -73,6 +73,7 @@
         .subcommand(job())
         .subcommand(complete())
         .subcommand(explain())
+        .subcommand(trace())
         .subcommand(Command::new("addresses").about("Prints the addresses that a caller may use"))
         .subcommand(completions())
 }
@@ -117,6 +118,19 @@
     ]
 }
 
+fn trace() -> Command {
+    let id = Arg::new("id").value_name("ID").required(true);
+    let file = Arg::new("file")
+        .value_name("FILE")
+        .required(true)
+        .num_args(1..)
+        .value_parser(value_parser!(PathBuf));
+    Command::new("trace")
+        .about("Follows a request, item or job through collected log files of the gateway")
+        .arg(id.help("Identifier of the request, item or job"))
+        .arg(file.help("Log files, one for each instance, or one with the names before the lines"))
+}
+
 fn document_arg() -> Arg {
     Arg::new("file")
         .value_name("FILE")
--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -8,6 +8,7 @@
 mod publish;
 mod results;
 mod submit;
+mod trace;
 
 use std::io;
 
@@ -32,6 +33,7 @@
         "job" => job::run(matches),
         "complete" => complete::run(matches),
         "explain" => explain::run(matches),
+        "trace" => trace::run(matches),
         "addresses" => addresses(&Options::new(matches)?),
         "completions" => completions(matches),
         other => Err(unknown(other)),
--- a/cli/src/lib.rs
+++ b/cli/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod retry;
 mod secret;
 pub mod span;
+pub mod trace;
 
 use std::ffi::OsString;
 use std::process::ExitCode;
--- /dev/null
+++ b/cli/src/trace.rs
@@ -0,0 +1,150 @@
+//! Follows a request or job through collected log files of the gateway.
+
+use std::collections::BTreeSet;
+
+use strum::Display;
+
+/// Time around the lines about a request in which other lines may tell its cause, in milliseconds.
+const CONTEXT_MS: u64 = 3_000;
+
+/// One line of a log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Line {
+    /// Instance that wrote the line.
+    pub instance: String,
+    /// Time in milliseconds.
+    pub time: u64,
+    /// Number of the event.
+    pub event: u16,
+    /// What was logged.
+    pub text: String,
+}
+
+/// What became of a request or job, as far as the lines tell.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Ending {
+    /// It was answered.
+    Answered,
+    /// It was refused and has not run.
+    Refused,
+    /// It failed and may have run.
+    Failed,
+    /// The caller left.
+    CallerLeft,
+    /// No line tells.
+    Unknown,
+}
+
+/// The lines about one request or job.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Trace {
+    /// Lines that name it, in order.
+    pub own: Vec<Line>,
+    /// Lines about instances, backend servers and the store around them.
+    pub context: Vec<Line>,
+    /// What became of it.
+    pub ending: Ending,
+    /// The cause that the last line states.
+    pub cause: Option<String>,
+}
+
+impl Line {
+    /// Reads a line of the log of `instance`; other lines are `None`.
+    ///
+    /// A collector may have put text before the line, whose last word then names the instance.
+    pub fn parse(instance: &str, raw: &str) -> Option<Self> {
+        let at = raw.find(" LW").filter(|at| {
+            let digits = raw.get(at + 3..at + 7);
+            digits.is_some_and(|digits| digits.bytes().all(|b| b.is_ascii_digit()))
+        })?;
+        let mut before: Vec<&str> = raw[..at].split_whitespace().collect();
+        before.pop()?;
+        let (seconds, millis) = before.pop()?.split_once('.')?;
+        let seconds: u64 = seconds.parse().ok()?;
+        let millis: u64 = millis.parse().ok()?;
+        Some(Self {
+            instance: before.pop().unwrap_or(instance).to_owned(),
+            time: seconds * 1_000 + millis,
+            event: raw[at + 3..at + 7].parse().ok()?,
+            text: raw[at + 7..].trim().to_owned(),
+        })
+    }
+
+    /// Returns the value of a field.
+    pub fn field(&self, name: &str) -> Option<&str> {
+        let mut rest = self.text.as_str();
+        loop {
+            let at = rest.find(name)?;
+            let starts = at == 0 || rest[..at].ends_with(' ');
+            let value = rest[at + name.len()..].strip_prefix('=');
+            match value {
+                Some(value) if starts => {
+                    let quoted = value.strip_prefix('"');
+                    let end = quoted.map_or(' ', |_| '"');
+                    let value = quoted.unwrap_or(value);
+                    return value.split(end).next();
+                }
+                _ => rest = &rest[at + name.len()..],
+            }
+        }
+    }
+
+    fn names(&self, id: &str) -> bool {
+        ["request", "job", "item"]
+            .iter()
+            .any(|field| self.field(field) == Some(id))
+    }
+
+    /// Returns whether the line tells a belief of an instance rather than the way of a request.
+    fn is_belief(&self) -> bool {
+        (2_000..2_500).contains(&self.event)
+    }
+
+    fn ending(&self) -> Option<Ending> {
+        match self.event {
+            2_501 | 2_605 => Some(Ending::Answered),
+            2_601 if self.field("call") == Some("submit") => Some(Ending::Answered),
+            2_502 => Some(Ending::Refused),
+            2_602 if self.field("status") == Some("504") => Some(Ending::Failed),
+            2_602 => Some(Ending::Refused),
+            2_504 => Some(Ending::Failed),
+            2_505 => Some(Ending::CallerLeft),
+            _ => None,
+        }
+    }
+}
+
+impl Trace {
+    /// Gathers the lines about the request, job or item `id`; `None` if there are none.
+    pub fn of(id: &str, mut lines: Vec<Line>) -> Option<Self> {
+        lines.sort_by(|a, b| (a.time, &a.instance).cmp(&(b.time, &b.instance)));
+        let own: Vec<Line> = lines
+            .iter()
+            .filter(|line| line.names(id))
+            .cloned()
+            .collect();
+        let first = own.first()?.time.saturating_sub(CONTEXT_MS);
+        let last = own.last()?.time + CONTEXT_MS;
+        let instances: BTreeSet<&str> = own.iter().map(|line| line.instance.as_str()).collect();
+        let fields = ["backend", "from", "to"];
+        let backends: BTreeSet<&str> = own
+            .iter()
+            .flat_map(|line| fields.iter().filter_map(|name| line.field(name)))
+            .collect();
+        let related = |line: &Line| {
+            let backend = line.field("backend");
+            instances.contains(line.instance.as_str()) && backend.is_none()
+                || backend.is_some_and(|backend| backends.contains(backend))
+        };
+        let near = |line: &&Line| (first..=last).contains(&line.time) && line.is_belief();
+        let context = lines.iter().filter(near).filter(|line| related(line));
+        let end = own.iter().rev().find(|line| line.ending().is_some());
+        Some(Self {
+            context: context.cloned().collect(),
+            ending: end.and_then(Line::ending).unwrap_or(Ending::Unknown),
+            cause: end.and_then(|line| line.field("cause")).map(str::to_owned),
+            own,
+        })
+    }
+}
--- /dev/null
+++ b/cli/tests/trace.rs
@@ -0,0 +1,54 @@
+//! Following a request through log files.
+
+use limpetweir::trace::{
+    Ending,
+    Line,
+    Trace, //
+};
+use rstest::rstest;
+
+const LOG: &str = r#"
+  12.0 one 100.000 WARN LW2302 backend=i-1 for_ms=1000 cause="refused"
+  12.0 one 100.100 WARN LW2503 request=r1 backend=i-1 verdict=not-run cause="cannot connect"
+  12.0 two 100.150 WARN LW2401 peer=three addr=10.0.0.1 version=2
+  12.0 one 100.200 WARN LW2101 topic=jobs partition=0 cause="status 503"
+  12.0 one 100.300 WARN LW2502 request=r1 status=503 cause=full route=a tried=1 retry_after_ms=400
+  12.0 one 100.400 INFO LW2501 request=r11 status=200 backend=i-2
+  12.0 one 109.000 WARN LW2402 peer=two silent_ms=1000
+not a line of the log
+"#;
+
+fn lines() -> Vec<Line> {
+    LOG.lines()
+        .filter_map(|raw| Line::parse("file", raw))
+        .collect()
+}
+
+/// Guards against lines of other requests, instances and times that hide the cause.
+#[test]
+fn a_refused_request_is_followed_to_its_cause() {
+    let trace = Trace::of("r1", lines()).expect("lines about the request");
+    assert_eq!(trace.ending, Ending::Refused);
+    assert_eq!(trace.cause.as_deref(), Some("full"));
+    assert_eq!(trace.own.len(), 2);
+    let context: Vec<u16> = trace.context.iter().map(|line| line.event).collect();
+    assert_eq!(context, [2302, 2101]);
+}
+
+/// Guards against an identifier that is the start of another.
+#[rstest]
+#[case("r11", Some(Ending::Answered))]
+#[case("r", None)]
+fn identifiers_are_compared_whole(#[case] id: &str, #[case] ending: Option<Ending>) {
+    assert_eq!(Trace::of(id, lines()).map(|trace| trace.ending), ending);
+}
+
+/// Guards against collectors that put nothing before a line.
+#[test]
+fn a_plain_file_names_its_instance() {
+    let line = Line::parse("gateway-1", "7.005 INFO LW2601 job=j call=submit").expect("a line");
+    assert_eq!(line.instance, "gateway-1");
+    assert_eq!(line.time, 7_005);
+    assert_eq!(line.field("call"), Some("submit"));
+    assert_eq!(Line::parse("x", "7.005 INFO something else"), None);
+}
--- a/gateway/src/batch.rs
+++ b/gateway/src/batch.rs
@@ -42,6 +42,8 @@
     pub placed: Placed,
     /// Whether it recently gave no answer.
     pub suspect: bool,
+    /// Whether it works several times slower than the others.
+    pub slow: bool,
     /// How long the number of requests on it has been the same.
     pub unchanged_for: Duration,
 }
@@ -87,7 +89,7 @@
     contenders: &[&str],
 ) -> Vec<(ItemKey, BackendKey)> {
     waiting.sort_by_key(|w| (w.due, w.item));
-    let usable = rooms.iter().filter(|room| !room.suspect);
+    let usable = rooms.iter().filter(|room| !room.suspect && !room.slow);
     let mut open: Vec<_> = usable
         .map(|room| (room.open_to(me, contenders), room))
         .filter(|(open, _)| *open > 0)
@@ -105,15 +107,20 @@
     chosen
 }
 
-/// Returns the items of this instance that must stop: their slots are needed, or an instance that
-/// is earlier by name runs them as well.
+/// Returns the items of this instance that must stop: their slots are needed, their server has
+/// become slow, or an instance that is earlier by name runs them as well.
 ///
 /// All instances order the items of a backend server in the same way, so together they stop just
 /// as many as there are requests beyond its slots.
-pub fn yields(load: &Load, me: &str, slots: impl Fn(BackendKey) -> Option<u32>) -> Vec<ItemKey> {
+pub fn yields(
+    load: &Load,
+    me: &str,
+    slots: impl Fn(BackendKey) -> Option<u32>,
+    slow: impl Fn(BackendKey) -> bool,
+) -> Vec<ItemKey> {
     let mut chosen = Vec::new();
     for own in load.own_batch() {
-        if load.peers_running(own.item).any(|peer| peer < me) {
+        if slow(own.backend) || load.peers_running(own.item).any(|peer| peer < me) {
             chosen.push(own.item);
             continue;
         }
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod report;
 mod serve;
 mod settings;
+mod speed;
 mod sse;
 
 pub use backend::{Backend, BackendEntry, BackendKey, Backends};
@@ -29,7 +30,7 @@
     RecordError, Submission, decide,
 };
 pub use load::{Load, Placed};
-pub use members::{Entry, Member, Members, SILENCE, addresses, owner};
+pub use members::{Entry, Heard, Member, Members, SILENCE, addresses, owner};
 pub use open_items::{OpenItem, OpenItems, Phase, Progress, RunEnd, Step};
 pub use placement::{Candidate, Limits, Placement, place, retry_after};
 pub use platform::{
@@ -40,4 +41,5 @@
 pub use report::{BatchRun, ItemKey, Report};
 pub use serve::{Gateway, StartError, check, run};
 pub use settings::{Settings, SettingsError, StoreSettings};
+pub use speed::{SLOW, Speeds};
 pub use sse::{Event, NotEvents, Splitter};
--- a/gateway/src/members.rs
+++ b/gateway/src/members.rs
@@ -43,6 +43,17 @@
     }
 }
 
+/// What a report means for what was known of its instance.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Heard {
+    /// It is the first one.
+    First,
+    /// It replaces this one.
+    After(Box<Report>),
+    /// It is older than the one known and was not taken over.
+    Late,
+}
+
 /// The other instances, by name.
 #[derive(Debug, Default)]
 pub struct Members {
@@ -66,23 +77,21 @@
         self.others.remove(name)
     }
 
-    /// Takes a report over; returns the previous one, or `Err` if it is not newer.
-    pub fn heard(
-        &mut self,
-        report: Report,
-        from: IpAddr,
-        now: Timestamp,
-    ) -> Result<Option<Report>, ()> {
+    /// Takes a report over unless a newer one of the instance is known.
+    pub fn heard(&mut self, report: Report, from: IpAddr, now: Timestamp) -> Heard {
         self.learn(&report.name, from, now);
         let Some(member) = self.others.get_mut(&report.name) else {
-            return Err(());
+            return Heard::Late;
         };
         let newest = member.report.as_ref().map(|r| (r.boot, r.sequence));
         if newest.is_some_and(|newest| (report.boot, report.sequence) <= newest) {
-            return Err(());
+            return Heard::Late;
         }
         member.heard = Some(now);
-        Ok(member.report.replace(report))
+        match member.report.replace(report) {
+            None => Heard::First,
+            Some(before) => Heard::After(Box::new(before)),
+        }
     }
 
     /// Removes and returns the instances that are gone for good.
--- a/gateway/src/serve/items.rs
+++ b/gateway/src/serve/items.rs
@@ -76,6 +76,7 @@
     BatchRun,
     ItemKey, //
 };
+use crate::speed::SLOW;
 use crate::sse::Splitter;
 
 /// Pause between two looks at the waiting items while nothing else happens.
@@ -133,7 +134,8 @@
         let backend = state.backends.get(backend)?;
         Some(slots_of(state, &backend.entry))
     };
-    for key in yields(&state.load, me, slots) {
+    let slow = |backend| state.speeds.slowness(backend, now) > SLOW;
+    for key in yields(&state.load, me, slots, slow) {
         // The run itself notes its end.
         if let Some(stop) = state.runs.0.remove(&key) {
             let _ = stop.try_send(());
@@ -204,6 +206,7 @@
         slots: slots_of(state, &b.entry),
         placed: state.load.placed(b.key),
         suspect: state.load.suspected(b.key, now),
+        slow: state.speeds.slowness(b.key, now) > SLOW,
         unchanged_for: state.load.unchanged_for(b.key, now),
     });
     rooms.collect()
@@ -395,16 +398,66 @@
         );
     }
     match status {
-        200 if answer.events => gather(Response::from_parts(head, body), progress).await,
+        200 if answer.events => {
+            gather(
+                node,
+                run.backend,
+                Response::from_parts(head, body),
+                progress,
+            )
+            .await
+        }
         IMPOSSIBLE => (RunEnd::Impossible, format!("status {status}")),
         500 => (RunEnd::Failed, format!("status {status}")),
         _ => (RunEnd::Broken, format!("status {status}")),
     }
 }
 
+/// Events after which the pace of a stream is noted.
+const PACE_EVENTS: u32 = 8;
+
+/// Measures the pace of one stream.
+pub(crate) struct PaceMeter {
+    backend: BackendKey,
+    since: Instant,
+    /// Events since then; the first one starts the measurement.
+    events: u32,
+}
+
+impl PaceMeter {
+    pub(crate) fn new(backend: BackendKey) -> Self {
+        Self {
+            backend,
+            since: Instant::now(),
+            events: 0,
+        }
+    }
+
+    /// Notes an event.
+    pub(crate) fn event<P>(&mut self, node: &Node<P>) {
+        if self.events == 0 {
+            self.since = Instant::now();
+        }
+        self.events += 1;
+        if self.events > PACE_EVENTS {
+            let gap = self.since.elapsed() / PACE_EVENTS;
+            let now = node.now();
+            node.lock().speeds.record(self.backend, gap, now);
+            self.since = Instant::now();
+            self.events = 1;
+        }
+    }
+}
+
 /// Gathers the events of an answer until its end.
-async fn gather(response: Response<ClientBody>, progress: &mut Progress) -> (RunEnd, String) {
+async fn gather<P>(
+    node: &Arc<Node<P>>,
+    backend: BackendKey,
+    response: Response<ClientBody>,
+    progress: &mut Progress,
+) -> (RunEnd, String) {
     let mut body = response.into_body();
+    let mut pace = PaceMeter::new(backend);
     let mut splitter = Splitter::default();
     loop {
         let frame = until(Instant::now() + SILENCE, body.frame()).await;
@@ -429,6 +482,7 @@
             }
             progress.last = id;
             progress.data.push(event.data);
+            pace.event(node);
         }
     }
     if splitter.is_partial() {
--- a/gateway/src/serve/mod.rs
+++ b/gateway/src/serve/mod.rs
@@ -371,7 +371,7 @@
         }
         node.client.sweep();
         round += 1;
-        if round % ROUNDS_PER_CHECK == 0
+        if round.is_multiple_of(ROUNDS_PER_CHECK)
             && let Ok(present) = std::fs::read_to_string(file)
             && present != text
         {
--- a/gateway/src/serve/node.rs
+++ b/gateway/src/serve/node.rs
@@ -40,6 +40,7 @@
 use crate::platform::Record;
 use crate::quota::Quotas;
 use crate::settings::Settings;
+use crate::speed::Speeds;
 
 /// The state that decisions are made on.
 #[derive(Debug)]
@@ -55,6 +56,7 @@
     /// Whether the records of the instances have been read.
     pub(crate) instances_read: bool,
     pub(crate) load: Load,
+    pub(crate) speeds: Speeds,
     pub(crate) quotas: Quotas,
     pub(crate) partitions: Vec<Partition>,
     pub(crate) items: OpenItems,
@@ -67,6 +69,13 @@
     pub(crate) holding_s: f64,
 }
 
+impl State {
+    /// Returns whether the configuration and a backend server are known.
+    pub(crate) fn can_serve(&self) -> bool {
+        self.config.is_some() && self.backends.iter().next().is_some()
+    }
+}
+
 /// One instance.
 pub(crate) struct Node<P> {
     pub(crate) platform: P,
@@ -111,6 +120,7 @@
             members: Members::default(),
             instances_read: false,
             load: Load::default(),
+            speeds: Speeds::default(),
             quotas: Quotas::default(),
             partitions,
             items: OpenItems::default(),
@@ -150,9 +160,9 @@
         self.leaving.load(Ordering::Acquire)
     }
 
-    /// Returns whether callers may be sent here.
+    /// Returns whether callers may be sent here: requests can be routed and placed.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.is_leaving() && self.lock().config.is_some()
+        !self.is_leaving() && self.lock().can_serve()
     }
 
     /// Returns the partition of the jobs of an organisation. All of them share one, so that the
--- a/gateway/src/serve/online.rs
+++ b/gateway/src/serve/online.rs
@@ -20,7 +20,6 @@
 use limpetweir_transport::http::{
     Body,
     BodyError,
-    ClientBody,
     RequestBody,
     SendOptions,
     TrafficClass, //
@@ -72,7 +71,6 @@
     retry_after, //
 };
 use crate::platform::{
-    AnswerHead,
     CallHead,
     Dialect,
     Forward,
@@ -227,11 +225,11 @@
 /// What became of one attempt at a backend server.
 enum Attempt<P: Store + Dialect> {
     /// It answered.
-    Answered(Response<ClientBody>, AnswerHead, Placed<P>),
+    Answered(Box<Source<P>>),
     /// It did not run the request.
-    NotRun(BackendKey, String),
+    NotRun(String),
     /// It may have run the request.
-    MayHaveRun(BackendKey, String),
+    MayHaveRun(String),
 }
 
 /// State of a request across its attempts.
@@ -260,28 +258,23 @@
             Ok(placed) => placed,
             Err(refusal) => return refused(&node, &admitted, &course, refusal),
         };
+        let backend = placed.entry.clone();
+        course.tried.push(placed.key);
         match attempt(&node, &admitted, &course, placed).await {
-            Attempt::Answered(response, head, placed) => {
-                let source = Source {
-                    response,
-                    head,
-                    placed,
-                };
-                return relay::start(node, admitted, course, source);
-            }
-            Attempt::NotRun(key, cause) => {
-                course.tried.push(key);
+            Attempt::Answered(source) => return relay::start(node, admitted, course, *source),
+            Attempt::NotRun(cause) => {
                 line!(
                     ATTEMPT_FAILED,
-                    "request={id} backend={key:?} verdict=not-run cause=\"{cause}\""
+                    "request={id} backend={} verdict=not-run cause=\"{cause}\"",
+                    backend.id
                 );
             }
-            Attempt::MayHaveRun(key, cause) => {
-                course.tried.push(key);
+            Attempt::MayHaveRun(cause) => {
                 course.runs += 1;
                 line!(
                     ATTEMPT_FAILED,
-                    "request={id} backend={key:?} verdict=may-have-run cause=\"{cause}\""
+                    "request={id} backend={} verdict=may-have-run cause=\"{cause}\"",
+                    backend.id
                 );
                 let again = admitted.route.idempotent() && course.runs < admitted.route.attempts;
                 if !again || admitted.deadline <= Instant::now() {
@@ -400,7 +393,7 @@
         placed: state.load.placed(backend.key),
         suspect: state.load.suspected(backend.key, now),
         tried: course.tried.contains(&backend.key),
-        slowness: 1.0,
+        slowness: state.speeds.slowness(backend.key, now),
         connected: node
             .client
             .has_idle(backend.entry.addr, TrafficClass::Online),
@@ -491,21 +484,24 @@
             let ours = answer.request_id.as_deref() == Some(admitted.call.request_id.as_str());
             if answer.not_run {
                 let cause = format!("status {}", head.status.as_u16());
-                return Attempt::NotRun(key, cause);
+                return Attempt::NotRun(cause);
             }
             if !ours {
                 body.close();
                 let cause = "the answer belongs to another request".to_owned();
-                return Attempt::MayHaveRun(key, cause);
+                return Attempt::MayHaveRun(cause);
             }
-            let response = Response::from_parts(head, body);
-            Attempt::Answered(response, answer, placed)
+            Attempt::Answered(Box::new(Source {
+                response: Response::from_parts(head, body),
+                head: answer,
+                placed,
+            }))
         }
         Err(err) => {
             suspect(node, key, &err.to_string());
             match err.verdict() {
-                Verdict::NotRun => Attempt::NotRun(key, err.to_string()),
-                Verdict::MayHaveRun | Verdict::Ran => Attempt::MayHaveRun(key, err.to_string()),
+                Verdict::NotRun => Attempt::NotRun(err.to_string()),
+                Verdict::MayHaveRun | Verdict::Ran => Attempt::MayHaveRun(err.to_string()),
             }
         }
     }
--- a/gateway/src/serve/peers.rs
+++ b/gateway/src/serve/peers.rs
@@ -37,7 +37,10 @@
     Node,
     unix_ms, //
 };
-use crate::members::SILENCE;
+use crate::members::{
+    Heard,
+    SILENCE, //
+};
 use crate::platform::{
     Dialect,
     Record,
@@ -180,7 +183,7 @@
         name: node.settings.name.clone(),
         boot: node.boot,
         sequence,
-        ready: version > 0 && !node.is_leaving(),
+        ready: state.can_serve() && !node.is_leaving(),
         leaving: node.is_leaving(),
         zone: node.settings.zone.clone(),
         public: node.settings.public,
@@ -233,8 +236,10 @@
         .get(&name)
         .is_some_and(|member| member.alive(now));
     let leaving = report.leaving;
-    let Ok(before) = state.members.heard(report.clone(), from, now) else {
-        return;
+    let left_before = match state.members.heard(report.clone(), from, now) {
+        Heard::First => false,
+        Heard::After(before) => before.leaving,
+        Heard::Late => return,
     };
     state.load.heard(&report, now);
     for (backend, left) in &report.suspects {
@@ -242,7 +247,7 @@
         state.load.suspect_heard(*backend, now + left);
     }
     state.quotas.heard(&name, report.boot, &report.admitted);
-    let changed = was_silent || before.is_some_and(|before| before.leaving != leaving);
+    let changed = was_silent || left_before != leaving;
     if changed {
         refresh_silent(&mut state, now);
     }
--- a/gateway/src/serve/relay.rs
+++ b/gateway/src/serve/relay.rs
@@ -14,6 +14,7 @@
     Response,
     StatusCode, //
 };
+use limpetweir_state::Verdict;
 use limpetweir_transport::http::{
     Body,
     BodySender,
@@ -23,8 +24,10 @@
 };
 use limpetweir_transport::until;
 
+use super::items::PaceMeter;
 use super::lines::{
     ANSWERED,
+    ATTEMPT_FAILED,
     CALLER_LEFT,
     REQUEST_FAILED,
     STREAM_RESUMED,
@@ -113,16 +116,20 @@
         let key = source.placed.key;
         let body = source.response.into_body();
         let result = if events {
-            pass_events(
-                node,
-                &admitted,
-                &mut course,
-                body,
-                &sender,
-                &mut passed,
-                resumable,
-            )
-            .await
+            {
+                let mut pace = PaceMeter::new(key);
+                let on_event = || pace.event(node);
+                pass_events(
+                    &admitted,
+                    &mut course,
+                    body,
+                    &sender,
+                    &mut passed,
+                    resumable,
+                    on_event,
+                )
+                .await
+            }
         } else {
             pass_bytes(&admitted, body, &sender, &mut passed).await
         };
@@ -162,7 +169,6 @@
             Cut::Deadline => "the time of the request is over".to_owned(),
             Cut::Backend(cause) => {
                 suspect(node, key, &cause);
-                course.tried.push(key);
                 let again = resumable && course.runs < admitted.route.attempts;
                 let next = if again {
                     resume(node, &admitted, &mut course).await
@@ -260,14 +266,14 @@
 }
 
 /// Passes whole events on, so that a stream can continue elsewhere after the last one.
-async fn pass_events<P: Store + Dialect>(
-    node: &Arc<Node<P>>,
+async fn pass_events(
     admitted: &Admitted,
     course: &mut Course,
     mut body: ClientBody,
     sender: &BodySender,
     passed: &mut Passed,
     resumable: bool,
+    mut on_event: impl FnMut(),
 ) -> Result<(), Cut> {
     let mut splitter = Splitter::default();
     // The silence of a server is no reason to end an answer that nobody else can continue.
@@ -294,13 +300,13 @@
                 passed.first = Some(admitted.arrived.elapsed());
             }
             passed.events += 1;
+            on_event();
             sender.send(event.raw).await.map_err(|_| Cut::CallerLeft)?;
         }
     }
     if splitter.is_partial() {
         return Err(Cut::Backend("the stream ended within an event".to_owned()));
     }
-    let _ = node;
     Ok(())
 }
 
@@ -327,21 +333,40 @@
             deadline: Some(admitted.deadline),
         };
         course.tried.push(placed.key);
-        let Ok(response) = node.client.send(placed.entry.addr, req, options).await else {
-            course.runs += 1;
-            if course.runs >= admitted.route.attempts {
-                return None;
+        let id = &admitted.call.request_id;
+        let backend = &placed.entry.id;
+        let response = match node.client.send(placed.entry.addr, req, options).await {
+            Ok(response) => response,
+            Err(err) => {
+                let verdict = err.verdict();
+                line!(
+                    ATTEMPT_FAILED,
+                    "request={id} backend={backend} verdict={verdict} cause=\"{err}\""
+                );
+                course.runs += u32::from(verdict != Verdict::NotRun);
+                if course.runs >= admitted.route.attempts {
+                    return None;
+                }
+                continue;
             }
-            continue;
         };
         let (head, body) = response.into_parts();
         let answer = node.platform.answer(&head);
+        let status = head.status.as_u16();
         if answer.not_run {
+            line!(
+                ATTEMPT_FAILED,
+                "request={id} backend={backend} verdict=not-run cause=\"status {status}\""
+            );
             continue;
         }
         course.runs += 1;
         let ours = answer.request_id.as_deref() == Some(admitted.call.request_id.as_str());
         if !ours || !answer.events || head.status != StatusCode::OK {
+            line!(
+                ATTEMPT_FAILED,
+                "request={id} backend={backend} verdict=ran cause=\"status {status}, not the rest of the stream\""
+            );
             body.close();
             return None;
         }
--- /dev/null
+++ b/gateway/tests/speed.rs
@@ -0,0 +1,50 @@
+//! Servers that are slower than others.
+
+use std::time::Duration;
+
+use limpetweir_gateway::{
+    BackendKey,
+    Speeds, //
+};
+use limpetweir_state::Timestamp;
+
+fn measured(gaps: &[u64], at: u64) -> Speeds {
+    let mut speeds = Speeds::default();
+    for (n, gap) in (0..).zip(gaps) {
+        let gap = Duration::from_millis(*gap);
+        for step in 0..10 {
+            speeds.record(BackendKey(n), gap, Timestamp::from_millis(at + step));
+        }
+    }
+    speeds
+}
+
+/// Guards against a server that is several times slower and is taken for a usual one, and against
+/// usual differences that look like slowness.
+#[test]
+fn a_slow_server_stands_out() {
+    let speeds = measured(&[20, 24, 22, 110], 0);
+    let now = Timestamp::from_millis(100);
+    assert!(speeds.slowness(BackendKey(3), now) > 4.0);
+    assert!(speeds.slowness(BackendKey(1), now) < 1.5);
+    assert_eq!(speeds.slowness(BackendKey(9), now), 1.0);
+}
+
+/// Guards against a server that is avoided for ever, because nothing runs there that could show its
+/// recovery.
+#[test]
+fn slowness_is_forgotten() {
+    let speeds = measured(&[20, 24, 22, 110], 0);
+    let later = Timestamp::from_millis(3_200);
+    assert_eq!(speeds.slowness(BackendKey(3), later), 1.0);
+}
+
+/// Guards against a comparison of too few servers.
+#[test]
+fn two_servers_are_not_compared() {
+    let speeds = measured(&[20, 110], 0);
+    assert_eq!(
+        speeds.slowness(BackendKey(1), Timestamp::from_millis(100)),
+        1.0
+    );
+}
