--- a/gateway/src/serve/mod.rs
+++ b/gateway/src/serve/mod.rs
@@ -10,6 +10,7 @@
 mod peers;
 mod relay;
 mod replies;
+mod runs;
 mod writer;
 
 use std::io;
--- a/gateway/src/serve/online.rs
+++ b/gateway/src/serve/online.rs
@@ -20,6 +20,8 @@
 use limpetweir_transport::http::{
     Body,
     BodyError,
+    ClientBody,
+    ClientError,
     RequestBody,
     SendOptions,
     TrafficClass, //
@@ -463,21 +465,7 @@
     placed: Placed<P>,
 ) -> Attempt<P> {
     let key = placed.key;
-    let left = admitted.deadline.saturating_duration_since(Instant::now());
-    let forward = Forward {
-        backend: &placed.entry.id,
-        organisation: admitted.organisation.as_ref().map(|o| o.name.as_str()),
-        left: Some(left),
-        last_event: course.last_event,
-    };
-    let req = node
-        .platform
-        .forward(&admitted.head, admitted.body.clone(), &forward);
-    let options = SendOptions {
-        class: TrafficClass::Online,
-        deadline: Some(admitted.deadline),
-    };
-    match node.client.send(placed.entry.addr, req, options).await {
+    match send(node, admitted, course, &placed).await {
         Ok(response) => {
             let (head, body) = response.into_parts();
             let answer = node.platform.answer(&head);
@@ -507,6 +495,29 @@
     }
 }
 
+/// Sends a request, or what is left of its stream, to a backend server.
+pub(crate) async fn send<P: Store + Dialect>(
+    node: &Node<P>,
+    admitted: &Admitted,
+    course: &Course,
+    placed: &Placed<P>,
+) -> Result<Response<ClientBody>, ClientError> {
+    let left = admitted.deadline.saturating_duration_since(Instant::now());
+    let forward = Forward {
+        backend: &placed.entry.id,
+        organisation: admitted.organisation.as_ref().map(|o| o.name.as_str()),
+        left: Some(left),
+        last_event: course.last_event,
+    };
+    let body = admitted.body.clone();
+    let req = node.platform.forward(&admitted.head, body, &forward);
+    let options = SendOptions {
+        class: TrafficClass::Online,
+        deadline: Some(admitted.deadline),
+    };
+    node.client.send(placed.entry.addr, req, options).await
+}
+
 /// Uses a backend server that gave no answer last for a while.
 pub(crate) fn suspect<P>(node: &Arc<Node<P>>, key: BackendKey, cause: &str) {
     let now = node.now();
--- a/gateway/src/serve/relay.rs
+++ b/gateway/src/serve/relay.rs
@@ -18,13 +18,10 @@
 use limpetweir_transport::http::{
     Body,
     BodySender,
-    ClientBody,
-    SendOptions,
-    TrafficClass, //
+    ClientBody, //
 };
 use limpetweir_transport::until;
 
-use super::items::PaceMeter;
 use super::lines::{
     ANSWERED,
     ATTEMPT_FAILED,
@@ -42,12 +39,13 @@
     Course,
     Placed,
     choose,
+    send,
     suspect, //
 };
+use super::runs::PaceMeter;
 use crate::platform::{
     AnswerHead,
     Dialect,
-    Forward,
     Store, //
 };
 use crate::sse::Splitter;
@@ -318,24 +316,10 @@
 ) -> Option<Source<P>> {
     loop {
         let placed = choose(node, admitted, course).ok()?;
-        let left = admitted.deadline.checked_duration_since(Instant::now())?;
-        let forward = Forward {
-            backend: &placed.entry.id,
-            organisation: admitted.organisation.as_ref().map(|o| o.name.as_str()),
-            left: Some(left),
-            last_event: course.last_event,
-        };
-        let req = node
-            .platform
-            .forward(&admitted.head, admitted.body.clone(), &forward);
-        let options = SendOptions {
-            class: TrafficClass::Online,
-            deadline: Some(admitted.deadline),
-        };
         course.tried.push(placed.key);
         let id = &admitted.call.request_id;
         let backend = &placed.entry.id;
-        let response = match node.client.send(placed.entry.addr, req, options).await {
+        let response = match send(node, admitted, course, &placed).await {
             Ok(response) => response,
             Err(err) => {
                 let verdict = err.verdict();
