gateway: few instances hold a partition of the jobs in large fleets

Above 24 instances four of them hold each of four partitions and run its items; the others pass calls on to them. Smaller fleets hold everything as before.

--- a/gateway/src/members.rs
+++ b/gateway/src/members.rs
@@ -159,6 +159,25 @@
     chosen
 }
 
+/// Instances up to which every one of them holds all jobs.
+pub(crate) const ALL_HOLD: usize = 24;
+
+/// Instances that hold a partition of the jobs in a larger fleet. Each of them reads everything that
+/// is written there, and after a loss of power all of them list it at once from a store that answers
+/// 80 MB a second.
+const HOLDERS: usize = 4;
+
+/// Returns the instances among `names` that hold a partition of the jobs, the preferred one first.
+pub fn holders<'a>(partition: usize, names: &[&'a str]) -> Vec<&'a str> {
+    let mut holders = names.to_vec();
+    if names.len() > ALL_HOLD {
+        let key = (partition as u64).to_be_bytes();
+        holders.sort_by_key(|name| std::cmp::Reverse((rendezvous_score(&key, name), *name)));
+        holders.truncate(HOLDERS);
+    }
+    holders
+}
+
 /// Returns the instance among `names` that is responsible for `key`.
 pub fn owner<'a>(key: u64, names: impl IntoIterator<Item = &'a str>) -> Option<&'a str> {
     let key = key.to_be_bytes();
--- a/gateway/src/open_items.rs
+++ b/gateway/src/open_items.rs
@@ -107,8 +107,8 @@
 #[derive(Debug, Default)]
 pub struct OpenItems {
     items: HashMap<ItemKey, OpenItem>,
-    /// Instances among which the items were distributed last.
-    instances: Vec<String>,
+    /// Instances among which the items of each partition were distributed last.
+    instances: Vec<Vec<String>>,
 }
 
 impl OpenItems {
@@ -127,18 +127,20 @@
         self.items.iter()
     }
 
-    /// Takes over which items are open, and distributes them among `instances`, which are sorted
-    /// by name and include `me`. Returns running items that need no run any more.
+    /// Takes over which items are open, and distributes those of each partition among its
+    /// `instances`. Returns running items that need no run any more.
     pub fn refresh(
         &mut self,
         partitions: &[Partition],
         config: Option<&Configuration>,
         me: &str,
-        instances: &[String],
+        instances: &[Vec<String>],
     ) -> Vec<ItemKey> {
         let mut previous = std::mem::take(&mut self.items);
-        let same_instances = self.instances == instances;
         for (partition, state) in partitions.iter().enumerate() {
+            let names = instances.get(partition).map_or(&[][..], Vec::as_slice);
+            let before = self.instances.get(partition).map_or(&[][..], Vec::as_slice);
+            let same_instances = before == names;
             for (id, job) in state.iter() {
                 for index in job.open() {
                     let key = job.keys[index];
@@ -148,14 +150,14 @@
                     item.apply_terms(job, config);
                     if !same_instances || !item.assigned {
                         item.assigned = true;
-                        let names = instances.iter().map(String::as_str);
+                        let names = names.iter().map(String::as_str);
                         item.mine = owner(key.0, names) == Some(me);
                     }
                     self.items.insert(key, item);
                 }
             }
         }
-        if !same_instances {
+        if self.instances != instances {
             self.instances = instances.to_vec();
         }
         let running = |item: &OpenItem| matches!(item.phase, Phase::Running(_));
@@ -163,6 +165,12 @@
         ended.map(|(key, _)| *key).collect()
     }
 
+    /// Returns whether this instance runs or finishes an item of `partition`.
+    pub fn is_busy(&self, partition: usize) -> bool {
+        let busy = |item: &OpenItem| item.partition == partition && item.phase != Phase::Waiting;
+        self.items.values().any(busy)
+    }
+
     /// Returns the items of this instance that may start now.
     pub fn waiting(&self, now: Timestamp, unix_ms: u64) -> Vec<Waiting> {
         let ready = |item: &OpenItem| {
--- a/gateway/src/serve/follow.rs
+++ b/gateway/src/serve/follow.rs
@@ -17,7 +17,10 @@
     STORE_REGAINED,
     line, //
 };
-use super::node::Node;
+use super::node::{
+    Held,
+    Node, //
+};
 use crate::config::Configuration;
 use crate::platform::{
     Batch,
@@ -44,7 +47,7 @@
 /// not grow with the square of their number.
 const PAUSE_PER_PEER: Duration = Duration::from_millis(4);
 
-/// Longest addition to the pause; results must be seen by all instances within a second.
+/// Longest addition to the pause; a leaving server must be noticed within two seconds.
 const MAX_ADDED_PAUSE: Duration = Duration::from_millis(260);
 
 impl Pace {
@@ -95,10 +98,18 @@
     let pace = pace(topic);
     loop {
         if topic == Topic::Jobs {
-            let state = node.lock();
-            let known = &state.partitions[partition as usize];
-            cursor.next = known.next();
-            cursor.loaded = known.is_loaded();
+            let changed = node.jobs_changed.listen();
+            let held = {
+                let state = node.lock();
+                let known = &state.partitions[partition as usize];
+                cursor.next = known.next();
+                cursor.loaded = known.is_loaded();
+                state.held[partition as usize] != Held::No
+            };
+            if !held {
+                changed.await;
+                continue;
+            }
         }
         let result = if cursor.loaded {
             // While the store is lost, only an answer at once tells that it is back.
@@ -132,8 +143,10 @@
                     );
                 }
                 if !pace.pause.is_zero() {
+                    // Only a few instances of a large fleet hold a partition of the jobs.
                     let peers = node.lock().members.count();
-                    sleep(pace.pause_among(peers)).await;
+                    let readers = if topic == Topic::Jobs { 0 } else { peers };
+                    sleep(pace.pause_among(readers)).await;
                 }
             }
             Err(StoreError::Trimmed { first }) => {
@@ -305,6 +318,11 @@
             let mut state = node.lock();
             state.instances_read = true;
             super::peers::refresh_silent(&mut state, now);
+            let unsettled = state.held.iter().any(|h| *h != Held::Yes);
+            drop(state);
+            if unsettled {
+                items::jobs_changed(node);
+            }
         }
     }
 }
--- a/gateway/src/serve/items.rs
+++ b/gateway/src/serve/items.rs
@@ -22,6 +22,7 @@
     line, //
 };
 use super::node::{
+    Held,
     Node,
     State,
     unix_ms, //
@@ -39,9 +40,14 @@
 };
 use crate::jobs::{
     Change,
-    Outcome, //
+    Outcome,
+    Partition, //
+};
+use crate::members::{
+    ALL_HOLD,
+    holders,
+    owner, //
 };
-use crate::members::owner;
 use crate::open_items::Phase;
 use crate::platform::{
     Dialect,
@@ -72,6 +78,14 @@
     }
 }
 
+/// Time after the start of an instance in which it has heard of the others. In a large fleet that
+/// starts as a whole, every instance would list all jobs at once before.
+const SETTLED: Timestamp = Timestamp::from_millis(600);
+
+/// Time for which an instance still holds a partition that others hold now: a listing of the store
+/// and the differences between the views of the instances fit into it.
+const HAND_OVER: Duration = Duration::from_secs(4);
+
 /// Takes changed jobs or instances over.
 pub(crate) fn jobs_changed<P: Store + Dialect>(node: &Arc<Node<P>>) {
     let now = node.now();
@@ -84,16 +98,45 @@
         instances.push(me.to_owned());
     }
     instances.sort();
+    let names: Vec<&str> = instances.iter().map(String::as_str).collect();
+    let large = state.members.count() >= ALL_HOLD;
+    let settled = state.instances_read && (!large || now >= SETTLED);
+    let mut held_by = Vec::new();
+    for partition in 0..state.partitions.len() {
+        let holders = holders(partition, &names);
+        let busy = state.items.is_busy(partition);
+        hold(
+            state,
+            partition,
+            settled && holders.contains(&me),
+            busy,
+            now,
+        );
+        held_by.push(holders.into_iter().map(str::to_owned).collect());
+    }
     let config = state.config.as_deref();
-    let ended = state
-        .items
-        .refresh(&state.partitions, config, me, &instances);
+    let ended = state.items.refresh(&state.partitions, config, me, &held_by);
     for key in ended {
         state.runs.remove(&key);
     }
     node.jobs_changed.notify(usize::MAX);
 }
 
+/// Takes a partition over, or gives it up once others have had the time to.
+fn hold(state: &mut State, partition: usize, chosen: bool, busy: bool, now: Timestamp) {
+    let held = &mut state.held[partition];
+    *held = match *held {
+        _ if chosen => Held::Yes,
+        Held::Yes => Held::Until(now + HAND_OVER),
+        Held::Until(end) if end > now || busy => Held::Until(end),
+        Held::Until(_) => {
+            state.partitions[partition] = Partition::default();
+            Held::No
+        }
+        Held::No => Held::No,
+    };
+}
+
 /// Looks at the waiting items again and again.
 pub(crate) async fn schedule<P: Store + Dialect>(node: Arc<Node<P>>) {
     loop {
--- a/gateway/src/serve/mod.rs
+++ b/gateway/src/serve/mod.rs
@@ -1,6 +1,7 @@
 //! Input and output of an instance.
 
 mod follow;
+mod handover;
 mod items;
 mod job_calls;
 mod lines;
--- a/gateway/src/serve/node.rs
+++ b/gateway/src/serve/node.rs
@@ -59,6 +59,8 @@
     pub(crate) speeds: Speeds,
     pub(crate) quotas: Quotas,
     pub(crate) partitions: Vec<Partition>,
+    /// Partitions that this instance holds, and since when another set of instances would.
+    pub(crate) held: Vec<Held>,
     pub(crate) items: OpenItems,
     pub(crate) runs: RunHandles,
     /// Source of random choices.
@@ -69,6 +71,18 @@
     pub(crate) holding_s: f64,
 }
 
+/// Whether this instance holds a partition of the jobs.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum Held {
+    /// It does not.
+    #[default]
+    No,
+    /// It does.
+    Yes,
+    /// It does until others have certainly taken over.
+    Until(Timestamp),
+}
+
 impl State {
     /// Returns whether the configuration and a backend server are known.
     pub(crate) fn can_serve(&self) -> bool {
@@ -122,6 +136,7 @@
             load: Load::default(),
             speeds: Speeds::default(),
             quotas: Quotas::default(),
+            held: vec![Held::No; partitions.len()],
             partitions,
             items: OpenItems::default(),
             runs: RunHandles::default(),
--- a/gateway/src/serve/online.rs
+++ b/gateway/src/serve/online.rs
@@ -32,6 +32,10 @@
     SeedableRng, //
 };
 
+use super::handover::{
+    self,
+    Repeat, //
+};
 use super::lines::{
     ATTEMPT_FAILED,
     BACKEND_SUSPECTED,
@@ -179,6 +183,12 @@
         return plain(StatusCode::UNAUTHORIZED, "the key is not known");
     }
     if let (Some(job_call), Some(organisation)) = (job_call, &organisation) {
+        let partition = node.partition_of(&organisation.name);
+        let empty = Bytes::new();
+        let passed = handover::pass_on(&node, partition, &head, &empty, Repeat::Safe);
+        if let Some(response) = passed.await {
+            return response;
+        }
         return job_calls::answer(&node, job_call, organisation).await;
     }
     let Some(route) = route else {
@@ -192,6 +202,11 @@
         Err(err) => return body_refused(&id, &err),
     };
     if let (RouteKind::Batch, Some(organisation)) = (route.kind, &organisation) {
+        let partition = node.partition_of(&organisation.name);
+        let passed = handover::pass_on(&node, partition, &head, &body, Repeat::Never);
+        if let Some(response) = passed.await {
+            return response;
+        }
         return job_calls::submit(&node, &route, organisation, &call, &body).await;
     }
     let patience = call.patience.unwrap_or(DEFAULT_PATIENCE);
--- a/gateway/src/serve/peers.rs
+++ b/gateway/src/serve/peers.rs
@@ -34,6 +34,7 @@
     line, //
 };
 use super::node::{
+    Held,
     Node,
     unix_ms, //
 };
@@ -236,9 +237,10 @@
         .get(&name)
         .is_some_and(|member| member.alive(now));
     let leaving = report.leaving;
-    let left_before = match state.members.heard(report.clone(), from, now) {
-        Heard::First => false,
-        Heard::After(before) => before.leaving,
+    let ready = report.ready;
+    let (left_before, ready_before) = match state.members.heard(report.clone(), from, now) {
+        Heard::First => (false, false),
+        Heard::After(before) => (before.leaving, before.ready),
         Heard::Late => return,
     };
     state.load.heard(&report, now);
@@ -247,7 +249,7 @@
         state.load.suspect_heard(*backend, now + left);
     }
     state.quotas.heard(&name, report.boot, &report.admitted);
-    let changed = was_silent || left_before != leaving;
+    let changed = was_silent || left_before != leaving || ready_before != ready;
     if changed {
         refresh_silent(&mut state, now);
     }
@@ -299,7 +301,8 @@
         for name in &lost {
             line!(PEER_DOWN, "peer={name} silent_ms={}", SILENCE.as_millis());
         }
-        if !lost.is_empty() {
+        let unsettled = node.lock().held.iter().any(|h| *h != Held::Yes);
+        if !lost.is_empty() || unsettled {
             items::jobs_changed(&node);
         }
         alive = present;
--- a/gateway/tests/online.rs
+++ b/gateway/tests/online.rs
@@ -24,6 +24,7 @@
     Quotas,
     Report,
     addresses,
+    holders,
     place,
     retry_after, //
 };
@@ -329,3 +330,24 @@
     assert_eq!(addresses(&entries, None, 64).len(), 5);
     assert_eq!(addresses(&entries, None, 2).len(), 2);
 }
+
+/// Guards against small fleets that pass calls about jobs on, and large ones in which every instance
+/// reads all jobs.
+#[test]
+fn in_large_fleets_few_instances_hold_a_partition() {
+    let names: Vec<String> = (0..82).map(|n| format!("gateway-{n}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    assert_eq!(holders(0, &names[..17]).len(), 17);
+    let mut all = Vec::new();
+    for partition in 0..4 {
+        let chosen = holders(partition, &names);
+        assert_eq!(chosen.len(), 4);
+        // The loss of the preferred one leaves the others in place.
+        let rest: Vec<&str> = names.iter().copied().filter(|n| *n != chosen[0]).collect();
+        assert_eq!(holders(partition, &rest)[..3], chosen[1..]);
+        all.extend(chosen);
+    }
+    all.sort_unstable();
+    all.dedup();
+    assert!(all.len() > 8, "{all:?}");
+}
--- a/gateway/tests/open_items.rs
+++ b/gateway/tests/open_items.rs
@@ -88,8 +88,9 @@
     state
 }
 
-fn names(names: &[&str]) -> Vec<String> {
-    names.iter().map(|name| (*name).to_owned()).collect()
+/// Returns the instances of the only partition.
+fn names(names: &[&str]) -> [Vec<String>; 1] {
+    [names.iter().map(|name| (*name).to_owned()).collect()]
 }
 
 fn open(me: &str, instances: &[&str], config: Option<&Configuration>) -> OpenItems {
