--- a/gateway/src/jobs/table.rs
+++ b/gateway/src/jobs/table.rs
@@ -115,6 +115,8 @@
     next: u64,
     /// Whether everything before `next` has been read.
     loaded: bool,
+    /// Whether a listing of all records is applied.
+    listing: bool,
 }
 
 #[derive(Debug, Default)]
@@ -135,10 +137,18 @@
         self.loaded
     }
 
-    /// Marks everything before `next` as read.
-    pub fn set_loaded(&mut self, next: u64) {
-        self.next = self.next.max(next);
-        self.loaded = true;
+    /// Notes that a listing of all records begins.
+    pub fn begin_listing(&mut self) {
+        self.listing = true;
+    }
+
+    /// Marks everything before `next` as read after a listing. A partition that was emptied since
+    /// the listing began lacks its first records and must be listed again.
+    pub fn end_listing(&mut self, next: u64) {
+        if std::mem::take(&mut self.listing) {
+            self.next = self.next.max(next);
+            self.loaded = true;
+        }
     }
 
     /// Marks the records before `next` as missed; they must be listed again.
--- a/gateway/src/serve/follow.rs
+++ b/gateway/src/serve/follow.rs
@@ -186,6 +186,9 @@
     partition: u32,
     cursor: &mut Cursor,
 ) -> Result<(), StoreError> {
+    if topic == Topic::Jobs {
+        node.lock().partitions[partition as usize].begin_listing();
+    }
     let mut after: Option<String> = None;
     let mut end = None;
     let mut keys = Vec::new();
@@ -209,7 +212,12 @@
     }
     cursor.next = end.unwrap_or(0);
     cursor.loaded = true;
-    finish(node, topic, partition, cursor.next);
+    if topic == Topic::Jobs {
+        node.lock().partitions[partition as usize].end_listing(cursor.next);
+        items::jobs_changed(node);
+    } else {
+        finish(node, topic, partition, cursor.next);
+    }
     if topic == Topic::Backends {
         let now = node.now();
         node.lock().backends.retain(&keys, now);
@@ -249,7 +257,8 @@
 ) {
     let mut state = node.lock();
     let known = &mut state.partitions[partition as usize];
-    if offset < known.next() {
+    // A partition that was given up meanwhile is listed before anything else is applied to it.
+    if !known.is_loaded() || offset < known.next() {
         return;
     }
     if let Err(err) = known.apply(record) {
@@ -301,8 +310,10 @@
         Topic::Jobs => {
             let mut state = node.lock();
             let known = &mut state.partitions[partition as usize];
-            let changed = next > known.next() || !known.is_loaded();
-            known.set_loaded(next);
+            let changed = known.is_loaded() && next > known.next();
+            if changed {
+                known.advance(next);
+            }
             drop(state);
             if changed {
                 items::jobs_changed(node);
--- a/gateway/tests/jobs.rs
+++ b/gateway/tests/jobs.rs
@@ -259,3 +259,18 @@
     assert!(state.apply(&record).is_err());
     assert_eq!(state.get("job").expect("the job").items.len(), 1);
 }
+
+/// Guards against a partition that counts as read although it was emptied during its listing.
+#[test]
+fn an_emptied_partition_is_listed_again() {
+    let mut state = Partition::default();
+    state.begin_listing();
+    state.end_listing(7);
+    assert!(state.is_loaded());
+    assert_eq!(state.next(), 7);
+    state.set_missed();
+    state.begin_listing();
+    state = Partition::default();
+    state.end_listing(9);
+    assert!(!state.is_loaded());
+}
