--- a/gateway/src/serve/job_calls.rs
+++ b/gateway/src/serve/job_calls.rs
@@ -200,7 +200,7 @@
         {
             let state = node.lock();
             let Some(job) = state.partitions[partition].get(id) else {
-                return plain(StatusCode::NOT_FOUND, "no such job");
+                return given_up(id);
             };
             let complete = job.results.len() >= job.items.len();
             let over = Instant::now() >= deadline;
@@ -220,6 +220,17 @@
     }
 }
 
+/// Answers a call about a job that was here when the call arrived: this instance has given the
+/// partition up meanwhile, and another one holds the job.
+fn given_up(job: &str) -> Response<Body> {
+    line!(
+        JOB_REFUSED,
+        "job={job} status=503 cause=\"the partition was given up\""
+    );
+    let text = "another instance holds the job now";
+    retry_later(StatusCode::SERVICE_UNAVAILABLE, text, STORE_RETRY)
+}
+
 fn page<P: Store + Dialect>(node: &Arc<Node<P>>, job: &Job, after: usize) -> Response<Body> {
     let mut bytes = 0;
     let mut views = Vec::new();
@@ -240,9 +251,10 @@
 
 fn content<P>(node: &Arc<Node<P>>, partition: usize, job: &str, item: &str) -> Response<Body> {
     let state = node.lock();
-    let job = state.partitions[partition].get(job);
-    let item = job.and_then(|job| job.items.iter().find(|i| i.id == item));
-    match item {
+    let Some(known) = state.partitions[partition].get(job) else {
+        return given_up(job);
+    };
+    match known.items.iter().find(|i| i.id == item) {
         Some(item) => Response::new(Body::from(item.body.clone())),
         None => plain(StatusCode::NOT_FOUND, "no such item"),
     }
