--- a/gateway/src/serve/mod.rs
+++ b/gateway/src/serve/mod.rs
@@ -110,8 +110,7 @@
 /// Part of the grace period that is left to the end of the process.
 const GRACE_MARGIN: Duration = Duration::from_millis(700);
 
-/// Stack of the executor thread's companions is left at the default; one thread runs all tasks, as
-/// the machines have half a core.
+/// Executor threads; the machines have half a core each.
 const THREADS: usize = 1;
 
 /// An instance that could not start.
