gateway: fetch a newer configuration from one peer at a time

Load: a change of the configuration in a fleet of 59 instances. Every report that stated a newer version started a fetch, while the store was about to deliver the version in any case.

--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 mod backend;
 mod batch;
 mod config;
+mod config_fetch;
 mod jobs;
 mod load;
 mod members;
@@ -25,6 +26,7 @@
     BatchTerms, CallerLimits, Configuration, ConfigurationParts, Organisation, Route, RouteKind,
     Service,
 };
+pub use config_fetch::ConfigFetch;
 pub use jobs::{
     Change, Decision, Job, JobItem, JobKey, Listed, NewItem, Outcome, Partition, Pending,
     RecordError, Submission, decide,
--- a/gateway/src/serve/follow.rs
+++ b/gateway/src/serve/follow.rs
@@ -355,6 +355,7 @@
     let version = config.version();
     state.config = Some(Arc::new(config));
     state.config_record = Some(record.clone());
+    state.config_fetch.applied();
     drop(state);
     let before = before.unwrap_or(0);
     line!(
--- a/gateway/src/serve/node.rs
+++ b/gateway/src/serve/node.rs
@@ -33,6 +33,7 @@
 use super::writer::WriteRequest;
 use crate::backend::Backends;
 use crate::config::Configuration;
+use crate::config_fetch::ConfigFetch;
 use crate::jobs::Partition;
 use crate::load::Load;
 use crate::members::Members;
@@ -51,6 +52,7 @@
     pub(crate) config_record: Option<Record>,
     /// When the store last showed that no newer configuration exists.
     pub(crate) config_confirmed: Option<Timestamp>,
+    pub(crate) config_fetch: ConfigFetch,
     pub(crate) backends: Backends,
     pub(crate) members: Members,
     /// Whether the records of the instances have been read.
@@ -130,6 +132,7 @@
             config: None,
             config_record: None,
             config_confirmed: None,
+            config_fetch: ConfigFetch::default(),
             backends: Backends::default(),
             members: Members::default(),
             instances_read: false,
--- a/gateway/src/serve/peers.rs
+++ b/gateway/src/serve/peers.rs
@@ -254,6 +254,7 @@
         refresh_silent(&mut state, now);
     }
     let own_version = state.config.as_ref().map_or(0, |config| config.version());
+    let fetches = state.config_fetch.begin(version, own_version, now);
     drop(state);
     if was_silent {
         line!(PEER_UP, "peer={name} addr={from} version={version}");
@@ -261,9 +262,15 @@
     if changed {
         items::jobs_changed(node);
     }
-    if version > own_version {
-        let task = fetch_config(node.clone(), name, from);
-        node.spawner.spawn(task).detach();
+    if fetches {
+        let node = node.clone();
+        let spawner = node.spawner.clone();
+        let task = async move {
+            fetch_config(&node, name, from).await;
+            let now = node.now();
+            node.lock().config_fetch.end(now);
+        };
+        spawner.spawn(task).detach();
     }
     items::balance(node);
 }
@@ -310,7 +317,7 @@
 }
 
 /// Fetches the configuration of a peer that has a newer one.
-async fn fetch_config<P: Store + Dialect>(node: Arc<Node<P>>, peer: String, addr: IpAddr) {
+async fn fetch_config<P: Store + Dialect>(node: &Arc<Node<P>>, peer: String, addr: IpAddr) {
     let addr = SocketAddr::new(addr, node.settings.peer_port);
     let Ok(req) = Request::get(CONFIG_PATH).body(Bytes::new()) else {
         return;
@@ -334,7 +341,7 @@
         return;
     };
     match node.platform.configuration(&record) {
-        Some(Ok(config)) => follow::apply_config(&node, config, &record, &peer),
+        Some(Ok(config)) => follow::apply_config(node, config, &record, &peer),
         Some(Err(err)) => line!(CONFIG_UNREADABLE, "peer={peer} cause=\"{err}\""),
         None => {}
     }
