gateway: an instance that the store turns away passes calls about jobs on

Reports now state, for each partition held, the offset read up to and whether the store answers. A peer that refuses with 503 is followed by the next one, within 3 s together. Reports are version 2.

--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod open_items;
 mod placement;
 mod platform;
+mod positions;
 mod quota;
 mod report;
 mod serve;
@@ -39,6 +40,7 @@
     AddressQuery, AnswerHead, Batch, CallHead, DecodeError, Dialect, Forward, ItemRequest, JobCall,
     Page, Record, ResultView, Store, StoreError, Topic,
 };
+pub use positions::{CallKind, Currency, Position, better_peers};
 pub use quota::{OrganisationKey, OverQuota, Quotas};
 pub use report::{BatchRun, ItemKey, Report};
 pub use serve::{Gateway, StartError, check, run};
--- a/gateway/src/report.rs
+++ b/gateway/src/report.rs
@@ -9,10 +9,11 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::backend::BackendKey;
+use crate::positions::Position;
 use crate::quota::OrganisationKey;
 
 /// Version of the encoding; reports of another version are ignored.
-const WIRE_VERSION: u8 = 1;
+const WIRE_VERSION: u8 = 2;
 
 /// Short form of an item's identity, the same on all instances.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -67,6 +68,8 @@
     pub admitted: Vec<(OrganisationKey, u64)>,
     /// Backend servers that do not answer the instance, with the remaining time in milliseconds.
     pub suspects: Vec<(BackendKey, u32)>,
+    /// What the instance knows of the partitions of the jobs that it holds.
+    pub positions: Vec<Position>,
 }
 
 /// A report on the wire; fields are encoded by position to keep it small.
@@ -86,6 +89,7 @@
     u32,
     Vec<(u32, u64)>,
     Vec<(u32, u32)>,
+    Vec<(u32, u64, bool)>,
 );
 
 /// Bit of the wire's flags that is set for a ready instance.
@@ -112,6 +116,10 @@
             r.waiting,
             r.admitted.iter().map(|(key, n)| (key.0, *n)).collect(),
             r.suspects.iter().map(|(key, ms)| (key.0, *ms)).collect(),
+            r.positions
+                .iter()
+                .map(|p| (p.partition, p.next, p.reads))
+                .collect(),
         )
     }
 }
@@ -146,6 +154,15 @@
                 .into_iter()
                 .map(|(k, ms)| (BackendKey(k), ms))
                 .collect(),
+            positions: w
+                .14
+                .into_iter()
+                .map(|(partition, next, reads)| Position {
+                    partition,
+                    next,
+                    reads,
+                })
+                .collect(),
         }
     }
 }
--- a/gateway/src/serve/follow.rs
+++ b/gateway/src/serve/follow.rs
@@ -133,6 +133,9 @@
             load(&node, topic, partition, &mut cursor).await
         };
         node.metrics.store_call(result.is_ok());
+        if topic == Topic::Jobs {
+            node.lock().currencies[partition as usize].lost = result.is_err();
+        }
         match result {
             Ok(()) => {
                 if std::mem::take(&mut cursor.lost) {
@@ -313,6 +316,7 @@
             let changed = known.is_loaded() && next > known.next();
             if changed {
                 known.advance(next);
+                state.currencies[partition as usize].advanced(next);
             }
             drop(state);
             if changed {
--- a/gateway/src/serve/handover.rs
+++ b/gateway/src/serve/handover.rs
@@ -1,8 +1,12 @@
 //! Passes calls about jobs on to an instance that holds them.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{
+    Duration,
+    Instant, //
+};
 
 use hyper::body::Bytes;
 use hyper::header::{
@@ -40,11 +44,12 @@
     Dialect,
     Store, //
 };
+use crate::positions::CallKind;
 
 /// Header of a call that another instance has passed on; it is not passed on again.
 const PASSED_ON: HeaderName = HeaderName::from_static("x-limpetweir-passed-on");
 
-/// Longest wait for the holder; callers wait for four seconds.
+/// Longest wait for the answers of peers; callers wait for four seconds.
 const TIMEOUT: Duration = Duration::from_millis(3_000);
 
 /// Largest answer of a holder: a page of results in its encoding.
@@ -53,29 +58,26 @@
 /// When a caller should repeat a call while no holder answers.
 const RETRY: Duration = Duration::from_millis(500);
 
-/// Whether a call may be made again after it may have been executed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Repeat {
-    /// It may.
-    Safe,
-    /// The caller decides.
-    Never,
-}
-
-/// Passes a call about the jobs of `partition` on; returns `None` if this instance holds them.
+/// Passes a call about the jobs of `partition` on; returns `None` if this instance answers it.
 pub(crate) async fn pass_on<P: Store + Dialect>(
     node: &Arc<Node<P>>,
     partition: usize,
     head: &request::Parts,
     body: &Bytes,
-    repeat: Repeat,
+    kind: CallKind,
 ) -> Option<Response<Body>> {
     let passed_on = head.headers.contains_key(PASSED_ON);
-    let holders = others(node, partition)?;
+    let holders = others(node, partition, kind)?;
+    let deadline = Instant::now() + TIMEOUT;
+    let mut refusal = None;
     if !passed_on {
         for addr in holders {
+            let left = deadline.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                break;
+            }
             let req = again(head, body);
-            let options = SendOptions::within(TrafficClass::Platform, TIMEOUT);
+            let options = SendOptions::within(TrafficClass::Platform, left);
             match node.client.send(addr, req, options).await {
                 Ok(response) => {
                     let (mut head, body) = response.into_parts();
@@ -83,19 +85,27 @@
                         Ok(bytes) => {
                             head.headers.remove(CONNECTION);
                             head.headers.remove(TRANSFER_ENCODING);
-                            return Some(Response::from_parts(head, Body::from(bytes)));
+                            let answer = Response::from_parts(head, Body::from(bytes));
+                            // A peer that refuses the call has done nothing; another one may take it.
+                            if answer.status() != StatusCode::SERVICE_UNAVAILABLE {
+                                return Some(answer);
+                            }
+                            refusal = Some(answer);
                         }
-                        Err(err) if repeat == Repeat::Never => return Some(unknown(&err)),
+                        Err(err) if !kind.is_repeatable() => return Some(unknown(&err)),
                         Err(err) => log::debug!("the answer of {addr} was cut off: {err}"),
                     }
                 }
-                Err(err) if err.verdict().allows_retry(repeat == Repeat::Safe) => {
+                Err(err) if err.verdict().allows_retry(kind.is_repeatable()) => {
                     log::debug!("{addr} does not answer a call about a job: {err}");
                 }
                 Err(err) => return Some(unknown(&err)),
             }
         }
     }
+    if refusal.is_some() {
+        return refusal;
+    }
     line!(
         JOB_REFUSED,
         "partition={partition} status=503 cause=\"no holder answers\" passed_on={passed_on}"
@@ -113,18 +123,27 @@
     plain(StatusCode::GATEWAY_TIMEOUT, text)
 }
 
-/// Returns the addresses of the holders, or `None` if this instance holds the partition.
-fn others<P>(node: &Arc<Node<P>>, partition: usize) -> Option<Vec<SocketAddr>> {
+/// Returns the addresses of the instances that answer the call, the best one first, or `None` if
+/// this one does.
+fn others<P>(node: &Arc<Node<P>>, partition: usize, kind: CallKind) -> Option<Vec<SocketAddr>> {
     let now = node.now();
     let state = node.lock();
-    if state.held[partition] == Held::Yes || state.partitions[partition].is_loaded() {
+    let mut chosen = state.better_peers(partition, kind, now);
+    let here = state.held[partition] == Held::Yes || state.partitions[partition].is_loaded();
+    if chosen.is_empty() && here {
         return None;
     }
-    let alive: Vec<_> = state.members.alive(now).filter(|r| r.ready).collect();
-    let names: Vec<&str> = alive.iter().map(|r| r.name.as_str()).collect();
-    let holders = holders(partition, &names);
-    let addr = |name: &&str| alive.iter().find(|r| r.name == *name).map(|r| r.public);
-    Some(holders.iter().filter_map(addr).collect())
+    let ready = state.members.alive(now).filter(|r| r.ready);
+    let ready: Vec<&str> = ready.map(|r| r.name.as_str()).collect();
+    if !here {
+        // A holder that has just taken the partition over has not stated it yet.
+        chosen.extend(holders(partition, &ready));
+    }
+    let public = |name: &str| Some(state.members.get(name)?.report.as_ref()?.public);
+    let mut addrs: Vec<SocketAddr> = chosen.into_iter().filter_map(public).collect();
+    let mut seen = HashSet::new();
+    addrs.retain(|addr| seen.insert(*addr));
+    Some(addrs)
 }
 
 fn again(head: &request::Parts, body: &Bytes) -> Request<Bytes> {
--- a/gateway/src/serve/job_calls.rs
+++ b/gateway/src/serve/job_calls.rs
@@ -49,6 +49,7 @@
     ResultView,
     Store, //
 };
+use crate::positions::CallKind;
 
 /// Largest page of results in bytes of text; the page holds at least one result.
 const PAGE_BYTES: usize = 900 << 10;
@@ -200,10 +201,18 @@
         {
             let state = node.lock();
             let Some(job) = state.partitions[partition].get(id) else {
-                return given_up(id);
+                return elsewhere(id, GIVEN_UP);
             };
             let complete = job.results.len() >= job.items.len();
             let over = Instant::now() >= deadline;
+            let ahead = || {
+                !state
+                    .better_peers(partition, CallKind::Read, node.now())
+                    .is_empty()
+            };
+            if over && job.results.len() <= after && !complete && ahead() {
+                return elsewhere(id, "a peer has read more of the partition");
+            }
             if over && job.results.len() < after + 1 && !complete {
                 let next = state.partitions[partition].next();
                 let listed = job.results.len();
@@ -220,17 +229,16 @@
     }
 }
 
-/// Answers a call about a job that was here when the call arrived: this instance has given the
-/// partition up meanwhile, and another one holds the job.
-fn given_up(job: &str) -> Response<Body> {
-    line!(
-        JOB_REFUSED,
-        "job={job} status=503 cause=\"the partition was given up\""
-    );
-    let text = "another instance holds the job now";
+/// Answers a call about a job of which another instance knows more now.
+fn elsewhere(job: &str, cause: &str) -> Response<Body> {
+    line!(JOB_REFUSED, "job={job} status=503 cause=\"{cause}\"");
+    let text = "another instance answers for the job now";
     retry_later(StatusCode::SERVICE_UNAVAILABLE, text, STORE_RETRY)
 }
 
+/// Cause for a call about a job that was here when the call arrived.
+const GIVEN_UP: &str = "the partition was given up";
+
 fn page<P: Store + Dialect>(node: &Arc<Node<P>>, job: &Job, after: usize) -> Response<Body> {
     let mut bytes = 0;
     let mut views = Vec::new();
@@ -252,7 +260,7 @@
 fn content<P>(node: &Arc<Node<P>>, partition: usize, job: &str, item: &str) -> Response<Body> {
     let state = node.lock();
     let Some(known) = state.partitions[partition].get(job) else {
-        return given_up(job);
+        return elsewhere(job, GIVEN_UP);
     };
     match known.items.iter().find(|i| i.id == item) {
         Some(item) => Response::new(Body::from(item.body.clone())),
--- a/gateway/src/serve/node.rs
+++ b/gateway/src/serve/node.rs
@@ -39,6 +39,12 @@
 use crate::members::Members;
 use crate::open_items::OpenItems;
 use crate::platform::Record;
+use crate::positions::{
+    CallKind,
+    Currency,
+    Position,
+    better_peers, //
+};
 use crate::quota::Quotas;
 use crate::settings::Settings;
 use crate::speed::Speeds;
@@ -63,6 +69,8 @@
     pub(crate) partitions: Vec<Partition>,
     /// Partitions that this instance holds, and since when another set of instances would.
     pub(crate) held: Vec<Held>,
+    /// How current the partitions are, in their order.
+    pub(crate) currencies: Vec<Currency>,
     pub(crate) items: OpenItems,
     pub(crate) runs: RunHandles,
     /// Source of random choices.
@@ -86,6 +94,49 @@
 }
 
 impl State {
+    /// Returns what this instance knows of the partitions that it holds.
+    pub(crate) fn positions(&self) -> Vec<Position> {
+        let held = (0..).zip(self.partitions.iter().zip(&self.currencies));
+        held.filter(|(_, (known, _))| known.is_loaded())
+            .map(|(partition, (known, currency))| Position {
+                partition,
+                next: known.next(),
+                reads: !currency.lost,
+            })
+            .collect()
+    }
+
+    /// Notes what a peer knows of the partitions.
+    pub(crate) fn positions_heard(&mut self, positions: &[Position], now: Timestamp) {
+        for position in positions {
+            let partition = position.partition as usize;
+            if let (Some(known), Some(currency)) = (
+                self.partitions.get(partition),
+                self.currencies.get_mut(partition),
+            ) {
+                currency.heard(position.next, known.next(), now);
+            }
+        }
+    }
+
+    /// Returns the names of the peers that answer a call about the jobs of `partition` better.
+    pub(crate) fn better_peers(
+        &self,
+        partition: usize,
+        kind: CallKind,
+        now: Timestamp,
+    ) -> Vec<&str> {
+        let known = &self.partitions[partition];
+        let own = known.is_loaded().then(|| known.next());
+        let ready = self.members.alive(now).filter(|r| r.ready);
+        let peers = ready.filter_map(|r| {
+            let mut positions = r.positions.iter();
+            let position = positions.find(|p| p.partition as usize == partition)?;
+            Some((r.name.as_str(), *position))
+        });
+        better_peers(own, &self.currencies[partition], kind, peers, now)
+    }
+
     /// Returns whether the configuration and a backend server are known.
     pub(crate) fn can_serve(&self) -> bool {
         self.config.is_some() && self.backends.iter().next().is_some()
@@ -140,6 +191,7 @@
             speeds: Speeds::default(),
             quotas: Quotas::default(),
             held: vec![Held::No; partitions.len()],
+            currencies: vec![Currency::default(); partitions.len()],
             partitions,
             items: OpenItems::default(),
             runs: RunHandles::default(),
--- a/gateway/src/serve/online.rs
+++ b/gateway/src/serve/online.rs
@@ -32,10 +32,6 @@
     SeedableRng, //
 };
 
-use super::handover::{
-    self,
-    Repeat, //
-};
 use super::lines::{
     ATTEMPT_FAILED,
     BACKEND_SUSPECTED,
@@ -57,6 +53,7 @@
     retry_later, //
 };
 use super::{
+    handover,
     items,
     job_calls, //
 };
@@ -80,8 +77,10 @@
     CallHead,
     Dialect,
     Forward,
+    JobCall,
     Store, //
 };
+use crate::positions::CallKind;
 
 /// Online requests that may wait at a backend server beyond its slots. With eight slots that are
 /// held for three quarters of a second each, two wait at most a fifth of a second.
@@ -185,7 +184,11 @@
     if let (Some(job_call), Some(organisation)) = (job_call, &organisation) {
         let partition = node.partition_of(&organisation.name);
         let empty = Bytes::new();
-        let passed = handover::pass_on(&node, partition, &head, &empty, Repeat::Safe);
+        let kind = match job_call {
+            JobCall::Results { .. } | JobCall::Content { .. } => CallKind::Read,
+            JobCall::End { .. } => CallKind::End,
+        };
+        let passed = handover::pass_on(&node, partition, &head, &empty, kind);
         if let Some(response) = passed.await {
             return response;
         }
@@ -203,7 +206,7 @@
     };
     if let (RouteKind::Batch, Some(organisation)) = (route.kind, &organisation) {
         let partition = node.partition_of(&organisation.name);
-        let passed = handover::pass_on(&node, partition, &head, &body, Repeat::Never);
+        let passed = handover::pass_on(&node, partition, &head, &body, CallKind::Submit);
         if let Some(response) = passed.await {
             return response;
         }
--- a/gateway/src/serve/peers.rs
+++ b/gateway/src/serve/peers.rs
@@ -197,6 +197,7 @@
         suspects: suspects
             .map(|(key, left)| (key, u32::try_from(left.as_millis()).unwrap_or(u32::MAX)))
             .collect(),
+        positions: state.positions(),
     };
     let mut addrs: Vec<IpAddr> = state.members.iter().map(|(_, m)| m.addr).collect();
     // Until a first peer is known the seeds may know more.
@@ -249,6 +250,7 @@
         state.load.suspect_heard(*backend, now + left);
     }
     state.quotas.heard(&name, report.boot, &report.admitted);
+    state.positions_heard(&report.positions, now);
     let changed = was_silent || left_before != leaving || ready_before != ready;
     if changed {
         refresh_silent(&mut state, now);
--- a/gateway/tests/online.rs
+++ b/gateway/tests/online.rs
@@ -21,6 +21,7 @@
     OrganisationKey,
     Placed,
     Placement,
+    Position,
     Quotas,
     Report,
     addresses,
@@ -277,6 +278,11 @@
         waiting: 4,
         admitted: vec![(OrganisationKey(8), 77)],
         suspects: vec![(BackendKey(6), 900)],
+        positions: vec![Position {
+            partition: 3,
+            next: 70,
+            reads: true,
+        }],
     }
 }
 
