gateway: peers write results while the store turns an instance away

The items of a partition are now distributed among the holders that the store answers. An instance that it does not answer goes on with the items that it has a part of, and sends results to the peer that would take its submissions; the condition of each append lets a result count once. LW2606 tells of it.

--- a/gateway/src/report.rs
+++ b/gateway/src/report.rs
@@ -168,6 +168,15 @@
 }
 
 impl Report {
+    /// Returns whether the items are distributed otherwise after `next` than after this report.
+    pub fn differs_for_items(&self, next: &Self) -> bool {
+        let reads = |report: &Self| -> Vec<(u32, bool)> {
+            let positions = report.positions.iter();
+            positions.map(|p| (p.partition, p.reads)).collect()
+        };
+        self.leaving != next.leaving || self.ready != next.ready || reads(self) != reads(next)
+    }
+
     /// Encodes the report.
     pub fn encode(&self) -> Vec<u8> {
         let mut buf = Vec::new();
--- a/gateway/src/serve/follow.rs
+++ b/gateway/src/serve/follow.rs
@@ -134,7 +134,8 @@
         };
         node.metrics.store_call(result.is_ok());
         if topic == Topic::Jobs {
-            node.lock().currencies[partition as usize].lost = result.is_err();
+            let answered = matches!(result, Ok(()) | Err(StoreError::Trimmed { .. }));
+            note_answer(&node, partition, answered);
         }
         match result {
             Ok(()) => {
@@ -180,6 +181,20 @@
     }
 }
 
+/// Notes whether the store answers reads of a partition of the jobs; this decides which instances
+/// run its items.
+fn note_answer<P: Store + Dialect>(node: &Arc<Node<P>>, partition: u32, answered: bool) {
+    let lost = !answered;
+    let before = {
+        let mut state = node.lock();
+        std::mem::replace(&mut state.currencies[partition as usize].lost, lost)
+    };
+    if before != lost {
+        node.report_due.notify(usize::MAX);
+        items::jobs_changed(node);
+    }
+}
+
 /// Lists the newest records of a partition.
 ///
 /// Pages are no snapshot, so reading continues at the end that the first page stated.
--- a/gateway/src/serve/items.rs
+++ b/gateway/src/serve/items.rs
@@ -112,7 +112,7 @@
             busy,
             now,
         );
-        held_by.push(holders.into_iter().map(str::to_owned).collect());
+        held_by.push(state.runners(partition, &holders, me));
     }
     let config = state.config.as_deref();
     let ended = state.items.refresh(&state.partitions, config, me, &held_by);
--- a/gateway/src/serve/lines.rs
+++ b/gateway/src/serve/lines.rs
@@ -126,6 +126,8 @@
 pub(crate) const ITEM_ENDED: Event = Event::new(2604, Level::Info);
 /// The result of an item is in the store.
 pub(crate) const ITEM_LISTED: Event = Event::new(2605, Level::Info);
+/// Results were sent to a peer because the store does not answer.
+pub(crate) const RESULTS_PASSED_ON: Event = Event::new(2606, Level::Warn);
 
 /// A logger that hands lines to the writing thread.
 struct Lines {
--- a/gateway/src/serve/mod.rs
+++ b/gateway/src/serve/mod.rs
@@ -11,6 +11,7 @@
 mod peers;
 mod relay;
 mod replies;
+mod results;
 mod runs;
 mod writer;
 
@@ -38,6 +39,7 @@
     future, //
 };
 use hyper::{
+    Method,
     Request,
     Response,
     StatusCode, //
@@ -253,11 +255,18 @@
             addr: settings.public,
         })?;
         let mut others = Vec::new();
+        let shared = node.clone();
+        let peers = Server::start(spawner, peer, ServerLimits::default(), move |req| {
+            serve_peer(shared.clone(), req)
+        });
+        others.push(peers.context(ListenSnafu {
+            purpose: "peers",
+            addr: peer,
+        })?);
         let listeners = [
             ("readiness", settings.readiness),
             ("directory", settings.directory),
             ("metrics", settings.metrics),
-            ("peers", peer),
         ];
         for (purpose, addr) in listeners {
             let shared = node.clone();
@@ -401,7 +410,26 @@
     }
 }
 
-/// Answers questions for addresses, readiness, metrics and the configuration.
+/// Answers the other instances.
+async fn serve_peer<P: Store + Dialect>(
+    node: Arc<Node<P>>,
+    req: Request<RequestBody>,
+) -> Response<Body> {
+    let (head, body) = req.into_parts();
+    match (head.method, head.uri.path()) {
+        (Method::GET, peers::CONFIG_PATH) => {
+            let record = node.lock().config_record.clone();
+            let body = record.map_or_else(Body::empty, |record| {
+                Body::from(peers::encode_record(&record))
+            });
+            Response::new(body)
+        }
+        (Method::POST, results::RESULTS_PATH) => results::receive(&node, body).await,
+        _ => replies::plain(StatusCode::NOT_FOUND, "no such page"),
+    }
+}
+
+/// Answers questions for addresses, readiness and metrics.
 fn inform<P: Store + Dialect>(node: &Arc<Node<P>>, req: Request<RequestBody>) -> Response<Body> {
     let (head, _) = req.into_parts();
     if let Some(query) = node.platform.address_query(&head) {
@@ -423,13 +451,6 @@
     }
     match head.uri.path() {
         "/metrics" => replies::plain(StatusCode::OK, &node.metrics.render()),
-        peers::CONFIG_PATH => {
-            let record = node.lock().config_record.clone();
-            let body = record.map_or_else(Body::empty, |record| {
-                Body::from(peers::encode_record(&record))
-            });
-            Response::new(body)
-        }
         _ => replies::plain(StatusCode::NOT_FOUND, "no such page"),
     }
 }
--- a/gateway/src/serve/node.rs
+++ b/gateway/src/serve/node.rs
@@ -137,6 +137,27 @@
         better_peers(own, &self.currencies[partition], kind, peers, now)
     }
 
+    /// Returns the instances among the holders of `partition` that run its items: those that the
+    /// store answers, because the others cannot write results; all of them if it answers none.
+    pub(crate) fn runners(&self, partition: usize, holders: &[&str], me: &str) -> Vec<String> {
+        let reads = |name: &&&str| {
+            if **name == me {
+                return !self.currencies[partition].lost;
+            }
+            let report = self.members.get(name).and_then(|m| m.report.as_ref());
+            let mut positions = report.map_or(&[][..], |r| &r.positions).iter();
+            let position = positions.find(|p| p.partition as usize == partition);
+            // A holder that has just taken the partition over has not stated it yet.
+            position.is_none_or(|p| p.reads)
+        };
+        let names = |chosen: Vec<&&str>| chosen.into_iter().map(|n| (*n).to_owned()).collect();
+        let reading: Vec<&&str> = holders.iter().filter(reads).collect();
+        if reading.is_empty() {
+            return names(holders.iter().collect());
+        }
+        names(reading)
+    }
+
     /// Returns whether the configuration and a backend server are known.
     pub(crate) fn can_serve(&self) -> bool {
         self.config.is_some() && self.backends.iter().next().is_some()
--- a/gateway/src/serve/peers.rs
+++ b/gateway/src/serve/peers.rs
@@ -237,11 +237,9 @@
         .members
         .get(&name)
         .is_some_and(|member| member.alive(now));
-    let leaving = report.leaving;
-    let ready = report.ready;
-    let (left_before, ready_before) = match state.members.heard(report.clone(), from, now) {
-        Heard::First => (false, false),
-        Heard::After(before) => (before.leaving, before.ready),
+    let changed = match state.members.heard(report.clone(), from, now) {
+        Heard::First => true,
+        Heard::After(before) => was_silent || before.differs_for_items(&report),
         Heard::Late => return,
     };
     state.load.heard(&report, now);
@@ -251,7 +249,6 @@
     }
     state.quotas.heard(&name, report.boot, &report.admitted);
     state.positions_heard(&report.positions, now);
-    let changed = was_silent || left_before != leaving || ready_before != ready;
     if changed {
         refresh_silent(&mut state, now);
     }
--- /dev/null
+++ b/gateway/src/serve/results.rs
@@ -0,0 +1,196 @@
+//! Has peers write results while the store turns this instance away.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use hyper::body::Bytes;
+use hyper::{
+    Request,
+    Response,
+    StatusCode, //
+};
+use limpetweir_transport::http::{
+    Body,
+    RequestBody,
+    SendOptions,
+    TrafficClass, //
+};
+use limpetweir_transport::until;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use super::lines::{
+    RESULTS_PASSED_ON,
+    line, //
+};
+use super::node::{
+    Node,
+    State, //
+};
+use super::replies::plain;
+use super::writer::{
+    self,
+    WriteRequest, //
+};
+use crate::jobs::{
+    Change,
+    Outcome, //
+};
+use crate::platform::{
+    Dialect,
+    Store, //
+};
+use crate::positions::CallKind;
+
+/// Path at the peer port to which results are sent.
+pub(crate) const RESULTS_PATH: &str = "/results";
+
+/// Longest wait for a peer that writes results; it gathers them and makes one or two appends.
+const TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// Longest time in which a peer tries to write results, within the wait of the sender.
+const WRITE_TIMEOUT: Duration = Duration::from_millis(1_200);
+
+/// Results of one partition on their way to a peer.
+#[derive(Deserialize, Serialize)]
+struct Wire {
+    partition: usize,
+    results: Vec<WireResult>,
+}
+
+#[derive(Deserialize, Serialize)]
+struct WireResult {
+    job: String,
+    item: usize,
+    outcome: Outcome,
+    text: String,
+}
+
+/// Has a peer write the results in `queue` if the store does not answer this instance but a peer.
+/// Results that are written leave the queue. The condition of every append lets a result that this
+/// instance has appended without an answer count once.
+pub(crate) async fn pass_on<P: Store + Dialect>(
+    node: &Arc<Node<P>>,
+    partition: usize,
+    queue: &mut VecDeque<WriteRequest>,
+) {
+    let Some((peer, addr)) = chosen_peer(node, partition) else {
+        return;
+    };
+    let (mut sent, mut kept) = (Vec::new(), VecDeque::new());
+    let mut results = Vec::new();
+    let mut bytes = 0;
+    for request in queue.drain(..) {
+        let result = wire_result(request.change());
+        match result.filter(|_| bytes < node.settings.store.call_bytes / 2) {
+            Some(result) => {
+                bytes += result.text.len();
+                results.push(result);
+                sent.push(request);
+            }
+            None => kept.push_back(request),
+        }
+    }
+    *queue = kept;
+    if sent.is_empty() {
+        return;
+    }
+    let outcome = send(node, addr, &Wire { partition, results }).await;
+    line!(
+        RESULTS_PASSED_ON,
+        "partition={partition} results={} peer={peer} outcome=\"{}\"",
+        sent.len(),
+        outcome.as_ref().err().map_or("written", String::as_str)
+    );
+    match outcome {
+        Ok(()) => sent.into_iter().for_each(WriteRequest::written),
+        Err(_) => queue.extend(sent),
+    }
+}
+
+/// Returns a peer that can write, if this instance cannot.
+fn chosen_peer<P>(node: &Node<P>, partition: usize) -> Option<(String, SocketAddr)> {
+    let now = node.now();
+    let state = node.lock();
+    let peers = state.better_peers(partition, CallKind::Submit, now);
+    let name = *peers.first()?;
+    let addr = state.members.get(name)?.addr;
+    let addr = SocketAddr::new(addr, node.settings.peer_port);
+    Some((name.to_owned(), addr))
+}
+
+fn wire_result(change: &Change) -> Option<WireResult> {
+    let Change::Finish {
+        job,
+        item,
+        outcome,
+        text,
+    } = change
+    else {
+        return None;
+    };
+    Some(WireResult {
+        job: job.clone(),
+        item: *item,
+        outcome: *outcome,
+        text: text.clone(),
+    })
+}
+
+async fn send<P>(node: &Node<P>, addr: SocketAddr, wire: &Wire) -> Result<(), String> {
+    let mut buf = Vec::new();
+    ciborium::into_writer(wire, &mut buf).map_err(|err| err.to_string())?;
+    let req = Request::post(RESULTS_PATH).body(Bytes::from(buf));
+    let req = req.map_err(|err| err.to_string())?;
+    let options = SendOptions::within(TrafficClass::Platform, TIMEOUT);
+    let answer = node.client.send(addr, req, options).await;
+    match answer.map_err(|err| err.to_string())?.status() {
+        StatusCode::OK => Ok(()),
+        status => Err(format!("status {status}")),
+    }
+}
+
+/// Writes the results that a peer sends.
+pub(crate) async fn receive<P: Store + Dialect>(
+    node: &Arc<Node<P>>,
+    body: RequestBody,
+) -> Response<Body> {
+    let bytes = match body.collect_bytes().await {
+        Ok(bytes) => bytes,
+        Err(err) => return plain(StatusCode::BAD_REQUEST, &err.to_string()),
+    };
+    let wire: Wire = match ciborium::from_reader(&bytes[..]) {
+        Ok(wire) => wire,
+        Err(err) => return plain(StatusCode::BAD_REQUEST, &err.to_string()),
+    };
+    let partition = wire.partition;
+    // Otherwise two instances that the store turns away could send results back and forth.
+    let lost = |state: &State| state.currencies.get(partition).is_none_or(|c| c.lost);
+    if lost(&node.lock()) {
+        return plain(StatusCode::SERVICE_UNAVAILABLE, "the store does not answer");
+    }
+    let writes = wire.results.into_iter().map(|result| {
+        let change = Change::Finish {
+            job: result.job,
+            item: result.item,
+            outcome: result.outcome,
+            text: result.text,
+        };
+        writer::write(node, partition, change)
+    });
+    // The writer gathers what is queued into one append.
+    let written = futures_util::future::join_all(writes);
+    let written = until(Instant::now() + WRITE_TIMEOUT, written).await;
+    if written.is_some_and(|results| results.iter().all(Result::is_ok)) {
+        plain(StatusCode::OK, "written")
+    } else {
+        plain(StatusCode::SERVICE_UNAVAILABLE, "not written")
+    }
+}
--- a/gateway/src/serve/writer.rs
+++ b/gateway/src/serve/writer.rs
@@ -15,12 +15,15 @@
 use limpetweir_state::Timestamp;
 use limpetweir_transport::sleep;
 
-use super::follow;
 use super::lines::{
     APPEND_FAILED,
     line, //
 };
 use super::node::Node;
+use super::{
+    follow,
+    results, //
+};
 use crate::jobs::{
     Change,
     Decision,
@@ -71,6 +74,18 @@
     uncertain: bool,
 }
 
+impl WriteRequest {
+    pub(crate) fn change(&self) -> &Change {
+        &self.change
+    }
+
+    /// Notes that a peer has written the change.
+    pub(crate) fn written(self) {
+        // The task that waits for the outcome ends with the process only.
+        let _ = self.reply.try_send(Ok(()));
+    }
+}
+
 /// Has a change written and returns its outcome.
 pub(crate) async fn write<P>(
     node: &Node<P>,
@@ -115,6 +130,7 @@
         queue
             .make_contiguous()
             .sort_by_key(|request| request.until.is_none());
+        results::pass_on(&node, partition as usize, &mut queue).await;
         step(&node, partition, &mut queue).await;
         expire(&node, &mut queue);
     }
