gateway: large machines hold the jobs

Four instances hold each partition of the jobs and run its items. The rendezvous hash gave two partitions to frontend-gs-baton-10, a machine with 0.12 cores: its lines show that the process stood still seven times, for up to 5.8 s (LW2007), because its share of the processor was used up. Requests that were running there got no answer (320 ended at their deadline), and reads of the store failed (LW2101).

The settings state the machine's processor, reports carry it, and holders are large machines as far as there are any; a machine is large from half of the largest on. Fleets of equal machines distribute as before.

--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -33,7 +33,7 @@
     RecordError, Submission, decide,
 };
 pub use load::{Load, Placed};
-pub use members::{Entry, Heard, Member, Members, SILENCE, addresses, holders, owner};
+pub use members::{Entry, Heard, Instance, Member, Members, SILENCE, addresses, holders, owner};
 pub use open_items::{OpenItem, OpenItems, Phase, Progress, RunEnd, Step};
 pub use placement::{Candidate, Limits, Placement, place, retry_after};
 pub use platform::{
--- a/gateway/src/members.rs
+++ b/gateway/src/members.rs
@@ -1,5 +1,6 @@
 //! Which instances exist, which of them are alive, and which addresses callers are told.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::net::{
     IpAddr,
@@ -142,6 +143,8 @@
     pub addr: SocketAddr,
     /// Availability zone.
     pub zone: String,
+    /// Processor of its machine in thousandths of a core.
+    pub capacity: u32,
 }
 
 /// Fewest instances that a caller is told, so that it has another address when one fails.
@@ -151,12 +154,18 @@
 /// callers pick one at random and answers between zones cost time.
 pub fn addresses(entries: &[Entry], zone: Option<&str>, most: usize) -> Vec<SocketAddr> {
     let near = entries.iter().filter(|e| Some(e.zone.as_str()) == zone);
-    let mut chosen: Vec<SocketAddr> = near.map(|e| e.addr).collect();
+    let mut chosen: Vec<&Entry> = near.collect();
     if chosen.len() < FEWEST_ADDRESSES {
-        chosen = entries.iter().map(|e| e.addr).collect();
+        chosen = entries.iter().collect();
     }
     chosen.truncate(most);
-    chosen
+    chosen.into_iter().map(|e| e.addr).collect()
+}
+
+/// Returns whether a machine counts as large among those whose largest has `largest`. Fleets have
+/// machines of two sizes that differ four times; smaller differences do not matter.
+fn is_large(capacity: u32, largest: u32) -> bool {
+    capacity >= largest / 2
 }
 
 /// Instances up to which every one of them holds all jobs.
@@ -167,15 +176,31 @@
 /// 80 MB a second.
 const HOLDERS: usize = 4;
 
-/// Returns the instances among `names` that hold a partition of the jobs, the preferred one first.
-pub fn holders<'a>(partition: usize, names: &[&'a str]) -> Vec<&'a str> {
-    let mut holders = names.to_vec();
-    if names.len() > ALL_HOLD {
+/// An instance that may hold jobs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Instance<'a> {
+    /// Its name.
+    pub name: &'a str,
+    /// Processor of its machine in thousandths of a core.
+    pub capacity: u32,
+}
+
+/// Returns the instances that hold a partition of the jobs, the preferred one first. In a large
+/// fleet these are large machines as far as there are any: a holder runs many items, and on a small
+/// machine it stood still for seconds.
+pub fn holders<'a>(partition: usize, instances: &[Instance<'a>]) -> Vec<&'a str> {
+    let mut holders = instances.to_vec();
+    if instances.len() > ALL_HOLD {
         let key = (partition as u64).to_be_bytes();
-        holders.sort_by_key(|name| std::cmp::Reverse((rendezvous_score(&key, name), *name)));
+        let largest = instances.iter().map(|i| i.capacity).max().unwrap_or(0);
+        let rank = |i: &Instance<'a>| {
+            let large = is_large(i.capacity, largest);
+            Reverse((large, rendezvous_score(&key, i.name), i.name))
+        };
+        holders.sort_by_key(rank);
         holders.truncate(HOLDERS);
     }
-    holders
+    holders.into_iter().map(|i| i.name).collect()
 }
 
 /// Returns the instance among `names` that is responsible for `key`.
--- a/gateway/src/report.rs
+++ b/gateway/src/report.rs
@@ -54,6 +54,8 @@
     pub zone: String,
     /// Address for callers.
     pub public: SocketAddr,
+    /// Processor of the machine in thousandths of a core.
+    pub capacity: u32,
     /// Version of the configuration in force there; 0 if there is none.
     pub version: u64,
     /// Online requests that the instance has at each backend server.
@@ -90,6 +92,7 @@
     Vec<(u32, u64)>,
     Vec<(u32, u32)>,
     Vec<(u32, u64, bool)>,
+    u32,
 );
 
 /// Bit of the wire's flags that is set for a ready instance.
@@ -120,6 +123,7 @@
                 .iter()
                 .map(|p| (p.partition, p.next, p.reads))
                 .collect(),
+            r.capacity,
         )
     }
 }
@@ -139,6 +143,7 @@
             leaving: w.4 & LEAVING != 0,
             zone: w.5,
             public: w.6,
+            capacity: w.15,
             version: w.7,
             online: w.8.into_iter().map(|(k, n)| (BackendKey(k), n)).collect(),
             batch: batch.collect(),
--- a/gateway/src/serve/handover.rs
+++ b/gateway/src/serve/handover.rs
@@ -133,11 +133,9 @@
     if chosen.is_empty() && here {
         return None;
     }
-    let ready = state.members.alive(now).filter(|r| r.ready);
-    let ready: Vec<&str> = ready.map(|r| r.name.as_str()).collect();
     if !here {
         // A holder that has just taken the partition over has not stated it yet.
-        chosen.extend(holders(partition, &ready));
+        chosen.extend(holders(partition, &state.ready_peers(now)));
     }
     let public = |name: &str| Some(state.members.get(name)?.report.as_ref()?.public);
     let mut addrs: Vec<SocketAddr> = chosen.into_iter().filter_map(public).collect();
--- a/gateway/src/serve/items.rs
+++ b/gateway/src/serve/items.rs
@@ -45,6 +45,7 @@
 };
 use crate::members::{
     ALL_HOLD,
+    Instance,
     holders,
     owner, //
 };
@@ -93,17 +94,21 @@
     let state = &mut *state;
     let me = node.settings.name.as_str();
     let alive = state.members.alive(now).filter(|r| r.ready);
-    let mut instances: Vec<String> = alive.map(|r| r.name.clone()).collect();
-    if !node.is_leaving() || instances.is_empty() {
-        instances.push(me.to_owned());
+    let mut ready: Vec<(String, u32)> = alive.map(|r| (r.name.clone(), r.capacity)).collect();
+    if !node.is_leaving() || ready.is_empty() {
+        ready.push((me.to_owned(), node.settings.capacity));
     }
-    instances.sort();
-    let names: Vec<&str> = instances.iter().map(String::as_str).collect();
+    ready.sort();
+    let instances = ready.iter().map(|(name, capacity)| Instance {
+        name,
+        capacity: *capacity,
+    });
+    let instances: Vec<Instance<'_>> = instances.collect();
     let large = state.members.count() >= ALL_HOLD;
     let settled = state.instances_read && (!large || now >= SETTLED);
     let mut held_by = Vec::new();
     for partition in 0..state.partitions.len() {
-        let holders = holders(partition, &names);
+        let holders = holders(partition, &instances);
         let busy = state.items.is_busy(partition);
         hold(
             state,
--- a/gateway/src/serve/mod.rs
+++ b/gateway/src/serve/mod.rs
@@ -461,12 +461,14 @@
     let own = node.is_ready().then(|| Entry {
         addr: node.settings.public,
         zone: node.settings.zone.clone(),
+        capacity: node.settings.capacity,
     });
     let state = node.lock();
     let others = state.members.alive(now).filter(|r| r.ready && !r.leaving);
     let others = others.map(|r| Entry {
         addr: r.public,
         zone: r.zone.clone(),
+        capacity: r.capacity,
     });
     own.into_iter().chain(others).collect()
 }
--- a/gateway/src/serve/node.rs
+++ b/gateway/src/serve/node.rs
@@ -36,7 +36,10 @@
 use crate::config_fetch::ConfigFetch;
 use crate::jobs::Partition;
 use crate::load::Load;
-use crate::members::Members;
+use crate::members::{
+    Instance,
+    Members, //
+};
 use crate::open_items::OpenItems;
 use crate::platform::Record;
 use crate::positions::{
@@ -137,6 +140,16 @@
         better_peers(own, &self.currencies[partition], kind, peers, now)
     }
 
+    /// Returns the other instances that may hold jobs.
+    pub(crate) fn ready_peers(&self, now: Timestamp) -> Vec<Instance<'_>> {
+        let ready = self.members.alive(now).filter(|r| r.ready);
+        let peers = ready.map(|r| Instance {
+            name: &r.name,
+            capacity: r.capacity,
+        });
+        peers.collect()
+    }
+
     /// Returns the instances among the holders of `partition` that run its items: those that the
     /// store answers, because the others cannot write results; all of them if it answers none.
     pub(crate) fn runners(&self, partition: usize, holders: &[&str], me: &str) -> Vec<String> {
--- a/gateway/src/serve/peers.rs
+++ b/gateway/src/serve/peers.rs
@@ -188,6 +188,7 @@
         leaving: node.is_leaving(),
         zone: node.settings.zone.clone(),
         public: node.settings.public,
+        capacity: node.settings.capacity,
         version,
         online: state.load.own_online(),
         batch: state.load.own_batch().copied().collect(),
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -45,6 +45,8 @@
     pub zone: String,
     /// Address of the machine.
     pub address: IpAddr,
+    /// Processor of the machine in thousandths of a core.
+    pub capacity: u32,
     /// Listener for callers.
     pub public: SocketAddr,
     /// Listener for readiness checks.
@@ -100,6 +102,8 @@
     name: String,
     zone: String,
     address: IpAddr,
+    #[serde(default)]
+    machine: RawMachine,
     listen: RawListen,
     #[serde(default)]
     seeds: Vec<SocketAddr>,
@@ -110,6 +114,24 @@
     log: RawLog,
 }
 
+#[derive(Deserialize)]
+#[serde(default)]
+struct RawMachine {
+    /// Part of a core that the process may use.
+    cpu_share: f64,
+    /// Speed of the core as a multiple of a usual one.
+    cores: f64,
+}
+
+impl Default for RawMachine {
+    fn default() -> Self {
+        Self {
+            cpu_share: 1.0,
+            cores: 1.0,
+        }
+    }
+}
+
 #[derive(Deserialize)]
 struct RawListen {
     public: SocketAddr,
@@ -163,6 +185,11 @@
         if raw.name.is_empty() || raw.name.len() > 200 {
             return Err(value("name", "must have 1 to 200 characters".to_owned()));
         }
+        let cores = raw.machine.cpu_share * raw.machine.cores;
+        if !(0.001..=1_000.0).contains(&cores) {
+            let reason = "with machine.cores must be 0.001 to 1000 cores".to_owned();
+            return Err(value("machine.cpu_share", reason));
+        }
         if raw.store.partitions == 0 {
             return Err(value("store.partitions", "must be at least 1".to_owned()));
         }
@@ -188,6 +215,8 @@
             name: raw.name,
             zone: raw.zone,
             address: raw.address,
+            // Checked above, so the number fits.
+            capacity: (cores * 1_000.0).round() as u32,
             public: raw.listen.public,
             readiness: raw.listen.readiness,
             directory: raw.listen.directory,
--- a/gateway/tests/batch.rs
+++ b/gateway/tests/batch.rs
@@ -65,6 +65,7 @@
         leaving: false,
         zone: "zone".to_owned(),
         public: ([127, 0, 0, 1], 1).into(),
+        capacity: 500,
         version: 1,
         online: online.iter().map(|&(on, n)| (backend(on), n)).collect(),
         batch: batch.collect(),
--- a/gateway/tests/formats.rs
+++ b/gateway/tests/formats.rs
@@ -55,6 +55,9 @@
 zone = "a"
 address = "10.0.0.1"
 seeds = ["10.0.0.2:1", "10.0.0.3:1"]
+[machine]
+cpu_share = 0.5
+cores = 1
 [listen]
 public = "10.0.0.1:80"
 readiness = "10.0.0.1:81"
@@ -81,6 +84,7 @@
     let settings = Settings::load("file", SETTINGS).expect("settings");
     assert_eq!(settings.name, "gateway-1");
     assert_eq!(settings.seeds.len(), 2);
+    assert_eq!(settings.capacity, 500);
     assert_eq!(settings.grace, Duration::from_secs(8));
     assert_eq!(settings.metrics.port(), 83);
 }
@@ -88,6 +92,7 @@
 /// Guards against a wrong value that shows only while serving, and errors that name no field.
 #[rstest]
 #[case("name = \"gateway-1\"", "name = \"\"", "name")]
+#[case("cpu_share = 0.5", "cpu_share = 0", "machine.cpu_share")]
 #[case("partitions = 8", "partitions = 0", "store.partitions")]
 #[case("record_bytes = 262144", "record_bytes = 12", "store.record_bytes")]
 #[case("grace_s = 8", "grace_s = 0", "stop.grace_s")]
--- a/gateway/tests/online.rs
+++ b/gateway/tests/online.rs
@@ -14,6 +14,7 @@
     ConfigurationParts,
     Entry,
     Heard,
+    Instance,
     ItemKey,
     Limits,
     Members,
@@ -267,6 +268,7 @@
         leaving: false,
         zone: "zone".to_owned(),
         public: ([127, 0, 0, 1], 80).into(),
+        capacity: 500,
         version: 7,
         online: vec![(BackendKey(5), 3)],
         batch: vec![BatchRun {
@@ -326,6 +328,7 @@
     let entry = |n: u16, zone: &str| Entry {
         addr: SocketAddr::from(([127, 0, 0, 1], n)),
         zone: zone.to_owned(),
+        capacity: 500,
     };
     let entries: Vec<Entry> = (0..3)
         .map(|n| entry(n, "near"))
@@ -337,19 +340,38 @@
     assert_eq!(addresses(&entries, None, 2).len(), 2);
 }
 
+/// Guards against callers at small machines, which stand still once their share of the processor is
+/// used up, while large ones have room.
+#[test]
+fn callers_are_told_of_large_machines_where_there_are_enough() {
+    let entry = |n: u16, capacity: u32| Entry {
+        addr: SocketAddr::from(([127, 0, 0, 1], n)),
+        zone: "near".to_owned(),
+        capacity,
+    };
+    let small = (0..7).map(|n| entry(n, 120));
+    let large: Vec<Entry> = (7..11).map(|n| entry(n, 500)).collect();
+    let mixed: Vec<Entry> = small.chain(large.clone()).collect();
+    let expected: Vec<_> = large.iter().map(|e| e.addr).collect();
+    assert_eq!(addresses(&mixed, Some("near"), 64), expected);
+    assert_eq!(addresses(&mixed[..9], Some("near"), 64).len(), 9);
+}
+
 /// Guards against small fleets that pass calls about jobs on, and large ones in which every instance
 /// reads all jobs.
 #[test]
 fn in_large_fleets_few_instances_hold_a_partition() {
     let names: Vec<String> = (0..82).map(|n| format!("gateway-{n}")).collect();
     let names: Vec<&str> = names.iter().map(String::as_str).collect();
-    assert_eq!(holders(0, &names[..17]).len(), 17);
+    let all_equal = instances(&names, &[]);
+    assert_eq!(holders(0, &all_equal[..17]).len(), 17);
     let mut all = Vec::new();
     for partition in 0..4 {
-        let chosen = holders(partition, &names);
+        let chosen = holders(partition, &all_equal);
         assert_eq!(chosen.len(), 4);
         // The loss of the preferred one leaves the others in place.
-        let rest: Vec<&str> = names.iter().copied().filter(|n| *n != chosen[0]).collect();
+        let mut rest = all_equal.clone();
+        rest.retain(|i| i.name != chosen[0]);
         assert_eq!(holders(partition, &rest)[..3], chosen[1..]);
         all.extend(chosen);
     }
@@ -357,3 +379,28 @@
     all.dedup();
     assert!(all.len() > 8, "{all:?}");
 }
+
+/// Returns instances on small machines, those of `large` on large ones.
+fn instances<'a>(names: &[&'a str], large: &[&str]) -> Vec<Instance<'a>> {
+    let instances = names.iter().map(|name| Instance {
+        name,
+        capacity: if large.contains(name) { 500 } else { 120 },
+    });
+    instances.collect()
+}
+
+/// Guards against jobs on small machines: one that held two partitions of gulfreef-grown stood still
+/// for up to six seconds, because its share of the processor was used up.
+#[test]
+fn large_machines_hold_the_jobs() {
+    let names: Vec<String> = (0..59).map(|n| format!("gateway-{n}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    for partition in 0..4 {
+        let chosen = holders(partition, &instances(&names, &names[10..30]));
+        assert!(chosen.iter().all(|name| names[10..30].contains(name)));
+        // With too few large machines small ones take part.
+        let chosen = holders(partition, &instances(&names, &names[10..12]));
+        assert_eq!(chosen.len(), 4);
+        assert!(names[10..12].iter().all(|name| chosen[..2].contains(name)));
+    }
+}
