--- a/gateway/src/members.rs
+++ b/gateway/src/members.rs
@@ -151,13 +151,19 @@
 const FEWEST_ADDRESSES: usize = 3;
 
 /// Returns the addresses for a caller in `zone`: those of its own zone if there are enough, because
-/// callers pick one at random and answers between zones cost time.
+/// callers pick one at random and answers between zones cost time; of these only large machines if
+/// there are enough, because a small one stands still once its share of the processor is used up.
 pub fn addresses(entries: &[Entry], zone: Option<&str>, most: usize) -> Vec<SocketAddr> {
     let near = entries.iter().filter(|e| Some(e.zone.as_str()) == zone);
     let mut chosen: Vec<&Entry> = near.collect();
     if chosen.len() < FEWEST_ADDRESSES {
         chosen = entries.iter().collect();
     }
+    let largest = chosen.iter().map(|e| e.capacity).max().unwrap_or(0);
+    let large = |e: &&&Entry| is_large(e.capacity, largest);
+    if chosen.iter().filter(large).count() >= FEWEST_ADDRESSES {
+        chosen.retain(|e| is_large(e.capacity, largest));
+    }
     chosen.truncate(most);
     chosen.into_iter().map(|e| e.addr).collect()
 }
