gateway: reports name the backend servers that leave

Load: the store turns a third of the instances away while a server drains. Such an instance reads no entries, so it went on sending requests to a server that had stated that it leaves; peers that read the store knew. Reports now name the servers that drain or have left in the last 12 s, and an instance sends nothing new to a server that a peer has named within the last second.

--- a/gateway/src/backend.rs
+++ b/gateway/src/backend.rs
@@ -12,6 +12,14 @@
 /// registers again within about two seconds of the store's return.
 const LAPSE_GRACE: Duration = Duration::from_millis(2_300);
 
+/// How long peers are told of a server that has left: longer than the store usually turns an
+/// instance away.
+const GONE_STATED: Duration = Duration::from_secs(12);
+
+/// How long a server that a peer states as leaving gets nothing new: four reports at the longest
+/// interval.
+const LEAVING_HEARD: Duration = Duration::from_millis(1_000);
+
 /// Short form of a backend server's identifier, the same on all instances.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct BackendKey(pub u32);
@@ -54,6 +62,17 @@
     pub seen: Timestamp,
     /// Whether the entry was found removed.
     removed: bool,
+    /// When a peer last stated that the server leaves or has left. An instance that the store turns
+    /// away learns of it in this way only.
+    leaving_heard: Option<Timestamp>,
+}
+
+impl Backend {
+    fn takes_requests(&self, now: Timestamp) -> bool {
+        let leaving = self.leaving_heard;
+        let leaving = leaving.is_some_and(|at| now.since(at) < LEAVING_HEARD);
+        !self.entry.draining && !leaving
+    }
 }
 
 /// The backend servers known to this instance.
@@ -62,12 +81,15 @@
     by_key: HashMap<BackendKey, Backend>,
     /// Time of the last failed read of the entries.
     last_outage: Option<Timestamp>,
+    /// Servers that are gone, and since when.
+    gone: HashMap<BackendKey, Timestamp>,
 }
 
 impl Backends {
     /// Takes a new entry over; returns whether anything but its age changed.
     pub fn update(&mut self, entry: BackendEntry, now: Timestamp) -> bool {
         let key = BackendKey::of(&entry.id);
+        self.gone.remove(&key);
         let known = self.by_key.get_mut(&key);
         if let Some(known) = known {
             let changed = *known.entry != entry || known.removed;
@@ -82,6 +104,7 @@
             key,
             seen: now,
             removed: false,
+            leaving_heard: None,
             entry: Arc::new(entry),
         };
         self.by_key.insert(key, backend);
@@ -100,7 +123,11 @@
                 known.removed = true;
                 true
             }
-            Some(_) => self.by_key.remove(&key).is_some(),
+            Some(_) => {
+                self.by_key.remove(&key);
+                self.gone.insert(key, now);
+                true
+            }
             None => false,
         }
     }
@@ -134,16 +161,35 @@
         let gone = self.by_key.values().filter(|backend| lapsed(backend));
         let gone: Vec<String> = gone.map(|backend| backend.entry.id.clone()).collect();
         for id in &gone {
-            self.by_key.remove(&BackendKey::of(id));
+            let key = BackendKey::of(id);
+            self.by_key.remove(&key);
+            self.gone.insert(key, now);
         }
+        self.gone.retain(|_, since| now.since(*since) < GONE_STATED);
         gone
     }
 
+    /// Returns the backend servers that leave or have left lately, for the reports.
+    pub fn leaving(&self) -> Vec<BackendKey> {
+        let draining = self.by_key.values().filter(|b| b.entry.draining);
+        let draining = draining.map(|b| b.key);
+        draining.chain(self.gone.keys().copied()).collect()
+    }
+
+    /// Notes that a peer states these backend servers as leaving.
+    pub fn leaving_heard(&mut self, keys: &[BackendKey], now: Timestamp) {
+        for key in keys {
+            if let Some(backend) = self.by_key.get_mut(key) {
+                backend.leaving_heard = Some(now);
+            }
+        }
+    }
+
     /// Returns the backend servers of `service` that take new requests.
-    pub fn serving(&self, service: &str) -> impl Iterator<Item = &Backend> {
+    pub fn serving(&self, service: &str, now: Timestamp) -> impl Iterator<Item = &Backend> {
         self.by_key
             .values()
-            .filter(move |b| b.entry.service == service && !b.entry.draining)
+            .filter(move |b| b.entry.service == service && b.takes_requests(now))
     }
 
     /// Returns all backend servers.
--- a/gateway/src/report.rs
+++ b/gateway/src/report.rs
@@ -70,6 +70,8 @@
     pub admitted: Vec<(OrganisationKey, u64)>,
     /// Backend servers that do not answer the instance, with the remaining time in milliseconds.
     pub suspects: Vec<(BackendKey, u32)>,
+    /// Backend servers that leave or have left lately.
+    pub leaving_backends: Vec<BackendKey>,
     /// What the instance knows of the partitions of the jobs that it holds.
     pub positions: Vec<Position>,
 }
@@ -93,6 +95,7 @@
     Vec<(u32, u32)>,
     Vec<(u32, u64, bool)>,
     u32,
+    Vec<u32>,
 );
 
 /// Bit of the wire's flags that is set for a ready instance.
@@ -124,6 +127,7 @@
                 .map(|p| (p.partition, p.next, p.reads))
                 .collect(),
             r.capacity,
+            r.leaving_backends.iter().map(|key| key.0).collect(),
         )
     }
 }
@@ -144,6 +148,7 @@
             zone: w.5,
             public: w.6,
             capacity: w.15,
+            leaving_backends: w.16.into_iter().map(BackendKey).collect(),
             version: w.7,
             online: w.8.into_iter().map(|(k, n)| (BackendKey(k), n)).collect(),
             batch: batch.collect(),
--- a/gateway/src/serve/items.rs
+++ b/gateway/src/serve/items.rs
@@ -227,7 +227,7 @@
 }
 
 fn rooms(state: &State, service: &str, now: Timestamp) -> Vec<Room> {
-    let rooms = state.backends.serving(service).map(|b| Room {
+    let rooms = state.backends.serving(service, now).map(|b| Room {
         key: b.key,
         slots: slots_of(state, &b.entry),
         placed: state.load.placed(b.key),
--- a/gateway/src/serve/online.rs
+++ b/gateway/src/serve/online.rs
@@ -406,7 +406,7 @@
     let service = config.and_then(|config| config.service(&admitted.service));
     let default_slots = service.map_or(1, |service| service.slots);
     let mut rng = SmallRng::seed_from_u64(state.draws);
-    let backends = state.backends.serving(&admitted.service);
+    let backends = state.backends.serving(&admitted.service, now);
     let candidates = backends.map(|backend| Candidate {
         key: backend.key,
         slots: backend.entry.slots.unwrap_or(default_slots),
--- a/gateway/src/serve/peers.rs
+++ b/gateway/src/serve/peers.rs
@@ -198,6 +198,7 @@
         suspects: suspects
             .map(|(key, left)| (key, u32::try_from(left.as_millis()).unwrap_or(u32::MAX)))
             .collect(),
+        leaving_backends: state.backends.leaving(),
         positions: state.positions(),
     };
     let mut addrs: Vec<IpAddr> = state.members.iter().map(|(_, m)| m.addr).collect();
@@ -250,6 +251,7 @@
     }
     state.quotas.heard(&name, report.boot, &report.admitted);
     state.positions_heard(&report.positions, now);
+    state.backends.leaving_heard(&report.leaving_backends, now);
     if changed {
         refresh_silent(&mut state, now);
     }
--- a/gateway/tests/batch.rs
+++ b/gateway/tests/batch.rs
@@ -73,6 +73,7 @@
         waiting: 0,
         admitted: Vec::new(),
         suspects: Vec::new(),
+        leaving_backends: Vec::new(),
         positions: Vec::new(),
     }
 }
--- a/gateway/tests/online.rs
+++ b/gateway/tests/online.rs
@@ -226,7 +226,7 @@
 }
 
 fn serving(backends: &Backends) -> usize {
-    backends.serving("service").count()
+    backends.serving("service", ms(0)).count()
 }
 
 /// Guards against requests to a server that is leaving or has left.
@@ -259,6 +259,36 @@
     assert_eq!(serving(&backends), 1);
 }
 
+/// Replays a server that leaves while the store turns this instance away. Guards against requests to
+/// it although peers know that it has left.
+#[test]
+fn servers_that_peers_state_as_leaving_get_nothing_new() {
+    let count = |backends: &Backends, at| backends.serving("service", at).count();
+    let mut peer = Backends::default();
+    peer.update(entry("a", true), ms(0));
+    peer.update(entry("b", false), ms(0));
+    peer.update(entry("c", false), ms(0));
+    peer.remove("b", ms(100));
+    let mut own = Backends::default();
+    for id in ["a", "b", "c"] {
+        own.update(entry(id, false), ms(0));
+    }
+    own.note_outage(ms(100));
+    own.leaving_heard(&peer.leaving(), ms(200));
+    assert_eq!(count(&own, ms(300)), 1);
+    // Without further reports the entries that this instance read itself count again.
+    assert_eq!(count(&own, ms(1_300)), 3);
+    peer.update(entry("b", false), ms(1_300));
+    assert_eq!(peer.leaving(), [BackendKey::of("a")]);
+    peer.remove("c", ms(1_400));
+    peer.sweep(ms(20_000));
+    assert_eq!(
+        peer.leaving(),
+        [BackendKey::of("a")],
+        "old ones are forgotten"
+    );
+}
+
 fn report(name: &str, boot: u64, sequence: u64) -> Report {
     Report {
         name: name.to_owned(),
@@ -280,6 +310,7 @@
         waiting: 4,
         admitted: vec![(OrganisationKey(8), 77)],
         suspects: vec![(BackendKey(6), 900)],
+        leaving_backends: vec![BackendKey(4)],
         positions: vec![Position {
             partition: 3,
             next: 70,
