--- a/cli/src/args.rs
+++ b/cli/src/args.rs
@@ -74,6 +74,7 @@
         .subcommand(complete())
         .subcommand(explain())
         .subcommand(trace())
+        .subcommand(plot())
         .subcommand(Command::new("addresses").about("Prints the addresses that a caller may use"))
         .subcommand(completions())
 }
@@ -118,17 +119,45 @@
     ]
 }
 
-fn trace() -> Command {
-    let id = Arg::new("id").value_name("ID").required(true);
-    let file = Arg::new("file")
+fn log_files() -> Arg {
+    Arg::new("file")
         .value_name("FILE")
         .required(true)
         .num_args(1..)
-        .value_parser(value_parser!(PathBuf));
+        .value_parser(value_parser!(PathBuf))
+        .help("Log files, one for each instance, or one with the names before the lines")
+}
+
+fn trace() -> Command {
+    let id = Arg::new("id").value_name("ID").required(true);
     Command::new("trace")
         .about("Follows a request, item or job through collected log files of the gateway")
         .arg(id.help("Identifier of the request, item or job"))
-        .arg(file.help("Log files, one for each instance, or one with the names before the lines"))
+        .arg(log_files())
+}
+
+fn plot() -> Command {
+    let second = |name: &'static str| {
+        Arg::new(name)
+            .long(name)
+            .value_name("SECOND")
+            .value_parser(value_parser!(u64))
+    };
+    let output = Arg::new("output")
+        .long("output")
+        .short('o')
+        .value_name("FILE")
+        .required(true)
+        .value_parser(value_parser!(PathBuf));
+    Command::new("plot")
+        .about("Draws the load between two times from collected log files of the gateway")
+        .arg(
+            second("from")
+                .help("Start, in seconds after the first line; the first line by default"),
+        )
+        .arg(second("to").help("End, in seconds after the first line; the last line by default"))
+        .arg(output.help("SVG file that is written"))
+        .arg(log_files())
 }
 
 fn document_arg() -> Arg {
--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -5,6 +5,7 @@
 mod explain;
 mod job;
 mod key;
+mod plot;
 mod publish;
 mod results;
 mod submit;
@@ -34,6 +35,7 @@
         "complete" => complete::run(matches),
         "explain" => explain::run(matches),
         "trace" => trace::run(matches),
+        "plot" => plot::run(matches),
         "addresses" => addresses(&Options::new(matches)?),
         "completions" => completions(matches),
         other => Err(unknown(other)),
--- a/cli/src/commands/trace.rs
+++ b/cli/src/commands/trace.rs
@@ -27,12 +27,7 @@
 /// Runs `trace`.
 pub(super) fn run(matches: &ArgMatches) -> Result<(), Error> {
     let id: &String = arg(matches, "id")?;
-    let files = matches.get_many::<PathBuf>("file").into_iter().flatten();
-    let mut lines = Vec::new();
-    for file in files {
-        read(file, &mut lines)?;
-    }
-    let trace = Trace::of(id, lines);
+    let trace = Trace::of(id, read_all(matches)?);
     let trace = trace.ok_or_else(|| Error::usage(format!("no line names {id}")))?;
     if matches.get_flag("json") {
         return output::json(&json!({
@@ -55,6 +50,16 @@
     Ok(())
 }
 
+/// Reads the lines of all files that the arguments name.
+pub(super) fn read_all(matches: &ArgMatches) -> Result<Vec<Line>, Error> {
+    let files = matches.get_many::<PathBuf>("file").into_iter().flatten();
+    let mut lines = Vec::new();
+    for file in files {
+        read(file, &mut lines)?;
+    }
+    Ok(lines)
+}
+
 /// Reads the lines of a file; its name without the extension names the instance.
 fn read(path: &Path, lines: &mut Vec<Line>) -> Result<(), Error> {
     let file = std::fs::File::open(path).context(ReadSnafu { path })?;
--- a/cli/src/lib.rs
+++ b/cli/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod items;
 mod options;
 mod output;
+pub mod peak;
 mod random;
 pub mod retry;
 mod secret;
