gateway: reads of jobs wait for 2 s and are woken by the reports of peers

The store does not wake a read that arrives while an append is in progress, so every wait was kept at 0.6 s: four partitions on each of eleven instances made 73 calls a second, most of all calls to the store. An instance whose peers state a higher offset for 80 ms now reads again, once for each offset, and the wait is 2 s.

--- a/gateway/src/positions.rs
+++ b/gateway/src/positions.rs
@@ -12,6 +12,10 @@
 /// milliseconds after an append; callers are promised every result within a second.
 const LAG: Duration = Duration::from_millis(300);
 
+/// Time after which an instance that peers are ahead of reads again: the store does not wake a read
+/// that arrives while an append is in progress.
+const WAKE: Duration = Duration::from_millis(80);
+
 /// What an instance knows of a partition of the jobs that it holds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Position {
@@ -52,6 +56,8 @@
     pub lost: bool,
     /// Highest offset that a peer stated, and since when this instance has been behind one.
     behind: Option<(u64, Timestamp)>,
+    /// Offset for which the read was woken last.
+    woken: u64,
 }
 
 impl Currency {
@@ -69,6 +75,15 @@
         self.behind = self.behind.filter(|(ahead, _)| *ahead > own);
     }
 
+    /// Returns whether to end the read that waits and read again; once for each offset.
+    pub fn wakes(&mut self, now: Timestamp) -> bool {
+        let due = self.behind.filter(|(_, since)| now.since(*since) >= WAKE);
+        let ahead = due.map_or(0, |(ahead, _)| ahead);
+        let wakes = !self.lost && ahead > self.woken;
+        self.woken = self.woken.max(ahead);
+        wakes
+    }
+
     fn is_behind(&self, now: Timestamp) -> bool {
         self.behind
             .is_some_and(|(_, since)| now.since(since) >= LAG)
--- a/gateway/src/serve/follow.rs
+++ b/gateway/src/serve/follow.rs
@@ -74,10 +74,9 @@
             wait: ms(5_000),
             pause: ms(500),
         },
-        // The store does not wake a read that arrives while an append is in progress, so the record
-        // is seen when the wait ends; callers are promised every result within a second.
+        // A read that the store does not wake is repeated when a peer is ahead.
         Topic::Jobs => Pace {
-            wait: ms(600),
+            wait: ms(2_000),
             pause: ms(20),
         },
     }
@@ -119,9 +118,14 @@
                 pace.wait
             };
             let regained = node.store_regained.listen();
+            let behind = node.jobs_behind.listen();
             let read = node.platform.read(topic, partition, cursor.next, wait);
             let repeat = async {
-                regained.await;
+                if topic == Topic::Jobs {
+                    future::or(regained, behind).await;
+                } else {
+                    regained.await;
+                }
                 None
             };
             let read = async { Some(read.await) };
--- a/gateway/src/serve/items.rs
+++ b/gateway/src/serve/items.rs
@@ -149,6 +149,19 @@
         until(Instant::now() + TICK, changed).await;
         balance(&node);
         give_up(&node);
+        wake_reads(&node);
+    }
+}
+
+/// Ends the reads of the jobs that should have ended when a peer's did.
+fn wake_reads<P>(node: &Node<P>) {
+    let now = node.now();
+    let mut wakes = false;
+    for currency in &mut node.lock().currencies {
+        wakes |= currency.wakes(now);
+    }
+    if wakes {
+        node.jobs_behind.notify(usize::MAX);
     }
 }
 
--- a/gateway/src/serve/node.rs
+++ b/gateway/src/serve/node.rs
@@ -196,6 +196,8 @@
     /// Notified when the store answers again after a failure, for reads that still wait on
     /// connections from before.
     pub(crate) store_regained: Signal,
+    /// Notified when peers have read more of the jobs, for reads that the store has not woken.
+    pub(crate) jobs_behind: Signal,
     /// Notified when jobs have changed.
     pub(crate) jobs_changed: Signal,
     /// Queues of the writers, one for each partition of the jobs.
@@ -247,6 +249,7 @@
             open_calls: AtomicU64::new(0),
             report_due: Signal::new(),
             store_regained: Signal::new(),
+            jobs_behind: Signal::new(),
             jobs_changed: Signal::new(),
             writers,
         }
--- a/gateway/tests/positions.rs
+++ b/gateway/tests/positions.rs
@@ -82,3 +82,22 @@
     let better = better_peers(None, &Currency::default(), CallKind::Read, peers, at(0));
     assert_eq!(better, ["b"]);
 }
+
+/// Guards against a read that is repeated for every report, and one that is not repeated for the next
+/// record.
+#[test]
+fn a_read_is_repeated_once_for_each_offset() {
+    let mut currency = Currency::default();
+    currency.heard(60, 4, at(0));
+    assert!(!currency.wakes(at(50)), "the store wakes most reads");
+    assert!(currency.wakes(at(100)));
+    currency.heard(60, 4, at(110));
+    assert!(!currency.wakes(at(200)));
+    currency.heard(61, 4, at(210));
+    assert!(currency.wakes(at(220)));
+    currency.advanced(61);
+    assert!(!currency.wakes(at(400)));
+    currency.heard(70, 61, at(500));
+    currency.lost = true;
+    assert!(!currency.wakes(at(600)), "the store does not answer");
+}
