gateway: a started instance takes the levels of the quotas over from a peer

Load: instances are stopped and started in turn, or all at once, while one organisation sends several times its rate and the others stay below theirs. A started instance took half of each burst to be free.

A started instance now fetches the levels from the peer that has served for the longest time. If the whole fleet has started, the free part follows from the stated tolerance (window, overshoot and slack, [quota] of the settings), divided among two starts in one window: the whole burst for small organisations, and as before for one with 46 requests a second.

--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -41,7 +41,7 @@
     Page, Record, ResultView, Store, StoreError, Topic,
 };
 pub use positions::{CallKind, Currency, Position, better_peers};
-pub use quota::{OrganisationKey, OverQuota, Quotas};
+pub use quota::{OrganisationKey, OverQuota, Quotas, Tolerance};
 pub use report::{BatchRun, ItemKey, Report};
 pub use serve::{Gateway, StartError, check, run};
 pub use settings::{Settings, SettingsError, StoreSettings};
--- a/gateway/src/quota.rs
+++ b/gateway/src/quota.rs
@@ -14,9 +14,40 @@
 
 use crate::config::Configuration;
 
-/// Part of the burst that a starting instance assumes to be free, because admissions from before
-/// the start of the whole fleet are not known.
-const START_FILL: f64 = 0.5;
+/// How far a limit may be exceeded in a window, which answers for what instances do not know of each
+/// other's admissions.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Tolerance {
+    /// Length of the window.
+    pub window: Duration,
+    /// Part of the limit.
+    pub overshoot: f64,
+    /// Requests.
+    pub slack: f64,
+}
+
+impl Default for Tolerance {
+    fn default() -> Self {
+        Self {
+            window: Duration::from_secs(5),
+            overshoot: 0.1,
+            slack: 20.0,
+        }
+    }
+}
+
+/// Restarts of the whole fleet in one window that the tolerance is divided among.
+const RESTARTS: f64 = 2.0;
+
+impl Tolerance {
+    /// Returns the part of the burst that is free when the whole fleet has started, because
+    /// admissions from before are not known.
+    fn start_fill(&self, rate: f64, burst: f64) -> f64 {
+        let limit = rate * self.window.as_secs_f64() + burst;
+        let spare = limit * self.overshoot + self.slack;
+        (spare / (RESTARTS * burst)).min(1.0)
+    }
+}
 
 /// Most requests of an organisation that an instance admits before its first report of them.
 const FIRST_COUNT: u64 = 4;
@@ -73,15 +104,24 @@
     silent_part: f64,
     /// Whether it is known which instances exist.
     known: bool,
+    tolerance: Tolerance,
 }
 
 impl Default for Quotas {
     fn default() -> Self {
+        Self::new(Tolerance::default())
+    }
+}
+
+impl Quotas {
+    /// Returns the quotas of a starting instance.
+    pub fn new(tolerance: Tolerance) -> Self {
         Self {
             buckets: HashMap::new(),
             peers: HashMap::new(),
             silent_part: UNKNOWN_PART,
             known: false,
+            tolerance,
         }
     }
 }
@@ -106,10 +146,11 @@
             // A burst below one request would refuse every request.
             let burst = organisation.burst.max(1.0);
             let key = OrganisationKey::of(name);
+            let fill = self.tolerance.start_fill(rate, burst);
             let mut bucket = buckets.remove(&key).unwrap_or(Bucket {
                 rate,
                 burst,
-                tokens: burst * START_FILL * (1.0 - self.silent_part),
+                tokens: burst * fill * (1.0 - self.silent_part),
                 updated: now,
                 admitted: 0,
             });
@@ -131,8 +172,9 @@
         let first = !std::mem::replace(&mut self.known, true);
         for bucket in self.buckets.values_mut() {
             if first {
-                let fill = bucket.burst * START_FILL * (1.0 - self.silent_part);
-                bucket.tokens = bucket.tokens.max(fill);
+                let fill = self.tolerance.start_fill(bucket.rate, bucket.burst);
+                let free = bucket.burst * fill * (1.0 - self.silent_part);
+                bucket.tokens = bucket.tokens.max(free);
             }
             bucket.refill(now, self.silent_part);
         }
@@ -197,6 +239,22 @@
         }
     }
 
+    /// Returns this instance's view of all buckets, for an instance that has just started.
+    pub fn levels(&self) -> Vec<(OrganisationKey, f64)> {
+        let buckets = self.buckets.iter();
+        buckets.map(|(key, bucket)| (*key, bucket.tokens)).collect()
+    }
+
+    /// Takes over the view of a peer that has served for longer.
+    pub fn adopt(&mut self, levels: &[(OrganisationKey, f64)], now: Timestamp) {
+        for (key, tokens) in levels {
+            if let Some(bucket) = self.buckets.get_mut(key) {
+                bucket.tokens = tokens.clamp(-bucket.burst, bucket.burst);
+                bucket.updated = now;
+            }
+        }
+    }
+
     /// Forgets a peer that has left for good.
     pub fn forget(&mut self, peer: &str) {
         self.peers.remove(peer);
--- a/gateway/src/serve/lines.rs
+++ b/gateway/src/serve/lines.rs
@@ -104,6 +104,8 @@
 pub(crate) const PEER_DOWN: Event = Event::new(2402, Level::Warn);
 /// Reports cannot be sent or received.
 pub(crate) const REPORTS_FAILED: Event = Event::new(2403, Level::Warn);
+/// The levels of the quotas were taken over from a peer, or could not be.
+pub(crate) const QUOTAS_ADOPTED: Event = Event::new(2404, Level::Warn);
 /// An online request was answered by a backend server.
 pub(crate) const ANSWERED: Event = Event::new(2501, Level::Info);
 /// An online request was refused.
--- a/gateway/src/serve/mod.rs
+++ b/gateway/src/serve/mod.rs
@@ -4,6 +4,7 @@
 mod handover;
 mod items;
 mod job_calls;
+mod levels;
 mod lines;
 mod metrics;
 mod node;
@@ -284,6 +285,7 @@
             spawner.spawn(peers::send(node.clone(), socket.clone())),
             spawner.spawn(peers::receive(node.clone(), socket)),
             spawner.spawn(peers::watch(node.clone())),
+            spawner.spawn(levels::adopt(node.clone())),
             spawner.spawn(items::schedule(node.clone())),
             spawner.spawn(items::clean(node.clone())),
         ];
@@ -424,6 +426,7 @@
             });
             Response::new(body)
         }
+        (Method::GET, levels::LEVELS_PATH) => Response::new(levels::encode(&node)),
         (Method::POST, results::RESULTS_PATH) => results::receive(&node, body).await,
         _ => replies::plain(StatusCode::NOT_FOUND, "no such page"),
     }
--- a/gateway/src/serve/node.rs
+++ b/gateway/src/serve/node.rs
@@ -225,7 +225,7 @@
             instances_read: false,
             load: Load::default(),
             speeds: Speeds::default(),
-            quotas: Quotas::default(),
+            quotas: Quotas::new(settings.tolerance),
             held: vec![Held::No; partitions.len()],
             currencies: vec![Currency::default(); partitions.len()],
             partitions,
--- a/gateway/src/serve/peers.rs
+++ b/gateway/src/serve/peers.rs
@@ -73,8 +73,8 @@
 /// Largest report in bytes that is read; a datagram holds no more.
 const MAX_REPORT: usize = 64 << 10;
 
-/// Longest time to fetch a configuration from a peer.
-const FETCH_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest time to fetch something from a peer.
+pub(crate) const FETCH_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Largest configuration that is fetched.
 const MAX_CONFIG: usize = 8 << 20;
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -13,6 +13,8 @@
     Snafu, //
 };
 
+use crate::quota::Tolerance;
+
 /// Settings that are not accepted.
 #[derive(Debug, Snafu)]
 pub enum SettingsError {
@@ -67,6 +69,8 @@
     pub grace: Duration,
     /// How long results of a job are kept after its submission.
     pub result_retention: Duration,
+    /// How far limits of organisations may be exceeded.
+    pub tolerance: Tolerance,
     /// Least severe log line that is written.
     pub log_level: LevelFilter,
 }
@@ -111,6 +115,8 @@
     stop: RawStop,
     jobs: RawJobs,
     #[serde(default)]
+    quota: RawQuota,
+    #[serde(default)]
     log: RawLog,
 }
 
@@ -160,6 +166,32 @@
     result_retention_s: u64,
 }
 
+#[derive(Deserialize)]
+#[serde(default)]
+struct RawQuota {
+    /// Window in which a limit may be exceeded, in seconds.
+    window_s: f64,
+    /// Part of the limit by which it may be exceeded.
+    overshoot: f64,
+    /// Requests by which it may be exceeded beyond that.
+    slack: f64,
+}
+
+impl Default for RawQuota {
+    fn default() -> Self {
+        let Tolerance {
+            window,
+            overshoot,
+            slack,
+        } = Tolerance::default();
+        Self {
+            window_s: window.as_secs_f64(),
+            overshoot,
+            slack,
+        }
+    }
+}
+
 #[derive(Deserialize)]
 struct RawLog {
     level: String,
@@ -204,6 +236,14 @@
             let reason = "must be at least 1".to_owned();
             return Err(value("listen.address_lifetime_s", reason));
         }
+        let quota = &raw.quota;
+        if !(0.1..=3_600.0).contains(&quota.window_s) {
+            return Err(value("quota.window_s", "must be 0.1 to 3600".to_owned()));
+        }
+        if !(0.0..=10.0).contains(&quota.overshoot) || !(0.0..=1e9).contains(&quota.slack) {
+            let reason = "must be 0 to 10, and quota.slack 0 to 1000000000".to_owned();
+            return Err(value("quota.overshoot", reason));
+        }
         let level = raw.log.level.parse().map_err(|_| {
             let reason = format!(
                 "{:?} is none of off, error, warn, info, debug",
@@ -235,6 +275,11 @@
             grace: Duration::from_secs_f64(raw.stop.grace_s),
             result_retention: Duration::from_secs(raw.jobs.result_retention_s)
                 + RESULT_RETENTION_MARGIN,
+            tolerance: Tolerance {
+                window: Duration::from_secs_f64(raw.quota.window_s),
+                overshoot: raw.quota.overshoot,
+                slack: raw.quota.slack,
+            },
             log_level: level,
         })
     }
--- a/gateway/tests/formats.rs
+++ b/gateway/tests/formats.rs
@@ -93,6 +93,8 @@
 #[rstest]
 #[case("name = \"gateway-1\"", "name = \"\"", "name")]
 #[case("cpu_share = 0.5", "cpu_share = 0", "machine.cpu_share")]
+#[case("[jobs]", "[quota]\nwindow_s = 0\n[jobs]", "quota.window_s")]
+#[case("[jobs]", "[quota]\novershoot = -1\n[jobs]", "quota.overshoot")]
 #[case("partitions = 8", "partitions = 0", "store.partitions")]
 #[case("record_bytes = 262144", "record_bytes = 12", "store.record_bytes")]
 #[case("grace_s = 8", "grace_s = 0", "stop.grace_s")]
--- a/gateway/tests/online.rs
+++ b/gateway/tests/online.rs
@@ -195,6 +195,58 @@
     assert!(fleet.busiest_window() as f64 <= most);
 }
 
+/// Replays two restarts of the whole fleet within a window while one organisation sends several times
+/// its rate. Guards against a burst that every start grants once more.
+#[rstest]
+#[case::small(10.0)]
+#[case::usual(46.0)]
+#[case::large(200.0)]
+fn restarts_of_the_fleet_stay_within_the_tolerance(#[case] rate: f64) {
+    let per_s = (rate / 2.0) as u64;
+    let mut fleet = Fleet::new(9, rate, rate);
+    fleet.offer(0, 20, per_s, true);
+    for (from, to) in [(20, 22), (22, 30)] {
+        let restarted = Fleet::new(9, rate, rate);
+        fleet.quotas = restarted.quotas;
+        fleet.offer(from, to, per_s, true);
+    }
+    let most = (rate * 5.0 + rate) * 1.1 + 20.0;
+    assert!(fleet.busiest_window() as f64 <= most);
+}
+
+/// Replays the start of the whole fleet with the requests of a second that waited for it. Guards
+/// against refusals of an organisation that stays below its rate.
+#[test]
+fn requests_that_waited_for_a_start_are_admitted() {
+    let mut quota = Quotas::default();
+    quota.configure(&config(10.0, 10.0), ms(0));
+    quota.set_silent(0, 9, ms(0));
+    let admitted = (0..10).filter(|_| quota.admit("org", ms(0)).is_ok());
+    assert_eq!(admitted.count(), 10);
+}
+
+/// Replays instances that are stopped and started in turn while one organisation sends several times
+/// its rate. Guards against a burst that every start grants once more, and against refusals of an
+/// organisation of which the new instance knows nothing.
+#[test]
+fn a_started_instance_takes_the_levels_of_a_peer_over() {
+    let mut old = Quotas::default();
+    old.configure(&config(10.0, 40.0), ms(0));
+    old.set_silent(0, 2, ms(0));
+    while old.admit("org", ms(0)).is_ok() {}
+    let mut started = Quotas::default();
+    started.configure(&config(10.0, 40.0), ms(0));
+    started.set_silent(0, 2, ms(0));
+    started.adopt(&old.levels(), ms(0));
+    assert!(started.admit("org", ms(0)).is_err());
+    assert!(started.admit("org", ms(150)).is_ok());
+    let refilled = ms(20_000);
+    old.set_silent(0, 2, refilled);
+    started.adopt(&old.levels(), refilled);
+    let admitted = (0..50).filter(|_| started.admit("org", refilled).is_ok());
+    assert_eq!(admitted.count(), 40);
+}
+
 /// Guards against refusals of an organisation that stays below its rate.
 #[test]
 fn nothing_is_refused_below_the_rate() {
