--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -40,7 +40,7 @@
     AddressQuery, AnswerHead, Batch, CallHead, DecodeError, Dialect, Forward, ItemRequest, JobCall,
     Page, Record, ResultView, Store, StoreError, Topic,
 };
-pub use positions::{CallKind, Currency, Position, better_peers};
+pub use positions::{CallKind, Currency, Position, better_peers, runners};
 pub use quota::{OrganisationKey, OverQuota, Quotas, Tolerance};
 pub use report::{BatchRun, ItemKey, Report};
 pub use serve::{Gateway, StartError, check, run};
--- a/gateway/src/positions.rs
+++ b/gateway/src/positions.rs
@@ -115,3 +115,17 @@
     better.sort_by_key(|(name, p)| (Reverse(p.next), *name));
     better.into_iter().map(|(name, _)| name).collect()
 }
+
+/// Returns the holders of a partition that run its items: those that the store answers, because the
+/// others cannot write results; all of them if it answers none. A holder that has just taken the
+/// partition over has not stated yet whether the store answers it.
+pub fn runners<'a>(holders: &[(&'a str, Option<bool>)]) -> Vec<&'a str> {
+    let all = || holders.iter().map(|(name, _)| *name);
+    let answered = holders.iter().filter(|(_, reads)| *reads != Some(false));
+    let answered: Vec<&str> = answered.map(|(name, _)| *name).collect();
+    if answered.is_empty() {
+        all().collect()
+    } else {
+        answered
+    }
+}
--- a/gateway/src/serve/handover.rs
+++ b/gateway/src/serve/handover.rs
@@ -66,41 +66,22 @@
     body: &Bytes,
     kind: CallKind,
 ) -> Option<Response<Body>> {
+    let mut peers = others(node, partition, kind)?;
     let passed_on = head.headers.contains_key(PASSED_ON);
-    let holders = others(node, partition, kind)?;
+    if passed_on {
+        peers.clear();
+    }
     let deadline = Instant::now() + TIMEOUT;
     let mut refusal = None;
-    if !passed_on {
-        for addr in holders {
-            let left = deadline.saturating_duration_since(Instant::now());
-            if left.is_zero() {
-                break;
-            }
-            let req = again(head, body);
-            let options = SendOptions::within(TrafficClass::Platform, left);
-            match node.client.send(addr, req, options).await {
-                Ok(response) => {
-                    let (mut head, body) = response.into_parts();
-                    match body.collect_bytes(ANSWER_BYTES).await {
-                        Ok(bytes) => {
-                            head.headers.remove(CONNECTION);
-                            head.headers.remove(TRANSFER_ENCODING);
-                            let answer = Response::from_parts(head, Body::from(bytes));
-                            // A peer that refuses the call has done nothing; another one may take it.
-                            if answer.status() != StatusCode::SERVICE_UNAVAILABLE {
-                                return Some(answer);
-                            }
-                            refusal = Some(answer);
-                        }
-                        Err(err) if !kind.is_repeatable() => return Some(unknown(&err)),
-                        Err(err) => log::debug!("the answer of {addr} was cut off: {err}"),
-                    }
-                }
-                Err(err) if err.verdict().allows_retry(kind.is_repeatable()) => {
-                    log::debug!("{addr} does not answer a call about a job: {err}");
-                }
-                Err(err) => return Some(unknown(&err)),
-            }
+    for addr in peers {
+        let left = deadline.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            break;
+        }
+        match ask(node, addr, again(head, body), left, kind).await {
+            Asked::Answered(answer) => return Some(answer),
+            Asked::Refused(answer) => refusal = Some(answer),
+            Asked::Lost => {}
         }
     }
     if refusal.is_some() {
@@ -114,6 +95,51 @@
     Some(retry_later(StatusCode::SERVICE_UNAVAILABLE, text, RETRY))
 }
 
+/// What came of a call at a peer.
+enum Asked {
+    /// The caller gets this answer.
+    Answered(Response<Body>),
+    /// The peer refused and did nothing; another one may take the call.
+    Refused(Response<Body>),
+    /// There was no answer, and the call may be made again.
+    Lost,
+}
+
+async fn ask<P>(
+    node: &Node<P>,
+    addr: SocketAddr,
+    req: Request<Bytes>,
+    timeout: Duration,
+    kind: CallKind,
+) -> Asked {
+    let options = SendOptions::within(TrafficClass::Platform, timeout);
+    let response = match node.client.send(addr, req, options).await {
+        Ok(response) => response,
+        Err(err) if err.verdict().allows_retry(kind.is_repeatable()) => {
+            log::debug!("{addr} does not answer a call about a job: {err}");
+            return Asked::Lost;
+        }
+        Err(err) => return Asked::Answered(unknown(&err)),
+    };
+    let (mut head, body) = response.into_parts();
+    let bytes = match body.collect_bytes(ANSWER_BYTES).await {
+        Ok(bytes) => bytes,
+        Err(err) if kind.is_repeatable() => {
+            log::debug!("the answer of {addr} was cut off: {err}");
+            return Asked::Lost;
+        }
+        Err(err) => return Asked::Answered(unknown(&err)),
+    };
+    head.headers.remove(CONNECTION);
+    head.headers.remove(TRANSFER_ENCODING);
+    let answer = Response::from_parts(head, Body::from(bytes));
+    if answer.status() == StatusCode::SERVICE_UNAVAILABLE {
+        Asked::Refused(answer)
+    } else {
+        Asked::Answered(answer)
+    }
+}
+
 fn unknown(err: &impl std::fmt::Display) -> Response<Body> {
     line!(
         JOB_REFUSED,
--- a/gateway/src/serve/node.rs
+++ b/gateway/src/serve/node.rs
@@ -46,7 +46,8 @@
     CallKind,
     Currency,
     Position,
-    better_peers, //
+    better_peers,
+    runners, //
 };
 use crate::quota::Quotas;
 use crate::settings::Settings;
@@ -61,6 +62,7 @@
     pub(crate) config_record: Option<Record>,
     /// When the store last showed that no newer configuration exists.
     pub(crate) config_confirmed: Option<Timestamp>,
+    /// Fetches of a newer configuration from peers.
     pub(crate) config_fetch: ConfigFetch,
     pub(crate) backends: Backends,
     pub(crate) members: Members,
@@ -150,25 +152,20 @@
         peers.collect()
     }
 
-    /// Returns the instances among the holders of `partition` that run its items: those that the
-    /// store answers, because the others cannot write results; all of them if it answers none.
+    /// Returns the instances among the holders of `partition` that run its items.
     pub(crate) fn runners(&self, partition: usize, holders: &[&str], me: &str) -> Vec<String> {
-        let reads = |name: &&&str| {
-            if **name == me {
-                return !self.currencies[partition].lost;
+        let reads = |name: &str| {
+            if name == me {
+                return Some(!self.currencies[partition].lost);
             }
-            let report = self.members.get(name).and_then(|m| m.report.as_ref());
-            let mut positions = report.map_or(&[][..], |r| &r.positions).iter();
-            let position = positions.find(|p| p.partition as usize == partition);
-            // A holder that has just taken the partition over has not stated it yet.
-            position.is_none_or(|p| p.reads)
+            let report = self.members.get(name)?.report.as_ref()?;
+            let mut positions = report.positions.iter();
+            let position = positions.find(|p| p.partition as usize == partition)?;
+            Some(position.reads)
         };
-        let names = |chosen: Vec<&&str>| chosen.into_iter().map(|n| (*n).to_owned()).collect();
-        let reading: Vec<&&str> = holders.iter().filter(reads).collect();
-        if reading.is_empty() {
-            return names(holders.iter().collect());
-        }
-        names(reading)
+        let holders: Vec<_> = holders.iter().map(|name| (*name, reads(name))).collect();
+        let runners = runners(&holders).into_iter();
+        runners.map(str::to_owned).collect()
     }
 
     /// Returns whether the configuration and a backend server are known.
--- a/gateway/tests/positions.rs
+++ b/gateway/tests/positions.rs
@@ -4,7 +4,8 @@
     CallKind,
     Currency,
     Position,
-    better_peers, //
+    better_peers,
+    runners, //
 };
 use limpetweir_state::Timestamp;
 use rstest::rstest;
@@ -83,6 +84,16 @@
     assert_eq!(better, ["b"]);
 }
 
+/// Replays the store turning holders away. Guards against items that wait at an instance which cannot
+/// write their results, and against items that nobody runs because the store answers no instance.
+#[test]
+fn holders_that_the_store_answers_run_the_items() {
+    let holders = [("a", Some(true)), ("b", Some(false)), ("c", None)];
+    assert_eq!(runners(&holders), ["a", "c"]);
+    let lost = [("a", Some(false)), ("b", Some(false))];
+    assert_eq!(runners(&lost), ["a", "b"]);
+}
+
 /// Guards against a read that is repeated for every report, and one that is not repeated for the next
 /// record.
 #[test]
