gateway: a line for each placement; trace shows the start after a lost instance

LW2507 states the server, what was placed there, the number of servers and the age of the entry. trace looks 15 s ahead for the start of the instance if no line tells an ending.

--- a/cli/src/trace.rs
+++ b/cli/src/trace.rs
@@ -7,6 +7,10 @@
 /// Time around the lines about a request in which other lines may tell its cause, in milliseconds.
 const CONTEXT_MS: u64 = 3_000;
 
+/// Time after the last line about a request without an ending, in which the start of its instance
+/// may tell that the instance was lost with it, in milliseconds.
+const LOST_MS: u64 = 15_000;
+
 /// One line of a log.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Line {
@@ -124,8 +128,10 @@
             .filter(|line| line.names(id))
             .cloned()
             .collect();
+        let end = own.iter().rev().find(|line| line.ending().is_some());
+        let after = if end.is_some() { CONTEXT_MS } else { LOST_MS };
         let first = own.first()?.time.saturating_sub(CONTEXT_MS);
-        let last = own.last()?.time + CONTEXT_MS;
+        let last = own.last()?.time + after;
         let instances: BTreeSet<&str> = own.iter().map(|line| line.instance.as_str()).collect();
         let fields = ["backend", "from", "to"];
         let backends: BTreeSet<&str> = own
@@ -139,7 +145,6 @@
         };
         let near = |line: &&Line| (first..=last).contains(&line.time) && line.is_belief();
         let context = lines.iter().filter(near).filter(|line| related(line));
-        let end = own.iter().rev().find(|line| line.ending().is_some());
         Some(Self {
             context: context.cloned().collect(),
             ending: end.and_then(Line::ending).unwrap_or(Ending::Unknown),
--- a/cli/tests/trace.rs
+++ b/cli/tests/trace.rs
@@ -35,6 +35,19 @@
     assert_eq!(context, [2302, 2101]);
 }
 
+/// Guards against a request of which nothing is found because its instance was killed while it had it.
+#[test]
+fn a_request_that_was_lost_with_its_instance_shows_the_next_start() {
+    let log = "one 100.000 INFO LW2507 request=r1 backend=i-1 online=0 batch=3 servers=4\n\
+               one 103.500 WARN LW2001 name=one zone=a\n\
+               two 103.600 WARN LW2001 name=two zone=a\n";
+    let lines = log.lines().filter_map(|raw| Line::parse("file", raw));
+    let trace = Trace::of("r1", lines.collect()).expect("lines about the request");
+    assert_eq!(trace.ending, Ending::Unknown);
+    let context: Vec<_> = trace.context.iter().map(|line| &line.instance).collect();
+    assert_eq!(context, ["one"]);
+}
+
 /// Guards against an identifier that is the start of another.
 #[rstest]
 #[case("r11", Some(Ending::Answered))]
--- a/gateway/src/serve/lines.rs
+++ b/gateway/src/serve/lines.rs
@@ -118,6 +118,8 @@
 pub(crate) const CALLER_LEFT: Event = Event::new(2505, Level::Info);
 /// A stream continues on another backend server.
 pub(crate) const STREAM_RESUMED: Event = Event::new(2506, Level::Info);
+/// An online request was sent to a backend server.
+pub(crate) const PLACED: Event = Event::new(2507, Level::Info);
 /// A call about a batch job was answered.
 pub(crate) const JOB_CALL: Event = Event::new(2601, Level::Info);
 /// A call about a batch job was refused.
--- a/gateway/src/serve/online.rs
+++ b/gateway/src/serve/online.rs
@@ -35,6 +35,7 @@
 use super::lines::{
     ATTEMPT_FAILED,
     BACKEND_SUSPECTED,
+    PLACED,
     REFUSED,
     REQUEST_FAILED,
     line, //
@@ -376,15 +377,29 @@
             });
         }
     };
-    let Some(entry) = state.backends.get(key).map(|b| b.entry.clone()) else {
+    let known = state.backends.get(key);
+    let Some((entry, seen)) = known.map(|b| (b.entry.clone(), b.seen)) else {
         let retry_after = NO_CONFIG_RETRY;
         return Err(Refusal {
             cause: "no-backend",
             retry_after,
         });
     };
+    let before = state.load.placed(key);
     state.load.online_started(key, now);
     drop(state);
+    // An instance that is killed leaves no later line about the request.
+    line!(
+        PLACED,
+        "request={} backend={} online={} batch={} servers={} entry_age_ms={} version={}",
+        admitted.call.request_id,
+        entry.id,
+        before.online,
+        before.batch,
+        candidates.len(),
+        now.since(seen).as_millis(),
+        admitted.version
+    );
     node.report_due.notify(usize::MAX);
     items::balance(node);
     Ok(Placed {
