gateway: items that can still be on time start before late ones

Items started strictly by the time they are due, so every late item took the slot of one that could still have been on time, and all later ones became late as well.

Change: an item that cannot be on time any more starts after the others and gives way first. The time it has left is estimated from the items that were completed. Instances state how many of their items can be on time, and one whose items are all late leaves a free slot to the others first (reports: version 3).

Ruled out: too few slots because items start slowly; they take 44 slots within a second of a dip.

What remains is the slots that items get.

--- a/gateway/src/batch.rs
+++ b/gateway/src/batch.rs
@@ -4,6 +4,9 @@
 //! need nearly all of them for about two, while items are due within 18 s and run for five. Each
 //! instance starts its items in every idle slot, the earliest due first, and stops the latest due
 //! when online requests need the slots; a stopped item continues later from its last event.
+//!
+//! After a loss of instances or servers more items are due than there are slots for. Items that
+//! can no longer be on time then come last, because each of them would make another one late.
 
 use std::cmp::Reverse;
 use std::time::Duration;
@@ -27,6 +30,8 @@
     pub item: ItemKey,
     /// When it is due, in Unix milliseconds.
     pub due: u64,
+    /// Whether it cannot be on time any more.
+    pub late: bool,
     /// Backend server where it failed last, which is avoided.
     pub avoid: Option<BackendKey>,
 }
@@ -53,12 +58,12 @@
     ///
     /// Each free slot belongs to one of the instances that have waiting items, so that instances
     /// that decide at the same moment do not fill it twice. A slot that its instance leaves free
-    /// goes to the next one after a while.
-    fn open_to(&self, me: &str, contenders: &[&str]) -> u32 {
+    /// goes to the next one after a while. `ahead` instances come before all `contenders`.
+    fn open_to(&self, me: &str, ahead: usize, contenders: &[&str]) -> u32 {
         let turn = self.unchanged_for.as_micros() / TURN.as_micros();
         let turn = usize::try_from(turn).unwrap_or(usize::MAX);
         let free = self.placed.total()..self.slots.saturating_sub(RESERVE);
-        let open = free.filter(|slot| self.rank(*slot, me, contenders) <= turn);
+        let open = free.filter(|slot| ahead + self.rank(*slot, me, contenders) <= turn);
         u32::try_from(open.count()).unwrap_or(u32::MAX)
     }
 
@@ -79,22 +84,41 @@
 /// milliseconds.
 const TURN: Duration = Duration::from_millis(15);
 
+/// The other instances that have waiting items.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Contenders<'a> {
+    /// Those with items that can still be on time.
+    pub in_time: &'a [&'a str],
+    /// Those whose items are all late.
+    pub late: &'a [&'a str],
+}
+
 /// Chooses which waiting items start where.
-///
-/// `contenders` are the other instances that have waiting items.
 pub fn starts(
     waiting: &mut [Waiting],
     rooms: &[Room],
     me: &str,
-    contenders: &[&str],
+    contenders: Contenders<'_>,
 ) -> Vec<(ItemKey, BackendKey)> {
-    waiting.sort_by_key(|w| (w.due, w.item));
+    waiting.sort_by_key(|w| (w.late, w.due, w.item));
+    let (in_time, late) = waiting.split_at(waiting.partition_point(|w| !w.late));
     let usable = rooms.iter().filter(|room| !room.suspect && !room.slow);
     let mut open: Vec<_> = usable
-        .map(|room| (room.open_to(me, contenders), room))
+        .map(|room| (room.open_to(me, 0, contenders.in_time), room))
         .filter(|(open, _)| *open > 0)
         .collect();
     let mut chosen = Vec::new();
+    fill(in_time, &mut open, &mut chosen);
+    let ahead = contenders.in_time.len();
+    for (left, room) in &mut open {
+        *left = (*left).min(room.open_to(me, ahead, contenders.late));
+    }
+    fill(late, &mut open, &mut chosen);
+    chosen
+}
+
+/// Starts `waiting` in the slots that are left of each server.
+fn fill(waiting: &[Waiting], open: &mut [(u32, &Room)], chosen: &mut Vec<(ItemKey, BackendKey)>) {
     for w in waiting {
         let usable = open.iter_mut().filter(|(left, _)| *left > 0);
         let best = usable.max_by_key(|(left, room)| (Some(room.key) != w.avoid, *left, room.key));
@@ -104,17 +128,17 @@
         *left -= 1;
         chosen.push((w.item, room.key));
     }
-    chosen
 }
 
 /// Returns the items of this instance that must stop: their slots are needed, their server has
 /// become slow, or an instance that is earlier by name runs them as well.
 ///
 /// All instances order the items of a backend server in the same way, so together they stop just
-/// as many as there are requests beyond its slots.
+/// as many as there are requests beyond its slots: late ones first, then the latest due.
 pub fn yields(
     load: &Load,
     me: &str,
+    unix_ms: u64,
     slots: impl Fn(BackendKey) -> Option<u32>,
     slow: impl Fn(BackendKey) -> bool,
 ) -> Vec<ItemKey> {
@@ -131,7 +155,7 @@
         if excess == 0 {
             continue;
         }
-        let rank = |run: &BatchRun| Reverse((run.due, run.item));
+        let rank = |run: &BatchRun| Reverse((run.due <= unix_ms, run.due, run.item));
         let before = load
             .batch_on(own.backend)
             .filter(|run| rank(run) < rank(own));
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 mod batch;
 mod config;
 mod config_fetch;
+mod item_time;
 mod jobs;
 mod load;
 mod members;
@@ -22,12 +23,13 @@
 mod sse;
 
 pub use backend::{Backend, BackendEntry, BackendKey, Backends};
-pub use batch::{Room, Waiting, starts, yields};
+pub use batch::{Contenders, Room, Waiting, starts, yields};
 pub use config::{
     BatchTerms, CallerLimits, Configuration, ConfigurationParts, Organisation, Route, RouteKind,
     Service,
 };
 pub use config_fetch::ConfigFetch;
+pub use item_time::ItemTime;
 pub use jobs::{
     Change, Decision, Job, JobItem, JobKey, Listed, NewItem, Outcome, Partition, Pending,
     RecordError, Submission, decide,
--- a/gateway/src/open_items.rs
+++ b/gateway/src/open_items.rs
@@ -8,6 +8,7 @@
 use crate::backend::BackendKey;
 use crate::batch::Waiting;
 use crate::config::Configuration;
+use crate::item_time::ItemTime;
 use crate::jobs::{
     Job,
     Outcome,
@@ -107,6 +108,8 @@
 #[derive(Debug, Default)]
 pub struct OpenItems {
     items: HashMap<ItemKey, OpenItem>,
+    /// What items of each service have taken.
+    times: HashMap<String, ItemTime>,
     /// Instances among which the items of each partition were distributed last.
     instances: Vec<Vec<String>>,
 }
@@ -184,11 +187,25 @@
         let waiting = ready.map(|(key, item)| Waiting {
             item: *key,
             due: item.due,
+            late: unix_ms.saturating_add(self.time_left_ms(item)) > item.due,
             avoid: item.avoid,
         });
         waiting.collect()
     }
 
+    /// Returns how long a waiting item still has to run.
+    fn time_left_ms(&self, item: &OpenItem) -> u64 {
+        let time = self.times.get(&item.service);
+        let left = time.map_or(Duration::ZERO, |time| time.left(item.progress.data.len()));
+        u64::try_from(left.as_millis()).unwrap_or(u64::MAX)
+    }
+
+    /// Notes that the last run of an item of `service` took `elapsed` for `run` of its `events`.
+    pub fn completed(&mut self, service: &str, elapsed: Duration, run: usize, events: usize) {
+        let time = self.times.entry(service.to_owned()).or_default();
+        time.record(elapsed, run, events);
+    }
+
     /// Returns the items of this instance that are to be given up without another run.
     pub fn expired(&self, unix_ms: u64) -> Vec<ItemKey> {
         let expired = |item: &OpenItem| {
--- a/gateway/src/report.rs
+++ b/gateway/src/report.rs
@@ -13,7 +13,7 @@
 use crate::quota::OrganisationKey;
 
 /// Version of the encoding; reports of another version are ignored.
-const WIRE_VERSION: u8 = 2;
+const WIRE_VERSION: u8 = 3;
 
 /// Short form of an item's identity, the same on all instances.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -66,6 +66,8 @@
     pub held: Vec<ItemKey>,
     /// Open items that wait at the instance.
     pub waiting: u32,
+    /// Those of them that can still be on time.
+    pub waiting_in_time: u32,
     /// Requests admitted since the start, by organisation.
     pub admitted: Vec<(OrganisationKey, u64)>,
     /// Backend servers that do not answer the instance, with the remaining time in milliseconds.
@@ -96,6 +98,7 @@
     Vec<(u32, u64, bool)>,
     u32,
     Vec<u32>,
+    u32,
 );
 
 /// Bit of the wire's flags that is set for a ready instance.
@@ -128,6 +131,7 @@
                 .collect(),
             r.capacity,
             r.leaving_backends.iter().map(|key| key.0).collect(),
+            r.waiting_in_time,
         )
     }
 }
@@ -154,6 +158,7 @@
             batch: batch.collect(),
             held: w.10.into_iter().map(ItemKey).collect(),
             waiting: w.11,
+            waiting_in_time: w.17,
             admitted: w
                 .12
                 .into_iter()
--- a/gateway/src/serve/items.rs
+++ b/gateway/src/serve/items.rs
@@ -33,6 +33,7 @@
 };
 use crate::backend::BackendEntry;
 use crate::batch::{
+    Contenders,
     Room,
     Waiting,
     starts,
@@ -176,7 +177,7 @@
         Some(slots_of(state, &backend.entry))
     };
     let slow = |backend| state.speeds.slowness(backend, now) > SLOW;
-    for key in yields(&state.load, me, slots, slow) {
+    for key in yields(&state.load, me, unix_ms(), slots, slow) {
         // The run itself notes its end.
         state.runs.remove(&key);
     }
@@ -192,12 +193,21 @@
     if waiting.is_empty() {
         return;
     }
-    let rivals = state.members.alive(now).filter(|r| r.waiting > 0);
-    let rivals: Vec<String> = rivals.map(|r| r.name.clone()).collect();
-    let rivals: Vec<&str> = rivals.iter().map(String::as_str).collect();
+    let peers = state.members.alive(now).filter(|r| r.waiting > 0);
+    let peers: Vec<(bool, String)> = peers
+        .map(|r| (r.waiting_in_time > 0, r.name.clone()))
+        .collect();
+    let named = |in_time: bool| -> Vec<&str> {
+        let named = peers.iter().filter(|peer| peer.0 == in_time);
+        named.map(|peer| peer.1.as_str()).collect()
+    };
+    let contenders = Contenders {
+        in_time: &named(true),
+        late: &named(false),
+    };
     for (service, mut waiting) in by_service(state, waiting) {
         let rooms = rooms(state, &service, now);
-        for (key, backend) in starts(&mut waiting, &rooms, me, &rivals) {
+        for (key, backend) in starts(&mut waiting, &rooms, me, contenders) {
             runs::start(node, state, key, backend);
         }
     }
--- a/gateway/src/serve/peers.rs
+++ b/gateway/src/serve/peers.rs
@@ -188,7 +188,8 @@
 fn prepare<P>(node: &Arc<Node<P>>, sequence: u64, regular: bool) -> (Report, Vec<IpAddr>) {
     let now = node.now();
     let state = node.lock();
-    let waiting = state.items.waiting(now, unix_ms()).len();
+    let waiting = state.items.waiting(now, unix_ms());
+    let in_time = waiting.iter().filter(|w| !w.late).count();
     let suspects = state.load.suspects(now).into_iter();
     let version = state.config.as_ref().map_or(0, |config| config.version());
     let report = Report {
@@ -204,7 +205,8 @@
         online: state.load.own_online(),
         batch: state.load.own_batch().copied().collect(),
         held: state.items.held(),
-        waiting: u32::try_from(waiting).unwrap_or(u32::MAX),
+        waiting: u32::try_from(waiting.len()).unwrap_or(u32::MAX),
+        waiting_in_time: u32::try_from(in_time).unwrap_or(u32::MAX),
         admitted: state.quotas.admitted(),
         suspects: suspects
             .map(|(key, left)| (key, u32::try_from(left.as_millis()).unwrap_or(u32::MAX)))
--- a/gateway/src/serve/runs.rs
+++ b/gateway/src/serve/runs.rs
@@ -166,12 +166,13 @@
     }
     let name = end_name(&end);
     let events = progress.data.len();
-    let ms = started.elapsed().as_millis();
+    let elapsed = started.elapsed();
+    let ms = elapsed.as_millis();
     line!(
         ITEM_ENDED,
         "item={id} job={job} backend={backend} end={name} events={events} ms={ms} cause=\"{cause}\""
     );
-    node.metrics.item(name, started.elapsed());
+    node.metrics.item(name, elapsed);
     let text = match end {
         RunEnd::Completed => progress.data.join("\n"),
         _ => String::new(),
@@ -181,6 +182,12 @@
         let mut state = node.lock();
         state.load.batch_ended(run.key, now);
         state.runs.remove(&run.key);
+        if end == RunEnd::Completed {
+            let service = &run.entry.service;
+            state
+                .items
+                .completed(service, elapsed, events - from, events);
+        }
         state
             .items
             .run_ended(run.key, &end, progress, run.attempts, now)
--- a/gateway/tests/batch.rs
+++ b/gateway/tests/batch.rs
@@ -5,6 +5,7 @@
 use limpetweir_gateway::{
     BackendKey,
     BatchRun,
+    Contenders,
     ItemKey,
     Load,
     Placed,
@@ -20,6 +21,13 @@
 const SLOTS: u32 = 8;
 /// Slots that items may take of a server with four online requests; one is left to the next request.
 const FREE: usize = 3;
+/// Time in Unix milliseconds, before all items are due unless a test says otherwise.
+const NOW: u64 = 100;
+/// No other instance has waiting items.
+const NONE: Contenders<'static> = Contenders {
+    in_time: &[],
+    late: &[],
+};
 const NAMES: [&str; 9] = ["a", "b", "c", "d", "e", "f", "g", "h", "i"];
 
 fn backend(n: u32) -> BackendKey {
@@ -42,6 +50,7 @@
     let waiting = items.map(|n| Waiting {
         item: ItemKey(n),
         due: 10_000 + n,
+        late: false,
         avoid: None,
     });
     waiting.collect()
@@ -51,6 +60,14 @@
     NAMES.into_iter().filter(|name| *name != me).collect()
 }
 
+/// Peers that all have items which can still be on time.
+fn in_time<'a>(names: &'a [&'a str]) -> Contenders<'a> {
+    Contenders {
+        in_time: names,
+        late: &[],
+    }
+}
+
 fn report(name: &str, online: &[(u32, u32)], batch: &[(u64, u32, u64)]) -> Report {
     let batch = batch.iter().map(|&(item, on, due)| BatchRun {
         item: ItemKey(item),
@@ -71,6 +88,7 @@
         batch: batch.collect(),
         held: Vec::new(),
         waiting: 0,
+        waiting_in_time: 0,
         admitted: Vec::new(),
         suspects: Vec::new(),
         leaving_backends: Vec::new(),
@@ -86,7 +104,7 @@
     let mut started = vec![0_usize; 12];
     for me in NAMES {
         let mut items = waiting(30, 0);
-        for (_, on) in starts(&mut items, &rooms, me, &others(me)) {
+        for (_, on) in starts(&mut items, &rooms, me, in_time(&others(me))) {
             started[on.0 as usize] += 1;
         }
     }
@@ -98,7 +116,7 @@
 fn a_slot_that_stays_free_goes_to_every_instance() {
     let rooms = [room(0, 4, 0, 1_000)];
     let mut items = waiting(30, 0);
-    let started = starts(&mut items, &rooms, "a", &others("a"));
+    let started = starts(&mut items, &rooms, "a", in_time(&others("a")));
     assert_eq!(started.len(), FREE);
 }
 
@@ -107,10 +125,65 @@
 fn the_earliest_due_item_starts_first() {
     let mut items = waiting(3, 0);
     items.reverse();
-    let started = starts(&mut items, &[room(0, 6, 0, 1)], "a", &[]);
+    let started = starts(&mut items, &[room(0, 6, 0, 1)], "a", NONE);
     assert_eq!(started, [(ItemKey(0), backend(0))]);
 }
 
+/// Load: jobs are late after a loss of all instances. Guards against late items that start first
+/// because they were due first, so that every item behind them becomes late as well.
+#[test]
+fn items_that_can_still_be_on_time_start_before_late_ones() {
+    let mut items = waiting(6, 0);
+    for item in &mut items[..3] {
+        item.late = true;
+    }
+    let started = starts(&mut items, &[room(0, 3, 0, 1)], "a", NONE);
+    let started: Vec<u64> = started.iter().map(|(item, _)| item.0).collect();
+    assert_eq!(started, [3, 4, 5, 0]);
+}
+
+/// Load: the same, with the late items at some instances and the others elsewhere. Guards against
+/// late items in slots for which another instance has an item that can still be on time.
+#[test]
+fn an_instance_with_late_items_waits_for_one_with_others() {
+    let late = || {
+        let mut items = waiting(9, 0);
+        items.iter_mut().for_each(|item| item.late = true);
+        items
+    };
+    let peers = Contenders {
+        in_time: &["b"],
+        late: &["c"],
+    };
+    let fresh = room(0, 2, 0, 1);
+    assert_eq!(starts(&mut late(), &[fresh], "a", peers), []);
+    assert_eq!(
+        starts(&mut waiting(9, 0), &[fresh], "b", in_time(&[])).len(),
+        5
+    );
+    let left_free = room(0, 2, 0, 1_000);
+    assert_eq!(starts(&mut late(), &[left_free], "a", peers).len(), 5);
+}
+
+/// Load: online requests rise after a loss of all instances. Guards against items that can still be
+/// on time and give way to late ones.
+#[test]
+fn late_items_give_way_first() {
+    let mut load = Load::default();
+    for (item, due) in [(1, NOW - 50), (2, NOW + 500), (3, NOW + 900)] {
+        let run = BatchRun {
+            item: ItemKey(item),
+            backend: backend(0),
+            due,
+        };
+        load.batch_started(run, Timestamp::from_millis(1));
+    }
+    load.heard(&report("z", &[(0, 7)], &[]), Timestamp::from_millis(2));
+    let mut stopped = yields(&load, "a", NOW, |_| Some(SLOTS), |_| false);
+    stopped.sort();
+    assert_eq!(stopped, [ItemKey(1), ItemKey(3)]);
+}
+
 /// Guards against items that queue at a full server, or run on one that does not answer.
 #[rstest]
 #[case(8, 0, false)]
@@ -124,7 +197,7 @@
 ) {
     let mut only = room(0, online, batch, 1_000);
     only.suspect = suspect;
-    assert_eq!(starts(&mut waiting(3, 0), &[only], "a", &[]), []);
+    assert_eq!(starts(&mut waiting(3, 0), &[only], "a", NONE), []);
 }
 
 /// Guards against an item that returns to the server that just turned it away while others are free.
@@ -133,7 +206,7 @@
     let mut items = waiting(1, 0);
     items[0].avoid = Some(backend(0));
     let rooms = [room(0, 0, 0, 1), room(1, 5, 0, 1)];
-    let started = starts(&mut items, &rooms, "a", &[]);
+    let started = starts(&mut items, &rooms, "a", NONE);
     assert_eq!(started, [(ItemKey(0), backend(1))]);
 }
 
@@ -158,7 +231,7 @@
             }
         }
         load.heard(&report("z", &[(0, 7)], &[]), now);
-        stopped.extend(yields(&load, me, |_| Some(SLOTS), |_| false));
+        stopped.extend(yields(&load, me, NOW, |_| Some(SLOTS), |_| false));
     }
     stopped.sort();
     assert_eq!(stopped, [ItemKey(2), ItemKey(3)]);
@@ -177,7 +250,7 @@
         let mut load = Load::default();
         load.batch_started(own, now);
         load.heard(&report(peer, &[], &[(1, 3, 500)]), now);
-        assert_eq!(yields(&load, me, |_| Some(SLOTS), |_| false), stopped);
+        assert_eq!(yields(&load, me, NOW, |_| Some(SLOTS), |_| false), stopped);
     }
 }
 
@@ -195,11 +268,11 @@
         };
         load.batch_started(own, now);
     }
-    let stopped = yields(&load, "a", |_| Some(SLOTS), |on| on == backend(1));
+    let stopped = yields(&load, "a", NOW, |_| Some(SLOTS), |on| on == backend(1));
     assert_eq!(stopped, [ItemKey(2)]);
     let mut slow = room(1, 0, 0, 1_000);
     slow.slow = true;
-    assert_eq!(starts(&mut waiting(3, 0), &[slow], "a", &[]), []);
+    assert_eq!(starts(&mut waiting(3, 0), &[slow], "a", NONE), []);
 }
 
 /// Guards against counts that drift when reports replace each other, or when a peer is lost.
--- a/gateway/tests/online.rs
+++ b/gateway/tests/online.rs
@@ -361,6 +361,7 @@
         }],
         held: vec![ItemKey(9)],
         waiting: 4,
+        waiting_in_time: 3,
         admitted: vec![(OrganisationKey(8), 77)],
         suspects: vec![(BackendKey(6), 900)],
         leaving_backends: vec![BackendKey(4)],
--- a/gateway/tests/open_items.rs
+++ b/gateway/tests/open_items.rs
@@ -171,6 +171,34 @@
     assert_eq!(item.progress.last, Some(1));
 }
 
+/// Guards against items that are taken for late too soon, or only once their time is over. Completed
+/// items had 200 events, 20 ms apart, and the items are due 18 s after their submission.
+#[rstest]
+#[case::nothing_known(0, 0, 17_900, false)]
+#[case::over(0, 0, 18_100, true)]
+#[case::in_time(200, 0, 13_900, false)]
+#[case::too_little_left(200, 0, 14_100, true)]
+#[case::part_of_the_output(200, 150, 16_900, false)]
+#[case::longer_than_most(200, 300, 17_900, false)]
+fn an_item_is_late_when_too_little_time_is_left(
+    #[case] completed: usize,
+    #[case] has: u64,
+    #[case] age: u64,
+    #[case] late: bool,
+) {
+    let config = config();
+    let mut items = open("a", &["a"], Some(&config));
+    for _ in 0..30 {
+        let elapsed = Duration::from_millis(10 * completed as u64);
+        items.completed("service", elapsed, completed / 2, completed);
+    }
+    let key = ItemKey::of("job", 0);
+    run(&mut items, key, &RunEnd::Stopped, has);
+    let waiting = items.waiting(Timestamp::default(), SUBMITTED + age);
+    let item = waiting.iter().find(|w| w.item == key);
+    assert_eq!(item.map(|w| w.late), Some(late));
+}
+
 /// Guards against giving up an item for anything but failures of its backend servers.
 #[test]
 fn only_failures_count_towards_giving_up() {
