gateway: cells in fleets of more than 96 instances

Cause: every instance reported each change to every other one.

Change: a large fleet is divided into cells of about 24 instances by the hash of their names. A cell places requests and items on backend servers of its own, so that only its instances and the holders of the same jobs hear of every change. Regular reports go to the other instances in turn, 75 a round; a report states the time to the next one, from which its receiver tells a loss. A change of readiness goes to all at once. `peers.rs` is split: sending is in `reports.rs`. A listing of the backend servers compares them by a set.

Ruled out: reading the records of the servers as the main cost; in a trial with 102 instances a quarter of the regular reports and few of the others halved the processor time while the servers wrote as before.

Fleets of up to 96 instances decide and report as before.

--- a/gateway/src/backend.rs
+++ b/gateway/src/backend.rs
@@ -1,6 +1,9 @@
 //! Backend servers as they register themselves.
 
-use std::collections::HashMap;
+use std::collections::{
+    HashMap,
+    HashSet, //
+};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -134,8 +137,10 @@
 
     /// Keeps exactly the entries named in `ids`, as a full listing found them.
     pub fn retain(&mut self, ids: &[String], now: Timestamp) {
+        let ids: HashSet<&str> = ids.iter().map(String::as_str).collect();
         let known = self.by_key.values().map(|b| &b.entry.id);
-        let missing: Vec<String> = known.filter(|id| !ids.contains(id)).cloned().collect();
+        let missing = known.filter(|id| !ids.contains(id.as_str()));
+        let missing: Vec<String> = missing.cloned().collect();
         for id in missing {
             self.remove(&id, now);
         }
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod backend;
 mod batch;
+mod cells;
 mod config;
 mod config_fetch;
 mod item_time;
@@ -24,6 +25,7 @@
 
 pub use backend::{Backend, BackendEntry, BackendKey, Backends};
 pub use batch::{Contenders, Room, Waiting, reserve, starts, yields};
+pub use cells::{Cells, ONE_CELL};
 pub use config::{
     BatchTerms, CallerLimits, Configuration, ConfigurationParts, Organisation, Route, RouteKind,
     Service,
--- a/gateway/src/members.rs
+++ b/gateway/src/members.rs
@@ -13,10 +13,16 @@
 
 use crate::report::Report;
 
-/// Silence after which an instance is no longer named to callers and its work is taken over: four
-/// reports at the longest interval.
+/// Shortest silence after which an instance's work is taken over.
 pub const SILENCE: Duration = Duration::from_millis(1_000);
 
+/// Reports that are missing in such a silence: single datagrams are lost.
+const MISSING: u32 = 4;
+
+/// Reports that are missing when an instance is no longer named to callers. Leaving it out for a
+/// moment costs nothing, and callers who are sent to a lost one need another attempt.
+const MISSING_FOR_CALLERS: u32 = 2;
+
 /// Silence after which an instance is taken as gone for good; longer than cuts usually last.
 const GONE: Duration = Duration::from_secs(30);
 
@@ -34,9 +40,24 @@
 }
 
 impl Member {
+    /// Returns the silence after which the instance counts as lost.
+    pub fn silence(&self) -> Duration {
+        self.missing(MISSING)
+    }
+
+    fn missing(&self, reports: u32) -> Duration {
+        let next = self.report.as_ref().map_or(0, |report| report.next_ms);
+        let silence = Duration::from_millis(u64::from(next)) * reports;
+        silence.clamp(SILENCE, GONE)
+    }
+
+    fn heard_within(&self, silence: Duration, now: Timestamp) -> bool {
+        self.heard.is_some_and(|at| now.since(at) < silence)
+    }
+
     /// Returns whether the instance was heard recently.
     pub fn alive(&self, now: Timestamp) -> bool {
-        self.heard.is_some_and(|at| now.since(at) < SILENCE)
+        self.heard_within(self.silence(), now)
     }
 
     /// Returns whether the instance has requests or items, so that its decisions depend on every
@@ -70,22 +91,29 @@
 #[derive(Debug, Default)]
 pub struct Members {
     others: BTreeMap<String, Member>,
+    /// Number of changes of which instances exist.
+    changes: u64,
 }
 
 impl Members {
     /// Notes that the instance `name` exists at `addr`.
     pub fn learn(&mut self, name: &str, addr: IpAddr, now: Timestamp) {
-        let member = self.others.entry(name.to_owned()).or_insert(Member {
-            addr,
-            known: now,
-            heard: None,
-            report: None,
+        let changes = &mut self.changes;
+        let member = self.others.entry(name.to_owned()).or_insert_with(|| {
+            *changes += 1;
+            Member {
+                addr,
+                known: now,
+                heard: None,
+                report: None,
+            }
         });
         member.addr = addr;
     }
 
     /// Removes an instance that has left.
     pub fn remove(&mut self, name: &str) -> Option<Member> {
+        self.changes += 1;
         self.others.remove(name)
     }
 
@@ -112,11 +140,16 @@
         let names = self.others.iter().filter(|(_, m)| gone(m));
         let names: Vec<String> = names.map(|(name, _)| name.clone()).collect();
         for name in &names {
-            self.others.remove(name);
+            self.remove(name);
         }
         names
     }
 
+    /// Returns a number that differs after each change of which instances exist.
+    pub fn changes(&self) -> u64 {
+        self.changes
+    }
+
     /// Returns the instance called `name`.
     pub fn get(&self, name: &str) -> Option<&Member> {
         self.others.get(name)
@@ -140,6 +173,14 @@
             .filter_map(|m| m.report.as_ref())
     }
 
+    /// Returns the instances that callers may be sent to.
+    pub fn for_callers(&self, now: Timestamp) -> impl Iterator<Item = &Report> {
+        let recent = move |m: &&Member| m.heard_within(m.missing(MISSING_FOR_CALLERS), now);
+        let recent = self.others.values().filter(recent);
+        let reports = recent.filter_map(|m| m.report.as_ref());
+        reports.filter(|r| r.ready && !r.leaving)
+    }
+
     /// Returns how many known instances are silent, and how many there are with this one.
     pub fn silent(&self, now: Timestamp) -> (usize, usize) {
         let silent = self.others.values().filter(|m| !m.alive(now)).count();
--- a/gateway/src/report.rs
+++ b/gateway/src/report.rs
@@ -13,7 +13,7 @@
 use crate::quota::OrganisationKey;
 
 /// Version of the encoding; reports of another version are ignored.
-const WIRE_VERSION: u8 = 3;
+const WIRE_VERSION: u8 = 4;
 
 /// Short form of an item's identity, the same on all instances.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -46,6 +46,8 @@
     pub boot: u64,
     /// Number of the report since the start.
     pub sequence: u64,
+    /// Longest time to the next report for the same receiver, in milliseconds.
+    pub next_ms: u32,
     /// Whether the instance takes requests.
     pub ready: bool,
     /// Whether the instance is about to stop.
@@ -99,6 +101,7 @@
     u32,
     Vec<u32>,
     u32,
+    u32,
 );
 
 /// Bit of the wire's flags that is set for a ready instance.
@@ -132,6 +135,7 @@
             r.capacity,
             r.leaving_backends.iter().map(|key| key.0).collect(),
             r.waiting_in_time,
+            r.next_ms,
         )
     }
 }
@@ -159,6 +163,7 @@
             held: w.10.into_iter().map(ItemKey).collect(),
             waiting: w.11,
             waiting_in_time: w.17,
+            next_ms: w.18,
             admitted: w
                 .12
                 .into_iter()
--- a/gateway/src/serve/items.rs
+++ b/gateway/src/serve/items.rs
@@ -173,6 +173,7 @@
     let mut state = node.lock();
     let state = &mut *state;
     let me = node.settings.name.as_str();
+    state.divide(me);
     let slots = |backend| {
         let backend = state.backends.get(backend)?;
         Some(slots_of(state, &backend.entry))
@@ -194,7 +195,8 @@
     if waiting.is_empty() {
         return;
     }
-    let peers = state.members.alive(now).filter(|r| r.waiting > 0);
+    let peers = state.members.alive(now);
+    let peers = peers.filter(|r| r.waiting > 0 && state.cells.holds(&r.name));
     let mut any_late = false;
     let peers = peers.map(|r| {
         any_late |= r.waiting_in_time < r.waiting;
@@ -255,7 +257,9 @@
 }
 
 fn rooms(state: &State, service: &str, now: Timestamp) -> Vec<Room> {
-    let rooms = state.backends.serving(service, now).map(|b| Room {
+    let backends = state.backends.serving(service, now);
+    let backends = backends.filter(|b| state.cells.serves(b.key));
+    let rooms = backends.map(|b| Room {
         key: b.key,
         slots: slots_of(state, &b.entry),
         placed: state.load.placed(b.key),
--- a/gateway/src/serve/mod.rs
+++ b/gateway/src/serve/mod.rs
@@ -12,6 +12,7 @@
 mod peers;
 mod relay;
 mod replies;
+mod reports;
 mod results;
 mod runs;
 mod writer;
@@ -282,7 +283,7 @@
             spawner.spawn(follow::follow(node.clone(), Topic::Backends, 0)),
             spawner.spawn(follow::follow(node.clone(), Topic::Instances, 0)),
             spawner.spawn(peers::register(node.clone())),
-            spawner.spawn(peers::send(node.clone(), socket.clone())),
+            spawner.spawn(reports::send(node.clone(), socket.clone())),
             spawner.spawn(peers::receive(node.clone(), socket)),
             spawner.spawn(peers::watch(node.clone())),
             spawner.spawn(levels::adopt(node.clone())),
@@ -467,7 +468,7 @@
         capacity: node.settings.capacity,
     });
     let state = node.lock();
-    let others = state.members.alive(now).filter(|r| r.ready && !r.leaving);
+    let others = state.members.for_callers(now);
     let others = others.map(|r| Entry {
         addr: r.public,
         zone: r.zone.clone(),
--- a/gateway/src/serve/node.rs
+++ b/gateway/src/serve/node.rs
@@ -32,12 +32,14 @@
 use super::metrics::Metrics;
 use super::writer::WriteRequest;
 use crate::backend::Backends;
+use crate::cells::Cells;
 use crate::config::Configuration;
 use crate::config_fetch::ConfigFetch;
 use crate::jobs::Partition;
 use crate::load::Load;
 use crate::members::{
     Instance,
+    Member,
     Members, //
 };
 use crate::open_items::OpenItems;
@@ -66,6 +68,10 @@
     pub(crate) config_fetch: ConfigFetch,
     pub(crate) backends: Backends,
     pub(crate) members: Members,
+    /// The part of a large fleet that this instance is in.
+    pub(crate) cells: Cells,
+    /// Changes of the members up to which the cells were divided.
+    divided: Option<u64>,
     /// Whether the records of the instances have been read.
     pub(crate) instances_read: bool,
     pub(crate) load: Load,
@@ -99,6 +105,28 @@
 }
 
 impl State {
+    /// Brings the cell of the instance `me` up to date.
+    pub(crate) fn divide(&mut self, me: &str) {
+        let changes = self.members.changes();
+        if self.divided != Some(changes) {
+            self.divided = Some(changes);
+            let others = self.members.iter().map(|(name, _)| name.as_str());
+            self.cells = Cells::divide(me, others);
+        }
+    }
+
+    /// Returns the other instances that hear of every change here: those of the own cell, and those
+    /// that hold the same jobs.
+    pub(crate) fn is_near(&self, name: &str, member: &Member) -> bool {
+        let held = |partition: u32| {
+            let held = self.held.get(partition as usize);
+            held.is_some_and(|held| *held != Held::No)
+        };
+        let report = member.report.as_ref();
+        let shares = || report.is_some_and(|r| r.positions.iter().any(|p| held(p.partition)));
+        self.cells.holds(name) || shares()
+    }
+
     /// Returns what this instance knows of the partitions that it holds.
     pub(crate) fn positions(&self) -> Vec<Position> {
         let held = (0..).zip(self.partitions.iter().zip(&self.currencies));
@@ -219,6 +247,8 @@
             config_fetch: ConfigFetch::default(),
             backends: Backends::default(),
             members: Members::default(),
+            cells: Cells::default(),
+            divided: None,
             instances_read: false,
             load: Load::default(),
             speeds: Speeds::default(),
--- a/gateway/src/serve/online.rs
+++ b/gateway/src/serve/online.rs
@@ -343,7 +343,15 @@
     let now = node.now();
     let mut state = node.lock();
     state.draws = state.rng.random();
-    let candidates = candidates(&state, node, admitted, course, now);
+    state.divide(&node.settings.name);
+    let own = |key| state.cells.serves(key);
+    let mut candidates = candidates(&state, node, admitted, course, now, own);
+    let mut placement = place(&candidates, Limits { queue: QUEUE });
+    if state.cells.are_several() && !matches!(placement, Placement::Send(_)) {
+        // What is placed outside the own cell is known from regular reports only.
+        candidates = self::candidates(&state, node, admitted, course, now, |_| true);
+        placement = place(&candidates, Limits { queue: QUEUE });
+    }
     let running: u32 = candidates
         .iter()
         .map(|c| c.placed.online.min(c.slots))
@@ -360,7 +368,7 @@
             retry_after,
         });
     }
-    let key = match place(&candidates, Limits { queue: QUEUE }) {
+    let key = match placement {
         Placement::Send(key) => key,
         Placement::Full => {
             let retry_after = retry_after(running, queued, holding);
@@ -416,12 +424,14 @@
     admitted: &Admitted,
     course: &Course,
     now: Timestamp,
+    usable: impl Fn(BackendKey) -> bool,
 ) -> Vec<Candidate> {
     let config = state.config.as_ref();
     let service = config.and_then(|config| config.service(&admitted.service));
     let default_slots = service.map_or(1, |service| service.slots);
     let mut rng = SmallRng::seed_from_u64(state.draws);
     let backends = state.backends.serving(&admitted.service, now);
+    let backends = backends.filter(|backend| usable(backend.key));
     let candidates = backends.map(|backend| Candidate {
         key: backend.key,
         slots: backend.entry.slots.unwrap_or(default_slots),
--- a/gateway/src/serve/peers.rs
+++ b/gateway/src/serve/peers.rs
@@ -1,16 +1,14 @@
-//! Reports between instances, and fetching a newer configuration from a peer.
+//! The other instances: their records, their reports, their loss, and fetching a newer
+//! configuration from one.
 
-use std::collections::HashMap;
+use std::collections::HashSet;
 use std::net::{
     IpAddr,
     SocketAddr,
     UdpSocket, //
 };
 use std::sync::Arc;
-use std::time::{
-    Duration,
-    Instant, //
-};
+use std::time::Duration;
 
 use async_io::Async;
 use hyper::Request;
@@ -20,10 +18,7 @@
     SendOptions,
     TrafficClass, //
 };
-use limpetweir_transport::{
-    sleep,
-    until, //
-};
+use limpetweir_transport::sleep;
 
 use super::follow;
 use super::items;
@@ -33,13 +28,11 @@
     PEER_DOWN,
     PEER_UP,
     RECORD_SKIPPED,
-    REPORTS_FAILED,
     line, //
 };
 use super::node::{
     Held,
-    Node,
-    unix_ms, //
+    Node, //
 };
 use crate::members::{
     Heard,
@@ -52,27 +45,14 @@
     StoreError,
     Topic, //
 };
-use crate::quota::OrganisationKey;
 use crate::report::Report;
 
-/// Longest time between two reports; four fit into the silence after which a peer counts as lost.
-const REPORT_INTERVAL: Duration = Duration::from_millis(250);
-
-/// Shortest time in which changes are gathered into one report.
-const GATHER: Duration = Duration::from_millis(2);
-
-/// Time in which changes are gathered for each other instance, so that the number of reports that
-/// an instance receives per second does not grow with their number.
-const GATHER_PER_PEER: Duration = Duration::from_micros(100);
-
-/// Regular rounds after which the counts of all organisations are stated again; reports between
-/// state what has changed since the last regular round. A lost report is made up for within two
-/// seconds.
-const FULL_COUNTS_EVERY: u64 = 8;
-
 /// Largest report in bytes that is read; a datagram holds no more.
 const MAX_REPORT: usize = 64 << 10;
 
+/// Pause after a failed receipt.
+const RECEIVE_RETRY: Duration = Duration::from_millis(2);
+
 /// Longest time to fetch something from a peer.
 pub(crate) const FETCH_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -139,92 +119,6 @@
     result.map(|_| ())
 }
 
-/// Sends reports to the other instances: to all of them in regular rounds, and between these to the
-/// ones with work, whose decisions depend on every change.
-pub(crate) async fn send<P: Store + Dialect>(node: Arc<Node<P>>, socket: Arc<Async<UdpSocket>>) {
-    let mut sequence = 0;
-    let mut rounds = 0;
-    let mut last_round = Instant::now();
-    let mut stated: HashMap<OrganisationKey, u64> = HashMap::new();
-    let mut failing = false;
-    loop {
-        let due = node.report_due.listen();
-        if until(last_round + REPORT_INTERVAL, due).await.is_some() {
-            let peers = u32::try_from(node.lock().members.count()).unwrap_or(u32::MAX);
-            sleep(GATHER.max(GATHER_PER_PEER * peers)).await;
-        }
-        let regular = last_round.elapsed() >= REPORT_INTERVAL;
-        sequence += 1;
-        let (mut report, addrs) = prepare(&node, sequence, regular);
-        let admitted: HashMap<_, _> = report.admitted.iter().copied().collect();
-        if !regular || rounds % FULL_COUNTS_EVERY != 0 {
-            let changed = |(key, count): &(OrganisationKey, u64)| stated.get(key) != Some(count);
-            report.admitted.retain(changed);
-        }
-        if regular {
-            rounds += 1;
-            last_round = Instant::now();
-            stated = admitted;
-        }
-        let bytes = report.encode();
-        let mut failed = None;
-        for addr in addrs {
-            let addr = SocketAddr::new(addr, node.settings.peer_port);
-            // A report that the system cannot take now is superseded by the next one.
-            if let Err(err) = socket.get_ref().send_to(&bytes, addr) {
-                failed = Some((addr, err));
-            }
-        }
-        if let Some((addr, err)) = &failed
-            && !failing
-        {
-            line!(REPORTS_FAILED, "addr={addr} cause=\"{err}\"");
-        }
-        failing = failed.is_some();
-    }
-}
-
-/// Builds the report of this instance and lists where it goes in a round of this kind.
-fn prepare<P>(node: &Arc<Node<P>>, sequence: u64, regular: bool) -> (Report, Vec<IpAddr>) {
-    let now = node.now();
-    let state = node.lock();
-    let waiting = state.items.waiting(now, unix_ms());
-    let in_time = waiting.iter().filter(|w| !w.late).count();
-    let suspects = state.load.suspects(now).into_iter();
-    let version = state.config.as_ref().map_or(0, |config| config.version());
-    let report = Report {
-        name: node.settings.name.clone(),
-        boot: node.boot,
-        sequence,
-        ready: state.can_serve() && !node.is_leaving(),
-        leaving: node.is_leaving(),
-        zone: node.settings.zone.clone(),
-        public: node.settings.public,
-        capacity: node.settings.capacity,
-        version,
-        online: state.load.own_online(),
-        batch: state.load.own_batch().copied().collect(),
-        held: state.items.held(),
-        waiting: u32::try_from(waiting.len()).unwrap_or(u32::MAX),
-        waiting_in_time: u32::try_from(in_time).unwrap_or(u32::MAX),
-        admitted: state.quotas.admitted(),
-        suspects: suspects
-            .map(|(key, left)| (key, u32::try_from(left.as_millis()).unwrap_or(u32::MAX)))
-            .collect(),
-        leaving_backends: state.backends.leaving(),
-        positions: state.positions(),
-    };
-    let members = state.members.iter().map(|(_, m)| m);
-    let told = members.filter(|m| regular || m.has_work());
-    let mut addrs: Vec<IpAddr> = told.map(|m| m.addr).collect();
-    // Until a first peer is known the seeds may know more.
-    if state.members.count() == 0 {
-        let own = node.settings.address;
-        addrs.extend(node.settings.seeds.iter().filter(|addr| **addr != own));
-    }
-    (report, addrs)
-}
-
 /// Receives the reports of the other instances.
 pub(crate) async fn receive<P: Store + Dialect>(node: Arc<Node<P>>, socket: Arc<Async<UdpSocket>>) {
     let mut buf = vec![0; MAX_REPORT];
@@ -239,7 +133,7 @@
             Err(err) => {
                 // A peer without a listener is reported here on some systems.
                 log::debug!("receiving a report failed: {err}");
-                sleep(GATHER).await;
+                sleep(RECEIVE_RETRY).await;
             }
         }
     }
@@ -303,18 +197,17 @@
 
 /// Notices peers that have fallen silent.
 pub(crate) async fn watch<P: Store + Dialect>(node: Arc<Node<P>>) {
-    let mut alive: Vec<String> = Vec::new();
+    let mut alive: HashSet<String> = HashSet::new();
     loop {
         sleep(SILENCE / 4).await;
         let now = node.now();
         let mut state = node.lock();
-        let present: Vec<String> = state.members.alive(now).map(|r| r.name.clone()).collect();
-        let lost: Vec<String> = alive
-            .iter()
-            .filter(|n| !present.contains(n))
-            .cloned()
-            .collect();
-        for name in &lost {
+        let present: HashSet<String> = state.members.alive(now).map(|r| r.name.clone()).collect();
+        let silence = |name: &str| state.members.get(name).map_or(SILENCE, |m| m.silence());
+        let lost = alive.iter().filter(|name| !present.contains(*name));
+        let lost: Vec<(String, Duration)> =
+            lost.map(|name| (name.clone(), silence(name))).collect();
+        for (name, _) in &lost {
             state.load.forget(name, now);
         }
         for name in state.members.sweep(now) {
@@ -322,8 +215,8 @@
         }
         refresh_silent(&mut state, now);
         drop(state);
-        for name in &lost {
-            line!(PEER_DOWN, "peer={name} silent_ms={}", SILENCE.as_millis());
+        for (name, silence) in &lost {
+            line!(PEER_DOWN, "peer={name} silent_ms={}", silence.as_millis());
         }
         let unsettled = node.lock().held.iter().any(|h| *h != Held::Yes);
         if !lost.is_empty() || unsettled {
--- a/gateway/tests/batch.rs
+++ b/gateway/tests/batch.rs
@@ -82,6 +82,7 @@
         name: name.to_owned(),
         boot: 1,
         sequence: 1,
+        next_ms: 250,
         ready: true,
         leaving: false,
         zone: "zone".to_owned(),
--- a/gateway/tests/online.rs
+++ b/gateway/tests/online.rs
@@ -347,6 +347,7 @@
         name: name.to_owned(),
         boot,
         sequence,
+        next_ms: 250,
         ready: true,
         leaving: false,
         zone: "zone".to_owned(),
--- a/gateway/tests/replay/model.rs
+++ b/gateway/tests/replay/model.rs
@@ -410,6 +410,7 @@
             name: instance.name.clone(),
             boot: 1,
             sequence: 1,
+            next_ms: 250,
             ready: true,
             leaving: false,
             zone: String::new(),
