--- a/gateway/src/serve/mod.rs
+++ b/gateway/src/serve/mod.rs
@@ -1,5 +1,6 @@
 //! Input and output of an instance.
 
+mod choose;
 mod follow;
 mod handover;
 mod items;
--- a/gateway/src/serve/online.rs
+++ b/gateway/src/serve/online.rs
@@ -13,10 +13,7 @@
     Response,
     StatusCode, //
 };
-use limpetweir_state::{
-    Timestamp,
-    Verdict, //
-};
+use limpetweir_state::Verdict;
 use limpetweir_transport::http::{
     Body,
     BodyError,
@@ -26,24 +23,23 @@
     SendOptions,
     TrafficClass, //
 };
-use rand::rngs::SmallRng;
-use rand::{
-    Rng,
-    SeedableRng, //
-};
+use rand::Rng;
 
+use super::choose::{
+    Placed,
+    Refusal,
+    choose, //
+};
 use super::lines::{
     ATTEMPT_FAILED,
     BACKEND_SUSPECTED,
-    PLACED,
     REFUSED,
     REQUEST_FAILED,
     line, //
 };
 use super::node::{
     Node,
-    OpenCall,
-    State, //
+    OpenCall, //
 };
 use super::relay::{
     self,
@@ -55,25 +51,14 @@
 };
 use super::{
     handover,
-    items,
     job_calls, //
 };
-use crate::backend::{
-    BackendEntry,
-    BackendKey, //
-};
+use crate::backend::BackendKey;
 use crate::config::{
     Organisation,
     Route,
     RouteKind, //
 };
-use crate::placement::{
-    Candidate,
-    Limits,
-    Placement,
-    place,
-    retry_after, //
-};
 use crate::platform::{
     CallHead,
     Dialect,
@@ -83,18 +68,11 @@
 };
 use crate::positions::CallKind;
 
-/// Online requests that may wait at a backend server beyond its slots. With eight slots that are
-/// held for three quarters of a second each, two wait at most a fifth of a second.
-const QUEUE: u32 = 2;
-
-/// Backend servers that a request is offered to while they turn it away.
-const MAX_OFFERS: u32 = 4;
-
 /// How long a backend server that refused a connection is used last.
 pub(crate) const SUSPICION: Duration = Duration::from_millis(1_000);
 
 /// How long a caller without any news of a configuration should wait.
-const NO_CONFIG_RETRY: Duration = Duration::from_millis(500);
+pub(crate) const NO_CONFIG_RETRY: Duration = Duration::from_millis(500);
 
 /// Longest wait for a caller that states none.
 const DEFAULT_PATIENCE: Duration = Duration::from_secs(60);
@@ -114,30 +92,6 @@
     pub(crate) version: u64,
 }
 
-/// Counts a request at a backend server until it is dropped.
-pub(crate) struct Placed<P: Store + Dialect> {
-    node: Arc<Node<P>>,
-    pub(crate) key: BackendKey,
-    pub(crate) entry: Arc<BackendEntry>,
-    started: Instant,
-}
-
-impl<P: Store + Dialect> Drop for Placed<P> {
-    fn drop(&mut self) {
-        let now = self.node.now();
-        let mut state = self.node.lock();
-        state.load.online_ended(self.key, now);
-        let held = self.started.elapsed().as_secs_f64();
-        state.holding_s += HOLDING_WEIGHT * (held - state.holding_s);
-        drop(state);
-        self.node.report_due.notify(usize::MAX);
-        items::balance(&self.node);
-    }
-}
-
-/// Weight of one request in the mean time that a slot is held.
-const HOLDING_WEIGHT: f64 = 0.05;
-
 /// Answers a request of a caller.
 pub(crate) async fn handle<P: Store + Dialect>(
     node: Arc<Node<P>>,
@@ -328,126 +282,6 @@
     ))
 }
 
-/// Why no backend server was chosen.
-pub(crate) struct Refusal {
-    pub(crate) cause: &'static str,
-    pub(crate) retry_after: Duration,
-}
-
-/// Chooses a backend server and counts the request there.
-pub(crate) fn choose<P: Store + Dialect>(
-    node: &Arc<Node<P>>,
-    admitted: &Admitted,
-    course: &Course,
-) -> Result<Placed<P>, Refusal> {
-    let now = node.now();
-    let mut state = node.lock();
-    state.draws = state.rng.random();
-    state.divide(&node.settings.name);
-    let own = |key| state.cells.serves(key);
-    let mut candidates = candidates(&state, node, admitted, course, now, own);
-    let mut placement = place(&candidates, Limits { queue: QUEUE });
-    if state.cells.are_several() && !matches!(placement, Placement::Send(_)) {
-        // What is placed outside the own cell is known from regular reports only.
-        candidates = self::candidates(&state, node, admitted, course, now, |_| true);
-        placement = place(&candidates, Limits { queue: QUEUE });
-    }
-    let running: u32 = candidates
-        .iter()
-        .map(|c| c.placed.online.min(c.slots))
-        .sum();
-    let queued: u32 = candidates
-        .iter()
-        .map(|c| c.placed.online.saturating_sub(c.slots))
-        .sum();
-    let holding = Duration::from_secs_f64(state.holding_s.clamp(0.05, 10.0));
-    if course.tried.len() >= MAX_OFFERS as usize {
-        let retry_after = retry_after(running, queued, holding);
-        return Err(Refusal {
-            cause: "turned-away",
-            retry_after,
-        });
-    }
-    let key = match placement {
-        Placement::Send(key) => key,
-        Placement::Full => {
-            let retry_after = retry_after(running, queued, holding);
-            return Err(Refusal {
-                cause: "full",
-                retry_after,
-            });
-        }
-        Placement::NoBackend => {
-            let retry_after = NO_CONFIG_RETRY;
-            return Err(Refusal {
-                cause: "no-backend",
-                retry_after,
-            });
-        }
-    };
-    let known = state.backends.get(key);
-    let Some((entry, seen)) = known.map(|b| (b.entry.clone(), b.seen)) else {
-        let retry_after = NO_CONFIG_RETRY;
-        return Err(Refusal {
-            cause: "no-backend",
-            retry_after,
-        });
-    };
-    let before = state.load.placed(key);
-    state.load.online_started(key, now);
-    drop(state);
-    // An instance that is killed leaves no later line about the request.
-    line!(
-        PLACED,
-        "request={} backend={} online={} batch={} servers={} entry_age_ms={} version={}",
-        admitted.call.request_id,
-        entry.id,
-        before.online,
-        before.batch,
-        candidates.len(),
-        now.since(seen).as_millis(),
-        admitted.version
-    );
-    node.report_due.notify(usize::MAX);
-    items::balance(node);
-    Ok(Placed {
-        node: node.clone(),
-        key,
-        entry,
-        started: Instant::now(),
-    })
-}
-
-fn candidates<P>(
-    state: &State,
-    node: &Node<P>,
-    admitted: &Admitted,
-    course: &Course,
-    now: Timestamp,
-    usable: impl Fn(BackendKey) -> bool,
-) -> Vec<Candidate> {
-    let config = state.config.as_ref();
-    let service = config.and_then(|config| config.service(&admitted.service));
-    let default_slots = service.map_or(1, |service| service.slots);
-    let mut rng = SmallRng::seed_from_u64(state.draws);
-    let backends = state.backends.serving(&admitted.service, now);
-    let backends = backends.filter(|backend| usable(backend.key));
-    let candidates = backends.map(|backend| Candidate {
-        key: backend.key,
-        slots: backend.entry.slots.unwrap_or(default_slots),
-        placed: state.load.placed(backend.key),
-        suspect: state.load.suspected(backend.key, now),
-        tried: course.tried.contains(&backend.key),
-        slowness: state.speeds.slowness(backend.key, now),
-        connected: node
-            .client
-            .has_idle(backend.entry.addr, TrafficClass::Online),
-        local: backend.entry.zone == node.settings.zone,
-        draw: rng.random(),
-    });
-    candidates.collect()
-}
-
 /// Answers a request that no backend server takes.
 fn refused<P>(
     node: &Node<P>,
--- a/gateway/src/serve/relay.rs
+++ b/gateway/src/serve/relay.rs
@@ -22,6 +22,10 @@
 };
 use limpetweir_transport::until;
 
+use super::choose::{
+    Placed,
+    choose, //
+};
 use super::lines::{
     ANSWERED,
     ATTEMPT_FAILED,
@@ -37,8 +41,6 @@
 use super::online::{
     Admitted,
     Course,
-    Placed,
-    choose,
     send,
     suspect, //
 };
