--- a/gateway/src/cells.rs
+++ b/gateway/src/cells.rs
@@ -11,8 +11,8 @@
 
 use crate::backend::BackendKey;
 
-/// Instances up to which the fleet is one cell; reports took a tenth of a small machine's processor
-/// with so many.
+/// Instances up to which the fleet is one cell. With 102 instances that all told each other of every
+/// change, reports took more processor time than the requests.
 pub const ONE_CELL: usize = 96;
 
 /// Instances of a cell in a larger fleet: enough of them in each zone, and enough servers that the
--- a/gateway/src/serve/items.rs
+++ b/gateway/src/serve/items.rs
@@ -197,20 +197,20 @@
     }
     let peers = state.members.alive(now);
     let peers = peers.filter(|r| r.waiting > 0 && state.cells.holds(&r.name));
-    let mut any_late = false;
-    let peers = peers.map(|r| {
-        any_late |= r.waiting_in_time < r.waiting;
-        (r.waiting_in_time > 0, r.name.clone())
+    let peers = peers.map(|r| WaitingPeer {
+        name: r.name.clone(),
+        any_in_time: r.waiting_in_time > 0,
+        any_late: r.waiting_in_time < r.waiting,
     });
-    let peers: Vec<(bool, String)> = peers.collect();
+    let peers: Vec<WaitingPeer> = peers.collect();
     let named = |in_time: bool| -> Vec<&str> {
-        let named = peers.iter().filter(|peer| peer.0 == in_time);
-        named.map(|peer| peer.1.as_str()).collect()
+        let named = peers.iter().filter(|peer| peer.any_in_time == in_time);
+        named.map(|peer| peer.name.as_str()).collect()
     };
     let contenders = Contenders {
         in_time: &named(true),
         late: &named(false),
-        any_late,
+        any_late: peers.iter().any(|peer| peer.any_late),
     };
     for (service, mut waiting) in by_service(state, waiting) {
         let rooms = rooms(state, &service, now);
@@ -220,6 +220,15 @@
     }
 }
 
+/// Another instance that has waiting items.
+struct WaitingPeer {
+    name: String,
+    /// Whether some of them can still be on time.
+    any_in_time: bool,
+    /// Whether some of them cannot.
+    any_late: bool,
+}
+
 fn slots_of(state: &State, entry: &BackendEntry) -> u32 {
     let config = state.config.as_ref();
     let service = config.and_then(|config| config.service(&entry.service));
--- a/gateway/src/serve/reports.rs
+++ b/gateway/src/serve/reports.rs
@@ -37,8 +37,9 @@
 /// Time between two regular rounds of reports.
 const INTERVAL: Duration = Duration::from_millis(250);
 
-/// Instances of other cells that a regular round goes to; the rounds go to all of them in turn. More
-/// took over a tenth of the processor of a small machine.
+/// Instances of other cells that a regular round goes to; the rounds go to all of them in turn. An
+/// instance then receives about 300 reports a second of them; at 12 us each, they take 3% of a
+/// machine with 0.12 cores.
 const FAR_PER_ROUND: usize = 75;
 
 /// Shortest time in which changes are gathered into one report.
@@ -50,7 +51,7 @@
 
 /// Regular rounds after which the counts of all organisations are stated again; reports between
 /// state what has changed since the last regular round. A lost report is made up for within two
-/// seconds.
+/// seconds, and one to another cell within eight regular ones.
 const FULL_COUNTS_EVERY: u64 = 8;
 
 /// Instances that get the same reports, and what was last stated to them in a regular round.
@@ -109,9 +110,9 @@
         far.resize_with(turns, Audience::default);
         report.next_ms *= u32::try_from(turns).unwrap_or(u32::MAX);
         // Callers must not be sent to an instance that stops.
-        let stands = Some((report.ready, report.leaving));
-        if announced != stands {
-            announced = stands;
+        let readiness = Some((report.ready, report.leaving));
+        if announced != readiness {
+            announced = readiness;
             send_to(&node, &socket, &report, &receivers.far, &mut failed);
         }
         if regular {
