--- a/gateway/tests/batch.rs
+++ b/gateway/tests/batch.rs
@@ -1,5 +1,7 @@
 //! Starting and stopping items beside online requests.
 
+mod support;
+
 use std::time::Duration;
 
 use limpetweir_gateway::{
@@ -18,6 +20,7 @@
 };
 use limpetweir_state::Timestamp;
 use rstest::rstest;
+use support::idle_report;
 
 const SLOTS: u32 = 8;
 /// Slots that items may take of a fleet of one server with four online requests; one is left to
@@ -79,25 +82,9 @@
         due,
     });
     Report {
-        name: name.to_owned(),
-        boot: 1,
-        sequence: 1,
-        next_ms: 250,
-        ready: true,
-        leaving: false,
-        zone: "zone".to_owned(),
-        public: ([127, 0, 0, 1], 1).into(),
-        capacity: 500,
-        version: 1,
         online: online.iter().map(|&(on, n)| (backend(on), n)).collect(),
         batch: batch.collect(),
-        held: Vec::new(),
-        waiting: 0,
-        waiting_in_time: 0,
-        admitted: Vec::new(),
-        suspects: Vec::new(),
-        leaving_backends: Vec::new(),
-        positions: Vec::new(),
+        ..idle_report(name)
     }
 }
 
--- a/gateway/tests/cells.rs
+++ b/gateway/tests/cells.rs
@@ -1,5 +1,7 @@
 //! Cells of a large fleet, and how often their instances hear of each other.
 
+mod support;
+
 use std::collections::{
     HashMap,
     HashSet, //
@@ -15,6 +17,7 @@
 };
 use limpetweir_state::Timestamp;
 use rstest::rstest;
+use support::idle_report;
 
 fn names(count: usize) -> Vec<String> {
     (0..count).map(|n| format!("instance-{n}")).collect()
@@ -80,30 +83,6 @@
     assert!(moved <= 11 * 2 * 2 * 26, "{moved} relations changed");
 }
 
-fn report(next_ms: u32) -> Report {
-    Report {
-        name: "a".to_owned(),
-        boot: 1,
-        sequence: 1,
-        next_ms,
-        ready: true,
-        leaving: false,
-        zone: "zone".to_owned(),
-        public: ([127, 0, 0, 1], 80).into(),
-        capacity: 500,
-        version: 7,
-        online: Vec::new(),
-        batch: Vec::new(),
-        held: Vec::new(),
-        waiting: 0,
-        waiting_in_time: 0,
-        admitted: Vec::new(),
-        suspects: Vec::new(),
-        leaving_backends: Vec::new(),
-        positions: Vec::new(),
-    }
-}
-
 /// Guards against an instance of another cell that is taken for lost between two of its reports, and
 /// against callers that are sent to it for as long as it may still be alive.
 #[rstest]
@@ -120,7 +99,11 @@
 ) {
     let mut members = Members::default();
     let addr: IpAddr = [127, 0, 0, 1].into();
-    members.heard(report(next_ms), addr, Timestamp::from_millis(0));
+    let report = Report {
+        next_ms,
+        ..idle_report("a")
+    };
+    members.heard(report, addr, Timestamp::from_millis(0));
     let now = Timestamp::from_millis(age);
     assert_eq!(members.alive(now).count() == 1, alive);
     assert_eq!(members.for_callers(now).count() == 1, named);
--- a/gateway/tests/replay/main.rs
+++ b/gateway/tests/replay/main.rs
@@ -2,6 +2,8 @@
 
 mod model;
 mod patterns;
+#[path = "../support/mod.rs"]
+mod support;
 
 use limpetweir_gateway::reserve;
 use model::Model;
--- a/gateway/tests/replay/model.rs
+++ b/gateway/tests/replay/model.rs
@@ -44,6 +44,7 @@
     Policy,
     Served, //
 };
+use crate::support::idle_report;
 
 /// Requests that a server runs at once.
 const SLOTS: u32 = 8;
@@ -407,25 +408,11 @@
         let instance = &mut self.instances[from];
         instance.report_due = false;
         let report = Report {
-            name: instance.name.clone(),
-            boot: 1,
-            sequence: 1,
-            next_ms: 250,
-            ready: true,
-            leaving: false,
-            zone: String::new(),
-            public: ([127, 0, 0, 1], 1).into(),
-            capacity: 500,
-            version: 1,
             online: instance.load.own_online(),
             batch: instance.load.own_batch().copied().collect(),
-            held: Vec::new(),
             waiting: waiting.len() as u32,
             waiting_in_time: waiting.iter().filter(|w| !w.late).count() as u32,
-            admitted: Vec::new(),
-            suspects: Vec::new(),
-            leaving_backends: Vec::new(),
-            positions: Vec::new(),
+            ..idle_report(&instance.name)
         };
         self.reports.insert(from, report);
         self.at(MESSAGE, Event::Heard { from });
--- /dev/null
+++ b/gateway/tests/support/mod.rs
@@ -0,0 +1,28 @@
+//! Values that several tests start from.
+
+use limpetweir_gateway::Report;
+
+/// Returns the report of a ready instance that has placed and read nothing.
+pub(crate) fn idle_report(name: &str) -> Report {
+    Report {
+        name: name.to_owned(),
+        boot: 1,
+        sequence: 1,
+        next_ms: 250,
+        ready: true,
+        leaving: false,
+        zone: "zone".to_owned(),
+        public: ([127, 0, 0, 1], 1).into(),
+        capacity: 500,
+        version: 1,
+        online: Vec::new(),
+        batch: Vec::new(),
+        held: Vec::new(),
+        waiting: 0,
+        waiting_in_time: 0,
+        admitted: Vec::new(),
+        suspects: Vec::new(),
+        leaving_backends: Vec::new(),
+        positions: Vec::new(),
+    }
+}
