--- a/gateway/src/batch.rs
+++ b/gateway/src/batch.rs
@@ -14,6 +14,7 @@
 use limpetweir_coordination::rendezvous_score;
 
 use crate::backend::BackendKey;
+use crate::cells::FAR_MARGIN;
 use crate::load::{
     Load,
     Placed, //
@@ -49,6 +50,8 @@
     pub suspect: bool,
     /// Whether it works several times slower than the others.
     pub slow: bool,
+    /// Whether other cells place requests there first; what is placed on it may be a second old.
+    pub far: bool,
     /// How long the number of requests on it has been the same.
     pub unchanged_for: Duration,
 }
@@ -122,8 +125,8 @@
     pub any_late: bool,
 }
 
-/// Chooses which waiting items start where. `reserve` gives the slots that stay free in the fleet
-/// from its online requests and servers.
+/// Chooses which waiting items start where. `reserve` gives the slots that stay free in the own cell
+/// from its online requests and servers. Servers of other cells are used while the own cell is full.
 pub fn starts(
     waiting: &mut [Waiting],
     rooms: &[Room],
@@ -135,11 +138,19 @@
     let any_late = contenders.any_late || waiting.iter().any(|w| w.late);
     let (in_time, late) = waiting.split_at(waiting.partition_point(|w| !w.late));
     let usable = rooms.iter().filter(|room| !room.suspect && !room.slow);
-    let usable: Vec<&Room> = usable.collect();
-    let online = usable.iter().map(|room| room.placed.online).sum();
-    let servers = u32::try_from(usable.len()).unwrap_or(u32::MAX);
-    let kept = kept_free(&usable, reserve(online, servers, any_late));
-    let open = usable.iter().zip(kept).map(|(room, kept)| Open {
+    let (far, near): (Vec<&Room>, Vec<&Room>) = usable.partition(|room| room.far);
+    let online = near.iter().map(|room| room.placed.online).sum();
+    let servers = u32::try_from(near.len()).unwrap_or(u32::MAX);
+    let kept = kept_free(&near, reserve(online, servers, any_late));
+    let full = near
+        .iter()
+        .zip(&kept)
+        .all(|(room, kept)| room.free() <= *kept);
+    let mut usable: Vec<(&Room, u32)> = near.into_iter().zip(kept).collect();
+    if full {
+        usable.extend(far.into_iter().map(|room| (room, FAR_MARGIN)));
+    }
+    let open = usable.into_iter().map(|(room, kept)| Open {
         room,
         kept,
         left: room.open_to(kept, me, 0, contenders.in_time),
--- a/gateway/src/cells.rs
+++ b/gateway/src/cells.rs
@@ -1,56 +1,73 @@
 //! Parts of a large fleet whose instances tell each other of every change.
 //!
 //! Load answered: in a fleet of a hundred instances and more, reports of every change from each
-//! instance to every other one take most of the processor. Such a fleet is divided into cells. Each
-//! cell places requests on backend servers of its own, so that only its instances need to know of
-//! every change there; the others hear of it in regular reports.
+//! instance to every other one take most of the processor, and most of the bytes between zones.
+//! Such a fleet is divided into cells, each within one availability zone, to which that zone also
+//! sends its callers. A cell places requests on the backend servers of its zone, so that only its
+//! instances need to know of every change there. A cell that has no room places on servers of other
+//! cells, and tells these of every change for as long as it does.
 
-use std::collections::HashSet;
+use std::collections::{
+    BTreeMap,
+    HashMap, //
+};
+use std::ops::Range;
 
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::backend::BackendKey;
+use crate::instance::Instance;
 
-/// Instances up to which the fleet is one cell. With 102 instances that all told each other of every
-/// change, reports took more processor time than the requests.
+/// Most instances of a cell; a fleet of no more is one cell. With 102 instances that all told each
+/// other of every change, reports took more processor time than the requests.
 pub const ONE_CELL: usize = 96;
 
-/// Instances of a cell in a larger fleet: enough of them in each zone, and enough servers that the
-/// load of a cell varies little.
-const CELL: usize = 24;
+/// Slots of a server of another cell that stay free, because that cell may have filled some of them
+/// since its last regular report.
+pub(crate) const FAR_MARGIN: u32 = 3;
 
-/// The cell of this instance.
+/// Number of a cell, the same on all instances that know the same ones.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct CellNumber(usize);
+
+/// The cells of a fleet.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Cells {
     /// Number of cells; 0 and 1 are a fleet that is not divided.
     count: usize,
-    /// Number of the own cell.
-    own: usize,
-    /// The other instances of the own cell.
-    near: HashSet<String>,
+    /// Cells of each zone that has instances.
+    zones: BTreeMap<String, Range<usize>>,
+    /// Cell of each instance.
+    instances: HashMap<String, CellNumber>,
+    /// Cell of this instance.
+    own: Option<CellNumber>,
 }
 
 impl Cells {
-    /// Divides the fleet of the instance `me` and the `others`. Cells differ in size by at most one
-    /// instance, and an instance more or less moves few others.
-    pub fn divide<'a>(me: &str, others: impl Iterator<Item = &'a str>) -> Self {
-        let mut all: Vec<&str> = others.collect();
-        all.push(me);
-        if all.len() <= ONE_CELL {
-            return Self::default();
+    /// Divides the fleet of the instance `me` and the `others`. The cells of a zone differ in size
+    /// by at most one instance, and an instance more or less moves few others.
+    pub fn divide<'a>(me: Instance<'a>, others: impl Iterator<Item = Instance<'a>>) -> Self {
+        let mut zones: BTreeMap<&str, Vec<&str>> = BTreeMap::new();
+        for instance in others.chain([me]) {
+            zones.entry(instance.zone).or_default().push(instance.name);
+        }
+        let mut cells = Self::default();
+        if zones.values().map(Vec::len).sum::<usize>() <= ONE_CELL {
+            return cells;
         }
-        all.sort_by_cached_key(|name| (xxh3_64(name.as_bytes()), name.to_owned()));
-        let count = all.len() / CELL;
-        let cell = |place: usize| place * count / all.len();
-        let place = all.iter().position(|name| *name == me).unwrap_or(0);
-        let own = cell(place);
-        let near = all.iter().enumerate();
-        let near = near.filter(|(place, name)| cell(*place) == own && **name != me);
-        Self {
-            count,
-            own,
-            near: near.map(|(_, name)| (*name).to_owned()).collect(),
+        for (zone, mut names) in zones {
+            names.sort_by_cached_key(|name| (xxh3_64(name.as_bytes()), name.to_owned()));
+            let first = cells.count;
+            let parts = names.len().div_ceil(ONE_CELL);
+            for (place, name) in names.iter().enumerate() {
+                let cell = CellNumber(first + place * parts / names.len());
+                cells.instances.insert((*name).to_owned(), cell);
+            }
+            cells.count += parts;
+            cells.zones.insert(zone.to_owned(), first..cells.count);
         }
+        cells.own = cells.of_instance(me.name);
+        cells
     }
 
     /// Returns whether the fleet is divided.
@@ -58,14 +75,33 @@
         self.count > 1
     }
 
-    /// Returns whether `name` is in the own cell.
-    pub fn holds(&self, name: &str) -> bool {
-        !self.are_several() || self.near.contains(name)
+    /// Returns the cell of this instance; `None` in a fleet that is not divided.
+    pub fn own(&self) -> Option<CellNumber> {
+        self.own
+    }
+
+    /// Returns the cell of the instance `name`; `None` in a fleet that is not divided.
+    pub fn of_instance(&self, name: &str) -> Option<CellNumber> {
+        self.instances.get(name).copied()
     }
 
-    /// Returns whether `backend` takes the requests of the own cell.
-    pub fn serves(&self, backend: BackendKey) -> bool {
+    /// Returns the cell that takes the backend server `key` in `zone` first; `None` in a fleet that
+    /// is not divided.
+    pub fn of_backend(&self, key: BackendKey, zone: &str) -> Option<CellNumber> {
+        // Servers of a zone without instances are spread over all cells.
+        let cells = self.zones.get(zone).cloned().unwrap_or(0..self.count);
         // The key is a hash, so that its remainder spreads the servers evenly.
-        !self.are_several() || backend.0 as usize % self.count == self.own
+        let place = (key.0 as usize).checked_rem(cells.len())?;
+        Some(CellNumber(cells.start + place))
+    }
+
+    /// Returns whether the instance `name` is in the own cell.
+    pub fn holds(&self, name: &str) -> bool {
+        self.of_instance(name) == self.own
+    }
+
+    /// Returns whether the own cell takes the backend server `key` in `zone` first.
+    pub fn serves(&self, key: BackendKey, zone: &str) -> bool {
+        self.of_backend(key, zone) == self.own
     }
 }
--- /dev/null
+++ b/gateway/src/instance.rs
@@ -0,0 +1,81 @@
+//! What instances know of each other from the store.
+
+use std::fmt;
+use std::net::IpAddr;
+use std::str::FromStr;
+
+use snafu::{
+    OptionExt,
+    Snafu, //
+};
+
+use crate::report::Report;
+
+/// An instance that work is divided among.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Instance<'a> {
+    /// Its name.
+    pub name: &'a str,
+    /// Its availability zone; empty if it is not known.
+    pub zone: &'a str,
+    /// Processor of its machine in thousandths of a core.
+    pub capacity: u32,
+}
+
+impl<'a> From<&'a Report> for Instance<'a> {
+    fn from(report: &'a Report) -> Self {
+        Self {
+            name: &report.name,
+            zone: &report.zone,
+            capacity: report.capacity,
+        }
+    }
+}
+
+/// Returns whether a machine counts as large among those whose largest has `largest`. Fleets have
+/// machines of two sizes that differ four times; smaller differences do not matter.
+pub(crate) fn is_large(capacity: u32, largest: u32) -> bool {
+    capacity >= largest / 2
+}
+
+/// What an instance writes to the store about itself: its address, the processor of its machine and
+/// its zone, separated by spaces.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct InstanceRecord {
+    /// Address that reports are sent to.
+    pub addr: IpAddr,
+    /// Processor of the machine in thousandths of a core.
+    pub capacity: u32,
+    /// Availability zone.
+    pub zone: String,
+}
+
+/// A record of an instance that cannot be read.
+#[derive(Debug, PartialEq, Eq, Snafu)]
+#[snafu(display("expected an address, a number and a zone, found {text:?}"))]
+pub struct InstanceRecordError {
+    text: String,
+}
+
+impl fmt::Display for InstanceRecord {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} {} {}", self.addr, self.capacity, self.zone)
+    }
+}
+
+impl FromStr for InstanceRecord {
+    type Err = InstanceRecordError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let fault = InstanceRecordSnafu { text };
+        let mut fields = text.splitn(3, ' ');
+        let addr = fields.next().and_then(|field| field.parse().ok());
+        let capacity = fields.next().and_then(|field| field.parse().ok());
+        let zone = fields.next().filter(|zone| !zone.is_empty());
+        Ok(Self {
+            addr: addr.context(fault)?,
+            capacity: capacity.context(fault)?,
+            zone: zone.context(fault)?.to_owned(),
+        })
+    }
+}
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -8,6 +8,8 @@
 mod cells;
 mod config;
 mod config_fetch;
+mod holders;
+mod instance;
 mod item_time;
 mod jobs;
 mod load;
@@ -25,21 +27,23 @@
 
 pub use backend::{Backend, BackendEntry, BackendKey, Backends};
 pub use batch::{Contenders, Room, Waiting, reserve, starts, yields};
-pub use cells::{Cells, ONE_CELL};
+pub use cells::{CellNumber, Cells, ONE_CELL};
 pub use config::{
     BatchTerms, CallerLimits, Configuration, ConfigurationParts, Organisation, Route, RouteKind,
     Service,
 };
 pub use config_fetch::ConfigFetch;
+pub use holders::{holders, owner};
+pub use instance::{Instance, InstanceRecord, InstanceRecordError};
 pub use item_time::ItemTime;
 pub use jobs::{
     Change, Decision, Job, JobItem, JobKey, Listed, NewItem, Outcome, Partition, Pending,
     RecordError, Submission, decide,
 };
 pub use load::{Load, Placed};
-pub use members::{Entry, Heard, Instance, Member, Members, SILENCE, addresses, holders, owner};
+pub use members::{Entry, Heard, Member, Members, SILENCE, addresses};
 pub use open_items::{OpenItem, OpenItems, Phase, Progress, RunEnd, Step};
-pub use placement::{Candidate, Limits, Placement, place, retry_after};
+pub use placement::{Candidate, Limits, Placement, place, retry_after, starts_at_once};
 pub use platform::{
     AddressQuery, AnswerHead, Batch, CallHead, DecodeError, Dialect, Forward, ItemRequest, JobCall,
     Page, Record, ResultView, Store, StoreError, Topic,
@@ -49,5 +53,5 @@
 pub use report::{BatchRun, ItemKey, Report};
 pub use serve::{Gateway, StartError, check, run};
 pub use settings::{Settings, SettingsError, StoreSettings};
-pub use speed::{SLOW, Speeds};
+pub use speed::{SLOW, Slowness, Speeds};
 pub use sse::{Event, NotEvents, Splitter};
--- a/gateway/src/load.rs
+++ b/gateway/src/load.rs
@@ -41,8 +41,14 @@
     heard_suspects: HashMap<BackendKey, Timestamp>,
     /// When the number of requests on a backend server last changed.
     changed: HashMap<BackendKey, Timestamp>,
+    /// When this instance last started or ended a request on a backend server.
+    used: HashMap<BackendKey, Timestamp>,
 }
 
+/// Time for which the end of the last request on a server still has to be told: two regular reports
+/// and a lost one.
+const TOLD_FOR: Duration = Duration::from_millis(800);
+
 #[derive(Debug, Default)]
 struct PeerLoad {
     online: Vec<(BackendKey, u32)>,
@@ -58,6 +64,7 @@
     /// Notes an online request that this instance sends to `backend`.
     pub fn online_started(&mut self, backend: BackendKey, now: Timestamp) {
         *self.own_online.entry(backend).or_default() += 1;
+        self.used.insert(backend, now);
         self.add(backend, 1, 0, now);
     }
 
@@ -68,6 +75,7 @@
             if *count == 0 {
                 self.own_online.remove(&backend);
             }
+            self.used.insert(backend, now);
             self.subtract(backend, 1, 0, now);
         }
     }
@@ -76,12 +84,14 @@
     pub fn batch_started(&mut self, run: BatchRun, now: Timestamp) {
         self.batch_ended(run.item, now);
         self.own_batch.insert(run.item, run);
+        self.used.insert(run.backend, now);
         self.add(run.backend, 0, 1, now);
     }
 
     /// Notes the end of an item's run at this instance.
     pub fn batch_ended(&mut self, item: ItemKey, now: Timestamp) {
         if let Some(run) = self.own_batch.remove(&item) {
+            self.used.insert(run.backend, now);
             self.subtract(run.backend, 0, 1, now);
         }
     }
@@ -153,6 +163,15 @@
         self.own_online.iter().map(|(k, n)| (*k, *n)).collect()
     }
 
+    /// Returns the backend servers on which this instance has requests or had some lately.
+    pub fn lately_used(&self, now: Timestamp) -> impl Iterator<Item = BackendKey> {
+        let lately = self.used.iter();
+        let lately = lately.filter(move |(_, at)| now.since(**at) < TOLD_FOR);
+        let lately = lately.map(|(key, _)| *key);
+        let batch = self.own_batch.values().map(|run| run.backend);
+        lately.chain(self.own_online.keys().copied()).chain(batch)
+    }
+
     /// Returns the items that this instance runs.
     pub fn own_batch(&self) -> impl Iterator<Item = &BatchRun> {
         self.own_batch.values()
--- a/gateway/src/members.rs
+++ b/gateway/src/members.rs
@@ -1,6 +1,5 @@
 //! Which instances exist, which of them are alive, and which addresses callers are told.
 
-use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::net::{
     IpAddr,
@@ -8,9 +7,13 @@
 };
 use std::time::Duration;
 
-use limpetweir_coordination::rendezvous_score;
 use limpetweir_state::Timestamp;
 
+use crate::instance::{
+    Instance,
+    InstanceRecord,
+    is_large, //
+};
 use crate::report::Report;
 
 /// Shortest silence after which an instance's work is taken over.
@@ -31,6 +34,10 @@
 pub struct Member {
     /// Address that reports are sent to.
     pub addr: IpAddr,
+    /// Availability zone; empty while it is not known.
+    pub zone: String,
+    /// Processor of the machine in thousandths of a core; 0 while it is not known.
+    pub capacity: u32,
     /// When the instance was first known of.
     pub known: Timestamp,
     /// When the last report arrived.
@@ -60,15 +67,9 @@
         self.heard_within(self.silence(), now)
     }
 
-    /// Returns whether the instance has requests or items, so that its decisions depend on every
-    /// change elsewhere; one that was never heard may have.
+    /// Returns whether the instance has requests or items; one that was never heard may have.
     pub fn has_work(&self) -> bool {
-        self.report.as_ref().is_none_or(|report| {
-            !report.online.is_empty()
-                || !report.batch.is_empty()
-                || !report.held.is_empty()
-                || report.waiting > 0
-        })
+        self.report.as_ref().is_none_or(Report::has_work)
     }
 
     fn last_sign(&self) -> Timestamp {
@@ -91,24 +92,31 @@
 #[derive(Debug, Default)]
 pub struct Members {
     others: BTreeMap<String, Member>,
-    /// Number of changes of which instances exist.
+    /// Number of changes of which instances exist, and in which zones.
     changes: u64,
 }
 
 impl Members {
-    /// Notes that the instance `name` exists at `addr`.
-    pub fn learn(&mut self, name: &str, addr: IpAddr, now: Timestamp) {
+    /// Notes that the instance `name` exists.
+    pub fn learn(&mut self, name: &str, record: InstanceRecord, now: Timestamp) {
         let changes = &mut self.changes;
         let member = self.others.entry(name.to_owned()).or_insert_with(|| {
             *changes += 1;
             Member {
-                addr,
+                addr: record.addr,
+                zone: record.zone.clone(),
+                capacity: record.capacity,
                 known: now,
                 heard: None,
                 report: None,
             }
         });
-        member.addr = addr;
+        if member.zone != record.zone {
+            *changes += 1;
+            member.zone = record.zone;
+        }
+        member.addr = record.addr;
+        member.capacity = record.capacity;
     }
 
     /// Removes an instance that has left.
@@ -119,7 +127,12 @@
 
     /// Takes a report over unless a newer one of the instance is known.
     pub fn heard(&mut self, report: Report, from: IpAddr, now: Timestamp) -> Heard {
-        self.learn(&report.name, from, now);
+        let record = InstanceRecord {
+            addr: from,
+            zone: report.zone.clone(),
+            capacity: report.capacity,
+        };
+        self.learn(&report.name, record, now);
         let Some(member) = self.others.get_mut(&report.name) else {
             return Heard::Late;
         };
@@ -145,7 +158,7 @@
         names
     }
 
-    /// Returns a number that differs after each change of which instances exist.
+    /// Returns a number that differs after each change of which instances exist, and in which zones.
     pub fn changes(&self) -> u64 {
         self.changes
     }
@@ -165,6 +178,15 @@
         self.others.iter()
     }
 
+    /// Returns all known instances in the form in which work is divided among them.
+    pub fn instances(&self) -> impl Iterator<Item = Instance<'_>> {
+        self.others.iter().map(|(name, member)| Instance {
+            name,
+            zone: &member.zone,
+            capacity: member.capacity,
+        })
+    }
+
     /// Returns the instances that were heard recently.
     pub fn alive(&self, now: Timestamp) -> impl Iterator<Item = &Report> {
         self.others
@@ -219,52 +241,3 @@
     chosen.truncate(most);
     chosen.into_iter().map(|e| e.addr).collect()
 }
-
-/// Returns whether a machine counts as large among those whose largest has `largest`. Fleets have
-/// machines of two sizes that differ four times; smaller differences do not matter.
-fn is_large(capacity: u32, largest: u32) -> bool {
-    capacity >= largest / 2
-}
-
-/// Instances up to which every one of them holds all jobs.
-pub(crate) const ALL_HOLD: usize = 24;
-
-/// Instances that hold a partition of the jobs in a larger fleet. Each of them reads everything that
-/// is written there, and after a loss of power all of them list it at once from a store that answers
-/// 80 MB a second.
-const HOLDERS: usize = 4;
-
-/// An instance that may hold jobs.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Instance<'a> {
-    /// Its name.
-    pub name: &'a str,
-    /// Processor of its machine in thousandths of a core.
-    pub capacity: u32,
-}
-
-/// Returns the instances that hold a partition of the jobs, the preferred one first. In a large
-/// fleet these are large machines as far as there are any: a holder runs many items, and on a small
-/// machine it stood still for seconds.
-pub fn holders<'a>(partition: usize, instances: &[Instance<'a>]) -> Vec<&'a str> {
-    let mut holders = instances.to_vec();
-    if instances.len() > ALL_HOLD {
-        let key = (partition as u64).to_be_bytes();
-        let largest = instances.iter().map(|i| i.capacity).max().unwrap_or(0);
-        let rank = |i: &Instance<'a>| {
-            let large = is_large(i.capacity, largest);
-            Reverse((large, rendezvous_score(&key, i.name), i.name))
-        };
-        holders.sort_by_key(rank);
-        holders.truncate(HOLDERS);
-    }
-    holders.into_iter().map(|i| i.name).collect()
-}
-
-/// Returns the instance among `names` that is responsible for `key`.
-pub fn owner<'a>(key: u64, names: impl IntoIterator<Item = &'a str>) -> Option<&'a str> {
-    let key = key.to_be_bytes();
-    names
-        .into_iter()
-        .max_by_key(|name| (rendezvous_score(&key, name), *name))
-}
--- a/gateway/src/placement.rs
+++ b/gateway/src/placement.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use crate::backend::BackendKey;
+use crate::cells::FAR_MARGIN;
 use crate::load::Placed;
 
 /// A backend server that may run a request.
@@ -30,6 +31,8 @@
     pub connected: bool,
     /// Whether it is in the zone of this instance.
     pub local: bool,
+    /// Whether other cells place requests there first; what is placed on it may be a second old.
+    pub far: bool,
     /// Tie breaker, drawn for each request.
     pub draw: u32,
 }
@@ -58,15 +61,23 @@
         return None;
     }
     let class = match c.placed {
-        _ if c.suspect => 4,
-        placed if placed.total() < c.slots => 0,
-        placed if placed.online < c.slots => 1,
-        placed if placed.online < c.slots + limits.queue => 2,
+        _ if c.suspect => 6,
+        placed if !c.far && placed.total() < c.slots => 0,
+        placed if !c.far && placed.online < c.slots => 1,
+        placed if placed.total() + FAR_MARGIN < c.slots => 2,
+        placed if !c.far && placed.online < c.slots + limits.queue => 3,
+        placed if placed.online < c.slots => 4,
+        placed if placed.online < c.slots + limits.queue => 5,
         _ => return None,
     };
     Some(class)
 }
 
+/// Returns whether a request that is sent to the candidate starts as soon as items there give way.
+pub fn starts_at_once(c: &Candidate) -> bool {
+    !c.tried && !c.suspect && c.placed.online < c.slots
+}
+
 /// Returns the place of an online request.
 pub fn place(candidates: &[Candidate], limits: Limits) -> Placement {
     if candidates.is_empty() {
--- a/gateway/src/report.rs
+++ b/gateway/src/report.rs
@@ -188,6 +188,21 @@
 }
 
 impl Report {
+    /// Returns whether the instance has requests or items, so that its decisions depend on every
+    /// change elsewhere.
+    pub fn has_work(&self) -> bool {
+        !self.online.is_empty()
+            || !self.batch.is_empty()
+            || !self.held.is_empty()
+            || self.waiting > 0
+    }
+
+    /// Returns the backend servers on which the instance has requests.
+    pub fn backends(&self) -> impl Iterator<Item = BackendKey> {
+        let online = self.online.iter().map(|(key, _)| *key);
+        online.chain(self.batch.iter().map(|run| run.backend))
+    }
+
     /// Returns whether the items are distributed otherwise after `next` than after this report.
     pub fn differs_for_items(&self, next: &Self) -> bool {
         let reads = |report: &Self| -> Vec<(u32, bool)> {
--- a/gateway/src/serve/choose.rs
+++ b/gateway/src/serve/choose.rs
@@ -14,7 +14,6 @@
     SeedableRng, //
 };
 
-use super::items;
 use super::lines::{
     PLACED,
     line, //
@@ -37,7 +36,8 @@
     Limits,
     Placement,
     place,
-    retry_after, //
+    retry_after,
+    starts_at_once, //
 };
 use crate::platform::{
     Dialect,
@@ -68,7 +68,7 @@
         state.holding_s += HOLDING_WEIGHT * (held - state.holding_s);
         drop(state);
         self.node.report_due.notify(usize::MAX);
-        items::balance(&self.node);
+        self.node.balance_due.notify(usize::MAX);
     }
 }
 
@@ -90,7 +90,7 @@
     let now = node.now();
     let mut state = node.lock();
     state.draws = state.rng.random();
-    state.divide(&node.settings.name);
+    state.divide(&node.settings);
     let (candidates, placement) = find(&state, node, admitted, course, now);
     let key = match placement {
         _ if course.tried.len() >= MAX_OFFERS as usize => {
@@ -120,7 +120,7 @@
         admitted.version
     );
     node.report_due.notify(usize::MAX);
-    items::balance(node);
+    node.balance_due.notify(usize::MAX);
     Ok(Placed {
         node: node.clone(),
         key,
@@ -147,8 +147,8 @@
     }
 }
 
-/// Looks for a place on the backend servers of the own cell, and then on all of them; what is placed
-/// on the others is known from regular reports only.
+/// Looks for a place on the backend servers of the own cell, and on all of them if the request would
+/// wait there.
 fn find<P>(
     state: &State,
     node: &Node<P>,
@@ -157,42 +157,42 @@
     now: Timestamp,
 ) -> (Vec<Candidate>, Placement) {
     let limits = Limits { queue: QUEUE };
-    let own = |key| state.cells.serves(key);
-    let candidates = candidates(state, node, admitted, course, now, own);
-    let placement = place(&candidates, limits);
-    if matches!(placement, Placement::Send(_)) || !state.cells.are_several() {
-        return (candidates, placement);
+    let mut found = candidates(state, node, admitted, course, now, false);
+    if state.cells.are_several() && !found.iter().any(starts_at_once) {
+        found.extend(candidates(state, node, admitted, course, now, true));
     }
-    let candidates = self::candidates(state, node, admitted, course, now, |_| true);
-    let placement = place(&candidates, limits);
-    (candidates, placement)
+    let placement = place(&found, limits);
+    (found, placement)
 }
 
+/// Returns the servers that the own cell takes first, or the `far` ones.
 fn candidates<P>(
     state: &State,
     node: &Node<P>,
     admitted: &Admitted,
     course: &Course,
     now: Timestamp,
-    usable: impl Fn(BackendKey) -> bool,
+    far: bool,
 ) -> Vec<Candidate> {
     let config = state.config.as_ref();
     let service = config.and_then(|config| config.service(&admitted.service));
     let default_slots = service.map_or(1, |service| service.slots);
     let mut rng = SmallRng::seed_from_u64(state.draws);
     let backends = state.backends.serving(&admitted.service, now);
-    let backends = backends.filter(|backend| usable(backend.key));
+    let backends = backends.filter(|b| state.cells.serves(b.key, &b.entry.zone) != far);
+    let slowness = state.speeds.compare(now);
     let candidates = backends.map(|backend| Candidate {
         key: backend.key,
         slots: backend.entry.slots.unwrap_or(default_slots),
         placed: state.load.placed(backend.key),
         suspect: state.load.suspected(backend.key, now),
         tried: course.tried.contains(&backend.key),
-        slowness: state.speeds.slowness(backend.key, now),
+        slowness: slowness.of(backend.key),
         connected: node
             .client
             .has_idle(backend.entry.addr, TrafficClass::Online),
         local: backend.entry.zone == node.settings.zone,
+        far,
         draw: rng.random(),
     });
     candidates.collect()
--- a/gateway/src/serve/handover.rs
+++ b/gateway/src/serve/handover.rs
@@ -39,7 +39,7 @@
     plain,
     retry_later, //
 };
-use crate::members::holders;
+use crate::holders::holders;
 use crate::platform::{
     Dialect,
     Store, //
--- a/gateway/src/serve/items.rs
+++ b/gateway/src/serve/items.rs
@@ -40,26 +40,25 @@
     starts,
     yields, //
 };
+use crate::holders::{
+    ALL_HOLD,
+    holders,
+    owner, //
+};
+use crate::instance::Instance;
 use crate::jobs::{
     Change,
     Outcome,
     Partition, //
 };
-use crate::members::{
-    ALL_HOLD,
-    Instance,
-    holders,
-    owner, //
-};
 use crate::open_items::Phase;
 use crate::platform::{
     Dialect,
     Store, //
 };
 use crate::report::ItemKey;
-use crate::speed::SLOW;
 
-/// Pause between two looks at the waiting items while nothing else happens.
+/// Longest pause between two looks at the waiting items.
 const TICK: Duration = Duration::from_millis(50);
 
 /// Ends of running items, by item; sending or dropping one stops the run.
@@ -96,30 +95,23 @@
     let state = &mut *state;
     let me = node.settings.name.as_str();
     let alive = state.members.alive(now).filter(|r| r.ready);
-    let mut ready: Vec<(String, u32)> = alive.map(|r| (r.name.clone(), r.capacity)).collect();
-    if !node.is_leaving() || ready.is_empty() {
-        ready.push((me.to_owned(), node.settings.capacity));
+    let mut instances: Vec<Instance<'_>> = alive.map(Instance::from).collect();
+    if !node.is_leaving() || instances.is_empty() {
+        instances.push(node.settings.instance());
     }
-    ready.sort();
-    let instances = ready.iter().map(|(name, capacity)| Instance {
-        name,
-        capacity: *capacity,
-    });
-    let instances: Vec<Instance<'_>> = instances.collect();
+    instances.sort_by_key(|instance| instance.name);
     let large = state.members.count() >= ALL_HOLD;
     let settled = state.instances_read && (!large || now >= SETTLED);
-    let mut held_by = Vec::new();
-    for partition in 0..state.partitions.len() {
-        let holders = holders(partition, &instances);
+    let partitions = 0..state.partitions.len();
+    let holders: Vec<Vec<&str>> = partitions.map(|n| holders(n, &instances)).collect();
+    let held_by = holders.iter().enumerate();
+    let held_by = held_by.map(|(partition, holders)| state.runners(partition, holders, me));
+    let held_by: Vec<Vec<String>> = held_by.collect();
+    let chosen = holders.iter().map(|holders| holders.contains(&me));
+    let chosen: Vec<bool> = chosen.collect();
+    for (partition, chosen) in chosen.into_iter().enumerate() {
         let busy = state.items.is_busy(partition);
-        hold(
-            state,
-            partition,
-            settled && holders.contains(&me),
-            busy,
-            now,
-        );
-        held_by.push(state.runners(partition, &holders, me));
+        hold(state, partition, settled && chosen, busy, now);
     }
     let config = state.config.as_deref();
     let ended = state.items.refresh(&state.partitions, config, me, &held_by);
@@ -127,6 +119,7 @@
         state.runs.remove(&key);
     }
     node.jobs_changed.notify(usize::MAX);
+    node.balance_due.notify(usize::MAX);
 }
 
 /// Takes a partition over, or gives it up once others have had the time to.
@@ -144,11 +137,12 @@
     };
 }
 
-/// Looks at the waiting items again and again.
+/// Looks at the waiting items after each change. Reports that have arrived together are one change.
 pub(crate) async fn schedule<P: Store + Dialect>(node: Arc<Node<P>>) {
+    let mut due = node.balance_due.listen();
     loop {
-        let changed = node.jobs_changed.listen();
-        until(Instant::now() + TICK, changed).await;
+        until(Instant::now() + TICK, due).await;
+        due = node.balance_due.listen();
         balance(&node);
         give_up(&node);
         wake_reads(&node);
@@ -168,17 +162,18 @@
 }
 
 /// Starts and stops items according to the free slots.
-pub(crate) fn balance<P: Store + Dialect>(node: &Arc<Node<P>>) {
+fn balance<P: Store + Dialect>(node: &Arc<Node<P>>) {
     let now = node.now();
     let mut state = node.lock();
     let state = &mut *state;
     let me = node.settings.name.as_str();
-    state.divide(me);
+    state.divide(&node.settings);
     let slots = |backend| {
         let backend = state.backends.get(backend)?;
         Some(slots_of(state, &backend.entry))
     };
-    let slow = |backend| state.speeds.slowness(backend, now) > SLOW;
+    let slowness = state.speeds.compare(now);
+    let slow = |backend| slowness.is_slow(backend);
     for key in yields(&state.load, me, unix_ms(), slots, slow) {
         // The run itself notes its end.
         state.runs.remove(&key);
@@ -267,13 +262,14 @@
 
 fn rooms(state: &State, service: &str, now: Timestamp) -> Vec<Room> {
     let backends = state.backends.serving(service, now);
-    let backends = backends.filter(|b| state.cells.serves(b.key));
+    let slowness = state.speeds.compare(now);
     let rooms = backends.map(|b| Room {
         key: b.key,
         slots: slots_of(state, &b.entry),
         placed: state.load.placed(b.key),
         suspect: state.load.suspected(b.key, now),
-        slow: state.speeds.slowness(b.key, now) > SLOW,
+        slow: slowness.is_slow(b.key),
+        far: !state.cells.serves(b.key, &b.entry.zone),
         unchanged_for: state.load.unchanged_for(b.key, now),
     });
     rooms.collect()
--- a/gateway/src/serve/node.rs
+++ b/gateway/src/serve/node.rs
@@ -1,5 +1,6 @@
 //! What all tasks of an instance share.
 
+use std::collections::HashSet;
 use std::sync::atomic::{
     AtomicBool,
     AtomicU64,
@@ -31,14 +32,23 @@
 use super::items::RunHandles;
 use super::metrics::Metrics;
 use super::writer::WriteRequest;
-use crate::backend::Backends;
-use crate::cells::Cells;
+use crate::backend::{
+    BackendKey,
+    Backends, //
+};
+use crate::cells::{
+    CellNumber,
+    Cells, //
+};
 use crate::config::Configuration;
 use crate::config_fetch::ConfigFetch;
+use crate::instance::{
+    Instance,
+    is_large, //
+};
 use crate::jobs::Partition;
 use crate::load::Load;
 use crate::members::{
-    Instance,
     Member,
     Members, //
 };
@@ -52,6 +62,7 @@
     runners, //
 };
 use crate::quota::Quotas;
+use crate::report::Report;
 use crate::settings::Settings;
 use crate::speed::Speeds;
 
@@ -105,26 +116,55 @@
 }
 
 impl State {
-    /// Brings the cell of the instance `me` up to date.
-    pub(crate) fn divide(&mut self, me: &str) {
+    /// Brings the cells up to date; `settings` are those of this instance.
+    pub(crate) fn divide(&mut self, settings: &Settings) {
         let changes = self.members.changes();
         if self.divided != Some(changes) {
             self.divided = Some(changes);
-            let others = self.members.iter().map(|(name, _)| name.as_str());
-            self.cells = Cells::divide(me, others);
+            self.cells = Cells::divide(settings.instance(), self.members.instances());
         }
     }
 
-    /// Returns the other instances that hear of every change here: those of the own cell, and those
-    /// that hold the same jobs.
-    pub(crate) fn is_near(&self, name: &str, member: &Member) -> bool {
+    /// Returns whether this instance is on one of the large machines, which callers are sent to.
+    pub(crate) fn is_large(&self, settings: &Settings) -> bool {
+        let largest = self.members.instances().map(|i| i.capacity).max();
+        is_large(settings.capacity, largest.unwrap_or(0))
+    }
+
+    /// Returns the cells of the servers on which this instance has requests or had some lately.
+    pub(crate) fn used_cells(&self, now: Timestamp) -> HashSet<CellNumber> {
+        let used = self.load.lately_used(now);
+        used.filter_map(|key| self.cell_of_backend(key)).collect()
+    }
+
+    fn cell_of_backend(&self, key: BackendKey) -> Option<CellNumber> {
+        let zone = &self.backends.get(key)?.entry.zone;
+        self.cells.of_backend(key, zone)
+    }
+
+    /// Returns whether another instance hears of every change here: it is in the own cell, it holds
+    /// the same jobs, or one of the two has requests on servers of the other one's cell.
+    pub(crate) fn is_near(
+        &self,
+        name: &str,
+        member: &Member,
+        used_cells: &HashSet<CellNumber>,
+    ) -> bool {
         let held = |partition: u32| {
             let held = self.held.get(partition as usize);
             held.is_some_and(|held| *held != Held::No)
         };
         let report = member.report.as_ref();
-        let shares = || report.is_some_and(|r| r.positions.iter().any(|p| held(p.partition)));
-        self.cells.holds(name) || shares()
+        let shares_jobs = || report.is_some_and(|r| r.positions.iter().any(|p| held(p.partition)));
+        let uses_ours = || {
+            let mut used = report.into_iter().flat_map(Report::backends);
+            used.any(|key| self.cell_of_backend(key) == self.cells.own())
+        };
+        let used_by_us = || {
+            let cell = self.cells.of_instance(name);
+            cell.is_some_and(|cell| used_cells.contains(&cell))
+        };
+        self.cells.holds(name) || shares_jobs() || used_by_us() || uses_ours()
     }
 
     /// Returns what this instance knows of the partitions that it holds.
@@ -173,11 +213,7 @@
     /// Returns the other instances that may hold jobs.
     pub(crate) fn ready_peers(&self, now: Timestamp) -> Vec<Instance<'_>> {
         let ready = self.members.alive(now).filter(|r| r.ready);
-        let peers = ready.map(|r| Instance {
-            name: &r.name,
-            capacity: r.capacity,
-        });
-        peers.collect()
+        ready.map(Instance::from).collect()
     }
 
     /// Returns the instances among the holders of `partition` that run its items.
@@ -225,6 +261,8 @@
     pub(crate) jobs_behind: Signal,
     /// Notified when jobs have changed.
     pub(crate) jobs_changed: Signal,
+    /// Notified when items may have to start or stop.
+    pub(crate) balance_due: Signal,
     /// Queues of the writers, one for each partition of the jobs.
     pub(crate) writers: Vec<Sender<WriteRequest>>,
 }
@@ -278,6 +316,7 @@
             store_regained: Signal::new(),
             jobs_behind: Signal::new(),
             jobs_changed: Signal::new(),
+            balance_due: Signal::new(),
             writers,
         }
     }
--- a/gateway/src/serve/peers.rs
+++ b/gateway/src/serve/peers.rs
@@ -34,6 +34,7 @@
     Held,
     Node, //
 };
+use crate::instance::InstanceRecord;
 use crate::members::{
     Heard,
     SILENCE, //
@@ -78,18 +79,28 @@
         state.quotas.forget(&record.key);
         return;
     }
-    let addr = std::str::from_utf8(&record.value).ok();
-    match addr.and_then(|text| text.parse::<IpAddr>().ok()) {
-        Some(addr) => node.lock().members.learn(&record.key, addr, now),
-        None => line!(RECORD_SKIPPED, "topic=instances key={}", record.key),
+    let text = String::from_utf8_lossy(&record.value);
+    match text.parse::<InstanceRecord>() {
+        Ok(instance) => node.lock().members.learn(&record.key, instance, now),
+        Err(err) => line!(
+            RECORD_SKIPPED,
+            "topic=instances key={} cause=\"{err}\"",
+            record.key
+        ),
     }
 }
 
 /// Writes this instance's record until the store takes it.
 pub(crate) async fn register<P: Store + Dialect>(node: Arc<Node<P>>) {
+    let settings = &node.settings;
+    let content = InstanceRecord {
+        addr: settings.address,
+        capacity: settings.capacity,
+        zone: settings.zone.clone(),
+    };
     let record = Record {
-        key: node.settings.name.clone(),
-        value: Bytes::from(node.settings.address.to_string()),
+        key: settings.name.clone(),
+        value: Bytes::from(content.to_string()),
     };
     let records = [record];
     while let Err(err) = append(&node, &records).await {
@@ -183,7 +194,7 @@
         };
         spawner.spawn(task).detach();
     }
-    items::balance(node);
+    node.balance_due.notify(usize::MAX);
 }
 
 /// Tells the quotas how many instances are silent, once it is known which ones exist.
--- a/gateway/src/serve/reports.rs
+++ b/gateway/src/serve/reports.rs
@@ -42,6 +42,10 @@
 /// machine with 0.12 cores.
 const FAR_PER_ROUND: usize = 75;
 
+/// How many times longer the turns of an instance are that serves no callers: nothing that it states
+/// changes, and instances of other cells only need to know that it lives.
+const IDLE_TURNS: usize = 4;
+
 /// Shortest time in which changes are gathered into one report.
 const GATHER: Duration = Duration::from_millis(2);
 
@@ -82,6 +86,15 @@
 struct Receivers {
     near: Vec<IpAddr>,
     far: Vec<IpAddr>,
+    /// Regular rounds until each far one has been told.
+    turns: usize,
+}
+
+/// Returns the regular rounds in which all `far` instances are told. `idle` is stated by instances
+/// that have nothing to tell but that they live.
+fn turns(far: usize, idle: bool) -> usize {
+    let turns = far.div_ceil(FAR_PER_ROUND);
+    if idle { turns * IDLE_TURNS } else { turns }
 }
 
 /// Sends reports to the other instances: to the near ones in regular rounds, and between these to
@@ -106,8 +119,12 @@
         let mut own = report.clone();
         near.shorten(&mut own, regular);
         send_to(&node, &socket, &own, &receivers.near, &mut failed);
-        let turns = receivers.far.len().div_ceil(FAR_PER_ROUND);
-        far.resize_with(turns, Audience::default);
+        let turns = receivers.turns;
+        if far.len() != turns {
+            // Everyone is in another audience now, to which other counts were stated.
+            far.clear();
+            far.resize_with(turns, Audience::default);
+        }
         report.next_ms *= u32::try_from(turns).unwrap_or(u32::MAX);
         // Callers must not be sent to an instance that stops.
         let readiness = Some((report.ready, report.leaving));
@@ -136,7 +153,7 @@
 
 fn gather_time<P>(node: &Node<P>) -> Duration {
     let mut state = node.lock();
-    state.divide(&node.settings.name);
+    state.divide(&node.settings);
     let near = state.members.iter();
     let near = near.filter(|(name, _)| state.cells.holds(name)).count();
     let near = u32::try_from(near).unwrap_or(u32::MAX);
@@ -167,7 +184,7 @@
 fn prepare<P>(node: &Arc<Node<P>>, sequence: u64, regular: bool) -> (Report, Receivers) {
     let now = node.now();
     let mut state = node.lock();
-    state.divide(&node.settings.name);
+    state.divide(&node.settings);
     let waiting = state.items.waiting(now, unix_ms());
     let in_time = waiting.iter().filter(|w| !w.late).count();
     let suspects = state.load.suspects(now).into_iter();
@@ -196,14 +213,17 @@
         leaving_backends: state.backends.leaving(),
         positions: state.positions(),
     };
-    let receivers = receivers(node, &state, regular);
+    let mut receivers = receivers(node, &state, regular);
+    let idle = !report.has_work() && !state.is_large(&node.settings);
+    receivers.turns = turns(receivers.far.len(), idle);
     (report, receivers)
 }
 
 fn receivers<P>(node: &Node<P>, state: &State, regular: bool) -> Receivers {
     let mut receivers = Receivers::default();
+    let used_cells = state.used_cells(node.now());
     for (name, member) in state.members.iter() {
-        if !state.is_near(name, member) {
+        if !state.is_near(name, member, &used_cells) {
             receivers.far.push(member.addr);
         } else if regular || member.has_work() {
             receivers.near.push(member.addr);
--- a/gateway/src/serve/runs.rs
+++ b/gateway/src/serve/runs.rs
@@ -17,7 +17,6 @@
 };
 use limpetweir_transport::until;
 
-use super::items::balance;
 use super::lines::{
     ITEM_ENDED,
     ITEM_LISTED,
@@ -193,7 +192,7 @@
             .run_ended(run.key, &end, progress, run.attempts, now)
     };
     node.report_due.notify(usize::MAX);
-    balance(&node);
+    node.balance_due.notify(usize::MAX);
     if let Step::Finish(outcome) = step {
         finish(&node, &run, outcome, text).await;
     }
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -13,6 +13,7 @@
     Snafu, //
 };
 
+use crate::instance::Instance;
 use crate::quota::Tolerance;
 
 /// Settings that are not accepted.
@@ -206,6 +207,15 @@
 }
 
 impl Settings {
+    /// Returns this instance in the form in which work is divided among instances.
+    pub fn instance(&self) -> Instance<'_> {
+        Instance {
+            name: &self.name,
+            zone: &self.zone,
+            capacity: self.capacity,
+        }
+    }
+
     /// Reads settings from the text of `file`; unknown fields are ignored.
     pub fn load(file: &str, text: &str) -> Result<Self, SettingsError> {
         let raw: Raw = toml::from_str(text).context(SyntaxSnafu { file })?;
--- a/gateway/src/speed.rs
+++ b/gateway/src/speed.rs
@@ -29,6 +29,12 @@
     measured: Timestamp,
 }
 
+impl Pace {
+    fn is_fresh(&self, now: Timestamp) -> bool {
+        now.since(self.measured) <= LIFETIME
+    }
+}
+
 /// Measured paces of backend servers.
 #[derive(Debug, Default)]
 pub struct Speeds {
@@ -50,19 +56,44 @@
         pace.measured = now;
     }
 
-    /// Returns how much slower `backend` is than the middle one of those measured lately; 1 if that
-    /// is not known.
-    pub fn slowness(&self, backend: BackendKey, now: Timestamp) -> f64 {
-        let fresh = |pace: &&Pace| now.since(pace.measured) <= LIFETIME;
-        let Some(own) = self.paces.get(&backend).filter(fresh) else {
-            return 1.0;
-        };
-        let mut gaps: Vec<f64> = self.paces.values().filter(fresh).map(|p| p.gap).collect();
-        if gaps.len() < FEWEST {
-            return 1.0;
+    /// Compares the servers measured lately with each other.
+    pub fn compare(&self, now: Timestamp) -> Slowness<'_> {
+        let fresh = self.paces.values().filter(|pace| pace.is_fresh(now));
+        let mut gaps: Vec<f64> = fresh.map(|pace| pace.gap).collect();
+        let enough = gaps.len() >= FEWEST;
+        let middle = gaps.len() / 2;
+        let middle = enough.then(|| *gaps.select_nth_unstable_by(middle, f64::total_cmp).1);
+        Slowness {
+            paces: &self.paces,
+            middle: middle.filter(|gap| *gap > 0.0),
+            now,
         }
-        gaps.sort_by(f64::total_cmp);
-        let middle = gaps[gaps.len() / 2];
-        if middle > 0.0 { own.gap / middle } else { 1.0 }
+    }
+}
+
+/// How much slower backend servers are than the middle one, at one moment. All servers are compared
+/// once for a decision, whose time would grow with the square of their number otherwise.
+#[derive(Debug)]
+pub struct Slowness<'a> {
+    paces: &'a HashMap<BackendKey, Pace>,
+    /// Time between events of the middle server in seconds; `None` if too few are measured.
+    middle: Option<f64>,
+    now: Timestamp,
+}
+
+impl Slowness<'_> {
+    /// Returns how much slower `backend` is than the middle one; 1 if that is not known.
+    pub fn of(&self, backend: BackendKey) -> f64 {
+        let own = self.paces.get(&backend);
+        let own = own.filter(|pace| pace.is_fresh(self.now));
+        match (own, self.middle) {
+            (Some(own), Some(middle)) => own.gap / middle,
+            _ => 1.0,
+        }
+    }
+
+    /// Returns whether `backend` counts as slow.
+    pub fn is_slow(&self, backend: BackendKey) -> bool {
+        self.of(backend) > SLOW
     }
 }
--- a/gateway/tests/batch.rs
+++ b/gateway/tests/batch.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use std::collections::HashMap;
 use std::time::Duration;
 
 use limpetweir_gateway::{
@@ -47,6 +48,7 @@
         placed: Placed { online, batch },
         suspect: false,
         slow: false,
+        far: false,
         unchanged_for: Duration::from_millis(unchanged_ms),
     }
 }
@@ -244,6 +246,40 @@
     assert_eq!(starts(&mut waiting(3, 0), &[only], "a", NONE, reserve), []);
 }
 
+/// Load: callers move to one zone of a large fleet, or its servers crash. Guards against items that
+/// wait there while other zones have room, against items that leave their zone without need, and
+/// against slots that another cell has filled since its last report.
+#[rstest]
+#[case::room_here(room(0, 4, 0, 1), room(1, 0, 0, 1), &[(0, 3)])]
+#[case::full_here(room(0, 8, 0, 1), room(1, 2, 1, 1), &[(1, 2)])]
+#[case::full_everywhere(room(0, 8, 0, 1), room(1, 4, 1, 1), &[])]
+fn items_start_in_other_cells_while_the_own_one_is_full(
+    #[case] own: Room,
+    #[case] other: Room,
+    #[case] expected: &[(u32, usize)],
+) {
+    let rooms = [own, Room { far: true, ..other }];
+    let started = starts(&mut waiting(30, 0), &rooms, "a", NONE, reserve);
+    let mut on: HashMap<u32, usize> = HashMap::new();
+    for (_, backend) in started {
+        *on.entry(backend.0).or_default() += 1;
+    }
+    assert_eq!(on, expected.iter().copied().collect());
+}
+
+/// Guards against an end of a request in another cell that this cell is not told of.
+#[test]
+fn a_server_counts_as_used_until_its_end_has_been_told() {
+    let mut load = Load::default();
+    let used = |load: &Load, ms: u64| load.lately_used(Timestamp::from_millis(ms)).count() > 0;
+    assert!(!used(&load, 0));
+    load.online_started(backend(0), Timestamp::from_millis(1_000));
+    assert!(used(&load, 9_000));
+    load.online_ended(backend(0), Timestamp::from_millis(9_000));
+    assert!(used(&load, 9_700));
+    assert!(!used(&load, 9_900));
+}
+
 /// Guards against an item that returns to the server that just turned it away while others are free.
 #[test]
 fn the_server_of_the_last_failure_is_avoided() {
--- a/gateway/tests/formats.rs
+++ b/gateway/tests/formats.rs
@@ -6,6 +6,7 @@
 use limpetweir_gateway::{
     Configuration,
     ConfigurationParts,
+    InstanceRecord,
     NotEvents,
     Route,
     RouteKind,
@@ -14,6 +15,24 @@
 };
 use rstest::rstest;
 
+/// Guards against a record of another program, or of an instance without a zone, that names an
+/// instance.
+#[rstest]
+#[case("10.1.0.21 500 alfold-a", Some(("alfold-a", 500)))]
+#[case("10.1.0.21 500 zone with spaces", Some(("zone with spaces", 500)))]
+#[case("10.1.0.21", None)]
+#[case("10.1.0.21 500 ", None)]
+#[case("10.1.0.21 many alfold-a", None)]
+#[case("frontend-1 500 alfold-a", None)]
+fn records_of_instances_are_checked(#[case] text: &str, #[case] expected: Option<(&str, u32)>) {
+    let record: Result<InstanceRecord, _> = text.parse();
+    let read = record.as_ref().ok().map(|r| (r.zone.as_str(), r.capacity));
+    assert_eq!(read, expected);
+    if let Ok(record) = record {
+        assert_eq!(record.to_string(), text);
+    }
+}
+
 /// Guards against events that are cut or joined at the borders of network reads.
 #[rstest]
 #[case(1)]
--- a/gateway/tests/online.rs
+++ b/gateway/tests/online.rs
@@ -1,7 +1,10 @@
 //! Placement, quotas, backend servers, members and reports.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::net::{
+    IpAddr,
+    SocketAddr, //
+};
 use std::time::Duration;
 
 use limpetweir_gateway::{
@@ -15,6 +18,7 @@
     Entry,
     Heard,
     Instance,
+    InstanceRecord,
     ItemKey,
     Limits,
     Member,
@@ -29,7 +33,8 @@
     addresses,
     holders,
     place,
-    retry_after, //
+    retry_after,
+    starts_at_once, //
 };
 use limpetweir_state::Timestamp;
 use rstest::rstest;
@@ -50,10 +55,18 @@
         slowness: 1.0,
         connected: false,
         local: false,
+        far: false,
         draw: n,
     }
 }
 
+fn far(n: u32, online: u32, batch: u32) -> Candidate {
+    Candidate {
+        far: true,
+        ..candidate(n, online, batch)
+    }
+}
+
 /// Load: a peak, with items in the slots that online requests left.
 /// Guards against requests that wait behind batch work, or behind others while a slot is free.
 #[rstest]
@@ -69,6 +82,38 @@
     assert_eq!(place(&candidates, LIMITS), placement);
 }
 
+/// Load: callers move to one zone, or its servers crash, while other zones have room. Guards against
+/// requests that wait in the own zone or are refused there, against answers that cross zones without
+/// need, and against slots that another cell has filled since its last report.
+#[rstest]
+#[case::own_slot_first([candidate(0, 7, 0), far(1, 0, 0)], 0)]
+#[case::own_items_give_way_first([candidate(0, 5, 3), far(1, 0, 0)], 0)]
+#[case::far_slot_before_waiting([candidate(0, 8, 0), far(1, 2, 2)], 1)]
+#[case::far_slot_may_be_taken([candidate(0, 8, 0), far(1, 6, 0)], 0)]
+#[case::far_items_give_way([candidate(0, 10, 0), far(1, 4, 4)], 1)]
+#[case::far_queue([candidate(0, 10, 0), far(1, 9, 0)], 1)]
+fn a_request_goes_to_another_cell_when_it_would_wait(
+    #[case] candidates: [Candidate; 2],
+    #[case] chosen: u32,
+) {
+    let expected = Placement::Send(BackendKey(chosen));
+    assert_eq!(place(&candidates, LIMITS), expected);
+}
+
+/// Guards against a look at all servers of a large fleet for every request, and against none while
+/// those of the own cell are lost.
+#[rstest]
+#[case::slot(candidate(0, 7, 1), true)]
+#[case::full(candidate(0, 8, 0), false)]
+#[case::suspect(Candidate { suspect: true, ..candidate(0, 0, 0) }, false)]
+#[case::tried(Candidate { tried: true, ..candidate(0, 0, 0) }, false)]
+fn other_cells_are_asked_when_the_own_one_is_full(
+    #[case] candidate: Candidate,
+    #[case] at_once: bool,
+) {
+    assert_eq!(starts_at_once(&candidate), at_once);
+}
+
 /// Guards against a second offer to a server that turned the request away, and against a server
 /// that does not answer while another one does.
 #[test]
@@ -400,7 +445,7 @@
 fn silent_instances_are_not_named() {
     let addr = [127, 0, 0, 1].into();
     let mut members = Members::default();
-    members.learn("b", addr, ms(0));
+    members.learn("b", record(addr), ms(0));
     assert_eq!(members.heard(report("a", 1, 1), addr, ms(0)), Heard::First);
     assert_eq!(members.alive(ms(900)).count(), 1);
     assert_eq!(members.silent(ms(900)), (1, 3));
@@ -466,10 +511,19 @@
     assert!(all.len() > 8, "{all:?}");
 }
 
+fn record(addr: IpAddr) -> InstanceRecord {
+    InstanceRecord {
+        addr,
+        capacity: 500,
+        zone: "zone".to_owned(),
+    }
+}
+
 /// Returns instances on small machines, those of `large` on large ones.
 fn instances<'a>(names: &[&'a str], large: &[&str]) -> Vec<Instance<'a>> {
     let instances = names.iter().map(|name| Instance {
         name,
+        zone: "zone",
         capacity: if large.contains(name) { 500 } else { 120 },
     });
     instances.collect()
@@ -497,7 +551,7 @@
 fn instances_without_work_are_told_at_intervals_only() {
     let mut members = Members::default();
     let addr = [127, 0, 0, 1].into();
-    members.learn("unknown", addr, ms(0));
+    members.learn("unknown", record(addr), ms(0));
     assert!(members.get("unknown").is_some_and(Member::has_work));
     let idle = Report {
         online: Vec::new(),
--- a/gateway/tests/replay/model.rs
+++ b/gateway/tests/replay/model.rs
@@ -270,6 +270,7 @@
                 slowness: 1.0,
                 connected: true,
                 local: false,
+                far: false,
                 draw: self.rng.random(),
             });
         }
@@ -451,6 +452,7 @@
             placed: load.placed(BackendKey(key)),
             suspect: false,
             slow: false,
+            far: false,
             unchanged_for: load.unchanged_for(BackendKey(key), now),
         });
         let rooms: Vec<Room> = rooms.collect();
--- a/gateway/tests/speed.rs
+++ b/gateway/tests/speed.rs
@@ -25,9 +25,9 @@
 fn a_slow_server_stands_out() {
     let speeds = measured(&[20, 24, 22, 110], 0);
     let now = Timestamp::from_millis(100);
-    assert!(speeds.slowness(BackendKey(3), now) > 4.0);
-    assert!(speeds.slowness(BackendKey(1), now) < 1.5);
-    assert_eq!(speeds.slowness(BackendKey(9), now), 1.0);
+    assert!(speeds.compare(now).of(BackendKey(3)) > 4.0);
+    assert!(speeds.compare(now).of(BackendKey(1)) < 1.5);
+    assert_eq!(speeds.compare(now).of(BackendKey(9)), 1.0);
 }
 
 /// Guards against a server that is avoided for ever, because nothing runs there that could show its
@@ -36,7 +36,7 @@
 fn slowness_is_forgotten() {
     let speeds = measured(&[20, 24, 22, 110], 0);
     let later = Timestamp::from_millis(3_200);
-    assert_eq!(speeds.slowness(BackendKey(3), later), 1.0);
+    assert_eq!(speeds.compare(later).of(BackendKey(3)), 1.0);
 }
 
 /// Guards against a comparison of too few servers.
@@ -44,7 +44,9 @@
 fn two_servers_are_not_compared() {
     let speeds = measured(&[20, 110], 0);
     assert_eq!(
-        speeds.slowness(BackendKey(1), Timestamp::from_millis(100)),
+        speeds
+            .compare(Timestamp::from_millis(100))
+            .of(BackendKey(1)),
         1.0
     );
 }
