gateway: a stream that makes no progress in events ends

Cause: the silence limits of streams began again with every byte. A server that sent comments, blank lines or an event without end now and then kept an item for ever and a resumable stream until its deadline; blank lines also counted as events of an item. An event without end was scanned again from its start with every piece.

Change: the limit counts from the last event with an id or data. Other events are passed on to callers and left out of results. The splitter remembers what it has looked at.

Six cases in platform/tests/gateway fail without the change.

--- a/gateway/src/serve/relay.rs
+++ b/gateway/src/serve/relay.rs
@@ -52,8 +52,9 @@
 };
 use crate::sse::Splitter;
 
-/// Silence of a backend server after which it counts as not answering. Events come several times
-/// per second also from a server that works five times as long as usual.
+/// Time without an event after which a backend server counts as not answering; bytes that complete no
+/// event are no progress. Events come several times per second also from a server that works five
+/// times as long as usual.
 const SILENCE: Duration = Duration::from_millis(700);
 
 /// An answer and the place it comes from.
@@ -221,7 +222,7 @@
     admitted: &Admitted,
     body: &mut ClientBody,
     sender: &BodySender,
-    silence: Option<Duration>,
+    silent_at: Option<Instant>,
 ) -> Result<Option<Bytes>, Cut> {
     let piece = async {
         loop {
@@ -240,13 +241,11 @@
         sender.closed().await;
         Err(Cut::CallerLeft)
     };
-    let now = Instant::now();
-    let silent_at = silence.map(|silence| now + silence);
     let limit = silent_at.map_or(admitted.deadline, |at| at.min(admitted.deadline));
     match until(limit, future::or(piece, left)).await {
         Some(result) => result,
         None if Instant::now() >= admitted.deadline => Err(Cut::Deadline),
-        None => Err(Cut::Backend("it fell silent".to_owned())),
+        None => Err(Cut::Backend("no event came".to_owned())),
     }
 }
 
@@ -278,9 +277,10 @@
     let mut splitter = Splitter::default();
     // The silence of a server is no reason to end an answer that nobody else can continue.
     let again = resumable && course.runs < admitted.route.attempts;
-    let silence = again.then_some(SILENCE);
+    let silent_after = |progressed: Instant| again.then(|| progressed + SILENCE);
+    let mut silent_at = silent_after(Instant::now());
     loop {
-        let Some(bytes) = next_piece(admitted, &mut body, sender, silence).await? else {
+        let Some(bytes) = next_piece(admitted, &mut body, sender, silent_at).await? else {
             break;
         };
         let events = splitter.push(&bytes);
@@ -299,8 +299,11 @@
             if passed.first.is_none() {
                 passed.first = Some(admitted.arrived.elapsed());
             }
-            passed.events += 1;
-            on_event();
+            if event.is_output() {
+                silent_at = silent_after(Instant::now());
+                passed.events += 1;
+                on_event();
+            }
             sender.send(event.raw).await.map_err(|_| Cut::CallerLeft)?;
         }
     }
--- a/gateway/src/serve/runs.rs
+++ b/gateway/src/serve/runs.rs
@@ -58,9 +58,13 @@
     BatchRun,
     ItemKey, //
 };
-use crate::sse::Splitter;
+use crate::sse::{
+    Event,
+    Splitter, //
+};
 
-/// Silence after which the stream of an item counts as broken.
+/// Time without an event after which the stream of an item counts as broken; bytes that complete no
+/// event are no progress.
 const SILENCE: Duration = Duration::from_millis(1_500);
 
 /// Status by which a backend server says that an item can never be done.
@@ -321,10 +325,11 @@
     let mut body = response.into_body();
     let mut pace = PaceMeter::new(backend);
     let mut splitter = Splitter::default();
+    let mut progressed = Instant::now();
     loop {
-        let frame = until(Instant::now() + SILENCE, body.frame()).await;
+        let frame = until(progressed + SILENCE, body.frame()).await;
         let bytes = match frame {
-            None => return (RunEnd::Broken, "the stream fell silent".to_owned()),
+            None => return (RunEnd::Broken, "no event came".to_owned()),
             Some(Some(Err(err))) => return (RunEnd::Broken, err.to_string()),
             Some(None) => break,
             Some(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
@@ -333,7 +338,8 @@
             Ok(events) => events,
             Err(err) => return (RunEnd::Broken, err.to_string()),
         };
-        for event in events {
+        for event in events.into_iter().filter(Event::is_output) {
+            progressed = Instant::now();
             let expected = progress.last.map(|last| last + 1);
             let id = event.id.or(expected);
             if expected.is_some() && id != expected {
--- a/gateway/src/sse.rs
+++ b/gateway/src/sse.rs
@@ -16,10 +16,23 @@
     pub data: String,
 }
 
+impl Event {
+    /// Returns whether this is a part of the output. Blank lines and comments are not; a server in
+    /// trouble may send them without end.
+    pub fn is_output(&self) -> bool {
+        self.id.is_some() || !self.data.is_empty()
+    }
+}
+
 /// Splits the bytes of a stream into events.
 #[derive(Debug, Default)]
 pub struct Splitter {
+    /// Bytes of an event that is not whole yet.
     buf: Vec<u8>,
+    /// Bytes at the start of `buf` that were looked at, which a slow stream must not repeat.
+    seen: usize,
+    /// Start of the line at `seen`.
+    line: usize,
 }
 
 /// Bytes that are not a stream of events.
@@ -33,11 +46,13 @@
         self.buf.extend_from_slice(bytes);
         let mut events = Vec::new();
         let mut start = 0;
-        while let Some(len) = event_len(&self.buf[start..]) {
-            events.push(parse(&self.buf[start..start + len])?);
-            start += len;
+        while let Some(end) = self.next_end() {
+            events.push(parse(&self.buf[start..end])?);
+            start = end;
         }
         self.buf.drain(..start);
+        self.seen -= start;
+        self.line -= start;
         if self.buf.len() > MAX_EVENT_BYTES {
             return Err(NotEvents);
         }
@@ -48,22 +63,22 @@
     pub fn is_partial(&self) -> bool {
         !self.buf.is_empty()
     }
-}
 
-/// Returns the length of the first event with the blank line after it.
-fn event_len(buf: &[u8]) -> Option<usize> {
-    let mut line_start = 0;
-    for (at, byte) in buf.iter().enumerate() {
-        if *byte != b'\n' {
-            continue;
-        }
-        let line = &buf[line_start..at];
-        if line.is_empty() || line == b"\r" {
-            return Some(at + 1);
+    /// Returns the end of the next event, with the blank line after it.
+    fn next_end(&mut self) -> Option<usize> {
+        while let Some(len) = self.buf[self.seen..].iter().position(|byte| *byte == b'\n') {
+            let end = self.seen + len;
+            let line = &self.buf[self.line..end];
+            let blank = line.is_empty() || line == b"\r";
+            self.seen = end + 1;
+            self.line = end + 1;
+            if blank {
+                return Some(end + 1);
+            }
         }
-        line_start = at + 1;
+        self.seen = self.buf.len();
+        None
     }
-    None
 }
 
 fn parse(raw: &[u8]) -> Result<Event, NotEvents> {
