gateway: holders hear of each other in regular rounds, started instances at once

An instance that had started counted those of other zones as silent until their next regular report, up to four seconds later, and admitted only its part of every rate.

--- a/gateway/src/members.rs
+++ b/gateway/src/members.rs
@@ -46,6 +46,17 @@
     pub report: Option<Report>,
 }
 
+impl Heard {
+    /// Returns whether the instance has started since it was heard before.
+    pub fn has_started(&self, report: &Report) -> bool {
+        match self {
+            Self::First => true,
+            Self::After(before) => before.boot != report.boot,
+            Self::Late => false,
+        }
+    }
+}
+
 impl Member {
     /// Returns the silence after which the instance counts as lost.
     pub fn silence(&self) -> Duration {
--- a/gateway/src/serve/node.rs
+++ b/gateway/src/serve/node.rs
@@ -83,6 +83,8 @@
     pub(crate) cells: Cells,
     /// Changes of the members up to which the cells were divided.
     divided: Option<u64>,
+    /// Instances that have started and were not told of this one yet.
+    pub(crate) started_peers: Vec<String>,
     /// Whether the records of the instances have been read.
     pub(crate) instances_read: bool,
     pub(crate) load: Load,
@@ -142,29 +144,33 @@
         self.cells.of_backend(key, zone)
     }
 
-    /// Returns whether another instance hears of every change here: it is in the own cell, it holds
-    /// the same jobs, or one of the two has requests on servers of the other one's cell.
+    /// Returns whether another instance holds the same jobs.
+    pub(crate) fn shares_jobs(&self, member: &Member) -> bool {
+        let held = |partition: u32| {
+            let held = self.held.get(partition as usize);
+            held.is_some_and(|held| *held != Held::No)
+        };
+        let report = member.report.as_ref();
+        report.is_some_and(|r| r.positions.iter().any(|p| held(p.partition)))
+    }
+
+    /// Returns whether another instance hears of every change here: it is in the own cell, or one of
+    /// the two has requests on servers of the other one's cell.
     pub(crate) fn is_near(
         &self,
         name: &str,
         member: &Member,
         used_cells: &HashSet<CellNumber>,
     ) -> bool {
-        let held = |partition: u32| {
-            let held = self.held.get(partition as usize);
-            held.is_some_and(|held| *held != Held::No)
-        };
-        let report = member.report.as_ref();
-        let shares_jobs = || report.is_some_and(|r| r.positions.iter().any(|p| held(p.partition)));
         let uses_ours = || {
-            let mut used = report.into_iter().flat_map(Report::backends);
+            let mut used = member.report.iter().flat_map(Report::backends);
             used.any(|key| self.cell_of_backend(key) == self.cells.own())
         };
         let used_by_us = || {
             let cell = self.cells.of_instance(name);
             cell.is_some_and(|cell| used_cells.contains(&cell))
         };
-        self.cells.holds(name) || shares_jobs() || used_by_us() || uses_ours()
+        self.cells.holds(name) || used_by_us() || uses_ours()
     }
 
     /// Returns what this instance knows of the partitions that it holds.
@@ -287,6 +293,7 @@
             members: Members::default(),
             cells: Cells::default(),
             divided: None,
+            started_peers: Vec::new(),
             instances_read: false,
             load: Load::default(),
             speeds: Speeds::default(),
--- a/gateway/src/serve/peers.rs
+++ b/gateway/src/serve/peers.rs
@@ -159,7 +159,13 @@
         .members
         .get(&name)
         .is_some_and(|member| member.alive(now));
-    let changed = match state.members.heard(report.clone(), from, now) {
+    let heard = state.members.heard(report.clone(), from, now);
+    if heard.has_started(&report) {
+        // It knows nothing of this instance until the next regular round.
+        state.started_peers.push(name.clone());
+        node.report_due.notify(usize::MAX);
+    }
+    let changed = match heard {
         Heard::First => true,
         Heard::After(before) => was_silent || before.differs_for_items(&report),
         Heard::Late => return,
--- a/gateway/src/serve/reports.rs
+++ b/gateway/src/serve/reports.rs
@@ -81,11 +81,15 @@
     }
 }
 
-/// Who hears of a change at once, and who in the regular rounds only.
+/// Who is told of the present round.
 #[derive(Debug, Default)]
 struct Receivers {
+    /// Those who hear of a change at once, and in a regular round also those who hold the same jobs.
     near: Vec<IpAddr>,
+    /// Those who hear in some of the regular rounds only.
     far: Vec<IpAddr>,
+    /// Those of the far ones that have just started.
+    started: Vec<IpAddr>,
     /// Regular rounds until each far one has been told.
     turns: usize,
 }
@@ -128,10 +132,13 @@
         report.next_ms *= u32::try_from(turns).unwrap_or(u32::MAX);
         // Callers must not be sent to an instance that stops.
         let readiness = Some((report.ready, report.leaving));
-        if announced != readiness {
-            announced = readiness;
-            send_to(&node, &socket, &report, &receivers.far, &mut failed);
-        }
+        let told = if announced == readiness {
+            &receivers.started
+        } else {
+            &receivers.far
+        };
+        announced = readiness;
+        send_to(&node, &socket, &report, told, &mut failed);
         if regular {
             last_round = Instant::now();
             if let Some(turn) = rounds.checked_rem(turns) {
@@ -213,20 +220,30 @@
         leaving_backends: state.backends.leaving(),
         positions: state.positions(),
     };
-    let mut receivers = receivers(node, &state, regular);
+    let started = std::mem::take(&mut state.started_peers);
+    let mut receivers = receivers(node, &state, regular, &started);
     let idle = !report.has_work() && !state.is_large(&node.settings);
     receivers.turns = turns(receivers.far.len(), idle);
     (report, receivers)
 }
 
-fn receivers<P>(node: &Node<P>, state: &State, regular: bool) -> Receivers {
+fn receivers<P>(node: &Node<P>, state: &State, regular: bool, started: &[String]) -> Receivers {
     let mut receivers = Receivers::default();
     let used_cells = state.used_cells(node.now());
     for (name, member) in state.members.iter() {
-        if !state.is_near(name, member, &used_cells) {
+        if state.is_near(name, member, &used_cells) {
+            if regular || member.has_work() {
+                receivers.near.push(member.addr);
+            }
+        } else if state.shares_jobs(member) {
+            if regular {
+                receivers.near.push(member.addr);
+            }
+        } else {
             receivers.far.push(member.addr);
-        } else if regular || member.has_work() {
-            receivers.near.push(member.addr);
+            if started.contains(name) {
+                receivers.started.push(member.addr);
+            }
         }
     }
     // Until a first peer is known the seeds may know more.
--- a/gateway/tests/cells.rs
+++ b/gateway/tests/cells.rs
@@ -180,3 +180,26 @@
     assert_eq!(members.alive(now).count() == 1, alive);
     assert_eq!(members.for_callers(now).count() == 1, named);
 }
+
+/// Load: all instances of a zone are restarted in turn. Guards against a started instance that takes
+/// those of other zones for silent until their next regular report, and refuses requests within the
+/// rate of their organisation meanwhile.
+#[test]
+fn a_started_instance_is_told_of_the_others_at_once() {
+    let addr: IpAddr = [127, 0, 0, 1].into();
+    let mut members = Members::default();
+    let mut started = |boot: u64, sequence: u64| {
+        let report = Report {
+            boot,
+            sequence,
+            ..idle_report("a")
+        };
+        let heard = members.heard(report.clone(), addr, Timestamp::from_millis(0));
+        heard.has_started(&report)
+    };
+    assert!(started(1, 1));
+    assert!(!started(1, 2));
+    assert!(started(2, 1));
+    assert!(!started(2, 2));
+    assert!(!started(1, 3));
+}
