gateway: regular reports to other cells once a second also in fleets of 100 to 300

Cause: a fleet of 118 instances told those of other cells twice a second, because half of them were told in a round; one of 295 does so once a second and keeps every limit.

--- a/gateway/src/serve/reports.rs
+++ b/gateway/src/serve/reports.rs
@@ -42,6 +42,10 @@
 /// machine with 0.12 cores.
 const FAR_PER_ROUND: usize = 75;
 
+/// Fewest regular rounds in which all instances of other cells are told. Once a second is often enough
+/// for them, and most of these reports cross zones.
+const FEWEST_TURNS: usize = 4;
+
 /// How many times longer the turns of an instance are that serves no callers: nothing that it states
 /// changes, and instances of other cells only need to know that it lives.
 const IDLE_TURNS: usize = 4;
@@ -94,10 +98,13 @@
     turns: usize,
 }
 
-/// Returns the regular rounds in which all `far` instances are told. `idle` is stated by instances
-/// that have nothing to tell but that they live.
+/// Returns the regular rounds in which all `far` instances are told; `idle` instances have nothing to
+/// tell but that they live.
 fn turns(far: usize, idle: bool) -> usize {
-    let turns = far.div_ceil(FAR_PER_ROUND);
+    if far == 0 {
+        return 0;
+    }
+    let turns = far.div_ceil(FAR_PER_ROUND).max(FEWEST_TURNS);
     if idle { turns * IDLE_TURNS } else { turns }
 }
 
