gateway: how often instances hear of each other follows what they depend on

By count, 295 instances sent 67,000 regular reports a second within their zones and 28,000 between them, although 235 of them serve nobody. They also looked at their items 20 times a second without having any.

Change: instances that serve in the same cell hear four times a second, others of the cell once, and between cells in 1 to 8 s by whether sender and receiver serve. The turn of a receiver follows its address, so that it stays when others come and go; counts were stated by its place in the list before, which moved. What is sent to whom is decided in report_rounds.rs, apart from the socket. Instances without items look at them four times a second.

--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod positions;
 mod quota;
 mod report;
+mod report_rounds;
 mod serve;
 mod settings;
 mod speed;
@@ -51,6 +52,7 @@
 pub use positions::{CallKind, Currency, Position, better_peers, runners};
 pub use quota::{OrganisationKey, OverQuota, Quotas, Tolerance};
 pub use report::{BatchRun, ItemKey, Report};
+pub use report_rounds::{Audiences, Pair, Receiver, Told};
 pub use serve::{Gateway, StartError, check, run};
 pub use settings::{Settings, SettingsError, StoreSettings};
 pub use speed::{SLOW, Slowness, Speeds};
--- a/gateway/src/serve/items.rs
+++ b/gateway/src/serve/items.rs
@@ -61,6 +61,9 @@
 /// Longest pause between two looks at the waiting items.
 const TICK: Duration = Duration::from_millis(50);
 
+/// The same of an instance without open items, which most are in a large fleet.
+const IDLE_TICK: Duration = Duration::from_millis(250);
+
 /// Ends of running items, by item; sending or dropping one stops the run.
 #[derive(Debug, Default)]
 pub(crate) struct RunHandles(HashMap<ItemKey, Sender<()>>);
@@ -141,7 +144,9 @@
 pub(crate) async fn schedule<P: Store + Dialect>(node: Arc<Node<P>>) {
     let mut due = node.balance_due.listen();
     loop {
-        until(Instant::now() + TICK, due).await;
+        let idle = node.lock().items.iter().next().is_none();
+        let tick = if idle { IDLE_TICK } else { TICK };
+        until(Instant::now() + tick, due).await;
         due = node.balance_due.listen();
         balance(&node);
         give_up(&node);
--- a/gateway/src/serve/node.rs
+++ b/gateway/src/serve/node.rs
@@ -42,10 +42,7 @@
 };
 use crate::config::Configuration;
 use crate::config_fetch::ConfigFetch;
-use crate::instance::{
-    Instance,
-    is_large, //
-};
+use crate::instance::Instance;
 use crate::jobs::Partition;
 use crate::load::Load;
 use crate::members::{
@@ -127,12 +124,6 @@
         }
     }
 
-    /// Returns whether this instance is on one of the large machines, which callers are sent to.
-    pub(crate) fn is_large(&self, settings: &Settings) -> bool {
-        let largest = self.members.instances().map(|i| i.capacity).max();
-        is_large(settings.capacity, largest.unwrap_or(0))
-    }
-
     /// Returns the cells of the servers on which this instance has requests or had some lately.
     pub(crate) fn used_cells(&self, now: Timestamp) -> HashSet<CellNumber> {
         let used = self.load.lately_used(now);
--- a/gateway/src/serve/reports.rs
+++ b/gateway/src/serve/reports.rs
@@ -1,8 +1,6 @@
 //! Sends what this instance has placed, admitted and read to the other instances.
 
-use std::collections::HashMap;
 use std::net::{
-    IpAddr,
     SocketAddr,
     UdpSocket, //
 };
@@ -27,29 +25,22 @@
     State,
     unix_ms, //
 };
+use crate::instance::is_large;
 use crate::platform::{
     Dialect,
     Store, //
 };
-use crate::quota::OrganisationKey;
 use crate::report::Report;
+use crate::report_rounds::{
+    Audiences,
+    Pair,
+    Receiver,
+    Told, //
+};
 
 /// Time between two regular rounds of reports.
 const INTERVAL: Duration = Duration::from_millis(250);
 
-/// Instances of other cells that a regular round goes to; the rounds go to all of them in turn. An
-/// instance then receives about 300 reports a second of them; at 12 us each, they take 3% of a
-/// machine with 0.12 cores.
-const FAR_PER_ROUND: usize = 75;
-
-/// Fewest regular rounds in which all instances of other cells are told. Once a second is often enough
-/// for them, and most of these reports cross zones.
-const FEWEST_TURNS: usize = 4;
-
-/// How many times longer the turns of an instance are that serves no callers: nothing that it states
-/// changes, and instances of other cells only need to know that it lives.
-const IDLE_TURNS: usize = 4;
-
 /// Shortest time in which changes are gathered into one report.
 const GATHER: Duration = Duration::from_millis(2);
 
@@ -57,65 +48,13 @@
 /// reports that an instance receives per second does not grow with their number.
 const GATHER_PER_PEER: Duration = Duration::from_micros(100);
 
-/// Regular rounds after which the counts of all organisations are stated again; reports between
-/// state what has changed since the last regular round. A lost report is made up for within two
-/// seconds, and one to another cell within eight regular ones.
-const FULL_COUNTS_EVERY: u64 = 8;
-
-/// Instances that get the same reports, and what was last stated to them in a regular round.
-#[derive(Debug, Default)]
-struct Audience {
-    admitted: HashMap<OrganisationKey, u64>,
-    rounds: u64,
-}
-
-impl Audience {
-    /// Leaves the counts out of `report` that were stated already.
-    fn shorten(&mut self, report: &mut Report, regular: bool) {
-        let all = report.admitted.clone();
-        if !regular || !self.rounds.is_multiple_of(FULL_COUNTS_EVERY) {
-            let stated = &self.admitted;
-            let changed = |(key, count): &(_, u64)| stated.get(key) != Some(count);
-            report.admitted.retain(changed);
-        }
-        if regular {
-            self.rounds += 1;
-            self.admitted = all.into_iter().collect();
-        }
-    }
-}
-
-/// Who is told of the present round.
-#[derive(Debug, Default)]
-struct Receivers {
-    /// Those who hear of a change at once, and in a regular round also those who hold the same jobs.
-    near: Vec<IpAddr>,
-    /// Those who hear in some of the regular rounds only.
-    far: Vec<IpAddr>,
-    /// Those of the far ones that have just started.
-    started: Vec<IpAddr>,
-    /// Regular rounds until each far one has been told.
-    turns: usize,
-}
-
-/// Returns the regular rounds in which all `far` instances are told; `idle` instances have nothing to
-/// tell but that they live.
-fn turns(far: usize, idle: bool) -> usize {
-    if far == 0 {
-        return 0;
-    }
-    let turns = far.div_ceil(FAR_PER_ROUND).max(FEWEST_TURNS);
-    if idle { turns * IDLE_TURNS } else { turns }
-}
-
-/// Sends reports to the other instances: to the near ones in regular rounds, and between these to
-/// those of them with work, whose decisions depend on every change; to the far ones in turn.
+/// Sends reports to the other instances: to the nearest ones in every regular round, and between
+/// these to those of them with work, whose decisions depend on every change; to the others in turn.
 pub(crate) async fn send<P: Store + Dialect>(node: Arc<Node<P>>, socket: Arc<Async<UdpSocket>>) {
     let mut sequence = 0;
-    let mut rounds: usize = 0;
+    let mut round: usize = 0;
     let mut last_round = Instant::now();
-    let mut near = Audience::default();
-    let mut far: Vec<Audience> = Vec::new();
+    let mut audiences = Audiences::default();
     let mut failing = false;
     let mut announced = None;
     loop {
@@ -124,37 +63,21 @@
             sleep(gather_time(&node)).await;
         }
         let regular = last_round.elapsed() >= INTERVAL;
-        sequence += 1;
-        let (mut report, receivers) = prepare(&node, sequence, regular);
-        let mut failed = None;
-        let mut own = report.clone();
-        near.shorten(&mut own, regular);
-        send_to(&node, &socket, &own, &receivers.near, &mut failed);
-        let turns = receivers.turns;
-        if far.len() != turns {
-            // Everyone is in another audience now, to which other counts were stated.
-            far.clear();
-            far.resize_with(turns, Audience::default);
+        if regular {
+            last_round = Instant::now();
+            round += 1;
         }
-        report.next_ms *= u32::try_from(turns).unwrap_or(u32::MAX);
+        sequence += 1;
+        let (report, mut receivers) = prepare(&node, sequence);
         // Callers must not be sent to an instance that stops.
         let readiness = Some((report.ready, report.leaving));
-        let told = if announced == readiness {
-            &receivers.started
-        } else {
-            &receivers.far
-        };
-        announced = readiness;
-        send_to(&node, &socket, &report, told, &mut failed);
-        if regular {
-            last_round = Instant::now();
-            if let Some(turn) = rounds.checked_rem(turns) {
-                far[turn].shorten(&mut report, true);
-                let told = receivers.far.iter().skip(turn).step_by(turns);
-                let told: Vec<IpAddr> = told.copied().collect();
-                send_to(&node, &socket, &report, &told, &mut failed);
-            }
-            rounds += 1;
+        if announced != readiness {
+            announced = readiness;
+            receivers.iter_mut().for_each(|r| r.anew = true);
+        }
+        let mut failed = None;
+        for told in audiences.told(&report, &receivers, regular.then_some(round)) {
+            send_to(&node, &socket, &told, &mut failed);
         }
         if let Some(failure) = &failed
             && !failing
@@ -174,18 +97,9 @@
     GATHER.max(GATHER_PER_PEER * near)
 }
 
-fn send_to<P>(
-    node: &Node<P>,
-    socket: &Async<UdpSocket>,
-    report: &Report,
-    addrs: &[IpAddr],
-    failed: &mut Option<String>,
-) {
-    if addrs.is_empty() {
-        return;
-    }
-    let bytes = report.encode();
-    for addr in addrs {
+fn send_to<P>(node: &Node<P>, socket: &Async<UdpSocket>, told: &Told, failed: &mut Option<String>) {
+    let bytes = told.report.encode();
+    for addr in &told.addrs {
         let addr = SocketAddr::new(*addr, node.settings.peer_port);
         // A report that the system cannot take now is superseded by the next one.
         if let Err(err) = socket.get_ref().send_to(&bytes, addr) {
@@ -194,8 +108,8 @@
     }
 }
 
-/// Builds the report of this instance and lists who gets it in a round of this kind.
-fn prepare<P>(node: &Arc<Node<P>>, sequence: u64, regular: bool) -> (Report, Receivers) {
+/// Builds the report of this instance and lists the others with how often they hear of it.
+fn prepare<P>(node: &Arc<Node<P>>, sequence: u64) -> (Report, Vec<Receiver>) {
     let now = node.now();
     let mut state = node.lock();
     state.divide(&node.settings);
@@ -228,36 +142,49 @@
         positions: state.positions(),
     };
     let started = std::mem::take(&mut state.started_peers);
-    let mut receivers = receivers(node, &state, regular, &started);
-    let idle = !report.has_work() && !state.is_large(&node.settings);
-    receivers.turns = turns(receivers.far.len(), idle);
+    let receivers = receivers(node, &state, &report, &started);
     (report, receivers)
 }
 
-fn receivers<P>(node: &Node<P>, state: &State, regular: bool, started: &[String]) -> Receivers {
-    let mut receivers = Receivers::default();
-    let used_cells = state.used_cells(node.now());
-    for (name, member) in state.members.iter() {
-        if state.is_near(name, member, &used_cells) {
-            if regular || member.has_work() {
-                receivers.near.push(member.addr);
-            }
-        } else if state.shares_jobs(member) {
-            if regular {
-                receivers.near.push(member.addr);
-            }
-        } else {
-            receivers.far.push(member.addr);
-            if started.contains(name) {
-                receivers.started.push(member.addr);
-            }
-        }
-    }
+fn receivers<P>(
+    node: &Node<P>,
+    state: &State,
+    report: &Report,
+    started: &[String],
+) -> Vec<Receiver> {
+    let settings = &node.settings;
     // Until a first peer is known the seeds may know more.
     if state.members.count() == 0 {
-        let own = node.settings.address;
-        let seeds = node.settings.seeds.iter().filter(|addr| **addr != own);
-        receivers.near.extend(seeds);
+        let seeds = settings.seeds.iter();
+        let seeds = seeds.filter(|addr| **addr != settings.address);
+        let seeds = seeds.map(|addr| Receiver {
+            addr: *addr,
+            rounds: 1,
+            at_once: false,
+            anew: false,
+        });
+        return seeds.collect();
     }
-    receivers
+    let used_cells = state.used_cells(node.now());
+    let largest = state.members.instances().map(|i| i.capacity).max();
+    let largest = largest.unwrap_or(0).max(settings.capacity);
+    let busy = report.has_work() || is_large(settings.capacity, largest);
+    let divided = state.cells.are_several();
+    let receivers = state.members.iter().map(|(name, member)| {
+        let near = state.is_near(name, member, &used_cells);
+        let pair = Pair {
+            near,
+            shares_jobs: state.shares_jobs(member),
+            sender_busy: busy,
+            receiver_busy: member.has_work() || is_large(member.capacity, largest),
+        };
+        let instances = state.members.count() + 1;
+        Receiver {
+            addr: member.addr,
+            rounds: if divided { pair.rounds(instances) } else { 1 },
+            at_once: near && member.has_work(),
+            anew: started.contains(name),
+        }
+    });
+    receivers.collect()
 }
