transport: a peer that sends without end does not hold the executor

Cause: hyper reads the size of a chunk byte by byte and does not limit its length. Zeros there, sent as fast as they are read, never let the task wait, and an instance has one executor thread: no other request was answered and no deadline passed, whether a backend server or a caller sent them. Found by a test of its own, which hung for ten minutes.

Change: a connection lets other tasks run after 16 reads in a row, so that the limits of the body end it.

--- a/transport/src/http/client.rs
+++ b/transport/src/http/client.rs
@@ -37,6 +37,7 @@
 
 use super::io::{
     CountedStream,
+    FairStream,
     Written, //
 };
 use super::pool::{
@@ -248,7 +249,8 @@
         let _ = stream.get_ref().set_nodelay(true);
         let written = Written::default();
         let stream = Arc::new(stream);
-        let io = FuturesIo::new(CountedStream::new(stream.clone(), written.clone()));
+        let counted = CountedStream::new(stream.clone(), written.clone());
+        let io = FuturesIo::new(FairStream::new(counted));
         let handshake = http1::Builder::new()
             .max_header_size(self.limits.head_bytes)
             .handshake(io)
--- a/transport/src/http/io.rs
+++ b/transport/src/http/io.rs
@@ -1,4 +1,4 @@
-//! A socket that counts the bytes written to it.
+//! Sockets that count the bytes written to them, and that let other tasks run.
 
 use std::io;
 use std::net::TcpStream;
@@ -98,3 +98,66 @@
         Pin::new(&mut &*self.inner).poll_close(cx)
     }
 }
+
+/// Reads in a row after which a connection lets other tasks run.
+const READS_IN_A_ROW: u32 = 16;
+
+/// A stream that lets other tasks run between many reads.
+///
+/// hyper reads the size of a chunk without a limit of its length. A peer that sends zeros there as
+/// fast as they are read would hold the executor's thread for ever, and no deadline would pass.
+#[derive(Debug)]
+pub(crate) struct FairStream<S> {
+    inner: S,
+    /// Reads since the stream last had nothing to read.
+    reads: u32,
+}
+
+impl<S> FairStream<S> {
+    pub(crate) fn new(inner: S) -> Self {
+        Self { inner, reads: 0 }
+    }
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for FairStream<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        if self.reads >= READS_IN_A_ROW {
+            self.reads = 0;
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        let poll = Pin::new(&mut self.inner).poll_read(cx, buf);
+        self.reads = if poll.is_ready() { self.reads + 1 } else { 0 };
+        poll
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for FairStream<S> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.inner).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.inner).poll_write_vectored(cx, bufs)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(cx)
+    }
+
+    fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_close(cx)
+    }
+}
--- a/transport/src/http/server.rs
+++ b/transport/src/http/server.rs
@@ -49,6 +49,7 @@
     Body,
     RequestBody, //
 };
+use super::io::FairStream;
 use crate::runtime::{
     Spawner,
     sleep,
@@ -239,7 +240,7 @@
         .header_read_timeout(limits.head_timeout)
         .max_headers(limits.headers)
         .max_header_size(limits.head_bytes)
-        .serve_connection(FuturesIo::new(stream), service);
+        .serve_connection(FuturesIo::new(FairStream::new(stream)), service);
     let mut connection = std::pin::pin!(connection);
     let stopped = async {
         let _ = shared.stopped.recv().await;
--- a/transport/tests/http.rs
+++ b/transport/tests/http.rs
@@ -317,3 +317,38 @@
         closed.recv().await.unwrap();
     });
 }
+
+/// Guards against a caller that sends the size of a chunk without end, which held the only thread of
+/// the executor, so that nobody was answered and no deadline passed.
+#[test]
+fn a_chunk_size_without_end_does_not_stop_others() {
+    let runtime = Runtime::start(1).unwrap();
+    let spawner = runtime.spawner();
+    let limits = ServerLimits {
+        body_timeout: Duration::from_millis(300),
+        ..ServerLimits::default()
+    };
+    let handler = |req: Request<RequestBody>| async move {
+        let read = req.into_body().collect_bytes().await;
+        Response::new(Body::from(if read.is_ok() { "whole" } else { "broken" }))
+    };
+    let server = Server::start(&spawner, LOCAL, limits, handler).unwrap();
+    let addr = server.addr();
+    std::thread::spawn(move || {
+        let mut stream = TcpStream::connect(addr).unwrap();
+        let head = b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+        stream.write_all(head).unwrap();
+        while stream.write_all(&[b'0'; 4096]).is_ok() {}
+    });
+    std::thread::sleep(Duration::from_millis(100));
+    runtime.block_on(async move {
+        let client = Client::new(&spawner, ClientLimits::default());
+        for _ in 0..3 {
+            let req = Request::post("/").body(Bytes::from_static(b"ok")).unwrap();
+            let options = SendOptions::within(TrafficClass::Online, Duration::from_secs(5));
+            let answer = client.send(addr, req, options).await.unwrap();
+            let body = answer.into_body().collect_bytes(64).await.unwrap();
+            assert_eq!(body, "whole");
+        }
+    });
+}
