--- a/transport/src/http/io.rs
+++ b/transport/src/http/io.rs
@@ -99,8 +99,9 @@
     }
 }
 
-/// Reads in a row after which a connection lets other tasks run.
-const READS_IN_A_ROW: u32 = 16;
+/// Bytes in a row after which a connection lets other tasks run. A read may fill a buffer of several
+/// hundred kilobytes, so reads are no measure of the time that their bytes take.
+const BYTES_IN_A_ROW: usize = 64 << 10;
 
 /// A stream that lets other tasks run between many reads.
 ///
@@ -109,13 +110,16 @@
 #[derive(Debug)]
 pub(crate) struct FairStream<S> {
     inner: S,
-    /// Reads since the stream last had nothing to read.
-    reads: u32,
+    /// Bytes that may be read before other tasks run.
+    left: usize,
 }
 
 impl<S> FairStream<S> {
     pub(crate) fn new(inner: S) -> Self {
-        Self { inner, reads: 0 }
+        Self {
+            inner,
+            left: BYTES_IN_A_ROW,
+        }
     }
 }
 
@@ -125,13 +129,17 @@
         cx: &mut Context<'_>,
         buf: &mut [u8],
     ) -> Poll<io::Result<usize>> {
-        if self.reads >= READS_IN_A_ROW {
-            self.reads = 0;
+        if self.left == 0 {
+            self.left = BYTES_IN_A_ROW;
             cx.waker().wake_by_ref();
             return Poll::Pending;
         }
-        let poll = Pin::new(&mut self.inner).poll_read(cx, buf);
-        self.reads = if poll.is_ready() { self.reads + 1 } else { 0 };
+        let len = buf.len().min(self.left);
+        let poll = Pin::new(&mut self.inner).poll_read(cx, &mut buf[..len]);
+        self.left = match &poll {
+            Poll::Ready(Ok(read)) => self.left - read,
+            Poll::Ready(Err(_)) | Poll::Pending => BYTES_IN_A_ROW,
+        };
         poll
     }
 }
