gateway: metrics of the store by topic and call, with duration and bytes

The single counter of the calls could not tell whether the store was slow, the connections were dead, or large reads of one topic kept all others waiting. The calls go through one module now, which counts them by topic, call and outcome, with their duration beyond the requested wait and the bytes of the records returned.

No decision changes.

--- a/gateway/src/platform.rs
+++ b/gateway/src/platform.rs
@@ -20,7 +20,7 @@
 use crate::jobs::NewItem;
 
 /// A set of records in the store, with its own partitions.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, strum::Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, strum::Display, strum::IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
 pub enum Topic {
     /// The operators' configuration; read only.
@@ -42,6 +42,13 @@
     pub value: Bytes,
 }
 
+impl Record {
+    /// Returns the size of key and content in bytes.
+    pub fn bytes(&self) -> usize {
+        self.key.len() + self.value.len()
+    }
+}
+
 /// Consecutive records of a partition, in the order of their offsets.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RecordRange {
@@ -53,6 +60,13 @@
     pub records: Vec<Option<Record>>,
 }
 
+impl RecordRange {
+    /// Returns the size of the records in bytes.
+    pub fn bytes(&self) -> usize {
+        self.records.iter().flatten().map(Record::bytes).sum()
+    }
+}
+
 /// A page of a listing of the newest record of each key.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Page {
@@ -64,6 +78,13 @@
     pub end: u64,
 }
 
+impl Page {
+    /// Returns the size of the records in bytes.
+    pub fn bytes(&self) -> usize {
+        self.records.iter().map(|(_, record)| record.bytes()).sum()
+    }
+}
+
 /// Error of a store call.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
 pub enum StoreError {
--- a/gateway/src/serve/follow.rs
+++ b/gateway/src/serve/follow.rs
@@ -21,6 +21,7 @@
     Node, //
     ReplicaStatus,
 };
+use super::store_calls::StoreCall;
 use crate::config::Configuration;
 use crate::platform::{
     Dialect,
@@ -126,7 +127,7 @@
             };
             let regained = node.store_regained.listen();
             let behind = node.jobs_behind.listen();
-            let read = node.platform.read(topic, partition, cursor.next, wait);
+            let read = node.read_records(StoreCall::Read, topic, partition, cursor.next, wait);
             let repeat = async {
                 if topic == Topic::Jobs {
                     future::or(regained, behind).await;
@@ -143,7 +144,6 @@
         } else {
             load(&node, topic, partition, &mut cursor).await
         };
-        node.metrics.store_call(result.is_ok());
         if topic == Topic::Jobs {
             let responded = matches!(result, Ok(()) | Err(StoreError::Trimmed { .. }));
             record_store_status(&node, partition, responded);
@@ -224,10 +224,8 @@
     let mut end = None;
     let mut keys = Vec::new();
     loop {
-        let page = node
-            .platform
-            .newest(topic, partition, after.as_deref())
-            .await?;
+        let page = node.list_records(topic, partition, after.as_deref());
+        let page = page.await?;
         end.get_or_insert(page.end);
         let mut records = page.records;
         // The fold of the jobs depends on the order of the records.
--- a/gateway/src/serve/metrics.rs
+++ b/gateway/src/serve/metrics.rs
@@ -14,6 +14,8 @@
     TextEncoder, //
 };
 
+use super::store_calls::CallOutcome;
+
 /// Upper bounds of the duration buckets in seconds; the latency objectives are between 0.3 and 0.5.
 const BUCKETS: [f64; 12] = [
     0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0, 20.0,
@@ -31,6 +33,8 @@
     items: Counter<u64>,
     item_runs: Histogram<f64>,
     store_calls: Counter<u64>,
+    store_call_time: Histogram<f64>,
+    store_bytes: Counter<u64>,
     lines_dropped: Counter<u64>,
 }
 
@@ -68,6 +72,14 @@
             items: counter("limpetweir_item_runs", "Runs of items by their end"),
             item_runs: histogram("limpetweir_item_run_seconds", "Length of the runs of items"),
             store_calls: counter("limpetweir_store_calls", "Calls to the store by outcome"),
+            store_call_time: histogram(
+                "limpetweir_store_call_seconds",
+                "Length of the calls to the store beyond the wait that they ask for",
+            ),
+            store_bytes: counter(
+                "limpetweir_store_read_bytes",
+                "Bytes of the records read from the store",
+            ),
             lines_dropped: counter("limpetweir_log_lines_dropped", "Log lines not written"),
             registry,
             _provider: provider,
@@ -91,11 +103,19 @@
         self.item_runs.record(elapsed.as_secs_f64(), &[]);
     }
 
-    /// Counts a call to the store.
-    pub(crate) fn store_call(&self, ok: bool) {
-        let outcome = if ok { "ok" } else { "failed" };
-        self.store_calls
-            .add(1, &[KeyValue::new("outcome", outcome)]);
+    /// Counts a call to the store with its duration and the bytes of its records.
+    pub(crate) fn store_call(&self, outcome: &CallOutcome) {
+        let topic: &'static str = outcome.topic.into();
+        let call: &'static str = outcome.call.into();
+        let result = if outcome.ok { "ok" } else { "failed" };
+        let topic = KeyValue::new("topic", topic);
+        let call = KeyValue::new("call", call);
+        let result = KeyValue::new("outcome", result);
+        let labels = [topic, call, result];
+        self.store_calls.add(1, &labels);
+        self.store_bytes.add(outcome.bytes as u64, &labels[..2]);
+        let seconds = outcome.elapsed.as_secs_f64();
+        self.store_call_time.record(seconds, &labels[..2]);
     }
 
     /// Counts dropped log lines.
--- a/gateway/src/serve/mod.rs
+++ b/gateway/src/serve/mod.rs
@@ -16,6 +16,7 @@
 mod reports;
 mod results;
 mod runs;
+mod store_calls;
 mod writer;
 
 use std::io;
--- a/gateway/src/serve/peers.rs
+++ b/gateway/src/serve/peers.rs
@@ -123,12 +123,8 @@
     node: &Arc<Node<P>>,
     records: &[Record],
 ) -> Result<(), StoreError> {
-    let result = node
-        .platform
-        .append(Topic::Instances, 0, None, records)
-        .await;
-    node.metrics.store_call(result.is_ok());
-    result.map(|_| ())
+    let result = node.append_records(Topic::Instances, 0, None, records);
+    result.await.map(|_| ())
 }
 
 /// Receives the reports of the other instances.
--- /dev/null
+++ b/gateway/src/serve/store_calls.rs
@@ -0,0 +1,103 @@
+//! Calls to the store, counted with their duration and the bytes of the records that they return.
+
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use super::node::Node;
+use crate::platform::{
+    Page,
+    Record,
+    RecordRange,
+    Store,
+    StoreError,
+    Topic, //
+};
+
+/// Kind of a call to the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub(crate) enum StoreCall {
+    /// A read that follows a partition.
+    Read,
+    /// A read up to the end of a partition, because a caller or an append waits for it.
+    CatchUp,
+    /// A page of the newest record of each key.
+    List,
+    /// An append.
+    Append,
+}
+
+/// Outcome of a call to the store, for the metrics.
+pub(crate) struct CallOutcome {
+    pub(crate) call: StoreCall,
+    pub(crate) topic: Topic,
+    pub(crate) ok: bool,
+    /// Time that the call took, less the time for which it asked the store to wait.
+    pub(crate) elapsed: Duration,
+    /// Size of the records returned, in bytes.
+    pub(crate) bytes: usize,
+}
+
+impl<P: Store> Node<P> {
+    /// Reads the records of a partition from offset `from` on; `call` is the purpose of the read.
+    pub(crate) async fn read_records(
+        &self,
+        call: StoreCall,
+        topic: Topic,
+        partition: u32,
+        from: u64,
+        wait: Duration,
+    ) -> Result<RecordRange, StoreError> {
+        let started = Instant::now();
+        let result = self.platform.read(topic, partition, from, wait).await;
+        self.metrics.store_call(&CallOutcome {
+            call,
+            topic,
+            ok: result.is_ok(),
+            elapsed: started.elapsed().saturating_sub(wait),
+            bytes: result.as_ref().map_or(0, RecordRange::bytes),
+        });
+        result
+    }
+
+    /// Returns a page of the newest records of a partition.
+    pub(crate) async fn list_records(
+        &self,
+        topic: Topic,
+        partition: u32,
+        after: Option<&str>,
+    ) -> Result<Page, StoreError> {
+        let started = Instant::now();
+        let result = self.platform.newest(topic, partition, after).await;
+        self.metrics.store_call(&CallOutcome {
+            call: StoreCall::List,
+            topic,
+            ok: result.is_ok(),
+            elapsed: started.elapsed(),
+            bytes: result.as_ref().map_or(0, Page::bytes),
+        });
+        result
+    }
+
+    /// Appends records to a partition, if its end is at `at`.
+    pub(crate) async fn append_records(
+        &self,
+        topic: Topic,
+        partition: u32,
+        at: Option<u64>,
+        records: &[Record],
+    ) -> Result<u64, StoreError> {
+        let started = Instant::now();
+        let result = self.platform.append(topic, partition, at, records).await;
+        self.metrics.store_call(&CallOutcome {
+            call: StoreCall::Append,
+            topic,
+            ok: result.is_ok(),
+            elapsed: started.elapsed(),
+            bytes: 0,
+        });
+        result
+    }
+}
--- a/gateway/src/serve/writer.rs
+++ b/gateway/src/serve/writer.rs
@@ -20,6 +20,7 @@
     log_event, //
 };
 use super::node::Node;
+use super::store_calls::StoreCall;
 use super::{
     follow,
     results, //
@@ -173,12 +174,8 @@
     if records.is_empty() {
         return;
     }
-    let result = node
-        .platform
-        .append(Topic::Jobs, partition, Some(at), &records)
-        .await;
-    node.metrics.store_call(result.is_ok());
-    match result {
+    let result = node.append_records(Topic::Jobs, partition, Some(at), &records);
+    match result.await {
         Ok(_) => {
             apply_appended(node, partition, at, &records);
             for request in requests {
@@ -342,12 +339,14 @@
 ) -> Result<u64, StoreError> {
     loop {
         let next = node.lock().partitions[partition as usize].next();
-        let read = node
-            .platform
-            .read(Topic::Jobs, partition, next, Duration::ZERO)
-            .await;
-        node.metrics.store_call(read.is_ok());
-        let range = match read {
+        let read = node.read_records(
+            StoreCall::CatchUp,
+            Topic::Jobs,
+            partition,
+            next,
+            Duration::ZERO,
+        );
+        let range = match read.await {
             Ok(range) => range,
             Err(err) => {
                 if matches!(err, StoreError::Trimmed { .. }) {
