tests: a read is interrupted again and again while peers read on, a known fault

A read of the jobs that the store has not completed 80 ms after a peer reported a higher offset is cancelled and repeated, once for each new offset of a peer. That is meant for waiting reads which the store did not wake, but a read that transfers a backlog of up to 1 MB is cancelled too, ten times a second, at each of twenty replicas. The store serves cancelled reads to their end, all reads share 80 MB per second, and no read of any topic at any instance completes within its time limit any more.

--- a/gateway/tests/positions.rs
+++ b/gateway/tests/positions.rs
@@ -120,3 +120,18 @@
         "the store does not answer"
     );
 }
+
+/// Replays an instance that reads a backlog of megabytes while peers read on by thirty records a
+/// second. Guards against a transfer that is interrupted and begun again for every record, so that
+/// the store spends its bandwidth on reads that nobody waits for.
+#[test]
+fn a_repeated_read_is_not_interrupted_while_peers_read_on() {
+    let mut freshness = Freshness::default();
+    let mut repeated = 0;
+    for n in 0..90 {
+        let now = at(n * 33);
+        freshness.peer_advanced(60 + n, 4, now);
+        repeated += u32::from(freshness.should_repeat_read(now));
+    }
+    assert_eq!(repeated, 1);
+}
