gateway: a repeated read of the jobs is left to end

Cause: all reads of the store share one bandwidth, and no read of any topic ended within its time limit of one second. After a third of the instances had been turned away for nine seconds, their replicas read a backlog of megabytes. A read that had not ended 80 ms after a peer reported a higher offset was cancelled and begun again, once for every new offset. The rule was made for waiting reads that the store does not wake; applied to a transfer it repeats the transfer for each record that any peer appends, and the store serves the cancelled ones to their end. The demand grew with the backlog and with the appends, and stayed beyond the bandwidth until the appends stopped.

Change: a read is repeated once for each offset of its own. The repeated read does not wait, so that it ends within one second even on a silent connection. Each partition has a signal of its own; one that lagged interrupted the reads of all. A signal that nothing ever sent is removed.

a_read_is_repeated_once_for_each_offset demanded a second repetition at the same own offset for a newer offset of a peer, which is the fault. a_read_is_repeated_once_for_each_own_offset replaces it and demands the repetition for the next record after the first read has ended.

Ruled out: a slow store (operators' writes took 0.14 s throughout), overloaded processors (1% to 15%), and dead connections (new ones failed alike).

--- a/gateway/src/positions.rs
+++ b/gateway/src/positions.rs
@@ -56,8 +56,8 @@
     pub lost: bool,
     /// Highest offset that a peer reported, and since when this instance has been behind a peer.
     behind: Option<(u64, Timestamp)>,
-    /// Offset for which a read was last repeated.
-    repeated: u64,
+    /// Own offset at which a read was last repeated.
+    repeated_at: Option<u64>,
 }
 
 impl Freshness {
@@ -75,14 +75,17 @@
         self.behind = self.behind.filter(|(ahead, _)| *ahead > own);
     }
 
-    /// Returns whether to cancel the waiting read and to repeat it; at most once for each offset.
-    pub fn should_repeat_read(&mut self, now: Timestamp) -> bool {
+    /// Returns whether to cancel the waiting read from `own` and to repeat it. The repeated read
+    /// returns records without waiting, so it is left to end however far the peers read meanwhile:
+    /// cancelling it would only make the store transfer the same records again.
+    pub fn should_repeat_read(&mut self, own: u64, now: Timestamp) -> bool {
         let due = self
             .behind
-            .filter(|(_, since)| now.since(*since) >= REPEAT_READ_AFTER);
-        let ahead = due.map_or(0, |(ahead, _)| ahead);
-        let repeat = !self.lost && ahead > self.repeated;
-        self.repeated = self.repeated.max(ahead);
+            .is_some_and(|(_, since)| now.since(since) >= REPEAT_READ_AFTER);
+        let repeat = due && !self.lost && self.repeated_at != Some(own);
+        if repeat {
+            self.repeated_at = Some(own);
+        }
         repeat
     }
 
--- a/gateway/src/serve/follow.rs
+++ b/gateway/src/serve/follow.rs
@@ -91,6 +91,8 @@
     loaded: bool,
     /// Whether the last call failed.
     lost: bool,
+    /// Whether the last read was interrupted because a peer has read more.
+    interrupted: bool,
 }
 
 /// Reads one partition of a topic for as long as the process runs. A partition of the jobs is read
@@ -118,26 +120,7 @@
             }
         }
         let result = if cursor.loaded {
-            // After a failed call the read does not wait, because only an immediate response shows
-            // that the store is available again.
-            let wait = if cursor.lost {
-                Duration::ZERO
-            } else {
-                timing.wait
-            };
-            let regained = node.store_regained.listen();
-            let behind = node.jobs_behind.listen();
-            let read = node.read_records(StoreCall::Read, topic, partition, cursor.next, wait);
-            let repeat = async {
-                if topic == Topic::Jobs {
-                    future::or(regained, behind).await;
-                } else {
-                    regained.await;
-                }
-                None
-            };
-            let read = async { Some(read.await) };
-            let Some(range) = future::or(read, repeat).await else {
+            let Some(range) = read_next(&node, topic, partition, &mut cursor).await else {
                 continue;
             };
             range.map(|range| apply_range(&node, topic, partition, &mut cursor, range))
@@ -193,6 +176,36 @@
     }
 }
 
+/// Reads the next records; returns `None` if the read was interrupted because a peer has read more.
+async fn read_next<P: Store + Dialect>(
+    node: &Arc<Node<P>>,
+    topic: Topic,
+    partition: u32,
+    cursor: &mut Cursor,
+) -> Option<Result<RecordRange, StoreError>> {
+    // After a failed call the read does not wait, because only an immediate response shows that the
+    // store is available again. After an interrupted one there are records to return.
+    let wait = if cursor.lost || cursor.interrupted {
+        Duration::ZERO
+    } else {
+        timing(topic).wait
+    };
+    let read = node.read_records(StoreCall::Read, topic, partition, cursor.next, wait);
+    let read = async { Some(read.await) };
+    let result = if topic == Topic::Jobs {
+        let behind = node.jobs_behind[partition as usize].listen();
+        let interrupt = async {
+            behind.await;
+            None
+        };
+        future::or(read, interrupt).await
+    } else {
+        read.await
+    };
+    cursor.interrupted = result.is_none();
+    result
+}
+
 /// Records whether the store responds to reads of a partition of the jobs. The status determines
 /// which instances run its items, so a change is reported to the peers.
 fn record_store_status<P: Store + Dialect>(node: &Arc<Node<P>>, partition: u32, responded: bool) {
--- a/gateway/src/serve/items.rs
+++ b/gateway/src/serve/items.rs
@@ -166,12 +166,13 @@
 /// Interrupts the reads of the jobs that the store has not completed although a peer has read more.
 fn interrupt_reads<P>(node: &Node<P>) {
     let now = node.now();
-    let mut repeat = false;
-    for freshness in &mut node.lock().freshness {
-        repeat |= freshness.should_repeat_read(now);
-    }
-    if repeat {
-        node.jobs_behind.notify(usize::MAX);
+    let mut state = node.lock();
+    let state = &mut *state;
+    let partitions = state.partitions.iter().zip(&mut state.freshness);
+    for ((known, freshness), behind) in partitions.zip(&node.jobs_behind) {
+        if freshness.should_repeat_read(known.next(), now) {
+            behind.notify(usize::MAX);
+        }
     }
 }
 
--- a/gateway/src/serve/node.rs
+++ b/gateway/src/serve/node.rs
@@ -255,12 +255,9 @@
     pub(crate) open_calls: AtomicU64,
     /// Notified when a report should be sent.
     pub(crate) report_due: Signal,
-    /// Notified when the store responds again after a failure. Reads that still wait on connections
-    /// from before the failure are then repeated.
-    pub(crate) store_regained: Signal,
-    /// Notified when peers have read more of the jobs. Reads that the store has not completed are
-    /// then repeated.
-    pub(crate) jobs_behind: Signal,
+    /// Notified for a partition of the jobs of which peers have read more. A read that the store
+    /// has not completed is then repeated.
+    pub(crate) jobs_behind: Vec<Signal>,
     /// Notified when jobs have changed.
     pub(crate) jobs_changed: Signal,
     /// Notified when items may have to start or stop.
@@ -316,8 +313,7 @@
             leaving: AtomicBool::new(false),
             open_calls: AtomicU64::new(0),
             report_due: Signal::new(),
-            store_regained: Signal::new(),
-            jobs_behind: Signal::new(),
+            jobs_behind: writers.iter().map(|_| Signal::new()).collect(),
             jobs_changed: Signal::new(),
             balance_due: Signal::new(),
             writers,
--- a/gateway/tests/positions.rs
+++ b/gateway/tests/positions.rs
@@ -99,24 +99,25 @@
 /// Guards against a read that is repeated for every report, and against one that is not repeated
 /// for the next record.
 #[test]
-fn a_read_is_repeated_once_for_each_offset() {
+fn a_read_is_repeated_once_for_each_own_offset() {
     let mut freshness = Freshness::default();
     freshness.peer_advanced(60, 4, at(0));
     assert!(
-        !freshness.should_repeat_read(at(50)),
+        !freshness.should_repeat_read(4, at(50)),
         "the store wakes most reads"
     );
-    assert!(freshness.should_repeat_read(at(100)));
+    assert!(freshness.should_repeat_read(4, at(100)));
     freshness.peer_advanced(60, 4, at(110));
-    assert!(!freshness.should_repeat_read(at(200)));
-    freshness.peer_advanced(61, 4, at(210));
-    assert!(freshness.should_repeat_read(at(220)));
+    assert!(!freshness.should_repeat_read(4, at(200)));
+    freshness.advanced(60);
+    freshness.peer_advanced(61, 60, at(210));
+    assert!(freshness.should_repeat_read(60, at(300)));
     freshness.advanced(61);
-    assert!(!freshness.should_repeat_read(at(400)));
+    assert!(!freshness.should_repeat_read(61, at(400)));
     freshness.peer_advanced(70, 61, at(500));
     freshness.lost = true;
     assert!(
-        !freshness.should_repeat_read(at(600)),
+        !freshness.should_repeat_read(61, at(600)),
         "the store does not answer"
     );
 }
@@ -131,7 +132,7 @@
     for n in 0..90 {
         let now = at(n * 33);
         freshness.peer_advanced(60 + n, 4, now);
-        repeated += u32::from(freshness.should_repeat_read(now));
+        repeated += u32::from(freshness.should_repeat_read(4, now));
     }
     assert_eq!(repeated, 1);
 }
