gateway: an instance whose configuration may be outdated answers 503 instead of 404 or 401

All instances were on version 29, because no read of the store had succeeded for over ten seconds, while the operators had published version 33 with a new route. Callers do not retry after 404 and 401.

The instances recorded when a read of the store last confirmed that no newer version exists, but nothing read that time. ConfigFreshness now holds it, with the highest version that a peer has reported. A version counts as current only if no newer one is known and the confirmation is younger than 1.5 s. Without that, a request with no route or an unknown key is answered with 503 and Retry-After; it has not run. The condition also holds for a version that was replaced while the request was being handled, and after a configuration came from a peer: a version newer than both the own and the confirmed one was published after the confirmation.

Routing and authentication move out of `handle` into the pure module `routing` with a typed result, and the calls about jobs into functions of their own.

--- /dev/null
+++ b/gateway/src/config_freshness.rs
@@ -0,0 +1,43 @@
+//! Knowledge of whether the configuration in force is the newest one.
+
+use std::time::Duration;
+
+use limpetweir_state::Timestamp;
+
+/// Time for which a confirmation by the store holds. A read that waits for a newer version ends
+/// after one second, and a version must be in force two seconds after its publication.
+const CONFIRMATION_TIME: Duration = Duration::from_millis(1_500);
+
+/// What an instance knows of versions newer than its own.
+#[derive(Debug, Default)]
+pub struct ConfigFreshness {
+    /// Time at which a read of the store last confirmed that no newer configuration exists.
+    confirmed: Option<Timestamp>,
+    /// Highest version that the store has returned or a peer has reported.
+    newest: u64,
+}
+
+impl ConfigFreshness {
+    /// Records that a read of the store returned nothing newer than `version`.
+    pub fn confirmed(&mut self, version: u64, now: Timestamp) {
+        self.confirmed = Some(now);
+        self.newest = self.newest.max(version);
+    }
+
+    /// Records that a peer has `version` in force.
+    pub fn reported(&mut self, version: u64) {
+        self.newest = self.newest.max(version);
+    }
+
+    /// Returns whether `version` is the newest one: no newer one is known, and the store has
+    /// confirmed recently that there is none.
+    pub fn is_current(&self, version: u64, now: Timestamp) -> bool {
+        let confirmed = self.age(now).is_some_and(|age| age < CONFIRMATION_TIME);
+        confirmed && version >= self.newest
+    }
+
+    /// Returns the time since the last confirmation by the store; `None` if there was none.
+    pub fn age(&self, now: Timestamp) -> Option<Duration> {
+        Some(now.since(self.confirmed?))
+    }
+}
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod cells;
 mod config;
 mod config_fetch;
+mod config_freshness;
 mod instance;
 mod item_time;
 mod jobs;
@@ -21,6 +22,7 @@
 mod replicas;
 mod report;
 mod report_schedule;
+mod routing;
 mod serve;
 mod settings;
 mod speed;
@@ -36,6 +38,7 @@
     Service,
 };
 pub use config_fetch::ConfigFetch;
+pub use config_freshness::ConfigFreshness;
 pub use instance::{Instance, InstanceRecord, InstanceRecordError};
 pub use item_time::ItemTime;
 pub use jobs::{
@@ -55,6 +58,7 @@
 pub use replicas::{owner, replicas};
 pub use report::{BatchRun, ItemKey, Report};
 pub use report_schedule::{OutgoingReport, PeerRelation, Receiver, ReportSchedule};
+pub use routing::{Denial, Destination, destination};
 pub use serve::{Gateway, StartError, check, run};
 pub use settings::{Settings, SettingsError, StoreSettings};
 pub use speed::{SLOW_FACTOR, Slowness, Speeds};
--- a/gateway/src/serve/follow.rs
+++ b/gateway/src/serve/follow.rs
@@ -337,7 +337,11 @@
 ) {
     let now = node.now();
     match topic {
-        Topic::Configuration => node.lock().config_confirmed = Some(now),
+        Topic::Configuration => {
+            let mut state = node.lock();
+            let version = state.config_version();
+            state.config_freshness.confirmed(version, now);
+        }
         Topic::Jobs => {
             let mut state = node.lock();
             let known = &mut state.partitions[partition as usize];
--- a/gateway/src/serve/node.rs
+++ b/gateway/src/serve/node.rs
@@ -42,6 +42,7 @@
 };
 use crate::config::Configuration;
 use crate::config_fetch::ConfigFetch;
+use crate::config_freshness::ConfigFreshness;
 use crate::instance::Instance;
 use crate::jobs::Partition;
 use crate::load::Load;
@@ -70,8 +71,8 @@
     pub(crate) config: Option<Arc<Configuration>>,
     /// The record of the configuration, for peers that cannot reach the store.
     pub(crate) config_record: Option<Record>,
-    /// Time at which a read of the store last confirmed that no newer configuration exists.
-    pub(crate) config_confirmed: Option<Timestamp>,
+    /// Whether the configuration in force is known to be the newest one.
+    pub(crate) config_freshness: ConfigFreshness,
     /// Fetches of a newer configuration from peers.
     pub(crate) config_fetch: ConfigFetch,
     pub(crate) backends: Backends,
@@ -233,6 +234,11 @@
         runners.map(str::to_owned).collect()
     }
 
+    /// Returns the version of the configuration in force; 0 without one.
+    pub(crate) fn config_version(&self) -> u64 {
+        self.config.as_ref().map_or(0, |config| config.version())
+    }
+
     /// Returns whether a configuration is in force and a backend server is known.
     pub(crate) fn can_serve(&self) -> bool {
         self.config.is_some() && self.backends.iter().next().is_some()
@@ -283,7 +289,7 @@
         let state = State {
             config: None,
             config_record: None,
-            config_confirmed: None,
+            config_freshness: ConfigFreshness::default(),
             config_fetch: ConfigFetch::default(),
             backends: Backends::default(),
             members: Members::default(),
--- a/gateway/src/serve/online.rs
+++ b/gateway/src/serve/online.rs
@@ -67,6 +67,11 @@
     Store, //
 };
 use crate::positions::CallKind;
+use crate::routing::{
+    Denial,
+    Destination,
+    destination, //
+};
 
 /// Time for which a suspected backend server is used only if there is no other one.
 pub(crate) const SUSPICION_TIME: Duration = Duration::from_millis(1_000);
@@ -74,6 +79,10 @@
 /// `Retry-After` of a request while no configuration or no backend server of the service is known.
 pub(crate) const NO_CONFIG_RETRY: Duration = Duration::from_millis(500);
 
+/// `Retry-After` of a request that a newer configuration may allow. A newer one that a peer has is
+/// usually fetched within this time.
+const OUTDATED_CONFIG_RETRY: Duration = Duration::from_millis(500);
+
 /// Time limit of a request if the caller states none.
 const DEFAULT_CALLER_TIMEOUT: Duration = Duration::from_secs(60);
 
@@ -109,48 +118,16 @@
     };
     let version = config.version();
     let path = head.uri.path();
-    let route = config.route(&call.host, path).cloned();
-    let job_call = match &route {
-        Some(_) => None,
-        None if config.has_host(&call.host) => node.platform.job_call(&head),
-        None => None,
-    };
-    if route.is_none() && job_call.is_none() {
-        let host = &call.host;
-        log_event!(
-            REFUSED,
-            "request={id} status=404 cause=no-route host={host} version={version}"
-        );
-        return plain(StatusCode::NOT_FOUND, "no route for this host and path");
-    }
-    let public = route.as_ref().is_some_and(|route| route.public);
-    let organisation = call
-        .key
-        .as_ref()
-        .and_then(|key| config.organisation_by_key(key))
-        .cloned();
-    if organisation.is_none() && !public {
-        log_event!(
-            REFUSED,
-            "request={id} status=401 cause=unknown-key version={version}"
-        );
-        return plain(StatusCode::UNAUTHORIZED, "the key is not known");
-    }
-    if let (Some(job_call), Some(organisation)) = (job_call, &organisation) {
-        let partition = node.partition_of(&organisation.name);
-        let empty = Bytes::new();
-        let kind = match job_call {
-            JobCall::Results { .. } | JobCall::Content { .. } => CallKind::Read,
-            JobCall::End { .. } => CallKind::End,
-        };
-        let forwarded = forwarding::forward(&node, partition, &head, &empty, kind);
-        if let Some(response) = forwarded.await {
-            return response;
+    let job_call = || node.platform.job_call(&head);
+    let (route, organisation) = match destination(&config, &call, path, job_call) {
+        Ok(Destination::Route {
+            route,
+            organisation,
+        }) => (route, organisation),
+        Ok(Destination::Job { call, organisation }) => {
+            return handle_job_call(&node, &head, call, &organisation).await;
         }
-        return job_calls::handle(&node, job_call, organisation).await;
-    }
-    let Some(route) = route else {
-        return plain(StatusCode::NOT_FOUND, "no route for this host and path");
+        Err(denial) => return deny(&node, &call, version, denial),
     };
     let limit = config
         .limits()
@@ -160,12 +137,7 @@
         Err(err) => return reject_body(&id, &err),
     };
     if let (RouteKind::Batch, Some(organisation)) = (route.kind, &organisation) {
-        let partition = node.partition_of(&organisation.name);
-        let forwarded = forwarding::forward(&node, partition, &head, &body, CallKind::Submit);
-        if let Some(response) = forwarded.await {
-            return response;
-        }
-        return job_calls::submit(&node, &route, organisation, &call, &body).await;
+        return submit_job(&node, &head, &call, &body, &route, organisation).await;
     }
     let caller_timeout = call.caller_timeout.unwrap_or(DEFAULT_CALLER_TIMEOUT);
     let service = route.service(node.lock().rng.random()).to_owned();
@@ -183,6 +155,73 @@
     serve(node.clone(), admitted).await
 }
 
+async fn submit_job<P: Store + Dialect>(
+    node: &Arc<Node<P>>,
+    head: &request::Parts,
+    call: &CallHead,
+    body: &Bytes,
+    route: &Route,
+    organisation: &Organisation,
+) -> Response<Body> {
+    let partition = node.partition_of(&organisation.name);
+    let forwarded = forwarding::forward(node, partition, head, body, CallKind::Submit);
+    if let Some(response) = forwarded.await {
+        return response;
+    }
+    job_calls::submit(node, route, organisation, call, body).await
+}
+
+async fn handle_job_call<P: Store + Dialect>(
+    node: &Arc<Node<P>>,
+    head: &request::Parts,
+    call: JobCall,
+    organisation: &Organisation,
+) -> Response<Body> {
+    let partition = node.partition_of(&organisation.name);
+    let empty = Bytes::new();
+    let kind = match call {
+        JobCall::Results { .. } | JobCall::Content { .. } => CallKind::Read,
+        JobCall::End { .. } => CallKind::End,
+    };
+    let forwarded = forwarding::forward(node, partition, head, &empty, kind);
+    if let Some(response) = forwarded.await {
+        return response;
+    }
+    job_calls::handle(node, call, organisation).await
+}
+
+/// Returns the response to a request that the configuration `version` does not allow.
+///
+/// Callers do not retry after 404 and 401, so these are returned only if no newer configuration
+/// can allow the request.
+fn deny<P>(node: &Node<P>, call: &CallHead, version: u64, denial: Denial) -> Response<Body> {
+    let now = node.now();
+    let (is_current, age) = {
+        let freshness = &node.lock().config_freshness;
+        (freshness.is_current(version, now), freshness.age(now))
+    };
+    let (id, host) = (&call.request_id, &call.host);
+    let confirmed_ms = age.map_or_else(|| "never".to_owned(), |age| age.as_millis().to_string());
+    if !is_current {
+        log_event!(
+            REFUSED,
+            "request={id} status=503 cause=outdated-configuration denial={denial} host={host} version={version} confirmed_ms={confirmed_ms}"
+        );
+        let text = "the configuration may be outdated; the request has not run";
+        return retry_later(StatusCode::SERVICE_UNAVAILABLE, text, OUTDATED_CONFIG_RETRY);
+    }
+    let (status, text) = match denial {
+        Denial::NoRoute => (StatusCode::NOT_FOUND, "no route for this host and path"),
+        Denial::UnknownKey => (StatusCode::UNAUTHORIZED, "the key is not known"),
+    };
+    log_event!(
+        REFUSED,
+        "request={id} status={} cause={denial} host={host} version={version} confirmed_ms={confirmed_ms}",
+        status.as_u16()
+    );
+    plain(status, text)
+}
+
 fn reject_body(id: &str, err: &BodyError) -> Response<Body> {
     let status = match err {
         BodyError::TooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
--- a/gateway/src/serve/peers.rs
+++ b/gateway/src/serve/peers.rs
@@ -188,7 +188,8 @@
     if changed {
         update_unreachable(&mut state, now);
     }
-    let own_version = state.config.as_ref().map_or(0, |config| config.version());
+    state.config_freshness.reported(version);
+    let own_version = state.config_version();
     let fetches = state.config_fetch.begin(version, own_version, now);
     drop(state);
     if was_unreachable {
