gateway: a receiver with an older configuration does not deny a forwarded call

Callers got 404 or 401 for a call about jobs although the instance they asked had found its route and its key. That instance forwards the call to a replica; between two instances that apply a new version some milliseconds apart the replica decides by the older version, and the sender hands its answer on as final. A report of the new version does not prevent it, because the call can arrive first.

The header that marks a forwarded call now carries the version of the configuration that allows the call. A receiver whose version is older answers 503 with Retry-After before it decides anything by its configuration, and the sender tries the next replica, as it does after any 503. Older builds send 1, which is no newer than any version, and as receivers they only look whether the header is there. The version in the header is not recorded, because callers can send the header too.

--- a/gateway/src/serve/forwarding.rs
+++ b/gateway/src/serve/forwarding.rs
@@ -46,7 +46,9 @@
 use crate::positions::CallKind;
 use crate::replicas::replicas;
 
-/// Header of a call that another instance has forwarded; it is not forwarded again.
+/// Header of a call that another instance has forwarded; it is not forwarded again. The value is the
+/// version of the configuration that allows the call. Older builds send 1, and no version in force
+/// is older.
 const FORWARDED: HeaderName = HeaderName::from_static("x-limpetweir-passed-on");
 
 /// Time limit for all attempts at peers together; callers wait for four seconds.
@@ -58,17 +60,31 @@
 /// `Retry-After` of a call to which no replica responds.
 const RETRY: Duration = Duration::from_millis(500);
 
+/// A call about jobs that the configuration allows.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct AllowedCall<'a> {
+    pub(crate) head: &'a request::Parts,
+    pub(crate) body: &'a Bytes,
+    pub(crate) kind: CallKind,
+    /// Version of the configuration.
+    pub(crate) version: u64,
+}
+
+/// Returns the version of the configuration that allows the call at the instance that forwarded it;
+/// `None` if no instance has forwarded it.
+pub(crate) fn sender_version(head: &request::Parts) -> Option<u64> {
+    head.headers.get(FORWARDED)?.to_str().ok()?.parse().ok()
+}
+
 /// Forwards a call about the jobs of `partition`; returns `None` if this instance handles it
 /// itself.
 pub(crate) async fn forward<P: Store + Dialect>(
     node: &Arc<Node<P>>,
     partition: usize,
-    head: &request::Parts,
-    body: &Bytes,
-    kind: CallKind,
+    call: AllowedCall<'_>,
 ) -> Option<Response<Body>> {
-    let mut peers = target_addrs(node, partition, kind)?;
-    let forwarded = head.headers.contains_key(FORWARDED);
+    let mut peers = target_addrs(node, partition, call.kind)?;
+    let forwarded = call.head.headers.contains_key(FORWARDED);
     if forwarded {
         peers.clear();
     }
@@ -79,7 +95,7 @@
         if remaining.is_zero() {
             break;
         }
-        match send_call(node, addr, forwarded_request(head, body), remaining, kind).await {
+        match send_call(node, addr, call, remaining).await {
             ForwardOutcome::Answered(response) => return Some(response),
             ForwardOutcome::Rejected(response) => rejection = Some(response),
             ForwardOutcome::NoResponse => {}
@@ -109,14 +125,14 @@
 async fn send_call<P>(
     node: &Node<P>,
     addr: SocketAddr,
-    req: Request<Bytes>,
+    call: AllowedCall<'_>,
     timeout: Duration,
-    kind: CallKind,
 ) -> ForwardOutcome {
     let options = SendOptions::within(TrafficClass::Platform, timeout);
+    let req = forwarded_request(call);
     let response = match node.client.send(addr, req, options).await {
         Ok(response) => response,
-        Err(err) if err.verdict().allows_retry(kind.is_repeatable()) => {
+        Err(err) if err.verdict().allows_retry(call.kind.is_repeatable()) => {
             log::debug!("{addr} does not respond to a call about a job: {err}");
             return ForwardOutcome::NoResponse;
         }
@@ -125,7 +141,7 @@
     let (mut head, body) = response.into_parts();
     let bytes = match body.collect_bytes(MAX_RESPONSE_BYTES).await {
         Ok(bytes) => bytes,
-        Err(err) if kind.is_repeatable() => {
+        Err(err) if call.kind.is_repeatable() => {
             log::debug!("the response of {addr} was interrupted: {err}");
             return ForwardOutcome::NoResponse;
         }
@@ -176,14 +192,15 @@
     Some(addrs)
 }
 
-fn forwarded_request(head: &request::Parts, body: &Bytes) -> Request<Bytes> {
-    let mut req = Request::new(body.clone());
+fn forwarded_request(call: AllowedCall<'_>) -> Request<Bytes> {
+    let head = call.head;
+    let mut req = Request::new(call.body.clone());
     *req.method_mut() = head.method.clone();
     *req.uri_mut() = head.uri.clone();
     *req.headers_mut() = head.headers.clone();
     req.headers_mut().remove(CONNECTION);
     req.headers_mut().remove(TRANSFER_ENCODING);
     req.headers_mut()
-        .insert(FORWARDED, HeaderValue::from_static("1"));
+        .insert(FORWARDED, HeaderValue::from(call.version));
     req
 }
--- a/gateway/src/serve/online.rs
+++ b/gateway/src/serve/online.rs
@@ -30,6 +30,7 @@
     Rejection,
     choose, //
 };
+use super::forwarding::AllowedCall;
 use super::lines::{
     ATTEMPT_FAILED,
     BACKEND_SUSPECTED,
@@ -117,6 +118,9 @@
         return retry_later(StatusCode::SERVICE_UNAVAILABLE, text, NO_CONFIG_RETRY);
     };
     let version = config.version();
+    if let Some(response) = reject_newer_sender(&call, &head, version) {
+        return response;
+    }
     let path = head.uri.path();
     let job_call = || node.platform.job_call(&head);
     let (route, organisation) = match destination(&config, &call, path, job_call) {
@@ -125,7 +129,7 @@
             organisation,
         }) => (route, organisation),
         Ok(Destination::Job { call, organisation }) => {
-            return handle_job_call(&node, &head, call, &organisation).await;
+            return handle_job_call(&node, &head, call, &organisation, version).await;
         }
         Err(denial) => return deny(&node, &call, version, denial),
     };
@@ -137,7 +141,13 @@
         Err(err) => return reject_body(&id, &err),
     };
     if let (RouteKind::Batch, Some(organisation)) = (route.kind, &organisation) {
-        return submit_job(&node, &head, &call, &body, &route, organisation).await;
+        let allowed = AllowedCall {
+            head: &head,
+            body: &body,
+            kind: CallKind::Submit,
+            version,
+        };
+        return submit_job(&node, &call, allowed, &route, organisation).await;
     }
     let caller_timeout = call.caller_timeout.unwrap_or(DEFAULT_CALLER_TIMEOUT);
     let service = route.service(node.lock().rng.random()).to_owned();
@@ -157,18 +167,17 @@
 
 async fn submit_job<P: Store + Dialect>(
     node: &Arc<Node<P>>,
-    head: &request::Parts,
     call: &CallHead,
-    body: &Bytes,
+    allowed: AllowedCall<'_>,
     route: &Route,
     organisation: &Organisation,
 ) -> Response<Body> {
     let partition = node.partition_of(&organisation.name);
-    let forwarded = forwarding::forward(node, partition, head, body, CallKind::Submit);
+    let forwarded = forwarding::forward(node, partition, allowed);
     if let Some(response) = forwarded.await {
         return response;
     }
-    job_calls::submit(node, route, organisation, call, body).await
+    job_calls::submit(node, route, organisation, call, allowed.body).await
 }
 
 async fn handle_job_call<P: Store + Dialect>(
@@ -176,20 +185,46 @@
     head: &request::Parts,
     call: JobCall,
     organisation: &Organisation,
+    version: u64,
 ) -> Response<Body> {
     let partition = node.partition_of(&organisation.name);
-    let empty = Bytes::new();
     let kind = match call {
         JobCall::Results { .. } | JobCall::Content { .. } => CallKind::Read,
         JobCall::End { .. } => CallKind::End,
     };
-    let forwarded = forwarding::forward(node, partition, head, &empty, kind);
+    let allowed = AllowedCall {
+        head,
+        body: &Bytes::new(),
+        kind,
+        version,
+    };
+    let forwarded = forwarding::forward(node, partition, allowed);
     if let Some(response) = forwarded.await {
         return response;
     }
     job_calls::handle(node, call, organisation).await
 }
 
+/// Returns a rejection if another instance has forwarded the call and has a newer configuration
+/// than `version`, which may deny what the newer one allows. The sender tries the next replica. The
+/// version in the header is not recorded, because callers can send the header too.
+fn reject_newer_sender(
+    call: &CallHead,
+    head: &request::Parts,
+    version: u64,
+) -> Option<Response<Body>> {
+    let sender_version = forwarding::sender_version(head)?;
+    if sender_version <= version {
+        return None;
+    }
+    let id = &call.request_id;
+    log_event!(
+        REFUSED,
+        "request={id} status=503 cause=outdated-configuration version={version} sender_version={sender_version}"
+    );
+    Some(outdated())
+}
+
 /// Returns the response to a request that the configuration `version` does not allow.
 ///
 /// Callers do not retry after 404 and 401, so these are returned only if no newer configuration
@@ -207,8 +242,7 @@
             REFUSED,
             "request={id} status=503 cause=outdated-configuration denial={denial} host={host} version={version} confirmed_ms={confirmed_ms}"
         );
-        let text = "the configuration may be outdated; the request has not run";
-        return retry_later(StatusCode::SERVICE_UNAVAILABLE, text, OUTDATED_CONFIG_RETRY);
+        return outdated();
     }
     let (status, text) = match denial {
         Denial::NoRoute => (StatusCode::NOT_FOUND, "no route for this host and path"),
@@ -222,6 +256,12 @@
     plain(status, text)
 }
 
+/// Returns the response to a request that a newer configuration may allow.
+fn outdated() -> Response<Body> {
+    let text = "the configuration may be outdated; the request has not run";
+    retry_later(StatusCode::SERVICE_UNAVAILABLE, text, OUTDATED_CONFIG_RETRY)
+}
+
 fn reject_body(id: &str, err: &BodyError) -> Response<Body> {
     let status = match err {
         BodyError::TooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
