gateway: an outdated instance does not refuse a body that a newer limit may allow

Callers would get 413, after which they do not retry, for a body that the newest version of the configuration allows, from an instance that could not read this version.

A body beyond the configured limit is now denied through `deny`: 413 if the version is current, otherwise 503 with Retry-After. The limit of the listener does not depend on the configuration and still leads to 413, with the same text.

--- a/gateway/src/routing.rs
+++ b/gateway/src/routing.rs
@@ -39,6 +39,11 @@
     NoRoute,
     /// The key is missing or belongs to no organisation.
     UnknownKey,
+    /// The body is longer than the operators allow.
+    BodyTooLarge {
+        /// Largest body in bytes.
+        limit: usize,
+    },
 }
 
 /// Returns the destination of a request with the head `head` and the path `path`. `job_call`
--- a/gateway/src/serve/online.rs
+++ b/gateway/src/serve/online.rs
@@ -138,6 +138,10 @@
         .map_or(usize::MAX, |limits| limits.body_bytes);
     let body = match body.limited(limit).collect_bytes().await {
         Ok(body) => body,
+        // The limit of the listener is not part of the configuration.
+        Err(BodyError::TooLarge { limit: exceeded }) if exceeded == limit => {
+            return deny(&node, &call, version, Denial::BodyTooLarge { limit });
+        }
         Err(err) => return reject_body(&id, &err),
     };
     if let (RouteKind::Batch, Some(organisation)) = (route.kind, &organisation) {
@@ -227,8 +231,8 @@
 
 /// Returns the response to a request that the configuration `version` does not allow.
 ///
-/// Callers do not retry after 404 and 401, so these are returned only if no newer configuration
-/// can allow the request.
+/// Callers do not retry after 404, 401 and 413, so these are returned only if no newer
+/// configuration can allow the request.
 fn deny<P>(node: &Node<P>, call: &CallHead, version: u64, denial: Denial) -> Response<Body> {
     let now = node.now();
     let (is_current, age) = {
@@ -245,15 +249,25 @@
         return outdated();
     }
     let (status, text) = match denial {
-        Denial::NoRoute => (StatusCode::NOT_FOUND, "no route for this host and path"),
-        Denial::UnknownKey => (StatusCode::UNAUTHORIZED, "the key is not known"),
+        Denial::NoRoute => {
+            let text = "no route for this host and path".to_owned();
+            (StatusCode::NOT_FOUND, text)
+        }
+        Denial::UnknownKey => {
+            let text = "the key is not known".to_owned();
+            (StatusCode::UNAUTHORIZED, text)
+        }
+        Denial::BodyTooLarge { limit } => {
+            let text = format!("the body is longer than {limit} bytes");
+            (StatusCode::PAYLOAD_TOO_LARGE, text)
+        }
     };
     log_event!(
         REFUSED,
         "request={id} status={} cause={denial} host={host} version={version} confirmed_ms={confirmed_ms}",
         status.as_u16()
     );
-    plain(status, text)
+    plain(status, &text)
 }
 
 /// Returns the response to a request that a newer configuration may allow.
