gateway: an outdated instance does not give up the items of a new route

Callers would get items of an accepted job listed as dead_letter at once, without a run. An instance gave up every item whose route is not in its configuration, as if the route had been removed. An instance that reads a job of a new route before it has read the version with this route does so too, and the result is final.

An item without a route now keeps the time since which the route is missing. It is given up only once the store has confirmed, two seconds after that, that nothing newer exists than the version from which the terms of the items are: a version that allowed the job was published before the item was seen and must be in force by then. Until that the item waits, and it runs as soon as the version with its route is in force. Items of removed routes are given up two to three seconds later than before. The time limit of items with a route is not changed.

--- a/gateway/src/config_freshness.rs
+++ b/gateway/src/config_freshness.rs
@@ -32,8 +32,14 @@
     /// Returns whether `version` is the newest one: no newer one is known, and the store has
     /// confirmed recently that there is none.
     pub fn is_current(&self, version: u64, now: Timestamp) -> bool {
-        let confirmed = self.age(now).is_some_and(|age| age < CONFIRMATION_TIME);
-        confirmed && version >= self.newest
+        let confirmed = self.confirmed_at(version);
+        confirmed.is_some_and(|at| now.since(at) < CONFIRMATION_TIME)
+    }
+
+    /// Returns the time at which the store last confirmed that nothing newer than `version` exists;
+    /// `None` if a newer version is known.
+    pub fn confirmed_at(&self, version: u64) -> Option<Timestamp> {
+        self.confirmed.filter(|_| version >= self.newest)
     }
 
     /// Returns the time since the last confirmation by the store; `None` if there was none.
--- a/gateway/src/open_items.rs
+++ b/gateway/src/open_items.rs
@@ -20,6 +20,11 @@
 /// Margin after the time at which an item may be given up, for clock skew between instances.
 const GIVE_UP_MARGIN_MS: u64 = 500;
 
+/// Time from the first sight of an item without a route to the confirmation of the configuration
+/// with which it is given up. The version that allowed the item must be in force two seconds after
+/// its publication, so it has been read by then.
+const ORPHAN_DELAY: Duration = Duration::from_millis(2_000);
+
 /// Delay before the next run of an item that was rejected, failed or interrupted.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
@@ -58,8 +63,9 @@
     pub give_up: u64,
     /// Service that runs it.
     pub service: String,
-    /// Whether its route is no longer in the configuration.
-    pub orphaned: bool,
+    /// Time since which its route is missing from the configuration; it was removed, or the
+    /// configuration is older than the job.
+    pub orphaned_since: Option<Timestamp>,
     /// Whether this instance is responsible for it.
     pub owned: bool,
     /// Whether `owned` has been computed.
@@ -112,9 +118,17 @@
     times: HashMap<String, ItemTime>,
     /// Instances among which the items of each partition were last distributed.
     instances: Vec<Vec<String>>,
+    /// Version of the configuration from which the terms of the items are; 0 without one.
+    version: u64,
 }
 
 impl OpenItems {
+    /// Returns the version of the configuration from which the terms of the items are; 0 without
+    /// one.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
     /// Returns an item.
     pub fn get(&self, key: ItemKey) -> Option<&OpenItem> {
         self.items.get(&key)
@@ -138,7 +152,9 @@
         config: Option<&Configuration>,
         me: &str,
         instances: &[Vec<String>],
+        now: Timestamp,
     ) -> Vec<ItemKey> {
+        self.version = config.map_or(0, Configuration::version);
         let mut previous = std::mem::take(&mut self.items);
         for (partition, state) in partitions.iter().enumerate() {
             let names = instances.get(partition).map_or(&[][..], Vec::as_slice);
@@ -150,7 +166,7 @@
                     let mut item = previous
                         .remove(&key)
                         .unwrap_or_else(|| OpenItem::new(id, partition, index));
-                    item.apply_terms(job, config);
+                    item.apply_terms(job, config, now);
                     if !same_instances || !item.owner_computed {
                         item.owner_computed = true;
                         let names = names.iter().map(String::as_str);
@@ -181,7 +197,7 @@
                 && item.phase == Phase::Waiting
                 && item.not_before <= now
                 && item.give_up > unix_ms
-                && !item.orphaned
+                && item.orphaned_since.is_none()
         };
         let ready = self.items.iter().filter(|(_, item)| ready(item));
         let waiting = ready.map(|(key, item)| WaitingItem {
@@ -208,11 +224,14 @@
         time.record(elapsed, run, events);
     }
 
-    /// Returns the items of this instance that must be given up without another run.
-    pub fn expired(&self, unix_ms: u64) -> Vec<ItemKey> {
+    /// Returns the items of this instance that must be given up without another run. `confirmed` is
+    /// the time at which the store last confirmed that no configuration newer than
+    /// [`version`](Self::version) exists.
+    pub fn expired(&self, unix_ms: u64, confirmed: Option<Timestamp>) -> Vec<ItemKey> {
         let expired = |item: &OpenItem| {
             let late = unix_ms > item.give_up.saturating_add(GIVE_UP_MARGIN_MS);
-            item.runs_here() && item.phase == Phase::Waiting && (late || item.orphaned)
+            let given_up = late || item.route_is_removed(confirmed);
+            item.runs_here() && item.phase == Phase::Waiting && given_up
         };
         let expired = self.items.iter().filter(|(_, item)| expired(item));
         expired.map(|(key, _)| *key).collect()
@@ -283,7 +302,7 @@
             due: 0,
             give_up: u64::MAX,
             service: String::new(),
-            orphaned: false,
+            orphaned_since: None,
             owned: false,
             owner_computed: false,
             phase: Phase::Waiting,
@@ -300,7 +319,13 @@
         self.owned || self.progress.last.is_some()
     }
 
-    fn apply_terms(&mut self, job: &Job, config: Option<&Configuration>) {
+    /// Returns whether the route was removed, and not only added by a newer configuration.
+    fn route_is_removed(&self, confirmed: Option<Timestamp>) -> bool {
+        let since = self.orphaned_since;
+        confirmed.is_some_and(|at| since.is_some_and(|since| at >= since + ORPHAN_DELAY))
+    }
+
+    fn apply_terms(&mut self, job: &Job, config: Option<&Configuration>, now: Timestamp) {
         let Some(config) = config else {
             return;
         };
@@ -313,8 +338,11 @@
                 self.service = service.to_owned();
             }
         }
-        self.orphaned = terms.is_none();
+        if terms.is_none() {
+            self.orphaned_since.get_or_insert(now);
+        }
         if let Some(terms) = terms {
+            self.orphaned_since = None;
             let target = terms.completion_target.as_millis();
             let retention = terms.retention.as_millis();
             self.due = job
--- a/gateway/src/serve/items.rs
+++ b/gateway/src/serve/items.rs
@@ -119,7 +119,9 @@
         update_replica_status(state, partition, settled && chosen, busy, now);
     }
     let config = state.config.as_deref();
-    let ended = state.items.refresh(&state.partitions, config, me, &runners);
+    let ended = state
+        .items
+        .refresh(&state.partitions, config, me, &runners, now);
     for key in ended {
         state.runs.remove(&key);
     }
@@ -291,7 +293,11 @@
 
 /// Gives up the items whose time limit has expired.
 fn give_up<P: Store + Dialect>(node: &Arc<Node<P>>) {
-    let expired = node.lock().items.expired(unix_ms());
+    let expired = {
+        let state = node.lock();
+        let confirmed = state.config_freshness.confirmed_at(state.items.version());
+        state.items.expired(unix_ms(), confirmed)
+    };
     for key in expired {
         let mut state = node.lock();
         let Some(item) = state.items.get_mut(key) else {
@@ -306,7 +312,7 @@
         };
         let partition = item.partition;
         let job = item.job.clone();
-        let (give_up, orphaned) = (item.give_up, item.orphaned);
+        let (give_up, orphaned) = (item.give_up, item.orphaned_since.is_some());
         let version = state.config.as_ref().map_or(0, |config| config.version());
         drop(state);
         let node = node.clone();
--- a/gateway/tests/open_items.rs
+++ b/gateway/tests/open_items.rs
@@ -88,6 +88,9 @@
     state
 }
 
+/// A confirmation of the configuration long after the start.
+const CONFIRMED: Option<Timestamp> = Some(Timestamp::from_millis(u64::MAX / 2_000));
+
 /// Returns `names` as the instances of a single partition.
 fn names(names: &[&str]) -> [Vec<String>; 1] {
     [names.iter().map(|name| (*name).to_owned()).collect()]
@@ -95,7 +98,13 @@
 
 fn open(me: &str, instances: &[&str], config: Option<&Configuration>) -> OpenItems {
     let mut items = OpenItems::default();
-    items.refresh(&[partition(20)], config, me, &names(instances));
+    items.refresh(
+        &[partition(20)],
+        config,
+        me,
+        &names(instances),
+        Timestamp::default(),
+    );
     items
 }
 
@@ -131,7 +140,13 @@
     let mut items = open("a", &["a", "b"], Some(&config));
     let before = items.waiting(Timestamp::default(), SUBMITTED).len();
     assert!(before < 20);
-    items.refresh(&[partition(20)], Some(&config), "a", &names(&["a"]));
+    items.refresh(
+        &[partition(20)],
+        Some(&config),
+        "a",
+        &names(&["a"]),
+        Timestamp::default(),
+    );
     assert_eq!(items.waiting(Timestamp::default(), SUBMITTED).len(), 20);
 }
 
@@ -140,8 +155,8 @@
 #[test]
 fn nothing_expires_before_the_configuration_is_known() {
     let items = open("a", &["a"], None);
-    assert!(items.expired(SUBMITTED + 1_000).is_empty());
-    assert!(items.expired(u64::MAX - 1).is_empty());
+    assert!(items.expired(SUBMITTED + 1_000, CONFIRMED).is_empty());
+    assert!(items.expired(u64::MAX - 1, CONFIRMED).is_empty());
 }
 
 /// Guards against items that are given up too early, or never.
@@ -152,7 +167,37 @@
 fn an_item_expires_after_its_retention(#[case] age: u64, #[case] expired: usize) {
     let config = config();
     let items = open("a", &["a"], Some(&config));
-    assert_eq!(items.expired(SUBMITTED + age).len(), expired);
+    assert_eq!(items.expired(SUBMITTED + age, CONFIRMED).len(), expired);
+}
+
+/// Guards against items of a new route that are given up by an instance that has not read the new
+/// version, and against items of a removed route that stay open.
+#[rstest]
+#[case::unconfirmed(None, 0)]
+#[case::confirmed_before_the_item(Some(900), 0)]
+#[case::confirmed_with_the_item(Some(1_010), 0)]
+#[case::confirmed_later(Some(3_100), 20)]
+fn an_item_without_a_route_is_given_up_after_a_confirmation(
+    #[case] confirmed_ms: Option<u64>,
+    #[case] expired: usize,
+) {
+    let without_routes = Configuration::from(ConfigurationParts::default());
+    let seen = Timestamp::from_millis(1_000);
+    let mut items = OpenItems::default();
+    let instances = names(&["a"]);
+    items.refresh(
+        &[partition(20)],
+        Some(&without_routes),
+        "a",
+        &instances,
+        seen,
+    );
+    let confirmed = confirmed_ms.map(Timestamp::from_millis);
+    assert_eq!(items.expired(SUBMITTED, confirmed).len(), expired);
+    let config = config();
+    items.refresh(&[partition(20)], Some(&config), "a", &instances, seen);
+    assert!(items.expired(SUBMITTED, confirmed).is_empty());
+    assert_eq!(items.version(), config.version());
 }
 
 /// Guards against a wrong next step after the end of a run.
@@ -226,7 +271,13 @@
     for key in &keys {
         run(&mut items, *key, &RunEnd::Stopped, 3);
     }
-    items.refresh(&all, Some(&config), "a", &names(&["a", "b"]));
+    items.refresh(
+        &all,
+        Some(&config),
+        "a",
+        &names(&["a", "b"]),
+        Timestamp::default(),
+    );
     assert_eq!(items.waiting(Timestamp::default(), SUBMITTED).len(), 20);
     assert_eq!(items.held().len(), 20);
 }
