gateway: callers and writers that wait for the end of a partition share one read

Every call about a job that an instance does not know reads the partition of the jobs to its end, to be able to say that the job does not exist. One such read for each partition and instance is in progress now; those who call meanwhile share the next one, which starts after all of them have called, so that it says as much as a read of their own.

The read fails if the partition is not loaded: one that was dropped while it was read began at offset 0 again and applied nothing, without an end.

--- /dev/null
+++ b/gateway/src/serve/catch_up.rs
@@ -0,0 +1,110 @@
+//! Reads of a partition of the jobs up to its current end, for callers and writers that wait for it.
+//!
+//! Load pattern: hundreds of callers poll results of jobs that an instance has not read yet. A read
+//! for each of them would transfer the same records hundreds of times, while all reads of the fleet
+//! share the bandwidth of the store.
+
+use std::sync::Arc;
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use async_lock::Mutex;
+
+use super::follow;
+use super::node::Node;
+use super::store_calls::StoreCall;
+use crate::platform::{
+    Dialect,
+    RecordRange,
+    Store,
+    StoreError,
+    Topic, //
+};
+
+/// The last read to the end of a partition. The lock is held while the next one is in progress.
+#[derive(Debug, Default)]
+pub(crate) struct CatchUp(Mutex<Option<Finished>>);
+
+#[derive(Debug)]
+struct Finished {
+    started: Instant,
+    result: Result<u64, StoreError>,
+}
+
+/// Reads the partition up to its current end and returns the end offset. Callers that wait at the
+/// same time share one read that starts after all of them have called.
+pub(crate) async fn catch_up<P: Store + Dialect>(
+    node: &Arc<Node<P>>,
+    partition: u32,
+) -> Result<u64, StoreError> {
+    let called = Instant::now();
+    let mut last = node.catch_ups[partition as usize].0.lock().await;
+    if let Some(last) = last.as_ref().filter(|last| last.started >= called) {
+        return last.result.clone();
+    }
+    let started = Instant::now();
+    let result = read_to_end(node, partition).await;
+    *last = Some(Finished {
+        started,
+        result: result.clone(),
+    });
+    result
+}
+
+async fn read_to_end<P: Store + Dialect>(
+    node: &Arc<Node<P>>,
+    partition: u32,
+) -> Result<u64, StoreError> {
+    loop {
+        let range = read_once(node, partition).await?;
+        for (offset, record) in (range.from..).zip(&range.records) {
+            if let Some(record) = record {
+                follow::apply_job(node, partition, offset, record);
+            }
+        }
+        let next = range.from + range.records.len() as u64;
+        follow::mark_read(node, Topic::Jobs, partition, next);
+        if next >= range.end {
+            return Ok(next);
+        }
+    }
+}
+
+async fn read_once<P: Store + Dialect>(
+    node: &Arc<Node<P>>,
+    partition: u32,
+) -> Result<RecordRange, StoreError> {
+    let next = next_offset(node, partition)?;
+    let wait = Duration::ZERO;
+    let read = node.read_records(StoreCall::CatchUp, Topic::Jobs, partition, next, wait);
+    let result = read.await;
+    if matches!(result, Err(StoreError::Trimmed { .. })) {
+        node.lock().partitions[partition as usize].set_missed();
+    }
+    result
+}
+
+/// Returns the offset up to which the partition has been read; fails if it is not loaded, as while it
+/// is listed or after it was dropped.
+fn next_offset<P>(node: &Node<P>, partition: u32) -> Result<u64, StoreError> {
+    let state = node.lock();
+    let known = &state.partitions[partition as usize];
+    if known.is_loaded() {
+        return Ok(known.next());
+    }
+    Err(StoreError::NotDone {
+        reason: "the partition is not loaded".to_owned(),
+    })
+}
+
+/// Reads the partition up to its current end. Afterwards a job that is missing here does not exist,
+/// as long as the partition is loaded.
+pub(crate) async fn confirm<P: Store + Dialect>(
+    node: &Arc<Node<P>>,
+    partition: usize,
+) -> Result<(), StoreError> {
+    // The number of partitions is far below the maximum of the type.
+    catch_up(node, partition as u32).await.map(|_| ())
+}
--- a/gateway/src/serve/job_calls.rs
+++ b/gateway/src/serve/job_calls.rs
@@ -14,6 +14,7 @@
 use limpetweir_transport::http::Body;
 use limpetweir_transport::timeout_at;
 
+use super::catch_up;
 use super::lines::{
     JOB_CALL,
     JOB_REFUSED,
@@ -150,7 +151,7 @@
     let (JobCall::Results { job, .. } | JobCall::Content { job, .. } | JobCall::End { job }) =
         &call;
     if !exists(node, partition, job, organisation) {
-        let confirmed = writer::confirm(node, partition);
+        let confirmed = catch_up::confirm(node, partition);
         let confirmed = timeout_at(Instant::now() + CONFIRM_TIMEOUT, confirmed).await;
         if !matches!(confirmed, Some(Ok(()))) {
             log_event!(
--- a/gateway/src/serve/mod.rs
+++ b/gateway/src/serve/mod.rs
@@ -1,5 +1,6 @@
 //! Listeners, background tasks, settings reload and shutdown of a gateway instance.
 
+mod catch_up;
 mod choose;
 mod follow;
 mod forwarding;
--- a/gateway/src/serve/node.rs
+++ b/gateway/src/serve/node.rs
@@ -29,6 +29,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
+use super::catch_up::CatchUp;
 use super::items::RunHandles;
 use super::metrics::Metrics;
 use super::writer::WriteRequest;
@@ -264,6 +265,8 @@
     /// Notified for a partition of the jobs of which peers have read more. A read that the store
     /// has not completed is then repeated.
     pub(crate) jobs_behind: Vec<Signal>,
+    /// Reads to the end of each partition of the jobs.
+    pub(crate) catch_ups: Vec<CatchUp>,
     /// Notified when jobs have changed.
     pub(crate) jobs_changed: Signal,
     /// Notified when items may have to start or stop.
@@ -320,6 +323,7 @@
             open_calls: AtomicU64::new(0),
             report_due: Signal::new(),
             jobs_behind: writers.iter().map(|_| Signal::new()).collect(),
+            catch_ups: writers.iter().map(|_| CatchUp::default()).collect(),
             jobs_changed: Signal::new(),
             balance_due: Signal::new(),
             writers,
--- a/gateway/src/serve/writer.rs
+++ b/gateway/src/serve/writer.rs
@@ -20,8 +20,8 @@
     log_event, //
 };
 use super::node::Node;
-use super::store_calls::StoreCall;
 use super::{
+    catch_up,
     follow,
     results, //
 };
@@ -186,7 +186,7 @@
         Err(StoreError::OffsetMismatch) => {
             requeue(queue, requests, |request| request.uncertain = false);
             // The next decision depends on the records that were appended meanwhile.
-            if catch_up(node, partition).await.is_err() {
+            if catch_up::catch_up(node, partition).await.is_err() {
                 sleep(RETRY_PAUSE).await;
             }
         }
@@ -202,7 +202,7 @@
                 reject_callers(queue, &err.to_string());
             }
             sleep(RETRY_PAUSE).await;
-            let seen = catch_up(node, partition).await;
+            let seen = catch_up::catch_up(node, partition).await;
             // Once the partition has grown, an earlier conditional append can no longer take
             // effect.
             if seen.is_ok_and(|next| next > at) {
@@ -331,53 +331,3 @@
         !expired
     });
 }
-
-/// Reads the partition up to its current end and returns the end offset.
-async fn catch_up<P: Store + Dialect>(
-    node: &Arc<Node<P>>,
-    partition: u32,
-) -> Result<u64, StoreError> {
-    loop {
-        let next = node.lock().partitions[partition as usize].next();
-        let read = node.read_records(
-            StoreCall::CatchUp,
-            Topic::Jobs,
-            partition,
-            next,
-            Duration::ZERO,
-        );
-        let range = match read.await {
-            Ok(range) => range,
-            Err(err) => {
-                if matches!(err, StoreError::Trimmed { .. }) {
-                    node.lock().partitions[partition as usize].set_missed();
-                }
-                return Err(err);
-            }
-        };
-        for (offset, record) in (range.from..).zip(&range.records) {
-            if let Some(record) = record {
-                follow::apply_job(node, partition, offset, record);
-            }
-        }
-        let next = range.from + range.records.len() as u64;
-        follow::mark_read(node, Topic::Jobs, partition, next);
-        if next >= range.end {
-            return Ok(next);
-        }
-    }
-}
-
-/// Reads the partition up to its current end. Afterwards a job that is missing here does not exist.
-pub(crate) async fn confirm<P: Store + Dialect>(
-    node: &Arc<Node<P>>,
-    partition: usize,
-) -> Result<(), StoreError> {
-    if !node.lock().partitions[partition].is_loaded() {
-        return Err(StoreError::NotDone {
-            reason: "the partition has not been loaded yet".to_owned(),
-        });
-    }
-    // The number of partitions is far below the maximum of the type.
-    catch_up(node, partition as u32).await.map(|_| ())
-}
