--- a/gateway/src/jobs/table.rs
+++ b/gateway/src/jobs/table.rs
@@ -137,9 +137,10 @@
         self.loaded
     }
 
-    /// Starts a listing of all records.
-    pub fn begin_listing(&mut self) {
-        self.listing = true;
+    /// Starts a listing of all records; returns whether it is a new one, and not the continuation
+    /// of a listing that was interrupted.
+    pub fn begin_listing(&mut self) -> bool {
+        !std::mem::replace(&mut self.listing, true)
     }
 
     /// Ends a listing and marks all records before `next` as read. Without a listing in progress
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 mod instance;
 mod item_time;
 mod jobs;
+mod listing;
 mod load;
 mod members;
 mod open_items;
@@ -45,6 +46,7 @@
     Change, Decision, ItemResult, Job, JobItem, JobKey, NewItem, Outcome, Partition, Pending,
     RecordError, Submission, decide,
 };
+pub use listing::Listing;
 pub use load::{Load, Placed};
 pub use members::{AddressEntry, MIN_REPORT_TIMEOUT, Member, Members, ReportUpdate, addresses};
 pub use open_items::{OpenItem, OpenItems, Phase, Progress, RunEnd, Step};
--- a/gateway/src/serve/follow.rs
+++ b/gateway/src/serve/follow.rs
@@ -23,6 +23,7 @@
 };
 use super::store_calls::StoreCall;
 use crate::config::Configuration;
+use crate::listing::Listing;
 use crate::platform::{
     Dialect,
     Record,
@@ -89,6 +90,8 @@
 struct Cursor {
     next: u64,
     loaded: bool,
+    /// Listing in progress, while the partition is not loaded.
+    listing: Listing,
     /// Whether the last call failed.
     lost: bool,
     /// Whether the last read was interrupted because a peer has read more.
@@ -220,39 +223,30 @@
     }
 }
 
-/// Loads the newest record of each key of a partition.
-///
-/// The pages together are not a consistent snapshot, so reading continues at the end offset that
-/// the first page contains.
+/// Loads the newest record of each key of a partition. After a failed call the listing continues
+/// with the page that failed, so that it ends also if the store answers only some of the calls.
 async fn load<P: Store + Dialect>(
     node: &Arc<Node<P>>,
     topic: Topic,
     partition: u32,
     cursor: &mut Cursor,
 ) -> Result<(), StoreError> {
-    if topic == Topic::Jobs {
-        node.lock().partitions[partition as usize].begin_listing();
+    if topic == Topic::Jobs && node.lock().partitions[partition as usize].begin_listing() {
+        cursor.listing = Listing::default();
     }
-    let mut after: Option<String> = None;
-    let mut end = None;
-    let mut keys = Vec::new();
     loop {
-        let page = node.list_records(topic, partition, after.as_deref());
-        let page = page.await?;
-        end.get_or_insert(page.end);
-        let mut records = page.records;
-        // The fold of the jobs depends on the order of the records.
-        records.sort_by_key(|(offset, _)| *offset);
-        for (_, record) in &records {
-            keys.push(record.key.clone());
-            apply_record(node, topic, partition, record);
+        let after = cursor.listing.after();
+        let page = node.list_records(topic, partition, after).await?;
+        let last = page.next.is_none();
+        for record in cursor.listing.add(page) {
+            apply_record(node, topic, partition, &record);
         }
-        match page.next {
-            Some(next) => after = Some(next),
-            None => break,
+        if last {
+            break;
         }
     }
-    cursor.next = end.unwrap_or(0);
+    let listing = std::mem::take(&mut cursor.listing);
+    cursor.next = listing.end();
     cursor.loaded = true;
     if topic == Topic::Jobs {
         node.lock().partitions[partition as usize].end_listing(cursor.next);
@@ -262,7 +256,7 @@
     }
     if topic == Topic::Backends {
         let now = node.now();
-        node.lock().backends.retain(&keys, now);
+        node.lock().backends.retain(listing.keys(), now);
     }
     Ok(())
 }
