tests: the read of the next page of a backlog is interrupted as soon as it begins, a known fault

An instance that reads a backlog of several pages is behind its peers all the while. The 80 ms after which a read is interrupted count from the time at which it fell behind, not from the begin of the read, and the offset at which a read was last repeated has moved with the first page. So the read of each further page is interrupted by the next run of the scheduler, and the store transfers the page a second time. The number of repetitions is bounded by the pages, unlike before, but a page of a backlog still costs twice its bytes.

By reading the code, the same holds when the offset moves because the instance appends or catches up for a caller while its own read is in progress; the test does not show that.

--- a/gateway/tests/positions.rs
+++ b/gateway/tests/positions.rs
@@ -136,3 +136,18 @@
     }
     assert_eq!(repeated, 1);
 }
+
+/// Replays the second page of a backlog: the first one has been read, and the peers are ahead all the
+/// while. Guards against a read that is interrupted as soon as it begins, so that the store transfers
+/// every page twice.
+#[test]
+fn the_read_of_the_next_page_is_not_interrupted_at_once() {
+    let mut freshness = Freshness::default();
+    freshness.peer_advanced(60, 4, at(0));
+    assert!(freshness.should_repeat_read(4, at(100)));
+    freshness.advanced(30);
+    assert!(
+        !freshness.should_repeat_read(30, at(120)),
+        "the read from 30 has not had the time that a read is given"
+    );
+}
