--- a/gateway/src/positions.rs
+++ b/gateway/src/positions.rs
@@ -56,14 +56,17 @@
     pub lost: bool,
     /// Highest offset that a peer reported, and since when this instance has been behind a peer.
     behind: Option<(u64, Timestamp)>,
-    /// Own offset at which a read was last repeated.
-    repeated_at: Option<u64>,
+    /// Own offset, and when it was first observed. No read from it began before that.
+    observed: Option<(u64, Timestamp)>,
+    /// Own offset from which a read was last repeated.
+    repeated_from: Option<u64>,
 }
 
 impl Freshness {
     /// Records that a peer has read up to `peer_offset`.
     pub fn peer_advanced(&mut self, peer_offset: u64, own: u64, now: Timestamp) {
         self.advanced(own);
+        self.observe(own, now);
         if peer_offset > own {
             let (ahead, since) = self.behind.unwrap_or((peer_offset, now));
             self.behind = Some((ahead.max(peer_offset), since));
@@ -75,20 +78,32 @@
         self.behind = self.behind.filter(|(ahead, _)| *ahead > own);
     }
 
-    /// Returns whether to cancel the waiting read from `own` and to repeat it. The repeated read
-    /// returns records without waiting, so it is left to end however far the peers read meanwhile:
+    /// Returns whether to cancel the read from `own` and to repeat it. The repeated read returns
+    /// records without waiting, so it is left to end however far the peers read meanwhile:
     /// cancelling it would only make the store transfer the same records again.
     pub fn should_repeat_read(&mut self, own: u64, now: Timestamp) -> bool {
-        let due = self
-            .behind
-            .is_some_and(|(_, since)| now.since(since) >= REPEAT_READ_AFTER);
-        let repeat = due && !self.lost && self.repeated_at != Some(own);
+        let started = self.observe(own, now);
+        let due = self.behind.is_some_and(|(_, behind_since)| {
+            now.since(behind_since.max(started)) >= REPEAT_READ_AFTER
+        });
+        let repeat = due && !self.lost && self.repeated_from != Some(own);
         if repeat {
-            self.repeated_at = Some(own);
+            self.repeated_from = Some(own);
         }
         repeat
     }
 
+    /// Returns when the own offset was first observed to be `own`.
+    fn observe(&mut self, own: u64, now: Timestamp) -> Timestamp {
+        match self.observed {
+            Some((observed, since)) if observed == own => since,
+            _ => {
+                self.observed = Some((own, now));
+                now
+            }
+        }
+    }
+
     fn is_behind(&self, now: Timestamp) -> bool {
         self.behind
             .is_some_and(|(_, since)| now.since(since) >= BEHIND_AFTER)
