gateway: a confirmation of the configuration counts from the state of the store that it shows

An empty response shows the store at the end of the wait that was asked for, one with records at the time of the request at the earliest. The version of a configuration counts as known from the moment at which it is in force, so that a request routed by the one before is not denied in between.

--- a/gateway/src/serve/follow.rs
+++ b/gateway/src/serve/follow.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use futures_lite::future;
+use limpetweir_state::Timestamp;
 use limpetweir_transport::sleep;
 
 use super::items;
@@ -96,6 +97,21 @@
     lost: bool,
     /// Whether the last read was interrupted because a peer has read more.
     interrupted: bool,
+    /// When the last read was sent.
+    sent: Timestamp,
+    /// Time for which the last read asked the store to wait.
+    wait: Duration,
+}
+
+impl Cursor {
+    /// Returns a time at which the store was in the state that the last read shows. A response may
+    /// arrive long after it was composed; one without records was composed after the wait.
+    fn as_of(&self, has_records: bool, now: Timestamp) -> Timestamp {
+        if has_records {
+            return self.sent;
+        }
+        now.min(self.sent + self.wait)
+    }
 }
 
 /// Reads one partition of a topic for as long as the process runs. A partition of the jobs is read
@@ -193,6 +209,8 @@
     } else {
         timing(topic).wait
     };
+    cursor.sent = node.now();
+    cursor.wait = wait;
     let read = node.read_records(StoreCall::Read, topic, partition, cursor.next, wait);
     let read = async { Some(read.await) };
     let result = if topic == Topic::Jobs {
@@ -234,6 +252,7 @@
     if topic == Topic::Jobs && node.lock().partitions[partition as usize].begin_listing() {
         cursor.listing = Listing::default();
     }
+    cursor.sent = node.now();
     loop {
         let after = cursor.listing.after();
         let page = node.list_records(topic, partition, after).await?;
@@ -254,6 +273,9 @@
     } else {
         mark_read(node, topic, partition, cursor.next);
     }
+    if topic == Topic::Configuration {
+        confirm_config(node, cursor.sent);
+    }
     if topic == Topic::Backends {
         let now = node.now();
         node.lock().backends.retain(listing.keys(), now);
@@ -281,6 +303,9 @@
         }
     }
     cursor.next = range.from + count;
+    if topic == Topic::Configuration {
+        confirm_config(node, cursor.as_of(count > 0, node.now()));
+    }
     mark_read(node, topic, partition, cursor.next);
 }
 
@@ -333,6 +358,13 @@
     }
 }
 
+/// Records that the store had no configuration newer than the one in force at the time `as_of`.
+fn confirm_config<P>(node: &Node<P>, as_of: Timestamp) {
+    let mut state = node.lock();
+    let version = state.config_version();
+    state.config_freshness.confirmed(version, as_of);
+}
+
 /// Records that the partition has been read up to `next`, and does the work that depends on it.
 pub(crate) fn mark_read<P: Store + Dialect>(
     node: &Arc<Node<P>>,
@@ -342,11 +374,8 @@
 ) {
     let now = node.now();
     match topic {
-        Topic::Configuration => {
-            let mut state = node.lock();
-            let version = state.config_version();
-            state.config_freshness.confirmed(version, now);
-        }
+        // Confirmed with the time of the read, see `confirm_config`.
+        Topic::Configuration => {}
         Topic::Jobs => {
             let mut state = node.lock();
             let known = &mut state.partitions[partition as usize];
@@ -398,6 +427,7 @@
     state.quotas.configure(&config, now);
     let version = config.version();
     state.config = Some(Arc::new(config));
+    state.config_freshness.reported(version);
     state.config_record = Some(record.clone());
     state.config_fetch.applied();
     drop(state);
