gateway: jobs and results are not denied by a copy that lacks them

A caller that had read further at another instance got 200 without results, as if there were no more yet.

A partition that was dropped while a call waited for the store made the job unknown, and the caller got 404 for a job that exists; the writer could likewise decide on a partition dropped meanwhile. Both ask whether the partition is loaded under the same lock as for the job. This was found by reading; no test shows it.

--- a/gateway/src/serve/job_calls.rs
+++ b/gateway/src/serve/job_calls.rs
@@ -150,7 +150,7 @@
     let partition = node.partition_of(&organisation.name);
     let (JobCall::Results { job, .. } | JobCall::Content { job, .. } | JobCall::End { job }) =
         &call;
-    if !exists(node, partition, job, organisation) {
+    if exists(node, partition, job, organisation) != Some(true) {
         let confirmed = catch_up::confirm(node, partition);
         let confirmed = timeout_at(Instant::now() + CONFIRM_TIMEOUT, confirmed).await;
         if !matches!(confirmed, Some(Ok(()))) {
@@ -161,12 +161,10 @@
             let text = "it is not known whether the job exists";
             return retry_later(StatusCode::SERVICE_UNAVAILABLE, text, STORE_RETRY);
         }
-        if !exists(node, partition, job, organisation) {
-            log_event!(
-                JOB_REFUSED,
-                "job={job} status=404 cause=no-such-job partition={partition}"
-            );
-            return plain(StatusCode::NOT_FOUND, "no such job");
+        match exists(node, partition, job, organisation) {
+            Some(true) => {}
+            Some(false) => return no_such_job(job, partition),
+            None => return repeat_elsewhere(job, PARTITION_DROPPED),
         }
     }
     match call {
@@ -178,15 +176,27 @@
     }
 }
 
+fn no_such_job(job: &str, partition: usize) -> Response<Body> {
+    log_event!(
+        JOB_REFUSED,
+        "job={job} status=404 cause=no-such-job partition={partition}"
+    );
+    plain(StatusCode::NOT_FOUND, "no such job")
+}
+
+/// Returns whether this instance knows the job; `None` if the partition is not loaded, so that
+/// nothing is known of its jobs.
 fn exists<P>(
     node: &Arc<Node<P>>,
     partition: usize,
     job: &str,
     organisation: &Organisation,
-) -> bool {
+) -> Option<bool> {
     let state = node.lock();
-    let job = state.partitions[partition].get(job);
-    job.is_some_and(|job| job.organisation == organisation.name)
+    let known = &state.partitions[partition];
+    let job = known.get(job);
+    let exists = job.is_some_and(|job| job.organisation == organisation.name);
+    (exists || known.is_loaded()).then_some(exists)
 }
 
 async fn results<P: Store + Dialect>(
@@ -214,6 +224,9 @@
             if timed_out && job.results.len() <= after && !complete && peer_ahead() {
                 return repeat_elsewhere(id, "a peer has read more of the partition");
             }
+            if timed_out && job.results.len() < after && !complete {
+                return repeat_elsewhere(id, OUTDATED_COPY);
+            }
             if timed_out && job.results.len() < after + 1 && !complete {
                 let next = state.partitions[partition].next();
                 let listed = job.results.len();
@@ -238,6 +251,9 @@
     retry_later(StatusCode::SERVICE_UNAVAILABLE, text, STORE_RETRY)
 }
 
+/// Cause of a rejection because another instance has returned results that are missing here.
+const OUTDATED_COPY: &str = "the caller has read more results than are known here";
+
 /// Cause of a rejection because the partition was dropped while the call was being handled.
 const PARTITION_DROPPED: &str = "this instance dropped the partition";
 
--- a/gateway/src/serve/writer.rs
+++ b/gateway/src/serve/writer.rs
@@ -231,6 +231,10 @@
         records: Vec::new(),
         requests: Vec::new(),
     };
+    // A partition that was dropped meanwhile says nothing about its jobs.
+    if !state.is_loaded() {
+        return prepared;
+    }
     let mut pending = Pending::default();
     let mut bytes = 0;
     let mut later = VecDeque::new();
