gateway: a shared read goes on when one of its callers gives up

A caller waits one second for the end of a partition. If it was the one whose call had started the shared read, the read was cancelled with it and the next caller asked for the same records. The read runs in a task of its own now.

--- a/gateway/src/serve/catch_up.rs
+++ b/gateway/src/serve/catch_up.rs
@@ -35,11 +35,34 @@
 
 /// Reads the partition up to its current end and returns the end offset. Callers that wait at the
 /// same time share one read that starts after all of them have called.
+///
+/// The read goes on if a caller gives up, because the next one needs the same records.
 pub(crate) async fn catch_up<P: Store + Dialect>(
     node: &Arc<Node<P>>,
     partition: u32,
 ) -> Result<u64, StoreError> {
     let called = Instant::now();
+    let (tx, rx) = async_channel::bounded(1);
+    let reader = node.clone();
+    let read = async move {
+        let result = shared_read(&reader, partition, called).await;
+        // Sending fails if the caller has given up.
+        let _ = tx.try_send(result);
+    };
+    node.spawner.spawn(read).detach();
+    rx.recv().await.unwrap_or_else(|_| {
+        Err(StoreError::NotDone {
+            reason: "the process is shutting down".to_owned(),
+        })
+    })
+}
+
+/// Returns the result of a read to the end that started after `called`.
+async fn shared_read<P: Store + Dialect>(
+    node: &Arc<Node<P>>,
+    partition: u32,
+    called: Instant,
+) -> Result<u64, StoreError> {
     let mut last = node.catch_ups[partition as usize].0.lock().await;
     if let Some(last) = last.as_ref().filter(|last| last.started >= called) {
         return last.result.clone();
