--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -55,7 +55,7 @@
     AddressQuery, CallHead, DecodeError, Dialect, Forward, ItemRequest, JobCall, Page, Record,
     RecordRange, ResponseHead, ResultView, Store, StoreError, Topic,
 };
-pub use positions::{CallKind, Freshness, Position, forward_targets, runners};
+pub use positions::{CallKind, PartitionFreshness, Position, forward_targets, runners};
 pub use quota::{OrganisationKey, OverQuota, Quotas, Tolerance};
 pub use replicas::{owner, replicas};
 pub use report::{BatchRun, ItemKey, Report};
--- a/gateway/src/positions.rs
+++ b/gateway/src/positions.rs
@@ -49,9 +49,9 @@
     }
 }
 
-/// Freshness of this instance's copy of a partition.
+/// PartitionFreshness of this instance's copy of a partition.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Freshness {
+pub struct PartitionFreshness {
     /// Whether the store fails to respond to reads.
     pub lost: bool,
     /// Highest offset that a peer reported, and since when this instance has been behind a peer.
@@ -62,7 +62,7 @@
     repeated_from: Option<u64>,
 }
 
-impl Freshness {
+impl PartitionFreshness {
     /// Records that a peer has read up to `peer_offset`.
     pub fn peer_advanced(&mut self, peer_offset: u64, own: u64, now: Timestamp) {
         self.advanced(own);
@@ -114,7 +114,7 @@
 /// handles it. `own` is the offset up to which it has read the partition, if it is a replica.
 pub fn forward_targets<'a>(
     own: Option<u64>,
-    freshness: &Freshness,
+    freshness: &PartitionFreshness,
     kind: CallKind,
     peers: impl IntoIterator<Item = (&'a str, Position)>,
     now: Timestamp,
--- a/gateway/src/serve/follow.rs
+++ b/gateway/src/serve/follow.rs
@@ -69,7 +69,7 @@
             wait: ms(1_000),
             pause: ms(0),
         },
-        // Every backend server writes once a second; a leaving one must be detected within two.
+        // A leaving backend server must be detected within two seconds.
         Topic::Backends => ReadTiming {
             wait: ms(1_000),
             pause: ms(350),
--- a/gateway/src/serve/node.rs
+++ b/gateway/src/serve/node.rs
@@ -55,7 +55,7 @@
 use crate::platform::Record;
 use crate::positions::{
     CallKind,
-    Freshness,
+    PartitionFreshness,
     Position,
     forward_targets,
     runners, //
@@ -92,8 +92,8 @@
     pub(crate) partitions: Vec<Partition>,
     /// Whether this instance is a replica of each partition, in their order.
     pub(crate) replica_status: Vec<ReplicaStatus>,
-    /// Freshness of each partition, in their order.
-    pub(crate) freshness: Vec<Freshness>,
+    /// PartitionFreshness of each partition, in their order.
+    pub(crate) freshness: Vec<PartitionFreshness>,
     pub(crate) items: OpenItems,
     pub(crate) runs: RunHandles,
     /// Random number generator for routing and placement.
@@ -301,7 +301,7 @@
             speeds: Speeds::default(),
             quotas: Quotas::new(settings.tolerance),
             replica_status: vec![ReplicaStatus::Inactive; partitions.len()],
-            freshness: vec![Freshness::default(); partitions.len()],
+            freshness: vec![PartitionFreshness::default(); partitions.len()],
             partitions,
             items: OpenItems::default(),
             runs: RunHandles::default(),
--- a/gateway/src/serve/peers.rs
+++ b/gateway/src/serve/peers.rs
@@ -285,6 +285,10 @@
         }
     };
     let Some(record) = record else {
+        log_event!(
+            CONFIG_FETCH_FAILED,
+            "peer={peer} cause=\"the response is no record\""
+        );
         return;
     };
     match node.platform.configuration(&record) {
--- a/gateway/tests/positions.rs
+++ b/gateway/tests/positions.rs
@@ -2,7 +2,7 @@
 
 use limpetweir_gateway::{
     CallKind,
-    Freshness,
+    PartitionFreshness,
     Position,
     forward_targets,
     runners, //
@@ -31,7 +31,7 @@
 #[case::end(CallKind::End)]
 #[case::submit(CallKind::Submit)]
 fn calls_go_to_the_peer_that_has_read_most(#[case] kind: CallKind) {
-    let mut freshness = Freshness::default();
+    let mut freshness = PartitionFreshness::default();
     freshness.peer_advanced(60, 4, at(0));
     freshness.lost = true;
     let peers = [
@@ -49,9 +49,9 @@
 /// no longer return.
 #[test]
 fn an_instance_that_is_behind_forwards_reads() {
-    let mut freshness = Freshness::default();
+    let mut freshness = PartitionFreshness::default();
     let peers = [("b", position(60, true))];
-    let read = |freshness: &Freshness, now| {
+    let read = |freshness: &PartitionFreshness, now| {
         let peers = forward_targets(Some(4), freshness, CallKind::Read, peers, now);
         peers.len()
     };
@@ -68,7 +68,7 @@
 /// Guards against calls that are forwarded repeatedly while the store responds to no instance.
 #[test]
 fn without_a_target_calls_are_answered_locally() {
-    let mut freshness = Freshness::default();
+    let mut freshness = PartitionFreshness::default();
     freshness.lost = true;
     let lost = [("b", position(60, false))];
     let older = [("b", position(3, true))];
@@ -81,7 +81,13 @@
 #[test]
 fn an_instance_without_a_position_forwards_calls() {
     let peers = [("b", position(0, true))];
-    let targets = forward_targets(None, &Freshness::default(), CallKind::Read, peers, at(0));
+    let targets = forward_targets(
+        None,
+        &PartitionFreshness::default(),
+        CallKind::Read,
+        peers,
+        at(0),
+    );
     assert_eq!(targets, ["b"]);
 }
 
@@ -100,7 +106,7 @@
 /// for the next record.
 #[test]
 fn a_read_is_repeated_once_for_each_own_offset() {
-    let mut freshness = Freshness::default();
+    let mut freshness = PartitionFreshness::default();
     freshness.peer_advanced(60, 4, at(0));
     assert!(
         !freshness.should_repeat_read(4, at(50)),
@@ -127,7 +133,7 @@
 /// the store spends its bandwidth on reads that nobody waits for.
 #[test]
 fn a_repeated_read_is_not_interrupted_while_peers_read_on() {
-    let mut freshness = Freshness::default();
+    let mut freshness = PartitionFreshness::default();
     let mut repeated = 0;
     for n in 0..90 {
         let now = at(n * 33);
@@ -142,7 +148,7 @@
 /// every page twice.
 #[test]
 fn the_read_of_the_next_page_is_not_interrupted_at_once() {
-    let mut freshness = Freshness::default();
+    let mut freshness = PartitionFreshness::default();
     freshness.peer_advanced(60, 4, at(0));
     assert!(freshness.should_repeat_read(4, at(100)));
     freshness.advanced(30);
