gateway: the configuration is confirmed only by a read to the end of its partition

A read that returns a part of the missed versions does not show that the last of them is the newest one. Two comments that a renaming had spoilt are corrected.

--- a/gateway/src/positions.rs
+++ b/gateway/src/positions.rs
@@ -49,7 +49,7 @@
     }
 }
 
-/// PartitionFreshness of this instance's copy of a partition.
+/// Freshness of this instance's copy of a partition.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct PartitionFreshness {
     /// Whether the store fails to respond to reads.
--- a/gateway/src/serve/follow.rs
+++ b/gateway/src/serve/follow.rs
@@ -303,7 +303,7 @@
         }
     }
     cursor.next = range.from + count;
-    if topic == Topic::Configuration {
+    if topic == Topic::Configuration && cursor.next >= range.end {
         confirm_config(node, cursor.as_of(count > 0, node.now()));
     }
     mark_read(node, topic, partition, cursor.next);
--- a/gateway/src/serve/node.rs
+++ b/gateway/src/serve/node.rs
@@ -92,7 +92,7 @@
     pub(crate) partitions: Vec<Partition>,
     /// Whether this instance is a replica of each partition, in their order.
     pub(crate) replica_status: Vec<ReplicaStatus>,
-    /// PartitionFreshness of each partition, in their order.
+    /// Freshness of each partition, in their order.
     pub(crate) freshness: Vec<PartitionFreshness>,
     pub(crate) items: OpenItems,
     pub(crate) runs: RunHandles,
