gateway: lines and a counter for runs whose connection ends before the answer

LW2508 names the request, the parts, whether a head had arrived and the parts of the output; limpetweir_runs_lost counts by output. No change of logic.

--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 mod placement;
 mod platform;
 mod positions;
+mod prompt;
 mod quota;
 mod replicas;
 mod report;
@@ -56,6 +57,7 @@
     RecordRange, ResponseHead, ResultView, Store, StoreError, Topic,
 };
 pub use positions::{CallKind, PartitionFreshness, Position, forward_targets, runners};
+pub use prompt::{PartKey, SharedParts};
 pub use quota::{OrganisationKey, OverQuota, Quotas, Tolerance};
 pub use replicas::{owner, replicas};
 pub use report::{BatchRun, ItemKey, Report};
--- a/gateway/src/platform.rs
+++ b/gateway/src/platform.rs
@@ -18,6 +18,7 @@
 use crate::backend::BackendEntry;
 use crate::config::Configuration;
 use crate::jobs::NewItem;
+use crate::prompt::SharedParts;
 
 /// A set of records in the store, with its own partitions.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, strum::Display, strum::IntoStaticStr)]
@@ -171,6 +172,8 @@
     pub tokens: Option<(u64, u64)>,
     /// Identifiers of shared parts of the prompt, in order, with their lengths in tokens.
     pub prefix: Vec<(u64, u32)>,
+    /// The parts of the prompt that other requests may have too.
+    pub shared_parts: SharedParts,
 }
 
 /// Values that the gateway adds to a request to a backend server.
@@ -283,6 +286,9 @@
         forward: &Forward<'_>,
     ) -> Result<Request<Bytes>, DecodeError>;
 
+    /// Decodes the parts of an item's prompt that other requests may have too.
+    fn shared_parts(&self, headers: &[(String, String)]) -> SharedParts;
+
     /// Decodes the head of a response.
     fn response(&self, head: &response::Parts) -> ResponseHead;
 
--- /dev/null
+++ b/gateway/src/prompt.rs
@@ -0,0 +1,71 @@
+//! Parts of prompts, as far as requests share them.
+
+use std::fmt;
+use std::num::ParseIntError;
+use std::ops::Deref;
+use std::str::FromStr;
+use std::sync::Arc;
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Identifier of a part of a prompt, the same on all instances.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Deserialize, Serialize)]
+pub struct PartKey(pub u64);
+
+impl PartKey {
+    /// Returns the key of the part that callers call `id`: the number, or the hash of any other
+    /// text.
+    pub fn of(id: &str) -> Self {
+        let number = u64::from_str_radix(id, 16);
+        Self(number.unwrap_or_else(|_| xxh3_64(id.as_bytes())))
+    }
+}
+
+impl fmt::Display for PartKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:x}", self.0)
+    }
+}
+
+impl FromStr for PartKey {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        u64::from_str_radix(text, 16).map(Self)
+    }
+}
+
+/// The parts of a prompt that other requests may have too: all but the last one, which belongs to
+/// the request itself. Clones share the list.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct SharedParts(Arc<[PartKey]>);
+
+impl From<Vec<PartKey>> for SharedParts {
+    fn from(parts: Vec<PartKey>) -> Self {
+        Self(parts.into())
+    }
+}
+
+impl Deref for SharedParts {
+    type Target = [PartKey];
+
+    fn deref(&self) -> &Self::Target {
+        &self.0
+    }
+}
+
+impl fmt::Display for SharedParts {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (place, part) in self.0.iter().enumerate() {
+            if place > 0 {
+                f.write_str(",")?;
+            }
+            part.fmt(f)?;
+        }
+        Ok(())
+    }
+}
--- a/gateway/src/serve/lines.rs
+++ b/gateway/src/serve/lines.rs
@@ -120,6 +120,8 @@
 pub(crate) const STREAM_RESUMED: Event = Event::new(2506, Level::Info);
 /// An online request was placed on a backend server.
 pub(crate) const PLACED: Event = Event::new(2507, Level::Info);
+/// The connection of a run ended before its response did.
+pub(crate) const RUN_LOST: Event = Event::new(2508, Level::Warn);
 /// A call about a batch job succeeded.
 pub(crate) const JOB_CALL: Event = Event::new(2601, Level::Info);
 /// A call about a batch job was rejected.
--- a/gateway/src/serve/metrics.rs
+++ b/gateway/src/serve/metrics.rs
@@ -35,6 +35,7 @@
     store_calls: Counter<u64>,
     store_call_time: Histogram<f64>,
     store_bytes: Counter<u64>,
+    runs_lost: Counter<u64>,
     lines_dropped: Counter<u64>,
 }
 
@@ -80,6 +81,10 @@
                 "limpetweir_store_read_bytes",
                 "Bytes of the records read from the store",
             ),
+            runs_lost: counter(
+                "limpetweir_runs_lost",
+                "Runs whose connection ended before the answer, with or without output",
+            ),
             lines_dropped: counter("limpetweir_log_lines_dropped", "Log lines not written"),
             registry,
             _provider: provider,
@@ -118,6 +123,12 @@
         self.store_call_time.record(seconds, &labels[..2]);
     }
 
+    /// Counts a run whose connection ended before its response did.
+    pub(crate) fn run_lost(&self, any_output: bool) {
+        let output = if any_output { "some" } else { "none" };
+        self.runs_lost.add(1, &[KeyValue::new("output", output)]);
+    }
+
     /// Counts dropped log lines.
     pub(crate) fn lines_dropped(&self, count: u64) {
         self.lines_dropped.add(count, &[]);
--- a/gateway/src/serve/mod.rs
+++ b/gateway/src/serve/mod.rs
@@ -16,6 +16,7 @@
 mod replies;
 mod reports;
 mod results;
+mod run_watch;
 mod runs;
 mod store_calls;
 mod writer;
--- a/gateway/src/serve/online.rs
+++ b/gateway/src/serve/online.rs
@@ -50,6 +50,7 @@
     plain,
     retry_later, //
 };
+use super::run_watch::RunWatch;
 use super::{
     forwarding,
     job_calls, //
@@ -68,6 +69,7 @@
     Store, //
 };
 use crate::positions::CallKind;
+use crate::prompt::SharedParts;
 use crate::routing::{
     Denial,
     Destination,
@@ -91,6 +93,8 @@
 pub(crate) struct Admitted {
     pub(crate) head: request::Parts,
     pub(crate) call: CallHead,
+    /// Parts of the prompt that other requests may have too.
+    pub(crate) parts: SharedParts,
     pub(crate) body: Bytes,
     pub(crate) route: Arc<Route>,
     pub(crate) service: String,
@@ -156,6 +160,7 @@
     let caller_timeout = call.caller_timeout.unwrap_or(DEFAULT_CALLER_TIMEOUT);
     let service = route.service(node.lock().rng.random()).to_owned();
     let admitted = Admitted {
+        parts: call.shared_parts.clone(),
         deadline: arrived + caller_timeout.min(route.timeout),
         head,
         call,
@@ -459,6 +464,11 @@
         }
         Err(err) => {
             suspect(node, key, &err.to_string());
+            if err.is_lost_run() {
+                let id = &admitted.call.request_id;
+                let watch = RunWatch::new(id, &admitted.parts, placed.entry.clone());
+                watch.connection_lost(node, false);
+            }
             match err.verdict() {
                 Verdict::NotRun => Attempt::NotRun(err.to_string()),
                 Verdict::MayHaveRun | Verdict::Ran => Attempt::MayHaveRun(err.to_string()),
--- a/gateway/src/serve/relay.rs
+++ b/gateway/src/serve/relay.rs
@@ -44,6 +44,7 @@
     send,
     suspect, //
 };
+use super::run_watch::RunWatch;
 use super::runs::PaceMeter;
 use crate::platform::{
     Dialect,
@@ -70,6 +71,8 @@
     CallerDisconnected,
     /// The deadline of the request has expired.
     Deadline,
+    /// The connection to the backend server ended before the response did.
+    ConnectionLost(String),
     /// The backend server ended the response early or became unresponsive.
     Backend(String),
 }
@@ -116,10 +119,15 @@
         let backend = source.placed.entry.id.clone();
         let key = source.placed.key;
         let body = source.response.into_body();
+        let entry = source.placed.entry.clone();
+        let mut watch = RunWatch::new(id, &admitted.parts, entry);
         let result = if events {
             {
                 let mut pace = PaceMeter::new(key);
-                let on_event = || pace.event(node);
+                let on_event = || {
+                    pace.event(node);
+                    watch.output();
+                };
                 forward_events(
                     &admitted,
                     &mut history,
@@ -132,7 +140,8 @@
                 .await
             }
         } else {
-            forward_bytes(&admitted, body, &sender, &mut forwarded).await
+            let on_chunk = || watch.output();
+            forward_bytes(&admitted, body, &sender, &mut forwarded, on_chunk).await
         };
         drop(source.placed);
         let interruption = match result {
@@ -155,6 +164,9 @@
             }
             Err(interruption) => interruption,
         };
+        if matches!(interruption, Interruption::ConnectionLost(_)) {
+            watch.connection_lost(node, true);
+        }
         let cause = match interruption {
             Interruption::CallerDisconnected => {
                 let ms = admitted.arrived.elapsed().as_millis();
@@ -168,7 +180,7 @@
                 return;
             }
             Interruption::Deadline => "the deadline of the request has expired".to_owned(),
-            Interruption::Backend(cause) => {
+            Interruption::Backend(cause) | Interruption::ConnectionLost(cause) => {
                 suspect(node, key, &cause);
                 let may_resume = resumable && history.runs < admitted.route.attempts;
                 let next = if may_resume {
@@ -233,6 +245,9 @@
                         return Ok(Some(bytes));
                     }
                 }
+                Some(Err(err)) if err.is_interrupted() => {
+                    return Err(Interruption::ConnectionLost(err.to_string()));
+                }
                 Some(Err(err)) => return Err(Interruption::Backend(err.to_string())),
             }
         }
@@ -254,11 +269,13 @@
     mut body: ClientBody,
     sender: &BodySender,
     forwarded: &mut Forwarded,
+    mut on_chunk: impl FnMut(),
 ) -> Result<(), Interruption> {
     while let Some(bytes) = next_chunk(admitted, &mut body, sender, None).await? {
         forwarded
             .first
             .get_or_insert_with(|| admitted.arrived.elapsed());
+        on_chunk();
         sender
             .send(bytes)
             .await
@@ -336,6 +353,11 @@
         let response = match send(node, admitted, history, &placed).await {
             Ok(response) => response,
             Err(err) => {
+                if err.is_lost_run() {
+                    let entry = placed.entry.clone();
+                    let watch = RunWatch::new(id, &admitted.parts, entry);
+                    watch.connection_lost(node, false);
+                }
                 let verdict = err.verdict();
                 log_event!(
                     ATTEMPT_FAILED,
--- a/gateway/src/serve/runs.rs
+++ b/gateway/src/serve/runs.rs
@@ -29,6 +29,7 @@
     State, //
 };
 use super::online::suspect;
+use super::run_watch::RunWatch;
 use super::writer::{
     self,
     WriteError, //
@@ -163,7 +164,10 @@
         )
     };
     let mut progress = std::mem::take(&mut run.progress);
-    let (end, cause) = future::or(stop, stream(&node, &run, &mut progress)).await;
+    let parts = node.platform.shared_parts(&run.item.headers);
+    let mut watch = RunWatch::new(&run.item.id, &parts, run.entry.clone());
+    let running = stream(&node, &run, &mut progress, &mut watch);
+    let (end, cause) = future::or(stop, running).await;
     if matches!(end, RunEnd::Broken) {
         suspect(&node, run.backend, &cause);
     }
@@ -218,6 +222,7 @@
     node: &Arc<Node<P>>,
     run: &Run,
     progress: &mut Progress,
+    watch: &mut RunWatch<'_>,
 ) -> (RunEnd, String) {
     let request = ItemRequest {
         id: &run.item.id,
@@ -251,7 +256,12 @@
     };
     let response = match sent {
         Ok(response) => response,
-        Err(err) => return (RunEnd::Broken, err.to_string()),
+        Err(err) => {
+            if err.is_lost_run() {
+                watch.connection_lost(node, false);
+            }
+            return (RunEnd::Broken, err.to_string());
+        }
     };
     let (head, body) = response.into_parts();
     let decoded = node.platform.response(&head);
@@ -273,6 +283,7 @@
                 run.backend,
                 Response::from_parts(head, body),
                 progress,
+                watch,
             )
             .await
         }
@@ -324,6 +335,7 @@
     backend: BackendKey,
     response: Response<ClientBody>,
     progress: &mut Progress,
+    watch: &mut RunWatch<'_>,
 ) -> (RunEnd, String) {
     let mut body = response.into_body();
     let mut pace = PaceMeter::new(backend);
@@ -333,7 +345,12 @@
         let frame = timeout_at(progressed + STALL_TIMEOUT, body.frame()).await;
         let bytes = match frame {
             None => return (RunEnd::Broken, "no event arrived in time".to_owned()),
-            Some(Some(Err(err))) => return (RunEnd::Broken, err.to_string()),
+            Some(Some(Err(err))) => {
+                if err.is_interrupted() {
+                    watch.connection_lost(node, true);
+                }
+                return (RunEnd::Broken, err.to_string());
+            }
             Some(None) => break,
             Some(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
         };
@@ -354,6 +371,7 @@
             progress.last = id;
             progress.data.push(event.data);
             pace.event(node);
+            watch.output();
         }
     }
     if splitter.is_partial() {
--- a/transport/src/http/body.rs
+++ b/transport/src/http/body.rs
@@ -72,6 +72,11 @@
 }
 
 impl BodyError {
+    /// Returns whether the connection ended before the body did.
+    pub fn is_interrupted(&self) -> bool {
+        matches!(self, Self::Interrupted { .. })
+    }
+
     /// Returns the verdict on the request; always `MayHaveRun`, because a response body is only
     /// read after the response head.
     pub fn verdict(&self) -> Verdict {
--- a/transport/src/http/client.rs
+++ b/transport/src/http/client.rs
@@ -152,6 +152,11 @@
 }
 
 impl ClientError {
+    /// Returns whether the server ended the connection of a request that may have run.
+    pub fn is_lost_run(&self) -> bool {
+        matches!(self, Self::Closed { verdict, .. } if *verdict != Verdict::NotRun)
+    }
+
     /// Returns whether the request may have run.
     ///
     /// It is `NotRun` as long as no byte of the request was written to the operating system.
