--- a/gateway/src/backend.rs
+++ b/gateway/src/backend.rs
@@ -71,7 +71,8 @@
 }
 
 impl Backend {
-    fn accepts_requests(&self, now: Timestamp) -> bool {
+    /// Returns whether the server accepts new requests: it is not about to leave.
+    pub(crate) fn accepts_requests(&self, now: Timestamp) -> bool {
         let leaving = self.leaving_reported;
         let leaving = leaving.is_some_and(|at| now.since(at) < LEAVING_VALID_FOR);
         !self.entry.draining && !leaving
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 mod config;
 mod config_fetch;
 mod config_freshness;
+mod crash_message;
 mod instance;
 mod item_time;
 mod jobs;
@@ -20,6 +21,7 @@
 mod platform;
 mod positions;
 mod prompt;
+mod quarantine;
 mod quota;
 mod replicas;
 mod report;
@@ -41,6 +43,7 @@
 };
 pub use config_fetch::ConfigFetch;
 pub use config_freshness::ConfigFreshness;
+pub use crash_message::{CaseRecord, CaseRecordError};
 pub use instance::{Instance, InstanceRecord, InstanceRecordError};
 pub use item_time::ItemTime;
 pub use jobs::{
@@ -58,6 +61,7 @@
 };
 pub use positions::{CallKind, PartitionFreshness, Position, forward_targets, runners};
 pub use prompt::{PartKey, SharedParts};
+pub use quarantine::{Case, CaseChange, Cleared, Crash, CrashKey, CrashNews, Hold, Quarantine};
 pub use quota::{OrganisationKey, OverQuota, Quotas, Tolerance};
 pub use replicas::{owner, replicas};
 pub use report::{BatchRun, ItemKey, Report};
--- a/gateway/src/open_items.rs
+++ b/gateway/src/open_items.rs
@@ -80,6 +80,8 @@
     pub not_before: Timestamp,
     /// Backend server of the last failed run.
     pub avoid: Option<BackendKey>,
+    /// Whether it has waited because of parts of its prompt that crash backend servers.
+    pub held_back: bool,
 }
 
 /// Result of a run.
@@ -310,6 +312,7 @@
             failures: 0,
             not_before: Timestamp::default(),
             avoid: None,
+            held_back: false,
         }
     }
 
--- a/gateway/src/prompt.rs
+++ b/gateway/src/prompt.rs
@@ -57,15 +57,3 @@
         &self.0
     }
 }
-
-impl fmt::Display for SharedParts {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        for (place, part) in self.0.iter().enumerate() {
-            if place > 0 {
-                f.write_str(",")?;
-            }
-            part.fmt(f)?;
-        }
-        Ok(())
-    }
-}
--- /dev/null
+++ b/gateway/src/quarantine.rs
@@ -0,0 +1,683 @@
+//! Attribution of crashes of backend servers to parts of prompts, and the parts that are held back.
+//!
+//! Load pattern: a request with a certain part crashes each server that begins to write its answer,
+//! and such requests arrive at any instance. A crash ends all runs of the server at once, up to all
+//! of its slots and its queue; the runs without output are the suspects. Parts are shared by many
+//! requests, so a part that is in a suspected run is usually sound, and soon begins elsewhere.
+//!
+//! A part is blamed after several crashes at different moments in which it was suspected and
+//! between which no run with it wrote output on any server. Parts that were suspected in exactly
+//! these crashes cannot be told apart; they form a *case*, and only a request that has all of
+//! them is held back. A part leaves its case when a run with it writes output. When a server
+//! crashes under a run with only some of the parts of a case, these form another one.
+
+use std::collections::{
+    BTreeMap,
+    BTreeSet,
+    HashMap,
+    HashSet, //
+};
+use std::time::Duration;
+
+use limpetweir_state::Timestamp;
+
+use crate::prompt::PartKey;
+
+/// Crashes at different moments after which a part is blamed. Two can be the chance of a part that
+/// is rarely used; five are all that may happen before the bound on further requests applies.
+const BLAMED_AFTER: usize = 3;
+
+/// Time between two crashes that count as different moments. Servers that crash together have a
+/// common cause, and a request is on one server at a time.
+const MOMENT: Duration = Duration::from_millis(100);
+
+/// Time from the beginning of a case to the first probe.
+const FIRST_PROBE: Duration = Duration::from_secs(2);
+
+/// Factor between the times to two successive probes.
+const PROBE_BACKOFF: u32 = 5;
+
+/// Longest time between two probes.
+const MAX_PROBE_INTERVAL: Duration = Duration::from_secs(3_600);
+
+/// Time for which a crash counts as evidence.
+const EVIDENCE_LIFETIME: Duration = Duration::from_secs(600);
+
+/// Time after its last crash for which a case is kept.
+const CASE_LIFETIME: Duration = Duration::from_secs(24 * 3_600);
+
+/// Time for which a change that this instance has observed is repeated to all others, so that a
+/// lost datagram does not matter.
+const NEWS_LIFETIME: Duration = Duration::from_millis(700);
+
+/// Maximum number of remembered crashes.
+const MAX_CRASHES: usize = 64;
+
+/// Maximum number of suspected parts of one run. The caller determines the number of parts.
+const MAX_RUN_SUSPECTS: usize = 16;
+
+/// Maximum number of suspected parts of one crash.
+const MAX_CRASH_SUSPECTS: usize = 64;
+
+/// Maximum number of cases.
+const MAX_CASES: usize = 32;
+
+/// Maximum number of parts of which the last output is remembered.
+const MAX_BEGUN: usize = 1_024;
+
+/// Maximum number of crashes in a digest, so that it fits into a datagram.
+const MAX_DIGEST_CRASHES: usize = 24;
+
+/// Maximum number of sound parts in a digest, for the same reason.
+const MAX_DIGEST_CLEARED: usize = 256;
+
+/// Maximum number of servers that a case lists.
+const MAX_CASE_SERVERS: usize = 5;
+
+/// Identity of one crash: of one run of one backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct CrashKey(pub u64);
+
+/// A crash of a backend server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Crash {
+    /// Identity of the crash, the same on all instances.
+    pub key: CrashKey,
+    /// Identifier of the backend server.
+    pub server: String,
+    /// Instance that has seen it first.
+    pub seen_by: String,
+    /// Time since the crash.
+    pub age: Duration,
+    /// Shared parts of the runs on the server that had no output.
+    pub suspects: Vec<PartKey>,
+}
+
+/// A part with which a run wrote output.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Cleared {
+    /// The part.
+    pub part: PartKey,
+    /// Time since the output.
+    pub age: Duration,
+}
+
+/// Parts that crash backend servers together, as sent to other instances.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Case {
+    /// The parts that cannot be told apart; never empty. Requests with all of them are held back.
+    pub parts: BTreeSet<PartKey>,
+    /// Crashes that are attributed to it.
+    pub crashes: u32,
+    /// Some of the servers that crashed.
+    pub servers: Vec<String>,
+    /// Time since the first of the crashes.
+    pub age: Duration,
+    /// Number of probes since then.
+    pub probes: u32,
+    /// Time until the next probe.
+    pub probe_in: Duration,
+}
+
+/// What an instance tells others about crashes.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct CrashNews {
+    /// Crashes.
+    pub crashes: Vec<Crash>,
+    /// Parts that are sound.
+    pub cleared: Vec<Cleared>,
+    /// Open cases.
+    pub cases: Vec<Case>,
+}
+
+impl CrashNews {
+    /// Returns whether there is nothing to tell.
+    pub fn is_empty(&self) -> bool {
+        self.crashes.is_empty() && self.cleared.is_empty() && self.cases.is_empty()
+    }
+}
+
+/// A change of the open cases.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CaseChange {
+    /// Requests with the parts of this case are held back from now on.
+    Opened(Case),
+    /// They are served again.
+    Closed(Case),
+}
+
+/// Why a request is held back.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Hold {
+    /// The case.
+    pub case: Case,
+    /// Whether the request may be sent as the next probe.
+    pub probe_due: bool,
+}
+
+/// A crash with the time at which it happened.
+#[derive(Clone, Debug)]
+struct KnownCrash {
+    server: String,
+    seen_by: String,
+    at: Timestamp,
+    suspects: BTreeSet<PartKey>,
+    /// When this instance observed it or a part of it.
+    observed: Option<Timestamp>,
+}
+
+/// Last output of runs with a part.
+#[derive(Clone, Copy, Debug, Default)]
+struct Begun {
+    /// When a run of any instance wrote output, as far as this instance knows.
+    at: Timestamp,
+    /// The latest such time that the other instances know.
+    told: Timestamp,
+    /// When this instance told the others.
+    observed: Option<Timestamp>,
+}
+
+/// A case with its times.
+#[derive(Clone, Debug)]
+struct OpenCase {
+    parts: BTreeSet<PartKey>,
+    crashes: u32,
+    servers: Vec<String>,
+    /// Time of the first crash. A part that wrote output later is not in the case.
+    since: Timestamp,
+    probes: u32,
+    probe_at: Timestamp,
+    /// When this instance changed it.
+    observed: Option<Timestamp>,
+}
+
+impl OpenCase {
+    fn holds(&self, parts: &[PartKey]) -> bool {
+        self.parts.iter().all(|part| parts.contains(part))
+    }
+
+    fn explains(&self, crash: &KnownCrash) -> bool {
+        self.parts.is_subset(&crash.suspects)
+    }
+
+    fn to_case(&self, now: Timestamp) -> Case {
+        Case {
+            parts: self.parts.clone(),
+            crashes: self.crashes,
+            servers: self.servers.clone(),
+            age: now.since(self.since),
+            probes: self.probes,
+            probe_in: self.probe_at.since(now),
+        }
+    }
+
+    fn count_probe(&mut self, now: Timestamp) {
+        self.probes += 1;
+        self.probe_at = now + probe_interval(self.probes);
+    }
+
+    fn count(&mut self, server: &str) {
+        self.crashes += 1;
+        if self.servers.len() < MAX_CASE_SERVERS {
+            self.servers.push(server.to_owned());
+        }
+    }
+}
+
+/// Returns a time on a clock that began [`CASE_LIFETIME`] before the process, on which the ages that
+/// other instances tell can be represented.
+fn since_origin(time: Timestamp) -> Timestamp {
+    time + CASE_LIFETIME
+}
+
+/// Returns the time from a probe with this number, counted from 0, to the next one.
+fn probe_interval(probes: u32) -> Duration {
+    let factor = PROBE_BACKOFF.saturating_pow(probes);
+    FIRST_PROBE.saturating_mul(factor).min(MAX_PROBE_INTERVAL)
+}
+
+/// Crashes of backend servers and the parts that are held back, as known to this instance.
+#[derive(Debug, Default)]
+pub struct Quarantine {
+    crashes: BTreeMap<CrashKey, KnownCrash>,
+    /// Only of parts that are suspected, or that another instance has cleared.
+    begun: HashMap<PartKey, Begun>,
+    cases: Vec<OpenCase>,
+    /// All parts in `crashes`, `begun` and `cases`.
+    suspected: HashSet<PartKey>,
+}
+
+impl Quarantine {
+    /// Returns whether nothing is known, as long as no backend server has crashed.
+    pub fn is_empty(&self) -> bool {
+        self.crashes.is_empty() && self.cases.is_empty()
+    }
+
+    /// Returns whether any request may be held back.
+    pub fn has_cases(&self) -> bool {
+        !self.cases.is_empty()
+    }
+
+    /// Returns the open cases.
+    pub fn cases(&self, now: Timestamp) -> impl Iterator<Item = Case> {
+        let now = since_origin(now);
+        self.cases.iter().map(move |case| case.to_case(now))
+    }
+
+    /// Returns why a request with these parts is held back.
+    pub fn hold(&self, parts: &[PartKey], now: Timestamp) -> Option<Hold> {
+        let now = since_origin(now);
+        let holding = || self.cases.iter().filter(|case| case.holds(parts));
+        let case = holding().min_by_key(|case| case.parts.len())?;
+        // A probe with the parts of two cases would show nothing about either of them.
+        let only = holding().all(|other| case.parts.is_subset(&other.parts));
+        Some(Hold {
+            case: case.to_case(now),
+            probe_due: only && case.probe_at <= now,
+        })
+    }
+
+    /// Records that this instance lost a run with these parts and without output in a crash.
+    pub fn crashed(
+        &mut self,
+        key: CrashKey,
+        server: &str,
+        me: &str,
+        parts: &[PartKey],
+        at: Timestamp,
+        now: Timestamp,
+    ) -> Vec<CaseChange> {
+        let (at, now) = (since_origin(at), since_origin(now));
+        let suspects = parts.iter().take(MAX_RUN_SUSPECTS).copied();
+        let known = self.crashes.entry(key).or_insert_with(|| KnownCrash {
+            server: server.to_owned(),
+            seen_by: me.to_owned(),
+            at,
+            suspects: BTreeSet::new(),
+            observed: None,
+        });
+        let before = known.suspects.len();
+        add_suspects(&mut known.suspects, suspects);
+        if known.observed.is_none() || known.suspects.len() > before {
+            known.observed = Some(now);
+        }
+        self.update(now, Some(now))
+    }
+
+    /// Records that a run of this instance with these parts wrote output.
+    pub fn began(&mut self, parts: &[PartKey], now: Timestamp) -> Vec<CaseChange> {
+        let now = since_origin(now);
+        if self.is_empty() {
+            return Vec::new();
+        }
+        let mut held = false;
+        for part in parts {
+            if self.suspected.contains(part) {
+                self.begun.entry(*part).or_default().at = now;
+                held |= self.cases.iter().any(|case| case.parts.contains(part));
+            }
+        }
+        if !held {
+            return Vec::new();
+        }
+        for part in parts {
+            self.tell(*part, now);
+        }
+        self.update(now, None)
+    }
+
+    /// Closes the cases with `part`, as if runs with all of their parts had written output.
+    pub fn close(&mut self, part: PartKey, now: Timestamp) -> Vec<CaseChange> {
+        let cases = self.cases.iter().filter(|case| case.parts.contains(&part));
+        let parts: BTreeSet<PartKey> = cases.flat_map(|case| &case.parts).copied().collect();
+        let parts: Vec<PartKey> = parts.into_iter().collect();
+        self.began(&parts, now)
+    }
+
+    /// Returns the case that a request with these parts would probe, as it is afterwards.
+    pub fn after_probe(&self, parts: &[PartKey], now: Timestamp) -> Option<Case> {
+        let now = since_origin(now);
+        let holding = self.cases.iter().filter(|case| case.holds(parts));
+        let case = holding.min_by_key(|case| case.parts.len())?;
+        let mut case = case.clone();
+        case.count_probe(now);
+        Some(case.to_case(now))
+    }
+
+    /// Records that this instance sends a request with these parts as a probe.
+    pub fn probed(&mut self, parts: &[PartKey], now: Timestamp) -> Option<Case> {
+        let now = since_origin(now);
+        let holding = self.cases.iter_mut().filter(|case| case.holds(parts));
+        let case = holding.min_by_key(|case| case.parts.len())?;
+        case.count_probe(now);
+        case.observed = Some(now);
+        Some(case.to_case(now))
+    }
+
+    /// Applies what another instance tells.
+    pub fn merge(&mut self, news: &CrashNews, now: Timestamp) -> Vec<CaseChange> {
+        let now = since_origin(now);
+        let before: Vec<BTreeSet<PartKey>> = self.cases.iter().map(|c| c.parts.clone()).collect();
+        for crash in &news.crashes {
+            self.merge_crash(crash, now);
+        }
+        for cleared in &news.cleared {
+            let at = now - cleared.age;
+            let begun = self.begun.entry(cleared.part).or_default();
+            begun.at = begun.at.max(at);
+            begun.told = begun.told.max(at);
+        }
+        for case in &news.cases {
+            self.merge_case(case, now);
+        }
+        let adopted = self.cases.iter().filter(|c| !before.contains(&c.parts));
+        let adopted = adopted.map(|case| CaseChange::Opened(case.to_case(now)));
+        let mut changes: Vec<CaseChange> = adopted.collect();
+        changes.extend(self.update(now, None));
+        changes
+    }
+
+    fn merge_crash(&mut self, crash: &Crash, now: Timestamp) {
+        let at = now - crash.age;
+        let known = self.crashes.entry(crash.key).or_insert_with(|| KnownCrash {
+            server: crash.server.clone(),
+            seen_by: crash.seen_by.clone(),
+            at,
+            suspects: BTreeSet::new(),
+            observed: None,
+        });
+        // The clock of an instance that was paused is late, so the older time is the true one.
+        known.at = known.at.min(at);
+        add_suspects(&mut known.suspects, crash.suspects.iter().copied());
+    }
+
+    /// Applies a case of another instance, or of the store.
+    fn merge_case(&mut self, case: &Case, now: Timestamp) {
+        let since = now - case.age;
+        let mut parts = case.parts.clone();
+        parts.retain(|part| self.begun_at(*part) < since);
+        for part in case.parts.difference(&parts) {
+            // The sender has missed this.
+            self.tell(*part, now);
+        }
+        if parts.is_empty() || case.age > CASE_LIFETIME {
+            return;
+        }
+        let probe_at = now + case.probe_in;
+        let mut known = self.cases.iter_mut();
+        if let Some(known) = known.find(|known| known.parts == parts) {
+            known.since = known.since.min(since);
+            known.crashes = known.crashes.max(case.crashes);
+            if case.probes > known.probes {
+                known.probes = case.probes;
+                known.probe_at = probe_at;
+            }
+            return;
+        }
+        self.open(OpenCase {
+            parts,
+            crashes: case.crashes,
+            servers: case.servers.clone(),
+            since,
+            probes: case.probes,
+            probe_at,
+            observed: None,
+        });
+    }
+
+    /// Returns what this instance has observed in the last moments, to be sent to all others.
+    pub fn news(&mut self, now: Timestamp) -> CrashNews {
+        let now = since_origin(now);
+        for part in self.unannounced() {
+            self.tell(part, now);
+        }
+        let is_new =
+            |observed: Option<Timestamp>| observed.is_some_and(|at| now.since(at) < NEWS_LIFETIME);
+        let crashes = self.crashes.iter().filter(|(_, c)| is_new(c.observed));
+        let cleared = self.begun.iter().filter(|(_, b)| is_new(b.observed));
+        let cases = self.cases.iter().filter(|c| is_new(c.observed));
+        CrashNews {
+            crashes: crashes.map(|(key, c)| to_crash(*key, c, now)).collect(),
+            cleared: cleared.map(|(part, b)| to_cleared(*part, b, now)).collect(),
+            cases: cases.map(|c| c.to_case(now)).collect(),
+        }
+    }
+
+    /// Returns what this instance knows, for another one that may have missed it. Crashes that a
+    /// case explains are left out, as the case has all that follows from them.
+    pub fn digest(&self, now: Timestamp) -> CrashNews {
+        let now = since_origin(now);
+        let crashes = self.crashes.iter().filter(|(_, c)| !self.is_explained(c));
+        let mut crashes: Vec<(&CrashKey, &KnownCrash)> = crashes.collect();
+        crashes.sort_by_key(|(_, c)| std::cmp::Reverse(c.at));
+        crashes.truncate(MAX_DIGEST_CRASHES);
+        let told = self
+            .begun
+            .iter()
+            .filter(|(_, b)| b.told > Timestamp::default());
+        let mut cleared: Vec<Cleared> = told.map(|(part, b)| to_cleared(*part, b, now)).collect();
+        cleared.sort_by_key(|cleared| cleared.age);
+        cleared.truncate(MAX_DIGEST_CLEARED);
+        CrashNews {
+            cleared,
+            crashes: crashes
+                .into_iter()
+                .map(|(key, c)| to_crash(*key, c, now))
+                .collect(),
+            cases: self.cases.iter().map(|case| case.to_case(now)).collect(),
+        }
+    }
+
+    fn begun_at(&self, part: PartKey) -> Timestamp {
+        self.begun.get(&part).map_or(Timestamp::default(), |b| b.at)
+    }
+
+    /// Marks the last output of a part as news.
+    fn tell(&mut self, part: PartKey, now: Timestamp) {
+        if let Some(begun) = self.begun.get_mut(&part) {
+            begun.told = begun.at;
+            begun.observed = Some(now);
+        }
+    }
+
+    /// Returns the parts that this instance knows to be sound, while the others may be about to
+    /// blame them.
+    fn unannounced(&self) -> Vec<PartKey> {
+        let begun = self.begun.iter().filter(|(_, b)| b.at > b.told);
+        let parts = begun.filter(|(part, b)| {
+            let crashes = self.crashes.values();
+            let crashes = crashes.filter(|c| c.at > b.told && c.at <= b.at);
+            let crashes = crashes.filter(|c| c.suspects.contains(part));
+            moments(crashes.map(|c| c.at)) + 1 >= BLAMED_AFTER
+        });
+        parts.map(|(part, _)| *part).collect()
+    }
+
+    /// Updates the cases after new evidence, which this instance has `observed` itself or not.
+    fn update(&mut self, now: Timestamp, observed: Option<Timestamp>) -> Vec<CaseChange> {
+        self.drop_old(now);
+        let mut changes = self.clear_cases(now);
+        while let Some(mut case) = self.narrower_case().or_else(|| self.blame(now)) {
+            case.observed = observed;
+            changes.push(CaseChange::Opened(case.to_case(now)));
+            self.open(case);
+        }
+        self.count_crashes();
+        self.update_suspected();
+        changes
+    }
+
+    fn update_suspected(&mut self) {
+        let crashes = self.crashes.values().flat_map(|c| &c.suspects);
+        let cases = self.cases.iter().flat_map(|case| &case.parts);
+        let all = crashes.chain(cases).chain(self.begun.keys());
+        self.suspected = all.copied().collect();
+    }
+
+    /// Removes parts with which a run has written output from their cases. A case that was wrong
+    /// has also explained what the wider ones with its parts were opened for.
+    fn clear_cases(&mut self, now: Timestamp) -> Vec<CaseChange> {
+        let mut closed: Vec<OpenCase> = Vec::new();
+        let begun = &self.begun;
+        let is_sound = |case: &OpenCase, part: &PartKey| {
+            let begun = begun.get(part);
+            begun.is_some_and(|b| b.at >= case.since)
+        };
+        for case in &self.cases {
+            if case.parts.iter().all(|part| is_sound(case, part)) {
+                closed.push(case.clone());
+            }
+        }
+        self.cases.retain_mut(|case| {
+            let wrong = closed.iter().any(|c| c.parts.is_subset(&case.parts));
+            let parts = case.parts.iter().copied();
+            case.parts = parts.filter(|part| !is_sound(case, part)).collect();
+            !wrong && !case.parts.is_empty()
+        });
+        let closed = closed.into_iter();
+        closed
+            .map(|case| CaseChange::Closed(case.to_case(now)))
+            .collect()
+    }
+
+    /// Returns a case with fewer parts than an open one, if a server crashed under a run with only
+    /// these.
+    fn narrower_case(&self) -> Option<OpenCase> {
+        for case in &self.cases {
+            let later = self.crashes.values().filter(|c| c.at >= case.since);
+            for crash in later.filter(|c| !self.is_explained(c)) {
+                let mut parts = case.parts.clone();
+                parts.retain(|part| {
+                    crash.suspects.contains(part) && self.begun_at(*part) < case.since
+                });
+                if !parts.is_empty() {
+                    return Some(OpenCase {
+                        parts,
+                        ..case.clone()
+                    });
+                }
+            }
+        }
+        None
+    }
+
+    fn is_explained(&self, crash: &KnownCrash) -> bool {
+        self.cases.iter().any(|case| case.explains(crash))
+    }
+
+    fn count_crashes(&mut self) {
+        for case in &mut self.cases {
+            let explained = self.crashes.values().filter(|c| case.explains(c)).count();
+            let explained = u32::try_from(explained).unwrap_or(u32::MAX);
+            case.crashes = case.crashes.max(explained);
+        }
+    }
+
+    /// Returns the next case that follows from the crashes which no case explains.
+    fn blame(&self, now: Timestamp) -> Option<OpenCase> {
+        let mut evidence: BTreeMap<PartKey, Vec<&KnownCrash>> = BTreeMap::new();
+        for crash in self.crashes.values().filter(|c| !self.is_explained(c)) {
+            for part in &crash.suspects {
+                if crash.at > self.begun_at(*part) {
+                    evidence.entry(*part).or_default().push(crash);
+                }
+            }
+        }
+        let count = |crashes: &Vec<&KnownCrash>| moments(crashes.iter().map(|c| c.at));
+        let counts = evidence.iter().map(|(part, c)| (count(c), *part));
+        let (count, worst) = counts.max()?;
+        if count < BLAMED_AFTER {
+            return None;
+        }
+        let crashes = evidence.get(&worst)?;
+        let first = crashes.iter().map(|c| c.at).min()?;
+        let always = |part: &PartKey| {
+            self.begun_at(*part) < first && crashes.iter().all(|c| c.suspects.contains(part))
+        };
+        let mut case = OpenCase {
+            parts: evidence.keys().copied().filter(always).collect(),
+            crashes: 0,
+            servers: Vec::new(),
+            since: first,
+            probes: 0,
+            probe_at: now + probe_interval(0),
+            observed: None,
+        };
+        for crash in crashes {
+            case.count(&format!("{}@{}", crash.server, crash.seen_by));
+        }
+        Some(case)
+    }
+
+    fn open(&mut self, case: OpenCase) {
+        if self.cases.len() >= MAX_CASES {
+            let oldest = (0..self.cases.len()).min_by_key(|n| self.cases[*n].since);
+            if let Some(oldest) = oldest {
+                self.cases.remove(oldest);
+            }
+        }
+        self.cases.push(case);
+    }
+
+    /// Drops evidence that is too old or too much.
+    fn drop_old(&mut self, now: Timestamp) {
+        self.crashes
+            .retain(|_, c| now.since(c.at) < EVIDENCE_LIFETIME);
+        self.cases
+            .retain(|case| now.since(case.since) < CASE_LIFETIME);
+        while self.crashes.len() > MAX_CRASHES {
+            let oldest = self.crashes.iter().min_by_key(|(_, c)| c.at);
+            let Some(key) = oldest.map(|(key, _)| *key) else {
+                break;
+            };
+            self.crashes.remove(&key);
+        }
+        while self.begun.len() > MAX_BEGUN {
+            let oldest = self.begun.iter().min_by_key(|(_, b)| b.at);
+            let Some(part) = oldest.map(|(part, _)| *part) else {
+                break;
+            };
+            self.begun.remove(&part);
+        }
+    }
+}
+
+fn add_suspects(suspects: &mut BTreeSet<PartKey>, parts: impl Iterator<Item = PartKey>) {
+    for part in parts {
+        if suspects.len() < MAX_CRASH_SUSPECTS {
+            suspects.insert(part);
+        }
+    }
+}
+
+fn to_crash(key: CrashKey, crash: &KnownCrash, now: Timestamp) -> Crash {
+    Crash {
+        key,
+        server: crash.server.clone(),
+        seen_by: crash.seen_by.clone(),
+        age: now.since(crash.at),
+        suspects: crash.suspects.iter().copied().collect(),
+    }
+}
+
+fn to_cleared(part: PartKey, begun: &Begun, now: Timestamp) -> Cleared {
+    Cleared {
+        part,
+        age: now.since(begun.told),
+    }
+}
+
+/// Returns the number of different moments among these times.
+fn moments(times: impl Iterator<Item = Timestamp>) -> usize {
+    let mut times: Vec<Timestamp> = times.collect();
+    times.sort_unstable();
+    let mut last = None;
+    let distinct = times.into_iter().filter(|at| {
+        let is_distinct = last.is_none_or(|last| at.since(last) >= MOMENT);
+        if is_distinct {
+            last = Some(*at);
+        }
+        is_distinct
+    });
+    distinct.count()
+}
--- a/gateway/src/serve/choose.rs
+++ b/gateway/src/serve/choose.rs
@@ -43,6 +43,7 @@
     Dialect,
     Store, //
 };
+use crate::quarantine::Case;
 
 /// Maximum number of online requests queued at a backend server beyond its slots. With eight slots,
 /// each occupied for 0.75 s, two queued requests wait at most 0.2 s.
@@ -56,6 +57,8 @@
     node: Arc<Node<P>>,
     pub(crate) key: BackendKey,
     pub(crate) entry: Arc<BackendEntry>,
+    /// Whether the request would be held back and may only be sent as a probe.
+    pub(crate) needs_probe: bool,
     started: Instant,
 }
 
@@ -79,8 +82,24 @@
 pub(crate) struct Rejection {
     pub(crate) cause: &'static str,
     pub(crate) retry_after: Duration,
+    /// The parts because of which the request is held back.
+    pub(crate) case: Option<Box<Case>>,
 }
 
+impl Rejection {
+    /// Returns the rejection of a request that is held back because of `case`.
+    pub(crate) fn held(case: Case) -> Self {
+        Self {
+            cause: "held-back",
+            retry_after: case.probe_in.max(MIN_HELD_RETRY),
+            case: Some(Box::new(case)),
+        }
+    }
+}
+
+/// Shortest `Retry-After` of a request that is held back while a probe is due.
+const MIN_HELD_RETRY: Duration = Duration::from_millis(500);
+
 /// Selects a backend server and counts the request in its load.
 pub(crate) fn choose<P: Store + Dialect>(
     node: &Arc<Node<P>>,
@@ -89,6 +108,13 @@
 ) -> Result<PlacedRequest<P>, Rejection> {
     let now = node.now();
     let mut state = node.lock();
+    let hold = state.quarantine.hold(&admitted.parts, now);
+    let hold = hold.filter(|_| !history.is_probe);
+    if let Some(hold) = &hold
+        && (!hold.probe_due || history.runs > 0 || history.last_event.is_some())
+    {
+        return Err(Rejection::held(hold.case.clone()));
+    }
     state.draw_seed = state.rng.random();
     state.update_cells(&node.settings);
     let (candidates, placement) = find_placement(&state, node, admitted, history, now);
@@ -125,6 +151,7 @@
         node: node.clone(),
         key,
         entry,
+        needs_probe: hold.is_some(),
         started: Instant::now(),
     })
 }
@@ -133,6 +160,7 @@
 const NO_BACKEND: Rejection = Rejection {
     cause: "no-backend",
     retry_after: NO_CONFIG_RETRY,
+    case: None,
 };
 
 /// Returns the rejection of a request for which no candidate has free capacity.
@@ -144,6 +172,7 @@
     Rejection {
         cause,
         retry_after: retry_after(running, queued, holding),
+        case: None,
     }
 }
 
--- /dev/null
+++ b/gateway/src/serve/crashes.rs
@@ -0,0 +1,440 @@
+//! Detects crashes of backend servers, tells the other instances about them, and decides with the
+//! store which instance sends a probe.
+
+use std::net::{
+    IpAddr,
+    SocketAddr,
+    UdpSocket, //
+};
+use std::sync::Arc;
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use async_io::Async;
+use hyper::body::Bytes;
+use hyper::{
+    Response,
+    StatusCode, //
+};
+use limpetweir_state::Timestamp;
+use limpetweir_transport::http::{
+    Body,
+    TrafficClass, //
+};
+use limpetweir_transport::{
+    sleep,
+    timeout_at, //
+};
+use rand::seq::IteratorRandom;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::lines::{
+    CASE_CLOSED,
+    CASE_NOT_STORED,
+    CASE_OPENED,
+    PROBE_SENT,
+    RECORD_SKIPPED,
+    SERVER_CRASHED,
+    log_event, //
+};
+use super::node::{
+    Node,
+    State,
+    unix_ms, //
+};
+use super::replies::plain;
+use crate::backend::{
+    BackendEntry,
+    BackendKey, //
+};
+use crate::crash_message::CaseRecord;
+use crate::platform::{
+    Dialect,
+    Record,
+    Store,
+    Topic, //
+};
+use crate::prompt::PartKey;
+use crate::quarantine::{
+    Case,
+    CaseChange,
+    CrashKey,
+    CrashNews, //
+};
+
+/// Time between two messages with the same news.
+const NEWS_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Time in which crashes that are seen together are combined into one message.
+const COALESCE_TIME: Duration = Duration::from_millis(2);
+
+/// Number of news intervals between two messages with all that is known.
+const INTERVALS_PER_DIGEST: u32 = 4;
+
+/// Instances that get all that is known at a time.
+const DIGEST_RECEIVERS: usize = 2;
+
+/// Expected number of instances that send all that they know to one that has started.
+const DIGEST_SENDERS: u32 = 8;
+
+/// Longest wait for the store to grant a probe; the caller waits meanwhile.
+const CLAIM_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Time between two attempts of this instance to claim a probe.
+const CLAIM_PAUSE: Duration = Duration::from_millis(500);
+
+/// Time between two attempts to write the record of a case, and their number.
+const STORE_RETRY: Duration = Duration::from_millis(500);
+const MAX_STORE_ATTEMPTS: u32 = 60;
+
+/// Path of the open cases on the peer port; followed by a part, of the cases with it.
+pub(crate) const CASES_PATH: &str = "/held-parts";
+
+/// Returns the identity of a crash of this run of a backend server.
+fn crash_key(entry: &BackendEntry) -> CrashKey {
+    CrashKey(xxh3_64(format!("{}/{}", entry.id, entry.born).as_bytes()))
+}
+
+/// Records that a backend server closed the connection of a run with these parts and without
+/// output, if the server has crashed: it then refuses new connections.
+pub(crate) fn run_lost<P: Store + Dialect>(
+    node: &Arc<Node<P>>,
+    entry: Arc<BackendEntry>,
+    parts: Vec<PartKey>,
+) {
+    let at = node.now();
+    let key = BackendKey::of(&entry.id);
+    let is_serving = {
+        let state = node.lock();
+        let backend = state.backends.get(key);
+        backend.is_some_and(|backend| backend.accepts_requests(at))
+    };
+    if parts.is_empty() || !is_serving {
+        return;
+    }
+    let node = node.clone();
+    let spawner = node.spawner.clone();
+    let task = async move {
+        let check = node.client.open(entry.addr, TrafficClass::Online).await;
+        match check {
+            Err(err) if err.is_refused() => server_crashed(&node, &entry, &parts, at),
+            Err(err) => log::debug!("{} neither accepts nor refuses: {err}", entry.id),
+            Ok(()) => {}
+        }
+    };
+    spawner.spawn(task).detach();
+}
+
+fn server_crashed<P: Store + Dialect>(
+    node: &Arc<Node<P>>,
+    entry: &BackendEntry,
+    parts: &[PartKey],
+    at: Timestamp,
+) {
+    let now = node.now();
+    let me = &node.settings.name;
+    let key = crash_key(entry);
+    let changes = {
+        let mut state = node.lock();
+        let quarantine = &mut state.quarantine;
+        quarantine.crashed(key, &entry.id, me, parts, at, now)
+    };
+    node.metrics.suspected_run();
+    let parts: Vec<String> = parts.iter().map(PartKey::to_string).collect();
+    log_event!(
+        SERVER_CRASHED,
+        "backend={} suspects={}",
+        entry.id,
+        parts.join(",")
+    );
+    apply_changes(node, changes, Origin::Own);
+    node.crash_news.notify(usize::MAX);
+}
+
+/// Records that a run with these parts wrote output.
+pub(crate) fn run_began<P: Store + Dialect>(node: &Arc<Node<P>>, parts: &[PartKey]) {
+    let now = node.now();
+    let changes = {
+        let mut state = node.lock();
+        if state.quarantine.is_empty() {
+            return;
+        }
+        state.quarantine.began(parts, now)
+    };
+    if !changes.is_empty() {
+        node.crash_news.notify(usize::MAX);
+    }
+    apply_changes(node, changes, Origin::Own);
+}
+
+/// Where the evidence of a change comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Origin {
+    /// From a run of this instance, which also writes the record of the case.
+    Own,
+    /// From another instance or the store.
+    Other,
+}
+
+fn apply_changes<P: Store + Dialect>(
+    node: &Arc<Node<P>>,
+    changes: Vec<CaseChange>,
+    origin: Origin,
+) {
+    for change in changes {
+        match &change {
+            CaseChange::Opened(case) => {
+                node.metrics.case_opened();
+                log_event!(CASE_OPENED, "{}", describe(case));
+            }
+            CaseChange::Closed(case) => log_event!(CASE_CLOSED, "{}", describe(case)),
+        }
+        if origin == Origin::Own {
+            let task = store_change(node.clone(), change);
+            node.spawner.spawn(task).detach();
+        }
+        node.balance_due.notify(usize::MAX);
+    }
+}
+
+/// Returns the fields of a line about a case.
+pub(crate) fn describe(case: &Case) -> String {
+    let parts: Vec<String> = case.parts.iter().map(PartKey::to_string).collect();
+    format!(
+        "parts={} crashes={} seen_at={} age_ms={} probes={} probe_in_ms={}",
+        parts.join(","),
+        case.crashes,
+        case.servers.join(","),
+        case.age.as_millis(),
+        case.probes,
+        case.probe_in.as_millis()
+    )
+}
+
+fn record(case: &Case) -> Record {
+    let content = CaseRecord {
+        case: case.clone(),
+        unix_ms: unix_ms(),
+    };
+    Record {
+        key: CaseRecord::key(case),
+        value: Bytes::from(content.to_string()),
+    }
+}
+
+/// Writes the record of an opened case, or removes that of a closed one.
+async fn store_change<P: Store + Dialect>(node: Arc<Node<P>>, change: CaseChange) {
+    let (case, is_open) = match change {
+        CaseChange::Opened(case) => (case, true),
+        CaseChange::Closed(case) => (case, false),
+    };
+    for _ in 0..MAX_STORE_ATTEMPTS {
+        let current = {
+            let state = node.lock();
+            let mut cases = state.quarantine.cases(node.now());
+            cases.find(|open| open.parts == case.parts)
+        };
+        let record = match (current, is_open) {
+            (Some(current), true) => record(&current),
+            (None, false) => Record {
+                key: CaseRecord::key(&case),
+                value: Bytes::new(),
+            },
+            // The case has changed again, which is written too.
+            _ => return,
+        };
+        let records = [record];
+        let result = node.append_records(Topic::Instances, 0, None, &records);
+        match result.await {
+            Ok(_) => return,
+            Err(err) => log::debug!("cannot write the record of a case: {err}"),
+        }
+        sleep(STORE_RETRY).await;
+    }
+    log_event!(CASE_NOT_STORED, "{}", describe(&case));
+}
+
+/// Applies the record of a case from the store.
+pub(crate) fn apply_record<P: Store + Dialect>(node: &Arc<Node<P>>, record: &Record) {
+    // Cases are closed by evidence, which the other instances tell.
+    if record.value.is_empty() {
+        return;
+    }
+    let text = String::from_utf8_lossy(&record.value);
+    match CaseRecord::parse(&text, unix_ms()) {
+        Ok(case) => {
+            let news = CrashNews {
+                cases: vec![case],
+                ..CrashNews::default()
+            };
+            merge(node, &news);
+        }
+        Err(err) => log_event!(
+            RECORD_SKIPPED,
+            "topic=instances key={} cause=\"{err}\"",
+            record.key
+        ),
+    }
+}
+
+/// Applies what another instance tells.
+pub(crate) fn merge<P: Store + Dialect>(node: &Arc<Node<P>>, news: &CrashNews) {
+    let now = node.now();
+    let changes = {
+        let mut state = node.lock();
+        let was_empty = state.quarantine.is_empty();
+        let changes = state.quarantine.merge(news, now);
+        if was_empty && !state.quarantine.is_empty() {
+            node.crash_news.notify(usize::MAX);
+        }
+        changes
+    };
+    apply_changes(node, changes, Origin::Other);
+}
+
+/// Returns whether this instance may send a request with these parts as a probe. The store grants
+/// a probe to one instance: it appends the record only if there is none that this instance has not
+/// read.
+pub(crate) async fn claim_probe<P: Store + Dialect>(
+    node: &Arc<Node<P>>,
+    request: &str,
+    parts: &[PartKey],
+) -> bool {
+    let now = node.now();
+    let (case, at) = {
+        let mut state = node.lock();
+        if state
+            .probe_claimed_at
+            .is_some_and(|at| now.since(at) < CLAIM_PAUSE)
+        {
+            return false;
+        }
+        state.probe_claimed_at = Some(now);
+        let Some(case) = state.quarantine.after_probe(parts, now) else {
+            return false;
+        };
+        (case, state.instances_next)
+    };
+    let records = [record(&case)];
+    let claim = node.append_records(Topic::Instances, 0, Some(at), &records);
+    match timeout_at(Instant::now() + CLAIM_TIMEOUT, claim).await {
+        Some(Ok(_)) => {}
+        Some(Err(err)) => {
+            log::debug!("the probe is not granted: {err}");
+            return false;
+        }
+        None => return false,
+    }
+    let now = node.now();
+    let case = node.lock().quarantine.probed(parts, now).unwrap_or(case);
+    node.crash_news.notify(usize::MAX);
+    log_event!(PROBE_SENT, "request={request} {}", describe(&case));
+    true
+}
+
+/// Adds a peer that has missed what was told, because it has started or was unreachable.
+pub(crate) fn peer_is_back<P>(node: &Node<P>, state: &mut State, addr: IpAddr) {
+    if state.quarantine.is_empty() {
+        return;
+    }
+    let peers = u32::try_from(state.members.count()).unwrap_or(u32::MAX);
+    if rand::Rng::random_ratio(
+        &mut state.rng,
+        DIGEST_SENDERS.min(peers.max(1)),
+        peers.max(1),
+    ) {
+        state.digest_due.push(addr);
+        node.crash_news.notify(usize::MAX);
+    }
+}
+
+/// Tells the other instances about crashes, as long as any are known.
+pub(crate) async fn tell<P: Store + Dialect>(node: Arc<Node<P>>, socket: Arc<Async<UdpSocket>>) {
+    let mut interval = 0_u32;
+    let mut last = Instant::now();
+    let mut due = node.crash_news.listen();
+    loop {
+        let quiet = node.lock().quarantine.is_empty();
+        if quiet {
+            due.await;
+        } else if timeout_at(last + NEWS_INTERVAL, due).await.is_some() {
+            sleep(COALESCE_TIME).await;
+        }
+        due = node.crash_news.listen();
+        if last.elapsed() >= NEWS_INTERVAL {
+            last = Instant::now();
+            interval = interval.wrapping_add(1);
+            if interval.is_multiple_of(INTERVALS_PER_DIGEST) {
+                add_digest_receivers(&node);
+            }
+        }
+        send_news(&node, &socket);
+    }
+}
+
+fn add_digest_receivers<P>(node: &Node<P>) {
+    let mut state = node.lock();
+    let state = &mut *state;
+    let peers = state.members.iter().map(|(_, member)| member.addr);
+    let chosen = peers.choose_multiple(&mut state.rng, DIGEST_RECEIVERS);
+    state.digest_due.extend(chosen);
+}
+
+fn send_news<P>(node: &Node<P>, socket: &Async<UdpSocket>) {
+    let now = node.now();
+    let (news, all, digest, chosen) = {
+        let mut state = node.lock();
+        let news = state.quarantine.news(now);
+        let all: Vec<IpAddr> = state.members.iter().map(|(_, m)| m.addr).collect();
+        let chosen = std::mem::take(&mut state.digest_due);
+        let digest = (!chosen.is_empty()).then(|| state.quarantine.digest(now));
+        (news, all, digest, chosen)
+    };
+    if !news.is_empty() {
+        send_to(node, socket, &news, &all);
+    }
+    if let Some(digest) = digest.filter(|digest| !digest.is_empty()) {
+        send_to(node, socket, &digest, &chosen);
+    }
+}
+
+fn send_to<P>(node: &Node<P>, socket: &Async<UdpSocket>, news: &CrashNews, addrs: &[IpAddr]) {
+    let bytes = news.encode();
+    for addr in addrs {
+        let addr = SocketAddr::new(*addr, node.settings.peer_port);
+        if let Err(err) = socket.get_ref().send_to(&bytes, addr) {
+            // The news is repeated, and a later digest has it too.
+            log::debug!("cannot tell {addr} about crashes: {err}");
+        }
+    }
+}
+
+/// Returns the open cases, a line each.
+pub(crate) fn list_cases<P>(node: &Node<P>) -> Response<Body> {
+    let now = node.now();
+    let state = node.lock();
+    let lines = state
+        .quarantine
+        .cases(now)
+        .map(|case| describe(&case) + "\n");
+    plain(StatusCode::OK, &lines.collect::<String>())
+}
+
+/// Closes the cases with a part, on behalf of an operator.
+pub(crate) fn close_cases<P: Store + Dialect>(node: &Arc<Node<P>>, part: &str) -> Response<Body> {
+    let Ok(part) = part.parse::<PartKey>() else {
+        let text = "a part is a hexadecimal number of up to 16 digits";
+        return plain(StatusCode::BAD_REQUEST, text);
+    };
+    let now = node.now();
+    let changes = node.lock().quarantine.close(part, now);
+    if changes.is_empty() {
+        let text = format!("no request is held back because of part {part} alone");
+        return plain(StatusCode::NOT_FOUND, &text);
+    }
+    node.crash_news.notify(usize::MAX);
+    apply_changes(node, changes, Origin::Own);
+    plain(StatusCode::OK, &format!("part {part} is served again"))
+}
--- a/gateway/src/serve/follow.rs
+++ b/gateway/src/serve/follow.rs
@@ -398,6 +398,7 @@
         Topic::Instances => {
             let mut state = node.lock();
             state.instances_read = true;
+            state.instances_next = next;
             super::peers::update_unreachable(&mut state, now);
             let unsettled = state
                 .replica_status
--- a/gateway/src/serve/items.rs
+++ b/gateway/src/serve/items.rs
@@ -18,6 +18,7 @@
 };
 
 use super::lines::{
+    ITEM_HELD,
     ITEM_LISTED,
     log_event, //
 };
@@ -28,6 +29,7 @@
     unix_ms, //
 };
 use super::{
+    crashes,
     runs,
     writer, //
 };
@@ -43,6 +45,7 @@
 use crate::instance::Instance;
 use crate::jobs::{
     Change,
+    JobItem,
     Outcome,
     Partition, //
 };
@@ -51,6 +54,7 @@
     Dialect,
     Store, //
 };
+use crate::prompt::PartKey;
 use crate::replicas::{
     FULL_REPLICATION_LIMIT,
     owner,
@@ -199,6 +203,12 @@
         return;
     }
     let mut waiting = state.items.waiting(now, unix_ms());
+    let claim = hold_back(node, state, &mut waiting, now);
+    if let Some(claim) = claim {
+        node.spawner
+            .spawn(claim_probe(node.clone(), claim))
+            .detach();
+    }
     if waiting.is_empty() {
         return;
     }
@@ -232,6 +242,69 @@
     }
 }
 
+/// An item that may be sent as a probe, with the parts of its prompt.
+struct ProbeClaim {
+    item: ItemKey,
+    id: String,
+    parts: Vec<PartKey>,
+}
+
+/// Removes the items whose prompts have parts that are held back, and returns one that may be sent
+/// as a probe.
+fn hold_back<P: Store + Dialect>(
+    node: &Arc<Node<P>>,
+    state: &mut State,
+    waiting: &mut Vec<WaitingItem>,
+    now: Timestamp,
+) -> Option<ProbeClaim> {
+    if !state.quarantine.has_cases() {
+        return None;
+    }
+    let mut claim = None;
+    waiting.retain(|w| {
+        let Some(item) = job_item(state, w.item) else {
+            return true;
+        };
+        let parts = runs::suspects(&node.platform, &item, w.item);
+        let Some(hold) = state.quarantine.hold(&parts, now) else {
+            return true;
+        };
+        if state.item_probes.contains(&w.item) {
+            return true;
+        }
+        if let Some(open) = state.items.get_mut(w.item)
+            && !std::mem::replace(&mut open.held_back, true)
+        {
+            let case = crashes::describe(&hold.case);
+            log_event!(ITEM_HELD, "item={} job={} {case}", item.id, open.job);
+        }
+        if hold.probe_due && claim.is_none() {
+            let id = item.id.clone();
+            claim = Some(ProbeClaim {
+                item: w.item,
+                id,
+                parts,
+            });
+        }
+        false
+    });
+    claim
+}
+
+fn job_item(state: &State, key: ItemKey) -> Option<Arc<JobItem>> {
+    let open = state.items.get(key)?;
+    let job = state.partitions.get(open.partition)?.get(&open.job)?;
+    job.items.get(open.index).cloned()
+}
+
+/// Sends an item as a probe, if the store grants it to this instance.
+async fn claim_probe<P: Store + Dialect>(node: Arc<Node<P>>, claim: ProbeClaim) {
+    if crashes::claim_probe(&node, &claim.id, &claim.parts).await {
+        node.lock().item_probes.insert(claim.item);
+        node.balance_due.notify(usize::MAX);
+    }
+}
+
 /// Another instance that has waiting items.
 struct WaitingPeer {
     name: String,
--- a/gateway/src/serve/lines.rs
+++ b/gateway/src/serve/lines.rs
@@ -98,6 +98,16 @@
 pub(crate) const BACKEND_CHANGED: Event = Event::new(2301, Level::Info);
 /// A backend server did not respond and is suspected to have failed.
 pub(crate) const BACKEND_SUSPECTED: Event = Event::new(2302, Level::Warn);
+/// A backend server crashed while it had a run without output.
+pub(crate) const SERVER_CRASHED: Event = Event::new(2303, Level::Warn);
+/// Requests with certain parts of a prompt are held back.
+pub(crate) const CASE_OPENED: Event = Event::new(2304, Level::Warn);
+/// They are served again.
+pub(crate) const CASE_CLOSED: Event = Event::new(2305, Level::Warn);
+/// A request that would be held back is sent to find out whether its parts still crash servers.
+pub(crate) const PROBE_SENT: Event = Event::new(2306, Level::Warn);
+/// The parts that are held back could not be written to the store.
+pub(crate) const CASE_NOT_STORED: Event = Event::new(2307, Level::Warn);
 /// Another instance is reachable.
 pub(crate) const PEER_UP: Event = Event::new(2401, Level::Warn);
 /// Another instance is unreachable.
@@ -130,6 +140,8 @@
 pub(crate) const ITEM_STARTED: Event = Event::new(2603, Level::Info);
 /// A run of an item ended.
 pub(crate) const ITEM_ENDED: Event = Event::new(2604, Level::Info);
+/// An item waits because its prompt has parts that are held back.
+pub(crate) const ITEM_HELD: Event = Event::new(2607, Level::Warn);
 /// The result of an item is in the store.
 pub(crate) const ITEM_LISTED: Event = Event::new(2605, Level::Info);
 /// Results were forwarded to a peer because the store does not respond.
--- a/gateway/src/serve/metrics.rs
+++ b/gateway/src/serve/metrics.rs
@@ -36,6 +36,8 @@
     store_call_time: Histogram<f64>,
     store_bytes: Counter<u64>,
     runs_lost: Counter<u64>,
+    suspected_runs: Counter<u64>,
+    cases_opened: Counter<u64>,
     lines_dropped: Counter<u64>,
 }
 
@@ -85,6 +87,14 @@
                 "limpetweir_runs_lost",
                 "Runs whose connection ended before the answer, with or without output",
             ),
+            suspected_runs: counter(
+                "limpetweir_crash_suspects",
+                "Runs without output on backend servers that crashed",
+            ),
+            cases_opened: counter(
+                "limpetweir_held_parts_cases",
+                "Sets of prompt parts that were held back since the start",
+            ),
             lines_dropped: counter("limpetweir_log_lines_dropped", "Log lines not written"),
             registry,
             _provider: provider,
@@ -129,6 +139,16 @@
         self.runs_lost.add(1, &[KeyValue::new("output", output)]);
     }
 
+    /// Counts a run without output on a server that crashed.
+    pub(crate) fn suspected_run(&self) {
+        self.suspected_runs.add(1, &[]);
+    }
+
+    /// Counts a set of prompt parts that is held back.
+    pub(crate) fn case_opened(&self) {
+        self.cases_opened.add(1, &[]);
+    }
+
     /// Counts dropped log lines.
     pub(crate) fn lines_dropped(&self, count: u64) {
         self.lines_dropped.add(count, &[]);
--- a/gateway/src/serve/mod.rs
+++ b/gateway/src/serve/mod.rs
@@ -2,6 +2,7 @@
 
 mod catch_up;
 mod choose;
+mod crashes;
 mod follow;
 mod forwarding;
 mod items;
@@ -291,6 +292,7 @@
             spawner.spawn(follow::read_topic(node.clone(), Topic::Instances, 0)),
             spawner.spawn(peers::register(node.clone())),
             spawner.spawn(reports::send(node.clone(), socket.clone())),
+            spawner.spawn(crashes::tell(node.clone(), socket.clone())),
             spawner.spawn(peers::receive(node.clone(), socket)),
             spawner.spawn(peers::watch(node.clone())),
             spawner.spawn(quota_levels::adopt(node.clone())),
@@ -437,10 +439,20 @@
         }
         (Method::GET, quota_levels::LEVELS_PATH) => Response::new(quota_levels::encode(&node)),
         (Method::POST, results::RESULTS_PATH) => results::receive(&node, body).await,
+        (Method::GET, crashes::CASES_PATH) => crashes::list_cases(&node),
+        (Method::DELETE, path) => match held_part(path) {
+            Some(part) => crashes::close_cases(&node, part),
+            None => replies::plain(StatusCode::NOT_FOUND, "no such page"),
+        },
         _ => replies::plain(StatusCode::NOT_FOUND, "no such page"),
     }
 }
 
+/// Returns the part of a prompt that a path below the one of the open cases names.
+fn held_part(path: &str) -> Option<&str> {
+    path.strip_prefix(crashes::CASES_PATH)?.strip_prefix('/')
+}
+
 /// Handles requests for the address directory, the readiness and the metrics.
 fn serve_status<P: Store + Dialect>(
     node: &Arc<Node<P>>,
--- a/gateway/src/serve/node.rs
+++ b/gateway/src/serve/node.rs
@@ -1,6 +1,7 @@
 //! State shared by all tasks of an instance.
 
 use std::collections::HashSet;
+use std::net::IpAddr;
 use std::sync::atomic::{
     AtomicBool,
     AtomicU64,
@@ -60,8 +61,12 @@
     forward_targets,
     runners, //
 };
+use crate::quarantine::Quarantine;
 use crate::quota::Quotas;
-use crate::report::Report;
+use crate::report::{
+    ItemKey,
+    Report, //
+};
 use crate::settings::Settings;
 use crate::speed::Speeds;
 
@@ -86,8 +91,18 @@
     pub(crate) started_peers: Vec<String>,
     /// Whether the records of the instances have been read.
     pub(crate) instances_read: bool,
+    /// Offset up to which these have been read.
+    pub(crate) instances_next: u64,
     pub(crate) load: Load,
     pub(crate) speeds: Speeds,
+    /// Crashes of backend servers and the parts of prompts that are held back.
+    pub(crate) quarantine: Quarantine,
+    /// When this instance last tried to claim a probe.
+    pub(crate) probe_claimed_at: Option<Timestamp>,
+    /// Items that are sent as probes.
+    pub(crate) item_probes: HashSet<ItemKey>,
+    /// Instances that are to get all that is known about crashes.
+    pub(crate) digest_due: Vec<IpAddr>,
     pub(crate) quotas: Quotas,
     pub(crate) partitions: Vec<Partition>,
     /// Whether this instance is a replica of each partition, in their order.
@@ -262,6 +277,8 @@
     pub(crate) open_calls: AtomicU64,
     /// Notified when a report should be sent.
     pub(crate) report_due: Signal,
+    /// Notified when the others are to be told about crashes.
+    pub(crate) crash_news: Signal,
     /// Notified for a partition of the jobs of which peers have read more. A read that the store
     /// has not completed is then repeated.
     pub(crate) jobs_behind: Vec<Signal>,
@@ -297,8 +314,13 @@
             cells_version: None,
             started_peers: Vec::new(),
             instances_read: false,
+            instances_next: 0,
             load: Load::default(),
             speeds: Speeds::default(),
+            quarantine: Quarantine::default(),
+            probe_claimed_at: None,
+            item_probes: HashSet::new(),
+            digest_due: Vec::new(),
             quotas: Quotas::new(settings.tolerance),
             replica_status: vec![ReplicaStatus::Inactive; partitions.len()],
             freshness: vec![PartitionFreshness::default(); partitions.len()],
@@ -322,6 +344,7 @@
             leaving: AtomicBool::new(false),
             open_calls: AtomicU64::new(0),
             report_due: Signal::new(),
+            crash_news: Signal::new(),
             jobs_behind: writers.iter().map(|_| Signal::new()).collect(),
             catch_ups: writers.iter().map(|_| CatchUp::default()).collect(),
             jobs_changed: Signal::new(),
--- a/gateway/src/serve/online.rs
+++ b/gateway/src/serve/online.rs
@@ -52,6 +52,7 @@
 };
 use super::run_watch::RunWatch;
 use super::{
+    crashes,
     forwarding,
     job_calls, //
 };
@@ -303,6 +304,8 @@
     NotRun(String),
     /// The backend server may have run the request.
     MayHaveRun(String),
+    /// The connection ended, and the backend server may have run the request.
+    Lost(String),
 }
 
 /// History of the attempts of one request.
@@ -311,10 +314,26 @@
     pub(crate) tried: Vec<BackendKey>,
     /// Number of attempts that may have run the request.
     pub(crate) runs: u32,
+    /// Number of runs that ended with the connection before they wrote output.
+    pub(crate) silent_losses: u32,
+    /// Whether the request is a probe of parts that are held back.
+    pub(crate) is_probe: bool,
     /// Number of the last event that the caller has received.
     pub(crate) last_event: Option<u64>,
 }
 
+impl AttemptHistory {
+    /// Returns whether the request may run once more on `route`.
+    pub(crate) fn may_run_again(&self, route: &Route) -> bool {
+        let may_crash = self.silent_losses >= MAX_SILENT_LOSSES || self.is_probe;
+        route.idempotent() && self.runs < route.attempts && !may_crash
+    }
+}
+
+/// Runs of one request that may end with the connection before they write output; the request may
+/// be what ends them.
+const MAX_SILENT_LOSSES: u32 = 2;
+
 /// Sends an admitted request to backend servers until one responds, and relays the response.
 async fn serve<P: Store + Dialect>(node: Arc<Node<P>>, admitted: Admitted) -> Response<Body> {
     let id = admitted.call.request_id.clone();
@@ -324,6 +343,8 @@
     let mut history = AttemptHistory {
         tried: Vec::new(),
         runs: 0,
+        silent_losses: 0,
+        is_probe: false,
         last_event: admitted.call.last_event,
     };
     loop {
@@ -331,34 +352,56 @@
             Ok(placed) => placed,
             Err(rejection) => return reject(&node, &admitted, &history, rejection),
         };
+        if placed.needs_probe {
+            if !crashes::claim_probe(&node, &id, &admitted.parts).await {
+                drop(placed);
+                return reject_held(&node, &admitted, &history);
+            }
+            history.is_probe = true;
+        }
         let backend = placed.entry.clone();
         history.tried.push(placed.key);
-        match attempt(&node, &admitted, &history, placed).await {
+        let (verdict, cause) = match attempt(&node, &admitted, &history, placed).await {
             Attempt::Answered(source) => return relay::start(node, admitted, history, *source),
-            Attempt::NotRun(cause) => {
-                log_event!(
-                    ATTEMPT_FAILED,
-                    "request={id} backend={} verdict=not-run cause=\"{cause}\"",
-                    backend.id
-                );
-            }
-            Attempt::MayHaveRun(cause) => {
-                history.runs += 1;
-                log_event!(
-                    ATTEMPT_FAILED,
-                    "request={id} backend={} verdict=may-have-run cause=\"{cause}\"",
-                    backend.id
-                );
-                let may_retry =
-                    admitted.route.idempotent() && history.runs < admitted.route.attempts;
-                if !may_retry || admitted.deadline <= Instant::now() {
-                    return fail(&node, &admitted, &cause);
-                }
+            Attempt::NotRun(cause) => (Verdict::NotRun, cause),
+            Attempt::MayHaveRun(cause) => (Verdict::MayHaveRun, cause),
+            Attempt::Lost(cause) => {
+                history.silent_losses += 1;
+                (Verdict::MayHaveRun, cause)
             }
+        };
+        log_event!(
+            ATTEMPT_FAILED,
+            "request={id} backend={} verdict={verdict} cause=\"{cause}\"",
+            backend.id
+        );
+        if verdict == Verdict::NotRun {
+            continue;
+        }
+        history.runs += 1;
+        let may_run_again = history.may_run_again(&admitted.route);
+        if !may_run_again || admitted.deadline <= Instant::now() {
+            return fail(&node, &admitted, &cause);
         }
     }
 }
 
+/// Returns the response to a request that another instance probes, or none now.
+fn reject_held<P>(node: &Node<P>, admitted: &Admitted, history: &AttemptHistory) -> Response<Body> {
+    let now = node.now();
+    let hold = node.lock().quarantine.hold(&admitted.parts, now);
+    let rejection = match hold {
+        Some(hold) => Rejection::held(hold.case),
+        // The case was closed meanwhile.
+        None => Rejection {
+            cause: "held-back",
+            retry_after: NO_CONFIG_RETRY,
+            case: None,
+        },
+    };
+    reject(node, admitted, history, rejection)
+}
+
 fn reject_over_quota<P>(node: &Node<P>, admitted: &Admitted) -> Option<Response<Body>> {
     let organisation = admitted.organisation.as_ref()?;
     let now = node.now();
@@ -395,18 +438,24 @@
         return fail(node, admitted, rejection.cause);
     }
     let id = &admitted.call.request_id;
+    let case = rejection.case.as_deref().map(crashes::describe);
     log_event!(
         REFUSED,
-        "request={id} status=503 cause={} route={} tried={} retry_after_ms={} version={}",
+        "request={id} status=503 cause={} route={} tried={} retry_after_ms={} version={} {}",
         rejection.cause,
         admitted.route.name,
         history.tried.len(),
         rejection.retry_after.as_millis(),
-        admitted.version
+        admitted.version,
+        case.unwrap_or_default()
     );
     node.metrics
         .online(rejection.cause, admitted.arrived.elapsed());
-    let text = "no backend server can take the request now; it has not run";
+    let text = if rejection.case.is_some() {
+        "backend servers crashed under requests with parts of this prompt; it has not run"
+    } else {
+        "no backend server can take the request now; it has not run"
+    };
     retry_later(StatusCode::SERVICE_UNAVAILABLE, text, rejection.retry_after)
 }
 
@@ -468,6 +517,7 @@
                 let id = &admitted.call.request_id;
                 let watch = RunWatch::new(id, &admitted.parts, placed.entry.clone());
                 watch.connection_lost(node, false);
+                return Attempt::Lost(err.to_string());
             }
             match err.verdict() {
                 Verdict::NotRun => Attempt::NotRun(err.to_string()),
--- a/gateway/src/serve/peers.rs
+++ b/gateway/src/serve/peers.rs
@@ -20,6 +20,7 @@
 };
 use limpetweir_transport::sleep;
 
+use super::crashes;
 use super::follow;
 use super::items;
 use super::lines::{
@@ -34,6 +35,7 @@
     Node, //
     ReplicaStatus,
 };
+use crate::crash_message::CaseRecord;
 use crate::instance::InstanceRecord;
 use crate::members::{
     MIN_REPORT_TIMEOUT,
@@ -46,6 +48,7 @@
     StoreError,
     Topic, //
 };
+use crate::quarantine::CrashNews;
 use crate::report::Report;
 
 /// Size of the receive buffer for reports in bytes; a datagram is not larger.
@@ -67,7 +70,11 @@
 const REGISTER_RETRY: Duration = Duration::from_millis(400);
 
 /// Applies a record of an instance from the store.
-pub(crate) fn apply_record<P>(node: &Arc<Node<P>>, record: &Record) {
+pub(crate) fn apply_record<P: Store + Dialect>(node: &Arc<Node<P>>, record: &Record) {
+    if CaseRecord::has_key(&record.key) {
+        crashes::apply_record(node, record);
+        return;
+    }
     if record.key == node.settings.name {
         return;
     }
@@ -133,6 +140,10 @@
     loop {
         match socket.recv_from(&mut buf).await {
             Ok((len, from)) => {
+                if let Some(news) = CrashNews::decode(&buf[..len]) {
+                    crashes::merge(&node, &news);
+                    continue;
+                }
                 let report = Report::decode(&buf[..len]);
                 if let Some(report) = report.filter(|r| r.name != node.settings.name) {
                     apply_report(&node, report, from.ip());
@@ -157,6 +168,9 @@
         .get(&name)
         .is_some_and(|member| member.is_reachable(now));
     let update = state.members.apply_report(report.clone(), from, now);
+    if was_unreachable || update.has_started(&report) {
+        crashes::peer_is_back(node, &mut state, from);
+    }
     if update.has_started(&report) {
         // The started peer would otherwise get no report of this instance until the next tick.
         state.started_peers.push(name.clone());
--- a/gateway/src/serve/relay.rs
+++ b/gateway/src/serve/relay.rs
@@ -126,7 +126,7 @@
                 let mut pace = PaceMeter::new(key);
                 let on_event = || {
                     pace.event(node);
-                    watch.output();
+                    watch.output(node);
                 };
                 forward_events(
                     &admitted,
@@ -140,12 +140,19 @@
                 .await
             }
         } else {
-            let on_chunk = || watch.output();
+            let on_chunk = || {
+                if status.is_success() {
+                    watch.output(node);
+                }
+            };
             forward_bytes(&admitted, body, &sender, &mut forwarded, on_chunk).await
         };
         drop(source.placed);
         let interruption = match result {
             Ok(()) => {
+                if status.is_success() {
+                    watch.completed(node);
+                }
                 // If the caller disconnected during the last chunk, nothing is left to do.
                 let _ = sender.finish().await;
                 let ms = admitted.arrived.elapsed().as_millis();
@@ -165,6 +172,7 @@
             Err(interruption) => interruption,
         };
         if matches!(interruption, Interruption::ConnectionLost(_)) {
+            history.silent_losses += u32::from(watch.is_suspected());
             watch.connection_lost(node, true);
         }
         let cause = match interruption {
@@ -182,8 +190,7 @@
             Interruption::Deadline => "the deadline of the request has expired".to_owned(),
             Interruption::Backend(cause) | Interruption::ConnectionLost(cause) => {
                 suspect(node, key, &cause);
-                let may_resume = resumable && history.runs < admitted.route.attempts;
-                let next = if may_resume {
+                let next = if resumable && history.may_run_again(&admitted.route) {
                     resume(node, &admitted, &mut history).await
                 } else {
                     None
@@ -331,10 +338,15 @@
                 .map_err(|_| Interruption::CallerDisconnected)?;
         }
     }
+    // A response without a length and without chunks ends with its connection, whether it is
+    // complete or not.
     if splitter.is_partial() {
-        return Err(Interruption::Backend(
-            "the stream ended within an event".to_owned(),
-        ));
+        let cause = "the stream ended within an event".to_owned();
+        return Err(Interruption::ConnectionLost(cause));
+    }
+    if forwarded.events == 0 && history.last_event.is_none() {
+        let cause = "the stream ended without an event".to_owned();
+        return Err(Interruption::ConnectionLost(cause));
     }
     Ok(())
 }
@@ -347,6 +359,9 @@
 ) -> Option<Source<P>> {
     loop {
         let placed = choose(node, admitted, history).ok()?;
+        if placed.needs_probe {
+            return None;
+        }
         history.tried.push(placed.key);
         let id = &admitted.call.request_id;
         let backend = &placed.entry.id;
@@ -357,6 +372,7 @@
                     let entry = placed.entry.clone();
                     let watch = RunWatch::new(id, &admitted.parts, entry);
                     watch.connection_lost(node, false);
+                    history.silent_losses += 1;
                 }
                 let verdict = err.verdict();
                 log_event!(
@@ -364,7 +380,7 @@
                     "request={id} backend={backend} verdict={verdict} cause=\"{err}\""
                 );
                 history.runs += u32::from(verdict != Verdict::NotRun);
-                if history.runs >= admitted.route.attempts {
+                if !history.may_run_again(&admitted.route) {
                     return None;
                 }
                 continue;
--- a/gateway/src/serve/run_watch.rs
+++ b/gateway/src/serve/run_watch.rs
@@ -2,30 +2,35 @@
 
 use std::sync::Arc;
 
+use super::crashes;
 use super::lines::{
     RUN_LOST,
     log_event, //
 };
 use super::node::Node;
 use crate::backend::BackendEntry;
-use crate::prompt::SharedParts;
+use crate::platform::{
+    Dialect,
+    Store, //
+};
+use crate::prompt::PartKey;
+
+/// Parts of the output after which a run is not suspected of a crash, and shows that the parts of
+/// its prompt are sound. The first one may be sent before a server crashes under the prompt.
+const SAFE_OUTPUTS: u32 = 2;
 
 /// One run of a request or an item on a backend server.
 pub(crate) struct RunWatch<'a> {
     /// Identifier of the request or item.
     request: &'a str,
-    parts: &'a SharedParts,
+    parts: &'a [PartKey],
     backend: Arc<BackendEntry>,
     /// Parts of the output that have arrived in this run.
     outputs: u32,
 }
 
 impl<'a> RunWatch<'a> {
-    pub(crate) fn new(
-        request: &'a str,
-        parts: &'a SharedParts,
-        backend: Arc<BackendEntry>,
-    ) -> Self {
+    pub(crate) fn new(request: &'a str, parts: &'a [PartKey], backend: Arc<BackendEntry>) -> Self {
         Self {
             request,
             parts,
@@ -34,21 +39,40 @@
         }
     }
 
+    /// Returns whether a crash of the server may be due to this run.
+    pub(crate) fn is_suspected(&self) -> bool {
+        self.outputs < SAFE_OUTPUTS
+    }
+
     /// Records that a part of the output has arrived.
-    pub(crate) fn output(&mut self) {
+    pub(crate) fn output<P: Store + Dialect>(&mut self, node: &Arc<Node<P>>) {
         self.outputs += 1;
+        if self.outputs == SAFE_OUTPUTS {
+            crashes::run_began(node, self.parts);
+        }
+    }
+
+    /// Records that the response is complete.
+    pub(crate) fn completed<P: Store + Dialect>(&self, node: &Arc<Node<P>>) {
+        if self.is_suspected() {
+            crashes::run_began(node, self.parts);
+        }
     }
 
     /// Records that the connection ended before the response did.
-    pub(crate) fn connection_lost<P>(&self, node: &Node<P>, head: bool) {
+    pub(crate) fn connection_lost<P: Store + Dialect>(&self, node: &Arc<Node<P>>, head: bool) {
         node.metrics.run_lost(self.outputs > 0);
+        let parts: Vec<String> = self.parts.iter().map(PartKey::to_string).collect();
         log_event!(
             RUN_LOST,
             "request={} backend={} parts={} head={head} outputs={}",
             self.request,
             self.backend.id,
-            self.parts,
+            parts.join(","),
             self.outputs
         );
+        if self.is_suspected() {
+            crashes::run_lost(node, self.backend.clone(), self.parts.to_vec());
+        }
     }
 }
--- a/gateway/src/serve/runs.rs
+++ b/gateway/src/serve/runs.rs
@@ -55,6 +55,7 @@
     ItemRequest,
     Store, //
 };
+use crate::prompt::PartKey;
 use crate::report::{
     BatchRun,
     ItemKey, //
@@ -87,6 +88,14 @@
     entry: Arc<BackendEntry>,
 }
 
+/// Returns the parts of an item's prompt that may crash backend servers, and the item itself, whose
+/// runs repeat the same prompt.
+pub(crate) fn suspects<P: Dialect>(platform: &P, item: &JobItem, key: ItemKey) -> Vec<PartKey> {
+    let mut parts = vec![PartKey(key.0)];
+    parts.extend_from_slice(&platform.shared_parts(&item.headers));
+    parts
+}
+
 /// Starts an item on a backend server.
 pub(crate) fn start<P: Store + Dialect>(
     node: &Arc<Node<P>>,
@@ -164,10 +173,13 @@
         )
     };
     let mut progress = std::mem::take(&mut run.progress);
-    let parts = node.platform.shared_parts(&run.item.headers);
+    let parts = suspects(&node.platform, &run.item, run.key);
     let mut watch = RunWatch::new(&run.item.id, &parts, run.entry.clone());
     let running = stream(&node, &run, &mut progress, &mut watch);
     let (end, cause) = future::or(stop, running).await;
+    if matches!(end, RunEnd::Completed) {
+        watch.completed(&node);
+    }
     if matches!(end, RunEnd::Broken) {
         suspect(&node, run.backend, &cause);
     }
@@ -188,6 +200,7 @@
     let step = {
         let mut state = node.lock();
         state.load.batch_ended(run.key, now);
+        state.item_probes.remove(&run.key);
         state.runs.remove(&run.key);
         if end == RunEnd::Completed {
             let service = &run.entry.service;
@@ -330,7 +343,7 @@
 }
 
 /// Collects the events of a response until its end.
-async fn collect_events<P>(
+async fn collect_events<P: Store + Dialect>(
     node: &Arc<Node<P>>,
     backend: BackendKey,
     response: Response<ClientBody>,
@@ -371,14 +384,19 @@
             progress.last = id;
             progress.data.push(event.data);
             pace.event(node);
-            watch.output();
+            watch.output(node);
         }
     }
-    if splitter.is_partial() {
-        return (
-            RunEnd::Broken,
-            "the stream ended within an event".to_owned(),
-        );
+    let cut = if splitter.is_partial() {
+        Some("the stream ended within an event")
+    } else if progress.data.is_empty() {
+        Some("the stream ended without an event")
+    } else {
+        None
+    };
+    if let Some(cause) = cut {
+        watch.connection_lost(node, true);
+        return (RunEnd::Broken, cause.to_owned());
     }
     (RunEnd::Completed, String::new())
 }
--- a/transport/src/http/client.rs
+++ b/transport/src/http/client.rs
@@ -152,6 +152,17 @@
 }
 
 impl ClientError {
+    /// Returns whether no process accepts connections at the address.
+    pub fn is_refused(&self) -> bool {
+        let Self::Connect { source, .. } = self else {
+            return false;
+        };
+        matches!(
+            source.kind(),
+            io::ErrorKind::ConnectionRefused | io::ErrorKind::ConnectionReset
+        )
+    }
+
     /// Returns whether the server ended the connection of a request that may have run.
     pub fn is_lost_run(&self) -> bool {
         matches!(self, Self::Closed { verdict, .. } if *verdict != Verdict::NotRun)
@@ -217,6 +228,13 @@
         self.exchange(addr, connection, req, options).await
     }
 
+    /// Opens a connection for later requests.
+    pub async fn open(&self, addr: SocketAddr, class: TrafficClass) -> Result<(), ClientError> {
+        let connection = self.connect(addr, None).await?;
+        self.pool.put((addr, class), connection);
+        Ok(())
+    }
+
     /// Returns whether an idle connection to `addr` exists, so that a request needs no new one.
     pub fn has_idle(&self, addr: SocketAddr, class: TrafficClass) -> bool {
         self.pool.has_idle((addr, class))
--- a/transport/src/http/pool.rs
+++ b/transport/src/http/pool.rs
@@ -124,7 +124,7 @@
         connections.is_some_and(|list| list.iter().any(|c| c.is_fresh(self.idle_timeout)))
     }
 
-    fn put(&self, key: Key, mut connection: Connection) {
+    pub(crate) fn put(&self, key: Key, mut connection: Connection) {
         if connection.sender.is_closed() {
             return;
         }
