gateway: servers that refuse connections use up no attempts of a request

What callers saw: 503 with cause turned-away while servers were down, although others had room (LOST beside other trouble).

Cause: a server that has crashed stays listed for seconds, has no requests and so is the first choice as soon as its suspicion of one second ends. With six of nine servers down a request spent its four attempts there.

Ruled out: rejections by servers, of which the lines show none for these requests.

Change: a refused connection counts as no rejection, and the server gets no request of this instance for a second, not even as a last resort.

--- a/gateway/src/load.rs
+++ b/gateway/src/load.rs
@@ -39,6 +39,9 @@
     suspects: HashMap<BackendKey, Timestamp>,
     /// The same as reported by peers; these are not reported again.
     reported_suspects: HashMap<BackendKey, Timestamp>,
+    /// Backend servers that refused a connection of this instance, with the end of the time for
+    /// which no other one is attempted.
+    refusing: HashMap<BackendKey, Timestamp>,
     /// When the number of requests on a backend server last changed.
     changed: HashMap<BackendKey, Timestamp>,
     /// When this instance last started or ended a request on a backend server.
@@ -49,6 +52,9 @@
 /// end is still reported: two periodic reports and a lost one.
 const RECENT_USE: Duration = Duration::from_millis(800);
 
+/// Time after which the refusal of a connection is forgotten; it counts for a shorter time.
+const REFUSAL_KEPT: Duration = Duration::from_secs(60);
+
 #[derive(Debug, Default)]
 struct PeerLoad {
     online: Vec<(BackendKey, u32)>,
@@ -199,6 +205,18 @@
         *end = until.max(*end);
     }
 
+    /// Records that `backend` refused a connection: no process listens at its address, and no
+    /// request is sent there until `until`.
+    pub fn refused(&mut self, backend: BackendKey, until: Timestamp) {
+        self.refusing.retain(|_, end| *end > until - REFUSAL_KEPT);
+        self.refusing.insert(backend, until);
+    }
+
+    /// Returns whether `backend` refused a connection recently.
+    pub fn is_refusing(&self, backend: BackendKey, now: Timestamp) -> bool {
+        self.refusing.get(&backend).is_some_and(|end| *end > now)
+    }
+
     /// Records that a peer reports `backend` as unresponsive.
     pub fn suspect_reported(&mut self, backend: BackendKey, until: Timestamp) {
         let end = self.reported_suspects.entry(backend).or_insert(until);
@@ -209,6 +227,7 @@
     pub fn clear_suspicion(&mut self, backend: BackendKey) {
         self.suspects.remove(&backend);
         self.reported_suspects.remove(&backend);
+        self.refusing.remove(&backend);
     }
 
     /// Returns whether `backend` is suspected to be unresponsive.
--- a/gateway/src/serve/choose.rs
+++ b/gateway/src/serve/choose.rs
@@ -50,7 +50,11 @@
 const MAX_QUEUED: u32 = 2;
 
 /// Maximum number of backend servers to which a request is sent while each of them rejects it.
-const MAX_TRIED: u32 = 4;
+const MAX_REJECTIONS: u32 = 4;
+
+/// Maximum number of backend servers to which a request is sent in all. A refused connection takes
+/// no time, but in a large fleet hundreds of servers may be down.
+const MAX_TRIED: usize = 16;
 
 /// Guard that counts a request in the load of a backend server until it is dropped.
 pub(crate) struct PlacedRequest<P: Store + Dialect> {
@@ -119,7 +123,7 @@
     state.update_cells(&node.settings);
     let (candidates, placement) = find_placement(&state, node, admitted, history, now);
     let key = match placement {
-        _ if history.tried.len() >= MAX_TRIED as usize => {
+        _ if history.rejections >= MAX_REJECTIONS || history.tried.len() >= MAX_TRIED => {
             return Err(rejection_when_full(&state, &candidates, "turned-away"));
         }
         Placement::Send(key) => key,
@@ -211,6 +215,7 @@
     let backends = state.backends.serving(&admitted.service, now);
     let backends =
         backends.filter(|b| state.cells.is_own_backend(b.key, &b.entry.zone) != other_cell);
+    let backends = backends.filter(|b| !state.load.is_refusing(b.key, now));
     let slowness = state.speeds.compare(now);
     let candidates = backends.map(|backend| Candidate {
         key: backend.key,
--- a/gateway/src/serve/crashes.rs
+++ b/gateway/src/serve/crashes.rs
@@ -44,6 +44,7 @@
     State,
     unix_ms, //
 };
+use super::online::unresponsive;
 use super::replies::plain;
 use crate::backend::{
     BackendEntry,
@@ -119,7 +120,10 @@
     let task = async move {
         let check = node.client.open(entry.addr, TrafficClass::Online).await;
         match check {
-            Err(err) if err.is_refused() => server_crashed(&node, &entry, &parts, at),
+            Err(err) if err.is_refused() => {
+                unresponsive(&node, key, &err);
+                server_crashed(&node, &entry, &parts, at);
+            }
             Err(err) => log::debug!("{} neither accepts nor refuses: {err}", entry.id),
             Ok(()) => {}
         }
--- a/gateway/src/serve/online.rs
+++ b/gateway/src/serve/online.rs
@@ -80,6 +80,10 @@
 /// Time for which a suspected backend server is used only if there is no other one.
 pub(crate) const SUSPICION_TIME: Duration = Duration::from_millis(1_000);
 
+/// Time for which a backend server that refused a connection gets no request. A server that has
+/// crashed is listed for some seconds more, and looks idle.
+const REFUSAL_TIME: Duration = Duration::from_millis(1_000);
+
 /// `Retry-After` of a request while no configuration or no backend server of the service is known.
 pub(crate) const NO_CONFIG_RETRY: Duration = Duration::from_millis(500);
 
@@ -302,6 +306,8 @@
     Answered(Box<Source<P>>),
     /// The backend server did not run the request.
     NotRun(String),
+    /// No process listens at the address of the backend server.
+    Refused(String),
     /// The backend server may have run the request.
     MayHaveRun(String),
     /// The connection ended, and the backend server may have run the request.
@@ -314,6 +320,8 @@
     pub(crate) tried: Vec<BackendKey>,
     /// Number of attempts that may have run the request.
     pub(crate) runs: u32,
+    /// Number of attempts that a backend server rejected or that took long to fail.
+    pub(crate) rejections: u32,
     /// Number of runs that ended with the connection before they wrote output.
     pub(crate) silent_losses: u32,
     /// Whether the request is a probe of parts that are held back.
@@ -343,6 +351,7 @@
     let mut history = AttemptHistory {
         tried: Vec::new(),
         runs: 0,
+        rejections: 0,
         silent_losses: 0,
         is_probe: false,
         last_event: admitted.call.last_event,
@@ -363,7 +372,11 @@
         history.tried.push(placed.key);
         let (verdict, cause) = match attempt(&node, &admitted, &history, placed).await {
             Attempt::Answered(source) => return relay::start(node, admitted, history, *source),
-            Attempt::NotRun(cause) => (Verdict::NotRun, cause),
+            Attempt::NotRun(cause) => {
+                history.rejections += 1;
+                (Verdict::NotRun, cause)
+            }
+            Attempt::Refused(cause) => (Verdict::NotRun, cause),
             Attempt::MayHaveRun(cause) => (Verdict::MayHaveRun, cause),
             Attempt::Lost(cause) => {
                 history.silent_losses += 1;
@@ -512,13 +525,16 @@
             }))
         }
         Err(err) => {
-            suspect(node, key, &err.to_string());
+            unresponsive(node, key, &err);
             if err.is_lost_run() {
                 let id = &admitted.call.request_id;
                 let watch = RunWatch::new(id, &admitted.parts, placed.entry.clone());
                 watch.connection_lost(node, false);
                 return Attempt::Lost(err.to_string());
             }
+            if err.is_refused() {
+                return Attempt::Refused(err.to_string());
+            }
             match err.verdict() {
                 Verdict::NotRun => Attempt::NotRun(err.to_string()),
                 Verdict::MayHaveRun | Verdict::Ran => Attempt::MayHaveRun(err.to_string()),
@@ -550,6 +566,15 @@
     node.client.send(placed.entry.addr, req, options).await
 }
 
+/// Records that an attempt at a backend server failed without a response.
+pub(crate) fn unresponsive<P>(node: &Arc<Node<P>>, key: BackendKey, err: &ClientError) {
+    if err.is_refused() {
+        let until = node.now() + REFUSAL_TIME;
+        node.lock().load.refused(key, until);
+    }
+    suspect(node, key, &err.to_string());
+}
+
 /// Marks a backend server that did not respond as suspected, so that it is used last for a while.
 pub(crate) fn suspect<P>(node: &Arc<Node<P>>, key: BackendKey, cause: &str) {
     let now = node.now();
--- a/gateway/src/serve/relay.rs
+++ b/gateway/src/serve/relay.rs
@@ -42,7 +42,8 @@
     Admitted,
     AttemptHistory,
     send,
-    suspect, //
+    suspect,
+    unresponsive, //
 };
 use super::run_watch::RunWatch;
 use super::runs::PaceMeter;
@@ -362,7 +363,8 @@
         if placed.needs_probe {
             return None;
         }
-        history.tried.push(placed.key);
+        let key = placed.key;
+        history.tried.push(key);
         let id = &admitted.call.request_id;
         let backend = &placed.entry.id;
         let response = match send(node, admitted, history, &placed).await {
@@ -374,6 +376,10 @@
                     watch.connection_lost(node, false);
                     history.silent_losses += 1;
                 }
+                unresponsive(node, key, &err);
+                if !err.is_refused() && !err.is_lost_run() {
+                    history.rejections += 1;
+                }
                 let verdict = err.verdict();
                 log_event!(
                     ATTEMPT_FAILED,
@@ -394,6 +400,7 @@
                 ATTEMPT_FAILED,
                 "request={id} backend={backend} verdict=not-run cause=\"status {status}\""
             );
+            history.rejections += 1;
             continue;
         }
         history.runs += 1;
