daemon: a completed stream is counted before its end marker is sent

backends::metrics_count_outcomes_attempts_and_refusals failed once beside load with one of two requests counted. Cause: the outcome of a stream was counted after its end had been sent, so a caller could read the metrics in between. Shown by a pause of 300 ms between the two: the test fails with the old order and passes with the new one. The test is unchanged.

--- a/daemon/src/online/stream.rs
+++ b/daemon/src/online/stream.rs
@@ -202,11 +202,13 @@
     }
 
     async fn complete(self) {
-        let outcome = match self.writer.done().await {
-            Ok(()) => Outcome::Complete,
-            Err(_) => Outcome::CallerLeft,
-        };
-        self.call.node.online.metrics.count_outcome(outcome);
+        // Counted first, so that a caller that has read the end marker finds it in the metrics. One
+        // that leaves now has received the whole output.
+        let metrics = &self.call.node.online.metrics;
+        metrics.count_outcome(Outcome::Complete);
+        if self.writer.done().await.is_err() {
+            event!(CALLER_LEFT, "service={}", self.call.service);
+        }
     }
 
     fn caller_left(self) {
