--- a/gateway/tests/quarantine.rs
+++ b/gateway/tests/quarantine.rs
@@ -286,6 +286,34 @@
     assert!(news.len() <= MAX_DATAGRAM_BYTES, "{} bytes", news.len());
 }
 
+/// Other instances tell of more cases than are kept. Guards against an update that never ends,
+/// because each case that is opened displaces another one whose crashes are known.
+#[test]
+fn more_cases_than_are_kept_do_not_stop_an_instance() {
+    let mut quarantine = Quarantine::default();
+    for ms in [1_000, 1_200, 1_400] {
+        crash(&mut quarantine, ms, &[DEADLY]);
+    }
+    let case = |n: u64| Case {
+        parts: [PartKey(0x1000 + n)].into(),
+        crashes: 3,
+        servers: Vec::new(),
+        age: ms(100),
+        probes: 0,
+        probe_in: ms(1_000),
+    };
+    let news = CrashNews {
+        cases: (0..40).map(case).collect(),
+        ..CrashNews::default()
+    };
+    quarantine.merge(&news, at(2_000));
+    for ms in [2_100, 2_300, 2_500] {
+        crash(&mut quarantine, ms, &[OTHER]);
+    }
+    assert!(quarantine.cases(at(2_600)).count() <= 32);
+    assert!(is_held(&quarantine, &[OTHER], 2_600));
+}
+
 /// Guards against messages that lose a field, and against builds that take one kind of datagram for
 /// the other.
 #[test]
