gateway: a closed case closes no wider one

A mutation that keeps the wider cases open passes all tests: once the sound part has left a wider case, what remains in it follows from the crashes alone. The rule is removed.

--- a/cli/tests/trace.rs
+++ b/cli/tests/trace.rs
@@ -66,3 +66,21 @@
     assert_eq!(line.field("call"), Some("submit"));
     assert_eq!(Line::parse("x", "7.005 INFO something else"), None);
 }
+
+/// Guards against a trace that does not say why a request was held back, or what crashed before.
+#[test]
+fn the_trace_of_a_request_that_is_held_back_names_the_parts_and_the_crashes() {
+    let lines = [
+        "10.900 WARN LW2304 parts=de crashes=3 seen_at=i-1@one,i-2@two,i-3@one age_ms=900",
+        "11.000 WARN LW2502 request=r1 status=503 cause=held-back route=r tried=0 parts=de crashes=3 seen_at=i-1@one",
+    ];
+    let lines = lines.iter().filter_map(|raw| Line::parse("one", raw));
+    let trace = Trace::of("r1", lines.collect()).expect("a trace");
+    assert_eq!(trace.ending, Ending::Refused);
+    assert_eq!(trace.cause.as_deref(), Some("held-back"));
+    let field = |name| trace.matching[0].field(name);
+    assert_eq!(field("parts"), Some("de"));
+    assert_eq!(field("crashes"), Some("3"));
+    assert_eq!(field("seen_at"), Some("i-1@one"));
+    assert_eq!(trace.context[0].event, 2304);
+}
--- a/gateway/src/quarantine.rs
+++ b/gateway/src/quarantine.rs
@@ -514,30 +514,24 @@
         self.suspected = all.copied().collect();
     }
 
-    /// Removes parts with which a run has written output from their cases. A case that was wrong
-    /// has also explained what the wider ones with its parts were opened for.
+    /// Removes parts with which a run has written output from their cases, and closes cases without
+    /// any other part.
     fn clear_cases(&mut self, now: Timestamp) -> Vec<CaseChange> {
-        let mut closed: Vec<OpenCase> = Vec::new();
+        let mut changes = Vec::new();
         let begun = &self.begun;
-        let is_sound = |case: &OpenCase, part: &PartKey| {
-            let begun = begun.get(part);
-            begun.is_some_and(|b| b.at >= case.since)
-        };
-        for case in &self.cases {
-            if case.parts.iter().all(|part| is_sound(case, part)) {
-                closed.push(case.clone());
-            }
-        }
         self.cases.retain_mut(|case| {
-            let wrong = closed.iter().any(|c| c.parts.is_subset(&case.parts));
-            let parts = case.parts.iter().copied();
-            case.parts = parts.filter(|part| !is_sound(case, part)).collect();
-            !wrong && !case.parts.is_empty()
+            let is_sound = |part: &PartKey| begun.get(part).is_some_and(|b| b.at >= case.since);
+            let suspected = case.parts.iter().copied().filter(|part| !is_sound(part));
+            let suspected: BTreeSet<PartKey> = suspected.collect();
+            let is_open = !suspected.is_empty();
+            if is_open {
+                case.parts = suspected;
+            } else {
+                changes.push(CaseChange::Closed(case.to_case(now)));
+            }
+            is_open
         });
-        let closed = closed.into_iter();
-        closed
-            .map(|case| CaseChange::Closed(case.to_case(now)))
-            .collect()
+        changes
     }
 
     /// Returns a case with fewer parts than an open one, if a server crashed under a run with only
