gateway: evidence about crashes expires without new crashes

Old crashes were dropped only when something changed, so an instance went on telling others about a crash for good.

--- a/gateway/src/quarantine.rs
+++ b/gateway/src/quarantine.rs
@@ -428,6 +428,7 @@
     /// Returns what this instance has observed in the last moments, to be sent to all others.
     pub fn news(&mut self, now: Timestamp) -> CrashNews {
         let now = since_origin(now);
+        self.drop_old(now);
         for part in self.unannounced() {
             self.tell(part, now);
         }
--- a/gateway/src/serve/crashes.rs
+++ b/gateway/src/serve/crashes.rs
@@ -27,6 +27,7 @@
     sleep,
     timeout_at, //
 };
+use rand::Rng;
 use rand::seq::IteratorRandom;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -344,11 +345,8 @@
         return;
     }
     let peers = u32::try_from(state.members.count()).unwrap_or(u32::MAX);
-    if rand::Rng::random_ratio(
-        &mut state.rng,
-        DIGEST_SENDERS.min(peers.max(1)),
-        peers.max(1),
-    ) {
+    let peers = peers.max(1);
+    if state.rng.random_ratio(DIGEST_SENDERS.min(peers), peers) {
         state.digest_due.push(addr);
         node.crash_news.notify(usize::MAX);
     }
--- a/gateway/tests/quarantine.rs
+++ b/gateway/tests/quarantine.rs
@@ -181,6 +181,28 @@
     assert_eq!(held(&instances, &[FIRST]), 0);
 }
 
+/// Guards against a sound part that is blamed by the third crash, because no instance tells the
+/// others of its output while only two are known.
+#[test]
+fn output_is_told_before_a_part_is_blamed() {
+    let mut seeing = Quarantine::default();
+    let mut serving = Quarantine::default();
+    for ms in [1_000, 1_200] {
+        crash(&mut seeing, ms, &[FIRST]);
+        serving.merge(&seeing.news(at(ms + 5)), at(ms + 5));
+    }
+    serving.began(&[FIRST], at(1_250));
+    let news = serving.news(at(1_300));
+    assert_eq!(news.cleared.len(), 1);
+    seeing.merge(&news, at(1_300));
+    crash(&mut seeing, 1_400, &[FIRST]);
+    assert!(!seeing.has_cases());
+    // One crash needs no such message.
+    serving.merge(&seeing.news(at(1_405)), at(1_405));
+    serving.began(&[FIRST], at(3_000));
+    assert!(serving.news(at(3_001)).is_empty());
+}
+
 /// Guards against a case that ends only where a request has shown that its part is sound again.
 #[test]
 fn output_closes_a_case_at_all_instances() {
