tests: each mechanism of the quarantine fails a test when it is taken out

Taken out once each, with the test that then fails: blame (a_part_that_crashes_servers_is_held_back), moments (crashes_at_the_same_moment_count_once), clearing by output (output_clears_a_part_of_the_crashes_before), the check by a connection (failures_without_a_common_part_hold_nothing_back::answers_broken_off), explained crashes (crashes_that_a_case_explains_blame_no_other_part), narrower cases and cases of several parts (parts_that_cannot_be_told_apart_are_held_back_together), messages to all (a_part_is_held_back_while_the_store_is_away), digests (a_started_instance_holds_a_known_part_back), the record in the store (a_held_part_survives_the_loss_of_all_instances), probes (a_part_that_crashes_no_more_is_served_again), the claim (instances_that_claim_a_probe_together_send_one: three probes instead of one), two cases (a_request_with_the_parts_of_two_cases_is_no_probe), growing intervals (probes_become_rarer_until_one_succeeds), the limit of runs without output (a_request_that_loses_two_runs_without_output_is_not_sent_again), items (an_item_with_a_held_part_waits), ages before the start (a_started_instance_adopts_what_happened_before), announced output (output_is_told_before_a_part_is_blamed), the second event (a_crash_after_the_first_event_is_evidence), leaving servers (servers_that_leave_are_no_evidence), operators (operators_see_and_close_a_case), streams without an event (unframed_responses), refused connections (servers_that_refuse_connections_use_up_no_attempts, a_server_that_refused_a_connection_gets_none_for_a_while), outdated cases (output_closes_a_case_at_all_instances), and the limit of crashes (the_oldest_crashes_are_forgotten). The limit of suspects of a crash was not taken out with a result.

--- a/gateway/tests/quarantine.rs
+++ b/gateway/tests/quarantine.rs
@@ -215,10 +215,12 @@
     one.merge(&two.news(at(2_010)), at(2_010));
     assert!(!one.has_cases());
     // An instance that has missed it does not open the case again elsewhere.
-    let outdated = with_case().digest(at(2_500));
-    two.merge(&outdated, at(2_500));
-    one.merge(&outdated, at(2_500));
+    let outdated = with_case().digest(at(5_000));
+    two.merge(&outdated, at(5_000));
+    one.merge(&outdated, at(5_000));
     assert!(!one.has_cases() && !two.has_cases());
+    // It is told again, as it goes on holding the part back.
+    assert_eq!(two.news(at(5_000)).cleared.len(), 1);
 }
 
 /// An instance starts while a case is open. Guards against ages that are cut at the start of its
@@ -308,6 +310,19 @@
     assert!(news.len() <= MAX_DATAGRAM_BYTES, "{} bytes", news.len());
 }
 
+/// Guards against memory that grows with each crash.
+#[test]
+fn the_oldest_crashes_are_forgotten() {
+    let mut quarantine = Quarantine::default();
+    crash(&mut quarantine, 1_000, &[DEADLY]);
+    crash(&mut quarantine, 1_200, &[DEADLY]);
+    for n in 0..70 {
+        crash(&mut quarantine, 2_000 + n * 200, &[PartKey(0x1000 + n)]);
+    }
+    crash(&mut quarantine, 20_000, &[DEADLY]);
+    assert!(!quarantine.has_cases());
+}
+
 /// Other instances tell of more cases than are kept. Guards against an update that never ends,
 /// because each case that is opened displaces another one whose crashes are known.
 #[test]
