--- a/gateway/src/crash_message.rs
+++ b/gateway/src/crash_message.rs
@@ -13,14 +13,14 @@
     Snafu, //
 };
 
-use crate::prompt::PartKey;
-use crate::quarantine::{
+use crate::crash_news::{
     Case,
     Cleared,
     Crash,
     CrashKey,
     CrashNews, //
 };
+use crate::prompt::PartKey;
 
 /// First byte of a message. No report begins with it, so builds that do not know these messages
 /// ignore them, and the socket of the reports serves both.
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 mod config_fetch;
 mod config_freshness;
 mod crash_message;
+mod crash_news;
 mod instance;
 mod item_time;
 mod jobs;
@@ -44,6 +45,7 @@
 pub use config_fetch::ConfigFetch;
 pub use config_freshness::ConfigFreshness;
 pub use crash_message::{CaseRecord, CaseRecordError};
+pub use crash_news::{Case, Cleared, Crash, CrashKey, CrashNews};
 pub use instance::{Instance, InstanceRecord, InstanceRecordError};
 pub use item_time::ItemTime;
 pub use jobs::{
@@ -61,7 +63,7 @@
 };
 pub use positions::{CallKind, PartitionFreshness, Position, forward_targets, runners};
 pub use prompt::{PartKey, SharedParts};
-pub use quarantine::{Case, CaseChange, Cleared, Crash, CrashKey, CrashNews, Hold, Quarantine};
+pub use quarantine::{CaseChange, Hold, Quarantine};
 pub use quota::{OrganisationKey, OverQuota, Quotas, Tolerance};
 pub use replicas::{owner, replicas};
 pub use report::{BatchRun, ItemKey, Report};
--- a/gateway/src/serve/choose.rs
+++ b/gateway/src/serve/choose.rs
@@ -31,6 +31,7 @@
     BackendEntry,
     BackendKey, //
 };
+use crate::crash_news::Case;
 use crate::placement::{
     Candidate,
     Limits,
@@ -43,7 +44,6 @@
     Dialect,
     Store, //
 };
-use crate::quarantine::Case;
 
 /// Maximum number of online requests queued at a backend server beyond its slots. With eight slots,
 /// each occupied for 0.75 s, two queued requests wait at most 0.2 s.
--- a/gateway/src/serve/crashes.rs
+++ b/gateway/src/serve/crashes.rs
@@ -52,6 +52,11 @@
     BackendKey, //
 };
 use crate::crash_message::CaseRecord;
+use crate::crash_news::{
+    Case,
+    CrashKey,
+    CrashNews, //
+};
 use crate::platform::{
     Dialect,
     Record,
@@ -59,12 +64,7 @@
     Topic, //
 };
 use crate::prompt::PartKey;
-use crate::quarantine::{
-    Case,
-    CaseChange,
-    CrashKey,
-    CrashNews, //
-};
+use crate::quarantine::CaseChange;
 
 /// Time between two messages with the same news.
 const NEWS_INTERVAL: Duration = Duration::from_millis(250);
--- a/gateway/src/serve/peers.rs
+++ b/gateway/src/serve/peers.rs
@@ -36,6 +36,7 @@
     ReplicaStatus,
 };
 use crate::crash_message::CaseRecord;
+use crate::crash_news::CrashNews;
 use crate::instance::InstanceRecord;
 use crate::members::{
     MIN_REPORT_TIMEOUT,
@@ -48,7 +49,6 @@
     StoreError,
     Topic, //
 };
-use crate::quarantine::CrashNews;
 use crate::report::Report;
 
 /// Size of the receive buffer for reports in bytes; a datagram is not larger.
