gateway: a claimed probe counts once

What callers saw: a part that crashes servers no more was held back for 50 s instead of 10 s.

Cause: an instance counted its probe when the store had granted the claim, and once more if its own reader had read the record of the claim before the response to the append. The interval to the next probe grows fivefold with each count.

--- a/gateway/src/quarantine.rs
+++ b/gateway/src/quarantine.rs
@@ -288,14 +288,18 @@
         Some(case.to_case(now))
     }
 
-    /// Records that this instance sends a request with these parts as a probe.
-    pub fn probed(&mut self, parts: &[PartKey], now: Timestamp) -> Option<Case> {
+    /// Records that this instance sends the probe that it has claimed, after which the case is
+    /// `claimed`. The record of the claim may have been read before.
+    pub fn probed(&mut self, claimed: &Case, now: Timestamp) {
         let now = since_origin(now);
-        let holding = self.cases.iter_mut().filter(|case| case.holds(parts));
-        let case = holding.min_by_key(|case| case.parts.len())?;
-        case.count_probe(now);
-        case.observed = Some(now);
-        Some(case.to_case(now))
+        let mut known = self.cases.iter_mut();
+        if let Some(known) = known.find(|known| known.parts == claimed.parts) {
+            known.observed = Some(now);
+            if claimed.probes > known.probes {
+                known.probes = claimed.probes;
+                known.probe_at = now + claimed.probe_in;
+            }
+        }
     }
 
     /// Applies what another instance tells.
--- a/gateway/src/serve/crashes.rs
+++ b/gateway/src/serve/crashes.rs
@@ -333,7 +333,7 @@
         None => return false,
     }
     let now = node.now();
-    let case = node.lock().quarantine.probed(parts, now).unwrap_or(case);
+    node.lock().quarantine.probed(&case, now);
     node.crash_news.notify(usize::MAX);
     log_event!(PROBE_SENT, "request={request} {}", describe(&case));
     true
--- a/gateway/tests/quarantine.rs
+++ b/gateway/tests/quarantine.rs
@@ -251,7 +251,8 @@
     for time in (1_400..61_400).step_by(100) {
         let hold = quarantine.hold(&[DEADLY], at(time)).expect("held");
         if hold.probe_due {
-            quarantine.probed(&[DEADLY], at(time));
+            let claimed = quarantine.after_probe(&[DEADLY], at(time));
+            quarantine.probed(&claimed.expect("a case"), at(time));
             crash(&mut quarantine, time + 50, &[DEADLY]);
             probes.push(time);
         }
@@ -265,6 +266,24 @@
     assert!(!is_held(&quarantine, &[DEADLY], 70_001));
 }
 
+/// An instance reads the record of its claim before the response to it. Guards against a probe that
+/// counts twice: the next one came after 50 s instead of 10 s.
+#[test]
+fn a_claim_that_is_read_first_counts_once() {
+    let mut quarantine = with_case();
+    let claimed = quarantine.after_probe(&[DEADLY], at(4_000));
+    let claimed = claimed.expect("a case");
+    let news = CrashNews {
+        cases: vec![claimed.clone()],
+        ..CrashNews::default()
+    };
+    quarantine.merge(&news, at(4_005));
+    quarantine.probed(&claimed, at(4_006));
+    let case = quarantine.cases(at(4_010)).next().expect("a case");
+    assert_eq!(case.probes, 1);
+    assert!(case.probe_in <= ms(10_000), "{case:?}");
+}
+
 /// Guards against a probe with the parts of two cases, which shows nothing about either.
 #[test]
 fn a_request_with_the_parts_of_two_cases_is_no_probe() {
