--- a/gateway/src/quarantine.rs
+++ b/gateway/src/quarantine.rs
@@ -155,6 +155,14 @@
         }
     }
 
+    /// Takes over probes that another instance has counted, or the store.
+    fn adopt_probes(&mut self, probes: u32, probe_at: Timestamp) {
+        if probes > self.probes {
+            self.probes = probes;
+            self.probe_at = probe_at;
+        }
+    }
+
     fn count_probe(&mut self, now: Timestamp) {
         self.probes += 1;
         self.probe_at = now + probe_interval(self.probes);
@@ -212,7 +220,7 @@
     pub fn hold(&self, parts: &[PartKey], now: Timestamp) -> Option<Hold> {
         let now = since_origin(now);
         let holding = || self.cases.iter().filter(|case| case.holds(parts));
-        let case = holding().min_by_key(|case| case.parts.len())?;
+        let case = self.narrowest(parts)?;
         // A probe with the parts of two cases would show nothing about either of them.
         let only = holding().all(|other| case.parts.is_subset(&other.parts));
         Some(Hold {
@@ -281,9 +289,7 @@
     /// Returns the case that a request with these parts would probe, as it is afterwards.
     pub fn after_probe(&self, parts: &[PartKey], now: Timestamp) -> Option<Case> {
         let now = since_origin(now);
-        let holding = self.cases.iter().filter(|case| case.holds(parts));
-        let case = holding.min_by_key(|case| case.parts.len())?;
-        let mut case = case.clone();
+        let mut case = self.narrowest(parts)?.clone();
         case.count_probe(now);
         Some(case.to_case(now))
     }
@@ -295,10 +301,7 @@
         let mut known = self.cases.iter_mut();
         if let Some(known) = known.find(|known| known.parts == claimed.parts) {
             known.observed = Some(now);
-            if claimed.probes > known.probes {
-                known.probes = claimed.probes;
-                known.probe_at = now + claimed.probe_in;
-            }
+            known.adopt_probes(claimed.probes, now + claimed.probe_in);
         }
     }
 
@@ -356,10 +359,7 @@
         if let Some(known) = known.find(|known| known.parts == parts) {
             known.since = known.since.min(since);
             known.crashes = known.crashes.max(case.crashes);
-            if case.probes > known.probes {
-                known.probes = case.probes;
-                known.probe_at = probe_at;
-            }
+            known.adopt_probes(case.probes, probe_at);
             return;
         }
         self.open(OpenCase {
@@ -417,6 +417,12 @@
         }
     }
 
+    /// Returns the case with the fewest parts that holds a request with `parts` back.
+    fn narrowest(&self, parts: &[PartKey]) -> Option<&OpenCase> {
+        let holding = self.cases.iter().filter(|case| case.holds(parts));
+        holding.min_by_key(|case| case.parts.len())
+    }
+
     fn begun_at(&self, part: PartKey) -> Timestamp {
         self.begun.get(&part).map_or(Timestamp::default(), |b| b.at)
     }
