--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 mod config;
 mod config_fetch;
 mod config_freshness;
+mod crash_evidence;
 mod crash_message;
 mod crash_news;
 mod instance;
--- a/gateway/src/quarantine.rs
+++ b/gateway/src/quarantine.rs
@@ -21,6 +21,16 @@
 
 use limpetweir_state::Timestamp;
 
+use crate::crash_evidence::{
+    Begun,
+    KnownCrash,
+    OpenCase,
+    add_suspects,
+    moments,
+    probe_interval,
+    to_cleared,
+    to_crash, //
+};
 use crate::crash_news::{
     Case,
     Cleared,
@@ -34,19 +44,6 @@
 /// is rarely used; five are all that may happen before the bound on further requests applies.
 const BLAMED_AFTER: usize = 3;
 
-/// Time between two crashes that count as different moments. Servers that crash together have a
-/// common cause, and a request is on one server at a time.
-const MOMENT: Duration = Duration::from_millis(100);
-
-/// Time from the beginning of a case to the first probe.
-const FIRST_PROBE: Duration = Duration::from_secs(2);
-
-/// Factor between the times to two successive probes.
-const PROBE_BACKOFF: u32 = 5;
-
-/// Longest time between two probes.
-const MAX_PROBE_INTERVAL: Duration = Duration::from_secs(3_600);
-
 /// Time for which a crash counts as evidence.
 const EVIDENCE_LIFETIME: Duration = Duration::from_secs(600);
 
@@ -63,9 +60,6 @@
 /// Maximum number of suspected parts of one run. The caller determines the number of parts.
 const MAX_RUN_SUSPECTS: usize = 16;
 
-/// Maximum number of suspected parts of one crash.
-const MAX_CRASH_SUSPECTS: usize = 64;
-
 /// Maximum number of cases.
 const MAX_CASES: usize = 32;
 
@@ -78,9 +72,6 @@
 /// Maximum number of sound parts in a digest, for the same reason.
 const MAX_DIGEST_CLEARED: usize = 256;
 
-/// Maximum number of servers that a case lists.
-const MAX_CASE_SERVERS: usize = 5;
-
 /// A change of the open cases.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum CaseChange {
@@ -99,95 +90,12 @@
     pub probe_due: bool,
 }
 
-/// A crash with the time at which it happened.
-#[derive(Clone, Debug)]
-struct KnownCrash {
-    server: String,
-    seen_by: String,
-    at: Timestamp,
-    suspects: BTreeSet<PartKey>,
-    /// When this instance observed it or a part of it.
-    observed: Option<Timestamp>,
-}
-
-/// Last output of runs with a part.
-#[derive(Clone, Copy, Debug, Default)]
-struct Begun {
-    /// When a run of any instance wrote output, as far as this instance knows.
-    at: Timestamp,
-    /// The latest such time that the other instances know.
-    told: Timestamp,
-    /// When this instance told the others.
-    observed: Option<Timestamp>,
-}
-
-/// A case with its times.
-#[derive(Clone, Debug)]
-struct OpenCase {
-    parts: BTreeSet<PartKey>,
-    crashes: u32,
-    servers: Vec<String>,
-    /// Time of the first crash. A part that wrote output later is not in the case.
-    since: Timestamp,
-    probes: u32,
-    probe_at: Timestamp,
-    /// When this instance changed it.
-    observed: Option<Timestamp>,
-}
-
-impl OpenCase {
-    fn holds(&self, parts: &[PartKey]) -> bool {
-        self.parts.iter().all(|part| parts.contains(part))
-    }
-
-    fn explains(&self, crash: &KnownCrash) -> bool {
-        self.parts.is_subset(&crash.suspects)
-    }
-
-    fn to_case(&self, now: Timestamp) -> Case {
-        Case {
-            parts: self.parts.clone(),
-            crashes: self.crashes,
-            servers: self.servers.clone(),
-            age: now.since(self.since),
-            probes: self.probes,
-            probe_in: self.probe_at.since(now),
-        }
-    }
-
-    /// Takes over probes that another instance has counted, or the store.
-    fn adopt_probes(&mut self, probes: u32, probe_at: Timestamp) {
-        if probes > self.probes {
-            self.probes = probes;
-            self.probe_at = probe_at;
-        }
-    }
-
-    fn count_probe(&mut self, now: Timestamp) {
-        self.probes += 1;
-        self.probe_at = now + probe_interval(self.probes);
-    }
-
-    fn count(&mut self, server: &str) {
-        self.crashes += 1;
-        if self.servers.len() < MAX_CASE_SERVERS {
-            self.servers.push(server.to_owned());
-        }
-    }
-}
-
 /// Returns a time on a clock that began [`CASE_LIFETIME`] before the process, on which the ages that
 /// other instances tell can be represented.
 fn since_origin(time: Timestamp) -> Timestamp {
     time + CASE_LIFETIME
 }
 
-/// Returns the time from a probe with this number, counted from 0, to the next one.
-fn probe_interval(probes: u32) -> Duration {
-    let factor = PROBE_BACKOFF.saturating_pow(probes);
-    FIRST_PROBE.saturating_mul(factor).min(MAX_PROBE_INTERVAL)
-}
-
 /// Crashes of backend servers and the parts that are held back, as known to this instance.
 #[derive(Debug, Default)]
 pub struct Quarantine {
@@ -590,43 +498,3 @@
         }
     }
 }
-
-fn add_suspects(suspects: &mut BTreeSet<PartKey>, parts: impl Iterator<Item = PartKey>) {
-    for part in parts {
-        if suspects.len() < MAX_CRASH_SUSPECTS {
-            suspects.insert(part);
-        }
-    }
-}
-
-fn to_crash(key: CrashKey, crash: &KnownCrash, now: Timestamp) -> Crash {
-    Crash {
-        key,
-        server: crash.server.clone(),
-        seen_by: crash.seen_by.clone(),
-        age: now.since(crash.at),
-        suspects: crash.suspects.iter().copied().collect(),
-    }
-}
-
-fn to_cleared(part: PartKey, begun: &Begun, now: Timestamp) -> Cleared {
-    Cleared {
-        part,
-        age: now.since(begun.told),
-    }
-}
-
-/// Returns the number of different moments among these times.
-fn moments(times: impl Iterator<Item = Timestamp>) -> usize {
-    let mut times: Vec<Timestamp> = times.collect();
-    times.sort_unstable();
-    let mut last = None;
-    let distinct = times.into_iter().filter(|at| {
-        let is_distinct = last.is_none_or(|last| at.since(last) >= MOMENT);
-        if is_distinct {
-            last = Some(*at);
-        }
-        is_distinct
-    });
-    distinct.count()
-}
