--- a/gateway/src/backend.rs
+++ b/gateway/src/backend.rs
@@ -35,6 +35,10 @@
     }
 }
 
+/// Hash of a backend server's identifier and start, the same on all instances.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct RunKey(pub u32);
+
 /// Registration of a backend server.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct BackendEntry {
@@ -54,6 +58,14 @@
     pub born: u64,
 }
 
+impl BackendEntry {
+    /// Returns the key of this run of the server: another start has another one.
+    pub fn run(&self) -> RunKey {
+        // The hash stays uniform when it is truncated.
+        RunKey(xxh3_64(format!("{}/{}", self.id, self.born).as_bytes()) as u32)
+    }
+}
+
 /// A registered backend server and the state of its entry at this instance.
 #[derive(Clone, Debug)]
 pub struct Backend {
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -30,11 +30,13 @@
 mod report_schedule;
 mod routing;
 mod serve;
+mod server_limit;
+mod server_limits;
 mod settings;
 mod speed;
 mod sse;
 
-pub use backend::{Backend, BackendEntry, BackendKey, Backends};
+pub use backend::{Backend, BackendEntry, BackendKey, Backends, RunKey};
 pub use batch::{
     BatchCandidate, Contenders, WaitingItem, choose_preemptions, choose_starts, reserve,
 };
@@ -71,6 +73,8 @@
 pub use report_schedule::{OutgoingReport, PeerRelation, Receiver, ReportSchedule};
 pub use routing::{Denial, Destination, destination};
 pub use serve::{Gateway, StartError, check, run};
+pub use server_limit::{LimitChange, StatedLimit, Statement};
+pub use server_limits::ServerLimits;
 pub use settings::{Settings, SettingsError, StoreSettings};
 pub use speed::{SLOW_FACTOR, Slowness, Speeds};
 pub use sse::{Event, InvalidEventStream, Splitter};
--- a/gateway/src/platform.rs
+++ b/gateway/src/platform.rs
@@ -19,6 +19,7 @@
 use crate::config::Configuration;
 use crate::jobs::NewItem;
 use crate::prompt::SharedParts;
+use crate::server_limit::StatedLimit;
 
 /// A set of records in the store, with its own partitions.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, strum::Display, strum::IntoStaticStr)]
@@ -190,7 +191,7 @@
 }
 
 /// Decoded head of a backend server's response.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ResponseHead {
     /// Identifier of the request that the response belongs to.
     pub request_id: Option<String>,
@@ -202,6 +203,10 @@
     pub events: bool,
     /// Time after which the server closes an idle connection.
     pub idle: Option<Duration>,
+    /// What the server says about the requests that it takes.
+    pub limit: StatedLimit,
+    /// Whether the server says that it is about to leave.
+    pub leaving: bool,
 }
 
 /// An item of a batch job, for building its request.
--- a/gateway/src/serve/choose.rs
+++ b/gateway/src/serve/choose.rs
@@ -14,6 +14,7 @@
     SeedableRng, //
 };
 
+use super::heads;
 use super::lines::{
     PLACED,
     log_event, //
@@ -63,6 +64,8 @@
     pub(crate) entry: Arc<BackendEntry>,
     /// Whether the request would be held back and may only be sent as a probe.
     pub(crate) needs_probe: bool,
+    /// When the server was chosen; the request is sent later.
+    pub(crate) chosen_at: Timestamp,
     started: Instant,
 }
 
@@ -135,20 +138,25 @@
         return Err(NO_BACKEND);
     };
     let before = state.load.placed(key);
+    let limit = state.limits.limit(entry.run());
     state.load.online_started(key, now);
     drop(state);
     // Logged before the request is sent, as an instance that is killed logs nothing later about it.
     log_event!(
         PLACED,
-        "request={} backend={} online={} batch={} servers={} entry_age_ms={} version={}",
+        "request={} backend={} online={} batch={} servers={} entry_age_ms={} version={}{}",
         admitted.call.request_id,
         entry.id,
         before.online,
         before.batch,
         candidates.len(),
         now.since(seen).as_millis(),
-        admitted.version
+        admitted.version,
+        heads::describe(limit, now)
     );
+    if limit.is_some() {
+        node.metrics.limited_request(history.kind());
+    }
     node.report_due.notify(usize::MAX);
     node.balance_due.notify(usize::MAX);
     Ok(PlacedRequest {
@@ -156,6 +164,7 @@
         key,
         entry,
         needs_probe: hold.is_some(),
+        chosen_at: now,
         started: Instant::now(),
     })
 }
--- a/gateway/src/serve/lines.rs
+++ b/gateway/src/serve/lines.rs
@@ -108,6 +108,14 @@
 pub(crate) const PROBE_SENT: Event = Event::new(2306, Level::Warn);
 /// The parts that are held back could not be written to the store.
 pub(crate) const CASE_NOT_STORED: Event = Event::new(2307, Level::Warn);
+/// A backend server states a limit of requests per second.
+pub(crate) const LIMIT_BEGAN: Event = Event::new(2308, Level::Warn);
+/// A backend server states another limit.
+pub(crate) const LIMIT_CHANGED: Event = Event::new(2309, Level::Warn);
+/// A backend server states no limit any more.
+pub(crate) const LIMIT_ENDED: Event = Event::new(2310, Level::Warn);
+/// A backend server states something that is no limit.
+pub(crate) const LIMIT_INVALID: Event = Event::new(2311, Level::Warn);
 /// Another instance is reachable.
 pub(crate) const PEER_UP: Event = Event::new(2401, Level::Warn);
 /// Another instance is unreachable.
--- a/gateway/src/serve/metrics.rs
+++ b/gateway/src/serve/metrics.rs
@@ -14,6 +14,7 @@
     TextEncoder, //
 };
 
+use super::online::AttemptKind;
 use super::store_calls::CallOutcome;
 
 /// Upper bounds of the duration buckets in seconds; the latency objectives are between 0.3 and 0.5.
@@ -38,6 +39,7 @@
     runs_lost: Counter<u64>,
     suspected_runs: Counter<u64>,
     cases_opened: Counter<u64>,
+    limited_requests: Counter<u64>,
     lines_dropped: Counter<u64>,
 }
 
@@ -95,6 +97,10 @@
                 "limpetweir_held_parts_cases",
                 "Sets of prompt parts that were held back since the start",
             ),
+            limited_requests: counter(
+                "limpetweir_limited_server_requests",
+                "Requests to backend servers with a limit, by kind",
+            ),
             lines_dropped: counter("limpetweir_log_lines_dropped", "Log lines not written"),
             registry,
             _provider: provider,
@@ -149,6 +155,13 @@
         self.cases_opened.add(1, &[]);
     }
 
+    /// Counts a request to a server with a limit.
+    pub(crate) fn limited_request(&self, kind: AttemptKind) {
+        let kind: &'static str = kind.into();
+        let labels = [KeyValue::new("kind", kind)];
+        self.limited_requests.add(1, &labels);
+    }
+
     /// Counts dropped log lines.
     pub(crate) fn lines_dropped(&self, count: u64) {
         self.lines_dropped.add(count, &[]);
--- a/gateway/src/serve/mod.rs
+++ b/gateway/src/serve/mod.rs
@@ -5,6 +5,7 @@
 mod crashes;
 mod follow;
 mod forwarding;
+mod heads;
 mod items;
 mod job_calls;
 mod lines;
--- a/gateway/src/serve/node.rs
+++ b/gateway/src/serve/node.rs
@@ -67,6 +67,7 @@
     ItemKey,
     Report, //
 };
+use crate::server_limits::ServerLimits;
 use crate::settings::Settings;
 use crate::speed::Speeds;
 
@@ -104,6 +105,8 @@
     /// Instances that are to get all that is known about crashes.
     pub(crate) digest_due: Vec<IpAddr>,
     pub(crate) quotas: Quotas,
+    /// Limits that backend servers state.
+    pub(crate) limits: ServerLimits,
     pub(crate) partitions: Vec<Partition>,
     /// Whether this instance is a replica of each partition, in their order.
     pub(crate) replica_status: Vec<ReplicaStatus>,
@@ -322,6 +325,7 @@
             item_probes: HashSet::new(),
             digest_due: Vec::new(),
             quotas: Quotas::new(settings.tolerance),
+            limits: ServerLimits::default(),
             replica_status: vec![ReplicaStatus::Inactive; partitions.len()],
             freshness: vec![PartitionFreshness::default(); partitions.len()],
             partitions,
--- a/gateway/src/serve/online.rs
+++ b/gateway/src/serve/online.rs
@@ -54,6 +54,7 @@
 use super::{
     crashes,
     forwarding,
+    heads,
     job_calls, //
 };
 use crate::backend::BackendKey;
@@ -314,6 +315,20 @@
     Lost(String),
 }
 
+/// What an attempt sends to a backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub(crate) enum AttemptKind {
+    /// A request that no server has been sent yet.
+    First,
+    /// A request that another server has failed to serve.
+    Again,
+    /// A request for the rest of a stream.
+    Rest,
+    /// An item of a batch job.
+    Item,
+}
+
 /// History of the attempts of one request.
 pub(crate) struct AttemptHistory {
     /// Backend servers to which the request has been sent already.
@@ -331,6 +346,17 @@
 }
 
 impl AttemptHistory {
+    /// Returns the kind of the next attempt.
+    pub(crate) fn kind(&self) -> AttemptKind {
+        if self.last_event.is_some() {
+            AttemptKind::Rest
+        } else if self.tried.is_empty() {
+            AttemptKind::First
+        } else {
+            AttemptKind::Again
+        }
+    }
+
     /// Returns whether the request may run once more on `route`.
     pub(crate) fn may_run_again(&self, route: &Route) -> bool {
         let may_crash = self.silent_losses >= MAX_SILENT_LOSSES || self.is_probe;
@@ -510,6 +536,9 @@
             let ids_match =
                 decoded.request_id.as_deref() == Some(admitted.call.request_id.as_str());
             if decoded.not_run {
+                if ids_match {
+                    heads::apply(node, &placed.entry, placed.chosen_at, &decoded);
+                }
                 let cause = format!("status {}", head.status.as_u16());
                 return Attempt::NotRun(cause);
             }
@@ -518,6 +547,7 @@
                 let cause = "the response belongs to another request".to_owned();
                 return Attempt::MayHaveRun(cause);
             }
+            heads::apply(node, &placed.entry, placed.chosen_at, &decoded);
             Attempt::Answered(Box::new(Source {
                 response: Response::from_parts(head, body),
                 head: decoded,
--- a/gateway/src/serve/relay.rs
+++ b/gateway/src/serve/relay.rs
@@ -26,6 +26,7 @@
     PlacedRequest,
     choose, //
 };
+use super::heads;
 use super::lines::{
     ANSWERED,
     ATTEMPT_FAILED,
@@ -404,6 +405,9 @@
             continue;
         }
         history.runs += 1;
+        if decoded.request_id.as_deref() == Some(admitted.call.request_id.as_str()) {
+            heads::apply(node, &placed.entry, placed.chosen_at, &decoded);
+        }
         let ids_match = decoded.request_id.as_deref() == Some(admitted.call.request_id.as_str());
         if !ids_match || !decoded.events || head.status != StatusCode::OK {
             log_event!(
--- a/gateway/src/serve/runs.rs
+++ b/gateway/src/serve/runs.rs
@@ -10,6 +10,7 @@
 use futures_lite::future;
 use http_body_util::BodyExt;
 use hyper::Response;
+use limpetweir_state::Timestamp;
 use limpetweir_transport::http::{
     ClientBody,
     SendOptions,
@@ -17,6 +18,7 @@
 };
 use limpetweir_transport::timeout_at;
 
+use super::heads;
 use super::lines::{
     ITEM_ENDED,
     ITEM_LISTED,
@@ -28,7 +30,10 @@
     Node,
     State, //
 };
-use super::online::suspect;
+use super::online::{
+    AttemptKind,
+    suspect, //
+};
 use super::run_watch::RunWatch;
 use super::writer::{
     self,
@@ -86,6 +91,7 @@
     progress: Progress,
     backend: BackendKey,
     entry: Arc<BackendEntry>,
+    chosen_at: Timestamp,
 }
 
 /// Returns the parts of an item's prompt that may crash backend servers, and the item itself, whose
@@ -103,7 +109,7 @@
     key: ItemKey,
     backend: BackendKey,
 ) {
-    let Some(run) = prepare(state, key, backend) else {
+    let Some(run) = prepare(state, key, backend, node.now()) else {
         return;
     };
     let Some(item) = state.items.get_mut(key) else {
@@ -124,7 +130,7 @@
     node.report_due.notify(usize::MAX);
 }
 
-fn prepare(state: &State, key: ItemKey, backend: BackendKey) -> Option<Run> {
+fn prepare(state: &State, key: ItemKey, backend: BackendKey, now: Timestamp) -> Option<Run> {
     let open = state.items.get(key)?;
     let job = state.partitions.get(open.partition)?.get(&open.job)?;
     let route = state.config.as_ref()?.route_named(&job.route)?;
@@ -150,6 +156,7 @@
         progress: open.progress.clone(),
         backend,
         entry,
+        chosen_at: now,
     })
 }
 
@@ -160,9 +167,14 @@
     let job = run.job.clone();
     let backend = run.entry.id.clone();
     let from = run.progress.data.len();
+    let limit = node.lock().limits.limit(run.entry.run());
+    if limit.is_some() {
+        node.metrics.limited_request(AttemptKind::Item);
+    }
     log_event!(
         ITEM_STARTED,
-        "item={id} job={job} backend={backend} after_event={from}"
+        "item={id} job={job} backend={backend} after_event={from}{}",
+        heads::describe(limit, node.now())
     );
     let stop = async {
         // Dropping the sender stops the run as well.
@@ -280,6 +292,9 @@
     let decoded = node.platform.response(&head);
     let status = head.status.as_u16();
     if decoded.not_run {
+        if decoded.request_id.as_deref() == Some(run.item.id.as_str()) {
+            heads::apply(node, &run.entry, run.chosen_at, &decoded);
+        }
         return (RunEnd::Rejected, format!("status {status}"));
     }
     if decoded.request_id.as_deref() != Some(run.item.id.as_str()) {
@@ -289,6 +304,7 @@
             "the response belongs to another request".to_owned(),
         );
     }
+    heads::apply(node, &run.entry, run.chosen_at, &decoded);
     match status {
         200 if decoded.events => {
             collect_events(
