gateway: all instances share the limits that backend servers state; servers that say that they leave

Cause: placement knew requests in progress and slots, and nothing knew a rate; class of fault: a limit of a shared resource without a shared account. Ruled out: instances that do not know the limit yet, repeated attempts.

All instances now count what they send to a limited server in one token bucket (FleetRates, taken out of quota.rs, where it holds the quotas of organisations); a new token is open to them one after the other.

Servers whose responses say that they leave get no new requests from the first such response on, also from the instances that are told.

--- a/gateway/src/backend.rs
+++ b/gateway/src/backend.rs
@@ -23,6 +23,10 @@
 /// longest interval.
 const LEAVING_VALID_FOR: Duration = Duration::from_millis(1_000);
 
+/// How long a run that said that it leaves is remembered after it has left: its entry may come back
+/// after an outage of the store.
+const LEAVING_KEPT_FOR: Duration = Duration::from_secs(60);
+
 /// Hash of a backend server's identifier, the same on all instances.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct BackendKey(pub u32);
@@ -73,6 +77,8 @@
     pub entry: Arc<BackendEntry>,
     /// Key of the identifier.
     pub key: BackendKey,
+    /// Key of the run that the newest entry is of.
+    pub run: RunKey,
     /// When the newest entry was read.
     pub seen: Timestamp,
     /// Whether the entry was removed from the store.
@@ -80,6 +86,8 @@
     /// When a peer last reported the server as draining or removed. While the store rejects an
     /// instance's calls, such reports are its only source.
     leaving_reported: Option<Timestamp>,
+    /// Whether a response of this run of the server said that it leaves.
+    says_leaving: bool,
 }
 
 impl Backend {
@@ -87,7 +95,7 @@
     pub(crate) fn accepts_requests(&self, now: Timestamp) -> bool {
         let leaving = self.leaving_reported;
         let leaving = leaving.is_some_and(|at| now.since(at) < LEAVING_VALID_FOR);
-        !self.entry.draining && !leaving
+        !self.entry.draining && !self.says_leaving && !leaving
     }
 }
 
@@ -99,6 +107,9 @@
     last_outage: Option<Timestamp>,
     /// Removed servers and the time of their removal.
     removed_at: HashMap<BackendKey, Timestamp>,
+    /// Runs whose responses said that they leave, with the time of the last such response. They
+    /// never take new requests again; another start of the server is another run.
+    leaving_runs: HashMap<RunKey, Timestamp>,
 }
 
 impl Backends {
@@ -112,15 +123,20 @@
             known.removed = false;
             known.seen = now;
             if changed {
+                known.run = entry.run();
+                known.says_leaving = self.leaving_runs.contains_key(&known.run);
                 known.entry = Arc::new(entry);
             }
             return changed;
         }
+        let run = entry.run();
         let backend = Backend {
             key,
+            run,
             seen: now,
             removed: false,
             leaving_reported: None,
+            says_leaving: self.leaving_runs.contains_key(&run),
             entry: Arc::new(entry),
         };
         self.by_key.insert(key, backend);
@@ -188,6 +204,10 @@
         }
         self.removed_at
             .retain(|_, since| now.since(*since) < REMOVAL_REPORTED_FOR);
+        let by_key = &self.by_key;
+        let is_known = |run: &RunKey| by_key.values().any(|b| b.run == *run);
+        self.leaving_runs
+            .retain(|run, at| now.since(*at) < LEAVING_KEPT_FOR || is_known(run));
         expired
     }
 
@@ -198,6 +218,25 @@
         draining.chain(self.removed_at.keys().copied()).collect()
     }
 
+    /// Records that a response of `run` said that it leaves; returns whether that is new.
+    pub fn says_leaving(&mut self, run: RunKey, now: Timestamp) -> bool {
+        let known = self.by_key.values_mut();
+        for backend in known.filter(|backend| backend.run == run) {
+            backend.says_leaving = true;
+        }
+        self.leaving_runs.insert(run, now).is_none()
+    }
+
+    /// Returns the runs whose responses said that they leave, for the reports.
+    pub fn leaving_runs(&self) -> Vec<RunKey> {
+        self.leaving_runs.keys().copied().collect()
+    }
+
+    /// Returns the backend server with this run.
+    pub fn of_run(&self, run: RunKey) -> Option<&Backend> {
+        self.by_key.values().find(|backend| backend.run == run)
+    }
+
     /// Records that a peer reports these backend servers as leaving.
     pub fn leaving_reported(&mut self, keys: &[BackendKey], now: Timestamp) {
         for key in keys {
--- a/gateway/src/batch.rs
+++ b/gateway/src/batch.rs
@@ -24,6 +24,7 @@
     BatchRun,
     ItemKey, //
 };
+use crate::server_limits::Permit;
 
 /// An item that waits for a slot at this instance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -53,6 +54,8 @@
     pub slow: bool,
     /// Whether it belongs to another cell; `placed` may then be one second old.
     pub other_cell: bool,
+    /// Whether its limit on requests per second allows an item.
+    pub permit: Permit,
     /// Time since the number of requests on it last changed.
     pub unchanged_for: Duration,
 }
@@ -76,6 +79,15 @@
         u32::try_from(open.count()).unwrap_or(u32::MAX)
     }
 
+    fn is_limited(&self) -> bool {
+        self.permit != Permit::Unlimited
+    }
+
+    /// Returns the number of items that may start there at once.
+    fn most_starts(&self) -> u32 {
+        if self.is_limited() { 1 } else { u32::MAX }
+    }
+
     /// Returns the rank of this instance for a slot.
     fn rank(&self, slot: u32, me: &str, contenders: &[&str]) -> usize {
         let key = (u64::from(self.key.0) << 32 | u64::from(slot)).to_be_bytes();
@@ -141,7 +153,9 @@
     let (in_time, late) = waiting.split_at(waiting.partition_point(|w| !w.late));
     let usable = candidates
         .iter()
-        .filter(|candidate| !candidate.suspect && !candidate.slow);
+        .filter(|candidate| !candidate.suspect && !candidate.slow)
+        .filter(|candidate| candidate.permit != Permit::Denied)
+        .filter(|candidate| !candidate.is_limited() || !candidate.other_cell);
     let (other_cell, own_cell): (Vec<&BatchCandidate>, Vec<&BatchCandidate>) =
         usable.partition(|candidate| candidate.other_cell);
     let online = own_cell
@@ -165,7 +179,9 @@
     let open = usable.into_iter().map(|(candidate, kept)| OpenSlots {
         candidate,
         kept,
-        remaining: candidate.open_to(kept, me, 0, contenders.in_time),
+        remaining: candidate
+            .open_to(kept, me, 0, contenders.in_time)
+            .min(candidate.most_starts()),
     });
     let mut open: Vec<OpenSlots<'_>> = open.collect();
     let mut chosen = Vec::new();
@@ -198,6 +214,9 @@
         let best = usable.max_by_key(|o| {
             (
                 Some(o.candidate.key) != w.avoid,
+                // A run takes a slot for long and is only one request, and online requests go to
+                // the other servers first.
+                o.candidate.is_limited(),
                 o.remaining,
                 o.candidate.key,
             )
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 mod crash_evidence;
 mod crash_message;
 mod crash_news;
+mod fleet_rate;
 mod instance;
 mod item_time;
 mod jobs;
@@ -28,6 +29,7 @@
 mod replicas;
 mod report;
 mod report_schedule;
+mod return_times;
 mod routing;
 mod serve;
 mod server_limit;
@@ -59,7 +61,9 @@
 pub use load::{Load, Placed};
 pub use members::{AddressEntry, MIN_REPORT_TIMEOUT, Member, Members, ReportUpdate, addresses};
 pub use open_items::{OpenItem, OpenItems, Phase, Progress, RunEnd, Step};
-pub use placement::{Candidate, Limits, Placement, place, retry_after, starts_immediately};
+pub use placement::{
+    Candidate, Limits, Placement, is_limited, place, retry_after, starts_immediately,
+};
 pub use platform::{
     AddressQuery, CallHead, DecodeError, Dialect, Forward, ItemRequest, JobCall, Page, Record,
     RecordRange, ResponseHead, ResultView, Store, StoreError, Topic,
@@ -71,10 +75,11 @@
 pub use replicas::{owner, replicas};
 pub use report::{BatchRun, ItemKey, Report};
 pub use report_schedule::{OutgoingReport, PeerRelation, Receiver, ReportSchedule};
+pub use return_times::ReturnTimes;
 pub use routing::{Denial, Destination, destination};
 pub use serve::{Gateway, StartError, check, run};
 pub use server_limit::{LimitChange, StatedLimit, Statement};
-pub use server_limits::ServerLimits;
+pub use server_limits::{LimitReport, Permit, Purpose, ServerLimits};
 pub use settings::{Settings, SettingsError, StoreSettings};
 pub use speed::{SLOW_FACTOR, Slowness, Speeds};
 pub use sse::{Event, InvalidEventStream, Splitter};
--- a/gateway/src/placement.rs
+++ b/gateway/src/placement.rs
@@ -8,15 +8,21 @@
 
 use std::time::Duration;
 
-use crate::backend::BackendKey;
+use crate::backend::{
+    BackendKey,
+    RunKey, //
+};
 use crate::cells::OTHER_CELL_MARGIN;
 use crate::load::Placed;
+use crate::server_limits::Permit;
 
 /// A backend server that may run a request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Candidate {
     /// The server.
     pub key: BackendKey,
+    /// Its present run.
+    pub run: RunKey,
     /// Requests it runs concurrently.
     pub slots: u32,
     /// Requests placed on it.
@@ -33,6 +39,8 @@
     pub local: bool,
     /// Whether it belongs to another cell; `placed` may then be one second old.
     pub other_cell: bool,
+    /// Whether its limit on requests per second allows the request.
+    pub permit: Permit,
     /// Tie breaker, drawn for each request.
     pub draw: u32,
 }
@@ -58,25 +66,47 @@
 /// Returns the preference class of a candidate, or `None` if it is not eligible. A lower class is
 /// always preferred.
 fn class(c: &Candidate, limits: Limits) -> Option<u8> {
-    if c.tried {
+    if c.tried || c.permit == Permit::Denied {
         return None;
     }
-    let class = match c.placed {
-        _ if c.suspect => 6,
-        placed if !c.other_cell && placed.total() < c.slots => 0,
-        placed if !c.other_cell && placed.online < c.slots => 1,
-        placed if placed.total() + OTHER_CELL_MARGIN < c.slots => 2,
-        placed if !c.other_cell && placed.online < c.slots + limits.queue => 3,
-        placed if placed.online < c.slots => 4,
-        placed if placed.online < c.slots + limits.queue => 5,
+    let placed = c.placed;
+    if c.permit == Permit::Allowed {
+        return limited_class(c);
+    }
+    let class = match placed {
+        _ if c.suspect => 8,
+        _ if !c.other_cell && placed.total() < c.slots => 0,
+        _ if !c.other_cell && placed.online < c.slots => 1,
+        _ if placed.total() + OTHER_CELL_MARGIN < c.slots => 4,
+        _ if !c.other_cell && placed.online < c.slots + limits.queue => 5,
+        _ if placed.online < c.slots => 6,
+        _ if placed.online < c.slots + limits.queue => 7,
         _ => return None,
     };
     Some(class)
 }
 
+/// Returns the preference class of a server with a limit. It follows those without one that have a
+/// slot, and no request waits there. The limit of a server is shared among the instances of its cell.
+fn limited_class(c: &Candidate) -> Option<u8> {
+    match c.placed {
+        _ if c.other_cell => None,
+        placed if placed.online >= c.slots => None,
+        _ if c.suspect => Some(8),
+        placed if placed.total() < c.slots => Some(2),
+        _ => Some(3),
+    }
+}
+
+/// Returns whether only the limit of the candidate keeps a request away.
+pub fn is_limited(c: &Candidate) -> bool {
+    c.permit == Permit::Denied && !c.tried && c.placed.online < c.slots
+}
+
 /// Returns whether a request that is sent to the candidate starts as soon as items are preempted.
 pub fn starts_immediately(c: &Candidate) -> bool {
-    !c.tried && !c.suspect && c.placed.online < c.slots
+    let may_start = !c.tried && !c.suspect && c.permit != Permit::Denied;
+    may_start && c.placed.online < c.slots
 }
 
 /// Chooses the backend server of an online request.
--- a/gateway/src/report.rs
+++ b/gateway/src/report.rs
@@ -1,6 +1,7 @@
 //! The report that each instance sends to its peers, and its encoding.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use serde::{
     Deserialize,
@@ -8,9 +9,13 @@
 };
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::backend::BackendKey;
+use crate::backend::{
+    BackendKey,
+    RunKey, //
+};
 use crate::positions::Position;
 use crate::quota::OrganisationKey;
+use crate::server_limits::LimitReport;
 
 /// Version of the encoding; reports of another version are ignored.
 const WIRE_VERSION: u8 = 4;
@@ -79,6 +84,11 @@
     pub leaving_backends: Vec<BackendKey>,
     /// Read positions in the partitions of the jobs of which the instance is a replica.
     pub positions: Vec<Position>,
+    /// Limited backend servers and what the instance has sent to them; `None` in reports of older
+    /// builds, which do not keep to limits.
+    pub limits: Option<Vec<LimitReport>>,
+    /// Runs of backend servers whose responses said that they leave.
+    pub leaving_runs: Vec<RunKey>,
 }
 
 /// Encoded form of a report; fields are identified by position to keep it small.
@@ -103,8 +113,32 @@
     Vec<u32>,
     u32,
     u32,
+    #[serde(default)] Option<Vec<WireLimit>>,
+    #[serde(default)] Vec<u32>,
 );
 
+/// Run, requests per second, age in milliseconds, and requests sent.
+#[derive(Deserialize, Serialize)]
+struct WireLimit(u32, Option<f64>, u32, u64);
+
+impl From<&LimitReport> for WireLimit {
+    fn from(r: &LimitReport) -> Self {
+        let age_ms = u32::try_from(r.age.as_millis()).unwrap_or(u32::MAX);
+        Self(r.run.0, r.rate, age_ms, r.sent)
+    }
+}
+
+impl From<WireLimit> for LimitReport {
+    fn from(w: WireLimit) -> Self {
+        Self {
+            run: RunKey(w.0),
+            rate: w.1,
+            age: Duration::from_millis(u64::from(w.2)),
+            sent: w.3,
+        }
+    }
+}
+
 /// Flag of a ready instance.
 const READY: u8 = 1;
 /// Flag of a leaving instance.
@@ -137,6 +171,10 @@
             r.leaving_backends.iter().map(|key| key.0).collect(),
             r.waiting_in_time,
             r.next_ms,
+            r.limits
+                .as_ref()
+                .map(|limits| limits.iter().map(WireLimit::from).collect()),
+            r.leaving_runs.iter().map(|run| run.0).collect(),
         )
     }
 }
@@ -175,6 +213,10 @@
                 .into_iter()
                 .map(|(k, ms)| (BackendKey(k), ms))
                 .collect(),
+            limits: w
+                .19
+                .map(|limits| limits.into_iter().map(LimitReport::from).collect()),
+            leaving_runs: w.20.into_iter().map(RunKey).collect(),
             positions: w
                 .14
                 .into_iter()
--- a/gateway/src/report_schedule.rs
+++ b/gateway/src/report_schedule.rs
@@ -10,6 +10,7 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::backend::RunKey;
 use crate::quota::OrganisationKey;
 use crate::report::Report;
 
@@ -83,21 +84,29 @@
 #[derive(Debug, Default)]
 struct ReceiverGroup {
     sent_counts: HashMap<OrganisationKey, u64>,
+    sent_limits: HashMap<RunKey, (Option<f64>, u64)>,
     reports: usize,
 }
 
 impl ReceiverGroup {
-    /// Removes the counts that were already sent from `report`.
+    /// Removes the counts and limits that were already sent from `report`.
     fn remove_sent_counts(&mut self, report: &mut Report, periodic: bool) {
         let all = report.admitted.clone();
+        let all_limits = report.limits.clone();
         if !periodic || !self.reports.is_multiple_of(FULL_COUNTS_EVERY) {
             let sent_counts = &self.sent_counts;
             let changed = |(key, count): &(_, u64)| sent_counts.get(key) != Some(count);
             report.admitted.retain(changed);
+            let sent_limits = &self.sent_limits;
+            if let Some(limits) = &mut report.limits {
+                limits.retain(|r| sent_limits.get(&r.run) != Some(&(r.rate, r.sent)));
+            }
         }
         if periodic {
             self.reports += 1;
             self.sent_counts = all.into_iter().collect();
+            let limits = all_limits.into_iter().flatten();
+            self.sent_limits = limits.map(|r| (r.run, (r.rate, r.sent))).collect();
         }
     }
 }
--- a/gateway/src/serve/choose.rs
+++ b/gateway/src/serve/choose.rs
@@ -21,7 +21,8 @@
 };
 use super::node::{
     Node,
-    State, //
+    State,
+    unix_ms, //
 };
 use super::online::{
     Admitted,
@@ -37,6 +38,7 @@
     Candidate,
     Limits,
     Placement,
+    is_limited,
     place,
     retry_after,
     starts_immediately, //
@@ -46,6 +48,11 @@
     Store, //
 };
 
+use crate::server_limits::{
+    Permit,
+    Purpose, //
+};
+
 /// Maximum number of online requests queued at a backend server beyond its slots. With eight slots,
 /// each occupied for 0.75 s, two queued requests wait at most 0.2 s.
 const MAX_QUEUED: u32 = 2;
@@ -127,10 +134,24 @@
     let (candidates, placement) = find_placement(&state, node, admitted, history, now);
     let key = match placement {
         _ if history.rejections >= MAX_REJECTIONS || history.tried.len() >= MAX_TRIED => {
-            return Err(rejection_when_full(&state, &candidates, "turned-away"));
+            return Err(rejection_when_full(
+                &mut state,
+                &candidates,
+                admitted,
+                "turned-away",
+                now,
+            ));
         }
         Placement::Send(key) => key,
-        Placement::Full => return Err(rejection_when_full(&state, &candidates, "full")),
+        Placement::Full => {
+            return Err(rejection_when_full(
+                &mut state,
+                &candidates,
+                admitted,
+                "full",
+                now,
+            ));
+        }
         Placement::NoBackend => return Err(NO_BACKEND),
     };
     let known = state.backends.get(key);
@@ -140,6 +161,7 @@
     let before = state.load.placed(key);
     let limit = state.limits.limit(entry.run());
     state.load.online_started(key, now);
+    state.limits.sent(entry.run(), now);
     drop(state);
     // Logged before the request is sent, as an instance that is killed logs nothing later about it.
     log_event!(
@@ -177,7 +199,16 @@
 };
 
 /// Returns the rejection of a request for which no candidate has free capacity.
-fn rejection_when_full(state: &State, candidates: &[Candidate], cause: &'static str) -> Rejection {
+fn rejection_when_full(
+    state: &mut State,
+    candidates: &[Candidate],
+    admitted: &Admitted,
+    cause: &'static str,
+    now: Timestamp,
+) -> Rejection {
+    if candidates.iter().any(is_limited) {
+        return rejection_by_limits(state, candidates, admitted, now);
+    }
     let online = candidates.iter().map(|c| (c.placed.online, c.slots));
     let running = online.clone().map(|(n, slots)| n.min(slots)).sum();
     let queued = online.map(|(n, slots)| n.saturating_sub(slots)).sum();
@@ -189,6 +220,31 @@
     }
 }
 
+/// Returns the rejection of a request that the limits of backend servers keep away.
+fn rejection_by_limits(
+    state: &mut State,
+    candidates: &[Candidate],
+    admitted: &Admitted,
+    now: Timestamp,
+) -> Rejection {
+    let limited = candidates.iter().filter(|c| !c.other_cell);
+    let rates = limited.filter_map(|c| state.limits.limit(c.run)?.rate);
+    let (_, senders) = state.limit_senders(now);
+    // Instance counts are far below the precision of f64.
+    let rate = rates.sum::<f64>() / senders as f64;
+    let remaining = admitted.deadline.saturating_duration_since(Instant::now());
+    // Later the caller has no time left for the response.
+    let longest = (remaining / 3).min(MAX_RETURN_TIME);
+    Rejection {
+        cause: "server-limits",
+        retry_after: state.return_times.assign(now, rate, longest),
+        case: None,
+    }
+}
+
+/// Longest `Retry-After` of a request that limits keep away.
+const MAX_RETURN_TIME: Duration = Duration::from_secs(5);
+
 /// Places the request on a backend server of the own cell. The servers of the other cells are
 /// candidates too if the request would have to wait in the own cell.
 fn find_placement<P>(
@@ -226,8 +282,19 @@
         backends.filter(|b| state.cells.is_own_backend(b.key, &b.entry.zone) != other_cell);
     let backends = backends.filter(|b| !state.load.is_refusing(b.key, now));
     let slowness = state.speeds.compare(now);
+    let any_limited = state.limits.any_limited();
+    let purpose = Purpose::Online {
+        items_wait: any_limited && state.items_wait(now),
+    };
+    let unix_ms = unix_ms();
+    let permit = |run| match any_limited {
+        true => state.limits.permit(run, purpose, now, unix_ms),
+        false => Permit::Unlimited,
+    };
     let candidates = backends.map(|backend| Candidate {
         key: backend.key,
+        run: backend.run,
+        permit: permit(backend.run),
         slots: backend.entry.slots.unwrap_or(default_slots),
         placed: state.load.placed(backend.key),
         suspect: state.load.suspected(backend.key, now),
--- a/gateway/src/serve/heads.rs
+++ b/gateway/src/serve/heads.rs
@@ -5,14 +5,21 @@
 use limpetweir_state::Timestamp;
 
 use super::lines::{
+    BACKEND_LEAVES,
     LIMIT_BEGAN,
     LIMIT_CHANGED,
     LIMIT_ENDED,
     LIMIT_INVALID,
     log_event, //
 };
-use super::node::Node;
-use crate::backend::BackendEntry;
+use super::node::{
+    Node,
+    State, //
+};
+use crate::backend::{
+    BackendEntry,
+    RunKey, //
+};
 use crate::platform::ResponseHead;
 use crate::server_limit::{
     LimitChange,
@@ -32,9 +39,32 @@
     if let StatedLimit::Invalid(text) = &head.limit {
         log_event!(LIMIT_INVALID, "backend={} value={text:?}", entry.id);
     }
-    let change = node.lock().limits.stated(run, &head.limit, sent_at, now);
-    if let Some(change) = change {
+    let mut state = node.lock();
+    if let Some(change) = state.limits.stated(run, &head.limit, sent_at, now) {
         log_change(&entry.id, change, "response");
+        node.report_due.notify(usize::MAX);
+    }
+    if head.leaving && says_leaving(&mut state, run, now, "response") {
+        node.report_due.notify(usize::MAX);
+    }
+}
+
+/// Records that a response of `run` said that it leaves; returns whether that is new.
+pub(crate) fn says_leaving(state: &mut State, run: RunKey, now: Timestamp, source: &str) -> bool {
+    let is_new = state.backends.says_leaving(run, now);
+    if is_new && let Some(backend) = state.backends.of_run(run) {
+        let id = &backend.entry.id;
+        log_event!(BACKEND_LEAVES, "backend={id} source={source}");
+    }
+    is_new
+}
+
+/// Logs changes that another instance reports.
+pub(crate) fn log_changes(state: &State, changes: &[(RunKey, LimitChange)], source: &str) {
+    for (run, change) in changes {
+        if let Some(backend) = state.backends.of_run(*run) {
+            log_change(&backend.entry.id, *change, source);
+        }
     }
 }
 
--- a/gateway/src/serve/items.rs
+++ b/gateway/src/serve/items.rs
@@ -61,6 +61,7 @@
     replicas, //
 };
 use crate::report::ItemKey;
+use crate::server_limits::Purpose;
 
 /// Maximum time between two runs of the scheduler.
 const TICK: Duration = Duration::from_millis(50);
@@ -203,6 +204,7 @@
         return;
     }
     let mut waiting = state.items.waiting(now, unix_ms());
+    state.items_waiting = !waiting.is_empty();
     let claim = hold_back(node, state, &mut waiting, now);
     if let Some(claim) = claim {
         node.spawner
@@ -360,6 +362,7 @@
         suspect: state.load.suspected(b.key, now),
         slow: slowness.is_slow(b.key),
         other_cell: !state.cells.is_own_backend(b.key, &b.entry.zone),
+        permit: state.limits.permit(b.run, Purpose::Item, now, unix_ms()),
         unchanged_for: state.load.unchanged_for(b.key, now),
     });
     candidates.collect()
--- a/gateway/src/serve/lines.rs
+++ b/gateway/src/serve/lines.rs
@@ -116,6 +116,8 @@
 pub(crate) const LIMIT_ENDED: Event = Event::new(2310, Level::Warn);
 /// A backend server states something that is no limit.
 pub(crate) const LIMIT_INVALID: Event = Event::new(2311, Level::Warn);
+/// A response of a backend server says that it leaves.
+pub(crate) const BACKEND_LEAVES: Event = Event::new(2312, Level::Warn);
 /// Another instance is reachable.
 pub(crate) const PEER_UP: Event = Event::new(2401, Level::Warn);
 /// Another instance is unreachable.
--- a/gateway/src/serve/node.rs
+++ b/gateway/src/serve/node.rs
@@ -67,6 +67,7 @@
     ItemKey,
     Report, //
 };
+use crate::return_times::ReturnTimes;
 use crate::server_limits::ServerLimits;
 use crate::settings::Settings;
 use crate::speed::Speeds;
@@ -107,12 +108,16 @@
     pub(crate) quotas: Quotas,
     /// Limits that backend servers state.
     pub(crate) limits: ServerLimits,
+    /// Times at which callers return that limits keep away.
+    pub(crate) return_times: ReturnTimes,
     pub(crate) partitions: Vec<Partition>,
     /// Whether this instance is a replica of each partition, in their order.
     pub(crate) replica_status: Vec<ReplicaStatus>,
     /// Freshness of each partition, in their order.
     pub(crate) freshness: Vec<PartitionFreshness>,
     pub(crate) items: OpenItems,
+    /// Whether items of this instance waited for a slot when the scheduler last ran.
+    pub(crate) items_waiting: bool,
     pub(crate) runs: RunHandles,
     /// Random number generator for routing and placement.
     pub(crate) rng: SmallRng,
@@ -253,6 +258,28 @@
         runners.map(str::to_owned).collect()
     }
 
+    /// Returns how many instances send to the backend servers of the own cell, with this one, and
+    /// how many of them do not report what they send: they are unreachable or of an older build.
+    pub(crate) fn limit_senders(&self, now: Timestamp) -> (usize, usize) {
+        let own = self.members.iter();
+        let own = own.filter(|(name, _)| self.cells.is_own_instance(name));
+        let reports = |member: &Member| {
+            let report = member.report.as_ref();
+            member.is_reachable(now) && report.is_some_and(|r| r.limits.is_some())
+        };
+        let (mut silent, mut senders) = (0, 1);
+        for (_, member) in own {
+            senders += 1;
+            silent += usize::from(!reports(member));
+        }
+        (silent, senders)
+    }
+
+    /// Returns whether items wait for a slot at this instance or at one that it hears.
+    pub(crate) fn items_wait(&self, now: Timestamp) -> bool {
+        self.items_waiting || self.members.reachable(now).any(|r| r.waiting > 0)
+    }
+
     /// Returns the version of the configuration in force; 0 without one.
     pub(crate) fn config_version(&self) -> u64 {
         self.config.as_ref().map_or(0, |config| config.version())
@@ -325,11 +352,13 @@
             item_probes: HashSet::new(),
             digest_due: Vec::new(),
             quotas: Quotas::new(settings.tolerance),
-            limits: ServerLimits::default(),
+            return_times: ReturnTimes::default(),
+            limits: ServerLimits::new(&settings.name),
             replica_status: vec![ReplicaStatus::Inactive; partitions.len()],
             freshness: vec![PartitionFreshness::default(); partitions.len()],
             partitions,
             items: OpenItems::default(),
+            items_waiting: false,
             runs: RunHandles::default(),
             rng: SmallRng::from_os_rng(),
             draw_seed: 0,
--- a/gateway/src/serve/peers.rs
+++ b/gateway/src/serve/peers.rs
@@ -22,6 +22,7 @@
 
 use super::crashes;
 use super::follow;
+use super::heads;
 use super::items;
 use super::lines::{
     CONFIG_FETCH_FAILED,
@@ -84,6 +85,7 @@
         state.members.remove(&record.key);
         state.load.remove_peer(&record.key, now);
         state.quotas.remove_peer(&record.key);
+        state.limits.remove_peer(&record.key);
         return;
     }
     let text = String::from_utf8_lossy(&record.value);
@@ -191,10 +193,16 @@
     state
         .quotas
         .apply_report(&name, report.boot, &report.admitted);
+    let limits = report.limits.as_deref().unwrap_or_default();
+    let limit_changes = state.limits.apply_report(&name, report.boot, limits, now);
+    heads::log_changes(&state, &limit_changes, &name);
     state.positions_reported(&report.positions, now);
     state
         .backends
         .leaving_reported(&report.leaving_backends, now);
+    for run in &report.leaving_runs {
+        heads::says_leaving(&mut state, *run, now, &name);
+    }
     if changed {
         update_unreachable(&mut state, now);
     }
@@ -228,6 +236,8 @@
         return;
     }
     state.quotas.set_unreachable(unreachable, all, now);
+    let (silent, senders) = state.limit_senders(now);
+    state.limits.set_senders(silent, senders, now);
 }
 
 /// Detects peers that have become unreachable and removes their load.
@@ -259,7 +269,10 @@
         }
         for name in state.members.sweep(now) {
             state.quotas.remove_peer(&name);
+            state.limits.remove_peer(&name);
         }
+        let ended = state.limits.sweep(now);
+        heads::log_changes(&state, &ended, "age");
         update_unreachable(&mut state, now);
         drop(state);
         for (name, timeout) in &unreachable {
--- a/gateway/src/serve/reports.rs
+++ b/gateway/src/serve/reports.rs
@@ -155,6 +155,8 @@
             .collect(),
         leaving_backends: state.backends.leaving(),
         positions: state.positions(),
+        limits: Some(state.limits.reports(now)),
+        leaving_runs: state.backends.leaving_runs(),
     };
     let started = std::mem::take(&mut state.started_peers);
     let receivers = receivers(node, &state, &report, &started);
@@ -185,6 +187,7 @@
     let largest = largest.unwrap_or(0).max(settings.capacity);
     let busy = report.has_work() || is_large(settings.capacity, largest);
     let divided = state.cells.is_divided();
+    let any_limited = state.limits.any_limited();
     let receivers = state.members.iter().map(|(name, member)| {
         let near = state.is_near(name, member, &used_cells);
         let relation = PeerRelation {
@@ -201,7 +204,7 @@
             } else {
                 1
             },
-            immediate: near && member.has_work(),
+            immediate: near && (any_limited || member.has_work()),
             full: started.contains(name),
         }
     });
--- a/gateway/src/serve/runs.rs
+++ b/gateway/src/serve/runs.rs
@@ -123,6 +123,7 @@
         due,
     };
     state.load.batch_started(run_placed, node.now());
+    state.limits.sent(run.entry.run(), node.now());
     let (stop, stopped) = async_channel::bounded(1);
     state.runs.insert(key, stop);
     let task = execute(node.clone(), run, stopped);
--- a/gateway/src/server_limits.rs
+++ b/gateway/src/server_limits.rs
@@ -1,26 +1,128 @@
-//! The limits of all backend servers, as known to one instance.
+//! The limits of all backend servers, and the right to send to a limited one.
+//!
+//! Load pattern: some or all servers state that they take one to four requests per second, from all
+//! instances together, while a dozen to hundreds of instances have a request for them every few
+//! milliseconds. All instances count their requests in one token bucket per server. A new token is
+//! open to the instances one after the other, because reports need milliseconds, and instances that
+//! saw it at the same time would all use it.
 
 use std::collections::HashMap;
+use std::time::Duration;
 
+use limpetweir_coordination::rendezvous_score;
 use limpetweir_state::Timestamp;
 
 use crate::backend::RunKey;
+use crate::fleet_rate::FleetRates;
 use crate::server_limit::{
     LimitChange,
     StatedLimit,
     Statement, //
 };
 
-/// The limits that backend servers have stated.
-#[derive(Debug, Default)]
+/// Rate of requests to a server that states a lower one, in requests per second. Without requests
+/// there are no responses, and the end of the limit would never be known.
+const MIN_RATE: f64 = 0.2;
+
+/// Length of the longest burst to a limited server, as the time for which it fits the limit.
+const BURST_TIME: Duration = Duration::from_secs(2);
+
+/// Time after which a token is open to one more instance; reports arrive within a few milliseconds.
+const TURN: Duration = Duration::from_millis(15);
+
+/// Part of the burst that items leave to online requests, whose number changes fivefold within
+/// seconds.
+const ITEM_LEVEL: f64 = 0.75;
+
+/// One in this many requests to a limited server may be an item while online requests need all.
+const REQUESTS_PER_ITEM: u64 = 16;
+
+/// Age of a statement from which a server is asked again, before others that have room.
+const STALE_AFTER: Duration = Duration::from_secs(2);
+
+/// Age of a statement from which it is ignored.
+const LIFETIME: Duration = Duration::from_secs(60);
+
+/// Time for which the end of a limit is told to other instances.
+const END_REPORTED_FOR: Duration = Duration::from_secs(10);
+
+/// Time for which counts are kept without a new statement.
+const COUNTS_KEPT_FOR: Duration = Duration::from_secs(600);
+
+/// What an instance knows about a limited run of a backend server and has sent to it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LimitReport {
+    /// The run.
+    pub run: RunKey,
+    /// Requests per second; `None` if the limit has ended.
+    pub rate: Option<f64>,
+    /// Age of the statement.
+    pub age: Duration,
+    /// Requests that the instance has sent to the run while it was limited.
+    pub sent: u64,
+}
+
+/// What is to be sent to a backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Purpose {
+    /// An online request, also for the rest of a stream.
+    Online {
+        /// Whether items wait for a slot at any instance.
+        items_wait: bool,
+    },
+    /// An item of a batch job.
+    Item,
+}
+
+/// Whether a request may be sent to a backend server now.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Permit {
+    /// The server has no limit.
+    #[default]
+    Unlimited,
+    /// The limit allows it.
+    Allowed,
+    /// The limit allows it, and is to be confirmed.
+    Refresh,
+    /// The limit does not allow it.
+    Denied,
+}
+
+/// The limits that backend servers have stated, and the requests that all instances send to them.
+#[derive(Debug)]
 pub struct ServerLimits {
+    /// Name of this instance.
+    name: String,
     statements: HashMap<RunKey, Statement>,
+    /// A bucket for each run that is or was limited.
+    rates: FleetRates<RunKey>,
+    /// Instances that send to the same servers, with this one.
+    senders: usize,
 }
 
 impl ServerLimits {
-    /// Returns whether no server is or was limited.
-    pub fn is_empty(&self) -> bool {
-        self.statements.is_empty()
+    /// Returns the limits as known to the instance `name` when it starts.
+    pub fn new(name: &str) -> Self {
+        Self {
+            name: name.to_owned(),
+            statements: HashMap::new(),
+            rates: FleetRates::new(0.0),
+            senders: 1,
+        }
+    }
+
+    /// Returns whether any server is limited.
+    pub fn any_limited(&self) -> bool {
+        self.statements.values().any(|s| s.rate.is_some())
+    }
+
+    /// Sets how many instances send to the same servers, with this one, and how many of them are
+    /// `silent`: unreachable, or of an older build that reports no counts.
+    pub fn set_senders(&mut self, silent: usize, senders: usize, now: Timestamp) {
+        self.senders = senders.max(1);
+        // Instance counts are far below the precision of f64.
+        let fraction = silent as f64 / self.senders as f64;
+        self.rates.set_unreachable_fraction(fraction, now);
     }
 
     /// Applies the head of a response of `run` to a request that was sent at `sent_at`.
@@ -32,6 +134,10 @@
         now: Timestamp,
     ) -> Option<LimitChange> {
         let statement = Statement::of(limit, sent_at, now)?;
+        self.apply(run, statement, now)
+    }
+
+    fn apply(&mut self, run: RunKey, statement: Statement, now: Timestamp) -> Option<LimitChange> {
         let before = self.statements.get(&run).copied();
         if before.is_none() && statement.rate.is_none() {
             return None;
@@ -40,7 +146,15 @@
             return None;
         }
         self.statements.insert(run, statement);
-        LimitChange::between(before.and_then(|s| s.rate), statement.rate)
+        let change = LimitChange::between(before.and_then(|s| s.rate), statement.rate);
+        if let (Some(_), Some(rate)) = (change, statement.rate) {
+            let rate = rate.max(MIN_RATE);
+            self.rates.set(run, rate, burst(rate), 0.0, now);
+        }
+        if let Some(LimitChange::Began(_)) = change {
+            self.rates.clear(run);
+        }
+        change
     }
 
     /// Returns the newest statement of `run`, if it states a limit.
@@ -48,4 +162,130 @@
         let statement = self.statements.get(&run).copied();
         statement.filter(|s| s.rate.is_some())
     }
+
+    /// Returns whether a request may be sent to `run` at `now`, the time `unix_ms`.
+    pub fn permit(&self, run: RunKey, purpose: Purpose, now: Timestamp, unix_ms: u64) -> Permit {
+        let Some(statement) = self.limit(run) else {
+            return Permit::Unlimited;
+        };
+        let Some((tokens, rate)) = self.rates.level(run, now) else {
+            return Permit::Unlimited;
+        };
+        let turn = Turn::at(unix_ms, rate);
+        let needed = match purpose {
+            Purpose::Online { items_wait } if items_wait && turn.is_for_items(run) => 2.0,
+            Purpose::Online { .. } => 1.0,
+            Purpose::Item if turn.is_for_items(run) => 1.0,
+            Purpose::Item => 1.0 + ITEM_LEVEL * (burst(rate) - 1.0),
+        };
+        let spare = tokens - needed;
+        if spare < 0.0 {
+            return Permit::Denied;
+        }
+        let delay = self.delay(run, turn);
+        if Duration::from_secs_f64(spare / rate.max(f64::MIN_POSITIVE)) < delay {
+            return Permit::Denied;
+        }
+        if statement.age(now) >= STALE_AFTER + delay {
+            Permit::Refresh
+        } else {
+            Permit::Allowed
+        }
+    }
+
+    /// Returns the time for which this instance leaves a new token to others: their delays are
+    /// spread evenly over the turns of all.
+    fn delay(&self, run: RunKey, turn: Turn) -> Duration {
+        let key = (u64::from(run.0) << 32 | turn.0 & 0xffff_ffff).to_be_bytes();
+        // Both are far below the precision of f64.
+        let place = rendezvous_score(&key, &self.name) as f64 / u64::MAX as f64;
+        TURN.mul_f64(place * (self.senders - 1) as f64)
+    }
+
+    /// Counts a request that this instance sends to `run`.
+    pub fn sent(&mut self, run: RunKey, now: Timestamp) {
+        if self.limit(run).is_some() {
+            // The caller has seen that there is a token.
+            let _ = self.rates.take(run, now);
+        }
+    }
+
+    /// Returns what the other instances are to know.
+    pub fn reports(&self, now: Timestamp) -> Vec<LimitReport> {
+        let told = self.statements.iter().filter(|(_, statement)| {
+            statement.rate.is_some() || statement.age(now) < END_REPORTED_FOR
+        });
+        let reports = told.map(|(run, statement)| LimitReport {
+            run: *run,
+            rate: statement.rate,
+            age: statement.age(now),
+            sent: self.rates.taken(*run),
+        });
+        reports.collect()
+    }
+
+    /// Applies what the instance `peer`, started at `boot`, knows and has sent.
+    pub fn apply_report(
+        &mut self,
+        peer: &str,
+        boot: u64,
+        reports: &[LimitReport],
+        now: Timestamp,
+    ) -> Vec<(RunKey, LimitChange)> {
+        let mut changes = Vec::new();
+        for report in reports {
+            let statement = Statement {
+                rate: report.rate,
+                at: now - report.age,
+            };
+            let change = self.apply(report.run, statement, now);
+            changes.extend(change.map(|change| (report.run, change)));
+        }
+        let counts = reports.iter().map(|r| (r.run, r.sent));
+        self.rates.apply_counts(peer, boot, counts);
+        changes
+    }
+
+    /// Removes a peer that was removed from the members.
+    pub fn remove_peer(&mut self, peer: &str) {
+        self.rates.remove_peer(peer);
+    }
+
+    /// Drops statements that are too old, and returns the limits that end with them.
+    pub fn sweep(&mut self, now: Timestamp) -> Vec<(RunKey, LimitChange)> {
+        let mut ended = Vec::new();
+        for (run, statement) in &mut self.statements {
+            if statement.age(now) >= LIFETIME
+                && let Some(rate) = statement.rate.take()
+            {
+                ended.push((*run, LimitChange::Ended(rate)));
+            }
+        }
+        let kept = |s: &Statement| s.age(now) < COUNTS_KEPT_FOR;
+        self.statements.retain(|_, statement| kept(statement));
+        let statements = &self.statements;
+        self.rates.retain(|run| statements.contains_key(run));
+        ended
+    }
+}
+
+/// Returns the number of requests that may follow each other at once at this rate.
+fn burst(rate: f64) -> f64 {
+    1.0 + rate * BURST_TIME.as_secs_f64()
+}
+
+/// Number of the token that a server gets at a moment, about the same on all instances.
+#[derive(Clone, Copy, Debug)]
+struct Turn(u64);
+
+impl Turn {
+    fn at(unix_ms: u64, rate: f64) -> Self {
+        // The fraction of a token does not matter.
+        Self((unix_ms as f64 / 1_000.0 * rate) as u64)
+    }
+
+    /// Returns whether the token is for an item, if one waits.
+    fn is_for_items(self, run: RunKey) -> bool {
+        (self.0 + u64::from(run.0)).is_multiple_of(REQUESTS_PER_ITEM)
+    }
 }
--- a/gateway/tests/batch.rs
+++ b/gateway/tests/batch.rs
@@ -12,6 +12,7 @@
     Contenders,
     ItemKey,
     Load,
+    Permit,
     Placed,
     Report,
     WaitingItem,
@@ -49,6 +50,7 @@
         suspect: false,
         slow: false,
         other_cell: false,
+        permit: Permit::Unlimited,
         unchanged_for: Duration::from_millis(unchanged_ms),
     }
 }
--- a/gateway/tests/online.rs
+++ b/gateway/tests/online.rs
@@ -7,6 +7,7 @@
 };
 use std::time::Duration;
 
+use ciborium::Value;
 use limpetweir_gateway::{
     AddressEntry,
     BackendEntry,
@@ -19,17 +20,20 @@
     Instance,
     InstanceRecord,
     ItemKey,
+    LimitReport,
     Limits,
     Member,
     Members,
     Organisation,
     OrganisationKey,
+    Permit,
     Placed,
     Placement,
     Position,
     Quotas,
     Report,
     ReportUpdate,
+    RunKey,
     addresses,
     place,
     replicas,
@@ -38,6 +42,8 @@
 };
 use limpetweir_state::Timestamp;
 use rstest::rstest;
+use serde::Deserialize;
+use serde::de::IgnoredAny;
 
 const LIMITS: Limits = Limits { queue: 2 };
 
@@ -48,6 +54,8 @@
 fn candidate(n: u32, online: u32, batch: u32) -> Candidate {
     Candidate {
         key: BackendKey(n),
+        run: RunKey(n),
+        permit: Permit::Unlimited,
         slots: 8,
         placed: Placed { online, batch },
         suspect: false,
@@ -412,9 +420,61 @@
             next: 70,
             reads: true,
         }],
+        limits: Some(vec![LimitReport {
+            run: RunKey(11),
+            rate: Some(2.5),
+            age: Duration::from_millis(120),
+            sent: 3,
+        }]),
+        leaving_runs: vec![RunKey(12)],
     }
 }
 
+/// Encoded form of the reports of builds that know no limits of backend servers.
+#[derive(Deserialize)]
+struct OldWire(
+    IgnoredAny,
+    String,
+    IgnoredAny,
+    IgnoredAny,
+    IgnoredAny,
+    IgnoredAny,
+    IgnoredAny,
+    IgnoredAny,
+    IgnoredAny,
+    IgnoredAny,
+    IgnoredAny,
+    IgnoredAny,
+    IgnoredAny,
+    IgnoredAny,
+    IgnoredAny,
+    IgnoredAny,
+    Vec<u32>,
+    u32,
+    u32,
+);
+
+/// Guards against a fleet of old and new builds whose instances do not understand each other's
+/// reports, and against an old one that counts as one that keeps to limits.
+#[test]
+fn reports_of_older_builds_and_newer_ones_are_understood() {
+    let new = report("a", 1, 2);
+    let bytes = new.encode();
+    let old: Value = ciborium::from_reader(&bytes[..]).expect("a report");
+    let Value::Array(mut fields) = old else {
+        panic!("a report is an array");
+    };
+    fields.truncate(19);
+    let mut old_bytes = Vec::new();
+    ciborium::into_writer(&Value::Array(fields), &mut old_bytes).expect("a report");
+    let decoded = Report::decode(&old_bytes).expect("a report of an older build");
+    assert_eq!(decoded.limits, None);
+    assert_eq!(decoded.positions, new.positions);
+    let by_old: OldWire = ciborium::from_reader(&bytes[..]).expect("a report for an older build");
+    assert_eq!((by_old.1.as_str(), by_old.16), ("a", vec![4]));
+    assert_eq!((by_old.17, by_old.18), (3, 250));
+}
+
 /// Guards against fields that are swapped in the encoding.
 #[test]
 fn a_report_is_decoded_as_encoded() {
--- a/gateway/tests/replay/model.rs
+++ b/gateway/tests/replay/model.rs
@@ -24,8 +24,10 @@
     ItemTime,
     Limits,
     Load,
+    Permit,
     Placement,
     Report,
+    RunKey,
     WaitingItem,
     choose_preemptions,
     choose_starts,
@@ -264,6 +266,8 @@
         for n in 0..self.demand.servers {
             candidates.push(Candidate {
                 key: BackendKey(n),
+                run: RunKey(0),
+                permit: Permit::Unlimited,
                 slots: SLOTS,
                 placed: load.placed(BackendKey(n)),
                 suspect: false,
@@ -454,6 +458,7 @@
             suspect: false,
             slow: false,
             other_cell: false,
+            permit: Permit::Unlimited,
             unchanged_for: load.unchanged_for(BackendKey(key), now),
         });
         let batch_candidates: Vec<BatchCandidate> = batch_candidates.collect();
--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -24,5 +24,7 @@
         suspects: Vec::new(),
         leaving_backends: Vec::new(),
         positions: Vec::new(),
+        limits: Some(Vec::new()),
+        leaving_runs: Vec::new(),
     }
 }
