--- a/gateway/src/batch.rs
+++ b/gateway/src/batch.rs
@@ -83,9 +83,14 @@
         self.permit != Permit::Unlimited
     }
 
-    /// Returns the number of items that may start there at once.
+    /// Returns the number of items that may start there at once. They leave a quarter of the slots of a
+    /// limited server to online requests, which preempt them there only if nothing else is left.
     fn most_starts(&self) -> u32 {
-        if self.is_limited() { 1 } else { u32::MAX }
+        match self.is_limited() {
+            false => u32::MAX,
+            true if self.placed.batch < self.slots - self.slots.div_ceil(4) => 1,
+            true => 0,
+        }
     }
 
     /// Returns the rank of this instance for a slot.
--- a/gateway/src/fleet_rate.rs
+++ b/gateway/src/fleet_rate.rs
@@ -52,6 +52,16 @@
     taken: HashMap<K, u64>,
 }
 
+/// What this instance may take from a bucket.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct Level {
+    pub(crate) tokens: f64,
+    /// Most tokens that there can be.
+    pub(crate) burst: f64,
+    /// New tokens per second.
+    pub(crate) rate: f64,
+}
+
 /// A bucket without a token.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct Shortage {
@@ -100,10 +110,10 @@
         bucket.tokens = bucket.tokens.min(burst);
     }
 
-    /// Takes all tokens out of a bucket.
-    pub(crate) fn clear(&mut self, key: K) {
+    /// Sets the tokens of a bucket.
+    pub(crate) fn fill(&mut self, key: K, tokens: f64) {
         if let Some(bucket) = self.buckets.get_mut(&key) {
-            bucket.tokens = bucket.tokens.min(0.0);
+            bucket.tokens = tokens.min(bucket.burst);
         }
     }
 
@@ -130,11 +140,15 @@
         }
     }
 
-    /// Returns the tokens of a bucket, and the tokens per second that this instance may use.
-    pub(crate) fn level(&self, key: K, now: Timestamp) -> Option<(f64, f64)> {
+    /// Returns the level of a bucket.
+    pub(crate) fn level(&self, key: K, now: Timestamp) -> Option<Level> {
         let bucket = self.buckets.get(&key)?;
         let free = self.free_fraction();
-        Some((bucket.level(now, free), bucket.rate * free))
+        Some(Level {
+            tokens: bucket.level(now, free),
+            burst: bucket.burst * free,
+            rate: bucket.rate * free,
+        })
     }
 
     /// Takes a token if there is one; a key without a bucket has no limit.
--- a/gateway/src/placement.rs
+++ b/gateway/src/placement.rs
@@ -77,10 +77,10 @@
         _ if c.suspect => 8,
         _ if !c.other_cell && placed.total() < c.slots => 0,
         _ if !c.other_cell && placed.online < c.slots => 1,
-        _ if placed.total() + OTHER_CELL_MARGIN < c.slots => 4,
-        _ if !c.other_cell && placed.online < c.slots + limits.queue => 5,
-        _ if placed.online < c.slots => 6,
-        _ if placed.online < c.slots + limits.queue => 7,
+        _ if placed.total() + OTHER_CELL_MARGIN < c.slots => 3,
+        _ if !c.other_cell && placed.online < c.slots + limits.queue => 4,
+        _ if placed.online < c.slots => 5,
+        _ if placed.online < c.slots + limits.queue => 6,
         _ => return None,
     };
     Some(class)
@@ -94,7 +94,8 @@
         placed if placed.online >= c.slots => None,
         _ if c.suspect => Some(8),
         placed if placed.total() < c.slots => Some(2),
-        _ => Some(3),
+        // An item that is preempted there needs another request later.
+        _ => Some(7),
     }
 }
 
--- a/gateway/src/server_limits.rs
+++ b/gateway/src/server_limits.rs
@@ -13,7 +13,11 @@
 use limpetweir_state::Timestamp;
 
 use crate::backend::RunKey;
-use crate::fleet_rate::FleetRates;
+use crate::fleet_rate::{
+    FleetRates,
+    Level, //
+};
+use crate::quota::Tolerance;
 use crate::server_limit::{
     LimitChange,
     StatedLimit,
@@ -24,19 +28,36 @@
 /// there are no responses, and the end of the limit would never be known.
 const MIN_RATE: f64 = 0.2;
 
-/// Length of the longest burst to a limited server, as the time for which it fits the limit.
-const BURST_TIME: Duration = Duration::from_secs(2);
+/// How far servers let their limits be exceeded: half of it in 4 s, and 5 requests.
+const TOLERANCE: Tolerance = Tolerance {
+    window: Duration::from_secs(4),
+    overshoot: 0.5,
+    slack: 5.0,
+};
+
+/// Part of a stated rate by which the fleet exceeds it as long as there are enough requests.
+const OVERSHOOT: f64 = 0.3;
+
+/// Requests within the tolerance that are left to instances which send at the same time.
+const MARGIN: f64 = 2.0;
 
 /// Time after which a token is open to one more instance; reports arrive within a few milliseconds.
 const TURN: Duration = Duration::from_millis(15);
 
 /// Part of the burst that items leave to online requests, whose number changes fivefold within
 /// seconds.
-const ITEM_LEVEL: f64 = 0.75;
+const ITEM_LEVEL: f64 = 0.4;
 
 /// One in this many requests to a limited server may be an item while online requests need all.
 const REQUESTS_PER_ITEM: u64 = 16;
 
+/// Age up to which the first statement of a limit counts as its beginning. What was sent before does
+/// not count against it. Later, others may have sent as much as it allows.
+const NEW_FOR: Duration = Duration::from_millis(250);
+
+/// Time after its start within which an instance has heard of the limits that others know.
+const SETTLE_TIME: Timestamp = Timestamp::from_millis(5_000);
+
 /// Age of a statement from which a server is asked again, before others that have room.
 const STALE_AFTER: Duration = Duration::from_secs(2);
 
@@ -148,11 +169,13 @@
         self.statements.insert(run, statement);
         let change = LimitChange::between(before.and_then(|s| s.rate), statement.rate);
         if let (Some(_), Some(rate)) = (change, statement.rate) {
-            let rate = rate.max(MIN_RATE);
-            self.rates.set(run, rate, burst(rate), 0.0, now);
-        }
-        if let Some(LimitChange::Began(_)) = change {
-            self.rates.clear(run);
+            let refill = (rate * (1.0 + OVERSHOOT)).max(MIN_RATE);
+            let burst = burst(rate);
+            self.rates.set(run, refill, burst, 0.0, now);
+            if matches!(change, Some(LimitChange::Began(_))) {
+                let is_new = statement.age(now) < NEW_FOR && now >= SETTLE_TIME;
+                self.rates.fill(run, if is_new { burst } else { 0.0 });
+            }
         }
         change
     }
@@ -168,22 +191,33 @@
         let Some(statement) = self.limit(run) else {
             return Permit::Unlimited;
         };
-        let Some((tokens, rate)) = self.rates.level(run, now) else {
+        let Some(level) = self.rates.level(run, now) else {
             return Permit::Unlimited;
         };
+        let Level {
+            tokens,
+            burst,
+            rate,
+        } = level;
         let turn = Turn::at(unix_ms, rate);
         let needed = match purpose {
             Purpose::Online { items_wait } if items_wait && turn.is_for_items(run) => 2.0,
             Purpose::Online { .. } => 1.0,
             Purpose::Item if turn.is_for_items(run) => 1.0,
-            Purpose::Item => 1.0 + ITEM_LEVEL * (burst(rate) - 1.0),
+            Purpose::Item => 1.0 + ITEM_LEVEL * (burst - 1.0),
         };
         let spare = tokens - needed;
         if spare < 0.0 {
             return Permit::Denied;
         }
-        let delay = self.delay(run, turn);
-        if Duration::from_secs_f64(spare / rate.max(f64::MIN_POSITIVE)) < delay {
+        let ahead = self.instances_ahead(run, turn);
+        let delay = TURN.mul_f64(ahead);
+        let has_turn = match purpose {
+            Purpose::Online { .. } => Duration::from_secs_f64(spare / rate) >= delay,
+            // Items wait everywhere at the same time, whatever the age of the tokens.
+            Purpose::Item => ahead <= spare,
+        };
+        if !has_turn {
             return Permit::Denied;
         }
         if statement.age(now) >= STALE_AFTER + delay {
@@ -193,13 +227,13 @@
         }
     }
 
-    /// Returns the time for which this instance leaves a new token to others: their delays are
-    /// spread evenly over the turns of all.
-    fn delay(&self, run: RunKey, turn: Turn) -> Duration {
+    /// Returns about how many instances have their turn for a token before this one; the numbers are
+    /// spread evenly over all instances.
+    fn instances_ahead(&self, run: RunKey, turn: Turn) -> f64 {
         let key = (u64::from(run.0) << 32 | turn.0 & 0xffff_ffff).to_be_bytes();
         // Both are far below the precision of f64.
         let place = rendezvous_score(&key, &self.name) as f64 / u64::MAX as f64;
-        TURN.mul_f64(place * (self.senders - 1) as f64)
+        place * (self.senders - 1) as f64
     }
 
     /// Counts a request that this instance sends to `run`.
@@ -269,9 +303,12 @@
     }
 }
 
-/// Returns the number of requests that may follow each other at once at this rate.
+/// Returns the number of requests that may follow each other at once at a stated rate: what the
+/// tolerance leaves beside the refilled tokens, but no more than fit the limit in one window.
 fn burst(rate: f64) -> f64 {
-    1.0 + rate * BURST_TIME.as_secs_f64()
+    let in_window = rate * TOLERANCE.window.as_secs_f64();
+    let spare = in_window * (TOLERANCE.overshoot - OVERSHOOT) + TOLERANCE.slack - MARGIN;
+    spare.min(1.0 + in_window)
 }
 
 /// Number of the token that a server gets at a moment, about the same on all instances.
