--- a/gateway/src/fleet_rate.rs
+++ b/gateway/src/fleet_rate.rs
@@ -189,20 +189,22 @@
         counts.map(|(key, b)| (*key, b.taken)).collect()
     }
 
-    /// Applies the counts that the instance `peer`, started at `boot`, reports.
+    /// Applies the counts that the instance `peer`, started at `boot`, reports; returns what it has
+    /// taken since its last report.
     pub(crate) fn apply_counts(
         &mut self,
         peer: &str,
         boot: u64,
         counts: impl Iterator<Item = (K, u64)>,
-    ) {
+    ) -> Vec<(K, u64)> {
+        let mut taken = Vec::new();
         if !self.peers.contains_key(peer) {
             let taken = HashMap::new();
             self.peers
                 .insert(peer.to_owned(), PeerCounts { boot, taken });
         }
         let Some(known) = self.peers.get_mut(peer) else {
-            return;
+            return taken;
         };
         if known.boot != boot {
             known.boot = boot;
@@ -216,8 +218,12 @@
                 // Counts are whole numbers far below the precision of f64.
                 bucket.tokens -= count as f64 - before as f64;
                 bucket.tokens = bucket.tokens.clamp(-bucket.burst, bucket.burst);
+                if count > before {
+                    taken.push((key, count - before));
+                }
             }
         }
+        taken
     }
 
     /// Returns this instance's levels of all buckets.
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -31,6 +31,7 @@
 mod report_schedule;
 mod return_times;
 mod routing;
+mod send_log;
 mod serve;
 mod server_limit;
 mod server_limits;
--- a/gateway/src/server_limits.rs
+++ b/gateway/src/server_limits.rs
@@ -18,6 +18,7 @@
     Level, //
 };
 use crate::quota::Tolerance;
+use crate::send_log::SendLog;
 use crate::server_limit::{
     LimitChange,
     StatedLimit,
@@ -36,10 +37,10 @@
 };
 
 /// Part of a stated rate by which the fleet exceeds it as long as there are enough requests.
-const OVERSHOOT: f64 = 0.3;
+const OVERSHOOT: f64 = 0.25;
 
 /// Requests within the tolerance that are left to instances which send at the same time.
-const MARGIN: f64 = 2.0;
+const MARGIN: f64 = 3.0;
 
 /// Time after which a token is open to one more instance; reports arrive within a few milliseconds.
 const TURN: Duration = Duration::from_millis(15);
@@ -115,8 +116,12 @@
     /// Name of this instance.
     name: String,
     statements: HashMap<RunKey, Statement>,
+    /// Runs that state something that is no limit, with the time of the last such statement.
+    invalid: HashMap<RunKey, Timestamp>,
     /// A bucket for each run that is or was limited.
     rates: FleetRates<RunKey>,
+    /// What was sent to each of these runs within the last seconds.
+    sends: HashMap<RunKey, SendLog>,
     /// Instances that send to the same servers, with this one.
     senders: usize,
 }
@@ -127,7 +132,9 @@
         Self {
             name: name.to_owned(),
             statements: HashMap::new(),
+            invalid: HashMap::new(),
             rates: FleetRates::new(0.0),
+            sends: HashMap::new(),
             senders: 1,
         }
     }
@@ -180,6 +187,11 @@
         change
     }
 
+    /// Records that `run` states something that is no limit; returns whether that is new.
+    pub fn invalid(&mut self, run: RunKey, now: Timestamp) -> bool {
+        self.invalid.insert(run, now).is_none()
+    }
+
     /// Returns the newest statement of `run`, if it states a limit.
     pub fn limit(&self, run: RunKey) -> Option<Statement> {
         let statement = self.statements.get(&run).copied();
@@ -217,7 +229,7 @@
             // Items wait everywhere at the same time, whatever the age of the tokens.
             Purpose::Item => ahead <= spare,
         };
-        if !has_turn {
+        if !has_turn || !self.fits_window(run, statement, delay, now) {
             return Permit::Denied;
         }
         if statement.age(now) >= STALE_AFTER + delay {
@@ -227,6 +239,24 @@
         }
     }
 
+    /// Returns whether the last window has room for one more request, and this instance has its turn
+    /// for the last one.
+    fn fits_window(
+        &self,
+        run: RunKey,
+        statement: Statement,
+        delay: Duration,
+        now: Timestamp,
+    ) -> bool {
+        let (Some(rate), Some(log)) = (statement.rate, self.sends.get(&run)) else {
+            return true;
+        };
+        let sent = log.count(TOLERANCE.window, now);
+        // The count is far below the precision of f64.
+        let room = most_in_window(rate) * self.rates.free_fraction() - sent.requests as f64;
+        room >= 2.0 || room >= 1.0 && sent.freed_for >= delay
+    }
+
     /// Returns about how many instances have their turn for a token before this one; the numbers are
     /// spread evenly over all instances.
     fn instances_ahead(&self, run: RunKey, turn: Turn) -> f64 {
@@ -241,9 +271,15 @@
         if self.limit(run).is_some() {
             // The caller has seen that there is a token.
             let _ = self.rates.take(run, now);
+            self.log_sends(run, 1, now);
         }
     }
 
+    fn log_sends(&mut self, run: RunKey, count: u64, now: Timestamp) {
+        let log = self.sends.entry(run).or_default();
+        log.add(count, TOLERANCE.window, now);
+    }
+
     /// Returns what the other instances are to know.
     pub fn reports(&self, now: Timestamp) -> Vec<LimitReport> {
         let told = self.statements.iter().filter(|(_, statement)| {
@@ -276,7 +312,9 @@
             changes.extend(change.map(|change| (report.run, change)));
         }
         let counts = reports.iter().map(|r| (r.run, r.sent));
-        self.rates.apply_counts(peer, boot, counts);
+        for (run, count) in self.rates.apply_counts(peer, boot, counts) {
+            self.log_sends(run, count, now);
+        }
         changes
     }
 
@@ -295,20 +333,27 @@
                 ended.push((*run, LimitChange::Ended(rate)));
             }
         }
+        self.invalid
+            .retain(|_, last| now.since(*last) < COUNTS_KEPT_FOR);
         let kept = |s: &Statement| s.age(now) < COUNTS_KEPT_FOR;
         self.statements.retain(|_, statement| kept(statement));
         let statements = &self.statements;
         self.rates.retain(|run| statements.contains_key(run));
+        self.sends.retain(|run, _| statements.contains_key(run));
         ended
     }
 }
 
-/// Returns the number of requests that may follow each other at once at a stated rate: what the
-/// tolerance leaves beside the refilled tokens, but no more than fit the limit in one window.
+/// Returns the number of requests that may be sent within one window at a stated rate.
+fn most_in_window(rate: f64) -> f64 {
+    let in_window = rate * TOLERANCE.window.as_secs_f64();
+    in_window * (1.0 + TOLERANCE.overshoot) + TOLERANCE.slack - MARGIN
+}
+
+/// Returns the number of requests that may follow each other at once at a stated rate.
 fn burst(rate: f64) -> f64 {
     let in_window = rate * TOLERANCE.window.as_secs_f64();
-    let spare = in_window * (TOLERANCE.overshoot - OVERSHOOT) + TOLERANCE.slack - MARGIN;
-    spare.min(1.0 + in_window)
+    most_in_window(rate).min(1.0 + in_window)
 }
 
 /// Number of the token that a server gets at a moment, about the same on all instances.
