gateway: a refusal is believed only if it belongs to the request

Cause: in the three places that read a response head the refusal was read before the identifier. heads::examine now compares it first, in one place, and closes the connection. A refusal without an identifier is believed only for a request that has none.

--- a/gateway/src/serve/heads.rs
+++ b/gateway/src/serve/heads.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use hyper::http::response;
 use limpetweir_state::Timestamp;
 
 use super::lines::{
@@ -20,27 +21,72 @@
     BackendEntry,
     RunKey, //
 };
-use crate::platform::ResponseHead;
+use crate::platform::{
+    Dialect,
+    ResponseHead, //
+};
 use crate::server_limit::{
     LimitChange,
     StatedLimit,
     Statement, //
 };
 
-/// Applies the head of a response to a request that was sent to `entry` at `sent_at`.
-pub(crate) fn apply<P>(
+/// A request or item that was sent to a backend server.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SentRequest<'a> {
+    /// Its identifier; empty if the caller sent none.
+    pub(crate) id: &'a str,
+    pub(crate) entry: &'a BackendEntry,
+    /// When it was sent, or earlier.
+    pub(crate) at: Timestamp,
+}
+
+/// What the head of a response says about the request that it was read for.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum Verdict {
+    /// It is the response to the request.
+    Response(ResponseHead),
+    /// The server did not run the request.
+    NotRun(String),
+    /// The response belongs to another request, and says nothing about this one or its server. The
+    /// connection must be closed.
+    Foreign(String),
+}
+
+/// Returns the verdict of a head, and applies what the server says about itself.
+///
+/// The identifier is compared first: a refusal of an earlier request, or one without an identifier,
+/// must not be taken for that of a request that the server runs.
+pub(crate) fn examine<P: Dialect>(
     node: &Arc<Node<P>>,
-    entry: &BackendEntry,
-    sent_at: Timestamp,
-    head: &ResponseHead,
-) {
+    sent: SentRequest<'_>,
+    head: &response::Parts,
+) -> Verdict {
+    let decoded = node.platform.response(head);
+    let status = head.status.as_u16();
+    // A server answers a request without an identifier without one.
+    if decoded.request_id.as_deref().unwrap_or_default() != sent.id {
+        let cause = format!("the response with status {status} belongs to another request");
+        return Verdict::Foreign(cause);
+    }
+    apply(node, sent, &decoded);
+    if decoded.not_run {
+        return Verdict::NotRun(format!("status {status}"));
+    }
+    Verdict::Response(decoded)
+}
+
+fn apply<P>(node: &Arc<Node<P>>, sent: SentRequest<'_>, head: &ResponseHead) {
+    let SentRequest { entry, at, .. } = sent;
     let now = node.now();
     let run = entry.run();
-    if let StatedLimit::Invalid(text) = &head.limit {
+    let mut state = node.lock();
+    if let StatedLimit::Invalid(text) = &head.limit
+        && state.limits.invalid(run, now)
+    {
         log_event!(LIMIT_INVALID, "backend={} value={text:?}", entry.id);
     }
-    let mut state = node.lock();
-    if let Some(change) = state.limits.stated(run, &head.limit, sent_at, now) {
+    if let Some(change) = state.limits.stated(run, &head.limit, at, now) {
         log_change(&entry.id, change, "response");
         node.report_due.notify(usize::MAX);
     }
--- a/gateway/src/serve/online.rs
+++ b/gateway/src/serve/online.rs
@@ -31,6 +31,7 @@
     choose, //
 };
 use super::forwarding::AllowedCall;
+use super::heads::SentRequest;
 use super::lines::{
     ATTEMPT_FAILED,
     BACKEND_SUSPECTED,
@@ -532,27 +533,23 @@
     match send(node, admitted, history, &placed).await {
         Ok(response) => {
             let (head, body) = response.into_parts();
-            let decoded = node.platform.response(&head);
-            let ids_match =
-                decoded.request_id.as_deref() == Some(admitted.call.request_id.as_str());
-            if decoded.not_run {
-                if ids_match {
-                    heads::apply(node, &placed.entry, placed.chosen_at, &decoded);
+            let sent = SentRequest {
+                id: &admitted.call.request_id,
+                entry: &placed.entry,
+                at: placed.chosen_at,
+            };
+            match heads::examine(node, sent, &head) {
+                heads::Verdict::Response(decoded) => Attempt::Answered(Box::new(Source {
+                    response: Response::from_parts(head, body),
+                    head: decoded,
+                    placed,
+                })),
+                heads::Verdict::NotRun(cause) => Attempt::NotRun(cause),
+                heads::Verdict::Foreign(cause) => {
+                    body.close();
+                    Attempt::MayHaveRun(cause)
                 }
-                let cause = format!("status {}", head.status.as_u16());
-                return Attempt::NotRun(cause);
             }
-            if !ids_match {
-                body.close();
-                let cause = "the response belongs to another request".to_owned();
-                return Attempt::MayHaveRun(cause);
-            }
-            heads::apply(node, &placed.entry, placed.chosen_at, &decoded);
-            Attempt::Answered(Box::new(Source {
-                response: Response::from_parts(head, body),
-                head: decoded,
-                placed,
-            }))
         }
         Err(err) => {
             unresponsive(node, key, &err);
--- a/gateway/src/serve/relay.rs
+++ b/gateway/src/serve/relay.rs
@@ -27,6 +27,7 @@
     choose, //
 };
 use super::heads;
+use super::heads::SentRequest;
 use super::lines::{
     ANSWERED,
     ATTEMPT_FAILED,
@@ -394,33 +395,39 @@
             }
         };
         let (head, body) = response.into_parts();
-        let decoded = node.platform.response(&head);
-        let status = head.status.as_u16();
-        if decoded.not_run {
-            log_event!(
-                ATTEMPT_FAILED,
-                "request={id} backend={backend} verdict=not-run cause=\"status {status}\""
-            );
-            history.rejections += 1;
-            continue;
-        }
-        history.runs += 1;
-        if decoded.request_id.as_deref() == Some(admitted.call.request_id.as_str()) {
-            heads::apply(node, &placed.entry, placed.chosen_at, &decoded);
-        }
-        let ids_match = decoded.request_id.as_deref() == Some(admitted.call.request_id.as_str());
-        if !ids_match || !decoded.events || head.status != StatusCode::OK {
-            log_event!(
-                ATTEMPT_FAILED,
-                "request={id} backend={backend} verdict=ran cause=\"status {status}, not the rest of the stream\""
-            );
+        let sent = SentRequest {
+            id,
+            entry: &placed.entry,
+            at: placed.chosen_at,
+        };
+        let (verdict, cause) = match heads::examine(node, sent, &head) {
+            heads::Verdict::Response(decoded) => {
+                history.runs += 1;
+                if decoded.events && head.status == StatusCode::OK {
+                    return Some(Source {
+                        response: Response::from_parts(head, body),
+                        head: decoded,
+                        placed,
+                    });
+                }
+                let status = head.status.as_u16();
+                let cause = format!("status {status}, not the rest of the stream");
+                (Verdict::Ran, cause)
+            }
+            heads::Verdict::NotRun(cause) => (Verdict::NotRun, cause),
+            heads::Verdict::Foreign(cause) => {
+                history.runs += 1;
+                (Verdict::MayHaveRun, cause)
+            }
+        };
+        log_event!(
+            ATTEMPT_FAILED,
+            "request={id} backend={backend} verdict={verdict} cause=\"{cause}\""
+        );
+        if verdict != Verdict::NotRun {
             body.close();
             return None;
         }
-        return Some(Source {
-            response: Response::from_parts(head, body),
-            head: decoded,
-            placed,
-        });
+        history.rejections += 1;
     }
 }
--- a/gateway/src/serve/runs.rs
+++ b/gateway/src/serve/runs.rs
@@ -19,6 +19,7 @@
 use limpetweir_transport::timeout_at;
 
 use super::heads;
+use super::heads::SentRequest;
 use super::lines::{
     ITEM_ENDED,
     ITEM_LISTED,
@@ -290,22 +291,20 @@
         }
     };
     let (head, body) = response.into_parts();
-    let decoded = node.platform.response(&head);
     let status = head.status.as_u16();
-    if decoded.not_run {
-        if decoded.request_id.as_deref() == Some(run.item.id.as_str()) {
-            heads::apply(node, &run.entry, run.chosen_at, &decoded);
+    let sent = SentRequest {
+        id: &run.item.id,
+        entry: &run.entry,
+        at: run.chosen_at,
+    };
+    let decoded = match heads::examine(node, sent, &head) {
+        heads::Verdict::Response(decoded) => decoded,
+        heads::Verdict::NotRun(cause) => return (RunEnd::Rejected, cause),
+        heads::Verdict::Foreign(cause) => {
+            body.close();
+            return (RunEnd::Broken, cause);
         }
-        return (RunEnd::Rejected, format!("status {status}"));
-    }
-    if decoded.request_id.as_deref() != Some(run.item.id.as_str()) {
-        body.close();
-        return (
-            RunEnd::Broken,
-            "the response belongs to another request".to_owned(),
-        );
-    }
-    heads::apply(node, &run.entry, run.chosen_at, &decoded);
+    };
     match status {
         200 if decoded.events => {
             collect_events(
