gateway: a response without a signature that ends with its connection is not whole; limits in the line of a refusal

By reading, a 200 with neither length, chunks nor signature counted as whole however short; it now ends broken. LW2502 names the limits that a refusal met.

--- a/gateway/src/serve/choose.rs
+++ b/gateway/src/serve/choose.rs
@@ -48,6 +48,7 @@
     Store, //
 };
 
+use crate::server_limit::Statement;
 use crate::server_limits::{
     Permit,
     Purpose, //
@@ -98,6 +99,19 @@
     pub(crate) retry_after: Duration,
     /// The parts because of which the request is held back.
     pub(crate) case: Option<Box<Case>>,
+    /// The limits that keep the request away.
+    pub(crate) limits: Option<LimitsMet>,
+}
+
+/// Limits of backend servers that keep a request away.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct LimitsMet {
+    /// Number of limited servers.
+    pub(crate) servers: usize,
+    /// Sum of their limits in requests per second.
+    pub(crate) rate: f64,
+    /// Age of the oldest statement among them.
+    pub(crate) oldest: Duration,
 }
 
 impl Rejection {
@@ -107,6 +121,7 @@
             cause: "held-back",
             retry_after: case.probe_in.max(MIN_HELD_RETRY),
             case: Some(Box::new(case)),
+            limits: None,
         }
     }
 }
@@ -196,6 +211,7 @@
     cause: "no-backend",
     retry_after: NO_CONFIG_RETRY,
     case: None,
+    limits: None,
 };
 
 /// Returns the rejection of a request for which no candidate has free capacity.
@@ -217,6 +233,7 @@
         cause,
         retry_after: retry_after(running, queued, holding),
         case: None,
+        limits: None,
     }
 }
 
@@ -228,10 +245,16 @@
     now: Timestamp,
 ) -> Rejection {
     let limited = candidates.iter().filter(|c| !c.other_cell);
-    let rates = limited.filter_map(|c| state.limits.limit(c.run)?.rate);
+    let stated = limited.filter_map(|c| state.limits.limit(c.run));
+    let stated: Vec<Statement> = stated.collect();
+    let met = LimitsMet {
+        servers: stated.len(),
+        rate: stated.iter().filter_map(|s| s.rate).sum(),
+        oldest: stated.iter().map(|s| s.age(now)).max().unwrap_or_default(),
+    };
     let (_, senders) = state.limit_senders(now);
     // Instance counts are far below the precision of f64.
-    let rate = rates.sum::<f64>() / senders as f64;
+    let rate = met.rate / senders as f64;
     let remaining = admitted.deadline.saturating_duration_since(Instant::now());
     // Later the caller has no time left for the response.
     let longest = (remaining / 3).min(MAX_RETURN_TIME);
@@ -239,6 +262,7 @@
         cause: "server-limits",
         retry_after: state.return_times.assign(now, rate, longest),
         case: None,
+        limits: Some(met),
     }
 }
 
--- a/gateway/src/serve/heads.rs
+++ b/gateway/src/serve/heads.rs
@@ -5,6 +5,7 @@
 use hyper::http::response;
 use limpetweir_state::Timestamp;
 
+use super::choose::LimitsMet;
 use super::lines::{
     BACKEND_LEAVES,
     LIMIT_BEGAN,
@@ -141,3 +142,13 @@
         format!(" limit={rate} limit_age_ms={}", age.as_millis())
     })
 }
+
+/// Returns the fields of a line about limits that keep a request away.
+pub(crate) fn describe_limits(met: LimitsMet) -> String {
+    format!(
+        "limited_servers={} limits={:.1} oldest_ms={}",
+        met.servers,
+        met.rate,
+        met.oldest.as_millis()
+    )
+}
--- a/gateway/src/serve/online.rs
+++ b/gateway/src/serve/online.rs
@@ -437,6 +437,7 @@
             cause: "held-back",
             retry_after: NO_CONFIG_RETRY,
             case: None,
+            limits: None,
         },
     };
     reject(node, admitted, history, rejection)
@@ -479,6 +480,7 @@
     }
     let id = &admitted.call.request_id;
     let case = rejection.case.as_deref().map(crashes::describe);
+    let limits = rejection.limits.map(heads::describe_limits);
     log_event!(
         REFUSED,
         "request={id} status=503 cause={} route={} tried={} retry_after_ms={} version={} {}",
@@ -487,7 +489,7 @@
         history.tried.len(),
         rejection.retry_after.as_millis(),
         admitted.version,
-        case.unwrap_or_default()
+        case.or(limits).unwrap_or_default()
     );
     node.metrics
         .online(rejection.cause, admitted.arrived.elapsed());
--- a/gateway/src/serve/relay.rs
+++ b/gateway/src/serve/relay.rs
@@ -9,7 +9,11 @@
 use futures_lite::future;
 use http_body_util::BodyExt;
 use hyper::body::Bytes;
-use hyper::header::CONTENT_LENGTH;
+use hyper::header::{
+    CONTENT_LENGTH,
+    HeaderMap,
+    TRANSFER_ENCODING, //
+};
 use hyper::{
     Response,
     StatusCode, //
@@ -121,8 +125,10 @@
     loop {
         let backend = source.placed.entry.id.clone();
         let key = source.placed.key;
+        let ends_with_connection = ends_with_connection(source.response.headers());
         let body = source.response.into_body();
         let entry = source.placed.entry.clone();
+        let signed = source.head.signed;
         let mut watch = RunWatch::new(id, &admitted.parts, entry);
         let result = if events {
             {
@@ -148,7 +154,10 @@
                     watch.output(node);
                 }
             };
-            forward_bytes(&admitted, body, &sender, &mut forwarded, on_chunk).await
+            let whole = forward_bytes(&admitted, body, &sender, &mut forwarded, on_chunk);
+            whole
+                .await
+                .and_then(|()| check_end(ends_with_connection, signed))
         };
         drop(source.placed);
         let interruption = match result {
@@ -226,6 +235,22 @@
     }
 }
 
+/// Returns whether the body has neither a length nor chunks, so that only the end of the connection
+/// ends it.
+fn ends_with_connection(headers: &HeaderMap) -> bool {
+    !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING)
+}
+
+/// Checks that a body that has ended is whole. One that ends with its connection may have been cut off
+/// anywhere, and only a signature says that the server had the whole response.
+fn check_end(ends_with_connection: bool, signed: bool) -> Result<(), Interruption> {
+    if ends_with_connection && !signed {
+        let cause = "a response without a signature ended with its connection".to_owned();
+        return Err(Interruption::ConnectionLost(cause));
+    }
+    Ok(())
+}
+
 /// Progress of the part of a response that has been forwarded.
 #[derive(Debug, Default)]
 struct Forwarded {
