--- a/gateway/src/fleet_rate.rs
+++ b/gateway/src/fleet_rate.rs
@@ -13,6 +13,10 @@
 /// Largest count of an instance before its first report of it.
 const MAX_FIRST_COUNT: u64 = 4;
 
+/// Tokens that a bucket holds at least. A share of a small burst is below one token, which nobody
+/// could ever take.
+const MIN_CAPACITY: f64 = 1.5;
+
 /// Lowest rate for which a waiting time is computed, in tokens per second.
 const MIN_WAIT_RATE: f64 = 0.1;
 
@@ -41,7 +45,7 @@
     fn level(&self, now: Timestamp, free: f64) -> f64 {
         let elapsed = now.since(self.updated).as_secs_f64();
         let gained = self.rate * free * elapsed;
-        (self.tokens + gained).min(self.burst * free)
+        (self.tokens + gained).min((self.burst * free).max(MIN_CAPACITY))
     }
 }
 
--- a/gateway/src/server_limits.rs
+++ b/gateway/src/server_limits.rs
@@ -122,8 +122,8 @@
     rates: FleetRates<RunKey>,
     /// What was sent to each of these runs within the last seconds.
     sends: HashMap<RunKey, SendLog>,
-    /// Instances that send to the same servers, with this one.
-    senders: usize,
+    /// Instances that send to the same servers and report it, with this one.
+    heard: usize,
 }
 
 impl ServerLimits {
@@ -135,7 +135,7 @@
             invalid: HashMap::new(),
             rates: FleetRates::new(0.0),
             sends: HashMap::new(),
-            senders: 1,
+            heard: 1,
         }
     }
 
@@ -147,9 +147,10 @@
     /// Sets how many instances send to the same servers, with this one, and how many of them are
     /// `silent`: unreachable, or of an older build that reports no counts.
     pub fn set_senders(&mut self, silent: usize, senders: usize, now: Timestamp) {
-        self.senders = senders.max(1);
+        let senders = senders.max(1);
+        self.heard = senders.saturating_sub(silent).max(1);
         // Instance counts are far below the precision of f64.
-        let fraction = silent as f64 / self.senders as f64;
+        let fraction = silent as f64 / senders as f64;
         self.rates.set_unreachable_fraction(fraction, now);
     }
 
@@ -253,7 +254,8 @@
         };
         let sent = log.count(TOLERANCE.window, now);
         // The count is far below the precision of f64.
-        let room = most_in_window(rate) * self.rates.free_fraction() - sent.requests as f64;
+        let most = most_in_window(rate) * self.rates.free_fraction();
+        let room = most.max(1.0) - sent.requests as f64;
         room >= 2.0 || room >= 1.0 && sent.freed_for >= delay
     }
 
@@ -261,9 +263,9 @@
     /// spread evenly over all instances.
     fn instances_ahead(&self, run: RunKey, turn: Turn) -> f64 {
         let key = (u64::from(run.0) << 32 | turn.0 & 0xffff_ffff).to_be_bytes();
-        // Both are far below the precision of f64.
+        // Neither needs more than the precision of f64.
         let place = rendezvous_score(&key, &self.name) as f64 / u64::MAX as f64;
-        place * (self.senders - 1) as f64
+        place * (self.heard - 1) as f64
     }
 
     /// Counts a request that this instance sends to `run`.
