--- a/gateway/tests/batch.rs
+++ b/gateway/tests/batch.rs
@@ -427,3 +427,26 @@
     load.online_ended(backend(0), now);
     assert_eq!(load.placed(backend(0)), Placed::default());
 }
+
+/// Load pattern: servers with and without a limit have free slots. Guards against items that start
+/// against a limit, several at once, or in all slots of a limited server, and against items in the
+/// slots that online requests use first.
+#[rstest]
+#[case::limited_first(Permit::Allowed, 0, &[1, 0, 0])]
+#[case::not_against_the_limit(Permit::Denied, 0, &[0, 0, 0])]
+#[case::a_quarter_stays_free(Permit::Allowed, 6, &[0, 0, 0])]
+fn items_start_at_limited_servers_one_at_a_time(
+    #[case] permit: Permit,
+    #[case] batch: u32,
+    #[case] chosen: &[u32],
+) {
+    let limited = BatchCandidate {
+        permit,
+        ..candidate(1, 0, batch, 60_000)
+    };
+    let candidates = [candidate(0, 0, 0, 60_000), limited];
+    let none_kept = |_, _, _| 0;
+    let starts = choose_starts(&mut waiting(3, 0), &candidates, "a", NONE, none_kept);
+    let starts: Vec<u32> = starts.into_iter().map(|(_, key)| key.0).collect();
+    assert_eq!(starts, chosen);
+}
--- a/gateway/tests/online.rs
+++ b/gateway/tests/online.rs
@@ -108,6 +108,34 @@
     assert_eq!(place(&candidates, LIMITS), expected);
 }
 
+fn limited(permit: Permit, candidate: Candidate) -> Candidate {
+    Candidate {
+        permit,
+        ..candidate
+    }
+}
+
+/// Load pattern: servers with and without a limit, between calm and peak. Guards against tokens that
+/// are spent while a server without a limit has a slot, against requests that wait although a limited
+/// server may take them, and against a crowd that fills the queues of the others.
+#[rstest]
+#[case::no_limit_first([candidate(0, 5, 0), limited(Permit::Allowed, candidate(1, 0, 0))], Some(0))]
+#[case::items_without_limit_are_preempted([candidate(0, 7, 1), limited(Permit::Allowed, candidate(1, 0, 0))], Some(0))]
+#[case::limited_before_waiting([candidate(0, 8, 0), limited(Permit::Allowed, candidate(1, 4, 3))], Some(1))]
+#[case::waiting_before_items_of_limited([candidate(0, 8, 0), limited(Permit::Allowed, candidate(1, 4, 4))], Some(0))]
+#[case::items_of_limited_at_last([candidate(0, 10, 0), limited(Permit::Allowed, candidate(1, 4, 4))], Some(1))]
+#[case::nothing_waits_at_limited([candidate(0, 10, 0), limited(Permit::Allowed, candidate(1, 8, 0))], None)]
+#[case::denied([candidate(0, 10, 0), limited(Permit::Denied, candidate(1, 0, 0))], None)]
+#[case::limited_of_another_cell([candidate(0, 10, 0), limited(Permit::Allowed, remote(1, 0, 0))], None)]
+#[case::stale_limit_is_confirmed([candidate(0, 1, 0), limited(Permit::Refresh, candidate(1, 0, 0))], Some(1))]
+fn limited_servers_take_what_the_others_cannot(
+    #[case] candidates: [Candidate; 2],
+    #[case] chosen: Option<u32>,
+) {
+    let expected = chosen.map_or(Placement::Full, |n| Placement::Send(BackendKey(n)));
+    assert_eq!(place(&candidates, LIMITS), expected);
+}
+
 /// Guards against a search through all servers of a large fleet for every request, and against no
 /// such search while the servers of the own cell are unavailable.
 #[rstest]
