--- a/gateway/src/serve/choose.rs
+++ b/gateway/src/serve/choose.rs
@@ -14,6 +14,7 @@
     SeedableRng, //
 };
 
+use super::attempt::AttemptHistory;
 use super::heads;
 use super::lines::{
     PLACED,
@@ -24,11 +25,8 @@
     State,
     unix_ms, //
 };
-use super::online::{
-    Admitted,
-    AttemptHistory,
-    NO_CONFIG_RETRY, //
-};
+use super::online::Admitted;
+use super::rejections::NO_CONFIG_RETRY;
 use crate::backend::{
     BackendEntry,
     BackendKey, //
--- a/gateway/src/serve/crashes.rs
+++ b/gateway/src/serve/crashes.rs
@@ -31,6 +31,7 @@
 use rand::seq::IteratorRandom;
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::attempt::unresponsive;
 use super::lines::{
     CASE_CLOSED,
     CASE_NOT_STORED,
@@ -45,7 +46,6 @@
     State,
     unix_ms, //
 };
-use super::online::unresponsive;
 use super::replies::plain;
 use crate::backend::{
     BackendEntry,
--- a/gateway/src/serve/metrics.rs
+++ b/gateway/src/serve/metrics.rs
@@ -14,7 +14,7 @@
     TextEncoder, //
 };
 
-use super::online::AttemptKind;
+use super::attempt::AttemptKind;
 use super::store_calls::CallOutcome;
 
 /// Upper bounds of the duration buckets in seconds; the latency objectives are between 0.3 and 0.5.
--- a/gateway/src/serve/mod.rs
+++ b/gateway/src/serve/mod.rs
@@ -1,5 +1,6 @@
 //! Listeners, background tasks, settings reload and shutdown of a gateway instance.
 
+mod attempt;
 mod catch_up;
 mod choose;
 mod crashes;
@@ -14,6 +15,7 @@
 mod online;
 mod peers;
 mod quota_levels;
+mod rejections;
 mod relay;
 mod replies;
 mod reports;
--- /dev/null
+++ b/gateway/src/serve/rejections.rs
@@ -0,0 +1,232 @@
+//! Responses to requests that are denied, rejected or have failed.
+
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use hyper::http::request;
+use hyper::{
+    Response,
+    StatusCode, //
+};
+use limpetweir_transport::http::{
+    Body,
+    BodyError, //
+};
+
+use super::attempt::AttemptHistory;
+use super::choose::Rejection;
+use super::lines::{
+    REFUSED,
+    REQUEST_FAILED,
+    log_event, //
+};
+use super::node::Node;
+use super::online::Admitted;
+use super::replies::{
+    plain,
+    retry_later, //
+};
+use super::{
+    crashes,
+    forwarding,
+    heads, //
+};
+use crate::platform::CallHead;
+use crate::routing::Denial;
+
+/// `Retry-After` of a request while no configuration or no backend server of the service is known.
+pub(crate) const NO_CONFIG_RETRY: Duration = Duration::from_millis(500);
+
+/// `Retry-After` of a request that a newer configuration may allow. A newer one that a peer has is
+/// usually fetched within this time.
+const OUTDATED_CONFIG_RETRY: Duration = Duration::from_millis(500);
+
+/// Returns a rejection if another instance has forwarded the call and has a newer configuration
+/// than `version`, which may deny what the newer one allows. The sender tries the next replica. The
+/// version in the header is not recorded, because callers can send the header too.
+pub(crate) fn reject_newer_sender(
+    call: &CallHead,
+    head: &request::Parts,
+    version: u64,
+) -> Option<Response<Body>> {
+    let sender_version = forwarding::sender_version(head)?;
+    if sender_version <= version {
+        return None;
+    }
+    let id = &call.request_id;
+    log_event!(
+        REFUSED,
+        "request={id} status=503 cause=outdated-configuration version={version} sender_version={sender_version}"
+    );
+    Some(outdated())
+}
+
+/// Returns the response to a request that the configuration `version` does not allow.
+///
+/// Callers do not retry after 404, 401 and 413, so these are returned only if no newer
+/// configuration can allow the request.
+pub(crate) fn deny<P>(
+    node: &Node<P>,
+    call: &CallHead,
+    version: u64,
+    denial: Denial,
+) -> Response<Body> {
+    let now = node.now();
+    let (is_current, age) = {
+        let freshness = &node.lock().config_freshness;
+        (freshness.is_current(version, now), freshness.age(now))
+    };
+    let (id, host) = (&call.request_id, &call.host);
+    let confirmed_ms = age.map_or_else(|| "never".to_owned(), |age| age.as_millis().to_string());
+    if !is_current {
+        log_event!(
+            REFUSED,
+            "request={id} status=503 cause=outdated-configuration denial={denial} host={host} version={version} confirmed_ms={confirmed_ms}"
+        );
+        return outdated();
+    }
+    let (status, text) = match denial {
+        Denial::NoRoute => {
+            let text = "no route for this host and path".to_owned();
+            (StatusCode::NOT_FOUND, text)
+        }
+        Denial::UnknownKey => {
+            let text = "the key is not known".to_owned();
+            (StatusCode::UNAUTHORIZED, text)
+        }
+        Denial::BodyTooLarge { limit } => {
+            let text = format!("the body is longer than {limit} bytes");
+            (StatusCode::PAYLOAD_TOO_LARGE, text)
+        }
+    };
+    log_event!(
+        REFUSED,
+        "request={id} status={} cause={denial} host={host} version={version} confirmed_ms={confirmed_ms}",
+        status.as_u16()
+    );
+    plain(status, &text)
+}
+
+/// Returns the response to a request that a newer configuration may allow.
+fn outdated() -> Response<Body> {
+    let text = "the configuration may be outdated; the request has not run";
+    retry_later(StatusCode::SERVICE_UNAVAILABLE, text, OUTDATED_CONFIG_RETRY)
+}
+
+pub(crate) fn reject_body(id: &str, err: &BodyError) -> Response<Body> {
+    let status = match err {
+        BodyError::TooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
+        BodyError::Stalled { .. } => StatusCode::REQUEST_TIMEOUT,
+        _ => StatusCode::BAD_REQUEST,
+    };
+    log_event!(
+        REFUSED,
+        "request={id} status={} cause=\"{err}\"",
+        status.as_u16()
+    );
+    plain(status, &err.to_string())
+}
+
+/// Returns the response to a request that another instance probes, or none now.
+pub(crate) fn reject_held<P>(
+    node: &Node<P>,
+    admitted: &Admitted,
+    history: &AttemptHistory,
+) -> Response<Body> {
+    let now = node.now();
+    let hold = node.lock().quarantine.hold(&admitted.parts, now);
+    let rejection = match hold {
+        Some(hold) => Rejection::held(hold.case),
+        // The case was closed meanwhile.
+        None => Rejection {
+            cause: "held-back",
+            retry_after: NO_CONFIG_RETRY,
+            case: None,
+            limits: None,
+        },
+    };
+    reject(node, admitted, history, rejection)
+}
+
+pub(crate) fn reject_over_quota<P>(node: &Node<P>, admitted: &Admitted) -> Option<Response<Body>> {
+    let organisation = admitted.organisation.as_ref()?;
+    let now = node.now();
+    let over = node.lock().quotas.admit(&organisation.name, now).err()?;
+    let id = &admitted.call.request_id;
+    log_event!(
+        REFUSED,
+        "request={id} status=429 cause=over-quota organisation={} tokens={:.1} version={}",
+        organisation.name,
+        over.tokens,
+        admitted.version
+    );
+    node.metrics
+        .online("over-quota", admitted.arrived.elapsed());
+    let text = "the organisation is over its rate";
+    Some(retry_later(
+        StatusCode::TOO_MANY_REQUESTS,
+        text,
+        over.retry_after,
+    ))
+}
+
+/// Returns the response to a request that no backend server accepts.
+pub(crate) fn reject<P>(
+    node: &Node<P>,
+    admitted: &Admitted,
+    history: &AttemptHistory,
+    rejection: Rejection,
+) -> Response<Body> {
+    if let Some(organisation) = &admitted.organisation {
+        node.lock().quotas.refund(&organisation.name);
+    }
+    if history.runs > 0 {
+        return fail(node, admitted, rejection.cause);
+    }
+    let id = &admitted.call.request_id;
+    let case = rejection.case.as_deref().map(crashes::describe);
+    let limits = rejection.limits.map(heads::describe_limits);
+    log_event!(
+        REFUSED,
+        "request={id} status=503 cause={} route={} tried={} retry_after_ms={} version={} {}",
+        rejection.cause,
+        admitted.route.name,
+        history.tried.len(),
+        rejection.retry_after.as_millis(),
+        admitted.version,
+        case.or(limits).unwrap_or_default()
+    );
+    node.metrics
+        .online(rejection.cause, admitted.arrived.elapsed());
+    let text = if rejection.case.is_some() {
+        "backend servers crashed under requests with parts of this prompt; it has not run"
+    } else {
+        "no backend server can take the request now; it has not run"
+    };
+    retry_later(StatusCode::SERVICE_UNAVAILABLE, text, rejection.retry_after)
+}
+
+/// Returns the response to a request that may have run but received no response.
+pub(crate) fn fail<P>(node: &Node<P>, admitted: &Admitted, cause: &str) -> Response<Body> {
+    let late = admitted.deadline <= Instant::now();
+    let status = if late {
+        StatusCode::GATEWAY_TIMEOUT
+    } else {
+        StatusCode::BAD_GATEWAY
+    };
+    let id = &admitted.call.request_id;
+    let status_code = status.as_u16();
+    log_event!(
+        REQUEST_FAILED,
+        "request={id} status={status_code} route={} cause=\"{cause}\" version={}",
+        admitted.route.name,
+        admitted.version
+    );
+    node.metrics.online("failed", admitted.arrived.elapsed());
+    plain(
+        status,
+        "the backend server gave no answer; the request may have run",
+    )
+}
--- a/gateway/src/serve/relay.rs
+++ b/gateway/src/serve/relay.rs
@@ -26,6 +26,12 @@
 };
 use limpetweir_transport::timeout_at;
 
+use super::attempt::{
+    AttemptHistory,
+    send,
+    suspect,
+    unresponsive, //
+};
 use super::choose::{
     PlacedRequest,
     choose, //
@@ -44,13 +50,7 @@
     Node,
     OpenCallGuard, //
 };
-use super::online::{
-    Admitted,
-    AttemptHistory,
-    send,
-    suspect,
-    unresponsive, //
-};
+use super::online::Admitted;
 use super::run_watch::RunWatch;
 use super::runs::PaceMeter;
 use crate::platform::{
--- a/gateway/src/serve/runs.rs
+++ b/gateway/src/serve/runs.rs
@@ -18,6 +18,10 @@
 };
 use limpetweir_transport::timeout_at;
 
+use super::attempt::{
+    AttemptKind,
+    suspect, //
+};
 use super::heads;
 use super::heads::SentRequest;
 use super::lines::{
@@ -31,10 +35,6 @@
     Node,
     State, //
 };
-use super::online::{
-    AttemptKind,
-    suspect, //
-};
 use super::run_watch::RunWatch;
 use super::writer::{
     self,
--- a/gateway/tests/server_limits.rs
+++ b/gateway/tests/server_limits.rs
@@ -1,8 +1,5 @@
 //! Limits that backend servers state: what is known about them, and who may send.
 
-#[path = "support/mod.rs"]
-mod support;
-
 use std::collections::VecDeque;
 use std::time::Duration;
 
