gateway: the last requests of a window are taken in turn; refused callers have at least eight times to return

The window left free competition down to its last two requests, and the margin is three: instances that do not know of each other's requests yet, at the start of a peak, overran both. From four requests on they take turns.

Callers were also told only two or three different times to return while less than one request per second fits an instance (requests_beyond_all_limits_are_refused_at_once saw 0.2, 0.9 and 1.0 s).

--- a/gateway/src/return_times.rs
+++ b/gateway/src/return_times.rs
@@ -10,6 +10,12 @@
 /// Shortest time after which a caller returns.
 const MIN_TIME: Duration = Duration::from_millis(200);
 
+/// Number of different times at least; with fewer, many callers return at the same moment.
+const MIN_PLACES: u32 = 8;
+
+/// Lowest rate for which an interval is computed, per second.
+const MIN_RATE: f64 = 0.1;
+
 /// Assigns times to refused callers, one after the other.
 #[derive(Debug, Default)]
 pub struct ReturnTimes {
@@ -27,7 +33,9 @@
         if at.since(now) > longest {
             at = first;
         }
-        self.next = at + Duration::from_secs_f64(1.0 / rate.max(1.0));
+        let largest = longest.saturating_sub(MIN_TIME) / MIN_PLACES;
+        let interval = Duration::from_secs_f64(1.0 / rate.max(MIN_RATE));
+        self.next = at + interval.min(largest);
         at.since(now)
     }
 }
--- a/gateway/src/server_limits.rs
+++ b/gateway/src/server_limits.rs
@@ -39,6 +39,9 @@
 /// Part of a stated rate by which the fleet exceeds it as long as there are enough requests.
 const OVERSHOOT: f64 = 0.25;
 
+/// Room in a window, in requests, from which on several instances may send at the same time.
+const CONTENDED_ROOM: f64 = 4.0;
+
 /// Requests within the tolerance that are left to instances which send at the same time.
 const MARGIN: f64 = 3.0;
 
@@ -241,7 +244,7 @@
     }
 
     /// Returns whether the last window has room for one more request, and this instance has its turn
-    /// for the last one.
+    /// if the room is small.
     fn fits_window(
         &self,
         run: RunKey,
@@ -256,7 +259,7 @@
         // The count is far below the precision of f64.
         let most = most_in_window(rate) * self.rates.free_fraction();
         let room = most.max(1.0) - sent.requests as f64;
-        room >= 2.0 || room >= 1.0 && sent.freed_for >= delay
+        room >= CONTENDED_ROOM || room >= 1.0 && sent.freed_for >= delay
     }
 
     /// Returns about how many instances have their turn for a token before this one; the numbers are
