gateway: leaving runs are told first-hand only; tests of confirmation and expiry

Found by reading the change: instances repeated leaving runs to each other, and each report made them new again, so none was ever forgotten and reports would have grown with every server that left (a_leaving_run_is_told_first_hand_and_forgotten). Only an instance that had such a response tells it now.

--- a/gateway/src/backend.rs
+++ b/gateway/src/backend.rs
@@ -99,6 +99,25 @@
     }
 }
 
+/// A run of a backend server whose responses said that it leaves.
+#[derive(Clone, Copy, Debug)]
+struct LeavingRun {
+    /// When a response of it or a report said so last.
+    told_at: Timestamp,
+    /// Whether a response to this instance said so. Only then the others are told: what instances
+    /// repeat to each other would never expire.
+    first_hand: bool,
+}
+
+/// Who says that a run of a backend server leaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LeavingSource {
+    /// Its own response.
+    Response,
+    /// The report of another instance, which had such a response.
+    Report,
+}
+
 /// The backend servers known to this instance.
 #[derive(Debug, Default)]
 pub struct Backends {
@@ -107,9 +126,9 @@
     last_outage: Option<Timestamp>,
     /// Removed servers and the time of their removal.
     removed_at: HashMap<BackendKey, Timestamp>,
-    /// Runs whose responses said that they leave, with the time of the last such response. They
-    /// never take new requests again; another start of the server is another run.
-    leaving_runs: HashMap<RunKey, Timestamp>,
+    /// Runs whose responses said that they leave. They never take new requests again; another start
+    /// of the server is another run.
+    leaving_runs: HashMap<RunKey, LeavingRun>,
 }
 
 impl Backends {
@@ -207,7 +226,7 @@
         let by_key = &self.by_key;
         let is_known = |run: &RunKey| by_key.values().any(|b| b.run == *run);
         self.leaving_runs
-            .retain(|run, at| now.since(*at) < LEAVING_KEPT_FOR || is_known(run));
+            .retain(|run, l| now.since(l.told_at) < LEAVING_KEPT_FOR || is_known(run));
         expired
     }
 
@@ -218,18 +237,28 @@
         draining.chain(self.removed_at.keys().copied()).collect()
     }
 
-    /// Records that a response of `run` said that it leaves; returns whether that is new.
-    pub fn says_leaving(&mut self, run: RunKey, now: Timestamp) -> bool {
+    /// Records that `run` said that it leaves; returns whether that is new.
+    pub fn says_leaving(&mut self, run: RunKey, source: LeavingSource, now: Timestamp) -> bool {
         let known = self.by_key.values_mut();
         for backend in known.filter(|backend| backend.run == run) {
             backend.says_leaving = true;
         }
-        self.leaving_runs.insert(run, now).is_none()
+        let before = self.leaving_runs.get(&run);
+        let first_hand = source == LeavingSource::Response || before.is_some_and(|b| b.first_hand);
+        let is_new = before.is_none();
+        let told_at = now;
+        let leaving = LeavingRun {
+            told_at,
+            first_hand,
+        };
+        self.leaving_runs.insert(run, leaving);
+        is_new
     }
 
-    /// Returns the runs whose responses said that they leave, for the reports.
+    /// Returns the runs whose responses to this instance said that they leave, for the reports.
     pub fn leaving_runs(&self) -> Vec<RunKey> {
-        self.leaving_runs.keys().copied().collect()
+        let own = self.leaving_runs.iter().filter(|(_, l)| l.first_hand);
+        own.map(|(run, _)| *run).collect()
     }
 
     /// Returns the backend server with this run.
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -39,7 +39,7 @@
 mod speed;
 mod sse;
 
-pub use backend::{Backend, BackendEntry, BackendKey, Backends, RunKey};
+pub use backend::{Backend, BackendEntry, BackendKey, Backends, LeavingSource, RunKey};
 pub use batch::{
     BatchCandidate, Contenders, WaitingItem, choose_preemptions, choose_starts, reserve,
 };
--- a/gateway/src/serve/heads.rs
+++ b/gateway/src/serve/heads.rs
@@ -20,6 +20,7 @@
 };
 use crate::backend::{
     BackendEntry,
+    LeavingSource,
     RunKey, //
 };
 use crate::platform::{
@@ -91,17 +92,24 @@
         log_change(&entry.id, change, "response");
         node.report_due.notify(usize::MAX);
     }
-    if head.leaving && says_leaving(&mut state, run, now, "response") {
+    let source = LeavingSource::Response;
+    if head.leaving && says_leaving(&mut state, run, source, now, "response") {
         node.report_due.notify(usize::MAX);
     }
 }
 
-/// Records that a response of `run` said that it leaves; returns whether that is new.
-pub(crate) fn says_leaving(state: &mut State, run: RunKey, now: Timestamp, source: &str) -> bool {
-    let is_new = state.backends.says_leaving(run, now);
+/// Records that `run` said that it leaves; returns whether that is new. `teller` is logged.
+pub(crate) fn says_leaving(
+    state: &mut State,
+    run: RunKey,
+    source: LeavingSource,
+    now: Timestamp,
+    teller: &str,
+) -> bool {
+    let is_new = state.backends.says_leaving(run, source, now);
     if is_new && let Some(backend) = state.backends.of_run(run) {
         let id = &backend.entry.id;
-        log_event!(BACKEND_LEAVES, "backend={id} source={source}");
+        log_event!(BACKEND_LEAVES, "backend={id} source={teller}");
     }
     is_new
 }
--- a/gateway/src/serve/peers.rs
+++ b/gateway/src/serve/peers.rs
@@ -36,6 +36,7 @@
     Node, //
     ReplicaStatus,
 };
+use crate::backend::LeavingSource;
 use crate::crash_message::CaseRecord;
 use crate::crash_news::CrashNews;
 use crate::instance::InstanceRecord;
@@ -201,7 +202,7 @@
         .backends
         .leaving_reported(&report.leaving_backends, now);
     for run in &report.leaving_runs {
-        heads::says_leaving(&mut state, *run, now, &name);
+        heads::says_leaving(&mut state, *run, LeavingSource::Report, now, &name);
     }
     if changed {
         update_unreachable(&mut state, now);
--- a/gateway/tests/online.rs
+++ b/gateway/tests/online.rs
@@ -20,6 +20,7 @@
     Instance,
     InstanceRecord,
     ItemKey,
+    LeavingSource,
     LimitReport,
     Limits,
     Member,
@@ -419,6 +420,35 @@
     );
 }
 
+/// Guards against runs that two instances repeat to each other for good, and against an entry that
+/// comes back after an outage of the store while its server leaves.
+#[test]
+fn a_leaving_run_is_told_first_hand_and_forgotten() {
+    let mut backends = Backends::default();
+    let started = |born| BackendEntry {
+        born,
+        ..entry("a", false)
+    };
+    let run = started(1).run();
+    backends.update(started(1), ms(0));
+    assert!(backends.says_leaving(run, LeavingSource::Report, ms(10)));
+    assert_eq!(backends.leaving_runs(), [], "others tell it themselves");
+    assert!(!backends.says_leaving(run, LeavingSource::Response, ms(20)));
+    assert_eq!(backends.leaving_runs(), [run]);
+    backends.remove("a", ms(100));
+    backends.update(started(1), ms(200));
+    assert_eq!(backends.serving("service", ms(200)).count(), 0);
+    backends.update(started(2), ms(300));
+    assert_eq!(
+        backends.serving("service", ms(300)).count(),
+        1,
+        "another run"
+    );
+    backends.remove("a", ms(400));
+    backends.sweep(ms(61_000));
+    assert_eq!(backends.leaving_runs(), []);
+}
+
 fn report(name: &str, boot: u64, sequence: u64) -> Report {
     Report {
         name: name.to_owned(),
--- a/gateway/tests/server_limits.rs
+++ b/gateway/tests/server_limits.rs
@@ -137,6 +137,20 @@
     assert_eq!(limits.sweep(ms(70_001)), [(RUN, LimitChange::Ended(2.0))]);
 }
 
+/// Guards against a limit that is never confirmed because other servers have room.
+#[test]
+fn an_old_statement_is_confirmed() {
+    let limits = limited(2.0);
+    assert_eq!(
+        limits.permit(RUN, ONLINE, ms(11_000), 11_000),
+        Permit::Allowed
+    );
+    assert_eq!(
+        limits.permit(RUN, ONLINE, ms(12_000), 12_000),
+        Permit::Refresh
+    );
+}
+
 /// Guards against an instance that starts while a limit holds, and takes what others have sent.
 #[test]
 fn a_started_instance_begins_with_an_empty_bucket() {
