gateway: a started instance uses its share of the first window

Until it has seen a whole window it now sends its share only. a_started_instance_uses_its_share_of_the_first_window fails without it (taken out: 15 and more requests).

--- a/gateway/src/server_limits.rs
+++ b/gateway/src/server_limits.rs
@@ -123,6 +123,9 @@
     invalid: HashMap<RunKey, Timestamp>,
     /// A bucket for each run that is or was limited.
     rates: FleetRates<RunKey>,
+    /// Runs whose limits this instance has learned after their beginning, and when: it does not know
+    /// what the others had sent in the window before.
+    learned_late: HashMap<RunKey, Timestamp>,
     /// What was sent to each of these runs within the last seconds.
     sends: HashMap<RunKey, SendLog>,
     /// Instances that send to the same servers and report it, with this one.
@@ -137,6 +140,7 @@
             statements: HashMap::new(),
             invalid: HashMap::new(),
             rates: FleetRates::new(0.0),
+            learned_late: HashMap::new(),
             sends: HashMap::new(),
             heard: 1,
         }
@@ -186,6 +190,9 @@
             if matches!(change, Some(LimitChange::Began(_))) {
                 let is_new = statement.age(now) < NEW_FOR && now >= SETTLE_TIME;
                 self.rates.fill(run, if is_new { burst } else { 0.0 });
+                if !is_new {
+                    self.learned_late.insert(run, now);
+                }
             }
         }
         change
@@ -252,16 +259,29 @@
         delay: Duration,
         now: Timestamp,
     ) -> bool {
-        let (Some(rate), Some(log)) = (statement.rate, self.sends.get(&run)) else {
+        let Some(rate) = statement.rate else {
             return true;
         };
-        let sent = log.count(TOLERANCE.window, now);
-        // The count is far below the precision of f64.
         let most = most_in_window(rate) * self.rates.free_fraction();
+        // Counts are far below the precision of f64.
+        let share = (most / self.heard as f64).max(1.0);
+        if self.is_window_unknown(run, now) && self.rates.taken(run) as f64 >= share.floor() {
+            return false;
+        }
+        let Some(log) = self.sends.get(&run) else {
+            return true;
+        };
+        let sent = log.count(TOLERANCE.window, now);
         let room = most.max(1.0) - sent.requests as f64;
         room >= CONTENDED_ROOM || room >= 1.0 && sent.freed_for >= delay
     }
 
+    /// Returns whether others have sent requests in the last window that this instance does not know.
+    fn is_window_unknown(&self, run: RunKey, now: Timestamp) -> bool {
+        let learned = self.learned_late.get(&run);
+        learned.is_some_and(|at| now.since(*at) < TOLERANCE.window)
+    }
+
     /// Returns about how many instances have their turn for a token before this one; the numbers are
     /// spread evenly over all instances.
     fn instances_ahead(&self, run: RunKey, turn: Turn) -> f64 {
@@ -345,6 +365,8 @@
         let statements = &self.statements;
         self.rates.retain(|run| statements.contains_key(run));
         self.sends.retain(|run, _| statements.contains_key(run));
+        self.learned_late
+            .retain(|_, at| now.since(*at) < TOLERANCE.window);
         ended
     }
 }
--- a/gateway/tests/server_limits.rs
+++ b/gateway/tests/server_limits.rs
@@ -167,6 +167,25 @@
     assert_ne!(limits.permit(RUN, ONLINE, ms(2_000), 2_000), Permit::Denied);
 }
 
+/// Guards against an instance that starts while a limit holds, and fills a window in which the
+/// others have sent what it does not know.
+#[test]
+fn a_started_instance_uses_its_share_of_the_first_window() {
+    let mut limits = ServerLimits::new("started");
+    limits.set_senders(0, 11, ms(300));
+    let report = LimitReport {
+        run: RUN,
+        rate: Some(4.0),
+        age: Duration::from_millis(10),
+        sent: 40,
+    };
+    limits.apply_report("peer", 1, &[report], ms(400));
+    let first = send_all(&mut limits, ONLINE, 400, 4_390);
+    assert!((1..=2).contains(&first), "{first} in the first window");
+    let then = send_all(&mut limits, ONLINE, 4_500, 8_500);
+    assert!(then >= 10, "{then} in the next window");
+}
+
 /// Guards against instances that are cut off from each other and each use the whole limit.
 #[test]
 fn an_instance_that_hears_nobody_uses_its_share() {
