gateway: each end of a request is counted and named in one table

Each request is now held by a guard that records one of ten ends; those that are always a fault of the instance are an error line (LW2509). The guard also replaces the counter of open calls.

--- /dev/null
+++ b/gateway/src/serve/ends.rs
@@ -0,0 +1,171 @@
+//! Ends of the requests of callers. Each request ends in exactly one way of this table.
+
+use std::sync::atomic::{
+    AtomicU64,
+    Ordering, //
+};
+use std::sync::{
+    Arc,
+    OnceLock, //
+};
+use std::time::Instant;
+
+use hyper::{
+    Response,
+    StatusCode, //
+};
+use limpetweir_transport::http::Body;
+
+use super::lines::{
+    CALLER_LEFT,
+    REQUEST_LOST,
+    log_event, //
+};
+use super::metrics::Metrics;
+
+/// How a request ends.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::EnumIter, strum::IntoStaticStr,
+)]
+#[strum(serialize_all = "kebab-case")]
+pub(crate) enum RequestEnd {
+    /// The caller gets the complete response of a backend server, or the result of its call.
+    Answered,
+    /// The caller gets 429 or 503: the request has not run and never will.
+    Refused,
+    /// The caller gets another status of the class 4xx: the request is not allowed or not valid.
+    Denied,
+    /// The caller gets 502 or 500: the request may have run.
+    Failed,
+    /// The caller gets 504: its time or that of its route is up before a response began.
+    TimedOut,
+    /// The response is broken off, because its backend server broke off and no other one has the
+    /// rest.
+    BrokenOff,
+    /// The response is broken off, because the time of the caller or of the route is up.
+    CutAtDeadline,
+    /// The caller left before its response was complete.
+    CallerLeft,
+    /// A handler panicked.
+    Panicked,
+    /// The process closed the connection of the request.
+    Dropped,
+}
+
+impl RequestEnd {
+    /// Returns how a request ends whose response this instance has made itself.
+    pub(crate) fn of(status: StatusCode) -> Self {
+        match status {
+            StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => Self::Refused,
+            StatusCode::GATEWAY_TIMEOUT => Self::TimedOut,
+            _ if status.is_success() => Self::Answered,
+            _ if status.is_client_error() => Self::Denied,
+            _ => Self::Failed,
+        }
+    }
+
+    /// Returns whether the request ends without an answer, a refusal or a reason that lies with its
+    /// caller or its backend server. This is always a fault of the instance.
+    pub(crate) fn is_fault(self) -> bool {
+        matches!(self, Self::Panicked | Self::Dropped)
+    }
+}
+
+/// What the ends of all requests of an instance have in common.
+#[derive(Debug)]
+pub(crate) struct Ends {
+    metrics: Arc<Metrics>,
+    /// Number of requests that have not ended.
+    open: AtomicU64,
+    /// When a stopping instance closes the connections that are left.
+    close_at: OnceLock<Instant>,
+}
+
+impl Ends {
+    pub(crate) fn new(metrics: Arc<Metrics>) -> Self {
+        Self {
+            metrics,
+            open: AtomicU64::new(0),
+            close_at: OnceLock::new(),
+        }
+    }
+
+    /// Returns the number of requests that have not ended.
+    pub(crate) fn open(&self) -> u64 {
+        self.open.load(Ordering::Acquire)
+    }
+
+    /// Sets the time at which the connections that are left are closed; a later call has no effect.
+    pub(crate) fn set_close_at(&self, at: Instant) {
+        self.close_at.get_or_init(|| at);
+    }
+
+    fn is_closing(&self) -> bool {
+        self.close_at.get().is_some_and(|at| *at <= Instant::now())
+    }
+}
+
+/// A request that has not ended yet. Dropping it counts as an end too: the caller has left, the
+/// handler has panicked, or the process has closed the connection.
+#[derive(Debug)]
+pub(crate) struct OpenRequest {
+    ends: Arc<Ends>,
+    id: String,
+    arrived: Instant,
+    end: Option<RequestEnd>,
+}
+
+impl OpenRequest {
+    pub(crate) fn new(ends: &Arc<Ends>, id: &str) -> Self {
+        ends.open.fetch_add(1, Ordering::AcqRel);
+        Self {
+            ends: ends.clone(),
+            id: id.to_owned(),
+            arrived: Instant::now(),
+            end: None,
+        }
+    }
+
+    /// Records the end of the request.
+    pub(crate) fn end(mut self, end: RequestEnd) {
+        self.end = Some(end);
+    }
+
+    /// Records that the request ends with a response that this instance has made itself.
+    pub(crate) fn answer(self, response: Response<Body>) -> Response<Body> {
+        let end = RequestEnd::of(response.status());
+        self.end(end);
+        response
+    }
+
+    /// Records that the caller left, or that the process has closed its connection.
+    pub(crate) fn disconnected(mut self) {
+        self.end = Some(self.disconnection());
+    }
+
+    fn disconnection(&self) -> RequestEnd {
+        match self.ends.is_closing() {
+            true => RequestEnd::Dropped,
+            false => RequestEnd::CallerLeft,
+        }
+    }
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        let is_dropped = self.end.is_none();
+        let end = match self.end {
+            Some(end) => end,
+            None if std::thread::panicking() => RequestEnd::Panicked,
+            None => self.disconnection(),
+        };
+        self.ends.open.fetch_sub(1, Ordering::AcqRel);
+        self.ends.metrics.request_ended(end);
+        let (id, ms) = (&self.id, self.arrived.elapsed().as_millis());
+        if end.is_fault() {
+            log_event!(REQUEST_LOST, "request={id} end={end} ms={ms}");
+        } else if is_dropped {
+            log_event!(CALLER_LEFT, "request={id} ms={ms} events=0");
+        }
+    }
+}
--- a/gateway/src/serve/lines.rs
+++ b/gateway/src/serve/lines.rs
@@ -142,6 +142,9 @@
 pub(crate) const PLACED: Event = Event::new(2507, Level::Info);
 /// The connection of a run ended before its response did.
 pub(crate) const RUN_LOST: Event = Event::new(2508, Level::Warn);
+/// A request ended without an answer, a refusal or a reason that lies with its caller or its backend
+/// server.
+pub(crate) const REQUEST_LOST: Event = Event::new(2509, Level::Error);
 /// A call about a batch job succeeded.
 pub(crate) const JOB_CALL: Event = Event::new(2601, Level::Info);
 /// A call about a batch job was rejected.
--- a/gateway/src/serve/metrics.rs
+++ b/gateway/src/serve/metrics.rs
@@ -15,6 +15,7 @@
 };
 
 use super::attempt::AttemptKind;
+use super::ends::RequestEnd;
 use super::store_calls::CallOutcome;
 
 /// Upper bounds of the duration buckets in seconds; the latency objectives are between 0.3 and 0.5.
@@ -29,6 +30,7 @@
     /// Held because dropping it would shut down the exporter.
     _provider: SdkMeterProvider,
     online: Counter<u64>,
+    request_ends: Counter<u64>,
     first_byte: Histogram<f64>,
     response_time: Histogram<f64>,
     items: Counter<u64>,
@@ -66,6 +68,10 @@
         };
         Ok(Self {
             online: counter("limpetweir_online_requests", "Online requests by outcome"),
+            request_ends: counter(
+                "limpetweir_request_ends",
+                "Requests and calls of callers by their end",
+            ),
             first_byte: histogram(
                 "limpetweir_online_first_byte_seconds",
                 "Time from the request to the first byte of the answer",
@@ -113,6 +119,12 @@
         self.response_time.record(elapsed.as_secs_f64(), &[]);
     }
 
+    /// Counts a request of a caller that has ended.
+    pub(crate) fn request_ended(&self, end: RequestEnd) {
+        let end: &'static str = end.into();
+        self.request_ends.add(1, &[KeyValue::new("end", end)]);
+    }
+
     /// Records the time to the first byte of a response.
     pub(crate) fn first_byte(&self, elapsed: Duration) {
         self.first_byte.record(elapsed.as_secs_f64(), &[]);
--- a/gateway/src/serve/mod.rs
+++ b/gateway/src/serve/mod.rs
@@ -4,6 +4,7 @@
 mod catch_up;
 mod choose;
 mod crashes;
+mod ends;
 mod follow;
 mod forwarding;
 mod heads;
@@ -344,19 +345,20 @@
     async fn stop(self) {
         let started = Instant::now();
         let node = self.node;
+        let end = started + node.settings.grace.saturating_sub(GRACE_MARGIN);
+        node.ends.set_close_at(end);
         node.leaving.store(true, Ordering::Release);
-        let open = node.open_calls.load(Ordering::Acquire);
+        let open = node.ends.open();
         log_event!(STOPPING, "name={} open={open}", node.settings.name);
         node.report_due.notify(usize::MAX);
         items::jobs_changed(&node);
         self.public.drain();
         sleep(ACCEPT_AFTER_STOP).await;
-        let end = started + node.settings.grace.saturating_sub(GRACE_MARGIN);
         let whole = self.public.close(end).await;
         if let Err(err) = peers::deregister(&node).await {
             log::debug!("cannot remove the record of this instance: {err}");
         }
-        let open = node.open_calls.load(Ordering::Acquire);
+        let open = node.ends.open();
         let ms = started.elapsed().as_millis();
         log_event!(
             STOPPED,
--- a/gateway/src/serve/node.rs
+++ b/gateway/src/serve/node.rs
@@ -4,7 +4,6 @@
 use std::net::IpAddr;
 use std::sync::atomic::{
     AtomicBool,
-    AtomicU64,
     Ordering, //
 };
 use std::sync::{
@@ -31,6 +30,7 @@
 use rand::rngs::SmallRng;
 
 use super::catch_up::CatchUp;
+use super::ends::Ends;
 use super::items::RunHandles;
 use super::metrics::Metrics;
 use super::writer::WriteRequest;
@@ -300,11 +300,11 @@
     /// Start time of the instance in Unix milliseconds.
     pub(crate) boot: u64,
     pub(crate) client: Client,
-    pub(crate) metrics: Metrics,
+    pub(crate) metrics: Arc<Metrics>,
+    /// Ends of the requests of callers.
+    pub(crate) ends: Arc<Ends>,
     state: Mutex<State>,
     pub(crate) leaving: AtomicBool,
-    /// Number of requests and calls in progress.
-    pub(crate) open_calls: AtomicU64,
     /// Notified when a report should be sent.
     pub(crate) report_due: Signal,
     /// Notified when the others are to be told about crashes.
@@ -365,6 +365,7 @@
             // A typical response takes a little less than a second.
             mean_holding_s: 0.75,
         };
+        let metrics = Arc::new(metrics);
         Self {
             platform,
             settings,
@@ -372,10 +373,10 @@
             clock: Clock::start(),
             boot: unix_ms(),
             client,
+            ends: Arc::new(Ends::new(metrics.clone())),
             metrics,
             state: Mutex::new(state),
             leaving: AtomicBool::new(false),
-            open_calls: AtomicU64::new(0),
             report_due: Signal::new(),
             crash_news: Signal::new(),
             jobs_behind: writers.iter().map(|_| Signal::new()).collect(),
@@ -413,22 +414,6 @@
     }
 }
 
-/// Guard that counts a call as open until it is dropped.
-pub(crate) struct OpenCallGuard<'a>(&'a AtomicU64);
-
-impl<'a> OpenCallGuard<'a> {
-    pub(crate) fn new(count: &'a AtomicU64) -> Self {
-        count.fetch_add(1, Ordering::AcqRel);
-        Self(count)
-    }
-}
-
-impl Drop for OpenCallGuard<'_> {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::AcqRel);
-    }
-}
-
 /// Returns the wall clock time in milliseconds since the Unix epoch.
 pub(crate) fn unix_ms() -> u64 {
     let now = SystemTime::now().duration_since(UNIX_EPOCH);
--- a/gateway/src/serve/relay.rs
+++ b/gateway/src/serve/relay.rs
@@ -36,6 +36,10 @@
     PlacedRequest,
     choose, //
 };
+use super::ends::{
+    OpenRequest,
+    RequestEnd, //
+};
 use super::heads;
 use super::heads::SentRequest;
 use super::lines::{
@@ -46,10 +50,7 @@
     STREAM_RESUMED,
     log_event, //
 };
-use super::node::{
-    Node,
-    OpenCallGuard, //
-};
+use super::node::Node;
 use super::online::Admitted;
 use super::run_watch::RunWatch;
 use super::runs::PaceMeter;
@@ -87,6 +88,7 @@
 /// Starts to relay a response.
 pub(crate) fn start<P: Store + Dialect>(
     node: Arc<Node<P>>,
+    open: OpenRequest,
     admitted: Admitted,
     history: AttemptHistory,
     source: Source<P>,
@@ -102,8 +104,7 @@
     node.metrics.first_byte(admitted.arrived.elapsed());
     let spawner = node.spawner.clone();
     let task = async move {
-        let _open = OpenCallGuard::new(&node.open_calls);
-        relay(&node, admitted, history, source, sender).await;
+        relay(&node, open, admitted, history, source, sender).await;
     };
     spawner.spawn(task).detach();
     response
@@ -111,6 +112,7 @@
 
 async fn relay<P: Store + Dialect>(
     node: &Arc<Node<P>>,
+    open: OpenRequest,
     admitted: Admitted,
     mut history: AttemptHistory,
     mut source: Source<P>,
@@ -179,6 +181,7 @@
                     admitted.version
                 );
                 node.metrics.online("answered", admitted.arrived.elapsed());
+                open.end(RequestEnd::Answered);
                 return;
             }
             Err(interruption) => interruption,
@@ -187,7 +190,7 @@
             history.silent_losses += u32::from(watch.is_suspected());
             watch.connection_lost(node, true);
         }
-        let cause = match interruption {
+        let (end, cause) = match interruption {
             Interruption::CallerDisconnected => {
                 let ms = admitted.arrived.elapsed().as_millis();
                 log_event!(
@@ -197,9 +200,13 @@
                 );
                 node.metrics
                     .online("caller-left", admitted.arrived.elapsed());
+                open.disconnected();
                 return;
             }
-            Interruption::Deadline => "the deadline of the request has expired".to_owned(),
+            Interruption::Deadline => {
+                let cause = "the deadline of the request has expired".to_owned();
+                (RequestEnd::CutAtDeadline, cause)
+            }
             Interruption::Backend(cause) | Interruption::ConnectionLost(cause) => {
                 suspect(node, key, &cause);
                 let next = if resumable && history.may_run_again(&admitted.route) {
@@ -217,7 +224,7 @@
                     source = next;
                     continue;
                 }
-                cause
+                (RequestEnd::BrokenOff, cause)
             }
         };
         // Dropping the sender aborts the response, so that the caller cannot take it for complete.
@@ -231,6 +238,7 @@
             admitted.version
         );
         node.metrics.online("cut", admitted.arrived.elapsed());
+        open.end(end);
         return;
     }
 }
@@ -293,8 +301,11 @@
     };
     let limit = stalled_at.map_or(admitted.deadline, |at| at.min(admitted.deadline));
     match timeout_at(limit, future::or(chunk, disconnected)).await {
+        // The body ends with an error at the same time.
+        Some(Err(Interruption::Backend(_))) | None if Instant::now() >= admitted.deadline => {
+            Err(Interruption::Deadline)
+        }
         Some(result) => result,
-        None if Instant::now() >= admitted.deadline => Err(Interruption::Deadline),
         None => Err(Interruption::Backend("no event arrived in time".to_owned())),
     }
 }
