cli: a request that failed has the strongest verdict of all its attempts

Callers of `job submit` and `config publish` got no idempotency key or identifier, and the verdict not-run, if the last attempt was refused or ended at the deadline before it was sent, although an earlier attempt may have run. The error kept the failure of the last attempt only. It now has that failure and the maximum of the verdicts of all attempts, and its message says so. The same type is used for publications, key changes and all other commands.

Other places that repeat a call were read: the attempts of online requests (gateway, daemon) stop at or keep the strongest verdict, and the writers of the store and of the log resolve an unknown append by reading before they send it again.

--- a/cli/src/error.rs
+++ b/cli/src/error.rs
@@ -10,7 +10,10 @@
 
 use crate::document::EditError;
 use crate::items::ItemFault;
-use crate::retry::Failure;
+use crate::retry::{
+    Failure,
+    RequestError, //
+};
 
 /// Exit code: the operation was rejected or failed.
 pub const EXIT_FAILED: u8 = 1;
@@ -70,8 +73,8 @@
     #[snafu(context(false), display("{source}"))]
     Fleet {
         /// Cause.
-        #[snafu(source(from(Failure, Box::new)))]
-        source: Box<Failure>,
+        #[snafu(source(from(RequestError, Box::new)))]
+        source: Box<RequestError>,
     },
     /// A response cannot be parsed.
     #[snafu(display("malformed response to {request}: {cause}"))]
@@ -103,8 +106,8 @@
         /// Identifier of the publication.
         id: String,
         /// Cause.
-        #[snafu(source(from(Failure, Box::new)))]
-        source: Box<Failure>,
+        #[snafu(source(from(RequestError, Box::new)))]
+        source: Box<RequestError>,
     },
     /// No response to the publication of a key change was received, so it may have been accepted.
     #[snafu(display(
@@ -118,8 +121,8 @@
         /// What the operator should do next.
         advice: &'static str,
         /// Cause.
-        #[snafu(source(from(Failure, Box::new)))]
-        source: Box<Failure>,
+        #[snafu(source(from(RequestError, Box::new)))]
+        source: Box<RequestError>,
     },
     /// A version was accepted but is not in force everywhere.
     #[snafu(display("version {version} is accepted but not in force on: {missing}"))]
@@ -140,8 +143,8 @@
         /// Idempotency key of the job.
         key: String,
         /// Cause.
-        #[snafu(source(from(Failure, Box::new)))]
-        source: Box<Failure>,
+        #[snafu(source(from(RequestError, Box::new)))]
+        source: Box<RequestError>,
     },
     /// The watched job was cancelled.
     #[snafu(display("job {job} was cancelled"))]
@@ -190,7 +193,7 @@
         }
         if let Some(Failure::ErrorResponse {
             status, error: api, ..
-        }) = self.failure()
+        }) = self.failure().map(RequestError::last)
         {
             error["status"] = (*status).into();
             error["code"] = api.code.as_str().into();
@@ -200,7 +203,7 @@
     }
 
     /// Returns the request failure that caused the error, if any.
-    fn failure(&self) -> Option<&Failure> {
+    fn failure(&self) -> Option<&RequestError> {
         match self {
             Self::Fleet { source }
             | Self::PublicationUnknown { source, .. }
--- a/cli/src/fleet.rs
+++ b/cli/src/fleet.rs
@@ -44,6 +44,7 @@
 use crate::random;
 use crate::retry::{
     Failure,
+    RequestError,
     RetryContext,
     decide, //
 };
@@ -177,7 +178,7 @@
     }
 
     /// Sends a request and reads its whole response, with retries.
-    pub(crate) async fn request(&mut self, call: &Call) -> Result<BufferedResponse, Failure> {
+    pub(crate) async fn request(&mut self, call: &Call) -> Result<BufferedResponse, RequestError> {
         let send =
             async |fleet: &Self, addr, deadline| fleet.try_request(addr, call, deadline).await;
         self.with_retries(call, send).await
@@ -186,19 +187,23 @@
     /// Sends a request and returns its response as a stream, with retries.
     ///
     /// Only failures before the first byte of the body are retried.
-    pub(crate) async fn open(&mut self, call: &Call) -> Result<Response<ClientBody>, Failure> {
+    pub(crate) async fn open(&mut self, call: &Call) -> Result<Response<ClientBody>, RequestError> {
         let send = async |fleet: &Self, addr, deadline| fleet.try_open(addr, call, deadline).await;
         self.with_retries(call, send).await
     }
 
     /// Runs `send` until it succeeds or must not be retried.
+    ///
+    /// The last attempt may be refused although an earlier one ran, so the error has the strongest
+    /// verdict of all attempts.
     async fn with_retries<T>(
         &mut self,
         call: &Call,
         send: impl AsyncFn(&Self, SocketAddr, Instant) -> Result<T, Failure>,
-    ) -> Result<T, Failure> {
+    ) -> Result<T, RequestError> {
         let deadline = Instant::now() + self.timeout;
         let mut attempts = 0;
+        let mut verdict = Verdict::NotRun;
         loop {
             let addresses = self.addresses().await;
             let addr = addresses[self.current % addresses.len()];
@@ -207,8 +212,10 @@
                 Err(failure) => failure,
             };
             attempts += 1;
+            verdict = verdict.max(failure.verdict());
             self.wait_for_retry(failure, call, attempts, addresses.len(), deadline)
-                .await?;
+                .await
+                .map_err(|last| RequestError::new(last, verdict))?;
         }
     }
 
--- a/cli/src/retry.rs
+++ b/cli/src/retry.rs
@@ -61,6 +61,42 @@
     }
 }
 
+/// Why a request failed after all its attempts.
+#[derive(Debug, Snafu)]
+#[snafu(display("{last}{}", describe_earlier(last.verdict(), *verdict)))]
+pub struct RequestError {
+    /// Failure of the last attempt.
+    last: Failure,
+    /// Whether any of the attempts may have run; never below the verdict of the last attempt.
+    verdict: Verdict,
+}
+
+impl RequestError {
+    /// Creates the error of a request whose last attempt failed with `last`; `earlier` is the
+    /// verdict of the attempts before it.
+    pub fn new(last: Failure, earlier: Verdict) -> Self {
+        let verdict = last.verdict().max(earlier);
+        Self { last, verdict }
+    }
+
+    /// Returns the failure of the last attempt.
+    pub fn last(&self) -> &Failure {
+        &self.last
+    }
+
+    /// Returns whether any of the attempts may have run.
+    pub fn verdict(&self) -> Verdict {
+        self.verdict
+    }
+}
+
+fn describe_earlier(last: Verdict, verdict: Verdict) -> String {
+    if last == verdict {
+        return String::new();
+    }
+    format!(", after an earlier attempt ({verdict})")
+}
+
 /// How a request is retried.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Retry {
--- a/state/src/verdict.rs
+++ b/state/src/verdict.rs
@@ -11,12 +11,17 @@
 };
 
 /// Whether a request may have run on a backend server.
+///
+/// The order is that of certainty that it ran, so the verdict of a request that was sent several
+/// times is the maximum over its attempts.
 #[derive(
     Clone,
     Copy,
     Debug,
     PartialEq,
     Eq,
+    PartialOrd,
+    Ord,
     Hash,
     Display,
     EnumString,
