online: the answer of a late quota owner is awaited

After QUOTA_OWNER_TIMEOUT the request to the owner was no longer awaited; the peers were asked, and if none of them admitted the request it was refused at once, while the owner's answer, with its token, arrived later and was lost. Now the peers are asked at the same time as before, and then the answer of the owner is awaited until the deadline of the admission.

a_late_answer_of_the_quota_owner_admits_the_request keeps the owner busy for 500 ms; before the change it got the 503 above instead of the 404 of the service.

--- a/daemon/src/online/admission.rs
+++ b/daemon/src/online/admission.rs
@@ -9,7 +9,10 @@
     Instant, //
 };
 
-use async_channel::Sender;
+use async_channel::{
+    Receiver,
+    Sender, //
+};
 use async_executor::Task;
 use hyper::StatusCode;
 use limpetweir_coordination::quota::{
@@ -71,19 +74,28 @@
     }
     let deadline = Instant::now() + node.settings.timing.quota_request_timeout;
     if !tries_owner_first(node, organisation) {
-        return match request_from_peers(node, organisation, deadline).await {
-            true => Ok(()),
-            false => request_from_owner(node, organisation, deadline).await,
-        };
+        if request_from_peers(node, organisation, deadline).await {
+            return Ok(());
+        }
+        let request = OwnerRequest::send(node, organisation);
+        let answer = request.answer(node, deadline).await;
+        return answer.unwrap_or_else(|| Err(late_owner()));
     }
-    let owner_deadline = deadline.min(Instant::now() + QUOTA_OWNER_TIMEOUT);
-    let Err(refusal) = request_from_owner(node, organisation, owner_deadline).await else {
+    let request = OwnerRequest::send(node, organisation);
+    let early = deadline.min(Instant::now() + QUOTA_OWNER_TIMEOUT);
+    let answer = request.answer(node, early).await;
+    if let Some(Ok(())) = answer {
         return Ok(());
-    };
-    match request_from_peers(node, organisation, deadline).await {
-        true => Ok(()),
-        false => Err(refusal),
     }
+    if request_from_peers(node, organisation, deadline).await {
+        return Ok(());
+    }
+    // The answer of a late owner is outstanding, and may still admit the request.
+    let answer = match answer {
+        Some(refusal) => Some(refusal),
+        None => request.answer(node, deadline).await,
+    };
+    answer.unwrap_or_else(|| Err(late_owner()))
 }
 
 fn admit_locally(node: &Node, current: &CurrentConfig, organisation: &OrganisationId) -> bool {
@@ -130,32 +142,46 @@
     shard.grantee.tries_owner_first(organisation, now)
 }
 
-/// Requests the admission of one request from the quota owner; the error is for the caller.
-async fn request_from_owner(
-    node: &Arc<Node>,
-    organisation: &OrganisationId,
-    deadline: Instant,
-) -> Result<(), Problem> {
-    let (request, sent) = {
+/// A request to the quota owner for the admission of one request.
+struct OwnerRequest<'a> {
+    organisation: &'a OrganisationId,
+    answer: Receiver<OwnerResult>,
+}
+
+impl<'a> OwnerRequest<'a> {
+    fn send(node: &Arc<Node>, organisation: &'a OrganisationId) -> Self {
+        let (request, sent) = {
+            let now = node.clock.now();
+            let mut shard = node.online.organisations.of_key(organisation);
+            shard.grantee.admission_request(organisation, 1, now)
+        };
+        let (tx, answer) = async_channel::bounded(1);
+        // Detached: it continues after the timeout and after the caller has disconnected, because
+        // the answer renews the share.
+        let exchange = exchange_with_owner(node.clone(), request, sent, Some(tx));
+        node.spawner.spawn(exchange).detach();
+        Self {
+            organisation,
+            answer,
+        }
+    }
+
+    /// Waits until `deadline` for the answer; the error is for the caller.
+    ///
+    /// Returns `None` if there is no answer by then; a later call may still get it.
+    async fn answer(&self, node: &Node, deadline: Instant) -> Option<Result<(), Problem>> {
+        let received = timeout_at(deadline, self.answer.recv()).await;
+        let refusal = match received {
+            Some(Ok(Ok(answer))) if answer.admitted > 0 => return Some(Ok(())),
+            Some(Ok(Ok(answer))) => return Some(Err(rate_limited(answer.retry_after))),
+            Some(Ok(Err(err))) => Some(quota_unavailable(&err.message, err.retry_after_ms)),
+            Some(Err(_)) | None => None,
+        };
         let now = node.clock.now();
-        let mut shard = node.online.organisations.of_key(organisation);
-        shard.grantee.admission_request(organisation, 1, now)
-    };
-    let (tx, rx) = async_channel::bounded(1);
-    // Detached: it continues after the timeout and after the caller has disconnected, because the
-    // answer renews the share.
-    let request_task = exchange_with_owner(node.clone(), request, sent, Some(tx));
-    node.spawner.spawn(request_task).detach();
-    let refusal = match timeout_at(deadline, rx.recv()).await {
-        Some(Ok(Ok(answer))) if answer.admitted > 0 => return Ok(()),
-        Some(Ok(Ok(answer))) => return Err(rate_limited(answer.retry_after)),
-        Some(Ok(Err(err))) => quota_unavailable(&err.message, err.retry_after_ms),
-        Some(Err(_)) | None => quota_unavailable("the quota home did not answer in time", None),
-    };
-    let now = node.clock.now();
-    let mut shard = node.online.organisations.of_key(organisation);
-    shard.grantee.on_owner_failed(organisation, now);
-    Err(refusal)
+        let mut shard = node.online.organisations.of_key(self.organisation);
+        shard.grantee.on_owner_failed(self.organisation, now);
+        refusal.map(Err)
+    }
 }
 
 /// Requests the admission of one request from the shares of reachable peers, one after another.
@@ -272,6 +298,10 @@
     problem
 }
 
+fn late_owner() -> Problem {
+    quota_unavailable("the quota home did not answer in time", None)
+}
+
 fn quota_unavailable(message: &str, retry_after_ms: Option<u64>) -> Problem {
     let status = StatusCode::SERVICE_UNAVAILABLE;
     let message = format!("the organisation's quota cannot be checked: {message}");
--- a/daemon/tests/online/fleet.rs
+++ b/daemon/tests/online/fleet.rs
@@ -296,6 +296,11 @@
         self.send("POST", "/v1/completions", &body, KEY)
     }
 
+    /// Keeps an instance from doing anything for `length`.
+    pub(crate) fn block(&self, index: usize, length: Duration) {
+        self.get(&instance_name(index)).unwrap().block(length);
+    }
+
     /// Stops an instance gracefully; returns whether all requests completed.
     pub(crate) fn stop(&mut self, index: usize) -> bool {
         self.members.remove(&instance_name(index)).unwrap().stop()
--- a/daemon/tests/online/quota.rs
+++ b/daemon/tests/online/quota.rs
@@ -5,7 +5,10 @@
     Ordering, //
 };
 use std::thread;
-use std::time::Instant;
+use std::time::{
+    Duration,
+    Instant, //
+};
 
 use limpetweir_standins::fleet::eventually;
 
@@ -139,3 +142,27 @@
     let allowed = burst + rate * in_force.elapsed().as_secs_f64();
     assert!(admitted as f64 <= allowed, "{admitted} are admitted");
 }
+
+/// Time for which the quota owner does nothing: longer than it is waited for before peers are asked,
+/// and shorter than the timeouts of admissions in these tests and of heartbeats.
+const OWNER_PAUSE: Duration = Duration::from_millis(500);
+
+/// Guards against a request that is refused for lack of an answer of the quota owner, although the
+/// answer arrives within the time for its admission.
+#[test]
+fn a_late_answer_of_the_quota_owner_admits_the_request() {
+    let fleet = Fleet::start(Setup {
+        instances: 2,
+        ..Setup::SMALL
+    });
+    let query = "organisation=reef&model=reef-1";
+    let acts = |index| fleet.explain(index, query)["quota"]["acts"] == true;
+    let owner = (0..2).find(|index| acts(*index)).unwrap();
+    let authorization = bearer(KEY);
+    let headers = [("authorization", authorization.as_str())];
+    fleet.block(owner, OWNER_PAUSE);
+    // The first request of the organisation: neither instance has a share.
+    let path = "/services/tanks/tanks/t1";
+    let response = fleet.send_bytes(1 - owner, "GET", path, Vec::new(), &headers);
+    assert_eq!(response.status, 404, "{}", response.text());
+}
