gateway: the work of a decision does not depend on numbers from outside

An entry of a backend server with "slots": stopped every instance: open_to hashed each free slot once per waiting instance while the state was locked. Placement, load and the weights of a route added counts of reports, entries and configurations without care for overflow, which panics in tests and yields a small number in release.

A decision now examines at most 128 free slots of a server; the next one examines the others. Sums saturate, or are wide enough for all entries of a report.

--- a/gateway/src/batch.rs
+++ b/gateway/src/batch.rs
@@ -75,7 +75,8 @@
         let turn = self.unchanged_for.as_micros() / TURN.as_micros();
         let turn = usize::try_from(turn).unwrap_or(usize::MAX);
         let free = self.placed.total()..self.slots.saturating_sub(kept);
-        let open = free.filter(|slot| ahead + self.rank(*slot, me, contenders) <= turn);
+        let examined = free.take(MAX_EXAMINED_SLOTS);
+        let open = examined.filter(|slot| ahead + self.rank(*slot, me, contenders) <= turn);
         u32::try_from(open.count()).unwrap_or(u32::MAX)
     }
 
@@ -88,7 +89,7 @@
     fn most_starts(&self) -> u32 {
         match self.is_limited() {
             false => u32::MAX,
-            true if self.placed.batch < self.slots - self.slots.div_ceil(4) => 1,
+            true if self.placed.batch < self.slots.saturating_sub(self.slots.div_ceil(4)) => 1,
             true => 0,
         }
     }
@@ -128,6 +129,11 @@
     kept
 }
 
+/// Maximum number of free slots of a server that one decision examines; each costs a hash for every
+/// contender while the state of the instance is locked. The entry of a server states any number of
+/// slots. Servers of the platform have 8, and the next decision examines those that are left.
+const MAX_EXAMINED_SLOTS: usize = 128;
+
 /// Time after which a free slot passes to the next instance; reports arrive within a few
 /// milliseconds.
 const TURN: Duration = Duration::from_millis(15);
@@ -166,7 +172,7 @@
     let online = own_cell
         .iter()
         .map(|candidate| candidate.placed.online)
-        .sum();
+        .fold(0, u32::saturating_add);
     let servers = u32::try_from(own_cell.len()).unwrap_or(u32::MAX);
     let kept = kept_free(&own_cell, reserve(online, servers, any_late));
     let full = own_cell
--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -69,13 +69,14 @@
 
     /// Selects a service by weight; `draw` is a random number.
     pub fn service(&self, draw: u32) -> &str {
-        let total: u32 = self.services.iter().map(|(_, weight)| weight).sum();
-        let mut remaining = draw % total.max(1);
+        let weights = self.services.iter().map(|(_, weight)| u64::from(*weight));
+        let total: u64 = weights.sum();
+        let mut remaining = u64::from(draw) % total.max(1);
         for (service, weight) in &self.services {
-            if remaining < *weight {
+            if remaining < u64::from(*weight) {
                 return service;
             }
-            remaining -= weight;
+            remaining -= u64::from(*weight);
         }
         self.services.first().map_or("", |(name, _)| name)
     }
--- a/gateway/src/load.rs
+++ b/gateway/src/load.rs
@@ -24,7 +24,7 @@
 impl Placed {
     /// Returns the number of requests.
     pub fn total(self) -> u32 {
-        self.online + self.batch
+        self.online.saturating_add(self.batch)
     }
 }
 
@@ -116,9 +116,8 @@
         }
         // Only differences from the last report count as changes of a backend server.
         for (backend, (online, batch)) in totals {
-            self.add(backend, online.max(0) as u32, batch.max(0) as u32, now);
-            let (online, batch) = (online.min(0), batch.min(0));
-            self.subtract(backend, online.unsigned_abs(), batch.unsigned_abs(), now);
+            self.add(backend, to_count(online), to_count(batch), now);
+            self.subtract(backend, to_count(-online), to_count(-batch), now);
         }
     }
 
@@ -136,16 +135,16 @@
     }
 
     fn add(&mut self, backend: BackendKey, online: u32, batch: u32, now: Timestamp) {
-        if online + batch > 0 {
+        if online.saturating_add(batch) > 0 {
             let placed = self.placed.entry(backend).or_default();
-            placed.online += online;
-            placed.batch += batch;
+            placed.online = placed.online.saturating_add(online);
+            placed.batch = placed.batch.saturating_add(batch);
             self.changed.insert(backend, now);
         }
     }
 
     fn subtract(&mut self, backend: BackendKey, online: u32, batch: u32, now: Timestamp) {
-        if online + batch == 0 {
+        if online.saturating_add(batch) == 0 {
             return;
         }
         if let Some(placed) = self.placed.get_mut(&backend) {
@@ -244,16 +243,21 @@
     }
 }
 
+/// Returns a difference as a count: 0 if it is negative.
+fn to_count(difference: i64) -> u32 {
+    u32::try_from(difference.max(0)).unwrap_or(u32::MAX)
+}
+
 /// Adds requests to the totals of backend servers, or subtracts them with a `sign` of -1.
 fn count(
-    totals: &mut HashMap<BackendKey, (i32, i32)>,
+    totals: &mut HashMap<BackendKey, (i64, i64)>,
     online: &[(BackendKey, u32)],
     batch: &[BatchRun],
-    sign: i32,
+    sign: i64,
 ) {
     for (backend, count) in online {
-        // The number of requests of one instance is far below the range of `i32`.
-        totals.entry(*backend).or_default().0 += sign * *count as i32;
+        // A report has far fewer than 2^31 entries, so the sum fits.
+        totals.entry(*backend).or_default().0 += sign * i64::from(*count);
     }
     for run in batch {
         totals.entry(run.backend).or_default().1 += sign;
--- a/gateway/src/placement.rs
+++ b/gateway/src/placement.rs
@@ -73,14 +73,15 @@
     if c.permit == Permit::Allowed {
         return limited_class(c);
     }
+    let with_queue = c.slots.saturating_add(limits.queue);
     let class = match placed {
         _ if c.suspect => 8,
         _ if !c.other_cell && placed.total() < c.slots => 0,
         _ if !c.other_cell && placed.online < c.slots => 1,
-        _ if placed.total() + OTHER_CELL_MARGIN < c.slots => 3,
-        _ if !c.other_cell && placed.online < c.slots + limits.queue => 4,
+        _ if placed.total().saturating_add(OTHER_CELL_MARGIN) < c.slots => 3,
+        _ if !c.other_cell && placed.online < with_queue => 4,
         _ if placed.online < c.slots => 5,
-        _ if placed.online < c.slots + limits.queue => 6,
+        _ if placed.online < with_queue => 6,
         _ => return None,
     };
     Some(class)
@@ -139,7 +140,7 @@
 /// `running` requests occupy a slot for `occupied_for` each; `excess` of them have no slot yet.
 pub fn retry_after(running: u32, excess: u32, occupied_for: Duration) -> Duration {
     let freed_after = occupied_for.as_secs_f64() / f64::from(running.max(1));
-    let wait = freed_after * f64::from(excess + 1);
+    let wait = freed_after * (f64::from(excess) + 1.0);
     Duration::from_secs_f64(wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER))
 }
 
--- a/gateway/src/serve/choose.rs
+++ b/gateway/src/serve/choose.rs
@@ -224,8 +224,10 @@
         return rejection_by_limits(state, candidates, admitted, now);
     }
     let online = candidates.iter().map(|c| (c.placed.online, c.slots));
-    let running = online.clone().map(|(n, slots)| n.min(slots)).sum();
-    let queued = online.map(|(n, slots)| n.saturating_sub(slots)).sum();
+    let running = online.clone().map(|(n, slots)| n.min(slots));
+    let running = running.fold(0, u32::saturating_add);
+    let queued = online.map(|(n, slots)| n.saturating_sub(slots));
+    let queued = queued.fold(0, u32::saturating_add);
     let holding = Duration::from_secs_f64(state.mean_holding_s.clamp(0.05, 10.0));
     Rejection {
         cause,
--- /dev/null
+++ b/gateway/tests/bounded_work.rs
@@ -0,0 +1,173 @@
+//! Work and arithmetic that must not depend on the size of numbers from outside.
+
+mod support;
+
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use limpetweir_gateway::{
+    BackendKey,
+    BatchCandidate,
+    Candidate,
+    Contenders,
+    ItemKey,
+    Limits,
+    Load,
+    Permit,
+    Placed,
+    Placement,
+    Route,
+    RouteKind,
+    RunKey,
+    WaitingItem,
+    choose_preemptions,
+    choose_starts,
+    place,
+    reserve,
+    retry_after, //
+};
+use limpetweir_state::Timestamp;
+use rstest::rstest;
+use support::idle_report;
+
+/// Longest time of one decision on a busy machine; usual ones take microseconds.
+const DECISION_LIMIT: Duration = Duration::from_secs(1);
+
+const NOW: Timestamp = Timestamp::from_millis(10_000);
+
+const KEY: BackendKey = BackendKey(7);
+
+fn batch_candidate(slots: u32, placed: Placed, permit: Permit) -> BatchCandidate {
+    BatchCandidate {
+        key: KEY,
+        slots,
+        placed,
+        suspect: false,
+        slow: false,
+        other_cell: false,
+        permit,
+        unchanged_for: Duration::from_secs(60),
+    }
+}
+
+fn waiting(count: u64, late: bool) -> Vec<WaitingItem> {
+    let items = (0..count).map(|n| WaitingItem {
+        item: ItemKey(n),
+        due: n,
+        late,
+        avoid: None,
+    });
+    items.collect()
+}
+
+/// Guards against a server entry with many slots that stops the scheduler while it holds the lock of
+/// the instance.
+#[rstest]
+#[case::in_time(false, Permit::Unlimited, 40)]
+#[case::late(true, Permit::Unlimited, 40)]
+#[case::limited(false, Permit::Allowed, 1)]
+fn the_number_of_slots_does_not_determine_the_work(
+    #[case] late: bool,
+    #[case] permit: Permit,
+    #[case] expected: usize,
+) {
+    let candidates = [batch_candidate(u32::MAX, Placed::default(), permit)];
+    let names: Vec<String> = (0..100).map(|n| format!("instance-{n}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let contenders = Contenders {
+        in_time: &names[..50],
+        late: &names[50..],
+        any_late: true,
+    };
+    let mut items = waiting(40, late);
+    let begin = Instant::now();
+    let chosen = choose_starts(&mut items, &candidates, "me", contenders, reserve);
+    assert!(begin.elapsed() < DECISION_LIMIT, "{:?}", begin.elapsed());
+    assert_eq!(chosen.len(), expected);
+}
+
+/// Guards against an overflow when instances report more requests than there can be.
+#[test]
+fn items_are_started_and_preempted_beside_any_number_of_requests() {
+    let full = Placed {
+        online: u32::MAX,
+        batch: u32::MAX,
+    };
+    assert_eq!(full.total(), u32::MAX);
+    let candidates = [
+        batch_candidate(u32::MAX, full, Permit::Unlimited),
+        batch_candidate(0, full, Permit::Allowed),
+    ];
+    let none = Contenders::default();
+    let chosen = choose_starts(&mut waiting(3, false), &candidates, "me", none, reserve);
+    assert!(chosen.is_empty(), "{chosen:?}");
+    let mut load = Load::default();
+    for peer in ["one", "two", "three"] {
+        let mut report = idle_report(peer);
+        report.online = vec![(KEY, u32::MAX), (KEY, u32::MAX)];
+        load.apply_report(&report, NOW);
+    }
+    assert_eq!(load.placed(KEY).online, u32::MAX);
+    load.online_started(KEY, NOW);
+    load.online_ended(KEY, NOW);
+    choose_preemptions(&load, "me", 0, |_| Some(u32::MAX), |_| false);
+    for peer in ["one", "two", "three"] {
+        load.apply_report(&idle_report(peer), NOW);
+        load.remove_peer(peer, NOW);
+    }
+}
+
+/// Guards against an overflow in the choice of a server and in the time to return.
+#[rstest]
+#[case::slots(u32::MAX, Placed::default())]
+#[case::requests(1, Placed { online: u32::MAX, batch: u32::MAX })]
+#[case::both(u32::MAX, Placed { online: u32::MAX, batch: u32::MAX })]
+fn a_request_is_placed_beside_any_numbers(#[case] slots: u32, #[case] placed: Placed) {
+    for (permit, other_cell) in [
+        (Permit::Unlimited, false),
+        (Permit::Unlimited, true),
+        (Permit::Allowed, false),
+    ] {
+        let candidate = Candidate {
+            key: KEY,
+            run: RunKey(7),
+            slots,
+            placed,
+            suspect: false,
+            tried: false,
+            slowness: 1.0,
+            connected: false,
+            local: false,
+            other_cell,
+            permit,
+            draw: 0,
+        };
+        let limits = Limits { queue: u32::MAX };
+        let chosen = place(&[candidate], limits);
+        assert!(chosen == Placement::Send(KEY) || chosen == Placement::Full);
+    }
+    assert!(retry_after(u32::MAX, u32::MAX, Duration::MAX) <= Duration::from_secs(2));
+}
+
+/// Guards against an overflow of the sum of weights, which the operators may choose freely.
+#[test]
+fn weights_of_any_size_divide_requests() {
+    let route = Route {
+        name: "r".to_owned(),
+        host: "h".to_owned(),
+        prefix: "/".to_owned(),
+        kind: RouteKind::Safe,
+        timeout: Duration::from_secs(1),
+        objective: Duration::from_secs(1),
+        attempts: 1,
+        public: false,
+        resumable: false,
+        services: vec![("one".to_owned(), u32::MAX), ("two".to_owned(), u32::MAX)],
+        batch: None,
+    };
+    for draw in [0, 1, u32::MAX - 1, u32::MAX] {
+        assert!(["one", "two"].contains(&route.service(draw)));
+    }
+}
