gateway: odd entries name no server to use

An entry of another writer with many slots, an address nobody can have, the address of the store, of this instance or of another one was used like that of a server. Requests that may run only once then failed with 502, because the store and the instances answer without the request's identifier.

Addresses of the store and of instances are known only to the gateway: Backends keeps such an entry but does not use it, so a server that is given the address of a former instance is used. A skipped record is logged once for each change of it, with a bounded excerpt on one line.

--- a/gateway/src/backend.rs
+++ b/gateway/src/backend.rs
@@ -129,9 +129,22 @@
     /// Runs whose responses said that they leave. They never take new requests again; another start
     /// of the server is another run.
     leaving_runs: HashMap<RunKey, LeavingRun>,
+    /// Addresses at which no backend server can be: those of the store and of instances.
+    reserved: HashSet<SocketAddr>,
 }
 
 impl Backends {
+    /// Sets the addresses of the store and of all instances. An entry with such an address is kept,
+    /// because an instance may leave its address to a server, but it is not used.
+    pub fn set_reserved(&mut self, reserved: HashSet<SocketAddr>) {
+        self.reserved = reserved;
+    }
+
+    /// Returns whether `addr` is that of the store or of an instance.
+    pub fn is_reserved(&self, addr: SocketAddr) -> bool {
+        self.reserved.contains(&addr)
+    }
+
     /// Inserts or updates an entry; returns whether anything but its age changed.
     pub fn update(&mut self, entry: BackendEntry, now: Timestamp) -> bool {
         let key = BackendKey::of(&entry.id);
@@ -280,11 +293,13 @@
         self.by_key
             .values()
             .filter(move |b| b.entry.service == service && b.accepts_requests(now))
+            .filter(|b| !self.is_reserved(b.entry.addr))
     }
 
-    /// Returns all backend servers.
+    /// Returns all backend servers that may be used.
     pub fn iter(&self) -> impl Iterator<Item = &Backend> {
-        self.by_key.values()
+        let known = self.by_key.values();
+        known.filter(|b| !self.is_reserved(b.entry.addr))
     }
 
     /// Returns the backend server with `key`.
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 mod backend;
 mod batch;
 mod cells;
+mod checked;
 mod config;
 mod config_fetch;
 mod config_freshness;
@@ -36,6 +37,7 @@
 mod server_limit;
 mod server_limits;
 mod settings;
+mod skipped_records;
 mod speed;
 mod sse;
 
@@ -44,6 +46,7 @@
     BatchCandidate, Contenders, WaitingItem, choose_preemptions, choose_starts, reserve,
 };
 pub use cells::{CellNumber, Cells, MAX_CELL_INSTANCES};
+pub use checked::{Label, ListenerAddr, MAX_LABEL_BYTES, MAX_SLOTS, OutOfRange, Slots, excerpt};
 pub use config::{
     BatchTerms, CallerLimits, Configuration, ConfigurationParts, Organisation, Route, RouteKind,
     Service,
@@ -82,5 +85,6 @@
 pub use server_limit::{LimitChange, StatedLimit, Statement};
 pub use server_limits::{LimitReport, Permit, Purpose, ServerLimits};
 pub use settings::{Settings, SettingsError, StoreSettings};
+pub use skipped_records::SkippedRecords;
 pub use speed::{SLOW_FACTOR, Slowness, Speeds};
 pub use sse::{Event, InvalidEventStream, Splitter};
--- a/gateway/src/platform.rs
+++ b/gateway/src/platform.rs
@@ -1,5 +1,6 @@
 //! Interface to the platform: its record store and its message formats.
 
+use std::fmt;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -16,6 +17,7 @@
 use snafu::Snafu;
 
 use crate::backend::BackendEntry;
+use crate::checked::excerpt;
 use crate::config::Configuration;
 use crate::jobs::NewItem;
 use crate::prompt::SharedParts;
@@ -156,6 +158,16 @@
     pub reason: String,
 }
 
+impl DecodeError {
+    /// Returns the error of the message `what`; `reason` may quote any amount of it.
+    pub fn new(what: &'static str, reason: impl fmt::Display) -> Self {
+        Self {
+            what,
+            reason: excerpt(&reason.to_string()),
+        }
+    }
+}
+
 /// Decoded head of a caller's request.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct CallHead {
--- a/gateway/src/serve/crashes.rs
+++ b/gateway/src/serve/crashes.rs
@@ -32,12 +32,12 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::attempt::unresponsive;
+use super::follow;
 use super::lines::{
     CASE_CLOSED,
     CASE_NOT_STORED,
     CASE_OPENED,
     PROBE_SENT,
-    RECORD_SKIPPED,
     SERVER_CRASHED,
     log_event, //
 };
@@ -274,13 +274,13 @@
                 cases: vec![case],
                 ..CrashNews::default()
             };
+            node.lock().skipped.read(Topic::Instances, &record.key);
             merge(node, &news);
         }
-        Err(err) => log_event!(
-            RECORD_SKIPPED,
-            "topic=instances key={} cause=\"{err}\"",
-            record.key
-        ),
+        Err(err) => {
+            let mut state = node.lock();
+            follow::skip_record(&mut state, Topic::Instances, &record.key, &err);
+        }
     }
 }
 
--- a/gateway/src/serve/follow.rs
+++ b/gateway/src/serve/follow.rs
@@ -1,5 +1,6 @@
 //! Reads the topics of the store continuously and applies their records.
 
+use std::fmt::Display;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -19,10 +20,12 @@
     log_event, //
 };
 use super::node::{
-    Node, //
+    Node,
     ReplicaStatus,
+    State, //
 };
 use super::store_calls::StoreCall;
+use crate::checked::excerpt;
 use crate::config::Configuration;
 use crate::listing::Listing;
 use crate::platform::{
@@ -323,10 +326,16 @@
         return;
     }
     if let Err(err) = known.apply(record) {
-        log_event!(
-            RECORD_SKIPPED,
-            "topic=jobs partition={partition} offset={offset} cause=\"{err}\""
-        );
+        skip_record(&mut state, Topic::Jobs, &record.key, &err);
+    }
+}
+
+/// Records that a record of a topic is not used, and logs it unless it is known.
+pub(crate) fn skip_record(state: &mut State, topic: Topic, key: &str, cause: &impl Display) {
+    let cause = excerpt(&cause.to_string());
+    if state.skipped.skipped(topic, key, &cause) {
+        let key = excerpt(key);
+        log_event!(RECORD_SKIPPED, "topic={topic} key={key} cause=\"{cause}\"");
     }
 }
 
@@ -340,19 +349,26 @@
         Topic::Configuration => {
             if let Some(decoded) = node.platform.configuration(record) {
                 match decoded {
-                    Ok(config) => apply_config(node, config, record, "store"),
-                    Err(err) => log_event!(CONFIG_UNREADABLE, "cause=\"{err}\""),
+                    Ok(config) => {
+                        node.lock().skipped.read(topic, &record.key);
+                        apply_config(node, config, record, "store");
+                    }
+                    Err(err) => {
+                        let cause = err.to_string();
+                        let mut state = node.lock();
+                        if state.skipped.skipped(topic, &record.key, &cause) {
+                            log_event!(CONFIG_UNREADABLE, "cause=\"{cause}\"");
+                        }
+                    }
                 }
             }
         }
         Topic::Backends => apply_backend_record(node, record),
         Topic::Instances => super::peers::apply_record(node, record),
         Topic::Jobs => {
-            if let Err(err) = node.lock().partitions[partition as usize].apply(record) {
-                log_event!(
-                    RECORD_SKIPPED,
-                    "topic={topic} partition={partition} cause=\"{err}\""
-                );
+            let mut state = node.lock();
+            if let Err(err) = state.partitions[partition as usize].apply(record) {
+                skip_record(&mut state, topic, &record.key, &err);
             }
         }
     }
@@ -443,8 +459,10 @@
 
 fn apply_backend_record<P: Store + Dialect>(node: &Arc<Node<P>>, record: &Record) {
     let now = node.now();
+    let mut state = node.lock();
     if record.value.is_empty() {
-        if node.lock().backends.remove(&record.key, now) {
+        state.skipped.read(Topic::Backends, &record.key);
+        if state.backends.remove(&record.key, now) {
             log_event!(BACKEND_CHANGED, "backend={} state=removed", record.key);
         }
         return;
@@ -453,7 +471,14 @@
         Ok(entry) => {
             let draining = entry.draining;
             let addr = entry.addr;
-            if node.lock().backends.update(entry, now) {
+            let changed = state.backends.update(entry, now);
+            if state.backends.is_reserved(addr) {
+                let cause = format!("{addr} is the address of the store or of an instance");
+                skip_record(&mut state, Topic::Backends, &record.key, &cause);
+                return;
+            }
+            state.skipped.read(Topic::Backends, &record.key);
+            if changed {
                 log_event!(
                     BACKEND_CHANGED,
                     "backend={} addr={addr} draining={draining}",
@@ -463,12 +488,8 @@
         }
         Err(err) => {
             // An unreadable entry contains no usable address; the other entries are not affected.
-            node.lock().backends.remove(&record.key, now);
-            log_event!(
-                RECORD_SKIPPED,
-                "topic=backends key={} cause=\"{err}\"",
-                record.key
-            );
+            state.backends.remove(&record.key, now);
+            skip_record(&mut state, Topic::Backends, &record.key, &err);
         }
     }
 }
--- a/gateway/src/serve/node.rs
+++ b/gateway/src/serve/node.rs
@@ -1,7 +1,10 @@
 //! State shared by all tasks of an instance.
 
 use std::collections::HashSet;
-use std::net::IpAddr;
+use std::net::{
+    IpAddr,
+    SocketAddr, //
+};
 use std::sync::atomic::{
     AtomicBool,
     AtomicU64,
@@ -70,6 +73,7 @@
 use crate::return_times::ReturnTimes;
 use crate::server_limits::ServerLimits;
 use crate::settings::Settings;
+use crate::skipped_records::SkippedRecords;
 use crate::speed::Speeds;
 
 /// Mutable state of an instance, on which routing, placement and scheduling are based.
@@ -84,6 +88,7 @@
     /// Fetches of a newer configuration from peers.
     pub(crate) config_fetch: ConfigFetch,
     pub(crate) backends: Backends,
+    pub(crate) skipped: SkippedRecords,
     pub(crate) members: Members,
     /// Division of a large fleet into cells, as seen by this instance.
     pub(crate) cells: Cells,
@@ -150,6 +155,24 @@
         }
     }
 
+    /// Updates the addresses at which no backend server can be; `settings` are those of this
+    /// instance.
+    pub(crate) fn update_reserved(&mut self, settings: &Settings) {
+        let mut reserved = HashSet::from([
+            settings.store.addr,
+            settings.public,
+            settings.readiness,
+            settings.directory,
+            settings.metrics,
+            SocketAddr::new(settings.address, settings.peer_port),
+        ]);
+        for (_, member) in self.members.iter() {
+            reserved.insert(SocketAddr::new(member.addr, settings.peer_port));
+            reserved.extend(member.report.as_ref().map(|report| report.public));
+        }
+        self.backends.set_reserved(reserved);
+    }
+
     /// Returns the cells of the backend servers on which this instance has requests or recently had
     /// some.
     pub(crate) fn used_cells(&self, now: Timestamp) -> HashSet<CellNumber> {
@@ -333,12 +356,13 @@
     ) -> Self {
         let mut partitions = Vec::new();
         partitions.resize_with(writers.len(), Partition::default);
-        let state = State {
+        let mut state = State {
             config: None,
             config_record: None,
             config_freshness: ConfigFreshness::default(),
             config_fetch: ConfigFetch::default(),
             backends: Backends::default(),
+            skipped: SkippedRecords::default(),
             members: Members::default(),
             cells: Cells::default(),
             cells_version: None,
@@ -365,6 +389,7 @@
             // A typical response takes a little less than a second.
             mean_holding_s: 0.75,
         };
+        state.update_reserved(&settings);
         Self {
             platform,
             settings,
--- a/gateway/src/serve/peers.rs
+++ b/gateway/src/serve/peers.rs
@@ -29,7 +29,6 @@
     CONFIG_UNREADABLE,
     PEER_DOWN,
     PEER_UP,
-    RECORD_SKIPPED,
     log_event, //
 };
 use super::node::{
@@ -81,8 +80,9 @@
         return;
     }
     let now = node.now();
+    let mut state = node.lock();
     if record.value.is_empty() {
-        let mut state = node.lock();
+        state.skipped.read(Topic::Instances, &record.key);
         state.members.remove(&record.key);
         state.load.remove_peer(&record.key, now);
         state.quotas.remove_peer(&record.key);
@@ -91,12 +91,12 @@
     }
     let text = String::from_utf8_lossy(&record.value);
     match text.parse::<InstanceRecord>() {
-        Ok(instance) => node.lock().members.upsert(&record.key, instance, now),
-        Err(err) => log_event!(
-            RECORD_SKIPPED,
-            "topic=instances key={} cause=\"{err}\"",
-            record.key
-        ),
+        Ok(instance) => {
+            state.skipped.read(Topic::Instances, &record.key);
+            state.members.upsert(&record.key, instance, now);
+            state.update_reserved(&node.settings);
+        }
+        Err(err) => follow::skip_record(&mut state, Topic::Instances, &record.key, &err),
     }
 }
 
@@ -177,6 +177,7 @@
     if update.has_started(&report) {
         // The started peer would otherwise get no report of this instance until the next tick.
         state.started_peers.push(name.clone());
+        state.update_reserved(&node.settings);
         node.report_due.notify(usize::MAX);
     }
     let changed = match update {
@@ -275,6 +276,7 @@
         let ended = state.limits.sweep(now);
         heads::log_changes(&state, &ended, "age");
         update_unreachable(&mut state, now);
+        state.update_reserved(&node.settings);
         drop(state);
         for (name, timeout) in &unreachable {
             log_event!(PEER_DOWN, "peer={name} silent_ms={}", timeout.as_millis());
