gateway: a stated limit and a report of any size are in their ranges

A backend server that states a limit of 1e308 requests per second made every placement panic with the state locked, on all instances that heard of it from a report: the burst is infinite, and so is the time until its tokens are used. A rate in a report could also be NaN or negative, one that a faulty process sends could suspect a server for 49 days or raise a sum over its type, and a version of 2^64-1 made no configuration the newest one.

Reports are brought into their ranges when they are decoded (report_ranges.rs); those without a usable name, zone, address or version are ignored. Stated limits are at most a million per second. Records of instances are bounded in the same way.

--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -4,6 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+/// Largest version of a configuration. After a larger one no later version could come into force.
+pub const MAX_VERSION: u64 = 1 << 53;
+
 /// Kind of a route: whether its requests may be repeated, and the form of the response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::EnumString)]
 #[strum(serialize_all = "kebab-case")]
--- a/gateway/src/instance.rs
+++ b/gateway/src/instance.rs
@@ -6,9 +6,15 @@
 
 use snafu::{
     OptionExt,
-    Snafu, //
+    Snafu,
+    ensure, //
 };
 
+use crate::checked::{
+    Label,
+    excerpt,
+    is_machine, //
+};
 use crate::report::Report;
 
 /// An instance that work is divided among.
@@ -32,6 +38,12 @@
     }
 }
 
+/// Largest processor of a machine in thousandths of a core.
+pub(crate) const MAX_CAPACITY: u32 = 1_000_000;
+
+/// Largest record of an instance in bytes.
+const MAX_RECORD_BYTES: usize = 1 << 10;
+
 /// Returns whether a machine with `capacity` counts as large in a fleet whose largest machine has
 /// `largest`. Fleets have machines of two sizes that differ by a factor of four; smaller
 /// differences do not matter.
@@ -68,15 +80,20 @@
     type Err = InstanceRecordError;
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
-        let fault = InstanceRecordSnafu { text };
+        let fault = InstanceRecordSnafu {
+            text: excerpt(text),
+        };
+        ensure!(text.len() <= MAX_RECORD_BYTES, fault);
         let mut fields = text.splitn(3, ' ');
         let addr = fields.next().and_then(|field| field.parse().ok());
-        let capacity = fields.next().and_then(|field| field.parse().ok());
+        let addr = addr.filter(|addr| is_machine(*addr));
+        let capacity = fields.next().and_then(|field| field.parse::<u32>().ok());
         let zone = fields.next().filter(|zone| !zone.is_empty());
+        let zone = zone.and_then(|zone| Label::try_from(zone.to_owned()).ok());
         Ok(Self {
-            addr: addr.context(fault)?,
-            capacity: capacity.context(fault)?,
-            zone: zone.context(fault)?.to_owned(),
+            addr: addr.context(fault.clone())?,
+            capacity: capacity.context(fault.clone())?.min(MAX_CAPACITY),
+            zone: zone.context(fault)?.into_string(),
         })
     }
 }
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -29,6 +29,7 @@
 mod quota;
 mod replicas;
 mod report;
+mod report_ranges;
 mod report_schedule;
 mod return_times;
 mod routing;
@@ -48,8 +49,8 @@
 pub use cells::{CellNumber, Cells, MAX_CELL_INSTANCES};
 pub use checked::{Label, ListenerAddr, MAX_LABEL_BYTES, MAX_SLOTS, OutOfRange, Slots, excerpt};
 pub use config::{
-    BatchTerms, CallerLimits, Configuration, ConfigurationParts, Organisation, Route, RouteKind,
-    Service,
+    BatchTerms, CallerLimits, Configuration, ConfigurationParts, MAX_VERSION, Organisation, Route,
+    RouteKind, Service,
 };
 pub use config_fetch::ConfigFetch;
 pub use config_freshness::ConfigFreshness;
--- a/gateway/src/report.rs
+++ b/gateway/src/report.rs
@@ -15,6 +15,7 @@
 };
 use crate::positions::Position;
 use crate::quota::OrganisationKey;
+use crate::report_ranges::MAX_REPORT_BYTES;
 use crate::server_limits::LimitReport;
 
 /// Version of the encoding; reports of another version are ignored.
@@ -265,9 +266,14 @@
         buf
     }
 
-    /// Decodes a report; returns `None` for invalid data and other versions.
+    /// Decodes a report and brings its numbers into their ranges; returns `None` for invalid data and
+    /// other versions.
     pub fn decode(bytes: &[u8]) -> Option<Self> {
+        if bytes.len() > MAX_REPORT_BYTES {
+            return None;
+        }
         let wire: Wire = ciborium::from_reader(bytes).ok()?;
-        (wire.0 == WIRE_VERSION).then(|| wire.into())
+        let report = (wire.0 == WIRE_VERSION).then(|| Self::from(wire))?;
+        report.into_checked()
     }
 }
--- a/gateway/src/send_log.rs
+++ b/gateway/src/send_log.rs
@@ -31,7 +31,8 @@
     /// Counts the requests of the time `window` before `now`.
     pub(crate) fn count(&self, window: Duration, now: Timestamp) -> WindowCount {
         let begin = self.0.partition_point(|(at, _)| now.since(*at) >= window);
-        let requests = self.0.iter().skip(begin).map(|(_, count)| count).sum();
+        let counts = self.0.iter().skip(begin).map(|(_, count)| *count);
+        let requests = counts.fold(0, u64::saturating_add);
         let last = begin.checked_sub(1).and_then(|n| self.0.get(n));
         WindowCount {
             requests,
--- a/gateway/src/serve/peers.rs
+++ b/gateway/src/serve/peers.rs
@@ -51,9 +51,7 @@
     Topic, //
 };
 use crate::report::Report;
-
-/// Size of the receive buffer for reports in bytes; a datagram is not larger.
-const MAX_REPORT_BYTES: usize = 64 << 10;
+use crate::report_ranges::MAX_REPORT_BYTES;
 
 /// Pause after a failed receive operation.
 const RECEIVE_RETRY: Duration = Duration::from_millis(2);
--- a/gateway/src/server_limit.rs
+++ b/gateway/src/server_limit.rs
@@ -8,6 +8,12 @@
 
 use limpetweir_state::Timestamp;
 
+use crate::checked::excerpt;
+
+/// Largest limit in requests per second. Products of much larger ones are infinite, and nobody sends
+/// as many requests.
+pub(crate) const MAX_RATE: f64 = 1e6;
+
 /// What the head of a response says about the limit of its backend server.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub enum StatedLimit {
@@ -25,8 +31,8 @@
     pub fn parse(value: &[u8]) -> Self {
         let text = String::from_utf8_lossy(value);
         match text.trim().parse::<f64>() {
-            Ok(rate) if rate.is_finite() && rate >= 0.0 => Self::Rate(rate),
-            _ => Self::Invalid(text.into_owned()),
+            Ok(rate) if rate.is_finite() && rate >= 0.0 => Self::Rate(rate.min(MAX_RATE)),
+            _ => Self::Invalid(excerpt(&text)),
         }
     }
 }
--- a/gateway/src/server_limits.rs
+++ b/gateway/src/server_limits.rs
@@ -395,6 +395,7 @@
 
     /// Returns whether the token is for an item, if one waits.
     fn is_for_items(self, run: RunKey) -> bool {
-        (self.0 + u64::from(run.0)).is_multiple_of(REQUESTS_PER_ITEM)
+        let number = self.0.wrapping_add(u64::from(run.0));
+        number.is_multiple_of(REQUESTS_PER_ITEM)
     }
 }
--- a/gateway/tests/bounded_work.rs
+++ b/gateway/tests/bounded_work.rs
@@ -18,9 +18,12 @@
     Permit,
     Placed,
     Placement,
+    Purpose,
     Route,
     RouteKind,
     RunKey,
+    ServerLimits,
+    StatedLimit,
     WaitingItem,
     choose_preemptions,
     choose_starts,
@@ -171,3 +174,33 @@
         assert!(["one", "two"].contains(&route.service(draw)));
     }
 }
+
+/// A faulty server states a limit of any size. Guards against a panic while the state of the instance
+/// is locked, at each request and on all instances that hear of the limit.
+#[rstest]
+#[case::none("0")]
+#[case::smallest("5e-324")]
+#[case::large("1e308")]
+#[case::largest("1.7976931348623157e308")]
+fn a_limit_of_any_size_is_kept(#[case] value: &str) {
+    let stated = StatedLimit::parse(value.as_bytes());
+    let mut limits = ServerLimits::new("one");
+    let mut other = ServerLimits::new("two");
+    for step in 0..20 {
+        let now = NOW + Duration::from_millis(step * 700);
+        limits.set_senders(1, 2, now);
+        limits.stated(RunKey(7), &stated, now, now);
+        for purpose in [
+            Purpose::Online { items_wait: false },
+            Purpose::Online { items_wait: true },
+            Purpose::Item,
+        ] {
+            if limits.permit(RunKey(7), purpose, now, u64::MAX) != Permit::Denied {
+                limits.sent(RunKey(7), now);
+            }
+        }
+        other.apply_report("one", 1, &limits.reports(now), now);
+        other.permit(RunKey(7), Purpose::Item, now, 0);
+    }
+    assert!(limits.limit(RunKey(7)).is_some());
+}
