gateway: messages about crashes are in their ranges and end the search for cases

A message with as many cases as an instance keeps, and with earlier crashes from which two others follow, put the instance into an endless loop with its state locked: each of the two replaced the other, which followed again from its crashes. One evaluation now opens at most as many cases as are kept; those that remain follow from the next message.

Counts of crashes and probes, the time to the next probe, the number of parts and the lengths of names are bounded (crash_ranges.rs), as is the record of a case.

--- a/gateway/src/crash_evidence.rs
+++ b/gateway/src/crash_evidence.rs
@@ -24,13 +24,13 @@
 const PROBE_BACKOFF: u32 = 5;
 
 /// Longest time between two probes.
-const MAX_PROBE_INTERVAL: Duration = Duration::from_secs(3_600);
+pub(crate) const MAX_PROBE_INTERVAL: Duration = Duration::from_secs(3_600);
 
 /// Maximum number of suspected parts of one crash.
-const MAX_CRASH_SUSPECTS: usize = 64;
+pub(crate) const MAX_CRASH_SUSPECTS: usize = 64;
 
 /// Maximum number of servers that a case lists.
-const MAX_CASE_SERVERS: usize = 5;
+pub(crate) const MAX_CASE_SERVERS: usize = 5;
 
 /// A crash with the time at which it happened.
 #[derive(Clone, Debug)]
--- a/gateway/src/crash_message.rs
+++ b/gateway/src/crash_message.rs
@@ -10,9 +10,11 @@
 };
 use snafu::{
     OptionExt,
-    Snafu, //
+    Snafu,
+    ensure, //
 };
 
+use crate::checked::excerpt;
 use crate::crash_news::{
     Case,
     Cleared,
@@ -135,21 +137,26 @@
         buf
     }
 
-    /// Decodes a message; returns `None` for invalid data, reports and other versions.
+    /// Decodes a message and brings its numbers into their ranges; returns `None` for invalid data,
+    /// reports and other versions.
     pub fn decode(bytes: &[u8]) -> Option<Self> {
         let bytes = bytes.strip_prefix(&[MESSAGE])?;
         let wire: WireNews = ciborium::from_reader(bytes).ok()?;
-        if wire.0 != WIRE_VERSION || wire.3.iter().any(|case| case.0.is_empty()) {
+        if wire.0 != WIRE_VERSION {
             return None;
         }
-        Some(Self {
+        let news = Self {
             crashes: wire.1.into_iter().map(Crash::from).collect(),
             cleared: wire.2.into_iter().map(Cleared::from).collect(),
             cases: wire.3.into_iter().map(Case::from).collect(),
-        })
+        };
+        news.into_checked()
     }
 }
 
+/// Largest record of a case in bytes.
+const MAX_RECORD_BYTES: usize = 8 << 10;
+
 /// Beginning of the key of a case among the records of the instances, whose names have no slash.
 const CASE_PREFIX: &str = "part/";
 
@@ -184,23 +191,27 @@
 
     /// Parses a record at the time `unix_ms`.
     pub fn parse(text: &str, unix_ms: u64) -> Result<Case, CaseRecordError> {
-        let fault = CaseRecordSnafu { text };
+        let fault = CaseRecordSnafu {
+            text: excerpt(text),
+        };
+        ensure!(text.len() <= MAX_RECORD_BYTES, fault);
         let mut fields = text.split(' ');
-        let parts = fields.next().context(fault)?.split(',');
+        let parts = fields.next().context(fault.clone())?.split(',');
         let parts: Result<_, _> = parts.map(PartKey::from_str).collect();
         let mut number = || fields.next()?.parse::<u64>().ok();
-        let crashes = number().context(fault)?;
-        let probes = number().context(fault)?;
-        let since = number().context(fault)?;
-        let probe_at = number().context(fault)?;
-        Ok(Case {
-            parts: parts.ok().context(fault)?,
+        let crashes = number().context(fault.clone())?;
+        let probes = number().context(fault.clone())?;
+        let since = number().context(fault.clone())?;
+        let probe_at = number().context(fault.clone())?;
+        let case = Case {
+            parts: parts.ok().context(fault.clone())?,
             crashes: u32::try_from(crashes).unwrap_or(u32::MAX),
             servers: Vec::new(),
             age: Duration::from_millis(unix_ms.saturating_sub(since)),
             probes: u32::try_from(probes).unwrap_or(u32::MAX),
             probe_in: Duration::from_millis(probe_at.saturating_sub(unix_ms)),
-        })
+        };
+        case.into_checked().context(fault)
     }
 }
 
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod crash_evidence;
 mod crash_message;
 mod crash_news;
+mod crash_ranges;
 mod fleet_rate;
 mod instance;
 mod item_time;
--- a/gateway/src/quarantine.rs
+++ b/gateway/src/quarantine.rs
@@ -360,7 +360,11 @@
     fn update(&mut self, now: Timestamp, observed: Option<Timestamp>) -> Vec<CaseChange> {
         self.drop_old(now);
         let mut changes = self.clear_cases(now);
-        while let Some(mut case) = self.narrower_case().or_else(|| self.blame(now)) {
+        // A case beyond the maximum replaces the oldest one, which may follow again from its crashes.
+        for _ in 0..MAX_CASES {
+            let Some(mut case) = self.narrower_case().or_else(|| self.blame(now)) else {
+                break;
+            };
             case.observed = observed;
             changes.push(CaseChange::Opened(case.to_case(now)));
             self.open(case);
