--- a/gateway/src/config_freshness.rs
+++ b/gateway/src/config_freshness.rs
@@ -15,6 +15,8 @@
     confirmed: Option<Timestamp>,
     /// Highest version that the store has returned or a peer has reported.
     newest: u64,
+    /// Whether the newest version in the store cannot be read; it may be any later one.
+    unreadable: bool,
 }
 
 impl ConfigFreshness {
@@ -24,6 +26,16 @@
         self.newest = self.newest.max(version);
     }
 
+    /// Records that the newest version in the store cannot be read.
+    pub fn unreadable(&mut self) {
+        self.unreadable = true;
+    }
+
+    /// Records that a version in the store was read that follows all unreadable ones.
+    pub fn readable(&mut self) {
+        self.unreadable = false;
+    }
+
     /// Records that a peer has `version` in force.
     pub fn reported(&mut self, version: u64) {
         self.newest = self.newest.max(version);
@@ -37,9 +49,10 @@
     }
 
     /// Returns the time at which the store last confirmed that nothing newer than `version` exists;
-    /// `None` if a newer version is known.
+    /// `None` if a newer version is known, or one that cannot be read.
     pub fn confirmed_at(&self, version: u64) -> Option<Timestamp> {
-        self.confirmed.filter(|_| version >= self.newest)
+        let newest = version >= self.newest && !self.unreadable;
+        self.confirmed.filter(|_| newest)
     }
 
     /// Returns the time since the last confirmation by the store; `None` if there was none.
--- a/gateway/src/serve/follow.rs
+++ b/gateway/src/serve/follow.rs
@@ -350,12 +350,16 @@
             if let Some(decoded) = node.platform.configuration(record) {
                 match decoded {
                     Ok(config) => {
-                        node.lock().skipped.read(topic, &record.key);
+                        let mut state = node.lock();
+                        state.skipped.read(topic, &record.key);
+                        state.config_freshness.readable();
+                        drop(state);
                         apply_config(node, config, record, "store");
                     }
                     Err(err) => {
                         let cause = err.to_string();
                         let mut state = node.lock();
+                        state.config_freshness.unreadable();
                         if state.skipped.skipped(topic, &record.key, &cause) {
                             log_event!(CONFIG_UNREADABLE, "cause=\"{cause}\"");
                         }
--- a/gateway/tests/config_freshness.rs
+++ b/gateway/tests/config_freshness.rs
@@ -58,3 +58,19 @@
     let age = freshness.age(at(17)).map(|age| age.as_millis());
     assert_eq!(age, Some(7));
 }
+
+/// Guards against a confirmation of the version in force by a store whose newest version cannot be
+/// read.
+#[test]
+fn an_unreadable_version_is_newer_than_the_one_in_force() {
+    let mut freshness = ConfigFreshness::default();
+    freshness.confirmed(2, at(0));
+    freshness.unreadable();
+    assert!(!freshness.is_current(2, at(10)));
+    assert_eq!(freshness.confirmed_at(2), None);
+    freshness.confirmed(2, at(20));
+    assert!(!freshness.is_current(2, at(30)));
+    freshness.readable();
+    freshness.confirmed(3, at(40));
+    assert!(freshness.is_current(3, at(50)));
+}
