gateway: numbers of calls, jobs, events and settings have ranges

A call for results from position 2^64-1 of a finished job panicked in the handler, and the caller's connection was closed. Tokens of items were added without care for overflow: two items of 2^63 tokens panicked in tests, and passed the limit of a route in release. A number of an event of 2^64-1 makes the next one overflow. A peer that asks for the result of an item that the job does not have left a position empty, behind which no result was listed. Settings with a retention of 2^64-1 s panicked when the margin was added to it, and 2^32-1 partitions need more memory than any machine has.

--- a/gateway/src/jobs/table.rs
+++ b/gateway/src/jobs/table.rs
@@ -86,7 +86,8 @@
 
     /// Returns the tokens of the items that still need a run.
     pub fn waiting_tokens(&self) -> u64 {
-        self.open().map(|index| self.items[index].tokens).sum()
+        let tokens = self.open().map(|index| self.items[index].tokens);
+        tokens.fold(0, u64::saturating_add)
     }
 
     fn add_result(&mut self, record: ResultRecord) {
@@ -177,7 +178,8 @@
     pub fn waiting_tokens(&self, organisation: &str, route: &str) -> u64 {
         let jobs = self.jobs.values();
         let jobs = jobs.filter(|j| j.organisation == organisation && j.route == route);
-        jobs.map(Job::waiting_tokens).sum()
+        let tokens = jobs.map(Job::waiting_tokens);
+        tokens.fold(0, u64::saturating_add)
     }
 
     /// Applies a record. Applying a record again has no further effect.
--- a/gateway/src/jobs/write.rs
+++ b/gateway/src/jobs/write.rs
@@ -97,7 +97,7 @@
 pub enum Decision {
     /// The change has already taken effect.
     Done,
-    /// The job does not exist.
+    /// The job or its item does not exist.
     NoJob,
     /// The job would exceed the limit of waiting tokens.
     OverTokenLimit {
@@ -138,6 +138,10 @@
             let Some(known) = state.get(job) else {
                 return Ok(Decision::NoJob);
             };
+            // Asked for by a peer; its position would stay empty.
+            if *item >= known.items.len() {
+                return Ok(Decision::NoJob);
+            }
             if known.has_result(*item) {
                 return Ok(Decision::Done);
             }
@@ -176,11 +180,12 @@
     if state.get(id).is_some() {
         return Ok(Decision::Done);
     }
-    let new_tokens: u64 = submission.items.iter().map(|item| item.tokens).sum();
+    let new_tokens = submission.items.iter().map(|item| item.tokens);
+    let new_tokens = new_tokens.fold(0, u64::saturating_add);
     let waiting = state.waiting_tokens(&submission.organisation, &submission.route);
     if submission
         .waiting_tokens
-        .is_some_and(|limit| waiting + new_tokens > limit)
+        .is_some_and(|limit| waiting.saturating_add(new_tokens) > limit)
     {
         return Ok(Decision::OverTokenLimit { waiting });
     }
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -89,4 +89,4 @@
 pub use settings::{Settings, SettingsError, StoreSettings};
 pub use skipped_records::SkippedRecords;
 pub use speed::{SLOW_FACTOR, Slowness, Speeds};
-pub use sse::{Event, InvalidEventStream, Splitter};
+pub use sse::{Event, InvalidEventStream, MAX_EVENT_NUMBER, Splitter};
--- a/gateway/src/serve/job_calls.rs
+++ b/gateway/src/serve/job_calls.rs
@@ -227,7 +227,7 @@
             if timed_out && job.results.len() < after && !complete {
                 return repeat_elsewhere(id, OUTDATED_COPY);
             }
-            if timed_out && job.results.len() < after + 1 && !complete {
+            if timed_out && job.results.len() <= after && !complete {
                 let next = state.partitions[partition].next();
                 let listed = job.results.len();
                 log_event!(
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -103,6 +103,13 @@
 /// Added to the configured retention of results after a submission, as a margin for clock skew.
 const RESULT_RETENTION_MARGIN: Duration = Duration::from_secs(10);
 
+/// Largest number of partitions; each costs a permanently waiting read.
+const MAX_PARTITIONS: u32 = 1_024;
+/// Longest time for which callers cache addresses: a day.
+const MAX_ADDRESS_LIFETIME_S: u64 = 24 * 3_600;
+/// Longest retention of results: a year.
+const MAX_RESULT_RETENTION_S: u64 = 366 * 24 * 3_600;
+
 #[derive(Deserialize)]
 struct Raw {
     name: String,
@@ -234,8 +241,9 @@
             let reason = "multiplied by machine.cores must be 0.001 to 1000".to_owned();
             return Err(value("machine.cpu_share", reason));
         }
-        if raw.store.partitions == 0 {
-            return Err(value("store.partitions", "must be at least 1".to_owned()));
+        if !(1..=MAX_PARTITIONS).contains(&raw.store.partitions) {
+            let reason = format!("must be 1 to {MAX_PARTITIONS}");
+            return Err(value("store.partitions", reason));
         }
         if raw.store.record_bytes < 4_096 || raw.store.call_bytes < raw.store.record_bytes {
             let reason = "must be at least 4096 and at most store.call_bytes".to_owned();
@@ -244,10 +252,14 @@
         if !(1.0..=3_600.0).contains(&raw.stop.grace_s) {
             return Err(value("stop.grace_s", "must be 1 to 3600".to_owned()));
         }
-        if raw.listen.address_lifetime_s == 0 {
-            let reason = "must be at least 1".to_owned();
+        if !(1..=MAX_ADDRESS_LIFETIME_S).contains(&raw.listen.address_lifetime_s) {
+            let reason = format!("must be 1 to {MAX_ADDRESS_LIFETIME_S}");
             return Err(value("listen.address_lifetime_s", reason));
         }
+        if raw.jobs.result_retention_s > MAX_RESULT_RETENTION_S {
+            let reason = format!("must be at most {MAX_RESULT_RETENTION_S}");
+            return Err(value("jobs.result_retention_s", reason));
+        }
         let quota = &raw.quota;
         if !(0.1..=3_600.0).contains(&quota.window_s) {
             return Err(value("quota.window_s", "must be 0.1 to 3600".to_owned()));
--- a/gateway/src/sse.rs
+++ b/gateway/src/sse.rs
@@ -5,6 +5,9 @@
 /// Largest event in bytes; a longer one cannot be from a backend server.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
+/// Largest number of an event. A larger one is ignored; computations with it could overflow.
+pub const MAX_EVENT_NUMBER: u64 = 1 << 53;
+
 /// One event with its bytes as received.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Event {
@@ -93,7 +96,7 @@
         let (field, value) = line.split_once(':').unwrap_or((line, ""));
         let value = value.strip_prefix(' ').unwrap_or(value);
         match field {
-            "id" => id = value.parse().ok(),
+            "id" => id = value.parse().ok().filter(|id| *id <= MAX_EVENT_NUMBER),
             "data" => match &mut data {
                 Some(data) => {
                     data.push('\n');
--- a/gateway/tests/formats.rs
+++ b/gateway/tests/formats.rs
@@ -52,6 +52,18 @@
     assert_eq!(raw, stream);
 }
 
+/// Guards against a number after which the next one overflows.
+#[rstest]
+#[case("9007199254740992", Some(1 << 53))]
+#[case("9007199254740993", None)]
+#[case("18446744073709551615", None)]
+#[case("-1", None)]
+fn numbers_of_events_have_a_range(#[case] text: &str, #[case] id: Option<u64>) {
+    let stream = format!("id: {text}\ndata: a\n\n");
+    let events = Splitter::default().push(stream.as_bytes());
+    assert_eq!(events.expect("events")[0].id, id);
+}
+
 /// Guards against a stream that ends within an event and counts as complete.
 #[test]
 fn a_partial_event_is_detected() {
@@ -126,6 +138,17 @@
     "address_lifetime_s = 0",
     "listen.address_lifetime_s"
 )]
+#[case("partitions = 8", "partitions = 4294967295", "store.partitions")]
+#[case(
+    "address_lifetime_s = 2",
+    "address_lifetime_s = 9223372036854775807",
+    "listen.address_lifetime_s"
+)]
+#[case(
+    "result_retention_s = 120",
+    "result_retention_s = 9223372036854775807",
+    "jobs.result_retention_s"
+)]
 #[case("peer_port = 84", "peer_port = \"x\"", "peer_port")]
 #[case("[future]", "[log]\nlevel = \"loud\"\n[future]", "log.level")]
 fn bad_settings_name_their_field(#[case] from: &str, #[case] to: &str, #[case] field: &str) {
--- a/gateway/tests/jobs.rs
+++ b/gateway/tests/jobs.rs
@@ -275,3 +275,40 @@
     state.end_listing(9);
     assert!(!state.is_loaded());
 }
+
+/// Guards against a sum of tokens that overflows, with which a job passes the limit of its route.
+#[test]
+fn tokens_of_any_number_count_against_the_limit() {
+    let mut large = submission("large", 3);
+    large.items.iter_mut().for_each(|i| i.tokens = u64::MAX / 2);
+    let state = with_job(2);
+    let change = Change::Submit(large.clone());
+    let decision = decide(&state, &mut Pending::default(), &change, RECORD_BYTES);
+    assert_eq!(decision, Ok(Decision::OverTokenLimit { waiting: 200 }));
+    large.waiting_tokens = None;
+    let mut state = with_job(2);
+    apply(&mut state, &Change::Submit(large));
+    assert_eq!(state.waiting_tokens("org", "route"), u64::MAX);
+    let more = Change::Submit(submission("more", 1));
+    let decision = decide(&state, &mut Pending::default(), &more, RECORD_BYTES);
+    let waiting = u64::MAX;
+    assert_eq!(decision, Ok(Decision::OverTokenLimit { waiting }));
+}
+
+/// A faulty peer asks for the result of an item that the job does not have. Guards against a position
+/// that stays empty, behind which no result of the job is listed.
+#[test]
+fn a_result_of_no_item_is_not_written() {
+    let mut state = with_job(2);
+    let mut pending = Pending::default();
+    let decision = decide(&state, &mut pending, &finish("job", 99), RECORD_BYTES);
+    assert_eq!(decision, Ok(Decision::NoJob));
+    let decision = decide(&state, &mut pending, &finish("job", 0), RECORD_BYTES);
+    let Ok(Decision::Append(records)) = decision else {
+        panic!("expected records and got {decision:?}");
+    };
+    for record in records {
+        state.apply(&record).expect("a record of this format");
+    }
+    assert_eq!(state.get("job").map(|job| job.results.len()), Some(1));
+}
