--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -4,6 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+/// Largest version of a configuration. After a larger one no later version could come into force.
+pub const MAX_VERSION: u64 = 1 << 53;
+
 /// Kind of a route: whether its requests may be repeated, and the form of the response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::EnumString)]
 #[strum(serialize_all = "kebab-case")]
@@ -69,13 +72,14 @@
 
     /// Selects a service by weight; `draw` is a random number.
     pub fn service(&self, draw: u32) -> &str {
-        let total: u32 = self.services.iter().map(|(_, weight)| weight).sum();
-        let mut remaining = draw % total.max(1);
+        let weights = self.services.iter().map(|(_, weight)| u64::from(*weight));
+        let total: u64 = weights.sum();
+        let mut remaining = u64::from(draw) % total.max(1);
         for (service, weight) in &self.services {
-            if remaining < *weight {
+            if remaining < u64::from(*weight) {
                 return service;
             }
-            remaining -= weight;
+            remaining -= u64::from(*weight);
         }
         self.services.first().map_or("", |(name, _)| name)
     }
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -6,12 +6,14 @@
 mod backend;
 mod batch;
 mod cells;
+mod checked;
 mod config;
 mod config_fetch;
 mod config_freshness;
 mod crash_evidence;
 mod crash_message;
 mod crash_news;
+mod crash_ranges;
 mod fleet_rate;
 mod instance;
 mod item_time;
@@ -28,6 +30,7 @@
 mod quota;
 mod replicas;
 mod report;
+mod report_ranges;
 mod report_schedule;
 mod return_times;
 mod routing;
@@ -36,6 +39,7 @@
 mod server_limit;
 mod server_limits;
 mod settings;
+mod skipped_records;
 mod speed;
 mod sse;
 
@@ -44,9 +48,10 @@
     BatchCandidate, Contenders, WaitingItem, choose_preemptions, choose_starts, reserve,
 };
 pub use cells::{CellNumber, Cells, MAX_CELL_INSTANCES};
+pub use checked::{Label, ListenerAddr, MAX_LABEL_BYTES, MAX_SLOTS, OutOfRange, Slots, excerpt};
 pub use config::{
-    BatchTerms, CallerLimits, Configuration, ConfigurationParts, Organisation, Route, RouteKind,
-    Service,
+    BatchTerms, CallerLimits, Configuration, ConfigurationParts, MAX_VERSION, Organisation, Route,
+    RouteKind, Service,
 };
 pub use config_fetch::ConfigFetch;
 pub use config_freshness::ConfigFreshness;
@@ -82,5 +87,6 @@
 pub use server_limit::{LimitChange, StatedLimit, Statement};
 pub use server_limits::{LimitReport, Permit, Purpose, ServerLimits};
 pub use settings::{Settings, SettingsError, StoreSettings};
+pub use skipped_records::SkippedRecords;
 pub use speed::{SLOW_FACTOR, Slowness, Speeds};
-pub use sse::{Event, InvalidEventStream, Splitter};
+pub use sse::{Event, InvalidEventStream, MAX_EVENT_NUMBER, Splitter};
