gateway: the lines about lost runs and crashes name what identifies the request

LW2508 and LW2303 named only the shared parts of a prompt, so they could not show what the runs that crash servers have in common beyond these. They now also name the last part of the prompt and an identity: a hash of the host and all parts, or for requests without a prompt of method, host, path, query and body. The hash is computed only when a line needs it. LW2303 names the request as well. Nothing changes in what is held back.

--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -29,6 +29,7 @@
 mod replicas;
 mod report;
 mod report_schedule;
+mod request_parts;
 mod return_times;
 mod routing;
 mod send_log;
@@ -70,12 +71,13 @@
     RecordRange, ResponseHead, ResultView, Store, StoreError, Topic,
 };
 pub use positions::{CallKind, PartitionFreshness, Position, forward_targets, runners};
-pub use prompt::{PartKey, SharedParts};
+pub use prompt::{PartKey, PromptParts};
 pub use quarantine::{CaseChange, Hold, Quarantine};
 pub use quota::{OrganisationKey, OverQuota, Quotas, Tolerance};
 pub use replicas::{owner, replicas};
 pub use report::{BatchRun, ItemKey, Report};
 pub use report_schedule::{OutgoingReport, PeerRelation, Receiver, ReportSchedule};
+pub use request_parts::RequestParts;
 pub use return_times::ReturnTimes;
 pub use routing::{Denial, Destination, destination};
 pub use serve::{Gateway, StartError, check, run};
--- a/gateway/src/platform.rs
+++ b/gateway/src/platform.rs
@@ -18,7 +18,7 @@
 use crate::backend::BackendEntry;
 use crate::config::Configuration;
 use crate::jobs::NewItem;
-use crate::prompt::SharedParts;
+use crate::prompt::PromptParts;
 use crate::server_limit::StatedLimit;
 
 /// A set of records in the store, with its own partitions.
@@ -173,8 +173,8 @@
     pub tokens: Option<(u64, u64)>,
     /// Identifiers of shared parts of the prompt, in order, with their lengths in tokens.
     pub prefix: Vec<(u64, u32)>,
-    /// The parts of the prompt that other requests may have too.
-    pub shared_parts: SharedParts,
+    /// The parts of the prompt, whether or not their lengths are valid.
+    pub prompt: PromptParts,
 }
 
 /// Values that the gateway adds to a request to a backend server.
@@ -291,8 +291,8 @@
         forward: &Forward<'_>,
     ) -> Result<Request<Bytes>, DecodeError>;
 
-    /// Decodes the parts of an item's prompt that other requests may have too.
-    fn shared_parts(&self, headers: &[(String, String)]) -> SharedParts;
+    /// Decodes the parts of an item's prompt.
+    fn prompt_parts(&self, headers: &[(String, String)]) -> PromptParts;
 
     /// Decodes the head of a response.
     fn response(&self, head: &response::Parts) -> ResponseHead;
--- a/gateway/src/prompt.rs
+++ b/gateway/src/prompt.rs
@@ -1,10 +1,8 @@
-//! Parts of prompts, as far as requests share them.
+//! Parts of prompts.
 
 use std::fmt;
 use std::num::ParseIntError;
-use std::ops::Deref;
 use std::str::FromStr;
-use std::sync::Arc;
 
 use serde::{
     Deserialize,
@@ -39,21 +37,11 @@
     }
 }
 
-/// The parts of a prompt that other requests may have too: all but the last one, which belongs to
-/// the request itself. Clones share the list.
+/// The parts of a prompt, without any if the request states none.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct SharedParts(Arc<[PartKey]>);
-
-impl From<Vec<PartKey>> for SharedParts {
-    fn from(parts: Vec<PartKey>) -> Self {
-        Self(parts.into())
-    }
-}
-
-impl Deref for SharedParts {
-    type Target = [PartKey];
-
-    fn deref(&self) -> &Self::Target {
-        &self.0
-    }
+pub struct PromptParts {
+    /// The parts that other requests may have too, in order.
+    pub shared: Vec<PartKey>,
+    /// The last part, which usually belongs to the request itself.
+    pub last: Option<PartKey>,
 }
--- a/gateway/src/serve/crashes.rs
+++ b/gateway/src/serve/crashes.rs
@@ -47,6 +47,10 @@
     unix_ms, //
 };
 use super::replies::plain;
+use super::run_watch::{
+    LostRun,
+    list, //
+};
 use crate::backend::{
     BackendEntry,
     BackendKey, //
@@ -65,6 +69,7 @@
 };
 use crate::prompt::PartKey;
 use crate::quarantine::CaseChange;
+use crate::request_parts::RequestParts;
 
 /// Time between two messages with the same news.
 const NEWS_INTERVAL: Duration = Duration::from_millis(250);
@@ -99,12 +104,11 @@
     CrashKey(xxh3_64(format!("{}/{}", entry.id, entry.born).as_bytes()))
 }
 
-/// Records that a backend server closed the connection of a run with these parts and without
-/// output, if the server has crashed: it then refuses new connections.
+/// Records that a backend server closed the connection of this run without output, if the server has crashed: it then refuses new connections.
 pub(crate) fn run_lost<P: Store + Dialect>(
     node: &Arc<Node<P>>,
     entry: Arc<BackendEntry>,
-    parts: Vec<PartKey>,
+    run: LostRun,
 ) {
     let at = node.now();
     let key = BackendKey::of(&entry.id);
@@ -113,7 +117,7 @@
         let backend = state.backends.get(key);
         backend.is_some_and(|backend| backend.accepts_requests(at))
     };
-    if parts.is_empty() || !is_serving {
+    if run.suspects.is_empty() || !is_serving {
         return;
     }
     let node = node.clone();
@@ -123,7 +127,7 @@
         match check {
             Err(err) if err.is_refused() => {
                 unresponsive(&node, key, &err);
-                server_crashed(&node, &entry, &parts, at);
+                server_crashed(&node, &entry, &run, at);
             }
             Err(err) => log::debug!("{} neither accepts nor refuses: {err}", entry.id),
             Ok(()) => {}
@@ -135,7 +139,7 @@
 fn server_crashed<P: Store + Dialect>(
     node: &Arc<Node<P>>,
     entry: &BackendEntry,
-    parts: &[PartKey],
+    run: &LostRun,
     at: Timestamp,
 ) {
     let now = node.now();
@@ -144,29 +148,30 @@
     let changes = {
         let mut state = node.lock();
         let quarantine = &mut state.quarantine;
-        quarantine.crashed(key, &entry.id, me, parts, at, now)
+        quarantine.crashed(key, &entry.id, me, &run.suspects, at, now)
     };
     node.metrics.suspected_run();
-    let parts: Vec<String> = parts.iter().map(PartKey::to_string).collect();
     log_event!(
         SERVER_CRASHED,
-        "backend={} suspects={}",
+        "backend={} request={} suspects={} {}",
         entry.id,
-        parts.join(",")
+        run.request,
+        list(&run.suspects),
+        run.identity
     );
     apply_changes(node, changes, Origin::Own);
     node.crash_news.notify(usize::MAX);
 }
 
-/// Records that a run with these parts wrote output.
-pub(crate) fn run_began<P: Store + Dialect>(node: &Arc<Node<P>>, parts: &[PartKey]) {
+/// Records that a run of a request with these parts wrote output.
+pub(crate) fn run_began<P: Store + Dialect>(node: &Arc<Node<P>>, parts: &RequestParts) {
     let now = node.now();
     let changes = {
         let mut state = node.lock();
         if state.quarantine.is_empty() {
             return;
         }
-        state.quarantine.began(parts, now)
+        state.quarantine.began(&parts.suspects(), now)
     };
     if !changes.is_empty() {
         node.crash_news.notify(usize::MAX);
@@ -206,10 +211,10 @@
 
 /// Returns the fields of a line about a case.
 pub(crate) fn describe(case: &Case) -> String {
-    let parts: Vec<String> = case.parts.iter().map(PartKey::to_string).collect();
+    let parts: Vec<PartKey> = case.parts.iter().copied().collect();
     format!(
         "parts={} crashes={} seen_at={} age_ms={} probes={} probe_in_ms={}",
-        parts.join(","),
+        list(&parts),
         case.crashes,
         case.servers.join(","),
         case.age.as_millis(),
--- a/gateway/src/serve/items.rs
+++ b/gateway/src/serve/items.rs
@@ -264,10 +264,10 @@
     }
     let mut claim = None;
     waiting.retain(|w| {
-        let Some(item) = job_item(state, w.item) else {
+        let Some((item, host)) = job_item(state, w.item) else {
             return true;
         };
-        let parts = runs::suspects(&node.platform, &item, w.item);
+        let parts = runs::item_parts(&node.platform, &item, w.item, host).suspects();
         let Some(hold) = state.quarantine.hold(&parts, now) else {
             return true;
         };
@@ -293,10 +293,11 @@
     claim
 }
 
-fn job_item(state: &State, key: ItemKey) -> Option<Arc<JobItem>> {
+/// Returns an item and the host of its job.
+fn job_item(state: &State, key: ItemKey) -> Option<(Arc<JobItem>, &str)> {
     let open = state.items.get(key)?;
     let job = state.partitions.get(open.partition)?.get(&open.job)?;
-    job.items.get(open.index).cloned()
+    Some((job.items.get(open.index)?.clone(), &job.host))
 }
 
 /// Sends an item as a probe, if the store grants it to this instance.
--- a/gateway/src/serve/online.rs
+++ b/gateway/src/serve/online.rs
@@ -66,7 +66,7 @@
     Store, //
 };
 use crate::positions::CallKind;
-use crate::prompt::SharedParts;
+use crate::request_parts::RequestParts;
 use crate::routing::{
     Denial,
     Destination,
@@ -80,8 +80,8 @@
 pub(crate) struct Admitted {
     pub(crate) head: request::Parts,
     pub(crate) call: CallHead,
-    /// Parts of the prompt that other requests may have too.
-    pub(crate) parts: SharedParts,
+    /// What identifies it, and what it shares with others.
+    pub(crate) parts: RequestParts,
     pub(crate) body: Bytes,
     pub(crate) route: Arc<Route>,
     pub(crate) service: String,
@@ -101,7 +101,7 @@
     let _open = OpenCallGuard::new(&node.open_calls);
     let arrived = Instant::now();
     let (head, body) = req.into_parts();
-    let call = node.platform.call(&head);
+    let mut call = node.platform.call(&head);
     let id = call.request_id.clone();
     let Some(config) = node.lock().config.clone() else {
         log_event!(REFUSED, "request={id} status=503 cause=no-configuration");
@@ -146,8 +146,13 @@
     }
     let caller_timeout = call.caller_timeout.unwrap_or(DEFAULT_CALLER_TIMEOUT);
     let service = route.service(node.lock().rng.random()).to_owned();
+    let target = head
+        .uri
+        .path_and_query()
+        .map_or("", |target| target.as_str());
+    let prompt = std::mem::take(&mut call.prompt);
     let admitted = Admitted {
-        parts: call.shared_parts.clone(),
+        parts: RequestParts::of_request(&head.method, &call.host, target, prompt, &body),
         deadline: arrived + caller_timeout.min(route.timeout),
         head,
         call,
@@ -221,7 +226,7 @@
             Err(rejection) => return reject(&node, &admitted, &history, rejection),
         };
         if placed.needs_probe {
-            if !crashes::claim_probe(&node, &id, &admitted.parts).await {
+            if !crashes::claim_probe(&node, &id, &admitted.parts.suspects()).await {
                 drop(placed);
                 return reject_held(&node, &admitted, &history);
             }
--- a/gateway/src/serve/run_watch.rs
+++ b/gateway/src/serve/run_watch.rs
@@ -14,6 +14,7 @@
     Store, //
 };
 use crate::prompt::PartKey;
+use crate::request_parts::RequestParts;
 
 /// Parts of the output after which a run is not suspected of a crash, and shows that the parts of
 /// its prompt are sound. The first one may be sent before a server crashes under the prompt.
@@ -23,14 +24,18 @@
 pub(crate) struct RunWatch<'a> {
     /// Identifier of the request or item.
     request: &'a str,
-    parts: &'a [PartKey],
+    parts: &'a RequestParts,
     backend: Arc<BackendEntry>,
     /// Parts of the output that have arrived in this run.
     outputs: u32,
 }
 
 impl<'a> RunWatch<'a> {
-    pub(crate) fn new(request: &'a str, parts: &'a [PartKey], backend: Arc<BackendEntry>) -> Self {
+    pub(crate) fn new(
+        request: &'a str,
+        parts: &'a RequestParts,
+        backend: Arc<BackendEntry>,
+    ) -> Self {
         Self {
             request,
             parts,
@@ -62,17 +67,47 @@
     /// Records that the connection ended before the response did.
     pub(crate) fn connection_lost<P: Store + Dialect>(&self, node: &Arc<Node<P>>, head: bool) {
         node.metrics.run_lost(self.outputs > 0);
-        let parts: Vec<String> = self.parts.iter().map(PartKey::to_string).collect();
+        let run = LostRun::new(self.request, self.parts);
         log_event!(
             RUN_LOST,
-            "request={} backend={} parts={} head={head} outputs={}",
+            "request={} backend={} parts={} {} head={head} outputs={}",
             self.request,
             self.backend.id,
-            parts.join(","),
+            list(self.parts.shared()),
+            run.identity,
             self.outputs
         );
         if self.is_suspected() {
-            crashes::run_lost(node, self.backend.clone(), self.parts.to_vec());
+            crashes::run_lost(node, self.backend.clone(), run);
         }
     }
 }
+
+/// A run that ended with its connection and before its output.
+pub(crate) struct LostRun {
+    pub(crate) request: String,
+    /// Fields of a line about what identifies the request beyond the shared parts of its prompt.
+    pub(crate) identity: String,
+    pub(crate) suspects: Vec<PartKey>,
+}
+
+impl LostRun {
+    fn new(request: &str, parts: &RequestParts) -> Self {
+        let last = parts.last().map(|part| part.to_string());
+        Self {
+            request: request.to_owned(),
+            identity: format!(
+                "last_part={} identity={}",
+                last.unwrap_or_default(),
+                parts.identity()
+            ),
+            suspects: parts.suspects(),
+        }
+    }
+}
+
+/// Returns the keys, separated by commas.
+pub(crate) fn list(parts: &[PartKey]) -> String {
+    let parts: Vec<String> = parts.iter().map(PartKey::to_string).collect();
+    parts.join(",")
+}
--- a/gateway/src/serve/runs.rs
+++ b/gateway/src/serve/runs.rs
@@ -61,11 +61,11 @@
     ItemRequest,
     Store, //
 };
-use crate::prompt::PartKey;
 use crate::report::{
     BatchRun,
     ItemKey, //
 };
+use crate::request_parts::RequestParts;
 use crate::sse::{
     Event,
     Splitter, //
@@ -95,12 +95,14 @@
     chosen_at: Timestamp,
 }
 
-/// Returns the parts of an item's prompt that may crash backend servers, and the item itself, whose
-/// runs repeat the same prompt.
-pub(crate) fn suspects<P: Dialect>(platform: &P, item: &JobItem, key: ItemKey) -> Vec<PartKey> {
-    let mut parts = vec![PartKey(key.0)];
-    parts.extend_from_slice(&platform.shared_parts(&item.headers));
-    parts
+/// Returns what identifies an item of a job for `host`, and what it shares with others.
+pub(crate) fn item_parts<P: Dialect>(
+    platform: &P,
+    item: &JobItem,
+    key: ItemKey,
+    host: &str,
+) -> RequestParts {
+    RequestParts::of_item(key, host, platform.prompt_parts(&item.headers))
 }
 
 /// Starts an item on a backend server.
@@ -187,7 +189,7 @@
         )
     };
     let mut progress = std::mem::take(&mut run.progress);
-    let parts = suspects(&node.platform, &run.item, run.key);
+    let parts = item_parts(&node.platform, &run.item, run.key, &run.host);
     let mut watch = RunWatch::new(&run.item.id, &parts, run.entry.clone());
     let running = stream(&node, &run, &mut progress, &mut watch);
     let (end, cause) = future::or(stop, running).await;
