gateway tests: a request that crashes servers is not sent to further ones; known red

Callers send one request that crashes servers again and again, with other identifiers, while sound requests share its other parts. A request without a prompt is never held back. The gateway tests show that a crash with many invented parts loses the key of the request that caused it.

--- /dev/null
+++ b/gateway/tests/quarantine_requests.rs
@@ -0,0 +1,278 @@
+//! Attribution of crashes to single requests, which share the other parts of their prompts.
+
+use std::time::Duration;
+
+use hyper::Method;
+use hyper::body::Bytes;
+use limpetweir_gateway::{
+    Case,
+    Crash,
+    CrashKey,
+    CrashNews,
+    ItemKey,
+    PartKey,
+    PromptParts,
+    Quarantine,
+    RequestParts, //
+};
+use limpetweir_state::Timestamp;
+use rstest::rstest;
+
+const HOST: &str = "one.example";
+const FIRST: PartKey = PartKey(0xf1);
+const SESSION: PartKey = PartKey(0x5e);
+const DEADLY: PartKey = PartKey(0xde);
+const OTHER: PartKey = PartKey(0x07);
+
+/// Largest payload of a datagram in bytes.
+const MAX_DATAGRAM_BYTES: usize = 65_507;
+
+fn at(ms: u64) -> Timestamp {
+    Timestamp::from_millis(ms)
+}
+
+/// Returns the keys of a request whose prompt has these parts.
+fn prompt(parts: &[PartKey]) -> Vec<PartKey> {
+    let (last, shared) = parts.split_last().expect("a part");
+    let parts = PromptParts {
+        shared: shared.to_vec(),
+        last: Some(*last),
+    };
+    let body = Bytes::from_static(b"question");
+    let parts = RequestParts::of_request(&Method::POST, HOST, "/once/1", parts, &body);
+    parts.keys().to_vec()
+}
+
+/// Returns the keys of a request without a prompt.
+fn plain(method: &Method, host: &str, target: &str, body: &'static str) -> Vec<PartKey> {
+    let body = Bytes::from_static(body.as_bytes());
+    let parts = RequestParts::of_request(method, host, target, PromptParts::default(), &body);
+    parts.keys().to_vec()
+}
+
+/// Records a crash of a server of its own at `ms` under a run with these keys.
+fn crash(quarantine: &mut Quarantine, ms: u64, keys: &[PartKey]) {
+    let server = format!("i-{ms}");
+    quarantine.crashed(CrashKey(ms), &server, "one", keys, at(ms), at(ms));
+}
+
+fn is_held(quarantine: &Quarantine, keys: &[PartKey], ms: u64) -> bool {
+    quarantine.hold(keys, at(ms)).is_some()
+}
+
+/// Guards against a request that crashes one server after the other because sound requests clear
+/// its other parts, and against these being held back with it.
+#[rstest]
+#[case::cleared_between(Some(1_100))]
+#[case::not_cleared(None)]
+fn a_request_that_crashes_servers_is_held_back(#[case] sound_ms: Option<u64>) {
+    let mut quarantine = Quarantine::default();
+    let deadly = prompt(&[FIRST, SESSION, DEADLY]);
+    let sound = prompt(&[FIRST, SESSION, OTHER]);
+    crash(&mut quarantine, 1_000, &deadly);
+    if let Some(ms) = sound_ms {
+        quarantine.began(&sound, at(ms));
+    }
+    crash(&mut quarantine, 1_200, &deadly);
+    assert!(!is_held(&quarantine, &deadly, 1_300));
+    crash(&mut quarantine, 1_400, &deadly);
+    assert!(is_held(&quarantine, &deadly, 1_500));
+    assert!(!is_held(&quarantine, &sound, 1_500));
+    quarantine.began(&sound, at(2_000));
+    assert!(is_held(&quarantine, &deadly, 2_100));
+}
+
+/// A request without a prompt has nothing in common with others. Guards against one that crashes
+/// servers with each attempt of its callers.
+#[test]
+fn a_request_without_a_prompt_is_held_back() {
+    let mut quarantine = Quarantine::default();
+    let deadly = plain(&Method::POST, HOST, "/a/1", "deadly");
+    let sound = plain(&Method::POST, HOST, "/a/1", "sound");
+    for ms in [1_000, 1_200, 1_400] {
+        crash(&mut quarantine, ms, &deadly);
+        quarantine.began(&sound, at(ms + 100));
+    }
+    assert!(is_held(&quarantine, &deadly, 1_600));
+    assert!(!is_held(&quarantine, &sound, 1_600));
+}
+
+/// The last part of a request is a shared part of the next one of its session. Guards against a
+/// request that goes on crashing servers because the longer prompt is served.
+#[test]
+fn a_longer_prompt_does_not_release_a_request() {
+    let mut quarantine = Quarantine::default();
+    let deadly = prompt(&[FIRST, SESSION, DEADLY]);
+    for ms in [1_000, 1_200, 1_400] {
+        crash(&mut quarantine, ms, &deadly);
+        quarantine.began(&prompt(&[FIRST, SESSION, DEADLY, OTHER]), at(ms + 100));
+    }
+    assert!(is_held(&quarantine, &deadly, 1_600));
+    assert!(!is_held(
+        &quarantine,
+        &prompt(&[FIRST, SESSION, DEADLY, OTHER]),
+        1_600
+    ));
+}
+
+/// Callers determine how many parts their prompts have. Guards against parts that push the key by
+/// which a request is recognised out of the evidence.
+#[rstest]
+#[case::seen_first(true)]
+#[case::seen_last(false)]
+fn invented_parts_do_not_hide_a_request(#[case] first: bool) {
+    let mut seeing = Quarantine::default();
+    let mut other = Quarantine::default();
+    let long: Vec<PartKey> = (0..100).map(|n| PartKey(0x5000 + n)).collect();
+    let deadly = prompt(&long);
+    for ms in [1_000, 1_200, 1_400] {
+        if first {
+            crash(&mut seeing, ms, &deadly);
+        }
+        for run in 0..10 {
+            let invented: Vec<PartKey> = (0..100)
+                .map(|n| PartKey(ms << 32 | run << 16 | n))
+                .collect();
+            crash(&mut seeing, ms, &prompt(&invented));
+        }
+        if !first {
+            crash(&mut seeing, ms, &deadly);
+        }
+        other.merge(&seeing.news(at(ms + 5)), at(ms + 5));
+    }
+    for quarantine in [&mut seeing, &mut other] {
+        // All parts of the prompt are sound.
+        let sound: Vec<PartKey> = long.iter().rev().copied().collect();
+        quarantine.began(&prompt(&sound), at(1_500));
+        assert!(is_held(quarantine, &deadly, 1_600));
+        assert!(!is_held(quarantine, &prompt(&sound), 1_600));
+    }
+}
+
+/// Guards against messages that no datagram holds: they would not be sent at all.
+#[test]
+fn crashes_under_many_requests_fit_into_a_datagram() {
+    let mut quarantine = Quarantine::default();
+    let key = |n: u64| PartKey(u64::MAX - n);
+    let crashes = (0..80_u64).map(|n| Crash {
+        key: CrashKey(u64::MAX - n),
+        server: format!("i-{n:010}"),
+        seen_by: format!("frontend-alfold-b-{n}"),
+        age: Duration::from_millis(650),
+        suspects: (0..200)
+            .map(|run| key(n << 16 | run))
+            .chain((0..200).map(|run| PartKey::identity(key(n << 40 | run << 32).0)))
+            .collect(),
+    });
+    let cases = (0..40_u64).map(|n| Case {
+        parts: (0..96).map(|part| key(n << 16 | part << 24)).collect(),
+        crashes: u32::MAX,
+        servers: (0..5)
+            .map(|_| "i-0123456789@frontend-alfold-b-1".to_owned())
+            .collect(),
+        age: Duration::from_millis(600),
+        probes: 3,
+        probe_in: Duration::from_secs(3_000),
+    });
+    let news = CrashNews {
+        crashes: crashes.collect(),
+        cleared: Vec::new(),
+        cases: cases.collect(),
+    };
+    quarantine.merge(&news, at(1_000));
+    for n in 0..1_000 {
+        let part = [key(n << 16 | n % 64)];
+        quarantine.began(&part, at(1_600));
+    }
+    for bytes in [
+        quarantine.digest(at(1_700)).encode(),
+        quarantine.news(at(1_700)).encode(),
+    ] {
+        assert!(bytes.len() <= MAX_DATAGRAM_BYTES, "{} bytes", bytes.len());
+    }
+}
+
+/// Builds that know no identities tell crashes without them. Guards against sound requests that are
+/// held back for long because of these, and against a request that is never recognised.
+#[test]
+fn crashes_told_by_older_builds_delay_a_case() {
+    let mut quarantine = Quarantine::default();
+    let deadly = prompt(&[FIRST, SESSION, DEADLY]);
+    let sound = prompt(&[FIRST, SESSION, OTHER]);
+    let told = |key, suspects: &[PartKey]| CrashNews {
+        crashes: vec![Crash {
+            key: CrashKey(key),
+            server: "i-old".to_owned(),
+            seen_by: "old".to_owned(),
+            age: Duration::ZERO,
+            suspects: suspects.to_vec(),
+        }],
+        ..CrashNews::default()
+    };
+    crash(&mut quarantine, 1_000, &deadly);
+    quarantine.merge(&told(7, &[FIRST, SESSION]), at(1_200));
+    crash(&mut quarantine, 1_400, &deadly);
+    quarantine.began(&sound, at(1_500));
+    assert!(!is_held(&quarantine, &sound, 1_600));
+    crash(&mut quarantine, 1_700, &deadly);
+    assert!(is_held(&quarantine, &deadly, 1_800));
+    assert!(!is_held(&quarantine, &sound, 1_800));
+}
+
+/// Guards against a key that changes with what callers change when they send a request once more,
+/// and against different requests with the same key.
+#[test]
+fn requests_are_recognised_by_their_content() {
+    let same = || plain(&Method::POST, HOST, "/a/1?x=1", "body");
+    assert_eq!(same(), same());
+    let others = [
+        plain(&Method::PUT, HOST, "/a/1?x=1", "body"),
+        plain(&Method::POST, "two.example", "/a/1?x=1", "body"),
+        plain(&Method::POST, HOST, "/a/1?x=2", "body"),
+        plain(&Method::POST, HOST, "/a/1?x=1", "other"),
+    ];
+    for other in others {
+        assert_ne!(other, same());
+    }
+    let keys = prompt(&[FIRST, SESSION, DEADLY]);
+    assert_eq!(keys[1..], [DEADLY, FIRST, SESSION]);
+    assert_ne!(keys[0], prompt(&[SESSION, FIRST, DEADLY])[0]);
+    assert_ne!(keys[0], prompt(&[FIRST, SESSION, OTHER])[0]);
+    assert!(keys[0].is_identity());
+    assert!(!DEADLY.is_identity());
+}
+
+/// Guards against an item that crashes servers in one job after the other, or as a request of a
+/// client, because it is known by its place in a job.
+#[test]
+fn an_item_is_recognised_by_its_prompt() {
+    let parts = || PromptParts {
+        shared: vec![FIRST, SESSION],
+        last: Some(DEADLY),
+    };
+    let item = |job: &str| RequestParts::of_item(ItemKey::of(job, 0), HOST, parts());
+    assert_eq!(item("job-1").keys(), item("job-2").keys());
+    assert_eq!(item("job-1").keys(), prompt(&[FIRST, SESSION, DEADLY]));
+    let without = |job: &str| {
+        let parts = PromptParts::default();
+        RequestParts::of_item(ItemKey::of(job, 0), HOST, parts)
+    };
+    assert_ne!(without("job-1").keys(), without("job-2").keys());
+}
+
+/// Guards against a probe that another request with some of the parts answers: it closed the case,
+/// and three more servers crashed.
+#[test]
+fn only_the_request_itself_is_a_probe() {
+    let mut quarantine = Quarantine::default();
+    let deadly = prompt(&[FIRST, SESSION, DEADLY]);
+    for ms in [1_000, 1_200, 1_400] {
+        crash(&mut quarantine, ms, &deadly);
+    }
+    let sound = prompt(&[FIRST, SESSION, OTHER]);
+    assert!(quarantine.after_probe(&sound, at(60_000)).is_none());
+    let hold = quarantine.hold(&deadly, at(60_000)).expect("held");
+    assert!(hold.probe_due);
+    let case: Case = hold.case;
+    assert!(case.parts.contains(&DEADLY), "{case:?}");
+}
