gateway: requests are recognised by their content when servers crash under them

The quarantine knew only the shared parts of its prompt. Sound requests have these too: one of them was sent as the probe, answered, and closed the case. Requests without a prompt were no evidence at all, and an item was known by its place in its job, so the same item in another job crashed servers anew.

The evidence now also has the last part of the prompt and the identity of the request: a hash of the host and all parts, or without a prompt of method, host, path, query and body. A request is held back if it has all keys of a case, so sound requests neither probe it nor close it. The body is hashed only after a run is lost or while crashes are known.

The identity comes first and has a limit of its own per crash, 32 beside 64 parts, so that parts that callers have invented do not cut it off.

--- a/gateway/src/crash_evidence.rs
+++ b/gateway/src/crash_evidence.rs
@@ -26,8 +26,13 @@
 /// Longest time between two probes.
 const MAX_PROBE_INTERVAL: Duration = Duration::from_secs(3_600);
 
-/// Maximum number of suspected parts of one crash.
-const MAX_CRASH_SUSPECTS: usize = 64;
+/// Maximum number of suspected parts of prompts of one crash.
+const MAX_CRASH_PARTS: usize = 64;
+
+/// Maximum number of suspected identities of one crash, each of a run that had no output. They have
+/// a limit of their own, so that parts that callers have invented do not cut them off. With eight
+/// slots and a queue of two a server has ten such runs.
+const MAX_CRASH_IDENTITIES: usize = 32;
 
 /// Maximum number of servers that a case lists.
 const MAX_CASE_SERVERS: usize = 5;
@@ -116,9 +121,15 @@
 }
 
 pub(crate) fn add_suspects(suspects: &mut BTreeSet<PartKey>, parts: impl Iterator<Item = PartKey>) {
+    let mut identities = suspects.iter().filter(|part| part.is_identity()).count();
     for part in parts {
-        if suspects.len() < MAX_CRASH_SUSPECTS {
-            suspects.insert(part);
+        let is_identity = part.is_identity();
+        let has_room = match is_identity {
+            true => identities < MAX_CRASH_IDENTITIES,
+            false => suspects.len() - identities < MAX_CRASH_PARTS,
+        };
+        if has_room && suspects.insert(part) {
+            identities += usize::from(is_identity);
         }
     }
 }
--- a/gateway/src/quarantine.rs
+++ b/gateway/src/quarantine.rs
@@ -57,7 +57,8 @@
 /// Maximum number of remembered crashes.
 const MAX_CRASHES: usize = 64;
 
-/// Maximum number of suspected parts of one run. The caller determines the number of parts.
+/// Maximum number of suspected parts of one run, the identity of its request among them. The caller
+/// determines the number of parts.
 const MAX_RUN_SUSPECTS: usize = 16;
 
 /// Maximum number of cases.
--- a/gateway/src/request_parts.rs
+++ b/gateway/src/request_parts.rs
@@ -70,7 +70,6 @@
 #[derive(Debug)]
 pub struct RequestParts {
     content: Content,
-    item: Option<ItemKey>,
     /// Computed when it is needed, as the body may be long: a run was lost, or servers have crashed.
     keys: OnceLock<Vec<PartKey>>,
 }
@@ -99,28 +98,26 @@
                 body: body.clone(),
             }
         };
-        Self::new(content, None)
+        Self::new(content)
     }
 
     /// Creates the keys of an item of a job for this host.
     pub fn of_item(key: ItemKey, host: &str, parts: PromptParts) -> Self {
         let host = xxh3_64(host.as_bytes());
-        let content = match parts.last {
+        Self::new(match parts.last {
             Some(_) => Content::Prompt { host, parts },
             None => Content::Item(key),
-        };
-        Self::new(content, Some(key))
+        })
     }
 
-    fn new(content: Content, item: Option<ItemKey>) -> Self {
+    fn new(content: Content) -> Self {
         Self {
             content,
-            item,
             keys: OnceLock::new(),
         }
     }
 
-    /// Returns all keys. The identity is the first one, so that limits never cut it off.
+    /// Returns all keys, each of which may be blamed for crashes. The identity is the first one, so that limits never cut it off.
     pub fn keys(&self) -> &[PartKey] {
         self.keys.get_or_init(|| {
             let mut keys = vec![self.content.identity()];
@@ -130,15 +127,6 @@
         })
     }
 
-    /// Returns the keys that may be blamed for a crash: the shared parts, and the item itself, whose
-    /// runs repeat the same prompt.
-    pub fn suspects(&self) -> Vec<PartKey> {
-        let item = self.item.map(|key| PartKey(key.0));
-        item.into_iter()
-            .chain(self.shared().iter().copied())
-            .collect()
-    }
-
     /// Returns the parts of the prompt that other requests may have too.
     pub fn shared(&self) -> &[PartKey] {
         match &self.content {
--- a/gateway/src/serve/choose.rs
+++ b/gateway/src/serve/choose.rs
@@ -135,7 +135,7 @@
 ) -> Result<PlacedRequest<P>, Rejection> {
     let now = node.now();
     let mut state = node.lock();
-    let hold = state.quarantine.hold(&admitted.parts.suspects(), now);
+    let hold = state.hold(&admitted.parts, now);
     let hold = hold.filter(|_| !history.is_probe);
     if let Some(hold) = &hold
         && (!hold.probe_due || history.runs > 0 || history.last_event.is_some())
--- a/gateway/src/serve/crashes.rs
+++ b/gateway/src/serve/crashes.rs
@@ -117,7 +117,7 @@
         let backend = state.backends.get(key);
         backend.is_some_and(|backend| backend.accepts_requests(at))
     };
-    if run.suspects.is_empty() || !is_serving {
+    if !is_serving {
         return;
     }
     let node = node.clone();
@@ -171,7 +171,7 @@
         if state.quarantine.is_empty() {
             return;
         }
-        state.quarantine.began(&parts.suspects(), now)
+        state.quarantine.began(parts.keys(), now)
     };
     if !changes.is_empty() {
         node.crash_news.notify(usize::MAX);
--- a/gateway/src/serve/items.rs
+++ b/gateway/src/serve/items.rs
@@ -54,13 +54,13 @@
     Dialect,
     Store, //
 };
-use crate::prompt::PartKey;
 use crate::replicas::{
     FULL_REPLICATION_LIMIT,
     owner,
     replicas, //
 };
 use crate::report::ItemKey;
+use crate::request_parts::RequestParts;
 use crate::server_limits::Purpose;
 
 /// Maximum time between two runs of the scheduler.
@@ -248,7 +248,7 @@
 struct ProbeClaim {
     item: ItemKey,
     id: String,
-    parts: Vec<PartKey>,
+    parts: RequestParts,
 }
 
 /// Removes the items whose prompts have parts that are held back, and returns one that may be sent
@@ -267,8 +267,8 @@
         let Some((item, host)) = job_item(state, w.item) else {
             return true;
         };
-        let parts = runs::item_parts(&node.platform, &item, w.item, host).suspects();
-        let Some(hold) = state.quarantine.hold(&parts, now) else {
+        let parts = runs::item_parts(&node.platform, &item, w.item, host);
+        let Some(hold) = state.hold(&parts, now) else {
             return true;
         };
         if state.item_probes.contains(&w.item) {
@@ -302,7 +302,7 @@
 
 /// Sends an item as a probe, if the store grants it to this instance.
 async fn claim_probe<P: Store + Dialect>(node: Arc<Node<P>>, claim: ProbeClaim) {
-    if crashes::claim_probe(&node, &claim.id, &claim.parts).await {
+    if crashes::claim_probe(&node, &claim.id, claim.parts.keys()).await {
         node.lock().item_probes.insert(claim.item);
         node.balance_due.notify(usize::MAX);
     }
--- a/gateway/src/serve/node.rs
+++ b/gateway/src/serve/node.rs
@@ -61,12 +61,16 @@
     forward_targets,
     runners, //
 };
-use crate::quarantine::Quarantine;
+use crate::quarantine::{
+    Hold,
+    Quarantine, //
+};
 use crate::quota::Quotas;
 use crate::report::{
     ItemKey,
     Report, //
 };
+use crate::request_parts::RequestParts;
 use crate::return_times::ReturnTimes;
 use crate::server_limits::ServerLimits;
 use crate::settings::Settings;
@@ -141,6 +145,14 @@
 }
 
 impl State {
+    /// Returns why a request with these keys is held back. Without an open case they are not computed.
+    pub(crate) fn hold(&self, parts: &RequestParts, now: Timestamp) -> Option<Hold> {
+        if !self.quarantine.has_cases() {
+            return None;
+        }
+        self.quarantine.hold(parts.keys(), now)
+    }
+
     /// Recomputes the cells if the members have changed; `settings` are those of this instance.
     pub(crate) fn update_cells(&mut self, settings: &Settings) {
         let changes = self.members.changes();
--- a/gateway/src/serve/online.rs
+++ b/gateway/src/serve/online.rs
@@ -226,7 +226,7 @@
             Err(rejection) => return reject(&node, &admitted, &history, rejection),
         };
         if placed.needs_probe {
-            if !crashes::claim_probe(&node, &id, &admitted.parts.suspects()).await {
+            if !crashes::claim_probe(&node, &id, admitted.parts.keys()).await {
                 drop(placed);
                 return reject_held(&node, &admitted, &history);
             }
--- a/gateway/src/serve/rejections.rs
+++ b/gateway/src/serve/rejections.rs
@@ -136,7 +136,7 @@
     history: &AttemptHistory,
 ) -> Response<Body> {
     let now = node.now();
-    let hold = node.lock().quarantine.hold(&admitted.parts.suspects(), now);
+    let hold = node.lock().hold(&admitted.parts, now);
     let rejection = match hold {
         Some(hold) => Rejection::held(hold.case),
         // The case was closed meanwhile.
--- a/gateway/src/serve/run_watch.rs
+++ b/gateway/src/serve/run_watch.rs
@@ -101,7 +101,7 @@
                 last.unwrap_or_default(),
                 parts.identity()
             ),
-            suspects: parts.suspects(),
+            suspects: parts.keys().to_vec(),
         }
     }
 }
--- a/gateway/tests/quarantine_requests.rs
+++ b/gateway/tests/quarantine_requests.rs
@@ -181,7 +181,7 @@
     };
     quarantine.merge(&news, at(1_000));
     for n in 0..1_000 {
-        let part = [key(n << 16 | n % 64)];
+        let part = [key((n << 16) | (n % 64))];
         quarantine.began(&part, at(1_600));
     }
     for bytes in [
