--- a/gateway/tests/quarantine_requests.rs
+++ b/gateway/tests/quarantine_requests.rs
@@ -115,6 +115,27 @@
     ));
 }
 
+/// Requests have the same last part after other ones. Guards against a part that crashes servers in
+/// one session after the other, because no two requests are the same.
+#[test]
+fn a_last_part_of_different_prompts_is_held_back() {
+    let mut quarantine = Quarantine::default();
+    for (n, ms) in [(1, 1_000), (2, 1_200), (3, 1_400)] {
+        crash(&mut quarantine, ms, &prompt(&[FIRST, PartKey(n), DEADLY]));
+        quarantine.began(&prompt(&[FIRST, PartKey(n), OTHER]), at(ms + 100));
+    }
+    assert!(is_held(
+        &quarantine,
+        &prompt(&[FIRST, SESSION, DEADLY]),
+        1_600
+    ));
+    assert!(!is_held(
+        &quarantine,
+        &prompt(&[FIRST, SESSION, OTHER]),
+        1_600
+    ));
+}
+
 /// Callers determine how many parts their prompts have. Guards against parts that push the key by
 /// which a request is recognised out of the evidence.
 #[rstest]
@@ -238,6 +259,12 @@
     assert_eq!(keys[1..], [DEADLY, FIRST, SESSION]);
     assert_ne!(keys[0], prompt(&[SESSION, FIRST, DEADLY])[0]);
     assert_ne!(keys[0], prompt(&[FIRST, SESSION, OTHER])[0]);
+    let parts = || PromptParts {
+        shared: vec![FIRST],
+        last: Some(DEADLY),
+    };
+    let item = |host: &str| RequestParts::of_item(ItemKey(1), host, parts()).identity();
+    assert_ne!(item(HOST), item("two.example"));
     assert!(keys[0].is_identity());
     assert!(!DEADLY.is_identity());
 }
