gateway: the record of a case follows its parts

A case that lost its first part, because a request with it was answered, kept its record under that part in the store. The record outlasted the case, and after the loss of all instances held the request back until the next probe. This became usual with identities: sound requests share the first parts of nearly all cases. The instance that sees the answer now moves the record. Without that the test waits in vain for the record of the parts that are left.

--- a/gateway/src/quarantine.rs
+++ b/gateway/src/quarantine.rs
@@ -80,6 +80,13 @@
     Opened(Case),
     /// They are served again.
     Closed(Case),
+    /// Some parts were sound, and a request is held back if it has the others.
+    Narrowed {
+        /// The case before.
+        before: Case,
+        /// The case with the parts that are left.
+        after: Case,
+    },
 }
 
 /// Why a request is held back.
@@ -387,13 +394,17 @@
             let is_sound = |part: &PartKey| begun.get(part).is_some_and(|b| b.at >= case.since);
             let suspected = case.parts.iter().copied().filter(|part| !is_sound(part));
             let suspected: BTreeSet<PartKey> = suspected.collect();
-            let is_open = !suspected.is_empty();
-            if is_open {
+            let before = case.to_case(now);
+            if suspected.is_empty() {
+                changes.push(CaseChange::Closed(before));
+                return false;
+            }
+            if suspected.len() < case.parts.len() {
                 case.parts = suspected;
-            } else {
-                changes.push(CaseChange::Closed(case.to_case(now)));
+                let after = case.to_case(now);
+                changes.push(CaseChange::Narrowed { before, after });
             }
-            is_open
+            true
         });
         changes
     }
--- a/gateway/src/serve/crashes.rs
+++ b/gateway/src/serve/crashes.rs
@@ -200,10 +200,12 @@
                 log_event!(CASE_OPENED, "{}", describe(case));
             }
             CaseChange::Closed(case) => log_event!(CASE_CLOSED, "{}", describe(case)),
+            CaseChange::Narrowed { before, after } => {
+                log::debug!("{} became {}", describe(before), describe(after));
+            }
         }
         if origin == Origin::Own {
-            let task = store_change(node.clone(), change);
-            node.spawner.spawn(task).detach();
+            store_change(node, change);
         }
         node.balance_due.notify(usize::MAX);
     }
@@ -234,12 +236,28 @@
     }
 }
 
-/// Writes the record of an opened case, or removes that of a closed one.
-async fn store_change<P: Store + Dialect>(node: Arc<Node<P>>, change: CaseChange) {
-    let (case, is_open) = match change {
-        CaseChange::Opened(case) => (case, true),
-        CaseChange::Closed(case) => (case, false),
+/// Writes the records that have changed.
+fn store_change<P: Store + Dialect>(node: &Arc<Node<P>>, change: CaseChange) {
+    let store = |case, is_open| {
+        let task = store_record(node.clone(), case, is_open);
+        node.spawner.spawn(task).detach();
     };
+    match change {
+        CaseChange::Opened(case) => store(case, true),
+        CaseChange::Closed(case) => store(case, false),
+        CaseChange::Narrowed { before, after } => {
+            // Otherwise the old record would outlast the case, and hold the request back again
+            // after the loss of all instances.
+            if CaseRecord::key(&before) != CaseRecord::key(&after) {
+                store(before, false);
+            }
+            store(after, true);
+        }
+    }
+}
+
+/// Writes the record of an open case, or removes that of a closed one.
+async fn store_record<P: Store + Dialect>(node: Arc<Node<P>>, case: Case, is_open: bool) {
     for _ in 0..MAX_STORE_ATTEMPTS {
         let current = {
             let state = node.lock();
