--- a/gateway/src/serve/items.rs
+++ b/gateway/src/serve/items.rs
@@ -54,13 +54,13 @@
     Dialect,
     Store, //
 };
-use crate::prompt::PartKey;
 use crate::replicas::{
     FULL_REPLICATION_LIMIT,
     owner,
     replicas, //
 };
 use crate::report::ItemKey;
+use crate::request_parts::RequestParts;
 use crate::server_limits::Purpose;
 
 /// Maximum time between two runs of the scheduler.
@@ -248,7 +248,7 @@
 struct ProbeClaim {
     item: ItemKey,
     id: String,
-    parts: Vec<PartKey>,
+    parts: RequestParts,
 }
 
 /// Removes the items whose prompts have parts that are held back, and returns one that may be sent
@@ -264,11 +264,11 @@
     }
     let mut claim = None;
     waiting.retain(|w| {
-        let Some(item) = job_item(state, w.item) else {
+        let Some((item, host)) = job_item(state, w.item) else {
             return true;
         };
-        let parts = runs::suspects(&node.platform, &item, w.item);
-        let Some(hold) = state.quarantine.hold(&parts, now) else {
+        let parts = runs::item_parts(&node.platform, &item, w.item, host);
+        let Some(hold) = state.hold(&parts, now) else {
             return true;
         };
         if state.item_probes.contains(&w.item) {
@@ -293,15 +293,16 @@
     claim
 }
 
-fn job_item(state: &State, key: ItemKey) -> Option<Arc<JobItem>> {
+/// Returns an item and the host of its job.
+fn job_item(state: &State, key: ItemKey) -> Option<(Arc<JobItem>, &str)> {
     let open = state.items.get(key)?;
     let job = state.partitions.get(open.partition)?.get(&open.job)?;
-    job.items.get(open.index).cloned()
+    Some((job.items.get(open.index)?.clone(), &job.host))
 }
 
 /// Sends an item as a probe, if the store grants it to this instance.
 async fn claim_probe<P: Store + Dialect>(node: Arc<Node<P>>, claim: ProbeClaim) {
-    if crashes::claim_probe(&node, &claim.id, &claim.parts).await {
+    if crashes::claim_probe(&node, &claim.id, claim.parts.keys()).await {
         node.lock().item_probes.insert(claim.item);
         node.balance_due.notify(usize::MAX);
     }
--- a/gateway/src/serve/online.rs
+++ b/gateway/src/serve/online.rs
@@ -64,7 +64,7 @@
     Store, //
 };
 use crate::positions::CallKind;
-use crate::prompt::SharedParts;
+use crate::request_parts::RequestParts;
 use crate::routing::{
     Denial,
     Destination,
@@ -78,8 +78,8 @@
 pub(crate) struct Admitted {
     pub(crate) head: request::Parts,
     pub(crate) call: CallHead,
-    /// Parts of the prompt that other requests may have too.
-    pub(crate) parts: SharedParts,
+    /// What identifies it, and what it shares with others.
+    pub(crate) parts: RequestParts,
     pub(crate) body: Bytes,
     pub(crate) route: Arc<Route>,
     pub(crate) service: String,
@@ -122,7 +122,7 @@
 /// Routes and authenticates a request, reads its body, and handles calls about jobs.
 async fn admit<P: Store + Dialect>(
     node: &Arc<Node<P>>,
-    call: CallHead,
+    mut call: CallHead,
     head: request::Parts,
     body: RequestBody,
 ) -> Admission {
@@ -173,8 +173,13 @@
     }
     let caller_timeout = call.caller_timeout.unwrap_or(DEFAULT_CALLER_TIMEOUT);
     let service = route.service(node.lock().rng.random()).to_owned();
+    let target = head
+        .uri
+        .path_and_query()
+        .map_or("", |target| target.as_str());
+    let prompt = std::mem::take(&mut call.prompt);
     let admitted = Admitted {
-        parts: call.shared_parts.clone(),
+        parts: RequestParts::of_request(&head.method, &call.host, target, prompt, &body),
         deadline: arrived + caller_timeout.min(route.timeout),
         head,
         call,
@@ -254,7 +259,7 @@
             }
         };
         if placed.needs_probe {
-            if !crashes::claim_probe(&node, &id, &admitted.parts).await {
+            if !crashes::claim_probe(&node, &id, admitted.parts.keys()).await {
                 drop(placed);
                 return open.answer(reject_held(&node, &admitted, &history));
             }
