--- a/gateway/src/serve/mod.rs
+++ b/gateway/src/serve/mod.rs
@@ -342,7 +342,8 @@
         self.stop().await;
     }
 
-    async fn stop(self) {
+    /// Shuts down gracefully; returns whether all connections of callers ended by themselves.
+    pub async fn stop(self) -> bool {
         let started = Instant::now();
         let node = self.node;
         let end = started + node.settings.grace.saturating_sub(GRACE_MARGIN);
@@ -367,6 +368,7 @@
         );
         drop(self.other_listeners);
         drop(self.tasks);
+        whole
     }
 }
 
