gateway: a stop takes only requests that can end before it does

Callers saw requests that came late in the grace period, ran, and were cut without an answer. The instance accepted connections for 3.2 s after the signal and closed all of them at 7.3 s, but nothing compared the time of a request with what was left.

A request whose time (the smaller one of the caller's limit and the timeout of the route) ends after the last answers is now refused before anything is charged or sent: 503 with 'Retry-After: 0' and the cause 'stopping' in LW2502. Calls about jobs need at least 3 s; a wait for results is shortened to what is left. Calls that a peer forwards take the same path.

A request that came before the signal with more time than the stop leaves gets 504 if it has no response yet; a response under way is cut with LW2504 'cause=stopping' and counts as 'cut-at-stop'. A request body is read until the request's own time is up, then it gets 408; it was bounded only by the pauses between its parts.

--- a/gateway/src/platform.rs
+++ b/gateway/src/platform.rs
@@ -250,6 +250,15 @@
     },
 }
 
+impl JobCall {
+    /// Returns the job.
+    pub fn job(&self) -> &str {
+        match self {
+            Self::Results { job, .. } | Self::Content { job, .. } | Self::End { job } => job,
+        }
+    }
+}
+
 /// One result of a batch job in a response to a caller.
 #[derive(Clone, Copy, Debug)]
 pub struct ResultView<'a> {
--- a/gateway/src/serve/ends.rs
+++ b/gateway/src/serve/ends.rs
@@ -18,6 +18,7 @@
 
 use super::lines::{
     CALLER_LEFT,
+    REQUEST_FAILED,
     REQUEST_LOST,
     log_event, //
 };
@@ -37,18 +38,22 @@
     Denied,
     /// The caller gets 502 or 500: the request may have run.
     Failed,
-    /// The caller gets 504: its time or that of its route is up before a response began.
+    /// The caller gets 504: its time, that of its route or that of a stopping instance is up before a
+    /// response began.
     TimedOut,
     /// The response is broken off, because its backend server broke off and no other one has the
     /// rest.
     BrokenOff,
     /// The response is broken off, because the time of the caller or of the route is up.
     CutAtDeadline,
+    /// The response is broken off, because the instance has stopped. The request came before the stop
+    /// and had more time than the stop leaves.
+    CutAtStop,
     /// The caller left before its response was complete.
     CallerLeft,
     /// A handler panicked.
     Panicked,
-    /// The process closed the connection of the request.
+    /// The process closed the connection of the request, whose time would have been up before.
     Dropped,
 }
 
@@ -100,8 +105,10 @@
         self.close_at.get_or_init(|| at);
     }
 
-    fn is_closing(&self) -> bool {
-        self.close_at.get().is_some_and(|at| *at <= Instant::now())
+    /// Returns the time at which the connections were closed, if it is over.
+    fn closed_at(&self) -> Option<Instant> {
+        let at = self.close_at.get();
+        at.copied().filter(|at| *at <= Instant::now())
     }
 }
 
@@ -112,6 +119,8 @@
     ends: Arc<Ends>,
     id: String,
     arrived: Instant,
+    /// Time by which the response must be complete, once it is known.
+    deadline: Option<Instant>,
     end: Option<RequestEnd>,
 }
 
@@ -122,10 +131,16 @@
             ends: ends.clone(),
             id: id.to_owned(),
             arrived: Instant::now(),
+            deadline: None,
             end: None,
         }
     }
 
+    /// Sets the time by which the response must be complete.
+    pub(crate) fn set_deadline(&mut self, deadline: Instant) {
+        self.deadline = Some(deadline);
+    }
+
     /// Records the end of the request.
     pub(crate) fn end(mut self, end: RequestEnd) {
         self.end = Some(end);
@@ -144,9 +159,12 @@
     }
 
     fn disconnection(&self) -> RequestEnd {
-        match self.ends.is_closing() {
-            true => RequestEnd::Dropped,
-            false => RequestEnd::CallerLeft,
+        let Some(closed) = self.ends.closed_at() else {
+            return RequestEnd::CallerLeft;
+        };
+        match self.deadline {
+            Some(deadline) if deadline > closed => RequestEnd::CutAtStop,
+            _ => RequestEnd::Dropped,
         }
     }
 }
@@ -164,6 +182,11 @@
         let (id, ms) = (&self.id, self.arrived.elapsed().as_millis());
         if end.is_fault() {
             log_event!(REQUEST_LOST, "request={id} end={end} ms={ms}");
+        } else if end == RequestEnd::CutAtStop {
+            log_event!(
+                REQUEST_FAILED,
+                "request={id} status=cut cause=stopping ms={ms}"
+            );
         } else if is_dropped {
             log_event!(CALLER_LEFT, "request={id} ms={ms} events=0");
         }
--- a/gateway/src/serve/forwarding.rs
+++ b/gateway/src/serve/forwarding.rs
@@ -52,7 +52,7 @@
 const FORWARDED: HeaderName = HeaderName::from_static("x-limpetweir-passed-on");
 
 /// Time limit for all attempts at peers together; callers wait for four seconds.
-const TIMEOUT: Duration = Duration::from_millis(3_000);
+pub(crate) const TIMEOUT: Duration = Duration::from_millis(3_000);
 
 /// Maximum size of a response of a replica in bytes: an encoded page of results.
 const MAX_RESPONSE_BYTES: usize = 4 << 20;
--- a/gateway/src/serve/job_calls.rs
+++ b/gateway/src/serve/job_calls.rs
@@ -67,6 +67,10 @@
 /// Time limit for the confirmation by the store that a job does not exist.
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Longest time of a call about an existing job without a wait for results: it is forwarded, or
+/// confirmed and written.
+pub(crate) const LONGEST_CALL: Duration = Duration::from_millis(3_000);
+
 /// Handles the submission of a job.
 pub(crate) async fn submit<P: Store + Dialect>(
     node: &Arc<Node<P>>,
@@ -169,7 +173,10 @@
     }
     match call {
         JobCall::Results { job, after, wait } => {
-            results(node, partition, &job, after, wait.min(MAX_WAIT)).await
+            let wait = wait.min(MAX_WAIT);
+            // A stopping instance answers with the results that it has.
+            let wait = node.stop.remaining().map_or(wait, |left| wait.min(left));
+            results(node, partition, &job, after, wait).await
         }
         JobCall::Content { job, item } => content(node, partition, &job, &item),
         JobCall::End { job } => end(node, partition, job).await,
--- a/gateway/src/serve/mod.rs
+++ b/gateway/src/serve/mod.rs
@@ -23,6 +23,7 @@
 mod results;
 mod run_watch;
 mod runs;
+mod stop_window;
 mod store_calls;
 mod writer;
 
@@ -348,6 +349,7 @@
         let node = self.node;
         let end = started + node.settings.grace.saturating_sub(GRACE_MARGIN);
         node.ends.set_close_at(end);
+        node.stop.begin(end);
         node.leaving.store(true, Ordering::Release);
         let open = node.ends.open();
         log_event!(STOPPING, "name={} open={open}", node.settings.name);
--- a/gateway/src/serve/node.rs
+++ b/gateway/src/serve/node.rs
@@ -33,6 +33,7 @@
 use super::ends::Ends;
 use super::items::RunHandles;
 use super::metrics::Metrics;
+use super::stop_window::StopWindow;
 use super::writer::WriteRequest;
 use crate::backend::{
     BackendKey,
@@ -305,6 +306,8 @@
     pub(crate) ends: Arc<Ends>,
     state: Mutex<State>,
     pub(crate) leaving: AtomicBool,
+    /// The time in which this instance can still answer requests.
+    pub(crate) stop: StopWindow,
     /// Notified when a report should be sent.
     pub(crate) report_due: Signal,
     /// Notified when the others are to be told about crashes.
@@ -377,6 +380,7 @@
             metrics,
             state: Mutex::new(state),
             leaving: AtomicBool::new(false),
+            stop: StopWindow::default(),
             report_due: Signal::new(),
             crash_news: Signal::new(),
             jobs_behind: writers.iter().map(|_| Signal::new()).collect(),
--- a/gateway/src/serve/online.rs
+++ b/gateway/src/serve/online.rs
@@ -6,6 +6,7 @@
     Instant, //
 };
 
+use futures_lite::future;
 use hyper::body::Bytes;
 use hyper::http::request;
 use hyper::{
@@ -19,6 +20,7 @@
     BodyError,
     RequestBody, //
 };
+use limpetweir_transport::timeout_at;
 use rand::Rng;
 
 use super::attempt::{
@@ -39,12 +41,15 @@
     NO_CONFIG_RETRY,
     deny,
     fail,
+    fail_at_stop,
     reject,
     reject_body,
     reject_held,
+    reject_late_in_stop,
     reject_newer_sender,
     reject_over_quota, //
 };
+use super::relay::Source;
 use super::replies::retry_later;
 use super::{
     crashes,
@@ -153,7 +158,14 @@
     let limit = config
         .limits()
         .map_or(usize::MAX, |limits| limits.body_bytes);
-    let body = match body.limited(limit).collect_bytes().await {
+    let caller_timeout = call.caller_timeout.unwrap_or(DEFAULT_CALLER_TIMEOUT);
+    let timeout = match route.kind {
+        // The time limit of a batch route is that of its items.
+        RouteKind::Batch => caller_timeout,
+        _ => caller_timeout.min(route.timeout),
+    };
+    let deadline = arrived + timeout;
+    let body = match read_body(node, body.limited(limit), deadline).await {
         Ok(body) => body,
         // The limit of the listener is not part of the configuration.
         Err(BodyError::TooLarge { limit: exceeded }) if exceeded == limit => {
@@ -162,6 +174,10 @@
         Err(err) => return reject_body(&id, &err).into(),
     };
     if let (RouteKind::Batch, Some(organisation)) = (route.kind, &organisation) {
+        let longest = Instant::now() + forwarding::TIMEOUT;
+        if let Some(response) = reject_late_in_stop(node, &id, longest) {
+            return response.into();
+        }
         let allowed = AllowedCall {
             head: &head,
             body: &body,
@@ -171,11 +187,13 @@
         let response = submit_job(node, &call, allowed, &route, organisation);
         return response.await.into();
     }
-    let caller_timeout = call.caller_timeout.unwrap_or(DEFAULT_CALLER_TIMEOUT);
+    if let Some(response) = reject_late_in_stop(node, &id, deadline) {
+        return response.into();
+    }
     let service = route.service(node.lock().rng.random()).to_owned();
     let admitted = Admitted {
         parts: call.shared_parts.clone(),
-        deadline: arrived + caller_timeout.min(route.timeout),
+        deadline,
         head,
         call,
         body,
@@ -188,6 +206,20 @@
     Admission::Admitted(Box::new(admitted))
 }
 
+/// Reads the body of a request until `deadline`, and no longer than this instance can answer.
+async fn read_body<P>(
+    node: &Node<P>,
+    body: RequestBody,
+    deadline: Instant,
+) -> Result<Bytes, BodyError> {
+    let stopped = async {
+        node.stop.ended().await;
+        Err(BodyError::Deadline)
+    };
+    let read = timeout_at(deadline, future::or(body.collect_bytes(), stopped));
+    read.await.unwrap_or(Err(BodyError::Deadline))
+}
+
 async fn submit_job<P: Store + Dialect>(
     node: &Arc<Node<P>>,
     call: &CallHead,
@@ -210,6 +242,10 @@
     organisation: &Organisation,
     version: u64,
 ) -> Response<Body> {
+    let longest = Instant::now() + job_calls::LONGEST_CALL;
+    if let Some(response) = reject_late_in_stop(node, call.job(), longest) {
+        return response;
+    }
     let partition = node.partition_of(&organisation.name);
     let kind = match call {
         JobCall::Results { .. } | JobCall::Content { .. } => CallKind::Read,
@@ -231,10 +267,10 @@
 /// Sends an admitted request to backend servers until one responds, and relays the response.
 async fn serve<P: Store + Dialect>(
     node: Arc<Node<P>>,
-    open: OpenRequest,
+    mut open: OpenRequest,
     admitted: Admitted,
 ) -> Response<Body> {
-    let id = admitted.call.request_id.clone();
+    open.set_deadline(admitted.deadline);
     if let Some(rejection) = reject_over_quota(&node, &admitted) {
         return open.answer(rejection);
     }
@@ -246,26 +282,46 @@
         is_probe: false,
         last_event: admitted.call.last_event,
     };
+    let found = async { Some(find_response(&node, &admitted, &mut history).await) };
+    // A request that came before the stop may have more time than this instance.
+    let stopped = async {
+        node.stop.ended().await;
+        None
+    };
+    match future::or(found, stopped).await {
+        Some(Ok(source)) => relay::start(node, open, admitted, history, *source),
+        Some(Err(response)) => open.answer(response),
+        None => {
+            let response = fail_at_stop(&node, &admitted);
+            open.answer(response)
+        }
+    }
+}
+
+/// Sends a request to backend servers until one responds; the error is the response to the caller if
+/// none does.
+async fn find_response<P: Store + Dialect>(
+    node: &Arc<Node<P>>,
+    admitted: &Admitted,
+    history: &mut AttemptHistory,
+) -> Result<Box<Source<P>>, Response<Body>> {
+    let id = &admitted.call.request_id;
     loop {
-        let placed = match choose(&node, &admitted, &history) {
+        let placed = match choose(node, admitted, history) {
             Ok(placed) => placed,
-            Err(rejection) => {
-                return open.answer(reject(&node, &admitted, &history, rejection));
-            }
+            Err(rejection) => return Err(reject(node, admitted, history, rejection)),
         };
         if placed.needs_probe {
-            if !crashes::claim_probe(&node, &id, &admitted.parts).await {
+            if !crashes::claim_probe(node, id, &admitted.parts).await {
                 drop(placed);
-                return open.answer(reject_held(&node, &admitted, &history));
+                return Err(reject_held(node, admitted, history));
             }
             history.is_probe = true;
         }
         let backend = placed.entry.clone();
         history.tried.push(placed.key);
-        let (verdict, cause) = match attempt(&node, &admitted, &history, placed).await {
-            Attempt::Answered(source) => {
-                return relay::start(node, open, admitted, history, *source);
-            }
+        let (verdict, cause) = match attempt(node, admitted, history, placed).await {
+            Attempt::Answered(source) => return Ok(source),
             Attempt::NotRun(cause) => {
                 history.rejections += 1;
                 (Verdict::NotRun, cause)
@@ -288,7 +344,7 @@
         history.runs += 1;
         let may_run_again = history.may_run_again(&admitted.route);
         if !may_run_again || admitted.deadline <= Instant::now() {
-            return open.answer(fail(&node, &admitted, &cause));
+            return Err(fail(node, admitted, &cause));
         }
     }
 }
--- a/gateway/src/serve/rejections.rs
+++ b/gateway/src/serve/rejections.rs
@@ -115,10 +115,53 @@
     retry_later(StatusCode::SERVICE_UNAVAILABLE, text, OUTDATED_CONFIG_RETRY)
 }
 
+/// `Retry-After` of a request that comes too late in a stop; the caller has to use another instance.
+const STOPPING_RETRY: Duration = Duration::ZERO;
+
+/// Returns a rejection if a request that may take until `deadline` may outlast the stop of this
+/// instance, which would close its connection without an answer.
+pub(crate) fn reject_late_in_stop<P>(
+    node: &Node<P>,
+    id: &str,
+    deadline: Instant,
+) -> Option<Response<Body>> {
+    if !node.stop.ends_before(deadline) {
+        return None;
+    }
+    let left = node.stop.remaining().unwrap_or_default();
+    let needs = deadline.saturating_duration_since(Instant::now());
+    log_event!(
+        REFUSED,
+        "request={id} status=503 cause=stopping needs_ms={} left_ms={}",
+        needs.as_millis(),
+        left.as_millis()
+    );
+    let text = "this instance stops; the request has not run";
+    Some(retry_later(
+        StatusCode::SERVICE_UNAVAILABLE,
+        text,
+        STOPPING_RETRY,
+    ))
+}
+
+/// Returns the response to a request that has no response when the stop of this instance ends.
+pub(crate) fn fail_at_stop<P>(node: &Node<P>, admitted: &Admitted) -> Response<Body> {
+    log_event!(
+        REQUEST_FAILED,
+        "request={} status=504 route={} cause=stopping version={}",
+        admitted.call.request_id,
+        admitted.route.name,
+        admitted.version
+    );
+    node.metrics.online("failed", admitted.arrived.elapsed());
+    let text = "this instance stops; the request may have run";
+    plain(StatusCode::GATEWAY_TIMEOUT, text)
+}
+
 pub(crate) fn reject_body(id: &str, err: &BodyError) -> Response<Body> {
     let status = match err {
         BodyError::TooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
-        BodyError::Stalled { .. } => StatusCode::REQUEST_TIMEOUT,
+        BodyError::Stalled { .. } | BodyError::Deadline => StatusCode::REQUEST_TIMEOUT,
         _ => StatusCode::BAD_REQUEST,
     };
     log_event!(
