transport: the server tells the idle time from the time of a head, and closes no connection with a request

'head_timeout' was handed to hyper, whose timer also runs while a kept connection is idle: one limit bounded both, a caller that reused its connection later met a close, and neither could change. Each connection now records its phase (new, idle, head, request) and one timer closes it, polled after the connection by the same task, so bytes that have arrived always count.

'Server::close' accepts the connections of the accept queue before it closes the listener, which would reset them. After a response that comes before the end of the body, up to 1 MiB is read for up to 0.5 s, because a close with unread bytes resets the connection and can take the response away.

--- a/transport/src/http/body.rs
+++ b/transport/src/http/body.rs
@@ -1,6 +1,7 @@
 //! Request and response bodies with limits.
 
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{
     Context,
     Poll, //
@@ -19,6 +20,7 @@
 use http_body_util::BodyExt;
 use http_body_util::combinators::BoxBody;
 use hyper::body::{
+    Body as _,
     Bytes,
     Frame,
     Incoming,
@@ -27,6 +29,7 @@
 use limpetweir_state::Verdict;
 use snafu::Snafu;
 
+use super::activity::Activity;
 use super::pool::ClientBody;
 
 /// Error type of boxed bodies.
@@ -240,16 +243,26 @@
     timeout: Duration,
     /// Set while a reader waits for data.
     timer: Option<Timer>,
+    /// Whether the end was read.
+    has_ended: bool,
+    activity: Arc<Activity>,
 }
 
 impl RequestBody {
-    pub(crate) fn new(inner: Incoming, limit: usize, timeout: Duration) -> Self {
+    pub(crate) fn new(
+        inner: Incoming,
+        limit: usize,
+        timeout: Duration,
+        activity: Arc<Activity>,
+    ) -> Self {
         Self {
+            has_ended: inner.is_end_stream(),
             inner,
             limit,
             received: 0,
             timeout,
             timer: None,
+            activity,
         }
     }
 
@@ -279,6 +292,14 @@
     }
 }
 
+impl Drop for RequestBody {
+    fn drop(&mut self) {
+        if !self.has_ended {
+            self.activity.body_left_unread();
+        }
+    }
+}
+
 impl hyper::body::Body for RequestBody {
     type Data = Bytes;
     type Error = BodyError;
@@ -297,7 +318,10 @@
             Poll::Ready(Some(Err(source))) => {
                 Poll::Ready(Some(Err(BodyError::Interrupted { source })))
             }
-            Poll::Ready(None) => Poll::Ready(None),
+            Poll::Ready(None) => {
+                this.has_ended = true;
+                Poll::Ready(None)
+            }
             Poll::Pending => {
                 let timeout = this.timeout;
                 let timer = this.timer.get_or_insert_with(|| Timer::after(timeout));
--- a/transport/src/http/mod.rs
+++ b/transport/src/http/mod.rs
@@ -1,14 +1,17 @@
 //! HTTP/1 server and client.
 
+mod activity;
 mod body;
 mod client;
 mod io;
 mod pool;
 mod server;
 mod sse;
+mod timeouts;
 
 pub use body::{Body, BodyClosed, BodyError, BodySender, BoxError, RequestBody, read_all};
 pub use client::{Client, ClientError, ClientLimits, SendOptions, TrafficClass};
 pub use pool::ClientBody;
 pub use server::{RemoteAddr, Server, ServerLimits};
 pub use sse::{DONE, Event, EventParser, EventReader, EventWriter, SseError};
+pub use timeouts::ConnectionTimeouts;
--- a/transport/src/http/server.rs
+++ b/transport/src/http/server.rs
@@ -1,7 +1,10 @@
 //! HTTP/1 server with limits and graceful shutdown.
 
 use std::convert::Infallible;
-use std::future::Future;
+use std::future::{
+    Future,
+    poll_fn, //
+};
 use std::io;
 use std::net::{
     SocketAddr,
@@ -26,6 +29,7 @@
 use async_executor::Task;
 use async_io::Async;
 use futures_lite::{
+    AsyncReadExt,
     FutureExt,
     future, //
 };
@@ -45,11 +49,19 @@
     SmolTimer, //
 };
 
+use super::activity::{
+    Activity,
+    Expiry,
+    ExpiryTimer,
+    WatchedBody,
+    WatchedStream, //
+};
 use super::body::{
     Body,
     RequestBody, //
 };
 use super::io::YieldingStream;
+use super::timeouts::ConnectionTimeouts;
 use crate::runtime::{
     Spawner,
     sleep,
@@ -68,8 +80,10 @@
     pub headers: usize,
     /// Largest request body in bytes.
     pub body_bytes: usize,
-    /// Timeout of a complete request head, and thereby the idle timeout of a connection.
+    /// Longest time from the first byte of a request head to its end.
     pub head_timeout: Duration,
+    /// Longest time from the end of a response to the first byte of the next request.
+    pub idle_timeout: Duration,
     /// Longest wait for data of a request body.
     pub body_timeout: Duration,
     /// Largest number of open connections; further ones wait in the accept queue of the system.
@@ -83,6 +97,7 @@
             headers: 100,
             body_bytes: 8 << 20,
             head_timeout: Duration::from_secs(30),
+            idle_timeout: Duration::from_secs(30),
             body_timeout: Duration::from_secs(30),
             connections: 16_384,
         }
@@ -98,6 +113,7 @@
 pub struct Server {
     addr: SocketAddr,
     draining: Arc<AtomicBool>,
+    timeouts: Arc<ConnectionTimeouts>,
     /// Closing it stops accepting and closes connections after their current request.
     stop: Sender<()>,
     /// Closed once the last connection has ended.
@@ -110,6 +126,7 @@
     handler: H,
     limits: ServerLimits,
     draining: Arc<AtomicBool>,
+    timeouts: Arc<ConnectionTimeouts>,
     stopped: Receiver<()>,
     /// Dropped with the last connection.
     _open: Sender<()>,
@@ -133,12 +150,15 @@
         let listener = Async::<TcpListener>::bind(addr)?;
         let addr = listener.get_ref().local_addr()?;
         let draining = Arc::new(AtomicBool::new(false));
+        let timeouts = ConnectionTimeouts::new(limits.head_timeout, limits.idle_timeout);
+        let timeouts = Arc::new(timeouts);
         let (stop, stopped) = async_channel::bounded(1);
         let (open, ended) = async_channel::bounded(1);
         let shared = Arc::new(Shared {
             handler,
             limits,
             draining: draining.clone(),
+            timeouts: timeouts.clone(),
             stopped,
             _open: open,
         });
@@ -146,6 +166,7 @@
         Ok(Self {
             addr,
             draining,
+            timeouts,
             stop,
             ended,
             accept,
@@ -157,6 +178,11 @@
         self.addr
     }
 
+    /// Returns the time-outs of the connections, which may be changed.
+    pub fn timeouts(&self) -> &Arc<ConnectionTimeouts> {
+        &self.timeouts
+    }
+
     /// Adds `Connection: close` to every further response; connections are still accepted.
     pub fn drain(&self) {
         self.draining.store(true, Ordering::Release);
@@ -164,6 +190,9 @@
 
     /// Stops accepting, closes idle connections and waits for running requests until `deadline`.
     ///
+    /// Connections that wait in the accept queue are accepted first, and a request of which bytes have
+    /// arrived is still handled.
+    ///
     /// Returns whether all connections ended before the deadline; the remaining ones are closed.
     pub async fn close(self, deadline: Instant) -> bool {
         self.drain();
@@ -188,6 +217,9 @@
             sweep_threshold = (connections.len() * 2).max(MIN_SWEEP_THRESHOLD);
         }
         if connections.len() >= shared.limits.connections {
+            if shared.stopped.is_closed() {
+                break;
+            }
             sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         }
@@ -208,6 +240,18 @@
             }
         }
     }
+    // Closing the listener resets the connections in its queue.
+    while let Ok((stream, remote)) = listener.get_ref().accept()
+        && connections.len() < shared.limits.connections
+    {
+        match Async::new(stream) {
+            Ok(stream) => {
+                let connection = run_connection(stream, remote, shared.clone());
+                connections.push(spawner.spawn(catch_panic(remote, connection)));
+            }
+            Err(err) => log::warn!("LW1101 accept failed: {err}"),
+        }
+    }
     drop(listener);
     drop(shared);
     for connection in connections {
@@ -234,48 +278,99 @@
     // Nagle's algorithm would delay the tokens of a stream, which are small writes, until the
     // previous write is acknowledged.
     let _ = stream.get_ref().set_nodelay(true);
-    let service = service_fn(|req| handle_request(&shared, remote, req));
+    let stream = Arc::new(stream);
+    let activity = Arc::new(Activity::new(shared.timeouts.clone()));
+    let service = service_fn(|req| handle_request(&shared, remote, activity.clone(), req));
     let limits = &shared.limits;
+    let io = WatchedStream::new(stream.clone(), activity.clone());
     let connection = http1::Builder::new()
         .timer(SmolTimer::new())
-        .header_read_timeout(limits.head_timeout)
+        // It would also bound the idle time. The expiry of the connection bounds both.
+        .header_read_timeout(None)
         .max_headers(limits.headers)
         .max_header_size(limits.head_bytes)
-        .serve_connection(FuturesIo::new(YieldingStream::new(stream)), service);
+        .serve_connection(FuturesIo::new(YieldingStream::new(io)), service);
     let mut connection = std::pin::pin!(connection);
-    let stopped = async {
-        let _ = shared.stopped.recv().await;
-        None
-    };
-    let served = async { Some(connection.as_mut().await) };
-    let result = match future::or(served, stopped).await {
-        Some(result) => result,
-        None => {
+    let expired = expiry(&activity, &shared.stopped);
+    let served = async { Err(connection.as_mut().await) };
+    let result = match future::or(served, async { Ok(expired.await) }).await {
+        Err(result) => result,
+        Ok(Expiry::Idle) => {
             connection.as_mut().graceful_shutdown();
             connection.as_mut().await
         }
+        Ok(Expiry::Head) => {
+            log::debug!("LW1102 connection of {remote} ended early: incomplete request head");
+            return;
+        }
     };
     if let Err(err) = result {
         log::debug!("LW1102 connection of {remote} ended early: {err}");
     }
+    if activity.has_unread_body() {
+        timeout_at(Instant::now() + DISCARD_TIME, discard(&stream)).await;
+    }
+}
+
+/// Returns why the connection is to be closed. Connections are closed sooner once `stop` is closed.
+async fn expiry(activity: &Activity, stop: &Receiver<()>) -> Expiry {
+    let mut timer = ExpiryTimer::default();
+    let running = poll_fn(|cx| timer.poll(cx, activity, None));
+    let stopped = async {
+        let _ = stop.recv().await;
+        None
+    };
+    if let Some(expiry) = future::or(async { Some(running.await) }, stopped).await {
+        return expiry;
+    }
+    let stopped = Instant::now();
+    poll_fn(|cx| timer.poll(cx, activity, Some(stopped))).await
+}
+
+/// Longest time for which bytes are read and discarded before a connection is closed.
+const DISCARD_TIME: Duration = Duration::from_millis(500);
+
+/// Most bytes that are read and discarded before a connection is closed.
+const DISCARD_BYTES: usize = 1 << 20;
+
+/// Reads the rest of a request body that was answered early. A connection that is closed with unread
+/// bytes is reset, and its caller can lose the response.
+async fn discard(mut stream: &Async<TcpStream>) {
+    let mut buf = [0; 4096];
+    let mut discarded = 0;
+    while let Ok(len) = stream.read(&mut buf).await {
+        discarded += len;
+        if len == 0 || discarded > DISCARD_BYTES {
+            break;
+        }
+    }
 }
 
 async fn handle_request<H, F>(
     shared: &Shared<H>,
     remote: SocketAddr,
+    activity: Arc<Activity>,
     req: Request<Incoming>,
-) -> Result<Response<Body>, Infallible>
+) -> Result<Response<WatchedBody>, Infallible>
 where
     H: Fn(Request<RequestBody>) -> F,
     F: Future<Output = Response<Body>>,
 {
+    activity.request_began();
     let limits = &shared.limits;
-    let mut req = req.map(|body| RequestBody::new(body, limits.body_bytes, limits.body_timeout));
+    let mut req = req.map(|body| {
+        RequestBody::new(
+            body,
+            limits.body_bytes,
+            limits.body_timeout,
+            activity.clone(),
+        )
+    });
     req.extensions_mut().insert(RemoteAddr(remote));
     let mut response = (shared.handler)(req).await;
     if shared.draining.load(Ordering::Acquire) {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
-    Ok(response)
+    Ok(response.map(|body| WatchedBody::new(body, activity)))
 }
