gateway: signals during a stop are logged and have no effect

After the first SIGTERM nothing read the signals any more, so a second one or a SIGHUP left no trace. LW2008 names each of them.

--- a/gateway/src/serve/lines.rs
+++ b/gateway/src/serve/lines.rs
@@ -78,6 +78,8 @@
 pub(crate) const LINES_DROPPED: Event = Event::new(2006, Level::Warn);
 /// The process was paused for a while.
 pub(crate) const PAUSED: Event = Event::new(2007, Level::Warn);
+/// A signal arrived while the instance stops, and has no effect.
+pub(crate) const SIGNAL_IGNORED: Event = Event::new(2008, Level::Warn);
 /// Reads of a topic from the store fail.
 pub(crate) const STORE_LOST: Event = Event::new(2101, Level::Warn);
 /// Reads of a topic from the store succeed again.
--- a/gateway/src/serve/mod.rs
+++ b/gateway/src/serve/mod.rs
@@ -80,6 +80,7 @@
     PAUSED,
     RELOAD_REFUSED,
     RELOADED,
+    SIGNAL_IGNORED,
     STARTED,
     STOPPED,
     STOPPING,
@@ -340,7 +341,10 @@
             }
         };
         future::or(stop_signal, housekeeping).await;
-        self.stop().await;
+        let stop = async {
+            self.stop().await;
+        };
+        future::or(stop, ignore_signals(&mut signals)).await;
     }
 
     /// Shuts down gracefully; returns whether all connections of callers ended by themselves.
@@ -413,6 +417,18 @@
     }
 }
 
+/// Logs the signals that arrive while the instance stops. They have no effect: the stop is under way,
+/// and reloaded settings would not be used any more.
+async fn ignore_signals(signals: &mut Signals) {
+    loop {
+        match signals.next().await {
+            Some(Ok(signal)) => log_event!(SIGNAL_IGNORED, "signal={signal:?} cause=stopping"),
+            Some(Err(err)) => log::warn!("cannot read a signal: {err}"),
+            None => future::pending().await,
+        }
+    }
+}
+
 /// Reloads the settings. Only the log level takes effect immediately; all else requires a restart.
 fn reload<P>(node: &Arc<Node<P>>, file: &Path, cause: &str) {
     match read_settings(file) {
