gateway: connections of callers follow the idle and head limits of the configuration

'limits.idleTimeoutMs' was decoded and used nowhere, 'limits.headerTimeoutMs' was not even decoded, and the listener had 30 s for both. With a limit above 37.5 s callers reused connections that had been closed, and with a short one idle connections stayed open.

--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -108,7 +108,10 @@
     pub head_bytes: usize,
     /// Largest request body in bytes.
     pub body_bytes: usize,
-    /// Time after which an idle connection is closed.
+    /// Longest time that a caller may take to send a request head; `None` for the default of the
+    /// server.
+    pub head_timeout: Option<Duration>,
+    /// Time after which an idle connection may be closed.
     pub idle_timeout: Duration,
 }
 
--- a/gateway/src/serve/follow.rs
+++ b/gateway/src/serve/follow.rs
@@ -7,7 +7,6 @@
 use limpetweir_state::Timestamp;
 use limpetweir_transport::sleep;
 
-use super::items;
 use super::lines::{
     BACKEND_CHANGED,
     CONFIG_APPLIED,
@@ -23,6 +22,10 @@
     ReplicaStatus,
 };
 use super::store_calls::StoreCall;
+use super::{
+    caller_timeouts,
+    items, //
+};
 use crate::config::Configuration;
 use crate::listing::Listing;
 use crate::platform::{
@@ -426,6 +429,7 @@
         return;
     }
     state.quotas.configure(&config, now);
+    caller_timeouts::apply(node, config.limits());
     let version = config.version();
     state.config = Some(Arc::new(config));
     state.config_freshness.reported(version);
--- a/gateway/src/serve/mod.rs
+++ b/gateway/src/serve/mod.rs
@@ -1,6 +1,7 @@
 //! Listeners, background tasks, settings reload and shutdown of a gateway instance.
 
 mod attempt;
+mod caller_timeouts;
 mod catch_up;
 mod choose;
 mod crashes;
@@ -270,6 +271,8 @@
             purpose: "callers",
             addr: settings.public,
         })?;
+        node.caller_timeouts
+            .get_or_init(|| public.timeouts().clone());
         let mut other_listeners = Vec::new();
         let shared = node.clone();
         let peers = Server::start(spawner, peer, ServerLimits::default(), move |req| {
--- a/gateway/src/serve/node.rs
+++ b/gateway/src/serve/node.rs
@@ -10,6 +10,7 @@
     Arc,
     Mutex,
     MutexGuard,
+    OnceLock,
     PoisonError, //
 };
 use std::time::{
@@ -20,7 +21,10 @@
 use async_channel::Sender;
 use event_listener::Event as Signal;
 use limpetweir_state::Timestamp;
-use limpetweir_transport::http::Client;
+use limpetweir_transport::http::{
+    Client,
+    ConnectionTimeouts, //
+};
 use limpetweir_transport::{
     Clock,
     Spawner, //
@@ -302,6 +306,8 @@
     pub(crate) boot: u64,
     pub(crate) client: Client,
     pub(crate) metrics: Arc<Metrics>,
+    /// Time-outs of the connections of callers, once their listener is bound.
+    pub(crate) caller_timeouts: OnceLock<Arc<ConnectionTimeouts>>,
     /// Ends of the requests of callers.
     pub(crate) ends: Arc<Ends>,
     state: Mutex<State>,
@@ -376,6 +382,7 @@
             clock: Clock::start(),
             boot: unix_ms(),
             client,
+            caller_timeouts: OnceLock::new(),
             ends: Arc::new(Ends::new(metrics.clone())),
             metrics,
             state: Mutex::new(state),
