transport: only the rest of a body that was answered early is discarded

Discarding after the close of an idle connection would read a request that crosses the close. Its caller repeats a request that may run only once only if it was left unread.

--- a/transport/src/http/activity.rs
+++ b/transport/src/http/activity.rs
@@ -61,6 +61,7 @@
 #[derive(Debug)]
 struct State {
     phase: Phase,
+    /// Whether the body of the last request was dropped before its end.
     has_unread_body: bool,
 }
 
@@ -101,7 +102,9 @@
 
     /// Records that a request head is complete.
     pub(crate) fn request_began(&self) {
-        self.lock().phase = Phase::Request;
+        let mut state = self.lock();
+        state.phase = Phase::Request;
+        state.has_unread_body = false;
     }
 
     fn response_ended(&self) {
@@ -117,7 +120,7 @@
         self.lock().has_unread_body = true;
     }
 
-    /// Returns whether the body of a request was dropped before its end.
+    /// Returns whether the body of the last request was dropped before its end.
     pub(crate) fn has_unread_body(&self) -> bool {
         self.lock().has_unread_body
     }
--- a/transport/src/http/server.rs
+++ b/transport/src/http/server.rs
@@ -297,7 +297,11 @@
         Err(result) => result,
         Ok(Expiry::Idle) => {
             connection.as_mut().graceful_shutdown();
-            connection.as_mut().await
+            // Nothing is discarded here: a request that crosses the close has to stay unread.
+            if let Err(err) = connection.as_mut().await {
+                log::debug!("LW1102 connection of {remote} ended early: {err}");
+            }
+            return;
         }
         Ok(Expiry::Head) => {
             log::debug!("LW1102 connection of {remote} ended early: incomplete request head");
