--- a/gateway/src/serve/follow.rs
+++ b/gateway/src/serve/follow.rs
@@ -8,7 +8,6 @@
 use limpetweir_state::Timestamp;
 use limpetweir_transport::sleep;
 
-use super::items;
 use super::lines::{
     BACKEND_CHANGED,
     CONFIG_APPLIED,
@@ -25,6 +24,10 @@
     State, //
 };
 use super::store_calls::StoreCall;
+use super::{
+    caller_timeouts,
+    items, //
+};
 use crate::checked::excerpt;
 use crate::config::Configuration;
 use crate::listing::Listing;
@@ -446,6 +449,7 @@
         return;
     }
     state.quotas.configure(&config, now);
+    caller_timeouts::apply(node, config.limits());
     let version = config.version();
     state.config = Some(Arc::new(config));
     state.config_freshness.reported(version);
--- a/gateway/src/serve/mod.rs
+++ b/gateway/src/serve/mod.rs
@@ -1,6 +1,7 @@
 //! Listeners, background tasks, settings reload and shutdown of a gateway instance.
 
 mod attempt;
+mod caller_timeouts;
 mod catch_up;
 mod choose;
 mod crashes;
@@ -23,6 +24,7 @@
 mod results;
 mod run_watch;
 mod runs;
+mod stop_window;
 mod store_calls;
 mod writer;
 
@@ -79,6 +81,7 @@
     PAUSED,
     RELOAD_REFUSED,
     RELOADED,
+    SIGNAL_IGNORED,
     STARTED,
     STOPPED,
     STOPPING,
@@ -268,6 +271,8 @@
             purpose: "callers",
             addr: settings.public,
         })?;
+        node.caller_timeouts
+            .get_or_init(|| public.timeouts().clone());
         let mut other_listeners = Vec::new();
         let shared = node.clone();
         let peers = Server::start(spawner, peer, ServerLimits::default(), move |req| {
@@ -339,14 +344,19 @@
             }
         };
         future::or(stop_signal, housekeeping).await;
-        self.stop().await;
+        let stop = async {
+            self.stop().await;
+        };
+        future::or(stop, ignore_signals(&mut signals)).await;
     }
 
-    async fn stop(self) {
+    /// Shuts down gracefully; returns whether all connections of callers ended by themselves.
+    pub async fn stop(self) -> bool {
         let started = Instant::now();
         let node = self.node;
         let end = started + node.settings.grace.saturating_sub(GRACE_MARGIN);
         node.ends.set_close_at(end);
+        node.stop.begin(end);
         node.leaving.store(true, Ordering::Release);
         let open = node.ends.open();
         log_event!(STOPPING, "name={} open={open}", node.settings.name);
@@ -367,6 +377,7 @@
         );
         drop(self.other_listeners);
         drop(self.tasks);
+        whole
     }
 }
 
@@ -409,6 +420,18 @@
     }
 }
 
+/// Logs the signals that arrive while the instance stops. They have no effect: the stop is under way,
+/// and reloaded settings would not be used any more.
+async fn ignore_signals(signals: &mut Signals) {
+    loop {
+        match signals.next().await {
+            Some(Ok(signal)) => log_event!(SIGNAL_IGNORED, "signal={signal:?} cause=stopping"),
+            Some(Err(err)) => log::warn!("cannot read a signal: {err}"),
+            None => future::pending().await,
+        }
+    }
+}
+
 /// Reloads the settings. Only the log level takes effect immediately; all else requires a restart.
 fn reload<P>(node: &Arc<Node<P>>, file: &Path, cause: &str) {
     match read_settings(file) {
--- a/gateway/src/serve/node.rs
+++ b/gateway/src/serve/node.rs
@@ -13,6 +13,7 @@
     Arc,
     Mutex,
     MutexGuard,
+    OnceLock,
     PoisonError, //
 };
 use std::time::{
@@ -23,7 +24,10 @@
 use async_channel::Sender;
 use event_listener::Event as Signal;
 use limpetweir_state::Timestamp;
-use limpetweir_transport::http::Client;
+use limpetweir_transport::http::{
+    Client,
+    ConnectionTimeouts, //
+};
 use limpetweir_transport::{
     Clock,
     Spawner, //
@@ -36,6 +40,7 @@
 use super::ends::Ends;
 use super::items::RunHandles;
 use super::metrics::Metrics;
+use super::stop_window::StopWindow;
 use super::writer::WriteRequest;
 use crate::backend::{
     BackendKey,
@@ -336,10 +341,14 @@
     pub(crate) boot: u64,
     pub(crate) client: Client,
     pub(crate) metrics: Arc<Metrics>,
+    /// Time-outs of the connections of callers, once their listener is bound.
+    pub(crate) caller_timeouts: OnceLock<Arc<ConnectionTimeouts>>,
     /// Ends of the requests of callers.
     pub(crate) ends: Arc<Ends>,
     state: Mutex<State>,
     pub(crate) leaving: AtomicBool,
+    /// The time in which this instance can still answer requests.
+    pub(crate) stop: StopWindow,
     /// Notified when a report should be sent.
     pub(crate) report_due: Signal,
     /// Notified when the others are to be told about crashes.
@@ -410,10 +419,12 @@
             clock: Clock::start(),
             boot: unix_ms(),
             client,
+            caller_timeouts: OnceLock::new(),
             ends: Arc::new(Ends::new(metrics.clone())),
             metrics,
             state: Mutex::new(state),
             leaving: AtomicBool::new(false),
+            stop: StopWindow::default(),
             report_due: Signal::new(),
             crash_news: Signal::new(),
             jobs_behind: writers.iter().map(|_| Signal::new()).collect(),
