gateway: a stream waits for its silent server, and another one is asked beside it

The first run is now kept while a second server, at which the rest starts at once and that is not silent itself, is asked for it. The first one to show an event has the stream; the other connection is closed before this event is forwarded. Without a second server the stream waits for the first one until its deadline. The rest of a stream whose run is lost is searched for until the deadline, as long as a server is left that has not been tried.

Silence is kept per server from the output of the runs of this instance.

--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -36,6 +36,7 @@
 mod server_limit;
 mod server_limits;
 mod settings;
+mod silence;
 mod speed;
 mod sse;
 
@@ -82,5 +83,6 @@
 pub use server_limit::{LimitChange, StatedLimit, Statement};
 pub use server_limits::{LimitReport, Permit, Purpose, ServerLimits};
 pub use settings::{Settings, SettingsError, StoreSettings};
+pub use silence::{Outputs, SILENCE};
 pub use speed::{SLOW_FACTOR, Slowness, Speeds};
 pub use sse::{Event, InvalidEventStream, Splitter};
--- a/gateway/src/placement.rs
+++ b/gateway/src/placement.rs
@@ -74,7 +74,8 @@
         return limited_class(c);
     }
     let class = match placed {
-        _ if c.suspect => 8,
+        placed if c.suspect && placed.online < c.slots + limits.queue => 8,
+        _ if c.suspect => return None,
         _ if !c.other_cell && placed.total() < c.slots => 0,
         _ if !c.other_cell && placed.online < c.slots => 1,
         _ if placed.total() + OTHER_CELL_MARGIN < c.slots => 3,
--- a/gateway/src/serve/attempt.rs
+++ b/gateway/src/serve/attempt.rs
@@ -143,8 +143,9 @@
             unresponsive(node, key, &err);
             if err.is_lost_run() {
                 let id = &admitted.call.request_id;
-                let watch = RunWatch::new(id, &admitted.parts, placed.entry.clone());
-                watch.connection_lost(node, false);
+                let entry = placed.entry.clone();
+                let watch = RunWatch::new(node, id, &admitted.parts, key, entry);
+                watch.connection_lost(false);
                 return Attempt::Lost(err.to_string());
             }
             if err.is_refused() {
--- a/gateway/src/serve/choose.rs
+++ b/gateway/src/serve/choose.rs
@@ -99,6 +99,19 @@
     pub(crate) case: Option<Box<Case>>,
     /// The limits that keep the request away.
     pub(crate) limits: Option<LimitsMet>,
+    /// Whether no known server may take the request later either.
+    pub(crate) is_final: bool,
+}
+
+/// The backend servers from which one is selected.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Eligible {
+    /// All servers that have not been tried.
+    All,
+    /// The same, for the rest of a stream: its caller is not refused and gets no time to return.
+    Rest,
+    /// Only servers at which the request starts at once and that are not suspected or silent.
+    AtOnce,
 }
 
 /// Limits of backend servers that keep a request away.
@@ -120,6 +133,7 @@
             retry_after: case.probe_in.max(MIN_HELD_RETRY),
             case: Some(Box::new(case)),
             limits: None,
+            is_final: true,
         }
     }
 }
@@ -132,6 +146,7 @@
     node: &Arc<Node<P>>,
     admitted: &Admitted,
     history: &AttemptHistory,
+    eligible: Eligible,
 ) -> Result<PlacedRequest<P>, Rejection> {
     let now = node.now();
     let mut state = node.lock();
@@ -144,18 +159,23 @@
     }
     state.draw_seed = state.rng.random();
     state.update_cells(&node.settings);
-    let (candidates, placement) = find_placement(&state, node, admitted, history, now);
+    let (candidates, placement) = find_placement(&state, node, admitted, history, eligible, now);
     let key = match placement {
         _ if history.rejections >= MAX_REJECTIONS || history.tried.len() >= MAX_TRIED => {
-            return Err(rejection_when_full(
-                &mut state,
-                &candidates,
-                admitted,
-                "turned-away",
-                now,
-            ));
+            let rejection =
+                rejection_when_full(&mut state, &candidates, admitted, "turned-away", now);
+            return Err(Rejection {
+                is_final: true,
+                ..rejection
+            });
         }
         Placement::Send(key) => key,
+        _ if eligible != Eligible::All => {
+            return Err(Rejection {
+                is_final: candidates.iter().all(|c| c.tried),
+                ..NO_ROOM
+            });
+        }
         Placement::Full => {
             return Err(rejection_when_full(
                 &mut state,
@@ -204,12 +224,22 @@
     })
 }
 
+/// Rejection of the rest of a stream, which waits for room.
+const NO_ROOM: Rejection = Rejection {
+    cause: "full",
+    retry_after: Duration::ZERO,
+    case: None,
+    limits: None,
+    is_final: false,
+};
+
 /// Rejection of a request for a service that has no known backend server.
 const NO_BACKEND: Rejection = Rejection {
     cause: "no-backend",
     retry_after: NO_CONFIG_RETRY,
     case: None,
     limits: None,
+    is_final: true,
 };
 
 /// Returns the rejection of a request for which no candidate has free capacity.
@@ -232,6 +262,7 @@
         retry_after: retry_after(running, queued, holding),
         case: None,
         limits: None,
+        is_final: candidates.iter().all(|c| c.tried),
     }
 }
 
@@ -261,6 +292,7 @@
         retry_after: state.return_times.assign(now, rate, longest),
         case: None,
         limits: Some(met),
+        is_final: false,
     }
 }
 
@@ -274,6 +306,7 @@
     node: &Node<P>,
     admitted: &Admitted,
     history: &AttemptHistory,
+    eligible: Eligible,
     now: Timestamp,
 ) -> (Vec<Candidate>, Placement) {
     let limits = Limits { queue: MAX_QUEUED };
@@ -281,6 +314,9 @@
     if state.cells.is_divided() && !found.iter().any(starts_immediately) {
         found.extend(candidates(state, node, admitted, history, now, true));
     }
+    if eligible == Eligible::AtOnce {
+        found.retain(starts_immediately);
+    }
     let placement = place(&found, limits);
     (found, placement)
 }
@@ -319,7 +355,8 @@
         permit: permit(backend.run),
         slots: backend.entry.slots.unwrap_or(default_slots),
         placed: state.load.placed(backend.key),
-        suspect: state.load.suspected(backend.key, now),
+        suspect: state.load.suspected(backend.key, now)
+            || state.outputs.is_silent(backend.key, now),
         tried: history.tried.contains(&backend.key),
         slowness: slowness.of(backend.key),
         connected: node
--- a/gateway/src/serve/items.rs
+++ b/gateway/src/serve/items.rs
@@ -359,7 +359,7 @@
         key: b.key,
         slots: slots_of(state, &b.entry),
         placed: state.load.placed(b.key),
-        suspect: state.load.suspected(b.key, now),
+        suspect: state.load.suspected(b.key, now) || state.outputs.is_silent(b.key, now),
         slow: slowness.is_slow(b.key),
         other_cell: !state.cells.is_own_backend(b.key, &b.entry.zone),
         permit: state.limits.permit(b.run, Purpose::Item, now, unix_ms()),
--- a/gateway/src/serve/lines.rs
+++ b/gateway/src/serve/lines.rs
@@ -145,6 +145,10 @@
 /// A request ended without an answer, a refusal or a reason that lies with its caller or its backend
 /// server.
 pub(crate) const REQUEST_LOST: Event = Event::new(2509, Level::Error);
+/// Another backend server is asked for the rest of a silent stream.
+pub(crate) const OVERLAP_BEGAN: Event = Event::new(2515, Level::Info);
+/// One of the two backend servers of a silent stream has shown an event, or neither.
+pub(crate) const OVERLAP_ENDED: Event = Event::new(2516, Level::Info);
 /// A call about a batch job succeeded.
 pub(crate) const JOB_CALL: Event = Event::new(2601, Level::Info);
 /// A call about a batch job was rejected.
--- a/gateway/src/serve/mod.rs
+++ b/gateway/src/serve/mod.rs
@@ -20,10 +20,13 @@
 mod relay;
 mod replies;
 mod reports;
+mod rest;
 mod results;
 mod run_watch;
 mod runs;
 mod store_calls;
+mod stream;
+mod takeover;
 mod writer;
 
 use std::io;
--- a/gateway/src/serve/node.rs
+++ b/gateway/src/serve/node.rs
@@ -70,6 +70,7 @@
 use crate::return_times::ReturnTimes;
 use crate::server_limits::ServerLimits;
 use crate::settings::Settings;
+use crate::silence::Outputs;
 use crate::speed::Speeds;
 
 /// Mutable state of an instance, on which routing, placement and scheduling are based.
@@ -97,6 +98,7 @@
     pub(crate) instances_next: u64,
     pub(crate) load: Load,
     pub(crate) speeds: Speeds,
+    pub(crate) outputs: Outputs,
     /// Crashes of backend servers and the parts of prompts that are held back.
     pub(crate) quarantine: Quarantine,
     /// When this instance last tried to claim a probe.
@@ -347,6 +349,7 @@
             instances_next: 0,
             load: Load::default(),
             speeds: Speeds::default(),
+            outputs: Outputs::default(),
             quarantine: Quarantine::default(),
             probe_claimed_at: None,
             item_probes: HashSet::new(),
--- a/gateway/src/serve/online.rs
+++ b/gateway/src/serve/online.rs
@@ -26,7 +26,10 @@
     AttemptHistory,
     attempt, //
 };
-use super::choose::choose;
+use super::choose::{
+    Eligible,
+    choose, //
+};
 use super::ends::OpenRequest;
 use super::forwarding::AllowedCall;
 use super::lines::{
@@ -247,7 +250,7 @@
         last_event: admitted.call.last_event,
     };
     loop {
-        let placed = match choose(&node, &admitted, &history) {
+        let placed = match choose(&node, &admitted, &history, Eligible::All) {
             Ok(placed) => placed,
             Err(rejection) => {
                 return open.answer(reject(&node, &admitted, &history, rejection));
--- a/gateway/src/serve/rejections.rs
+++ b/gateway/src/serve/rejections.rs
@@ -145,6 +145,7 @@
             retry_after: NO_CONFIG_RETRY,
             case: None,
             limits: None,
+            is_final: true,
         },
     };
     reject(node, admitted, history, rejection)
--- a/gateway/src/serve/relay.rs
+++ b/gateway/src/serve/relay.rs
@@ -7,8 +7,6 @@
 };
 
 use futures_lite::future;
-use http_body_util::BodyExt;
-use hyper::body::Bytes;
 use hyper::header::{
     CONTENT_LENGTH,
     HeaderMap,
@@ -18,7 +16,6 @@
     Response,
     StatusCode, //
 };
-use limpetweir_state::Verdict;
 use limpetweir_transport::http::{
     Body,
     BodySender,
@@ -28,43 +25,28 @@
 
 use super::attempt::{
     AttemptHistory,
-    send,
-    suspect,
-    unresponsive, //
-};
-use super::choose::{
-    PlacedRequest,
-    choose, //
+    suspect, //
 };
+use super::choose::PlacedRequest;
 use super::ends::{
     OpenRequest,
     RequestEnd, //
 };
-use super::heads;
-use super::heads::SentRequest;
 use super::lines::{
     ANSWERED,
-    ATTEMPT_FAILED,
     CALLER_LEFT,
     REQUEST_FAILED,
-    STREAM_RESUMED,
     log_event, //
 };
 use super::node::Node;
 use super::online::Admitted;
 use super::run_watch::RunWatch;
-use super::runs::PaceMeter;
+use super::stream::next_bytes;
 use crate::platform::{
     Dialect,
     ResponseHead,
     Store, //
 };
-use crate::sse::Splitter;
-
-/// Time without a complete event after which a stream counts as stalled; bytes that complete no
-/// event are no progress. Even a backend server that is five times slower than usual sends several
-/// events per second.
-const STALL_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// A response and the backend server that it comes from.
 pub(crate) struct Source<P: Store + Dialect> {
@@ -74,17 +56,41 @@
 }
 
 /// Reason why a response was interrupted.
-enum Interruption {
+pub(crate) enum Interruption {
     /// The caller disconnected.
     CallerDisconnected,
     /// The deadline of the request has expired.
     Deadline,
     /// The connection to the backend server ended before the response did.
     ConnectionLost(String),
-    /// The backend server ended the response early or became unresponsive.
+    /// The backend server ended the response early.
     Backend(String),
 }
 
+/// Progress of the part of a response that has been forwarded.
+#[derive(Debug, Default)]
+pub(crate) struct Forwarded {
+    pub(crate) first: Option<Duration>,
+    pub(crate) events: u64,
+}
+
+impl Forwarded {
+    fn first_ms(&self) -> u128 {
+        self.first.map_or(0, |first| first.as_millis())
+    }
+}
+
+/// A response that is being relayed.
+pub(crate) struct Relay<'a, P: Store + Dialect> {
+    pub(crate) node: &'a Arc<Node<P>>,
+    pub(crate) admitted: &'a Admitted,
+    pub(crate) sender: &'a BodySender,
+    pub(crate) history: AttemptHistory,
+    pub(crate) forwarded: Forwarded,
+    /// Identifier of the backend server from which the response comes at present.
+    pub(crate) backend: String,
+}
+
 /// Starts to relay a response.
 pub(crate) fn start<P: Store + Dialect>(
     node: Arc<Node<P>>,
@@ -115,355 +121,183 @@
     open: OpenRequest,
     admitted: Admitted,
     mut history: AttemptHistory,
-    mut source: Source<P>,
+    source: Source<P>,
     sender: BodySender,
 ) {
-    let id = &admitted.call.request_id;
-    let status = source.response.status();
-    let events = source.head.events && status == StatusCode::OK;
-    let resumable = events && admitted.route.idempotent();
     history.runs += 1;
-    let mut forwarded = Forwarded::default();
-    loop {
-        let backend = source.placed.entry.id.clone();
-        let key = source.placed.key;
-        let ends_with_connection = ends_with_connection(source.response.headers());
-        let body = source.response.into_body();
-        let entry = source.placed.entry.clone();
-        let signed = source.head.signed;
-        let mut watch = RunWatch::new(id, &admitted.parts, entry);
-        let result = if events {
-            {
-                let mut pace = PaceMeter::new(key);
-                let on_event = || {
-                    pace.event(node);
-                    watch.output(node);
-                };
-                forward_events(
-                    &admitted,
-                    &mut history,
-                    body,
-                    &sender,
-                    &mut forwarded,
-                    resumable,
-                    on_event,
-                )
-                .await
-            }
-        } else {
-            let on_chunk = || {
-                if status.is_success() {
-                    watch.output(node);
-                }
-            };
-            let whole = forward_bytes(&admitted, body, &sender, &mut forwarded, on_chunk);
-            whole
-                .await
-                .and_then(|()| check_end(ends_with_connection, signed))
-        };
-        drop(source.placed);
-        let interruption = match result {
-            Ok(()) => {
-                if status.is_success() {
-                    watch.completed(node);
-                }
-                // If the caller disconnected during the last chunk, nothing is left to do.
-                let _ = sender.finish().await;
-                let ms = admitted.arrived.elapsed().as_millis();
-                let status = status.as_u16();
-                log_event!(
-                    ANSWERED,
-                    "request={id} status={status} backend={backend} first_ms={} ms={ms} events={} runs={} route={} version={}",
-                    forwarded.first_ms(),
-                    forwarded.events,
-                    history.runs,
-                    admitted.route.name,
-                    admitted.version
-                );
-                node.metrics.online("answered", admitted.arrived.elapsed());
-                open.end(RequestEnd::Answered);
-                return;
-            }
-            Err(interruption) => interruption,
-        };
-        if matches!(interruption, Interruption::ConnectionLost(_)) {
-            history.silent_losses += u32::from(watch.is_suspected());
-            watch.connection_lost(node, true);
+    let mut relay = Relay {
+        node,
+        admitted: &admitted,
+        sender: &sender,
+        history,
+        forwarded: Forwarded::default(),
+        backend: source.placed.entry.id.clone(),
+    };
+    let events = source.head.events && source.response.status() == StatusCode::OK;
+    let status = source.response.status();
+    let result = match events {
+        true => relay.forward_stream(source).await,
+        false => relay.forward_bytes(source).await,
+    };
+    let (end, cause) = match result {
+        Ok(()) => {
+            relay.log_answer(status);
+            // If the caller disconnected during the last chunk, nothing is left to do.
+            let _ = sender.finish().await;
+            open.end(RequestEnd::Answered);
+            return;
         }
-        let (end, cause) = match interruption {
-            Interruption::CallerDisconnected => {
-                let ms = admitted.arrived.elapsed().as_millis();
-                log_event!(
-                    CALLER_LEFT,
-                    "request={id} backend={backend} ms={ms} events={}",
-                    forwarded.events
-                );
-                node.metrics
-                    .online("caller-left", admitted.arrived.elapsed());
-                open.disconnected();
-                return;
-            }
-            Interruption::Deadline => {
-                let cause = "the deadline of the request has expired".to_owned();
-                (RequestEnd::CutAtDeadline, cause)
-            }
-            Interruption::Backend(cause) | Interruption::ConnectionLost(cause) => {
-                suspect(node, key, &cause);
-                let next = if resumable && history.may_run_again(&admitted.route) {
-                    resume(node, &admitted, &mut history).await
-                } else {
-                    None
-                };
-                if let Some(next) = next {
-                    let to = &next.placed.entry.id;
-                    let last = history.last_event.unwrap_or(0);
-                    log_event!(
-                        STREAM_RESUMED,
-                        "request={id} from={backend} to={to} after_event={last} cause=\"{cause}\""
-                    );
-                    source = next;
-                    continue;
+        Err(Interruption::CallerDisconnected) => {
+            relay.log_departure();
+            open.disconnected();
+            return;
+        }
+        Err(Interruption::Deadline) => {
+            let cause = "the deadline of the request has expired".to_owned();
+            (RequestEnd::CutAtDeadline, cause)
+        }
+        Err(Interruption::Backend(cause) | Interruption::ConnectionLost(cause)) => {
+            (RequestEnd::BrokenOff, cause)
+        }
+    };
+    // Dropping the sender aborts the response, so that the caller cannot take it for complete.
+    relay.log_cut(&cause);
+    open.end(end);
+}
+
+impl<P: Store + Dialect> Relay<'_, P> {
+    /// Waits for `step`, for as long as the caller is there and the request has time.
+    pub(crate) async fn bounded<T>(
+        &self,
+        step: impl Future<Output = Result<T, Interruption>> + Send,
+    ) -> Result<T, Interruption> {
+        bounded(self.sender, self.admitted.deadline, step).await
+    }
+
+    async fn forward_bytes(&mut self, source: Source<P>) -> Result<(), Interruption> {
+        let Source {
+            response,
+            head,
+            placed,
+        } = source;
+        let is_success = response.status().is_success();
+        let ends_with_connection = ends_with_connection(response.headers());
+        let mut body = response.into_body();
+        let id = &self.admitted.call.request_id;
+        let parts = &self.admitted.parts;
+        let mut watch = RunWatch::new(self.node, id, parts, placed.key, placed.entry.clone());
+        let forwarded = loop {
+            match self.bounded(next_bytes(&mut body)).await {
+                Ok(None) => break check_end(ends_with_connection, head.signed),
+                Err(interruption) => break Err(interruption),
+                Ok(Some(bytes)) => {
+                    let arrived = self.admitted.arrived;
+                    self.forwarded
+                        .first
+                        .get_or_insert_with(|| arrived.elapsed());
+                    if is_success {
+                        watch.output();
+                    }
+                    if self.sender.send(bytes).await.is_err() {
+                        break Err(Interruption::CallerDisconnected);
+                    }
                 }
-                (RequestEnd::BrokenOff, cause)
             }
         };
-        // Dropping the sender aborts the response, so that the caller cannot take it for complete.
-        let ms = admitted.arrived.elapsed().as_millis();
+        match &forwarded {
+            Ok(()) if is_success => watch.completed(),
+            Err(Interruption::ConnectionLost(cause)) => {
+                watch.connection_lost(true);
+                suspect(self.node, placed.key, cause);
+            }
+            Err(Interruption::Backend(cause)) => suspect(self.node, placed.key, cause),
+            Ok(()) | Err(Interruption::CallerDisconnected | Interruption::Deadline) => {}
+        }
+        forwarded
+    }
+
+    fn log_answer(&self, status: StatusCode) {
+        let admitted = self.admitted;
         log_event!(
-            REQUEST_FAILED,
-            "request={id} status=cut backend={backend} events={} ms={ms} runs={} route={} cause=\"{cause}\" version={}",
-            forwarded.events,
-            history.runs,
+            ANSWERED,
+            "request={} status={} backend={} first_ms={} ms={} events={} runs={} route={} version={}",
+            admitted.call.request_id,
+            status.as_u16(),
+            self.backend,
+            self.forwarded.first_ms(),
+            admitted.arrived.elapsed().as_millis(),
+            self.forwarded.events,
+            self.history.runs,
             admitted.route.name,
             admitted.version
         );
-        node.metrics.online("cut", admitted.arrived.elapsed());
-        open.end(end);
-        return;
+        let metrics = &self.node.metrics;
+        metrics.online("answered", admitted.arrived.elapsed());
     }
-}
-
-/// Returns whether the body has neither a length nor chunks, so that only the end of the connection
-/// ends it.
-fn ends_with_connection(headers: &HeaderMap) -> bool {
-    !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING)
-}
 
-/// Checks that a body that has ended is whole. One that ends with its connection may have been cut off
-/// anywhere, and only a signature says that the server had the whole response.
-fn check_end(ends_with_connection: bool, signed: bool) -> Result<(), Interruption> {
-    if ends_with_connection && !signed {
-        let cause = "a response without a signature ended with its connection".to_owned();
-        return Err(Interruption::ConnectionLost(cause));
+    fn log_departure(&self) {
+        let admitted = self.admitted;
+        log_event!(
+            CALLER_LEFT,
+            "request={} backend={} ms={} events={}",
+            admitted.call.request_id,
+            self.backend,
+            admitted.arrived.elapsed().as_millis(),
+            self.forwarded.events
+        );
+        let metrics = &self.node.metrics;
+        metrics.online("caller-left", admitted.arrived.elapsed());
     }
-    Ok(())
-}
 
-/// Progress of the part of a response that has been forwarded.
-#[derive(Debug, Default)]
-struct Forwarded {
-    first: Option<Duration>,
-    events: u64,
-}
-
-impl Forwarded {
-    fn first_ms(&self) -> u128 {
-        self.first.map_or(0, |first| first.as_millis())
+    fn log_cut(&self, cause: &str) {
+        let admitted = self.admitted;
+        log_event!(
+            REQUEST_FAILED,
+            "request={} status=cut backend={} events={} ms={} runs={} route={} cause=\"{cause}\" version={}",
+            admitted.call.request_id,
+            self.backend,
+            self.forwarded.events,
+            admitted.arrived.elapsed().as_millis(),
+            self.history.runs,
+            admitted.route.name,
+            admitted.version
+        );
+        self.node.metrics.online("cut", admitted.arrived.elapsed());
     }
 }
 
-/// Waits for the next chunk of a response.
-async fn next_chunk(
-    admitted: &Admitted,
-    body: &mut ClientBody,
+/// Waits for `step` until `deadline`, for as long as the caller reads from `sender`.
+async fn bounded<T>(
     sender: &BodySender,
-    stalled_at: Option<Instant>,
-) -> Result<Option<Bytes>, Interruption> {
-    let chunk = async {
-        loop {
-            match body.frame().await {
-                None => return Ok(None),
-                Some(Ok(frame)) => {
-                    if let Ok(bytes) = frame.into_data() {
-                        return Ok(Some(bytes));
-                    }
-                }
-                Some(Err(err)) if err.is_interrupted() => {
-                    return Err(Interruption::ConnectionLost(err.to_string()));
-                }
-                Some(Err(err)) => return Err(Interruption::Backend(err.to_string())),
-            }
-        }
-    };
+    deadline: Instant,
+    step: impl Future<Output = Result<T, Interruption>> + Send,
+) -> Result<T, Interruption> {
     let disconnected = async {
         sender.closed().await;
         Err(Interruption::CallerDisconnected)
     };
-    let limit = stalled_at.map_or(admitted.deadline, |at| at.min(admitted.deadline));
-    match timeout_at(limit, future::or(chunk, disconnected)).await {
+    match timeout_at(deadline, future::or(step, disconnected)).await {
         // The body ends with an error at the same time.
-        Some(Err(Interruption::Backend(_))) | None if Instant::now() >= admitted.deadline => {
+        Some(Err(Interruption::Backend(_))) | None if Instant::now() >= deadline => {
             Err(Interruption::Deadline)
         }
         Some(result) => result,
-        None => Err(Interruption::Backend("no event arrived in time".to_owned())),
+        None => Err(Interruption::Deadline),
     }
 }
 
-async fn forward_bytes(
-    admitted: &Admitted,
-    mut body: ClientBody,
-    sender: &BodySender,
-    forwarded: &mut Forwarded,
-    mut on_chunk: impl FnMut(),
-) -> Result<(), Interruption> {
-    while let Some(bytes) = next_chunk(admitted, &mut body, sender, None).await? {
-        forwarded
-            .first
-            .get_or_insert_with(|| admitted.arrived.elapsed());
-        on_chunk();
-        sender
-            .send(bytes)
-            .await
-            .map_err(|_| Interruption::CallerDisconnected)?;
-    }
-    Ok(())
+/// Returns whether the body has neither a length nor chunks, so that only the end of the connection
+/// ends it.
+fn ends_with_connection(headers: &HeaderMap) -> bool {
+    !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING)
 }
 
-/// Forwards complete events only, so that another backend server can continue the stream after the
-/// last one.
-async fn forward_events(
-    admitted: &Admitted,
-    history: &mut AttemptHistory,
-    mut body: ClientBody,
-    sender: &BodySender,
-    forwarded: &mut Forwarded,
-    resumable: bool,
-    mut on_event: impl FnMut(),
-) -> Result<(), Interruption> {
-    let mut splitter = Splitter::default();
-    // A response that no other server can continue is not ended when it stalls.
-    let may_resume = resumable && history.runs < admitted.route.attempts;
-    let stall_deadline = |progressed: Instant| may_resume.then(|| progressed + STALL_TIMEOUT);
-    let mut stalled_at = stall_deadline(Instant::now());
-    loop {
-        let Some(bytes) = next_chunk(admitted, &mut body, sender, stalled_at).await? else {
-            break;
-        };
-        let events = splitter.push(&bytes);
-        let events = events.map_err(|err| Interruption::Backend(err.to_string()))?;
-        for event in events {
-            if let Some(id) = event.id {
-                let expected = history.last_event.map(|last| last + 1);
-                if expected.is_some_and(|expected| id != expected) {
-                    return Err(Interruption::Backend(format!(
-                        "event {id} follows {:?}",
-                        history.last_event
-                    )));
-                }
-                history.last_event = Some(id);
-            }
-            if forwarded.first.is_none() {
-                forwarded.first = Some(admitted.arrived.elapsed());
-            }
-            if event.is_output() {
-                stalled_at = stall_deadline(Instant::now());
-                forwarded.events += 1;
-                on_event();
-            }
-            sender
-                .send(event.raw)
-                .await
-                .map_err(|_| Interruption::CallerDisconnected)?;
-        }
-    }
-    // A response without a length and without chunks ends with its connection, whether it is
-    // complete or not.
-    if splitter.is_partial() {
-        let cause = "the stream ended within an event".to_owned();
-        return Err(Interruption::ConnectionLost(cause));
-    }
-    if forwarded.events == 0 && history.last_event.is_none() {
-        let cause = "the stream ended without an event".to_owned();
+/// Checks that a body that has ended is whole. One that ends with its connection may have been cut off
+/// anywhere, and only a signature says that the server had the whole response.
+fn check_end(ends_with_connection: bool, signed: bool) -> Result<(), Interruption> {
+    if ends_with_connection && !signed {
+        let cause = "a response without a signature ended with its connection".to_owned();
         return Err(Interruption::ConnectionLost(cause));
     }
     Ok(())
 }
-
-/// Resumes an interrupted stream on another backend server.
-async fn resume<P: Store + Dialect>(
-    node: &Arc<Node<P>>,
-    admitted: &Admitted,
-    history: &mut AttemptHistory,
-) -> Option<Source<P>> {
-    loop {
-        let placed = choose(node, admitted, history).ok()?;
-        if placed.needs_probe {
-            return None;
-        }
-        let key = placed.key;
-        history.tried.push(key);
-        let id = &admitted.call.request_id;
-        let backend = &placed.entry.id;
-        let response = match send(node, admitted, history, &placed).await {
-            Ok(response) => response,
-            Err(err) => {
-                if err.is_lost_run() {
-                    let entry = placed.entry.clone();
-                    let watch = RunWatch::new(id, &admitted.parts, entry);
-                    watch.connection_lost(node, false);
-                    history.silent_losses += 1;
-                }
-                unresponsive(node, key, &err);
-                if !err.is_refused() && !err.is_lost_run() {
-                    history.rejections += 1;
-                }
-                let verdict = err.verdict();
-                log_event!(
-                    ATTEMPT_FAILED,
-                    "request={id} backend={backend} verdict={verdict} cause=\"{err}\""
-                );
-                history.runs += u32::from(verdict != Verdict::NotRun);
-                if !history.may_run_again(&admitted.route) {
-                    return None;
-                }
-                continue;
-            }
-        };
-        let (head, body) = response.into_parts();
-        let sent = SentRequest {
-            id,
-            entry: &placed.entry,
-            at: placed.chosen_at,
-        };
-        let (verdict, cause) = match heads::examine(node, sent, &head) {
-            heads::Verdict::Response(decoded) => {
-                history.runs += 1;
-                if decoded.events && head.status == StatusCode::OK {
-                    return Some(Source {
-                        response: Response::from_parts(head, body),
-                        head: decoded,
-                        placed,
-                    });
-                }
-                let status = head.status.as_u16();
-                let cause = format!("status {status}, not the rest of the stream");
-                (Verdict::Ran, cause)
-            }
-            heads::Verdict::NotRun(cause) => (Verdict::NotRun, cause),
-            heads::Verdict::Foreign(cause) => {
-                history.runs += 1;
-                (Verdict::MayHaveRun, cause)
-            }
-        };
-        log_event!(
-            ATTEMPT_FAILED,
-            "request={id} backend={backend} verdict={verdict} cause=\"{cause}\""
-        );
-        if verdict != Verdict::NotRun {
-            body.close();
-            return None;
-        }
-        history.rejections += 1;
-    }
-}
--- a/gateway/src/serve/reports.rs
+++ b/gateway/src/serve/reports.rs
@@ -126,6 +126,7 @@
     let waiting = state.items.waiting(now, unix_ms());
     let in_time = waiting.iter().filter(|w| !w.late).count();
     let suspects = state.load.suspects(now).into_iter();
+    let suspects = suspects.chain(state.outputs.recently_dropped(now));
     let version = state.config.as_ref().map_or(0, |config| config.version());
     let report = Report {
         name: node.settings.name.clone(),
--- a/gateway/src/serve/run_watch.rs
+++ b/gateway/src/serve/run_watch.rs
@@ -1,6 +1,10 @@
 //! Observes the runs of requests and items on backend servers.
 
 use std::sync::Arc;
+use std::time::{
+    Duration,
+    Instant, //
+};
 
 use super::crashes;
 use super::lines::{
@@ -8,7 +12,10 @@
     log_event, //
 };
 use super::node::Node;
-use crate::backend::BackendEntry;
+use crate::backend::{
+    BackendEntry,
+    BackendKey, //
+};
 use crate::platform::{
     Dialect,
     Store, //
@@ -19,49 +26,93 @@
 /// its prompt are sound. The first one may be sent before a server crashes under the prompt.
 const SAFE_OUTPUTS: u32 = 2;
 
+/// Shortest time after which further output of a run is recorded; events come every few milliseconds.
+const RECORD_INTERVAL: Duration = Duration::from_millis(50);
+
 /// One run of a request or an item on a backend server.
-pub(crate) struct RunWatch<'a> {
+pub(crate) struct RunWatch<P: Store + Dialect> {
+    node: Arc<Node<P>>,
     /// Identifier of the request or item.
-    request: &'a str,
-    parts: &'a [PartKey],
+    request: String,
+    parts: Vec<PartKey>,
+    key: BackendKey,
     backend: Arc<BackendEntry>,
     /// Parts of the output that have arrived in this run.
     outputs: u32,
+    /// When the output was last recorded; set if there is any.
+    recorded: Option<Instant>,
+}
+
+impl<P: Store + Dialect> Drop for RunWatch<P> {
+    fn drop(&mut self) {
+        if self.recorded.is_some() {
+            self.node.lock().outputs.ended(self.key);
+        }
+    }
 }
 
-impl<'a> RunWatch<'a> {
-    pub(crate) fn new(request: &'a str, parts: &'a [PartKey], backend: Arc<BackendEntry>) -> Self {
+impl<P: Store + Dialect> RunWatch<P> {
+    pub(crate) fn new(
+        node: &Arc<Node<P>>,
+        request: &str,
+        parts: &[PartKey],
+        key: BackendKey,
+        backend: Arc<BackendEntry>,
+    ) -> Self {
         Self {
-            request,
-            parts,
+            node: node.clone(),
+            request: request.to_owned(),
+            parts: parts.to_vec(),
+            key,
             backend,
             outputs: 0,
+            recorded: None,
         }
     }
 
+    /// Returns whether a part of the output has arrived.
+    pub(crate) fn has_output(&self) -> bool {
+        self.outputs > 0
+    }
+
     /// Returns whether a crash of the server may be due to this run.
     pub(crate) fn is_suspected(&self) -> bool {
         self.outputs < SAFE_OUTPUTS
     }
 
     /// Records that a part of the output has arrived.
-    pub(crate) fn output<P: Store + Dialect>(&mut self, node: &Arc<Node<P>>) {
+    pub(crate) fn output(&mut self) {
         self.outputs += 1;
         if self.outputs == SAFE_OUTPUTS {
-            crashes::run_began(node, self.parts);
+            crashes::run_began(&self.node, &self.parts);
         }
+        let now = self.node.now();
+        match self.recorded {
+            None => self.node.lock().outputs.began(self.key, now),
+            Some(at) if at.elapsed() >= RECORD_INTERVAL => {
+                self.node.lock().outputs.wrote(self.key, now);
+            }
+            Some(_) => return,
+        }
+        self.recorded = Some(Instant::now());
+    }
+
+    /// Records that the run is dropped because its server is silent.
+    pub(crate) fn dropped_in_silence(&self) {
+        let now = self.node.now();
+        self.node.lock().outputs.dropped(self.key, now);
     }
 
     /// Records that the response is complete.
-    pub(crate) fn completed<P: Store + Dialect>(&self, node: &Arc<Node<P>>) {
+    pub(crate) fn completed(&self) {
         if self.is_suspected() {
-            crashes::run_began(node, self.parts);
+            crashes::run_began(&self.node, &self.parts);
         }
     }
 
     /// Records that the connection ended before the response did.
-    pub(crate) fn connection_lost<P: Store + Dialect>(&self, node: &Arc<Node<P>>, head: bool) {
-        node.metrics.run_lost(self.outputs > 0);
+    pub(crate) fn connection_lost(&self, head: bool) {
+        self.node.metrics.run_lost(self.outputs > 0);
         let parts: Vec<String> = self.parts.iter().map(PartKey::to_string).collect();
         log_event!(
             RUN_LOST,
@@ -72,7 +123,7 @@
             self.outputs
         );
         if self.is_suspected() {
-            crashes::run_lost(node, self.backend.clone(), self.parts.to_vec());
+            crashes::run_lost(&self.node, self.backend.clone(), self.parts.clone());
         }
     }
 }
--- a/gateway/src/serve/runs.rs
+++ b/gateway/src/serve/runs.rs
@@ -188,11 +188,12 @@
     };
     let mut progress = std::mem::take(&mut run.progress);
     let parts = suspects(&node.platform, &run.item, run.key);
-    let mut watch = RunWatch::new(&run.item.id, &parts, run.entry.clone());
+    let entry = run.entry.clone();
+    let mut watch = RunWatch::new(&node, &run.item.id, &parts, run.backend, entry);
     let running = stream(&node, &run, &mut progress, &mut watch);
     let (end, cause) = future::or(stop, running).await;
     if matches!(end, RunEnd::Completed) {
-        watch.completed(&node);
+        watch.completed();
     }
     if matches!(end, RunEnd::Broken) {
         suspect(&node, run.backend, &cause);
@@ -249,7 +250,7 @@
     node: &Arc<Node<P>>,
     run: &Run,
     progress: &mut Progress,
-    watch: &mut RunWatch<'_>,
+    watch: &mut RunWatch<P>,
 ) -> (RunEnd, String) {
     let request = ItemRequest {
         id: &run.item.id,
@@ -285,7 +286,7 @@
         Ok(response) => response,
         Err(err) => {
             if err.is_lost_run() {
-                watch.connection_lost(node, false);
+                watch.connection_lost(false);
             }
             return (RunEnd::Broken, err.to_string());
         }
@@ -364,7 +365,7 @@
     backend: BackendKey,
     response: Response<ClientBody>,
     progress: &mut Progress,
-    watch: &mut RunWatch<'_>,
+    watch: &mut RunWatch<P>,
 ) -> (RunEnd, String) {
     let mut body = response.into_body();
     let mut pace = PaceMeter::new(backend);
@@ -376,7 +377,7 @@
             None => return (RunEnd::Broken, "no event arrived in time".to_owned()),
             Some(Some(Err(err))) => {
                 if err.is_interrupted() {
-                    watch.connection_lost(node, true);
+                    watch.connection_lost(true);
                 }
                 return (RunEnd::Broken, err.to_string());
             }
@@ -400,7 +401,7 @@
             progress.last = id;
             progress.data.push(event.data);
             pace.event(node);
-            watch.output(node);
+            watch.output();
         }
     }
     let cut = if splitter.is_partial() {
@@ -411,7 +412,7 @@
         None
     };
     if let Some(cause) = cut {
-        watch.connection_lost(node, true);
+        watch.connection_lost(true);
         return (RunEnd::Broken, cause.to_owned());
     }
     (RunEnd::Completed, String::new())
--- /dev/null
+++ b/gateway/src/serve/stream.rs
@@ -0,0 +1,238 @@
+//! One run of a stream on a backend server, read event by event.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use http_body_util::BodyExt;
+use hyper::body::Bytes;
+use limpetweir_transport::http::ClientBody;
+use limpetweir_transport::timeout_at;
+
+use super::choose::PlacedRequest;
+use super::node::Node;
+use super::online::Admitted;
+use super::relay::{
+    Interruption,
+    Relay,
+    Source, //
+};
+use super::run_watch::RunWatch;
+use super::runs::PaceMeter;
+use super::takeover::STALL_TIMEOUT;
+use crate::platform::{
+    Dialect,
+    Store, //
+};
+use crate::sse::{
+    Event,
+    Splitter, //
+};
+
+/// A run whose response is a stream of events. Dropping it closes its connection, which ends the run
+/// at the server.
+pub(crate) struct StreamRun<P: Store + Dialect> {
+    node: Arc<Node<P>>,
+    pub(crate) placed: PlacedRequest<P>,
+    pub(crate) watch: RunWatch<P>,
+    /// `None` after an interruption, which closes the connection.
+    body: Option<ClientBody>,
+    splitter: Splitter,
+    pace: PaceMeter,
+    /// Number of the last event that this run or the one before it has sent.
+    last_event: Option<u64>,
+    /// When the last event was complete; bytes that complete no event are no progress.
+    pub(crate) progressed: Instant,
+    /// Earliest time at which another server is asked for the rest.
+    pub(crate) ask_at: Instant,
+}
+
+/// What has been read of a stream.
+pub(crate) enum Read {
+    /// Complete events, at least one.
+    Events(Vec<Event>),
+    /// The stream is complete.
+    End,
+}
+
+impl Read {
+    /// Returns whether the run has shown that it goes on: blank lines and comments show nothing.
+    fn is_progress(&self) -> bool {
+        match self {
+            Self::Events(events) => events.iter().any(Event::is_output),
+            Self::End => true,
+        }
+    }
+}
+
+impl<P: Store + Dialect> StreamRun<P> {
+    /// Starts to read a response that continues after `last_event`.
+    pub(crate) fn new(
+        node: &Arc<Node<P>>,
+        admitted: &Admitted,
+        source: Source<P>,
+        last_event: Option<u64>,
+    ) -> Self {
+        let Source {
+            response, placed, ..
+        } = source;
+        let id = &admitted.call.request_id;
+        Self {
+            node: node.clone(),
+            watch: RunWatch::new(node, id, &admitted.parts, placed.key, placed.entry.clone()),
+            body: Some(response.into_body()),
+            splitter: Splitter::default(),
+            pace: PaceMeter::new(placed.key),
+            last_event,
+            progressed: Instant::now(),
+            ask_at: Instant::now() + STALL_TIMEOUT,
+            placed,
+        }
+    }
+
+    /// Reads the next complete events. Dropping the future loses nothing.
+    pub(crate) async fn next(&mut self) -> Result<Read, Interruption> {
+        let read = self.read_events().await;
+        if read.is_err() {
+            // A server whose response is invalid must not go on beside another one.
+            self.body = None;
+        }
+        read
+    }
+
+    async fn read_events(&mut self) -> Result<Read, Interruption> {
+        loop {
+            let Some(body) = &mut self.body else {
+                let cause = "the response has been interrupted".to_owned();
+                return Err(Interruption::ConnectionLost(cause));
+            };
+            let Some(bytes) = next_bytes(body).await? else {
+                return self.end();
+            };
+            let events = self.splitter.push(&bytes);
+            let events = events.map_err(|err| Interruption::Backend(err.to_string()))?;
+            for event in &events {
+                self.record(event)?;
+            }
+            if !events.is_empty() {
+                return Ok(Read::Events(events));
+            }
+        }
+    }
+
+    /// Reads until the run has shown an event of the output, or has ended.
+    pub(crate) async fn first_output(&mut self) -> Result<Read, Interruption> {
+        loop {
+            let read = self.next().await?;
+            if read.is_progress() {
+                return Ok(read);
+            }
+        }
+    }
+
+    fn record(&mut self, event: &Event) -> Result<(), Interruption> {
+        if let Some(id) = event.id {
+            if self.last_event.is_some_and(|last| id != last + 1) {
+                let last = self.last_event;
+                return Err(Interruption::Backend(format!(
+                    "event {id} follows {last:?}"
+                )));
+            }
+            self.last_event = Some(id);
+        }
+        if event.is_output() {
+            self.progressed = Instant::now();
+            self.ask_at = self.progressed + STALL_TIMEOUT;
+            self.pace.event(&self.node);
+            self.watch.output();
+        }
+        Ok(())
+    }
+
+    /// Checks that a body that has ended is whole. A response without a length and without chunks
+    /// ends with its connection, whether it is complete or not.
+    fn end(&self) -> Result<Read, Interruption> {
+        let cause = if self.splitter.is_partial() {
+            "the stream ended within an event"
+        } else if self.last_event.is_none() && !self.watch.has_output() {
+            "the stream ended without an event"
+        } else {
+            return Ok(Read::End);
+        };
+        Err(Interruption::ConnectionLost(cause.to_owned()))
+    }
+}
+
+/// Reads the next bytes of a body; `None` at its end.
+pub(crate) async fn next_bytes(body: &mut ClientBody) -> Result<Option<Bytes>, Interruption> {
+    loop {
+        match body.frame().await {
+            None => return Ok(None),
+            Some(Ok(frame)) => {
+                if let Ok(bytes) = frame.into_data() {
+                    return Ok(Some(bytes));
+                }
+            }
+            Some(Err(err)) if err.is_interrupted() => {
+                return Err(Interruption::ConnectionLost(err.to_string()));
+            }
+            Some(Err(err)) => return Err(Interruption::Backend(err.to_string())),
+        }
+    }
+}
+
+impl<P: Store + Dialect> Relay<'_, P> {
+    /// Forwards the events of a stream until it is complete. Only complete events are forwarded, so that
+    /// another backend server can continue the stream after the last one.
+    pub(crate) async fn forward_stream(&mut self, source: Source<P>) -> Result<(), Interruption> {
+        let last = self.history.last_event;
+        let mut run = StreamRun::new(self.node, self.admitted, source, last);
+        loop {
+            let read = match self.next(&mut run).await {
+                Ok(read) => read,
+                Err(interruption) => {
+                    run = self.replace(run, interruption).await?;
+                    continue;
+                }
+            };
+            match read {
+                None => {}
+                Some(Read::Events(events)) => {
+                    for event in events {
+                        self.forward(event).await?;
+                    }
+                }
+                Some(Read::End) => {
+                    run.watch.completed();
+                    return Ok(());
+                }
+            }
+        }
+    }
+
+    /// Waits for the next events, and asks another server for the rest when the stream is silent.
+    /// Returns `None` if it is still silent.
+    async fn next(&mut self, run: &mut StreamRun<P>) -> Result<Option<Read>, Interruption> {
+        if !self.may_continue() {
+            return self.bounded(run.next()).await.map(Some);
+        }
+        let ask_at = run.ask_at;
+        let read = async { timeout_at(ask_at, run.next()).await.transpose() };
+        match self.bounded(read).await? {
+            Some(read) => Ok(Some(read)),
+            None => self.overlap(run).await,
+        }
+    }
+
+    async fn forward(&mut self, event: Event) -> Result<(), Interruption> {
+        if event.id.is_some() {
+            self.history.last_event = event.id;
+        }
+        let arrived = self.admitted.arrived;
+        self.forwarded
+            .first
+            .get_or_insert_with(|| arrived.elapsed());
+        self.forwarded.events += u64::from(event.is_output());
+        let sent = self.sender.send(event.raw).await;
+        sent.map_err(|_| Interruption::CallerDisconnected)
+    }
+}
