gateway: silence of a server is no broken run of an item

An item was moved 1.5 s after its last event, its server was suspected and this was reported to the other instances, although a sound server may be silent for a second or so. The limit is 2.5 s now, and the run ends as silent: its output is kept, the item goes on elsewhere after its last event, and the server is used last until its next output. It counts as no failure of the item.

--- a/gateway/src/open_items.rs
+++ b/gateway/src/open_items.rs
@@ -97,6 +97,8 @@
     Rejected,
     /// The stream was interrupted.
     Broken,
+    /// The backend server was silent for too long; its output so far is kept.
+    Silent,
     /// The run was preempted, or the item needs no run any more.
     Stopped,
 }
@@ -285,7 +287,7 @@
                 item.avoid = backend;
                 item.not_before = now + RETRY_DELAY;
             }
-            RunEnd::Rejected | RunEnd::Broken => {
+            RunEnd::Rejected | RunEnd::Broken | RunEnd::Silent => {
                 item.avoid = backend;
                 item.not_before = now + RETRY_DELAY;
             }
--- a/gateway/src/serve/runs.rs
+++ b/gateway/src/serve/runs.rs
@@ -71,9 +71,10 @@
     Splitter, //
 };
 
-/// Time without a complete event after which the stream of an item counts as broken; bytes that
-/// complete no event are no progress.
-const STALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time without a complete event after which an item is moved to another server; bytes that complete
+/// no event are no progress. A sound server may be silent for a second or so, and an item that moves
+/// has its prompt read again, so this is well above it.
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(2_500);
 
 /// Status of a backend server for an item that can never succeed.
 const IMPOSSIBLE: u16 = 422;
@@ -195,8 +196,10 @@
     if matches!(end, RunEnd::Completed) {
         watch.completed();
     }
-    if matches!(end, RunEnd::Broken) {
-        suspect(&node, run.backend, &cause);
+    match end {
+        RunEnd::Broken => suspect(&node, run.backend, &cause),
+        RunEnd::Silent => watch.dropped_in_silence(),
+        _ => {}
     }
     let name = end_name(&end);
     let events = progress.data.len();
@@ -241,6 +244,7 @@
         RunEnd::Failed => "failed",
         RunEnd::Rejected => "turned-away",
         RunEnd::Broken => "broken",
+        RunEnd::Silent => "silent",
         RunEnd::Stopped => "stopped",
     }
 }
@@ -276,9 +280,9 @@
         deadline: None,
     };
     let sent = node.client.send(run.entry.addr, req, options);
-    let Some(sent) = timeout_at(Instant::now() + STALL_TIMEOUT, sent).await else {
+    let Some(sent) = timeout_at(Instant::now() + SILENCE_TIMEOUT, sent).await else {
         return (
-            RunEnd::Broken,
+            RunEnd::Silent,
             "no response head arrived in time".to_owned(),
         );
     };
@@ -372,9 +376,9 @@
     let mut splitter = Splitter::default();
     let mut progressed = Instant::now();
     loop {
-        let frame = timeout_at(progressed + STALL_TIMEOUT, body.frame()).await;
+        let frame = timeout_at(progressed + SILENCE_TIMEOUT, body.frame()).await;
         let bytes = match frame {
-            None => return (RunEnd::Broken, "no event arrived in time".to_owned()),
+            None => return (RunEnd::Silent, "no event arrived in time".to_owned()),
             Some(Some(Err(err))) => {
                 if err.is_interrupted() {
                     watch.connection_lost(true);
--- a/gateway/tests/open_items.rs
+++ b/gateway/tests/open_items.rs
@@ -207,6 +207,7 @@
 #[case(RunEnd::Failed, Step::Wait)]
 #[case(RunEnd::Rejected, Step::Wait)]
 #[case(RunEnd::Broken, Step::Wait)]
+#[case(RunEnd::Silent, Step::Wait)]
 #[case(RunEnd::Stopped, Step::Wait)]
 fn the_end_of_a_run_determines_the_next_step(#[case] end: RunEnd, #[case] step: Step) {
     let config = config();
@@ -253,6 +254,7 @@
     let key = ItemKey::of("job", 0);
     for _ in 0..10 {
         assert_eq!(run(&mut items, key, &RunEnd::Broken, 0), Step::Wait);
+        assert_eq!(run(&mut items, key, &RunEnd::Silent, 0), Step::Wait);
         assert_eq!(run(&mut items, key, &RunEnd::Stopped, 0), Step::Wait);
     }
     assert_eq!(run(&mut items, key, &RunEnd::Failed, 0), Step::Wait);
