gateway: one silence does not make a server slow

The pace of a stream was the mean of eight gaps, so one silence of a second counted as 142.5 ms between events, and the server got no items for three seconds. The longest gap of each measurement is left out. With the mean of all gaps the case silent_once of one_silence_does_not_make_a_server_slow fails (142.5 ms instead of 20 ms).

--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -84,5 +84,5 @@
 pub use server_limits::{LimitReport, Permit, Purpose, ServerLimits};
 pub use settings::{Settings, SettingsError, StoreSettings};
 pub use silence::{Outputs, SILENCE};
-pub use speed::{SLOW_FACTOR, Slowness, Speeds};
+pub use speed::{PaceMeter, SLOW_FACTOR, Slowness, Speeds};
 pub use sse::{Event, InvalidEventStream, Splitter};
--- a/gateway/src/serve/node.rs
+++ b/gateway/src/serve/node.rs
@@ -71,7 +71,10 @@
 use crate::server_limits::ServerLimits;
 use crate::settings::Settings;
 use crate::silence::Outputs;
-use crate::speed::Speeds;
+use crate::speed::{
+    PaceMeter,
+    Speeds, //
+};
 
 /// Mutable state of an instance, on which routing, placement and scheduling are based.
 #[derive(Debug)]
@@ -408,6 +411,14 @@
         !self.is_leaving() && self.lock().can_serve()
     }
 
+    /// Counts an event of a stream from `backend` and records its pace.
+    pub(crate) fn measure(&self, backend: BackendKey, pace: &mut PaceMeter) {
+        let now = self.now();
+        if let Some(gap) = pace.event(now) {
+            self.lock().speeds.record(backend, gap, now);
+        }
+    }
+
     /// Returns the partition that contains all jobs of an organisation. They share one partition,
     /// so that a single conditional append can enforce the limit of waiting tokens.
     pub(crate) fn partition_of(&self, organisation: &str) -> usize {
--- a/gateway/src/serve/runs.rs
+++ b/gateway/src/serve/runs.rs
@@ -66,6 +66,7 @@
     BatchRun,
     ItemKey, //
 };
+use crate::speed::PaceMeter;
 use crate::sse::{
     Event,
     Splitter, //
@@ -327,42 +328,6 @@
     }
 }
 
-/// Number of events over which the pace of a stream is measured.
-const PACE_EVENTS: u32 = 8;
-
-/// Measures the time between the events of one stream.
-pub(crate) struct PaceMeter {
-    backend: BackendKey,
-    since: Instant,
-    /// Number of events since then; the first one starts the measurement.
-    events: u32,
-}
-
-impl PaceMeter {
-    pub(crate) fn new(backend: BackendKey) -> Self {
-        Self {
-            backend,
-            since: Instant::now(),
-            events: 0,
-        }
-    }
-
-    /// Counts an event, and records the mean time between events after [`PACE_EVENTS`] of them.
-    pub(crate) fn event<P>(&mut self, node: &Node<P>) {
-        if self.events == 0 {
-            self.since = Instant::now();
-        }
-        self.events += 1;
-        if self.events > PACE_EVENTS {
-            let gap = self.since.elapsed() / PACE_EVENTS;
-            let now = node.now();
-            node.lock().speeds.record(self.backend, gap, now);
-            self.since = Instant::now();
-            self.events = 1;
-        }
-    }
-}
-
 /// Collects the events of a response until its end.
 async fn collect_events<P: Store + Dialect>(
     node: &Arc<Node<P>>,
@@ -372,7 +337,7 @@
     watch: &mut RunWatch<P>,
 ) -> (RunEnd, String) {
     let mut body = response.into_body();
-    let mut pace = PaceMeter::new(backend);
+    let mut pace = PaceMeter::default();
     let mut splitter = Splitter::default();
     let mut progressed = Instant::now();
     loop {
@@ -404,7 +369,7 @@
             }
             progress.last = id;
             progress.data.push(event.data);
-            pace.event(node);
+            node.measure(backend, &mut pace);
             watch.output();
         }
     }
--- a/gateway/src/serve/stream.rs
+++ b/gateway/src/serve/stream.rs
@@ -17,12 +17,12 @@
     Source, //
 };
 use super::run_watch::RunWatch;
-use super::runs::PaceMeter;
 use super::takeover::STALL_TIMEOUT;
 use crate::platform::{
     Dialect,
     Store, //
 };
+use crate::speed::PaceMeter;
 use crate::sse::{
     Event,
     Splitter, //
@@ -81,7 +81,7 @@
             watch: RunWatch::new(node, id, &admitted.parts, placed.key, placed.entry.clone()),
             body: Some(response.into_body()),
             splitter: Splitter::default(),
-            pace: PaceMeter::new(placed.key),
+            pace: PaceMeter::default(),
             last_event,
             progressed: Instant::now(),
             ask_at: Instant::now() + STALL_TIMEOUT,
@@ -142,7 +142,7 @@
         if event.is_output() {
             self.progressed = Instant::now();
             self.ask_at = self.progressed + STALL_TIMEOUT;
-            self.pace.event(&self.node);
+            self.node.measure(self.placed.key, &mut self.pace);
             self.watch.output();
         }
         Ok(())
--- a/gateway/src/speed.rs
+++ b/gateway/src/speed.rs
@@ -36,6 +36,40 @@
     }
 }
 
+/// Number of gaps between events over which the pace of a stream is measured.
+const PACE_GAPS: u32 = 8;
+
+/// Measures the time between the events of one stream.
+///
+/// The longest gap of each measurement is left out: a server that is silent for a second and goes on is
+/// not slow.
+#[derive(Clone, Debug, Default)]
+pub struct PaceMeter {
+    last: Option<Timestamp>,
+    gaps: u32,
+    sum: Duration,
+    longest: Duration,
+}
+
+impl PaceMeter {
+    /// Counts an event; returns the mean gap after every [`PACE_GAPS`] of them.
+    pub fn event(&mut self, now: Timestamp) -> Option<Duration> {
+        let gap = now.since(self.last.replace(now)?);
+        self.gaps += 1;
+        self.sum += gap;
+        self.longest = self.longest.max(gap);
+        if self.gaps < PACE_GAPS {
+            return None;
+        }
+        let mean = (self.sum - self.longest) / (PACE_GAPS - 1);
+        *self = Self {
+            last: Some(now),
+            ..Self::default()
+        };
+        Some(mean)
+    }
+}
+
 /// Measured event rates of backend servers.
 #[derive(Debug, Default)]
 pub struct Speeds {
--- a/gateway/tests/speed.rs
+++ b/gateway/tests/speed.rs
@@ -4,9 +4,11 @@
 
 use limpetweir_gateway::{
     BackendKey,
+    PaceMeter,
     Speeds, //
 };
 use limpetweir_state::Timestamp;
+use rstest::rstest;
 
 fn measured(gaps: &[u64], at: u64) -> Speeds {
     let mut speeds = Speeds::default();
@@ -49,3 +51,20 @@
         1.0
     );
 }
+
+/// Guards against servers that count as slow for seconds after a silence, and against slow ones that
+/// do not.
+#[rstest]
+#[case::steady(&[20; 9], 20)]
+#[case::silent_once(&[20, 20, 20, 1_000, 20, 20, 20, 20, 20], 20)]
+#[case::slow(&[110; 9], 110)]
+fn one_silence_does_not_make_a_server_slow(#[case] gaps: &[u64], #[case] mean: u64) {
+    let mut pace = PaceMeter::default();
+    let mut at = 0;
+    let mut measured = Vec::new();
+    for gap in gaps {
+        at += gap;
+        measured.extend(pace.event(Timestamp::from_millis(at)));
+    }
+    assert_eq!(measured, [Duration::from_millis(mean)]);
+}
