--- a/gateway/src/serve/mod.rs
+++ b/gateway/src/serve/mod.rs
@@ -21,11 +21,14 @@
 mod relay;
 mod replies;
 mod reports;
+mod rest;
 mod results;
 mod run_watch;
 mod runs;
 mod stop_window;
 mod store_calls;
+mod stream;
+mod takeover;
 mod writer;
 
 use std::io;
--- a/gateway/src/serve/node.rs
+++ b/gateway/src/serve/node.rs
@@ -82,8 +82,12 @@
 use crate::return_times::ReturnTimes;
 use crate::server_limits::ServerLimits;
 use crate::settings::Settings;
+use crate::silence::Outputs;
 use crate::skipped_records::SkippedRecords;
-use crate::speed::Speeds;
+use crate::speed::{
+    PaceMeter,
+    Speeds, //
+};
 
 /// Mutable state of an instance, on which routing, placement and scheduling are based.
 #[derive(Debug)]
@@ -111,6 +115,7 @@
     pub(crate) instances_next: u64,
     pub(crate) load: Load,
     pub(crate) speeds: Speeds,
+    pub(crate) outputs: Outputs,
     /// Crashes of backend servers and the parts of prompts that are held back.
     pub(crate) quarantine: Quarantine,
     /// When this instance last tried to claim a probe.
@@ -392,6 +397,7 @@
             instances_next: 0,
             load: Load::default(),
             speeds: Speeds::default(),
+            outputs: Outputs::default(),
             quarantine: Quarantine::default(),
             probe_claimed_at: None,
             item_probes: HashSet::new(),
@@ -453,6 +459,14 @@
         !self.is_leaving() && self.lock().can_serve()
     }
 
+    /// Counts an event of a stream from `backend` and records its pace.
+    pub(crate) fn measure(&self, backend: BackendKey, pace: &mut PaceMeter) {
+        let now = self.now();
+        if let Some(gap) = pace.event(now) {
+            self.lock().speeds.record(backend, gap, now);
+        }
+    }
+
     /// Returns the partition that contains all jobs of an organisation. They share one partition,
     /// so that a single conditional append can enforce the limit of waiting tokens.
     pub(crate) fn partition_of(&self, organisation: &str) -> usize {
--- a/gateway/src/serve/online.rs
+++ b/gateway/src/serve/online.rs
@@ -28,7 +28,10 @@
     AttemptHistory,
     attempt, //
 };
-use super::choose::choose;
+use super::choose::{
+    Eligible,
+    choose, //
+};
 use super::ends::OpenRequest;
 use super::forwarding::AllowedCall;
 use super::lines::{
@@ -84,7 +87,7 @@
     pub(crate) head: request::Parts,
     pub(crate) call: CallHead,
     /// What identifies it, and what it shares with others.
-    pub(crate) parts: RequestParts,
+    pub(crate) parts: Arc<RequestParts>,
     pub(crate) body: Bytes,
     pub(crate) route: Arc<Route>,
     pub(crate) service: String,
@@ -196,8 +199,9 @@
         .path_and_query()
         .map_or("", |target| target.as_str());
     let prompt = std::mem::take(&mut call.prompt);
+    let parts = RequestParts::of_request(&head.method, &call.host, target, prompt, &body);
     let admitted = Admitted {
-        parts: RequestParts::of_request(&head.method, &call.host, target, prompt, &body),
+        parts: Arc::new(parts),
         deadline,
         head,
         call,
@@ -312,7 +316,7 @@
 ) -> Result<Box<Source<P>>, Response<Body>> {
     let id = &admitted.call.request_id;
     loop {
-        let placed = match choose(node, admitted, history) {
+        let placed = match choose(node, admitted, history, Eligible::All) {
             Ok(placed) => placed,
             Err(rejection) => return Err(reject(node, admitted, history, rejection)),
         };
--- a/gateway/src/serve/runs.rs
+++ b/gateway/src/serve/runs.rs
@@ -66,14 +66,16 @@
     ItemKey, //
 };
 use crate::request_parts::RequestParts;
+use crate::speed::PaceMeter;
 use crate::sse::{
     Event,
     Splitter, //
 };
 
-/// Time without a complete event after which the stream of an item counts as broken; bytes that
-/// complete no event are no progress.
-const STALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time without a complete event after which an item is moved to another server; bytes that complete
+/// no event are no progress. A sound server may be silent for a second or so, and an item that moves
+/// has its prompt read again, so this is well above it.
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(2_500);
 
 /// Status of a backend server for an item that can never succeed.
 const IMPOSSIBLE: u16 = 422;
@@ -189,15 +191,18 @@
         )
     };
     let mut progress = std::mem::take(&mut run.progress);
-    let parts = item_parts(&node.platform, &run.item, run.key, &run.host);
-    let mut watch = RunWatch::new(&run.item.id, &parts, run.entry.clone());
+    let parts = Arc::new(item_parts(&node.platform, &run.item, run.key, &run.host));
+    let entry = run.entry.clone();
+    let mut watch = RunWatch::new(&node, &run.item.id, &parts, run.backend, entry);
     let running = stream(&node, &run, &mut progress, &mut watch);
     let (end, cause) = future::or(stop, running).await;
     if matches!(end, RunEnd::Completed) {
-        watch.completed(&node);
+        watch.completed();
     }
-    if matches!(end, RunEnd::Broken) {
-        suspect(&node, run.backend, &cause);
+    match end {
+        RunEnd::Broken => suspect(&node, run.backend, &cause),
+        RunEnd::Silent => watch.dropped_in_silence(),
+        _ => {}
     }
     let name = end_name(&end);
     let events = progress.data.len();
@@ -242,6 +247,7 @@
         RunEnd::Failed => "failed",
         RunEnd::Rejected => "turned-away",
         RunEnd::Broken => "broken",
+        RunEnd::Silent => "silent",
         RunEnd::Stopped => "stopped",
     }
 }
@@ -251,7 +257,7 @@
     node: &Arc<Node<P>>,
     run: &Run,
     progress: &mut Progress,
-    watch: &mut RunWatch<'_>,
+    watch: &mut RunWatch<P>,
 ) -> (RunEnd, String) {
     let request = ItemRequest {
         id: &run.item.id,
@@ -277,9 +283,9 @@
         deadline: None,
     };
     let sent = node.client.send(run.entry.addr, req, options);
-    let Some(sent) = timeout_at(Instant::now() + STALL_TIMEOUT, sent).await else {
+    let Some(sent) = timeout_at(Instant::now() + SILENCE_TIMEOUT, sent).await else {
         return (
-            RunEnd::Broken,
+            RunEnd::Silent,
             "no response head arrived in time".to_owned(),
         );
     };
@@ -287,7 +293,7 @@
         Ok(response) => response,
         Err(err) => {
             if err.is_lost_run() {
-                watch.connection_lost(node, false);
+                watch.connection_lost(false);
             }
             return (RunEnd::Broken, err.to_string());
         }
@@ -324,61 +330,25 @@
     }
 }
 
-/// Number of events over which the pace of a stream is measured.
-const PACE_EVENTS: u32 = 8;
-
-/// Measures the time between the events of one stream.
-pub(crate) struct PaceMeter {
-    backend: BackendKey,
-    since: Instant,
-    /// Number of events since then; the first one starts the measurement.
-    events: u32,
-}
-
-impl PaceMeter {
-    pub(crate) fn new(backend: BackendKey) -> Self {
-        Self {
-            backend,
-            since: Instant::now(),
-            events: 0,
-        }
-    }
-
-    /// Counts an event, and records the mean time between events after [`PACE_EVENTS`] of them.
-    pub(crate) fn event<P>(&mut self, node: &Node<P>) {
-        if self.events == 0 {
-            self.since = Instant::now();
-        }
-        self.events += 1;
-        if self.events > PACE_EVENTS {
-            let gap = self.since.elapsed() / PACE_EVENTS;
-            let now = node.now();
-            node.lock().speeds.record(self.backend, gap, now);
-            self.since = Instant::now();
-            self.events = 1;
-        }
-    }
-}
-
 /// Collects the events of a response until its end.
 async fn collect_events<P: Store + Dialect>(
     node: &Arc<Node<P>>,
     backend: BackendKey,
     response: Response<ClientBody>,
     progress: &mut Progress,
-    watch: &mut RunWatch<'_>,
+    watch: &mut RunWatch<P>,
 ) -> (RunEnd, String) {
     let mut body = response.into_body();
-    let mut pace = PaceMeter::new(backend);
+    let mut pace = PaceMeter::default();
     let mut splitter = Splitter::default();
     let mut progressed = Instant::now();
     loop {
-        let frame = timeout_at(progressed + STALL_TIMEOUT, body.frame()).await;
+        let frame = timeout_at(progressed + SILENCE_TIMEOUT, body.frame()).await;
         let bytes = match frame {
-            None => return (RunEnd::Broken, "no event arrived in time".to_owned()),
+            None => return (RunEnd::Silent, "no event arrived in time".to_owned()),
             Some(Some(Err(err))) => {
                 if err.is_interrupted() {
-                    watch.connection_lost(node, true);
+                    watch.connection_lost(true);
                 }
                 return (RunEnd::Broken, err.to_string());
             }
@@ -401,8 +371,8 @@
             }
             progress.last = id;
             progress.data.push(event.data);
-            pace.event(node);
-            watch.output(node);
+            node.measure(backend, &mut pace);
+            watch.output();
         }
     }
     let cut = if splitter.is_partial() {
@@ -413,7 +383,7 @@
         None
     };
     if let Some(cause) = cut {
-        watch.connection_lost(node, true);
+        watch.connection_lost(true);
         return (RunEnd::Broken, cause.to_owned());
     }
     (RunEnd::Completed, String::new())
