transport: a handler that panics answers 500

A caller whose handler panicked saw its connection closed without a byte and could not tell it from a lost process. The panic of a handler, also one before it returns its future, is now caught where the response is made: the caller gets 500, which makes no promise about whether the request has run, and its connection is closed. LW1103 has the message of the panic. A request is counted before its head is decoded, so that a panic of the decoder is the end `panicked` too.

a_panic_in_a_handler_ends_only_its_connection expected the closed connection.

--- a/gateway/src/serve/ends.rs
+++ b/gateway/src/serve/ends.rs
@@ -116,16 +116,23 @@
 }
 
 impl OpenRequest {
-    pub(crate) fn new(ends: &Arc<Ends>, id: &str) -> Self {
+    /// Counts a request whose head has not been decoded yet, so that a panic of the decoder is
+    /// counted as its end.
+    pub(crate) fn new(ends: &Arc<Ends>) -> Self {
         ends.open.fetch_add(1, Ordering::AcqRel);
         Self {
             ends: ends.clone(),
-            id: id.to_owned(),
+            id: String::new(),
             arrived: Instant::now(),
             end: None,
         }
     }
 
+    /// Sets the identifier of the request.
+    pub(crate) fn identify(&mut self, id: &str) {
+        id.clone_into(&mut self.id);
+    }
+
     /// Records the end of the request.
     pub(crate) fn end(mut self, end: RequestEnd) {
         self.end = Some(end);
--- a/gateway/src/serve/online.rs
+++ b/gateway/src/serve/online.rs
@@ -97,8 +97,9 @@
     req: Request<RequestBody>,
 ) -> Response<Body> {
     let (head, body) = req.into_parts();
+    let mut open = OpenRequest::new(&node.ends);
     let call = node.platform.call(&head);
-    let open = OpenRequest::new(&node.ends, &call.request_id);
+    open.identify(&call.request_id);
     match admit(&node, call, head, body).await {
         Admission::Admitted(admitted) => serve(node, open, *admitted).await,
         Admission::Answered(response) => open.answer(response),
--- a/transport/src/http/server.rs
+++ b/transport/src/http/server.rs
@@ -38,7 +38,8 @@
 use hyper::service::service_fn;
 use hyper::{
     Request,
-    Response, //
+    Response,
+    StatusCode, //
 };
 use smol_hyper::rt::{
     FuturesIo,
@@ -52,6 +53,7 @@
 use super::io::YieldingStream;
 use crate::runtime::{
     Spawner,
+    panic_message,
     sleep,
     timeout_at, //
 };
@@ -215,11 +217,15 @@
     }
 }
 
-/// Runs a connection and logs a panic of its handler, which must not reach the accept loop.
+/// Runs a connection and logs a panic, which must not reach the accept loop. A panic of the handler
+/// is caught earlier; what is left are panics of response bodies.
 async fn catch_panic(remote: SocketAddr, connection: impl Future<Output = ()>) {
     let result = AssertUnwindSafe(connection).catch_unwind().await;
-    if result.is_err() {
-        log::error!("LW1103 a handler panicked on the connection of {remote}");
+    if let Err(panic) = result {
+        log::error!(
+            "LW1103 the connection of {remote} ends with a panic: {}",
+            panic_message(&*panic)
+        );
     }
 }
 
@@ -272,10 +278,27 @@
     let limits = &shared.limits;
     let mut req = req.map(|body| RequestBody::new(body, limits.body_bytes, limits.body_timeout));
     req.extensions_mut().insert(RemoteAddr(remote));
-    let mut response = (shared.handler)(req).await;
-    if shared.draining.load(Ordering::Acquire) {
+    // The handler may panic before it returns its future.
+    let handled = AssertUnwindSafe(async { (shared.handler)(req).await });
+    let (mut response, panicked) = match handled.catch_unwind().await {
+        Ok(response) => (response, false),
+        Err(panic) => {
+            let cause = panic_message(&*panic);
+            log::error!("LW1103 a handler panicked on the connection of {remote}: {cause}");
+            (internal_error(), true)
+        }
+    };
+    if panicked || shared.draining.load(Ordering::Acquire) {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
     Ok(response)
 }
+
+/// Returns the response to a request whose handler has panicked. It makes no promise about whether
+/// the request has run.
+fn internal_error() -> Response<Body> {
+    let mut response = Response::new(Body::from("internal error; the request may have run"));
+    *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+    response
+}
--- a/transport/src/runtime.rs
+++ b/transport/src/runtime.rs
@@ -1,5 +1,6 @@
 //! Executor threads shared by all tasks of a process, and the process's monotonic clock.
 
+use std::any::Any;
 use std::future::Future;
 use std::io;
 use std::sync::Arc;
@@ -122,6 +123,13 @@
     }
 }
 
+/// Returns the message of a caught panic.
+pub fn panic_message(panic: &(dyn Any + Send)) -> &str {
+    let text = panic.downcast_ref::<&str>().copied();
+    let text = text.or_else(|| panic.downcast_ref::<String>().map(String::as_str));
+    text.unwrap_or("no message")
+}
+
 /// Waits for `duration`.
 pub async fn sleep(duration: Duration) {
     Timer::after(duration).await;
--- a/transport/tests/http.rs
+++ b/transport/tests/http.rs
@@ -140,23 +140,28 @@
     });
 }
 
-/// Guards against a handler panic that terminates an executor thread.
+/// Guards against a handler panic that terminates an executor thread or leaves its caller without an
+/// answer, whether or not the handler has returned its future.
 #[test]
-fn a_panic_in_a_handler_ends_only_its_connection() {
+fn a_panic_in_a_handler_is_answered_and_ends_only_its_connection() {
     let runtime = Runtime::start(1).unwrap();
     let spawner = runtime.spawner();
-    let handler = |req: Request<RequestBody>| async move {
-        assert_ne!(req.uri().path(), "/panic", "requested by the test");
-        Response::new(Body::from("fine"))
+    let handler = |req: Request<RequestBody>| {
+        assert_ne!(req.uri().path(), "/early", "requested by the test");
+        async move {
+            assert_ne!(req.uri().path(), "/late", "requested by the test");
+            Response::new(Body::from("fine"))
+        }
     };
     let server = Server::start(&spawner, LOCAL, ServerLimits::default(), handler).unwrap();
     let client = Client::new(&spawner, ClientLimits::default());
     let addr = server.addr();
     runtime.block_on(async move {
-        client
-            .send(addr, get("/panic"), options())
-            .await
-            .unwrap_err();
+        for path in ["/early", "/late"] {
+            let response = client.send(addr, get(path), options()).await.unwrap();
+            assert_eq!(response.status(), StatusCode::INTERNAL_SERVER_ERROR);
+            assert_eq!(response.headers()[CONNECTION], "close");
+        }
         let response = client.send(addr, get("/"), options()).await.unwrap();
         assert_eq!(response.status(), StatusCode::OK);
     });
