gateway: background tasks are supervised, one-shot tasks are guarded

Callers saw an instance that kept an old configuration and old servers for ever, submissions without an answer and items that never ended, all without a line: the executor hands a panic to the handle of the task, and nobody polls the handles.

Each background task has a name and is created by a closure; after a panic or an unexpected end it starts again after 100 ms, doubling to 5 s, with an error line (LW2011) and limpetweir_task_restarts. State that must survive lies outside the task: the queue of a writer with the changes of the call in progress, which count as possibly executed, and the number of the last report, below which peers ignore reports. A reader lists its topic again; that of the jobs goes on at the position of the partition. A record, a peer's message or a change whose processing panics is skipped alone (LW2015): it would stop its reader after every restart. Tasks with one purpose have a clean-up for a panic (LW2012): an item waits for another run after a second, a fetch of the configuration ends, an item that was given up waits again. No task can be spawned past the supervisor, because the node has no spawner any more.

A heartbeat of each task is the metric limpetweir_task_age_seconds; one that makes no step for 10 s (readers) or 30 s is an error line (LW2013). It counts the time between looks, so a paused process reports no task.

--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -38,6 +38,7 @@
 mod settings;
 mod speed;
 mod sse;
+mod supervision;
 
 pub use backend::{Backend, BackendEntry, BackendKey, Backends, LeavingSource, RunKey};
 pub use batch::{
@@ -84,3 +85,4 @@
 pub use settings::{Settings, SettingsError, StoreSettings};
 pub use speed::{SLOW_FACTOR, Slowness, Speeds};
 pub use sse::{Event, InvalidEventStream, Splitter};
+pub use supervision::{Pulse, RestartBackoff, StallTimer, steps_back};
--- a/gateway/src/serve/catch_up.rs
+++ b/gateway/src/serve/catch_up.rs
@@ -15,6 +15,7 @@
 use super::follow;
 use super::node::Node;
 use super::store_calls::StoreCall;
+use super::supervisor::OneShot;
 use crate::platform::{
     Dialect,
     RecordRange,
@@ -49,10 +50,11 @@
         // Sending fails if the caller has given up.
         let _ = tx.try_send(result);
     };
-    node.spawner.spawn(read).detach();
+    let clean_up = std::future::ready(());
+    node.supervisor.spawn_once(OneShot::CatchUp, read, clean_up);
     rx.recv().await.unwrap_or_else(|_| {
         Err(StoreError::NotDone {
-            reason: "the process is shutting down".to_owned(),
+            reason: "the read of the partition panicked".to_owned(),
         })
     })
 }
--- a/gateway/src/serve/crashes.rs
+++ b/gateway/src/serve/crashes.rs
@@ -47,6 +47,10 @@
     unix_ms, //
 };
 use super::replies::plain;
+use super::supervisor::{
+    OneShot,
+    Steps, //
+};
 use crate::backend::{
     BackendEntry,
     BackendKey, //
@@ -116,9 +120,9 @@
     if parts.is_empty() || !is_serving {
         return;
     }
-    let node = node.clone();
-    let spawner = node.spawner.clone();
-    let task = async move {
+    let shared = node.clone();
+    let check = async move {
+        let node = shared;
         let check = node.client.open(entry.addr, TrafficClass::Online).await;
         match check {
             Err(err) if err.is_refused() => {
@@ -129,7 +133,9 @@
             Ok(()) => {}
         }
     };
-    spawner.spawn(task).detach();
+    let clean_up = std::future::ready(());
+    node.supervisor
+        .spawn_once(OneShot::CheckServer, check, clean_up);
 }
 
 fn server_crashed<P: Store + Dialect>(
@@ -197,8 +203,10 @@
             CaseChange::Closed(case) => log_event!(CASE_CLOSED, "{}", describe(case)),
         }
         if origin == Origin::Own {
-            let task = store_change(node.clone(), change);
-            node.spawner.spawn(task).detach();
+            let store = store_change(node.clone(), change);
+            let clean_up = std::future::ready(());
+            node.supervisor
+                .spawn_once(OneShot::StoreCase, store, clean_up);
         }
         node.balance_due.notify(usize::MAX);
     }
@@ -353,17 +361,23 @@
 }
 
 /// Tells the other instances about crashes, as long as any are known.
-pub(crate) async fn tell<P: Store + Dialect>(node: Arc<Node<P>>, socket: Arc<Async<UdpSocket>>) {
+pub(crate) async fn tell<P: Store + Dialect>(
+    node: Arc<Node<P>>,
+    socket: Arc<Async<UdpSocket>>,
+    steps: Arc<Steps>,
+) {
     let mut interval = 0_u32;
     let mut last = Instant::now();
     let mut due = node.crash_news.listen();
     loop {
         let quiet = node.lock().quarantine.is_empty();
         if quiet {
+            steps.idle();
             due.await;
         } else if timeout_at(last + NEWS_INTERVAL, due).await.is_some() {
             sleep(COALESCE_TIME).await;
         }
+        steps.step();
         due = node.crash_news.listen();
         if last.elapsed() >= NEWS_INTERVAL {
             last = Instant::now();
--- a/gateway/src/serve/follow.rs
+++ b/gateway/src/serve/follow.rs
@@ -23,6 +23,7 @@
     ReplicaStatus,
 };
 use super::store_calls::StoreCall;
+use super::supervisor::Steps;
 use crate::config::Configuration;
 use crate::listing::Listing;
 use crate::platform::{
@@ -120,6 +121,7 @@
     node: Arc<Node<P>>,
     topic: Topic,
     partition: u32,
+    steps: Arc<Steps>,
 ) {
     let mut cursor = Cursor::default();
     let timing = timing(topic);
@@ -134,17 +136,20 @@
                 state.replica_status[partition as usize] != ReplicaStatus::Inactive
             };
             if !is_replica {
+                steps.idle();
                 changed.await;
                 continue;
             }
         }
         let result = if cursor.loaded {
-            let Some(range) = read_next(&node, topic, partition, &mut cursor).await else {
+            let range = read_next(&node, topic, partition, &mut cursor).await;
+            steps.step();
+            let Some(range) = range else {
                 continue;
             };
             range.map(|range| apply_range(&node, topic, partition, &mut cursor, range))
         } else {
-            load(&node, topic, partition, &mut cursor).await
+            load(&node, topic, partition, &mut cursor, &steps).await
         };
         if topic == Topic::Jobs {
             let responded = matches!(result, Ok(()) | Err(StoreError::Trimmed { .. }));
@@ -248,6 +253,7 @@
     topic: Topic,
     partition: u32,
     cursor: &mut Cursor,
+    steps: &Steps,
 ) -> Result<(), StoreError> {
     if topic == Topic::Jobs && node.lock().partitions[partition as usize].begin_listing() {
         cursor.listing = Listing::default();
@@ -255,7 +261,9 @@
     cursor.sent = node.now();
     loop {
         let after = cursor.listing.after();
-        let page = node.list_records(topic, partition, after).await?;
+        let page = node.list_records(topic, partition, after).await;
+        steps.step();
+        let page = page?;
         let last = page.next.is_none();
         for record in cursor.listing.add(page) {
             apply_record(node, topic, partition, &record);
@@ -315,6 +323,17 @@
     partition: u32,
     offset: u64,
     record: &Record,
+) {
+    let input = format!("topic=jobs partition={partition} offset={offset}");
+    let apply = || apply_new_job(node, partition, offset, record);
+    node.supervisor.skip_on_panic(&input, apply);
+}
+
+fn apply_new_job<P: Store + Dialect>(
+    node: &Arc<Node<P>>,
+    partition: u32,
+    offset: u64,
+    record: &Record,
 ) {
     let mut state = node.lock();
     let known = &mut state.partitions[partition as usize];
@@ -335,6 +354,17 @@
     topic: Topic,
     partition: u32,
     record: &Record,
+) {
+    let input = format!("topic={topic} partition={partition} key={:?}", record.key);
+    let apply = || decode_and_apply(node, topic, partition, record);
+    node.supervisor.skip_on_panic(&input, apply);
+}
+
+fn decode_and_apply<P: Store + Dialect>(
+    node: &Arc<Node<P>>,
+    topic: Topic,
+    partition: u32,
+    record: &Record,
 ) {
     match topic {
         Topic::Configuration => {
--- a/gateway/src/serve/items.rs
+++ b/gateway/src/serve/items.rs
@@ -28,6 +28,10 @@
     State,
     unix_ms, //
 };
+use super::supervisor::{
+    OneShot,
+    Steps, //
+};
 use super::{
     crashes,
     runs,
@@ -63,6 +67,10 @@
 use crate::report::ItemKey;
 use crate::server_limits::Purpose;
 
+/// Time after the panic of an item's task before the item is taken up again, so that a panic that
+/// recurs does not fill the log.
+pub(crate) const PANIC_PAUSE: Duration = Duration::from_secs(1);
+
 /// Maximum time between two runs of the scheduler.
 const TICK: Duration = Duration::from_millis(50);
 
@@ -157,12 +165,13 @@
 }
 
 /// Runs the scheduler after each change. Reports that arrive together count as one change.
-pub(crate) async fn schedule<P: Store + Dialect>(node: Arc<Node<P>>) {
+pub(crate) async fn schedule<P: Store + Dialect>(node: Arc<Node<P>>, steps: Arc<Steps>) {
     let mut due = node.balance_due.listen();
     loop {
         let idle = node.lock().items.iter().next().is_none();
         let tick = if idle { IDLE_TICK } else { TICK };
         timeout_at(Instant::now() + tick, due).await;
+        steps.step();
         due = node.balance_due.listen();
         balance(&node);
         give_up(&node);
@@ -207,9 +216,10 @@
     state.items_waiting = !waiting.is_empty();
     let claim = hold_back(node, state, &mut waiting, now);
     if let Some(claim) = claim {
-        node.spawner
-            .spawn(claim_probe(node.clone(), claim))
-            .detach();
+        let claim = claim_probe(node.clone(), claim);
+        let clean_up = std::future::ready(());
+        node.supervisor
+            .spawn_once(OneShot::ClaimProbe, claim, clean_up);
     }
     if waiting.is_empty() {
         return;
@@ -392,16 +402,26 @@
         let (give_up, orphaned) = (item.give_up, item.orphaned_since.is_some());
         let version = state.config.as_ref().map_or(0, |config| config.version());
         drop(state);
-        let node = node.clone();
-        let spawner = node.spawner.clone();
-        let task = async move {
-            let result = writer::write(&node, partition, change).await;
+        let shared = node.clone();
+        let write = async move {
+            let result = writer::write(&shared, partition, change).await;
             log_event!(
                 ITEM_LISTED,
                 "job={job} outcome=GivenUp cause=expired give_up_at={give_up} orphaned={orphaned} version={version} result=\"{result:?}\""
             );
         };
-        spawner.spawn(task).detach();
+        let wait_again = wait_again(node.clone(), key);
+        node.supervisor
+            .spawn_once(OneShot::GiveUp, write, wait_again);
+    }
+}
+
+/// Lets an item wait again whose task has panicked while it was given up.
+async fn wait_again<P>(node: Arc<Node<P>>, key: ItemKey) {
+    // The next run of the scheduler gives it up again.
+    sleep(PANIC_PAUSE).await;
+    if let Some(item) = node.lock().items.get_mut(key) {
+        item.phase = Phase::Waiting;
     }
 }
 
@@ -409,12 +429,15 @@
 const REMOVAL_INTERVAL: Duration = Duration::from_secs(10);
 
 /// Removes jobs whose retention time has expired.
-pub(crate) async fn remove_expired_jobs<P: Store + Dialect>(node: Arc<Node<P>>) {
+pub(crate) async fn remove_expired_jobs<P: Store + Dialect>(node: Arc<Node<P>>, steps: Arc<Steps>) {
     loop {
         sleep(REMOVAL_INTERVAL).await;
+        steps.step();
         for (partition, job) in expired_jobs(&node) {
             let change = Change::Remove { job: job.clone() };
-            // A failed removal is retried with the next search.
+            // A failed removal is retried with the next search. The writer waits for the end of an
+            // outage of the store.
+            steps.idle();
             let result = writer::write(&node, partition, change).await;
             log::debug!("removal of job {job}: {result:?}");
         }
--- a/gateway/src/serve/lines.rs
+++ b/gateway/src/serve/lines.rs
@@ -78,6 +78,16 @@
 pub(crate) const LINES_DROPPED: Event = Event::new(2006, Level::Warn);
 /// The process was paused for a while.
 pub(crate) const PAUSED: Event = Event::new(2007, Level::Warn);
+/// A background task has panicked or ended and is started again.
+pub(crate) const TASK_RESTARTED: Event = Event::new(2011, Level::Error);
+/// A task with one purpose has panicked.
+pub(crate) const TASK_PANICKED: Event = Event::new(2012, Level::Error);
+/// A background task makes no step.
+pub(crate) const TASK_STANDS_STILL: Event = Event::new(2013, Level::Error);
+/// It makes steps again.
+pub(crate) const TASK_MOVES: Event = Event::new(2014, Level::Warn);
+/// The processing of a record or of a message has panicked, and it is skipped.
+pub(crate) const INPUT_SKIPPED: Event = Event::new(2015, Level::Error);
 /// Reads of a topic from the store fail.
 pub(crate) const STORE_LOST: Event = Event::new(2101, Level::Warn);
 /// Reads of a topic from the store succeed again.
--- a/gateway/src/serve/metrics.rs
+++ b/gateway/src/serve/metrics.rs
@@ -5,6 +5,7 @@
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{
     Counter,
+    Gauge,
     Histogram,
     MeterProvider, //
 };
@@ -17,6 +18,10 @@
 use super::attempt::AttemptKind;
 use super::ends::RequestEnd;
 use super::store_calls::CallOutcome;
+use super::supervisor::{
+    Background,
+    OneShot, //
+};
 
 /// Upper bounds of the duration buckets in seconds; the latency objectives are between 0.3 and 0.5.
 const BUCKETS: [f64; 12] = [
@@ -43,6 +48,10 @@
     cases_opened: Counter<u64>,
     limited_requests: Counter<u64>,
     lines_dropped: Counter<u64>,
+    task_restarts: Counter<u64>,
+    task_panics: Counter<u64>,
+    task_age: Gauge<f64>,
+    inputs_skipped: Counter<u64>,
 }
 
 impl Metrics {
@@ -108,6 +117,22 @@
                 "Requests to backend servers with a limit, by kind",
             ),
             lines_dropped: counter("limpetweir_log_lines_dropped", "Log lines not written"),
+            task_restarts: counter(
+                "limpetweir_task_restarts",
+                "Restarts of background tasks after a panic or an unexpected end",
+            ),
+            task_panics: counter(
+                "limpetweir_task_panics",
+                "Panics of tasks with one purpose, such as the run of an item",
+            ),
+            task_age: meter
+                .f64_gauge("limpetweir_task_age_seconds")
+                .with_description("Time since the last step of a background task that is not idle")
+                .build(),
+            inputs_skipped: counter(
+                "limpetweir_inputs_skipped",
+                "Records and messages whose processing panicked",
+            ),
             registry,
             _provider: provider,
         })
@@ -179,6 +204,29 @@
         self.lines_dropped.add(count, &[]);
     }
 
+    /// Counts a restart of a background task.
+    pub(crate) fn task_restarted(&self, task: Background) {
+        let labels = [KeyValue::new("task", task.to_string())];
+        self.task_restarts.add(1, &labels);
+    }
+
+    /// Counts a panic of a task with one purpose.
+    pub(crate) fn task_panicked(&self, task: OneShot) {
+        let labels = [KeyValue::new("task", task.to_string())];
+        self.task_panics.add(1, &labels);
+    }
+
+    /// Records for how long a background task has made no step.
+    pub(crate) fn task_age(&self, task: Background, age: Duration) {
+        let labels = [KeyValue::new("task", task.to_string())];
+        self.task_age.record(age.as_secs_f64(), &labels);
+    }
+
+    /// Counts a record or a message that is skipped because its processing has panicked.
+    pub(crate) fn input_skipped(&self) {
+        self.inputs_skipped.add(1, &[]);
+    }
+
     /// Encodes all metrics in the Prometheus text format.
     pub(crate) fn render(&self) -> String {
         let families = self.registry.gather();
--- a/gateway/src/serve/mod.rs
+++ b/gateway/src/serve/mod.rs
@@ -24,6 +24,7 @@
 mod run_watch;
 mod runs;
 mod store_calls;
+mod supervisor;
 mod writer;
 
 use std::io;
@@ -33,12 +34,16 @@
 };
 use std::path::Path;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{
+    AtomicU64,
+    Ordering, //
+};
 use std::time::{
     Duration,
     Instant, //
 };
 
+use async_channel::Receiver;
 use async_executor::Task;
 use async_io::Async;
 use async_signal::{
@@ -89,6 +94,14 @@
     Node,
     unix_ms, //
 };
+use self::supervisor::{
+    Background,
+    Steps, //
+};
+use self::writer::{
+    Queue,
+    WriteRequest, //
+};
 use crate::members::{
     AddressEntry,
     addresses, //
@@ -239,14 +252,7 @@
         let partitions = platform.partitions(Topic::Jobs);
         let channels = (0..partitions).map(|_| async_channel::unbounded());
         let (writers, queues): (Vec<_>, Vec<_>) = channels.unzip();
-        let node = Node::new(
-            platform,
-            settings,
-            spawner.clone(),
-            client,
-            metrics,
-            writers,
-        );
+        let node = Node::new(platform, settings, spawner, client, metrics, writers);
         let node = Arc::new(node);
         let settings = &node.settings;
         let peer = SocketAddr::new(settings.address, settings.peer_port);
@@ -290,24 +296,7 @@
             });
             other_listeners.push(server.context(ListenSnafu { purpose, addr })?);
         }
-        let mut tasks = vec![
-            spawner.spawn(follow::read_topic(node.clone(), Topic::Configuration, 0)),
-            spawner.spawn(follow::read_topic(node.clone(), Topic::Backends, 0)),
-            spawner.spawn(follow::read_topic(node.clone(), Topic::Instances, 0)),
-            spawner.spawn(peers::register(node.clone())),
-            spawner.spawn(reports::send(node.clone(), socket.clone())),
-            spawner.spawn(crashes::tell(node.clone(), socket.clone())),
-            spawner.spawn(peers::receive(node.clone(), socket)),
-            spawner.spawn(peers::watch(node.clone())),
-            spawner.spawn(quota_levels::adopt(node.clone())),
-            spawner.spawn(items::schedule(node.clone())),
-            spawner.spawn(items::remove_expired_jobs(node.clone())),
-        ];
-        for (partition, queue) in (0..partitions).zip(queues) {
-            let following = follow::read_topic(node.clone(), Topic::Jobs, partition);
-            tasks.push(spawner.spawn(following));
-            tasks.push(spawner.spawn(writer::run(node.clone(), partition, queue)));
-        }
+        let tasks = start_tasks(&node, &socket, queues);
         log_event!(
             STARTED,
             "name={} zone={} public={} peer={peer} store={} boot={}",
@@ -370,6 +359,79 @@
     }
 }
 
+/// Starts the background tasks; `queues` are those of the writers.
+fn start_tasks<P: Store + Dialect>(
+    node: &Arc<Node<P>>,
+    socket: &Arc<Async<UdpSocket>>,
+    queues: Vec<Receiver<WriteRequest>>,
+) -> Vec<Task<()>> {
+    // Peers ignore a report whose number is not above that of the previous one.
+    let sequence = Arc::new(AtomicU64::new(0));
+    let mut tasks = vec![
+        start_reader(node, Topic::Configuration, 0),
+        start_reader(node, Topic::Backends, 0),
+        start_reader(node, Topic::Instances, 0),
+        start_task(node, Background::Register, peers::register),
+        start_task(node, Background::AdoptLevels, quota_levels::adopt),
+        start_task(node, Background::WatchPeers, peers::watch),
+        start_task(node, Background::Scheduler, items::schedule),
+        start_task(
+            node,
+            Background::RemoveExpiredJobs,
+            items::remove_expired_jobs,
+        ),
+        start_task(node, Background::WatchTasks, supervisor::watch),
+    ];
+    let shared = socket.clone();
+    tasks.push(start_task(
+        node,
+        Background::SendReports,
+        move |node, steps| reports::send(node, shared.clone(), sequence.clone(), steps),
+    ));
+    let shared = socket.clone();
+    tasks.push(start_task(
+        node,
+        Background::ReceiveReports,
+        move |node, steps| peers::receive(node, shared.clone(), steps),
+    ));
+    let shared = socket.clone();
+    tasks.push(start_task(
+        node,
+        Background::CrashNews,
+        move |node, steps| crashes::tell(node, shared.clone(), steps),
+    ));
+    for (partition, queue) in (0..).zip(queues) {
+        tasks.push(start_reader(node, Topic::Jobs, partition));
+        let queue = Arc::new(Queue::new(queue));
+        let task = Background::WriteJobs(partition);
+        tasks.push(start_task(node, task, move |node, steps| {
+            writer::run(node, partition, queue.clone(), steps)
+        }));
+    }
+    tasks
+}
+
+fn start_task<P, F>(
+    node: &Arc<Node<P>>,
+    task: Background,
+    create: impl Fn(Arc<Node<P>>, Arc<Steps>) -> F + Send + Sync + 'static,
+) -> Task<()>
+where
+    P: Store + Dialect,
+    F: Future<Output = ()> + Send + 'static,
+{
+    let shared = node.clone();
+    let create = move |steps| create(shared.clone(), steps);
+    node.supervisor.spawn(task, create)
+}
+
+fn start_reader<P: Store + Dialect>(node: &Arc<Node<P>>, topic: Topic, partition: u32) -> Task<()> {
+    let task = Background::reader(topic, partition);
+    start_task(node, task, move |node, steps| {
+        follow::read_topic(node, topic, partition, steps)
+    })
+}
+
 /// Time between two housekeeping runs.
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_millis(500);
 
--- a/gateway/src/serve/node.rs
+++ b/gateway/src/serve/node.rs
@@ -33,6 +33,7 @@
 use super::ends::Ends;
 use super::items::RunHandles;
 use super::metrics::Metrics;
+use super::supervisor::Supervisor;
 use super::writer::WriteRequest;
 use crate::backend::{
     BackendKey,
@@ -295,12 +296,12 @@
 pub(crate) struct Node<P> {
     pub(crate) platform: P,
     pub(crate) settings: Settings,
-    pub(crate) spawner: Spawner,
     pub(crate) clock: Clock,
     /// Start time of the instance in Unix milliseconds.
     pub(crate) boot: u64,
     pub(crate) client: Client,
     pub(crate) metrics: Arc<Metrics>,
+    pub(crate) supervisor: Supervisor,
     /// Ends of the requests of callers.
     pub(crate) ends: Arc<Ends>,
     state: Mutex<State>,
@@ -326,7 +327,7 @@
     pub(crate) fn new(
         platform: P,
         settings: Settings,
-        spawner: Spawner,
+        spawner: &Spawner,
         client: Client,
         metrics: Metrics,
         writers: Vec<Sender<WriteRequest>>,
@@ -369,7 +370,7 @@
         Self {
             platform,
             settings,
-            spawner,
+            supervisor: Supervisor::new(spawner, &metrics),
             clock: Clock::start(),
             boot: unix_ms(),
             client,
--- a/gateway/src/serve/peers.rs
+++ b/gateway/src/serve/peers.rs
@@ -36,6 +36,10 @@
     Node, //
     ReplicaStatus,
 };
+use super::supervisor::{
+    OneShot,
+    Steps, //
+};
 use crate::backend::LeavingSource;
 use crate::crash_message::CaseRecord;
 use crate::crash_news::CrashNews;
@@ -101,7 +105,7 @@
 }
 
 /// Writes the record of this instance, with retries until the store accepts it.
-pub(crate) async fn register<P: Store + Dialect>(node: Arc<Node<P>>) {
+pub(crate) async fn register<P: Store + Dialect>(node: Arc<Node<P>>, steps: Arc<Steps>) {
     let settings = &node.settings;
     let content = InstanceRecord {
         addr: settings.address,
@@ -115,6 +119,7 @@
     let records = [record];
     while let Err(err) = append(&node, &records).await {
         log::debug!("cannot write the record of this instance: {err}");
+        steps.step();
         sleep(REGISTER_RETRY).await;
     }
 }
@@ -138,19 +143,22 @@
 }
 
 /// Receives the reports of the other instances.
-pub(crate) async fn receive<P: Store + Dialect>(node: Arc<Node<P>>, socket: Arc<Async<UdpSocket>>) {
+pub(crate) async fn receive<P: Store + Dialect>(
+    node: Arc<Node<P>>,
+    socket: Arc<Async<UdpSocket>>,
+    steps: Arc<Steps>,
+) {
     let mut buf = vec![0; MAX_REPORT_BYTES];
     loop {
-        match socket.recv_from(&mut buf).await {
+        steps.idle();
+        let received = socket.recv_from(&mut buf).await;
+        steps.step();
+        match received {
             Ok((len, from)) => {
-                if let Some(news) = CrashNews::decode(&buf[..len]) {
-                    crashes::merge(&node, &news);
-                    continue;
-                }
-                let report = Report::decode(&buf[..len]);
-                if let Some(report) = report.filter(|r| r.name != node.settings.name) {
-                    apply_report(&node, report, from.ip());
-                }
+                let message = &buf[..len];
+                let apply = || apply_message(&node, message, from.ip());
+                let input = format!("peer={from} bytes={len}");
+                node.supervisor.skip_on_panic(&input, apply);
             }
             Err(err) => {
                 // On some systems a peer without a listener causes an error here.
@@ -161,6 +169,17 @@
     }
 }
 
+fn apply_message<P: Store + Dialect>(node: &Arc<Node<P>>, message: &[u8], from: IpAddr) {
+    if let Some(news) = CrashNews::decode(message) {
+        crashes::merge(node, &news);
+        return;
+    }
+    let report = Report::decode(message);
+    if let Some(report) = report.filter(|r| r.name != node.settings.name) {
+        apply_report(node, report, from);
+    }
+}
+
 fn apply_report<P: Store + Dialect>(node: &Arc<Node<P>>, report: Report, from: IpAddr) {
     let now = node.now();
     let name = report.name.clone();
@@ -218,18 +237,25 @@
         items::jobs_changed(node);
     }
     if fetches {
-        let node = node.clone();
-        let spawner = node.spawner.clone();
-        let task = async move {
-            fetch_config(&node, name, from).await;
-            let now = node.now();
-            node.lock().config_fetch.end(now);
+        let shared = node.clone();
+        let fetch = async move {
+            fetch_config(&shared, name, from).await;
+            end_fetch(&shared);
         };
-        spawner.spawn(task).detach();
+        let shared = node.clone();
+        let clean_up = async move { end_fetch(&shared) };
+        let task = OneShot::FetchConfiguration;
+        node.supervisor.spawn_once(task, fetch, clean_up);
     }
     node.balance_due.notify(usize::MAX);
 }
 
+/// Lets the next fetch of a configuration begin.
+fn end_fetch<P>(node: &Node<P>) {
+    let now = node.now();
+    node.lock().config_fetch.end(now);
+}
+
 /// Updates the number of unreachable instances in the quotas, once the existing ones are known.
 pub(crate) fn update_unreachable(state: &mut super::node::State, now: Timestamp) {
     let (unreachable, all) = state.members.unreachable_count(now);
@@ -242,10 +268,11 @@
 }
 
 /// Detects peers that have become unreachable and removes their load.
-pub(crate) async fn watch<P: Store + Dialect>(node: Arc<Node<P>>) {
+pub(crate) async fn watch<P: Store + Dialect>(node: Arc<Node<P>>, steps: Arc<Steps>) {
     let mut reachable: HashSet<String> = HashSet::new();
     loop {
         sleep(MIN_REPORT_TIMEOUT / 4).await;
+        steps.step();
         let now = node.now();
         let mut state = node.lock();
         let now_reachable: HashSet<String> = state
--- a/gateway/src/serve/quota_levels.rs
+++ b/gateway/src/serve/quota_levels.rs
@@ -19,6 +19,7 @@
 };
 use super::node::Node;
 use super::peers::FETCH_TIMEOUT;
+use super::supervisor::Steps;
 use crate::platform::{
     Dialect,
     Store, //
@@ -42,9 +43,10 @@
 /// Adopts the quota levels of a peer that has been running for longer. An instance that started
 /// with full buckets would admit each burst a second time, and one that started with empty buckets
 /// would reject requests of organisations below their rate.
-pub(crate) async fn adopt<P: Store + Dialect>(node: Arc<Node<P>>) {
+pub(crate) async fn adopt<P: Store + Dialect>(node: Arc<Node<P>>, steps: Arc<Steps>) {
     for _ in 0..MAX_ATTEMPTS {
         sleep(RETRY_PAUSE).await;
+        steps.step();
         let Some((peer, addr)) = older_peer(&node) else {
             continue;
         };
--- a/gateway/src/serve/relay.rs
+++ b/gateway/src/serve/relay.rs
@@ -54,6 +54,7 @@
 use super::online::Admitted;
 use super::run_watch::RunWatch;
 use super::runs::PaceMeter;
+use super::supervisor::OneShot;
 use crate::platform::{
     Dialect,
     ResponseHead,
@@ -102,11 +103,13 @@
         response.headers_mut().remove(CONTENT_LENGTH);
     }
     node.metrics.first_byte(admitted.arrived.elapsed());
-    let spawner = node.spawner.clone();
+    let shared = node.clone();
     let task = async move {
-        relay(&node, open, admitted, history, source, sender).await;
+        relay(&shared, open, admitted, history, source, sender).await;
     };
-    spawner.spawn(task).detach();
+    // A panic drops the sender, which breaks the response off, and the request, which counts its end.
+    let clean_up = std::future::ready(());
+    node.supervisor.spawn_once(OneShot::Relay, task, clean_up);
     response
 }
 
--- a/gateway/src/serve/reports.rs
+++ b/gateway/src/serve/reports.rs
@@ -5,6 +5,10 @@
     UdpSocket, //
 };
 use std::sync::Arc;
+use std::sync::atomic::{
+    AtomicU64,
+    Ordering, //
+};
 use std::time::{
     Duration,
     Instant, //
@@ -25,6 +29,7 @@
     State,
     unix_ms, //
 };
+use super::supervisor::Steps;
 use crate::instance::is_large;
 use crate::platform::{
     Dialect,
@@ -52,8 +57,14 @@
 /// Sends reports to the other instances. The nearest ones get a report at every report tick; those
 /// of them with work also get one after every change, because their decisions depend on it. The
 /// others get one in turn, every few ticks.
-pub(crate) async fn send<P: Store + Dialect>(node: Arc<Node<P>>, socket: Arc<Async<UdpSocket>>) {
-    let mut sequence = 0;
+///
+/// `sequence` is the number of the last report of this process.
+pub(crate) async fn send<P: Store + Dialect>(
+    node: Arc<Node<P>>,
+    socket: Arc<Async<UdpSocket>>,
+    sequence: Arc<AtomicU64>,
+    steps: Arc<Steps>,
+) {
     let mut tick: usize = 0;
     let mut last_tick = Instant::now();
     let mut schedule = ReportSchedule::default();
@@ -69,8 +80,9 @@
             last_tick = Instant::now();
             tick += 1;
         }
-        sequence += 1;
-        let (report, mut receivers) = prepare(&node, sequence);
+        steps.step();
+        let number = sequence.fetch_add(1, Ordering::Relaxed) + 1;
+        let (report, mut receivers) = prepare(&node, number);
         // A change of the readiness is sent to all peers immediately, because they must not direct
         // callers to an instance that is shutting down.
         let readiness = Some((report.ready, report.leaving));
--- a/gateway/src/serve/results.rs
+++ b/gateway/src/serve/results.rs
@@ -37,6 +37,7 @@
 use super::replies::plain;
 use super::writer::{
     self,
+    Accepted,
     WriteRequest, //
 };
 use crate::jobs::{
@@ -73,36 +74,37 @@
     text: String,
 }
 
-/// Forwards the results in `queue` to a peer if the store responds to that peer but not to this
+/// Forwards the waiting results to a peer if the store responds to that peer but not to this
 /// instance, and removes those that the peer has written. As every append is conditional, a result
 /// counts once even if an earlier append by this instance took effect without a response.
 pub(crate) async fn forward<P: Store + Dialect>(
     node: &Arc<Node<P>>,
     partition: usize,
-    queue: &mut VecDeque<WriteRequest>,
+    accepted: &mut Accepted,
 ) {
     let Some((peer, addr)) = chosen_peer(node, partition) else {
         return;
     };
-    let (mut sent, mut kept) = (Vec::new(), VecDeque::new());
+    let mut kept = VecDeque::new();
     let mut results = Vec::new();
     let mut bytes = 0;
-    for request in queue.drain(..) {
+    for request in std::mem::take(&mut accepted.waiting) {
         let result = wire_result(request.change());
         match result.filter(|_| bytes < node.settings.store.call_bytes / 2) {
             Some(result) => {
                 bytes += result.text.len();
                 results.push(result);
-                sent.push(request);
+                accepted.in_call.push(request);
             }
             None => kept.push_back(request),
         }
     }
-    *queue = kept;
-    if sent.is_empty() {
+    accepted.waiting = kept;
+    if accepted.in_call.is_empty() {
         return;
     }
     let outcome = send(node, addr, &Wire { partition, results }).await;
+    let sent = std::mem::take(&mut accepted.in_call);
     log_event!(
         RESULTS_PASSED_ON,
         "partition={partition} results={} peer={peer} outcome=\"{}\"",
@@ -111,7 +113,7 @@
     );
     match outcome {
         Ok(()) => sent.into_iter().for_each(WriteRequest::written),
-        Err(_) => queue.extend(sent),
+        Err(_) => accepted.waiting.extend(sent),
     }
 }
 
--- a/gateway/src/serve/runs.rs
+++ b/gateway/src/serve/runs.rs
@@ -24,6 +24,7 @@
 };
 use super::heads;
 use super::heads::SentRequest;
+use super::items::PANIC_PAUSE;
 use super::lines::{
     ITEM_ENDED,
     ITEM_LISTED,
@@ -36,6 +37,7 @@
     State, //
 };
 use super::run_watch::RunWatch;
+use super::supervisor::OneShot;
 use super::writer::{
     self,
     WriteError, //
@@ -127,8 +129,10 @@
     state.limits.sent(run.entry.run(), node.now());
     let (stop, stopped) = async_channel::bounded(1);
     state.runs.insert(key, stop);
+    let attempts = run.attempts;
     let task = execute(node.clone(), run, stopped);
-    node.spawner.spawn(task).detach();
+    let clean_up = abandon(node.clone(), key, attempts);
+    node.supervisor.spawn_once(OneShot::ItemRun, task, clean_up);
     node.report_due.notify(usize::MAX);
 }
 
@@ -233,6 +237,27 @@
     }
 }
 
+/// Ends the run of an item whose task has panicked. The item waits for another run, which continues
+/// after the output of the earlier ones.
+async fn abandon<P: Store + Dialect>(node: Arc<Node<P>>, key: ItemKey, attempts: u32) {
+    let now = node.now();
+    {
+        let mut state = node.lock();
+        state.load.batch_ended(key, now);
+        state.item_probes.remove(&key);
+        state.runs.remove(&key);
+        let open = state.items.get(key);
+        let progress = open.map(|open| open.progress.clone()).unwrap_or_default();
+        let end = RunEnd::Broken;
+        state.items.run_ended(key, &end, progress, attempts, now);
+        if let Some(item) = state.items.get_mut(key) {
+            item.not_before = now + PANIC_PAUSE;
+        }
+    }
+    node.report_due.notify(usize::MAX);
+    node.balance_due.notify(usize::MAX);
+}
+
 fn end_name(end: &RunEnd) -> &'static str {
     match end {
         RunEnd::Completed => "completed",
--- /dev/null
+++ b/gateway/src/serve/supervisor.rs
@@ -0,0 +1,315 @@
+//! Starts the tasks of an instance, restarts those that end, and notices those that stand still.
+//!
+//! The executor hands the panic of a task to its handle, which nobody polls; without a supervisor a
+//! task that panics is gone without a trace.
+
+use std::future::Future;
+use std::panic::AssertUnwindSafe;
+use std::sync::atomic::{
+    AtomicBool,
+    AtomicU64,
+    Ordering, //
+};
+use std::sync::{
+    Arc,
+    Mutex,
+    MutexGuard,
+    PoisonError, //
+};
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use async_executor::Task;
+use futures_lite::FutureExt;
+use limpetweir_transport::{
+    Spawner,
+    panic_message,
+    sleep, //
+};
+
+use super::items;
+use super::lines::{
+    INPUT_SKIPPED,
+    TASK_MOVES,
+    TASK_PANICKED,
+    TASK_RESTARTED,
+    TASK_STANDS_STILL,
+    log_event, //
+};
+use super::metrics::Metrics;
+use super::node::Node;
+use crate::platform::{
+    Dialect,
+    Store,
+    Topic, //
+};
+use crate::supervision::{
+    Pulse,
+    RestartBackoff,
+    StallTimer, //
+};
+
+/// Time between two looks at the tasks.
+const LOOK_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time without a step after which a reader of a topic has stopped. A read waits for up to five
+/// seconds and has a time limit; one that fails because of an outage of the store is a step too.
+const READER_STALL_LIMIT: Duration = Duration::from_secs(10);
+
+/// The same for the other tasks, some of which wait for a backlog of the store to be read.
+const STALL_LIMIT: Duration = Duration::from_secs(30);
+
+/// A task that runs as long as the process, or at its start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub(crate) enum Background {
+    ReadConfiguration,
+    ReadBackends,
+    ReadInstances,
+    /// Reads a partition of the jobs.
+    #[strum(to_string = "read-jobs-{0}")]
+    ReadJobs(u32),
+    /// Writes changes of a partition of the jobs.
+    #[strum(to_string = "write-jobs-{0}")]
+    WriteJobs(u32),
+    Register,
+    AdoptLevels,
+    SendReports,
+    ReceiveReports,
+    CrashNews,
+    WatchPeers,
+    Scheduler,
+    RemoveExpiredJobs,
+    WatchTasks,
+}
+
+impl Background {
+    /// Returns the task that reads a topic.
+    pub(crate) fn reader(topic: Topic, partition: u32) -> Self {
+        match topic {
+            Topic::Configuration => Self::ReadConfiguration,
+            Topic::Backends => Self::ReadBackends,
+            Topic::Instances => Self::ReadInstances,
+            Topic::Jobs => Self::ReadJobs(partition),
+        }
+    }
+
+    /// Returns whether the task ends when its work is done.
+    fn is_finite(self) -> bool {
+        matches!(self, Self::Register | Self::AdoptLevels)
+    }
+
+    /// Returns whether routing and placement depend on what the task reads.
+    fn is_vital_reader(self) -> bool {
+        matches!(self, Self::ReadConfiguration | Self::ReadBackends)
+    }
+
+    fn stall_limit(self) -> Duration {
+        match self {
+            Self::ReadConfiguration | Self::ReadBackends | Self::ReadInstances => {
+                READER_STALL_LIMIT
+            }
+            _ => STALL_LIMIT,
+        }
+    }
+}
+
+/// A task that does one thing and ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub(crate) enum OneShot {
+    Relay,
+    ItemRun,
+    CatchUp,
+    GiveUp,
+    ClaimProbe,
+    FetchConfiguration,
+    CheckServer,
+    StoreCase,
+}
+
+/// Steps of a task.
+#[derive(Debug, Default)]
+pub(crate) struct Steps {
+    count: AtomicU64,
+    idle: AtomicBool,
+}
+
+impl Steps {
+    /// Records that the task has made a step.
+    pub(crate) fn step(&self) {
+        self.count.fetch_add(1, Ordering::Relaxed);
+        self.idle.store(false, Ordering::Relaxed);
+    }
+
+    /// Records that the task waits for something that may never come; [`step`](Self::step) ends the
+    /// wait.
+    pub(crate) fn idle(&self) {
+        self.idle.store(true, Ordering::Relaxed);
+    }
+
+    fn pulse(&self) -> Pulse {
+        match self.idle.load(Ordering::Relaxed) {
+            true => Pulse::Idle,
+            false => Pulse::Steps(self.count.load(Ordering::Relaxed)),
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Watched {
+    task: Background,
+    steps: Arc<Steps>,
+    timer: StallTimer,
+    still: bool,
+}
+
+/// The background tasks of an instance.
+#[derive(Debug)]
+pub(crate) struct Supervisor {
+    spawner: Spawner,
+    metrics: Arc<Metrics>,
+    watched: Mutex<Vec<Watched>>,
+    /// Whether a task stands still on whose reads routing and placement depend.
+    reader_stalled: AtomicBool,
+}
+
+impl Supervisor {
+    pub(crate) fn new(spawner: &Spawner, metrics: &Arc<Metrics>) -> Self {
+        Self {
+            spawner: spawner.clone(),
+            metrics: metrics.clone(),
+            watched: Mutex::default(),
+            reader_stalled: AtomicBool::new(false),
+        }
+    }
+
+    /// Starts a background task with `create`, and again after each panic or unexpected end. What
+    /// must survive an end belongs to `create`. The task is cancelled when the handle is dropped.
+    pub(crate) fn spawn<F>(
+        &self,
+        task: Background,
+        create: impl Fn(Arc<Steps>) -> F + Send + Sync + 'static,
+    ) -> Task<()>
+    where
+        F: Future<Output = ()> + Send + 'static,
+    {
+        let steps = Arc::new(Steps::default());
+        self.watched().push(Watched {
+            task,
+            steps: steps.clone(),
+            timer: StallTimer::default(),
+            still: false,
+        });
+        let metrics = self.metrics.clone();
+        self.spawner.spawn(async move {
+            let create = || create(steps.clone());
+            restart(task, &metrics, create).await;
+            // A task that has done its work does not stand still.
+            steps.idle();
+        })
+    }
+
+    /// Starts a task that ends by itself; if it panics, `clean_up` runs.
+    pub(crate) fn spawn_once(
+        &self,
+        task: OneShot,
+        future: impl Future<Output = ()> + Send + 'static,
+        clean_up: impl Future<Output = ()> + Send + 'static,
+    ) {
+        let metrics = self.metrics.clone();
+        let guarded = async move {
+            if let Err(panic) = AssertUnwindSafe(future).catch_unwind().await {
+                metrics.task_panicked(task);
+                log_event!(
+                    TASK_PANICKED,
+                    "task={task} cause={:?}",
+                    panic_message(&*panic)
+                );
+                drop(panic);
+                clean_up.await;
+            }
+        };
+        self.spawner.spawn(guarded).detach();
+    }
+
+    /// Processes one input from outside. If that panics, only this input is skipped: the task would
+    /// meet it again after a restart, or lose others meanwhile.
+    pub(crate) fn skip_on_panic(&self, input: &str, process: impl FnOnce()) {
+        if let Err(panic) = std::panic::catch_unwind(AssertUnwindSafe(process)) {
+            self.skipped(input, panic_message(&*panic));
+        }
+    }
+
+    /// Records that the processing of an input has panicked, and that the input is skipped.
+    pub(crate) fn skipped(&self, input: &str, cause: &str) {
+        self.metrics.input_skipped();
+        log_event!(INPUT_SKIPPED, "{input} cause={cause:?}");
+    }
+
+    fn watched(&self) -> MutexGuard<'_, Vec<Watched>> {
+        self.watched.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Looks at all tasks after `interval`. Returns whether it has changed that a reader stands still.
+    fn look(&self, interval: Duration) -> bool {
+        let mut reader_stalled = false;
+        for watched in self.watched().iter_mut() {
+            let task = watched.task;
+            let age = watched.timer.observe(watched.steps.pulse(), interval);
+            self.metrics.task_age(task, age);
+            let still = age >= task.stall_limit();
+            reader_stalled |= still && task.is_vital_reader();
+            if std::mem::replace(&mut watched.still, still) == still {
+                continue;
+            }
+            match still {
+                true => log_event!(TASK_STANDS_STILL, "task={task} age_s={}", age.as_secs()),
+                false => log_event!(TASK_MOVES, "task={task}"),
+            }
+        }
+        self.reader_stalled.swap(reader_stalled, Ordering::AcqRel) != reader_stalled
+    }
+}
+
+/// Runs a task, again and again if it is not finite.
+async fn restart<F>(task: Background, metrics: &Metrics, create: impl Fn() -> F)
+where
+    F: Future<Output = ()>,
+{
+    let mut backoff = RestartBackoff::default();
+    loop {
+        let started = Instant::now();
+        // The task may panic before it returns its future.
+        let run = async { create().await };
+        let cause = match AssertUnwindSafe(run).catch_unwind().await {
+            Ok(()) if task.is_finite() => return,
+            Ok(()) => "the task ended".to_owned(),
+            Err(panic) => panic_message(&*panic).to_owned(),
+        };
+        let ran = started.elapsed();
+        let pause = backoff.pause(ran);
+        metrics.task_restarted(task);
+        log_event!(
+            TASK_RESTARTED,
+            "task={task} cause={cause:?} ran_ms={} pause_ms={}",
+            ran.as_millis(),
+            pause.as_millis()
+        );
+        sleep(pause).await;
+    }
+}
+
+/// Notices tasks that stand still, and tells the peers when a reader does.
+pub(crate) async fn watch<P: Store + Dialect>(node: Arc<Node<P>>, steps: Arc<Steps>) {
+    loop {
+        sleep(LOOK_INTERVAL).await;
+        steps.step();
+        if node.supervisor.look(LOOK_INTERVAL) {
+            node.report_due.notify(usize::MAX);
+            items::jobs_changed(&node);
+        }
+    }
+}
--- a/gateway/src/serve/writer.rs
+++ b/gateway/src/serve/writer.rs
@@ -5,6 +5,10 @@
 //! lost can neither be executed twice nor take effect after another one.
 
 use std::collections::VecDeque;
+use std::panic::{
+    AssertUnwindSafe,
+    catch_unwind, //
+};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,14 +16,19 @@
     Receiver,
     Sender, //
 };
+use async_lock::Mutex;
 use limpetweir_state::Timestamp;
-use limpetweir_transport::sleep;
+use limpetweir_transport::{
+    panic_message,
+    sleep, //
+};
 
 use super::lines::{
     APPEND_FAILED,
     log_event, //
 };
 use super::node::Node;
+use super::supervisor::Steps;
 use super::{
     catch_up,
     follow,
@@ -108,33 +117,73 @@
     outcome.recv().await.map_err(|_| shutting_down())?
 }
 
-/// Writes the changes that arrive on `rx` to `partition` for as long as the process runs.
+/// The changes that a writer has accepted. They survive a panic of the writer, because callers and
+/// items wait for their outcomes.
+pub(crate) struct Queue {
+    rx: Receiver<WriteRequest>,
+    accepted: Mutex<Accepted>,
+}
+
+impl Queue {
+    pub(crate) fn new(rx: Receiver<WriteRequest>) -> Self {
+        Self {
+            rx,
+            accepted: Mutex::default(),
+        }
+    }
+}
+
+/// Changes without an outcome. Each one is in one of the two lists whenever the writer waits.
+#[derive(Debug, Default)]
+pub(crate) struct Accepted {
+    pub(crate) waiting: VecDeque<WriteRequest>,
+    /// Changes of the call in progress.
+    pub(crate) in_call: Vec<WriteRequest>,
+}
+
+impl Accepted {
+    /// Returns the changes of a call that a panic has interrupted to the front of the queue.
+    fn recover(&mut self) {
+        let requests = std::mem::take(&mut self.in_call);
+        // The call may have been executed.
+        requeue(&mut self.waiting, requests, |r| r.uncertain = true);
+    }
+}
+
+/// Writes the changes of `queue` to `partition` for as long as the process runs.
 pub(crate) async fn run<P: Store + Dialect>(
     node: Arc<Node<P>>,
     partition: u32,
-    rx: Receiver<WriteRequest>,
+    queue: Arc<Queue>,
+    steps: Arc<Steps>,
 ) {
-    let mut queue = VecDeque::new();
+    let rx = &queue.rx;
+    let mut accepted = queue.accepted.lock().await;
+    accepted.recover();
     loop {
-        if queue.is_empty() {
+        if accepted.waiting.is_empty() {
+            steps.idle();
             match rx.recv().await {
-                Ok(request) => queue.push_back(request),
+                Ok(request) => accepted.waiting.push_back(request),
                 Err(_) => return,
             }
-            if queue.iter().all(|request| request.deadline.is_none()) {
-                gather_results(&rx, &mut queue).await;
+            let mut waiting = accepted.waiting.iter();
+            if waiting.all(|request| request.deadline.is_none()) {
+                gather_results(rx, &mut accepted.waiting).await;
             }
         }
+        steps.step();
         while let Ok(request) = rx.try_recv() {
-            queue.push_back(request);
+            accepted.waiting.push_back(request);
         }
         // Submissions and ends come first, because callers wait for them.
-        queue
+        accepted
+            .waiting
             .make_contiguous()
             .sort_by_key(|request| request.deadline.is_none());
-        results::forward(&node, partition as usize, &mut queue).await;
-        append_next(&node, partition, &mut queue).await;
-        expire_requests(&node, &mut queue);
+        results::forward(&node, partition as usize, &mut accepted).await;
+        append_next(&node, partition, &mut accepted).await;
+        expire_requests(&node, &mut accepted.waiting);
     }
 }
 
@@ -159,25 +208,26 @@
 async fn append_next<P: Store + Dialect>(
     node: &Arc<Node<P>>,
     partition: u32,
-    queue: &mut VecDeque<WriteRequest>,
+    accepted: &mut Accepted,
 ) {
     let loaded = node.lock().partitions[partition as usize].is_loaded();
     if !loaded {
         sleep(RETRY_PAUSE).await;
         return;
     }
-    let Prepared {
-        at,
-        records,
-        requests,
-    } = prepare(node, partition, queue);
+    let Prepared { at, records } = prepare(node, partition, accepted);
     if records.is_empty() {
         return;
     }
     let result = node.append_records(Topic::Jobs, partition, Some(at), &records);
-    match result.await {
+    let result = result.await;
+    if result.is_ok() {
+        apply_appended(node, partition, at, &records);
+    }
+    let requests = std::mem::take(&mut accepted.in_call);
+    let queue = &mut accepted.waiting;
+    match result {
         Ok(_) => {
-            apply_appended(node, partition, at, &records);
             for request in requests {
                 // Sending fails if the caller has disconnected.
                 let _ = request.reply.try_send(Ok(()));
@@ -218,18 +268,18 @@
 struct Prepared {
     at: u64,
     records: Vec<Record>,
-    requests: Vec<WriteRequest>,
 }
 
-/// Decides the queued changes on the current state, as many as fit into one append.
-fn prepare<P>(node: &Node<P>, partition: u32, queue: &mut VecDeque<WriteRequest>) -> Prepared {
+/// Decides the queued changes on the current state, as many as fit into one append, and makes them
+/// those of the call in progress.
+fn prepare<P>(node: &Node<P>, partition: u32, accepted: &mut Accepted) -> Prepared {
+    let queue = &mut accepted.waiting;
     let limits = &node.settings.store;
     let state = node.lock();
     let state = &state.partitions[partition as usize];
     let mut prepared = Prepared {
         at: state.next(),
         records: Vec::new(),
-        requests: Vec::new(),
     };
     // A partition that was dropped meanwhile says nothing about its jobs.
     if !state.is_loaded() {
@@ -244,12 +294,25 @@
             continue;
         }
         // The other half of a record is reserved for the encoding overhead of its items.
-        let decision = decide(
-            state,
-            &mut pending,
-            &request.change,
-            limits.record_bytes / 2,
-        );
+        let max_bytes = limits.record_bytes / 2;
+        let decision = catch_unwind(AssertUnwindSafe(|| {
+            decide(state, &mut pending, &request.change, max_bytes)
+        }));
+        let decision = match decision {
+            Ok(decision) => decision,
+            // The change would panic after a restart of the writer too, and stop all others.
+            Err(panic) => {
+                let cause = panic_message(&*panic).to_owned();
+                node.supervisor.skipped("change", &cause);
+                let outcome = match request.uncertain {
+                    true => WriteError::Unknown(cause),
+                    false => WriteError::NotDone(cause),
+                };
+                // Sending fails if the caller has disconnected.
+                let _ = request.reply.try_send(Err(outcome));
+                continue;
+            }
+        };
         let outcome = match decision {
             Ok(Decision::Append(records)) => {
                 bytes += records
@@ -257,7 +320,7 @@
                     .map(|r| r.value.len() + r.key.len() + 5)
                     .sum::<usize>();
                 prepared.records.extend(records);
-                prepared.requests.push(request);
+                accepted.in_call.push(request);
                 continue;
             }
             Ok(Decision::Deferred) => {
@@ -272,7 +335,7 @@
         // Sending fails if the caller has disconnected.
         let _ = request.reply.try_send(outcome);
     }
-    *queue = later;
+    accepted.waiting = later;
     prepared
 }
 
