gateway: an instance whose reader of the store has stopped steps back while enough others read

An instance whose reader of the configuration or of the servers panics again and again, or stands still, kept its place in the directory, its readiness and its share of the items with what it had read last.

Reports say it in a flag that older builds ignore. A stalled instance is not ready while at least as many other instances are ready and not stalled as there are stalled ones. Whether a peer is stalled does not depend on its peers, so a fleet in which the same reader stops everywhere stays ready as a whole, and no instance steps back and returns in turn. Callers that it still has are served.

--- a/gateway/src/report.rs
+++ b/gateway/src/report.rs
@@ -57,6 +57,8 @@
     pub ready: bool,
     /// Whether the instance is about to stop.
     pub leaving: bool,
+    /// Whether its reader of the configuration or of the backend servers has stopped.
+    pub stalled: bool,
     /// Availability zone.
     pub zone: String,
     /// Address for callers.
@@ -143,10 +145,14 @@
 const READY: u8 = 1;
 /// Flag of a leaving instance.
 const LEAVING: u8 = 2;
+/// Flag of an instance whose reader of the store has stopped; older builds ignore it.
+const STALLED: u8 = 4;
 
 impl From<&Report> for Wire {
     fn from(r: &Report) -> Self {
-        let flags = u8::from(r.ready) * READY + u8::from(r.leaving) * LEAVING;
+        let flags = u8::from(r.ready) * READY
+            + u8::from(r.leaving) * LEAVING
+            + u8::from(r.stalled) * STALLED;
         let batch = r.batch.iter();
         Self(
             WIRE_VERSION,
@@ -192,6 +198,7 @@
             sequence: w.3,
             ready: w.4 & READY != 0,
             leaving: w.4 & LEAVING != 0,
+            stalled: w.4 & STALLED != 0,
             zone: w.5,
             public: w.6,
             capacity: w.15,
@@ -252,7 +259,8 @@
             let positions = report.positions.iter();
             positions.map(|p| (p.partition, p.reads)).collect()
         };
-        self.leaving != next.leaving || self.ready != next.ready || reads(self) != reads(next)
+        let stops = |report: &Self| (report.leaving, report.stalled);
+        stops(self) != stops(next) || self.ready != next.ready || reads(self) != reads(next)
     }
 
     /// Encodes the report.
--- a/gateway/src/serve/items.rs
+++ b/gateway/src/serve/items.rs
@@ -111,10 +111,11 @@
     let now = node.now();
     let mut state = node.lock();
     let state = &mut *state;
+    let steps_back = node.steps_back(state);
     let me = node.settings.name.as_str();
     let ready = state.members.reachable(now).filter(|r| r.ready);
     let mut instances: Vec<Instance<'_>> = ready.map(Instance::from).collect();
-    if !node.is_leaving() || instances.is_empty() {
+    if !steps_back || instances.is_empty() {
         instances.push(node.settings.instance());
     }
     instances.sort_by_key(|instance| instance.name);
--- a/gateway/src/serve/node.rs
+++ b/gateway/src/serve/node.rs
@@ -72,6 +72,7 @@
 use crate::server_limits::ServerLimits;
 use crate::settings::Settings;
 use crate::speed::Speeds;
+use crate::supervision;
 
 /// Mutable state of an instance, on which routing, placement and scheduling are based.
 #[derive(Debug)]
@@ -400,10 +401,31 @@
         self.leaving.load(Ordering::Acquire)
     }
 
-    /// Returns whether the instance accepts requests: it is not shutting down, and requests can be
-    /// routed and placed.
+    /// Returns whether the instance accepts requests: it is not shutting down, requests can be
+    /// routed and placed, and it need not leave them to instances that read the store.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.is_leaving() && self.lock().can_serve()
+        let state = self.lock();
+        state.can_serve() && !self.steps_back(&state)
+    }
+
+    /// Returns whether callers and items are left to the other instances: this one is shutting down,
+    /// or its reader of the store has stopped while those of enough others have not.
+    pub(crate) fn steps_back(&self, state: &State) -> bool {
+        if self.is_leaving() {
+            return true;
+        }
+        if !self.supervisor.is_reader_stalled() {
+            return false;
+        }
+        // Whether a peer is stalled does not depend on its peers, so that instances never step back
+        // and return in turn.
+        let now = self.now();
+        let (mut sound, mut stalled) = (0, 1);
+        for report in state.members.reachable(now).filter(|r| !r.leaving) {
+            stalled += usize::from(report.stalled);
+            sound += usize::from(report.ready && !report.stalled);
+        }
+        supervision::steps_back(sound, stalled)
     }
 
     /// Returns the partition that contains all jobs of an organisation. They share one partition,
--- a/gateway/src/serve/reports.rs
+++ b/gateway/src/serve/reports.rs
@@ -145,8 +145,9 @@
         sequence,
         // The interval is far below the maximum of the type.
         next_ms: REPORT_INTERVAL.as_millis() as u32,
-        ready: state.can_serve() && !node.is_leaving(),
+        ready: state.can_serve() && !node.steps_back(&state),
         leaving: node.is_leaving(),
+        stalled: node.supervisor.is_reader_stalled(),
         zone: node.settings.zone.clone(),
         public: node.settings.public,
         capacity: node.settings.capacity,
--- a/gateway/src/serve/supervisor.rs
+++ b/gateway/src/serve/supervisor.rs
@@ -186,6 +186,11 @@
         }
     }
 
+    /// Returns whether the reader of the configuration or of the servers has stopped.
+    pub(crate) fn is_reader_stalled(&self) -> bool {
+        self.reader_stalled.load(Ordering::Acquire)
+    }
+
     /// Starts a background task with `create`, and again after each panic or unexpected end. What
     /// must survive an end belongs to `create`. The task is cancelled when the handle is dropped.
     pub(crate) fn spawn<F>(
--- a/gateway/tests/online.rs
+++ b/gateway/tests/online.rs
@@ -318,6 +318,7 @@
         next_ms: 250,
         ready: true,
         leaving: false,
+        stalled: true,
         zone: "zone".to_owned(),
         public: ([127, 0, 0, 1], 80).into(),
         capacity: 500,
--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -11,6 +11,7 @@
         next_ms: 250,
         ready: true,
         leaving: false,
+        stalled: false,
         zone: "zone".to_owned(),
         public: ([127, 0, 0, 1], 1).into(),
         capacity: 500,
