--- a/gateway/src/serve/node.rs
+++ b/gateway/src/serve/node.rs
@@ -389,6 +389,8 @@
         }
     }
 
+    /// Locks the state, also after a panic of another task with the lock held. Each value is valid then,
+    /// but a change of several values may be half done; docs/design.md says how that is repaired.
     pub(crate) fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/gateway/src/serve/runs.rs
+++ b/gateway/src/serve/runs.rs
@@ -115,11 +115,9 @@
     let Some(run) = prepare(state, key, backend, node.now()) else {
         return;
     };
-    let Some(item) = state.items.get_mut(key) else {
+    let Some(due) = state.items.get(key).map(|item| item.due) else {
         return;
     };
-    item.phase = Phase::Running(backend);
-    let due = item.due;
     let run_placed = BatchRun {
         item: key,
         backend,
@@ -129,6 +127,10 @@
     state.limits.sent(run.entry.run(), node.now());
     let (stop, stopped) = async_channel::bounded(1);
     state.runs.insert(key, stop);
+    // Last, so that a panic before leaves an item that waits instead of one that never ends.
+    if let Some(item) = state.items.get_mut(key) {
+        item.phase = Phase::Running(backend);
+    }
     let attempts = run.attempts;
     let task = execute(node.clone(), run, stopped);
     let clean_up = abandon(node.clone(), key, attempts);
