--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -44,6 +44,7 @@
 mod skipped_records;
 mod speed;
 mod sse;
+mod supervision;
 
 pub use backend::{Backend, BackendEntry, BackendKey, Backends, LeavingSource, RunKey};
 pub use batch::{
@@ -94,3 +95,4 @@
 pub use skipped_records::SkippedRecords;
 pub use speed::{PaceMeter, SLOW_FACTOR, Slowness, Speeds};
 pub use sse::{Event, InvalidEventStream, MAX_EVENT_NUMBER, Splitter};
+pub use supervision::{Pulse, RestartBackoff, StallTimer, steps_back};
--- a/gateway/src/serve/crashes.rs
+++ b/gateway/src/serve/crashes.rs
@@ -51,6 +51,10 @@
     LostRun,
     list, //
 };
+use super::supervisor::{
+    OneShot,
+    Steps, //
+};
 use crate::backend::{
     BackendEntry,
     BackendKey, //
@@ -120,9 +124,9 @@
     if !is_serving {
         return;
     }
-    let node = node.clone();
-    let spawner = node.spawner.clone();
-    let task = async move {
+    let shared = node.clone();
+    let check = async move {
+        let node = shared;
         let check = node.client.open(entry.addr, TrafficClass::Online).await;
         match check {
             Err(err) if err.is_refused() => {
@@ -133,7 +137,9 @@
             Ok(()) => {}
         }
     };
-    spawner.spawn(task).detach();
+    let clean_up = std::future::ready(());
+    node.supervisor
+        .spawn_once(OneShot::CheckServer, check, clean_up);
 }
 
 fn server_crashed<P: Store + Dialect>(
@@ -240,7 +246,9 @@
 fn store_change<P: Store + Dialect>(node: &Arc<Node<P>>, change: CaseChange) {
     let store = |case, is_open| {
         let task = store_record(node.clone(), case, is_open);
-        node.spawner.spawn(task).detach();
+        let clean_up = std::future::ready(());
+        node.supervisor
+            .spawn_once(OneShot::StoreCase, task, clean_up);
     };
     match change {
         CaseChange::Opened(case) => store(case, true),
@@ -376,17 +384,23 @@
 }
 
 /// Tells the other instances about crashes, as long as any are known.
-pub(crate) async fn tell<P: Store + Dialect>(node: Arc<Node<P>>, socket: Arc<Async<UdpSocket>>) {
+pub(crate) async fn tell<P: Store + Dialect>(
+    node: Arc<Node<P>>,
+    socket: Arc<Async<UdpSocket>>,
+    steps: Arc<Steps>,
+) {
     let mut interval = 0_u32;
     let mut last = Instant::now();
     let mut due = node.crash_news.listen();
     loop {
         let quiet = node.lock().quarantine.is_empty();
         if quiet {
+            steps.idle();
             due.await;
         } else if timeout_at(last + NEWS_INTERVAL, due).await.is_some() {
             sleep(COALESCE_TIME).await;
         }
+        steps.step();
         due = node.crash_news.listen();
         if last.elapsed() >= NEWS_INTERVAL {
             last = Instant::now();
--- a/gateway/src/serve/node.rs
+++ b/gateway/src/serve/node.rs
@@ -41,6 +41,7 @@
 use super::items::RunHandles;
 use super::metrics::Metrics;
 use super::stop_window::StopWindow;
+use super::supervisor::Supervisor;
 use super::writer::WriteRequest;
 use crate::backend::{
     BackendKey,
@@ -88,6 +89,7 @@
     PaceMeter,
     Speeds, //
 };
+use crate::supervision;
 
 /// Mutable state of an instance, on which routing, placement and scheduling are based.
 #[derive(Debug)]
@@ -340,7 +342,6 @@
 pub(crate) struct Node<P> {
     pub(crate) platform: P,
     pub(crate) settings: Settings,
-    pub(crate) spawner: Spawner,
     pub(crate) clock: Clock,
     /// Start time of the instance in Unix milliseconds.
     pub(crate) boot: u64,
@@ -348,6 +349,7 @@
     pub(crate) metrics: Arc<Metrics>,
     /// Time-outs of the connections of callers, once their listener is bound.
     pub(crate) caller_timeouts: OnceLock<Arc<ConnectionTimeouts>>,
+    pub(crate) supervisor: Supervisor,
     /// Ends of the requests of callers.
     pub(crate) ends: Arc<Ends>,
     state: Mutex<State>,
@@ -375,7 +377,7 @@
     pub(crate) fn new(
         platform: P,
         settings: Settings,
-        spawner: Spawner,
+        spawner: &Spawner,
         client: Client,
         metrics: Metrics,
         writers: Vec<Sender<WriteRequest>>,
@@ -421,7 +423,7 @@
         Self {
             platform,
             settings,
-            spawner,
+            supervisor: Supervisor::new(spawner, &metrics),
             clock: Clock::start(),
             boot: unix_ms(),
             client,
@@ -441,6 +443,8 @@
         }
     }
 
+    /// Locks the state, also after a panic of another task with the lock held. Each value is valid then,
+    /// but a change of several values may be half done; docs/design.md says how that is repaired.
     pub(crate) fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -453,10 +457,31 @@
         self.leaving.load(Ordering::Acquire)
     }
 
-    /// Returns whether the instance accepts requests: it is not shutting down, and requests can be
-    /// routed and placed.
+    /// Returns whether the instance accepts requests: it is not shutting down, requests can be
+    /// routed and placed, and it need not leave them to instances that read the store.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.is_leaving() && self.lock().can_serve()
+        let state = self.lock();
+        state.can_serve() && !self.steps_back(&state)
+    }
+
+    /// Returns whether callers and items are left to the other instances: this one is shutting down,
+    /// or its reader of the store has stopped while those of enough others have not.
+    pub(crate) fn steps_back(&self, state: &State) -> bool {
+        if self.is_leaving() {
+            return true;
+        }
+        if !self.supervisor.is_reader_stalled() {
+            return false;
+        }
+        // Whether a peer is stalled does not depend on its peers, so that instances never step back
+        // and return in turn.
+        let now = self.now();
+        let (mut sound, mut stalled) = (0, 1);
+        for report in state.members.reachable(now).filter(|r| !r.leaving) {
+            stalled += usize::from(report.stalled);
+            sound += usize::from(report.ready && !report.stalled);
+        }
+        supervision::steps_back(sound, stalled)
     }
 
     /// Counts an event of a stream from `backend` and records its pace.
--- a/gateway/src/serve/runs.rs
+++ b/gateway/src/serve/runs.rs
@@ -24,6 +24,7 @@
 };
 use super::heads;
 use super::heads::SentRequest;
+use super::items::PANIC_PAUSE;
 use super::lines::{
     ITEM_ENDED,
     ITEM_LISTED,
@@ -36,6 +37,7 @@
     State, //
 };
 use super::run_watch::RunWatch;
+use super::supervisor::OneShot;
 use super::writer::{
     self,
     WriteError, //
@@ -117,11 +119,9 @@
     let Some(run) = prepare(state, key, backend, node.now()) else {
         return;
     };
-    let Some(item) = state.items.get_mut(key) else {
+    let Some(due) = state.items.get(key).map(|item| item.due) else {
         return;
     };
-    item.phase = Phase::Running(backend);
-    let due = item.due;
     let run_placed = BatchRun {
         item: key,
         backend,
@@ -131,8 +131,14 @@
     state.limits.sent(run.entry.run(), node.now());
     let (stop, stopped) = async_channel::bounded(1);
     state.runs.insert(key, stop);
+    // Last, so that a panic before leaves an item that waits instead of one that never ends.
+    if let Some(item) = state.items.get_mut(key) {
+        item.phase = Phase::Running(backend);
+    }
+    let attempts = run.attempts;
     let task = execute(node.clone(), run, stopped);
-    node.spawner.spawn(task).detach();
+    let clean_up = abandon(node.clone(), key, attempts);
+    node.supervisor.spawn_once(OneShot::ItemRun, task, clean_up);
     node.report_due.notify(usize::MAX);
 }
 
@@ -240,6 +246,27 @@
     }
 }
 
+/// Ends the run of an item whose task has panicked. The item waits for another run, which continues
+/// after the output of the earlier ones.
+async fn abandon<P: Store + Dialect>(node: Arc<Node<P>>, key: ItemKey, attempts: u32) {
+    let now = node.now();
+    {
+        let mut state = node.lock();
+        state.load.batch_ended(key, now);
+        state.item_probes.remove(&key);
+        state.runs.remove(&key);
+        let open = state.items.get(key);
+        let progress = open.map(|open| open.progress.clone()).unwrap_or_default();
+        let end = RunEnd::Broken;
+        state.items.run_ended(key, &end, progress, attempts, now);
+        if let Some(item) = state.items.get_mut(key) {
+            item.not_before = now + PANIC_PAUSE;
+        }
+    }
+    node.report_due.notify(usize::MAX);
+    node.balance_due.notify(usize::MAX);
+}
+
 fn end_name(end: &RunEnd) -> &'static str {
     match end {
         RunEnd::Completed => "completed",
