--- a/gateway/src/fleet_rate.rs
+++ b/gateway/src/fleet_rate.rs
@@ -236,9 +236,10 @@
         buckets.map(|(key, bucket)| (*key, bucket.tokens)).collect()
     }
 
-    /// Adopts the levels of another instance.
+    /// Adopts the levels of another instance, as far as they are numbers.
     pub(crate) fn adopt(&mut self, levels: &[(K, f64)], now: Timestamp) {
-        for (key, tokens) in levels {
+        let numbers = levels.iter().filter(|(_, tokens)| tokens.is_finite());
+        for (key, tokens) in numbers {
             if let Some(bucket) = self.buckets.get_mut(key) {
                 bucket.tokens = tokens.clamp(-bucket.burst, bucket.burst);
                 bucket.updated = now;
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -103,6 +103,9 @@
 /// Added to the configured retention of results after a submission, as a margin for clock skew.
 const RESULT_RETENTION_MARGIN: Duration = Duration::from_secs(10);
 
+/// Largest file in bytes. A running instance parses the file again after each change, on the thread
+/// that serves requests.
+const MAX_BYTES: usize = 64 << 10;
 /// Largest number of partitions; each costs a permanently waiting read.
 const MAX_PARTITIONS: u32 = 1_024;
 /// Longest time for which callers cache addresses: a day.
@@ -227,12 +230,16 @@
     /// Parses and validates the settings in `text`, the content of `file`; unknown fields are
     /// ignored.
     pub fn load(file: &str, text: &str) -> Result<Self, SettingsError> {
-        let raw: Raw = toml::from_str(text).context(SyntaxSnafu { file })?;
         let value = |field, reason: String| SettingsError::Value {
             file: file.to_owned(),
             field,
             reason,
         };
+        if text.len() > MAX_BYTES {
+            let reason = format!("must be at most {MAX_BYTES} bytes");
+            return Err(value("length", reason));
+        }
+        let raw: Raw = toml::from_str(text).context(SyntaxSnafu { file })?;
         if raw.name.is_empty() || raw.name.len() > 200 {
             return Err(value("name", "must have 1 to 200 characters".to_owned()));
         }
--- a/gateway/tests/bounded_work.rs
+++ b/gateway/tests/bounded_work.rs
@@ -11,14 +11,19 @@
     BackendKey,
     BatchCandidate,
     Candidate,
+    Configuration,
+    ConfigurationParts,
     Contenders,
     ItemKey,
     Limits,
     Load,
+    Organisation,
+    OrganisationKey,
     Permit,
     Placed,
     Placement,
     Purpose,
+    Quotas,
     Route,
     RouteKind,
     RunKey,
@@ -204,3 +209,26 @@
     }
     assert!(limits.limit(RunKey(7)).is_some());
 }
+
+/// Guards against levels of a peer that are no numbers and fill or empty the buckets.
+#[rstest]
+#[case(f64::NAN)]
+#[case(f64::INFINITY)]
+#[case(f64::NEG_INFINITY)]
+fn levels_that_are_no_numbers_are_ignored(#[case] level: f64) {
+    let organisation = Organisation {
+        name: "org".to_owned(),
+        keys: Vec::new(),
+        rate: Some(10.0),
+        burst: 10.0,
+    };
+    let config = Configuration::from(ConfigurationParts {
+        organisations: vec![organisation],
+        ..ConfigurationParts::default()
+    });
+    let mut quotas = Quotas::default();
+    quotas.configure(&config, NOW);
+    let before = quotas.levels();
+    quotas.adopt(&[(OrganisationKey::of("org"), level)], NOW);
+    assert_eq!(quotas.levels(), before);
+}
--- a/gateway/tests/formats.rs
+++ b/gateway/tests/formats.rs
@@ -123,6 +123,14 @@
     assert_eq!(settings.metrics.port(), 83);
 }
 
+/// Guards against a file that keeps a running instance from its requests while it is parsed.
+#[test]
+fn a_long_file_is_rejected() {
+    let text = SETTINGS.to_owned() + &"#".repeat(64 << 10);
+    let err = Settings::load("file", &text).expect_err("a long file");
+    assert!(err.to_string().contains("length"), "{err}");
+}
+
 /// Guards against an invalid value that is detected only while serving, and against errors that do
 /// not name the field.
 #[rstest]
--- /dev/null
+++ b/gateway/tests/fuzz/main.rs
@@ -0,0 +1,6 @@
+//! Decoders of the gateway with odd input: none panics or takes long, and all results are in range.
+
+mod bytes;
+mod messages;
+mod records;
+mod texts;
