gateway: a narrower case is not probed at once

The crash has just shown what a probe would, so the next one is due after the usual time. The test fails without that.

--- a/gateway/src/quarantine.rs
+++ b/gateway/src/quarantine.rs
@@ -368,7 +368,7 @@
     fn update(&mut self, now: Timestamp, observed: Option<Timestamp>) -> Vec<CaseChange> {
         self.drop_old(now);
         let mut changes = self.clear_cases(now);
-        while let Some(mut case) = self.narrower_case().or_else(|| self.blame(now)) {
+        while let Some(mut case) = self.narrower_case(now).or_else(|| self.blame(now)) {
             case.observed = observed;
             changes.push(CaseChange::Opened(case.to_case(now)));
             self.open(case);
@@ -411,7 +411,8 @@
 
     /// Returns a case with fewer parts than an open one, if a server crashed under a run with only
     /// these.
-    fn narrower_case(&self) -> Option<OpenCase> {
+    /// The crash shows what a probe would, so the next one is due later.
+    fn narrower_case(&self, now: Timestamp) -> Option<OpenCase> {
         for case in &self.cases {
             let later = self.crashes.values().filter(|c| c.at >= case.since);
             for crash in later.filter(|c| !self.is_explained(c)) {
@@ -420,8 +421,10 @@
                     crash.suspects.contains(part) && self.begun_at(*part) < case.since
                 });
                 if !parts.is_empty() {
+                    let probe_at = case.probe_at.max(now + probe_interval(case.probes));
                     return Some(OpenCase {
                         parts,
+                        probe_at,
                         ..case.clone()
                     });
                 }
--- a/gateway/tests/quarantine_requests.rs
+++ b/gateway/tests/quarantine_requests.rs
@@ -303,3 +303,20 @@
     let case: Case = hold.case;
     assert!(case.parts.contains(&DEADLY), "{case:?}");
 }
+
+/// A crash shows that a narrower case is open, long after the first probe of the wider one was due.
+/// Guards against a probe at once, which would crash a server only to show the same.
+#[test]
+fn a_narrower_case_is_not_probed_at_once() {
+    let mut quarantine = Quarantine::default();
+    for ms in [1_000, 1_200, 1_400] {
+        crash(&mut quarantine, ms, &prompt(&[FIRST, DEADLY, SESSION]));
+    }
+    crash(&mut quarantine, 10_000, &prompt(&[FIRST, DEADLY, OTHER]));
+    let due = |ms| {
+        let hold = quarantine.hold(&prompt(&[FIRST, DEADLY, PartKey(9)]), at(ms));
+        hold.expect("held").probe_due
+    };
+    assert!(!due(10_100));
+    assert!(due(15_000));
+}
