gateway: a request is repeated only when it is known whether its server has crashed

A run that is lost is repeated at once, while a connection to the server finds out whether it has crashed. A repetition, the rest of a stream and the next run of an item now wait for the check, 50 ms at most.

--- a/gateway/src/serve/crashes.rs
+++ b/gateway/src/serve/crashes.rs
@@ -77,6 +77,10 @@
 /// Time in which crashes that are seen together are combined into one message.
 const COALESCE_TIME: Duration = Duration::from_millis(2);
 
+/// Longest wait of a lost run for the check whether its server has crashed. A server that is up
+/// accepts or refuses a connection within a round trip.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// Number of news intervals between two messages with all that is known.
 const INTERVALS_PER_DIGEST: u32 = 4;
 
@@ -120,9 +124,11 @@
     if !is_serving {
         return;
     }
+    node.lock().crash_checks.push(key);
     let node = node.clone();
     let spawner = node.spawner.clone();
     let task = async move {
+        let _check = CheckGuard { node: &node, key };
         let check = node.client.open(entry.addr, TrafficClass::Online).await;
         match check {
             Err(err) if err.is_refused() => {
@@ -136,6 +142,38 @@
     spawner.spawn(task).detach();
 }
 
+/// Guard of a check whether a server has crashed.
+struct CheckGuard<'a, P> {
+    node: &'a Node<P>,
+    key: BackendKey,
+}
+
+impl<P> Drop for CheckGuard<'_, P> {
+    fn drop(&mut self) {
+        let mut state = self.node.lock();
+        if let Some(place) = state.crash_checks.iter().position(|key| *key == self.key) {
+            state.crash_checks.swap_remove(place);
+        }
+        drop(state);
+        self.node.crash_checked.notify(usize::MAX);
+    }
+}
+
+/// Waits until it is known whether a server has crashed on which a run was lost. A request that is
+/// repeated sooner crashes one more server, although its case is opened by this crash.
+pub(crate) async fn checked<P>(node: &Node<P>, key: BackendKey) {
+    let deadline = Instant::now() + CHECK_TIMEOUT;
+    loop {
+        let ended = node.crash_checked.listen();
+        if !node.lock().crash_checks.contains(&key) {
+            return;
+        }
+        if timeout_at(deadline, ended).await.is_none() {
+            return;
+        }
+    }
+}
+
 fn server_crashed<P: Store + Dialect>(
     node: &Arc<Node<P>>,
     entry: &BackendEntry,
--- a/gateway/src/serve/node.rs
+++ b/gateway/src/serve/node.rs
@@ -105,6 +105,9 @@
     pub(crate) quarantine: Quarantine,
     /// When this instance last tried to claim a probe.
     pub(crate) probe_claimed_at: Option<Timestamp>,
+    /// Backend servers on which a run was lost, until it is known whether they have crashed. There is
+    /// one entry for each run.
+    pub(crate) crash_checks: Vec<BackendKey>,
     /// Items that are sent as probes.
     pub(crate) item_probes: HashSet<ItemKey>,
     /// Instances that are to get all that is known about crashes.
@@ -321,6 +324,8 @@
     pub(crate) report_due: Signal,
     /// Notified when the others are to be told about crashes.
     pub(crate) crash_news: Signal,
+    /// Notified when a check of a server has ended.
+    pub(crate) crash_checked: Signal,
     /// Notified for a partition of the jobs of which peers have read more. A read that the store
     /// has not completed is then repeated.
     pub(crate) jobs_behind: Vec<Signal>,
@@ -361,6 +366,7 @@
             speeds: Speeds::default(),
             quarantine: Quarantine::default(),
             probe_claimed_at: None,
+            crash_checks: Vec::new(),
             item_probes: HashSet::new(),
             digest_due: Vec::new(),
             quotas: Quotas::new(settings.tolerance),
@@ -390,6 +396,7 @@
             open_calls: AtomicU64::new(0),
             report_due: Signal::new(),
             crash_news: Signal::new(),
+            crash_checked: Signal::new(),
             jobs_behind: writers.iter().map(|_| Signal::new()).collect(),
             catch_ups: writers.iter().map(|_| CatchUp::default()).collect(),
             jobs_changed: Signal::new(),
--- a/gateway/src/serve/online.rs
+++ b/gateway/src/serve/online.rs
@@ -233,7 +233,8 @@
             history.is_probe = true;
         }
         let backend = placed.entry.clone();
-        history.tried.push(placed.key);
+        let key = placed.key;
+        history.tried.push(key);
         let (verdict, cause) = match attempt(&node, &admitted, &history, placed).await {
             Attempt::Answered(source) => return relay::start(node, admitted, history, *source),
             Attempt::NotRun(cause) => {
@@ -260,5 +261,6 @@
         if !may_run_again || admitted.deadline <= Instant::now() {
             return fail(&node, &admitted, &cause);
         }
+        crashes::checked(&node, key).await;
     }
 }
--- a/gateway/src/serve/relay.rs
+++ b/gateway/src/serve/relay.rs
@@ -36,6 +36,7 @@
     PlacedRequest,
     choose, //
 };
+use super::crashes;
 use super::heads;
 use super::heads::SentRequest;
 use super::lines::{
@@ -203,6 +204,7 @@
             Interruption::Backend(cause) | Interruption::ConnectionLost(cause) => {
                 suspect(node, key, &cause);
                 let next = if resumable && history.may_run_again(&admitted.route) {
+                    crashes::checked(node, key).await;
                     resume(node, &admitted, &mut history).await
                 } else {
                     None
@@ -416,6 +418,7 @@
                 if !history.may_run_again(&admitted.route) {
                     return None;
                 }
+                crashes::checked(node, key).await;
                 continue;
             }
         };
--- a/gateway/src/serve/runs.rs
+++ b/gateway/src/serve/runs.rs
@@ -22,6 +22,7 @@
     AttemptKind,
     suspect, //
 };
+use super::crashes;
 use super::heads;
 use super::heads::SentRequest;
 use super::lines::{
@@ -198,6 +199,7 @@
     }
     if matches!(end, RunEnd::Broken) {
         suspect(&node, run.backend, &cause);
+        crashes::checked(&node, run.backend).await;
     }
     let name = end_name(&end);
     let events = progress.data.len();
