--- a/gateway/src/quarantine.rs
+++ b/gateway/src/quarantine.rs
@@ -1,4 +1,5 @@
-//! Attribution of crashes of backend servers to parts of prompts, and the parts that are held back.
+//! Attribution of crashes of backend servers to requests and to parts of prompts, and what is held back.
+//! The identity of a request counts as a part that only requests with the same content have.
 //!
 //! Load pattern: a request with a certain part crashes each server that begins to write its answer,
 //! and such requests arrive at any instance. A crash ends all runs of the server at once, up to all
@@ -9,7 +10,9 @@
 //! between which no run with it wrote output on any server. Parts that were suspected in exactly
 //! these crashes cannot be told apart; they form a *case*, and only a request that has all of
 //! them is held back. A part leaves its case when a run with it writes output. When a server
-//! crashes under a run with only some of the parts of a case, these form another one.
+//! crashes under a run with only some of the parts of a case, these form another one. One request
+//! that callers repeat is in suspected runs as often as its parts; its identity stays in the case when
+//! sound requests have cleared these.
 
 use std::collections::{
     BTreeMap,
