--- a/gateway/src/quarantine.rs
+++ b/gateway/src/quarantine.rs
@@ -1,4 +1,5 @@
-//! Attribution of crashes of backend servers to parts of prompts, and the parts that are held back.
+//! Attribution of crashes of backend servers to requests and to parts of prompts, and what is held back.
+//! The identity of a request counts as a part that only requests with the same content have.
 //!
 //! Load pattern: a request with a certain part crashes each server that begins to write its answer,
 //! and such requests arrive at any instance. A crash ends all runs of the server at once, up to all
@@ -9,7 +10,9 @@
 //! between which no run with it wrote output on any server. Parts that were suspected in exactly
 //! these crashes cannot be told apart; they form a *case*, and only a request that has all of
 //! them is held back. A part leaves its case when a run with it writes output. When a server
-//! crashes under a run with only some of the parts of a case, these form another one.
+//! crashes under a run with only some of the parts of a case, these form another one. One request
+//! that callers repeat is in suspected runs as often as its parts; its identity stays in the case when
+//! sound requests have cleared these.
 
 use std::collections::{
     BTreeMap,
@@ -370,7 +373,7 @@
         let mut changes = self.clear_cases(now);
         // A case beyond the maximum replaces the oldest one, which may follow again from its crashes.
         for _ in 0..MAX_CASES {
-            let Some(mut case) = self.narrower_case().or_else(|| self.blame(now)) else {
+            let Some(mut case) = self.narrower_case(now).or_else(|| self.blame(now)) else {
                 break;
             };
             case.observed = observed;
@@ -415,7 +418,8 @@
 
     /// Returns a case with fewer parts than an open one, if a server crashed under a run with only
     /// these.
-    fn narrower_case(&self) -> Option<OpenCase> {
+    /// The crash shows what a probe would, so the next one is due later.
+    fn narrower_case(&self, now: Timestamp) -> Option<OpenCase> {
         for case in &self.cases {
             let later = self.crashes.values().filter(|c| c.at >= case.since);
             for crash in later.filter(|c| !self.is_explained(c)) {
@@ -424,8 +428,10 @@
                     crash.suspects.contains(part) && self.begun_at(*part) < case.since
                 });
                 if !parts.is_empty() {
+                    let probe_at = case.probe_at.max(now + probe_interval(case.probes));
                     return Some(OpenCase {
                         parts,
+                        probe_at,
                         ..case.clone()
                     });
                 }
--- a/gateway/src/serve/online.rs
+++ b/gateway/src/serve/online.rs
@@ -329,7 +329,8 @@
             history.is_probe = true;
         }
         let backend = placed.entry.clone();
-        history.tried.push(placed.key);
+        let key = placed.key;
+        history.tried.push(key);
         let (verdict, cause) = match attempt(node, admitted, history, placed).await {
             Attempt::Answered(source) => return Ok(source),
             Attempt::NotRun(cause) => {
@@ -356,5 +357,6 @@
         if !may_run_again || admitted.deadline <= Instant::now() {
             return Err(fail(node, admitted, &cause));
         }
+        crashes::checked(node, key).await;
     }
 }
--- a/gateway/src/serve/runs.rs
+++ b/gateway/src/serve/runs.rs
@@ -22,6 +22,7 @@
     AttemptKind,
     suspect, //
 };
+use super::crashes;
 use super::heads;
 use super::heads::SentRequest;
 use super::items::PANIC_PAUSE;
@@ -206,7 +207,10 @@
         watch.completed();
     }
     match end {
-        RunEnd::Broken => suspect(&node, run.backend, &cause),
+        RunEnd::Broken => {
+            suspect(&node, run.backend, &cause);
+            crashes::checked(&node, run.backend).await;
+        }
         RunEnd::Silent => watch.dropped_in_silence(),
         _ => {}
     }
--- a/gateway/src/serve/takeover.rs
+++ b/gateway/src/serve/takeover.rs
@@ -21,6 +21,7 @@
     PlacedRequest,
     choose, //
 };
+use super::crashes;
 use super::lines::{
     OVERLAP_BEGAN,
     OVERLAP_ENDED,
@@ -197,8 +198,14 @@
             return Err(interruption);
         };
         self.record_loss(&run, &interruption);
+        let mut lost = run.placed.key;
         drop(run);
         while self.may_continue() {
+            let checked = async {
+                crashes::checked(self.node, lost).await;
+                Ok(())
+            };
+            self.bounded(checked).await?;
             let placed = match choose(self.node, self.admitted, &self.history, Eligible::Rest) {
                 Ok(placed) => placed,
                 Err(rejection) if rejection.is_final => break,
@@ -211,7 +218,8 @@
                     continue;
                 }
             };
-            self.history.tried.push(placed.key);
+            lost = placed.key;
+            self.history.tried.push(lost);
             self.history.runs += 1;
             let rest =
                 async { Ok(open_rest(self.node, self.admitted, &self.history, placed).await) };
--- a/gateway/tests/fuzz/messages.rs
+++ b/gateway/tests/fuzz/messages.rs
@@ -61,6 +61,7 @@
         boot: 1_700_000_000_000,
         sequence: 4,
         next_ms: 250,
+        stalled: false,
         ready: true,
         leaving: false,
         zone: "zone".to_owned(),
