gateway: a call about a job is answered before a stop ends, also with a short grace period

A call that had begun to wait for results before the signal could outlast a grace period below 6.9 s, and one that waits for the store had no bound by the stop; both were cut with no answer. The wait now ends with the stop and returns the results that there are, and a call that is still without a response gets 504. With a grace period below 6.4 s connections are accepted for half of it; 3.2 s could outlast it.

--- a/gateway/src/serve/job_calls.rs
+++ b/gateway/src/serve/job_calls.rs
@@ -6,6 +6,7 @@
     Instant, //
 };
 
+use futures_lite::future;
 use hyper::body::Bytes;
 use hyper::{
     Response,
@@ -173,10 +174,7 @@
     }
     match call {
         JobCall::Results { job, after, wait } => {
-            let wait = wait.min(MAX_WAIT);
-            // A stopping instance answers with the results that it has.
-            let wait = node.stop.remaining().map_or(wait, |left| wait.min(left));
-            results(node, partition, &job, after, wait).await
+            results(node, partition, &job, after, wait.min(MAX_WAIT)).await
         }
         JobCall::Content { job, item } => content(node, partition, &job, &item),
         JobCall::End { job } => end(node, partition, job).await,
@@ -222,7 +220,8 @@
                 return repeat_elsewhere(id, PARTITION_DROPPED);
             };
             let complete = job.results.len() >= job.items.len();
-            let timed_out = Instant::now() >= deadline;
+            // A stopping instance answers with the results that it has.
+            let timed_out = Instant::now() >= deadline || node.stop.is_over();
             let peer_ahead = || {
                 !state
                     .forward_targets(partition, CallKind::Read, node.now())
@@ -246,7 +245,7 @@
                 return page(node, job, after);
             }
         }
-        timeout_at(deadline, changed).await;
+        timeout_at(deadline, future::or(changed, node.stop.ended())).await;
     }
 }
 
--- a/gateway/src/serve/mod.rs
+++ b/gateway/src/serve/mod.rs
@@ -363,7 +363,8 @@
         node.report_due.notify(usize::MAX);
         items::jobs_changed(&node);
         self.public.drain();
-        sleep(ACCEPT_AFTER_STOP).await;
+        // A short grace period leaves less time.
+        sleep(ACCEPT_AFTER_STOP.min(node.settings.grace / 2)).await;
         let whole = self.public.close(end).await;
         if let Err(err) = peers::deregister(&node).await {
             log::debug!("cannot remove the record of this instance: {err}");
--- a/gateway/src/serve/online.rs
+++ b/gateway/src/serve/online.rs
@@ -42,6 +42,7 @@
     deny,
     fail,
     fail_at_stop,
+    fail_call_at_stop,
     reject,
     reject_body,
     reject_held,
@@ -151,7 +152,7 @@
         }) => (route, organisation),
         Ok(Destination::Job { call, organisation }) => {
             let response = handle_job_call(node, &head, call, &organisation, version);
-            return response.await.into();
+            return within_stop(node, &id, response).await.into();
         }
         Err(denial) => return deny(node, &call, version, denial).into(),
     };
@@ -185,7 +186,7 @@
             version,
         };
         let response = submit_job(node, &call, allowed, &route, organisation);
-        return response.await.into();
+        return within_stop(node, &id, response).await.into();
     }
     if let Some(response) = reject_late_in_stop(node, &id, deadline) {
         return response.into();
@@ -206,6 +207,19 @@
     Admission::Admitted(Box::new(admitted))
 }
 
+/// Returns the response to a call about a job, or 504 if it is still missing as the stop ends.
+async fn within_stop<P>(
+    node: &Node<P>,
+    id: &str,
+    response: impl Future<Output = Response<Body>>,
+) -> Response<Body> {
+    let stopped = async {
+        node.stop.overdue().await;
+        fail_call_at_stop(id)
+    };
+    future::or(response, stopped).await
+}
+
 /// Reads the body of a request until `deadline`, and no longer than this instance can answer.
 async fn read_body<P>(
     node: &Node<P>,
--- a/gateway/src/serve/rejections.rs
+++ b/gateway/src/serve/rejections.rs
@@ -18,6 +18,7 @@
 use super::attempt::AttemptHistory;
 use super::choose::Rejection;
 use super::lines::{
+    JOB_REFUSED,
     REFUSED,
     REQUEST_FAILED,
     log_event, //
@@ -158,6 +159,13 @@
     plain(StatusCode::GATEWAY_TIMEOUT, text)
 }
 
+/// Returns the response to a call about a job that has no response when the stop of this instance ends.
+pub(crate) fn fail_call_at_stop(id: &str) -> Response<Body> {
+    log_event!(JOB_REFUSED, "request={id} status=504 cause=stopping");
+    let text = "this instance stops; the call may have taken effect";
+    plain(StatusCode::GATEWAY_TIMEOUT, text)
+}
+
 pub(crate) fn reject_body(id: &str, err: &BodyError) -> Response<Body> {
     let status = match err {
         BodyError::TooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
--- a/gateway/src/serve/stop_window.rs
+++ b/gateway/src/serve/stop_window.rs
@@ -40,8 +40,22 @@
         Some(at.saturating_duration_since(Instant::now()))
     }
 
+    /// Returns whether all requests must be answered now.
+    pub(crate) fn is_over(&self) -> bool {
+        self.remaining().is_some_and(|left| left.is_zero())
+    }
+
     /// Returns once all requests must be answered.
     pub(crate) async fn ended(&self) {
+        self.passed(Duration::ZERO).await;
+    }
+
+    /// Returns a little later than [`StopWindow::ended`], for requests that end by themselves then.
+    pub(crate) async fn overdue(&self) {
+        self.passed(SEND_TIME / 2).await;
+    }
+
+    async fn passed(&self, after: Duration) {
         let at = loop {
             let stops = self.stops.listen();
             if let Some(at) = self.answers_by.get() {
@@ -49,6 +63,6 @@
             }
             stops.await;
         };
-        timeout_at(at, future::pending::<()>()).await;
+        timeout_at(at + after, future::pending::<()>()).await;
     }
 }
--- a/transport/tests/connections.rs
+++ b/transport/tests/connections.rs
@@ -153,6 +153,23 @@
     later.call();
 }
 
+/// Guards against forgetting the limit under which a connection became idle once the change is over,
+/// and against keeping the earlier limit for ever.
+#[test]
+fn a_connection_keeps_the_idle_timeout_that_held_as_it_became_idle() {
+    let runtime = Runtime::start(1).unwrap();
+    let server = start(&runtime, NEVER, NEVER);
+    let mut idle = Caller::connect(server.addr());
+    idle.call();
+    server.timeouts().set(NEVER, SHORT);
+    // Longer than the time in which the longer one of both limits holds.
+    thread::sleep(Duration::from_secs(5));
+    idle.call();
+    let begin = Instant::now();
+    assert_eq!(idle.rest(), "");
+    assert!(begin.elapsed() < HANG_TIMEOUT / 2, "{:?}", begin.elapsed());
+}
+
 /// Guards against a longer limit that connections which are idle already do not get.
 #[test]
 fn a_longer_idle_timeout_holds_for_connections_that_are_idle() {
@@ -222,20 +239,21 @@
     }
 }
 
-/// Guards against a reset that takes a response away, because the caller was still sending the body
-/// as the connection closed.
+/// Guards against a reset that takes a response away, because a part of the body was unread as the
+/// connection closed.
 #[test]
 fn a_response_that_comes_before_the_end_of_the_body_is_not_lost() {
     let runtime = Runtime::start(1).unwrap();
     let server = start(&runtime, NEVER, NEVER);
     server.drain();
+    // The executor thread is occupied until the body has arrived.
+    let mut blocking = Caller::connect(server.addr());
+    blocking.send("GET /block HTTP/1.1\r\nhost: a\r\n\r\n");
+    thread::sleep(BLOCKED / 4);
     let mut caller = Caller::connect(server.addr());
-    let size = 300_000;
-    caller.send(&format!(
-        "POST /refuse HTTP/1.1\r\nhost: a\r\ncontent-length: {size}\r\n\r\n"
-    ));
-    thread::sleep(SHORT);
-    caller.send(&"a".repeat(size));
+    let size = 700_000;
+    let head = format!("POST /refuse HTTP/1.1\r\nhost: a\r\ncontent-length: {size}\r\n\r\n");
+    caller.send(&(head + &"a".repeat(size)));
     let response = caller.rest();
     assert!(response.starts_with("HTTP/1.1 503"), "{response:?}");
     assert!(response.ends_with("refused"), "{response:?}");
