--- a/transport/src/http/server.rs
+++ b/transport/src/http/server.rs
@@ -340,7 +340,8 @@
 /// Reads the rest of a request body that was answered early. A connection that is closed with unread
 /// bytes is reset, and its caller can lose the response.
 async fn discard(mut stream: &Async<TcpStream>) {
-    let mut buf = [0; 4096];
+    // On the heap: the future of each connection would contain an array.
+    let mut buf = vec![0; 4096];
     let mut discarded = 0;
     while let Ok(len) = stream.read(&mut buf).await {
         discarded += len;
