gateway: requests of peers are subtracted from a bucket that is full

Backend servers and the quotas of organisations got more requests than the fleet's buckets allow. An instance subtracted the counts of its peers from the level of the bucket's last refill, and a bucket that has been full since then regains in the next refill what was subtracted: the requests of peers did not count. Each instance refills its buckets when it takes a token, and at the latest every quarter of the report timeout, so in a running fleet up to that time's tokens are lost for each burst.

The level is now brought up to date before a count is subtracted.

requests_of_a_peer_lower_a_full_bucket fails before the change: 21 requests instead of 17.

--- a/gateway/src/fleet_rate.rs
+++ b/gateway/src/fleet_rate.rs
@@ -200,7 +200,9 @@
         peer: &str,
         boot: u64,
         counts: impl Iterator<Item = (K, u64)>,
+        now: Timestamp,
     ) -> Vec<(K, u64)> {
+        let free = self.free_fraction();
         let mut taken = Vec::new();
         if !self.peers.contains_key(peer) {
             let taken = HashMap::new();
@@ -219,6 +221,9 @@
             // A large first count is from before the start of this instance.
             let before = before.unwrap_or(if count > MAX_FIRST_COUNT { count } else { 0 });
             if let Some(bucket) = self.buckets.get_mut(&key) {
+                // A full bucket gains nothing, so the level must be that of now before a count is
+                // subtracted.
+                bucket.refill(now, free);
                 // Counts are whole numbers far below the precision of f64.
                 bucket.tokens -= count as f64 - before as f64;
                 bucket.tokens = bucket.tokens.clamp(-bucket.burst, bucket.burst);
--- a/gateway/src/quota.rs
+++ b/gateway/src/quota.rs
@@ -146,9 +146,15 @@
     }
 
     /// Applies the admissions that the instance `peer`, started at `boot`, reports.
-    pub fn apply_report(&mut self, peer: &str, boot: u64, admitted: &[(OrganisationKey, u64)]) {
+    pub fn apply_report(
+        &mut self,
+        peer: &str,
+        boot: u64,
+        admitted: &[(OrganisationKey, u64)],
+        now: Timestamp,
+    ) {
         self.rates
-            .apply_counts(peer, boot, admitted.iter().copied());
+            .apply_counts(peer, boot, admitted.iter().copied(), now);
     }
 
     /// Returns this instance's levels of all buckets, for an instance that has just started.
--- a/gateway/src/serve/peers.rs
+++ b/gateway/src/serve/peers.rs
@@ -193,7 +193,7 @@
     }
     state
         .quotas
-        .apply_report(&name, report.boot, &report.admitted);
+        .apply_report(&name, report.boot, &report.admitted, now);
     let limits = report.limits.as_deref().unwrap_or_default();
     let limit_changes = state.limits.apply_report(&name, report.boot, limits, now);
     heads::log_changes(&state, &limit_changes, &name);
--- a/gateway/src/server_limits.rs
+++ b/gateway/src/server_limits.rs
@@ -337,7 +337,7 @@
             changes.extend(change.map(|change| (report.run, change)));
         }
         let counts = reports.iter().map(|r| (r.run, r.sent));
-        for (run, count) in self.rates.apply_counts(peer, boot, counts) {
+        for (run, count) in self.rates.apply_counts(peer, boot, counts, now) {
             self.log_sends(run, count, now);
         }
         changes
--- a/gateway/tests/online.rs
+++ b/gateway/tests/online.rs
@@ -93,16 +93,16 @@
             }
             // Reports arrive within a few milliseconds.
             if connected && at % 3 == 0 {
-                self.exchange();
+                self.exchange(now);
             }
         }
     }
 
-    fn exchange(&mut self) {
+    fn exchange(&mut self, now: Timestamp) {
         let counts: Vec<_> = self.quotas.iter().map(Quotas::admitted).collect();
         for (n, quota) in self.quotas.iter_mut().enumerate() {
             for (peer, count) in counts.iter().enumerate().filter(|(peer, _)| *peer != n) {
-                quota.apply_report(&format!("peer-{peer}"), 1, count);
+                quota.apply_report(&format!("peer-{peer}"), 1, count, now);
             }
         }
     }
--- a/gateway/tests/server_limits.rs
+++ b/gateway/tests/server_limits.rs
@@ -151,6 +151,25 @@
     );
 }
 
+/// Guards against requests of a peer that do not count while the bucket has been full for a while.
+#[test]
+fn requests_of_a_peer_lower_a_full_bucket() {
+    let sent_at_once = |reported: u64| {
+        let mut limits = limited(4.0);
+        let report = LimitReport {
+            run: RUN,
+            rate: Some(4.0),
+            age: Duration::from_millis(10),
+            sent: reported,
+        };
+        limits.apply_report("peer", 1, &[report], ms(20_000));
+        (0..30)
+            .filter(|_| send_all(&mut limits, ONLINE, 20_000, 20_001) == 1)
+            .count()
+    };
+    assert_eq!(sent_at_once(4) + 4, sent_at_once(0));
+}
+
 /// Guards against an instance that starts while a limit holds, and takes what others have sent.
 #[test]
 fn a_started_instance_begins_with_an_empty_bucket() {
