gateway: items start at a limited server only within the room of the window

Cause: the instances notice at the same moment that items may start at a limited server, and each of them starts one. They took turns for the tokens of the bucket, but not for the window of 4 s: with room for four more requests or more, each instance could start an item.

Items now take turns for the smaller of the two.

a_fleet_keeps_to_the_limit_while_items_wait fails before the change in 9 of 24 cases, with 25 or 26 requests in 4 s at 3.3 per second, of 24.8.

--- a/gateway/src/server_limits.rs
+++ b/gateway/src/server_limits.rs
@@ -39,7 +39,8 @@
 /// Part of a stated rate by which the fleet exceeds it as long as there are enough requests.
 const OVERSHOOT: f64 = 0.25;
 
-/// Room in a window, in requests, from which on several instances may send at the same time.
+/// Room in a window, in requests, from which on several instances may send online requests at the
+/// same time.
 const CONTENDED_ROOM: f64 = 4.0;
 
 /// Requests within the tolerance that are left to instances which send at the same time.
@@ -240,7 +241,19 @@
             // Items wait everywhere at the same time, whatever the age of the tokens.
             Purpose::Item => ahead <= spare,
         };
-        if !has_turn || !self.fits_window(run, statement, delay, now) {
+        if !has_turn {
+            return Permit::Denied;
+        }
+        let Some(window) = self.window(run, statement, now) else {
+            return Permit::Denied;
+        };
+        let fits = match purpose {
+            Purpose::Online { .. } => {
+                window.room >= CONTENDED_ROOM || window.room >= 1.0 && window.freed_for >= delay
+            }
+            Purpose::Item => ahead <= window.room - 1.0,
+        };
+        if !fits {
             return Permit::Denied;
         }
         if statement.age(now) >= STALE_AFTER + delay {
@@ -250,30 +263,25 @@
         }
     }
 
-    /// Returns whether the last window has room for one more request, and this instance has its turn
-    /// if the room is small.
-    fn fits_window(
-        &self,
-        run: RunKey,
-        statement: Statement,
-        delay: Duration,
-        now: Timestamp,
-    ) -> bool {
-        let Some(rate) = statement.rate else {
-            return true;
-        };
+    /// Returns the room in the last window; `None` if this instance has used its share of a window
+    /// that it does not know.
+    fn window(&self, run: RunKey, statement: Statement, now: Timestamp) -> Option<Window> {
+        let rate = statement.rate?;
         let most = most_in_window(rate) * self.rates.free_fraction();
         // Counts are far below the precision of f64.
         let share = (most / self.heard as f64).max(1.0);
         if self.is_window_unknown(run, now) && self.rates.taken(run) as f64 >= share.floor() {
-            return false;
+            return None;
         }
-        let Some(log) = self.sends.get(&run) else {
-            return true;
-        };
-        let sent = log.count(TOLERANCE.window, now);
-        let room = most.max(1.0) - sent.requests as f64;
-        room >= CONTENDED_ROOM || room >= 1.0 && sent.freed_for >= delay
+        let sent = self
+            .sends
+            .get(&run)
+            .map(|log| log.count(TOLERANCE.window, now));
+        let requests = sent.map_or(0, |sent| sent.requests);
+        Some(Window {
+            room: most.max(1.0) - requests as f64,
+            freed_for: sent.map_or(TOLERANCE.window, |sent| sent.freed_for),
+        })
     }
 
     /// Returns whether others have sent requests in the last window that this instance does not know.
@@ -371,6 +379,15 @@
     }
 }
 
+/// What the last window leaves to the fleet.
+#[derive(Clone, Copy, Debug)]
+struct Window {
+    /// Requests that may still be sent.
+    room: f64,
+    /// Time since a request left the window.
+    freed_for: Duration,
+}
+
 /// Returns the number of requests that may be sent within one window at a stated rate.
 fn most_in_window(rate: f64) -> f64 {
     let in_window = rate * TOLERANCE.window.as_secs_f64();
--- a/gateway/tests/server_limits.rs
+++ b/gateway/tests/server_limits.rs
@@ -256,6 +256,9 @@
     assert!(distinct.len() >= 8, "{assigned:?}");
 }
 
+/// Time between two checks of the waiting items, in milliseconds.
+const ITEM_CHECK: u64 = 50;
+
 /// Requests that one server got, from instances that hear of each other's requests `delay` later.
 struct Replay {
     instances: Vec<ServerLimits>,
@@ -265,8 +268,16 @@
 }
 
 impl Replay {
-    /// Replays `seconds` in which the fleet has `demand` requests per second for the server.
-    fn play(count: usize, rate: f64, demand: f64, delay: u64, seconds: u64) -> Vec<u64> {
+    /// Replays `seconds` in which the fleet has `demand` requests per second for the server, and items
+    /// at all instances if `items_wait`.
+    fn play(
+        count: usize,
+        rate: f64,
+        demand: f64,
+        items_wait: bool,
+        delay: u64,
+        seconds: u64,
+    ) -> Vec<u64> {
         let names = (0..count).map(|n| format!("instance-{n}"));
         let mut replay = Self {
             instances: names.map(|name| ServerLimits::new(&name)).collect(),
@@ -285,7 +296,12 @@
             order.shuffle(&mut rng);
             for n in &order {
                 if rng.random_bool(demand / 1_000.0 / count as f64) {
-                    replay.request(*n, at, delay);
+                    replay.request(*n, ONLINE, at, delay);
+                }
+            }
+            if items_wait && at % ITEM_CHECK == 0 {
+                for n in &order {
+                    replay.request(*n, Purpose::Item, at, delay);
                 }
             }
         }
@@ -302,9 +318,9 @@
         }
     }
 
-    fn request(&mut self, n: usize, at: u64, delay: u64) {
+    fn request(&mut self, n: usize, purpose: Purpose, at: u64, delay: u64) {
         let limits = &mut self.instances[n];
-        if limits.permit(RUN, ONLINE, ms(at), at) == Permit::Denied {
+        if limits.permit(RUN, purpose, ms(at), at) == Permit::Denied {
             return;
         }
         limits.sent(RUN, ms(at));
@@ -335,7 +351,7 @@
     #[values(12.0, 40.0)] demand: f64,
     #[values(5, 20)] delay: u64,
 ) {
-    let arrivals = Replay::play(count, rate, demand, delay, 40);
+    let arrivals = Replay::play(count, rate, demand, false, delay, 40);
     let most = most_in_window(&arrivals);
     assert!(
         most as f64 <= 6.0 * rate + 5.0,
@@ -347,3 +363,22 @@
         "{used} per second of {rate}"
     );
 }
+
+/// Load pattern: items wait at all instances, which notice at the same moment that they may start.
+/// Guards against more starts than the window has room for.
+#[rstest]
+fn a_fleet_keeps_to_the_limit_while_items_wait(
+    #[values(9, 11, 82)] count: usize,
+    #[values(1.0, 3.3)] rate: f64,
+    #[values(0.0, 3.0)] demand: f64,
+    #[values(5, 20)] delay: u64,
+) {
+    let arrivals = Replay::play(count, rate, demand, true, delay, 40);
+    let most = most_in_window(&arrivals);
+    assert!(
+        most as f64 <= 6.0 * rate + 5.0,
+        "{most} in 4 s at {rate} per second"
+    );
+    let used = arrivals.len() as f64 / 40.0;
+    assert!(used >= rate * 0.9, "{used} per second of {rate}");
+}
