--- a/gateway/tests/fuzz/messages.rs
+++ b/gateway/tests/fuzz/messages.rs
@@ -108,7 +108,7 @@
         assert!(report.version <= 1 << 53 && report.name.len() <= 200);
         assert_eq!(Report::decode(&report.encode()).as_ref(), Some(&report));
         load.apply_report(&report, now);
-        quotas.apply_report(&report.name, report.boot, &report.admitted);
+        quotas.apply_report(&report.name, report.boot, &report.admitted, now);
         let stated = report.limits.as_deref().unwrap_or_default();
         limits.apply_report(&report.name, report.boot, stated, now);
         for (run, purpose) in [
--- a/gateway/tests/report_ranges.rs
+++ b/gateway/tests/report_ranges.rs
@@ -66,7 +66,7 @@
     let mut load = Load::default();
     load.apply_report(&report, NOW);
     let mut quotas = Quotas::default();
-    quotas.apply_report("peer", report.boot, &report.admitted);
+    quotas.apply_report("peer", report.boot, &report.admitted, NOW);
     let mut server_limits = ServerLimits::new("one");
     for boot in 0..3 {
         let mut more = limits.to_vec();
