transport: a panic in a call, a message or an event of a link leaves the link up

A call between instances of the standalone daemon whose handler panicked had no reply, and its caller waited for its whole time; a message that panicked ended the link with all of its calls; an observer that panicked left its link down for ever, each without a line. The call now gets an error that it may have run, the message is skipped, and the link connects again after the longest pause (LW1204). Both new tests fail with the former listener and link.

--- a/transport/src/peer/link.rs
+++ b/transport/src/peer/link.rs
@@ -1,6 +1,7 @@
 //! The dialling side of a link: connects and reconnects, sends calls and one-way messages.
 
 use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
 use std::sync::{
     Arc,
     Mutex,
@@ -17,7 +18,10 @@
     Sender, //
 };
 use async_executor::Task;
-use futures_lite::future;
+use futures_lite::{
+    FutureExt,
+    future, //
+};
 use futures_util::{
     Sink,
     SinkExt,
@@ -57,6 +61,7 @@
 };
 use crate::runtime::{
     Spawner,
+    panic_message,
     sleep,
     timeout_at, //
 };
@@ -151,7 +156,7 @@
         E: Fn(LinkEvent) + Send + Sync + 'static,
     {
         let shared = Arc::new(Shared::default());
-        let task = spawner.spawn(reconnect_loop(shared.clone(), options, on_event));
+        let task = spawner.spawn(reconnect_on_panic(shared.clone(), options, on_event));
         Self {
             shared,
             _reconnect_loop: task,
@@ -201,15 +206,33 @@
     }
 }
 
-async fn reconnect_loop<E: Fn(LinkEvent)>(shared: Arc<Shared>, options: LinkOptions, on_event: E) {
+/// Connects and reconnects, also after a panic, which would otherwise leave the link down for ever.
+async fn reconnect_on_panic<E: Fn(LinkEvent)>(
+    shared: Arc<Shared>,
+    options: LinkOptions,
+    on_event: E,
+) {
+    loop {
+        let running = AssertUnwindSafe(reconnect_loop(&shared, &options, &on_event));
+        if let Err(panic) = running.catch_unwind().await {
+            let cause = panic_message(&*panic).to_owned();
+            log::error!("LW1204 the link to {} panicked: {cause}", options.addr);
+            shared.queue().take();
+            shared.pending.fail_all();
+        }
+        sleep(options.max_backoff).await;
+    }
+}
+
+async fn reconnect_loop<E: Fn(LinkEvent)>(shared: &Shared, options: &LinkOptions, on_event: &E) {
     let mut backoff = options.min_backoff;
     loop {
         let deadline = Instant::now() + HANDSHAKE_TIMEOUT;
-        let connecting = timeout_at(deadline, connect(&options)).await;
+        let connecting = timeout_at(deadline, connect(options)).await;
         let err = match connecting.context(HandshakeTimeoutSnafu).flatten() {
             Ok((socket, peer)) => {
                 backoff = options.min_backoff;
-                run(&shared, &options, socket, peer, &on_event).await
+                run(shared, options, socket, peer, on_event).await
             }
             Err(err) => err,
         };
--- a/transport/src/peer/listener.rs
+++ b/transport/src/peer/listener.rs
@@ -7,6 +7,7 @@
     TcpListener,
     TcpStream, //
 };
+use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
 use std::time::{
     Duration,
@@ -19,7 +20,10 @@
 };
 use async_executor::Task;
 use async_io::Async;
-use futures_lite::future;
+use futures_lite::{
+    FutureExt,
+    future, //
+};
 use futures_util::{
     Sink,
     Stream,
@@ -49,6 +53,7 @@
 };
 use crate::runtime::{
     Spawner,
+    panic_message,
     sleep,
     timeout_at, //
 };
@@ -219,7 +224,7 @@
         match socket::receive(stream).await {
             Ok(PeerMessage::Call { id, body }) => inbound.start_call(id, body).await,
             Ok(message @ (PeerMessage::Heartbeat(_) | PeerMessage::Yield { .. })) => {
-                inbound.handler.message(&inbound.peer, message);
+                inbound.handle_message(message);
             }
             Ok(message) => {
                 let message = socket::message_kind(&message);
@@ -231,6 +236,16 @@
 }
 
 impl<H: PeerHandler> Inbound<H> {
+    /// Handles a one-way message. A panic must not end the link, whose other calls are running.
+    fn handle_message(&self, message: PeerMessage) {
+        let handle = || self.handler.message(&self.peer, message);
+        if let Err(panic) = std::panic::catch_unwind(AssertUnwindSafe(handle)) {
+            let cause = panic_message(&*panic);
+            let from = &self.peer.incarnation;
+            log::error!("LW1204 a message of {from} panicked: {cause}");
+        }
+    }
+
     async fn start_call(&mut self, id: u64, body: CallBody) {
         if self.running.len() >= MAX_RUNNING_CALLS {
             self.running.retain(|call| !call.is_finished());
@@ -245,13 +260,29 @@
         let peer = self.peer.clone();
         let replies = self.replies.clone();
         let call = async move {
-            let body = handler.call(&peer, body).await;
+            // The call may panic before it returns its future.
+            let called = AssertUnwindSafe(async { handler.call(&peer, body).await });
+            let body = called.catch_unwind().await.unwrap_or_else(|panic| {
+                let cause = panic_message(&*panic);
+                log::error!("LW1204 a call of {} panicked: {cause}", peer.incarnation);
+                panicked_reply()
+            });
             let _ = replies.send(PeerMessage::Reply { id, body }).await;
         };
         self.running.push(self.spawner.spawn(call));
     }
 }
 
+/// Returns the reply to a call that panicked. It makes no promise about whether the call has run.
+fn panicked_reply() -> ReplyBody {
+    ReplyBody::Error(CallError {
+        code: "internal".to_owned(),
+        message: "the call panicked".to_owned(),
+        verdict: Verdict::MayHaveRun,
+        retry_after_ms: None,
+    })
+}
+
 fn busy_reply() -> ReplyBody {
     ReplyBody::Error(CallError {
         code: "peer_busy".to_owned(),
--- a/transport/tests/peer.rs
+++ b/transport/tests/peer.rs
@@ -8,6 +8,11 @@
     SocketAddr, //
 };
 use std::sync::Arc;
+use std::sync::atomic::{
+    AtomicBool,
+    AtomicUsize,
+    Ordering, //
+};
 use std::time::{
     Duration,
     Instant, //
@@ -363,3 +368,72 @@
         },
     })
 }
+
+/// Panics in the first call and the first message.
+#[derive(Default)]
+struct PanickingHandler {
+    calls: AtomicUsize,
+    messages: AtomicUsize,
+}
+
+impl PeerHandler for PanickingHandler {
+    async fn call(&self, _from: &Hello, _body: CallBody) -> ReplyBody {
+        let calls = self.calls.fetch_add(1, Ordering::SeqCst);
+        assert_ne!(calls, 0, "requested by the test");
+        ReplyBody::CancelItem
+    }
+
+    fn message(&self, _from: &Hello, _message: PeerMessage) {
+        let messages = self.messages.fetch_add(1, Ordering::SeqCst);
+        assert_ne!(messages, 0, "requested by the test");
+    }
+}
+
+/// Guards against a call without a reply after a panic of its handler, and against a link that ends
+/// with all of its calls because of a panic in a message.
+#[test]
+fn a_panic_of_the_handler_ends_only_its_call() {
+    let runtime = Runtime::start(2).unwrap();
+    let spawner = runtime.spawner();
+    runtime.block_on(async move {
+        let handler = Arc::new(PanickingHandler::default());
+        let hello = hello("peer", PEER_PROTOCOL_VERSION);
+        let listener = PeerListener::start(&spawner, LOCAL, hello, handler.clone()).unwrap();
+        let (link, events) = dial(&spawner, options(listener.addr()));
+        wait_up(&events).await;
+        let backend = BackendId::try_from("e1").unwrap();
+        link.notify(PeerMessage::Yield { backend }).unwrap();
+        let reply = link.call(fetch(1), HANG_TIMEOUT).await.unwrap();
+        let ReplyBody::Error(err) = reply else {
+            panic!("{reply:?}");
+        };
+        assert_eq!(err.verdict, Verdict::MayHaveRun);
+        let reply = link.call(fetch(2), HANG_TIMEOUT).await.unwrap();
+        assert_eq!(reply, ReplyBody::CancelItem);
+        assert_eq!(handler.messages.load(Ordering::SeqCst), 1);
+        assert!(events.is_empty(), "the link went down");
+    });
+}
+
+/// Guards against a link that stays down for ever after a panic of its observer.
+#[test]
+fn a_link_whose_observer_panics_reconnects() {
+    let (runtime, spawner, peer) = start_peer("peer");
+    let options = options(peer.listener.addr());
+    runtime.block_on(async move {
+        let (tx, events) = async_channel::unbounded();
+        let panicked = AtomicBool::new(false);
+        let link = PeerLink::start(&spawner, options, move |event| {
+            assert!(
+                panicked.swap(true, Ordering::SeqCst),
+                "requested by the test"
+            );
+            let _ = tx.try_send(event);
+        });
+        wait_up(&events).await;
+        let backend = BackendId::try_from("e1").unwrap();
+        let message = PeerMessage::Yield { backend };
+        link.notify(message.clone()).unwrap();
+        assert_eq!(peer.messages.recv().await.unwrap(), message);
+    });
+}
