--- a/daemon/src/batch/owner.rs
+++ b/daemon/src/batch/owner.rs
@@ -15,7 +15,10 @@
     GroupKind,
     JobChange, //
 };
-use limpetweir_transport::sleep;
+use limpetweir_transport::{
+    restart_on_panic,
+    sleep, //
+};
 
 use super::dispatch::dispatch;
 use super::group::{
@@ -55,7 +58,10 @@
             node.spawner.spawn(run_group(node.clone(), group))
         })
         .collect();
-    tasks.push(node.spawner.spawn(maintain_managers(node.clone())));
+    let shared = node.clone();
+    let maintain = move || maintain_managers(shared.clone());
+    let maintain = restart_on_panic("maintain-managers", maintain);
+    tasks.push(node.spawner.spawn(maintain));
     tasks.push(node.spawner.spawn(issue_orders(node.clone())));
     tasks
 }
--- a/daemon/src/control/mod.rs
+++ b/daemon/src/control/mod.rs
@@ -26,7 +26,8 @@
 use limpetweir_state::Incarnation;
 use limpetweir_transport::{
     Clock,
-    LogClient, //
+    LogClient,
+    restart_on_panic, //
 };
 
 pub(crate) use admin::handle;
@@ -126,8 +127,13 @@
     let mut tasks = Vec::new();
     tasks.extend(control.config.start(&node.spawner).into_tasks());
     tasks.extend(control.claims.start(&node.spawner).into_tasks());
-    tasks.push(node.spawner.spawn(peers::sweep_connections(node.clone())));
-    tasks.push(node.spawner.spawn(listing::poll(node.clone())));
+    let shared = node.clone();
+    let sweep = move || peers::sweep_connections(shared.clone());
+    let sweep = restart_on_panic("sweep-connections", sweep);
+    tasks.push(node.spawner.spawn(sweep));
+    let shared = node.clone();
+    let poll = move || listing::poll(shared.clone());
+    tasks.push(node.spawner.spawn(restart_on_panic("poll-list", poll)));
     tasks.push(node.spawner.spawn(decisions::run(node.clone())));
     tasks
 }
--- a/daemon/src/online/mod.rs
+++ b/daemon/src/online/mod.rs
@@ -52,6 +52,7 @@
     Body,
     RequestBody, //
 };
+use limpetweir_transport::restart_on_panic;
 use opentelemetry::metrics::Meter;
 
 pub(crate) use backends::{
@@ -140,7 +141,9 @@
 ///
 /// It ends when the returned task is dropped.
 pub(crate) fn start(node: &Arc<Node>) -> Task<()> {
-    node.spawner.spawn(admission::run(node.clone()))
+    let shared = node.clone();
+    let run = move || admission::run(shared.clone());
+    node.spawner.spawn(restart_on_panic("quota-shares", run))
 }
 
 /// Handles requests for completions, models and addresses, and calls of plain services.
--- a/transport/src/lib.rs
+++ b/transport/src/lib.rs
@@ -9,4 +9,4 @@
 
 pub use list_client::{ListClient, ListError};
 pub use log_client::{AppendOutcome, LogClient, ReadOutcome, ReadRequest};
-pub use runtime::{Clock, Runtime, Spawner, panic_message, sleep, timeout_at};
+pub use runtime::{Clock, Runtime, Spawner, panic_message, restart_on_panic, sleep, timeout_at};
--- a/transport/src/runtime.rs
+++ b/transport/src/runtime.rs
@@ -3,6 +3,7 @@
 use std::any::Any;
 use std::future::Future;
 use std::io;
+use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
 use std::thread::JoinHandle;
 use std::time::{
@@ -22,6 +23,10 @@
 use futures_lite::FutureExt;
 use limpetweir_state::Timestamp;
 
+/// Pause before a task that panicked is started again, so that one that panics again and again does
+/// not fill the log.
+const RESTART_PAUSE: Duration = Duration::from_millis(500);
+
 /// Spawns tasks on the executor threads of a [`Runtime`].
 #[derive(Clone, Debug)]
 pub struct Spawner {
@@ -123,6 +128,26 @@
     }
 }
 
+/// Runs a task that never ends, and again after each panic. The executor would hand a panic to the
+/// handle of the task, which nobody polls.
+///
+/// `create` must start from a state that holds after a panic; what a run owns is dropped with it.
+pub async fn restart_on_panic<F>(name: &str, create: impl Fn() -> F)
+where
+    F: Future<Output = ()>,
+{
+    loop {
+        // The task may panic before it returns its future.
+        let run = AssertUnwindSafe(async { create().await });
+        let Err(panic) = run.catch_unwind().await else {
+            return;
+        };
+        let cause = panic_message(&*panic).to_owned();
+        log::error!("LW1008 the task {name} panicked and is started again: {cause}");
+        sleep(RESTART_PAUSE).await;
+    }
+}
+
 /// Returns the message of a caught panic.
 pub fn panic_message(panic: &(dyn Any + Send)) -> &str {
     let text = panic.downcast_ref::<&str>().copied();
