--- a/transport/tests/connections.rs
+++ b/transport/tests/connections.rs
@@ -158,12 +158,15 @@
 #[test]
 fn a_connection_keeps_the_idle_timeout_that_held_as_it_became_idle() {
     let runtime = Runtime::start(1).unwrap();
-    let server = start(&runtime, NEVER, NEVER);
+    // The timer of the first idle time goes off in the second one, after the change is over.
+    let timer = Duration::from_secs(6);
+    let server = start(&runtime, NEVER, timer);
     let mut idle = Caller::connect(server.addr());
     idle.call();
+    server.timeouts().set(NEVER, NEVER);
+    idle.call();
     server.timeouts().set(NEVER, SHORT);
-    // Longer than the time in which the longer one of both limits holds.
-    thread::sleep(Duration::from_secs(5));
+    thread::sleep(timer + LONG_PAUSE);
     idle.call();
     let begin = Instant::now();
     assert_eq!(idle.rest(), "");
