gateway: settings that the other instances would reject are errors at the start

An instance with an unspecified address for callers, or with control characters in its name or zone, started, and the others ignored its reports since these have ranges. bad_settings_name_their_field fails for the five new cases on the code before.

--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -13,6 +13,11 @@
     Snafu, //
 };
 
+use crate::checked::{
+    Label,
+    ListenerAddr,
+    is_machine, //
+};
 use crate::instance::Instance;
 use crate::quota::Tolerance;
 
@@ -240,9 +245,26 @@
             return Err(value("length", reason));
         }
         let raw: Raw = toml::from_str(text).context(SyntaxSnafu { file })?;
-        if raw.name.is_empty() || raw.name.len() > 200 {
-            return Err(value("name", "must have 1 to 200 characters".to_owned()));
+        if raw.name.is_empty() {
+            return Err(value("name", "must not be empty".to_owned()));
+        }
+        // The other instances ignore the reports of one with other values.
+        let label = |field, text: &str| {
+            let label = Label::try_from(text.to_owned());
+            label.map_err(|err| value(field, err.to_string()))
+        };
+        label("name", &raw.name)?;
+        label("zone", &raw.zone)?;
+        if !is_machine(raw.address) {
+            let reason = "must be the address of a machine".to_owned();
+            return Err(value("address", reason));
         }
+        let listener = |field, addr: SocketAddr| {
+            let listener = ListenerAddr::try_from(addr);
+            listener.map_err(|err| value(field, err.to_string()))
+        };
+        listener("listen.public", raw.listen.public)?;
+        listener("store.address", raw.store.address)?;
         let cores = raw.machine.cpu_share * raw.machine.cores;
         if !(0.001..=1_000.0).contains(&cores) {
             let reason = "multiplied by machine.cores must be 0.001 to 1000".to_owned();
--- a/gateway/tests/crash_ranges.rs
+++ b/gateway/tests/crash_ranges.rs
@@ -102,6 +102,10 @@
     let parts: Vec<String> = (0..65).map(|n| n.to_string()).collect();
     let many = format!("{} 3 0 0 0", parts.join(","));
     assert!(CaseRecord::parse(&many, 0).is_err());
+    // Leading zeros do not change a number.
+    let padded = |zeros: usize| format!("1 {}3 0 0 0", "0".repeat(zeros));
+    assert!(CaseRecord::parse(&padded(100), 0).is_ok());
+    assert!(CaseRecord::parse(&padded(10_000), 0).is_err());
     let long = "1,".repeat(1 << 19);
     let err = CaseRecord::parse(&long, 0).expect_err("a long record");
     assert!(err.to_string().len() < 400);
--- a/gateway/tests/formats.rs
+++ b/gateway/tests/formats.rs
@@ -33,6 +33,14 @@
     }
 }
 
+/// Guards against a record that takes long to parse: leading zeros do not change a number.
+#[test]
+fn the_record_of_an_instance_is_short() {
+    let padded = |zeros: usize| format!("10.1.0.21 {}500 zone", "0".repeat(zeros));
+    assert!(padded(100).parse::<InstanceRecord>().is_ok());
+    assert!(padded(2_000).parse::<InstanceRecord>().is_err());
+}
+
 /// Guards against events that are split or joined at the boundaries of network reads.
 #[rstest]
 #[case(1)]
@@ -136,6 +144,11 @@
 #[rstest]
 #[case("name = \"gateway-1\"", "name = \"\"", "name")]
 #[case("cpu_share = 0.5", "cpu_share = 0", "machine.cpu_share")]
+#[case("name = \"gateway-1\"", "name = \"a\\nb\"", "name")]
+#[case("zone = \"a\"", "zone = \"a\\nb\"", "zone")]
+#[case("address = \"10.0.0.1\"", "address = \"0.0.0.0\"", "address")]
+#[case("10.0.0.1:80", "0.0.0.0:80", "listen.public")]
+#[case("10.0.0.9:90", "10.0.0.9:0", "store.address")]
 #[case("[jobs]", "[quota]\nwindow_s = 0\n[jobs]", "quota.window_s")]
 #[case("[jobs]", "[quota]\novershoot = -1\n[jobs]", "quota.overshoot")]
 #[case("partitions = 8", "partitions = 0", "store.partitions")]
--- a/gateway/tests/fuzz/messages.rs
+++ b/gateway/tests/fuzz/messages.rs
@@ -89,7 +89,13 @@
         limits: None,
         ..report()
     };
-    let valid = vec![report().encode(), idle.encode()];
+    let largest = Report {
+        next_ms: u32::MAX,
+        capacity: u32::MAX,
+        online: vec![(BackendKey(1), u32::MAX); 3],
+        ..report()
+    };
+    let valid = vec![report().encode(), idle.encode(), largest.encode()];
     let mut load = Load::default();
     let mut quotas = Quotas::default();
     let mut limits = ServerLimits::new("me");
