gateway: a read of the jobs without progress fails

A response with an end behind the read position and without records was asked for again without a pause, and held the lock that all readers of the partition share.

--- a/gateway/src/serve/catch_up.rs
+++ b/gateway/src/serve/catch_up.rs
@@ -90,6 +90,11 @@
             }
         }
         let next = range.from + range.records.len() as u64;
+        if range.records.is_empty() && next < range.end {
+            return Err(StoreError::NotDone {
+                reason: "the store returned none of the records before its end".to_owned(),
+            });
+        }
         follow::mark_read(node, Topic::Jobs, partition, next);
         if next >= range.end {
             return Ok(next);
