gateway: an item that could not be given up waits again

After an error of the writer the item stayed in its last phase and was never listed; only a panic was cleaned up.

--- a/gateway/src/serve/items.rs
+++ b/gateway/src/serve/items.rs
@@ -411,6 +411,9 @@
                 ITEM_LISTED,
                 "job={job} outcome=GivenUp cause=expired give_up_at={give_up} orphaned={orphaned} version={version} result=\"{result:?}\""
             );
+            if result.is_err() {
+                wait_again(shared, key).await;
+            }
         };
         let wait_again = wait_again(node.clone(), key);
         node.supervisor
@@ -418,7 +421,8 @@
     }
 }
 
-/// Lets an item wait again whose task has panicked while it was given up.
+/// Lets an item wait again that could not be given up, because the store did not take the change or
+/// the task has panicked.
 async fn wait_again<P>(node: Arc<Node<P>>, key: ItemKey) {
     // The next run of the scheduler gives it up again.
     sleep(PANIC_PAUSE).await;
