gateway: a configuration whose decoding panics confirms nothing

Only a decoding error marked the version in the store as unreadable. After a panic the version before counted as current, and a new route was denied with 404 instead of 503.

--- a/gateway/src/serve/follow.rs
+++ b/gateway/src/serve/follow.rs
@@ -369,7 +369,11 @@
 ) {
     let input = format!("topic={topic} partition={partition} key={:?}", record.key);
     let apply = || decode_and_apply(node, topic, partition, record);
-    node.supervisor.skip_on_panic(&input, apply);
+    let applied = node.supervisor.skip_on_panic(&input, apply);
+    if !applied && topic == Topic::Configuration {
+        // The version may allow what the one in force denies.
+        node.lock().config_freshness.unreadable();
+    }
 }
 
 fn decode_and_apply<P: Store + Dialect>(
--- a/gateway/src/serve/supervisor.rs
+++ b/gateway/src/serve/supervisor.rs
@@ -241,11 +241,13 @@
     }
 
     /// Processes one input from outside. If that panics, only this input is skipped: the task would
-    /// meet it again after a restart, or lose others meanwhile.
-    pub(crate) fn skip_on_panic(&self, input: &str, process: impl FnOnce()) {
-        if let Err(panic) = std::panic::catch_unwind(AssertUnwindSafe(process)) {
-            self.skipped(input, panic_message(&*panic));
+    /// meet it again after a restart, or lose others meanwhile. Returns whether it was processed.
+    pub(crate) fn skip_on_panic(&self, input: &str, process: impl FnOnce()) -> bool {
+        let result = std::panic::catch_unwind(AssertUnwindSafe(process));
+        if let Err(panic) = &result {
+            self.skipped(input, panic_message(&**panic));
         }
+        result.is_ok()
     }
 
     /// Records that the processing of an input has panicked, and that the input is skipped.
