--- a/gateway/src/placement.rs
+++ b/gateway/src/placement.rs
@@ -75,7 +75,7 @@
     }
     let with_queue = c.slots.saturating_add(limits.queue);
     let class = match placed {
-        placed if c.suspect && placed.online < c.slots + limits.queue => 8,
+        placed if c.suspect && placed.online < with_queue => 8,
         _ if c.suspect => return None,
         _ if !c.other_cell && placed.total() < c.slots => 0,
         _ if !c.other_cell && placed.online < c.slots => 1,
