gateway: the deadline ends a stream whose caller does not read, and suspects no server

* The send to a caller had no limit: one that stops reading kept its backend server, its slot and its route's time until the kernel gave up, and counted as dropped in a stop.
* A deadline within an overlap marked both servers as suspected, and the request counted as broken off.
* What became of the second server was forgotten if the first one was lost meanwhile: a server that had not run the request counted as a run, and one that was lost did not count as a silent loss.
* A second server that stays silent after the loss of the first one was awaited until the deadline with other servers free.
* A stream was broken off once all servers had turned its rest away, with time and attempts left.
* Blocks without output that were read during an overlap were not forwarded.
* A stream that a stop ends left two lines about its end.

--- a/gateway/src/serve/attempt.rs
+++ b/gateway/src/serve/attempt.rs
@@ -184,6 +184,10 @@
 
 /// Records that an attempt at a backend server failed without a response.
 pub(crate) fn unresponsive<P>(node: &Arc<Node<P>>, key: BackendKey, err: &ClientError) {
+    // Nothing was sent to the server before the deadline of the request.
+    if matches!(err, ClientError::Deadline { verdict, .. } if *verdict == Verdict::NotRun) {
+        return;
+    }
     if err.is_refused() {
         let until = node.now() + REFUSAL_TIME;
         node.lock().load.refused(key, until);
--- a/gateway/src/serve/relay.rs
+++ b/gateway/src/serve/relay.rs
@@ -7,6 +7,7 @@
 };
 
 use futures_lite::future;
+use hyper::body::Bytes;
 use hyper::header::{
     CONTENT_LENGTH,
     HeaderMap,
@@ -60,6 +61,8 @@
 pub(crate) enum Interruption {
     /// The caller disconnected.
     CallerDisconnected,
+    /// The instance stops and must close the connection.
+    Stopped,
     /// The deadline of the request has expired.
     Deadline,
     /// The connection to the backend server ended before the response did.
@@ -138,16 +141,27 @@
     };
     let events = source.head.events && source.response.status() == StatusCode::OK;
     let status = source.response.status();
-    let result = match events {
-        true => relay.forward_stream(source).await,
-        false => relay.forward_bytes(source).await,
+    let forwarded = async {
+        match events {
+            true => relay.forward_stream(source).await,
+            false => relay.forward_bytes(source).await,
+        }
+    };
+    // A request that came before the stop may have more time than this instance.
+    let stopped = async {
+        node.stop.overdue().await;
+        Err(Interruption::Stopped)
     };
+    let result = future::or(forwarded, stopped).await;
     let (end, cause) = match result {
         Ok(()) => {
             relay.log_answer(status);
             // If the caller disconnected during the last chunk, nothing is left to do.
-            let _ = sender.finish().await;
-            open.end(RequestEnd::Answered);
+            let finished = timeout_at(admitted.deadline, sender.finish()).await;
+            open.end(match finished {
+                Some(_) => RequestEnd::Answered,
+                None => RequestEnd::CutAtDeadline,
+            });
             return;
         }
         Err(Interruption::CallerDisconnected) => {
@@ -155,6 +169,10 @@
             open.disconnected();
             return;
         }
+        Err(Interruption::Stopped) => {
+            open.end(RequestEnd::CutAtStop);
+            return;
+        }
         Err(Interruption::Deadline) => {
             let cause = "the deadline of the request has expired".to_owned();
             (RequestEnd::CutAtDeadline, cause)
@@ -177,6 +195,15 @@
         bounded(self.sender, self.admitted.deadline, step).await
     }
 
+    /// Sends a part of the response to the caller, which may read slowly or not at all.
+    pub(crate) async fn send(&self, bytes: Bytes) -> Result<(), Interruption> {
+        let sent = async {
+            let sent = self.sender.send(bytes).await;
+            sent.map_err(|_| Interruption::CallerDisconnected)
+        };
+        self.bounded(sent).await
+    }
+
     async fn forward_bytes(&mut self, source: Source<P>) -> Result<(), Interruption> {
         let Source {
             response,
@@ -201,8 +228,8 @@
                     if is_success {
                         watch.output();
                     }
-                    if self.sender.send(bytes).await.is_err() {
-                        break Err(Interruption::CallerDisconnected);
+                    if let Err(interruption) = self.send(bytes).await {
+                        break Err(interruption);
                     }
                 }
             }
@@ -214,7 +241,10 @@
                 suspect(self.node, placed.key, cause);
             }
             Err(Interruption::Backend(cause)) => suspect(self.node, placed.key, cause),
-            Ok(()) | Err(Interruption::CallerDisconnected | Interruption::Deadline) => {}
+            Ok(())
+            | Err(
+                Interruption::CallerDisconnected | Interruption::Deadline | Interruption::Stopped,
+            ) => {}
         }
         forwarded
     }
--- a/gateway/src/serve/stream.rs
+++ b/gateway/src/serve/stream.rs
@@ -38,6 +38,8 @@
     body: Option<ClientBody>,
     splitter: Splitter,
     pace: PaceMeter,
+    /// Blocks without output that were read during an overlap and are still to be forwarded.
+    held: Vec<Event>,
     /// Number of the last event that this run or the one before it has sent.
     last_event: Option<u64>,
     /// When the last event was complete; bytes that complete no event are no progress.
@@ -54,16 +56,6 @@
     End,
 }
 
-impl Read {
-    /// Returns whether the run has shown that it goes on: blank lines and comments show nothing.
-    fn is_progress(&self) -> bool {
-        match self {
-            Self::Events(events) => events.iter().any(Event::is_output),
-            Self::End => true,
-        }
-    }
-}
-
 impl<P: Store + Dialect> StreamRun<P> {
     /// Starts to read a response that continues after `last_event`.
     pub(crate) fn new(
@@ -82,6 +74,7 @@
             body: Some(response.into_body()),
             splitter: Splitter::default(),
             pace: PaceMeter::default(),
+            held: Vec::new(),
             last_event,
             progressed: Instant::now(),
             ask_at: Instant::now() + STALL_TIMEOUT,
@@ -91,6 +84,13 @@
 
     /// Reads the next complete events. Dropping the future loses nothing.
     pub(crate) async fn next(&mut self) -> Result<Read, Interruption> {
+        if !self.held.is_empty() {
+            return Ok(Read::Events(std::mem::take(&mut self.held)));
+        }
+        self.read().await
+    }
+
+    async fn read(&mut self) -> Result<Read, Interruption> {
         let read = self.read_events().await;
         if read.is_err() {
             // A server whose response is invalid must not go on beside another one.
@@ -119,14 +119,22 @@
         }
     }
 
-    /// Reads until the run has shown an event of the output, or has ended.
+    /// Reads until the run has shown an event of the output, or has ended: blank lines and comments
+    /// show nothing. What was read before the event is returned with it.
     pub(crate) async fn first_output(&mut self) -> Result<Read, Interruption> {
         loop {
-            let read = self.next().await?;
-            if read.is_progress() {
-                return Ok(read);
+            let Read::Events(events) = self.read().await? else {
+                break;
+            };
+            self.held.extend(events);
+            if self.held.iter().any(Event::is_output) {
+                break;
             }
         }
+        match self.held.is_empty() {
+            true => Ok(Read::End),
+            false => Ok(Read::Events(std::mem::take(&mut self.held))),
+        }
     }
 
     fn record(&mut self, event: &Event) -> Result<(), Interruption> {
@@ -172,6 +180,7 @@
                     return Ok(Some(bytes));
                 }
             }
+            Some(Err(err)) if err.is_deadline() => return Err(Interruption::Deadline),
             Some(Err(err)) if err.is_interrupted() => {
                 return Err(Interruption::ConnectionLost(err.to_string()));
             }
@@ -197,9 +206,12 @@
             match read {
                 None => {}
                 Some(Read::Events(events)) => {
+                    let began = Instant::now();
                     for event in events {
                         self.forward(event).await?;
                     }
+                    // The server is not read while the caller does not read.
+                    run.ask_at += began.elapsed();
                 }
                 Some(Read::End) => {
                     run.watch.completed();
@@ -232,7 +244,6 @@
             .first
             .get_or_insert_with(|| arrived.elapsed());
         self.forwarded.events += u64::from(event.is_output());
-        let sent = self.sender.send(event.raw).await;
-        sent.map_err(|_| Interruption::CallerDisconnected)
+        self.send(event.raw).await
     }
 }
--- a/gateway/src/serve/takeover.rs
+++ b/gateway/src/serve/takeover.rs
@@ -30,7 +30,8 @@
 };
 use super::relay::{
     Interruption,
-    Relay, //
+    Relay,
+    Source, //
 };
 use super::rest::{
     NoRest,
@@ -60,9 +61,9 @@
 
 /// Result of two runs of the same stream beside each other.
 enum Race<P: Store + Dialect> {
-    /// The first server went on, its stream ended, or its run was lost and no other server has the
-    /// rest.
-    First(Result<Read, Interruption>),
+    /// The first server went on, its stream ended, or its run was lost and the second server does not
+    /// send the rest, for this reason if it is known.
+    First(Result<Read, Interruption>, Option<NoRest>),
     /// The second server has the rest; the first run was lost meanwhile if there is a cause.
     Second(Box<StreamRun<P>>, Read, Option<Interruption>),
     /// The second server does not send the rest.
@@ -106,9 +107,9 @@
         let race = self.bounded(self.race(run, placed, began)).await?;
         let ms = began.elapsed().as_millis();
         let winner = match &race {
-            Race::First(_) => "first",
+            Race::First(Ok(_), _) => "first",
             Race::Second(..) => "second",
-            Race::Failed(_) | Race::Neither => "none",
+            Race::First(Err(_), _) | Race::Failed(_) | Race::Neither => "none",
         };
         log_event!(
             OVERLAP_ENDED,
@@ -117,7 +118,12 @@
         );
         run.ask_at = Instant::now() + STALL_TIMEOUT;
         match race {
-            Race::First(read) => read.map(Some),
+            Race::First(read, no_rest) => {
+                if let Some(no_rest) = no_rest {
+                    self.count(no_rest);
+                }
+                read.map(Some)
+            }
             Race::Neither => Ok(None),
             Race::Failed(no_rest) => {
                 self.count(no_rest);
@@ -148,15 +154,19 @@
         began: Instant,
     ) -> Result<Race<P>, Interruption> {
         let mut second = pin!(self.second_run(placed));
-        let first = async { Race::First(run.first_output().await) };
+        let first = async { Race::First(run.first_output().await, None) };
         let either = future::or(first, second.as_mut());
         let race = timeout_at(began + OVERLAP_LIMIT, either).await;
         match race {
             // Only one server works on the stream from here on.
-            Some(Race::First(Err(lost))) => match second.await {
-                Race::Second(next, read, _) => Ok(Race::Second(next, read, Some(lost))),
-                _ => Ok(Race::First(Err(lost))),
-            },
+            Some(Race::First(Err(lost), _)) => {
+                let second = timeout_at(Instant::now() + STALL_TIMEOUT, second).await;
+                Ok(match second {
+                    Some(Race::Second(next, read, _)) => Race::Second(next, read, Some(lost)),
+                    Some(Race::Failed(no_rest)) => Race::First(Err(lost), Some(no_rest)),
+                    _ => Race::First(Err(lost), None),
+                })
+            }
             Some(race) => Ok(race),
             None => Ok(Race::Neither),
         }
@@ -172,17 +182,21 @@
         match next.first_output().await {
             Ok(read) => Race::Second(next, read, None),
             Err(interruption) => {
-                let (no_rest, cause) = match &interruption {
+                let key = next.placed.key;
+                Race::Failed(match &interruption {
                     Interruption::ConnectionLost(cause) => {
                         next.watch.connection_lost(true);
-                        (NoRest::Lost, cause.as_str())
+                        suspect(self.node, key, cause);
+                        NoRest::Lost
+                    }
+                    Interruption::Backend(cause) => {
+                        suspect(self.node, key, cause);
+                        NoRest::Ran
                     }
-                    Interruption::Backend(cause) => (NoRest::Ran, cause.as_str()),
-                    // The body ends with an error at the deadline.
-                    Interruption::CallerDisconnected | Interruption::Deadline => (NoRest::Ran, ""),
-                };
-                suspect(self.node, next.placed.key, cause);
-                Race::Failed(no_rest)
+                    Interruption::CallerDisconnected
+                    | Interruption::Deadline
+                    | Interruption::Stopped => NoRest::Ran,
+                })
             }
         }
     }
@@ -199,18 +213,23 @@
             return Err(interruption);
         };
         self.record_loss(&run, &interruption);
-        let mut lost = run.placed.key;
         drop(run);
+        let mut rejected_by = Vec::new();
         while self.may_continue() {
             let checked = async {
-                crashes::checked(self.node, lost).await;
+                for key in &self.history.tried {
+                    crashes::checked(self.node, *key).await;
+                }
                 Ok(())
             };
             self.bounded(checked).await?;
             let placed = match choose(self.node, self.admitted, &self.history, Eligible::Rest) {
                 Ok(placed) => placed,
-                Err(rejection) if rejection.is_final => break,
+                Err(rejection) if rejection.is_final && rejected_by.is_empty() => break,
                 Err(_) => {
+                    // Servers that had no room may have some later.
+                    let rejected_by = std::mem::take(&mut rejected_by);
+                    self.history.tried.retain(|key| !rejected_by.contains(key));
                     let pause = async {
                         sleep(SEARCH_INTERVAL).await;
                         Ok(())
@@ -219,12 +238,10 @@
                     continue;
                 }
             };
-            lost = placed.key;
-            self.history.tried.push(lost);
+            let key = placed.key;
+            self.history.tried.push(key);
             self.history.runs += 1;
-            let rest =
-                async { Ok(open_rest(self.node, self.admitted, &self.history, placed).await) };
-            match self.bounded(rest).await? {
+            match self.bounded(self.rest(placed)).await? {
                 Ok(source) => {
                     let last = self.history.last_event;
                     let run = StreamRun::new(self.node, self.admitted, source, last);
@@ -233,8 +250,10 @@
                 }
                 Err(no_rest) => {
                     self.count(no_rest);
-                    if no_rest == NoRest::Ran {
-                        break;
+                    match no_rest {
+                        NoRest::Ran => break,
+                        NoRest::Rejected => rejected_by.push(key),
+                        NoRest::Refused | NoRest::Lost | NoRest::NoResponse => {}
                     }
                 }
             }
@@ -242,6 +261,20 @@
         Err(interruption)
     }
 
+    /// Asks a server for the rest of the stream. One that sends no head is given up while another one
+    /// may be asked.
+    async fn rest(
+        &self,
+        placed: PlacedRequest<P>,
+    ) -> Result<Result<Source<P>, NoRest>, Interruption> {
+        let rest = open_rest(self.node, self.admitted, &self.history, placed);
+        if !self.may_continue() {
+            return Ok(rest.await);
+        }
+        let rest = timeout_at(Instant::now() + STALL_TIMEOUT, rest).await;
+        Ok(rest.unwrap_or(Err(NoRest::NoResponse)))
+    }
+
     fn resumed(&mut self, run: &StreamRun<P>, cause: &str) {
         let to = &run.placed.entry.id;
         let id = &self.admitted.call.request_id;
@@ -263,7 +296,7 @@
                 suspect(self.node, key, cause);
             }
             Interruption::Backend(cause) => suspect(self.node, key, cause),
-            Interruption::CallerDisconnected | Interruption::Deadline => {}
+            Interruption::CallerDisconnected | Interruption::Deadline | Interruption::Stopped => {}
         }
     }
 
--- a/transport/src/http/body.rs
+++ b/transport/src/http/body.rs
@@ -80,6 +80,11 @@
         matches!(self, Self::Interrupted { .. })
     }
 
+    /// Returns whether the deadline of the request expired before the body ended.
+    pub fn is_deadline(&self) -> bool {
+        matches!(self, Self::Deadline)
+    }
+
     /// Returns the verdict on the request; always `MayHaveRun`, because a response body is only
     /// read after the response head.
     pub fn verdict(&self) -> Verdict {
