--- a/gateway/src/request_parts.rs
+++ b/gateway/src/request_parts.rs
@@ -117,7 +117,8 @@
         }
     }
 
-    /// Returns all keys, each of which may be blamed for crashes. The identity is the first one, so that limits never cut it off.
+    /// Returns all keys, each of which may be blamed for crashes. The identity is the first one, so
+    /// that limits never cut it off.
     pub fn keys(&self) -> &[PartKey] {
         self.keys.get_or_init(|| {
             let mut keys = vec![self.content.identity()];
--- a/gateway/src/serve/crashes.rs
+++ b/gateway/src/serve/crashes.rs
@@ -112,7 +112,8 @@
     CrashKey(xxh3_64(format!("{}/{}", entry.id, entry.born).as_bytes()))
 }
 
-/// Records that a backend server closed the connection of this run without output, if the server has crashed: it then refuses new connections.
+/// Records that a backend server closed the connection of this run without output, if the server has
+/// crashed: it then refuses new connections.
 pub(crate) fn run_lost<P: Store + Dialect>(
     node: &Arc<Node<P>>,
     entry: Arc<BackendEntry>,
