--- a/gateway/src/speed.rs
+++ b/gateway/src/speed.rs
@@ -52,7 +52,7 @@
 }
 
 impl PaceMeter {
-    /// Counts an event; returns the mean gap after every [`PACE_GAPS`] of them.
+    /// Counts an event; returns the mean gap after every `PACE_GAPS` of them.
     pub fn event(&mut self, now: Timestamp) -> Option<Duration> {
         let gap = now.since(self.last.replace(now)?);
         self.gaps += 1;
