--- a/gateway/src/silence.rs
+++ b/gateway/src/silence.rs
@@ -16,6 +16,10 @@
 /// at about the same time are not asked.
 pub const SILENCE: Duration = Duration::from_millis(600);
 
+/// Time for which a server counts as silent after a silent run was dropped, unless it writes output; as
+/// long as a server that failed is suspected.
+const DROPPED_TIME: Duration = Duration::from_millis(1_000);
+
 /// Output of one backend server for the runs of this instance.
 #[derive(Clone, Copy, Debug)]
 struct Output {
@@ -33,9 +37,6 @@
     dropped: HashMap<BackendKey, Timestamp>,
 }
 
-/// Time for which a server counts as silent after a silent run was dropped, unless it writes output.
-const DROPPED_TIME: Duration = Duration::from_millis(1_000);
-
 impl Outputs {
     /// Records the first output of a run on `backend`. Before it, the run may wait for a slot there.
     pub fn began(&mut self, backend: BackendKey, now: Timestamp) {
