gateway: a crash names what was known when the run was placed

LW2303 has the time since the placement and what was known about the request then, the counter of suspects has the same label, and requests that were held back because of a case that was closed later are counted. No change of logic.

--- a/gateway/src/crash_evidence.rs
+++ b/gateway/src/crash_evidence.rs
@@ -74,6 +74,8 @@
     pub(crate) since: Timestamp,
     pub(crate) probes: u32,
     pub(crate) probe_at: Timestamp,
+    /// Requests that this instance has held back because of it.
+    pub(crate) held: u32,
     /// When this instance changed it.
     pub(crate) observed: Option<Timestamp>,
 }
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -79,7 +79,7 @@
 };
 pub use positions::{CallKind, PartitionFreshness, Position, forward_targets, runners};
 pub use prompt::{PartKey, PromptParts};
-pub use quarantine::{CaseChange, Hold, Quarantine};
+pub use quarantine::{CaseChange, Hold, Knowledge, Quarantine};
 pub use quota::{OrganisationKey, OverQuota, Quotas, Tolerance};
 pub use replicas::{owner, replicas};
 pub use report::{BatchRun, ItemKey, Report};
--- a/gateway/src/quarantine.rs
+++ b/gateway/src/quarantine.rs
@@ -92,6 +92,19 @@
     },
 }
 
+/// What an instance knows about a request when it places it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Knowledge {
+    /// Nothing speaks against it.
+    #[default]
+    Nothing,
+    /// A server has crashed under the same request, which has had no output since.
+    Suspected,
+    /// It is held back, and sent as a probe.
+    Held,
+}
+
 /// Why a request is held back.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Hold {
@@ -116,6 +129,8 @@
     cases: Vec<OpenCase>,
     /// All parts in `crashes`, `begun` and `cases`.
     suspected: HashSet<PartKey>,
+    /// Requests that were held back because of cases that are closed, not yet counted.
+    released: u64,
 }
 
 impl Quarantine {
@@ -148,6 +163,39 @@
         })
     }
 
+    /// Returns what is known about a request with these keys, the first of which is its identity.
+    pub fn knowledge(&self, parts: &[PartKey]) -> Knowledge {
+        if self.narrowest(parts).is_some() {
+            return Knowledge::Held;
+        }
+        match parts.first().is_some_and(|part| self.is_suspected(*part)) {
+            true => Knowledge::Suspected,
+            false => Knowledge::Nothing,
+        }
+    }
+
+    /// Returns whether a server has crashed under a run with `part` and none has written output since.
+    fn is_suspected(&self, part: PartKey) -> bool {
+        let begun_at = self.begun_at(part);
+        let crashes = self.crashes.values();
+        let mut after = crashes.filter(|c| c.at > begun_at);
+        after.any(|c| c.suspects.contains(&part))
+    }
+
+    /// Counts a request that is held back because of `case`.
+    pub fn count_held(&mut self, case: &Case) {
+        let mut known = self.cases.iter_mut();
+        if let Some(known) = known.find(|known| known.parts == case.parts) {
+            known.held += 1;
+        }
+    }
+
+    /// Returns how many requests were held back because of cases that have been closed since the last
+    /// call: they were sound, or are so now.
+    pub fn take_released(&mut self) -> u64 {
+        std::mem::take(&mut self.released)
+    }
+
     /// Records that this instance lost a run with these parts and without output in a crash.
     pub fn crashed(
         &mut self,
@@ -288,6 +336,7 @@
             since,
             probes: case.probes,
             probe_at,
+            held: 0,
             observed: None,
         });
     }
@@ -397,12 +446,14 @@
     fn clear_cases(&mut self, now: Timestamp) -> Vec<CaseChange> {
         let mut changes = Vec::new();
         let begun = &self.begun;
+        let released = &mut self.released;
         self.cases.retain_mut(|case| {
             let is_sound = |part: &PartKey| begun.get(part).is_some_and(|b| b.at >= case.since);
             let suspected = case.parts.iter().copied().filter(|part| !is_sound(part));
             let suspected: BTreeSet<PartKey> = suspected.collect();
             let before = case.to_case(now);
             if suspected.is_empty() {
+                *released += u64::from(case.held);
                 changes.push(CaseChange::Closed(before));
                 return false;
             }
@@ -432,6 +483,7 @@
                     return Some(OpenCase {
                         parts,
                         probe_at,
+                        held: 0,
                         ..case.clone()
                     });
                 }
@@ -480,6 +532,7 @@
             since: first,
             probes: 0,
             probe_at: now + probe_interval(0),
+            held: 0,
             observed: None,
         };
         for crash in crashes {
--- a/gateway/src/serve/attempt.rs
+++ b/gateway/src/serve/attempt.rs
@@ -143,8 +143,7 @@
             unresponsive(node, key, &err);
             if err.is_lost_run() {
                 let id = &admitted.call.request_id;
-                let entry = placed.entry.clone();
-                let watch = RunWatch::new(node, id, &admitted.parts, key, entry);
+                let watch = RunWatch::new(node, id, &admitted.parts, placed.place());
                 watch.connection_lost(false);
                 return Attempt::Lost(err.to_string());
             }
--- a/gateway/src/serve/choose.rs
+++ b/gateway/src/serve/choose.rs
@@ -27,6 +27,7 @@
 };
 use super::online::Admitted;
 use super::rejections::NO_CONFIG_RETRY;
+use super::run_watch::RunPlace;
 use crate::backend::{
     BackendEntry,
     BackendKey, //
@@ -45,7 +46,7 @@
     Dialect,
     Store, //
 };
-
+use crate::quarantine::Knowledge;
 use crate::server_limit::Statement;
 use crate::server_limits::{
     Permit,
@@ -70,11 +71,25 @@
     pub(crate) entry: Arc<BackendEntry>,
     /// Whether the request would be held back and may only be sent as a probe.
     pub(crate) needs_probe: bool,
+    /// What was known about the request then.
+    pub(crate) known: Knowledge,
     /// When the server was chosen; the request is sent later.
     pub(crate) chosen_at: Timestamp,
     started: Instant,
 }
 
+impl<P: Store + Dialect> PlacedRequest<P> {
+    /// Returns where and when the request was placed.
+    pub(crate) fn place(&self) -> RunPlace {
+        RunPlace {
+            key: self.key,
+            entry: self.entry.clone(),
+            at: self.chosen_at,
+            known: self.known,
+        }
+    }
+}
+
 impl<P: Store + Dialect> Drop for PlacedRequest<P> {
     fn drop(&mut self) {
         let now = self.node.now();
@@ -193,6 +208,7 @@
     };
     let before = state.load.placed(key);
     let limit = state.limits.limit(entry.run());
+    let known = state.knowledge(&admitted.parts);
     state.load.online_started(key, now);
     state.limits.sent(entry.run(), now);
     drop(state);
@@ -219,6 +235,7 @@
         key,
         entry,
         needs_probe: hold.is_some(),
+        known,
         chosen_at: now,
         started: Instant::now(),
     })
--- a/gateway/src/serve/crashes.rs
+++ b/gateway/src/serve/crashes.rs
@@ -114,12 +114,9 @@
 
 /// Records that a backend server closed the connection of this run without output, if the server has
 /// crashed: it then refuses new connections.
-pub(crate) fn run_lost<P: Store + Dialect>(
-    node: &Arc<Node<P>>,
-    entry: Arc<BackendEntry>,
-    run: LostRun,
-) {
+pub(crate) fn run_lost<P: Store + Dialect>(node: &Arc<Node<P>>, run: LostRun) {
     let at = node.now();
+    let entry = run.place.entry.clone();
     let key = BackendKey::of(&entry.id);
     let is_serving = {
         let state = node.lock();
@@ -138,7 +135,7 @@
         match check {
             Err(err) if err.is_refused() => {
                 unresponsive(&node, key, &err);
-                server_crashed(&node, &entry, &run, at);
+                server_crashed(&node, &run, at);
             }
             Err(err) => log::debug!("{} neither accepts nor refuses: {err}", entry.id),
             Ok(()) => {}
@@ -181,26 +178,25 @@
     }
 }
 
-fn server_crashed<P: Store + Dialect>(
-    node: &Arc<Node<P>>,
-    entry: &BackendEntry,
-    run: &LostRun,
-    at: Timestamp,
-) {
+fn server_crashed<P: Store + Dialect>(node: &Arc<Node<P>>, run: &LostRun, at: Timestamp) {
     let now = node.now();
     let me = &node.settings.name;
+    let place = &run.place;
+    let entry = &place.entry;
     let key = crash_key(entry);
+    let known: &'static str = place.known.into();
     let changes = {
         let mut state = node.lock();
         let quarantine = &mut state.quarantine;
         quarantine.crashed(key, &entry.id, me, &run.suspects, at, now)
     };
-    node.metrics.suspected_run();
+    node.metrics.suspected_run(known);
     log_event!(
         SERVER_CRASHED,
-        "backend={} request={} suspects={} {}",
+        "backend={} request={} placed_ms={} known={known} suspects={} {}",
         entry.id,
         run.request,
+        at.since(place.at).as_millis(),
         list(&run.suspects),
         run.identity
     );
@@ -238,6 +234,8 @@
     changes: Vec<CaseChange>,
     origin: Origin,
 ) {
+    let released = node.lock().quarantine.take_released();
+    node.metrics.requests_released(released);
     for change in changes {
         match &change {
             CaseChange::Opened(case) => {
--- a/gateway/src/serve/metrics.rs
+++ b/gateway/src/serve/metrics.rs
@@ -45,6 +45,7 @@
     store_bytes: Counter<u64>,
     runs_lost: Counter<u64>,
     suspected_runs: Counter<u64>,
+    requests_released: Counter<u64>,
     cases_opened: Counter<u64>,
     limited_requests: Counter<u64>,
     lines_dropped: Counter<u64>,
@@ -106,7 +107,11 @@
             ),
             suspected_runs: counter(
                 "limpetweir_crash_suspects",
-                "Runs without output on backend servers that crashed",
+                "Runs without output on backend servers that crashed, by what was known when they were placed",
+            ),
+            requests_released: counter(
+                "limpetweir_held_requests_released",
+                "Requests that were held back because of a case that was closed later",
             ),
             cases_opened: counter(
                 "limpetweir_held_parts_cases",
@@ -183,8 +188,13 @@
     }
 
     /// Counts a run without output on a server that crashed.
-    pub(crate) fn suspected_run(&self) {
-        self.suspected_runs.add(1, &[]);
+    pub(crate) fn suspected_run(&self, known: &'static str) {
+        self.suspected_runs.add(1, &[KeyValue::new("known", known)]);
+    }
+
+    /// Counts requests that were held back because of a case that is closed.
+    pub(crate) fn requests_released(&self, count: u64) {
+        self.requests_released.add(count, &[]);
     }
 
     /// Counts a set of prompt parts that is held back.
--- a/gateway/src/serve/node.rs
+++ b/gateway/src/serve/node.rs
@@ -72,6 +72,7 @@
 };
 use crate::quarantine::{
     Hold,
+    Knowledge,
     Quarantine, //
 };
 use crate::quota::Quotas;
@@ -173,6 +174,14 @@
         self.quarantine.hold(parts.keys(), now)
     }
 
+    /// Returns what is known about a request with these keys. Without a crash they are not computed.
+    pub(crate) fn knowledge(&self, parts: &RequestParts) -> Knowledge {
+        match self.quarantine.is_empty() {
+            true => Knowledge::Nothing,
+            false => self.quarantine.knowledge(parts.keys()),
+        }
+    }
+
     /// Recomputes the cells if the members have changed; `settings` are those of this instance.
     pub(crate) fn update_cells(&mut self, settings: &Settings) {
         let changes = self.members.changes();
--- a/gateway/src/serve/rejections.rs
+++ b/gateway/src/serve/rejections.rs
@@ -238,6 +238,9 @@
         return fail(node, admitted, rejection.cause);
     }
     let id = &admitted.call.request_id;
+    if let Some(case) = &rejection.case {
+        node.lock().quarantine.count_held(case);
+    }
     let case = rejection.case.as_deref().map(crashes::describe);
     let limits = rejection.limits.map(heads::describe_limits);
     log_event!(
--- a/gateway/src/serve/relay.rs
+++ b/gateway/src/serve/relay.rs
@@ -215,7 +215,7 @@
         let mut body = response.into_body();
         let id = &self.admitted.call.request_id;
         let parts = &self.admitted.parts;
-        let mut watch = RunWatch::new(self.node, id, parts, placed.key, placed.entry.clone());
+        let mut watch = RunWatch::new(self.node, id, parts, placed.place());
         let forwarded = loop {
             match self.bounded(next_bytes(&mut body)).await {
                 Ok(None) => break check_end(ends_with_connection, head.signed),
--- a/gateway/src/serve/rest.rs
+++ b/gateway/src/serve/rest.rs
@@ -117,8 +117,7 @@
 ) -> NoRest {
     if err.is_lost_run() {
         let id = &admitted.call.request_id;
-        let entry = placed.entry.clone();
-        RunWatch::new(node, id, &admitted.parts, placed.key, entry).connection_lost(false);
+        RunWatch::new(node, id, &admitted.parts, placed.place()).connection_lost(false);
         return NoRest::Lost;
     }
     match err.verdict() {
--- a/gateway/src/serve/run_watch.rs
+++ b/gateway/src/serve/run_watch.rs
@@ -6,6 +6,8 @@
     Instant, //
 };
 
+use limpetweir_state::Timestamp;
+
 use super::crashes;
 use super::lines::{
     RUN_LOST,
@@ -21,6 +23,7 @@
     Store, //
 };
 use crate::prompt::PartKey;
+use crate::quarantine::Knowledge;
 use crate::request_parts::RequestParts;
 
 /// Parts of the output after which a run is not suspected of a crash, and shows that the parts of
@@ -30,14 +33,23 @@
 /// Shortest time after which further output of a run is recorded; events come every few milliseconds.
 const RECORD_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Where and when a run was placed.
+#[derive(Clone, Debug)]
+pub(crate) struct RunPlace {
+    pub(crate) key: BackendKey,
+    pub(crate) entry: Arc<BackendEntry>,
+    pub(crate) at: Timestamp,
+    /// What was known about the request then.
+    pub(crate) known: Knowledge,
+}
+
 /// One run of a request or an item on a backend server.
 pub(crate) struct RunWatch<P: Store + Dialect> {
     node: Arc<Node<P>>,
     /// Identifier of the request or item.
     request: String,
     parts: Arc<RequestParts>,
-    key: BackendKey,
-    backend: Arc<BackendEntry>,
+    place: RunPlace,
     /// Parts of the output that have arrived in this run.
     outputs: u32,
     /// When the output was last recorded; set if there is any.
@@ -47,7 +59,7 @@
 impl<P: Store + Dialect> Drop for RunWatch<P> {
     fn drop(&mut self) {
         if self.recorded.is_some() {
-            self.node.lock().outputs.ended(self.key);
+            self.node.lock().outputs.ended(self.place.key);
         }
     }
 }
@@ -57,15 +69,13 @@
         node: &Arc<Node<P>>,
         request: &str,
         parts: &Arc<RequestParts>,
-        key: BackendKey,
-        backend: Arc<BackendEntry>,
+        place: RunPlace,
     ) -> Self {
         Self {
             node: node.clone(),
             request: request.to_owned(),
             parts: parts.clone(),
-            key,
-            backend,
+            place,
             outputs: 0,
             recorded: None,
         }
@@ -89,9 +99,9 @@
         }
         let now = self.node.now();
         match self.recorded {
-            None => self.node.lock().outputs.began(self.key, now),
+            None => self.node.lock().outputs.began(self.place.key, now),
             Some(at) if at.elapsed() >= RECORD_INTERVAL => {
-                self.node.lock().outputs.wrote(self.key, now);
+                self.node.lock().outputs.wrote(self.place.key, now);
             }
             Some(_) => return,
         }
@@ -101,7 +111,7 @@
     /// Records that the run is dropped because its server is silent.
     pub(crate) fn dropped_in_silence(&self) {
         let now = self.node.now();
-        self.node.lock().outputs.dropped(self.key, now);
+        self.node.lock().outputs.dropped(self.place.key, now);
     }
 
     /// Records that the response is complete.
@@ -114,18 +124,18 @@
     /// Records that the connection ended before the response did.
     pub(crate) fn connection_lost(&self, head: bool) {
         self.node.metrics.run_lost(self.outputs > 0);
-        let run = LostRun::new(&self.request, &self.parts);
+        let run = LostRun::new(&self.request, &self.parts, &self.place);
         log_event!(
             RUN_LOST,
             "request={} backend={} parts={} {} head={head} outputs={}",
             self.request,
-            self.backend.id,
+            self.place.entry.id,
             list(self.parts.shared()),
             run.identity,
             self.outputs
         );
         if self.is_suspected() {
-            crashes::run_lost(&self.node, self.backend.clone(), run);
+            crashes::run_lost(&self.node, run);
         }
     }
 }
@@ -133,16 +143,18 @@
 /// A run that ended with its connection and before its output.
 pub(crate) struct LostRun {
     pub(crate) request: String,
+    pub(crate) place: RunPlace,
     /// Fields of a line about what identifies the request beyond the shared parts of its prompt.
     pub(crate) identity: String,
     pub(crate) suspects: Vec<PartKey>,
 }
 
 impl LostRun {
-    fn new(request: &str, parts: &RequestParts) -> Self {
+    fn new(request: &str, parts: &RequestParts, place: &RunPlace) -> Self {
         let last = parts.last().map(|part| part.to_string());
         Self {
             request: request.to_owned(),
+            place: place.clone(),
             identity: format!(
                 "last_part={} identity={}",
                 last.unwrap_or_default(),
--- a/gateway/src/serve/runs.rs
+++ b/gateway/src/serve/runs.rs
@@ -37,7 +37,10 @@
     Node,
     State, //
 };
-use super::run_watch::RunWatch;
+use super::run_watch::{
+    RunPlace,
+    RunWatch, //
+};
 use super::supervisor::OneShot;
 use super::writer::{
     self,
@@ -199,8 +202,13 @@
     };
     let mut progress = std::mem::take(&mut run.progress);
     let parts = Arc::new(item_parts(&node.platform, &run.item, run.key, &run.host));
-    let entry = run.entry.clone();
-    let mut watch = RunWatch::new(&node, &run.item.id, &parts, run.backend, entry);
+    let place = RunPlace {
+        key: run.backend,
+        entry: run.entry.clone(),
+        at: run.chosen_at,
+        known: node.lock().knowledge(&parts),
+    };
+    let mut watch = RunWatch::new(&node, &run.item.id, &parts, place);
     let running = stream(&node, &run, &mut progress, &mut watch);
     let (end, cause) = future::or(stop, running).await;
     if matches!(end, RunEnd::Completed) {
--- a/gateway/src/serve/stream.rs
+++ b/gateway/src/serve/stream.rs
@@ -70,7 +70,7 @@
         let id = &admitted.call.request_id;
         Self {
             node: node.clone(),
-            watch: RunWatch::new(node, id, &admitted.parts, placed.key, placed.entry.clone()),
+            watch: RunWatch::new(node, id, &admitted.parts, placed.place()),
             body: Some(response.into_body()),
             splitter: Splitter::default(),
             pace: PaceMeter::default(),
