--- /dev/null
+++ b/gateway/tests/repeated_crashes.rs
@@ -0,0 +1,112 @@
+//! Crashes under one request that comes again: what is enough to hold it back, and for how long.
+
+use std::time::Duration;
+
+use limpetweir_gateway::{
+    CrashKey,
+    PartKey,
+    Quarantine, //
+};
+use limpetweir_state::Timestamp;
+use rstest::rstest;
+
+const SECOND_MS: u64 = 1_000;
+const MINUTE_MS: u64 = 60 * SECOND_MS;
+const HOUR_MS: u64 = 60 * MINUTE_MS;
+
+/// Sends of a request that the whole fleet may make after its third crash, over all time.
+const MAX_SENDS: usize = 3;
+
+fn at(ms: u64) -> Timestamp {
+    Timestamp::from_millis(ms)
+}
+
+fn deadly() -> PartKey {
+    PartKey::identity(0xdead << 32)
+}
+
+/// Records a crash of a server of its own at `ms` under a run with these keys.
+fn crash(quarantine: &mut Quarantine, ms: u64, keys: &[PartKey]) {
+    let server = format!("i-{ms}");
+    quarantine.crashed(CrashKey(ms), &server, "one", keys, at(ms), at(ms));
+}
+
+fn is_held(quarantine: &Quarantine, ms: u64) -> bool {
+    quarantine.hold(&[deadly()], at(ms)).is_some()
+}
+
+/// Guards against evidence of one request that is thinned out because its crashes lie close together,
+/// or forgotten because they lie far apart.
+#[rstest]
+#[case::close(10)]
+#[case::apart(SECOND_MS)]
+#[case::slow(20 * MINUTE_MS)]
+fn two_servers_are_enough(#[case] between_ms: u64) {
+    let mut quarantine = Quarantine::default();
+    crash(&mut quarantine, SECOND_MS, &[deadly()]);
+    assert!(!is_held(&quarantine, SECOND_MS));
+    let second = SECOND_MS + between_ms;
+    crash(&mut quarantine, second, &[deadly()]);
+    assert!(is_held(&quarantine, second));
+}
+
+/// Guards against a request that comes every twenty minutes while servers crash for other reasons too:
+/// these crashes were all that was remembered.
+#[test]
+fn ordinary_crashes_do_not_push_out_a_repeated_request() {
+    let mut quarantine = Quarantine::default();
+    let step = 20 * MINUTE_MS;
+    for n in 0..3 {
+        let began = SECOND_MS + n * step;
+        crash(&mut quarantine, began, &[deadly()]);
+        for other in 1..=100 {
+            let ms = began + other * 10 * SECOND_MS;
+            let sound = PartKey::identity((n * 1_000 + other) << 32);
+            crash(&mut quarantine, ms, &[sound]);
+        }
+    }
+    assert!(is_held(&quarantine, 3 * step));
+}
+
+/// Guards against a case that is probed for as long as it lasts: each probe ends a server.
+#[test]
+fn a_case_is_probed_three_times_in_all() {
+    let mut quarantine = Quarantine::default();
+    for ms in [1_000, 1_200, 1_400] {
+        crash(&mut quarantine, ms, &[deadly()]);
+    }
+    let mut sends = 0;
+    for second in 2..48 * 3_600 {
+        let ms = second * SECOND_MS;
+        let hold = quarantine.hold(&[deadly()], at(ms));
+        if hold.expect("still held").probe_due {
+            let probe = quarantine.after_probe(&[deadly()], at(ms));
+            quarantine.probed(&probe.expect("a case"), at(ms));
+            crash(&mut quarantine, ms + 100, &[deadly()]);
+            sends += 1;
+        }
+    }
+    assert!((1..=MAX_SENDS).contains(&sends), "{sends} probes");
+    assert!(is_held(&quarantine, 48 * HOUR_MS));
+}
+
+/// A request that is held back for good by mistake is not missed for long. Guards against a case whose
+/// callers are told to come back at a time that means nothing.
+#[test]
+fn a_case_without_probes_states_the_longest_pause() {
+    let mut quarantine = Quarantine::default();
+    crash(&mut quarantine, 1_000, &[deadly()]);
+    crash(&mut quarantine, 1_200, &[deadly()]);
+    crash(&mut quarantine, 1_400, &[deadly()]);
+    let mut now = 2_000;
+    for _ in 0..MAX_SENDS {
+        let hold = quarantine.hold(&[deadly()], at(now)).expect("held");
+        now += u64::try_from(hold.case.probe_in.as_millis()).expect("milliseconds");
+        let probe = quarantine.after_probe(&[deadly()], at(now));
+        quarantine.probed(&probe.expect("a case"), at(now));
+    }
+    let hold = quarantine.hold(&[deadly()], at(now + HOUR_MS));
+    let hold = hold.expect("held");
+    assert!(!hold.probe_due);
+    assert!(hold.case.probe_in >= Duration::from_secs(600));
+}
