gateway: a request is known by what its callers repeat

Its identity was the hash of the host and the parts of its prompt if its heads named any, else of method, host, path, query and body. So other requests with the same parts were one identity with it, held back with it and clearing it, and the same request with and without these heads was two. It is now the hash of the caller's organisation, host, method, path with query and body; the parts stay as keys beside it.

--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -84,7 +84,7 @@
 pub use replicas::{owner, replicas};
 pub use report::{BatchRun, ItemKey, Report};
 pub use report_schedule::{OutgoingReport, PeerRelation, Receiver, ReportSchedule};
-pub use request_parts::RequestParts;
+pub use request_parts::{RequestContent, RequestParts};
 pub use return_times::ReturnTimes;
 pub use routing::{Denial, Destination, destination};
 pub use serve::{Gateway, StartError, check, run};
--- a/gateway/src/request_parts.rs
+++ b/gateway/src/request_parts.rs
@@ -4,16 +4,12 @@
 
 use hyper::Method;
 use hyper::body::Bytes;
-use xxhash_rust::xxh3::{
-    Xxh3,
-    xxh3_64, //
-};
+use xxhash_rust::xxh3::Xxh3;
 
 use crate::prompt::{
     PartKey,
     PromptParts, //
 };
-use crate::report::ItemKey;
 
 /// Upper 16 bits of the keys of identities, which distinguish them from the parts of prompts.
 const IDENTITY_TAG: u64 = 0xfd1d << 48;
@@ -34,85 +30,54 @@
     }
 }
 
-/// What the identity of a request is a hash of. It is the same for all requests of callers that
-/// repeat one, with other identifiers.
-#[derive(Clone, Debug)]
-enum Content {
-    /// All parts of the prompt, for this host.
-    Prompt { host: u64, parts: PromptParts },
-    /// Method, host, path and query, whose hash is `head`, and the body.
-    Plain { head: u64, body: Bytes },
-    /// An item without a prompt, whose runs repeat the same request.
-    Item(ItemKey),
+/// What callers repeat when they send a request again: its identity is a hash of this. Heads are no part
+/// of it, as they may be added, left out or reordered on the way.
+#[derive(Clone, Copy, Debug)]
+pub struct RequestContent<'a> {
+    /// Organisation of the caller, if it has one.
+    pub organisation: Option<&'a str>,
+    /// Host to which it is addressed.
+    pub host: &'a str,
+    /// Method.
+    pub method: &'a Method,
+    /// Path and query.
+    pub target: &'a str,
+    /// Body.
+    pub body: &'a Bytes,
 }
 
-impl Content {
-    fn identity(&self) -> PartKey {
+impl RequestContent<'_> {
+    /// Returns the hash of all but the body.
+    fn head_hash(&self) -> u64 {
         let mut hasher = Xxh3::new();
-        match self {
-            Self::Prompt { host, parts } => {
-                hasher.update(&host.to_be_bytes());
-                for part in parts.shared.iter().chain(&parts.last) {
-                    hasher.update(&part.0.to_be_bytes());
-                }
-            }
-            Self::Plain { head, body } => {
-                hasher.update(&head.to_be_bytes());
-                hasher.update(body);
-            }
-            Self::Item(key) => hasher.update(&key.0.to_be_bytes()),
+        let organisation = self.organisation.unwrap_or_default();
+        for text in [organisation, self.host, self.method.as_str(), self.target] {
+            hasher.update(text.as_bytes());
+            // No name, host, method or target contains it.
+            hasher.update(&[0]);
         }
-        PartKey::identity(hasher.digest())
+        hasher.digest()
     }
 }
 
 /// The keys of a request: its identity, the last part of its prompt and the shared ones.
 #[derive(Debug)]
 pub struct RequestParts {
-    content: Content,
+    /// Hash of what identifies the request beside its body.
+    head: u64,
+    body: Bytes,
+    prompt: PromptParts,
     /// Computed when it is needed, as the body may be long: a run was lost, or servers have crashed.
     keys: OnceLock<Vec<PartKey>>,
 }
 
 impl RequestParts {
-    /// Creates the keys of a request with these parts of its prompt, if it has any.
-    pub fn of_request(
-        method: &Method,
-        host: &str,
-        target: &str,
-        parts: PromptParts,
-        body: &Bytes,
-    ) -> Self {
-        let host = xxh3_64(host.as_bytes());
-        let content = if parts.last.is_some() {
-            Content::Prompt { host, parts }
-        } else {
-            let mut hasher = Xxh3::new();
-            hasher.update(&host.to_be_bytes());
-            // Neither a method nor a target contains a space.
-            hasher.update(method.as_str().as_bytes());
-            hasher.update(b" ");
-            hasher.update(target.as_bytes());
-            Content::Plain {
-                head: hasher.digest(),
-                body: body.clone(),
-            }
-        };
-        Self::new(content)
-    }
-
-    /// Creates the keys of an item of a job for this host.
-    pub fn of_item(key: ItemKey, host: &str, parts: PromptParts) -> Self {
-        let host = xxh3_64(host.as_bytes());
-        Self::new(match parts.last {
-            Some(_) => Content::Prompt { host, parts },
-            None => Content::Item(key),
-        })
-    }
-
-    fn new(content: Content) -> Self {
+    /// Creates the keys of a request, or of an item of a job, with these parts of its prompt.
+    pub fn new(content: RequestContent<'_>, prompt: PromptParts) -> Self {
         Self {
-            content,
+            head: content.head_hash(),
+            body: content.body.clone(),
+            prompt,
             keys: OnceLock::new(),
         }
     }
@@ -121,27 +86,28 @@
     /// that limits never cut it off.
     pub fn keys(&self) -> &[PartKey] {
         self.keys.get_or_init(|| {
-            let mut keys = vec![self.content.identity()];
+            let mut keys = vec![self.compute_identity()];
             keys.extend(self.last());
             keys.extend_from_slice(self.shared());
             keys
         })
     }
 
+    fn compute_identity(&self) -> PartKey {
+        let mut hasher = Xxh3::new();
+        hasher.update(&self.head.to_be_bytes());
+        hasher.update(&self.body);
+        PartKey::identity(hasher.digest())
+    }
+
     /// Returns the parts of the prompt that other requests may have too.
     pub fn shared(&self) -> &[PartKey] {
-        match &self.content {
-            Content::Prompt { parts, .. } => &parts.shared,
-            Content::Plain { .. } | Content::Item(_) => &[],
-        }
+        &self.prompt.shared
     }
 
     /// Returns the last part of the prompt.
     pub fn last(&self) -> Option<PartKey> {
-        match &self.content {
-            Content::Prompt { parts, .. } => parts.last,
-            Content::Plain { .. } | Content::Item(_) => None,
-        }
+        self.prompt.last
     }
 
     /// Returns the key that only requests with the same content have.
--- a/gateway/src/serve/items.rs
+++ b/gateway/src/serve/items.rs
@@ -49,6 +49,7 @@
 use crate::instance::Instance;
 use crate::jobs::{
     Change,
+    Job,
     JobItem,
     Outcome,
     Partition, //
@@ -275,10 +276,10 @@
     }
     let mut claim = None;
     waiting.retain(|w| {
-        let Some((item, host)) = job_item(state, w.item) else {
+        let Some((item, job)) = job_item(state, w.item) else {
             return true;
         };
-        let parts = runs::item_parts(&node.platform, &item, w.item, host);
+        let parts = runs::item_parts(&node.platform, &item, &job.organisation, &job.host);
         let Some(hold) = state.hold(&parts, now) else {
             return true;
         };
@@ -304,11 +305,11 @@
     claim
 }
 
-/// Returns an item and the host of its job.
-fn job_item(state: &State, key: ItemKey) -> Option<(Arc<JobItem>, &str)> {
+/// Returns an item and its job.
+fn job_item(state: &State, key: ItemKey) -> Option<(Arc<JobItem>, &Job)> {
     let open = state.items.get(key)?;
     let job = state.partitions.get(open.partition)?.get(&open.job)?;
-    Some((job.items.get(open.index)?.clone(), &job.host))
+    Some((job.items.get(open.index)?.clone(), job))
 }
 
 /// Sends an item as a probe, if the store grants it to this instance.
--- a/gateway/src/serve/online.rs
+++ b/gateway/src/serve/online.rs
@@ -73,7 +73,10 @@
     Store, //
 };
 use crate::positions::CallKind;
-use crate::request_parts::RequestParts;
+use crate::request_parts::{
+    RequestContent,
+    RequestParts, //
+};
 use crate::routing::{
     Denial,
     Destination,
@@ -196,12 +199,16 @@
         return response.into();
     }
     let service = route.service(node.lock().rng.random()).to_owned();
-    let target = head
-        .uri
-        .path_and_query()
-        .map_or("", |target| target.as_str());
+    let target = head.uri.path_and_query();
     let prompt = std::mem::take(&mut call.prompt);
-    let parts = RequestParts::of_request(&head.method, &call.host, target, prompt, &body);
+    let content = RequestContent {
+        organisation: organisation.as_ref().map(|o| o.name.as_str()),
+        host: &call.host,
+        method: &head.method,
+        target: target.map_or("", |target| target.as_str()),
+        body: &body,
+    };
+    let parts = RequestParts::new(content, prompt);
     let admitted = Admitted {
         parts: Arc::new(parts),
         deadline,
--- a/gateway/src/serve/runs.rs
+++ b/gateway/src/serve/runs.rs
@@ -9,7 +9,10 @@
 use async_channel::Receiver;
 use futures_lite::future;
 use http_body_util::BodyExt;
-use hyper::Response;
+use hyper::{
+    Method,
+    Response, //
+};
 use limpetweir_state::Timestamp;
 use limpetweir_transport::http::{
     ClientBody,
@@ -71,7 +74,10 @@
     BatchRun,
     ItemKey, //
 };
-use crate::request_parts::RequestParts;
+use crate::request_parts::{
+    RequestContent,
+    RequestParts, //
+};
 use crate::speed::PaceMeter;
 use crate::sse::{
     Event,
@@ -103,14 +109,21 @@
     chosen_at: Timestamp,
 }
 
-/// Returns what identifies an item of a job for `host`, and what it shares with others.
+/// Returns what identifies an item of a job of `organisation` for `host`, and what it shares with others.
 pub(crate) fn item_parts<P: Dialect>(
     platform: &P,
     item: &JobItem,
-    key: ItemKey,
+    organisation: &str,
     host: &str,
 ) -> RequestParts {
-    RequestParts::of_item(key, host, platform.prompt_parts(&item.headers))
+    let content = RequestContent {
+        organisation: Some(organisation),
+        host,
+        method: &Method::POST,
+        target: &item.path,
+        body: &item.body,
+    };
+    RequestParts::new(content, platform.prompt_parts(&item.headers))
 }
 
 /// Starts an item on a backend server.
@@ -201,7 +214,8 @@
         )
     };
     let mut progress = std::mem::take(&mut run.progress);
-    let parts = Arc::new(item_parts(&node.platform, &run.item, run.key, &run.host));
+    let parts = item_parts(&node.platform, &run.item, &run.organisation, &run.host);
+    let parts = Arc::new(parts);
     let place = RunPlace {
         key: run.backend,
         entry: run.entry.clone(),
