gateway: a case is probed three times in all

Probes went on every hour for as long as a case lasted, and each may end a server; three sends after the third crash are all that a request may have, over all time. The count is in the record of the case, so it holds over restarts and instances.

--- a/gateway/src/crash_evidence.rs
+++ b/gateway/src/crash_evidence.rs
@@ -241,9 +241,10 @@
     /// these and they are blamed with it.
     /// The crash shows what a probe would, so the next one is due later.
     pub(crate) fn narrower_case(&self, cases: &[OpenCase], now: Timestamp) -> Option<OpenCase> {
+        let crashes = self.crashes.values();
+        let unexplained: Vec<&KnownCrash> = crashes.filter(|c| !is_explained(cases, c)).collect();
         for case in cases {
-            let later = self.crashes.values().filter(|c| c.at >= case.since);
-            for crash in later.filter(|c| !is_explained(cases, c)) {
+            for crash in unexplained.iter().filter(|c| c.at >= case.since) {
                 let mut parts = case.parts.clone();
                 parts.retain(|part| {
                     crash.suspects.contains(part) && self.begun_at(*part) < case.since
--- a/gateway/src/open_case.rs
+++ b/gateway/src/open_case.rs
@@ -17,9 +17,13 @@
 /// Factor between the times to two successive probes.
 const PROBE_BACKOFF: u32 = 5;
 
-/// Longest time between two probes.
+/// Longest time between two probes, and what callers are told once a case is not probed any more.
 pub(crate) const MAX_PROBE_INTERVAL: Duration = Duration::from_secs(3_600);
 
+/// Maximum number of probes of a case: each may end one more server, and three sends after the third
+/// crash are all that a request may have.
+pub(crate) const MAX_PROBES: u32 = 3;
+
 /// Maximum number of servers that a case lists.
 pub(crate) const MAX_CASE_SERVERS: usize = 5;
 
@@ -88,17 +92,21 @@
 
     /// Returns whether a probe may be sent now.
     pub(crate) fn is_probe_due(&self, now: Timestamp) -> bool {
-        self.probe_at <= now
+        self.probes < MAX_PROBES && self.probe_at <= now
     }
 
     pub(crate) fn to_case(&self, now: Timestamp) -> Case {
+        let probe_in = match self.probes < MAX_PROBES {
+            true => self.probe_at.since(now),
+            false => MAX_PROBE_INTERVAL,
+        };
         Case {
             parts: self.parts.clone(),
             crashes: self.crashes,
             servers: self.servers.clone(),
             age: now.since(self.since),
             probes: self.probes,
-            probe_in: self.probe_at.since(now),
+            probe_in,
         }
     }
 
