gateway: runs under way end when their request is blamed

Copies of a blamed request that were at servers went on and ended these one after the other. Each run without output now ends when the case of its request opens, except the probe of a case. A server that crashes within a second all the same counts against the request, and not against what else it ran.

--- a/gateway/src/crash_evidence.rs
+++ b/gateway/src/crash_evidence.rs
@@ -154,6 +154,11 @@
         self.crashes.entry(key).or_insert(new)
     }
 
+    /// Returns a known crash.
+    pub(crate) fn known_crash_mut(&mut self, key: CrashKey) -> Option<&mut KnownCrash> {
+        self.crashes.get_mut(&key)
+    }
+
     /// Returns when a run with `part` last wrote output.
     pub(crate) fn begun_at(&self, part: PartKey) -> Timestamp {
         self.begun.get(&part).map_or(Timestamp::default(), |b| b.at)
--- a/gateway/src/open_case.rs
+++ b/gateway/src/open_case.rs
@@ -83,6 +83,11 @@
         self.covers(|part| crash.suspects.contains(part))
     }
 
+    /// Returns whether the request with this identity is blamed itself.
+    pub(crate) fn names(&self, identity: PartKey) -> bool {
+        self.parts.contains(&identity)
+    }
+
     fn covers(&self, has: impl Fn(&PartKey) -> bool) -> bool {
         match self.identities().next().is_some() {
             true => self.identities().any(has),
--- a/gateway/src/quarantine.rs
+++ b/gateway/src/quarantine.rs
@@ -45,6 +45,12 @@
 /// lost datagram does not matter.
 const NEWS_LIFETIME: Duration = Duration::from_millis(700);
 
+/// Time after the end of a withdrawn run in which a crash of its server is due to it.
+const WITHDRAWN_LIFETIME: Duration = Duration::from_secs(1);
+
+/// Maximum number of remembered withdrawn runs.
+const MAX_WITHDRAWN: usize = 64;
+
 /// Maximum number of suspected parts of one run, the identity of its request among them. The caller
 /// determines the number of parts.
 const MAX_RUN_SUSPECTS: usize = 16;
@@ -102,6 +108,15 @@
     time + CASE_LIFETIME
 }
 
+/// A run that was ended because its request was blamed for crashes.
+#[derive(Debug)]
+struct WithdrawnRun {
+    /// Key of the crash of its server, if that crashes.
+    crash: CrashKey,
+    suspects: Vec<PartKey>,
+    at: Timestamp,
+}
+
 /// Crashes of backend servers and the parts that are held back, as known to this instance.
 #[derive(Debug, Default)]
 pub struct Quarantine {
@@ -109,6 +124,8 @@
     cases: Vec<OpenCase>,
     /// All parts in `evidence` and `cases`.
     suspected: HashSet<PartKey>,
+    /// Runs that were ended because their request was blamed. Their servers may crash all the same.
+    withdrawn: Vec<WithdrawnRun>,
     /// Requests that were held back because of cases that are closed, not yet counted.
     released: u64,
 }
@@ -173,6 +190,11 @@
         std::mem::take(&mut self.released)
     }
 
+    /// Returns whether the request with this identity is blamed itself, and not only its parts.
+    pub fn names(&self, identity: PartKey) -> bool {
+        self.cases.iter().any(|case| case.names(identity))
+    }
+
     /// Records that this instance lost a run with these parts and without output in a crash.
     pub fn crashed(
         &mut self,
@@ -199,6 +221,36 @@
         self.update(now, Some(now))
     }
 
+    /// Records that a run of a blamed request was ended. If its server crashes all the same, which has the
+    /// key `crash` then, the request is a suspect.
+    pub fn withdrawn(&mut self, crash: CrashKey, parts: &[PartKey], now: Timestamp) {
+        let at = since_origin(now);
+        self.withdrawn
+            .retain(|run| at.since(run.at) < WITHDRAWN_LIFETIME);
+        if self.withdrawn.len() < MAX_WITHDRAWN {
+            let suspects = parts.iter().take(MAX_RUN_SUSPECTS).copied().collect();
+            let run = WithdrawnRun {
+                crash,
+                suspects,
+                at,
+            };
+            self.withdrawn.push(run);
+        }
+    }
+
+    /// Adds the requests of withdrawn runs to the crashes of their servers.
+    fn suspect_withdrawn(&mut self, now: Timestamp) {
+        for run in &self.withdrawn {
+            let is_recent = now.since(run.at) < WITHDRAWN_LIFETIME;
+            let crash = self.evidence.known_crash_mut(run.crash);
+            if let Some(crash) = crash.filter(|_| is_recent)
+                && crash.add_suspects(run.suspects.iter().copied())
+            {
+                crash.observed = Some(now);
+            }
+        }
+    }
+
     /// Records that a run of this instance with these parts wrote output.
     pub fn began(&mut self, parts: &[PartKey], now: Timestamp) -> Vec<CaseChange> {
         let now = since_origin(now);
@@ -376,6 +428,7 @@
     /// Updates the cases after new evidence, which this instance has `observed` itself or not.
     fn update(&mut self, now: Timestamp, observed: Option<Timestamp>) -> Vec<CaseChange> {
         self.drop_old(now);
+        self.suspect_withdrawn(now);
         let mut changes = self.clear_cases(now);
         // A case beyond the maximum replaces the oldest one, which may follow again from its crashes.
         for _ in 0..MAX_CASES {
--- a/gateway/src/serve/attempt.rs
+++ b/gateway/src/serve/attempt.rs
@@ -6,6 +6,7 @@
     Instant, //
 };
 
+use futures_lite::future;
 use hyper::Response;
 use limpetweir_state::Verdict;
 use limpetweir_transport::http::{
@@ -43,6 +44,9 @@
 /// crashed is listed for some seconds more, and looks idle.
 const REFUSAL_TIME: Duration = Duration::from_millis(1_000);
 
+/// Cause of the end of a run whose request is blamed for crashes meanwhile.
+pub(crate) const WITHDRAWN: &str = "the request crashes backend servers";
+
 /// Outcome of one attempt at a backend server.
 pub(crate) enum Attempt<P: Store + Dialect> {
     /// The backend server responded.
@@ -118,11 +122,21 @@
     placed: PlacedRequest<P>,
 ) -> Attempt<P> {
     let key = placed.key;
-    match send(node, admitted, history, &placed).await {
+    let id = &admitted.call.request_id;
+    let watch = RunWatch::new(node, id, &admitted.parts, placed.place());
+    let sent = async { Some(send(node, admitted, history, &placed).await) };
+    let withdrawn = async {
+        watch.blamed().await;
+        None
+    };
+    let Some(sent) = future::or(sent, withdrawn).await else {
+        return Attempt::MayHaveRun(WITHDRAWN.to_owned());
+    };
+    match sent {
         Ok(response) => {
             let (head, body) = response.into_parts();
             let sent = SentRequest {
-                id: &admitted.call.request_id,
+                id,
                 entry: &placed.entry,
                 at: placed.chosen_at,
             };
@@ -142,8 +156,6 @@
         Err(err) => {
             unresponsive(node, key, &err);
             if err.is_lost_run() {
-                let id = &admitted.call.request_id;
-                let watch = RunWatch::new(node, id, &admitted.parts, placed.place());
                 watch.connection_lost(false);
                 return Attempt::Lost(err.to_string());
             }
--- a/gateway/src/serve/crashes.rs
+++ b/gateway/src/serve/crashes.rs
@@ -49,6 +49,7 @@
 use super::replies::plain;
 use super::run_watch::{
     LostRun,
+    RunPlace,
     list, //
 };
 use super::supervisor::{
@@ -252,6 +253,29 @@
         }
         node.balance_due.notify(usize::MAX);
     }
+    node.suspicion_changed.notify(usize::MAX);
+}
+
+/// Records that a run was ended because its request is blamed.
+pub(crate) fn run_withdrawn<P>(node: &Node<P>, place: &RunPlace, parts: &RequestParts) {
+    let now = node.now();
+    let crash = crash_key(&place.entry);
+    node.lock().quarantine.withdrawn(crash, parts.keys(), now);
+}
+
+/// Waits until the request with these keys is blamed itself.
+pub(crate) async fn blamed<P>(node: &Node<P>, parts: &RequestParts) {
+    loop {
+        let changed = node.suspicion_changed.listen();
+        let is_blamed = {
+            let quarantine = &node.lock().quarantine;
+            quarantine.has_cases() && quarantine.names(parts.identity())
+        };
+        if is_blamed {
+            return;
+        }
+        changed.await;
+    }
 }
 
 /// Returns the fields of a line about a case.
--- a/gateway/src/serve/lines.rs
+++ b/gateway/src/serve/lines.rs
@@ -118,6 +118,8 @@
 pub(crate) const CASE_CLOSED: Event = Event::new(2305, Level::Warn);
 /// A request that would be held back is sent to find out whether its parts still crash servers.
 pub(crate) const PROBE_SENT: Event = Event::new(2306, Level::Warn);
+/// A run without output was ended because its request is blamed for crashes.
+pub(crate) const RUN_WITHDRAWN: Event = Event::new(2313, Level::Warn);
 /// The parts that are held back could not be written to the store.
 pub(crate) const CASE_NOT_STORED: Event = Event::new(2307, Level::Warn);
 /// A backend server states a limit of requests per second.
--- a/gateway/src/serve/metrics.rs
+++ b/gateway/src/serve/metrics.rs
@@ -46,6 +46,7 @@
     runs_lost: Counter<u64>,
     suspected_runs: Counter<u64>,
     requests_released: Counter<u64>,
+    runs_withdrawn: Counter<u64>,
     cases_opened: Counter<u64>,
     limited_requests: Counter<u64>,
     lines_dropped: Counter<u64>,
@@ -109,6 +110,10 @@
                 "limpetweir_crash_suspects",
                 "Runs without output on backend servers that crashed, by what was known when they were placed",
             ),
+            runs_withdrawn: counter(
+                "limpetweir_runs_withdrawn",
+                "Runs without output that were ended because their request is blamed for crashes",
+            ),
             requests_released: counter(
                 "limpetweir_held_requests_released",
                 "Requests that were held back because of a case that was closed later",
@@ -197,6 +202,11 @@
         self.requests_released.add(count, &[]);
     }
 
+    /// Counts a run that was ended because its request is blamed for crashes.
+    pub(crate) fn run_withdrawn(&self) {
+        self.runs_withdrawn.add(1, &[]);
+    }
+
     /// Counts a set of prompt parts that is held back.
     pub(crate) fn case_opened(&self) {
         self.cases_opened.add(1, &[]);
--- a/gateway/src/serve/node.rs
+++ b/gateway/src/serve/node.rs
@@ -372,6 +372,8 @@
     pub(crate) report_due: Signal,
     /// Notified when the others are to be told about crashes.
     pub(crate) crash_news: Signal,
+    /// Notified when it has changed which requests are suspected or held back.
+    pub(crate) suspicion_changed: Signal,
     /// Notified when a check of a server has ended.
     pub(crate) crash_checked: Signal,
     /// Notified for a partition of the jobs of which peers have read more. A read that the store
@@ -450,6 +452,7 @@
             stop: StopWindow::default(),
             report_due: Signal::new(),
             crash_news: Signal::new(),
+            suspicion_changed: Signal::new(),
             crash_checked: Signal::new(),
             jobs_behind: writers.iter().map(|_| Signal::new()).collect(),
             catch_ups: writers.iter().map(|_| CatchUp::default()).collect(),
--- a/gateway/src/serve/relay.rs
+++ b/gateway/src/serve/relay.rs
@@ -26,6 +26,7 @@
 
 use super::attempt::{
     AttemptHistory,
+    WITHDRAWN,
     suspect, //
 };
 use super::choose::PlacedRequest;
@@ -42,7 +43,7 @@
 use super::node::Node;
 use super::online::Admitted;
 use super::run_watch::RunWatch;
-use super::stream::next_bytes;
+use super::stream::watched;
 use super::supervisor::OneShot;
 use crate::platform::{
     Dialect,
@@ -69,6 +70,8 @@
     ConnectionLost(String),
     /// The backend server ended the response early.
     Backend(String),
+    /// The request is blamed for crashes, and the run had no output yet.
+    Withdrawn,
 }
 
 /// Progress of the part of a response that has been forwarded.
@@ -180,6 +183,7 @@
         Err(Interruption::Backend(cause) | Interruption::ConnectionLost(cause)) => {
             (RequestEnd::BrokenOff, cause)
         }
+        Err(Interruption::Withdrawn) => (RequestEnd::BrokenOff, WITHDRAWN.to_owned()),
     };
     // Dropping the sender aborts the response, so that the caller cannot take it for complete.
     relay.log_cut(&cause);
@@ -217,7 +221,7 @@
         let parts = &self.admitted.parts;
         let mut watch = RunWatch::new(self.node, id, parts, placed.place());
         let forwarded = loop {
-            match self.bounded(next_bytes(&mut body)).await {
+            match self.bounded(watched(&watch, &mut body)).await {
                 Ok(None) => break check_end(ends_with_connection, head.signed),
                 Err(interruption) => break Err(interruption),
                 Ok(Some(bytes)) => {
@@ -243,7 +247,10 @@
             Err(Interruption::Backend(cause)) => suspect(self.node, placed.key, cause),
             Ok(())
             | Err(
-                Interruption::CallerDisconnected | Interruption::Deadline | Interruption::Stopped,
+                Interruption::CallerDisconnected
+                | Interruption::Deadline
+                | Interruption::Stopped
+                | Interruption::Withdrawn,
             ) => {}
         }
         forwarded
--- a/gateway/src/serve/run_watch.rs
+++ b/gateway/src/serve/run_watch.rs
@@ -6,11 +6,13 @@
     Instant, //
 };
 
+use futures_lite::future;
 use limpetweir_state::Timestamp;
 
 use super::crashes;
 use super::lines::{
     RUN_LOST,
+    RUN_WITHDRAWN,
     log_event, //
 };
 use super::node::Node;
@@ -91,6 +93,24 @@
         self.outputs < SAFE_OUTPUTS
     }
 
+    /// Waits until the request is blamed for crashes while this run has no output yet: it would end its
+    /// server too. A probe goes on.
+    pub(crate) async fn blamed(&self) {
+        if !self.is_suspected() || self.place.known == Knowledge::Held {
+            return future::pending().await;
+        }
+        crashes::blamed(&self.node, &self.parts).await;
+        crashes::run_withdrawn(&self.node, &self.place, &self.parts);
+        self.node.metrics.run_withdrawn();
+        log_event!(
+            RUN_WITHDRAWN,
+            "request={} backend={} identity={}",
+            self.request,
+            self.place.entry.id,
+            self.parts.identity()
+        );
+    }
+
     /// Records that a part of the output has arrived.
     pub(crate) fn output(&mut self) {
         self.outputs += 1;
--- a/gateway/src/serve/stream.rs
+++ b/gateway/src/serve/stream.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use futures_lite::future;
 use http_body_util::BodyExt;
 use hyper::body::Bytes;
 use limpetweir_transport::http::ClientBody;
@@ -105,7 +106,7 @@
                 let cause = "the response has been interrupted".to_owned();
                 return Err(Interruption::ConnectionLost(cause));
             };
-            let Some(bytes) = next_bytes(body).await? else {
+            let Some(bytes) = watched(&self.watch, body).await? else {
                 return self.end();
             };
             let events = self.splitter.push(&bytes);
@@ -170,8 +171,21 @@
     }
 }
 
+/// Reads the next bytes of the body of a run, unless its request is blamed for crashes before the run
+/// has output; `None` at the end of the body.
+pub(crate) async fn watched<P: Store + Dialect>(
+    watch: &RunWatch<P>,
+    body: &mut ClientBody,
+) -> Result<Option<Bytes>, Interruption> {
+    let withdrawn = async {
+        watch.blamed().await;
+        Err(Interruption::Withdrawn)
+    };
+    future::or(next_bytes(body), withdrawn).await
+}
+
 /// Reads the next bytes of a body; `None` at its end.
-pub(crate) async fn next_bytes(body: &mut ClientBody) -> Result<Option<Bytes>, Interruption> {
+async fn next_bytes(body: &mut ClientBody) -> Result<Option<Bytes>, Interruption> {
     loop {
         match body.frame().await {
             None => return Ok(None),
--- a/gateway/src/serve/takeover.rs
+++ b/gateway/src/serve/takeover.rs
@@ -195,7 +195,8 @@
                     }
                     Interruption::CallerDisconnected
                     | Interruption::Deadline
-                    | Interruption::Stopped => NoRest::Ran,
+                    | Interruption::Stopped
+                    | Interruption::Withdrawn => NoRest::Ran,
                 })
             }
         }
@@ -296,7 +297,10 @@
                 suspect(self.node, key, cause);
             }
             Interruption::Backend(cause) => suspect(self.node, key, cause),
-            Interruption::CallerDisconnected | Interruption::Deadline | Interruption::Stopped => {}
+            Interruption::CallerDisconnected
+            | Interruption::Deadline
+            | Interruption::Stopped
+            | Interruption::Withdrawn => {}
         }
     }
 
--- a/gateway/tests/repeated_crashes.rs
+++ b/gateway/tests/repeated_crashes.rs
@@ -110,3 +110,24 @@
     assert!(!hold.probe_due);
     assert!(hold.case.probe_in >= Duration::from_secs(600));
 }
+
+/// A server crashes after the run of a blamed request on it was ended. Guards against sound requests on
+/// it that are blamed in its place.
+#[test]
+fn a_server_that_crashes_after_a_withdrawn_run_counts_against_its_request() {
+    let mut quarantine = Quarantine::default();
+    let sound = PartKey::identity(0x50 << 32);
+    crash(&mut quarantine, 1_000, &[deadly()]);
+    crash(&mut quarantine, 1_100, &[deadly()]);
+    for ms in [1_150, 1_160] {
+        quarantine.withdrawn(CrashKey(ms), &[deadly()], at(1_110));
+        crash(&mut quarantine, ms, &[sound]);
+    }
+    assert!(quarantine.hold(&[sound], at(1_200)).is_none());
+    let case = quarantine.cases(at(1_200)).next().expect("a case");
+    assert_eq!(case.crashes, 4);
+    quarantine.withdrawn(CrashKey(9_000), &[deadly()], at(7_000));
+    crash(&mut quarantine, 9_000, &[sound]);
+    let case = quarantine.cases(at(9_000)).next().expect("a case");
+    assert_eq!(case.crashes, 4);
+}
