gateway: copies of a request meet on two servers

Callers saw most servers of a service end at once: three to six copies of the request were under way before its first crash was known, on as many servers, and servers that have begun a run crash although it is ended. No message can be in time for these. Each request has a shard of two servers now, chosen by its identity (shuffle sharding), and goes to one of them as long as that is in the same class of placement as the best server and has at most two more requests of its eight slots.

--- a/gateway/src/placement.rs
+++ b/gateway/src/placement.rs
@@ -6,6 +6,7 @@
 //! reported. Backend servers queue requests in order of arrival, so only as many requests wait
 //! there as start within the objective; the others are rejected immediately with a retry time.
 
+use std::cmp::Ordering;
 use std::time::Duration;
 
 use crate::backend::{
@@ -41,6 +42,8 @@
     pub other_cell: bool,
     /// Whether its limit on requests per second allows the request.
     pub permit: Permit,
+    /// Whether it is in the shard of the request.
+    pub in_shard: bool,
     /// Tie breaker, drawn for each request.
     pub draw: u32,
 }
@@ -120,13 +123,25 @@
     let ranked = candidates
         .iter()
         .filter_map(|c| class(c, limits).map(|class| (class, c)));
-    let best = ranked.min_by(|(a, x), (b, y)| {
-        let order = a.cmp(b).then(weight(x).total_cmp(&weight(y)));
-        let order = order.then(y.connected.cmp(&x.connected));
-        let order = order.then(y.local.cmp(&x.local));
-        order.then(x.draw.cmp(&y.draw))
-    });
-    best.map_or(Placement::Full, |(_, c)| Placement::Send(c.key))
+    let best = ranked.clone().min_by(order);
+    let Some((class, best)) = best else {
+        return Placement::Full;
+    };
+    let most = weight(best) + SHARD_MARGIN;
+    let in_shard = ranked.filter(|(of, c)| c.in_shard && *of == class && weight(c) <= most);
+    let chosen = in_shard.min_by(order).map_or(best, |(_, c)| c);
+    Placement::Send(chosen.key)
+}
+
+/// Load by which a server of the shard may exceed the least loaded one, relative to its slots.
+const SHARD_MARGIN: f64 = 0.25;
+
+/// Compares two candidates with their classes; the lesser one is preferred.
+fn order((a, x): &(u8, &Candidate), (b, y): &(u8, &Candidate)) -> Ordering {
+    let order = a.cmp(b).then(weight(x).total_cmp(&weight(y)));
+    let order = order.then(y.connected.cmp(&x.connected));
+    let order = order.then(y.local.cmp(&x.local));
+    order.then(x.draw.cmp(&y.draw))
 }
 
 /// Returns the expected load of a candidate with one more request, relative to its slots.
--- a/gateway/src/serve/choose.rs
+++ b/gateway/src/serve/choose.rs
@@ -29,6 +29,7 @@
 use super::rejections::NO_CONFIG_RETRY;
 use super::run_watch::RunPlace;
 use crate::backend::{
+    Backend,
     BackendEntry,
     BackendKey, //
 };
@@ -52,6 +53,7 @@
     Permit,
     Purpose, //
 };
+use crate::shards::shard;
 
 /// Maximum number of online requests queued at a backend server beyond its slots. With eight slots,
 /// each occupied for 0.75 s, two queued requests wait at most 0.2 s.
@@ -357,6 +359,12 @@
     let backends = state.backends.serving(&admitted.service, now);
     let backends =
         backends.filter(|b| state.cells.is_own_backend(b.key, &b.entry.zone) != other_cell);
+    let backends: Vec<&Backend> = backends.collect();
+    // A server that has crashed stays in the shard while it is listed, so that the next copy does not
+    // go to another one.
+    let runs = backends.iter().map(|backend| backend.run);
+    let shard = shard(admitted.parts.identity(), runs);
+    let backends = backends.into_iter();
     let backends = backends.filter(|b| !state.load.is_refusing(b.key, now));
     let slowness = state.speeds.compare(now);
     let any_limited = state.limits.any_limited();
@@ -383,6 +391,7 @@
             .has_idle(backend.entry.addr, TrafficClass::Online),
         local: backend.entry.zone == node.settings.zone,
         other_cell,
+        in_shard: shard.contains(&backend.run),
         draw: rng.random(),
     });
     candidates.collect()
--- a/gateway/tests/bounded_work.rs
+++ b/gateway/tests/bounded_work.rs
@@ -149,6 +149,7 @@
             connected: false,
             local: false,
             other_cell,
+            in_shard: false,
             permit,
             draw: 0,
         };
--- a/gateway/tests/placement.rs
+++ b/gateway/tests/placement.rs
@@ -31,6 +31,7 @@
         connected: false,
         local: false,
         other_cell: false,
+        in_shard: false,
         draw: n,
     }
 }
@@ -159,3 +160,25 @@
     assert!(after >= Duration::from_millis(200));
     assert!(after <= Duration::from_millis(at_most_ms + 10), "{after:?}");
 }
+
+fn in_shard(n: u32, online: u32, batch: u32) -> Candidate {
+    Candidate {
+        in_shard: true,
+        ..candidate(n, online, batch)
+    }
+}
+
+/// Guards against copies of a request that crashes servers which spread over all of them, and against
+/// requests that wait, displace an item or meet a slow server because of their shard.
+#[rstest]
+#[case::in_the_shard([candidate(0, 2, 0), in_shard(1, 4, 0)], 1)]
+#[case::the_better_of_two([in_shard(0, 4, 0), in_shard(1, 3, 0)], 1)]
+#[case::too_loaded([candidate(0, 1, 0), in_shard(1, 4, 0)], 0)]
+#[case::no_free_slot([candidate(0, 7, 0), in_shard(1, 8, 0)], 0)]
+#[case::slot_of_an_item([candidate(0, 5, 0), in_shard(1, 2, 6)], 0)]
+#[case::suspected([candidate(0, 5, 0), Candidate { suspect: true, ..in_shard(1, 0, 0) }], 0)]
+#[case::slow([candidate(0, 2, 0), Candidate { slowness: 4.0, ..in_shard(1, 2, 0) }], 0)]
+fn copies_of_a_request_meet_on_its_shard(#[case] candidates: [Candidate; 2], #[case] chosen: u32) {
+    let placement = Placement::Send(BackendKey(chosen));
+    assert_eq!(place(&candidates, LIMITS), placement);
+}
--- a/gateway/tests/replay/model.rs
+++ b/gateway/tests/replay/model.rs
@@ -276,6 +276,7 @@
                 connected: true,
                 local: false,
                 other_cell: false,
+                in_shard: false,
                 draw: self.rng.random(),
             });
         }
