gateway: suspected requests run one at a time, and items are owed

Copies of a request were placed at each instance although all knew that a server had crashed under it. From the first crash on an instance leases a suspected request before it runs it: it tells the others, waits 10 ms for a claim that goes before its own, and keeps the lease until the run ends. Copies wait for the output or the crash of the run before them, at most a second. Nothing is asked of the store.

By the users' terms they never crash servers by themselves, so no case holds them. An item under which servers crashed runs again after 0.2, 1, 4, 8 and then 15 s, items of one case one at a time and 2 s after its last crash, on the server with the fewest runs.

--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -18,6 +18,8 @@
 mod instance;
 mod item_time;
 mod jobs;
+mod lease_message;
+mod leases;
 mod listing;
 mod load;
 mod members;
@@ -68,6 +70,7 @@
     Change, Decision, ItemResult, Job, JobItem, JobKey, NewItem, Outcome, Partition, Pending,
     RecordError, Submission, decide,
 };
+pub use leases::{LeaseNews, LeaseState, Leases};
 pub use listing::Listing;
 pub use load::{Load, Placed};
 pub use members::{AddressEntry, MIN_REPORT_TIMEOUT, Member, Members, ReportUpdate, addresses};
@@ -81,7 +84,7 @@
 };
 pub use positions::{CallKind, PartitionFreshness, Position, forward_targets, runners};
 pub use prompt::{PartKey, PromptParts};
-pub use quarantine::{CaseChange, Hold, Knowledge, Quarantine};
+pub use quarantine::{CaseChange, Hold, ItemTurn, Knowledge, Quarantine};
 pub use quota::{OrganisationKey, OverQuota, Quotas, Tolerance};
 pub use replicas::{owner, replicas};
 pub use report::{BatchRun, ItemKey, Report};
--- a/gateway/src/open_items.rs
+++ b/gateway/src/open_items.rs
@@ -1,6 +1,7 @@
 //! Items of batch jobs that still need a run, and their state at this instance.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use limpetweir_state::Timestamp;
@@ -16,6 +17,7 @@
 };
 use crate::replicas::owner;
 use crate::report::ItemKey;
+use crate::request_parts::RequestParts;
 
 /// Margin after the time at which an item may be given up, for clock skew between instances.
 const GIVE_UP_MARGIN_MS: u64 = 500;
@@ -80,8 +82,10 @@
     pub not_before: Timestamp,
     /// Backend server of the last failed run.
     pub avoid: Option<BackendKey>,
-    /// Whether it has waited because of parts of its prompt that crash backend servers.
+    /// Whether it has waited because backend servers crashed under it or its parts.
     pub held_back: bool,
+    /// What identifies it, and what it shares with others, once that has been needed.
+    pub parts: Option<Arc<RequestParts>>,
 }
 
 /// Result of a run.
@@ -315,6 +319,7 @@
             not_before: Timestamp::default(),
             avoid: None,
             held_back: false,
+            parts: None,
         }
     }
 
--- a/gateway/src/quarantine.rs
+++ b/gateway/src/quarantine.rs
@@ -93,6 +93,29 @@
     Held,
 }
 
+/// When an item may run. An item is owed, and no case holds it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ItemTurn {
+    /// Nothing speaks against it.
+    Free,
+    /// After a pause: a server has crashed under it, or under a case with its parts.
+    Later,
+    /// As soon as this instance has the lease of this key.
+    WithLease(PartKey),
+}
+
+/// Pauses of an item after each crash under it since its last output.
+const ITEM_PAUSES: [Duration; 5] = [
+    Duration::from_millis(200),
+    Duration::from_secs(1),
+    Duration::from_secs(4),
+    Duration::from_secs(8),
+    Duration::from_secs(15),
+];
+
+/// Pause of the items with the parts of a case after a crash that it explains.
+const CASE_PAUSE: Duration = Duration::from_secs(2);
+
 /// Why a request is held back.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Hold {
@@ -171,6 +194,32 @@
         }
     }
 
+    /// Returns when an item with these keys may run.
+    pub fn item_turn(&self, parts: &[PartKey], now: Timestamp) -> ItemTurn {
+        let now = since_origin(now);
+        let own = parts.first().filter(|part| self.suspected.contains(part));
+        let own = own.map(|part| self.evidence.since_output(*part));
+        let own: Vec<Timestamp> = own.into_iter().flatten().map(|c| c.at).collect();
+        let pause = ITEM_PAUSES[own.len().saturating_sub(1).min(ITEM_PAUSES.len() - 1)];
+        if own.iter().max().is_some_and(|last| now < *last + pause) {
+            return ItemTurn::Later;
+        }
+        let Some(case) = self.narrowest(parts) else {
+            return match (own.is_empty(), parts.first()) {
+                (false, Some(identity)) => ItemTurn::WithLease(*identity),
+                _ => ItemTurn::Free,
+            };
+        };
+        let crashes = self.evidence.crashes();
+        let of_case = crashes.filter(|(_, c)| case.explains(c));
+        let last = of_case.map(|(_, c)| c.at).max();
+        match (last, case.parts.first()) {
+            (Some(last), _) if now < last + CASE_PAUSE => ItemTurn::Later,
+            (_, Some(part)) => ItemTurn::WithLease(*part),
+            (_, None) => ItemTurn::Free,
+        }
+    }
+
     /// Returns whether a server has crashed under a run with `part` and none has written output since.
     fn is_suspected(&self, part: PartKey) -> bool {
         self.suspected.contains(&part) && self.evidence.since_output(part).next().is_some()
--- a/gateway/src/serve/choose.rs
+++ b/gateway/src/serve/choose.rs
@@ -16,6 +16,7 @@
 
 use super::attempt::AttemptHistory;
 use super::heads;
+use super::leases::Lease;
 use super::lines::{
     PLACED,
     log_event, //
@@ -75,6 +76,8 @@
     pub(crate) needs_probe: bool,
     /// What was known about the request then.
     pub(crate) known: Knowledge,
+    /// Lease of the request, if it is suspected; it ends with the run.
+    pub(crate) lease: Option<Lease<P>>,
     /// When the server was chosen; the request is sent later.
     pub(crate) chosen_at: Timestamp,
     started: Instant,
@@ -174,6 +177,10 @@
     {
         return Err(Rejection::held(hold.case.clone()));
     }
+    // Two runs of a request beside each other could end two servers.
+    if eligible == Eligible::AtOnce && state.knowledge(&admitted.parts) != Knowledge::Nothing {
+        return Err(NO_ROOM);
+    }
     state.draw_seed = state.rng.random();
     state.update_cells(&node.settings);
     let (candidates, placement) = find_placement(&state, node, admitted, history, eligible, now);
@@ -238,6 +245,7 @@
         entry,
         needs_probe: hold.is_some(),
         known,
+        lease: None,
         chosen_at: now,
         started: Instant::now(),
     })
--- a/gateway/src/serve/crashes.rs
+++ b/gateway/src/serve/crashes.rs
@@ -73,7 +73,10 @@
     Topic, //
 };
 use crate::prompt::PartKey;
-use crate::quarantine::CaseChange;
+use crate::quarantine::{
+    CaseChange,
+    Knowledge, //
+};
 use crate::request_parts::RequestParts;
 
 /// Time between two messages with the same news.
@@ -208,14 +211,16 @@
 /// Records that a run of a request with these parts wrote output.
 pub(crate) fn run_began<P: Store + Dialect>(node: &Arc<Node<P>>, parts: &RequestParts) {
     let now = node.now();
+    let is_news;
     let changes = {
         let mut state = node.lock();
         if state.quarantine.is_empty() {
             return;
         }
+        is_news = state.quarantine.knowledge(parts.keys()) != Knowledge::Nothing;
         state.quarantine.began(parts.keys(), now)
     };
-    if !changes.is_empty() {
+    if is_news || !changes.is_empty() {
         node.crash_news.notify(usize::MAX);
     }
     apply_changes(node, changes, Origin::Own);
@@ -484,27 +489,30 @@
 
 fn send_news<P>(node: &Node<P>, socket: &Async<UdpSocket>) {
     let now = node.now();
-    let (news, all, digest, chosen) = {
+    let (news, leases, all, digest, chosen) = {
         let mut state = node.lock();
         let news = state.quarantine.news(now);
+        let leases = state.leases.news();
         let all: Vec<IpAddr> = state.members.iter().map(|(_, m)| m.addr).collect();
         let chosen = std::mem::take(&mut state.digest_due);
         let digest = (!chosen.is_empty()).then(|| state.quarantine.digest(now));
-        (news, all, digest, chosen)
+        (news, leases, all, digest, chosen)
     };
+    if let Some(leases) = leases {
+        send_to(node, socket, &leases.encode(), &all);
+    }
     if !news.is_empty() {
-        send_to(node, socket, &news, &all);
+        send_to(node, socket, &news.encode(), &all);
     }
     if let Some(digest) = digest.filter(|digest| !digest.is_empty()) {
-        send_to(node, socket, &digest, &chosen);
+        send_to(node, socket, &digest.encode(), &chosen);
     }
 }
 
-fn send_to<P>(node: &Node<P>, socket: &Async<UdpSocket>, news: &CrashNews, addrs: &[IpAddr]) {
-    let bytes = news.encode();
+fn send_to<P>(node: &Node<P>, socket: &Async<UdpSocket>, bytes: &[u8], addrs: &[IpAddr]) {
     for addr in addrs {
         let addr = SocketAddr::new(*addr, node.settings.peer_port);
-        if let Err(err) = socket.get_ref().send_to(&bytes, addr) {
+        if let Err(err) = socket.get_ref().send_to(bytes, addr) {
             // The news is repeated, and a later digest has it too.
             log::debug!("cannot tell {addr} about crashes: {err}");
         }
--- a/gateway/src/serve/items.rs
+++ b/gateway/src/serve/items.rs
@@ -18,7 +18,6 @@
 };
 
 use super::lines::{
-    ITEM_HELD,
     ITEM_LISTED,
     log_event, //
 };
@@ -32,9 +31,10 @@
     OneShot,
     Steps, //
 };
+use super::suspected_items::choose_alone;
 use super::{
-    crashes,
     runs,
+    suspected_items,
     writer, //
 };
 use crate::backend::BackendEntry;
@@ -49,8 +49,6 @@
 use crate::instance::Instance;
 use crate::jobs::{
     Change,
-    Job,
-    JobItem,
     Outcome,
     Partition, //
 };
@@ -65,7 +63,6 @@
     replicas, //
 };
 use crate::report::ItemKey;
-use crate::request_parts::RequestParts;
 use crate::server_limits::Purpose;
 
 /// Time after the panic of an item's task before the item is taken up again, so that a panic that
@@ -216,18 +213,11 @@
     }
     let mut waiting = state.items.waiting(now, unix_ms());
     state.items_waiting = !waiting.is_empty();
-    let claim = hold_back(node, state, &mut waiting, now);
-    if let Some(claim) = claim {
-        let claim = claim_probe(node.clone(), claim);
-        let clean_up = std::future::ready(());
-        node.supervisor
-            .spawn_once(OneShot::ClaimProbe, claim, clean_up);
-    }
-    if waiting.is_empty() {
-        return;
+    if !waiting.is_empty() {
+        let handled_by_peers = handled_by_peers(state, me, now);
+        waiting.retain(|w| !handled_by_peers.contains(&w.item));
     }
-    let handled_by_peers = handled_by_peers(state, me, now);
-    waiting.retain(|w| !handled_by_peers.contains(&w.item));
+    suspected_items::pace(node, state, &mut waiting, now);
     if waiting.is_empty() {
         return;
     }
@@ -250,73 +240,13 @@
     };
     for (service, mut waiting) in by_service(state, waiting) {
         let candidates = candidates(state, &service, now);
-        for (key, backend) in choose_starts(&mut waiting, &candidates, me, contenders, reserve) {
+        let alone = choose_alone(&state.item_leases, &mut waiting, &candidates);
+        for (key, backend) in alone {
             runs::start(node, state, key, backend);
         }
-    }
-}
-
-/// An item that may be sent as a probe, with the parts of its prompt.
-struct ProbeClaim {
-    item: ItemKey,
-    id: String,
-    parts: RequestParts,
-}
-
-/// Removes the items whose prompts have parts that are held back, and returns one that may be sent
-/// as a probe.
-fn hold_back<P: Store + Dialect>(
-    node: &Arc<Node<P>>,
-    state: &mut State,
-    waiting: &mut Vec<WaitingItem>,
-    now: Timestamp,
-) -> Option<ProbeClaim> {
-    if !state.quarantine.has_cases() {
-        return None;
-    }
-    let mut claim = None;
-    waiting.retain(|w| {
-        let Some((item, job)) = job_item(state, w.item) else {
-            return true;
-        };
-        let parts = runs::item_parts(&node.platform, &item, &job.organisation, &job.host);
-        let Some(hold) = state.hold(&parts, now) else {
-            return true;
-        };
-        if state.item_probes.contains(&w.item) {
-            return true;
-        }
-        if let Some(open) = state.items.get_mut(w.item)
-            && !std::mem::replace(&mut open.held_back, true)
-        {
-            let case = crashes::describe(&hold.case);
-            log_event!(ITEM_HELD, "item={} job={} {case}", item.id, open.job);
-        }
-        if hold.probe_due && claim.is_none() {
-            let id = item.id.clone();
-            claim = Some(ProbeClaim {
-                item: w.item,
-                id,
-                parts,
-            });
+        for (key, backend) in choose_starts(&mut waiting, &candidates, me, contenders, reserve) {
+            runs::start(node, state, key, backend);
         }
-        false
-    });
-    claim
-}
-
-/// Returns an item and its job.
-fn job_item(state: &State, key: ItemKey) -> Option<(Arc<JobItem>, &Job)> {
-    let open = state.items.get(key)?;
-    let job = state.partitions.get(open.partition)?.get(&open.job)?;
-    Some((job.items.get(open.index)?.clone(), job))
-}
-
-/// Sends an item as a probe, if the store grants it to this instance.
-async fn claim_probe<P: Store + Dialect>(node: Arc<Node<P>>, claim: ProbeClaim) {
-    if crashes::claim_probe(&node, &claim.id, claim.parts.keys()).await {
-        node.lock().item_probes.insert(claim.item);
-        node.balance_due.notify(usize::MAX);
     }
 }
 
--- a/gateway/src/serve/mod.rs
+++ b/gateway/src/serve/mod.rs
@@ -11,6 +11,7 @@
 mod heads;
 mod items;
 mod job_calls;
+mod leases;
 mod lines;
 mod metrics;
 mod node;
@@ -29,6 +30,7 @@
 mod store_calls;
 mod stream;
 mod supervisor;
+mod suspected_items;
 mod takeover;
 mod writer;
 
--- a/gateway/src/serve/node.rs
+++ b/gateway/src/serve/node.rs
@@ -1,6 +1,9 @@
 //! State shared by all tasks of an instance.
 
-use std::collections::HashSet;
+use std::collections::{
+    HashMap,
+    HashSet, //
+};
 use std::net::{
     IpAddr,
     SocketAddr, //
@@ -56,6 +59,7 @@
 use crate::config_freshness::ConfigFreshness;
 use crate::instance::Instance;
 use crate::jobs::Partition;
+use crate::leases::Leases;
 use crate::load::Load;
 use crate::members::{
     Member,
@@ -70,6 +74,7 @@
     forward_targets,
     runners, //
 };
+use crate::prompt::PartKey;
 use crate::quarantine::{
     Hold,
     Knowledge,
@@ -126,8 +131,9 @@
     /// Backend servers on which a run was lost, until it is known whether they have crashed. There is
     /// one entry for each run.
     pub(crate) crash_checks: Vec<BackendKey>,
-    /// Items that are sent as probes.
-    pub(crate) item_probes: HashSet<ItemKey>,
+    /// Leases of suspected requests, those of items beside them.
+    pub(crate) leases: Leases,
+    pub(crate) item_leases: HashMap<ItemKey, ItemLease>,
     /// Instances that are to get all that is known about crashes.
     pub(crate) digest_due: Vec<IpAddr>,
     pub(crate) quotas: Quotas,
@@ -152,6 +158,14 @@
     pub(crate) mean_holding_s: f64,
 }
 
+/// Lease under which an item runs.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ItemLease {
+    pub(crate) key: PartKey,
+    /// Whether the item may start.
+    pub(crate) is_confirmed: bool,
+}
+
 /// Whether this instance is a replica of a partition of the jobs.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) enum ReplicaStatus {
@@ -419,7 +433,8 @@
             quarantine: Quarantine::default(),
             probe_claimed_at: None,
             crash_checks: Vec::new(),
-            item_probes: HashSet::new(),
+            leases: Leases::new(&settings.name),
+            item_leases: HashMap::new(),
             digest_due: Vec::new(),
             quotas: Quotas::new(settings.tolerance),
             return_times: ReturnTimes::default(),
--- a/gateway/src/serve/online.rs
+++ b/gateway/src/serve/online.rs
@@ -59,6 +59,7 @@
     crashes,
     forwarding,
     job_calls,
+    leases,
     relay, //
 };
 use crate::config::{
@@ -338,10 +339,13 @@
 ) -> Result<Box<Source<P>>, Response<Body>> {
     let id = &admitted.call.request_id;
     loop {
-        let placed = match choose(node, admitted, history, Eligible::All) {
+        let lease = leases::acquire(node, &admitted.parts, admitted.deadline).await;
+        let lease = lease.map_err(|busy| reject(node, admitted, history, busy))?;
+        let mut placed = match choose(node, admitted, history, Eligible::All) {
             Ok(placed) => placed,
             Err(rejection) => return Err(reject(node, admitted, history, rejection)),
         };
+        placed.lease = lease;
         if placed.needs_probe {
             if !crashes::claim_probe(node, id, admitted.parts.keys()).await {
                 drop(placed);
--- a/gateway/src/serve/peers.rs
+++ b/gateway/src/serve/peers.rs
@@ -24,6 +24,7 @@
 use super::follow;
 use super::heads;
 use super::items;
+use super::leases;
 use super::lines::{
     CONFIG_FETCH_FAILED,
     CONFIG_UNREADABLE,
@@ -43,6 +44,7 @@
 use crate::crash_message::CaseRecord;
 use crate::crash_news::CrashNews;
 use crate::instance::InstanceRecord;
+use crate::leases::LeaseNews;
 use crate::members::{
     MIN_REPORT_TIMEOUT,
     ReportUpdate, //
@@ -172,6 +174,10 @@
         crashes::merge(node, &news);
         return;
     }
+    if let Some(news) = LeaseNews::decode(message) {
+        leases::hear(node, &news);
+        return;
+    }
     let report = Report::decode(message);
     if let Some(report) = report.filter(|r| r.name != node.settings.name) {
         apply_report(node, report, from);
--- a/gateway/src/serve/runs.rs
+++ b/gateway/src/serve/runs.rs
@@ -29,6 +29,7 @@
 use super::heads;
 use super::heads::SentRequest;
 use super::items::PANIC_PAUSE;
+use super::leases;
 use super::lines::{
     ITEM_ENDED,
     ITEM_LISTED,
@@ -253,7 +254,6 @@
     let step = {
         let mut state = node.lock();
         state.load.batch_ended(run.key, now);
-        state.item_probes.remove(&run.key);
         state.runs.remove(&run.key);
         if end == RunEnd::Completed {
             let service = &run.entry.service;
@@ -265,6 +265,7 @@
             .items
             .run_ended(run.key, &end, progress, run.attempts, now)
     };
+    leases::release_for_item(&node, run.key);
     node.report_due.notify(usize::MAX);
     node.balance_due.notify(usize::MAX);
     if let Step::Finish(outcome) = step {
@@ -279,7 +280,6 @@
     {
         let mut state = node.lock();
         state.load.batch_ended(key, now);
-        state.item_probes.remove(&key);
         state.runs.remove(&key);
         let open = state.items.get(key);
         let progress = open.map(|open| open.progress.clone()).unwrap_or_default();
@@ -289,6 +289,7 @@
             item.not_before = now + PANIC_PAUSE;
         }
     }
+    leases::release_for_item(&node, key);
     node.report_due.notify(usize::MAX);
     node.balance_due.notify(usize::MAX);
 }
--- a/gateway/src/serve/supervisor.rs
+++ b/gateway/src/serve/supervisor.rs
@@ -124,7 +124,7 @@
     ItemRun,
     CatchUp,
     GiveUp,
-    ClaimProbe,
+    ConfirmLease,
     FetchConfiguration,
     CheckServer,
     StoreCase,
--- a/gateway/src/serve/takeover.rs
+++ b/gateway/src/serve/takeover.rs
@@ -22,6 +22,7 @@
     choose, //
 };
 use super::crashes;
+use super::leases;
 use super::lines::{
     OVERLAP_BEGAN,
     OVERLAP_ENDED,
@@ -224,7 +225,14 @@
                 Ok(())
             };
             self.bounded(checked).await?;
-            let placed = match choose(self.node, self.admitted, &self.history, Eligible::Rest) {
+            let lease = async {
+                let deadline = self.admitted.deadline;
+                Ok(leases::acquire(self.node, &self.admitted.parts, deadline).await)
+            };
+            let Ok(lease) = self.bounded(lease).await? else {
+                continue;
+            };
+            let mut placed = match choose(self.node, self.admitted, &self.history, Eligible::Rest) {
                 Ok(placed) => placed,
                 Err(rejection) if rejection.is_final && rejected_by.is_empty() => break,
                 Err(_) => {
@@ -239,6 +247,7 @@
                     continue;
                 }
             };
+            placed.lease = lease;
             let key = placed.key;
             self.history.tried.push(key);
             self.history.runs += 1;
--- a/gateway/tests/repeated_crashes.rs
+++ b/gateway/tests/repeated_crashes.rs
@@ -4,6 +4,7 @@
 
 use limpetweir_gateway::{
     CrashKey,
+    ItemTurn,
     PartKey,
     Quarantine, //
 };
@@ -131,3 +132,36 @@
     let case = quarantine.cases(at(9_000)).next().expect("a case");
     assert_eq!(case.crashes, 4);
 }
+
+/// Guards against an item that ends one server after the other in quick succession, and against one that
+/// is left lying: it waits for 15 seconds at most.
+#[test]
+fn an_item_runs_again_after_growing_pauses() {
+    let mut quarantine = Quarantine::default();
+    let item = [deadly(), PartKey(1)];
+    let mut now = 1_000;
+    for expected_ms in [200, 1_000, 4_000, 8_000, 15_000, 15_000] {
+        crash(&mut quarantine, now, &item);
+        let turn = |ms| quarantine.item_turn(&item, at(ms));
+        assert_eq!(turn(now + expected_ms.max(2_001) - 2_001), ItemTurn::Later);
+        let later = now + expected_ms.max(2_000);
+        assert!(
+            matches!(turn(later), ItemTurn::WithLease(_)),
+            "{expected_ms}"
+        );
+        now = later;
+    }
+    quarantine.began(&item, at(now));
+    assert_eq!(quarantine.item_turn(&item, at(now)), ItemTurn::Free);
+}
+
+/// Guards against an item that waits because a request of a caller with the same parts is held back.
+#[test]
+fn no_case_of_a_request_concerns_an_item() {
+    let mut quarantine = Quarantine::default();
+    for ms in [1_000, 1_100] {
+        crash(&mut quarantine, ms, &[deadly(), PartKey(1), PartKey(2)]);
+    }
+    let item = [PartKey::identity(0x17e << 32), PartKey(1), PartKey(2)];
+    assert_eq!(quarantine.item_turn(&item, at(1_101)), ItemTurn::Free);
+}
