--- a/gateway/src/crash_evidence.rs
+++ b/gateway/src/crash_evidence.rs
@@ -26,7 +26,8 @@
 /// the bound on further requests with a part applies.
 const BLAMED_AFTER: usize = 3;
 
-/// Crashes after which a request is blamed if no other server has crashed without it meanwhile. It
+/// Crashes before any output after which a request is blamed if no other server has crashed without it
+/// meanwhile. It
 /// is on one server at a time, so that two have no other cause in common.
 const REQUEST_BLAMED_AFTER: usize = 2;
 
@@ -53,9 +54,8 @@
 /// Maximum number of suspected parts of prompts of one crash.
 const MAX_CRASH_PARTS: usize = 64;
 
-/// Maximum number of suspected identities of one crash, each of a run that had no output. They have
-/// a limit of their own, so that parts that callers have invented do not cut them off. With eight
-/// slots and a queue of two a server has ten such runs.
+/// Maximum number of suspected requests of one crash. They have a limit of their own, so that parts that
+/// callers have invented do not cut them off. With eight slots and a queue of two a server has ten runs.
 const MAX_CRASH_IDENTITIES: usize = 32;
 
 /// Maximum number of suspects of one crash.
@@ -76,15 +76,15 @@
     /// Adds suspects within the limits; returns whether any is new.
     pub(crate) fn add_suspects(&mut self, parts: impl Iterator<Item = PartKey>) -> bool {
         let before = self.suspects.len();
-        let mut identities = self.suspects.iter().filter(|p| p.is_identity()).count();
+        let mut identities = self.suspects.iter().filter(|p| p.names_request()).count();
         for part in parts {
-            let is_identity = part.is_identity();
-            let has_room = match is_identity {
+            let names_request = part.names_request();
+            let has_room = match names_request {
                 true => identities < MAX_CRASH_IDENTITIES,
                 false => self.suspects.len() - identities < MAX_CRASH_PARTS,
             };
             if has_room && self.suspects.insert(part) {
-                identities += usize::from(is_identity);
+                identities += usize::from(names_request);
             }
         }
         self.suspects.len() > before
@@ -187,7 +187,7 @@
             let crashes = self.crashes.values();
             let crashes = crashes.filter(|c| c.at > b.told && c.at <= b.at);
             let crashes = crashes.filter(|c| c.suspects.contains(part));
-            match part.is_identity() {
+            match part.names_request() {
                 true => crashes.count() > 0,
                 false => moments(crashes.map(|c| c.at)) + 1 >= BLAMED_AFTER,
             }
@@ -232,11 +232,11 @@
             }
         };
         for crash in self.crashes.values() {
-            let requests = crash.suspects.iter().filter(|part| part.is_identity());
+            let requests = crash.suspects.iter().filter(|part| part.names_request());
             requests.for_each(|part| add(part, crash));
         }
         for crash in unexplained.iter().filter(|c| is_recent(c)) {
-            let parts = crash.suspects.iter().filter(|part| !part.is_identity());
+            let parts = crash.suspects.iter().filter(|part| !part.names_request());
             parts.for_each(|part| add(part, crash));
         }
         candidates
@@ -318,7 +318,7 @@
         times.sort_unstable();
         let oldest = times[times.len() - MAX_CRASHES_WITH_PARTS];
         for crash in self.crashes.values_mut().filter(|c| c.at < oldest) {
-            crash.suspects.retain(|part| part.is_identity());
+            crash.suspects.retain(|part| part.names_request());
         }
         self.crashes.retain(|_, c| !c.suspects.is_empty());
     }
@@ -329,7 +329,7 @@
         let mut seen = HashSet::new();
         let mut repeated = HashSet::new();
         for crash in self.crashes.values() {
-            for part in crash.suspects.iter().filter(|part| part.is_identity()) {
+            for part in crash.suspects.iter().filter(|part| part.names_request()) {
                 if crash.at > self.begun_at(*part) && !seen.insert(part) {
                     repeated.insert(part);
                 }
@@ -344,7 +344,7 @@
 
 /// Returns how many crashes count against `part`.
 fn weight(part: PartKey, crashes: &[&KnownCrash]) -> usize {
-    match part.is_identity() {
+    match part.names_request() {
         true => crashes.len(),
         false => moments(crashes.iter().map(|c| c.at)),
     }
--- a/gateway/src/open_case.rs
+++ b/gateway/src/open_case.rs
@@ -69,7 +69,7 @@
 
     /// Returns the requests that are blamed themselves; without any, all requests with the parts are.
     pub(crate) fn identities(&self) -> impl Iterator<Item = &PartKey> {
-        self.parts.iter().filter(|part| part.is_identity())
+        self.parts.iter().filter(|part| part.names_request())
     }
 
     /// Returns whether a request with these keys is held back. One that is blamed itself is, whatever
--- a/gateway/src/quarantine.rs
+++ b/gateway/src/quarantine.rs
@@ -309,7 +309,7 @@
         let mut is_news = false;
         for part in parts {
             if self.suspected.contains(part) {
-                is_news |= part.is_identity() && self.is_suspected(*part);
+                is_news |= part.names_request() && self.is_suspected(*part);
                 is_news |= self.cases.iter().any(|case| case.parts.contains(part));
                 self.evidence.begun_mut(*part).at = now;
             }
@@ -397,8 +397,8 @@
             // The sender has missed this.
             self.evidence.tell(*part, now);
         }
-        let about_requests = case.parts.iter().any(|part| part.is_identity());
-        let has_requests = parts.iter().any(|part| part.is_identity());
+        let about_requests = case.parts.iter().any(|part| part.names_request());
+        let has_requests = parts.iter().any(|part| part.names_request());
         let is_sound = parts.is_empty() || about_requests && !has_requests;
         if is_sound || case.age > CASE_LIFETIME {
             return;
@@ -515,7 +515,7 @@
             let suspected: BTreeSet<PartKey> = suspected.collect();
             let before = case.to_case(now);
             let about_requests = case.identities().next().is_some();
-            let has_requests = suspected.iter().any(|part| part.is_identity());
+            let has_requests = suspected.iter().any(|part| part.names_request());
             if suspected.is_empty() || about_requests && !has_requests {
                 *released += u64::from(case.held);
                 changes.push(CaseChange::Closed(before));
--- a/gateway/src/request_parts.rs
+++ b/gateway/src/request_parts.rs
@@ -14,6 +14,9 @@
 /// Upper 16 bits of the keys of identities, which distinguish them from the parts of prompts.
 const IDENTITY_TAG: u64 = 0xfd1d << 48;
 
+/// The same of their keys for crashes after some output.
+const LATE_TAG: u64 = 0xfd1e << 48;
+
 /// Bits of such a key that are part of the tag.
 const IDENTITY_MASK: u64 = 0xffff << 48;
 
@@ -23,6 +26,17 @@
         Self(hash >> 16 | IDENTITY_TAG)
     }
 
+    /// Returns the key under which crashes after some output count against the request with this
+    /// identity.
+    pub fn late(self) -> Self {
+        Self(self.0 & !IDENTITY_MASK | LATE_TAG)
+    }
+
+    /// Returns whether this is the identity of a request, or its key for crashes after some output.
+    pub fn names_request(self) -> bool {
+        self.is_identity() || self.0 & IDENTITY_MASK == LATE_TAG
+    }
+
     /// Returns whether this is the key of an identity. A part that a caller has invented may look
     /// like one.
     pub fn is_identity(self) -> bool {
@@ -86,13 +100,27 @@
     /// that limits never cut it off.
     pub fn keys(&self) -> &[PartKey] {
         self.keys.get_or_init(|| {
-            let mut keys = vec![self.compute_identity()];
+            let identity = self.compute_identity();
+            let mut keys = vec![identity];
             keys.extend(self.last());
             keys.extend_from_slice(self.shared());
+            keys.push(identity.late());
             keys
         })
     }
 
+    /// Returns the keys that are suspected if a server crashes before any output, and that are cleared
+    /// by output: all but the last one.
+    pub fn early(&self) -> &[PartKey] {
+        self.keys().split_last().map_or(&[], |(_, early)| early)
+    }
+
+    /// Returns the key that is suspected if a server crashes after some output, and that is cleared by a
+    /// whole response.
+    pub fn late(&self) -> PartKey {
+        self.identity().late()
+    }
+
     fn compute_identity(&self) -> PartKey {
         let mut hasher = Xxh3::new();
         hasher.update(&self.head.to_be_bytes());
--- a/gateway/src/serve/crashes.rs
+++ b/gateway/src/serve/crashes.rs
@@ -18,7 +18,6 @@
     Response,
     StatusCode, //
 };
-use limpetweir_state::Timestamp;
 use limpetweir_transport::http::{
     Body,
     TrafficClass, //
@@ -116,33 +115,42 @@
     CrashKey(xxh3_64(format!("{}/{}", entry.id, entry.born).as_bytes()))
 }
 
-/// Records that a backend server closed the connection of this run without output, if the server has
-/// crashed: it then refuses new connections.
-pub(crate) fn run_lost<P: Store + Dialect>(node: &Arc<Node<P>>, run: LostRun) {
-    let at = node.now();
+/// Records that a backend server closed the connection of this run, if the server has crashed: it then
+/// refuses new connections, or is listed as started again soon.
+pub(crate) fn run_lost<P: Store + Dialect>(node: &Arc<Node<P>>, mut run: LostRun) {
     let entry = run.place.entry.clone();
-    let key = BackendKey::of(&entry.id);
-    let is_serving = {
-        let state = node.lock();
+    let key = run.place.key;
+    {
+        let mut state = node.lock();
         let backend = state.backends.get(key);
-        backend.is_some_and(|backend| backend.accepts_requests(at))
-    };
-    if !is_serving {
-        return;
+        let leaves = backend.is_none_or(|backend| !backend.accepts_requests(run.at));
+        if leaves {
+            // Its end was planned and says nothing about parts that many requests share, but a sound
+            // request is not on the next server too that ends without any output.
+            if !run.is_early {
+                return;
+            }
+            run.suspects.truncate(1);
+        }
+        if let Some(runs) = state.crash_checks.get_mut(&key) {
+            runs.push(run);
+            return;
+        }
+        state.crash_checks.insert(key, vec![run]);
     }
-    node.lock().crash_checks.push(key);
     let shared = node.clone();
     let check = async move {
         let node = shared;
-        let _check = CheckGuard { node: &node, key };
-        let check = node.client.open(entry.addr, TrafficClass::Online).await;
-        match check {
+        let check = CheckGuard { node: &node, key };
+        let connected = node.client.open(entry.addr, TrafficClass::Online).await;
+        let runs = check.runs();
+        match connected {
             Err(err) if err.is_refused() => {
                 unresponsive(&node, key, &err);
-                server_crashed(&node, &run, at);
+                runs.iter().for_each(|run| server_crashed(&node, run));
             }
             Err(err) => log::debug!("{} neither accepts nor refuses: {err}", entry.id),
-            Ok(()) => {}
+            Ok(()) => node.lock().restarts.lost(runs),
         }
     };
     let clean_up = std::future::ready(());
@@ -156,24 +164,41 @@
     key: BackendKey,
 }
 
+impl<P> CheckGuard<'_, P> {
+    /// Takes the runs that were lost on the server until now.
+    fn runs(&self) -> Vec<LostRun> {
+        let runs = self
+            .node
+            .lock()
+            .crash_checks
+            .get_mut(&self.key)
+            .map(std::mem::take);
+        runs.unwrap_or_default()
+    }
+}
+
 impl<P> Drop for CheckGuard<'_, P> {
     fn drop(&mut self) {
-        let mut state = self.node.lock();
-        if let Some(place) = state.crash_checks.iter().position(|key| *key == self.key) {
-            state.crash_checks.swap_remove(place);
-        }
-        drop(state);
+        self.node.lock().crash_checks.remove(&self.key);
         self.node.crash_checked.notify(usize::MAX);
     }
 }
 
+/// Records that an entry of a backend server was read, which may be that of a server that crashed and was
+/// started again before a connection was refused.
+pub(crate) fn entry_read<P: Store + Dialect>(node: &Arc<Node<P>>, entry: &BackendEntry) {
+    let now = node.now();
+    let runs = node.lock().restarts.started(entry, now);
+    runs.iter().for_each(|run| server_crashed(node, run));
+}
+
 /// Waits until it is known whether a server has crashed on which a run was lost. A request that is
 /// repeated sooner crashes one more server, although its case is opened by this crash.
 pub(crate) async fn checked<P>(node: &Node<P>, key: BackendKey) {
     let deadline = Instant::now() + CHECK_TIMEOUT;
     loop {
         let ended = node.crash_checked.listen();
-        if !node.lock().crash_checks.contains(&key) {
+        if !node.lock().crash_checks.contains_key(&key) {
             return;
         }
         if timeout_at(deadline, ended).await.is_none() {
@@ -182,7 +207,8 @@
     }
 }
 
-fn server_crashed<P: Store + Dialect>(node: &Arc<Node<P>>, run: &LostRun, at: Timestamp) {
+fn server_crashed<P: Store + Dialect>(node: &Arc<Node<P>>, run: &LostRun) {
+    let at = run.at;
     let now = node.now();
     let me = &node.settings.name;
     let place = &run.place;
@@ -197,10 +223,11 @@
     node.metrics.suspected_run(known);
     log_event!(
         SERVER_CRASHED,
-        "backend={} request={} placed_ms={} known={known} suspects={} {}",
+        "backend={} request={} placed_ms={} known={known} output={} suspects={} {}",
         entry.id,
         run.request,
         at.since(place.at).as_millis(),
+        !run.is_early,
         list(&run.suspects),
         run.identity
     );
@@ -208,8 +235,12 @@
     node.crash_news.notify(usize::MAX);
 }
 
-/// Records that a run of a request with these parts wrote output.
-pub(crate) fn run_began<P: Store + Dialect>(node: &Arc<Node<P>>, parts: &RequestParts) {
+/// Records that a run of a request with these parts wrote output, which clears `keys` of them.
+pub(crate) fn run_began<P: Store + Dialect>(
+    node: &Arc<Node<P>>,
+    parts: &RequestParts,
+    keys: &[PartKey],
+) {
     let now = node.now();
     let is_news;
     let changes = {
@@ -218,7 +249,7 @@
             return;
         }
         is_news = state.quarantine.knowledge(parts.keys()) != Knowledge::Nothing;
-        state.quarantine.began(parts.keys(), now)
+        state.quarantine.began(keys, now)
     };
     if is_news || !changes.is_empty() {
         node.crash_news.notify(usize::MAX);
--- a/gateway/src/serve/follow.rs
+++ b/gateway/src/serve/follow.rs
@@ -27,6 +27,7 @@
 use super::supervisor::Steps;
 use super::{
     caller_timeouts,
+    crashes,
     items, //
 };
 use crate::checked::excerpt;
@@ -513,7 +514,7 @@
         Ok(entry) => {
             let draining = entry.draining;
             let addr = entry.addr;
-            let changed = state.backends.update(entry, now);
+            let changed = state.backends.update(entry.clone(), now);
             if state.backends.is_reserved(addr) {
                 let cause = format!("{addr} is the address of the store or of an instance");
                 skip_record(&mut state, Topic::Backends, &record.key, &cause);
@@ -527,6 +528,8 @@
                     record.key
                 );
             }
+            drop(state);
+            crashes::entry_read(node, &entry);
         }
         Err(err) => {
             // An unreadable entry contains no usable address; the other entries are not affected.
--- a/gateway/src/serve/mod.rs
+++ b/gateway/src/serve/mod.rs
@@ -23,6 +23,7 @@
 mod replies;
 mod reports;
 mod rest;
+mod restarts;
 mod results;
 mod run_watch;
 mod runs;
--- a/gateway/src/serve/node.rs
+++ b/gateway/src/serve/node.rs
@@ -43,6 +43,8 @@
 use super::ends::Ends;
 use super::items::RunHandles;
 use super::metrics::Metrics;
+use super::restarts::Restarts;
+use super::run_watch::LostRun;
 use super::stop_window::StopWindow;
 use super::supervisor::Supervisor;
 use super::writer::WriteRequest;
@@ -128,9 +130,10 @@
     pub(crate) quarantine: Quarantine,
     /// When this instance last tried to claim a probe.
     pub(crate) probe_claimed_at: Option<Timestamp>,
-    /// Backend servers on which a run was lost, until it is known whether they have crashed. There is
-    /// one entry for each run.
-    pub(crate) crash_checks: Vec<BackendKey>,
+    /// Backend servers that are checked for a crash, with the runs that were lost there.
+    pub(crate) crash_checks: HashMap<BackendKey, Vec<LostRun>>,
+    /// Runs that were lost on servers which may have been started again.
+    pub(crate) restarts: Restarts,
     /// Leases of suspected requests, those of items beside them.
     pub(crate) leases: Leases,
     pub(crate) item_leases: HashMap<ItemKey, ItemLease>,
@@ -432,7 +435,8 @@
             outputs: Outputs::default(),
             quarantine: Quarantine::default(),
             probe_claimed_at: None,
-            crash_checks: Vec::new(),
+            crash_checks: HashMap::new(),
+            restarts: Restarts::default(),
             leases: Leases::new(&settings.name),
             item_leases: HashMap::new(),
             digest_due: Vec::new(),
--- a/gateway/src/serve/run_watch.rs
+++ b/gateway/src/serve/run_watch.rs
@@ -115,7 +115,7 @@
     pub(crate) fn output(&mut self) {
         self.outputs += 1;
         if self.outputs == SAFE_OUTPUTS {
-            crashes::run_began(&self.node, &self.parts);
+            crashes::run_began(&self.node, &self.parts, self.parts.early());
         }
         let now = self.node.now();
         match self.recorded {
@@ -136,15 +136,16 @@
 
     /// Records that the response is complete.
     pub(crate) fn completed(&self) {
-        if self.is_suspected() {
-            crashes::run_began(&self.node, &self.parts);
+        let node = &self.node;
+        if !node.lock().quarantine.is_empty() {
+            crashes::run_began(node, &self.parts, self.parts.keys());
         }
     }
 
     /// Records that the connection ended before the response did.
     pub(crate) fn connection_lost(&self, head: bool) {
         self.node.metrics.run_lost(self.outputs > 0);
-        let run = LostRun::new(&self.request, &self.parts, &self.place);
+        let run = LostRun::new(self);
         log_event!(
             RUN_LOST,
             "request={} backend={} parts={} {} head={head} outputs={}",
@@ -154,33 +155,44 @@
             run.identity,
             self.outputs
         );
-        if self.is_suspected() {
-            crashes::run_lost(&self.node, run);
-        }
+        crashes::run_lost(&self.node, run);
     }
 }
 
-/// A run that ended with its connection and before its output.
+/// A run that ended with its connection and before its response was whole.
+#[derive(Debug)]
 pub(crate) struct LostRun {
     pub(crate) request: String,
     pub(crate) place: RunPlace,
     /// Fields of a line about what identifies the request beyond the shared parts of its prompt.
     pub(crate) identity: String,
+    /// The first one identifies the request.
     pub(crate) suspects: Vec<PartKey>,
+    /// Whether it had no output that shows that the parts of its prompt are sound.
+    pub(crate) is_early: bool,
+    /// When it was lost.
+    pub(crate) at: Timestamp,
 }
 
 impl LostRun {
-    fn new(request: &str, parts: &RequestParts, place: &RunPlace) -> Self {
+    fn new<P: Store + Dialect>(watch: &RunWatch<P>) -> Self {
+        let parts = &watch.parts;
         let last = parts.last().map(|part| part.to_string());
+        let is_early = watch.is_suspected();
         Self {
-            request: request.to_owned(),
-            place: place.clone(),
+            request: watch.request.clone(),
+            place: watch.place.clone(),
             identity: format!(
                 "last_part={} identity={}",
                 last.unwrap_or_default(),
                 parts.identity()
             ),
-            suspects: parts.keys().to_vec(),
+            suspects: match is_early {
+                true => parts.early().to_vec(),
+                false => vec![parts.late()],
+            },
+            is_early,
+            at: watch.node.now(),
         }
     }
 }
--- a/gateway/tests/quarantine_requests.rs
+++ b/gateway/tests/quarantine_requests.rs
@@ -47,7 +47,7 @@
     }
 }
 
-/// Returns the keys of a request whose prompt, and so its body, has these parts.
+/// Returns the keys of a request without output whose prompt, and so its body, has these parts.
 fn prompt(parts: &[PartKey]) -> Vec<PartKey> {
     let (last, shared) = parts.split_last().expect("a part");
     let body = Bytes::from(format!("{parts:?}"));
@@ -56,7 +56,7 @@
         last: Some(*last),
     };
     let parts = RequestParts::new(content(&Method::POST, HOST, "/once/1", &body), parts);
-    parts.keys().to_vec()
+    parts.early().to_vec()
 }
 
 /// Returns the keys of a request without a prompt.
--- a/gateway/tests/repeated_crashes.rs
+++ b/gateway/tests/repeated_crashes.rs
@@ -165,3 +165,21 @@
     let item = [PartKey::identity(0x17e << 32), PartKey(1), PartKey(2)];
     assert_eq!(quarantine.item_turn(&item, at(1_101)), ItemTurn::Free);
 }
+
+/// Guards against a request that writes output before it crashes servers, which cleared it each time, and
+/// against a sound one that is held back because it met two crashes in the middle of its response.
+#[test]
+fn crashes_after_some_output_count_until_a_response_is_whole() {
+    let mut quarantine = Quarantine::default();
+    let keys = [deadly(), deadly().late()];
+    for (n, ms) in [1_000, 2_000, 3_000].into_iter().enumerate() {
+        assert!(quarantine.hold(&keys, at(ms)).is_none(), "{n}");
+        quarantine.began(&keys[..1], at(ms));
+        crash(&mut quarantine, ms + 100, &keys[1..]);
+    }
+    assert!(quarantine.hold(&keys, at(3_200)).is_some());
+    quarantine.began(&keys[..1], at(3_300));
+    assert!(quarantine.hold(&keys, at(3_400)).is_some());
+    quarantine.began(&keys, at(3_500));
+    assert!(quarantine.hold(&keys, at(3_600)).is_none());
+}
