--- a/cli/src/args.rs
+++ b/cli/src/args.rs
@@ -73,6 +73,7 @@
         .subcommand(job())
         .subcommand(complete())
         .subcommand(explain())
+        .subcommand(held())
         .subcommand(trace())
         .subcommand(plot())
         .subcommand(Command::new("addresses").about("Prints the addresses that a caller may use"))
@@ -119,6 +120,23 @@
     ]
 }
 
+fn held() -> Command {
+    let key = |text: &str| {
+        let key = u64::from_str_radix(text, 16);
+        key.map_err(|_| "a key is a hexadecimal number of up to 16 digits".to_owned())
+    };
+    Command::new("held")
+        .about("Prints what a gateway holds back because backend servers crashed, or releases it")
+        .after_help("--admin takes the address of the peer port of any instance.")
+        .arg(
+            Arg::new("release")
+                .long("release")
+                .value_name("KEY")
+                .value_parser(key)
+                .help("Closes the cases with this key on all instances"),
+        )
+}
+
 fn log_files() -> Arg {
     Arg::new("file")
         .value_name("FILE")
--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -3,6 +3,7 @@
 mod complete;
 mod config;
 mod explain;
+mod held;
 mod job;
 mod key;
 mod plot;
@@ -34,6 +35,7 @@
         "job" => job::run(matches),
         "complete" => complete::run(matches),
         "explain" => explain::run(matches),
+        "held" => held::run(matches),
         "trace" => trace::run(matches),
         "plot" => plot::run(matches),
         "addresses" => addresses(&Options::new(matches)?),
--- a/cli/src/fleet.rs
+++ b/cli/src/fleet.rs
@@ -98,6 +98,14 @@
         }
     }
 
+    /// Creates a DELETE request.
+    pub(crate) fn delete(path: impl Into<String>) -> Self {
+        Self {
+            method: Method::DELETE,
+            ..Self::get(path)
+        }
+    }
+
     /// Marks the request as idempotent: running it twice has the same effect as running it once.
     pub(crate) fn idempotent(mut self) -> Self {
         self.idempotent = true;
--- a/cli/src/options.rs
+++ b/cli/src/options.rs
@@ -99,6 +99,12 @@
         ))
     }
 
+    /// Returns a client for the peer addresses of gateway instances, which require no key.
+    pub(crate) fn peers(&self) -> Result<Fleet, Error> {
+        let addresses = require_addresses(&self.admin, "--admin", "peer")?;
+        Ok(Fleet::new(&self.spawner(), addresses, None, self.timeout))
+    }
+
     fn spawner(&self) -> Spawner {
         self.runtime.spawner()
     }
