--- /dev/null
+++ b/gateway/src/serve/apply.rs
@@ -0,0 +1,248 @@
+//! Applies the records of the store to the state of this instance.
+
+use std::fmt::Display;
+use std::sync::Arc;
+
+use limpetweir_state::Timestamp;
+
+use super::lines::{
+    BACKEND_CHANGED,
+    CONFIG_APPLIED,
+    CONFIG_UNREADABLE,
+    RECORD_SKIPPED,
+    log_event, //
+};
+use super::node::{
+    Node,
+    ReplicaStatus,
+    State, //
+};
+use super::{
+    caller_timeouts,
+    crash_checks,
+    items, //
+};
+use crate::checked::excerpt;
+use crate::config::Configuration;
+use crate::platform::{
+    Dialect,
+    Record,
+    Store,
+    Topic, //
+};
+
+/// Applies a record of a job, unless this instance has applied it already when it appended it.
+pub(crate) fn apply_job<P: Store + Dialect>(
+    node: &Arc<Node<P>>,
+    partition: u32,
+    offset: u64,
+    record: &Record,
+) {
+    let input = format!("topic=jobs partition={partition} offset={offset}");
+    let apply = || apply_new_job(node, partition, offset, record);
+    node.supervisor.skip_on_panic(&input, apply);
+}
+
+fn apply_new_job<P: Store + Dialect>(
+    node: &Arc<Node<P>>,
+    partition: u32,
+    offset: u64,
+    record: &Record,
+) {
+    let mut state = node.lock();
+    let known = &mut state.partitions[partition as usize];
+    // A partition that was dropped meanwhile must be listed before anything is applied to it.
+    if !known.is_loaded() || offset < known.next() {
+        return;
+    }
+    if let Err(err) = known.apply(record) {
+        skip_record(&mut state, Topic::Jobs, &record.key, &err);
+    }
+}
+
+/// Records that a record of a topic is not used, and logs it unless it is known.
+pub(crate) fn skip_record(state: &mut State, topic: Topic, key: &str, cause: &impl Display) {
+    let cause = excerpt(&cause.to_string());
+    if state.skipped.skipped(topic, key, &cause) {
+        let key = excerpt(key);
+        log_event!(RECORD_SKIPPED, "topic={topic} key={key} cause=\"{cause}\"");
+    }
+}
+
+/// Applies a record that is not one of a job.
+pub(crate) fn apply_record<P: Store + Dialect>(
+    node: &Arc<Node<P>>,
+    topic: Topic,
+    partition: u32,
+    record: &Record,
+) {
+    let input = format!("topic={topic} partition={partition} key={:?}", record.key);
+    let apply = || decode_and_apply(node, topic, partition, record);
+    let applied = node.supervisor.skip_on_panic(&input, apply);
+    if !applied && topic == Topic::Configuration {
+        // The version may allow what the one in force denies.
+        node.lock().config_freshness.unreadable();
+    }
+}
+
+fn decode_and_apply<P: Store + Dialect>(
+    node: &Arc<Node<P>>,
+    topic: Topic,
+    partition: u32,
+    record: &Record,
+) {
+    match topic {
+        Topic::Configuration => {
+            if let Some(decoded) = node.platform.configuration(record) {
+                match decoded {
+                    Ok(config) => {
+                        let mut state = node.lock();
+                        state.skipped.read(topic, &record.key);
+                        state.config_freshness.readable();
+                        drop(state);
+                        apply_config(node, config, record, "store");
+                    }
+                    Err(err) => {
+                        let cause = err.to_string();
+                        let mut state = node.lock();
+                        state.config_freshness.unreadable();
+                        if state.skipped.skipped(topic, &record.key, &cause) {
+                            log_event!(CONFIG_UNREADABLE, "cause=\"{cause}\"");
+                        }
+                    }
+                }
+            }
+        }
+        Topic::Backends => apply_backend_record(node, record),
+        Topic::Instances => super::peers::apply_record(node, record),
+        Topic::Jobs => {
+            let mut state = node.lock();
+            if let Err(err) = state.partitions[partition as usize].apply(record) {
+                skip_record(&mut state, topic, &record.key, &err);
+            }
+        }
+    }
+}
+
+/// Records that the store had no configuration newer than the one in force at the time `as_of`.
+pub(crate) fn confirm_config<P>(node: &Node<P>, as_of: Timestamp) {
+    let mut state = node.lock();
+    let version = state.config_version();
+    state.config_freshness.confirmed(version, as_of);
+}
+
+/// Records that the partition has been read up to `next`, and does the work that depends on it.
+pub(crate) fn mark_read<P: Store + Dialect>(
+    node: &Arc<Node<P>>,
+    topic: Topic,
+    partition: u32,
+    next: u64,
+) {
+    let now = node.now();
+    match topic {
+        // Confirmed with the time of the read, see `confirm_config`.
+        Topic::Configuration => {}
+        Topic::Jobs => {
+            let mut state = node.lock();
+            let known = &mut state.partitions[partition as usize];
+            let changed = known.is_loaded() && next > known.next();
+            if changed {
+                known.advance(next);
+                state.freshness[partition as usize].advanced(next);
+            }
+            drop(state);
+            if changed {
+                items::jobs_changed(node);
+            }
+        }
+        Topic::Backends => {
+            let removed = node.lock().backends.sweep(now);
+            for id in removed {
+                log_event!(BACKEND_CHANGED, "backend={id} state=gone cause=lapsed");
+            }
+        }
+        Topic::Instances => {
+            let mut state = node.lock();
+            state.instances_read = true;
+            state.instances_next = next;
+            super::peers::update_unreachable(&mut state, now);
+            let unsettled = state
+                .replica_status
+                .iter()
+                .any(|h| *h != ReplicaStatus::Active);
+            drop(state);
+            if unsettled {
+                items::jobs_changed(node);
+            }
+        }
+    }
+}
+
+/// Puts a configuration in force, unless it is not newer than the one in force.
+pub(crate) fn apply_config<P: Store + Dialect>(
+    node: &Arc<Node<P>>,
+    config: Configuration,
+    record: &Record,
+    source: &str,
+) {
+    let now = node.now();
+    let mut state = node.lock();
+    let before = state.config.as_ref().map(|config| config.version());
+    if before.is_some_and(|before| before >= config.version()) {
+        return;
+    }
+    state.quotas.configure(&config, now);
+    caller_timeouts::apply(node, config.limits());
+    let version = config.version();
+    state.config = Some(Arc::new(config));
+    state.config_freshness.reported(version);
+    state.config_record = Some(record.clone());
+    state.config_fetch.applied();
+    drop(state);
+    let before = before.unwrap_or(0);
+    log_event!(
+        CONFIG_APPLIED,
+        "version={version} before={before} source={source}"
+    );
+    node.report_due.notify(usize::MAX);
+    items::jobs_changed(node);
+}
+
+fn apply_backend_record<P: Store + Dialect>(node: &Arc<Node<P>>, record: &Record) {
+    let now = node.now();
+    let mut state = node.lock();
+    if record.value.is_empty() {
+        state.skipped.read(Topic::Backends, &record.key);
+        if state.backends.remove(&record.key, now) {
+            log_event!(BACKEND_CHANGED, "backend={} state=removed", record.key);
+        }
+        return;
+    }
+    match node.platform.backend(record) {
+        Ok(entry) => {
+            let draining = entry.draining;
+            let addr = entry.addr;
+            let changed = state.backends.update(entry.clone(), now);
+            if state.backends.is_reserved(addr) {
+                let cause = format!("{addr} is the address of the store or of an instance");
+                skip_record(&mut state, Topic::Backends, &record.key, &cause);
+                return;
+            }
+            state.skipped.read(Topic::Backends, &record.key);
+            if changed {
+                log_event!(
+                    BACKEND_CHANGED,
+                    "backend={} addr={addr} draining={draining}",
+                    record.key
+                );
+            }
+            drop(state);
+            crash_checks::entry_read(node, &entry);
+        }
+        Err(err) => {
+            // An unreadable entry contains no usable address; the other entries are not affected.
+            state.backends.remove(&record.key, now);
+            skip_record(&mut state, Topic::Backends, &record.key, &err);
+        }
+    }
+}
--- a/gateway/src/serve/catch_up.rs
+++ b/gateway/src/serve/catch_up.rs
@@ -12,7 +12,7 @@
 
 use async_lock::Mutex;
 
-use super::follow;
+use super::apply;
 use super::node::Node;
 use super::store_calls::StoreCall;
 use super::supervisor::OneShot;
@@ -86,7 +86,7 @@
         let range = read_once(node, partition).await?;
         for (offset, record) in (range.from..).zip(&range.records) {
             if let Some(record) = record {
-                follow::apply_job(node, partition, offset, record);
+                apply::apply_job(node, partition, offset, record);
             }
         }
         let next = range.from + range.records.len() as u64;
@@ -95,7 +95,7 @@
                 reason: "the store returned none of the records before its end".to_owned(),
             });
         }
-        follow::mark_read(node, Topic::Jobs, partition, next);
+        apply::mark_read(node, Topic::Jobs, partition, next);
         if next >= range.end {
             return Ok(next);
         }
--- a/gateway/src/serve/online.rs
+++ b/gateway/src/serve/online.rs
@@ -56,7 +56,8 @@
 use super::relay::Source;
 use super::replies::retry_later;
 use super::{
-    crashes,
+    case_records,
+    crash_checks,
     forwarding,
     job_calls,
     leases,
@@ -347,7 +348,7 @@
         };
         placed.lease = lease;
         if placed.needs_probe {
-            if !crashes::claim_probe(node, id, admitted.parts.keys()).await {
+            if !case_records::claim_probe(node, id, admitted.parts.keys()).await {
                 drop(placed);
                 return Err(reject_held(node, admitted, history));
             }
@@ -382,6 +383,6 @@
         if !may_run_again || admitted.deadline <= Instant::now() {
             return Err(fail(node, admitted, &cause));
         }
-        crashes::checked(node, key).await;
+        crash_checks::checked(node, key).await;
     }
 }
--- a/gateway/src/serve/peers.rs
+++ b/gateway/src/serve/peers.rs
@@ -20,8 +20,10 @@
 };
 use limpetweir_transport::sleep;
 
+use super::apply;
+use super::case_records;
+use super::crash_messages;
 use super::crashes;
-use super::follow;
 use super::heads;
 use super::items;
 use super::leases;
@@ -77,7 +79,7 @@
 /// Applies a record of an instance from the store.
 pub(crate) fn apply_record<P: Store + Dialect>(node: &Arc<Node<P>>, record: &Record) {
     if CaseRecord::has_key(&record.key) {
-        crashes::apply_record(node, record);
+        case_records::apply_record(node, record);
         return;
     }
     if record.key == node.settings.name {
@@ -100,7 +102,7 @@
             state.members.upsert(&record.key, instance, now);
             state.update_reserved(&node.settings);
         }
-        Err(err) => follow::skip_record(&mut state, Topic::Instances, &record.key, &err),
+        Err(err) => apply::skip_record(&mut state, Topic::Instances, &record.key, &err),
     }
 }
 
@@ -195,7 +197,7 @@
         .is_some_and(|member| member.is_reachable(now));
     let update = state.members.apply_report(report.clone(), from, now);
     if was_unreachable || update.has_started(&report) {
-        crashes::peer_is_back(node, &mut state, from);
+        crash_messages::peer_is_back(node, &mut state, from);
     }
     if update.has_started(&report) {
         // The started peer would otherwise get no report of this instance until the next tick.
@@ -353,7 +355,7 @@
         return;
     };
     match node.platform.configuration(&record) {
-        Some(Ok(config)) => follow::apply_config(node, config, &record, &peer),
+        Some(Ok(config)) => apply::apply_config(node, config, &record, &peer),
         Some(Err(err)) => log_event!(CONFIG_UNREADABLE, "peer={peer} cause=\"{err}\""),
         None => {}
     }
--- a/gateway/src/serve/run_watch.rs
+++ b/gateway/src/serve/run_watch.rs
@@ -9,13 +9,16 @@
 use futures_lite::future;
 use limpetweir_state::Timestamp;
 
-use super::crashes;
 use super::lines::{
     RUN_LOST,
     RUN_WITHDRAWN,
     log_event, //
 };
 use super::node::Node;
+use super::{
+    crash_checks,
+    crashes, //
+};
 use crate::backend::{
     BackendEntry,
     BackendKey, //
@@ -155,7 +158,7 @@
             run.identity,
             self.outputs
         );
-        crashes::run_lost(&self.node, run);
+        crash_checks::run_lost(&self.node, run);
     }
 }
 
--- a/gateway/src/serve/runs.rs
+++ b/gateway/src/serve/runs.rs
@@ -25,7 +25,7 @@
     AttemptKind,
     suspect, //
 };
-use super::crashes;
+use super::crash_checks;
 use super::heads;
 use super::heads::SentRequest;
 use super::items::PANIC_PAUSE;
@@ -232,7 +232,7 @@
     match end {
         RunEnd::Broken => {
             suspect(&node, run.backend, &cause);
-            crashes::checked(&node, run.backend).await;
+            crash_checks::checked(&node, run.backend).await;
         }
         RunEnd::Silent => watch.dropped_in_silence(),
         _ => {}
--- a/gateway/src/serve/takeover.rs
+++ b/gateway/src/serve/takeover.rs
@@ -21,7 +21,7 @@
     PlacedRequest,
     choose, //
 };
-use super::crashes;
+use super::crash_checks;
 use super::leases;
 use super::lines::{
     OVERLAP_BEGAN,
@@ -220,7 +220,7 @@
         while self.may_continue() {
             let checked = async {
                 for key in &self.history.tried {
-                    crashes::checked(self.node, *key).await;
+                    crash_checks::checked(self.node, *key).await;
                 }
                 Ok(())
             };
--- a/gateway/src/serve/writer.rs
+++ b/gateway/src/serve/writer.rs
@@ -30,8 +30,8 @@
 use super::node::Node;
 use super::supervisor::Steps;
 use super::{
+    apply,
     catch_up,
-    follow,
     results, //
 };
 use crate::jobs::{
@@ -350,9 +350,9 @@
     // computed from the offset of the append.
     let end = at + records.len() as u64;
     for (offset, record) in (at..).zip(records) {
-        follow::apply_job(node, partition, offset, record);
+        apply::apply_job(node, partition, offset, record);
     }
-    follow::mark_read(node, Topic::Jobs, partition, end);
+    apply::mark_read(node, Topic::Jobs, partition, end);
 }
 
 fn requeue(
