--- a/gateway/tests/repeated_crashes.rs
+++ b/gateway/tests/repeated_crashes.rs
@@ -60,8 +60,8 @@
     for n in 0..3 {
         let began = SECOND_MS + n * step;
         crash(&mut quarantine, began, &[deadly()]);
-        for other in 1..=100 {
-            let ms = began + other * 10 * SECOND_MS;
+        for other in 1..=200 {
+            let ms = began + other * 5 * SECOND_MS;
             let sound = PartKey::identity((n * 1_000 + other) << 32);
             crash(&mut quarantine, ms, &[sound]);
         }
