gateway: the next servers by rank take the place of a crashed shard

A replay without the bench (gateway/tests/containment) sends copies of one request to 9, 32 and 128 servers, with news of 3, 50 and 1,000 ms. With sixteen copies at once and news of 50 ms up to 17 servers ended: the shard stayed with its two crashed servers while they were listed, and the next copies spread over all others. The shard is chosen among the servers that accept connections now, so these copies meet on the next two: 4 servers end at most with news of up to 50 ms, 13 of 128 with 1,000 ms.

--- a/gateway/src/serve/choose.rs
+++ b/gateway/src/serve/choose.rs
@@ -367,13 +367,13 @@
     let backends = state.backends.serving(&admitted.service, now);
     let backends =
         backends.filter(|b| state.cells.is_own_backend(b.key, &b.entry.zone) != other_cell);
+    // The next servers by rank take the place of those that refuse connections. If all others did, copies
+    // would spread once both servers of their shard have crashed.
+    let backends = backends.filter(|b| !state.load.is_refusing(b.key, now));
     let backends: Vec<&Backend> = backends.collect();
-    // A server that has crashed stays in the shard while it is listed, so that the next copy does not
-    // go to another one.
     let runs = backends.iter().map(|backend| backend.run);
     let shard = shard(admitted.parts.identity(), runs);
     let backends = backends.into_iter();
-    let backends = backends.filter(|b| !state.load.is_refusing(b.key, now));
     let slowness = state.speeds.compare(now);
     let any_limited = state.limits.any_limited();
     let purpose = Purpose::Online {
