--- a/gateway/tests/repeated_crashes.rs
+++ b/gateway/tests/repeated_crashes.rs
@@ -183,3 +183,16 @@
     quarantine.began(&keys, at(3_500));
     assert!(quarantine.hold(&keys, at(3_600)).is_none());
 }
+
+/// Guards against items of several jobs with the same part that end one server each in quick succession.
+#[test]
+fn items_of_one_case_run_two_seconds_apart() {
+    let mut quarantine = Quarantine::default();
+    let item = |n: u64| [PartKey::identity(n << 32), PartKey(0xdead)];
+    for (n, ms) in [(1, 1_000), (2, 1_200), (3, 1_400)] {
+        crash(&mut quarantine, ms, &item(n));
+    }
+    assert_eq!(quarantine.item_turn(&item(4), at(3_300)), ItemTurn::Later);
+    let lease = ItemTurn::WithLease(PartKey(0xdead));
+    assert_eq!(quarantine.item_turn(&item(4), at(3_400)), lease);
+}
