--- a/gateway/src/prompt.rs
+++ b/gateway/src/prompt.rs
@@ -45,3 +45,9 @@
     /// The last part, which usually belongs to the request itself.
     pub last: Option<PartKey>,
 }
+
+/// Returns the keys, separated by commas.
+pub(crate) fn list(parts: &[PartKey]) -> String {
+    let parts: Vec<String> = parts.iter().map(PartKey::to_string).collect();
+    parts.join(",")
+}
--- a/gateway/src/serve/apply.rs
+++ b/gateway/src/serve/apply.rs
@@ -12,8 +12,8 @@
     RECORD_SKIPPED,
     log_event, //
 };
-use super::node::{
-    Node,
+use super::node::Node;
+use super::state::{
     ReplicaStatus,
     State, //
 };
--- a/gateway/src/serve/attempt.rs
+++ b/gateway/src/serve/attempt.rs
@@ -18,8 +18,8 @@
 
 use super::choose::PlacedRequest;
 use super::heads::{
-    self,
-    SentRequest, //
+    self, //
+    SentRequest,
 };
 use super::lines::{
     BACKEND_SUSPECTED,
--- a/gateway/src/serve/case_records.rs
+++ b/gateway/src/serve/case_records.rs
@@ -26,7 +26,7 @@
     Node,
     unix_ms, //
 };
-use super::supervisor::OneShot;
+use super::task_kinds::OneShot;
 use crate::crash_message::CaseRecord;
 use crate::crash_news::{
     Case,
--- a/gateway/src/serve/catch_up.rs
+++ b/gateway/src/serve/catch_up.rs
@@ -10,12 +10,10 @@
     Instant, //
 };
 
-use async_lock::Mutex;
-
 use super::apply;
 use super::node::Node;
-use super::store_calls::StoreCall;
-use super::supervisor::OneShot;
+use super::store_call::StoreCall;
+use super::task_kinds::OneShot;
 use crate::platform::{
     Dialect,
     RecordRange,
@@ -24,16 +22,6 @@
     Topic, //
 };
 
-/// The last read to the end of a partition. The lock is held while the next one is in progress.
-#[derive(Debug, Default)]
-pub(crate) struct CatchUp(Mutex<Option<Finished>>);
-
-#[derive(Debug)]
-struct Finished {
-    started: Instant,
-    result: Result<u64, StoreError>,
-}
-
 /// Reads the partition up to its current end and returns the end offset. Callers that wait at the
 /// same time share one read that starts after all of them have called.
 ///
@@ -65,17 +53,8 @@
     partition: u32,
     called: Instant,
 ) -> Result<u64, StoreError> {
-    let mut last = node.catch_ups[partition as usize].0.lock().await;
-    if let Some(last) = last.as_ref().filter(|last| last.started >= called) {
-        return last.result.clone();
-    }
-    let started = Instant::now();
-    let result = read_to_end(node, partition).await;
-    *last = Some(Finished {
-        started,
-        result: result.clone(),
-    });
-    result
+    let reads = &node.catch_ups[partition as usize];
+    reads.after(called, read_to_end(node, partition)).await
 }
 
 async fn read_to_end<P: Store + Dialect>(
--- a/gateway/src/serve/choose.rs
+++ b/gateway/src/serve/choose.rs
@@ -21,14 +21,14 @@
     PLACED,
     log_event, //
 };
+use super::lost_run::RunPlace;
 use super::node::{
     Node,
-    State,
     unix_ms, //
 };
 use super::online::Admitted;
 use super::rejections::NO_CONFIG_RETRY;
-use super::run_watch::RunPlace;
+use super::state::State;
 use crate::backend::{
     Backend,
     BackendEntry,
--- a/gateway/src/serve/crash_checks.rs
+++ b/gateway/src/serve/crash_checks.rs
@@ -11,9 +11,9 @@
 
 use super::attempt::unresponsive;
 use super::crashes::server_crashed;
+use super::lost_run::LostRun;
 use super::node::Node;
-use super::run_watch::LostRun;
-use super::supervisor::OneShot;
+use super::task_kinds::OneShot;
 use crate::backend::{
     BackendEntry,
     BackendKey, //
--- a/gateway/src/serve/crash_messages.rs
+++ b/gateway/src/serve/crash_messages.rs
@@ -19,10 +19,8 @@
 use rand::Rng;
 use rand::seq::IteratorRandom;
 
-use super::node::{
-    Node,
-    State, //
-};
+use super::node::Node;
+use super::state::State;
 use super::supervisor::Steps;
 use crate::platform::{
     Dialect,
--- a/gateway/src/serve/crashes.rs
+++ b/gateway/src/serve/crashes.rs
@@ -16,13 +16,12 @@
     SERVER_CRASHED,
     log_event, //
 };
-use super::node::Node;
-use super::replies::plain;
-use super::run_watch::{
+use super::lost_run::{
     LostRun,
-    RunPlace,
-    list, //
+    RunPlace, //
 };
+use super::node::Node;
+use super::replies::plain;
 use crate::backend::BackendEntry;
 use crate::crash_news::{
     Case,
@@ -33,7 +32,10 @@
     Dialect,
     Store, //
 };
-use crate::prompt::PartKey;
+use crate::prompt::{
+    PartKey,
+    list, //
+};
 use crate::quarantine::{
     CaseChange,
     Knowledge, //
--- a/gateway/src/serve/follow.rs
+++ b/gateway/src/serve/follow.rs
@@ -21,11 +21,9 @@
     STORE_REGAINED,
     log_event, //
 };
-use super::node::{
-    Node,
-    ReplicaStatus, //
-};
-use super::store_calls::StoreCall;
+use super::node::Node;
+use super::state::ReplicaStatus;
+use super::store_call::StoreCall;
 use super::supervisor::Steps;
 use crate::listing::Listing;
 use crate::platform::{
--- a/gateway/src/serve/forwarding.rs
+++ b/gateway/src/serve/forwarding.rs
@@ -31,14 +31,12 @@
     JOB_REFUSED,
     log_event, //
 };
-use super::node::{
-    Node, //
-    ReplicaStatus,
-};
+use super::node::Node;
 use super::replies::{
     plain,
     retry_later, //
 };
+use super::state::ReplicaStatus;
 use crate::platform::{
     Dialect,
     Store, //
--- a/gateway/src/serve/heads.rs
+++ b/gateway/src/serve/heads.rs
@@ -14,10 +14,8 @@
     LIMIT_INVALID,
     log_event, //
 };
-use super::node::{
-    Node,
-    State, //
-};
+use super::node::Node;
+use super::state::State;
 use crate::backend::{
     BackendEntry,
     LeavingSource,
--- a/gateway/src/serve/items.rs
+++ b/gateway/src/serve/items.rs
@@ -10,7 +10,6 @@
     Instant, //
 };
 
-use async_channel::Sender;
 use limpetweir_state::Timestamp;
 use limpetweir_transport::{
     sleep,
@@ -23,15 +22,15 @@
 };
 use super::node::{
     Node,
-    ReplicaStatus,
-    State,
     unix_ms, //
 };
-use super::supervisor::{
-    OneShot,
-    Steps, //
+use super::state::{
+    ReplicaStatus,
+    State, //
 };
+use super::supervisor::Steps;
 use super::suspected_items::choose_alone;
+use super::task_kinds::OneShot;
 use super::{
     runs,
     suspected_items,
@@ -76,25 +75,6 @@
 /// fleet most instances have none.
 const IDLE_TICK: Duration = Duration::from_millis(250);
 
-/// Stop channels of the running items. Sending on a channel or dropping it stops the run.
-#[derive(Debug, Default)]
-pub(crate) struct RunHandles(HashMap<ItemKey, Sender<()>>);
-
-impl RunHandles {
-    /// Adds the stop channel of a run that has started.
-    pub(crate) fn insert(&mut self, key: ItemKey, stop: Sender<()>) {
-        self.0.insert(key, stop);
-    }
-
-    /// Stops a run, or removes the entry of one that has ended.
-    pub(crate) fn remove(&mut self, key: &ItemKey) {
-        if let Some(stop) = self.0.remove(key) {
-            // Sending fails if the run has ended meanwhile.
-            let _ = stop.try_send(());
-        }
-    }
-}
-
 /// Time after its start within which an instance has received the reports of the others. Before
 /// that, in a large fleet that starts as a whole, every instance would list all jobs at the same
 /// time.
--- a/gateway/src/serve/job_calls.rs
+++ b/gateway/src/serve/job_calls.rs
@@ -30,10 +30,8 @@
     plain,
     retry_later, //
 };
-use super::writer::{
-    self,
-    WriteError, //
-};
+use super::write_request::WriteError;
+use super::writer;
 use crate::config::{
     Organisation,
     Route, //
--- a/gateway/src/serve/leases.rs
+++ b/gateway/src/serve/leases.rs
@@ -13,7 +13,7 @@
 
 use super::choose::Rejection;
 use super::node::Node;
-use super::supervisor::OneShot;
+use super::task_kinds::OneShot;
 use crate::leases::LeaseNews;
 use crate::platform::{
     Dialect,
--- a/gateway/src/serve/metrics.rs
+++ b/gateway/src/serve/metrics.rs
@@ -17,8 +17,8 @@
 
 use super::attempt::AttemptKind;
 use super::ends::RequestEnd;
-use super::store_calls::CallOutcome;
-use super::supervisor::{
+use super::store_call::CallOutcome;
+use super::task_kinds::{
     Background,
     OneShot, //
 };
--- a/gateway/src/serve/node.rs
+++ b/gateway/src/serve/node.rs
@@ -1,13 +1,5 @@
-//! State shared by all tasks of an instance.
+//! Shared context of the tasks of an instance.
 
-use std::collections::{
-    HashMap,
-    HashSet, //
-};
-use std::net::{
-    IpAddr,
-    SocketAddr, //
-};
 use std::sync::atomic::{
     AtomicBool,
     Ordering, //
@@ -36,337 +28,19 @@
     Spawner, //
 };
 
-use rand::SeedableRng;
-use rand::rngs::SmallRng;
-
-use super::catch_up::CatchUp;
 use super::ends::Ends;
-use super::items::RunHandles;
 use super::metrics::Metrics;
-use super::restarts::Restarts;
-use super::run_watch::LostRun;
+use super::shared_read::SharedRead;
+use super::state::State;
 use super::stop_window::StopWindow;
 use super::supervisor::Supervisor;
-use super::writer::WriteRequest;
-use crate::backend::{
-    BackendKey,
-    Backends, //
-};
-use crate::cells::{
-    CellNumber,
-    Cells, //
-};
-use crate::config::Configuration;
-use crate::config_fetch::ConfigFetch;
-use crate::config_freshness::ConfigFreshness;
-use crate::instance::Instance;
-use crate::jobs::Partition;
-use crate::leases::Leases;
-use crate::load::Load;
-use crate::members::{
-    Member,
-    Members, //
-};
-use crate::open_items::OpenItems;
-use crate::platform::Record;
-use crate::positions::{
-    CallKind,
-    PartitionFreshness,
-    Position,
-    forward_targets,
-    runners, //
-};
-use crate::prompt::PartKey;
-use crate::quarantine::{
-    Hold,
-    Knowledge,
-    Quarantine, //
-};
-use crate::quota::Quotas;
-use crate::report::{
-    ItemKey,
-    Report, //
-};
-use crate::request_parts::RequestParts;
-use crate::return_times::ReturnTimes;
-use crate::server_limits::ServerLimits;
+use super::write_request::WriteRequest;
+use crate::backend::BackendKey;
+use crate::platform::StoreError;
 use crate::settings::Settings;
-use crate::silence::Outputs;
-use crate::skipped_records::SkippedRecords;
-use crate::speed::{
-    PaceMeter,
-    Speeds, //
-};
+use crate::speed::PaceMeter;
 use crate::supervision;
 
-/// Mutable state of an instance, on which routing, placement and scheduling are based.
-#[derive(Debug)]
-pub(crate) struct State {
-    /// Configuration in force; its version never decreases.
-    pub(crate) config: Option<Arc<Configuration>>,
-    /// The record of the configuration, for peers that cannot reach the store.
-    pub(crate) config_record: Option<Record>,
-    /// Whether the configuration in force is known to be the newest one.
-    pub(crate) config_freshness: ConfigFreshness,
-    /// Fetches of a newer configuration from peers.
-    pub(crate) config_fetch: ConfigFetch,
-    pub(crate) backends: Backends,
-    pub(crate) skipped: SkippedRecords,
-    pub(crate) members: Members,
-    /// Division of a large fleet into cells, as seen by this instance.
-    pub(crate) cells: Cells,
-    /// Value of the change counter of `members` for which `cells` was computed.
-    cells_version: Option<u64>,
-    /// Instances that have started and were not sent a report of this one yet.
-    pub(crate) started_peers: Vec<String>,
-    /// Whether the records of the instances have been read.
-    pub(crate) instances_read: bool,
-    /// Offset up to which these have been read.
-    pub(crate) instances_next: u64,
-    pub(crate) load: Load,
-    pub(crate) speeds: Speeds,
-    pub(crate) outputs: Outputs,
-    /// Crashes of backend servers and the parts of prompts that are held back.
-    pub(crate) quarantine: Quarantine,
-    /// When this instance last tried to claim a probe.
-    pub(crate) probe_claimed_at: Option<Timestamp>,
-    /// Backend servers that are checked for a crash, with the runs that were lost there.
-    pub(crate) crash_checks: HashMap<BackendKey, Vec<LostRun>>,
-    /// Runs that were lost on servers which may have been started again.
-    pub(crate) restarts: Restarts,
-    /// Leases of suspected requests, those of items beside them.
-    pub(crate) leases: Leases,
-    pub(crate) item_leases: HashMap<ItemKey, ItemLease>,
-    /// Instances that are to get all that is known about crashes.
-    pub(crate) digest_due: Vec<IpAddr>,
-    pub(crate) quotas: Quotas,
-    /// Limits that backend servers state.
-    pub(crate) limits: ServerLimits,
-    /// Times at which callers return that limits keep away.
-    pub(crate) return_times: ReturnTimes,
-    pub(crate) partitions: Vec<Partition>,
-    /// Whether this instance is a replica of each partition, in their order.
-    pub(crate) replica_status: Vec<ReplicaStatus>,
-    /// Freshness of each partition, in their order.
-    pub(crate) freshness: Vec<PartitionFreshness>,
-    pub(crate) items: OpenItems,
-    /// Whether items of this instance waited for a slot when the scheduler last ran.
-    pub(crate) items_waiting: bool,
-    pub(crate) runs: RunHandles,
-    /// Random number generator for routing and placement.
-    pub(crate) rng: SmallRng,
-    /// Seed of the random choices for the current request.
-    pub(crate) draw_seed: u64,
-    /// Moving average of the time that an online request occupies a slot, in seconds.
-    pub(crate) mean_holding_s: f64,
-}
-
-/// Lease under which an item runs.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct ItemLease {
-    pub(crate) key: PartKey,
-    /// Whether the item may start.
-    pub(crate) is_confirmed: bool,
-}
-
-/// Whether this instance is a replica of a partition of the jobs.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(crate) enum ReplicaStatus {
-    /// It is not a replica.
-    #[default]
-    Inactive,
-    /// It is a replica.
-    Active,
-    /// It stays a replica until this time, by which the newly selected replicas have loaded the
-    /// partition.
-    ActiveUntil(Timestamp),
-}
-
-impl State {
-    /// Returns why a request with these keys is held back. Without an open case they are not computed.
-    pub(crate) fn hold(&self, parts: &RequestParts, now: Timestamp) -> Option<Hold> {
-        if !self.quarantine.has_cases() {
-            return None;
-        }
-        self.quarantine.hold(parts.keys(), now)
-    }
-
-    /// Returns what is known about a request with these keys. Without a crash they are not computed.
-    pub(crate) fn knowledge(&self, parts: &RequestParts) -> Knowledge {
-        match self.quarantine.is_empty() {
-            true => Knowledge::Nothing,
-            false => self.quarantine.knowledge(parts.keys()),
-        }
-    }
-
-    /// Recomputes the cells if the members have changed; `settings` are those of this instance.
-    pub(crate) fn update_cells(&mut self, settings: &Settings) {
-        let changes = self.members.changes();
-        if self.cells_version != Some(changes) {
-            self.cells_version = Some(changes);
-            self.cells = Cells::divide(settings.instance(), self.members.instances());
-        }
-    }
-
-    /// Updates the addresses at which no backend server can be; `settings` are those of this
-    /// instance.
-    pub(crate) fn update_reserved(&mut self, settings: &Settings) {
-        let mut reserved = HashSet::from([
-            settings.store.addr,
-            settings.public,
-            settings.readiness,
-            settings.directory,
-            settings.metrics,
-            SocketAddr::new(settings.address, settings.peer_port),
-        ]);
-        for (_, member) in self.members.iter() {
-            reserved.insert(SocketAddr::new(member.addr, settings.peer_port));
-            reserved.extend(member.report.as_ref().map(|report| report.public));
-        }
-        self.backends.set_reserved(reserved);
-    }
-
-    /// Returns the cells of the backend servers on which this instance has requests or recently had
-    /// some.
-    pub(crate) fn used_cells(&self, now: Timestamp) -> HashSet<CellNumber> {
-        let used = self.load.recently_used(now);
-        used.filter_map(|key| self.cell_of_backend(key)).collect()
-    }
-
-    fn cell_of_backend(&self, key: BackendKey) -> Option<CellNumber> {
-        let zone = &self.backends.get(key)?.entry.zone;
-        self.cells.of_backend(key, zone)
-    }
-
-    /// Returns whether another instance is a replica of one of the partitions of this instance.
-    pub(crate) fn shares_jobs(&self, member: &Member) -> bool {
-        let is_replica = |partition: u32| {
-            let status = self.replica_status.get(partition as usize);
-            status.is_some_and(|status| *status != ReplicaStatus::Inactive)
-        };
-        let report = member.report.as_ref();
-        report.is_some_and(|r| r.positions.iter().any(|p| is_replica(p.partition)))
-    }
-
-    /// Returns whether another instance depends on every change of this one: it is in the own cell,
-    /// or one of the two has requests on backend servers of the other one's cell.
-    pub(crate) fn is_near(
-        &self,
-        name: &str,
-        member: &Member,
-        used_cells: &HashSet<CellNumber>,
-    ) -> bool {
-        let uses_own_cell = || {
-            let mut used = member.report.iter().flat_map(Report::backends);
-            used.any(|key| self.cell_of_backend(key) == self.cells.own())
-        };
-        let in_used_cell = || {
-            let cell = self.cells.of_instance(name);
-            cell.is_some_and(|cell| used_cells.contains(&cell))
-        };
-        self.cells.is_own_instance(name) || in_used_cell() || uses_own_cell()
-    }
-
-    /// Returns the positions up to which this instance has read its partitions.
-    pub(crate) fn positions(&self) -> Vec<Position> {
-        let partitions = (0..).zip(self.partitions.iter().zip(&self.freshness));
-        partitions
-            .filter(|(_, (known, _))| known.is_loaded())
-            .map(|(partition, (known, freshness))| Position {
-                partition,
-                next: known.next(),
-                reads: !freshness.lost,
-            })
-            .collect()
-    }
-
-    /// Applies the positions in a peer's report.
-    pub(crate) fn positions_reported(&mut self, positions: &[Position], now: Timestamp) {
-        for position in positions {
-            let partition = position.partition as usize;
-            if let (Some(known), Some(freshness)) = (
-                self.partitions.get(partition),
-                self.freshness.get_mut(partition),
-            ) {
-                freshness.peer_advanced(position.next, known.next(), now);
-            }
-        }
-    }
-
-    /// Returns the names of the peers that should handle a call about the jobs of `partition`
-    /// instead of this instance.
-    pub(crate) fn forward_targets(
-        &self,
-        partition: usize,
-        kind: CallKind,
-        now: Timestamp,
-    ) -> Vec<&str> {
-        let known = &self.partitions[partition];
-        let own = known.is_loaded().then(|| known.next());
-        let ready = self.members.reachable(now).filter(|r| r.ready);
-        let peers = ready.filter_map(|r| {
-            let mut positions = r.positions.iter();
-            let position = positions.find(|p| p.partition as usize == partition)?;
-            Some((r.name.as_str(), *position))
-        });
-        forward_targets(own, &self.freshness[partition], kind, peers, now)
-    }
-
-    /// Returns the other instances that may be replicas of the jobs.
-    pub(crate) fn ready_peers(&self, now: Timestamp) -> Vec<Instance<'_>> {
-        let ready = self.members.reachable(now).filter(|r| r.ready);
-        ready.map(Instance::from).collect()
-    }
-
-    /// Returns the instances among the replicas of `partition` that run its items.
-    pub(crate) fn runners(&self, partition: usize, replicas: &[&str], me: &str) -> Vec<String> {
-        let reads = |name: &str| {
-            if name == me {
-                return Some(!self.freshness[partition].lost);
-            }
-            let report = self.members.get(name)?.report.as_ref()?;
-            let mut positions = report.positions.iter();
-            let position = positions.find(|p| p.partition as usize == partition)?;
-            Some(position.reads)
-        };
-        let replicas: Vec<_> = replicas.iter().map(|name| (*name, reads(name))).collect();
-        let runners = runners(&replicas).into_iter();
-        runners.map(str::to_owned).collect()
-    }
-
-    /// Returns how many instances send to the backend servers of the own cell, with this one, and
-    /// how many of them do not report what they send: they are unreachable or of an older build.
-    pub(crate) fn limit_senders(&self, now: Timestamp) -> (usize, usize) {
-        let own = self.members.iter();
-        let own = own.filter(|(name, _)| self.cells.is_own_instance(name));
-        let reports = |member: &Member| {
-            let report = member.report.as_ref();
-            member.is_reachable(now) && report.is_some_and(|r| r.limits.is_some())
-        };
-        let (mut silent, mut senders) = (0, 1);
-        for (_, member) in own {
-            senders += 1;
-            silent += usize::from(!reports(member));
-        }
-        (silent, senders)
-    }
-
-    /// Returns whether items wait for a slot at this instance or at one that it hears.
-    pub(crate) fn items_wait(&self, now: Timestamp) -> bool {
-        self.items_waiting || self.members.reachable(now).any(|r| r.waiting > 0)
-    }
-
-    /// Returns the version of the configuration in force; 0 without one.
-    pub(crate) fn config_version(&self) -> u64 {
-        self.config.as_ref().map_or(0, |config| config.version())
-    }
-
-    /// Returns whether a configuration is in force and a backend server is known.
-    pub(crate) fn can_serve(&self) -> bool {
-        self.config.is_some() && self.backends.iter().next().is_some()
-    }
-}
-
 /// Shared context of the tasks of an instance.
 pub(crate) struct Node<P> {
     pub(crate) platform: P,
@@ -397,7 +71,7 @@
     /// has not completed is then repeated.
     pub(crate) jobs_behind: Vec<Signal>,
     /// Reads to the end of each partition of the jobs.
-    pub(crate) catch_ups: Vec<CatchUp>,
+    pub(crate) catch_ups: Vec<SharedRead<Result<u64, StoreError>>>,
     /// Notified when jobs have changed.
     pub(crate) jobs_changed: Signal,
     /// Notified when items may have to start or stop.
@@ -415,45 +89,7 @@
         metrics: Metrics,
         writers: Vec<Sender<WriteRequest>>,
     ) -> Self {
-        let mut partitions = Vec::new();
-        partitions.resize_with(writers.len(), Partition::default);
-        let mut state = State {
-            config: None,
-            config_record: None,
-            config_freshness: ConfigFreshness::default(),
-            config_fetch: ConfigFetch::default(),
-            backends: Backends::default(),
-            skipped: SkippedRecords::default(),
-            members: Members::default(),
-            cells: Cells::default(),
-            cells_version: None,
-            started_peers: Vec::new(),
-            instances_read: false,
-            instances_next: 0,
-            load: Load::default(),
-            speeds: Speeds::default(),
-            outputs: Outputs::default(),
-            quarantine: Quarantine::default(),
-            probe_claimed_at: None,
-            crash_checks: HashMap::new(),
-            restarts: Restarts::default(),
-            leases: Leases::new(&settings.name),
-            item_leases: HashMap::new(),
-            digest_due: Vec::new(),
-            quotas: Quotas::new(settings.tolerance),
-            return_times: ReturnTimes::default(),
-            limits: ServerLimits::new(&settings.name),
-            replica_status: vec![ReplicaStatus::Inactive; partitions.len()],
-            freshness: vec![PartitionFreshness::default(); partitions.len()],
-            partitions,
-            items: OpenItems::default(),
-            items_waiting: false,
-            runs: RunHandles::default(),
-            rng: SmallRng::from_os_rng(),
-            draw_seed: 0,
-            // A typical response takes a little less than a second.
-            mean_holding_s: 0.75,
-        };
+        let mut state = State::new(&settings, writers.len());
         let metrics = Arc::new(metrics);
         state.update_reserved(&settings);
         Self {
@@ -474,7 +110,7 @@
             suspicion_changed: Signal::new(),
             crash_checked: Signal::new(),
             jobs_behind: writers.iter().map(|_| Signal::new()).collect(),
-            catch_ups: writers.iter().map(|_| CatchUp::default()).collect(),
+            catch_ups: writers.iter().map(|_| SharedRead::default()).collect(),
             jobs_changed: Signal::new(),
             balance_due: Signal::new(),
             writers,
--- a/gateway/src/serve/peers.rs
+++ b/gateway/src/serve/peers.rs
@@ -34,14 +34,10 @@
     PEER_UP,
     log_event, //
 };
-use super::node::{
-    Node, //
-    ReplicaStatus,
-};
-use super::supervisor::{
-    OneShot,
-    Steps, //
-};
+use super::node::Node;
+use super::state::ReplicaStatus;
+use super::supervisor::Steps;
+use super::task_kinds::OneShot;
 use crate::backend::LeavingSource;
 use crate::crash_message::CaseRecord;
 use crate::crash_news::CrashNews;
@@ -264,7 +260,7 @@
 }
 
 /// Updates the number of unreachable instances in the quotas, once the existing ones are known.
-pub(crate) fn update_unreachable(state: &mut super::node::State, now: Timestamp) {
+pub(crate) fn update_unreachable(state: &mut super::state::State, now: Timestamp) {
     let (unreachable, all) = state.members.unreachable_count(now);
     if !state.instances_read && all == 1 {
         return;
--- a/gateway/src/serve/relay.rs
+++ b/gateway/src/serve/relay.rs
@@ -44,7 +44,7 @@
 use super::online::Admitted;
 use super::run_watch::RunWatch;
 use super::stream::watched;
-use super::supervisor::OneShot;
+use super::task_kinds::OneShot;
 use crate::platform::{
     Dialect,
     ResponseHead,
--- a/gateway/src/serve/reports.rs
+++ b/gateway/src/serve/reports.rs
@@ -26,9 +26,9 @@
 };
 use super::node::{
     Node,
-    State,
     unix_ms, //
 };
+use super::state::State;
 use super::supervisor::Steps;
 use crate::instance::is_large;
 use crate::platform::{
--- a/gateway/src/serve/restarts.rs
+++ b/gateway/src/serve/restarts.rs
@@ -6,7 +6,7 @@
 
 use limpetweir_state::Timestamp;
 
-use super::run_watch::LostRun;
+use super::lost_run::LostRun;
 use crate::backend::BackendEntry;
 
 /// Time after the loss of a run within which the entry of a server that was started again is read.
--- a/gateway/src/serve/results.rs
+++ b/gateway/src/serve/results.rs
@@ -30,15 +30,13 @@
     RESULTS_PASSED_ON,
     log_event, //
 };
-use super::node::{
-    Node,
-    State, //
-};
+use super::node::Node;
 use super::replies::plain;
+use super::state::State;
+use super::write_request::WriteRequest;
 use super::writer::{
-    self,
+    self, //
     Accepted,
-    WriteRequest, //
 };
 use crate::jobs::{
     Change,
@@ -89,7 +87,7 @@
     let mut results = Vec::new();
     let mut bytes = 0;
     for request in std::mem::take(&mut accepted.waiting) {
-        let result = wire_result(request.change());
+        let result = wire_result(&request.change);
         match result.filter(|_| bytes < node.settings.store.call_bytes / 2) {
             Some(result) => {
                 bytes += result.text.len();
--- a/gateway/src/serve/run_watch.rs
+++ b/gateway/src/serve/run_watch.rs
@@ -7,27 +7,26 @@
 };
 
 use futures_lite::future;
-use limpetweir_state::Timestamp;
 
 use super::lines::{
     RUN_LOST,
     RUN_WITHDRAWN,
     log_event, //
 };
+use super::lost_run::{
+    LostRun,
+    RunPlace, //
+};
 use super::node::Node;
 use super::{
     crash_checks,
     crashes, //
 };
-use crate::backend::{
-    BackendEntry,
-    BackendKey, //
-};
 use crate::platform::{
     Dialect,
     Store, //
 };
-use crate::prompt::PartKey;
+use crate::prompt::list;
 use crate::quarantine::Knowledge;
 use crate::request_parts::RequestParts;
 
@@ -38,16 +37,6 @@
 /// Shortest time after which further output of a run is recorded; events come every few milliseconds.
 const RECORD_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Where and when a run was placed.
-#[derive(Clone, Debug)]
-pub(crate) struct RunPlace {
-    pub(crate) key: BackendKey,
-    pub(crate) entry: Arc<BackendEntry>,
-    pub(crate) at: Timestamp,
-    /// What was known about the request then.
-    pub(crate) known: Knowledge,
-}
-
 /// One run of a request or an item on a backend server.
 pub(crate) struct RunWatch<P: Store + Dialect> {
     node: Arc<Node<P>>,
@@ -148,7 +137,7 @@
     /// Records that the connection ended before the response did.
     pub(crate) fn connection_lost(&self, head: bool) {
         self.node.metrics.run_lost(self.outputs > 0);
-        let run = LostRun::new(self);
+        let run = self.lost_run();
         log_event!(
             RUN_LOST,
             "request={} backend={} parts={} {} head={head} outputs={}",
@@ -160,31 +149,14 @@
         );
         crash_checks::run_lost(&self.node, run);
     }
-}
 
-/// A run that ended with its connection and before its response was whole.
-#[derive(Debug)]
-pub(crate) struct LostRun {
-    pub(crate) request: String,
-    pub(crate) place: RunPlace,
-    /// Fields of a line about what identifies the request beyond the shared parts of its prompt.
-    pub(crate) identity: String,
-    /// The first one identifies the request.
-    pub(crate) suspects: Vec<PartKey>,
-    /// Whether it had no output that shows that the parts of its prompt are sound.
-    pub(crate) is_early: bool,
-    /// When it was lost.
-    pub(crate) at: Timestamp,
-}
-
-impl LostRun {
-    fn new<P: Store + Dialect>(watch: &RunWatch<P>) -> Self {
-        let parts = &watch.parts;
+    fn lost_run(&self) -> LostRun {
+        let parts = &self.parts;
         let last = parts.last().map(|part| part.to_string());
-        let is_early = watch.is_suspected();
-        Self {
-            request: watch.request.clone(),
-            place: watch.place.clone(),
+        let is_early = self.is_suspected();
+        LostRun {
+            request: self.request.clone(),
+            place: self.place.clone(),
             identity: format!(
                 "last_part={} identity={}",
                 last.unwrap_or_default(),
@@ -195,13 +167,7 @@
                 false => vec![parts.late()],
             },
             is_early,
-            at: watch.node.now(),
+            at: self.node.now(),
         }
     }
 }
-
-/// Returns the keys, separated by commas.
-pub(crate) fn list(parts: &[PartKey]) -> String {
-    let parts: Vec<String> = parts.iter().map(PartKey::to_string).collect();
-    parts.join(",")
-}
--- a/gateway/src/serve/runs.rs
+++ b/gateway/src/serve/runs.rs
@@ -37,19 +37,13 @@
     RECORD_SKIPPED,
     log_event, //
 };
-use super::node::{
-    Node,
-    State, //
-};
-use super::run_watch::{
-    RunPlace,
-    RunWatch, //
-};
-use super::supervisor::OneShot;
-use super::writer::{
-    self,
-    WriteError, //
-};
+use super::lost_run::RunPlace;
+use super::node::Node;
+use super::run_watch::RunWatch;
+use super::state::State;
+use super::task_kinds::OneShot;
+use super::write_request::WriteError;
+use super::writer;
 use crate::backend::{
     BackendEntry,
     BackendKey, //
--- a/gateway/src/serve/supervisor.rs
+++ b/gateway/src/serve/supervisor.rs
@@ -29,7 +29,6 @@
     sleep, //
 };
 
-use super::items;
 use super::lines::{
     INPUT_SKIPPED,
     TASK_MOVES,
@@ -39,11 +38,9 @@
     log_event, //
 };
 use super::metrics::Metrics;
-use super::node::Node;
-use crate::platform::{
-    Dialect,
-    Store,
-    Topic, //
+use super::task_kinds::{
+    Background,
+    OneShot, //
 };
 use crate::supervision::{
     Pulse,
@@ -52,83 +49,7 @@
 };
 
 /// Time between two looks at the tasks.
-const LOOK_INTERVAL: Duration = Duration::from_secs(1);
-
-/// Time without a step after which a reader of a topic has stopped. A read waits for up to five
-/// seconds and has a time limit; one that fails because of an outage of the store is a step too.
-const READER_STALL_LIMIT: Duration = Duration::from_secs(10);
-
-/// The same for the other tasks, some of which wait for a backlog of the store to be read.
-const STALL_LIMIT: Duration = Duration::from_secs(30);
-
-/// A task that runs as long as the process, or at its start.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
-#[strum(serialize_all = "kebab-case")]
-pub(crate) enum Background {
-    ReadConfiguration,
-    ReadBackends,
-    ReadInstances,
-    /// Reads a partition of the jobs.
-    #[strum(to_string = "read-jobs-{0}")]
-    ReadJobs(u32),
-    /// Writes changes of a partition of the jobs.
-    #[strum(to_string = "write-jobs-{0}")]
-    WriteJobs(u32),
-    Register,
-    AdoptLevels,
-    SendReports,
-    ReceiveReports,
-    CrashNews,
-    WatchPeers,
-    Scheduler,
-    RemoveExpiredJobs,
-    WatchTasks,
-}
-
-impl Background {
-    /// Returns the task that reads a topic.
-    pub(crate) fn reader(topic: Topic, partition: u32) -> Self {
-        match topic {
-            Topic::Configuration => Self::ReadConfiguration,
-            Topic::Backends => Self::ReadBackends,
-            Topic::Instances => Self::ReadInstances,
-            Topic::Jobs => Self::ReadJobs(partition),
-        }
-    }
-
-    /// Returns whether the task ends when its work is done.
-    fn is_finite(self) -> bool {
-        matches!(self, Self::Register | Self::AdoptLevels)
-    }
-
-    /// Returns whether routing and placement depend on what the task reads.
-    fn is_vital_reader(self) -> bool {
-        matches!(self, Self::ReadConfiguration | Self::ReadBackends)
-    }
-
-    fn stall_limit(self) -> Duration {
-        match self {
-            Self::ReadConfiguration | Self::ReadBackends | Self::ReadInstances => {
-                READER_STALL_LIMIT
-            }
-            _ => STALL_LIMIT,
-        }
-    }
-}
-
-/// A task that does one thing and ends.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
-#[strum(serialize_all = "kebab-case")]
-pub(crate) enum OneShot {
-    Relay,
-    ItemRun,
-    CatchUp,
-    GiveUp,
-    ConfirmLease,
-    FetchConfiguration,
-    CheckServer,
-    StoreCase,
-}
+pub(crate) const LOOK_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Steps of a task.
 #[derive(Debug, Default)]
@@ -261,7 +182,7 @@
     }
 
     /// Looks at all tasks after `interval`. Returns whether it has changed that a reader stands still.
-    fn look(&self, interval: Duration) -> bool {
+    pub(crate) fn look(&self, interval: Duration) -> bool {
         let mut reader_stalled = false;
         for watched in self.watched().iter_mut() {
             let task = watched.task;
@@ -308,15 +229,3 @@
         sleep(pause).await;
     }
 }
-
-/// Notices tasks that stand still, and tells the peers when a reader does.
-pub(crate) async fn watch<P: Store + Dialect>(node: Arc<Node<P>>, steps: Arc<Steps>) {
-    loop {
-        sleep(LOOK_INTERVAL).await;
-        steps.step();
-        if node.supervisor.look(LOOK_INTERVAL) {
-            node.report_due.notify(usize::MAX);
-            items::jobs_changed(&node);
-        }
-    }
-}
--- a/gateway/src/serve/suspected_items.rs
+++ b/gateway/src/serve/suspected_items.rs
@@ -11,12 +11,12 @@
     ITEM_HELD,
     log_event, //
 };
-use super::node::{
+use super::node::Node;
+use super::runs;
+use super::state::{
     ItemLease,
-    Node,
     State, //
 };
-use super::runs;
 use crate::backend::BackendKey;
 use crate::batch::{
     BatchCandidate,
--- a/gateway/src/serve/tasks.rs
+++ b/gateway/src/serve/tasks.rs
@@ -7,16 +7,16 @@
 use async_channel::Receiver;
 use async_executor::Task;
 use async_io::Async;
+use limpetweir_transport::sleep;
 
 use super::node::Node;
 use super::supervisor::{
-    Background,
+    LOOK_INTERVAL,
     Steps, //
 };
-use super::writer::{
-    Queue,
-    WriteRequest, //
-};
+use super::task_kinds::Background;
+use super::write_request::WriteRequest;
+use super::writer::Queue;
 use super::{
     crash_messages,
     follow,
@@ -24,7 +24,6 @@
     peers,
     quota_levels,
     reports,
-    supervisor,
     writer, //
 };
 use crate::platform::{
@@ -54,7 +53,7 @@
             Background::RemoveExpiredJobs,
             items::remove_expired_jobs,
         ),
-        start_task(node, Background::WatchTasks, supervisor::watch),
+        start_task(node, Background::WatchTasks, watch_tasks),
     ];
     let shared = socket.clone();
     tasks.push(start_task(
@@ -105,3 +104,15 @@
         follow::read_topic(node, topic, partition, steps)
     })
 }
+
+/// Notices tasks that stand still, and tells the peers when a reader does.
+async fn watch_tasks<P: Store + Dialect>(node: Arc<Node<P>>, steps: Arc<Steps>) {
+    loop {
+        sleep(LOOK_INTERVAL).await;
+        steps.step();
+        if node.supervisor.look(LOOK_INTERVAL) {
+            node.report_due.notify(usize::MAX);
+            items::jobs_changed(&node);
+        }
+    }
+}
--- a/gateway/src/serve/writer.rs
+++ b/gateway/src/serve/writer.rs
@@ -12,12 +12,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use async_channel::{
-    Receiver,
-    Sender, //
-};
+use async_channel::Receiver;
 use async_lock::Mutex;
-use limpetweir_state::Timestamp;
 use limpetweir_transport::{
     panic_message,
     sleep, //
@@ -29,6 +25,10 @@
 };
 use super::node::Node;
 use super::supervisor::Steps;
+use super::write_request::{
+    WriteError,
+    WriteRequest, //
+};
 use super::{
     apply,
     catch_up,
@@ -57,46 +57,6 @@
 /// Time in which results are combined into one append.
 const RESULT_DELAY: Duration = Duration::from_millis(60);
 
-/// Error of a change that is not confirmed to be in the store.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) enum WriteError {
-    /// The job does not exist.
-    NoJob,
-    /// The job would exceed the limit of waiting tokens. Log lines contain the name of the variant.
-    NoRoom {
-        /// Number of tokens that are waiting already.
-        waiting: u64,
-    },
-    /// The change has not taken effect and never will.
-    NotDone(String),
-    /// The change may have taken effect or may still do so.
-    Unknown(String),
-}
-
-/// A queued change and the channel for its outcome.
-#[derive(Debug)]
-pub(crate) struct WriteRequest {
-    change: Change,
-    /// Time after which the caller no longer waits; with `None` the change is retried until it is
-    /// written.
-    deadline: Option<Timestamp>,
-    reply: Sender<Result<(), WriteError>>,
-    /// Whether the change was in an append with an unknown outcome.
-    uncertain: bool,
-}
-
-impl WriteRequest {
-    pub(crate) fn change(&self) -> &Change {
-        &self.change
-    }
-
-    /// Completes the request after a peer has written the change.
-    pub(crate) fn written(self) {
-        // The task that waits for the outcome ends only with the process.
-        let _ = self.reply.try_send(Ok(()));
-    }
-}
-
 /// Queues a change for the writer of `partition` and returns the outcome.
 pub(crate) async fn write<P>(
     node: &Node<P>,
