gateway: ends of requests say what the caller had got

Callers saw a 200 and a broken body, and the metrics counted it as `broken-off` like a stream that was cut after a hundred events: the two could not be told apart.

Each end now has a second dimension, `got`: nothing, head, part, whole. It is a label of `limpetweir_request_ends` and a field of LW2504, LW2505 and LW2509. An end with a head only is an error line, LW2517.

--- a/gateway/src/serve/ends.rs
+++ b/gateway/src/serve/ends.rs
@@ -18,6 +18,7 @@
 
 use super::lines::{
     CALLER_LEFT,
+    HEAD_ONLY,
     REQUEST_FAILED,
     REQUEST_LOST,
     log_event, //
@@ -76,6 +77,31 @@
     }
 }
 
+/// What was passed on to the caller of the response to its request by the end of the request.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    strum::Display,
+    strum::EnumIter,
+    strum::IntoStaticStr,
+)]
+#[strum(serialize_all = "kebab-case")]
+pub(crate) enum CallerGot {
+    /// Nothing; a status of this instance is itself the end.
+    #[default]
+    Nothing,
+    /// The status and the headers.
+    Head,
+    /// A part of the body too.
+    Part,
+    /// The complete response.
+    Whole,
+}
+
 /// What the ends of all requests of an instance have in common.
 #[derive(Debug)]
 pub(crate) struct Ends {
@@ -121,6 +147,7 @@
     arrived: Instant,
     /// Time by which the response must be complete, once it is known.
     deadline: Option<Instant>,
+    got: CallerGot,
     end: Option<RequestEnd>,
 }
 
@@ -134,6 +161,7 @@
             id: String::new(),
             arrived: Instant::now(),
             deadline: None,
+            got: CallerGot::Nothing,
             end: None,
         }
     }
@@ -148,14 +176,22 @@
         id.clone_into(&mut self.id);
     }
 
+    /// Records what has been passed on to the caller.
+    pub(crate) fn passed_on(&mut self, got: CallerGot) {
+        self.got = got;
+    }
+
     /// Records the end of the request.
     pub(crate) fn end(mut self, end: RequestEnd) {
         self.end = Some(end);
     }
 
     /// Records that the request ends with a response that this instance has made itself.
-    pub(crate) fn answer(self, response: Response<Body>) -> Response<Body> {
+    pub(crate) fn answer(mut self, response: Response<Body>) -> Response<Body> {
         let end = RequestEnd::of(response.status());
+        if end == RequestEnd::Answered {
+            self.passed_on(CallerGot::Whole);
+        }
         self.end(end);
         response
     }
@@ -185,17 +221,21 @@
             None => self.disconnection(),
         };
         self.ends.open.fetch_sub(1, Ordering::AcqRel);
-        self.ends.metrics.request_ended(end);
+        let got = self.got;
+        self.ends.metrics.request_ended(end, got);
         let (id, ms) = (&self.id, self.arrived.elapsed().as_millis());
         if end.is_fault() {
-            log_event!(REQUEST_LOST, "request={id} end={end} ms={ms}");
+            log_event!(REQUEST_LOST, "request={id} end={end} got={got} ms={ms}");
         } else if end == RequestEnd::CutAtStop {
             log_event!(
                 REQUEST_FAILED,
-                "request={id} status=cut cause=stopping ms={ms}"
+                "request={id} status=cut got={got} cause=stopping ms={ms}"
             );
         } else if is_dropped {
-            log_event!(CALLER_LEFT, "request={id} ms={ms} events=0");
+            log_event!(CALLER_LEFT, "request={id} got={got} ms={ms} events=0");
+        }
+        if got == CallerGot::Head && end != RequestEnd::CallerLeft {
+            log_event!(HEAD_ONLY, "request={id} end={end} ms={ms}");
         }
     }
 }
--- a/gateway/src/serve/lines.rs
+++ b/gateway/src/serve/lines.rs
@@ -159,6 +159,8 @@
 /// A request ended without an answer, a refusal or a reason that lies with its caller or its backend
 /// server.
 pub(crate) const REQUEST_LOST: Event = Event::new(2509, Level::Error);
+/// A caller got the status and the headers of a response, and nothing behind them.
+pub(crate) const HEAD_ONLY: Event = Event::new(2517, Level::Error);
 /// Another backend server is asked for the rest of a silent stream.
 pub(crate) const OVERLAP_BEGAN: Event = Event::new(2515, Level::Info);
 /// One of the two backend servers of a silent stream has shown an event, or neither.
--- a/gateway/src/serve/metrics.rs
+++ b/gateway/src/serve/metrics.rs
@@ -16,7 +16,10 @@
 };
 
 use super::attempt::AttemptKind;
-use super::ends::RequestEnd;
+use super::ends::{
+    CallerGot,
+    RequestEnd, //
+};
 use super::store_calls::CallOutcome;
 use super::supervisor::{
     Background,
@@ -81,7 +84,7 @@
             online: counter("limpetweir_online_requests", "Online requests by outcome"),
             request_ends: counter(
                 "limpetweir_request_ends",
-                "Requests and calls of callers by their end",
+                "Requests and calls of callers by their end and by what the caller had got",
             ),
             first_byte: histogram(
                 "limpetweir_online_first_byte_seconds",
@@ -155,9 +158,11 @@
     }
 
     /// Counts a request of a caller that has ended.
-    pub(crate) fn request_ended(&self, end: RequestEnd) {
+    pub(crate) fn request_ended(&self, end: RequestEnd, got: CallerGot) {
         let end: &'static str = end.into();
-        self.request_ends.add(1, &[KeyValue::new("end", end)]);
+        let got: &'static str = got.into();
+        let labels = [KeyValue::new("end", end), KeyValue::new("got", got)];
+        self.request_ends.add(1, &labels);
     }
 
     /// Records the time to the first byte of a response.
--- a/gateway/src/serve/rejections.rs
+++ b/gateway/src/serve/rejections.rs
@@ -149,7 +149,7 @@
 pub(crate) fn fail_at_stop<P>(node: &Node<P>, admitted: &Admitted) -> Response<Body> {
     log_event!(
         REQUEST_FAILED,
-        "request={} status=504 route={} cause=stopping version={}",
+        "request={} status=504 got=nothing route={} cause=stopping version={}",
         admitted.call.request_id,
         admitted.route.name,
         admitted.version
@@ -275,7 +275,7 @@
     let status_code = status.as_u16();
     log_event!(
         REQUEST_FAILED,
-        "request={id} status={status_code} route={} cause=\"{cause}\" version={}",
+        "request={id} status={status_code} got=nothing route={} cause=\"{cause}\" version={}",
         admitted.route.name,
         admitted.version
     );
--- a/gateway/src/serve/relay.rs
+++ b/gateway/src/serve/relay.rs
@@ -31,6 +31,7 @@
 };
 use super::choose::PlacedRequest;
 use super::ends::{
+    CallerGot,
     OpenRequest,
     RequestEnd, //
 };
@@ -85,6 +86,14 @@
     fn first_ms(&self) -> u128 {
         self.first.map_or(0, |first| first.as_millis())
     }
+
+    /// Returns what the caller of a response that is not complete has got.
+    fn got(&self) -> CallerGot {
+        match self.first {
+            Some(_) => CallerGot::Part,
+            None => CallerGot::Head,
+        }
+    }
 }
 
 /// A response that is being relayed.
@@ -101,11 +110,12 @@
 /// Starts to relay a response.
 pub(crate) fn start<P: Store + Dialect>(
     node: Arc<Node<P>>,
-    open: OpenRequest,
+    mut open: OpenRequest,
     admitted: Admitted,
     history: AttemptHistory,
     source: Source<P>,
 ) -> Response<Body> {
+    open.passed_on(CallerGot::Head);
     let (sender, body) = Body::channel();
     let mut response = Response::new(body);
     *response.status_mut() = source.response.status();
@@ -127,7 +137,7 @@
 
 async fn relay<P: Store + Dialect>(
     node: &Arc<Node<P>>,
-    open: OpenRequest,
+    mut open: OpenRequest,
     admitted: Admitted,
     mut history: AttemptHistory,
     source: Source<P>,
@@ -156,15 +166,18 @@
         Err(Interruption::Stopped)
     };
     let result = future::or(forwarded, stopped).await;
+    open.passed_on(relay.forwarded.got());
     let (end, cause) = match result {
         Ok(()) => {
             relay.log_answer(status);
             // If the caller disconnected during the last chunk, nothing is left to do.
             let finished = timeout_at(admitted.deadline, sender.finish()).await;
-            open.end(match finished {
-                Some(_) => RequestEnd::Answered,
-                None => RequestEnd::CutAtDeadline,
-            });
+            if finished.is_none() {
+                open.end(RequestEnd::CutAtDeadline);
+                return;
+            }
+            open.passed_on(CallerGot::Whole);
+            open.end(RequestEnd::Answered);
             return;
         }
         Err(Interruption::CallerDisconnected) => {
@@ -279,9 +292,10 @@
         let admitted = self.admitted;
         log_event!(
             CALLER_LEFT,
-            "request={} backend={} ms={} events={}",
+            "request={} backend={} got={} ms={} events={}",
             admitted.call.request_id,
             self.backend,
+            self.forwarded.got(),
             admitted.arrived.elapsed().as_millis(),
             self.forwarded.events
         );
@@ -293,8 +307,9 @@
         let admitted = self.admitted;
         log_event!(
             REQUEST_FAILED,
-            "request={} status=cut backend={} events={} ms={} runs={} route={} cause=\"{cause}\" version={}",
+            "request={} status=cut got={} backend={} events={} ms={} runs={} route={} cause=\"{cause}\" version={}",
             admitted.call.request_id,
+            self.forwarded.got(),
             self.backend,
             self.forwarded.events,
             admitted.arrived.elapsed().as_millis(),
