gateway: pass the status on with the first output

Callers saw a 200 and a broken body when a run ended between its head and its first event: withdrawn because its request is blamed for crashes, its server lost, its response invalid or silent until the deadline. That is neither an answer nor a refusal, and the route's further attempts were not used for a whole answer that was lost at byte 0.

Cause: the relay passed the status and the headers on as soon as they were in, and from then on a response could only be cut.

`find_response` now returns a response that has output: the first event of a stream, the first byte or the end of another answer. Until then a lost run is one more failed attempt with the same history, leases, crash checks and bounds; without attempts left the caller gets 502, at the deadline and at the end of a stop 504. Streams keep their replacement and the second server beside a silent one. The status and the headers are those of the server that answers. A caller that leaves drops the future, which closes the connection of the run. The relay only relays, and the head and the first output are in one write: the task of the relay is no longer between the connection of the server and that of the caller.

Comments before the first event are kept up to 64 KiB and sent with it; a server that sends them without end does not fill the memory.

--- a/gateway/src/serve/mod.rs
+++ b/gateway/src/serve/mod.rs
@@ -10,6 +10,8 @@
 mod crash_messages;
 mod crashes;
 mod ends;
+mod find_response;
+mod first_output;
 mod follow;
 mod forwarding;
 mod heads;
@@ -40,6 +42,7 @@
 mod suspected_items;
 mod takeover;
 mod tasks;
+mod whole;
 mod writer;
 
 use std::io;
--- a/gateway/src/serve/online.rs
+++ b/gateway/src/serve/online.rs
@@ -14,7 +14,6 @@
     Response,
     StatusCode, //
 };
-use limpetweir_state::Verdict;
 use limpetweir_transport::http::{
     Body,
     BodyError,
@@ -23,19 +22,11 @@
 use limpetweir_transport::timeout_at;
 use rand::Rng;
 
-use super::attempt::{
-    Attempt,
-    AttemptHistory,
-    attempt, //
-};
-use super::choose::{
-    Eligible,
-    choose, //
-};
+use super::attempt::AttemptHistory;
 use super::ends::OpenRequest;
+use super::find_response::find_response;
 use super::forwarding::AllowedCall;
 use super::lines::{
-    ATTEMPT_FAILED,
     REFUSED,
     log_event, //
 };
@@ -43,24 +34,17 @@
 use super::rejections::{
     NO_CONFIG_RETRY,
     deny,
-    fail,
     fail_at_stop,
     fail_call_at_stop,
-    reject,
     reject_body,
-    reject_held,
     reject_late_in_stop,
     reject_newer_sender,
     reject_over_quota, //
 };
-use super::relay::Source;
 use super::replies::retry_later;
 use super::{
-    case_records,
-    crash_checks,
     forwarding,
     job_calls,
-    leases,
     relay, //
 };
 use crate::config::{
@@ -322,7 +306,7 @@
         None
     };
     match future::or(found, stopped).await {
-        Some(Ok(source)) => relay::start(node, open, admitted, history, *source),
+        Some(Ok(started)) => relay::start(node, open, admitted, history, started),
         Some(Err(response)) => open.answer(response),
         None => {
             let response = fail_at_stop(&node, &admitted);
@@ -330,59 +314,3 @@
         }
     }
 }
-
-/// Sends a request to backend servers until one responds; the error is the response to the caller if
-/// none does.
-async fn find_response<P: Store + Dialect>(
-    node: &Arc<Node<P>>,
-    admitted: &Admitted,
-    history: &mut AttemptHistory,
-) -> Result<Box<Source<P>>, Response<Body>> {
-    let id = &admitted.call.request_id;
-    loop {
-        let lease = leases::acquire(node, &admitted.parts, admitted.deadline).await;
-        let lease = lease.map_err(|busy| reject(node, admitted, history, busy))?;
-        let mut placed = match choose(node, admitted, history, Eligible::All) {
-            Ok(placed) => placed,
-            Err(rejection) => return Err(reject(node, admitted, history, rejection)),
-        };
-        placed.lease = lease;
-        if placed.needs_probe {
-            if !case_records::claim_probe(node, id, admitted.parts.keys()).await {
-                drop(placed);
-                return Err(reject_held(node, admitted, history));
-            }
-            history.is_probe = true;
-        }
-        let backend = placed.entry.clone();
-        let key = placed.key;
-        history.tried.push(key);
-        let (verdict, cause) = match attempt(node, admitted, history, placed).await {
-            Attempt::Answered(source) => return Ok(source),
-            Attempt::NotRun(cause) => {
-                history.rejections += 1;
-                (Verdict::NotRun, cause)
-            }
-            Attempt::Refused(cause) => (Verdict::NotRun, cause),
-            Attempt::MayHaveRun(cause) => (Verdict::MayHaveRun, cause),
-            Attempt::Lost(cause) => {
-                history.silent_losses += 1;
-                (Verdict::MayHaveRun, cause)
-            }
-        };
-        log_event!(
-            ATTEMPT_FAILED,
-            "request={id} backend={} verdict={verdict} cause=\"{cause}\"",
-            backend.id
-        );
-        if verdict == Verdict::NotRun {
-            continue;
-        }
-        history.runs += 1;
-        let may_run_again = history.may_run_again(&admitted.route);
-        if !may_run_again || admitted.deadline <= Instant::now() {
-            return Err(fail(node, admitted, &cause));
-        }
-        crash_checks::checked(node, key).await;
-    }
-}
--- a/gateway/src/serve/relay.rs
+++ b/gateway/src/serve/relay.rs
@@ -1,5 +1,6 @@
 //! Relays the responses of backend servers to callers.
 
+use std::fmt;
 use std::sync::Arc;
 use std::time::{
     Duration,
@@ -8,11 +9,6 @@
 
 use futures_lite::future;
 use hyper::body::Bytes;
-use hyper::header::{
-    CONTENT_LENGTH,
-    HeaderMap,
-    TRANSFER_ENCODING, //
-};
 use hyper::{
     Response,
     StatusCode, //
@@ -35,6 +31,11 @@
     OpenRequest,
     RequestEnd, //
 };
+use super::first_output::{
+    Output,
+    Rest,
+    Started, //
+};
 use super::lines::{
     ANSWERED,
     CALLER_LEFT,
@@ -44,7 +45,6 @@
 use super::node::Node;
 use super::online::Admitted;
 use super::run_watch::RunWatch;
-use super::stream::watched;
 use super::supervisor::OneShot;
 use crate::platform::{
     Dialect,
@@ -59,7 +59,15 @@
     pub(crate) placed: PlacedRequest<P>,
 }
 
+impl<P: Store + Dialect> Source<P> {
+    /// Returns whether the response is a stream that another server may continue.
+    pub(crate) fn is_stream(&self) -> bool {
+        self.head.events && self.response.status() == StatusCode::OK
+    }
+}
+
 /// Reason why a response was interrupted.
+#[derive(Debug)]
 pub(crate) enum Interruption {
     /// The caller disconnected.
     CallerDisconnected,
@@ -75,6 +83,18 @@
     Withdrawn,
 }
 
+impl fmt::Display for Interruption {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::CallerDisconnected => "the caller disconnected",
+            Self::Stopped => "the instance stops",
+            Self::Deadline => "the deadline of the request has expired",
+            Self::ConnectionLost(cause) | Self::Backend(cause) => cause,
+            Self::Withdrawn => WITHDRAWN,
+        })
+    }
+}
+
 /// Progress of the part of a response that has been forwarded.
 #[derive(Debug, Default)]
 pub(crate) struct Forwarded {
@@ -96,38 +116,50 @@
     }
 }
 
-/// A response that is being relayed.
+/// A request whose response is waited for or relayed.
 pub(crate) struct Relay<'a, P: Store + Dialect> {
     pub(crate) node: &'a Arc<Node<P>>,
     pub(crate) admitted: &'a Admitted,
-    pub(crate) sender: &'a BodySender,
-    pub(crate) history: AttemptHistory,
+    /// Writes the response to the caller; `None` until there is output. A caller that leaves before drops
+    /// the request.
+    pub(crate) sender: Option<&'a BodySender>,
+    pub(crate) history: &'a mut AttemptHistory,
     pub(crate) forwarded: Forwarded,
     /// Identifier of the backend server from which the response comes at present.
     pub(crate) backend: String,
 }
 
-/// Starts to relay a response.
+/// Passes the head of a response on with its first output, and starts to relay the rest.
 pub(crate) fn start<P: Store + Dialect>(
     node: Arc<Node<P>>,
     mut open: OpenRequest,
     admitted: Admitted,
     history: AttemptHistory,
-    source: Source<P>,
+    started: Started<P>,
 ) -> Response<Body> {
-    open.passed_on(CallerGot::Head);
-    let (sender, body) = Body::channel();
+    let Output { head, first, rest } = started.output;
+    open.passed_on(match first.is_empty() {
+        true => CallerGot::Head,
+        false => CallerGot::Part,
+    });
+    let (sender, body) = Body::channel_with(first);
     let mut response = Response::new(body);
-    *response.status_mut() = source.response.status();
-    *response.headers_mut() = node.platform.forwarded_headers(source.response.headers());
-    if source.head.events {
-        // Another backend server may continue the stream, so its total length is not known yet.
-        response.headers_mut().remove(CONTENT_LENGTH);
-    }
+    *response.status_mut() = head.status();
+    *response.headers_mut() = node.platform.forwarded_headers(head.headers());
     node.metrics.first_byte(admitted.arrived.elapsed());
     let shared = node.clone();
     let task = async move {
-        relay(&shared, open, admitted, history, source, sender).await;
+        let mut history = history;
+        let relay = Relay {
+            node: &shared,
+            admitted: &admitted,
+            sender: Some(&sender),
+            history: &mut history,
+            forwarded: started.forwarded,
+            backend: started.backend,
+        };
+        let end = relay.relay(rest, &sender, head.status()).await;
+        finish(open, end, sender, admitted.deadline).await;
     };
     // A panic drops the sender, which breaks the response off, and the request, which counts its end.
     let clean_up = std::future::ready(());
@@ -135,75 +167,65 @@
     response
 }
 
-async fn relay<P: Store + Dialect>(
-    node: &Arc<Node<P>>,
+/// Ends a request whose response was relayed. Dropping the sender aborts the response, so that the
+/// caller cannot take it for complete.
+async fn finish(
     mut open: OpenRequest,
-    admitted: Admitted,
-    mut history: AttemptHistory,
-    source: Source<P>,
+    relayed: Result<(), Interruption>,
     sender: BodySender,
+    deadline: Instant,
 ) {
-    history.runs += 1;
-    let mut relay = Relay {
-        node,
-        admitted: &admitted,
-        sender: &sender,
-        history,
-        forwarded: Forwarded::default(),
-        backend: source.placed.entry.id.clone(),
-    };
-    let events = source.head.events && source.response.status() == StatusCode::OK;
-    let status = source.response.status();
-    let forwarded = async {
-        match events {
-            true => relay.forward_stream(source).await,
-            false => relay.forward_bytes(source).await,
-        }
-    };
-    // A request that came before the stop may have more time than this instance.
-    let stopped = async {
-        node.stop.overdue().await;
-        Err(Interruption::Stopped)
+    let end = match relayed {
+        // If the caller disconnected during the last chunk, nothing is left to do.
+        Ok(()) => match timeout_at(deadline, sender.finish()).await {
+            Some(_) => RequestEnd::Answered,
+            None => RequestEnd::CutAtDeadline,
+        },
+        Err(Interruption::CallerDisconnected) => return open.disconnected(),
+        Err(Interruption::Stopped) => RequestEnd::CutAtStop,
+        Err(Interruption::Deadline) => RequestEnd::CutAtDeadline,
+        Err(
+            Interruption::ConnectionLost(_) | Interruption::Backend(_) | Interruption::Withdrawn,
+        ) => RequestEnd::BrokenOff,
     };
-    let result = future::or(forwarded, stopped).await;
-    open.passed_on(relay.forwarded.got());
-    let (end, cause) = match result {
-        Ok(()) => {
-            relay.log_answer(status);
-            // If the caller disconnected during the last chunk, nothing is left to do.
-            let finished = timeout_at(admitted.deadline, sender.finish()).await;
-            if finished.is_none() {
-                open.end(RequestEnd::CutAtDeadline);
-                return;
-            }
-            open.passed_on(CallerGot::Whole);
-            open.end(RequestEnd::Answered);
-            return;
-        }
-        Err(Interruption::CallerDisconnected) => {
-            relay.log_departure();
-            open.disconnected();
-            return;
-        }
-        Err(Interruption::Stopped) => {
-            open.end(RequestEnd::CutAtStop);
-            return;
-        }
-        Err(Interruption::Deadline) => {
-            let cause = "the deadline of the request has expired".to_owned();
-            (RequestEnd::CutAtDeadline, cause)
-        }
-        Err(Interruption::Backend(cause) | Interruption::ConnectionLost(cause)) => {
-            (RequestEnd::BrokenOff, cause)
-        }
-        Err(Interruption::Withdrawn) => (RequestEnd::BrokenOff, WITHDRAWN.to_owned()),
-    };
-    // Dropping the sender aborts the response, so that the caller cannot take it for complete.
-    relay.log_cut(&cause);
+    if end == RequestEnd::Answered {
+        open.passed_on(CallerGot::Whole);
+    }
     open.end(end);
 }
 
 impl<P: Store + Dialect> Relay<'_, P> {
+    /// Relays the rest of a response.
+    async fn relay(
+        mut self,
+        rest: Rest<P>,
+        sender: &BodySender,
+        status: StatusCode,
+    ) -> Result<(), Interruption> {
+        let node = self.node;
+        let forwarded = async {
+            match rest {
+                Rest::Stream(run) => self.forward_stream(run, sender).await,
+                Rest::Bytes(run) => self.forward_bytes(run, sender).await,
+                Rest::Nothing => Ok(()),
+            }
+        };
+        // A request that came before the stop may have more time than this instance.
+        let stopped = async {
+            node.stop.overdue().await;
+            Err(Interruption::Stopped)
+        };
+        let relayed = future::or(forwarded, stopped).await;
+        match &relayed {
+            Ok(()) => self.log_answer(status),
+            Err(Interruption::CallerDisconnected) => self.log_departure(),
+            // Logged with the end of the request.
+            Err(Interruption::Stopped) => {}
+            Err(cause) => self.log_cut(cause),
+        }
+        relayed
+    }
+
     /// Waits for `step`, for as long as the caller is there and the request has time.
     pub(crate) async fn bounded<T>(
         &self,
@@ -213,60 +235,28 @@
     }
 
     /// Sends a part of the response to the caller, which may read slowly or not at all.
-    pub(crate) async fn send(&self, bytes: Bytes) -> Result<(), Interruption> {
+    pub(crate) async fn send(&self, sender: &BodySender, bytes: Bytes) -> Result<(), Interruption> {
         let sent = async {
-            let sent = self.sender.send(bytes).await;
+            let sent = sender.send(bytes).await;
             sent.map_err(|_| Interruption::CallerDisconnected)
         };
         self.bounded(sent).await
     }
 
-    async fn forward_bytes(&mut self, source: Source<P>) -> Result<(), Interruption> {
-        let Source {
-            response,
-            head,
-            placed,
-        } = source;
-        let is_success = response.status().is_success();
-        let ends_with_connection = ends_with_connection(response.headers());
-        let mut body = response.into_body();
-        let id = &self.admitted.call.request_id;
-        let parts = &self.admitted.parts;
-        let mut watch = RunWatch::new(self.node, id, parts, placed.place());
-        let forwarded = loop {
-            match self.bounded(watched(&watch, &mut body)).await {
-                Ok(None) => break check_end(ends_with_connection, head.signed),
-                Err(interruption) => break Err(interruption),
-                Ok(Some(bytes)) => {
-                    let arrived = self.admitted.arrived;
-                    self.forwarded
-                        .first
-                        .get_or_insert_with(|| arrived.elapsed());
-                    if is_success {
-                        watch.output();
-                    }
-                    if let Err(interruption) = self.send(bytes).await {
-                        break Err(interruption);
-                    }
-                }
-            }
-        };
-        match &forwarded {
-            Ok(()) if is_success => watch.completed(),
-            Err(Interruption::ConnectionLost(cause)) => {
+    /// Records the end of a run that was interrupted.
+    pub(crate) fn record_loss(&mut self, watch: &RunWatch<P>, interruption: &Interruption) {
+        match interruption {
+            Interruption::ConnectionLost(cause) => {
+                self.history.silent_losses += u32::from(watch.is_suspected());
                 watch.connection_lost(true);
-                suspect(self.node, placed.key, cause);
+                suspect(self.node, watch.key(), cause);
             }
-            Err(Interruption::Backend(cause)) => suspect(self.node, placed.key, cause),
-            Ok(())
-            | Err(
-                Interruption::CallerDisconnected
-                | Interruption::Deadline
-                | Interruption::Stopped
-                | Interruption::Withdrawn,
-            ) => {}
+            Interruption::Backend(cause) => suspect(self.node, watch.key(), cause),
+            Interruption::CallerDisconnected
+            | Interruption::Deadline
+            | Interruption::Stopped
+            | Interruption::Withdrawn => {}
         }
-        forwarded
     }
 
     fn log_answer(&self, status: StatusCode) {
@@ -303,7 +293,7 @@
         metrics.online("caller-left", admitted.arrived.elapsed());
     }
 
-    fn log_cut(&self, cause: &str) {
+    fn log_cut(&self, cause: &Interruption) {
         let admitted = self.admitted;
         log_event!(
             REQUEST_FAILED,
@@ -323,12 +313,15 @@
 
 /// Waits for `step` until `deadline`, for as long as the caller reads from `sender`.
 async fn bounded<T>(
-    sender: &BodySender,
+    sender: Option<&BodySender>,
     deadline: Instant,
     step: impl Future<Output = Result<T, Interruption>> + Send,
 ) -> Result<T, Interruption> {
     let disconnected = async {
-        sender.closed().await;
+        match sender {
+            Some(sender) => sender.closed().await,
+            None => future::pending().await,
+        }
         Err(Interruption::CallerDisconnected)
     };
     match timeout_at(deadline, future::or(step, disconnected)).await {
@@ -340,19 +333,3 @@
         None => Err(Interruption::Deadline),
     }
 }
-
-/// Returns whether the body has neither a length nor chunks, so that only the end of the connection
-/// ends it.
-fn ends_with_connection(headers: &HeaderMap) -> bool {
-    !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING)
-}
-
-/// Checks that a body that has ended is whole. One that ends with its connection may have been cut off
-/// anywhere, and only a signature says that the server had the whole response.
-fn check_end(ends_with_connection: bool, signed: bool) -> Result<(), Interruption> {
-    if ends_with_connection && !signed {
-        let cause = "a response without a signature ended with its connection".to_owned();
-        return Err(Interruption::ConnectionLost(cause));
-    }
-    Ok(())
-}
--- a/gateway/src/serve/run_watch.rs
+++ b/gateway/src/serve/run_watch.rs
@@ -86,6 +86,11 @@
         }
     }
 
+    /// Returns the backend server of the run.
+    pub(crate) fn key(&self) -> BackendKey {
+        self.place.key
+    }
+
     /// Returns whether a part of the output has arrived.
     pub(crate) fn has_output(&self) -> bool {
         self.outputs > 0
--- a/gateway/src/serve/stream.rs
+++ b/gateway/src/serve/stream.rs
@@ -5,8 +5,12 @@
 
 use futures_lite::future;
 use http_body_util::BodyExt;
+use hyper::Response;
 use hyper::body::Bytes;
-use limpetweir_transport::http::ClientBody;
+use limpetweir_transport::http::{
+    BodySender,
+    ClientBody, //
+};
 use limpetweir_transport::timeout_at;
 
 use super::choose::PlacedRequest;
@@ -29,18 +33,25 @@
     Splitter, //
 };
 
+/// Most bytes without output that are kept of a run until its first event. Comments and blank lines
+/// mean nothing to callers, and a faulty server may send them endlessly.
+const MAX_HELD_BYTES: usize = 64 << 10;
+
 /// A run whose response is a stream of events. Dropping it closes its connection, which ends the run
 /// at the server.
 pub(crate) struct StreamRun<P: Store + Dialect> {
     node: Arc<Node<P>>,
     pub(crate) placed: PlacedRequest<P>,
     pub(crate) watch: RunWatch<P>,
+    /// Status and headers of the response.
+    pub(crate) head: Response<()>,
     /// `None` after an interruption, which closes the connection.
     body: Option<ClientBody>,
     splitter: Splitter,
     pace: PaceMeter,
-    /// Blocks without output that were read during an overlap and are still to be forwarded.
+    /// Blocks without output that are still to be forwarded, with the first event if possible.
     held: Vec<Event>,
+    held_bytes: usize,
     /// Number of the last event that this run or the one before it has sent.
     last_event: Option<u64>,
     /// When the last event was complete; bytes that complete no event are no progress.
@@ -68,14 +79,17 @@
         let Source {
             response, placed, ..
         } = source;
+        let (head, body) = response.into_parts();
         let id = &admitted.call.request_id;
         Self {
             node: node.clone(),
             watch: RunWatch::new(node, id, &admitted.parts, placed.place()),
-            body: Some(response.into_body()),
+            head: Response::from_parts(head, ()),
+            body: Some(body),
             splitter: Splitter::default(),
             pace: PaceMeter::default(),
             held: Vec::new(),
+            held_bytes: 0,
             last_event,
             progressed: Instant::now(),
             ask_at: Instant::now() + STALL_TIMEOUT,
@@ -86,7 +100,7 @@
     /// Reads the next complete events. Dropping the future loses nothing.
     pub(crate) async fn next(&mut self) -> Result<Read, Interruption> {
         if !self.held.is_empty() {
-            return Ok(Read::Events(std::mem::take(&mut self.held)));
+            return Ok(Read::Events(self.take_held()));
         }
         self.read().await
     }
@@ -127,17 +141,33 @@
             let Read::Events(events) = self.read().await? else {
                 break;
             };
-            self.held.extend(events);
-            if self.held.iter().any(Event::is_output) {
+            let shows_output = events.iter().any(Event::is_output);
+            self.hold(events);
+            if shows_output {
                 break;
             }
         }
         match self.held.is_empty() {
             true => Ok(Read::End),
-            false => Ok(Read::Events(std::mem::take(&mut self.held))),
+            false => Ok(Read::Events(self.take_held())),
+        }
+    }
+
+    fn hold(&mut self, events: Vec<Event>) {
+        for event in events {
+            let len = event.raw.len();
+            if event.is_output() || self.held_bytes + len <= MAX_HELD_BYTES {
+                self.held_bytes += len;
+                self.held.push(event);
+            }
         }
     }
 
+    fn take_held(&mut self) -> Vec<Event> {
+        self.held_bytes = 0;
+        std::mem::take(&mut self.held)
+    }
+
     fn record(&mut self, event: &Event) -> Result<(), Interruption> {
         if let Some(id) = event.id {
             if self.last_event.is_some_and(|last| id != last + 1) {
@@ -206,9 +236,11 @@
 impl<P: Store + Dialect> Relay<'_, P> {
     /// Forwards the events of a stream until it is complete. Only complete events are forwarded, so that
     /// another backend server can continue the stream after the last one.
-    pub(crate) async fn forward_stream(&mut self, source: Source<P>) -> Result<(), Interruption> {
-        let last = self.history.last_event;
-        let mut run = StreamRun::new(self.node, self.admitted, source, last);
+    pub(crate) async fn forward_stream(
+        &mut self,
+        mut run: StreamRun<P>,
+        sender: &BodySender,
+    ) -> Result<(), Interruption> {
         loop {
             let read = match self.next(&mut run).await {
                 Ok(read) => read,
@@ -222,7 +254,8 @@
                 Some(Read::Events(events)) => {
                     let began = Instant::now();
                     for event in events {
-                        self.forward(event).await?;
+                        self.record(&event);
+                        self.send(sender, event.raw).await?;
                     }
                     // The server is not read while the caller does not read.
                     run.ask_at += began.elapsed();
@@ -235,21 +268,32 @@
         }
     }
 
-    /// Waits for the next events, and asks another server for the rest when the stream is silent.
-    /// Returns `None` if it is still silent.
-    async fn next(&mut self, run: &mut StreamRun<P>) -> Result<Option<Read>, Interruption> {
-        if !self.may_continue() {
-            return self.bounded(run.next()).await.map(Some);
-        }
-        let ask_at = run.ask_at;
-        let read = async { timeout_at(ask_at, run.next()).await.transpose() };
+    /// Waits for the next events, or for the first output while the caller has got nothing, and asks
+    /// another server for the rest when the stream is silent. Returns `None` if it is still silent.
+    pub(crate) async fn next(
+        &mut self,
+        run: &mut StreamRun<P>,
+    ) -> Result<Option<Read>, Interruption> {
+        let ask_at = self.may_continue().then_some(run.ask_at);
+        let is_waiting = self.sender.is_none();
+        let read = async {
+            match is_waiting {
+                true => run.first_output().await,
+                false => run.next().await,
+            }
+        };
+        let Some(ask_at) = ask_at else {
+            return self.bounded(read).await.map(Some);
+        };
+        let read = async { timeout_at(ask_at, read).await.transpose() };
         match self.bounded(read).await? {
             Some(read) => Ok(Some(read)),
             None => self.overlap(run).await,
         }
     }
 
-    async fn forward(&mut self, event: Event) -> Result<(), Interruption> {
+    /// Records an event that is passed on to the caller.
+    pub(crate) fn record(&mut self, event: &Event) {
         if event.id.is_some() {
             self.history.last_event = event.id;
         }
@@ -258,6 +302,5 @@
             .first
             .get_or_insert_with(|| arrived.elapsed());
         self.forwarded.events += u64::from(event.is_output());
-        self.send(event.raw).await
     }
 }
--- a/gateway/src/serve/takeover.rs
+++ b/gateway/src/serve/takeover.rs
@@ -87,7 +87,7 @@
         &mut self,
         run: &mut StreamRun<P>,
     ) -> Result<Option<Read>, Interruption> {
-        let Ok(placed) = choose(self.node, self.admitted, &self.history, Eligible::AtOnce) else {
+        let Ok(placed) = choose(self.node, self.admitted, self.history, Eligible::AtOnce) else {
             run.ask_at = Instant::now() + SEARCH_INTERVAL;
             return Ok(None);
         };
@@ -135,7 +135,7 @@
             }
             Race::Second(next, read, lost) => {
                 match lost {
-                    Some(interruption) => self.record_loss(run, &interruption),
+                    Some(lost) => self.record_loss(&run.watch, &lost),
                     None => run.watch.dropped_in_silence(),
                 }
                 let cause = format!("no event for {} ms", silent.as_millis());
@@ -174,7 +174,7 @@
     }
 
     async fn second_run(&self, placed: PlacedRequest<P>) -> Race<P> {
-        let source = match open_rest(self.node, self.admitted, &self.history, placed).await {
+        let source = match open_rest(self.node, self.admitted, self.history, placed).await {
             Ok(source) => source,
             Err(no_rest) => return Race::Failed(no_rest),
         };
@@ -214,7 +214,7 @@
         else {
             return Err(interruption);
         };
-        self.record_loss(&run, &interruption);
+        self.record_loss(&run.watch, &interruption);
         drop(run);
         let mut rejected_by = Vec::new();
         while self.may_continue() {
@@ -232,7 +232,7 @@
             let Ok(lease) = self.bounded(lease).await? else {
                 continue;
             };
-            let mut placed = match choose(self.node, self.admitted, &self.history, Eligible::Rest) {
+            let mut placed = match choose(self.node, self.admitted, self.history, Eligible::Rest) {
                 Ok(placed) => placed,
                 Err(rejection) if rejection.is_final && rejected_by.is_empty() => break,
                 Err(_) => {
@@ -277,7 +277,7 @@
         &self,
         placed: PlacedRequest<P>,
     ) -> Result<Result<Source<P>, NoRest>, Interruption> {
-        let rest = open_rest(self.node, self.admitted, &self.history, placed);
+        let rest = open_rest(self.node, self.admitted, self.history, placed);
         if !self.may_continue() {
             return Ok(rest.await);
         }
@@ -297,22 +297,6 @@
         self.backend.clone_from(to);
     }
 
-    fn record_loss(&mut self, run: &StreamRun<P>, interruption: &Interruption) {
-        let key = run.placed.key;
-        match interruption {
-            Interruption::ConnectionLost(cause) => {
-                self.history.silent_losses += u32::from(run.watch.is_suspected());
-                run.watch.connection_lost(true);
-                suspect(self.node, key, cause);
-            }
-            Interruption::Backend(cause) => suspect(self.node, key, cause),
-            Interruption::CallerDisconnected
-            | Interruption::Deadline
-            | Interruption::Stopped
-            | Interruption::Withdrawn => {}
-        }
-    }
-
     /// Corrects the number of runs, which counts an attempt from its start on.
     fn count(&mut self, no_rest: NoRest) {
         match no_rest {
--- /dev/null
+++ b/gateway/src/serve/whole.rs
@@ -0,0 +1,107 @@
+//! One run of a request whose response is not a stream.
+
+use hyper::Response;
+use hyper::body::Bytes;
+use hyper::header::{
+    CONTENT_LENGTH,
+    TRANSFER_ENCODING, //
+};
+use limpetweir_transport::http::{
+    BodySender,
+    ClientBody, //
+};
+
+use super::choose::PlacedRequest;
+use super::relay::{
+    Interruption,
+    Relay,
+    Source, //
+};
+use super::run_watch::RunWatch;
+use super::stream::watched;
+use crate::platform::{
+    Dialect,
+    Store, //
+};
+
+/// A run whose response is passed on as it arrives. Dropping it before its end closes its connection,
+/// which ends the run at the server.
+pub(crate) struct WholeRun<P: Store + Dialect> {
+    /// Status and headers of the response.
+    pub(crate) head: Response<()>,
+    body: ClientBody,
+    watch: RunWatch<P>,
+    is_success: bool,
+    /// Whether nothing but its end says that the body is whole: it has neither a length nor chunks, so it
+    /// ends with its connection, and no signature says that the server had the whole response.
+    has_open_end: bool,
+    /// Counts the request in the load of the server.
+    _placed: PlacedRequest<P>,
+}
+
+impl<P: Store + Dialect> WholeRun<P> {
+    /// Reads the next bytes; `None` at the end of the response.
+    async fn next(&mut self) -> Result<Option<Bytes>, Interruption> {
+        let bytes = watched(&self.watch, &mut self.body).await?;
+        if bytes.is_none() && self.has_open_end {
+            let cause = "a response without a signature ended with its connection".to_owned();
+            return Err(Interruption::ConnectionLost(cause));
+        }
+        if self.is_success {
+            match bytes {
+                Some(_) => self.watch.output(),
+                None => self.watch.completed(),
+            }
+        }
+        Ok(bytes)
+    }
+}
+
+impl<P: Store + Dialect> Relay<'_, P> {
+    /// Returns the run of a response that is not a stream.
+    pub(crate) fn whole_run(&self, source: Source<P>) -> WholeRun<P> {
+        let Source {
+            response,
+            head: decoded,
+            placed,
+        } = source;
+        let (head, body) = response.into_parts();
+        let id = &self.admitted.call.request_id;
+        let watch = RunWatch::new(self.node, id, &self.admitted.parts, placed.place());
+        let headers = &head.headers;
+        let has_end =
+            headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
+        WholeRun {
+            is_success: head.status.is_success(),
+            has_open_end: !has_end && !decoded.signed,
+            head: Response::from_parts(head, ()),
+            body,
+            watch,
+            _placed: placed,
+        }
+    }
+
+    /// Waits for the next bytes of a response, and records the loss of its run.
+    pub(crate) async fn next_bytes(
+        &mut self,
+        run: &mut WholeRun<P>,
+    ) -> Result<Option<Bytes>, Interruption> {
+        let read = self.bounded(run.next()).await;
+        if let Err(interruption) = &read {
+            self.record_loss(&run.watch, interruption);
+        }
+        read
+    }
+
+    /// Forwards a response until it is complete.
+    pub(crate) async fn forward_bytes(
+        &mut self,
+        mut run: WholeRun<P>,
+        sender: &BodySender,
+    ) -> Result<(), Interruption> {
+        while let Some(bytes) = self.next_bytes(&mut run).await? {
+            self.send(sender, bytes).await?;
+        }
+        Ok(())
+    }
+}
--- a/transport/src/http/body.rs
+++ b/transport/src/http/body.rs
@@ -122,7 +122,16 @@
 
     /// Returns a streamed body and the sender that writes it.
     pub fn channel() -> (BodySender, Self) {
+        Self::channel_with(Bytes::new())
+    }
+
+    /// The same for a body whose first part is there already, which is sent together with the head.
+    pub fn channel_with(first: Bytes) -> (BodySender, Self) {
         let (tx, rx) = async_channel::bounded(CHANNEL_CAPACITY);
+        if !first.is_empty() {
+            let sent = tx.try_send(Part::Data(first));
+            debug_assert!(sent.is_ok(), "a new channel has room");
+        }
         (BodySender { tx }, Self::Channel(Box::pin(rx)))
     }
 
