gateway: count callers that leave before the first output

Callers that left between the head and the first event were counted as `caller-left` in `limpetweir_online_requests` by the relay, which begins later now; those that left before the head were never counted. The guard of the open request counts both.

--- a/gateway/src/serve/ends.rs
+++ b/gateway/src/serve/ends.rs
@@ -39,11 +39,11 @@
     Denied,
     /// The caller gets 502 or 500: the request may have run.
     Failed,
-    /// The caller gets 504: its time, that of its route or that of a stopping instance is up before a
-    /// response began.
+    /// The caller gets 504: its time, that of its route or that of a stopping instance is up before the
+    /// first output of a response.
     TimedOut,
-    /// The response is broken off, because its backend server broke off and no other one has the
-    /// rest.
+    /// The response is broken off, because its backend server broke off after the first output and no
+    /// other one has the rest.
     BrokenOff,
     /// The response is broken off, because the time of the caller or of the route is up.
     CutAtDeadline,
@@ -232,6 +232,11 @@
                 "request={id} status=cut got={got} cause=stopping ms={ms}"
             );
         } else if is_dropped {
+            // Calls about jobs have no deadline here.
+            if self.deadline.is_some() {
+                let metrics = &self.ends.metrics;
+                metrics.online("caller-left", self.arrived.elapsed());
+            }
             log_event!(CALLER_LEFT, "request={id} got={got} ms={ms} events=0");
         }
         if got == CallerGot::Head && end != RequestEnd::CallerLeft {
