--- a/gateway/src/serve/mod.rs
+++ b/gateway/src/serve/mod.rs
@@ -10,6 +10,8 @@
 mod crash_messages;
 mod crashes;
 mod ends;
+mod find_response;
+mod first_output;
 mod follow;
 mod forwarding;
 mod heads;
@@ -46,6 +48,7 @@
 mod takeover;
 mod task_kinds;
 mod tasks;
+mod whole;
 mod write_request;
 mod writer;
 
--- a/gateway/src/serve/run_watch.rs
+++ b/gateway/src/serve/run_watch.rs
@@ -22,6 +22,7 @@
     crash_checks,
     crashes, //
 };
+use crate::backend::BackendKey;
 use crate::platform::{
     Dialect,
     Store, //
@@ -75,6 +76,11 @@
         }
     }
 
+    /// Returns the backend server of the run.
+    pub(crate) fn key(&self) -> BackendKey {
+        self.place.key
+    }
+
     /// Returns whether a part of the output has arrived.
     pub(crate) fn has_output(&self) -> bool {
         self.outputs > 0
