gateway: the end of a job that may have taken effect is not refused

A caller that ended a job through an instance without the job could get 503 "the call has no effect" although a replica had ended the job and was lost before its response: the call may be repeated, so a missing response counted as no attempt, and the refusal of the next replica was passed on. Found by reading. A call that may have changed something now gets 504 unless another replica answers; a read still gets 503.

--- a/gateway/src/positions.rs
+++ b/gateway/src/positions.rs
@@ -6,7 +6,10 @@
 use std::cmp::Reverse;
 use std::time::Duration;
 
-use limpetweir_state::Timestamp;
+use limpetweir_state::{
+    Timestamp,
+    Verdict, //
+};
 
 /// Time after which an instance that peers are ahead of counts as behind. Usually a read returns a
 /// few milliseconds after an append; callers are guaranteed every result within a second.
@@ -47,6 +50,12 @@
             Self::Submit => false,
         }
     }
+
+    /// Returns whether the call may have changed something at a replica that gave no answer, so that a
+    /// refusal of another one must not be passed on as "no effect".
+    pub fn may_have_effect(self, verdict: Verdict) -> bool {
+        self != Self::Read && verdict != Verdict::NotRun
+    }
 }
 
 /// Freshness of this instance's copy of a partition.
--- a/gateway/src/serve/forwarding.rs
+++ b/gateway/src/serve/forwarding.rs
@@ -21,6 +21,7 @@
     Response,
     StatusCode, //
 };
+use limpetweir_state::Verdict;
 use limpetweir_transport::http::{
     Body,
     SendOptions,
@@ -88,6 +89,7 @@
     }
     let deadline = Instant::now() + TIMEOUT;
     let mut rejection = None;
+    let mut lost = None;
     for addr in peers {
         let remaining = deadline.saturating_duration_since(Instant::now());
         if remaining.is_zero() {
@@ -97,8 +99,12 @@
             ForwardOutcome::Answered(response) => return Some(response),
             ForwardOutcome::Rejected(response) => rejection = Some(response),
             ForwardOutcome::NoResponse => {}
+            ForwardOutcome::Lost(cause) => lost = Some(cause),
         }
     }
+    if let Some(cause) = lost {
+        return Some(unknown_outcome(&cause));
+    }
     if rejection.is_some() {
         return rejection;
     }
@@ -116,8 +122,10 @@
     Answered(Response<Body>),
     /// The peer rejected the call without executing it; another peer may accept it.
     Rejected(Response<Body>),
-    /// There was no complete response, and the call may be repeated.
+    /// There was no complete response, and the call has no effect.
     NoResponse,
+    /// There was no complete response. The call may have taken effect, and may be repeated.
+    Lost(String),
 }
 
 async fn send_call<P>(
@@ -132,7 +140,7 @@
         Ok(response) => response,
         Err(err) if err.verdict().allows_retry(call.kind.is_repeatable()) => {
             log::debug!("{addr} does not respond to a call about a job: {err}");
-            return ForwardOutcome::NoResponse;
+            return no_response(call.kind, err.verdict(), &err);
         }
         Err(err) => return ForwardOutcome::Answered(unknown_outcome(&err)),
     };
@@ -141,7 +149,7 @@
         Ok(bytes) => bytes,
         Err(err) if call.kind.is_repeatable() => {
             log::debug!("the response of {addr} was interrupted: {err}");
-            return ForwardOutcome::NoResponse;
+            return no_response(call.kind, Verdict::Ran, &err);
         }
         Err(err) => return ForwardOutcome::Answered(unknown_outcome(&err)),
     };
@@ -155,6 +163,13 @@
     }
 }
 
+fn no_response(kind: CallKind, verdict: Verdict, err: &impl std::fmt::Display) -> ForwardOutcome {
+    match kind.may_have_effect(verdict) {
+        true => ForwardOutcome::Lost(err.to_string()),
+        false => ForwardOutcome::NoResponse,
+    }
+}
+
 fn unknown_outcome(err: &impl std::fmt::Display) -> Response<Body> {
     log_event!(
         JOB_REFUSED,
--- a/gateway/tests/positions.rs
+++ b/gateway/tests/positions.rs
@@ -7,7 +7,10 @@
     forward_targets,
     runners, //
 };
-use limpetweir_state::Timestamp;
+use limpetweir_state::{
+    Timestamp,
+    Verdict, //
+};
 use rstest::rstest;
 
 fn at(ms: u64) -> Timestamp {
@@ -157,3 +160,19 @@
         "the read from 30 has not had the time that a read is given"
     );
 }
+
+/// A replica is lost after it has ended a job, and the next one refuses the call. Guards against a 503
+/// that promises that a call has no effect which it may have.
+#[rstest]
+#[case::end_sent(CallKind::End, Verdict::MayHaveRun, true)]
+#[case::end_done(CallKind::End, Verdict::Ran, true)]
+#[case::end_not_sent(CallKind::End, Verdict::NotRun, false)]
+#[case::submission(CallKind::Submit, Verdict::MayHaveRun, true)]
+#[case::read(CallKind::Read, Verdict::Ran, false)]
+fn a_refusal_after_a_lost_call_is_no_promise(
+    #[case] kind: CallKind,
+    #[case] verdict: Verdict,
+    #[case] expected: bool,
+) {
+    assert_eq!(kind.may_have_effect(verdict), expected);
+}
