gateway: a request that may have run uses up the rate

A request that was lost at one server and not taken by another one got 502, and its organisation got the token back, as if it had reached no server. Since lost streams without output go the same way, a lossy server gave organisations more than their rate. Found by reading.

--- a/gateway/src/quota.rs
+++ b/gateway/src/quota.rs
@@ -135,7 +135,7 @@
         })
     }
 
-    /// Refunds the token of a request that never reached a backend server.
+    /// Refunds the token of a request that no backend server has run.
     pub fn refund(&mut self, organisation: &str) {
         self.rates.give_back(OrganisationKey::of(organisation));
     }
--- a/gateway/src/serve/rejections.rs
+++ b/gateway/src/serve/rejections.rs
@@ -231,12 +231,12 @@
     history: &AttemptHistory,
     rejection: Rejection,
 ) -> Response<Body> {
-    if let Some(organisation) = &admitted.organisation {
-        node.lock().quotas.refund(&organisation.name);
-    }
     if history.runs > 0 {
         return fail(node, admitted, rejection.cause);
     }
+    if let Some(organisation) = &admitted.organisation {
+        node.lock().quotas.refund(&organisation.name);
+    }
     let id = &admitted.call.request_id;
     if let Some(case) = &rejection.case {
         node.lock().quarantine.count_held(case);
