gateway: lines of refusals state what the servers run

LW2502 with the causes full, turned-away and server-limits told neither how many servers were considered nor what ran there, so a refusal for want of slots could not be told from one because of suspected servers. The tests of the platform print the lines of their instances; LIMPETWEIR_LOG=info adds those about each request.

--- a/gateway/src/serve/choose.rs
+++ b/gateway/src/serve/choose.rs
@@ -27,7 +27,10 @@
     unix_ms, //
 };
 use super::online::Admitted;
-use super::rejections::NO_CONFIG_RETRY;
+use super::rejections::{
+    NO_CONFIG_RETRY,
+    Room, //
+};
 use super::run_watch::RunPlace;
 use crate::backend::{
     Backend,
@@ -119,6 +122,8 @@
     pub(crate) case: Option<Box<Case>>,
     /// The limits that keep the request away.
     pub(crate) limits: Option<LimitsMet>,
+    /// The servers that were full.
+    pub(crate) room: Option<Room>,
     /// Whether no known server may take the request later either.
     pub(crate) is_final: bool,
 }
@@ -153,6 +158,7 @@
             retry_after: case.probe_in.max(MIN_HELD_RETRY),
             case: Some(Box::new(case)),
             limits: None,
+            room: None,
             is_final: true,
         }
     }
@@ -257,6 +263,7 @@
     retry_after: Duration::ZERO,
     case: None,
     limits: None,
+    room: None,
     is_final: false,
 };
 
@@ -266,6 +273,7 @@
     retry_after: NO_CONFIG_RETRY,
     case: None,
     limits: None,
+    room: None,
     is_final: true,
 };
 
@@ -291,6 +299,7 @@
         retry_after: retry_after(running, queued, holding),
         case: None,
         limits: None,
+        room: Some(Room::of(candidates)),
         is_final: candidates.iter().all(|c| c.tried),
     }
 }
@@ -321,6 +330,7 @@
         retry_after: state.return_times.assign(now, rate, longest),
         case: None,
         limits: Some(met),
+        room: Some(Room::of(candidates)),
         is_final: false,
     }
 }
--- a/gateway/src/serve/leases.rs
+++ b/gateway/src/serve/leases.rs
@@ -102,6 +102,7 @@
     retry_after: BUSY_RETRY,
     case: None,
     limits: None,
+    room: None,
     is_final: true,
 };
 
--- a/gateway/src/serve/rejections.rs
+++ b/gateway/src/serve/rejections.rs
@@ -34,6 +34,7 @@
     forwarding,
     heads, //
 };
+use crate::placement::Candidate;
 use crate::platform::CallHead;
 use crate::routing::Denial;
 
@@ -196,6 +197,7 @@
             retry_after: NO_CONFIG_RETRY,
             case: None,
             limits: None,
+            room: None,
             is_final: true,
         },
     };
@@ -243,6 +245,8 @@
     }
     let case = rejection.case.as_deref().map(crashes::describe);
     let limits = rejection.limits.map(heads::describe_limits);
+    let room = rejection.room.map(Room::describe);
+    let details: Vec<String> = [case, limits, room].into_iter().flatten().collect();
     log_event!(
         REFUSED,
         "request={id} status=503 cause={} route={} tried={} retry_after_ms={} version={} {}",
@@ -251,7 +255,7 @@
         history.tried.len(),
         rejection.retry_after.as_millis(),
         admitted.version,
-        case.or(limits).unwrap_or_default()
+        details.join(" ")
     );
     node.metrics
         .online(rejection.cause, admitted.arrived.elapsed());
@@ -263,6 +267,43 @@
     retry_later(StatusCode::SERVICE_UNAVAILABLE, text, rejection.retry_after)
 }
 
+/// What the servers of a service run when a request finds no room.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Room {
+    /// Number of servers that were considered.
+    servers: usize,
+    /// Number of those that are suspected or silent.
+    suspected: usize,
+    /// Sum of their slots.
+    slots: u32,
+    /// Online requests of all instances on them.
+    online: u32,
+    /// Items of all instances on them.
+    batch: u32,
+}
+
+impl Room {
+    pub(crate) fn of(candidates: &[Candidate]) -> Self {
+        let mut room = Self::default();
+        for candidate in candidates {
+            room.servers += 1;
+            room.suspected += usize::from(candidate.suspect);
+            room.slots = room.slots.saturating_add(candidate.slots);
+            room.online = room.online.saturating_add(candidate.placed.online);
+            room.batch = room.batch.saturating_add(candidate.placed.batch);
+        }
+        room
+    }
+
+    /// Returns the fields of a line.
+    fn describe(self) -> String {
+        format!(
+            "servers={} suspected={} slots={} online={} batch={}",
+            self.servers, self.suspected, self.slots, self.online, self.batch
+        )
+    }
+}
+
 /// Returns the response to a request that may have run but received no response.
 pub(crate) fn fail<P>(node: &Node<P>, admitted: &Admitted, cause: &str) -> Response<Body> {
     let late = admitted.deadline <= Instant::now();
