transport: connections that are read late are not taken for timed out

Two known red tests were traced beside 9 busy processes on 8 cores.

The task of the connect was not polled for 250 ms. The event of the connection was then delivered in the turn of the reactor in which the task had registered, which async-io doesn't count as ready, and the timer, which reads the clock, came first. So an instance that is short of processor time refused requests and told its peers to suspect sound servers.

The state of the connection is read once more, for 20 ms, before the server is blamed. The new test fails without the change at its first connection and passes with it (20 connections). An earlier cause, a full accept queue of the server, was ruled out: 4 requests ran there in one of the failures.

--- a/transport/src/http/client.rs
+++ b/transport/src/http/client.rs
@@ -5,6 +5,7 @@
     SocketAddr,
     TcpStream, //
 };
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::{
     Duration,
@@ -54,6 +55,10 @@
 /// longer is replaced.
 const REUSE_TIMEOUT: Duration = Duration::from_millis(50);
 
+/// Time after a connect timeout in which the state of the connection is read once more. A process that
+/// was not scheduled in time has not read yet that the connection is established.
+const CONNECT_CHECK_TIME: Duration = Duration::from_millis(20);
+
 /// Kind of traffic of a connection; each kind has its own connections to an address.
 #[derive(
     Clone, Copy, Debug, PartialEq, Eq, Hash, strum::Display, strum::EnumString, strum::IntoStaticStr,
@@ -267,8 +272,13 @@
         let connect_deadline = Instant::now() + self.limits.connect_timeout;
         let connect_deadline =
             deadline.map_or(connect_deadline, |deadline| deadline.min(connect_deadline));
-        let connecting = Async::<TcpStream>::connect(addr);
-        let Some(stream) = timeout_at(connect_deadline, connecting).await else {
+        let mut connecting = pin!(Async::<TcpStream>::connect(addr));
+        let mut stream = timeout_at(connect_deadline, connecting.as_mut()).await;
+        let now = Instant::now();
+        if stream.is_none() && deadline.is_none_or(|deadline| now < deadline) {
+            stream = timeout_at(now + CONNECT_CHECK_TIME, connecting).await;
+        }
+        let Some(stream) = stream else {
             return ConnectTimeoutSnafu { addr }.fail();
         };
         let stream = stream.context(ConnectSnafu { addr })?;
--- a/transport/tests/verdicts.rs
+++ b/transport/tests/verdicts.rs
@@ -22,6 +22,8 @@
     Instant, //
 };
 
+use async_io::block_on;
+use futures_lite::future;
 use hyper::Request;
 use hyper::body::Bytes;
 use limpetweir_state::Verdict;
@@ -123,6 +125,32 @@
 }
 
 /// Guards against "not run" for a request whose response is late.
+/// Guards against a process that is not scheduled for a while and takes servers for unreachable.
+#[test]
+fn a_connection_that_is_established_in_time_is_used_although_it_is_read_late() {
+    let runtime = Runtime::start(1).unwrap();
+    let connect_timeout = Duration::from_millis(50);
+    let limits = ClientLimits {
+        connect_timeout,
+        ..ClientLimits::default()
+    };
+    let client = Client::new(&runtime.spawner(), limits);
+    for _ in 0..20 {
+        let (addr, server) = scripted_server(1, |_, mut stream| {
+            read_request(&stream);
+            write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").unwrap();
+        });
+        let mut response = Box::pin(client.send(addr, post(), options(TrafficClass::Online)));
+        let response = async {
+            assert!(future::poll_once(&mut response).await.is_none());
+            thread::sleep(2 * connect_timeout);
+            response.await
+        };
+        assert_eq!(block_on(response).unwrap().status(), 200);
+        server.join().unwrap();
+    }
+}
+
 #[test]
 fn a_deadline_after_the_request_may_have_run() {
     let (runtime, client) = runtime_and_client();
