gateway: the limit of the size of heads is in force

limits.headerBytes of the configuration was decoded and used nowhere; the listener took heads of 64 KiB. The gateway now rejects a larger head with 431, or with 503 as long as its configuration may be outdated. The size is that of the head as decoded, because hyper's own limit is fixed for each connection and can't follow a change; it stays at 64 KiB as the upper bound.

The larger one of the old and the new limit holds for 4 s after a change, and a head that has begun keeps a larger one. That now holds for the time of a head too: a shorter one closed connections with a half-read head. The first configuration of an instance is in force at once; no caller follows the defaults from before it.

--- a/gateway/src/routing.rs
+++ b/gateway/src/routing.rs
@@ -39,6 +39,11 @@
     NoRoute,
     /// The key is missing or belongs to no organisation.
     UnknownKey,
+    /// The head is longer than the operators allow.
+    HeadTooLarge {
+        /// Largest head in bytes.
+        limit: usize,
+    },
     /// The body is longer than the operators allow.
     BodyTooLarge {
         /// Largest body in bytes.
--- a/gateway/src/serve/apply.rs
+++ b/gateway/src/serve/apply.rs
@@ -18,7 +18,7 @@
     State, //
 };
 use super::{
-    caller_timeouts,
+    caller_limits,
     crash_checks,
     items, //
 };
@@ -192,7 +192,7 @@
         return;
     }
     state.quotas.configure(&config, now);
-    caller_timeouts::apply(node, config.limits());
+    caller_limits::apply(node, config.limits());
     let version = config.version();
     state.config = Some(Arc::new(config));
     state.config_freshness.reported(version);
--- a/gateway/src/serve/forwarding.rs
+++ b/gateway/src/serve/forwarding.rs
@@ -49,7 +49,7 @@
 /// Header of a call that another instance has forwarded; it is not forwarded again. The value is the
 /// version of the configuration that allows the call. Older builds send 1, and no version in force
 /// is older.
-const FORWARDED: HeaderName = HeaderName::from_static("x-limpetweir-passed-on");
+pub(crate) const FORWARDED: HeaderName = HeaderName::from_static("x-limpetweir-passed-on");
 
 /// Time limit for all attempts at peers together; callers wait for four seconds.
 pub(crate) const TIMEOUT: Duration = Duration::from_millis(3_000);
--- a/gateway/src/serve/mod.rs
+++ b/gateway/src/serve/mod.rs
@@ -2,7 +2,7 @@
 
 mod apply;
 mod attempt;
-mod caller_timeouts;
+mod caller_limits;
 mod case_records;
 mod catch_up;
 mod choose;
@@ -265,8 +265,8 @@
             purpose: "callers",
             addr: settings.public,
         })?;
-        node.caller_timeouts
-            .get_or_init(|| public.timeouts().clone());
+        node.caller_limits
+            .get_or_init(|| public.connection_limits().clone());
         let mut other_listeners = Vec::new();
         let shared = node.clone();
         let peers = Server::start(spawner, peer, ServerLimits::default(), move |req| {
--- a/gateway/src/serve/node.rs
+++ b/gateway/src/serve/node.rs
@@ -29,7 +29,7 @@
 use limpetweir_state::Timestamp;
 use limpetweir_transport::http::{
     Client,
-    ConnectionTimeouts, //
+    ConnectionLimits, //
 };
 use limpetweir_transport::{
     Clock,
@@ -376,8 +376,8 @@
     pub(crate) boot: u64,
     pub(crate) client: Client,
     pub(crate) metrics: Arc<Metrics>,
-    /// Time-outs of the connections of callers, once their listener is bound.
-    pub(crate) caller_timeouts: OnceLock<Arc<ConnectionTimeouts>>,
+    /// Limits of the connections of callers, once their listener is bound.
+    pub(crate) caller_limits: OnceLock<Arc<ConnectionLimits>>,
     pub(crate) supervisor: Supervisor,
     /// Ends of the requests of callers.
     pub(crate) ends: Arc<Ends>,
@@ -463,7 +463,7 @@
             clock: Clock::start(),
             boot: unix_ms(),
             client,
-            caller_timeouts: OnceLock::new(),
+            caller_limits: OnceLock::new(),
             ends: Arc::new(Ends::new(metrics.clone())),
             metrics,
             state: Mutex::new(state),
--- a/gateway/src/serve/online.rs
+++ b/gateway/src/serve/online.rs
@@ -56,6 +56,7 @@
 use super::relay::Source;
 use super::replies::retry_later;
 use super::{
+    caller_limits,
     case_records,
     crash_checks,
     forwarding,
@@ -152,6 +153,9 @@
     if let Some(response) = reject_newer_sender(&call, &head, version) {
         return response.into();
     }
+    if let Err(denial) = caller_limits::check_head(&head) {
+        return deny(node, &call, version, denial).into();
+    }
     let path = head.uri.path();
     let job_call = || node.platform.job_call(&head);
     let (route, organisation) = match destination(&config, &call, path, job_call) {
--- a/gateway/src/serve/rejections.rs
+++ b/gateway/src/serve/rejections.rs
@@ -67,7 +67,7 @@
 
 /// Returns the response to a request that the configuration `version` does not allow.
 ///
-/// Callers do not retry after 404, 401 and 413, so these are returned only if no newer
+/// Callers do not retry after 404, 401, 413 and 431, so these are returned only if no newer
 /// configuration can allow the request.
 pub(crate) fn deny<P>(
     node: &Node<P>,
@@ -98,6 +98,10 @@
             let text = "the key is not known".to_owned();
             (StatusCode::UNAUTHORIZED, text)
         }
+        Denial::HeadTooLarge { limit } => {
+            let text = format!("the head is longer than {limit} bytes");
+            (StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE, text)
+        }
         Denial::BodyTooLarge { limit } => {
             let text = format!("the body is longer than {limit} bytes");
             (StatusCode::PAYLOAD_TOO_LARGE, text)
--- a/transport/src/http/activity.rs
+++ b/transport/src/http/activity.rs
@@ -37,7 +37,10 @@
     Body,
     BodyError, //
 };
-use super::timeouts::ConnectionTimeouts;
+use super::limits::{
+    ConnectionLimits,
+    HeadLimits, //
+};
 
 /// Time that a new connection has for the first byte of its request once the server stops.
 const FIRST_BYTE_AFTER_STOP: Duration = Duration::from_millis(300);
@@ -53,7 +56,7 @@
     /// The last response has ended, and no byte was received since.
     Idle { since: Instant, limit: Duration },
     /// A part of a request head was received.
-    Head { since: Instant },
+    Head { since: Instant, limits: HeadLimits },
     /// A request is being handled, or its response is being sent.
     Request,
 }
@@ -68,18 +71,18 @@
 /// Activity of one connection. All changes are made while the connection is being polled.
 #[derive(Debug)]
 pub(crate) struct Activity {
-    timeouts: Arc<ConnectionTimeouts>,
+    limits: Arc<ConnectionLimits>,
     state: Mutex<State>,
 }
 
 impl Activity {
-    pub(crate) fn new(timeouts: Arc<ConnectionTimeouts>) -> Self {
+    pub(crate) fn new(limits: Arc<ConnectionLimits>) -> Self {
         let phase = Phase::New {
             since: Instant::now(),
-            limit: timeouts.idle(),
+            limit: limits.idle(),
         };
         Self {
-            timeouts,
+            limits,
             state: Mutex::new(State {
                 phase,
                 has_unread_body: false,
@@ -96,19 +99,25 @@
         if matches!(state.phase, Phase::New { .. } | Phase::Idle { .. }) {
             state.phase = Phase::Head {
                 since: Instant::now(),
+                limits: self.limits.head(),
             };
         }
     }
 
-    /// Records that a request head is complete.
-    pub(crate) fn request_began(&self) {
+    /// Records that a request head is complete; returns the limits that hold for it.
+    pub(crate) fn request_began(&self) -> HeadLimits {
         let mut state = self.lock();
+        let limits = match state.phase {
+            Phase::Head { limits, .. } => self.limits.head_since(limits),
+            _ => self.limits.head(),
+        };
         state.phase = Phase::Request;
         state.has_unread_body = false;
+        limits
     }
 
     fn response_ended(&self) {
-        let limit = self.timeouts.idle();
+        let limit = self.limits.idle();
         self.lock().phase = Phase::Idle {
             since: Instant::now(),
             limit,
@@ -132,16 +141,16 @@
         match phase {
             Phase::Request => None,
             Phase::New { since, limit } => {
-                let idle = since + limit.max(self.timeouts.idle());
+                let idle = since + limit.max(self.limits.idle());
                 let stop = stopped.map(|at| at.max(since) + FIRST_BYTE_AFTER_STOP);
                 Some((Expiry::Idle, stop.map_or(idle, |stop| stop.min(idle))))
             }
             Phase::Idle { since, limit } => {
-                let idle = since + limit.max(self.timeouts.idle());
+                let idle = since + limit.max(self.limits.idle());
                 Some((Expiry::Idle, stopped.map_or(idle, |stop| stop.min(idle))))
             }
-            Phase::Head { since } => {
-                let head = since + self.timeouts.head();
+            Phase::Head { since, limits } => {
+                let head = since + self.limits.head_since(limits).timeout;
                 let stop = stopped.map(|at| at.max(since) + HEAD_AFTER_STOP);
                 Some((Expiry::Head, stop.map_or(head, |stop| stop.min(head))))
             }
--- a/transport/src/http/mod.rs
+++ b/transport/src/http/mod.rs
@@ -4,14 +4,14 @@
 mod body;
 mod client;
 mod io;
+mod limits;
 mod pool;
 mod server;
 mod sse;
-mod timeouts;
 
 pub use body::{Body, BodyClosed, BodyError, BodySender, BoxError, RequestBody, read_all};
 pub use client::{Client, ClientError, ClientLimits, SendOptions, TrafficClass};
+pub use limits::{ConnectionLimits, HeadLimits};
 pub use pool::ClientBody;
-pub use server::{RemoteAddr, Server, ServerLimits};
+pub use server::{MaxHeadBytes, RemoteAddr, Server, ServerLimits};
 pub use sse::{DONE, Event, EventParser, EventReader, EventWriter, SseError};
-pub use timeouts::ConnectionTimeouts;
--- a/transport/src/http/server.rs
+++ b/transport/src/http/server.rs
@@ -62,7 +62,10 @@
     RequestBody, //
 };
 use super::io::YieldingStream;
-use super::timeouts::ConnectionTimeouts;
+use super::limits::{
+    ConnectionLimits,
+    HeadLimits, //
+};
 use crate::runtime::{
     Spawner,
     panic_message,
@@ -110,12 +113,17 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RemoteAddr(pub SocketAddr);
 
+/// Largest size in bytes of the head of a request, stored in its extensions. The handler rejects a
+/// request whose head is larger; the server itself rejects one above [`ServerLimits::head_bytes`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct MaxHeadBytes(pub usize);
+
 /// A running HTTP/1 server; dropping it closes the listener and every connection.
 #[derive(Debug)]
 pub struct Server {
     addr: SocketAddr,
     draining: Arc<AtomicBool>,
-    timeouts: Arc<ConnectionTimeouts>,
+    connection_limits: Arc<ConnectionLimits>,
     /// Closing it stops accepting and closes connections after their current request.
     stop: Sender<()>,
     /// Closed once the last connection has ended.
@@ -128,7 +136,7 @@
     handler: H,
     limits: ServerLimits,
     draining: Arc<AtomicBool>,
-    timeouts: Arc<ConnectionTimeouts>,
+    connection_limits: Arc<ConnectionLimits>,
     stopped: Receiver<()>,
     /// Dropped with the last connection.
     _open: Sender<()>,
@@ -152,15 +160,19 @@
         let listener = Async::<TcpListener>::bind(addr)?;
         let addr = listener.get_ref().local_addr()?;
         let draining = Arc::new(AtomicBool::new(false));
-        let timeouts = ConnectionTimeouts::new(limits.head_timeout, limits.idle_timeout);
-        let timeouts = Arc::new(timeouts);
+        let head = HeadLimits {
+            timeout: limits.head_timeout,
+            bytes: limits.head_bytes,
+        };
+        let connection_limits = ConnectionLimits::new(head, limits.idle_timeout);
+        let connection_limits = Arc::new(connection_limits);
         let (stop, stopped) = async_channel::bounded(1);
         let (open, ended) = async_channel::bounded(1);
         let shared = Arc::new(Shared {
             handler,
             limits,
             draining: draining.clone(),
-            timeouts: timeouts.clone(),
+            connection_limits: connection_limits.clone(),
             stopped,
             _open: open,
         });
@@ -168,7 +180,7 @@
         Ok(Self {
             addr,
             draining,
-            timeouts,
+            connection_limits,
             stop,
             ended,
             accept,
@@ -180,9 +192,9 @@
         self.addr
     }
 
-    /// Returns the time-outs of the connections, which may be changed.
-    pub fn timeouts(&self) -> &Arc<ConnectionTimeouts> {
-        &self.timeouts
+    /// Returns the limits of the connections, which may be changed.
+    pub fn connection_limits(&self) -> &Arc<ConnectionLimits> {
+        &self.connection_limits
     }
 
     /// Adds `Connection: close` to every further response; connections are still accepted.
@@ -285,7 +297,7 @@
     // previous write is acknowledged.
     let _ = stream.get_ref().set_nodelay(true);
     let stream = Arc::new(stream);
-    let activity = Arc::new(Activity::new(shared.timeouts.clone()));
+    let activity = Arc::new(Activity::new(shared.connection_limits.clone()));
     let service = service_fn(|req| handle_request(&shared, remote, activity.clone(), req));
     let limits = &shared.limits;
     let io = WatchedStream::new(stream.clone(), activity.clone());
@@ -367,7 +379,7 @@
     H: Fn(Request<RequestBody>) -> F,
     F: Future<Output = Response<Body>>,
 {
-    activity.request_began();
+    let head_limits = activity.request_began();
     let limits = &shared.limits;
     let mut req = req.map(|body| {
         RequestBody::new(
@@ -378,6 +390,7 @@
         )
     });
     req.extensions_mut().insert(RemoteAddr(remote));
+    req.extensions_mut().insert(MaxHeadBytes(head_limits.bytes));
     // The handler may panic before it returns its future.
     let handled = AssertUnwindSafe(async { (shared.handler)(req).await });
     let (mut response, panicked) = match handled.catch_unwind().await {
--- a/transport/tests/connections.rs
+++ b/transport/tests/connections.rs
@@ -24,6 +24,7 @@
 use limpetweir_transport::Runtime;
 use limpetweir_transport::http::{
     Body,
+    HeadLimits,
     RequestBody,
     Server,
     ServerLimits, //
@@ -70,6 +71,14 @@
     Server::start(&runtime.spawner(), LOCAL, limits, handle).unwrap()
 }
 
+fn set_idle(server: &Server, idle: Duration) {
+    let head = HeadLimits {
+        timeout: NEVER,
+        bytes: 64 << 10,
+    };
+    server.connection_limits().set(head, idle);
+}
+
 struct Caller(TcpStream);
 
 impl Caller {
@@ -144,8 +153,8 @@
     let server = start(&runtime, NEVER, NEVER);
     let mut idle = Caller::connect(server.addr());
     idle.call();
-    server.timeouts().set(NEVER, NEVER / 2);
-    server.timeouts().set(NEVER, SHORT);
+    set_idle(&server, NEVER / 2);
+    set_idle(&server, SHORT);
     let mut later = Caller::connect(server.addr());
     later.call();
     thread::sleep(LONG_PAUSE);
@@ -163,9 +172,9 @@
     let server = start(&runtime, NEVER, timer);
     let mut idle = Caller::connect(server.addr());
     idle.call();
-    server.timeouts().set(NEVER, NEVER);
+    set_idle(&server, NEVER);
     idle.call();
-    server.timeouts().set(NEVER, SHORT);
+    set_idle(&server, SHORT);
     thread::sleep(timer + LONG_PAUSE);
     idle.call();
     let begin = Instant::now();
@@ -180,7 +189,7 @@
     let server = start(&runtime, NEVER, LONG_PAUSE);
     let mut idle = Caller::connect(server.addr());
     idle.call();
-    server.timeouts().set(NEVER, NEVER);
+    set_idle(&server, NEVER);
     thread::sleep(LONG_PAUSE * 2);
     idle.call();
 }
