transport: connections above the limit are accepted as the server stops

At the limit of connections the listener sleeps, and what waited in its queue was reset as it closed, also with a request that had arrived. The queue is accepted beyond the limit once the server stops; its requests are served or refused like others, and the listener no longer sleeps on for up to 50 ms after the stop. The new test fails without the change with a reset, and an error of this last accept is logged.

--- a/transport/src/http/server.rs
+++ b/transport/src/http/server.rs
@@ -76,6 +76,10 @@
 /// Delay after a failed accept; the usual cause is that the process is out of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Most connections that are accepted from the queue of a listener before it is closed; the system
+/// queues no more than this by default.
+const MAX_QUEUED_CONNECTIONS: usize = 4_096;
+
 /// Limits of a server.
 #[derive(Clone, Copy, Debug)]
 pub struct ServerLimits {
@@ -91,7 +95,8 @@
     pub idle_timeout: Duration,
     /// Longest wait for data of a request body.
     pub body_timeout: Duration,
-    /// Largest number of open connections; further ones wait in the accept queue of the system.
+    /// Largest number of open connections; further ones wait in the accept queue of the
+    /// system, and are accepted as the server stops.
     pub connections: usize,
 }
 
@@ -231,10 +236,10 @@
             sweep_threshold = (connections.len() * 2).max(MIN_SWEEP_THRESHOLD);
         }
         if connections.len() >= shared.limits.connections {
-            if shared.stopped.is_closed() {
+            let check_at = Instant::now() + ACCEPT_RETRY_DELAY;
+            if timeout_at(check_at, shared.stopped.recv()).await.is_some() {
                 break;
             }
-            sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         }
         let stopped = async {
@@ -254,16 +259,24 @@
             }
         }
     }
-    // Closing the listener resets the connections in its queue.
-    while let Ok((stream, remote)) = listener.get_ref().accept()
-        && connections.len() < shared.limits.connections
-    {
-        match Async::new(stream) {
-            Ok(stream) => {
+    // Closing the listener resets the connections in its queue. They are few, so they are accepted
+    // beyond the limit of connections too.
+    for _ in 0..MAX_QUEUED_CONNECTIONS {
+        let accepted = listener.get_ref().accept();
+        let accepted = accepted.and_then(|(stream, remote)| Ok((Async::new(stream)?, remote)));
+        match accepted {
+            Ok((stream, remote)) => {
                 let connection = run_connection(stream, remote, shared.clone());
                 connections.push(spawner.spawn(catch_panic(remote, connection)));
             }
-            Err(err) => log::warn!("LW1101 accept failed: {err}"),
+            Err(err) if err.kind() == io::ErrorKind::WouldBlock => break,
+            Err(err) => {
+                log::warn!("LW1101 accept failed: {err}");
+                // The others are those of the process, for instance a lack of file descriptors.
+                if err.kind() != io::ErrorKind::ConnectionAborted {
+                    break;
+                }
+            }
         }
     }
     drop(listener);
--- a/transport/tests/connections.rs
+++ b/transport/tests/connections.rs
@@ -251,6 +251,39 @@
     }
 }
 
+/// Guards against a reset of connections that waited for others to end, as the server stops.
+#[test]
+fn connections_above_their_limit_are_served_as_the_server_stops() {
+    let runtime = Runtime::start(1).unwrap();
+    let limits = ServerLimits {
+        connections: 2,
+        ..ServerLimits::default()
+    };
+    let server = Server::start(&runtime.spawner(), LOCAL, limits, handle).unwrap();
+    let addr = server.addr();
+    let open = [Caller::connect(addr), Caller::connect(addr)];
+    let open = open.map(|mut caller| {
+        caller.call();
+        caller
+    });
+    let waiting = (0..20).map(|_| Caller::connect(addr));
+    let mut waiting: Vec<Caller> = waiting.collect();
+    for caller in &mut waiting {
+        caller.send(GET);
+    }
+    thread::sleep(SHORT);
+    assert!(async_io::block_on(
+        server.close(Instant::now() + HANG_TIMEOUT)
+    ));
+    for caller in &mut waiting {
+        assert!(caller.response().contains("connection: close"));
+        assert_eq!(caller.rest(), "");
+    }
+    for mut caller in open {
+        assert_eq!(caller.rest(), "");
+    }
+}
+
 /// Guards against a reset that takes a response away, because a part of the body was unread as the
 /// connection closed.
 #[test]
