--- a/transport/src/http/server.rs
+++ b/transport/src/http/server.rs
@@ -62,7 +62,10 @@
     RequestBody, //
 };
 use super::io::YieldingStream;
-use super::timeouts::ConnectionTimeouts;
+use super::limits::{
+    ConnectionLimits,
+    HeadLimits, //
+};
 use crate::runtime::{
     Spawner,
     panic_message,
@@ -73,6 +76,10 @@
 /// Delay after a failed accept; the usual cause is that the process is out of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Most connections that are accepted from the queue of a listener before it is closed; the system
+/// queues no more than this by default.
+const MAX_QUEUED_CONNECTIONS: usize = 4_096;
+
 /// Limits of a server.
 #[derive(Clone, Copy, Debug)]
 pub struct ServerLimits {
@@ -88,7 +95,8 @@
     pub idle_timeout: Duration,
     /// Longest wait for data of a request body.
     pub body_timeout: Duration,
-    /// Largest number of open connections; further ones wait in the accept queue of the system.
+    /// Largest number of open connections; further ones wait in the accept queue of the
+    /// system, and are accepted as the server stops.
     pub connections: usize,
 }
 
@@ -110,12 +118,17 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RemoteAddr(pub SocketAddr);
 
+/// Largest size in bytes of the head of a request, stored in its extensions. The handler rejects a
+/// request whose head is larger; the server itself rejects one above [`ServerLimits::head_bytes`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct MaxHeadBytes(pub usize);
+
 /// A running HTTP/1 server; dropping it closes the listener and every connection.
 #[derive(Debug)]
 pub struct Server {
     addr: SocketAddr,
     draining: Arc<AtomicBool>,
-    timeouts: Arc<ConnectionTimeouts>,
+    connection_limits: Arc<ConnectionLimits>,
     /// Closing it stops accepting and closes connections after their current request.
     stop: Sender<()>,
     /// Closed once the last connection has ended.
@@ -128,7 +141,7 @@
     handler: H,
     limits: ServerLimits,
     draining: Arc<AtomicBool>,
-    timeouts: Arc<ConnectionTimeouts>,
+    connection_limits: Arc<ConnectionLimits>,
     stopped: Receiver<()>,
     /// Dropped with the last connection.
     _open: Sender<()>,
@@ -152,15 +165,19 @@
         let listener = Async::<TcpListener>::bind(addr)?;
         let addr = listener.get_ref().local_addr()?;
         let draining = Arc::new(AtomicBool::new(false));
-        let timeouts = ConnectionTimeouts::new(limits.head_timeout, limits.idle_timeout);
-        let timeouts = Arc::new(timeouts);
+        let head = HeadLimits {
+            timeout: limits.head_timeout,
+            bytes: limits.head_bytes,
+        };
+        let connection_limits = ConnectionLimits::new(head, limits.idle_timeout);
+        let connection_limits = Arc::new(connection_limits);
         let (stop, stopped) = async_channel::bounded(1);
         let (open, ended) = async_channel::bounded(1);
         let shared = Arc::new(Shared {
             handler,
             limits,
             draining: draining.clone(),
-            timeouts: timeouts.clone(),
+            connection_limits: connection_limits.clone(),
             stopped,
             _open: open,
         });
@@ -168,7 +185,7 @@
         Ok(Self {
             addr,
             draining,
-            timeouts,
+            connection_limits,
             stop,
             ended,
             accept,
@@ -180,9 +197,9 @@
         self.addr
     }
 
-    /// Returns the time-outs of the connections, which may be changed.
-    pub fn timeouts(&self) -> &Arc<ConnectionTimeouts> {
-        &self.timeouts
+    /// Returns the limits of the connections, which may be changed.
+    pub fn connection_limits(&self) -> &Arc<ConnectionLimits> {
+        &self.connection_limits
     }
 
     /// Adds `Connection: close` to every further response; connections are still accepted.
@@ -219,10 +236,10 @@
             sweep_threshold = (connections.len() * 2).max(MIN_SWEEP_THRESHOLD);
         }
         if connections.len() >= shared.limits.connections {
-            if shared.stopped.is_closed() {
+            let check_at = Instant::now() + ACCEPT_RETRY_DELAY;
+            if timeout_at(check_at, shared.stopped.recv()).await.is_some() {
                 break;
             }
-            sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         }
         let stopped = async {
@@ -242,16 +259,24 @@
             }
         }
     }
-    // Closing the listener resets the connections in its queue.
-    while let Ok((stream, remote)) = listener.get_ref().accept()
-        && connections.len() < shared.limits.connections
-    {
-        match Async::new(stream) {
-            Ok(stream) => {
+    // Closing the listener resets the connections in its queue. They are few, so they are accepted
+    // beyond the limit of connections too.
+    for _ in 0..MAX_QUEUED_CONNECTIONS {
+        let accepted = listener.get_ref().accept();
+        let accepted = accepted.and_then(|(stream, remote)| Ok((Async::new(stream)?, remote)));
+        match accepted {
+            Ok((stream, remote)) => {
                 let connection = run_connection(stream, remote, shared.clone());
                 connections.push(spawner.spawn(catch_panic(remote, connection)));
             }
-            Err(err) => log::warn!("LW1101 accept failed: {err}"),
+            Err(err) if err.kind() == io::ErrorKind::WouldBlock => break,
+            Err(err) => {
+                log::warn!("LW1101 accept failed: {err}");
+                // The others are those of the process, for instance a lack of file descriptors.
+                if err.kind() != io::ErrorKind::ConnectionAborted {
+                    break;
+                }
+            }
         }
     }
     drop(listener);
@@ -285,7 +310,7 @@
     // previous write is acknowledged.
     let _ = stream.get_ref().set_nodelay(true);
     let stream = Arc::new(stream);
-    let activity = Arc::new(Activity::new(shared.timeouts.clone()));
+    let activity = Arc::new(Activity::new(shared.connection_limits.clone()));
     let service = service_fn(|req| handle_request(&shared, remote, activity.clone(), req));
     let limits = &shared.limits;
     let io = WatchedStream::new(stream.clone(), activity.clone());
@@ -367,7 +392,7 @@
     H: Fn(Request<RequestBody>) -> F,
     F: Future<Output = Response<Body>>,
 {
-    activity.request_began();
+    let head_limits = activity.request_began();
     let limits = &shared.limits;
     let mut req = req.map(|body| {
         RequestBody::new(
@@ -378,6 +403,7 @@
         )
     });
     req.extensions_mut().insert(RemoteAddr(remote));
+    req.extensions_mut().insert(MaxHeadBytes(head_limits.bytes));
     // The handler may panic before it returns its future.
     let handled = AssertUnwindSafe(async { (shared.handler)(req).await });
     let (mut response, panicked) = match handled.catch_unwind().await {
--- a/transport/tests/connections.rs
+++ b/transport/tests/connections.rs
@@ -24,6 +24,7 @@
 use limpetweir_transport::Runtime;
 use limpetweir_transport::http::{
     Body,
+    HeadLimits,
     RequestBody,
     Server,
     ServerLimits, //
@@ -70,6 +71,14 @@
     Server::start(&runtime.spawner(), LOCAL, limits, handle).unwrap()
 }
 
+fn set_idle(server: &Server, idle: Duration) {
+    let head = HeadLimits {
+        timeout: NEVER,
+        bytes: 64 << 10,
+    };
+    server.connection_limits().set(head, idle);
+}
+
 struct Caller(TcpStream);
 
 impl Caller {
@@ -144,8 +153,8 @@
     let server = start(&runtime, NEVER, NEVER);
     let mut idle = Caller::connect(server.addr());
     idle.call();
-    server.timeouts().set(NEVER, NEVER / 2);
-    server.timeouts().set(NEVER, SHORT);
+    set_idle(&server, NEVER / 2);
+    set_idle(&server, SHORT);
     let mut later = Caller::connect(server.addr());
     later.call();
     thread::sleep(LONG_PAUSE);
@@ -163,9 +172,9 @@
     let server = start(&runtime, NEVER, timer);
     let mut idle = Caller::connect(server.addr());
     idle.call();
-    server.timeouts().set(NEVER, NEVER);
+    set_idle(&server, NEVER);
     idle.call();
-    server.timeouts().set(NEVER, SHORT);
+    set_idle(&server, SHORT);
     thread::sleep(timer + LONG_PAUSE);
     idle.call();
     let begin = Instant::now();
@@ -180,7 +189,7 @@
     let server = start(&runtime, NEVER, LONG_PAUSE);
     let mut idle = Caller::connect(server.addr());
     idle.call();
-    server.timeouts().set(NEVER, NEVER);
+    set_idle(&server, NEVER);
     thread::sleep(LONG_PAUSE * 2);
     idle.call();
 }
@@ -242,6 +251,39 @@
     }
 }
 
+/// Guards against a reset of connections that waited for others to end, as the server stops.
+#[test]
+fn connections_above_their_limit_are_served_as_the_server_stops() {
+    let runtime = Runtime::start(1).unwrap();
+    let limits = ServerLimits {
+        connections: 2,
+        ..ServerLimits::default()
+    };
+    let server = Server::start(&runtime.spawner(), LOCAL, limits, handle).unwrap();
+    let addr = server.addr();
+    let open = [Caller::connect(addr), Caller::connect(addr)];
+    let open = open.map(|mut caller| {
+        caller.call();
+        caller
+    });
+    let waiting = (0..20).map(|_| Caller::connect(addr));
+    let mut waiting: Vec<Caller> = waiting.collect();
+    for caller in &mut waiting {
+        caller.send(GET);
+    }
+    thread::sleep(SHORT);
+    assert!(async_io::block_on(
+        server.close(Instant::now() + HANG_TIMEOUT)
+    ));
+    for caller in &mut waiting {
+        assert!(caller.response().contains("connection: close"));
+        assert_eq!(caller.rest(), "");
+    }
+    for mut caller in open {
+        assert_eq!(caller.rest(), "");
+    }
+}
+
 /// Guards against a reset that takes a response away, because a part of the body was unread as the
 /// connection closed.
 #[test]
