transport: write what a body has before its writer was dropped

Callers of a response that broke off right behind its first output could see a closed connection without a byte. Cause: hyper writes what it has only when the body is pending, and a body that fails at once takes the head and the parts before with it.

A body whose writer is gone is pending once before it fails, so what was sent before is written.

--- a/transport/src/http/body.rs
+++ b/transport/src/http/body.rs
@@ -98,13 +98,21 @@
     /// A body in one buffer; `None` if it is empty or has been sent.
     Full(Option<Bytes>),
     /// A streamed body that a [`BodySender`] writes.
-    Channel(Pin<Box<Receiver<Part>>>),
+    Channel(ChannelBody),
     /// The response body of another server, forwarded as it arrives.
     Upstream(Box<ClientBody>),
     /// Any other body.
     Boxed(BoxBody<Bytes, BoxError>),
 }
 
+/// Reader of a streamed body.
+#[derive(Debug)]
+pub struct ChannelBody {
+    rx: Pin<Box<Receiver<Part>>>,
+    /// Whether the writer is gone and the parts before are being written to the connection.
+    is_abandoned: bool,
+}
+
 /// A part of a streamed body.
 #[derive(Debug)]
 pub enum Part {
@@ -132,7 +140,11 @@
             let sent = tx.try_send(Part::Data(first));
             debug_assert!(sent.is_ok(), "a new channel has room");
         }
-        (BodySender { tx }, Self::Channel(Box::pin(rx)))
+        let body = ChannelBody {
+            rx: Box::pin(rx),
+            is_abandoned: false,
+        };
+        (BodySender { tx }, Self::Channel(body))
     }
 
     /// Returns a body that forwards the response body of another server.
@@ -167,7 +179,7 @@
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         match self.get_mut() {
             Self::Full(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
-            Self::Channel(rx) => poll_channel(rx, cx),
+            Self::Channel(body) => body.poll_part(cx),
             Self::Upstream(body) => Pin::new(body.as_mut()).poll_frame(cx),
             Self::Boxed(body) => {
                 let poll = Pin::new(body).poll_frame(cx);
@@ -195,15 +207,21 @@
     }
 }
 
-fn poll_channel(
-    rx: &mut Pin<Box<Receiver<Part>>>,
-    cx: &mut Context<'_>,
-) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-    match rx.as_mut().poll_next(cx) {
-        Poll::Pending => Poll::Pending,
-        Poll::Ready(Some(Part::Data(bytes))) => Poll::Ready(Some(Ok(Frame::data(bytes)))),
-        Poll::Ready(Some(Part::End)) => Poll::Ready(None),
-        Poll::Ready(None) => Poll::Ready(Some(Err(BodyError::Abandoned))),
+impl ChannelBody {
+    fn poll_part(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        match self.rx.as_mut().poll_next(cx) {
+            Poll::Pending => Poll::Pending,
+            Poll::Ready(Some(Part::Data(bytes))) => Poll::Ready(Some(Ok(Frame::data(bytes)))),
+            Poll::Ready(Some(Part::End)) => Poll::Ready(None),
+            // The connection drops what it has not written when a body fails, also the head, and writes
+            // only when the body has nothing for it.
+            Poll::Ready(None) if !self.is_abandoned => {
+                self.is_abandoned = true;
+                cx.waker().wake_by_ref();
+                Poll::Pending
+            }
+            Poll::Ready(None) => Poll::Ready(Some(Err(BodyError::Abandoned))),
+        }
     }
 }
 
--- a/transport/tests/http.rs
+++ b/transport/tests/http.rs
@@ -293,6 +293,22 @@
     });
 }
 
+/// A writer is dropped at once behind the first part. Guards against a connection that drops the head and
+/// the part with the rest, so that its caller sees no response at all.
+#[test]
+fn a_part_before_a_dropped_sender_reaches_its_reader() {
+    let runtime = Runtime::start(2).unwrap();
+    let spawner = runtime.spawner();
+    let server = Server::start(&spawner, LOCAL, ServerLimits::default(), |_| async {
+        let (_, body) = Body::channel_with(Bytes::from_static(b"part"));
+        Response::new(body)
+    });
+    let server = server.unwrap();
+    let received = raw_exchange(server.addr(), b"GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    assert!(received.starts_with("HTTP/1.1 200 OK\r\n"), "{received}");
+    assert!(received.ends_with("4\r\npart\r\n"), "{received}");
+}
+
 /// Guards against work that continues after its caller has disconnected.
 #[test]
 fn dropping_a_response_closes_the_writer() {
