gateway: make the head for the caller before the first output

The headers for the caller were copied, and the time was recorded, between the arrival of the first event and its write. The headers are made as the head arrives, and the time is recorded by the task of the relay.

--- a/gateway/src/serve/first_output.rs
+++ b/gateway/src/serve/first_output.rs
@@ -3,7 +3,6 @@
 
 use hyper::Response;
 use hyper::body::Bytes;
-use hyper::header::CONTENT_LENGTH;
 use limpetweir_state::Verdict;
 
 use super::lines::{
@@ -38,7 +37,7 @@
 
 /// The beginning of a response, and what follows it.
 pub(crate) struct Output<P: Store + Dialect> {
-    /// Status and headers.
+    /// Status and headers for the caller.
     pub(crate) head: Response<()>,
     /// The first output; empty if the response is complete without any.
     pub(crate) first: Bytes,
@@ -89,9 +88,7 @@
                 Err(interruption) => run = self.replace(run, interruption).await?,
             }
         };
-        let mut head = std::mem::take(&mut run.head);
-        // Another server may continue the stream, so its total length is not known yet.
-        head.headers_mut().remove(CONTENT_LENGTH);
+        let head = std::mem::take(&mut run.head);
         let (first, rest) = match read {
             Read::Events(events) => {
                 events.iter().for_each(|event| self.record(event));
--- a/gateway/src/serve/relay.rs
+++ b/gateway/src/serve/relay.rs
@@ -66,6 +66,17 @@
     }
 }
 
+/// Splits a response into the status and the headers for the caller, and the body.
+pub(crate) fn forwarded<P: Dialect>(
+    node: &Node<P>,
+    response: Response<ClientBody>,
+) -> (Response<()>, ClientBody) {
+    let mut head = Response::new(());
+    *head.status_mut() = response.status();
+    *head.headers_mut() = node.platform.forwarded_headers(response.headers());
+    (head, response.into_body())
+}
+
 /// Reason why a response was interrupted.
 #[derive(Debug)]
 pub(crate) enum Interruption {
@@ -143,12 +154,11 @@
         false => CallerGot::Part,
     });
     let (sender, body) = Body::channel_with(first);
-    let mut response = Response::new(body);
-    *response.status_mut() = head.status();
-    *response.headers_mut() = node.platform.forwarded_headers(head.headers());
-    node.metrics.first_byte(admitted.arrived.elapsed());
+    let status = head.status();
+    let elapsed = admitted.arrived.elapsed();
     let shared = node.clone();
     let task = async move {
+        shared.metrics.first_byte(elapsed);
         let mut history = history;
         let relay = Relay {
             node: &shared,
@@ -158,13 +168,13 @@
             forwarded: started.forwarded,
             backend: started.backend,
         };
-        let end = relay.relay(rest, &sender, head.status()).await;
+        let end = relay.relay(rest, &sender, status).await;
         finish(open, end, sender, admitted.deadline).await;
     };
     // A panic drops the sender, which breaks the response off, and the request, which counts its end.
     let clean_up = std::future::ready(());
     node.supervisor.spawn_once(OneShot::Relay, task, clean_up);
-    response
+    head.map(|()| body)
 }
 
 /// Ends a request whose response was relayed. Dropping the sender aborts the response, so that the
--- a/gateway/src/serve/stream.rs
+++ b/gateway/src/serve/stream.rs
@@ -7,6 +7,7 @@
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::Bytes;
+use hyper::header::CONTENT_LENGTH;
 use limpetweir_transport::http::{
     BodySender,
     ClientBody, //
@@ -19,7 +20,8 @@
 use super::relay::{
     Interruption,
     Relay,
-    Source, //
+    Source,
+    forwarded, //
 };
 use super::run_watch::RunWatch;
 use super::takeover::STALL_TIMEOUT;
@@ -43,7 +45,7 @@
     node: Arc<Node<P>>,
     pub(crate) placed: PlacedRequest<P>,
     pub(crate) watch: RunWatch<P>,
-    /// Status and headers of the response.
+    /// Status and headers for the caller, made before the first event is there.
     pub(crate) head: Response<()>,
     /// `None` after an interruption, which closes the connection.
     body: Option<ClientBody>,
@@ -79,12 +81,14 @@
         let Source {
             response, placed, ..
         } = source;
-        let (head, body) = response.into_parts();
+        let (mut head, body) = forwarded(node, response);
+        // Another server may continue the stream, so its total length is not known yet.
+        head.headers_mut().remove(CONTENT_LENGTH);
         let id = &admitted.call.request_id;
         Self {
             node: node.clone(),
             watch: RunWatch::new(node, id, &admitted.parts, placed.place()),
-            head: Response::from_parts(head, ()),
+            head,
             body: Some(body),
             splitter: Splitter::default(),
             pace: PaceMeter::default(),
--- a/gateway/src/serve/whole.rs
+++ b/gateway/src/serve/whole.rs
@@ -15,7 +15,8 @@
 use super::relay::{
     Interruption,
     Relay,
-    Source, //
+    Source,
+    forwarded, //
 };
 use super::run_watch::RunWatch;
 use super::stream::watched;
@@ -27,7 +28,7 @@
 /// A run whose response is passed on as it arrives. Dropping it before its end closes its connection,
 /// which ends the run at the server.
 pub(crate) struct WholeRun<P: Store + Dialect> {
-    /// Status and headers of the response.
+    /// Status and headers for the caller.
     pub(crate) head: Response<()>,
     body: ClientBody,
     watch: RunWatch<P>,
@@ -65,16 +66,16 @@
             head: decoded,
             placed,
         } = source;
-        let (head, body) = response.into_parts();
-        let id = &self.admitted.call.request_id;
-        let watch = RunWatch::new(self.node, id, &self.admitted.parts, placed.place());
-        let headers = &head.headers;
+        let headers = response.headers();
         let has_end =
             headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
+        let (head, body) = forwarded(self.node, response);
+        let id = &self.admitted.call.request_id;
+        let watch = RunWatch::new(self.node, id, &self.admitted.parts, placed.place());
         WholeRun {
-            is_success: head.status.is_success(),
+            is_success: head.status().is_success(),
             has_open_end: !has_end && !decoded.signed,
-            head: Response::from_parts(head, ()),
+            head,
             body,
             watch,
             _placed: placed,
