--- a/transport/src/http/body.rs
+++ b/transport/src/http/body.rs
@@ -115,7 +115,7 @@
 
 /// A part of a streamed body.
 #[derive(Debug)]
-pub enum Part {
+enum Part {
     /// Bytes of the body.
     Data(Bytes),
     /// The body is complete.
