gateway: deny nothing that an earlier version in use allows

An instance that had a new version gave 404 and 401 at once, also for calls that an instance with the version before had forwarded, whose caller got them as final. For two seconds after a change, in which other instances may use the earlier versions, such requests now get 503 with Retry-After.

--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use limpetweir_state::Timestamp;
+
 /// Largest version of a configuration. After a larger one no later version could come into force.
 pub const MAX_VERSION: u64 = 1 << 53;
 
@@ -134,10 +136,20 @@
     pub limits: Option<CallerLimits>,
 }
 
+/// Time from the use of a version at this instance by which no other instance uses an older one. A
+/// version must be in force everywhere two seconds after its publication.
+const REPLACED_TIME: Duration = Duration::from_millis(2_000);
+
+/// Most earlier versions that are kept; more than the operators publish within [`REPLACED_TIME`].
+const MAX_EARLIER: usize = 8;
+
 /// One version of the configuration, indexed by host and key.
 #[derive(Clone, Debug)]
 pub struct Configuration {
     version: u64,
+    /// Earlier versions, newest first, and the time until which other instances may use them. None
+    /// of them has earlier ones itself.
+    earlier: Vec<(Timestamp, Arc<Configuration>)>,
     services: HashMap<String, Service>,
     limits: Option<CallerLimits>,
     /// Routes of each host, longest prefix first.
@@ -170,6 +182,7 @@
         }
         Self {
             version: parts.version,
+            earlier: Vec::new(),
             services: parts.services,
             limits: parts.limits,
             by_host,
@@ -186,6 +199,24 @@
         self.version
     }
 
+    /// Records that this version takes the place of `before` at the time `now`.
+    pub fn replaces(&mut self, before: &Self, now: Timestamp) {
+        let in_use = before.earlier.iter().filter(|(until, _)| *until > now);
+        let kept: Vec<_> = in_use.take(MAX_EARLIER - 1).cloned().collect();
+        let last = Self {
+            earlier: Vec::new(),
+            ..before.clone()
+        };
+        self.earlier = vec![(now + REPLACED_TIME, Arc::new(last))];
+        self.earlier.extend(kept);
+    }
+
+    /// Returns the earlier versions that other instances may use, newest first, and until when.
+    pub fn earlier(&self) -> impl Iterator<Item = (Timestamp, &Self)> {
+        let earlier = self.earlier.iter();
+        earlier.map(|(until, config)| (*until, config.as_ref()))
+    }
+
     /// Returns the route of `host` with the longest prefix that matches `path`.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let routes = self.by_host.get(host)?;
--- a/gateway/src/routing.rs
+++ b/gateway/src/routing.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use limpetweir_state::Timestamp;
+
 use crate::config::{
     Configuration,
     Organisation,
@@ -39,6 +41,17 @@
     NoRoute,
     /// The key is missing or belongs to no organisation.
     UnknownKey,
+    /// The same, but an earlier version has a route.
+    RouteRemoved {
+        /// Time until which other instances may use the earlier version.
+        until: Timestamp,
+    },
+    /// The key belongs to no organisation, or to one without access, but an earlier version allows
+    /// the request.
+    KeyRemoved {
+        /// Time until which other instances may use the earlier version.
+        until: Timestamp,
+    },
     /// The body is longer than the operators allow.
     BodyTooLarge {
         /// Largest body in bytes.
@@ -46,13 +59,44 @@
     },
 }
 
+impl Denial {
+    /// Returns the time until which an earlier version that allows the request may be in use.
+    pub fn allowed_until(self) -> Option<Timestamp> {
+        match self {
+            Self::RouteRemoved { until } | Self::KeyRemoved { until } => Some(until),
+            Self::NoRoute | Self::UnknownKey | Self::BodyTooLarge { .. } => None,
+        }
+    }
+}
+
 /// Returns the destination of a request with the head `head` and the path `path`. `job_call`
 /// decodes it as a call about a batch job; routes have precedence.
 pub fn destination(
     config: &Configuration,
     head: &CallHead,
     path: &str,
-    job_call: impl FnOnce() -> Option<JobCall>,
+    job_call: impl Fn() -> Option<JobCall>,
+) -> Result<Destination, Denial> {
+    let denial = match destination_in(config, head, path, &job_call) {
+        Ok(found) => return Ok(found),
+        Err(denial) => denial,
+    };
+    let mut earlier = config.earlier();
+    let allows = |config: &Configuration| destination_in(config, head, path, &job_call).is_ok();
+    let until = earlier.find(|(_, config)| allows(config));
+    Err(match (denial, until) {
+        (Denial::NoRoute, Some((until, _))) => Denial::RouteRemoved { until },
+        (Denial::UnknownKey, Some((until, _))) => Denial::KeyRemoved { until },
+        _ => denial,
+    })
+}
+
+/// Returns the destination of a request in one version of the configuration.
+fn destination_in(
+    config: &Configuration,
+    head: &CallHead,
+    path: &str,
+    job_call: impl Fn() -> Option<JobCall>,
 ) -> Result<Destination, Denial> {
     let key = head.key.as_deref();
     let organisation = key.and_then(|key| config.organisation_by_key(key));
--- a/gateway/src/serve/apply.rs
+++ b/gateway/src/serve/apply.rs
@@ -181,7 +181,7 @@
 /// Puts a configuration in force, unless it is not newer than the one in force.
 pub(crate) fn apply_config<P: Store + Dialect>(
     node: &Arc<Node<P>>,
-    config: Configuration,
+    mut config: Configuration,
     record: &Record,
     source: &str,
 ) {
@@ -191,6 +191,9 @@
     if before.is_some_and(|before| before >= config.version()) {
         return;
     }
+    if let Some(before) = &state.config {
+        config.replaces(before, now);
+    }
     state.quotas.configure(&config, now);
     caller_timeouts::apply(node, config.limits());
     let version = config.version();
--- a/gateway/src/serve/rejections.rs
+++ b/gateway/src/serve/rejections.rs
@@ -67,7 +67,8 @@
 /// Returns the response to a request that the configuration `version` does not allow.
 ///
 /// Callers do not retry after 404, 401 and 413, so these are returned only if no newer
-/// configuration can allow the request.
+/// configuration can allow the request, and 404 and 401 only if no instance can use an older one that
+/// allows it: that instance may have forwarded it.
 pub(crate) fn deny<P>(
     node: &Node<P>,
     call: &CallHead,
@@ -81,6 +82,14 @@
     };
     let (id, host) = (&call.request_id, &call.host);
     let confirmed_ms = age.map_or_else(|| "never".to_owned(), |age| age.as_millis().to_string());
+    let until = denial.allowed_until();
+    if is_current && until.is_some_and(|until| now < until) {
+        log_event!(
+            REFUSED,
+            "request={id} status=503 cause=changed-configuration denial={denial} host={host} version={version}"
+        );
+        return outdated();
+    }
     if !is_current {
         log_event!(
             REFUSED,
@@ -89,11 +98,11 @@
         return outdated();
     }
     let (status, text) = match denial {
-        Denial::NoRoute => {
+        Denial::NoRoute | Denial::RouteRemoved { .. } => {
             let text = "no route for this host and path".to_owned();
             (StatusCode::NOT_FOUND, text)
         }
-        Denial::UnknownKey => {
+        Denial::UnknownKey | Denial::KeyRemoved { .. } => {
             let text = "the key is not known".to_owned();
             (StatusCode::UNAUTHORIZED, text)
         }
@@ -112,7 +121,7 @@
 
 /// Returns the response to a request that a newer configuration may allow.
 fn outdated() -> Response<Body> {
-    let text = "the configuration may be outdated; the request has not run";
+    let text = "the configuration is being changed or may be outdated; the request has not run";
     retry_later(StatusCode::SERVICE_UNAVAILABLE, text, OUTDATED_CONFIG_RETRY)
 }
 
