transport: say that a connection closes after a response before the end of the body

A request that is denied before its body has arrived gets its response at once, and the rest of the body is discarded for up to 0.5 s before the connection is closed. The response did not say so and the connection stayed open in both directions meanwhile, so a caller that had sent its whole body reused the connection. The next request was discarded as if it belonged to the body: its caller got neither an answer nor a refusal, and no line was written.

Such denials are frequent beside a change of the configuration (401, 404, and 503 for an outdated one). Now the response has Connection: close, and the sending direction is shut down right after it.

--- a/transport/src/http/server.rs
+++ b/transport/src/http/server.rs
@@ -7,6 +7,7 @@
 };
 use std::io;
 use std::net::{
+    Shutdown,
     SocketAddr,
     TcpListener,
     TcpStream, //
@@ -318,6 +319,10 @@
         log::debug!("LW1102 connection of {remote} ended early: {err}");
     }
     if activity.has_unread_body() {
+        // The caller sees the end of the connection while it still sends. It may have closed it.
+        if let Err(err) = stream.get_ref().shutdown(Shutdown::Write) {
+            log::debug!("LW1102 connection of {remote} ended early: {err}");
+        }
         timeout_at(Instant::now() + DISCARD_TIME, discard(&stream)).await;
     }
 }
@@ -388,7 +393,10 @@
             (internal_error(), true)
         }
     };
-    if panicked || shared.draining.load(Ordering::Acquire) {
+    // The connection is closed after a response that comes before the end of the body. A caller that is not
+    // told sends its next request while the rest of the body is discarded.
+    let closes = panicked || activity.has_unread_body();
+    if closes || shared.draining.load(Ordering::Acquire) {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
--- a/transport/tests/connections.rs
+++ b/transport/tests/connections.rs
@@ -261,3 +261,21 @@
     assert!(response.starts_with("HTTP/1.1 503"), "{response:?}");
     assert!(response.ends_with("refused"), "{response:?}");
 }
+
+/// Guards against a connection that seems open after a response that came before the end of its body:
+/// the next request on it was read and discarded, and got neither an answer nor a refusal.
+#[test]
+fn a_connection_whose_body_was_left_unread_takes_no_further_request() {
+    let runtime = Runtime::start(1).unwrap();
+    let server = start(&runtime, NEVER, NEVER);
+    let mut caller = Caller::connect(server.addr());
+    caller.send("POST /refuse HTTP/1.1\r\nhost: a\r\ncontent-length: 8\r\n\r\nhalf");
+    let begin = Instant::now();
+    let response = caller.rest().to_ascii_lowercase();
+    assert!(response.starts_with("http/1.1 503"), "{response}");
+    assert!(response.contains("\r\nconnection: close\r\n"), "{response}");
+    assert!(response.ends_with("refused"), "{response}");
+    // The close is seen at once, and the rest of the body is still read.
+    assert!(begin.elapsed() < SHORT, "{:?}", begin.elapsed());
+    caller.send("body");
+}
