gateway: a started instance denies nothing at first

An instance that starts beside a change has never had the version before, so it gave 401 at once for a key that the others still allowed.

--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -150,6 +150,8 @@
     /// Earlier versions, newest first, and the time until which other instances may use them. None
     /// of them has earlier ones itself.
     earlier: Vec<(Timestamp, Arc<Configuration>)>,
+    /// Time until which other instances may use earlier versions that this one has never had.
+    unknown_until: Option<Timestamp>,
     services: HashMap<String, Service>,
     limits: Option<CallerLimits>,
     /// Routes of each host, longest prefix first.
@@ -183,6 +185,7 @@
         Self {
             version: parts.version,
             earlier: Vec::new(),
+            unknown_until: None,
             services: parts.services,
             limits: parts.limits,
             by_host,
@@ -209,6 +212,17 @@
         };
         self.earlier = vec![(now + REPLACED_TIME, Arc::new(last))];
         self.earlier.extend(kept);
+        self.unknown_until = before.unknown_until;
+    }
+
+    /// Records that this version is the first one of this instance, at the time `now`.
+    pub fn begins(&mut self, now: Timestamp) {
+        self.unknown_until = Some(now + REPLACED_TIME);
+    }
+
+    /// Returns the time until which other instances may use versions that this one has never had.
+    pub fn unknown_until(&self) -> Option<Timestamp> {
+        self.unknown_until
     }
 
     /// Returns the earlier versions that other instances may use, newest first, and until when.
--- a/gateway/src/serve/apply.rs
+++ b/gateway/src/serve/apply.rs
@@ -191,8 +191,9 @@
     if before.is_some_and(|before| before >= config.version()) {
         return;
     }
-    if let Some(before) = &state.config {
-        config.replaces(before, now);
+    match &state.config {
+        Some(before) => config.replaces(before, now),
+        None => config.begins(now),
     }
     state.quotas.configure(&config, now);
     caller_timeouts::apply(node, config.limits());
--- a/gateway/src/serve/rejections.rs
+++ b/gateway/src/serve/rejections.rs
@@ -76,13 +76,18 @@
     denial: Denial,
 ) -> Response<Body> {
     let now = node.now();
-    let (is_current, age) = {
-        let freshness = &node.lock().config_freshness;
-        (freshness.is_current(version, now), freshness.age(now))
+    let (is_current, age, unknown_until) = {
+        let state = node.lock();
+        let freshness = &state.config_freshness;
+        let unknown_until = state.config.as_ref().and_then(|c| c.unknown_until());
+        // Without other instances no other version is in use.
+        let unknown_until = unknown_until.filter(|_| state.members.count() > 0);
+        let is_current = freshness.is_current(version, now);
+        (is_current, freshness.age(now), unknown_until)
     };
     let (id, host) = (&call.request_id, &call.host);
     let confirmed_ms = age.map_or_else(|| "never".to_owned(), |age| age.as_millis().to_string());
-    let until = denial.allowed_until();
+    let until = denial.allowed_until().max(unknown_until);
     if is_current && until.is_some_and(|until| now < until) {
         log_event!(
             REFUSED,
