gateway: items don't wait for an instance that can't load the jobs

An instance that starts while the store rejects its calls about the jobs never loaded them and reported no position, which counted as one that has just become a replica. Its share of the items waited until their retention ended. It now reports the partitions that it cannot load, without access, so that the others run the items. The new test timed out after 20 s without the change and takes 0.2 s with it.

--- a/gateway/src/serve/node.rs
+++ b/gateway/src/serve/node.rs
@@ -267,12 +267,17 @@
         self.cells.is_own_instance(name) || in_used_cell() || uses_own_cell()
     }
 
-    /// Returns the positions up to which this instance has read its partitions.
+    /// Returns the positions up to which this instance has read its partitions. One that it cannot
+    /// load is among them, so that the others run its items.
     pub(crate) fn positions(&self) -> Vec<Position> {
-        let partitions = (0..).zip(self.partitions.iter().zip(&self.freshness));
+        let known = self.partitions.iter().zip(&self.freshness);
+        let partitions = (0..).zip(known.zip(&self.replica_status));
         partitions
-            .filter(|(_, (known, _))| known.is_loaded())
-            .map(|(partition, (known, freshness))| Position {
+            .filter(|(_, ((known, freshness), status))| {
+                let fails = freshness.lost && **status != ReplicaStatus::Inactive;
+                known.is_loaded() || fails
+            })
+            .map(|(partition, ((known, freshness), _))| Position {
                 partition,
                 next: known.next(),
                 reads: !freshness.lost,
