--- a/gateway/src/serve/apply.rs
+++ b/gateway/src/serve/apply.rs
@@ -181,7 +181,7 @@
 /// Puts a configuration in force, unless it is not newer than the one in force.
 pub(crate) fn apply_config<P: Store + Dialect>(
     node: &Arc<Node<P>>,
-    config: Configuration,
+    mut config: Configuration,
     record: &Record,
     source: &str,
 ) {
@@ -191,6 +191,10 @@
     if before.is_some_and(|before| before >= config.version()) {
         return;
     }
+    match &state.config {
+        Some(before) => config.replaces(before, now),
+        None => config.begins(now),
+    }
     state.quotas.configure(&config, now);
     caller_limits::apply(node, config.limits());
     let version = config.version();
--- a/gateway/src/serve/rejections.rs
+++ b/gateway/src/serve/rejections.rs
@@ -68,7 +68,8 @@
 /// Returns the response to a request that the configuration `version` does not allow.
 ///
 /// Callers do not retry after 404, 401, 413 and 431, so these are returned only if no newer
-/// configuration can allow the request.
+/// configuration can allow the request, and 404 and 401 only if no instance can use an older one that
+/// allows it: that instance may have forwarded it.
 pub(crate) fn deny<P>(
     node: &Node<P>,
     call: &CallHead,
@@ -76,12 +77,26 @@
     denial: Denial,
 ) -> Response<Body> {
     let now = node.now();
-    let (is_current, age) = {
-        let freshness = &node.lock().config_freshness;
-        (freshness.is_current(version, now), freshness.age(now))
+    let (is_current, age, unknown_until) = {
+        let state = node.lock();
+        let freshness = &state.config_freshness;
+        let unknown_until = state.config.as_ref().and_then(|c| c.unknown_until());
+        // Without other instances no other version is in use.
+        let is_alone = state.instances_read && state.members.count() == 0;
+        let unknown_until = unknown_until.filter(|_| !is_alone);
+        let is_current = freshness.is_current(version, now);
+        (is_current, freshness.age(now), unknown_until)
     };
     let (id, host) = (&call.request_id, &call.host);
     let confirmed_ms = age.map_or_else(|| "never".to_owned(), |age| age.as_millis().to_string());
+    let until = denial.allowed_until().max(unknown_until);
+    if is_current && until.is_some_and(|until| now < until) {
+        log_event!(
+            REFUSED,
+            "request={id} status=503 cause=changed-configuration denial={denial} host={host} version={version}"
+        );
+        return outdated();
+    }
     if !is_current {
         log_event!(
             REFUSED,
@@ -90,11 +105,11 @@
         return outdated();
     }
     let (status, text) = match denial {
-        Denial::NoRoute => {
+        Denial::NoRoute | Denial::RouteRemoved { .. } => {
             let text = "no route for this host and path".to_owned();
             (StatusCode::NOT_FOUND, text)
         }
-        Denial::UnknownKey => {
+        Denial::UnknownKey | Denial::KeyRemoved { .. } => {
             let text = "the key is not known".to_owned();
             (StatusCode::UNAUTHORIZED, text)
         }
@@ -117,7 +132,7 @@
 
 /// Returns the response to a request that a newer configuration may allow.
 fn outdated() -> Response<Body> {
-    let text = "the configuration may be outdated; the request has not run";
+    let text = "the configuration is being changed or may be outdated; the request has not run";
     retry_later(StatusCode::SERVICE_UNAVAILABLE, text, OUTDATED_CONFIG_RETRY)
 }
 
