gateway: a response that has begun is not withdrawn

A stream whose request was blamed for crashes between its first and second event was broken off by the instance, although its server went on: the caller got one event and a closed connection. Runs were withdrawn while they were suspected, that is up to the second part of their output, and not until the first.

--- a/gateway/src/serve/run_watch.rs
+++ b/gateway/src/serve/run_watch.rs
@@ -97,7 +97,7 @@
     /// Waits until the request is blamed for crashes while this run has no output yet: it would end its
     /// server too. A probe goes on.
     pub(crate) async fn blamed(&self) {
-        if !self.is_suspected() || self.place.known == Knowledge::Held {
+        if self.has_output() || self.place.known == Knowledge::Held {
             return future::pending().await;
         }
         crashes::blamed(&self.node, &self.parts).await;
