gateway: the end of a rest without framing and of a response without a body

A server that was asked for the rest of a stream and closed its connection without an event ended the stream as complete if its response had neither a length nor chunks: the check was for streams without any event only. A 204, 304 or HEAD without a signature counted as a lost run, and a HEAD with the type of a stream as one without an event. A body of a status other than 2xx was withdrawn while it was passed on.

--- a/gateway/src/serve/first_output.rs
+++ b/gateway/src/serve/first_output.rs
@@ -58,7 +58,7 @@
         mut self,
         source: Source<P>,
     ) -> Result<Started<P>, Interruption> {
-        let output = match source.is_stream() {
+        let output = match source.is_stream(&self.admitted.head.method) {
             true => self.first_events(source).await,
             false => self.first_bytes(source).await,
         };
--- a/gateway/src/serve/relay.rs
+++ b/gateway/src/serve/relay.rs
@@ -9,7 +9,12 @@
 
 use futures_lite::future;
 use hyper::body::Bytes;
+use hyper::header::{
+    CONTENT_LENGTH,
+    TRANSFER_ENCODING, //
+};
 use hyper::{
+    Method,
     Response,
     StatusCode, //
 };
@@ -60,12 +65,23 @@
 }
 
 impl<P: Store + Dialect> Source<P> {
-    /// Returns whether the response is a stream that another server may continue.
-    pub(crate) fn is_stream(&self) -> bool {
-        self.head.events && self.response.status() == StatusCode::OK
+    /// Returns whether the response to a request with `method` is a stream that another server may
+    /// continue.
+    pub(crate) fn is_stream(&self, method: &Method) -> bool {
+        self.head.events && self.response.status() == StatusCode::OK && method != Method::HEAD
     }
 }
 
+/// Returns whether the end of the body of a response shows: it has a length or chunks, or there is none.
+/// The end of the connection ends the others, wherever they are cut off.
+pub(crate) fn has_end<T>(method: &Method, response: &Response<T>) -> bool {
+    let headers = response.headers();
+    let is_framed = headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
+    let status = response.status();
+    let has_body = status != StatusCode::NO_CONTENT && status != StatusCode::NOT_MODIFIED;
+    is_framed || !has_body || method == Method::HEAD
+}
+
 /// Splits a response into the status and the headers for the caller, and the body.
 pub(crate) fn forwarded<P: Dialect>(
     node: &Node<P>,
--- a/gateway/src/serve/stream.rs
+++ b/gateway/src/serve/stream.rs
@@ -24,7 +24,8 @@
     Interruption,
     Relay,
     Source,
-    forwarded, //
+    forwarded,
+    has_end, //
 };
 use super::run_watch::RunWatch;
 use crate::platform::{
@@ -62,6 +63,9 @@
     /// Blocks without output that are still to be forwarded, with the first event if possible.
     held: Vec<Event>,
     held_bytes: usize,
+    /// Whether only the end of the connection ends the response, so that a loss before the first event
+    /// looks like the end of a stream that another server has begun.
+    has_open_end: bool,
     /// Number of the last event that this run or the one before it has sent.
     last_event: Option<u64>,
     /// When the last event was complete; bytes that complete no event are no progress.
@@ -89,6 +93,7 @@
         let Source {
             response, placed, ..
         } = source;
+        let has_open_end = !has_end(&admitted.head.method, &response);
         let (mut head, body) = forwarded(node, response);
         // Another server may continue the stream, so its total length is not known yet.
         head.headers_mut().remove(CONTENT_LENGTH);
@@ -102,6 +107,7 @@
             pace: PaceMeter::default(),
             held: Vec::new(),
             held_bytes: 0,
+            has_open_end,
             last_event,
             progressed: Instant::now(),
             ask_at: Instant::now() + STALL_TIMEOUT,
@@ -199,12 +205,18 @@
         Ok(())
     }
 
+    /// Returns whether the run has ended without an event that it owes.
+    fn is_empty(&self) -> bool {
+        let owes_event = self.last_event.is_none() || self.has_open_end;
+        owes_event && !self.watch.has_output()
+    }
+
     /// Checks that a body that has ended is whole. A response without a length and without chunks
     /// ends with its connection, whether it is complete or not.
     fn end(&self) -> Result<Read, Interruption> {
         let cause = if self.splitter.is_partial() {
             "the stream ended within an event"
-        } else if self.last_event.is_none() && !self.watch.has_output() {
+        } else if self.is_empty() {
             "the stream ended without an event"
         } else {
             return Ok(Read::End);
@@ -227,7 +239,7 @@
 }
 
 /// Reads the next bytes of a body; `None` at its end.
-async fn next_bytes(body: &mut ClientBody) -> Result<Option<Bytes>, Interruption> {
+pub(crate) async fn next_bytes(body: &mut ClientBody) -> Result<Option<Bytes>, Interruption> {
     loop {
         match body.frame().await {
             None => return Ok(None),
--- a/gateway/src/serve/whole.rs
+++ b/gateway/src/serve/whole.rs
@@ -2,10 +2,6 @@
 
 use hyper::Response;
 use hyper::body::Bytes;
-use hyper::header::{
-    CONTENT_LENGTH,
-    TRANSFER_ENCODING, //
-};
 use limpetweir_transport::http::{
     BodySender,
     ClientBody, //
@@ -16,10 +12,14 @@
     Interruption,
     Relay,
     Source,
-    forwarded, //
+    forwarded,
+    has_end, //
 };
 use super::run_watch::RunWatch;
-use super::stream::watched;
+use super::stream::{
+    next_bytes,
+    watched, //
+};
 use crate::platform::{
     Dialect,
     Store, //
@@ -32,6 +32,8 @@
     pub(crate) head: Response<()>,
     body: ClientBody,
     watch: RunWatch<P>,
+    /// Whether bytes have been read. The run is not withdrawn any more then, whatever its status.
+    has_begun: bool,
     is_success: bool,
     /// Whether nothing but its end says that the body is whole: it has neither a length nor chunks, so it
     /// ends with its connection, and no signature says that the server had the whole response.
@@ -43,7 +45,11 @@
 impl<P: Store + Dialect> WholeRun<P> {
     /// Reads the next bytes; `None` at the end of the response.
     async fn next(&mut self) -> Result<Option<Bytes>, Interruption> {
-        let bytes = watched(&self.watch, &mut self.body).await?;
+        let bytes = match self.has_begun {
+            true => next_bytes(&mut self.body).await?,
+            false => watched(&self.watch, &mut self.body).await?,
+        };
+        self.has_begun |= bytes.is_some();
         if bytes.is_none() && self.has_open_end {
             let cause = "a response without a signature ended with its connection".to_owned();
             return Err(Interruption::ConnectionLost(cause));
@@ -66,13 +72,12 @@
             head: decoded,
             placed,
         } = source;
-        let headers = response.headers();
-        let has_end =
-            headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
+        let has_end = has_end(&self.admitted.head.method, &response);
         let (head, body) = forwarded(self.node, response);
         let id = &self.admitted.call.request_id;
         let watch = RunWatch::new(self.node, id, &self.admitted.parts, placed.place());
         WholeRun {
+            has_begun: false,
             is_success: head.status().is_success(),
             has_open_end: !has_end && !decoded.signed,
             head,
