--- a/gateway/src/serve/rejections.rs
+++ b/gateway/src/serve/rejections.rs
@@ -127,7 +127,7 @@
 
 /// Returns the response to a request that a newer configuration may allow.
 fn outdated() -> Response<Body> {
-    let text = "the configuration is being changed or may be outdated; the request has not run";
+    let text = "the configuration may be outdated; the request has not run";
     retry_later(StatusCode::SERVICE_UNAVAILABLE, text, OUTDATED_CONFIG_RETRY)
 }
 
