--- a/simulation/src/lib.rs
+++ b/simulation/src/lib.rs
@@ -3,12 +3,19 @@
 //! Everything here is pure: a plan and a seed determine the result.
 
 mod arrivals;
+mod bounds;
+mod capacity;
 mod check;
 mod fault;
 mod plan;
+mod prices;
 mod raw;
+mod request;
+mod schedule;
+mod server;
 
 pub use arrivals::{Arrival, arrivals};
+pub use bounds::{BoundOptions, Bounds, Earnings, bounds};
 pub use fault::{PlanError, PlanFault};
 pub use plan::{
     Amount, Class, Instances, Limit, Load, Organisation, Plan, Rate, ServerGroup, SlowSpan, Window,
