--- a/cli/src/args.rs
+++ b/cli/src/args.rs
@@ -76,6 +76,7 @@
         .subcommand(held())
         .subcommand(trace())
         .subcommand(plot())
+        .subcommand(bound())
         .subcommand(Command::new("addresses").about("Prints the addresses that a caller may use"))
         .subcommand(completions())
 }
@@ -154,6 +155,39 @@
         .arg(log_files())
 }
 
+fn bound() -> Command {
+    Command::new("bound")
+        .about("Prints how much worth any schedule could earn at most on a planned day under load")
+        .arg(
+            Arg::new("plan")
+                .value_name("PLAN")
+                .required(true)
+                .value_parser(value_parser!(PathBuf))
+                .help("Plan of the day in TOML, see docs/load-plans.md"),
+        )
+        .arg(
+            Arg::new("seed")
+                .long("seed")
+                .default_value("1")
+                .value_parser(value_parser!(u64))
+                .help("Seed of the arrivals"),
+        )
+        .arg(
+            Arg::new("window")
+                .long("window")
+                .value_name("DURATION")
+                .default_value("5s")
+                .value_parser(parse_duration)
+                .help("Width of the windows of time"),
+        )
+        .arg(
+            Arg::new("within-limits")
+                .long("within-limits")
+                .action(ArgAction::SetTrue)
+                .help("Leaves out requests beyond the limit of their organisation"),
+        )
+}
+
 fn plot() -> Command {
     let seconds_arg = |name: &'static str| {
         Arg::new(name)
--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -1,5 +1,6 @@
 //! The subcommands of the tool.
 
+mod bound;
 mod complete;
 mod config;
 mod explain;
@@ -38,6 +39,7 @@
         "held" => held::run(matches),
         "trace" => trace::run(matches),
         "plot" => plot::run(matches),
+        "bound" => bound::run(matches),
         "addresses" => addresses(&Options::new(matches)?),
         "completions" => completions(matches),
         other => Err(unknown_command(other)),
--- a/cli/src/error.rs
+++ b/cli/src/error.rs
@@ -4,6 +4,7 @@
 use std::path::PathBuf;
 
 use limpetweir_protocol::ConfigDocumentError;
+use limpetweir_simulation::PlanError;
 use limpetweir_state::Verdict;
 use serde_json::json;
 use snafu::Snafu;
@@ -55,6 +56,14 @@
         /// The faults.
         source: ConfigDocumentError,
     },
+    /// A plan of a day is invalid.
+    #[snafu(display("{}", plan_faults(file, source)))]
+    Plan {
+        /// Name of the file.
+        file: String,
+        /// The faults.
+        source: PlanError,
+    },
     /// The requested change to a configuration document is not possible.
     #[snafu(context(false), display("{source}"))]
     Edit {
@@ -183,7 +192,7 @@
         if !json {
             return match self {
                 // Each fault starts with `file:line:`, the format that editors parse.
-                Self::Document { .. } | Self::Items { .. } => message,
+                Self::Document { .. } | Self::Items { .. } | Self::Plan { .. } => message,
                 _ => format!("error: {message}"),
             };
         }
@@ -228,6 +237,14 @@
     lines.join("\n")
 }
 
+fn plan_faults(file: &str, err: &PlanError) -> String {
+    let faults = err.faults().iter();
+    let lines: Vec<String> = faults
+        .map(|f| format!("{file}:{}: {}: {}", f.line, f.field, f.message))
+        .collect();
+    lines.join("\n")
+}
+
 fn item_faults(file: &str, faults: &[ItemFault]) -> String {
     let lines: Vec<String> = faults
         .iter()
