--- a/simulation/src/bounds.rs
+++ b/simulation/src/bounds.rs
@@ -17,6 +17,9 @@
 /// request runs only if it is worth more.
 const PRICE_FACTORS: [f64; 5] = [0.0, 0.5, 0.8, 1.0, 1.2];
 
+/// Divisor of the numbers of slots for items that are tried.
+const SLOT_PARTS: usize = 8;
+
 /// What the requests of a day, of a class or of a window of time earn.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Earnings {
@@ -58,8 +61,11 @@
     let counted = arrivals.iter();
     let counted = counted.filter(|a| a.within_limit || !options.within_limits);
     let requests: Vec<Request> = counted.map(|a| Request::new(plan, a)).collect();
-    let earned = best_schedule(plan, &requests);
-    let select = |selected: &dyn Fn(&Request) -> bool| earnings(plan, &requests, &earned, selected);
+    let relaxed = Relaxed::new(plan, &requests);
+    let earned = best_schedule(plan, &requests, &relaxed);
+    let select = |selected: &dyn Fn(&Request) -> bool| {
+        earnings(plan, &requests, &earned, relaxed.upper, selected)
+    };
     let width = millis(options.window);
     let windows = (millis(plan.length) / width).ceil() as usize;
     Bounds {
@@ -73,11 +79,12 @@
     }
 }
 
-/// Returns what the selected requests earn.
+/// Returns what the selected requests earn; `all` is the upper estimate for all of them.
 fn earnings(
     plan: &Plan,
     requests: &[Request],
     earned: &[f64],
+    all: f64,
     selected: impl Fn(&Request) -> bool,
 ) -> Earnings {
     let mut only = Vec::new();
@@ -91,33 +98,56 @@
     Earnings {
         requests: only.len(),
         owed: only.iter().map(|request| request.worth).sum(),
-        upper: upper(plan, &only),
+        upper: match only.len() == requests.len() {
+            true => all,
+            false => Relaxed::new(plan, &only).upper,
+        },
         lower,
     }
 }
 
-/// Returns the lower one of the two upper estimates.
-fn upper(plan: &Plan, requests: &[Request]) -> f64 {
-    let work = Relaxation::new(plan, requests).search().bound;
-    work.min(SlotRelaxation::new(plan, requests).search())
+/// Upper estimates, and what follows from their prices.
+struct Relaxed {
+    /// The lower one of the upper estimates.
+    upper: f64,
+    /// Different choices of the requests to run: those that are worth the price of their work, or
+    /// of their slot.
+    choices: Vec<Vec<bool>>,
 }
 
-/// Returns what each request earns in the best of the schedules that are tried.
-fn best_schedule(plan: &Plan, requests: &[Request]) -> Vec<f64> {
-    let relaxation = Relaxation::new(plan, requests);
-    let prices = relaxation.search();
+impl Relaxed {
+    fn new(plan: &Plan, requests: &[Request]) -> Self {
+        let work = Relaxation::new(plan, requests);
+        let work_prices = work.search();
+        let worth_work = |factor: f64| {
+            let indices = 0..requests.len();
+            let surplus = indices.map(|index| work.surplus(index, &work_prices, factor));
+            surplus.map(|surplus| surplus > 0.0).collect()
+        };
+        let slots = SlotRelaxation::new(plan, requests);
+        let slot_prices = slots.search();
+        let mut choices: Vec<Vec<bool>> = PRICE_FACTORS.map(worth_work).to_vec();
+        choices.push(slots.worthwhile(&slot_prices));
+        choices.dedup();
+        Self {
+            upper: work_prices.bound.min(slot_prices.bound),
+            choices,
+        }
+    }
+}
+
+/// Returns what each request earns in the best of the schedules that are tried: with each choice of
+/// the requests that are worth their price, and each number of slots for items.
+fn best_schedule(plan: &Plan, requests: &[Request], relaxed: &Relaxed) -> Vec<f64> {
     let slots = plan.servers.iter().map(|group| group.slots as usize);
     let slots = slots.max().unwrap_or(0);
     let mut best = (f64::NEG_INFINITY, Vec::new());
-    for factor in PRICE_FACTORS {
-        let accepted = 0..requests.len();
-        let accepted = accepted.map(|index| relaxation.surplus(index, &prices, factor) > 0.0);
-        let mut policy = Policy {
-            accepted: accepted.collect(),
-            items: 0,
-        };
-        for quarter in 1..=4 {
-            policy.items = (slots * quarter).div_ceil(4);
+    for accepted in &relaxed.choices {
+        for part in 1..=SLOT_PARTS {
+            let policy = Policy {
+                accepted: accepted.clone(),
+                items: (slots * part).div_ceil(SLOT_PARTS),
+            };
             let earned = run(plan, requests, &policy);
             let sum = earned.iter().sum();
             if sum > best.0 {
--- a/simulation/src/schedule.rs
+++ b/simulation/src/schedule.rs
@@ -19,10 +19,21 @@
     pub(crate) items: usize,
 }
 
+/// What is started first, in ascending order.
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
+enum Tier {
+    /// What would be late, by its worth per time that it would take.
+    Late,
+    /// Items on time, by the time at which they are due.
+    Item,
+    /// Online requests on time, by their worth per time that they would take.
+    Request,
+}
+
 /// Runs the requests, ordered by their start, and returns what each of them earns.
 ///
-/// When a server has a free slot, it starts the waiting request with the highest worth per time that
-/// it would take. Requests wait at the instances, which know the state of all servers.
+/// A server with a free slot starts the waiting request of the highest tier. Requests wait at the
+/// instances, which know the state of all servers.
 pub(crate) fn run(plan: &Plan, requests: &[Request], policy: &Policy) -> Vec<f64> {
     let mut day = Day::new(plan, requests, policy);
     while day.advance() {}
@@ -121,7 +132,7 @@
         let server = &self.servers[server];
         let running = server.running().filter(|index| self.requests[*index].batch);
         let items = running.count() < self.policy.items;
-        let mut best = (None, 0.0);
+        let mut best = (None, (Tier::Late, 0.0));
         for (position, index) in self.waiting.iter().enumerate() {
             let request = &self.requests[*index];
             if (request.batch && !items) || !server.fits(request) {
@@ -131,8 +142,13 @@
                 continue;
             };
             let density = forecast.worth / forecast.duration;
-            if density > best.1 {
-                best = (Some(position), density);
+            let rank = match (forecast.worth >= request.worth, request.batch) {
+                (false, _) => (Tier::Late, density),
+                (true, true) => (Tier::Item, -request.done_by),
+                (true, false) => (Tier::Request, density),
+            };
+            if rank > best.1 {
+                best = (Some(position), rank);
             }
         }
         best.0
--- a/simulation/src/slots.rs
+++ b/simulation/src/slots.rs
@@ -86,16 +86,25 @@
         }
     }
 
-    /// Searches for prices with a low bound and returns this bound.
-    pub(crate) fn search(&self) -> f64 {
+    /// Searches for prices with a low bound.
+    pub(crate) fn search(&self) -> BestPrices {
         let worth: f64 = self.jobs.iter().map(|job| job.worth).sum();
         let held: f64 = self.jobs.iter().map(|job| job.duration).sum();
         let scale = worth / held.max(f64::MIN_POSITIVE);
         let mut prices: SlotPrices = vec![vec![0.0; self.windows]; self.slots.len()];
         let mut mean = prices.clone();
-        let mut best = f64::INFINITY;
+        let mut best = BestPrices {
+            bound: f64::INFINITY,
+            prices: prices.clone(),
+        };
         for round in 0..ROUNDS {
-            best = best.min(self.bound(&prices)).min(self.bound(&mean));
+            for candidate in [&prices, &mean] {
+                let bound = self.bound(candidate);
+                if bound < best.bound {
+                    best.bound = bound;
+                    best.prices.clone_from(candidate);
+                }
+            }
             let progress = f64::from(round) / f64::from(ROUNDS);
             let softness = scale * FIRST_SOFTNESS * (LAST_SOFTNESS / FIRST_SOFTNESS).powf(progress);
             let demand = self.demand(&prices, softness);
@@ -111,6 +120,16 @@
         best
     }
 
+    /// Returns whether each request is worth its price.
+    pub(crate) fn worthwhile(&self, best: &BestPrices) -> Vec<bool> {
+        let sums = sums(&best.prices);
+        let worthwhile = |job: &Job| {
+            let mut choices = job.options(&best.prices, &sums);
+            choices.any(|choice| choice.surplus > 0.0)
+        };
+        self.jobs.iter().map(worthwhile).collect()
+    }
+
     /// Returns the bound for the given prices.
     fn bound(&self, prices: &SlotPrices) -> f64 {
         let paid = prices.iter().zip(&self.slots);
@@ -145,6 +164,13 @@
     }
 }
 
+/// Prices of slots, and the bound that follows from them.
+pub(crate) struct BestPrices {
+    prices: SlotPrices,
+    /// Upper bound of what any schedule earns.
+    pub(crate) bound: f64,
+}
+
 /// A way to run a request.
 struct Choice {
     hold: Hold,
