daemon: pass the status of plain services on with the first bytes

Callers of plain services got a closed connection, or a 200 and a broken body, when a server was lost behind the head of its response. That is neither an answer nor an error, and idempotent calls were not repeated.

Cause: `plain::forward` returned the response as soon as its head was in; from then on it could only be cut.

`first_output` waits for the first bytes or the end of the body, at most for the time limit of a head. A response that is lost or silent before is a failed attempt like one without a head: the budget, the verdict and the cooldown of its server are the same. Without another attempt the caller gets 502 `backend_failed`, which may have run. The wait counts as time of the backend server in the metric of the added time. Bodies are in a module of their own. Behind the first byte a lost response is cut as before.

--- a/daemon/src/online/call.rs
+++ b/daemon/src/online/call.rs
@@ -162,6 +162,14 @@
         result.map_err(AttemptError::Attempt)
     }
 
+    /// Waits for output of a backend server; the wait is not part of the added time.
+    pub(super) async fn wait<T>(&mut self, output: impl Future<Output = T>) -> T {
+        let started = Instant::now();
+        let output = output.await;
+        self.progress.backend_time += started.elapsed();
+        output
+    }
+
     async fn send_attempt(
         &self,
         reservation: Reservation,
--- a/daemon/src/online/mod.rs
+++ b/daemon/src/online/mod.rs
@@ -13,6 +13,7 @@
 mod plain;
 mod query;
 mod quota_owner;
+mod relayed_body;
 mod stream;
 
 use std::sync::{
--- a/daemon/src/online/plain.rs
+++ b/daemon/src/online/plain.rs
@@ -1,21 +1,11 @@
 //! Calls of plain services.
 
-use std::pin::Pin;
 use std::sync::Arc;
-use std::task::{
-    Context,
-    Poll, //
-};
 use std::time::{
     Duration,
     Instant, //
 };
 
-use hyper::body::{
-    Bytes,
-    Frame,
-    SizeHint, //
-};
 use hyper::header::{
     AUTHORIZATION,
     CONNECTION,
@@ -48,24 +38,24 @@
 };
 use limpetweir_transport::http::{
     Body,
-    BodyError,
-    ClientBody,
     RequestBody, //
 };
+use limpetweir_transport::timeout_at;
 
 use super::auth::{
     self,
     Caller, //
 };
-use super::backends::InFlightGuard;
 use super::call::{
     ATTEMPT_ID,
+    AttemptError,
     BackendResponse,
     Call,
     Progress,
     RESUME_TOKENS,
     RetryBudgetKey, //
 };
+use super::relayed_body::RelayedBody;
 use super::{
     admission,
     body,
@@ -77,7 +67,7 @@
 /// Path prefix of plain services.
 pub(super) const PREFIX: &str = "/services/";
 
-/// Longest wait for the head of a response.
+/// Longest wait for the head of a response, and again for the first bytes of its body.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// Headers that are not forwarded in either direction: hop-by-hop headers and those that the daemon
@@ -233,16 +223,17 @@
 }
 
 async fn forward(mut call: Call) -> Result<Response<Body>, Problem> {
-    let received = loop {
-        match call.attempt(0).await {
-            Ok(received) => break received,
-            Err(error) => call.retry(error)?,
-        }
+    let response = loop {
+        let error = match call.attempt(0).await {
+            Ok(received) => match first_output(&mut call, received).await {
+                Ok(response) => break response,
+                Err(error) => error,
+            },
+            Err(error) => error,
+        };
+        call.retry(error)?;
     };
     call.record_added_time();
-    let BackendResponse {
-        response, guard, ..
-    } = received;
     let (mut head, body) = response.into_parts();
     let length = head.headers.remove(CONTENT_LENGTH);
     remove_connection_headers(&mut head.headers);
@@ -255,35 +246,31 @@
         let verdict = HeaderValue::from_static(Verdict::MayHaveRun.into());
         head.headers.insert(VERDICT_HEADER, verdict);
     }
-    let body = Body::boxed(RelayedBody {
-        body,
-        _guard: guard,
-    });
     Ok(Response::from_parts(head, body))
 }
 
-/// The response body of a plain service; the request is in flight until it is read or dropped.
-struct RelayedBody {
-    body: ClientBody,
-    _guard: InFlightGuard,
-}
-
-impl hyper::body::Body for RelayedBody {
-    type Data = Bytes;
-    type Error = BodyError;
-
-    fn poll_frame(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        Pin::new(&mut self.get_mut().body).poll_frame(cx)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
+/// Waits for the first bytes or the end of a response, before any of it is sent.
+///
+/// A caller that got the status of a response whose server is lost before its first byte would have
+/// neither an answer nor an error.
+async fn first_output(
+    call: &mut Call,
+    received: BackendResponse,
+) -> Result<Response<Body>, AttemptError> {
+    let BackendResponse {
+        response,
+        backend,
+        guard,
+    } = received;
+    let (head, body) = response.into_parts();
+    let mut body = RelayedBody::new(body, guard);
+    let deadline = Instant::now() + call.head_timeout;
+    let first = call.wait(timeout_at(deadline, body.read_first())).await;
+    match first {
+        Some(Ok(())) => Ok(Response::from_parts(head, body.into_body())),
+        Some(Err(err)) => {
+            Err(call.record_broken_response(&backend, &format!("broke its answer off: {err}")))
+        }
+        None => Err(call.record_broken_response(&backend, "sent nothing of its answer in time")),
     }
 }
--- /dev/null
+++ b/daemon/src/online/relayed_body.rs
@@ -0,0 +1,93 @@
+//! Response bodies of plain services.
+
+use std::pin::Pin;
+use std::task::{
+    Context,
+    Poll, //
+};
+
+use http_body_util::BodyExt;
+use hyper::body::{
+    Body as _,
+    Bytes,
+    Frame,
+    SizeHint, //
+};
+use limpetweir_transport::http::{
+    Body,
+    BodyError,
+    ClientBody, //
+};
+
+use super::backends::InFlightGuard;
+
+/// The response body of a plain service; the request is in flight until it is read or dropped.
+pub(super) struct RelayedBody {
+    /// Bytes that were read ahead; never empty.
+    first: Option<Bytes>,
+    body: ClientBody,
+    /// Whether the end was read.
+    has_ended: bool,
+    _guard: InFlightGuard,
+}
+
+impl RelayedBody {
+    pub(super) fn new(body: ClientBody, guard: InFlightGuard) -> Self {
+        Self {
+            first: None,
+            has_ended: body.is_end_stream(),
+            body,
+            _guard: guard,
+        }
+    }
+
+    /// Reads the first bytes ahead, or the end of a body without any.
+    pub(super) async fn read_first(&mut self) -> Result<(), BodyError> {
+        while self.first.is_none() && !self.has_ended {
+            match self.body.frame().await {
+                Some(frame) => self.first = frame?.into_data().ok().filter(|b| !b.is_empty()),
+                None => self.has_ended = true,
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns the body for the caller.
+    pub(super) fn into_body(self) -> Body {
+        match self.has_ended {
+            true => Body::empty(),
+            false => Body::boxed(self),
+        }
+    }
+}
+
+impl hyper::body::Body for RelayedBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let this = self.get_mut();
+        if let Some(first) = this.first.take() {
+            return Poll::Ready(Some(Ok(Frame::data(first))));
+        }
+        Pin::new(&mut this.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.first.is_none() && self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        let read = self.first.as_ref().map_or(0, Bytes::len) as u64;
+        let rest = self.body.size_hint();
+        let mut hint = SizeHint::new();
+        hint.set_lower(rest.lower().saturating_add(read));
+        if let Some(upper) = rest.upper() {
+            hint.set_upper(upper.saturating_add(read));
+        }
+        hint
+    }
+}
--- a/daemon/tests/online/fleet.rs
+++ b/daemon/tests/online/fleet.rs
@@ -145,7 +145,7 @@
     fn backend_names(&self) -> Vec<String> {
         let engines = (0..self.engines.len()).map(|n| format!("e{n}"));
         let plains = (0..self.plains.len()).map(|n| format!("p{n}"));
-        let others = ["o0".to_owned(), "c0".to_owned()];
+        let others = ["o0", "c0", "c1"].map(str::to_owned);
         engines.chain(plains).chain(others).collect()
     }
 
--- a/daemon/tests/online/main.rs
+++ b/daemon/tests/online/main.rs
@@ -7,6 +7,7 @@
 #[path = "../common/mod.rs"]
 mod common;
 mod fleet;
+mod heads;
 mod keys;
 mod plain;
 mod quota;
--- a/daemon/tests/online/raw.rs
+++ b/daemon/tests/online/raw.rs
@@ -66,7 +66,7 @@
 /// Reads the head and the body of a message with a content length.
 ///
 /// The head is empty at the end of the connection.
-fn read_message(reader: &mut BufReader<TcpStream>) -> (String, String) {
+pub(crate) fn read_message(reader: &mut BufReader<TcpStream>) -> (String, String) {
     let mut head = String::new();
     while !head.ends_with("\r\n\r\n") {
         if reader.read_line(&mut head).unwrap() == 0 {
