daemon: end responses of plain services that fall silent

A head of a plain service followed by silence held the caller, the connection to the server and the request's place in its load without end: the time limit covered only the head.

The new setting `timing.plain_silence_ms`, 60 s by default as for the head so far, is the longest wait for the head and for each part of the body. The limit counts while the server owes data; a caller that reads slowly does not use it up. Behind the first byte the response is cut; before it, the attempt has failed. A limit on the whole response was ruled out: it would cut long downloads that make progress.

Changed check: `reads_a_file_and_fills_in_defaults` asserts the default of the new setting as well.

--- a/daemon/src/online/plain.rs
+++ b/daemon/src/online/plain.rs
@@ -1,10 +1,7 @@
 //! Calls of plain services.
 
 use std::sync::Arc;
-use std::time::{
-    Duration,
-    Instant, //
-};
+use std::time::Instant;
 
 use hyper::header::{
     AUTHORIZATION,
@@ -67,9 +64,6 @@
 /// Path prefix of plain services.
 pub(super) const PREFIX: &str = "/services/";
 
-/// Longest wait for the head of a response, and again for the first bytes of its body.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(60);
-
 /// Headers that are not forwarded in either direction: hop-by-hop headers and those that the daemon
 /// sets itself.
 ///
@@ -127,7 +121,7 @@
         body: bytes,
         prefix: Vec::new(),
         idempotent,
-        head_timeout: HEAD_TIMEOUT,
+        head_timeout: node.settings.timing.plain_silence,
         progress: Progress::new(started),
     };
     call.add_to_retry_budget();
@@ -263,7 +257,7 @@
         guard,
     } = received;
     let (head, body) = response.into_parts();
-    let mut body = RelayedBody::new(body, guard);
+    let mut body = RelayedBody::new(body, guard, call.head_timeout);
     let deadline = Instant::now() + call.head_timeout;
     let first = call.wait(timeout_at(deadline, body.read_first())).await;
     match first {
--- a/daemon/src/online/relayed_body.rs
+++ b/daemon/src/online/relayed_body.rs
@@ -5,7 +5,10 @@
     Context,
     Poll, //
 };
+use std::time::Duration;
 
+use async_io::Timer;
+use futures_lite::FutureExt;
 use http_body_util::BodyExt;
 use hyper::body::{
     Body as _,
@@ -28,15 +31,21 @@
     body: ClientBody,
     /// Whether the end was read.
     has_ended: bool,
+    /// Longest wait for each part of the body.
+    silence_limit: Duration,
+    /// Set while a reader waits for data.
+    timer: Option<Timer>,
     _guard: InFlightGuard,
 }
 
 impl RelayedBody {
-    pub(super) fn new(body: ClientBody, guard: InFlightGuard) -> Self {
+    pub(super) fn new(body: ClientBody, guard: InFlightGuard, silence_limit: Duration) -> Self {
         Self {
             first: None,
             has_ended: body.is_end_stream(),
             body,
+            silence_limit,
+            timer: None,
             _guard: guard,
         }
     }
@@ -52,6 +61,18 @@
         Ok(())
     }
 
+    /// Fails once the server has sent nothing for the limit; a slow caller does not count.
+    fn poll_silence(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let timeout = self.silence_limit;
+        let timer = self.timer.get_or_insert_with(|| Timer::after(timeout));
+        timer
+            .poll(cx)
+            .map(|_| Some(Err(BodyError::Stalled { timeout })))
+    }
+
     /// Returns the body for the caller.
     pub(super) fn into_body(self) -> Body {
         match self.has_ended {
@@ -73,7 +94,13 @@
         if let Some(first) = this.first.take() {
             return Poll::Ready(Some(Ok(Frame::data(first))));
         }
-        Pin::new(&mut this.body).poll_frame(cx)
+        match Pin::new(&mut this.body).poll_frame(cx) {
+            Poll::Pending => this.poll_silence(cx),
+            ready => {
+                this.timer = None;
+                ready
+            }
+        }
     }
 
     fn is_end_stream(&self) -> bool {
--- a/daemon/tests/online/fleet.rs
+++ b/daemon/tests/online/fleet.rs
@@ -56,6 +56,8 @@
     pub(crate) plains: usize,
     /// Rate and burst of the organisation `reef`.
     pub(crate) limit: (f64, f64),
+    /// Longest silence of a plain service.
+    pub(crate) plain_silence_ms: u64,
 }
 
 impl Setup {
@@ -65,6 +67,7 @@
         engines: 1,
         plains: 1,
         limit: (100_000.0, 100_000.0),
+        plain_silence_ms: 60_000,
     };
 }
 
@@ -97,12 +100,11 @@
     format!("a{}", index + 1)
 }
 
-fn start_instance(settings: InstanceSettings) -> LocalInstance {
-    LocalInstance::start(&InstanceSettings {
-        // High enough that quota requests do not time out on a busy machine; no test depends on it.
-        timing: vec![("ask_timeout_ms", 10_000), ("discovery_ttl_ms", 1000)],
-        ..settings
-    })
+fn start_instance(mut settings: InstanceSettings) -> LocalInstance {
+    // High enough that quota requests do not time out on a busy machine; no test depends on it.
+    let timing = [("ask_timeout_ms", 10_000), ("discovery_ttl_ms", 1000)];
+    settings.timing.extend(timing);
+    LocalInstance::start(&settings)
 }
 
 /// Starts an instance without reachable platform services.
@@ -132,7 +134,9 @@
         };
         for index in 0..setup.instances {
             let zone = format!("z{}", index + 1);
-            let settings = InstanceSettings::new(&instance_name(index), &zone, fleet.platform());
+            let mut settings =
+                InstanceSettings::new(&instance_name(index), &zone, fleet.platform());
+            settings.timing = vec![("plain_silence_ms", setup.plain_silence_ms)];
             fleet.members.add(start_instance(settings));
         }
         fleet.enlist(fleet.names(), fleet.backend_names()).unwrap();
--- a/protocol/src/settings/check.rs
+++ b/protocol/src/settings/check.rs
@@ -45,6 +45,7 @@
 const MAX_TIME_MS: i64 = 24 * 3600 * 1000;
 /// A value below the actual retention only causes additional snapshots.
 const DEFAULT_LOG_RETENTION: Duration = Duration::from_secs(3600);
+const DEFAULT_PLAIN_SILENCE: Duration = Duration::from_secs(60);
 
 /// A field with an invalid value.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
@@ -124,6 +125,8 @@
     /// Retention time of the log service, or a lower bound for it; snapshots are written four times
     /// per retention time.
     pub log_retention: Duration,
+    /// Maximum wait for the head of a plain service's response and for each part of its body.
+    pub plain_silence: Duration,
 }
 
 impl TryFrom<RawSettings> for Settings {
@@ -188,6 +191,11 @@
                 raw.log_retention_ms,
                 DEFAULT_LOG_RETENTION,
             )?,
+            plain_silence: parse_millis(
+                "timing.plain_silence_ms",
+                raw.plain_silence_ms,
+                DEFAULT_PLAIN_SILENCE,
+            )?,
         })
     }
 }
--- a/protocol/src/settings/raw.rs
+++ b/protocol/src/settings/raw.rs
@@ -104,4 +104,6 @@
     pub drain_limit_ms: Option<i64>,
     /// Retention time of the log service, or a lower bound for it.
     pub log_retention_ms: Option<i64>,
+    /// Maximum wait for the head of a plain service's response and for each part of its body.
+    pub plain_silence_ms: Option<i64>,
 }
--- a/protocol/tests/settings.rs
+++ b/protocol/tests/settings.rs
@@ -55,6 +55,7 @@
     );
     assert_eq!(settings.timing.discovery_ttl, Duration::from_secs(5));
     assert_eq!(settings.timing.drain_limit, Duration::from_secs(60));
+    assert_eq!(settings.timing.plain_silence, Duration::from_secs(60));
     assert!(settings.operator_key.to_hex().starts_with("0123"));
 }
 
