daemon: test streams that are lost before their first event

The status of a stream is passed on with the head of the engine, before any event. That stays: docs/design.md promises that a broken stream is resumed or ends with an explicit error event, and the body with this event is whole. Only streams that were cut behind five tokens were tested.

With the error event and the resumption taken out both cases fail.

--- a/daemon/tests/online/streams.rs
+++ b/daemon/tests/online/streams.rs
@@ -173,6 +173,36 @@
     assert_eq!(error["verdict"], "may-have-run");
 }
 
+/// Guards against a stream that is cut without an error when its engine is lost before the first event.
+#[rstest]
+#[case::resumed(2)]
+#[case::not_resumed(1)]
+fn a_stream_lost_before_its_first_event_ends_explicitly(#[case] engines: usize) {
+    let fleet = Fleet::start(Setup {
+        engines,
+        ..Setup::SMALL
+    });
+    let before_first = EngineControl {
+        cut: Some(AfterTokens {
+            count: 1,
+            tokens: 0,
+        }),
+        ..EngineControl::default()
+    };
+    fleet.control_engine(fleet.engine_for("salinity"), &before_first);
+    let response = fleet.complete("salinity", 20, true);
+    assert!(response.complete);
+    if engines > 1 {
+        assert_eq!(streamed_text(&response).unwrap(), expected("salinity", 20));
+        assert!(is_done(&response).unwrap());
+        return;
+    }
+    let chunks = chunks(&response).unwrap();
+    assert_eq!(chunks.len(), 1, "{chunks:?}");
+    assert_eq!(chunks[0]["error"]["code"], "stream_broken");
+    assert_eq!(chunks[0]["error"]["verdict"], "may-have-run");
+}
+
 /// Guards against a response that is returned to a request other than its own.
 #[rstest]
 #[case::whole(false)]
