daemon: write what a plain service sent before a response is cut

Callers sometimes got a closed connection without a status for a response that was lost behind its first bytes: hyper closes a connection at the error of a body and drops what it has not written, which includes the head if the bytes and the loss arrive together.

`RelayedBody` returns an error one poll later if bytes were returned since the last wait, so that hyper writes them first.

--- a/daemon/src/online/relayed_body.rs
+++ b/daemon/src/online/relayed_body.rs
@@ -35,6 +35,10 @@
     silence_limit: Duration,
     /// Set while a reader waits for data.
     timer: Option<Timer>,
+    /// Whether bytes were returned since the reader last waited, so that they may not be written yet.
+    has_unwritten: bool,
+    /// An error that is returned once the reader had the time to write earlier bytes.
+    error: Option<BodyError>,
     _guard: InFlightGuard,
 }
 
@@ -46,6 +50,8 @@
             body,
             silence_limit,
             timer: None,
+            has_unwritten: false,
+            error: None,
             _guard: guard,
         }
     }
@@ -61,6 +67,34 @@
         Ok(())
     }
 
+    fn poll_part(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        if let Some(first) = self.first.take() {
+            return Poll::Ready(Some(Ok(Frame::data(first))));
+        }
+        match Pin::new(&mut self.body).poll_frame(cx) {
+            Poll::Pending => self.poll_silence(cx),
+            ready => {
+                self.timer = None;
+                ready
+            }
+        }
+    }
+
+    /// Returns an error, but lets the reader write earlier bytes first: hyper closes the connection at an
+    /// error and drops what it has not written, which includes the status.
+    fn fail(
+        &mut self,
+        err: BodyError,
+        cx: &Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        if !std::mem::take(&mut self.has_unwritten) {
+            return Poll::Ready(Some(Err(err)));
+        }
+        self.error = Some(err);
+        cx.waker().wake_by_ref();
+        Poll::Pending
+    }
+
     /// Fails once the server has sent nothing for the limit; a slow caller does not count.
     fn poll_silence(
         &mut self,
@@ -91,16 +125,15 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         let this = self.get_mut();
-        if let Some(first) = this.first.take() {
-            return Poll::Ready(Some(Ok(Frame::data(first))));
+        if let Some(err) = this.error.take() {
+            return Poll::Ready(Some(Err(err)));
         }
-        match Pin::new(&mut this.body).poll_frame(cx) {
-            Poll::Pending => this.poll_silence(cx),
-            ready => {
-                this.timer = None;
-                ready
-            }
+        let polled = this.poll_part(cx);
+        if let Poll::Ready(Some(Err(err))) = polled {
+            return this.fail(err, cx);
         }
+        this.has_unwritten = polled.is_ready();
+        polled
     }
 
     fn is_end_stream(&self) -> bool {
