--- /dev/null
+++ b/review/standins/src/engine.rs
@@ -0,0 +1,215 @@
+//! Backend servers that run requests and items as streams of events.
+
+use std::collections::HashMap;
+use std::io::{
+    self,
+    BufReader,
+    Write, //
+};
+use std::net::{
+    SocketAddr,
+    TcpListener,
+    TcpStream, //
+};
+use std::sync::{
+    Arc,
+    Mutex, //
+};
+use std::thread;
+use std::time::{
+    Duration,
+    SystemTime,
+    UNIX_EPOCH, //
+};
+
+use crate::http::{
+    Message,
+    read_message,
+    respond, //
+};
+use crate::record::Record;
+use crate::store::Store;
+
+/// Time between two events.
+const EVENT_PAUSE: Duration = Duration::from_millis(50);
+
+/// How a server answers, beside what the path of a request asks for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Manner {
+    /// Answers the first run of each request with 500.
+    pub fails_first: bool,
+    /// Sends a second copy of such an answer, late: where the next answer on the connection is due.
+    pub repeats_failure: bool,
+    /// States no length: the end of the connection ends the answer.
+    pub unframed: bool,
+}
+
+pub struct Engine {
+    pub id: String,
+    pub addr: SocketAddr,
+    /// Number of runs of each request.
+    runs: Mutex<HashMap<String, u32>>,
+    manner: Manner,
+    record: Arc<Record>,
+}
+
+/// Returns the data of event `n` of a request.
+pub fn data(id: &str, n: u64) -> String {
+    format!("{id} says {n}")
+}
+
+/// Returns the number of events that a path asks for: its last segment is `e` and the number.
+pub fn events_of(path: &str) -> u64 {
+    let last = path.rsplit('/').next().unwrap_or("");
+    last.strip_prefix('e').and_then(|n| n.parse().ok()).unwrap_or(6)
+}
+
+impl Engine {
+    pub fn start(id: &str, manner: Manner, record: &Arc<Record>) -> Arc<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let engine = Arc::new(Self {
+            id: id.to_owned(),
+            addr: listener.local_addr().expect("an address"),
+            runs: Mutex::default(),
+            manner,
+            record: record.clone(),
+        });
+        let shared = engine.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let engine = shared.clone();
+                thread::spawn(move || engine.serve(stream));
+            }
+        });
+        engine
+    }
+
+    /// Returns how often a request has begun to run here.
+    pub fn runs(&self, id: &str) -> u32 {
+        self.runs.lock().unwrap().get(id).copied().unwrap_or(0)
+    }
+
+    fn serve(&self, stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let Ok(mut out) = stream.try_clone() else {
+            return;
+        };
+        let mut reader = BufReader::new(stream);
+        // An answer of which another copy is sent.
+        let mut again: Option<Vec<u8>> = None;
+        while let Ok(Some(req)) = read_message(&mut reader) {
+            if let Some(copy) = again.take() {
+                self.record.line(&format!("server {} sends another copy of its last answer", self.id));
+                if out.write_all(&copy).is_err() {
+                    return;
+                }
+            }
+            match self.answer(&req, &mut out, &mut again) {
+                Ok(true) => {}
+                Ok(false) | Err(_) => return,
+            }
+        }
+    }
+
+    /// Returns whether the connection goes on.
+    fn answer(
+        &self,
+        req: &Message,
+        out: &mut TcpStream,
+        again: &mut Option<Vec<u8>>,
+    ) -> io::Result<bool> {
+        let id = req.header("x-request-identifier").unwrap_or("").to_owned();
+        let echo = ("X-Request-Identifier", id.as_str());
+        let instance = req.header("x-expected-instance").unwrap_or(&self.id);
+        if instance != self.id || id.is_empty() {
+            let status = if id.is_empty() { 400 } else { 421 };
+            let headers = [echo, ("X-Not-Executed", "1")];
+            respond(out, status, &headers, b"")?;
+            return Ok(true);
+        }
+        let run = {
+            let mut runs = self.runs.lock().unwrap();
+            let run = runs.entry(id.clone()).or_default();
+            *run += 1;
+            *run
+        };
+        let last: Option<u64> = req.header("last-event-id").and_then(|n| n.parse().ok());
+        let from = last.map_or(0, |last| last + 1);
+        let path = req.path();
+        self.record.line(&format!(
+            "server {} runs {id} (run {run}, from event {from}) {path}",
+            self.id
+        ));
+        if self.manner.fails_first && run == 1 {
+            let signature = ("X-Response-Signature", "0");
+            respond(out, 500, &[echo, signature], b"")?;
+            self.record.line(&format!("server {} answers {id} with 500", self.id));
+            if self.manner.repeats_failure {
+                let head = format!(
+                    "HTTP/1.1 500 X\r\nContent-Length: 0\r\nX-Request-Identifier: {id}\r\nX-Response-Signature: 0\r\n\r\n"
+                );
+                *again = Some(head.into_bytes());
+            }
+            return Ok(true);
+        }
+        let framing = match self.manner.unframed {
+            true => "Connection: close",
+            false => "Transfer-Encoding: chunked",
+        };
+        let head = format!(
+            "HTTP/1.1 200 OK\r\n{framing}\r\nContent-Type: text/event-stream\r\nX-Request-Identifier: {id}\r\nX-Response-Signature: 1\r\n\r\n"
+        );
+        out.write_all(head.as_bytes())?;
+        for n in from..events_of(path) {
+            thread::sleep(EVENT_PAUSE);
+            let event = format!("id: {n}\ndata: {}\n\n", data(&id, n));
+            let bytes = match self.manner.unframed {
+                true => event,
+                false => format!("{:x}\r\n{event}\r\n", event.len()),
+            };
+            if let Err(err) = out.write_all(bytes.as_bytes()) {
+                self.record.line(&format!("server {} ends {id} at event {n}: {err}", self.id));
+                return Err(err);
+            }
+        }
+        self.record.line(&format!("server {} has sent all of {id}", self.id));
+        if !self.manner.unframed {
+            out.write_all(b"0\r\n\r\n")?;
+        }
+        Ok(!self.manner.unframed)
+    }
+}
+
+/// Time between two entries of a server in the store (`heartbeatIntervalMs`).
+const CHECK_IN: Duration = Duration::from_millis(1_200);
+
+/// Registers a server in the store, and does so again until `alive` is false.
+pub fn register(
+    store: &Arc<Store>,
+    id: &str,
+    addr: SocketAddr,
+    alive: impl Fn() -> bool + Send + 'static,
+) {
+    let (store, id) = (store.clone(), id.to_owned());
+    let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis();
+    let entry = move |sequence: u64| {
+        format!(
+            r#"{{"service":"s1","address":"{addr}","zone":"z","version":"1","slots":8,"state":"ready","coldRemainingMs":0,"sequence":{sequence},"born":{born}}}"#
+        )
+    };
+    store.put("keyed.servers", &id, &entry(1));
+    thread::spawn(move || {
+        let mut sequence = 1;
+        loop {
+            thread::sleep(CHECK_IN);
+            if !alive() {
+                // The platform removes the entry after three intervals without a sign.
+                thread::sleep(CHECK_IN * 2);
+                store.put("keyed.servers", &id, "");
+                return;
+            }
+            sequence += 1;
+            store.put("keyed.servers", &id, &entry(sequence));
+        }
+    });
+}
