--- a/review/standins/src/engine.rs
+++ b/review/standins/src/engine.rs
@@ -40,19 +40,35 @@
     pub fails_first: bool,
     /// Sends a second copy of such an answer, late: where the next answer on the connection is due.
     pub repeats_failure: bool,
-    /// States no length: the end of the connection ends the answer.
-    pub unframed: bool,
+    /// Sends bytes that are no event in the first run of each item that asks for them, and breaks off.
+    pub noise: Option<Noise>,
+}
+
+/// Blocks without an identifier, within a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Noise {
+    /// Length of the data of a block.
+    pub block_bytes: usize,
+    /// Number of blocks; `None` for blocks until the connection is closed.
+    pub blocks: Option<usize>,
+    /// Event before which they come.
+    pub before: u64,
 }
 
 pub struct Engine {
     pub id: String,
     pub addr: SocketAddr,
-    /// Number of runs of each request.
-    runs: Mutex<HashMap<String, u32>>,
+    /// Number of runs of each request, at all servers that share it.
+    runs: Runs,
+    /// Runs that began here.
+    own: Mutex<HashMap<String, u32>>,
     manner: Manner,
     record: Arc<Record>,
 }
 
+/// Number of runs of each request.
+pub type Runs = Arc<Mutex<HashMap<String, u32>>>;
+
 /// Returns the data of event `n` of a request.
 pub fn data(id: &str, n: u64) -> String {
     format!("{id} says {n}")
@@ -61,16 +77,19 @@
 /// Returns the number of events that a path asks for: its last segment is `e` and the number.
 pub fn events_of(path: &str) -> u64 {
     let last = path.rsplit('/').next().unwrap_or("");
-    last.strip_prefix('e').and_then(|n| n.parse().ok()).unwrap_or(6)
+    last.strip_prefix('e')
+        .and_then(|n| n.parse().ok())
+        .unwrap_or(6)
 }
 
 impl Engine {
-    pub fn start(id: &str, manner: Manner, record: &Arc<Record>) -> Arc<Self> {
+    pub fn start(id: &str, manner: Manner, runs: &Runs, record: &Arc<Record>) -> Arc<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let engine = Arc::new(Self {
             id: id.to_owned(),
             addr: listener.local_addr().expect("an address"),
-            runs: Mutex::default(),
+            runs: runs.clone(),
+            own: Mutex::default(),
             manner,
             record: record.clone(),
         });
@@ -86,7 +105,7 @@
 
     /// Returns how often a request has begun to run here.
     pub fn runs(&self, id: &str) -> u32 {
-        self.runs.lock().unwrap().get(id).copied().unwrap_or(0)
+        self.own.lock().unwrap().get(id).copied().unwrap_or(0)
     }
 
     fn serve(&self, stream: TcpStream) {
@@ -99,7 +118,10 @@
         let mut again: Option<Vec<u8>> = None;
         while let Ok(Some(req)) = read_message(&mut reader) {
             if let Some(copy) = again.take() {
-                self.record.line(&format!("server {} sends another copy of its last answer", self.id));
+                self.record.line(&format!(
+                    "server {} sends another copy of its last answer",
+                    self.id
+                ));
                 if out.write_all(&copy).is_err() {
                     return;
                 }
@@ -133,6 +155,7 @@
             *run += 1;
             *run
         };
+        *self.own.lock().unwrap().entry(id.clone()).or_default() += 1;
         let last: Option<u64> = req.header("last-event-id").and_then(|n| n.parse().ok());
         let from = last.map_or(0, |last| last + 1);
         let path = req.path();
@@ -143,7 +166,8 @@
         if self.manner.fails_first && run == 1 {
             let signature = ("X-Response-Signature", "0");
             respond(out, 500, &[echo, signature], b"")?;
-            self.record.line(&format!("server {} answers {id} with 500", self.id));
+            self.record
+                .line(&format!("server {} answers {id} with 500", self.id));
             if self.manner.repeats_failure {
                 let head = format!(
                     "HTTP/1.1 500 X\r\nContent-Length: 0\r\nX-Request-Identifier: {id}\r\nX-Response-Signature: 0\r\n\r\n"
@@ -152,32 +176,65 @@
             }
             return Ok(true);
         }
-        let framing = match self.manner.unframed {
-            true => "Connection: close",
-            false => "Transfer-Encoding: chunked",
-        };
         let head = format!(
-            "HTTP/1.1 200 OK\r\n{framing}\r\nContent-Type: text/event-stream\r\nX-Request-Identifier: {id}\r\nX-Response-Signature: 1\r\n\r\n"
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Type: text/event-stream\r\nX-Request-Identifier: {id}\r\nX-Response-Signature: 1\r\n\r\n"
         );
+        thread::sleep(prefill_of(path));
         out.write_all(head.as_bytes())?;
         for n in from..events_of(path) {
             thread::sleep(EVENT_PAUSE);
+            if let Some(noise) = self.manner.noise
+                && path.starts_with(NOISY_PATH)
+                && run == 1
+                && n == noise.before
+            {
+                self.record
+                    .line(&format!("server {} sends noise in {id}", self.id));
+                let sent = send_noise(out, noise);
+                self.record
+                    .line(&format!("server {} breaks {id} off: {sent:?}", self.id));
+                return Ok(false);
+            }
             let event = format!("id: {n}\ndata: {}\n\n", data(&id, n));
-            let bytes = match self.manner.unframed {
-                true => event,
-                false => format!("{:x}\r\n{event}\r\n", event.len()),
-            };
-            if let Err(err) = out.write_all(bytes.as_bytes()) {
-                self.record.line(&format!("server {} ends {id} at event {n}: {err}", self.id));
+            if let Err(err) = out.write_all(chunk(&event).as_bytes()) {
+                self.record
+                    .line(&format!("server {} ends {id} at event {n}: {err}", self.id));
                 return Err(err);
             }
         }
-        self.record.line(&format!("server {} has sent all of {id}", self.id));
-        if !self.manner.unframed {
-            out.write_all(b"0\r\n\r\n")?;
-        }
-        Ok(!self.manner.unframed)
+        self.record
+            .line(&format!("server {} has sent all of {id}", self.id));
+        out.write_all(b"0\r\n\r\n")?;
+        Ok(true)
+    }
+}
+
+/// Items below this path get noise from servers that send any.
+const NOISY_PATH: &str = "/jobs/noisy/";
+
+/// Returns the time before the first event that a path asks for: a segment `p` and milliseconds.
+fn prefill_of(path: &str) -> Duration {
+    let mut segments = path
+        .split('/')
+        .filter_map(|s| s.strip_prefix('p')?.parse().ok());
+    Duration::from_millis(segments.next().unwrap_or(0))
+}
+
+fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+/// Sends blocks that are no events, and returns their number.
+fn send_noise(out: &mut TcpStream, noise: Noise) -> io::Result<usize> {
+    let block = chunk(&format!("data: {}\n\n", "#".repeat(noise.block_bytes)));
+    let mut sent = 0;
+    while noise.blocks.is_none_or(|blocks| sent < blocks) {
+        out.write_all(block.as_bytes())?;
+        sent += 1;
     }
+    // What was sent arrives before the connection ends.
+    thread::sleep(EVENT_PAUSE);
+    Ok(sent)
 }
 
 /// Time between two entries of a server in the store (`heartbeatIntervalMs`).
@@ -191,7 +248,10 @@
     alive: impl Fn() -> bool + Send + 'static,
 ) {
     let (store, id) = (store.clone(), id.to_owned());
-    let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis();
+    let born = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap()
+        .as_millis();
     let entry = move |sequence: u64| {
         format!(
             r#"{{"service":"s1","address":"{addr}","zone":"z","version":"1","slots":8,"state":"ready","coldRemainingMs":0,"sequence":{sequence},"born":{born}}}"#
--- a/review/standins/src/fleet.rs
+++ b/review/standins/src/fleet.rs
@@ -49,6 +49,16 @@
             .expect("the daemon starts; it is built as deploy/system.toml says")
     }
 
+    /// Returns the memory of the process in megabytes; `None` if it has ended.
+    pub fn memory_mb(&self) -> Option<u64> {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).ok()?;
+        let line = status
+            .lines()
+            .find_map(|line| line.strip_prefix("VmRSS:"))?;
+        let kb: u64 = line.trim().strip_suffix("kB")?.trim().parse().ok()?;
+        Some(kb / 1_024)
+    }
+
     /// Sends a signal to the process.
     pub fn signal(&self, name: &str) {
         signal(self.child.id(), name);
@@ -67,7 +77,13 @@
 
     pub fn is_ready(&self) -> bool {
         let timeout = Duration::from_secs(1);
-        let response = call(self.readiness, "GET /readiness", &[("Host", "x")], b"", timeout);
+        let response = call(
+            self.readiness,
+            "GET /readiness",
+            &[("Host", "x")],
+            b"",
+            timeout,
+        );
         response.is_ok_and(|response| response.status() == 200)
     }
 }
@@ -81,7 +97,10 @@
 
 /// Sends a signal to a process that this one has started.
 pub fn signal(pid: u32, name: &str) {
-    let status = Command::new("kill").arg(format!("-{name}")).arg(pid.to_string()).status();
+    let status = Command::new("kill")
+        .arg(format!("-{name}"))
+        .arg(pid.to_string())
+        .status();
     let _ = status.expect("the command kill");
 }
 
@@ -94,7 +113,9 @@
 /// Starts instances `one`, `two` and so on, each at a loopback address of its own, and waits until all
 /// are ready and know each other.
 pub fn start(count: usize, store: SocketAddr, folder: &PathBuf) -> Result<Vec<Instance>, String> {
-    let names = ["one", "two", "three", "four", "five", "six", "seven", "eight", "nine"];
+    let names = [
+        "one", "two", "three", "four", "five", "six", "seven", "eight", "nine",
+    ];
     let [.., high, low] = std::process::id().to_be_bytes();
     let [peer_port] = free_ports::<1>(Ipv4Addr::LOCALHOST);
     let ips: Vec<Ipv4Addr> = (0..count)
@@ -176,11 +197,17 @@
             let timeout = Duration::from_secs(1);
             let response = call(instance.directory, uri, &[("Host", "x")], b"", timeout);
             let text = response.map(|response| response.text()).unwrap_or_default();
-            if instances.iter().all(|other| text.contains(&other.public.to_string())) {
+            if instances
+                .iter()
+                .all(|other| text.contains(&other.public.to_string()))
+            {
                 break;
             }
             if Instant::now() >= deadline {
-                return Err(format!("instance {} does not list all others", instance.name));
+                return Err(format!(
+                    "instance {} does not list all others",
+                    instance.name
+                ));
             }
             sleep(Duration::from_millis(50));
         }
--- a/review/standins/src/http.rs
+++ b/review/standins/src/http.rs
@@ -29,10 +29,6 @@
         found.map(|(_, value)| value.as_str())
     }
 
-    pub fn method(&self) -> &str {
-        self.first.split(' ').next().unwrap_or("")
-    }
-
     /// Path and query of a request.
     pub fn target(&self) -> &str {
         self.first.split(' ').nth(1).unwrap_or("")
@@ -97,12 +93,16 @@
             break;
         }
         if let Some((name, value)) = line.split_once(':') {
-            message.headers.push((name.to_owned(), value.trim().to_owned()));
+            message
+                .headers
+                .push((name.to_owned(), value.trim().to_owned()));
         }
     }
     let is_response = message.first.starts_with("HTTP/");
     let chunked = message.header("transfer-encoding").is_some();
-    let length = message.header("content-length").and_then(|n| n.parse().ok());
+    let length = message
+        .header("content-length")
+        .and_then(|n| n.parse().ok());
     if chunked {
         read_chunks(reader, &mut message.body)?;
     } else if let Some(length) = length {
@@ -183,7 +183,11 @@
         }
         for n in 0..4 {
             let digit = DIGITS[(word >> (18 - 6 * n)) as usize & 63];
-            out.push(if n <= group.len() { char::from(digit) } else { '=' });
+            out.push(if n <= group.len() {
+                char::from(digit)
+            } else {
+                '='
+            });
         }
     }
     out
--- a/review/standins/src/jobs.rs
+++ b/review/standins/src/jobs.rs
@@ -22,7 +22,7 @@
 
 pub struct Item {
     pub id: String,
-    pub events: u64,
+    pub path: String,
     pub tokens: u64,
     pub body: Vec<u8>,
 }
@@ -33,9 +33,9 @@
         .iter()
         .map(|item| {
             format!(
-                r#"{{"identifier":"{}","path":"/jobs/e{}","headers":{{"X-Model":"m","X-Token-Usage":"100,100"}},"body":"{}","tokens":{}}}"#,
+                r#"{{"identifier":"{}","path":"{}","headers":{{"X-Model":"m","X-Token-Usage":"100,100"}},"body":"{}","tokens":{}}}"#,
                 item.id,
-                item.events,
+                item.path,
                 base64(&item.body),
                 item.tokens
             )
@@ -61,9 +61,18 @@
         ("Content-Type", "application/json"),
     ];
     record.line(&format!("caller submits {id} at {at}"));
-    let response = call(at, &format!("POST /jobs/{id}"), &headers, body.as_bytes(), left);
+    let response = call(
+        at,
+        &format!("POST /jobs/{id}"),
+        &headers,
+        body.as_bytes(),
+        left,
+    );
     let answer = answer(response);
-    record.line(&format!("{at} answers {id} with {} {}", answer.status, answer.body));
+    record.line(&format!(
+        "{at} answers {id} with {} {}",
+        answer.status, answer.body
+    ));
     answer
 }
 
@@ -84,12 +93,7 @@
 
 /// Sends a job as callers do: within their time limit, each time to another instance, after a refusal
 /// when `Retry-After` says, but no later than after a third of the time left. Returns all statuses.
-pub fn submit_with_retries(
-    record: &Record,
-    at: &[SocketAddr],
-    id: &str,
-    body: &str,
-) -> Vec<u16> {
+pub fn submit_with_retries(record: &Record, at: &[SocketAddr], id: &str, body: &str) -> Vec<u16> {
     let began = Instant::now();
     let mut statuses = Vec::new();
     for addr in at {
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -6,6 +6,7 @@
 mod fleet;
 mod http;
 mod jobs;
+mod online;
 mod record;
 mod store;
 
@@ -39,6 +40,9 @@
     let outcome = match case.as_str() {
         "refused-and-run" => cases::refused_and_run(&setting),
         "late-copy" => cases::late_copy(&setting),
+        "noise" => cases::noise(&setting),
+        "oversized" => cases::oversized(&setting),
+        "endless" => cases::endless(&setting),
         _ => Err(format!("unknown case {case}")),
     };
     match outcome {
@@ -51,7 +55,9 @@
             ExitCode::from(1)
         }
         Err(cause) => {
-            setting.record.line(&format!("the case could not run: {cause}"));
+            setting
+                .record
+                .line(&format!("the case could not run: {cause}"));
             ExitCode::from(2)
         }
     }
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -37,6 +37,9 @@
 /// `partMbPerS` and `readMbPerS`, in bytes for each millisecond.
 const APPEND_BYTES_PER_MS: f64 = 20_000.0;
 const READ_BYTES_PER_MS: f64 = 80_000.0;
+/// `recordBytes` and `callBytes`.
+const MAX_RECORD_BYTES: usize = 262_144;
+const MAX_CALL_BYTES: usize = 2_097_152;
 /// Waiting appends of a partition above which further ones get 503.
 const MAX_BACKLOG: Duration = Duration::from_secs(2);
 
@@ -45,13 +48,23 @@
 #[derive(Default)]
 struct Logs {
     records: HashMap<Key, Vec<Vec<u8>>>,
-    append_free_at: HashMap<Key, Instant>,
+    turns: HashMap<Key, Turns>,
     read_free_at: Option<Instant>,
 }
 
+/// The appends of a partition, which take their turn in the order of their arrival.
+#[derive(Default)]
+struct Turns {
+    next: u64,
+    serving: u64,
+    /// Time of the appends that wait or are in their turn.
+    queued: Duration,
+}
+
 pub struct Store {
     logs: Mutex<Logs>,
-    grown: Condvar,
+    /// Notified when records or turns have changed.
+    changed: Condvar,
     /// How many times as long everything takes.
     slow: AtomicU64,
     pub addr: SocketAddr,
@@ -62,7 +75,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let store = Arc::new(Self {
             logs: Mutex::default(),
-            grown: Condvar::new(),
+            changed: Condvar::new(),
             slow: AtomicU64::new(1),
             addr: listener.local_addr().expect("an address"),
         });
@@ -90,8 +103,11 @@
         raw.extend_from_slice(key.as_bytes());
         raw.extend_from_slice(value.as_bytes());
         let mut logs = self.logs.lock().unwrap();
-        logs.records.entry((topic.to_owned(), 0)).or_default().push(raw);
-        self.grown.notify_all();
+        logs.records
+            .entry((topic.to_owned(), 0))
+            .or_default()
+            .push(raw);
+        self.changed.notify_all();
     }
 
     fn serve(&self, stream: TcpStream) {
@@ -127,45 +143,45 @@
     /// Appends take their turn one at a time. The condition is checked as the turn begins; the records
     /// are there as it ends.
     fn append(&self, key: Key, at: Option<u64>, body: &[u8]) -> (u16, Vec<u8>) {
-        let now = Instant::now();
-        let base = self.ms(ANSWER_MS);
-        loop {
-            let mut logs = self.logs.lock().unwrap();
-            let free_at = *logs.append_free_at.entry(key.clone()).or_insert(now);
-            let waits = free_at.saturating_duration_since(Instant::now());
-            if waits > MAX_BACKLOG && now.elapsed() < Duration::from_millis(5) {
-                drop(logs);
-                thread::sleep(base);
-                return (503, Vec::new());
-            }
-            if !waits.is_zero() {
-                drop(logs);
-                thread::sleep(waits.min(Duration::from_millis(2)));
-                continue;
-            }
-            let end = logs.records.entry(key.clone()).or_default().len() as u64;
-            let fails = at.is_some_and(|at| at != end);
-            let bytes = if fails { 0.0 } else { body.len() as f64 };
-            let takes = self.ms(ANSWER_MS + bytes / APPEND_BYTES_PER_MS);
-            logs.append_free_at.insert(key.clone(), Instant::now() + takes);
+        if !fits(body) {
+            thread::sleep(self.ms(ANSWER_MS));
+            return (400, b"a record or the call is too large".to_vec());
+        }
+        let estimate = self.ms(ANSWER_MS + body.len() as f64 / APPEND_BYTES_PER_MS);
+        let mut logs = self.logs.lock().unwrap();
+        let turns = logs.turns.entry(key.clone()).or_default();
+        if turns.queued > MAX_BACKLOG {
             drop(logs);
-            thread::sleep(takes);
-            if fails {
-                return (412, format!("{{\"end\":{end}}}").into_bytes());
-            }
-            let mut logs = self.logs.lock().unwrap();
+            thread::sleep(self.ms(ANSWER_MS));
+            return (503, Vec::new());
+        }
+        let turn = turns.next;
+        turns.next += 1;
+        turns.queued += estimate;
+        while logs.turns[&key].serving != turn {
+            logs = self.changed.wait(logs).unwrap();
+        }
+        let end = logs.records.entry(key.clone()).or_default().len() as u64;
+        let fails = at.is_some_and(|at| at != end);
+        drop(logs);
+        thread::sleep(if fails { self.ms(ANSWER_MS) } else { estimate });
+        let mut logs = self.logs.lock().unwrap();
+        let turns = logs.turns.entry(key.clone()).or_default();
+        turns.serving += 1;
+        turns.queued -= estimate;
+        let mut answer = (412, format!("{{\"end\":{end}}}"));
+        if !fails {
             let log = logs.records.entry(key).or_default();
-            let offset = log.len();
             let mut rest = body;
             while rest.len() >= 4 {
                 let len = u32::from_be_bytes([rest[0], rest[1], rest[2], rest[3]]) as usize;
                 log.push(rest[4..4 + len].to_vec());
                 rest = &rest[4 + len..];
             }
-            let body = format!("{{\"offset\":{offset},\"end\":{}}}", log.len());
-            self.grown.notify_all();
-            return (200, body.into_bytes());
+            answer = (200, format!("{{\"offset\":{end},\"end\":{}}}", log.len()));
         }
+        self.changed.notify_all();
+        (answer.0, answer.1.into_bytes())
     }
 
     fn read(&self, key: &Key, from: u64, max_bytes: usize, wait: Duration) -> (u16, Vec<u8>) {
@@ -177,7 +193,7 @@
             if from < end || now >= deadline {
                 break;
             }
-            logs = self.grown.wait_timeout(logs, deadline - now).unwrap().0;
+            logs = self.changed.wait_timeout(logs, deadline - now).unwrap().0;
         }
         let empty = Vec::new();
         let log = logs.records.get(key).unwrap_or(&empty);
@@ -243,3 +259,16 @@
         (200, body.into_bytes())
     }
 }
+
+/// Returns whether the records of an append, and the append, are within the limits of the store.
+fn fits(body: &[u8]) -> bool {
+    let mut rest = body;
+    while rest.len() >= 4 {
+        let len = u32::from_be_bytes([rest[0], rest[1], rest[2], rest[3]]) as usize;
+        if len > MAX_RECORD_BYTES || rest.len() < 4 + len {
+            return false;
+        }
+        rest = &rest[4 + len..];
+    }
+    body.len() <= MAX_CALL_BYTES
+}
