review: half of an item's text is listed as the whole after a crash (MIXED)

Claim: the end of a connection counts as the end of an item's output, also where the answer states neither a length nor chunks, so the crash of a server gives a completed item with a part of its text.

--- a/review/standins/src/cases.rs
+++ b/review/standins/src/cases.rs
@@ -19,6 +19,7 @@
 use crate::Setting;
 use crate::engine::{
     Engine,
+    EngineProcess,
     Manner,
     Noise,
     Runs,
@@ -312,5 +313,41 @@
     Ok(killed.is_empty() || lost <= 3)
 }
 
+/// MIXED: a server whose answers have no length crashes between two events of an item. The part of the text
+/// that it has sent is listed as the whole.
+pub fn crash(setting: &Setting) -> Result<bool, String> {
+    let record = &setting.record;
+    let store = Store::start();
+    store.put("keyed.op", "config", &jobs::config(1, 3, 0));
+    let mut engine = EngineProcess::start("i-1", record)?;
+    let alive = Arc::new(AtomicBool::new(true));
+    let is_alive = alive.clone();
+    register(&store, &engine.id, engine.addr, move || is_alive.load(Ordering::SeqCst));
+    let instances = fleet::start(2, store.addr, &setting.folder)?;
+    let at = instances[0].public;
+
+    let job = items("item", 1, "/jobs/e30", 200, 100);
+    let body = jobs::submission(&job);
+    if jobs::submit(record, at, "job", &body, jobs::TIME_LIMIT).status != 202 {
+        return Err("the job is not accepted".to_owned());
+    }
+    let other = EngineProcess::start("i-2", record)?;
+    register(&store, &other.id, other.addr, || true);
+    sleep(Duration::from_millis(725));
+    if setting.trouble {
+        record.line("server i-1 crashes");
+        engine.crash();
+        alive.store(false, Ordering::SeqCst);
+    }
+    let listed = |text: &str| text.contains("\"state\"");
+    let text = jobs::wait_for_results(at, "job", Duration::from_secs(20), listed);
+    record.line(&format!("results: {text}"));
+    if !listed(&text) {
+        return Err("the item has no result".to_owned());
+    }
+    let whole = format!("\"text\":\"{}\"", whole_text("item-0", 30));
+    Ok(!text.contains("\"completed\"") || text.contains(&whole))
+}
+
 /// `memoryMb` of the machines.
 const MEMORY_MB: u64 = 300;
--- a/review/standins/src/engine.rs
+++ b/review/standins/src/engine.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::io::{
     self,
+    BufRead,
     BufReader,
     Write, //
 };
@@ -11,6 +12,11 @@
     TcpListener,
     TcpStream, //
 };
+use std::process::{
+    Child,
+    Command,
+    Stdio, //
+};
 use std::sync::{
     Arc,
     Mutex, //
@@ -40,6 +46,8 @@
     pub fails_first: bool,
     /// Sends a second copy of such an answer, late: where the next answer on the connection is due.
     pub repeats_failure: bool,
+    /// States no length: the end of the connection ends the answer.
+    pub unframed: bool,
     /// Sends bytes that are no event in the first run of each item that asks for them, and breaks off.
     pub noise: Option<Noise>,
 }
@@ -176,8 +184,12 @@
             }
             return Ok(true);
         }
+        let framing = match self.manner.unframed {
+            true => "Connection: close",
+            false => "Transfer-Encoding: chunked",
+        };
         let head = format!(
-            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Type: text/event-stream\r\nX-Request-Identifier: {id}\r\nX-Response-Signature: 1\r\n\r\n"
+            "HTTP/1.1 200 OK\r\n{framing}\r\nContent-Type: text/event-stream\r\nX-Request-Identifier: {id}\r\nX-Response-Signature: 1\r\n\r\n"
         );
         thread::sleep(prefill_of(path));
         out.write_all(head.as_bytes())?;
@@ -196,7 +208,8 @@
                 return Ok(false);
             }
             let event = format!("id: {n}\ndata: {}\n\n", data(&id, n));
-            if let Err(err) = out.write_all(chunk(&event).as_bytes()) {
+            let bytes = if self.manner.unframed { event } else { chunk(&event) };
+            if let Err(err) = out.write_all(bytes.as_bytes()) {
                 self.record
                     .line(&format!("server {} ends {id} at event {n}: {err}", self.id));
                 return Err(err);
@@ -204,8 +217,10 @@
         }
         self.record
             .line(&format!("server {} has sent all of {id}", self.id));
-        out.write_all(b"0\r\n\r\n")?;
-        Ok(true)
+        if !self.manner.unframed {
+            out.write_all(b"0\r\n\r\n")?;
+        }
+        Ok(!self.manner.unframed)
     }
 }
 
@@ -273,3 +288,60 @@
         }
     });
 }
+
+/// A server in a process of its own, which states no length in its answers.
+pub struct EngineProcess {
+    pub id: String,
+    pub addr: SocketAddr,
+    child: Child,
+}
+
+impl EngineProcess {
+    /// Starts the server; what it does is written to `record`.
+    pub fn start(id: &str, record: &Arc<Record>) -> Result<Self, String> {
+        let program = std::env::current_exe().map_err(|err| err.to_string())?;
+        let mut child = Command::new(program)
+            .args(["engine", id])
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .spawn()
+            .map_err(|err| err.to_string())?;
+        let out = child.stdout.take().ok_or("a server without output")?;
+        let mut lines = BufReader::new(out).lines().map_while(Result::ok);
+        let addr = lines.next().and_then(|line| line.parse().ok());
+        let addr = addr.ok_or("a server without an address")?;
+        let record = record.clone();
+        thread::spawn(move || lines.for_each(|line| record.line(&line)));
+        Ok(Self {
+            id: id.to_owned(),
+            addr,
+            child,
+        })
+    }
+
+    /// Lets the process crash.
+    pub fn crash(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Drop for EngineProcess {
+    fn drop(&mut self) {
+        self.crash();
+    }
+}
+
+/// Runs a server that states no length in its answers until the process is killed.
+pub fn run_process(id: &str) {
+    let manner = Manner {
+        unframed: true,
+        ..Manner::default()
+    };
+    let record = Arc::new(Record::create("/dev/null"));
+    let engine = Engine::start(id, manner, &Runs::default(), &record);
+    println!("{}", engine.addr);
+    loop {
+        thread::park();
+    }
+}
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -28,6 +28,12 @@
 
 fn main() -> ExitCode {
     let args: Vec<String> = env::args().collect();
+    if let [_, role, id] = &args[..]
+        && role == "engine"
+    {
+        engine::run_process(id);
+        return ExitCode::SUCCESS;
+    }
     let (Some(case), Some(path), Some(folder)) = (args.get(1), args.get(2), args.get(3)) else {
         eprintln!("usage: review-standins CASE RECORD FOLDER");
         return ExitCode::from(2);
@@ -42,6 +48,7 @@
         "late-copy" => cases::late_copy(&setting),
         "noise" => cases::noise(&setting),
         "oversized" => cases::oversized(&setting),
+        "crash" => cases::crash(&setting),
         "endless" => cases::endless(&setting),
         _ => Err(format!("unknown case {case}")),
     };
