--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -5,7 +5,7 @@
 cd "$here/../.." || exit 2
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
-target/review/release/review-standins endless "$here/record.txt" "$folder"
+target/review/release/review-standins refused-and-run "$here/record.txt" "$folder"
 status=$?
 if [ "$status" != 0 ] && [ "$status" != 1 ]; then
     tail -n 5 "$folder"/*.log
--- a/review/standins/src/cases.rs
+++ b/review/standins/src/cases.rs
@@ -27,6 +27,7 @@
     register, //
 };
 use crate::fleet;
+use crate::http::call;
 use crate::jobs::{
     self,
     Item, //
@@ -349,5 +350,51 @@
     Ok(!text.contains("\"completed\"") || text.contains(&whole))
 }
 
+/// ORDER: the same as [`crash`] for online streams, on a route that may be resumed and on one that may not.
+pub fn crash_online(setting: &Setting) -> Result<bool, String> {
+    let record = &setting.record;
+    let store = Store::start();
+    store.put("keyed.op", "config", &jobs::config(1, 3, 0));
+    let mut engine = EngineProcess::start("i-1", record)?;
+    let alive = Arc::new(AtomicBool::new(true));
+    let is_alive = alive.clone();
+    register(&store, &engine.id, engine.addr, move || is_alive.load(Ordering::SeqCst));
+    let instances = fleet::start(2, store.addr, &setting.folder)?;
+    let at = instances[0].public;
+    let callers: Vec<_> = ["again", "once"]
+        .map(|route| {
+            let record = record.clone();
+            std::thread::spawn(move || {
+                let id = format!("request-{route}");
+                let headers = [
+                    ("Host", jobs::HOST),
+                    ("X-Api-Key", jobs::KEY),
+                    ("X-Request-Identifier", id.as_str()),
+                    ("X-Deadline-Milliseconds", "5000"),
+                ];
+                let first = format!("POST /{route}/e30");
+                let response = call(at, &first, &headers, b"hi", Duration::from_secs(6));
+                let whole = response.as_ref().map(|r| r.text().contains(&data(&id, 29)));
+                let status = response.as_ref().map_or(0, |r| r.status());
+                record.line(&format!("{id}: status {status}, complete with the last event: {whole:?}"));
+                // An answer that is cut is an error here.
+                !matches!(whole, Ok(false)) || status != 200
+            })
+        })
+        .into_iter()
+        .collect();
+    sleep(Duration::from_millis(300));
+    let other = EngineProcess::start("i-2", record)?;
+    register(&store, &other.id, other.addr, || true);
+    sleep(Duration::from_millis(425));
+    if setting.trouble {
+        record.line("server i-1 crashes");
+        engine.crash();
+        alive.store(false, Ordering::SeqCst);
+    }
+    let held = callers.into_iter().map(|caller| caller.join().unwrap_or(true));
+    Ok(held.fold(true, |all, held| all && held))
+}
+
 /// `memoryMb` of the machines.
 const MEMORY_MB: u64 = 300;
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -49,6 +49,7 @@
         "noise" => cases::noise(&setting),
         "oversized" => cases::oversized(&setting),
         "crash" => cases::crash(&setting),
+        "crash-online" => cases::crash_online(&setting),
         "endless" => cases::endless(&setting),
         _ => Err(format!("unknown case {case}")),
     };
