--- a/review/standins/src/engine.rs
+++ b/review/standins/src/engine.rs
@@ -171,6 +171,10 @@
             "server {} runs {id} (run {run}, from event {from}) {path}",
             self.id
         ));
+        // The bodies of all items consist of this byte.
+        if path.starts_with("/jobs/") && req.body.iter().any(|byte| *byte != b'x') {
+            self.record.line(&format!("the body of {id} was changed"));
+        }
         if self.manner.fails_first && run == 1 {
             let signature = ("X-Response-Signature", "0");
             respond(out, 500, &[echo, signature], b"")?;
--- a/review/standins/src/online.rs
+++ b/review/standins/src/online.rs
@@ -34,7 +34,7 @@
     pub at: SocketAddr,
     pub path: String,
     pub record: Arc<Record>,
-    /// Requests whose connection was closed without any answer.
+    /// Requests on kept connections that were closed without any answer.
     pub closed: Arc<Mutex<Vec<(SocketAddr, String)>>>,
     pub stopped: Arc<AtomicBool>,
 }
