gateway: noise of a server within a stream is no part of an output

Cause: two readers of one format. The one of items gave a block without a valid number the next number; the one of online streams passed it on to the caller. Ruled out: two runs joined wrongly; the second run was asked with Last-Event-Id 3, which no server had sent, and sent what it was asked.

One reader checks both. An event has the next number and data; comments and blank lines mean nothing; anything else ends the output before it, and another server is asked for the rest.

--- a/gateway/src/serve/first_output.rs
+++ b/gateway/src/serve/first_output.rs
@@ -46,8 +46,8 @@
 
 /// What follows the first output of a response.
 pub(crate) enum Rest<P: Store + Dialect> {
-    Stream(StreamRun<P>),
-    Bytes(WholeRun<P>),
+    Stream(Box<StreamRun<P>>),
+    Bytes(Box<WholeRun<P>>),
     Nothing,
 }
 
@@ -92,7 +92,7 @@
         let (first, rest) = match read {
             Read::Events(events) => {
                 events.iter().for_each(|event| self.record(event));
-                (joined(events), Rest::Stream(run))
+                (joined(events), Rest::Stream(Box::new(run)))
             }
             Read::End => {
                 run.watch.completed();
@@ -109,7 +109,7 @@
         let (first, rest) = match first {
             Some(bytes) => {
                 self.forwarded.first = Some(self.admitted.arrived.elapsed());
-                (bytes, Rest::Bytes(run))
+                (bytes, Rest::Bytes(Box::new(run)))
             }
             None => (Bytes::new(), Rest::Nothing),
         };
--- a/gateway/src/serve/relay.rs
+++ b/gateway/src/serve/relay.rs
@@ -231,8 +231,8 @@
         let node = self.node;
         let forwarded = async {
             match rest {
-                Rest::Stream(run) => self.forward_stream(run, sender).await,
-                Rest::Bytes(run) => self.forward_bytes(run, sender).await,
+                Rest::Stream(run) => self.forward_stream(*run, sender).await,
+                Rest::Bytes(run) => self.forward_bytes(*run, sender).await,
                 Rest::Nothing => Ok(()),
             }
         };
--- a/gateway/src/serve/runs.rs
+++ b/gateway/src/serve/runs.rs
@@ -45,6 +45,7 @@
     BackendEntry,
     BackendKey, //
 };
+use crate::event_reader::EventReader;
 use crate::jobs::{
     Change,
     JobItem,
@@ -71,10 +72,7 @@
     RequestParts, //
 };
 use crate::speed::PaceMeter;
-use crate::sse::{
-    Event,
-    Splitter, //
-};
+use crate::sse::Event;
 
 /// Time without a complete event after which an item is moved to another server; bytes that complete
 /// no event are no progress. A sound server may be silent for a second or so, and an item that moves
@@ -389,7 +387,7 @@
 ) -> (RunEnd, String) {
     let mut body = response.into_body();
     let mut pace = PaceMeter::default();
-    let mut splitter = Splitter::default();
+    let mut reader = EventReader::after(progress.last);
     let mut progressed = Instant::now();
     loop {
         let frame = timeout_at(progressed + SILENCE_TIMEOUT, body.frame()).await;
@@ -404,36 +402,24 @@
             Some(None) => break,
             Some(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
         };
-        let events = match splitter.push(&bytes) {
+        let events = match reader.push(&bytes) {
             Ok(events) => events,
             Err(err) => return (RunEnd::Broken, err.to_string()),
         };
         for event in events.into_iter().filter(Event::is_output) {
             progressed = Instant::now();
-            let expected = progress.last.map(|last| last + 1);
-            let id = event.id.or(expected);
-            if expected.is_some() && id != expected {
-                return (
-                    RunEnd::Broken,
-                    format!("event {id:?} follows {:?}", progress.last),
-                );
-            }
-            progress.last = id;
+            progress.last = event.id;
             progress.data.push(event.data);
             node.measure(backend, &mut pace);
             watch.output();
         }
+        if let Err(err) = reader.check() {
+            return (RunEnd::Broken, err.to_string());
+        }
     }
-    let cut = if splitter.is_partial() {
-        Some("the stream ended within an event")
-    } else if progress.data.is_empty() {
-        Some("the stream ended without an event")
-    } else {
-        None
-    };
-    if let Some(cause) = cut {
+    if let Err(err) = reader.end() {
         watch.connection_lost(true);
-        return (RunEnd::Broken, cause.to_owned());
+        return (RunEnd::Broken, err.to_string());
     }
     (RunEnd::Completed, String::new())
 }
--- a/gateway/src/serve/stream.rs
+++ b/gateway/src/serve/stream.rs
@@ -28,15 +28,17 @@
     has_end, //
 };
 use super::run_watch::RunWatch;
+use crate::event_reader::{
+    EventReader,
+    IncompleteOutput,
+    InvalidOutput, //
+};
 use crate::platform::{
     Dialect,
     Store, //
 };
 use crate::speed::PaceMeter;
-use crate::sse::{
-    Event,
-    Splitter, //
-};
+use crate::sse::Event;
 
 /// Most bytes without output that are kept of a run until its first event. Comments and blank lines
 /// mean nothing to callers, and a faulty server may send them endlessly.
@@ -58,7 +60,7 @@
     pub(crate) head: Response<()>,
     /// `None` after an interruption, which closes the connection.
     body: Option<ClientBody>,
-    splitter: Splitter,
+    reader: EventReader,
     pace: PaceMeter,
     /// Blocks without output that are still to be forwarded, with the first event if possible.
     held: Vec<Event>,
@@ -66,8 +68,6 @@
     /// Whether only the end of the connection ends the response, so that a loss before the first event
     /// looks like the end of a stream that another server has begun.
     has_open_end: bool,
-    /// Number of the last event that this run or the one before it has sent.
-    last_event: Option<u64>,
     /// When the last event was complete; bytes that complete no event are no progress.
     pub(crate) progressed: Instant,
     /// Earliest time at which another server is asked for the rest.
@@ -103,12 +103,11 @@
             watch: RunWatch::new(node, id, &admitted.parts, placed.place()),
             head,
             body: Some(body),
-            splitter: Splitter::default(),
+            reader: EventReader::after(last_event),
             pace: PaceMeter::default(),
             held: Vec::new(),
             held_bytes: 0,
             has_open_end,
-            last_event,
             progressed: Instant::now(),
             ask_at: Instant::now() + STALL_TIMEOUT,
             placed,
@@ -138,13 +137,13 @@
                 let cause = "the response has been interrupted".to_owned();
                 return Err(Interruption::ConnectionLost(cause));
             };
+            self.reader.check().map_err(invalid)?;
             let Some(bytes) = watched(&self.watch, body).await? else {
                 return self.end();
             };
-            let events = self.splitter.push(&bytes);
-            let events = events.map_err(|err| Interruption::Backend(err.to_string()))?;
-            for event in &events {
-                self.record(event)?;
+            let events = self.reader.push(&bytes).map_err(invalid)?;
+            for _ in events.iter().filter(|event| event.is_output()) {
+                self.record_output();
             }
             if !events.is_empty() {
                 return Ok(Read::Events(events));
@@ -186,45 +185,30 @@
         std::mem::take(&mut self.held)
     }
 
-    fn record(&mut self, event: &Event) -> Result<(), Interruption> {
-        if let Some(id) = event.id {
-            if self.last_event.is_some_and(|last| id != last + 1) {
-                let last = self.last_event;
-                return Err(Interruption::Backend(format!(
-                    "event {id} follows {last:?}"
-                )));
-            }
-            self.last_event = Some(id);
-        }
-        if event.is_output() {
-            self.progressed = Instant::now();
-            self.ask_at = self.progressed + STALL_TIMEOUT;
-            self.node.measure(self.placed.key, &mut self.pace);
-            self.watch.output();
-        }
-        Ok(())
-    }
-
-    /// Returns whether the run has ended without an event that it owes.
-    fn is_empty(&self) -> bool {
-        let owes_event = self.last_event.is_none() || self.has_open_end;
-        owes_event && !self.watch.has_output()
+    fn record_output(&mut self) {
+        self.progressed = Instant::now();
+        self.ask_at = self.progressed + STALL_TIMEOUT;
+        self.node.measure(self.placed.key, &mut self.pace);
+        self.watch.output();
     }
 
     /// Checks that a body that has ended is whole. A response without a length and without chunks
     /// ends with its connection, whether it is complete or not.
     fn end(&self) -> Result<Read, Interruption> {
-        let cause = if self.splitter.is_partial() {
-            "the stream ended within an event"
-        } else if self.is_empty() {
-            "the stream ended without an event"
-        } else {
-            return Ok(Read::End);
-        };
-        Err(Interruption::ConnectionLost(cause.to_owned()))
+        let lost = |cause: IncompleteOutput| Interruption::ConnectionLost(cause.to_string());
+        self.reader.end().map_err(lost)?;
+        if self.has_open_end && !self.watch.has_output() {
+            return Err(lost(IncompleteOutput::WithoutEvent));
+        }
+        Ok(Read::End)
     }
 }
 
+/// Returns the interruption of a run whose server sends what is not its output.
+fn invalid(err: InvalidOutput) -> Interruption {
+    Interruption::Backend(err.to_string())
+}
+
 /// Reads the next bytes of the body of a run, unless its request is blamed for crashes before the run
 /// has output; `None` at the end of the body.
 pub(crate) async fn watched<P: Store + Dialect>(
--- a/gateway/src/sse.rs
+++ b/gateway/src/sse.rs
@@ -5,35 +5,49 @@
 /// Largest event in bytes; a longer one cannot be from a backend server.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
-/// Largest number of an event. A larger one is ignored; computations with it could overflow.
+/// Largest number of an event. A larger one is invalid; computations with it could overflow.
 pub const MAX_EVENT_NUMBER: u64 = 1 << 53;
 
-/// One event with its bytes as received.
+/// Kind of a block of an event stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BlockKind {
+    /// An event of the output: it has a valid number and data, which may be empty.
+    Output,
+    /// Comments or a blank line, which mean nothing; a faulty server may send them endlessly.
+    Comment,
+    /// Anything else, which no sound server sends.
+    Invalid,
+}
+
+/// One block of an event stream with its bytes as received.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Event {
     /// All bytes, including the blank line that ends the event.
     pub raw: Bytes,
-    /// Number of the event, if it has one.
+    /// What the block is.
+    pub kind: BlockKind,
+    /// Number of the event, if it has a valid one.
     pub id: Option<u64>,
     /// Data lines, joined by a line feed.
     pub data: String,
 }
 
 impl Event {
-    /// Returns whether this is a part of the output. Blank lines and comments are not; a faulty
-    /// server may send them endlessly.
+    /// Returns whether this is a part of the output.
     pub fn is_output(&self) -> bool {
-        self.id.is_some() || !self.data.is_empty()
+        self.kind == BlockKind::Output
     }
 }
 
 /// Splits the bytes of a stream into events.
 #[derive(Debug, Default)]
 pub struct Splitter {
-    /// Bytes of an incomplete event.
+    /// Bytes that have not been returned as events.
     buf: Vec<u8>,
-    /// Number of bytes at the start of `buf` that were scanned, so that they are scanned only once
-    /// even if the stream is slow.
+    /// Number of bytes at the start of `buf` that were returned as events since the last addition.
+    start: usize,
+    /// End of the bytes that were scanned, so that they are scanned only once even if the stream is
+    /// slow.
     scanned: usize,
     /// Start of the line that contains `scanned`.
     line: usize,
@@ -45,27 +59,43 @@
 pub struct InvalidEventStream;
 
 impl Splitter {
+    /// Adds bytes, whose events [`next_event`](Self::next_event) returns.
+    pub fn add(&mut self, bytes: &[u8]) {
+        self.buf.drain(..self.start);
+        self.scanned -= self.start;
+        self.line -= self.start;
+        self.start = 0;
+        self.buf.extend_from_slice(bytes);
+    }
+
+    /// Returns the next complete event; `None` if more bytes are needed.
+    pub fn next_event(&mut self) -> Result<Option<Event>, InvalidEventStream> {
+        let Some(end) = self.next_end() else {
+            let is_too_long = self.buf.len() - self.start > MAX_EVENT_BYTES;
+            return if is_too_long {
+                Err(InvalidEventStream)
+            } else {
+                Ok(None)
+            };
+        };
+        let event = parse(&self.buf[self.start..end])?;
+        self.start = end;
+        Ok(Some(event))
+    }
+
     /// Adds bytes and returns the events that are now complete.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<Event>, InvalidEventStream> {
-        self.buf.extend_from_slice(bytes);
+        self.add(bytes);
         let mut events = Vec::new();
-        let mut start = 0;
-        while let Some(end) = self.next_end() {
-            events.push(parse(&self.buf[start..end])?);
-            start = end;
-        }
-        self.buf.drain(..start);
-        self.scanned -= start;
-        self.line -= start;
-        if self.buf.len() > MAX_EVENT_BYTES {
-            return Err(InvalidEventStream);
+        while let Some(event) = self.next_event()? {
+            events.push(event);
         }
         Ok(events)
     }
 
     /// Returns whether the buffer contains a part of an event.
     pub fn is_partial(&self) -> bool {
-        !self.buf.is_empty()
+        self.buf.len() > self.start
     }
 
     /// Returns the end of the next complete event, including the blank line after it.
@@ -91,12 +121,16 @@
 fn parse(raw: &[u8]) -> Result<Event, InvalidEventStream> {
     let text = std::str::from_utf8(raw).map_err(|_| InvalidEventStream)?;
     let mut id = None;
+    let mut has_id_field = false;
     let mut data: Option<String> = None;
     for line in text.lines() {
         let (field, value) = line.split_once(':').unwrap_or((line, ""));
         let value = value.strip_prefix(' ').unwrap_or(value);
         match field {
-            "id" => id = value.parse().ok().filter(|id| *id <= MAX_EVENT_NUMBER),
+            "id" => {
+                has_id_field = true;
+                id = value.parse().ok().filter(|id| *id <= MAX_EVENT_NUMBER);
+            }
             "data" => match &mut data {
                 Some(data) => {
                     data.push('\n');
@@ -108,8 +142,14 @@
             _ => {}
         }
     }
+    let kind = match (id, has_id_field, &data) {
+        (Some(_), _, Some(_)) => BlockKind::Output,
+        (_, false, None) => BlockKind::Comment,
+        _ => BlockKind::Invalid,
+    };
     Ok(Event {
         raw: Bytes::copy_from_slice(raw),
+        kind,
         id,
         data: data.unwrap_or_default(),
     })
