gateway, transport: bound what a server sends without end

Cause: time and single events had bounds, outputs and their sum had none. Ruled out as sufficient: events with increasing numbers grew as well, and blank lines and comments at full speed kept an item for over 20 s, as the timeout was never looked at while there was something to read.

The output of an item has the size of a record at most; all outputs and incomplete events share a budget of an eighth of machine.memory_mb; an event has 256 KiB; buffers of a connection have 64 KiB; comments in a row are one event. LW2608 says which output was discarded.

--- a/gateway/src/event_reader.rs
+++ b/gateway/src/event_reader.rs
@@ -4,8 +4,16 @@
 //! send blocks that are no events between them. They belong to no request, so the output ends before
 //! the first of them, and another run continues after its last event.
 
+use std::sync::Arc;
+
+use hyper::body::Bytes;
 use snafu::Snafu;
 
+use crate::byte_budget::{
+    ByteBudget,
+    OverBudget,
+    Share, //
+};
 use crate::sse::{
     BlockKind,
     Event,
@@ -36,6 +44,12 @@
         /// Number of the event before.
         last: u64,
     },
+    /// There is no memory for an incomplete event.
+    #[snafu(display("{source}"))]
+    NoMemory {
+        /// The limit that it exceeds.
+        source: OverBudget,
+    },
 }
 
 /// Reason why an output that has ended is not complete.
@@ -69,15 +83,19 @@
     last: Option<u64>,
     /// Set once invalid bytes were read; nothing after them belongs to the output.
     invalid: Option<InvalidOutput>,
+    /// Bytes of the event that is incomplete.
+    share: Share,
 }
 
 impl EventReader {
-    /// Returns a reader of a run that continues after the event `last`, or begins the output.
-    pub fn after(last: Option<u64>) -> Self {
+    /// Returns a reader of a run that continues after the event `last`, or begins the output. What it
+    /// keeps is a part of `budget`.
+    pub fn after(last: Option<u64>, budget: &Arc<ByteBudget>) -> Self {
         Self {
             splitter: Splitter::default(),
             last,
             invalid: None,
+            share: budget.share(),
         }
     }
 
@@ -86,26 +104,32 @@
         self.last
     }
 
-    /// Adds bytes and returns the events and comments that are now complete. Invalid bytes are an
-    /// error; the events before them are returned first, and [`check`](Self::check) fails then.
+    /// Adds bytes and returns the events that are now complete; comments and blank lines that follow
+    /// each other are one event. Invalid bytes are an error; the events before them are returned
+    /// first, and [`check`](Self::check) fails then.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<Event>, InvalidOutput> {
         self.check()?;
         self.splitter.add(bytes);
-        let mut events = Vec::new();
+        let mut events = Events::default();
         loop {
             match self.next_event() {
                 Ok(Some(event)) => events.push(event),
-                Ok(None) => return Ok(events),
+                Ok(None) => break,
                 Err(invalid) => {
                     self.invalid = Some(invalid);
-                    return if events.is_empty() {
-                        Err(invalid)
-                    } else {
-                        Ok(events)
-                    };
+                    break;
                 }
             }
         }
+        if let Err(source) = self.share.resize(self.splitter.buffered()) {
+            self.invalid
+                .get_or_insert(InvalidOutput::NoMemory { source });
+        }
+        let events = events.into_vec();
+        match self.invalid {
+            Some(invalid) if events.is_empty() => Err(invalid),
+            _ => Ok(events),
+        }
     }
 
     fn next_event(&mut self) -> Result<Option<Event>, InvalidOutput> {
@@ -134,6 +158,41 @@
     }
 }
 
+/// Events of one read. A single read may have tens of thousands of blank lines.
+#[derive(Default)]
+struct Events {
+    events: Vec<Event>,
+    /// Bytes of the comments after the last event.
+    comments: Vec<u8>,
+}
+
+impl Events {
+    fn push(&mut self, event: Event) {
+        if event.kind == BlockKind::Comment {
+            self.comments.extend_from_slice(&event.raw);
+        } else {
+            self.end_comments();
+            self.events.push(event);
+        }
+    }
+
+    fn end_comments(&mut self) {
+        if !self.comments.is_empty() {
+            self.events.push(Event {
+                raw: Bytes::from(std::mem::take(&mut self.comments)),
+                kind: BlockKind::Comment,
+                id: None,
+                data: String::new(),
+            });
+        }
+    }
+
+    fn into_vec(mut self) -> Vec<Event> {
+        self.end_comments();
+        self.events
+    }
+}
+
 /// Returns the number of an event after the event `last`; `None` for a comment or a blank line.
 fn number(event: &Event, last: Option<u64>) -> Result<Option<u64>, InvalidOutput> {
     match (event.kind, event.id, last) {
--- a/gateway/src/jobs/mod.rs
+++ b/gateway/src/jobs/mod.rs
@@ -4,6 +4,7 @@
 mod table;
 mod write;
 
+pub(crate) use record::RESULT_OVERHEAD_BYTES;
 pub use record::{
     JobKey,
     Outcome,
--- a/gateway/src/jobs/record.rs
+++ b/gateway/src/jobs/record.rs
@@ -98,6 +98,10 @@
     pub(crate) tokens: u64,
 }
 
+/// Most bytes of the record of a result in addition to its text: the key, whose length is one byte,
+/// and the encoding.
+pub(crate) const RESULT_OVERHEAD_BYTES: usize = 512;
+
 /// Result of an item.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub(crate) struct ResultRecord {
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod backend;
 mod batch;
+mod byte_budget;
 mod cells;
 mod checked;
 mod config;
@@ -17,6 +18,7 @@
 mod event_reader;
 mod fleet_rate;
 mod instance;
+mod item_output;
 mod item_time;
 mod jobs;
 mod lease_message;
@@ -55,6 +57,7 @@
 pub use batch::{
     BatchCandidate, Contenders, WaitingItem, choose_preemptions, choose_starts, reserve,
 };
+pub use byte_budget::{ByteBudget, OverBudget, Share};
 pub use cells::{CellNumber, Cells, MAX_CELL_INSTANCES};
 pub use checked::{Label, ListenerAddr, MAX_LABEL_BYTES, MAX_SLOTS, OutOfRange, Slots, excerpt};
 pub use config::{
@@ -67,6 +70,7 @@
 pub use crash_news::{Case, Cleared, Crash, CrashKey, CrashNews};
 pub use event_reader::{EventReader, IncompleteOutput, InvalidOutput};
 pub use instance::{Instance, InstanceRecord, InstanceRecordError};
+pub use item_output::{OutputError, Progress};
 pub use item_time::ItemTime;
 pub use jobs::{
     Change, Decision, ItemResult, Job, JobItem, JobKey, NewItem, Outcome, Partition, Pending,
@@ -76,7 +80,7 @@
 pub use listing::Listing;
 pub use load::{Load, Placed};
 pub use members::{AddressEntry, MIN_REPORT_TIMEOUT, Member, Members, ReportUpdate, addresses};
-pub use open_items::{OpenItem, OpenItems, Phase, Progress, RunEnd, Step};
+pub use open_items::{OpenItem, OpenItems, Phase, RunEnd, Step};
 pub use placement::{
     Candidate, Limits, Placement, is_limited, place, retry_after, starts_immediately,
 };
@@ -102,5 +106,5 @@
 pub use silence::{Outputs, SILENCE};
 pub use skipped_records::SkippedRecords;
 pub use speed::{PaceMeter, SLOW_FACTOR, Slowness, Speeds};
-pub use sse::{BlockKind, Event, InvalidEventStream, MAX_EVENT_NUMBER, Splitter};
+pub use sse::{BlockKind, Event, InvalidEventStream, MAX_EVENT_BYTES, MAX_EVENT_NUMBER, Splitter};
 pub use supervision::{Pulse, RestartBackoff, StallTimer, steps_back};
--- a/gateway/src/open_items.rs
+++ b/gateway/src/open_items.rs
@@ -9,6 +9,7 @@
 use crate::backend::BackendKey;
 use crate::batch::WaitingItem;
 use crate::config::Configuration;
+use crate::item_output::Progress;
 use crate::item_time::ItemTime;
 use crate::jobs::{
     Job,
@@ -30,14 +31,9 @@
 /// Delay before the next run of an item that was rejected, failed or interrupted.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
-/// Partial output of an item.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Progress {
-    /// Data of the events, in order.
-    pub data: Vec<String>,
-    /// Number of the last event.
-    pub last: Option<u64>,
-}
+/// Delay before the next run of an item whose output was too large. One that is too large at every
+/// server runs until it is given up.
+const TOO_LARGE_DELAY: Duration = Duration::from_millis(1_000);
 
 /// State of an item at this instance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -103,6 +99,8 @@
     Broken,
     /// The backend server was silent for too long; its output so far is kept.
     Silent,
+    /// The output is larger than what can be listed or kept, and is discarded.
+    TooLarge,
     /// The run was preempted, or the item needs no run any more.
     Stopped,
 }
@@ -221,7 +219,7 @@
     fn remaining_ms(&self, item: &OpenItem) -> u64 {
         let time = self.times.get(&item.service);
         let remaining = time.map_or(Duration::ZERO, |time| {
-            time.remaining(item.progress.data.len())
+            time.remaining(item.progress.events())
         });
         u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX)
     }
@@ -249,7 +247,7 @@
     pub fn held(&self) -> Vec<ItemKey> {
         let held = self.items.iter().filter(|(_, item)| {
             item.phase == Phase::Finishing
-                || (item.phase == Phase::Waiting && item.progress.last.is_some())
+                || (item.phase == Phase::Waiting && item.progress.last().is_some())
         });
         held.map(|(key, _)| *key).collect()
     }
@@ -295,6 +293,12 @@
                 item.avoid = backend;
                 item.not_before = now + RETRY_DELAY;
             }
+            RunEnd::TooLarge => {
+                // Which of its servers sent the wrong bytes is unknown.
+                item.progress = Progress::default();
+                item.avoid = backend;
+                item.not_before = now + TOO_LARGE_DELAY;
+            }
             RunEnd::Stopped => {}
         }
         Step::Wait
@@ -326,7 +330,7 @@
     /// Returns whether this instance runs the item: it is responsible, or it has partial output,
     /// which another instance would have to generate again.
     fn runs_here(&self) -> bool {
-        self.owned || self.progress.last.is_some()
+        self.owned || self.progress.last().is_some()
     }
 
     /// Returns whether the route was removed, and not only added by a newer configuration.
--- a/gateway/src/serve/items.rs
+++ b/gateway/src/serve/items.rs
@@ -250,7 +250,7 @@
 fn handled_by_peers(state: &State, me: &str, now: Timestamp) -> HashSet<ItemKey> {
     let has_output = |item: &ItemKey| {
         let item = state.items.get(*item);
-        item.is_some_and(|item| item.progress.last.is_some())
+        item.is_some_and(|item| item.progress.last().is_some())
     };
     let mut handled_by_peers = HashSet::new();
     for report in state.members.reachable(now) {
--- a/gateway/src/serve/lines.rs
+++ b/gateway/src/serve/lines.rs
@@ -179,6 +179,8 @@
 pub(crate) const ITEM_LISTED: Event = Event::new(2605, Level::Info);
 /// Results were forwarded to a peer because the store does not respond.
 pub(crate) const RESULTS_PASSED_ON: Event = Event::new(2606, Level::Warn);
+/// The output of an item is larger than what can be listed or kept.
+pub(crate) const OUTPUT_TOO_LARGE: Event = Event::new(2608, Level::Warn);
 
 /// Logger that sends lines to the writer thread.
 struct LineLogger {
--- a/gateway/src/serve/node.rs
+++ b/gateway/src/serve/node.rs
@@ -36,6 +36,7 @@
 use super::supervisor::Supervisor;
 use super::write_request::WriteRequest;
 use crate::backend::BackendKey;
+use crate::byte_budget::ByteBudget;
 use crate::platform::StoreError;
 use crate::settings::Settings;
 use crate::speed::PaceMeter;
@@ -55,6 +56,8 @@
     pub(crate) supervisor: Supervisor,
     /// Ends of the requests of callers.
     pub(crate) ends: Arc<Ends>,
+    /// Memory for what backend servers send.
+    pub(crate) output_budget: Arc<ByteBudget>,
     state: Mutex<State>,
     pub(crate) leaving: AtomicBool,
     /// The time in which this instance can still answer requests.
@@ -80,6 +83,9 @@
     pub(crate) writers: Vec<Sender<WriteRequest>>,
 }
 
+/// Part of the memory of the process that outputs may take up; twice as much in the worst case.
+const OUTPUT_MEMORY_DIVISOR: usize = 8;
+
 impl<P> Node<P> {
     pub(crate) fn new(
         platform: P,
@@ -92,6 +98,7 @@
         let mut state = State::new(&settings, writers.len());
         let metrics = Arc::new(metrics);
         state.update_reserved(&settings);
+        let output_budget = ByteBudget::new(settings.memory / OUTPUT_MEMORY_DIVISOR);
         Self {
             platform,
             settings,
@@ -102,6 +109,7 @@
             caller_limits: OnceLock::new(),
             ends: Arc::new(Ends::new(metrics.clone())),
             metrics,
+            output_budget,
             state: Mutex::new(state),
             leaving: AtomicBool::new(false),
             stop: StopWindow::default(),
--- a/gateway/src/serve/runs.rs
+++ b/gateway/src/serve/runs.rs
@@ -30,6 +30,7 @@
     ITEM_ENDED,
     ITEM_LISTED,
     ITEM_STARTED,
+    OUTPUT_TOO_LARGE,
     RECORD_SKIPPED,
     log_event, //
 };
@@ -46,6 +47,7 @@
     BackendKey, //
 };
 use crate::event_reader::EventReader;
+use crate::item_output::Progress;
 use crate::jobs::{
     Change,
     JobItem,
@@ -53,7 +55,6 @@
 };
 use crate::open_items::{
     Phase,
-    Progress,
     RunEnd,
     Step, //
 };
@@ -189,7 +190,7 @@
     let id = run.item.id.clone();
     let job = run.job.clone();
     let backend = run.entry.id.clone();
-    let from = run.progress.data.len();
+    let from = run.progress.events();
     let limit = node.lock().limits.limit(run.entry.run());
     if limit.is_some() {
         node.metrics.limited_request(AttemptKind::Item);
@@ -227,11 +228,19 @@
             suspect(&node, run.backend, &cause);
             crash_checks::checked(&node, run.backend).await;
         }
+        RunEnd::TooLarge => {
+            log_event!(
+                OUTPUT_TOO_LARGE,
+                "item={id} job={job} backend={backend} events={} cause=\"{cause}\"",
+                progress.events()
+            );
+            suspect(&node, run.backend, &cause);
+        }
         RunEnd::Silent => watch.dropped_in_silence(),
         _ => {}
     }
     let name = end_name(&end);
-    let events = progress.data.len();
+    let events = progress.events();
     let elapsed = started.elapsed();
     let ms = elapsed.as_millis();
     log_event!(
@@ -240,7 +249,7 @@
     );
     node.metrics.item(name, elapsed);
     let text = match end {
-        RunEnd::Completed => progress.data.join("\n"),
+        RunEnd::Completed => progress.text().to_owned(),
         _ => String::new(),
     };
     let now = node.now();
@@ -295,6 +304,7 @@
         RunEnd::Rejected => "turned-away",
         RunEnd::Broken => "broken",
         RunEnd::Silent => "silent",
+        RunEnd::TooLarge => "too-large",
         RunEnd::Stopped => "stopped",
     }
 }
@@ -317,7 +327,7 @@
         backend: &run.entry.id,
         organisation: Some(&run.organisation),
         remaining: None,
-        last_event: progress.last,
+        last_event: progress.last(),
     };
     let req = match node.platform.item(&request, &forward) {
         Ok(req) => req,
@@ -387,12 +397,13 @@
 ) -> (RunEnd, String) {
     let mut body = response.into_body();
     let mut pace = PaceMeter::default();
-    let mut reader = EventReader::after(progress.last);
+    let mut reader = EventReader::after(progress.last(), &node.output_budget);
+    let max_bytes = node.settings.store.max_text_bytes();
     let mut progressed = Instant::now();
     loop {
         let frame = timeout_at(progressed + SILENCE_TIMEOUT, body.frame()).await;
         let bytes = match frame {
-            None => return (RunEnd::Silent, "no event arrived in time".to_owned()),
+            None => return silent(),
             Some(Some(Err(err))) => {
                 if err.is_interrupted() {
                     watch.connection_lost(true);
@@ -408,14 +419,22 @@
         };
         for event in events.into_iter().filter(Event::is_output) {
             progressed = Instant::now();
-            progress.last = event.id;
-            progress.data.push(event.data);
+            // Events of the output have a number.
+            let id = event.id.unwrap_or_default();
+            let added = progress.add(id, &event.data, max_bytes, &node.output_budget);
+            if let Err(err) = added {
+                return (RunEnd::TooLarge, err.to_string());
+            }
             node.measure(backend, &mut pace);
             watch.output();
         }
         if let Err(err) = reader.check() {
             return (RunEnd::Broken, err.to_string());
         }
+        // The timeout does not expire while there are always bytes to read.
+        if progressed.elapsed() >= SILENCE_TIMEOUT {
+            return silent();
+        }
     }
     if let Err(err) = reader.end() {
         watch.connection_lost(true);
@@ -424,6 +443,10 @@
     (RunEnd::Completed, String::new())
 }
 
+fn silent() -> (RunEnd, String) {
+    (RunEnd::Silent, "no event arrived in time".to_owned())
+}
+
 /// Writes the result of an item to the store.
 async fn finish<P: Store + Dialect>(
     node: &Arc<Node<P>>,
--- a/gateway/src/serve/stream.rs
+++ b/gateway/src/serve/stream.rs
@@ -103,7 +103,7 @@
             watch: RunWatch::new(node, id, &admitted.parts, placed.place()),
             head,
             body: Some(body),
-            reader: EventReader::after(last_event),
+            reader: EventReader::after(last_event, &node.output_budget),
             pace: PaceMeter::default(),
             held: Vec::new(),
             held_bytes: 0,
@@ -172,7 +172,7 @@
 
     fn hold(&mut self, events: Vec<Event>) {
         for event in events {
-            let len = event.raw.len();
+            let len = event.raw.len() + size_of::<Event>();
             if event.is_output() || self.held_bytes + len <= MAX_HELD_BYTES {
                 self.held_bytes += len;
                 self.held.push(event);
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -19,6 +19,7 @@
     is_machine, //
 };
 use crate::instance::Instance;
+use crate::jobs::RESULT_OVERHEAD_BYTES;
 use crate::quota::Tolerance;
 
 /// Error in the settings.
@@ -55,6 +56,8 @@
     pub address: IpAddr,
     /// Processor of the machine in thousandths of a core.
     pub capacity: u32,
+    /// Memory of the process in bytes.
+    pub memory: usize,
     /// Listener for callers.
     pub public: SocketAddr,
     /// Listener for readiness checks.
@@ -118,6 +121,11 @@
 /// Longest retention of results: a year.
 const MAX_RESULT_RETENTION_S: u64 = 366 * 24 * 3_600;
 
+/// Memory of the process in megabytes without a setting.
+const DEFAULT_MEMORY_MB: u32 = 256;
+/// Smallest memory of a process in megabytes; one without requests has a tenth of that.
+const MIN_MEMORY_MB: u32 = 64;
+
 #[derive(Deserialize)]
 struct Raw {
     name: String,
@@ -144,6 +152,8 @@
     cpu_share: f64,
     /// Speed of the core relative to a usual one.
     cores: f64,
+    /// Memory of the process in megabytes; one that exceeds it is killed.
+    memory_mb: u32,
 }
 
 impl Default for RawMachine {
@@ -151,6 +161,7 @@
         Self {
             cpu_share: 1.0,
             cores: 1.0,
+            memory_mb: DEFAULT_MEMORY_MB,
         }
     }
 }
@@ -222,6 +233,13 @@
     }
 }
 
+impl StoreSettings {
+    /// Returns the largest text of a result in bytes: its record holds nothing else but short fields.
+    pub fn max_text_bytes(&self) -> usize {
+        self.record_bytes.saturating_sub(RESULT_OVERHEAD_BYTES)
+    }
+}
+
 impl Settings {
     /// Returns this instance as an input of work distribution.
     pub fn instance(&self) -> Instance<'_> {
@@ -270,6 +288,10 @@
             let reason = "multiplied by machine.cores must be 0.001 to 1000".to_owned();
             return Err(value("machine.cpu_share", reason));
         }
+        if raw.machine.memory_mb < MIN_MEMORY_MB {
+            let reason = format!("must be at least {MIN_MEMORY_MB}");
+            return Err(value("machine.memory_mb", reason));
+        }
         if !(1..=MAX_PARTITIONS).contains(&raw.store.partitions) {
             let reason = format!("must be 1 to {MAX_PARTITIONS}");
             return Err(value("store.partitions", reason));
@@ -310,6 +332,7 @@
             address: raw.address,
             // The range was checked above, so the value fits.
             capacity: (cores * 1_000.0).round() as u32,
+            memory: raw.machine.memory_mb as usize * 1_000_000,
             public: raw.listen.public,
             readiness: raw.listen.readiness,
             directory: raw.listen.directory,
--- a/gateway/src/sse.rs
+++ b/gateway/src/sse.rs
@@ -2,8 +2,8 @@
 
 use hyper::body::Bytes;
 
-/// Largest event in bytes; a longer one cannot be from a backend server.
-const MAX_EVENT_BYTES: usize = 1 << 20;
+/// Largest event in bytes; a longer one cannot be from a backend server, and could not be listed.
+pub const MAX_EVENT_BYTES: usize = 256 << 10;
 
 /// Largest number of an event. A larger one is invalid; computations with it could overflow.
 pub const MAX_EVENT_NUMBER: u64 = 1 << 53;
@@ -44,7 +44,7 @@
 pub struct Splitter {
     /// Bytes that have not been returned as events.
     buf: Vec<u8>,
-    /// Number of bytes at the start of `buf` that were returned as events since the last addition.
+    /// Number of bytes at the start of `buf` that were returned as events.
     start: usize,
     /// End of the bytes that were scanned, so that they are scanned only once even if the stream is
     /// slow.
@@ -61,18 +61,19 @@
 impl Splitter {
     /// Adds bytes, whose events [`next_event`](Self::next_event) returns.
     pub fn add(&mut self, bytes: &[u8]) {
-        self.buf.drain(..self.start);
-        self.scanned -= self.start;
-        self.line -= self.start;
-        self.start = 0;
         self.buf.extend_from_slice(bytes);
     }
 
+    /// Returns the number of bytes that are kept.
+    pub fn buffered(&self) -> usize {
+        self.buf.len()
+    }
+
     /// Returns the next complete event; `None` if more bytes are needed.
     pub fn next_event(&mut self) -> Result<Option<Event>, InvalidEventStream> {
         let Some(end) = self.next_end() else {
-            let is_too_long = self.buf.len() - self.start > MAX_EVENT_BYTES;
-            return if is_too_long {
+            self.remove_returned();
+            return if self.buf.len() > MAX_EVENT_BYTES {
                 Err(InvalidEventStream)
             } else {
                 Ok(None)
@@ -93,6 +94,13 @@
         Ok(events)
     }
 
+    fn remove_returned(&mut self) {
+        self.buf.drain(..self.start);
+        self.scanned -= self.start;
+        self.line -= self.start;
+        self.start = 0;
+    }
+
     /// Returns whether the buffer contains a part of an event.
     pub fn is_partial(&self) -> bool {
         self.buf.len() > self.start
--- a/gateway/tests/event_reader.rs
+++ b/gateway/tests/event_reader.rs
@@ -1,6 +1,7 @@
 //! The reader of the outputs of runs.
 
 use limpetweir_gateway::{
+    ByteBudget,
     EventReader,
     IncompleteOutput, //
 };
@@ -9,7 +10,7 @@
 /// Returns the data that a reader after event `last` takes from `bytes`, and whether the bytes are
 /// valid to their end.
 fn read(last: Option<u64>, bytes: &[u8], piece: usize) -> (Vec<String>, bool) {
-    let mut reader = EventReader::after(last);
+    let mut reader = EventReader::after(last, &ByteBudget::new(1 << 20));
     let mut output = Vec::new();
     for piece in bytes.chunks(piece) {
         match reader.push(piece) {
@@ -84,7 +85,7 @@
     #[case] bytes: &str,
     #[case] expected: Result<(), IncompleteOutput>,
 ) {
-    let mut reader = EventReader::after(last);
+    let mut reader = EventReader::after(last, &ByteBudget::new(1 << 20));
     reader.push(bytes.as_bytes()).expect("valid bytes");
     assert_eq!(reader.end(), expected);
 }
--- a/gateway/tests/open_items.rs
+++ b/gateway/tests/open_items.rs
@@ -7,6 +7,7 @@
 use limpetweir_gateway::{
     BackendKey,
     BatchTerms,
+    ByteBudget,
     Change,
     Configuration,
     ConfigurationParts,
@@ -110,10 +111,11 @@
 
 fn run(items: &mut OpenItems, key: ItemKey, end: &RunEnd, events: u64) -> Step {
     items.get_mut(key).expect("an open item").phase = Phase::Running(BackendKey(1));
-    let progress = Progress {
-        data: (0..events).map(|n| n.to_string()).collect(),
-        last: events.checked_sub(1),
-    };
+    let mut progress = Progress::default();
+    for n in 0..events {
+        let added = progress.add(n, &n.to_string(), 1 << 20, &ByteBudget::new(1 << 20));
+        added.expect("room");
+    }
     items.run_ended(key, end, progress, 3, Timestamp::default())
 }
 
@@ -215,7 +217,7 @@
     let key = ItemKey::of("job", 0);
     assert_eq!(run(&mut items, key, &end, 2), step);
     let item = items.get(key).expect("an open item");
-    assert_eq!(item.progress.last, Some(1));
+    assert_eq!(item.progress.last(), Some(1));
 }
 
 /// Guards against items that count as late too early, or only after their deadline. Completed items
--- a/transport/src/http/body.rs
+++ b/transport/src/http/body.rs
@@ -2,6 +2,10 @@
 
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::{
+    AtomicUsize,
+    Ordering, //
+};
 use std::task::{
     Context,
     Poll, //
@@ -13,6 +17,7 @@
     Sender, //
 };
 use async_io::Timer;
+use event_listener::Event;
 use futures_lite::{
     FutureExt,
     Stream, //
@@ -32,10 +37,15 @@
 use super::activity::Activity;
 use super::pool::ClientBody;
 
+/// Largest size in bytes of the read buffer, of the write buffer and of the channel of a connection. All
+/// connections may fill theirs at once, so that these count more than the system calls of larger ones.
+pub(crate) const BUFFER_BYTES: usize = 64 << 10;
+
 /// Error type of boxed bodies.
 pub type BoxError = Box<dyn std::error::Error + Send + Sync>;
 
-/// Capacity of the channel of a [`BodySender`] in chunks; a slow reader applies backpressure to it.
+/// Capacity of the channel of a [`BodySender`] in chunks, beside [`BUFFER_BYTES`]; a slow reader applies
+/// backpressure to it.
 const CHANNEL_CAPACITY: usize = 16;
 
 /// Reason why a body could not be read to its end.
@@ -109,10 +119,41 @@
 #[derive(Debug)]
 pub struct ChannelBody {
     rx: Pin<Box<Receiver<Part>>>,
+    backlog: Arc<Backlog>,
     /// Whether the writer is gone and the parts before are being written to the connection.
     is_abandoned: bool,
 }
 
+/// Bytes in the channel of a body.
+#[derive(Debug, Default)]
+struct Backlog {
+    bytes: AtomicUsize,
+    /// Notified when there is room again, and when the reader is dropped.
+    drained: Event,
+}
+
+impl Backlog {
+    fn add(&self, len: usize) {
+        self.bytes.fetch_add(len, Ordering::AcqRel);
+    }
+
+    fn remove(&self, len: usize) {
+        self.bytes.fetch_sub(len, Ordering::AcqRel);
+        self.drained.notify(usize::MAX);
+    }
+
+    /// Waits until there is room in the channel, or `is_closed`.
+    async fn room(&self, is_closed: impl Fn() -> bool) {
+        loop {
+            let drained = self.drained.listen();
+            if self.bytes.load(Ordering::Acquire) < BUFFER_BYTES || is_closed() {
+                return;
+            }
+            drained.await;
+        }
+    }
+}
+
 /// A part of a streamed body.
 #[derive(Debug)]
 enum Part {
@@ -136,15 +177,18 @@
     /// The same for a body whose first part is there already, which is sent together with the head.
     pub fn channel_with(first: Bytes) -> (BodySender, Self) {
         let (tx, rx) = async_channel::bounded(CHANNEL_CAPACITY);
+        let backlog = Arc::new(Backlog::default());
         if !first.is_empty() {
+            backlog.add(first.len());
             let sent = tx.try_send(Part::Data(first));
             debug_assert!(sent.is_ok(), "a new channel has room");
         }
         let body = ChannelBody {
             rx: Box::pin(rx),
+            backlog: backlog.clone(),
             is_abandoned: false,
         };
-        (BodySender { tx }, Self::Channel(body))
+        (BodySender { tx, backlog }, Self::Channel(body))
     }
 
     /// Returns a body that forwards the response body of another server.
@@ -211,7 +255,10 @@
     fn poll_part(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         match self.rx.as_mut().poll_next(cx) {
             Poll::Pending => Poll::Pending,
-            Poll::Ready(Some(Part::Data(bytes))) => Poll::Ready(Some(Ok(Frame::data(bytes)))),
+            Poll::Ready(Some(Part::Data(bytes))) => {
+                self.backlog.remove(bytes.len());
+                Poll::Ready(Some(Ok(Frame::data(bytes))))
+            }
             Poll::Ready(Some(Part::End)) => Poll::Ready(None),
             // The connection drops what it has not written when a body fails, also the head, and writes
             // only when the body has nothing for it.
@@ -225,6 +272,13 @@
     }
 }
 
+impl Drop for ChannelBody {
+    fn drop(&mut self) {
+        self.rx.close();
+        self.backlog.drained.notify(usize::MAX);
+    }
+}
+
 /// The reader of a body was dropped.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
 #[snafu(display("the reader of the body was dropped"))]
@@ -237,10 +291,11 @@
 #[derive(Debug)]
 pub struct BodySender {
     tx: Sender<Part>,
+    backlog: Arc<Backlog>,
 }
 
 impl BodySender {
-    /// Sends bytes; waits while the channel is full.
+    /// Sends bytes; waits while the channel has [`BUFFER_BYTES`] or is full.
     ///
     /// Fails once the reader was dropped, for example because the caller closed its connection.
     pub async fn send(&self, bytes: impl Into<Bytes>) -> Result<(), BodyClosed> {
@@ -248,6 +303,8 @@
         if bytes.is_empty() {
             return Ok(());
         }
+        self.backlog.room(|| self.tx.is_closed()).await;
+        self.backlog.add(bytes.len());
         let sent = self.tx.send(Part::Data(bytes)).await;
         sent.map_err(|_| BodyClosed)
     }
--- a/transport/src/http/client.rs
+++ b/transport/src/http/client.rs
@@ -36,6 +36,7 @@
     Snafu, //
 };
 
+use super::body::BUFFER_BYTES;
 use super::io::{
     CountedStream,
     WrittenBytes, //
@@ -290,6 +291,7 @@
         let io = FuturesIo::new(YieldingStream::new(counted));
         let handshake = http1::Builder::new()
             .max_header_size(self.limits.head_bytes)
+            .max_buf_size(self.limits.head_bytes.max(BUFFER_BYTES))
             .handshake(io)
             .await;
         let (sender, connection) = handshake.context(ClosedSnafu {
--- a/transport/src/http/server.rs
+++ b/transport/src/http/server.rs
@@ -59,6 +59,7 @@
     WatchedStream, //
 };
 use super::body::{
+    BUFFER_BYTES,
     Body,
     RequestBody, //
 };
@@ -321,6 +322,7 @@
         .header_read_timeout(None)
         .max_headers(limits.headers)
         .max_header_size(limits.head_bytes)
+        .max_buf_size(limits.head_bytes.max(BUFFER_BYTES))
         .serve_connection(FuturesIo::new(YieldingStream::new(io)), service);
     let mut connection = std::pin::pin!(connection);
     let expired = expiry(&activity, &shared.stopped);
--- a/transport/tests/streams.rs
+++ b/transport/tests/streams.rs
@@ -7,12 +7,15 @@
     Ipv4Addr,
     SocketAddr, //
 };
+use std::pin::pin;
 use std::time::Duration;
 
 use async_channel::{
     Receiver,
     Sender, //
 };
+use futures_lite::future;
+use http_body_util::BodyExt;
 use hyper::body::Bytes;
 use hyper::{
     Request,
@@ -179,3 +182,26 @@
         dropped.recv().await.unwrap();
     });
 }
+
+/// Guards against the memory of a body whose reader is slow: it has a bound in bytes, as parts may be
+/// as large as a read.
+#[test]
+fn a_slow_reader_holds_few_bytes() {
+    const PART: usize = 40 << 10;
+    future::block_on(async {
+        let (sender, body) = Body::channel();
+        for _ in 0..2 {
+            sender.send(vec![b'x'; PART]).await.expect("a reader");
+        }
+        let mut blocked = pin!(sender.send(vec![b'x'; PART]));
+        assert!(future::poll_once(&mut blocked).await.is_none());
+        let mut body = body;
+        let part = body.frame().await.expect("a part").expect("a part");
+        assert_eq!(part.into_data().expect("bytes").len(), PART);
+        blocked.await.expect("room");
+        let mut blocked = pin!(sender.send(vec![b'x'; PART]));
+        assert!(future::poll_once(&mut blocked).await.is_none());
+        drop(body);
+        assert!(blocked.await.is_err());
+    });
+}
