gateway: "no effect" is said only of what was read

Cause: that the partition has grown past the offset of an append proves that the append can't take effect later. It was taken for proof that it has not, although the change itself was what the partition had grown by. Ruled out: the time limit alone, and a second execution.

The queue of the writer keeps the offsets of appends with an unknown outcome; only reading their records, or an end behind their offset, makes it known, and the state decides then, also when the time limit is over.

gateway change_queue plays orders of events against a model of the store; it fails with the old rule for 412, and with one that takes the first record of an append for all. platform late_appends: 3 of 3 failed before (503 for a job, for its end, and for a job that a peer writes), 3 pass.

--- a/gateway/src/jobs/queue.rs
+++ b/gateway/src/jobs/queue.rs
@@ -242,6 +242,8 @@
     call: Option<Call<T>>,
     /// Changes that another instance is asked to write.
     passed_on: Vec<QueuedChange<T>>,
+    /// Offset up to which the partition had been read when its end was last read.
+    read_to_end: u64,
     settled: Vec<Settled<T>>,
 }
 
@@ -251,6 +253,7 @@
             waiting: VecDeque::new(),
             call: None,
             passed_on: Vec::new(),
+            read_to_end: 0,
             settled: Vec::new(),
         }
     }
@@ -330,13 +333,13 @@
         let mut pending = Pending::default();
         let mut bytes = 0;
         let mut most = usize::MAX;
-        for queued in std::mem::take(&mut self.waiting) {
+        for mut queued in std::mem::take(&mut self.waiting) {
             let is_full = bytes >= limits.call_bytes / 2;
             if is_full || changes.len() >= most.min(queued.most) {
                 self.waiting.push_back(queued);
                 continue;
             }
-            let is_known = queued.unknown.is_none();
+            let is_known = self.is_known(state, &queued);
             let outcome = match decide(&mut pending, &queued.change) {
                 Ok(Decision::Append(new)) => match limits.size(&new) {
                     Ok(size) if bytes + size > limits.call_bytes => {
@@ -345,6 +348,9 @@
                         continue;
                     }
                     Ok(size) => {
+                        if is_known {
+                            queued.unknown = None;
+                        }
                         bytes += size;
                         most = most.min(queued.most);
                         records.extend(new);
@@ -396,7 +402,8 @@
                     self.settle(queued, Ok(()));
                 }
             }
-            CallEnd::OffsetMismatch => self.requeue(changes, |queued| queued.unknown = None),
+            // Nothing is known of earlier appends: one of them may be what the partition has grown by.
+            CallEnd::OffsetMismatch => self.requeue(changes, |_| {}),
             CallEnd::Refused(reason) if count == 1 => {
                 for queued in changes {
                     let outcome = match queued.unknown {
@@ -431,18 +438,28 @@
         }
     }
 
-    /// Records that the partition was read up to its end at `next`. Once it has grown, an earlier
-    /// conditional append can no longer take effect.
+    /// Records that the partition was read up to its end at `next`.
     pub fn read_to_end(&mut self, next: u64) {
-        for queued in &mut self.waiting {
-            queued.unknown = queued.unknown.filter(|append| append.at >= next);
-        }
+        self.read_to_end = self.read_to_end.max(next);
     }
 
-    /// Gives the changes whose callers no longer wait an outcome.
-    pub fn expire(&mut self, now: Timestamp) {
-        for queued in std::mem::take(&mut self.waiting) {
-            if queued.deadline.is_none_or(|deadline| deadline > now) {
+    /// Decides the changes whose outcome was unknown on what has been read, and gives those whose
+    /// callers no longer wait an outcome.
+    pub fn settle_known(&mut self, state: &Partition, now: Timestamp) {
+        for mut queued in std::mem::take(&mut self.waiting) {
+            let has_expired = queued.deadline.is_some_and(|deadline| deadline <= now);
+            if queued.unknown.is_none() && !has_expired {
+                self.waiting.push_back(queued);
+                continue;
+            }
+            if state.is_loaded() && queued.change.is_done(state) {
+                self.settle(queued, Ok(()));
+                continue;
+            }
+            if self.is_known(state, &queued) {
+                queued.unknown = None;
+            }
+            if !has_expired {
                 self.waiting.push_back(queued);
                 continue;
             }
@@ -455,6 +472,19 @@
         }
     }
 
+    /// Returns whether `state` shows if the change has taken effect, so that no earlier append of it
+    /// can still do so. An append succeeds only at its offset and as a whole, so this holds once all
+    /// its records have been read, or the partition up to an end behind its offset.
+    fn is_known(&self, state: &Partition, queued: &QueuedChange<T>) -> bool {
+        let Some(append) = queued.unknown else {
+            return true;
+        };
+        let next = state.next();
+        let is_read =
+            next >= append.end || (next >= self.read_to_end && self.read_to_end > append.at);
+        state.is_loaded() && is_read
+    }
+
     /// Submissions and ends come first, because callers wait for them.
     fn sort(&mut self) {
         let waiting = self.waiting.make_contiguous();
--- a/gateway/src/jobs/write.rs
+++ b/gateway/src/jobs/write.rs
@@ -107,6 +107,20 @@
     }
 }
 
+impl Change {
+    /// Returns whether the change has taken effect.
+    pub fn is_done(&self, state: &Partition) -> bool {
+        match self {
+            Self::Submit(submission) => state.get(&submission.id).is_some(),
+            Self::Finish { job, item, .. } => {
+                state.get(job).is_some_and(|job| job.has_result(*item))
+            }
+            Self::End { job } => state.get(job).is_some_and(|job| job.ended),
+            Self::Remove { job } => state.get(job).is_none(),
+        }
+    }
+}
+
 /// Decision on a change, given the state of its partition.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Decision {
--- a/gateway/src/serve/writer.rs
+++ b/gateway/src/serve/writer.rs
@@ -130,7 +130,8 @@
         }
         results::forward(&node, partition as usize, &mut accepted).await;
         append_next(&node, partition, &mut accepted).await;
-        accepted.expire(node.now());
+        let now = node.now();
+        accepted.settle_known(&node.lock().partitions[partition as usize], now);
         reply(accepted.take_settled());
     }
 }
