gateway: one run of an item has a file of its own, and shares the reader of bodies

Reading a body and recording the end of a run stood twice each. Names of ends come from the enum. No decision changes.

--- a/gateway/src/open_items.rs
+++ b/gateway/src/open_items.rs
@@ -85,7 +85,8 @@
 }
 
 /// Result of a run.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
 pub enum RunEnd {
     /// The output is complete.
     Completed,
@@ -94,6 +95,7 @@
     /// The backend server reported a failure.
     Failed,
     /// The backend server did not run it.
+    #[strum(serialize = "turned-away")]
     Rejected,
     /// The stream was interrupted.
     Broken,
--- a/gateway/src/serve/mod.rs
+++ b/gateway/src/serve/mod.rs
@@ -18,6 +18,7 @@
 mod forwarding;
 mod heads;
 mod housekeeping;
+mod item_run;
 mod items;
 mod job_calls;
 mod leases;
