--- a/gateway/src/serve/job_calls.rs
+++ b/gateway/src/serve/job_calls.rs
@@ -127,7 +127,9 @@
             let text = format!("the job does not fit; {waiting} tokens wait already");
             retry_later(StatusCode::TOO_MANY_REQUESTS, &text, LIMIT_RETRY)
         }
-        WriteError::TooLarge { reason } => plain(StatusCode::PAYLOAD_TOO_LARGE, reason),
+        // The limits of the configuration allow it, so it is not denied with a 4xx. No instance can
+        // write it, so there is no time to return.
+        WriteError::TooLarge { reason } => plain(StatusCode::SERVICE_UNAVAILABLE, reason),
         WriteError::Refused { .. } | WriteError::NotDone { .. } => {
             let text = "the store did not take the call; it has no effect";
             retry_later(StatusCode::SERVICE_UNAVAILABLE, text, STORE_RETRY)
