--- a/gateway/src/event_reader.rs
+++ b/gateway/src/event_reader.rs
@@ -37,7 +37,7 @@
         last: Option<u64>,
     },
     /// The number of an event does not follow that of the one before.
-    #[snafu(display("event {id} follows event {}", Number(Some(*last))))]
+    #[snafu(display("event {id} follows event {last}"))]
     OutOfOrder {
         /// Number of the event.
         id: u64,
