--- a/transport/src/http/body.rs
+++ b/transport/src/http/body.rs
@@ -295,7 +295,7 @@
 }
 
 impl BodySender {
-    /// Sends bytes; waits while the channel has [`BUFFER_BYTES`] or is full.
+    /// Sends bytes; waits while the channel has 64 KiB or is full.
     ///
     /// Fails once the reader was dropped, for example because the caller closed its connection.
     pub async fn send(&self, bytes: impl Into<Bytes>) -> Result<(), BodyClosed> {
