gateway, platform: evacuation of availability zones

Cause: operators could not take the backend servers of a zone out of use; the record evacuate/ZONE of the configuration topic was ignored.

Change: each instance keeps the evacuated zones with the offsets of their records and the offset up to which this set is complete, from the store and from the reports of its peers. Backends::serving leaves their servers out, requests and items are checked again before they are sent, and nothing is served before the zones are known. Listings pass offsets on.

--- a/gateway/src/backend.rs
+++ b/gateway/src/backend.rs
@@ -11,6 +11,8 @@
 use limpetweir_state::Timestamp;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::evacuation::EvacuatedZones;
+
 /// How long an entry that expired around a store outage stays in use: a running backend server
 /// registers again within about two seconds after the store is back.
 const LAPSE_GRACE: Duration = Duration::from_millis(2_300);
@@ -131,6 +133,8 @@
     leaving_runs: HashMap<RunKey, LeavingRun>,
     /// Addresses at which no backend server can be: those of the store and of instances.
     reserved: HashSet<SocketAddr>,
+    /// Zones whose servers get nothing new.
+    evacuated: EvacuatedZones,
 }
 
 impl Backends {
@@ -145,6 +149,16 @@
         self.reserved.contains(&addr)
     }
 
+    /// Sets the zones whose servers get nothing new.
+    pub fn set_evacuated(&mut self, zones: EvacuatedZones) {
+        self.evacuated = zones;
+    }
+
+    /// Returns whether servers of `zone` get nothing new.
+    pub fn is_evacuated(&self, zone: &str) -> bool {
+        self.evacuated.contains(zone)
+    }
+
     /// Inserts or updates an entry; returns whether anything but its age changed.
     pub fn update(&mut self, entry: BackendEntry, now: Timestamp) -> bool {
         let key = BackendKey::of(&entry.id);
@@ -288,8 +302,19 @@
         }
     }
 
-    /// Returns the backend servers of `service` that accept new requests.
+    /// Returns the backend servers of `service` that accept new requests and are in no evacuated zone.
     pub fn serving(&self, service: &str, now: Timestamp) -> impl Iterator<Item = &Backend> {
+        let accepting = self.accepting(service, now);
+        accepting.filter(|b| !self.is_evacuated(&b.entry.zone))
+    }
+
+    /// Returns the evacuated backend servers of `service` that would accept new requests.
+    pub fn evacuated(&self, service: &str, now: Timestamp) -> impl Iterator<Item = &Backend> {
+        let accepting = self.accepting(service, now);
+        accepting.filter(|b| self.is_evacuated(&b.entry.zone))
+    }
+
+    fn accepting(&self, service: &str, now: Timestamp) -> impl Iterator<Item = &Backend> {
         self.by_key
             .values()
             .filter(move |b| b.entry.service == service && b.accepts_requests(now))
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod crash_message;
 mod crash_news;
 mod crash_ranges;
+mod evacuation;
 mod event_reader;
 mod fleet_rate;
 mod instance;
@@ -68,6 +69,10 @@
 pub use config_freshness::ConfigFreshness;
 pub use crash_message::{CaseRecord, CaseRecordError};
 pub use crash_news::{Case, Cleared, Crash, CrashKey, CrashNews};
+pub use evacuation::{
+    EvacuatedZones, EvacuationChange, EvacuationRecord, EvacuationReport, EvacuationSource,
+    Evacuations, MAX_ZONES, ZoneChange, retry_after as evacuation_retry_after,
+};
 pub use event_reader::{EventReader, IncompleteOutput, InvalidOutput};
 pub use instance::{Instance, InstanceRecord, InstanceRecordError};
 pub use item_output::{OutputError, Progress};
--- a/gateway/src/listing.rs
+++ b/gateway/src/listing.rs
@@ -25,16 +25,16 @@
         self.after.as_deref()
     }
 
-    /// Adds the next page and returns its records in the order of their offsets, on which the fold
-    /// of the jobs depends.
-    pub fn add(&mut self, page: Page) -> impl Iterator<Item = Record> + use<> {
+    /// Adds the next page and returns its records with their offsets, in the order of the offsets, on
+    /// which the fold of the jobs depends.
+    pub fn add(&mut self, page: Page) -> impl Iterator<Item = (u64, Record)> + use<> {
         self.end.get_or_insert(page.end);
         self.after = page.next;
         let mut records = page.records;
         records.sort_by_key(|(offset, _)| *offset);
         let keys = records.iter().map(|(_, record)| record.key.clone());
         self.keys.extend(keys);
-        records.into_iter().map(|(_, record)| record)
+        records.into_iter()
     }
 
     /// Returns the offset at which reading continues after the last page.
--- a/gateway/src/platform.rs
+++ b/gateway/src/platform.rs
@@ -19,6 +19,7 @@
 use crate::backend::BackendEntry;
 use crate::checked::excerpt;
 use crate::config::Configuration;
+use crate::evacuation::EvacuationRecord;
 use crate::jobs::NewItem;
 use crate::prompt::PromptParts;
 use crate::server_limit::StatedLimit;
@@ -311,6 +312,10 @@
     /// Decodes the configuration from its record.
     fn configuration(&self, record: &Record) -> Option<Result<Configuration, DecodeError>>;
 
+    /// Decodes a request to evacuate a zone, or its withdrawal, from its record; returns `None` for other
+    /// records of the configuration. The zone follows from the key alone.
+    fn evacuation(&self, record: &Record) -> Option<Result<EvacuationRecord, DecodeError>>;
+
     /// Decodes the registration of a backend server from its record.
     fn backend(&self, record: &Record) -> Result<BackendEntry, DecodeError>;
 
--- a/gateway/src/report.rs
+++ b/gateway/src/report.rs
@@ -13,6 +13,10 @@
     BackendKey,
     RunKey, //
 };
+use crate::evacuation::{
+    EvacuationReport,
+    WireEvacuations, //
+};
 use crate::positions::Position;
 use crate::quota::OrganisationKey;
 use crate::report_ranges::MAX_REPORT_BYTES;
@@ -92,6 +96,8 @@
     pub limits: Option<Vec<LimitReport>>,
     /// Runs of backend servers whose responses said that they leave.
     pub leaving_runs: Vec<RunKey>,
+    /// Evacuated zones; `None` in reports of older builds, which evacuate none.
+    pub evacuations: Option<EvacuationReport>,
 }
 
 /// Encoded form of a report; fields are identified by position to keep it small.
@@ -118,6 +124,7 @@
     u32,
     #[serde(default)] Option<Vec<WireLimit>>,
     #[serde(default)] Vec<u32>,
+    #[serde(default)] Option<WireEvacuations>,
 );
 
 /// Run, requests per second, age in milliseconds, and requests sent.
@@ -182,6 +189,7 @@
                 .as_ref()
                 .map(|limits| limits.iter().map(WireLimit::from).collect()),
             r.leaving_runs.iter().map(|run| run.0).collect(),
+            r.evacuations.as_ref().map(WireEvacuations::from),
         )
     }
 }
@@ -225,6 +233,7 @@
                 .19
                 .map(|limits| limits.into_iter().map(LimitReport::from).collect()),
             leaving_runs: w.20.into_iter().map(RunKey).collect(),
+            evacuations: w.21.map(EvacuationReport::from),
             positions: w
                 .14
                 .into_iter()
--- a/gateway/src/report_ranges.rs
+++ b/gateway/src/report_ranges.rs
@@ -7,6 +7,7 @@
     ListenerAddr, //
 };
 use crate::config::MAX_VERSION;
+use crate::evacuation::EvacuationReport;
 use crate::instance::MAX_CAPACITY;
 use crate::report::Report;
 use crate::server_limit::MAX_RATE;
@@ -65,6 +66,7 @@
             waiting: self.waiting.min(MAX_WAITING),
             waiting_in_time: self.waiting_in_time.min(MAX_WAITING),
             limits,
+            evacuations: self.evacuations.map(EvacuationReport::into_checked),
             ..self
         })
     }
--- a/gateway/src/serve/apply.rs
+++ b/gateway/src/serve/apply.rs
@@ -20,6 +20,7 @@
 use super::{
     caller_limits,
     crash_checks,
+    evacuation,
     items, //
 };
 use crate::checked::excerpt;
@@ -74,10 +75,11 @@
     node: &Arc<Node<P>>,
     topic: Topic,
     partition: u32,
+    offset: u64,
     record: &Record,
 ) {
     let input = format!("topic={topic} partition={partition} key={:?}", record.key);
-    let apply = || decode_and_apply(node, topic, partition, record);
+    let apply = || decode_and_apply(node, topic, partition, offset, record);
     let applied = node.supervisor.skip_on_panic(&input, apply);
     if !applied && topic == Topic::Configuration {
         // The version may allow what the one in force denies.
@@ -89,6 +91,7 @@
     node: &Arc<Node<P>>,
     topic: Topic,
     partition: u32,
+    offset: u64,
     record: &Record,
 ) {
     match topic {
@@ -111,6 +114,8 @@
                         }
                     }
                 }
+            } else if let Some(decoded) = node.platform.evacuation(record) {
+                evacuation::apply_record(node, offset, record, decoded);
             }
         }
         Topic::Backends => apply_backend_record(node, record),
@@ -160,6 +165,7 @@
             for id in removed {
                 log_event!(BACKEND_CHANGED, "backend={id} state=gone cause=lapsed");
             }
+            evacuation::report_unknown(node);
         }
         Topic::Instances => {
             let mut state = node.lock();
--- a/gateway/src/serve/attempt.rs
+++ b/gateway/src/serve/attempt.rs
@@ -16,6 +16,10 @@
 use super::admitted::Admitted;
 use super::attempt_history::AttemptHistory;
 use super::choose::PlacedRequest;
+use super::evacuation::{
+    self, //
+    ZONE_EVACUATED,
+};
 use super::heads::{
     self, //
     SentRequest,
@@ -56,6 +60,9 @@
 ) -> Attempt<P> {
     let key = placed.key;
     let id = &admitted.call.request_id;
+    if !evacuation::may_send(node, &placed.entry) {
+        return Attempt::NotRun(ZONE_EVACUATED.to_owned());
+    }
     let watch = RunWatch::new(node, id, &admitted.parts, placed.place());
     let sent = async { Some(send(node, admitted, history, &placed).await) };
     let withdrawn = async {
--- a/gateway/src/serve/choose.rs
+++ b/gateway/src/serve/choose.rs
@@ -16,6 +16,7 @@
 
 use super::admitted::Admitted;
 use super::attempt_history::AttemptHistory;
+use super::evacuation;
 use super::heads;
 use super::leases::Lease;
 use super::lines::{
@@ -215,7 +216,13 @@
                 now,
             ));
         }
-        Placement::NoBackend => return Err(NO_BACKEND),
+        Placement::NoBackend => {
+            return Err(evacuation::without_server(
+                &mut state,
+                &admitted.service,
+                now,
+            ));
+        }
     };
     let known = state.backends.get(key);
     let Some((entry, seen)) = known.map(|b| (b.entry.clone(), b.seen)) else {
@@ -268,7 +275,7 @@
 };
 
 /// Rejection of a request for a service that has no known backend server.
-const NO_BACKEND: Rejection = Rejection {
+pub(crate) const NO_BACKEND: Rejection = Rejection {
     cause: "no-backend",
     retry_after: NO_CONFIG_RETRY,
     case: None,
--- a/gateway/src/serve/crash_checks.rs
+++ b/gateway/src/serve/crash_checks.rs
@@ -35,7 +35,8 @@
     {
         let mut state = node.lock();
         let backend = state.backends.get(key);
-        let leaves = backend.is_none_or(|backend| !backend.accepts_requests(run.at));
+        let leaves = backend.is_none_or(|backend| !backend.accepts_requests(run.at))
+            || state.backends.is_evacuated(&entry.zone);
         if leaves {
             // Its end was planned and says nothing about parts that many requests share, but a sound
             // request is not on the next server too that ends without any output.
--- a/gateway/src/serve/follow.rs
+++ b/gateway/src/serve/follow.rs
@@ -13,6 +13,7 @@
     confirm_config,
     mark_read, //
 };
+use super::evacuation;
 use super::items;
 use super::lines::{
     RECORD_SKIPPED,
@@ -264,8 +265,8 @@
         steps.step();
         let page = page?;
         let last = page.next.is_none();
-        for record in cursor.listing.add(page) {
-            apply_record(node, topic, partition, &record);
+        for (offset, record) in cursor.listing.add(page) {
+            apply_record(node, topic, partition, offset, &record);
         }
         if last {
             break;
@@ -281,6 +282,7 @@
         mark_read(node, topic, partition, cursor.next);
     }
     if topic == Topic::Configuration {
+        evacuation::listed(node, &listing);
         confirm_config(node, cursor.sent);
     }
     if topic == Topic::Backends {
@@ -302,7 +304,7 @@
     for (offset, record) in (range.from..).zip(&range.records) {
         match record {
             Some(record) if topic == Topic::Jobs => apply_job(node, partition, offset, record),
-            Some(record) => apply_record(node, topic, partition, record),
+            Some(record) => apply_record(node, topic, partition, offset, record),
             None => log_event!(
                 RECORD_SKIPPED,
                 "topic={topic} partition={partition} offset={offset}"
@@ -310,6 +312,9 @@
         }
     }
     cursor.next = range.from + count;
+    if topic == Topic::Configuration {
+        evacuation::read(node, range.from, cursor.next);
+    }
     if topic == Topic::Configuration && cursor.next >= range.end {
         confirm_config(node, cursor.as_of(count > 0, node.now()));
     }
--- a/gateway/src/serve/item_run.rs
+++ b/gateway/src/serve/item_run.rs
@@ -14,6 +14,10 @@
 };
 use limpetweir_transport::timeout_at;
 
+use super::evacuation::{
+    self, //
+    ZONE_EVACUATED,
+};
 use super::heads;
 use super::heads::SentRequest;
 use super::node::Node;
@@ -70,6 +74,9 @@
     progress: &mut Progress,
     watch: &mut RunWatch<P>,
 ) -> (RunEnd, String) {
+    if !evacuation::may_send(node, &run.entry) {
+        return (RunEnd::Rejected, ZONE_EVACUATED.to_owned());
+    }
     let request = ItemRequest {
         id: &run.item.id,
         host: &run.host,
--- a/gateway/src/serve/lines.rs
+++ b/gateway/src/serve/lines.rs
@@ -132,6 +132,12 @@
 pub(crate) const LIMIT_INVALID: Event = Event::new(2311, Level::Warn);
 /// A response of a backend server says that it leaves.
 pub(crate) const BACKEND_LEAVES: Event = Event::new(2312, Level::Warn);
+/// The servers of a zone get nothing new.
+pub(crate) const EVACUATION_BEGAN: Event = Event::new(2316, Level::Warn);
+/// They get requests and items again.
+pub(crate) const EVACUATION_ENDED: Event = Event::new(2317, Level::Warn);
+/// A record about an evacuation is not used, or names a zone that is not known.
+pub(crate) const EVACUATION_UNUSABLE: Event = Event::new(2318, Level::Warn);
 /// Another instance is reachable.
 pub(crate) const PEER_UP: Event = Event::new(2401, Level::Warn);
 /// Another instance is unreachable.
--- a/gateway/src/serve/metrics.rs
+++ b/gateway/src/serve/metrics.rs
@@ -25,6 +25,7 @@
     Background,
     OneShot, //
 };
+use crate::evacuation::EvacuationSource;
 
 /// Upper bounds of the duration buckets in seconds; the latency objectives are between 0.3 and 0.5.
 const BUCKETS: [f64; 12] = [
@@ -57,6 +58,7 @@
     task_panics: Counter<u64>,
     task_age: Gauge<f64>,
     inputs_skipped: Counter<u64>,
+    zone_evacuated: Gauge<f64>,
 }
 
 impl Metrics {
@@ -142,6 +144,12 @@
                 .f64_gauge("limpetweir_task_age_seconds")
                 .with_description("Time since the last step of a background task that is not idle")
                 .build(),
+            zone_evacuated: meter
+                .f64_gauge("limpetweir_zone_evacuated_seconds")
+                .with_description(
+                    "Time for which a zone is known to be evacuated, by source; 0 after the withdrawal",
+                )
+                .build(),
             inputs_skipped: counter(
                 "limpetweir_inputs_skipped",
                 "Records and messages whose processing panicked",
@@ -247,6 +255,16 @@
         self.task_age.record(age.as_secs_f64(), &labels);
     }
 
+    /// Records for how long a zone is known to be evacuated; 0 if it is not, or from another source.
+    pub(crate) fn zone_evacuated(&self, zone: &str, source: EvacuationSource, age: Duration) {
+        let source: &'static str = source.into();
+        let labels = [
+            KeyValue::new("zone", zone.to_owned()),
+            KeyValue::new("source", source),
+        ];
+        self.zone_evacuated.record(age.as_secs_f64(), &labels);
+    }
+
     /// Counts a record or a message that is skipped because its processing has panicked.
     pub(crate) fn input_skipped(&self) {
         self.inputs_skipped.add(1, &[]);
--- a/gateway/src/serve/mod.rs
+++ b/gateway/src/serve/mod.rs
@@ -12,6 +12,7 @@
 mod crash_messages;
 mod crashes;
 mod ends;
+mod evacuation;
 mod find_response;
 mod first_output;
 mod follow;
--- a/gateway/src/serve/pages.rs
+++ b/gateway/src/serve/pages.rs
@@ -17,6 +17,7 @@
 use super::node::Node;
 use super::{
     crashes,
+    evacuation,
     peers,
     quota_levels,
     replies,
@@ -88,7 +89,10 @@
         };
     }
     match head.uri.path() {
-        "/metrics" => replies::plain(StatusCode::OK, &node.metrics.render()),
+        "/metrics" => {
+            evacuation::record_ages(node);
+            replies::plain(StatusCode::OK, &node.metrics.render())
+        }
         _ => replies::plain(StatusCode::NOT_FOUND, "no such page"),
     }
 }
--- a/gateway/src/serve/peers.rs
+++ b/gateway/src/serve/peers.rs
@@ -24,6 +24,7 @@
 use super::case_records;
 use super::crash_messages;
 use super::crashes;
+use super::evacuation;
 use super::heads;
 use super::items;
 use super::leases;
@@ -229,6 +230,8 @@
     if changed {
         update_unreachable(&mut state, now);
     }
+    // Before the configuration of the peer is fetched, so that nothing is served without it.
+    evacuation::apply_report(node, &mut state, &report, now);
     state.config_freshness.reported(version);
     let own_version = state.config_version();
     let fetches = state.config_fetch.begin(version, own_version, now);
--- a/gateway/src/serve/rest.rs
+++ b/gateway/src/serve/rest.rs
@@ -13,6 +13,7 @@
 use super::attempt::send;
 use super::attempt_history::AttemptHistory;
 use super::choose::PlacedRequest;
+use super::evacuation;
 use super::heads;
 use super::heads::SentRequest;
 use super::lines::{
@@ -59,6 +60,9 @@
 ) -> Result<Source<P>, NoRest> {
     let id = &admitted.call.request_id;
     let backend = &placed.entry.id;
+    if !evacuation::may_send(node, &placed.entry) {
+        return Err(NoRest::Rejected);
+    }
     let (no_rest, verdict, cause) = match send(node, admitted, history, &placed).await {
         Ok(response) => {
             let (head, body) = response.into_parts();
--- a/gateway/src/serve/state.rs
+++ b/gateway/src/serve/state.rs
@@ -28,6 +28,7 @@
 use crate::config::Configuration;
 use crate::config_fetch::ConfigFetch;
 use crate::config_freshness::ConfigFreshness;
+use crate::evacuation::Evacuations;
 use crate::instance::Instance;
 use crate::jobs::Partition;
 use crate::leases::Leases;
@@ -75,6 +76,8 @@
     pub(crate) config_freshness: ConfigFreshness,
     /// Fetches of a newer configuration from peers.
     pub(crate) config_fetch: ConfigFetch,
+    /// Zones that are evacuated; [`Backends`] has a copy.
+    pub(crate) evacuations: Evacuations,
     pub(crate) backends: Backends,
     pub(crate) skipped: SkippedRecords,
     pub(crate) members: Members,
@@ -152,11 +155,12 @@
     pub(crate) fn new(settings: &Settings, partition_count: usize) -> Self {
         let mut partitions = Vec::new();
         partitions.resize_with(partition_count, Partition::default);
-        State {
+        let mut state = State {
             config: None,
             config_record: None,
             config_freshness: ConfigFreshness::default(),
             config_fetch: ConfigFetch::default(),
+            evacuations: Evacuations::default(),
             backends: Backends::default(),
             skipped: SkippedRecords::default(),
             members: Members::default(),
@@ -188,7 +192,14 @@
             draw_seed: 0,
             // A typical response takes a little less than a second.
             mean_holding_s: 0.75,
-        }
+        };
+        state.update_evacuated();
+        state
+    }
+
+    /// Updates the zones whose servers get nothing new.
+    pub(crate) fn update_evacuated(&mut self) {
+        self.backends.set_evacuated(self.evacuations.evacuated());
     }
 
     /// Returns why a request with these keys is held back. Without an open case they are not computed.
@@ -374,8 +385,10 @@
         self.config.as_ref().map_or(0, |config| config.version())
     }
 
-    /// Returns whether a configuration is in force and a backend server is known.
+    /// Returns whether a configuration is in force, the evacuated zones and a backend server are known.
     pub(crate) fn can_serve(&self) -> bool {
-        self.config.is_some() && self.backends.iter().next().is_some()
+        self.config.is_some()
+            && self.evacuations.is_known()
+            && self.backends.iter().next().is_some()
     }
 }
--- a/gateway/tests/fuzz/messages.rs
+++ b/gateway/tests/fuzz/messages.rs
@@ -15,6 +15,7 @@
     Crash,
     CrashKey,
     CrashNews,
+    EvacuationReport,
     ItemKey,
     LimitReport,
     Load,
@@ -79,6 +80,10 @@
         positions: vec![position],
         limits: Some(vec![limit]),
         leaving_runs: vec![RunKey(4)],
+        evacuations: Some(EvacuationReport {
+            complete_to: Some(9),
+            zones: vec![("zone".to_owned(), 5)],
+        }),
     }
 }
 
--- a/gateway/tests/listing.rs
+++ b/gateway/tests/listing.rs
@@ -29,8 +29,8 @@
     let mut listing = Listing::default();
     assert_eq!(listing.after(), None);
     let records = listing.add(page(&[(7, "a"), (3, "b")], Some("b"), 9));
-    let keys: Vec<_> = records.map(|record| record.key).collect();
-    assert_eq!(keys, ["b", "a"]);
+    let keys: Vec<_> = records.map(|(offset, r)| (offset, r.key)).collect();
+    assert_eq!(keys, [(3, "b".to_owned()), (7, "a".to_owned())]);
     assert_eq!(listing.after(), Some("b"));
     let records = listing.add(page(&[(11, "c")], None, 12));
     assert_eq!(records.count(), 1);
--- a/gateway/tests/online.rs
+++ b/gateway/tests/online.rs
@@ -16,6 +16,7 @@
     BatchRun,
     Configuration,
     ConfigurationParts,
+    EvacuationReport,
     Instance,
     InstanceRecord,
     ItemKey,
@@ -347,6 +348,10 @@
             sent: 3,
         }]),
         leaving_runs: vec![RunKey(12)],
+        evacuations: Some(EvacuationReport {
+            complete_to: Some(9),
+            zones: vec![("zone-b".to_owned(), 8), ("zone-a".to_owned(), 5)],
+        }),
     }
 }
 
--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -1,6 +1,9 @@
 //! Test data shared by several tests.
 
-use limpetweir_gateway::Report;
+use limpetweir_gateway::{
+    EvacuationReport,
+    Report, //
+};
 
 /// Returns the report of a ready instance without requests, items and read positions.
 pub(crate) fn idle_report(name: &str) -> Report {
@@ -27,5 +30,6 @@
         positions: Vec::new(),
         limits: Some(Vec::new()),
         leaving_runs: Vec::new(),
+        evacuations: Some(EvacuationReport::default()),
     }
 }
