gateway: relay store calls about jobs through a peer

While the store turned away all replicas of a partition, submissions got 503 after up to 2 s each and went round the same replicas, because no other instance may write and calls are forwarded only to replicas. An instance whose append, read to the end or listing of the jobs fails or takes 200 ms now has a peer make the same call, on the same condition, and goes through peers first after two failed calls in a row.

--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -51,6 +51,7 @@
 mod skipped_records;
 mod speed;
 mod sse;
+mod store_relay;
 mod supervision;
 
 pub use backend::{Backend, BackendEntry, BackendKey, Backends, LeavingSource, RunKey};
@@ -108,4 +109,8 @@
 pub use skipped_records::SkippedRecords;
 pub use speed::{PaceMeter, SLOW_FACTOR, Slowness, Speeds};
 pub use sse::{BlockKind, Event, InvalidEventStream, MAX_EVENT_BYTES, MAX_EVENT_NUMBER, Splitter};
+pub use store_relay::{
+    Admission, Attempts, JobsAnswer, JobsCall, RelayError, RelayGate, RelayPeer, StoreAccess, Way,
+    ways,
+};
 pub use supervision::{Pulse, RestartBackoff, StallTimer, steps_back};
--- a/gateway/src/report.rs
+++ b/gateway/src/report.rs
@@ -92,6 +92,8 @@
     pub limits: Option<Vec<LimitReport>>,
     /// Runs of backend servers whose responses said that they leave.
     pub leaving_runs: Vec<RunKey>,
+    /// Whether the store answers the instance, so that it can make calls for peers.
+    pub store_answers: bool,
 }
 
 /// Encoded form of a report; fields are identified by position to keep it small.
@@ -148,12 +150,15 @@
 const LEAVING: u8 = 2;
 /// Flag of an instance whose reader of the store has stopped; older builds ignore it.
 const STALLED: u8 = 4;
+/// Flag of an instance that the store answers; older builds do not set it and make no calls for peers.
+const STORE_ANSWERS: u8 = 8;
 
 impl From<&Report> for Wire {
     fn from(r: &Report) -> Self {
         let flags = u8::from(r.ready) * READY
             + u8::from(r.leaving) * LEAVING
-            + u8::from(r.stalled) * STALLED;
+            + u8::from(r.stalled) * STALLED
+            + u8::from(r.store_answers) * STORE_ANSWERS;
         let batch = r.batch.iter();
         Self(
             WIRE_VERSION,
@@ -200,6 +205,7 @@
             ready: w.4 & READY != 0,
             leaving: w.4 & LEAVING != 0,
             stalled: w.4 & STALLED != 0,
+            store_answers: w.4 & STORE_ANSWERS != 0,
             zone: w.5,
             public: w.6,
             capacity: w.15,
--- a/gateway/src/serve/catch_up.rs
+++ b/gateway/src/serve/catch_up.rs
@@ -5,14 +5,11 @@
 //! share the bandwidth of the store.
 
 use std::sync::Arc;
-use std::time::{
-    Duration,
-    Instant, //
-};
+use std::time::Instant;
 
 use super::apply;
 use super::node::Node;
-use super::store_call::StoreCall;
+use super::store_relay;
 use super::task_kinds::OneShot;
 use crate::platform::{
     Dialect,
@@ -86,9 +83,7 @@
     partition: u32,
 ) -> Result<RecordRange, StoreError> {
     let next = next_offset(node, partition)?;
-    let wait = Duration::ZERO;
-    let read = node.read_records(StoreCall::CatchUp, Topic::Jobs, partition, next, wait);
-    let result = read.await;
+    let result = store_relay::read(node, partition, next).await;
     if matches!(result, Err(StoreError::Trimmed { .. })) {
         node.lock().partitions[partition as usize].set_missed();
     }
--- a/gateway/src/serve/follow.rs
+++ b/gateway/src/serve/follow.rs
@@ -13,6 +13,7 @@
     confirm_config,
     mark_read, //
 };
+use super::catch_up;
 use super::items;
 use super::lines::{
     RECORD_SKIPPED,
@@ -24,6 +25,7 @@
 use super::node::Node;
 use super::state::ReplicaStatus;
 use super::store_call::StoreCall;
+use super::store_relay;
 use super::supervisor::Steps;
 use crate::listing::Listing;
 use crate::platform::{
@@ -193,6 +195,11 @@
                     let now = node.now();
                     node.lock().backends.record_outage(now);
                 }
+                if topic == Topic::Jobs && cursor.loaded && store_relay::is_needed(&node) {
+                    // A failure is repeated after the pause.
+                    let _ = catch_up::catch_up(&node, partition).await;
+                    steps.step();
+                }
                 sleep(RETRY_PAUSE).await;
             }
         }
@@ -260,7 +267,10 @@
     cursor.sent = node.now();
     loop {
         let after = cursor.listing.after();
-        let page = node.list_records(topic, partition, after).await;
+        let page = match topic {
+            Topic::Jobs => store_relay::list(node, partition, after).await,
+            _ => node.list_records(topic, partition, after).await,
+        };
         steps.step();
         let page = page?;
         let last = page.next.is_none();
--- a/gateway/src/serve/forwarding.rs
+++ b/gateway/src/serve/forwarding.rs
@@ -38,6 +38,7 @@
     retry_later, //
 };
 use super::state::ReplicaStatus;
+use super::store_relay;
 use crate::platform::{
     Dialect,
     Store, //
@@ -84,6 +85,9 @@
 ) -> Option<Response<Body>> {
     let mut peers = target_addrs(node, partition, call.kind)?;
     let forwarded = call.head.headers.contains_key(FORWARDED);
+    if forwarded && call.kind != CallKind::Read && writes_through_peer(node, partition) {
+        return None;
+    }
     if forwarded {
         peers.clear();
     }
@@ -116,6 +120,11 @@
     Some(retry_later(StatusCode::SERVICE_UNAVAILABLE, text, RETRY))
 }
 
+/// Returns whether this instance is a replica whose appends a peer makes.
+fn writes_through_peer<P>(node: &Node<P>, partition: usize) -> bool {
+    node.lock().partitions[partition].is_loaded() && store_relay::is_needed(node)
+}
+
 /// Outcome of a call that was forwarded to a peer.
 enum ForwardOutcome {
     /// The response is final and goes to the caller.
--- a/gateway/src/serve/lines.rs
+++ b/gateway/src/serve/lines.rs
@@ -182,6 +182,11 @@
 /// The output of an item is larger than what can be listed or kept.
 pub(crate) const OUTPUT_TOO_LARGE: Event = Event::new(2608, Level::Warn);
 
+/// The store has begun or ceased to turn this instance away; its calls about jobs go through peers.
+pub(crate) const STORE_ACCESS: Event = Event::new(2609, Level::Warn);
+/// An append went through a peer.
+pub(crate) const STORE_CALL_RELAYED: Event = Event::new(2610, Level::Info);
+
 /// Logger that sends lines to the writer thread.
 struct LineLogger {
     tx: Sender<String>,
--- a/gateway/src/serve/metrics.rs
+++ b/gateway/src/serve/metrics.rs
@@ -46,6 +46,7 @@
     store_calls: Counter<u64>,
     store_call_time: Histogram<f64>,
     store_bytes: Counter<u64>,
+    relayed_calls: Counter<u64>,
     runs_lost: Counter<u64>,
     suspected_runs: Counter<u64>,
     requests_released: Counter<u64>,
@@ -105,6 +106,10 @@
                 "limpetweir_store_read_bytes",
                 "Bytes of the records read from the store",
             ),
+            relayed_calls: counter(
+                "limpetweir_relayed_store_calls",
+                "Store calls that a peer was asked to make, or that were made for a peer, by outcome",
+            ),
             runs_lost: counter(
                 "limpetweir_runs_lost",
                 "Runs whose connection ended before the answer, with or without output",
@@ -191,6 +196,21 @@
         self.store_call_time.record(seconds, &labels[..2]);
     }
 
+    /// Counts a store call between instances; `side` is `asked` or `made`.
+    pub(crate) fn relayed_call(
+        &self,
+        side: &'static str,
+        call: &'static str,
+        outcome: &'static str,
+    ) {
+        let labels = [
+            KeyValue::new("side", side),
+            KeyValue::new("call", call),
+            KeyValue::new("outcome", outcome),
+        ];
+        self.relayed_calls.add(1, &labels);
+    }
+
     /// Counts a run whose connection ended before its response did.
     pub(crate) fn run_lost(&self, any_output: bool) {
         let output = if any_output { "some" } else { "none" };
--- a/gateway/src/serve/mod.rs
+++ b/gateway/src/serve/mod.rs
@@ -46,6 +46,7 @@
 mod stop_window;
 mod store_call;
 mod store_calls;
+mod store_relay;
 mod stream;
 mod supervisor;
 mod suspected_items;
--- a/gateway/src/serve/node.rs
+++ b/gateway/src/serve/node.rs
@@ -40,6 +40,7 @@
 use crate::platform::StoreError;
 use crate::settings::Settings;
 use crate::speed::PaceMeter;
+use crate::store_relay::RelayGate;
 use crate::supervision;
 
 /// Shared context of the tasks of an instance.
@@ -58,6 +59,8 @@
     pub(crate) ends: Arc<Ends>,
     /// Memory for what backend servers send.
     pub(crate) output_budget: Arc<ByteBudget>,
+    /// Store calls that are made for peers.
+    pub(crate) relay_gate: RelayGate,
     state: Mutex<State>,
     pub(crate) leaving: AtomicBool,
     /// The time in which this instance can still answer requests.
@@ -99,6 +102,7 @@
         let metrics = Arc::new(metrics);
         state.update_reserved(&settings);
         let output_budget = ByteBudget::new(settings.memory / OUTPUT_MEMORY_DIVISOR);
+        let relay_gate = RelayGate::new(settings.memory);
         Self {
             platform,
             settings,
@@ -110,6 +114,7 @@
             ends: Arc::new(Ends::new(metrics.clone())),
             metrics,
             output_budget,
+            relay_gate,
             state: Mutex::new(state),
             leaving: AtomicBool::new(false),
             stop: StopWindow::default(),
--- a/gateway/src/serve/pages.rs
+++ b/gateway/src/serve/pages.rs
@@ -20,7 +20,8 @@
     peers,
     quota_levels,
     replies,
-    results, //
+    results,
+    store_relay, //
 };
 use crate::members::{
     AddressEntry,
@@ -40,7 +41,7 @@
     req: Request<RequestBody>,
 ) -> Response<Body> {
     let (head, body) = req.into_parts();
-    match (head.method, head.uri.path()) {
+    match (head.method.clone(), head.uri.path()) {
         (Method::GET, peers::CONFIG_PATH) => {
             let record = node.lock().config_record.clone();
             let body = record.map_or_else(Body::empty, |record| {
@@ -50,6 +51,9 @@
         }
         (Method::GET, quota_levels::LEVELS_PATH) => Response::new(quota_levels::encode(&node)),
         (Method::POST, results::RESULTS_PATH) => results::receive(&node, body).await,
+        (Method::POST, store_relay::STORE_CALLS_PATH) => {
+            store_relay::receive(&node, &head, body).await
+        }
         (Method::GET, crashes::CASES_PATH) => crashes::list_cases(&node),
         (Method::DELETE, path) => match held_part(path) {
             Some(part) => crashes::close_cases(&node, part),
--- a/gateway/src/serve/state.rs
+++ b/gateway/src/serve/state.rs
@@ -63,6 +63,7 @@
 use crate::silence::Outputs;
 use crate::skipped_records::SkippedRecords;
 use crate::speed::Speeds;
+use crate::store_relay::StoreAccess;
 
 /// Mutable state of an instance, on which routing, placement and scheduling are based.
 #[derive(Debug)]
@@ -120,6 +121,8 @@
     pub(crate) runs: RunHandles,
     /// Random number generator for routing and placement.
     pub(crate) rng: SmallRng,
+    /// Whether the store answers this instance.
+    pub(crate) access: StoreAccess,
     /// Seed of the random choices for the current request.
     pub(crate) draw_seed: u64,
     /// Moving average of the time that an online request occupies a slot, in seconds.
@@ -185,6 +188,7 @@
             items_waiting: false,
             runs: RunHandles::default(),
             rng: SmallRng::from_os_rng(),
+            access: StoreAccess::default(),
             draw_seed: 0,
             // A typical response takes a little less than a second.
             mean_holding_s: 0.75,
--- a/gateway/src/serve/store_calls.rs
+++ b/gateway/src/serve/store_calls.rs
@@ -5,6 +5,10 @@
     Instant, //
 };
 
+use super::lines::{
+    STORE_ACCESS,
+    log_event, //
+};
 use super::node::Node;
 use super::store_call::{
     CallOutcome,
@@ -31,6 +35,7 @@
     ) -> Result<RecordRange, StoreError> {
         let started = Instant::now();
         let result = self.platform.read(topic, partition, from, wait).await;
+        self.store_call_ended(is_answer(&result));
         self.metrics.store_call(&CallOutcome {
             call,
             topic,
@@ -50,6 +55,7 @@
     ) -> Result<Page, StoreError> {
         let started = Instant::now();
         let result = self.platform.newest(topic, partition, after).await;
+        self.store_call_ended(is_answer(&result));
         self.metrics.store_call(&CallOutcome {
             call: StoreCall::List,
             topic,
@@ -70,6 +76,7 @@
     ) -> Result<u64, StoreError> {
         let started = Instant::now();
         let result = self.platform.append(topic, partition, at, records).await;
+        self.store_call_ended(is_answer(&result));
         self.metrics.store_call(&CallOutcome {
             call: StoreCall::Append,
             topic,
@@ -79,4 +86,27 @@
         });
         result
     }
+    /// Records whether the store has answered a call of this instance.
+    pub(crate) fn store_call_ended(&self, is_answered: bool) {
+        let now = self.now();
+        if !self.lock().access.call_ended(is_answered, now) {
+            return;
+        }
+        log_event!(STORE_ACCESS, "answers={is_answered}");
+        // Peers that this instance makes calls for need another one, or may come back.
+        self.report_due.notify(usize::MAX);
+    }
+}
+
+/// Returns whether the result shows that the store serves this instance.
+fn is_answer<T>(result: &Result<T, StoreError>) -> bool {
+    match result {
+        Ok(_)
+        | Err(
+            StoreError::OffsetMismatch | StoreError::Refused { .. } | StoreError::Trimmed { .. },
+        ) => true,
+        Err(
+            StoreError::NotDone { .. } | StoreError::Unknown { .. } | StoreError::Failed { .. },
+        ) => false,
+    }
 }
--- a/gateway/src/serve/writer.rs
+++ b/gateway/src/serve/writer.rs
@@ -32,7 +32,8 @@
 use super::{
     apply,
     catch_up,
-    results, //
+    results,
+    store_relay, //
 };
 use crate::jobs::{
     CallEnd,
@@ -168,8 +169,7 @@
     if records.is_empty() {
         return;
     }
-    let result = node.append_records(Topic::Jobs, partition, Some(at), &records);
-    let result = result.await;
+    let result = store_relay::append(node, partition, at, &records).await;
     if result.is_ok() {
         apply_appended(node, partition, at, &records);
     }
--- /dev/null
+++ b/gateway/src/store_relay/gate.rs
@@ -0,0 +1,68 @@
+//! Bound of the calls that this instance makes for peers at the same time.
+
+use std::sync::Arc;
+use std::sync::atomic::{
+    AtomicUsize,
+    Ordering, //
+};
+
+use crate::byte_budget::{
+    ByteBudget,
+    Share, //
+};
+
+/// Largest number of calls that are made for peers at the same time. The store answers within some
+/// milliseconds, so this is more than it takes from one instance.
+const MAX_CALLS: usize = 16;
+
+/// Bytes that a call takes at least, for its answer: a page or a range of records has about 0.3 to 1 MB.
+const MIN_CALL_BYTES: usize = 512 << 10;
+
+/// Part of the memory of the process that these calls may take up; twice as much in the worst case.
+const MEMORY_DIVISOR: usize = 16;
+
+/// The calls that are made for peers.
+#[derive(Debug)]
+pub struct RelayGate {
+    calls: Arc<AtomicUsize>,
+    budget: Arc<ByteBudget>,
+}
+
+/// A call that is being made for a peer; dropping it makes room for another one.
+#[derive(Debug)]
+pub struct Admission {
+    calls: Arc<AtomicUsize>,
+    share: Share,
+}
+
+impl Drop for Admission {
+    fn drop(&mut self) {
+        self.calls.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl RelayGate {
+    /// Returns the gate of a process that has `memory` bytes.
+    pub fn new(memory: usize) -> Self {
+        Self {
+            calls: Arc::default(),
+            budget: ByteBudget::new(memory / MEMORY_DIVISOR),
+        }
+    }
+
+    /// Admits a call whose request has `bytes`; `None` if there is no room for it.
+    pub fn admit(&self, bytes: usize) -> Option<Admission> {
+        let calls = self.calls.clone();
+        let before = calls.fetch_add(1, Ordering::Relaxed);
+        let mut admission = Admission {
+            calls,
+            share: self.budget.share(),
+        };
+        if before >= MAX_CALLS {
+            return None;
+        }
+        let bytes = bytes.max(MIN_CALL_BYTES);
+        admission.share.resize(bytes).ok()?;
+        Some(admission)
+    }
+}
--- a/gateway/tests/online.rs
+++ b/gateway/tests/online.rs
@@ -347,6 +347,7 @@
             sent: 3,
         }]),
         leaving_runs: vec![RunKey(12)],
+        store_answers: true,
     }
 }
 
