gateway: answers to earlier calls do not end the relay of store calls

A read that waits at the store is answered seconds after the store has begun to be silent to an instance, and made the direct way the first one again: submissions took up to 0.8 s. Only the answer to a call that was sent after the last failed one counts now, and a call that a peer has made before the own one was answered makes the peers the first way at once. A call that another instance has forwarded is handled by a replica that can write through a peer, although other replicas still report access.

--- a/gateway/src/serve/forwarding.rs
+++ b/gateway/src/serve/forwarding.rs
@@ -120,9 +120,9 @@
     Some(retry_later(StatusCode::SERVICE_UNAVAILABLE, text, RETRY))
 }
 
-/// Returns whether this instance is a replica whose appends a peer makes.
+/// Returns whether this instance is a replica whose appends a peer can make.
 fn writes_through_peer<P>(node: &Node<P>, partition: usize) -> bool {
-    node.lock().partitions[partition].is_loaded() && store_relay::is_needed(node)
+    node.lock().partitions[partition].is_loaded() && store_relay::is_possible(node)
 }
 
 /// Outcome of a call that was forwarded to a peer.
--- a/gateway/src/serve/store_calls.rs
+++ b/gateway/src/serve/store_calls.rs
@@ -5,6 +5,8 @@
     Instant, //
 };
 
+use limpetweir_state::Timestamp;
+
 use super::lines::{
     STORE_ACCESS,
     log_event, //
@@ -34,8 +36,9 @@
         wait: Duration,
     ) -> Result<RecordRange, StoreError> {
         let started = Instant::now();
+        let sent = self.now();
         let result = self.platform.read(topic, partition, from, wait).await;
-        self.store_call_ended(is_answer(&result));
+        self.store_call_ended(is_answer(&result), sent);
         self.metrics.store_call(&CallOutcome {
             call,
             topic,
@@ -54,8 +57,9 @@
         after: Option<&str>,
     ) -> Result<Page, StoreError> {
         let started = Instant::now();
+        let sent = self.now();
         let result = self.platform.newest(topic, partition, after).await;
-        self.store_call_ended(is_answer(&result));
+        self.store_call_ended(is_answer(&result), sent);
         self.metrics.store_call(&CallOutcome {
             call: StoreCall::List,
             topic,
@@ -75,8 +79,9 @@
         records: &[Record],
     ) -> Result<u64, StoreError> {
         let started = Instant::now();
+        let sent = self.now();
         let result = self.platform.append(topic, partition, at, records).await;
-        self.store_call_ended(is_answer(&result));
+        self.store_call_ended(is_answer(&result), sent);
         self.metrics.store_call(&CallOutcome {
             call: StoreCall::Append,
             topic,
@@ -87,12 +92,24 @@
         result
     }
     /// Records whether the store has answered a call of this instance.
-    pub(crate) fn store_call_ended(&self, is_answered: bool) {
+    fn store_call_ended(&self, is_answered: bool, sent: Timestamp) {
         let now = self.now();
-        if !self.lock().access.call_ended(is_answered, now) {
-            return;
+        let has_changed = self.lock().access.call_ended(is_answered, sent, now);
+        if has_changed {
+            self.access_changed(is_answered);
+        }
+    }
+
+    /// Records that a call of this instance had no answer yet when a peer had made it.
+    pub(crate) fn store_call_overtaken(&self, sent: Timestamp) {
+        let has_changed = self.lock().access.call_overtaken(sent);
+        if has_changed {
+            self.access_changed(false);
         }
-        log_event!(STORE_ACCESS, "answers={is_answered}");
+    }
+
+    fn access_changed(&self, answers: bool) {
+        log_event!(STORE_ACCESS, "answers={answers}");
         // Peers that this instance makes calls for need another one, or may come back.
         self.report_due.notify(usize::MAX);
     }
--- a/gateway/src/serve/store_relay.rs
+++ b/gateway/src/serve/store_relay.rs
@@ -16,6 +16,7 @@
     Response,
     StatusCode, //
 };
+use limpetweir_state::Timestamp;
 use limpetweir_transport::http::{
     Body,
     RequestBody,
@@ -116,6 +117,12 @@
     }
 }
 
+/// Returns whether a peer can make the calls of this instance.
+pub(crate) fn is_possible<P>(node: &Node<P>) -> bool {
+    let ways = chosen_ways(node);
+    ways.iter().any(|way| matches!(way, Way::Peer(_)))
+}
+
 /// Returns whether the store turns this instance away while a peer can make its calls.
 pub(crate) fn is_needed<P>(node: &Node<P>) -> bool {
     let ways = chosen_ways(node);
@@ -155,6 +162,7 @@
 /// all before have failed, or when they take long; then they go on.
 async fn attempt<P: Store>(node: &Node<P>, call: &JobsCall) -> Result<JobsAnswer, StoreError> {
     let ways = chosen_ways(node);
+    let started = node.now();
     let mut next = 0;
     let mut overlaps = 0;
     let mut starts = true;
@@ -180,7 +188,10 @@
                 if let Some(outcome) = attempts.ended(result) {
                     let late = unanswered.into_iter().filter(|other| *other < number);
                     let late: Vec<&Way<Relay>> = late.map(|n| &ways[n]).collect();
-                    record_end(node, outcome.is_ok(), overlaps, number, &late);
+                    record_late(node, &late, started);
+                    if outcome.is_ok() {
+                        node.lock().access.succeeded(overlaps, number > 0);
+                    }
                     return outcome;
                 }
                 starts = true;
@@ -194,21 +205,15 @@
     }
 }
 
-/// Records how a call has ended, and that the ways in `late` have not answered before a later one.
-fn record_end<P: Store>(node: &Node<P>, ok: bool, overlaps: u32, by: usize, late: &[&Way<Relay>]) {
+/// Records that the ways in `late` had not answered a call that began at `started` when a later one had.
+fn record_late<P: Store>(node: &Node<P>, late: &[&Way<Relay>], started: Timestamp) {
     let now = node.now();
-    if late.iter().any(|way| matches!(way, Way::Direct)) {
-        node.store_call_ended(false);
-    }
-    let mut state = node.lock();
     for way in late {
-        if let Way::Peer(peer) = way {
-            state.access.peer_failed(&peer.name, now);
+        match way {
+            Way::Direct => node.store_call_overtaken(started),
+            Way::Peer(peer) => node.lock().access.peer_failed(&peer.name, now),
         }
     }
-    if ok {
-        state.access.succeeded(overlaps, by > 0);
-    }
 }
 
 /// Counts a call that was sent to a peer, and logs appends.
--- a/gateway/src/store_relay/access.rs
+++ b/gateway/src/store_relay/access.rs
@@ -32,6 +32,9 @@
 pub struct StoreAccess {
     /// Calls that failed since the last answer.
     failures: u32,
+    /// When the last of the calls that failed was sent. The answer to an earlier one does not show that the
+    /// store serves this instance again: a read that waits at the store is answered seconds later.
+    failed_sent: Timestamp,
     /// Time of the last answer.
     answered: Option<Timestamp>,
     /// At most [`MAX_CREDITS`].
@@ -44,6 +47,7 @@
     fn default() -> Self {
         Self {
             failures: 0,
+            failed_sent: Timestamp::default(),
             answered: None,
             credits: MAX_CREDITS,
             failed_peers: BTreeMap::new(),
@@ -52,19 +56,29 @@
 }
 
 impl StoreAccess {
-    /// Records the end of an own call; returns whether the store has begun or ceased to turn this
-    /// instance away.
-    pub fn call_ended(&mut self, is_answered: bool, now: Timestamp) -> bool {
+    /// Records the end of an own call that was sent at `sent`; returns whether the store has begun or
+    /// ceased to turn this instance away.
+    pub fn call_ended(&mut self, is_answered: bool, sent: Timestamp, now: Timestamp) -> bool {
         let before = self.is_turned_away();
-        if is_answered {
+        if !is_answered {
+            self.failures = self.failures.saturating_add(1);
+            self.failed_sent = self.failed_sent.max(sent);
+        } else if self.failures == 0 || sent >= self.failed_sent {
             self.failures = 0;
             self.answered = Some(now);
-        } else {
-            self.failures = self.failures.saturating_add(1);
         }
         before != self.is_turned_away()
     }
 
+    /// Records that a call sent at `sent` was still without an answer when a peer had made it. The next
+    /// calls would take as long. Returns whether the store has begun to turn this instance away.
+    pub fn call_overtaken(&mut self, sent: Timestamp) -> bool {
+        let before = self.is_turned_away();
+        self.failures = self.failures.max(PEERS_FIRST_AFTER);
+        self.failed_sent = self.failed_sent.max(sent);
+        before != self.is_turned_away()
+    }
+
     /// Returns whether calls go through a peer first. The own reads that follow the topics go on, and an
     /// answer to one of them makes the direct way the first one again.
     pub fn is_turned_away(&self) -> bool {
--- a/gateway/tests/store_relay.rs
+++ b/gateway/tests/store_relay.rs
@@ -161,16 +161,20 @@
 fn access_follows_the_own_calls() {
     let mut access = StoreAccess::default();
     assert!(!access.answers(at(0)));
-    assert!(!access.call_ended(true, at(0)));
+    assert!(!access.call_ended(true, at(0), at(0)));
     assert!(access.answers(at(1_000)));
     assert!(!access.answers(at(2_000)), "no answer for two seconds");
-    assert!(!access.call_ended(false, at(2_000)));
+    assert!(!access.call_ended(false, at(2_000), at(2_000)));
     assert!(!access.is_turned_away(), "one failed call");
-    assert!(access.call_ended(false, at(2_100)));
+    assert!(access.call_ended(false, at(2_100), at(2_100)));
     assert!(access.is_turned_away());
     assert!(!access.answers(at(2_100)));
-    assert!(access.call_ended(true, at(2_400)));
+    // A read that waited at the store since before the first failure.
+    assert!(!access.call_ended(true, at(1_500), at(2_200)));
+    assert!(access.is_turned_away());
+    assert!(access.call_ended(true, at(2_400), at(2_400)));
     assert!(access.answers(at(2_400)) && !access.is_turned_away());
+    assert!(access.call_overtaken(at(2_500)), "silence to one call");
     access.peer_failed("a", at(2_400));
     assert!(access.has_failed("a", at(3_000)) && !access.has_failed("a", at(3_500)));
 }
