--- a/gateway/tests/fuzz/messages.rs
+++ b/gateway/tests/fuzz/messages.rs
@@ -84,6 +84,7 @@
             complete_to: Some(9),
             zones: vec![("zone".to_owned(), 5)],
         }),
+        store_answers: true,
     }
 }
 
--- a/gateway/tests/online.rs
+++ b/gateway/tests/online.rs
@@ -352,6 +352,7 @@
             complete_to: Some(9),
             zones: vec![("zone-b".to_owned(), 8), ("zone-a".to_owned(), 5)],
         }),
+        store_answers: true,
     }
 }
 
--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -31,5 +31,6 @@
         limits: Some(Vec::new()),
         leaving_runs: Vec::new(),
         evacuations: Some(EvacuationReport::default()),
+        store_answers: false,
     }
 }
