gateway: admission by priority and fair share

Cause: while a service has no room, a request is placed or refused by the moment at which it asks; the priority of the configuration is not read, and an organisation in a burst has the slots of the others. Refused callers get spread times to return. On with [admission] by_priority.

--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -52,6 +52,8 @@
     pub objective: Duration,
     /// Backend servers that are tried for one attempt of a caller, at least 1.
     pub attempts: u32,
+    /// Rank of its requests; 0 is the most urgent.
+    pub priority: u8,
     /// Whether requests need no key.
     pub public: bool,
     /// Whether an interrupted stream may resume on another backend server.
@@ -105,6 +107,8 @@
     pub rate: Option<f64>,
     /// Capacity of the token bucket in requests.
     pub burst: f64,
+    /// Rank of its requests in place of that of the route; 0 is the most urgent.
+    pub priority: Option<u8>,
 }
 
 /// Limits of callers' connections and requests.
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -3,6 +3,7 @@
 //! The modules at the root make decisions with plain values and functions; `serve` does the I/O.
 //! The traits of `platform` hide the platform's names and formats.
 
+mod admission;
 mod backend;
 mod batch;
 mod byte_budget;
@@ -53,6 +54,7 @@
 mod sse;
 mod supervision;
 
+pub use admission::{HOLD, Level, MIN_USAGE, ServiceKey, Shares, ShortageReport, Shortages, Turn};
 pub use backend::{Backend, BackendEntry, BackendKey, Backends, LeavingSource, RunKey};
 pub use batch::{
     BatchCandidate, Contenders, WaitingItem, choose_preemptions, choose_starts, reserve,
--- a/gateway/src/quota.rs
+++ b/gateway/src/quota.rs
@@ -145,16 +145,17 @@
         self.rates.counts()
     }
 
-    /// Applies the admissions that the instance `peer`, started at `boot`, reports.
+    /// Applies the admissions that the instance `peer`, started at `boot`, reports; returns those since
+    /// its last report.
     pub fn apply_report(
         &mut self,
         peer: &str,
         boot: u64,
         admitted: &[(OrganisationKey, u64)],
         now: Timestamp,
-    ) {
+    ) -> Vec<(OrganisationKey, u64)> {
         self.rates
-            .apply_counts(peer, boot, admitted.iter().copied(), now);
+            .apply_counts(peer, boot, admitted.iter().copied(), now)
     }
 
     /// Returns this instance's levels of all buckets, for an instance that has just started.
--- a/gateway/src/report.rs
+++ b/gateway/src/report.rs
@@ -9,6 +9,10 @@
 };
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::admission::{
+    ShortageReport,
+    WireShortage, //
+};
 use crate::backend::{
     BackendKey,
     RunKey, //
@@ -92,6 +96,8 @@
     pub limits: Option<Vec<LimitReport>>,
     /// Runs of backend servers whose responses said that they leave.
     pub leaving_runs: Vec<RunKey>,
+    /// Services at which the instance has just refused requests for want of room.
+    pub shortages: Vec<ShortageReport>,
 }
 
 /// Encoded form of a report; fields are identified by position to keep it small.
@@ -118,6 +124,7 @@
     u32,
     #[serde(default)] Option<Vec<WireLimit>>,
     #[serde(default)] Vec<u32>,
+    #[serde(default)] Vec<WireShortage>,
 );
 
 /// Run, requests per second, age in milliseconds, and requests sent.
@@ -182,6 +189,7 @@
                 .as_ref()
                 .map(|limits| limits.iter().map(WireLimit::from).collect()),
             r.leaving_runs.iter().map(|run| run.0).collect(),
+            r.shortages.iter().map(WireShortage::from).collect(),
         )
     }
 }
@@ -225,6 +233,7 @@
                 .19
                 .map(|limits| limits.into_iter().map(LimitReport::from).collect()),
             leaving_runs: w.20.into_iter().map(RunKey).collect(),
+            shortages: w.21.into_iter().map(ShortageReport::from).collect(),
             positions: w
                 .14
                 .into_iter()
--- a/gateway/src/serve/apply.rs
+++ b/gateway/src/serve/apply.rs
@@ -196,6 +196,7 @@
         None => config.begins(now),
     }
     state.quotas.configure(&config, now);
+    state.shares.configure(&config);
     caller_limits::apply(node, config.limits());
     let version = config.version();
     state.config = Some(Arc::new(config));
--- a/gateway/src/serve/choose.rs
+++ b/gateway/src/serve/choose.rs
@@ -14,6 +14,7 @@
     SeedableRng, //
 };
 
+use super::admission;
 use super::admitted::Admitted;
 use super::attempt_history::AttemptHistory;
 use super::heads;
@@ -190,10 +191,19 @@
     state.draw_seed = state.rng.random();
     state.update_cells(&node.settings);
     let (candidates, placement) = find_placement(&state, node, admitted, history, eligible, now);
+    let held_back = (eligible == Eligible::All)
+        .then(|| admission::held_back(node, &state, admitted, history, &candidates, now));
+    if let Some(turn) = held_back.flatten() {
+        node.metrics.request_yielded(turn);
+        return Err(Rejection {
+            cause: turn.into(),
+            ..rejection_when_full(node, &mut state, &candidates, admitted, "full", now)
+        });
+    }
     let key = match placement {
         _ if history.rejections >= MAX_REJECTIONS || history.tried.len() >= MAX_TRIED => {
             let rejection =
-                rejection_when_full(&mut state, &candidates, admitted, "turned-away", now);
+                rejection_when_full(node, &mut state, &candidates, admitted, "turned-away", now);
             return Err(Rejection {
                 is_final: true,
                 ..rejection
@@ -207,7 +217,9 @@
             });
         }
         Placement::Full => {
+            admission::refused(node, &mut state, admitted, now);
             return Err(rejection_when_full(
+                node,
                 &mut state,
                 &candidates,
                 admitted,
@@ -225,6 +237,7 @@
     let limit = state.limits.limit(entry.run());
     let known = state.knowledge(&admitted.parts);
     state.load.online_started(key, now);
+    admission::placed(&mut state, admitted, now);
     state.limits.sent(entry.run(), now);
     drop(state);
     // Logged before the request is sent, as an instance that is killed logs nothing later about it.
@@ -278,7 +291,8 @@
 };
 
 /// Returns the rejection of a request for which no candidate has free capacity.
-fn rejection_when_full(
+fn rejection_when_full<P>(
+    node: &Node<P>,
     state: &mut State,
     candidates: &[Candidate],
     admitted: &Admitted,
@@ -294,9 +308,16 @@
     let queued = online.map(|(n, slots)| n.saturating_sub(slots));
     let queued = queued.fold(0, u32::saturating_add);
     let holding = Duration::from_secs_f64(state.mean_holding_s.clamp(0.05, 10.0));
+    let retry_after = match node.settings.admission_by_priority {
+        true => {
+            let rate = f64::from(running) / holding.as_secs_f64();
+            admission::return_time(state, admitted, rate, now)
+        }
+        false => retry_after(running, queued, holding),
+    };
     Rejection {
         cause,
-        retry_after: retry_after(running, queued, holding),
+        retry_after,
         case: None,
         limits: None,
         room: Some(Room::of(candidates)),
--- a/gateway/src/serve/items.rs
+++ b/gateway/src/serve/items.rs
@@ -16,6 +16,7 @@
     timeout_at, //
 };
 
+use super::admission;
 use super::lines::{
     ITEM_LISTED,
     log_event, //
@@ -216,6 +217,7 @@
         any_late: peers.iter().any(|peer| peer.any_late),
     };
     for (service, mut waiting) in by_service(state, waiting) {
+        admission::hold_items(node, state, &service, &mut waiting, now);
         let candidates = candidates(state, &service, now);
         let alone = choose_alone(&state.item_leases, &mut waiting, &candidates);
         for (key, backend) in alone {
--- a/gateway/src/serve/metrics.rs
+++ b/gateway/src/serve/metrics.rs
@@ -25,6 +25,7 @@
     Background,
     OneShot, //
 };
+use crate::admission::Turn;
 
 /// Upper bounds of the duration buckets in seconds; the latency objectives are between 0.3 and 0.5.
 const BUCKETS: [f64; 12] = [
@@ -50,6 +51,7 @@
     suspected_runs: Counter<u64>,
     requests_released: Counter<u64>,
     runs_withdrawn: Counter<u64>,
+    requests_yielded: Counter<u64>,
     cases_opened: Counter<u64>,
     limited_requests: Counter<u64>,
     lines_dropped: Counter<u64>,
@@ -113,6 +115,10 @@
                 "limpetweir_crash_suspects",
                 "Runs without output on backend servers that crashed, by what was known when they were placed",
             ),
+            requests_yielded: counter(
+                "limpetweir_requests_yielded",
+                "Requests refused because others come first while a service has no room",
+            ),
             runs_withdrawn: counter(
                 "limpetweir_runs_withdrawn",
                 "Runs without output that were ended because their request is blamed for crashes",
@@ -212,6 +218,12 @@
         self.runs_withdrawn.add(1, &[]);
     }
 
+    /// Counts a request that is refused because others come first.
+    pub(crate) fn request_yielded(&self, turn: Turn) {
+        let cause = KeyValue::new("cause", <&str>::from(turn));
+        self.requests_yielded.add(1, &[cause]);
+    }
+
     /// Counts a set of prompt parts that is held back.
     pub(crate) fn case_opened(&self) {
         self.cases_opened.add(1, &[]);
--- a/gateway/src/serve/mod.rs
+++ b/gateway/src/serve/mod.rs
@@ -1,5 +1,6 @@
 //! Listeners, background tasks, settings reload and shutdown of a gateway instance.
 
+mod admission;
 mod admitted;
 mod apply;
 mod attempt;
--- a/gateway/src/serve/peers.rs
+++ b/gateway/src/serve/peers.rs
@@ -213,9 +213,13 @@
         let remaining = Duration::from_millis(u64::from(*remaining));
         state.load.suspect_reported(*backend, now + remaining);
     }
-    state
+    let admitted = state
         .quotas
         .apply_report(&name, report.boot, &report.admitted, now);
+    for (organisation, count) in admitted {
+        state.shares.admitted(organisation, count, now);
+    }
+    state.shortages.apply_report(&report.shortages, now);
     let limits = report.limits.as_deref().unwrap_or_default();
     let limit_changes = state.limits.apply_report(&name, report.boot, limits, now);
     heads::log_changes(&state, &limit_changes, &name);
--- a/gateway/src/serve/state.rs
+++ b/gateway/src/serve/state.rs
@@ -17,6 +17,10 @@
 use super::lost_run::LostRun;
 use super::restarts::Restarts;
 use super::run_handles::RunHandles;
+use crate::admission::{
+    Shares,
+    Shortages, //
+};
 use crate::backend::{
     BackendKey,
     Backends, //
@@ -105,6 +109,9 @@
     /// Instances that are to get all that is known about crashes.
     pub(crate) digest_due: Vec<IpAddr>,
     pub(crate) quotas: Quotas,
+    /// What organisations have recently been given, and services without room.
+    pub(crate) shares: Shares,
+    pub(crate) shortages: Shortages,
     /// Limits that backend servers state.
     pub(crate) limits: ServerLimits,
     /// Times at which callers return that limits keep away.
@@ -176,6 +183,8 @@
             item_leases: HashMap::new(),
             digest_due: Vec::new(),
             quotas: Quotas::new(settings.tolerance),
+            shares: Shares::default(),
+            shortages: Shortages::default(),
             return_times: ReturnTimes::default(),
             limits: ServerLimits::new(&settings.name),
             replica_status: vec![ReplicaStatus::Inactive; partitions.len()],
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -80,6 +80,8 @@
     pub result_retention: Duration,
     /// Tolerance of the organisations' rate limits.
     pub tolerance: Tolerance,
+    /// Whether requests and items are held back while others that come first find no room.
+    pub admission_by_priority: bool,
     /// Lowest level of log lines that are written.
     pub log_level: LevelFilter,
 }
@@ -142,6 +144,8 @@
     #[serde(default)]
     quota: RawQuota,
     #[serde(default)]
+    admission: RawAdmission,
+    #[serde(default)]
     log: RawLog,
 }
 
@@ -220,6 +224,13 @@
     }
 }
 
+#[derive(Default, Deserialize)]
+#[serde(default)]
+struct RawAdmission {
+    /// Whether requests and items are held back while others that come first find no room.
+    by_priority: bool,
+}
+
 #[derive(Deserialize)]
 struct RawLog {
     level: String,
@@ -356,6 +367,7 @@
                 overshoot: raw.quota.overshoot,
                 slack: raw.quota.slack,
             },
+            admission_by_priority: raw.admission.by_priority,
             log_level: level,
         })
     }
--- a/gateway/tests/bounded_work.rs
+++ b/gateway/tests/bounded_work.rs
@@ -171,6 +171,7 @@
         timeout: Duration::from_secs(1),
         objective: Duration::from_secs(1),
         attempts: 1,
+        priority: 0,
         public: false,
         resumable: false,
         services: vec![("one".to_owned(), u32::MAX), ("two".to_owned(), u32::MAX)],
@@ -222,6 +223,7 @@
         keys: Vec::new(),
         rate: Some(10.0),
         burst: 10.0,
+        priority: None,
     };
     let config = Configuration::from(ConfigurationParts {
         organisations: vec![organisation],
--- a/gateway/tests/formats.rs
+++ b/gateway/tests/formats.rs
@@ -191,6 +191,7 @@
         timeout: Duration::from_secs(1),
         objective: Duration::from_millis(100),
         attempts: 2,
+        priority: 0,
         public: false,
         resumable: false,
         services: vec![("one".to_owned(), 9), ("two".to_owned(), 1)],
--- a/gateway/tests/online.rs
+++ b/gateway/tests/online.rs
@@ -48,6 +48,7 @@
         keys: vec!["key".to_owned()],
         rate: Some(rate),
         burst,
+        priority: None,
     };
     Configuration::from(ConfigurationParts {
         version: 1,
@@ -347,6 +348,7 @@
             sent: 3,
         }]),
         leaving_runs: vec![RunKey(12)],
+        shortages: Vec::new(),
     }
 }
 
--- a/gateway/tests/open_items.rs
+++ b/gateway/tests/open_items.rs
@@ -42,6 +42,7 @@
         timeout: Duration::from_secs(15),
         objective: Duration::from_millis(400),
         attempts: 3,
+        priority: 0,
         public: false,
         resumable: true,
         services: vec![("service".to_owned(), 1)],
--- a/gateway/tests/routing.rs
+++ b/gateway/tests/routing.rs
@@ -25,6 +25,7 @@
         timeout: Duration::from_secs(3),
         objective: Duration::from_millis(300),
         attempts: 1,
+        priority: 0,
         public,
         resumable: false,
         services: vec![("s1".to_owned(), 1)],
@@ -38,6 +39,7 @@
         keys: vec!["key-1".to_owned()],
         rate: None,
         burst: 0.0,
+        priority: None,
     };
     Configuration::from(ConfigurationParts {
         version: 1,
