--- a/gateway/src/report.rs
+++ b/gateway/src/report.rs
@@ -9,6 +9,10 @@
 };
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::admission::{
+    ShortageReport,
+    WireShortage, //
+};
 use crate::backend::{
     BackendKey,
     RunKey, //
@@ -100,6 +104,8 @@
     pub evacuations: Option<EvacuationReport>,
     /// Whether the store answers the instance, so that it can make calls for peers.
     pub store_answers: bool,
+    /// Services at which the instance has just refused requests for want of room.
+    pub shortages: Vec<ShortageReport>,
 }
 
 /// Encoded form of a report; fields are identified by position to keep it small.
@@ -127,6 +133,7 @@
     #[serde(default)] Option<Vec<WireLimit>>,
     #[serde(default)] Vec<u32>,
     #[serde(default)] Option<WireEvacuations>,
+    #[serde(default)] Vec<WireShortage>,
 );
 
 /// Run, requests per second, age in milliseconds, and requests sent.
@@ -195,6 +202,7 @@
                 .map(|limits| limits.iter().map(WireLimit::from).collect()),
             r.leaving_runs.iter().map(|run| run.0).collect(),
             r.evacuations.as_ref().map(WireEvacuations::from),
+            r.shortages.iter().map(WireShortage::from).collect(),
         )
     }
 }
@@ -240,6 +248,7 @@
                 .map(|limits| limits.into_iter().map(LimitReport::from).collect()),
             leaving_runs: w.20.into_iter().map(RunKey).collect(),
             evacuations: w.21.map(EvacuationReport::from),
+            shortages: w.22.into_iter().map(ShortageReport::from).collect(),
             positions: w
                 .14
                 .into_iter()
--- a/gateway/src/serve/reports.rs
+++ b/gateway/src/serve/reports.rs
@@ -173,6 +173,7 @@
         leaving_runs: state.backends.leaving_runs(),
         evacuations: Some(state.evacuations.report()),
         store_answers: state.access.answers(now),
+        shortages: state.shortages.reports(now),
     };
     let started = std::mem::take(&mut state.started_peers);
     let receivers = receivers(node, &state, &report, &started);
--- a/gateway/tests/fuzz/messages.rs
+++ b/gateway/tests/fuzz/messages.rs
@@ -85,6 +85,7 @@
             zones: vec![("zone".to_owned(), 5)],
         }),
         store_answers: true,
+        shortages: Vec::new(),
     }
 }
 
--- a/gateway/tests/online.rs
+++ b/gateway/tests/online.rs
@@ -49,6 +49,7 @@
         keys: vec!["key".to_owned()],
         rate: Some(rate),
         burst,
+        priority: None,
     };
     Configuration::from(ConfigurationParts {
         version: 1,
@@ -353,6 +354,7 @@
             zones: vec![("zone-b".to_owned(), 8), ("zone-a".to_owned(), 5)],
         }),
         store_answers: true,
+        shortages: Vec::new(),
     }
 }
 
--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -32,5 +32,6 @@
         leaving_runs: Vec::new(),
         evacuations: Some(EvacuationReport::default()),
         store_answers: false,
+        shortages: Vec::new(),
     }
 }
