--- a/gateway/tests/evacuation.rs
+++ b/gateway/tests/evacuation.rs
@@ -175,6 +175,21 @@
     assert_eq!(one.zones(), ["b"]);
 }
 
+/// A read returns a request and its withdrawal, and a report from in between arrives while they are applied.
+/// Guards against an evacuation that this brings back for good.
+#[test]
+fn a_late_report_does_not_undo_a_withdrawal_that_was_just_read() {
+    let mut log = Log::default();
+    let mut one = instance(&log);
+    log.put("a", true);
+    let late = instance(&log).evacuations.report();
+    let _ = one.evacuations.apply(&record("a", true), 0, NOW);
+    let _ = one.evacuations.apply(&record("a", false), 1, NOW);
+    one.hear(&late);
+    one.evacuations.read(0, 2);
+    assert_eq!(one.zones(), [""; 0]);
+}
+
 /// Guards against an instance that serves all zones before it knows which are evacuated.
 #[test]
 fn nothing_is_served_before_the_zones_are_known() {
