--- a/gateway/src/serve/follow.rs
+++ b/gateway/src/serve/follow.rs
@@ -35,6 +35,7 @@
     StoreError,
     Topic, //
 };
+use crate::positions::CallKind;
 
 /// Pause after a failed call. Outages last seconds, and every call has a cost.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
@@ -195,7 +196,7 @@
                     let now = node.now();
                     node.lock().backends.record_outage(now);
                 }
-                if topic == Topic::Jobs && cursor.loaded && store_relay::is_needed(&node) {
+                if topic == Topic::Jobs && cursor.loaded && reads_through_peer(&node, partition) {
                     // A failure is repeated after the pause.
                     let _ = catch_up::catch_up(&node, partition).await;
                     steps.step();
@@ -206,6 +207,17 @@
     }
 }
 
+/// Returns whether a peer makes the reads of a partition of the jobs: the store turns this instance away,
+/// and the other replicas too, which callers would be forwarded to otherwise.
+fn reads_through_peer<P>(node: &Node<P>, partition: u32) -> bool {
+    let now = node.now();
+    let state = node.lock();
+    let others = state.forward_targets(partition as usize, CallKind::Submit, now);
+    let is_alone = others.is_empty();
+    drop(state);
+    is_alone && store_relay::is_needed(node)
+}
+
 /// Reads the next records; returns `None` if the read was interrupted because a peer has read more.
 async fn read_next<P: Store + Dialect>(
     node: &Arc<Node<P>>,
