gateway: pace the start and preemption of items

Cause: in a replay of the heavy pattern (56 servers, 70 instances, 16 of which run items), 2.76 runs of items were stopped for each completed item, and 3.55 with failures. Free slots opened for items on many servers in the same moment (online requests drop, servers return), after the turns of the instances had long passed, so that several instances filled them; servers got up to 17 items in 8 slots. Items also started in slots that were idle for a fraction of a second, and were stopped for requests that exceeded the slots for less than the delay of reports.

Change: with the setting batch.preemption = "lasting", the turns are counted from the moment at which a slot was first free for items (batch/openings.rs); an item is stopped only for an excess that has lasted 60 ms (batch/overload.rs); items leave the slots free that online requests of a server used within 0.5 s (batch/recent_peak.rs); and instances that run items contend for slots also if none waits in their last report. Runs that are stopped are counted and logged by cause. Without the setting the rule is as before.

--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -55,7 +55,8 @@
 
 pub use backend::{Backend, BackendEntry, BackendKey, Backends, LeavingSource, RunKey};
 pub use batch::{
-    BatchCandidate, Contenders, WaitingItem, choose_preemptions, choose_starts, reserve,
+    BatchCandidate, Contenders, ItemPacing, PacingTimes, Preemption, Stop, StopCause, WaitingItem,
+    choose_preemptions, choose_starts, reserve,
 };
 pub use byte_budget::{ByteBudget, OverBudget, Share};
 pub use cells::{CellNumber, Cells, MAX_CELL_INSTANCES};
--- a/gateway/src/load.rs
+++ b/gateway/src/load.rs
@@ -189,6 +189,17 @@
         all.filter(move |run| run.backend == backend)
     }
 
+    /// Returns the number of requests beyond the slots of each server that has an item of this
+    /// instance.
+    pub fn excess(&self, slots: impl Fn(BackendKey) -> Option<u32>) -> HashMap<BackendKey, u32> {
+        let backends = self.own_batch.values().map(|run| run.backend);
+        let excess = backends.filter_map(|backend| {
+            let placed = self.placed(backend).total();
+            Some((backend, placed.saturating_sub(slots(backend)?)))
+        });
+        excess.collect()
+    }
+
     /// Returns the peers that run `item`.
     pub fn peers_running(&self, item: ItemKey) -> impl Iterator<Item = &str> {
         let running = move |p: &PeerLoad| p.batch.iter().any(|run| run.item == item);
--- a/gateway/src/serve/items.rs
+++ b/gateway/src/serve/items.rs
@@ -37,10 +37,15 @@
     suspected_items,
     writer, //
 };
-use crate::backend::BackendEntry;
+use crate::backend::{
+    BackendEntry,
+    BackendKey, //
+};
 use crate::batch::{
     BatchCandidate,
     Contenders,
+    Preemption,
+    StopCause,
     WaitingItem,
     choose_preemptions,
     choose_starts,
@@ -62,7 +67,10 @@
     owner,
     replicas, //
 };
-use crate::report::ItemKey;
+use crate::report::{
+    ItemKey,
+    Report, //
+};
 use crate::server_limits::Purpose;
 
 /// Maximum time between two runs of the scheduler.
@@ -112,7 +120,7 @@
         .items
         .refresh(&state.partitions, config, me, &runners, now);
     for key in ended {
-        state.runs.remove(&key);
+        state.runs.stop(&key, StopCause::JobEnded);
     }
     node.jobs_changed.notify(usize::MAX);
     node.balance_due.notify(usize::MAX);
@@ -175,15 +183,23 @@
     let state = &mut *state;
     let me = node.settings.name.as_str();
     state.update_cells(&node.settings);
+    let paced = node.settings.preemption == Preemption::Lasting;
     let slots = |backend| {
         let backend = state.backends.get(backend)?;
         Some(slots_of(state, &backend.entry))
     };
     let slowness = state.speeds.compare(now);
     let slow = |backend| slowness.is_slow(backend);
-    for key in choose_preemptions(&state.load, me, unix_ms(), slots, slow) {
+    let mut excess = state.load.excess(slots);
+    if paced {
+        let online = online_on_usable(state, now);
+        state.pacing.observe(&online, now);
+        excess = state.pacing.excess(excess, now);
+    }
+    let excess = |on| excess.get(&on).copied().unwrap_or(0);
+    for stop in choose_preemptions(&state.load, me, unix_ms(), excess, slow) {
         // The run itself records its end.
-        state.runs.remove(&key);
+        state.runs.stop(&stop.item, stop.cause);
     }
     if node.is_leaving() {
         return;
@@ -199,10 +215,12 @@
         return;
     }
     let peers = state.members.reachable(now);
-    let peers = peers.filter(|r| r.waiting > 0 && state.cells.is_own_instance(&r.name));
+    // One that runs items may have further ones before its next report arrives.
+    let contends = |r: &&Report| r.waiting > 0 || (paced && !r.batch.is_empty());
+    let peers = peers.filter(|r| contends(r) && state.cells.is_own_instance(&r.name));
     let peers = peers.map(|r| WaitingPeer {
         name: r.name.clone(),
-        any_in_time: r.waiting_in_time > 0,
+        any_in_time: r.waiting_in_time > 0 || r.waiting == 0,
         any_late: r.waiting_in_time < r.waiting,
     });
     let peers: Vec<WaitingPeer> = peers.collect();
@@ -221,12 +239,36 @@
         for (key, backend) in alone {
             runs::start(node, state, key, backend);
         }
-        for (key, backend) in choose_starts(&mut waiting, &candidates, me, contenders, reserve) {
+        let waiting = &mut waiting;
+        let starts = if paced {
+            let pacing = &mut state.pacing;
+            pacing.choose_starts(waiting, &candidates, me, contenders, reserve, now)
+        } else {
+            choose_starts(waiting, &candidates, me, contenders, reserve)
+        };
+        for (key, backend) in starts {
             runs::start(node, state, key, backend);
         }
     }
 }
 
+/// Returns the online requests on the servers that items may use.
+fn online_on_usable(state: &State, now: Timestamp) -> HashMap<BackendKey, u32> {
+    let slowness = state.speeds.compare(now);
+    let usable = state
+        .backends
+        .iter()
+        .map(|backend| backend.key)
+        .filter(|key| {
+            let unresponsive =
+                state.load.suspected(*key, now) || state.outputs.is_silent(*key, now);
+            !unresponsive && !slowness.is_slow(*key)
+        });
+    usable
+        .map(|key| (key, state.load.placed(key).online))
+        .collect()
+}
+
 /// Another instance that has waiting items.
 struct WaitingPeer {
     name: String,
--- a/gateway/src/serve/metrics.rs
+++ b/gateway/src/serve/metrics.rs
@@ -25,6 +25,7 @@
     Background,
     OneShot, //
 };
+use crate::batch::StopCause;
 
 /// Upper bounds of the duration buckets in seconds; the latency objectives are between 0.3 and 0.5.
 const BUCKETS: [f64; 12] = [
@@ -43,6 +44,7 @@
     response_time: Histogram<f64>,
     items: Counter<u64>,
     item_runs: Histogram<f64>,
+    item_stops: Counter<u64>,
     store_calls: Counter<u64>,
     store_call_time: Histogram<f64>,
     store_bytes: Counter<u64>,
@@ -96,6 +98,10 @@
             ),
             items: counter("limpetweir_item_runs", "Runs of items by their end"),
             item_runs: histogram("limpetweir_item_run_seconds", "Length of the runs of items"),
+            item_stops: counter(
+                "limpetweir_item_stops",
+                "Runs of items that were stopped, by cause",
+            ),
             store_calls: counter("limpetweir_store_calls", "Calls to the store by outcome"),
             store_call_time: histogram(
                 "limpetweir_store_call_seconds",
@@ -176,6 +182,12 @@
         self.item_runs.record(elapsed.as_secs_f64(), &[]);
     }
 
+    /// Counts a run of an item that was stopped.
+    pub(crate) fn item_stopped(&self, cause: StopCause) {
+        let cause: &'static str = cause.into();
+        self.item_stops.add(1, &[KeyValue::new("cause", cause)]);
+    }
+
     /// Counts a call to the store with its duration and the bytes of its records.
     pub(crate) fn store_call(&self, outcome: &CallOutcome) {
         let topic: &'static str = outcome.topic.into();
--- a/gateway/src/serve/runs.rs
+++ b/gateway/src/serve/runs.rs
@@ -35,6 +35,7 @@
 use super::task_kinds::OneShot;
 use super::writer;
 use crate::backend::BackendKey;
+use crate::batch::StopCause;
 use crate::item_output::Progress;
 use crate::jobs::{
     Change,
@@ -145,7 +146,11 @@
 }
 
 /// Runs an item on a backend server and processes the end of the run.
-async fn execute<P: Store + Dialect>(node: Arc<Node<P>>, mut run: ItemRun, stopped: Receiver<()>) {
+async fn execute<P: Store + Dialect>(
+    node: Arc<Node<P>>,
+    mut run: ItemRun,
+    stopped: Receiver<StopCause>,
+) {
     let started = Instant::now();
     let from = run.progress.events();
     log_start(&node, &run);
@@ -202,15 +207,13 @@
     node: &Arc<Node<P>>,
     run: &ItemRun,
     progress: &mut Progress,
-    stopped: Receiver<()>,
+    stopped: Receiver<StopCause>,
 ) -> (RunEnd, String) {
     let stop = async {
-        // Dropping the sender stops the run as well.
-        let _ = stopped.recv().await;
-        (
-            RunEnd::Stopped,
-            "the slot is needed or the job has ended".to_owned(),
-        )
+        // The sender is dropped when another run of the item replaces this one.
+        let cause = stopped.recv().await.unwrap_or(StopCause::RunsElsewhere);
+        node.metrics.item_stopped(cause);
+        (RunEnd::Stopped, cause.to_string())
     };
     let parts = item_parts(&node.platform, &run.item, &run.organisation, &run.host);
     let parts = Arc::new(parts);
@@ -270,7 +273,7 @@
     let step = {
         let mut state = node.lock();
         state.load.batch_ended(key, now);
-        state.runs.remove(&key);
+        state.runs.ended(&key);
         state.items.run_ended(key, end, progress, attempts, now)
     };
     leases::release_for_item(node, key);
--- a/gateway/src/serve/state.rs
+++ b/gateway/src/serve/state.rs
@@ -21,6 +21,7 @@
     BackendKey,
     Backends, //
 };
+use crate::batch::ItemPacing;
 use crate::cells::{
     CellNumber,
     Cells, //
@@ -118,6 +119,8 @@
     /// Whether items of this instance waited for a slot when the scheduler last ran.
     pub(crate) items_waiting: bool,
     pub(crate) runs: RunHandles,
+    /// Observations for the start and the preemption of items, if they are paced.
+    pub(crate) pacing: ItemPacing,
     /// Random number generator for routing and placement.
     pub(crate) rng: SmallRng,
     /// Seed of the random choices for the current request.
@@ -184,6 +187,7 @@
             items: OpenItems::default(),
             items_waiting: false,
             runs: RunHandles::default(),
+            pacing: ItemPacing::default(),
             rng: SmallRng::from_os_rng(),
             draw_seed: 0,
             // A typical response takes a little less than a second.
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -13,6 +13,7 @@
     Snafu, //
 };
 
+use crate::batch::Preemption;
 use crate::checked::{
     Label,
     ListenerAddr,
@@ -80,6 +81,8 @@
     pub result_retention: Duration,
     /// Tolerance of the organisations' rate limits.
     pub tolerance: Tolerance,
+    /// When items are stopped for online requests.
+    pub preemption: Preemption,
     /// Lowest level of log lines that are written.
     pub log_level: LevelFilter,
 }
@@ -142,6 +145,8 @@
     #[serde(default)]
     quota: RawQuota,
     #[serde(default)]
+    batch: RawBatch,
+    #[serde(default)]
     log: RawLog,
 }
 
@@ -220,6 +225,12 @@
     }
 }
 
+#[derive(Default, Deserialize)]
+#[serde(default)]
+struct RawBatch {
+    preemption: Preemption,
+}
+
 #[derive(Deserialize)]
 struct RawLog {
     level: String,
@@ -356,6 +367,7 @@
                 overshoot: raw.quota.overshoot,
                 slack: raw.quota.slack,
             },
+            preemption: raw.batch.preemption,
             log_level: level,
         })
     }
--- a/gateway/tests/batch.rs
+++ b/gateway/tests/batch.rs
@@ -15,6 +15,8 @@
     Permit,
     Placed,
     Report,
+    Stop,
+    StopCause,
     WaitingItem,
     choose_preemptions,
     choose_starts,
@@ -79,6 +81,16 @@
     }
 }
 
+/// Returns the number of requests beyond the slots of a server.
+fn excess(load: &Load) -> impl Fn(BackendKey) -> u32 {
+    let excess = load.excess(|_| Some(SLOTS));
+    move |on| excess.get(&on).copied().unwrap_or(0)
+}
+
+fn items(stops: Vec<Stop>) -> Vec<ItemKey> {
+    stops.into_iter().map(|stop| stop.item).collect()
+}
+
 fn report(name: &str, online: &[(u32, u32)], batch: &[(u64, u32, u64)]) -> Report {
     let batch = batch.iter().map(|&(item, on, due)| BatchRun {
         item: ItemKey(item),
@@ -240,7 +252,9 @@
         load.batch_started(run, Timestamp::from_millis(1));
     }
     load.apply_report(&report("z", &[(0, 7)], &[]), Timestamp::from_millis(2));
-    let mut stopped = choose_preemptions(&load, "a", NOW, |_| Some(SLOTS), |_| false);
+    let mut stopped = items(choose_preemptions(&load, "a", NOW, excess(&load), |_| {
+        false
+    }));
     stopped.sort();
     assert_eq!(stopped, [ItemKey(1), ItemKey(3)]);
 }
@@ -336,13 +350,8 @@
             }
         }
         load.apply_report(&report("z", &[(0, 7)], &[]), now);
-        stopped.extend(choose_preemptions(
-            &load,
-            me,
-            NOW,
-            |_| Some(SLOTS),
-            |_| false,
-        ));
+        let stops = choose_preemptions(&load, me, NOW, excess(&load), |_| false);
+        stopped.extend(items(stops));
     }
     stopped.sort();
     assert_eq!(stopped, [ItemKey(2), ItemKey(3)]);
@@ -363,7 +372,7 @@
         load.batch_started(own, now);
         load.apply_report(&report(peer, &[], &[(1, 3, 500)]), now);
         assert_eq!(
-            choose_preemptions(&load, me, NOW, |_| Some(SLOTS), |_| false),
+            items(choose_preemptions(&load, me, NOW, excess(&load), |_| false)),
             stopped
         );
     }
@@ -383,7 +392,9 @@
         };
         load.batch_started(own, now);
     }
-    let stopped = choose_preemptions(&load, "a", NOW, |_| Some(SLOTS), |on| on == backend(1));
+    let stopped = choose_preemptions(&load, "a", NOW, excess(&load), |on| on == backend(1));
+    assert_eq!(stopped[0].cause, StopCause::SlowServer);
+    let stopped = items(stopped);
     assert_eq!(stopped, [ItemKey(2)]);
     let mut slow = candidate(1, 0, 0, 1_000);
     slow.slow = true;
--- a/gateway/tests/bounded_work.rs
+++ b/gateway/tests/bounded_work.rs
@@ -10,11 +10,13 @@
 use limpetweir_gateway::{
     BackendKey,
     BatchCandidate,
+    BatchRun,
     Candidate,
     Configuration,
     ConfigurationParts,
     Contenders,
     ItemKey,
+    ItemPacing,
     Limits,
     Load,
     Organisation,
@@ -120,7 +122,16 @@
     assert_eq!(load.placed(KEY).online, u32::MAX);
     load.online_started(KEY, NOW);
     load.online_ended(KEY, NOW);
-    choose_preemptions(&load, "me", 0, |_| Some(u32::MAX), |_| false);
+    let run = BatchRun {
+        item: ItemKey(1),
+        backend: KEY,
+        due: 0,
+    };
+    load.batch_started(run, NOW);
+    let excess = load.excess(|_| Some(0));
+    let excess = ItemPacing::default().excess(excess, NOW);
+    choose_preemptions(&load, "me", 0, |on| excess[&on], |_| false);
+    load.batch_ended(run.item, NOW);
     for peer in ["one", "two", "three"] {
         load.apply_report(&idle_report(peer), NOW);
         load.remove_peer(peer, NOW);
--- a/gateway/tests/formats.rs
+++ b/gateway/tests/formats.rs
@@ -8,6 +8,7 @@
     ConfigurationParts,
     InstanceRecord,
     InvalidEventStream,
+    Preemption,
     Route,
     RouteKind,
     Settings,
@@ -129,6 +130,19 @@
     assert_eq!(settings.capacity, 500);
     assert_eq!(settings.grace, Duration::from_secs(8));
     assert_eq!(settings.metrics.port(), 83);
+    assert_eq!(settings.preemption, Preemption::Immediate);
+}
+
+/// Guards against a setting that has no effect, and against a name that is taken for another one.
+#[rstest]
+#[case("\"lasting\"", Some(Preemption::Lasting))]
+#[case("\"immediate\"", Some(Preemption::Immediate))]
+#[case("\"never\"", None)]
+#[case("5", None)]
+fn preemption_is_set(#[case] value: &str, #[case] expected: Option<Preemption>) {
+    let text = format!("{SETTINGS}\n[batch]\npreemption = {value}\n");
+    let settings = Settings::load("file", &text).ok();
+    assert_eq!(settings.map(|settings| settings.preemption), expected);
 }
 
 /// Guards against a file that keeps a running instance from its requests while it is parsed.
--- a/gateway/tests/fuzz/messages.rs
+++ b/gateway/tests/fuzz/messages.rs
@@ -16,6 +16,7 @@
     CrashKey,
     CrashNews,
     ItemKey,
+    ItemPacing,
     LimitReport,
     Load,
     Members,
@@ -98,6 +99,7 @@
     };
     let valid = vec![report().encode(), idle.encode(), largest.encode()];
     let mut load = Load::default();
+    let mut pacing = ItemPacing::default();
     let mut quotas = Quotas::default();
     let mut limits = ServerLimits::new("me");
     let mut members = Members::default();
@@ -123,7 +125,8 @@
         ] {
             limits.permit(RunKey(run), purpose, now, 1_700_000_000_000);
         }
-        choose_preemptions(&load, "me", 0, |_| Some(8), |_| false);
+        let excess = pacing.excess(load.excess(|_| Some(8)), now);
+        choose_preemptions(&load, "me", 0, |on| excess[&on], |_| false);
         members.apply_report(report, FROM, now);
         members.unreachable_count(now);
         for name in members.sweep(now) {
--- a/gateway/tests/replay/main.rs
+++ b/gateway/tests/replay/main.rs
@@ -5,11 +5,18 @@
 #[path = "../support/mod.rs"]
 mod support;
 
-use limpetweir_gateway::reserve;
+use std::time::Duration;
+
+use limpetweir_gateway::{
+    PacingTimes,
+    reserve, //
+};
 use model::Model;
 use patterns::{
     CALM,
     Demand,
+    FAILURES,
+    HEAVY,
     LOSS,
     Policy,
     Served, //
@@ -29,6 +36,11 @@
         items: sum.items + day.items,
         items_late: sum.items_late + day.items_late,
         stops: sum.stops + day.stops,
+        on_slow: sum.on_slow + day.on_slow,
+        double_starts: sum.double_starts + day.double_starts,
+        uneven: sum.uneven + day.uneven,
+        early: sum.early + day.early,
+        refilled: sum.refilled + day.refilled,
     })
 }
 
@@ -42,6 +54,13 @@
     100.0 * f64::from(part) / f64::from(whole.max(1))
 }
 
+/// Items are stopped as soon as a server has more requests than slots.
+const IMMEDIATE: Policy = Policy {
+    reserve,
+    late_last: true,
+    pacing: None,
+};
+
 /// The compared policies, starting with the simplest one; the last one is that of the product.
 const POLICIES: [(&str, Policy); 5] = [
     (
@@ -49,35 +68,33 @@
         Policy {
             reserve: |_, servers, _| servers,
             late_last: false,
+            ..IMMEDIATE
         },
     ),
     (
         "late ones last, one slot a server free",
         Policy {
             reserve: |_, servers, _| servers,
-            late_last: true,
+            ..IMMEDIATE
         },
     ),
     (
         "late ones last, no slot free",
         Policy {
             reserve: |_, _, _| 0,
-            late_last: true,
+            ..IMMEDIATE
         },
     ),
     (
         "late ones last, square root free",
         Policy {
             reserve: |online, servers, _| reserve(online, servers, false),
-            late_last: true,
+            ..IMMEDIATE
         },
     ),
     (
         "late ones last, square root free unless items are late",
-        Policy {
-            reserve,
-            late_last: true,
-        },
+        Policy { ..IMMEDIATE },
     ),
 ];
 
@@ -105,3 +122,73 @@
     let late = |served: Served| percent(served.online_late, served.online);
     assert!(late(product) <= late(simplest) + 1.0);
 }
+
+/// The compared rules of preemption.
+const fn paced(stop_after: u64, peak_window: u64) -> Policy {
+    Policy {
+        pacing: Some(PacingTimes {
+            stop_after: Duration::from_millis(stop_after),
+            peak_window: Duration::from_millis(peak_window),
+        }),
+        ..IMMEDIATE
+    }
+}
+const PREEMPTION: &[(&str, Policy)] = &[
+    ("immediate", IMMEDIATE),
+    ("60 500", paced(60, 500)),
+    ("100 500", paced(100, 500)),
+    ("30 500", paced(30, 500)),
+    ("60 0", paced(60, 0)),
+    ("60 300", paced(60, 300)),
+    ("60 800", paced(60, 800)),
+    (
+        "60 one each",
+        Policy {
+            reserve: |_, s, _| s,
+            ..paced(60, 500)
+        },
+    ),
+    (
+        "60 one each unless late",
+        Policy {
+            reserve: |_, s, l| if l { 0 } else { s },
+            ..paced(60, 500)
+        },
+    ),
+    (
+        "100 one each",
+        Policy {
+            reserve: |_, s, _| s,
+            ..paced(100, 500)
+        },
+    ),
+];
+
+#[rstest]
+#[case::heavy("heavy", HEAVY)]
+#[case::failures("failures", FAILURES)]
+fn explore(#[case] name: &str, #[case] demand: Demand) {
+    let demand = Demand {
+        time: std::env::var("T").map_or(demand.time, |t| t.parse().unwrap()),
+        ..demand
+    };
+    for (policy, choices) in PREEMPTION {
+        let t = std::time::Instant::now();
+        let s = play(demand, *choices);
+        println!(
+            "| {name} | {policy} | {} | {:.2} | slow {} double {} uneven {} early {} refilled {} | late {:.1}% | online {} late {:.2}% failed {:.2}% | {:?}",
+            s.items,
+            f64::from(s.stops) / f64::from(s.items),
+            s.on_slow,
+            s.double_starts,
+            s.uneven,
+            s.early,
+            s.refilled,
+            percent(s.items_late, s.items),
+            s.online,
+            percent(s.online_late, s.online),
+            percent(s.online_failed, s.online),
+            t.elapsed()
+        );
+    }
+}
--- a/gateway/tests/replay/model.rs
+++ b/gateway/tests/replay/model.rs
@@ -5,6 +5,8 @@
 //! Only the servers, the network and the callers are modelled; the product's code decides which
 //! requests and items start, stop or are rejected.
 
+mod faults;
+
 use std::cmp::Reverse;
 use std::collections::{
     BTreeMap,
@@ -21,6 +23,7 @@
     Candidate,
     Contenders,
     ItemKey,
+    ItemPacing,
     ItemTime,
     Limits,
     Load,
@@ -28,6 +31,7 @@
     Placement,
     Report,
     RunKey,
+    StopCause,
     WaitingItem,
     choose_preemptions,
     choose_starts,
@@ -48,17 +52,19 @@
     Served, //
 };
 use crate::support::idle_report;
+use faults::{
+    Fault,
+    SLOWNESS, //
+};
 
 /// Requests that a server runs concurrently.
 const SLOTS: u32 = 8;
-/// Time between two events of a stream.
-const EVENT: Micros = 20_000;
 /// Time until the first event of a run that starts in a slot.
 const PREFILL: Micros = 45_000;
 /// Latency of a message.
 const MESSAGE: Micros = 1_000;
-/// Time in which changes are gathered before they are reported.
-const GATHER: Micros = 2_000;
+/// Time in which reports that arrive together are applied before the next decision.
+const SETTLE: Micros = 1_000;
 /// Time between two periodic checks of an instance's items.
 const TICK: Micros = 50_000;
 /// Time after which the first event of an online request counts as late.
@@ -70,22 +76,32 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
-    Online { arrived: Micros, retry: bool },
+    Online { request: Request, retry: bool },
     NextOnline,
     NextJob,
     Tick { instance: usize },
+    Balance { instance: usize },
     SendReport { instance: usize },
     ReportArrives { from: usize },
+    PeerLost { peer: usize },
     RunArrives { run: u64 },
     RunRemoved { run: u64 },
     RunEnds { run: u64 },
+    Fault(Fault),
     Loss,
     Return,
 }
 
+/// An online request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Request {
+    arrived: Micros,
+    events: u64,
+}
+
 #[derive(Clone, Copy, Debug)]
 enum Work {
-    Online { arrived: Micros },
+    Online(Request),
     Item { key: ItemKey },
 }
 
@@ -94,13 +110,24 @@
     instance: usize,
     work: Work,
     events: u64,
+    /// When it got a slot.
     started: Option<Micros>,
+    /// When it ends, after it has got a slot.
+    ends: Micros,
 }
 
-#[derive(Default)]
 struct Server {
     running: Vec<u64>,
     queue: VecDeque<u64>,
+    /// Time between two events of a stream.
+    event: Micros,
+    is_slow: bool,
+    is_down: bool,
+    /// When an item last started there, and whether all slots were taken then.
+    item_started: Micros,
+    was_full: bool,
+    /// When an item was last stopped there.
+    item_stopped: Option<Micros>,
 }
 
 struct Item {
@@ -108,6 +135,8 @@
     events: u64,
     done: u64,
     run: Option<u64>,
+    started: Micros,
+    not_before: Micros,
 }
 
 #[derive(Default)]
@@ -117,6 +146,9 @@
     items: BTreeMap<ItemKey, Item>,
     times: ItemTime,
     report_due: bool,
+    balance_due: bool,
+    is_down: bool,
+    pacing: ItemPacing,
     /// Number of waiting items of each peer, and of those that can still meet their deadlines.
     peers: BTreeMap<usize, (u32, u32)>,
 }
@@ -128,6 +160,8 @@
     now: Micros,
     events: BinaryHeap<Reverse<(Micros, u64, Event)>>,
     sequence: u64,
+    /// Random numbers of the demand, which is the same with all policies.
+    arrivals: SmallRng,
     rng: SmallRng,
     servers: Vec<Server>,
     instances: Vec<Instance>,
@@ -143,6 +177,7 @@
     pub(crate) fn play(demand: Demand, policy: Policy) -> Served {
         let instance = |n: usize| Instance {
             name: format!("i{n:02}"),
+            pacing: policy.pacing(),
             ..Instance::default()
         };
         let mut model = Self {
@@ -151,8 +186,11 @@
             now: 0,
             events: BinaryHeap::new(),
             sequence: 0,
-            rng: SmallRng::seed_from_u64(demand.seed),
-            servers: (0..demand.servers).map(|_| Server::default()).collect(),
+            arrivals: SmallRng::seed_from_u64(demand.seed),
+            rng: SmallRng::seed_from_u64(!demand.seed),
+            servers: (0..demand.servers)
+                .map(|n| Server::new(&demand, n))
+                .collect(),
             instances: (0..demand.instances).map(instance).collect(),
             reports: HashMap::new(),
             runs: HashMap::new(),
@@ -168,6 +206,7 @@
         if let Some(loss) = demand.loss {
             model.schedule(loss, Event::Loss);
         }
+        model.plan_faults();
         while let Some(Reverse((time, _, event))) = model.events.pop() {
             model.now = time;
             model.step(event);
@@ -193,7 +232,10 @@
         match event {
             Event::NextOnline => self.next_online(),
             Event::NextJob => self.next_job(),
-            Event::Online { arrived, retry } => self.online(arrived, retry),
+            Event::Online { request, retry } => self.online(request, retry),
+            Event::Balance { instance } => self.balance(instance),
+            Event::PeerLost { peer } => self.peer_lost(peer),
+            Event::Fault(fault) => self.fault(fault),
             Event::Tick { instance } => {
                 self.balance(instance);
                 self.schedule(TICK, Event::Tick { instance });
@@ -210,7 +252,7 @@
 
     /// Draws the time to the next arrival of a Poisson process with `rate` per second.
     fn interarrival(&mut self, rate: f64) -> Micros {
-        let unit: f64 = self.rng.random_range(1e-9..1.0);
+        let unit: f64 = self.arrivals.random_range(1e-9..1.0);
         (-unit.ln() / rate * 1e6) as Micros + 1
     }
 
@@ -221,10 +263,13 @@
             return;
         }
         let load_factor = if self.now % PERIOD < DIP { 0.378 } else { 1.85 };
-        let arrived = self.now;
+        let request = Request {
+            arrived: self.now,
+            events: self.draw_events(self.demand.online_events),
+        };
         let retry = false;
         self.served.online += 1;
-        self.schedule(0, Event::Online { arrived, retry });
+        self.schedule(0, Event::Online { request, retry });
         let interarrival = self.interarrival(self.demand.online * load_factor);
         self.schedule(interarrival, Event::NextOnline);
     }
@@ -236,12 +281,14 @@
         for _ in 0..10 {
             let key = ItemKey(self.next_item);
             self.next_item += 1;
-            let owner = self.rng.random_range(0..self.instances.len());
+            let owner = self.draw_instance(self.demand.runners);
             let item = Item {
                 due: self.now + TARGET,
-                events: self.draw_events(247.0),
+                events: self.draw_events(self.demand.item_events),
                 done: 0,
                 run: None,
+                started: 0,
+                not_before: 0,
             };
             self.instances[owner].items.insert(key, item);
             self.served.items += 1;
@@ -250,20 +297,32 @@
         self.schedule(interarrival, Event::NextJob);
     }
 
+    /// Draws one of the first `count` instances that are in service.
+    fn draw_instance(&mut self, count: usize) -> usize {
+        loop {
+            let instance = self.rng.random_range(0..count);
+            if !self.instances[instance].is_down {
+                return instance;
+            }
+        }
+    }
+
     /// Draws a number of events between 0.57 and 1.43 of `mean`.
     fn draw_events(&mut self, mean: f64) -> u64 {
-        (mean * self.rng.random_range(0.57..1.43)) as u64
+        (mean * self.arrivals.random_range(0.57..1.43)) as u64
     }
 
-    fn online(&mut self, arrived: Micros, retry: bool) {
+    fn online(&mut self, request: Request, retry: bool) {
         if !self.available {
-            self.schedule(300_000, Event::Online { arrived, retry });
+            self.schedule(300_000, Event::Online { request, retry });
             return;
         }
-        let instance = self.rng.random_range(0..self.instances.len());
+        let instance = self.draw_instance(self.instances.len());
         let load = &self.instances[instance].load;
         let mut candidates = Vec::new();
-        for n in 0..self.demand.servers {
+        let up = (0..self.demand.servers).filter(|n| !self.servers[*n as usize].is_down);
+        for n in up {
+            let is_slow = self.servers[n as usize].is_slow;
             candidates.push(Candidate {
                 key: BackendKey(n),
                 run: RunKey(0),
@@ -272,7 +331,7 @@
                 placed: load.placed(BackendKey(n)),
                 suspect: false,
                 tried: false,
-                slowness: 1.0,
+                slowness: if is_slow { SLOWNESS } else { 1.0 },
                 connected: true,
                 local: false,
                 other_cell: false,
@@ -281,20 +340,19 @@
             });
         }
         let Placement::Send(key) = place(&candidates, Limits { queue: QUEUE }) else {
-            self.rejected(&candidates, arrived, retry);
+            self.rejected(&candidates, request, retry);
             return;
         };
         let now = self.time();
         self.instances[instance].load.online_started(key, now);
-        let work = Work::Online { arrived };
-        let events = self.draw_events(35.9);
-        self.send(key.0 as usize, instance, work, events);
+        let work = Work::Online(request);
+        self.send(key.0 as usize, instance, work, request.events);
         self.report(instance);
-        self.balance(instance);
+        self.balance_soon(instance);
     }
 
     /// Handles a rejected request; the caller retries once.
-    fn rejected(&mut self, candidates: &[Candidate], arrived: Micros, retry: bool) {
+    fn rejected(&mut self, candidates: &[Candidate], request: Request, retry: bool) {
         if retry {
             self.served.online_failed += 1;
             return;
@@ -302,10 +360,10 @@
         let online = candidates.iter().map(|c| c.placed.online);
         let running = online.clone().map(|n| n.min(SLOTS)).sum();
         let excess = online.map(|n| n.saturating_sub(SLOTS)).sum();
-        let wait = retry_after(running, excess, Duration::from_micros(36 * EVENT));
+        let wait = retry_after(running, excess, self.demand.mean_run());
         let wait = u64::try_from(wait.as_micros()).unwrap_or(u64::MAX);
         let retry = true;
-        self.schedule(wait, Event::Online { arrived, retry });
+        self.schedule(wait, Event::Online { request, retry });
     }
 
     fn send(&mut self, server: usize, instance: usize, work: Work, events: u64) -> u64 {
@@ -317,6 +375,7 @@
             work,
             events,
             started: None,
+            ends: 0,
         };
         self.runs.insert(id, run);
         self.schedule(MESSAGE, Event::RunArrives { run: id });
@@ -328,6 +387,10 @@
             return;
         };
         let server = run.server;
+        if self.servers[server].is_down {
+            self.break_run(id);
+            return;
+        }
         self.servers[server].queue.push_back(id);
         self.admit(server);
     }
@@ -343,18 +406,20 @@
                 continue;
             };
             run.started = Some(self.now);
-            if let Work::Online { arrived } = run.work
-                && self.now + PREFILL + MESSAGE - arrived > OBJECTIVE
+            if let Work::Online(request) = run.work
+                && self.now + PREFILL + MESSAGE - request.arrived > OBJECTIVE
             {
                 self.served.online_late += 1;
             }
-            let duration = PREFILL + run.events * EVENT;
+            let duration = PREFILL + run.events * self.servers[server].event;
+            run.ends = self.now + duration;
             self.schedule(duration, Event::RunEnds { run: id });
         }
     }
 
     fn remove_run(&mut self, id: u64) {
-        for server in 0..self.servers.len() {
+        let holds = |s: &Server| s.running.contains(&id) || s.queue.contains(&id);
+        if let Some(server) = self.servers.iter().position(holds) {
             let s = &mut self.servers[server];
             s.running.retain(|run| *run != id);
             s.queue.retain(|run| *run != id);
@@ -363,6 +428,9 @@
     }
 
     fn run_ends(&mut self, id: u64) {
+        if self.runs.get(&id).is_none_or(|run| run.ends != self.now) {
+            return;
+        }
         let Some(run) = self.runs.remove(&id) else {
             return;
         };
@@ -370,13 +438,14 @@
         let now = self.time();
         let instance = &mut self.instances[run.instance];
         match run.work {
-            Work::Online { .. } => {
+            Work::Online(_) => {
                 let key = BackendKey(run.server as u32);
                 instance.load.online_ended(key, now);
             }
             Work::Item { key } => {
                 instance.load.batch_ended(key, now);
-                let duration = Duration::from_micros(PREFILL + run.events * EVENT);
+                let started = run.started.unwrap_or(self.now);
+                let duration = Duration::from_micros(self.now - started);
                 if let Some(item) = instance.items.remove(&key) {
                     let events = item.events as usize;
                     instance.times.record(duration, run.events as usize, events);
@@ -385,18 +454,27 @@
             }
         }
         self.report(run.instance);
-        self.balance(run.instance);
+        self.balance_soon(run.instance);
+    }
+
+    /// Lets the scheduler of an instance run, once for all changes at about the same time.
+    fn balance_soon(&mut self, n: usize) {
+        let instance = &mut self.instances[n];
+        if !instance.items.is_empty() && !std::mem::replace(&mut instance.balance_due, true) {
+            self.schedule(SETTLE, Event::Balance { instance: n });
+        }
     }
 
     fn report(&mut self, instance: usize) {
         if !std::mem::replace(&mut self.instances[instance].report_due, true) {
-            self.schedule(GATHER, Event::SendReport { instance });
+            self.schedule(self.demand.gather(instance), Event::SendReport { instance });
         }
     }
 
     fn waiting(&self, instance: usize) -> Vec<WaitingItem> {
         let instance = &self.instances[instance];
-        let waiting = instance.items.iter().filter(|(_, i)| i.run.is_none());
+        let ready = |i: &Item| i.run.is_none() && i.not_before <= self.now;
+        let waiting = instance.items.iter().filter(|(_, i)| ready(i));
         let waiting = waiting.map(|(key, item)| {
             let remaining = instance.times.remaining(item.done as usize).as_micros();
             let end = u128::from(self.now) + remaining;
@@ -411,6 +489,9 @@
     }
 
     fn send_report(&mut self, from: usize) {
+        if self.instances[from].is_down {
+            return;
+        }
         let waiting = self.waiting(from);
         let instance = &mut self.instances[from];
         instance.report_due = false;
@@ -432,32 +513,39 @@
         let now = self.time();
         for n in (0..self.instances.len()).filter(|n| *n != from) {
             let instance = &mut self.instances[n];
+            if instance.is_down {
+                continue;
+            }
             instance.load.apply_report(&report, now);
             let counts = (report.waiting, report.waiting_in_time);
             instance.peers.insert(from, counts);
         }
         for n in (0..self.instances.len()).filter(|n| *n != from) {
-            self.balance(n);
+            self.balance_soon(n);
         }
     }
 
     fn balance(&mut self, n: usize) {
-        if !self.available {
+        self.instances[n].balance_due = false;
+        if !self.available || self.instances[n].is_down || self.instances[n].items.is_empty() {
             return;
         }
         self.stop(n);
+        self.observe(n);
         let mut waiting = self.waiting(n);
+        let now = self.time();
         if waiting.is_empty() {
             return;
         }
-        let now = self.time();
+        let mut pacing = std::mem::take(&mut self.instances[n].pacing);
         let load = &self.instances[n].load;
-        let batch_candidates = (0..self.demand.servers).map(|key| BatchCandidate {
+        let up = (0..self.demand.servers).filter(|n| !self.servers[*n as usize].is_down);
+        let batch_candidates = up.map(|key| BatchCandidate {
             key: BackendKey(key),
             slots: SLOTS,
             placed: load.placed(BackendKey(key)),
             suspect: false,
-            slow: false,
+            slow: self.servers[key as usize].is_slow,
             other_cell: false,
             permit: Permit::Unlimited,
             unchanged_for: load.unchanged_for(BackendKey(key), now),
@@ -466,7 +554,12 @@
         let peers = self.instances[n].peers.values();
         let named = |in_time: bool| -> Vec<&str> {
             let peers = self.instances[n].peers.iter();
-            let peers = peers.filter(|(_, count)| count.0 > 0 && (count.1 > 0) == in_time);
+            let paced = self.policy.pacing.is_some();
+            let runs = |peer: &usize| self.reports.get(peer).is_some_and(|r| !r.batch.is_empty());
+            let peers = peers.filter(|(peer, (all, timely))| {
+                let contends = *all > 0 || (paced && runs(peer));
+                contends && (*timely > 0 || *all == 0) == in_time
+            });
             peers
                 .map(|(peer, _)| self.instances[*peer].name.as_str())
                 .collect()
@@ -477,13 +570,15 @@
             any_late: peers.clone().any(|count| count.1 < count.0),
         };
         let me = &self.instances[n].name;
-        let chosen = choose_starts(
-            &mut waiting,
-            &batch_candidates,
-            me,
-            contenders,
-            self.policy.reserve,
-        );
+        let waiting = &mut waiting;
+        let reserve = self.policy.reserve;
+        let chosen = match self.policy.pacing {
+            Some(_) => {
+                pacing.choose_starts(waiting, &batch_candidates, me, contenders, reserve, now)
+            }
+            None => choose_starts(waiting, &batch_candidates, me, contenders, reserve),
+        };
+        self.instances[n].pacing = pacing;
         for (key, backend) in &chosen {
             self.start(n, *key, *backend);
         }
@@ -493,6 +588,7 @@
     }
 
     fn start(&mut self, n: usize, key: ItemKey, backend: BackendKey) {
+        self.count_start(backend.0 as usize);
         let item = &self.instances[n].items[&key];
         let remaining = item.events.saturating_sub(item.done).max(1);
         let due = item.due / 1_000;
@@ -507,6 +603,7 @@
         instance.load.batch_started(placed, now);
         if let Some(item) = instance.items.get_mut(&key) {
             item.run = Some(run);
+            item.started = self.now;
         }
     }
 
@@ -519,48 +616,63 @@
         } else {
             0
         };
-        let instance = &mut self.instances[n];
-        let keys = choose_preemptions(
+        let excess = self.excess(n, now);
+        let instance = &self.instances[n];
+        let stops = choose_preemptions(
             &instance.load,
             &instance.name,
             unix_ms,
-            |_| Some(SLOTS),
-            |_| false,
+            |on| excess.get(&on).copied().unwrap_or(0),
+            |on| self.servers[on.0 as usize].is_slow,
         );
-        for key in &keys {
-            let instance = &mut self.instances[n];
-            instance.load.batch_ended(*key, now);
-            let Some(item) = instance.items.get_mut(key) else {
-                continue;
-            };
-            let Some(id) = item.run.take() else {
-                continue;
-            };
-            if let Some(run) = self.runs.remove(&id)
-                && let Some(started) = run.started
-            {
-                let ran = self.now.saturating_sub(started + PREFILL);
-                item.done += (ran / EVENT).min(run.events.saturating_sub(1));
-            }
-            self.served.stops += 1;
-            self.schedule(MESSAGE, Event::RunRemoved { run: id });
+        for stop in &stops {
+            self.stop_run(n, stop.item, stop.cause);
         }
-        if !keys.is_empty() {
+        if !stops.is_empty() {
             self.report(n);
         }
     }
 
+    /// Returns the number of items to stop on each server that has an item of the instance.
+    fn excess(&mut self, n: usize, now: Timestamp) -> HashMap<BackendKey, u32> {
+        let instance = &mut self.instances[n];
+        let excess = instance.load.excess(|_| Some(SLOTS));
+        match self.policy.pacing {
+            Some(_) => instance.pacing.excess(excess, now),
+            None => excess,
+        }
+    }
+
+    fn stop_run(&mut self, n: usize, key: ItemKey, cause: StopCause) {
+        let now = self.time();
+        let instance = &mut self.instances[n];
+        instance.load.batch_ended(key, now);
+        let Some(item) = instance.items.get_mut(&key) else {
+            return;
+        };
+        let Some(id) = item.run.take() else {
+            return;
+        };
+        let started = item.started;
+        self.keep_output(id);
+        if let Some(run) = self.runs.remove(&id) {
+            self.count_stop(run.server, started, cause);
+        }
+        self.schedule(MESSAGE, Event::RunRemoved { run: id });
+    }
+
     /// Ends all runs; items lose their partial output.
     fn fail_all(&mut self) {
         const DOWN: Micros = 1_500_000;
         let lost = self
             .runs
             .drain()
-            .filter(|(_, run)| matches!(run.work, Work::Online { .. }));
+            .filter(|(_, run)| matches!(run.work, Work::Online(_)));
         self.served.online_failed += lost.count() as u32;
-        self.servers
-            .iter_mut()
-            .for_each(|server| *server = Server::default());
+        for server in &mut self.servers {
+            server.running.clear();
+            server.queue.clear();
+        }
         for instance in &mut self.instances {
             instance.load = Load::default();
             instance.peers.clear();
--- a/gateway/tests/replay/patterns.rs
+++ b/gateway/tests/replay/patterns.rs
@@ -1,5 +1,12 @@
 //! Demand patterns, the compared policies, and the results for callers.
 
+use std::time::Duration;
+
+use limpetweir_gateway::{
+    ItemPacing,
+    PacingTimes, //
+};
+
 /// Point in time or duration in microseconds.
 pub(crate) type Micros = u64;
 
@@ -14,6 +21,18 @@
     pub(crate) online: f64,
     /// Jobs of ten items per second.
     pub(crate) jobs: f64,
+    /// Instances that run items; the first ones.
+    pub(crate) runners: usize,
+    /// Mean number of events of an online request.
+    pub(crate) online_events: f64,
+    /// Mean number of events of an item.
+    pub(crate) item_events: f64,
+    /// Time between two events of a stream.
+    pub(crate) event: Micros,
+    /// Whether instances and servers are unequal, so that some reports are late.
+    pub(crate) unequal: bool,
+    /// Whether servers become slow, and servers and instances fail.
+    pub(crate) faults: bool,
     /// Time during which requests and jobs arrive.
     pub(crate) time: Micros,
     /// Time at which all instances fail for 1.5 s, if any.
@@ -30,6 +49,14 @@
     pub(crate) reserve: fn(u32, u32, bool) -> u32,
     /// Whether late items are ranked after the others.
     pub(crate) late_last: bool,
+    /// Times of the pacing of items; `None` to stop items immediately.
+    pub(crate) pacing: Option<PacingTimes>,
+}
+
+impl Policy {
+    pub(crate) fn pacing(&self) -> ItemPacing {
+        ItemPacing::new(self.pacing.unwrap_or_default())
+    }
 }
 
 /// Results for callers.
@@ -47,6 +74,16 @@
     pub(crate) items_late: u32,
     /// Preempted runs of items.
     pub(crate) stops: u32,
+    /// Stops on slow servers.
+    pub(crate) on_slow: u32,
+    /// Stops on servers where an item started while all slots were taken.
+    pub(crate) double_starts: u32,
+    /// Stops while another server had a free slot.
+    pub(crate) uneven: u32,
+    /// Stops within a second of the start.
+    pub(crate) early: u32,
+    /// Starts on a server within 300 ms of a stop there.
+    pub(crate) refilled: u32,
 }
 
 /// Nine servers with eight slots each, of which online requests occupy 31 and items 26 on average.
@@ -55,6 +92,12 @@
     instances: 11,
     online: 41.0,
     jobs: 0.515,
+    runners: 11,
+    online_events: 35.9,
+    item_events: 247.0,
+    event: 20_000,
+    unequal: false,
+    faults: false,
     time: 60_000_000,
     loss: None,
     seed: 1,
@@ -67,3 +110,46 @@
     time: 44_000_000,
     ..CALM
 };
+
+/// 56 servers with 448 slots, of which online requests occupy 160 and items 155 on average. Four
+/// instances of each of four partitions run the items.
+pub(crate) const HEAVY: Demand = Demand {
+    servers: 56,
+    instances: 70,
+    online: 259.0,
+    jobs: 3.2,
+    runners: 16,
+    online_events: 20.0,
+    item_events: 140.0,
+    event: 29_000,
+    unequal: true,
+    faults: false,
+    time: 30_000_000,
+    loss: None,
+    seed: 1,
+};
+
+/// The same with slow servers, and failures of a fifth of the servers and of the instances.
+pub(crate) const FAILURES: Demand = Demand {
+    faults: true,
+    ..HEAVY
+};
+
+impl Demand {
+    /// Returns the time in which changes at an instance are gathered before they are reported. One
+    /// in five machines is slow and takes longer.
+    pub(crate) fn gather(&self, instance: usize) -> Micros {
+        match instance % 10 {
+            _ if !self.unequal => 2_000,
+            _ if instance < self.runners => 7_000,
+            7 => 30_000,
+            9 => 100_000,
+            _ => 7_000,
+        }
+    }
+
+    /// Returns the mean time of an online request.
+    pub(crate) fn mean_run(&self) -> Duration {
+        Duration::from_micros(self.event).mul_f64(self.online_events)
+    }
+}
