gateway: a submission that is lost with its replica is looked for at another one

The instance that had forwarded a submission to a replica that ended before its answer, or that answered 504 while it stopped, answered 504, although another replica could find the job in the log. It asks another replica now if 1.5 s are left. Only 202 is passed on then; any other answer says nothing about the first submission, and the caller gets 504.

--- a/gateway/src/positions.rs
+++ b/gateway/src/positions.rs
@@ -6,6 +6,7 @@
 use std::cmp::Reverse;
 use std::time::Duration;
 
+use hyper::StatusCode;
 use limpetweir_state::{
     Timestamp,
     Verdict, //
@@ -51,6 +52,13 @@
         }
     }
 
+    /// Returns whether a replica's answer is final although the call may have taken effect at another one
+    /// before. A job that is submitted twice is the same job, but a refusal says nothing about the first
+    /// submission.
+    pub fn is_final_after_loss(self, status: StatusCode) -> bool {
+        self != Self::Submit || status == StatusCode::ACCEPTED
+    }
+
     /// Returns whether the call may have changed something at a replica that gave no answer, so that a
     /// refusal of another one must not be passed on as "no effect".
     pub fn may_have_effect(self, verdict: Verdict) -> bool {
--- a/gateway/src/serve/forwarding.rs
+++ b/gateway/src/serve/forwarding.rs
@@ -54,6 +54,10 @@
 /// Time limit for all attempts at peers together; callers wait for four seconds.
 pub(crate) const TIMEOUT: Duration = Duration::from_millis(3_000);
 
+/// Time that must be left for another replica to find out what has become of a lost call. A replica that
+/// gives no outcome for longer waits for a slow store, on which a second one would be a further load.
+const LOST_CALL_REST: Duration = Duration::from_millis(1_500);
+
 /// Maximum size of a response of a replica in bytes: an encoded page of results.
 const MAX_RESPONSE_BYTES: usize = 4 << 20;
 
@@ -96,10 +100,12 @@
     let mut lost = None;
     for addr in peers {
         let remaining = deadline.saturating_duration_since(Instant::now());
-        if remaining.is_zero() {
+        if remaining.is_zero() || (lost.is_some() && remaining < LOST_CALL_REST) {
             break;
         }
         match send_call(node, addr, call, remaining).await {
+            ForwardOutcome::Answered(response)
+                if lost.is_some() && !call.kind.is_final_after_loss(response.status()) => {}
             ForwardOutcome::Answered(response) => return Some(response),
             ForwardOutcome::Rejected(response) => rejection = Some(response),
             ForwardOutcome::NoResponse => {}
@@ -133,7 +139,8 @@
     Rejected(Response<Body>),
     /// There was no complete response, and the call has no effect.
     NoResponse,
-    /// There was no complete response. The call may have taken effect, and may be repeated.
+    /// There was no complete response. The call may have taken effect, and may be repeated: a job that is
+    /// submitted twice is the same job.
     Lost(String),
 }
 
@@ -151,24 +158,26 @@
             log::debug!("{addr} does not respond to a call about a job: {err}");
             return no_response(call.kind, err.verdict(), &err);
         }
-        Err(err) => return ForwardOutcome::Answered(unknown_outcome(&err)),
+        Err(err) => return ForwardOutcome::Lost(err.to_string()),
     };
     let (mut head, body) = response.into_parts();
     let bytes = match body.collect_bytes(MAX_RESPONSE_BYTES).await {
         Ok(bytes) => bytes,
-        Err(err) if call.kind.is_repeatable() => {
+        Err(err) => {
             log::debug!("the response of {addr} was interrupted: {err}");
             return no_response(call.kind, Verdict::Ran, &err);
         }
-        Err(err) => return ForwardOutcome::Answered(unknown_outcome(&err)),
     };
     head.headers.remove(CONNECTION);
     head.headers.remove(TRANSFER_ENCODING);
     let response = Response::from_parts(head, Body::from(bytes));
-    if response.status() == StatusCode::SERVICE_UNAVAILABLE {
-        ForwardOutcome::Rejected(response)
-    } else {
-        ForwardOutcome::Answered(response)
+    match response.status() {
+        StatusCode::SERVICE_UNAVAILABLE => ForwardOutcome::Rejected(response),
+        // As from an instance that stops while it writes.
+        StatusCode::GATEWAY_TIMEOUT if call.kind == CallKind::Submit => {
+            ForwardOutcome::Lost("status 504".to_owned())
+        }
+        _ => ForwardOutcome::Answered(response),
     }
 }
 
--- a/gateway/tests/positions.rs
+++ b/gateway/tests/positions.rs
@@ -1,5 +1,6 @@
 //! Choice of the instance that handles a call about jobs.
 
+use hyper::StatusCode;
 use limpetweir_gateway::{
     CallKind,
     PartitionFreshness,
@@ -176,3 +177,18 @@
 ) {
     assert_eq!(kind.may_have_effect(verdict), expected);
 }
+
+/// A submission is lost at one replica, and another one answers it. Guards against a refusal that promises
+/// that the job does not run although the first replica may have accepted it.
+#[rstest]
+#[case::accepted(CallKind::Submit, StatusCode::ACCEPTED, true)]
+#[case::over_limit(CallKind::Submit, StatusCode::TOO_MANY_REQUESTS, false)]
+#[case::invalid(CallKind::Submit, StatusCode::BAD_REQUEST, false)]
+#[case::end(CallKind::End, StatusCode::NOT_FOUND, true)]
+fn only_an_acceptance_settles_a_lost_submission(
+    #[case] kind: CallKind,
+    #[case] status: StatusCode,
+    #[case] expected: bool,
+) {
+    assert_eq!(kind.is_final_after_loss(status), expected);
+}
