gateway: let urgent items use all free slots, and leave one slot of each server free

Change: items that must start within 4 s to meet their deadline are assigned alone, to all slots that are free now; the others leave one slot of each server free.

--- a/gateway/src/batch/candidate.rs
+++ b/gateway/src/batch/candidate.rs
@@ -27,6 +27,8 @@
     pub due: u64,
     /// Whether it can no longer meet its deadline.
     pub late: bool,
+    /// Whether it is late, or will be if it does not start soon.
+    pub urgent: bool,
     /// Backend server of the last failed run, used only if no other one has a free slot.
     pub avoid: Option<BackendKey>,
 }
--- a/gateway/src/batch/mod.rs
+++ b/gateway/src/batch/mod.rs
@@ -28,7 +28,10 @@
     StopCause,
     choose_preemptions, //
 };
-pub use reserve::reserve;
+pub use reserve::{
+    one_slot_each,
+    reserve, //
+};
 pub use starts::{
     Contenders,
     choose_starts, //
--- a/gateway/src/batch/pacing.rs
+++ b/gateway/src/batch/pacing.rs
@@ -83,16 +83,25 @@
     }
 
     /// Assigns waiting items to the slots that online requests did not need recently, as
-    /// [`choose_starts`](super::choose_starts) does.
+    /// [`choose_starts`](super::choose_starts) does. Urgent items are assigned alone, to all slots that
+    /// are free now.
     pub fn choose_starts(
         &mut self,
-        waiting: &mut [WaitingItem],
+        waiting: &mut Vec<WaitingItem>,
         candidates: &[BatchCandidate],
         me: &str,
         contenders: Contenders<'_>,
         reserve: impl Fn(u32, u32, bool) -> u32,
         now: Timestamp,
     ) -> Vec<(ItemKey, BackendKey)> {
+        let openings = &mut self.openings;
+        if waiting.iter().any(|w| w.urgent) {
+            waiting.retain(|w| w.urgent);
+            let reserve = super::reserve;
+            return choose_starts_in_turn(
+                waiting, candidates, me, contenders, reserve, openings, now,
+            );
+        }
         let window = self.times.peak_window;
         let at_peak = candidates.iter().filter_map(|candidate| {
             let mut candidate = *candidate;
@@ -101,7 +110,6 @@
             Some(candidate)
         });
         let at_peak: Vec<BatchCandidate> = at_peak.collect();
-        let openings = &mut self.openings;
         choose_starts_in_turn(waiting, &at_peak, me, contenders, reserve, openings, now)
     }
 }
--- a/gateway/src/batch/reserve.rs
+++ b/gateway/src/batch/reserve.rs
@@ -18,6 +18,12 @@
     spread.max(1).min(servers)
 }
 
+/// Returns how many slots of `servers` items leave free if they are to keep theirs: one a server, so
+/// that most requests which several instances place in the same moment find one. 0 while items are late.
+pub fn one_slot_each(_online: u32, servers: u32, late: bool) -> u32 {
+    if late { 0 } else { servers }
+}
+
 /// Distributes `reserve` slots to be kept free over the servers, those with the most free slots
 /// first. All instances compute the same distribution.
 pub(super) fn kept_free(candidates: &[&BatchCandidate], reserve: u32) -> Vec<u32> {
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -56,7 +56,7 @@
 pub use backend::{Backend, BackendEntry, BackendKey, Backends, LeavingSource, RunKey};
 pub use batch::{
     BatchCandidate, Contenders, ItemPacing, PacingTimes, Preemption, Stop, StopCause, WaitingItem,
-    choose_preemptions, choose_starts, reserve,
+    choose_preemptions, choose_starts, one_slot_each, reserve,
 };
 pub use byte_budget::{ByteBudget, OverBudget, Share};
 pub use cells::{CellNumber, Cells, MAX_CELL_INSTANCES};
--- a/gateway/src/open_items.rs
+++ b/gateway/src/open_items.rs
@@ -28,6 +28,10 @@
 /// its publication, so it has been read by then.
 const ORPHAN_DELAY: Duration = Duration::from_millis(2_000);
 
+/// Time before the latest start of an item with which it meets its deadline, from which it is urgent:
+/// a peak of online requests, and the time in which an item then gets a slot.
+const URGENT_MS: u64 = 4_000;
+
 /// Delay before the next run of an item that was rejected, failed or interrupted.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
@@ -208,11 +212,15 @@
                 && item.orphaned_since.is_none()
         };
         let ready = self.items.iter().filter(|(_, item)| ready(item));
-        let waiting = ready.map(|(key, item)| WaitingItem {
-            item: *key,
-            due: item.due,
-            late: unix_ms.saturating_add(self.remaining_ms(item)) > item.due,
-            avoid: item.avoid,
+        let waiting = ready.map(|(key, item)| {
+            let end = unix_ms.saturating_add(self.remaining_ms(item));
+            WaitingItem {
+                item: *key,
+                due: item.due,
+                late: end > item.due,
+                urgent: end.saturating_add(URGENT_MS) > item.due,
+                avoid: item.avoid,
+            }
         });
         waiting.collect()
     }
--- a/gateway/src/serve/items.rs
+++ b/gateway/src/serve/items.rs
@@ -49,6 +49,7 @@
     WaitingItem,
     choose_preemptions,
     choose_starts,
+    one_slot_each,
     reserve, //
 };
 use crate::instance::Instance;
@@ -238,7 +239,7 @@
         let waiting = &mut waiting;
         let starts = if paced {
             let pacing = &mut state.pacing;
-            pacing.choose_starts(waiting, &candidates, me, contenders, reserve, now)
+            pacing.choose_starts(waiting, &candidates, me, contenders, one_slot_each, now)
         } else {
             choose_starts(waiting, &candidates, me, contenders, reserve)
         };
--- a/gateway/tests/batch.rs
+++ b/gateway/tests/batch.rs
@@ -63,6 +63,7 @@
         item: ItemKey(n),
         due: 10_000 + n,
         late: false,
+        urgent: false,
         avoid: None,
     });
     waiting.collect()
--- a/gateway/tests/bounded_work.rs
+++ b/gateway/tests/bounded_work.rs
@@ -67,6 +67,7 @@
         item: ItemKey(n),
         due: n,
         late,
+        urgent: false,
         avoid: None,
     });
     items.collect()
--- a/gateway/tests/item_pacing.rs
+++ b/gateway/tests/item_pacing.rs
@@ -57,6 +57,7 @@
         item: ItemKey(n),
         due: 10_000 + n,
         late: false,
+        urgent: false,
         avoid: None,
     });
     let mut waiting: Vec<WaitingItem> = waiting.collect();
--- a/gateway/tests/replay/main.rs
+++ b/gateway/tests/replay/main.rs
@@ -9,6 +9,7 @@
 
 use limpetweir_gateway::{
     PacingTimes,
+    one_slot_each,
     reserve, //
 };
 use model::Model;
@@ -59,6 +60,7 @@
 const IMMEDIATE: Policy = Policy {
     reserve,
     late_last: true,
+    urgent: 4_000_000,
     pacing: None,
 };
 
@@ -132,30 +134,35 @@
             stop_after: Duration::from_millis(stop_after_ms),
             peak_window: Duration::from_millis(peak_window_ms),
         }),
+        reserve: one_slot_each,
         ..IMMEDIATE
     }
 }
 
 /// The compared rules of preemption: the one without a setting, and those of `lasting` with the times
 /// in milliseconds; the last one is that of the product.
-const PREEMPTION: [(&str, Policy); 8] = [
+const PREEMPTION: [(&str, Policy); 9] = [
     ("immediate", IMMEDIATE),
     ("turns from the opening of a slot", lasting(0, 0)),
     ("turns, stops after 60 ms", lasting(60, 0)),
     ("turns, peak of 500 ms", lasting(0, 500)),
-    ("turns, stops after 60 ms, peak of 800 ms", lasting(60, 800)),
     (
-        "turns, stops after 100 ms, peak of 500 ms",
-        lasting(100, 500),
+        "60 ms, 500 ms, square root free",
+        Policy {
+            reserve,
+            ..lasting(60, 500)
+        },
     ),
     (
-        "turns, stops after 60 ms, peak of 500 ms, one slot a server free",
+        "60 ms, 500 ms, no item urgent",
         Policy {
-            reserve: |_, servers, late| if late { 0 } else { servers },
+            urgent: 0,
             ..lasting(60, 500)
         },
     ),
-    ("turns, stops after 60 ms, peak of 500 ms", lasting(60, 500)),
+    ("60 ms, 800 ms", lasting(60, 800)),
+    ("100 ms, 500 ms", lasting(100, 500)),
+    ("60 ms, 500 ms", lasting(60, 500)),
 ];
 
 /// Load pattern: online requests swing fivefold every five seconds in a large fleet with unequal
--- a/gateway/tests/replay/model.rs
+++ b/gateway/tests/replay/model.rs
@@ -498,6 +498,7 @@
                 item: *key,
                 due: item.due / 1_000,
                 late: self.policy.late_last && end > u128::from(item.due),
+                urgent: end + u128::from(self.policy.urgent) > u128::from(item.due),
                 avoid: None,
             }
         });
--- a/gateway/tests/replay/patterns.rs
+++ b/gateway/tests/replay/patterns.rs
@@ -50,6 +50,8 @@
     pub(crate) reserve: fn(u32, u32, bool) -> u32,
     /// Whether late items are ranked after the others.
     pub(crate) late_last: bool,
+    /// Time before the latest start of an item from which it is urgent.
+    pub(crate) urgent: Micros,
     /// Times of the pacing of items; `None` to stop items immediately.
     pub(crate) pacing: Option<PacingTimes>,
 }
