gateway: a rate limit for cold backend servers

Servers that have just started crash well above 19 requests per second, and a zone that returns is empty, so all instances choose it at once. The start, the entry, responses and reports say until when a run is cold; each request that the rate allows belongs to one instance by its number, unused ones pass to a second and a third one, and all count what they know to be sent.

--- a/gateway/src/backend.rs
+++ b/gateway/src/backend.rs
@@ -11,6 +11,8 @@
 use limpetweir_state::Timestamp;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::warm_up::ColdTime;
+
 /// How long an entry that expired around a store outage stays in use: a running backend server
 /// registers again within about two seconds after the store is back.
 const LAPSE_GRACE: Duration = Duration::from_millis(2_300);
@@ -60,6 +62,8 @@
     pub draining: bool,
     /// Start time in Unix milliseconds; distinguishes two runs with the same identifier.
     pub born: u64,
+    /// Time for which the server stays cold, as of the moment at which the entry was written.
+    pub cold_remaining: ColdTime,
 }
 
 impl BackendEntry {
--- a/gateway/src/batch.rs
+++ b/gateway/src/batch.rs
@@ -81,13 +81,15 @@
     }
 
     fn is_limited(&self) -> bool {
-        self.permit != Permit::Unlimited
+        !matches!(self.permit, Permit::Unlimited | Permit::Paced)
     }
 
     /// Returns the number of items that may start there at once. They leave a quarter of the slots of a
     /// limited server to online requests, which preempt them there only if nothing else is left.
     fn most_starts(&self) -> u32 {
         match self.is_limited() {
+            // The next decision asks for the rate again.
+            false if self.permit == Permit::Paced => 1,
             false => u32::MAX,
             true if self.placed.batch < self.slots.saturating_sub(self.slots.div_ceil(4)) => 1,
             true => 0,
@@ -166,7 +168,7 @@
         .iter()
         .filter(|candidate| !candidate.suspect && !candidate.slow)
         .filter(|candidate| candidate.permit != Permit::Denied)
-        .filter(|candidate| !candidate.is_limited() || !candidate.other_cell);
+        .filter(|candidate| candidate.permit == Permit::Unlimited || !candidate.other_cell);
     let (other_cell, own_cell): (Vec<&BatchCandidate>, Vec<&BatchCandidate>) =
         usable.partition(|candidate| candidate.other_cell);
     let online = own_cell
--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -6,6 +6,8 @@
 
 use limpetweir_state::Timestamp;
 
+use crate::warm_up::WarmUp;
+
 /// Largest version of a configuration. After a larger one no later version could come into force.
 pub const MAX_VERSION: u64 = 1 << 53;
 
@@ -88,10 +90,14 @@
 }
 
 /// One service of the configuration.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Service {
     /// Requests that a backend server of the service runs concurrently, unless its entry differs.
     pub slots: u32,
+    /// How its servers warm up; `None` if they take any number of requests from the start.
+    pub warm_up: Option<WarmUp>,
+    /// Stated values of the warm-up, if any was out of range.
+    pub invalid_warm_up: Option<String>,
 }
 
 /// An organisation, its keys and its quota.
@@ -262,6 +268,11 @@
         self.services.get(name)
     }
 
+    /// Returns all services by name.
+    pub fn services(&self) -> &HashMap<String, Service> {
+        &self.services
+    }
+
     /// Returns the limits of callers, if the operators set any.
     pub fn limits(&self) -> Option<CallerLimits> {
         self.limits
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -52,6 +52,7 @@
 mod speed;
 mod sse;
 mod supervision;
+mod warm_up;
 
 pub use backend::{Backend, BackendEntry, BackendKey, Backends, LeavingSource, RunKey};
 pub use batch::{
@@ -109,3 +110,7 @@
 pub use speed::{PaceMeter, SLOW_FACTOR, Slowness, Speeds};
 pub use sse::{BlockKind, Event, InvalidEventStream, MAX_EVENT_BYTES, MAX_EVENT_NUMBER, Splitter};
 pub use supervision::{Pulse, RestartBackoff, StallTimer, steps_back};
+pub use warm_up::{
+    ColdReport, ColdServers, ColdSource, ColdSpan, ColdTime, MAX_COLD_RATE, MAX_COLD_TIME,
+    MIN_COLD_RATE, Sender, WarmUp,
+};
--- a/gateway/src/placement.rs
+++ b/gateway/src/placement.rs
@@ -73,6 +73,10 @@
         return None;
     }
     let placed = c.placed;
+    // The rate of a cold server is shared among the instances of its cell.
+    if c.permit == Permit::Paced && c.other_cell {
+        return None;
+    }
     if c.permit == Permit::Allowed {
         return limited_class(c);
     }
--- a/gateway/src/platform.rs
+++ b/gateway/src/platform.rs
@@ -22,6 +22,7 @@
 use crate::jobs::NewItem;
 use crate::prompt::PromptParts;
 use crate::server_limit::StatedLimit;
+use crate::warm_up::ColdTime;
 
 /// A set of records in the store, with its own partitions.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, strum::Display, strum::IntoStaticStr)]
@@ -234,6 +235,8 @@
     pub limit: StatedLimit,
     /// Whether the server says that it is about to leave.
     pub leaving: bool,
+    /// Time for which the server says that it stays cold.
+    pub cold_remaining: Option<ColdTime>,
 }
 
 /// An item of a batch job, for building its request.
--- a/gateway/src/report.rs
+++ b/gateway/src/report.rs
@@ -17,6 +17,7 @@
 use crate::quota::OrganisationKey;
 use crate::report_ranges::MAX_REPORT_BYTES;
 use crate::server_limits::LimitReport;
+use crate::warm_up::ColdReport;
 
 /// Version of the encoding; reports of another version are ignored.
 const WIRE_VERSION: u8 = 4;
@@ -92,6 +93,9 @@
     pub limits: Option<Vec<LimitReport>>,
     /// Runs of backend servers whose responses said that they leave.
     pub leaving_runs: Vec<RunKey>,
+    /// Cold backend servers to which the instance has sent lately, or which have told it that they are
+    /// cold.
+    pub cold: Vec<ColdReport>,
 }
 
 /// Encoded form of a report; fields are identified by position to keep it small.
@@ -118,8 +122,30 @@
     u32,
     #[serde(default)] Option<Vec<WireLimit>>,
     #[serde(default)] Vec<u32>,
+    #[serde(default)] Vec<WireCold>,
 );
 
+/// Run, remaining time in milliseconds, and requests sent.
+#[derive(Deserialize, Serialize)]
+struct WireCold(u32, u32, u64);
+
+impl From<&ColdReport> for WireCold {
+    fn from(r: &ColdReport) -> Self {
+        let remaining_ms = u32::try_from(r.remaining.as_millis()).unwrap_or(u32::MAX);
+        Self(r.run.0, remaining_ms, r.sent)
+    }
+}
+
+impl From<WireCold> for ColdReport {
+    fn from(w: WireCold) -> Self {
+        Self {
+            run: RunKey(w.0),
+            remaining: Duration::from_millis(u64::from(w.1)),
+            sent: w.2,
+        }
+    }
+}
+
 /// Run, requests per second, age in milliseconds, and requests sent.
 #[derive(Deserialize, Serialize)]
 struct WireLimit(u32, Option<f64>, u32, u64);
@@ -182,6 +208,7 @@
                 .as_ref()
                 .map(|limits| limits.iter().map(WireLimit::from).collect()),
             r.leaving_runs.iter().map(|run| run.0).collect(),
+            r.cold.iter().map(WireCold::from).collect(),
         )
     }
 }
@@ -225,6 +252,7 @@
                 .19
                 .map(|limits| limits.into_iter().map(LimitReport::from).collect()),
             leaving_runs: w.20.into_iter().map(RunKey).collect(),
+            cold: w.21.into_iter().map(ColdReport::from).collect(),
             positions: w
                 .14
                 .into_iter()
--- a/gateway/src/report_ranges.rs
+++ b/gateway/src/report_ranges.rs
@@ -11,6 +11,7 @@
 use crate::report::Report;
 use crate::server_limit::MAX_RATE;
 use crate::server_limits::LimitReport;
+use crate::warm_up::MAX_COLD_TIME;
 
 /// Largest report in bytes: that of a datagram. It bounds the lists of a report.
 pub(crate) const MAX_REPORT_BYTES: usize = 64 << 10;
@@ -52,6 +53,10 @@
         for (_, remaining_ms) in &mut self.suspects {
             *remaining_ms = (*remaining_ms).min(MAX_SUSPICION_MS);
         }
+        for cold in &mut self.cold {
+            cold.remaining = cold.remaining.min(MAX_COLD_TIME);
+            cold.sent = cold.sent.min(MAX_COUNT);
+        }
         let limits = self.limits.map(|limits| {
             let limits = limits.into_iter().filter_map(checked_limit);
             limits.collect()
--- a/gateway/src/serve/apply.rs
+++ b/gateway/src/serve/apply.rs
@@ -19,6 +19,7 @@
 };
 use super::{
     caller_limits,
+    cold_servers,
     crash_checks,
     items, //
 };
@@ -197,6 +198,7 @@
     }
     state.quotas.configure(&config, now);
     caller_limits::apply(node, config.limits());
+    cold_servers::configure(&mut state, &config, now);
     let version = config.version();
     state.config = Some(Arc::new(config));
     state.config_freshness.reported(version);
@@ -223,7 +225,8 @@
         return;
     }
     match node.platform.backend(record) {
-        Ok(entry) => {
+        Ok(mut entry) => {
+            cold_servers::entry_read(&mut state, &mut entry, now);
             let draining = entry.draining;
             let addr = entry.addr;
             let changed = state.backends.update(entry.clone(), now);
--- a/gateway/src/serve/choose.rs
+++ b/gateway/src/serve/choose.rs
@@ -16,6 +16,7 @@
 
 use super::admitted::Admitted;
 use super::attempt_history::AttemptHistory;
+use super::cold_servers;
 use super::heads;
 use super::leases::Lease;
 use super::lines::{
@@ -189,7 +190,12 @@
     }
     state.draw_seed = state.rng.random();
     state.update_cells(&node.settings);
+    cold_servers::refresh_senders(&mut state, now);
     let (candidates, placement) = find_placement(&state, node, admitted, history, eligible, now);
+    let is_cold = |c: &Candidate| is_limited(c) && state.limits.cold().is_cold(c.run, now);
+    if state.limits.cold().any_cold(now) && candidates.iter().any(is_cold) {
+        node.metrics.cold_request_denied();
+    }
     let key = match placement {
         _ if history.rejections >= MAX_REJECTIONS || history.tried.len() >= MAX_TRIED => {
             let rejection =
@@ -285,7 +291,8 @@
     cause: &'static str,
     now: Timestamp,
 ) -> Rejection {
-    if candidates.iter().any(is_limited) {
+    let states_limit = |c: &&Candidate| state.limits.limit(c.run).is_some();
+    if candidates.iter().filter(states_limit).any(is_limited) {
         return rejection_by_limits(state, candidates, admitted, now);
     }
     let online = candidates.iter().map(|c| (c.placed.online, c.slots));
@@ -385,7 +392,7 @@
     let shard = shard(admitted.parts.identity(), runs);
     let backends = backends.into_iter();
     let slowness = state.speeds.compare(now);
-    let any_limited = state.limits.any_limited();
+    let any_limited = state.limits.any_limited() || state.limits.cold().any_cold(now);
     let purpose = Purpose::Online {
         items_wait: any_limited && state.items_wait(now),
     };
--- a/gateway/src/serve/heads.rs
+++ b/gateway/src/serve/heads.rs
@@ -6,6 +6,7 @@
 use limpetweir_state::Timestamp;
 
 use super::choose::LimitsMet;
+use super::cold_servers;
 use super::lines::{
     BACKEND_LEAVES,
     LIMIT_BEGAN,
@@ -90,6 +91,11 @@
         log_change(&entry.id, change, "response");
         node.report_due.notify(usize::MAX);
     }
+    if let Some(stated) = &head.cold_remaining
+        && cold_servers::responded(&mut state, entry, stated, now)
+    {
+        node.report_due.notify(usize::MAX);
+    }
     let source = LeavingSource::Response;
     if head.leaving && says_leaving(&mut state, run, source, now, "response") {
         node.report_due.notify(usize::MAX);
--- a/gateway/src/serve/items.rs
+++ b/gateway/src/serve/items.rs
@@ -33,6 +33,7 @@
 use super::suspected_items::choose_alone;
 use super::task_kinds::OneShot;
 use super::{
+    cold_servers,
     runs,
     suspected_items,
     writer, //
@@ -175,6 +176,7 @@
     let state = &mut *state;
     let me = node.settings.name.as_str();
     state.update_cells(&node.settings);
+    cold_servers::refresh_senders(state, now);
     let slots = |backend| {
         let backend = state.backends.get(backend)?;
         Some(slots_of(state, &backend.entry))
--- a/gateway/src/serve/lines.rs
+++ b/gateway/src/serve/lines.rs
@@ -132,6 +132,10 @@
 pub(crate) const LIMIT_INVALID: Event = Event::new(2311, Level::Warn);
 /// A response of a backend server says that it leaves.
 pub(crate) const BACKEND_LEAVES: Event = Event::new(2312, Level::Warn);
+/// A backend server is cold and gets only the rate that its service allows.
+pub(crate) const COLD: Event = Event::new(2319, Level::Warn);
+/// A service or a backend server states a value about cold servers that is out of range.
+pub(crate) const COLD_INVALID: Event = Event::new(2320, Level::Warn);
 /// Another instance is reachable.
 pub(crate) const PEER_UP: Event = Event::new(2401, Level::Warn);
 /// Another instance is unreachable.
--- a/gateway/src/serve/metrics.rs
+++ b/gateway/src/serve/metrics.rs
@@ -52,6 +52,8 @@
     runs_withdrawn: Counter<u64>,
     cases_opened: Counter<u64>,
     limited_requests: Counter<u64>,
+    cold_servers: Gauge<u64>,
+    cold_requests_denied: Counter<u64>,
     lines_dropped: Counter<u64>,
     task_restarts: Counter<u64>,
     task_panics: Counter<u64>,
@@ -129,6 +131,14 @@
                 "limpetweir_limited_server_requests",
                 "Requests to backend servers with a limit, by kind",
             ),
+            cold_servers: meter
+                .u64_gauge("limpetweir_cold_servers")
+                .with_description("Backend servers that are cold and have a limit")
+                .build(),
+            cold_requests_denied: counter(
+                "limpetweir_cold_server_requests_kept_away",
+                "Requests that the rate of a cold backend server with a free slot kept away from it",
+            ),
             lines_dropped: counter("limpetweir_log_lines_dropped", "Log lines not written"),
             task_restarts: counter(
                 "limpetweir_task_restarts",
@@ -224,6 +234,16 @@
         self.limited_requests.add(1, &labels);
     }
 
+    /// Records the number of cold servers with a limit.
+    pub(crate) fn cold_servers(&self, count: usize) {
+        self.cold_servers.record(count as u64, &[]);
+    }
+
+    /// Counts a request that went elsewhere or was refused because of the rate of a cold server.
+    pub(crate) fn cold_request_denied(&self) {
+        self.cold_requests_denied.add(1, &[]);
+    }
+
     /// Counts dropped log lines.
     pub(crate) fn lines_dropped(&self, count: u64) {
         self.lines_dropped.add(count, &[]);
--- a/gateway/src/serve/mod.rs
+++ b/gateway/src/serve/mod.rs
@@ -8,6 +8,7 @@
 mod case_records;
 mod catch_up;
 mod choose;
+mod cold_servers;
 mod crash_checks;
 mod crash_messages;
 mod crashes;
--- a/gateway/src/serve/peers.rs
+++ b/gateway/src/serve/peers.rs
@@ -22,6 +22,7 @@
 
 use super::apply;
 use super::case_records;
+use super::cold_servers;
 use super::crash_messages;
 use super::crashes;
 use super::heads;
@@ -219,6 +220,9 @@
     let limits = report.limits.as_deref().unwrap_or_default();
     let limit_changes = state.limits.apply_report(&name, report.boot, limits, now);
     heads::log_changes(&state, &limit_changes, &name);
+    let cold = state.limits.cold_mut();
+    let spans = cold.apply_report(&name, report.boot, &report.cold, now);
+    cold_servers::log_spans(&state, &spans);
     state.positions_reported(&report.positions, now);
     state
         .backends
@@ -268,6 +272,7 @@
     state.quotas.set_unreachable(unreachable, all, now);
     let (silent, senders) = state.limit_senders(now);
     state.limits.set_senders(silent, senders, now);
+    cold_servers::update_senders(state, now);
 }
 
 /// Detects peers that have become unreachable and removes their load.
@@ -304,6 +309,7 @@
         }
         let ended = state.limits.sweep(now);
         heads::log_changes(&state, &ended, "age");
+        node.metrics.cold_servers(state.limits.cold().count(now));
         update_unreachable(&mut state, now);
         state.update_reserved(&node.settings);
         drop(state);
--- a/gateway/src/serve/reports.rs
+++ b/gateway/src/serve/reports.rs
@@ -171,6 +171,7 @@
         positions: state.positions(),
         limits: Some(state.limits.reports(now)),
         leaving_runs: state.backends.leaving_runs(),
+        cold: state.limits.cold().reports(now),
     };
     let started = std::mem::take(&mut state.started_peers);
     let receivers = receivers(node, &state, &report, &started);
--- a/gateway/src/server_limits.rs
+++ b/gateway/src/server_limits.rs
@@ -24,6 +24,10 @@
     StatedLimit,
     Statement, //
 };
+use crate::warm_up::{
+    ColdServers,
+    Sender, //
+};
 
 /// Rate of requests to a server that states a lower one, in requests per second. Without requests
 /// there are no responses, and the end of the limit would never be known.
@@ -106,6 +110,9 @@
     /// The server has no limit.
     #[default]
     Unlimited,
+    /// The rate of a cold server allows one request. The server is a candidate like one without a
+    /// limit, for the instances of its cell.
+    Paced,
     /// The limit allows it.
     Allowed,
     /// The limit allows it, and is to be confirmed.
@@ -131,6 +138,8 @@
     sends: HashMap<RunKey, SendLog>,
     /// Instances that send to the same servers and report it, with this one.
     heard: usize,
+    /// Servers that have just started, which have a limit of their own kind.
+    cold: ColdServers,
 }
 
 impl ServerLimits {
@@ -144,9 +153,20 @@
             learned_late: HashMap::new(),
             sends: HashMap::new(),
             heard: 1,
+            cold: ColdServers::default(),
         }
     }
 
+    /// Returns the cold servers.
+    pub fn cold(&self) -> &ColdServers {
+        &self.cold
+    }
+
+    /// Returns the cold servers, to tell them what was read or sent.
+    pub fn cold_mut(&mut self) -> &mut ColdServers {
+        &mut self.cold
+    }
+
     /// Returns whether any server is limited.
     pub fn any_limited(&self) -> bool {
         self.statements.values().any(|s| s.rate.is_some())
@@ -162,6 +182,12 @@
         self.rates.set_unreachable_fraction(fraction, now);
     }
 
+    /// Sets the `others` that send to the same cold servers. `has_work` says whether this instance has
+    /// requests or items.
+    pub fn set_cold_senders(&mut self, has_work: bool, others: &[Sender<'_>], now: Timestamp) {
+        self.cold.set_senders(&self.name, has_work, others, now);
+    }
+
     /// Applies the head of a response of `run` to a request that was sent at `sent_at`.
     pub fn stated(
         &mut self,
@@ -210,8 +236,19 @@
         statement.filter(|s| s.rate.is_some())
     }
 
-    /// Returns whether a request may be sent to `run` at `now`, the time `unix_ms`.
+    /// Returns whether a request may be sent to `run` at `now`, the time `unix_ms`. A cold server that
+    /// states a limit keeps both.
     pub fn permit(&self, run: RunKey, purpose: Purpose, now: Timestamp, unix_ms: u64) -> Permit {
+        let stated = self.stated_permit(run, purpose, now, unix_ms);
+        match self.cold.allows(run, purpose, now, unix_ms) {
+            None => stated,
+            Some(false) => Permit::Denied,
+            Some(true) if stated == Permit::Unlimited => Permit::Paced,
+            Some(true) => stated,
+        }
+    }
+
+    fn stated_permit(&self, run: RunKey, purpose: Purpose, now: Timestamp, unix_ms: u64) -> Permit {
         let Some(statement) = self.limit(run) else {
             return Permit::Unlimited;
         };
@@ -301,6 +338,7 @@
 
     /// Counts a request that this instance sends to `run`.
     pub fn sent(&mut self, run: RunKey, now: Timestamp) {
+        self.cold.sent(run, now);
         if self.limit(run).is_some() {
             // The caller has seen that there is a token.
             let _ = self.rates.take(run, now);
@@ -354,10 +392,12 @@
     /// Removes a peer that was removed from the members.
     pub fn remove_peer(&mut self, peer: &str) {
         self.rates.remove_peer(peer);
+        self.cold.remove_peer(peer);
     }
 
     /// Drops statements that are too old, and returns the limits that end with them.
     pub fn sweep(&mut self, now: Timestamp) -> Vec<(RunKey, LimitChange)> {
+        self.cold.sweep(now);
         let mut ended = Vec::new();
         for (run, statement) in &mut self.statements {
             if statement.age(now) >= LIFETIME
--- /dev/null
+++ b/gateway/src/warm_up/turns.rs
@@ -0,0 +1,211 @@
+//! Which instance may send the next request to a cold backend server.
+//!
+//! Load pattern: 2,000 requests per second of 77 instances, all of which see the same empty server
+//! first. Reports take up to 30 ms, in which 60 requests arrive, so counts alone cannot keep the sum
+//! at 19 per second. Each request that the rate allows therefore belongs to one instance by its
+//! number, without a message. One that stays unused passes to a second and a third instance.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use limpetweir_state::Timestamp;
+
+use crate::backend::RunKey;
+
+/// Time for which a request that the rate allows may be used. All instances together can send only
+/// what became due within a second and this time, whether or not they hear each other.
+const USABLE_FOR: Duration = Duration::from_millis(300);
+
+/// Most instances to which a request that the rate allows passes in turn.
+const MAX_RANKS: u64 = 3;
+
+/// Time since the last work of an instance for which it has a part in the rate.
+const ACTIVE_FOR: Duration = Duration::from_secs(10);
+
+/// Age of the first work of another instance from which on it has a part. Instances that get work
+/// at the same moment must know of each other before any of them divides the rate among fewer.
+const MATURE_AFTER: Duration = Duration::from_millis(600);
+
+/// The same for this instance: the others know of its work by then, also if reports of 250 ms are lost.
+const OWN_MATURE_AFTER: Duration = Duration::from_millis(900);
+
+/// Time by which a report may be late before its sender counts as cut off. While two sides do not know
+/// that they are, each passes on what the other one uses.
+const QUIET_MARGIN: Duration = Duration::from_millis(150);
+
+/// Another instance that may send to the same servers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Sender<'a> {
+    /// Name of the instance.
+    pub name: &'a str,
+    /// Whether it has requests or items.
+    pub has_work: bool,
+    /// Time since its last report, and the time after which it sends the next one at the latest;
+    /// `None` without any.
+    pub heard: Option<(Duration, Duration)>,
+}
+
+impl Sender<'_> {
+    fn is_heard(&self) -> bool {
+        let in_time = |(since, interval)| since < interval + QUIET_MARGIN;
+        self.heard.is_some_and(in_time)
+    }
+}
+
+/// When an instance had work.
+#[derive(Clone, Copy, Debug)]
+struct Activity {
+    first: Timestamp,
+    last: Timestamp,
+}
+
+/// The part of this instance in the rate of each cold server.
+#[derive(Debug)]
+pub(super) struct Turns {
+    /// When each instance had work; those without any lately are missing.
+    activity: HashMap<String, Activity>,
+    /// Number of this instance among those with a part, below `count`; `None` without a part.
+    place: Option<u64>,
+    /// Whether this instance hears each of the instances with a part, by number; never empty.
+    heard: Vec<bool>,
+    /// Whether other instances are known, so that this one is not alone only because it has just
+    /// started.
+    pub(super) knows_others: bool,
+    /// When the rate was divided last.
+    pub(super) divided_at: Timestamp,
+}
+
+impl Default for Turns {
+    fn default() -> Self {
+        Self {
+            activity: HashMap::new(),
+            place: Some(0),
+            heard: vec![true],
+            knows_others: false,
+            divided_at: Timestamp::default(),
+        }
+    }
+}
+
+impl Turns {
+    /// Divides the rate among the instance `me` and the `others`, heard or not.
+    pub(super) fn divide(
+        &mut self,
+        me: &str,
+        has_work: bool,
+        others: &[Sender<'_>],
+        now: Timestamp,
+    ) {
+        self.divided_at = now;
+        self.knows_others = !others.is_empty();
+        let me = Sender {
+            name: me,
+            has_work,
+            heard: Some(Default::default()),
+        };
+        let all: Vec<Sender<'_>> = others.iter().copied().chain([me]).collect();
+        for sender in all.iter().filter(|sender| sender.has_work) {
+            let activity = self.activity.entry(sender.name.to_owned());
+            activity
+                .or_insert(Activity {
+                    first: now,
+                    last: now,
+                })
+                .last = now;
+        }
+        self.activity
+            .retain(|_, activity| now.since(activity.last) < ACTIVE_FOR);
+        let has_part = |sender: &&Sender<'_>| {
+            let age = match sender.name == me.name {
+                true => OWN_MATURE_AFTER,
+                false => MATURE_AFTER,
+            };
+            let activity = self.activity.get(sender.name);
+            activity.is_some_and(|activity| now.since(activity.first) >= age)
+        };
+        let mut parts: Vec<&Sender<'_>> = all.iter().filter(has_part).collect();
+        if parts.is_empty() {
+            parts = all.iter().collect();
+        }
+        parts.sort_unstable_by_key(|sender| sender.name);
+        let place = parts.binary_search_by_key(&me.name, |sender| sender.name);
+        self.place = place.ok().map(|n| n as u64);
+        self.heard = parts.iter().map(|sender| sender.is_heard()).collect();
+    }
+
+    fn count(&self) -> u64 {
+        self.heard.len() as u64
+    }
+
+    /// Returns the fraction of the rate that is not left to instances which are not heard.
+    pub(super) fn free(&self) -> f64 {
+        let heard = self.heard.iter().filter(|heard| **heard).count();
+        // Instance counts are far below the precision of f64.
+        heard.max(1) as f64 / self.heard.len() as f64
+    }
+
+    /// Returns the number of instances to which an unused request passes in turn, with the first.
+    fn ranks(&self) -> u64 {
+        self.count().min(MAX_RANKS)
+    }
+
+    /// Returns the time for which a request belongs to one instance at `rate` per second.
+    pub(super) fn turn(&self, rate: f64) -> Duration {
+        let turn = USABLE_FOR.as_secs_f64() / self.ranks() as f64;
+        Duration::from_secs_f64(turn.max(1.0 / rate))
+    }
+
+    /// Returns the most requests that may be due and unused at `rate` per second.
+    pub(super) fn burst(&self, rate: f64) -> f64 {
+        rate * self.turn(rate).as_secs_f64() * self.ranks() as f64
+    }
+
+    /// Returns how many requests to `run` belong to this instance at the time `unix_ms`, at `rate` per
+    /// second. If `own_only` is set, those passed on by others do not count. Each belongs to it from
+    /// the part `skipped` of a turn on.
+    pub(super) fn open(
+        &self,
+        run: RunKey,
+        rate: f64,
+        unix_ms: u64,
+        own_only: bool,
+        skipped: f64,
+    ) -> u64 {
+        let Some(place) = self.place else {
+            return 0;
+        };
+        let due = unix_ms as f64 / 1_000.0 * rate;
+        let turn = self.turn(rate).as_secs_f64() * rate;
+        let ranks = if own_only { 1 } else { self.ranks() };
+        // An instance that is not heard has used its requests; those on its side do not pass on others.
+        let passed_on = |rank: &u64| self.hears_back(place, *rank);
+        let open = (0..ranks).filter(passed_on).map(|rank| {
+            let first = self.back(place, rank) + self.count() - u64::from(run.0) % self.count();
+            let from = due - (rank + 1) as f64 * turn;
+            let to = due - (rank as f64 + skipped) * turn;
+            self.numbers_up_to(to, first) - self.numbers_up_to(from, first)
+        });
+        u64::try_from(open.sum::<i64>()).unwrap_or(0)
+    }
+
+    /// Returns the number of the instance that has a turn `ranks` before that of `place`. These are
+    /// far apart, so that idle neighbours do not leave a request unused.
+    fn back(&self, place: u64, ranks: u64) -> u64 {
+        let shift = ranks * self.count() / self.ranks();
+        (place + self.count() - shift) % self.count()
+    }
+
+    fn hears_back(&self, place: u64, ranks: u64) -> bool {
+        let number = self.back(place, ranks);
+        let number = usize::try_from(number).unwrap_or(usize::MAX);
+        self.heard.get(number).is_some_and(|heard| *heard)
+    }
+
+    /// Returns how many whole numbers up to `end`, counted from a fixed one, have the remainder of
+    /// `first` by the number of instances.
+    fn numbers_up_to(&self, end: f64, first: u64) -> i64 {
+        // Numbers that are out of range saturate.
+        let (end, first, count) = (end.floor() as i64, first as i64, self.count() as i64);
+        end.saturating_sub(first).div_euclid(count)
+    }
+}
--- a/gateway/tests/batch.rs
+++ b/gateway/tests/batch.rs
@@ -450,3 +450,28 @@
     let starts: Vec<u32> = starts.into_iter().map(|(_, key)| key.0).collect();
     assert_eq!(starts, chosen);
 }
+
+/// Load pattern: items wait at all instances while servers return cold. Guards against a decision that
+/// starts several items at a cold server, for which it has asked once, and against items at cold servers
+/// of other cells, whose instances count what these get.
+#[rstest]
+#[case::own_cell(false, &[0, 1])]
+#[case::other_cell(true, &[])]
+fn items_start_at_cold_servers_one_at_a_time(#[case] other_cell: bool, #[case] chosen: &[u32]) {
+    let cold = |key| BatchCandidate {
+        permit: Permit::Paced,
+        other_cell,
+        ..candidate(key, 0, 0, 60_000)
+    };
+    let none_kept = |_, _, _| 0;
+    let starts = choose_starts(
+        &mut waiting(9, 0),
+        &[cold(0), cold(1)],
+        "a",
+        NONE,
+        none_kept,
+    );
+    let mut starts: Vec<u32> = starts.into_iter().map(|(_, key)| key.0).collect();
+    starts.sort_unstable();
+    assert_eq!(starts, chosen);
+}
--- a/gateway/tests/checked.rs
+++ b/gateway/tests/checked.rs
@@ -6,6 +6,7 @@
 use limpetweir_gateway::{
     BackendEntry,
     Backends,
+    ColdTime,
     Label,
     ListenerAddr,
     MAX_LABEL_BYTES,
@@ -89,6 +90,7 @@
         slots: Some(8),
         draining: false,
         born: 1,
+        cold_remaining: ColdTime::default(),
     };
     backends.update(entry, NOW);
     assert_eq!(backends.serving("s", NOW).count(), 1);
--- a/gateway/tests/fuzz/messages.rs
+++ b/gateway/tests/fuzz/messages.rs
@@ -79,6 +79,7 @@
         positions: vec![position],
         limits: Some(vec![limit]),
         leaving_runs: vec![RunKey(4)],
+        cold: Vec::new(),
     }
 }
 
--- a/gateway/tests/online.rs
+++ b/gateway/tests/online.rs
@@ -14,6 +14,7 @@
     BackendKey,
     Backends,
     BatchRun,
+    ColdTime,
     Configuration,
     ConfigurationParts,
     Instance,
@@ -214,6 +215,7 @@
         slots: Some(8),
         draining,
         born: 1,
+        cold_remaining: ColdTime::default(),
     }
 }
 
@@ -347,6 +349,7 @@
             sent: 3,
         }]),
         leaving_runs: vec![RunKey(12)],
+        cold: Vec::new(),
     }
 }
 
--- a/gateway/tests/placement.rs
+++ b/gateway/tests/placement.rs
@@ -182,3 +182,17 @@
     let placement = Placement::Send(BackendKey(chosen));
     assert_eq!(place(&candidates, LIMITS), placement);
 }
+
+/// Load pattern: a zone returns with cold servers. Guards against cold servers that have capacity and
+/// are used last, and against requests from cells that do not count what a cold server gets.
+#[rstest]
+#[case::ordinary([candidate(0, 1, 0), limited(Permit::Paced, candidate(1, 0, 0))], 1)]
+#[case::kept_away([candidate(0, 1, 0), limited(Permit::Denied, candidate(1, 0, 0))], 0)]
+#[case::other_cell([candidate(0, 8, 0), limited(Permit::Paced, remote(1, 0, 0))], 0)]
+fn a_cold_server_with_capacity_is_an_ordinary_one(
+    #[case] candidates: [Candidate; 2],
+    #[case] chosen: u32,
+) {
+    let expected = Placement::Send(BackendKey(chosen));
+    assert_eq!(place(&candidates, LIMITS), expected);
+}
--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -27,5 +27,6 @@
         positions: Vec::new(),
         limits: Some(Vec::new()),
         leaving_runs: Vec::new(),
+        cold: Vec::new(),
     }
 }
