--- a/gateway/src/serve/cold_servers.rs
+++ b/gateway/src/serve/cold_servers.rs
@@ -11,10 +11,7 @@
 };
 use super::node::unix_ms;
 use super::state::State;
-use crate::backend::{
-    BackendEntry,
-    RunKey, //
-};
+use crate::backend::BackendEntry;
 use crate::config::Configuration;
 use crate::report::Report;
 use crate::warm_up::{
@@ -100,11 +97,17 @@
     }
 }
 
-/// Logs spans that another instance reports.
-pub(crate) fn log_spans(state: &State, spans: &[(RunKey, ColdSpan)]) {
+/// Applies what another instance reports.
+pub(crate) fn reported(state: &mut State, peer: &str, report: &Report, now: Timestamp) {
+    let State {
+        limits, backends, ..
+    } = state;
+    let service_of = |run| Some(backends.of_run(run)?.entry.service.clone());
+    let cold = limits.cold_mut();
+    let spans = cold.apply_report(peer, report.boot, &report.cold, service_of, now);
     for (run, span) in spans {
-        if let Some(backend) = state.backends.of_run(*run) {
-            log_span(Some(*span), &backend.entry.id);
+        if let Some(backend) = backends.of_run(run) {
+            log_span(Some(span), &backend.entry.id);
         }
     }
 }
--- a/gateway/src/serve/peers.rs
+++ b/gateway/src/serve/peers.rs
@@ -220,9 +220,7 @@
     let limits = report.limits.as_deref().unwrap_or_default();
     let limit_changes = state.limits.apply_report(&name, report.boot, limits, now);
     heads::log_changes(&state, &limit_changes, &name);
-    let cold = state.limits.cold_mut();
-    let spans = cold.apply_report(&name, report.boot, &report.cold, now);
-    cold_servers::log_spans(&state, &spans);
+    cold_servers::reported(&mut state, &name, &report, now);
     state.positions_reported(&report.positions, now);
     state
         .backends
--- a/gateway/src/warm_up/cold_servers.rs
+++ b/gateway/src/warm_up/cold_servers.rs
@@ -94,6 +94,8 @@
     until: Timestamp,
     /// The part of it that responses to this instance have stated.
     response_until: Timestamp,
+    /// Who said first that it is cold in this span.
+    source: Option<ColdSource>,
     /// Whether the begin of the span was returned.
     is_announced: bool,
     pace: Pace,
@@ -182,10 +184,11 @@
         is_new: bool,
         now: Timestamp,
     ) -> Option<ColdSpan> {
-        if remaining.is_zero() || self.runs.len() >= MAX_RUNS && !self.runs.contains_key(&run) {
+        let is_known = self.runs.contains_key(&run);
+        if !is_known && (remaining.is_zero() || self.runs.len() >= MAX_RUNS) {
             return None;
         }
-        let is_unused = is_new && !self.runs.contains_key(&run) && now >= SETTLE_TIME;
+        let is_unused = is_new && !is_known && now >= SETTLE_TIME;
         let known = self.runs.entry(run).or_default();
         if known.service.is_none() {
             known.service = service.map(str::to_owned);
@@ -193,15 +196,23 @@
         let was_cold = now < known.until;
         known.until = known.until.max(now + remaining);
         self.latest = self.latest.max(known.until);
+        if now >= known.until {
+            return None;
+        }
         let terms = known.service.as_ref().and_then(|s| self.terms.get(s));
         if !was_cold {
             let tokens = terms.filter(|_| is_unused).map_or(0.0, |terms| terms.rate);
             known.pace.begin(tokens, now);
+            known.source = Some(source);
             known.is_announced = false;
         }
+        // Without terms the span begins when a configuration with them comes into force.
         let is_first = terms.is_some() && !known.is_announced;
         known.is_announced |= is_first;
-        is_first.then_some(ColdSpan { source, remaining })
+        is_first.then_some(ColdSpan {
+            source: known.source.unwrap_or(source),
+            remaining: known.until.since(now),
+        })
     }
 
     /// Returns the invalid value that a run of a backend server states, once for each run.
@@ -306,19 +317,25 @@
             .collect()
     }
 
-    /// Applies what the instance `peer`, started at `boot`, has sent and knows. Returns the spans that
-    /// begin.
+    /// Applies what the instance `peer`, started at `boot`, has sent and knows. `service_of` finds the
+    /// service of a run. Returns the spans that begin.
     pub fn apply_report(
         &mut self,
         peer: &str,
         boot: u64,
         reports: &[ColdReport],
+        service_of: impl Fn(RunKey) -> Option<String>,
         now: Timestamp,
     ) -> Vec<(RunKey, ColdSpan)> {
         let mut began = Vec::new();
         for report in reports {
             let run = report.run;
-            let span = self.cold(run, None, ColdSource::Report, report.remaining, false, now);
+            let known = self.runs.get(&run);
+            let needs_service = known.is_none_or(|known| known.service.is_none());
+            let is_cold = !report.remaining.is_zero() && needs_service;
+            let service = is_cold.then(|| service_of(run)).flatten();
+            let (service, source) = (service.as_deref(), ColdSource::Report);
+            let span = self.cold(run, service, source, report.remaining, false, now);
             began.extend(span.map(|span| (run, span)));
             if report.sent > 0 {
                 self.count_of_peer(peer, boot, report, now);
