gateway: cold servers keep to their rate by turns and a window alone

The window covers the time for which a request may be used, which is longer than a second for low rates.

--- a/gateway/src/warm_up/cold_servers.rs
+++ b/gateway/src/warm_up/cold_servers.rs
@@ -147,7 +147,6 @@
         // A server whose clock is ahead has started at most just now.
         let running = Duration::from_millis(unix_ms.saturating_sub(entry.born));
         let since_start = terms.map_or(Duration::ZERO, |t| t.duration.saturating_sub(running));
-        let is_new = !since_start.is_zero();
         let (source, remaining) = match stated.remaining >= since_start {
             true => (ColdSource::Entry, stated.remaining),
             false => (ColdSource::Start, since_start),
@@ -155,7 +154,7 @@
         if let Some(known) = self.runs.get_mut(&run) {
             known.service.get_or_insert_with(|| entry.service.clone());
         }
-        self.cold(run, Some(&entry.service), source, remaining, is_new, now)
+        self.cold(run, Some(&entry.service), source, remaining, now)
     }
 
     /// Applies the time that a response of a backend server states.
@@ -167,7 +166,7 @@
     ) -> Option<ColdSpan> {
         let (run, service) = (entry.run(), Some(entry.service.as_str()));
         let source = ColdSource::Response;
-        let began = self.cold(run, service, source, stated.remaining, false, now);
+        let began = self.cold(run, service, source, stated.remaining, now);
         if let Some(known) = self.runs.get_mut(&run) {
             known.response_until = known.response_until.max(now + stated.remaining);
         }
@@ -181,14 +180,12 @@
         service: Option<&str>,
         source: ColdSource,
         remaining: Duration,
-        is_new: bool,
         now: Timestamp,
     ) -> Option<ColdSpan> {
         let is_known = self.runs.contains_key(&run);
         if !is_known && (remaining.is_zero() || self.runs.len() >= MAX_RUNS) {
             return None;
         }
-        let is_unused = is_new && !is_known && now >= SETTLE_TIME;
         let known = self.runs.entry(run).or_default();
         if known.service.is_none() {
             known.service = service.map(str::to_owned);
@@ -201,8 +198,6 @@
         }
         let terms = known.service.as_ref().and_then(|s| self.terms.get(s));
         if !was_cold {
-            let tokens = terms.filter(|_| is_unused).map_or(0.0, |terms| terms.rate);
-            known.pace.begin(tokens, now);
             known.source = Some(source);
             known.is_announced = false;
         }
@@ -259,7 +254,7 @@
         let free = self.turns.free();
         Rate {
             per_s: rate * free,
-            burst: self.turns.burst(rate) * free,
+            usable_for: self.turns.usable_for(rate),
         }
     }
 
@@ -293,9 +288,8 @@
             return;
         };
         let rate = self.rate(per_s);
-        let turn = self.turns.turn(per_s);
         if let Some(known) = self.runs.get_mut(&run) {
-            known.pace.sent(rate, turn, now);
+            known.pace.sent(rate, now);
         }
     }
 
@@ -335,7 +329,7 @@
             let is_cold = !report.remaining.is_zero() && needs_service;
             let service = is_cold.then(|| service_of(run)).flatten();
             let (service, source) = (service.as_deref(), ColdSource::Report);
-            let span = self.cold(run, service, source, report.remaining, false, now);
+            let span = self.cold(run, service, source, report.remaining, now);
             began.extend(span.map(|span| (run, span)));
             if report.sent > 0 {
                 self.count_of_peer(peer, boot, report, now);
--- a/gateway/src/warm_up/pace.rs
+++ b/gateway/src/warm_up/pace.rs
@@ -6,15 +6,12 @@
 
 use crate::send_log::SendLog;
 
-/// Window in which at most the rate times its length is sent.
-const WINDOW: Duration = Duration::from_secs(1);
+/// Shortest window in which at most the rate times its length is sent.
+const MIN_WINDOW: Duration = Duration::from_secs(1);
 
 /// Requests to one cold server.
 #[derive(Debug, Default)]
 pub(super) struct Pace {
-    /// Requests that are due and unused; negative after instances have sent at the same time.
-    tokens: f64,
-    updated: Timestamp,
     /// Requests of all instances.
     all: SendLog,
     /// Requests of this instance.
@@ -25,33 +22,30 @@
     pub(super) last_sent: Option<Timestamp>,
 }
 
-/// Rate and burst at which this instance sends to a cold server now.
+/// Rate of the instances that hear each other to one cold server.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Rate {
     /// Requests per second, above 0.
     pub(super) per_s: f64,
-    /// Most requests that may be due and unused.
-    pub(super) burst: f64,
+    /// Time for which a request that the rate allows may be used by any instance.
+    pub(super) usable_for: Duration,
 }
 
-impl Pace {
-    /// Begins a cold span in which `tokens` requests are due at once.
-    pub(super) fn begin(&mut self, tokens: f64, now: Timestamp) {
-        self.tokens = tokens;
-        self.updated = now;
-    }
-
-    fn level(&self, rate: Rate, now: Timestamp) -> f64 {
-        let gained = rate.per_s * now.since(self.updated).as_secs_f64();
-        (self.tokens + gained).min(rate.burst.max(1.0))
+impl Rate {
+    /// Returns the window in which requests are counted. It covers all that an unused request may
+    /// meet.
+    fn window(self) -> Duration {
+        self.usable_for.max(MIN_WINDOW)
     }
+}
 
+impl Pace {
     /// Returns whether the rate allows one more request of all instances.
     pub(super) fn has_room(&self, rate: Rate, now: Timestamp) -> bool {
-        let sent = self.all.count(WINDOW, now).requests;
+        let window = rate.window();
+        let sent = self.all.count(window, now).requests;
         // Counts are far below the precision of f64.
-        let fits = sent as f64 + 1.0 <= (rate.per_s * WINDOW.as_secs_f64()).ceil();
-        fits && self.level(rate, now) >= 1.0
+        sent as f64 + 1.0 <= (rate.per_s * window.as_secs_f64()).ceil()
     }
 
     /// Returns how many requests this instance has sent within the time `window`.
@@ -60,18 +54,15 @@
     }
 
     /// Counts a request of this instance.
-    pub(super) fn sent(&mut self, rate: Rate, keep: Duration, now: Timestamp) {
+    pub(super) fn sent(&mut self, rate: Rate, now: Timestamp) {
         self.count(1, rate, now);
-        self.own.add(1, keep.max(WINDOW), now);
+        self.own.add(1, rate.window(), now);
         self.sent += 1;
         self.last_sent = Some(now);
     }
 
     /// Counts requests of any instance.
     pub(super) fn count(&mut self, requests: u64, rate: Rate, now: Timestamp) {
-        let level = self.level(rate, now) - requests as f64;
-        self.tokens = level.max(-rate.per_s);
-        self.updated = now;
-        self.all.add(requests, WINDOW, now);
+        self.all.add(requests, rate.window(), now);
     }
 }
--- a/gateway/src/warm_up/turns.rs
+++ b/gateway/src/warm_up/turns.rs
@@ -155,9 +155,9 @@
         Duration::from_secs_f64(turn.max(1.0 / rate))
     }
 
-    /// Returns the most requests that may be due and unused at `rate` per second.
-    pub(super) fn burst(&self, rate: f64) -> f64 {
-        rate * self.turn(rate).as_secs_f64() * self.ranks() as f64
+    /// Returns the time for which a request may be used by any instance at `rate` per second.
+    pub(super) fn usable_for(&self, rate: f64) -> Duration {
+        self.turn(rate).mul_f64(self.ranks() as f64)
     }
 
     /// Returns how many requests to `run` belong to this instance at the time `unix_ms`, at `rate` per
