--- a/gateway/src/warm_up/cold_servers.rs
+++ b/gateway/src/warm_up/cold_servers.rs
@@ -251,9 +251,8 @@
 
     /// Returns the part of `rate` of the instances that hear each other.
     fn rate(&self, rate: f64) -> Rate {
-        let free = self.turns.free();
         Rate {
-            per_s: rate * free,
+            per_s: rate * self.turns.free,
             usable_for: self.turns.usable_for(rate),
         }
     }
--- a/gateway/src/warm_up/turns.rs
+++ b/gateway/src/warm_up/turns.rs
@@ -64,10 +64,12 @@
 pub(super) struct Turns {
     /// When each instance had work; those without any lately are missing.
     activity: HashMap<String, Activity>,
-    /// Number of this instance among those with a part, below `count`; `None` without a part.
+    /// Number of this instance among those with a part, below `count`; `None` without one.
     place: Option<u64>,
-    /// Whether this instance hears each of the instances with a part, by number; never empty.
-    heard: Vec<bool>,
+    /// Number of instances with a part, at least 1.
+    count: u64,
+    /// Fraction of the rate that is not left to instances which are not heard, above 0.
+    pub(super) free: f64,
     /// Whether other instances are known, so that this one is not alone only because it has just
     /// started.
     pub(super) knows_others: bool,
@@ -80,7 +82,8 @@
         Self {
             activity: HashMap::new(),
             place: Some(0),
-            heard: vec![true],
+            count: 1,
+            free: 1.0,
             knows_others: false,
             divided_at: Timestamp::default(),
         }
@@ -130,23 +133,15 @@
         parts.sort_unstable_by_key(|sender| sender.name);
         let place = parts.binary_search_by_key(&me.name, |sender| sender.name);
         self.place = place.ok().map(|n| n as u64);
-        self.heard = parts.iter().map(|sender| sender.is_heard()).collect();
-    }
-
-    fn count(&self) -> u64 {
-        self.heard.len() as u64
-    }
-
-    /// Returns the fraction of the rate that is not left to instances which are not heard.
-    pub(super) fn free(&self) -> f64 {
-        let heard = self.heard.iter().filter(|heard| **heard).count();
+        self.count = parts.len() as u64;
+        let heard = parts.iter().filter(|sender| sender.is_heard()).count();
         // Instance counts are far below the precision of f64.
-        heard.max(1) as f64 / self.heard.len() as f64
+        self.free = heard.max(1) as f64 / parts.len() as f64;
     }
 
     /// Returns the number of instances to which an unused request passes in turn, with the first.
     fn ranks(&self) -> u64 {
-        self.count().min(MAX_RANKS)
+        self.count.min(MAX_RANKS)
     }
 
     /// Returns the time for which a request belongs to one instance at `rate` per second.
@@ -177,10 +172,10 @@
         let due = unix_ms as f64 / 1_000.0 * rate;
         let turn = self.turn(rate).as_secs_f64() * rate;
         let ranks = if own_only { 1 } else { self.ranks() };
-        // An instance that is not heard has used its requests; those on its side do not pass on others.
-        let passed_on = |rank: &u64| self.hears_back(place, *rank);
-        let open = (0..ranks).filter(passed_on).map(|rank| {
-            let first = self.back(place, rank) + self.count() - u64::from(run.0) % self.count();
+        let open = (0..ranks).map(|rank| {
+            // The ranks are far apart, so that idle neighbours do not leave a request unused.
+            let shift = (rank * self.count / self.ranks() + u64::from(run.0)) % self.count;
+            let first = place + self.count - shift;
             let from = due - (rank + 1) as f64 * turn;
             let to = due - (rank as f64 + skipped) * turn;
             self.numbers_up_to(to, first) - self.numbers_up_to(from, first)
@@ -188,24 +183,11 @@
         u64::try_from(open.sum::<i64>()).unwrap_or(0)
     }
 
-    /// Returns the number of the instance that has a turn `ranks` before that of `place`. These are
-    /// far apart, so that idle neighbours do not leave a request unused.
-    fn back(&self, place: u64, ranks: u64) -> u64 {
-        let shift = ranks * self.count() / self.ranks();
-        (place + self.count() - shift) % self.count()
-    }
-
-    fn hears_back(&self, place: u64, ranks: u64) -> bool {
-        let number = self.back(place, ranks);
-        let number = usize::try_from(number).unwrap_or(usize::MAX);
-        self.heard.get(number).is_some_and(|heard| *heard)
-    }
-
     /// Returns how many whole numbers up to `end`, counted from a fixed one, have the remainder of
     /// `first` by the number of instances.
     fn numbers_up_to(&self, end: f64, first: u64) -> i64 {
         // Numbers that are out of range saturate.
-        let (end, first, count) = (end.floor() as i64, first as i64, self.count() as i64);
+        let (end, first, count) = (end.floor() as i64, first as i64, self.count as i64);
         end.saturating_sub(first).div_euclid(count)
     }
 }
--- a/gateway/tests/fuzz/messages.rs
+++ b/gateway/tests/fuzz/messages.rs
@@ -12,6 +12,7 @@
     BatchRun,
     Case,
     Cleared,
+    ColdReport,
     Crash,
     CrashKey,
     CrashNews,
@@ -28,6 +29,7 @@
     Report,
     RunKey,
     ServerLimits,
+    WarmUp,
     choose_preemptions, //
 };
 use limpetweir_state::Timestamp;
@@ -79,7 +81,11 @@
         positions: vec![position],
         limits: Some(vec![limit]),
         leaving_runs: vec![RunKey(4)],
-        cold: Vec::new(),
+        cold: vec![ColdReport {
+            run: RunKey(5),
+            remaining: Duration::from_millis(900),
+            sent: 3,
+        }],
     }
 }
 
@@ -101,6 +107,9 @@
     let mut load = Load::default();
     let mut quotas = Quotas::default();
     let mut limits = ServerLimits::new("me");
+    let (terms, _) = WarmUp::nearest(3.0, 19.0);
+    let terms = terms.map(|terms| ("s".to_owned(), terms));
+    limits.cold_mut().configure(terms.into_iter());
     let mut members = Members::default();
     let mut now = Timestamp::from_millis(10_000);
     let mut decoded = 0;
@@ -118,8 +127,11 @@
         quotas.apply_report(&report.name, report.boot, &report.admitted, now);
         let stated = report.limits.as_deref().unwrap_or_default();
         limits.apply_report(&report.name, report.boot, stated, now);
+        let (servers, service_of) = (limits.cold_mut(), |_| Some("s".to_owned()));
+        servers.apply_report(&report.name, report.boot, &report.cold, service_of, now);
         for (run, purpose) in [
             (1, Purpose::Item),
+            (5, Purpose::Item),
             (1, Purpose::Online { items_wait: true }),
         ] {
             limits.permit(RunKey(run), purpose, now, 1_700_000_000_000);
