--- a/gateway/src/batch/candidate.rs
+++ b/gateway/src/batch/candidate.rs
@@ -82,13 +82,15 @@
     }
 
     pub(super) fn is_limited(&self) -> bool {
-        self.permit != Permit::Unlimited
+        !matches!(self.permit, Permit::Unlimited | Permit::Paced)
     }
 
     /// Returns the number of items that may start there at once. They leave a quarter of the slots of a
     /// limited server to online requests, which preempt them there only if nothing else is left.
     pub(super) fn most_starts(&self) -> u32 {
         match self.is_limited() {
+            // The next decision asks for the rate again.
+            false if self.permit == Permit::Paced => 1,
             false => u32::MAX,
             true if self.placed.batch < self.slots.saturating_sub(self.slots.div_ceil(4)) => 1,
             true => 0,
--- a/gateway/src/batch/starts.rs
+++ b/gateway/src/batch/starts.rs
@@ -79,7 +79,7 @@
         .iter()
         .filter(|candidate| !candidate.suspect && !candidate.slow)
         .filter(|candidate| candidate.permit != Permit::Denied)
-        .filter(|candidate| !candidate.is_limited() || !candidate.other_cell);
+        .filter(|candidate| candidate.permit == Permit::Unlimited || !candidate.other_cell);
     let (other_cell, own_cell): (Vec<&BatchCandidate>, Vec<&BatchCandidate>) =
         usable.partition(|candidate| candidate.other_cell);
     let online = own_cell
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -55,6 +55,7 @@
 mod sse;
 mod store_relay;
 mod supervision;
+mod warm_up;
 
 pub use admission::{HOLD, Level, MIN_USAGE, ServiceKey, Shares, ShortageReport, Shortages, Turn};
 pub use backend::{Backend, BackendEntry, BackendKey, Backends, LeavingSource, RunKey};
@@ -122,3 +123,7 @@
     ways,
 };
 pub use supervision::{Pulse, RestartBackoff, StallTimer, steps_back};
+pub use warm_up::{
+    ColdReport, ColdServers, ColdSource, ColdSpan, ColdTime, MAX_COLD_RATE, MAX_COLD_TIME,
+    MIN_COLD_RATE, Sender, WarmUp,
+};
--- a/gateway/src/report.rs
+++ b/gateway/src/report.rs
@@ -25,6 +25,7 @@
 use crate::quota::OrganisationKey;
 use crate::report_ranges::MAX_REPORT_BYTES;
 use crate::server_limits::LimitReport;
+use crate::warm_up::ColdReport;
 
 /// Version of the encoding; reports of another version are ignored.
 const WIRE_VERSION: u8 = 4;
@@ -106,6 +107,9 @@
     pub store_answers: bool,
     /// Services at which the instance has just refused requests for want of room.
     pub shortages: Vec<ShortageReport>,
+    /// Cold backend servers to which the instance has sent lately, or which have told it that they are
+    /// cold.
+    pub cold: Vec<ColdReport>,
 }
 
 /// Encoded form of a report; fields are identified by position to keep it small.
@@ -134,8 +138,30 @@
     #[serde(default)] Vec<u32>,
     #[serde(default)] Option<WireEvacuations>,
     #[serde(default)] Vec<WireShortage>,
+    #[serde(default)] Vec<WireCold>,
 );
 
+/// Run, remaining time in milliseconds, and requests sent.
+#[derive(Deserialize, Serialize)]
+struct WireCold(u32, u32, u64);
+
+impl From<&ColdReport> for WireCold {
+    fn from(r: &ColdReport) -> Self {
+        let remaining_ms = u32::try_from(r.remaining.as_millis()).unwrap_or(u32::MAX);
+        Self(r.run.0, remaining_ms, r.sent)
+    }
+}
+
+impl From<WireCold> for ColdReport {
+    fn from(w: WireCold) -> Self {
+        Self {
+            run: RunKey(w.0),
+            remaining: Duration::from_millis(u64::from(w.1)),
+            sent: w.2,
+        }
+    }
+}
+
 /// Run, requests per second, age in milliseconds, and requests sent.
 #[derive(Deserialize, Serialize)]
 struct WireLimit(u32, Option<f64>, u32, u64);
@@ -203,6 +229,7 @@
             r.leaving_runs.iter().map(|run| run.0).collect(),
             r.evacuations.as_ref().map(WireEvacuations::from),
             r.shortages.iter().map(WireShortage::from).collect(),
+            r.cold.iter().map(WireCold::from).collect(),
         )
     }
 }
@@ -249,6 +276,7 @@
             leaving_runs: w.20.into_iter().map(RunKey).collect(),
             evacuations: w.21.map(EvacuationReport::from),
             shortages: w.22.into_iter().map(ShortageReport::from).collect(),
+            cold: w.23.into_iter().map(ColdReport::from).collect(),
             positions: w
                 .14
                 .into_iter()
--- a/gateway/src/serve/items.rs
+++ b/gateway/src/serve/items.rs
@@ -34,6 +34,7 @@
 use super::suspected_items::choose_alone;
 use super::task_kinds::OneShot;
 use super::{
+    cold_servers,
     runs,
     suspected_items,
     writer, //
@@ -183,6 +184,7 @@
     let me = node.settings.name.as_str();
     state.update_cells(&node.settings);
     let paced = node.settings.preemption == Preemption::Lasting;
+    cold_servers::refresh_senders(state, now);
     let slots = |backend| {
         let backend = state.backends.get(backend)?;
         Some(slots_of(state, &backend.entry))
--- a/gateway/src/serve/lines.rs
+++ b/gateway/src/serve/lines.rs
@@ -138,6 +138,10 @@
 pub(crate) const EVACUATION_ENDED: Event = Event::new(2317, Level::Warn);
 /// A record about an evacuation is not used, or names a zone that is not known.
 pub(crate) const EVACUATION_UNUSABLE: Event = Event::new(2318, Level::Warn);
+/// A backend server is cold and gets only the rate that its service allows.
+pub(crate) const COLD: Event = Event::new(2319, Level::Warn);
+/// A service or a backend server states a value about cold servers that is out of range.
+pub(crate) const COLD_INVALID: Event = Event::new(2320, Level::Warn);
 /// Another instance is reachable.
 pub(crate) const PEER_UP: Event = Event::new(2401, Level::Warn);
 /// Another instance is unreachable.
--- a/gateway/src/serve/reports.rs
+++ b/gateway/src/serve/reports.rs
@@ -174,6 +174,7 @@
         evacuations: Some(state.evacuations.report()),
         store_answers: state.access.answers(now),
         shortages: state.shortages.reports(now),
+        cold: state.limits.cold().reports(now),
     };
     let started = std::mem::take(&mut state.started_peers);
     let receivers = receivers(node, &state, &report, &started);
--- a/gateway/tests/evacuation.rs
+++ b/gateway/tests/evacuation.rs
@@ -6,6 +6,7 @@
 use limpetweir_gateway::{
     BackendEntry,
     Backends,
+    ColdTime,
     EvacuatedZones,
     EvacuationRecord,
     EvacuationReport,
@@ -279,6 +280,7 @@
             slots: None,
             draining: false,
             born: 1,
+            cold_remaining: ColdTime::default(),
         };
         backends.update(entry, NOW);
     }
--- a/gateway/tests/fuzz/messages.rs
+++ b/gateway/tests/fuzz/messages.rs
@@ -12,6 +12,7 @@
     BatchRun,
     Case,
     Cleared,
+    ColdReport,
     Crash,
     CrashKey,
     CrashNews,
@@ -30,6 +31,7 @@
     Report,
     RunKey,
     ServerLimits,
+    WarmUp,
     choose_preemptions, //
 };
 use limpetweir_state::Timestamp;
@@ -87,6 +89,11 @@
         }),
         store_answers: true,
         shortages: Vec::new(),
+        cold: vec![ColdReport {
+            run: RunKey(5),
+            remaining: Duration::from_millis(900),
+            sent: 3,
+        }],
     }
 }
 
@@ -109,6 +116,9 @@
     let mut pacing = ItemPacing::default();
     let mut quotas = Quotas::default();
     let mut limits = ServerLimits::new("me");
+    let (terms, _) = WarmUp::nearest(3.0, 19.0);
+    let terms = terms.map(|terms| ("s".to_owned(), terms));
+    limits.cold_mut().configure(terms.into_iter());
     let mut members = Members::default();
     let mut now = Timestamp::from_millis(10_000);
     let mut decoded = 0;
@@ -126,8 +136,11 @@
         quotas.apply_report(&report.name, report.boot, &report.admitted, now);
         let stated = report.limits.as_deref().unwrap_or_default();
         limits.apply_report(&report.name, report.boot, stated, now);
+        let (servers, service_of) = (limits.cold_mut(), |_| Some("s".to_owned()));
+        servers.apply_report(&report.name, report.boot, &report.cold, service_of, now);
         for (run, purpose) in [
             (1, Purpose::Item),
+            (5, Purpose::Item),
             (1, Purpose::Online { items_wait: true }),
         ] {
             limits.permit(RunKey(run), purpose, now, 1_700_000_000_000);
--- a/gateway/tests/online.rs
+++ b/gateway/tests/online.rs
@@ -14,6 +14,7 @@
     BackendKey,
     Backends,
     BatchRun,
+    ColdTime,
     Configuration,
     ConfigurationParts,
     EvacuationReport,
@@ -216,6 +217,7 @@
         slots: Some(8),
         draining,
         born: 1,
+        cold_remaining: ColdTime::default(),
     }
 }
 
@@ -355,6 +357,7 @@
         }),
         store_answers: true,
         shortages: Vec::new(),
+        cold: Vec::new(),
     }
 }
 
--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -33,5 +33,6 @@
         evacuations: Some(EvacuationReport::default()),
         store_answers: false,
         shortages: Vec::new(),
+        cold: Vec::new(),
     }
 }
