transport, gateway: memory of request bodies and places of connections are bounded

Cause: read_body reads each body within its limit, and the sum of all bodies, heads and connections has none.

* gateway/src/memory/: one plan divides machine.memory_mb and the new setting machine.descriptors.
A body takes its share before it is read (announced length, or step by step for chunks), and keeps it while the request may be retried and until a job is answered.
Without room the body with the least progress for the longest time is released; without one to release the request gets 503, not run, Retry-After and Connection: close.
A body ends after 30 s plus its bytes at 1 KB/s.
The bodies of peers' results count too.
* transport/src/http/release.rs decides who goes first; places.rs closes a connection without a request, or without progress for 2 s, in favour of a new one; heads that are received have a sum; a request waits until the responses before it are read; reads have 16 KiB at most, and 4 KiB without a body.

connections_above_their_limit_are_served_as_the_server_stops had two idle connections as those that hold the places. Idle ones yield now, so the holders have requests in progress; the test is as strict as before for those that wait.

--- a/gateway/src/event_reader.rs
+++ b/gateway/src/event_reader.rs
@@ -9,7 +9,7 @@
 use hyper::body::Bytes;
 use snafu::Snafu;
 
-use crate::byte_budget::{
+use crate::memory::{
     ByteBudget,
     OverBudget,
     Share, //
--- a/gateway/src/item_output.rs
+++ b/gateway/src/item_output.rs
@@ -8,7 +8,7 @@
     ensure, //
 };
 
-use crate::byte_budget::{
+use crate::memory::{
     ByteBudget,
     OverBudget,
     Share, //
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -5,7 +5,6 @@
 
 mod backend;
 mod batch;
-mod byte_budget;
 mod cells;
 mod checked;
 mod config;
@@ -26,6 +25,7 @@
 mod listing;
 mod load;
 mod members;
+mod memory;
 mod open_case;
 mod open_items;
 mod placement;
@@ -57,7 +57,6 @@
 pub use batch::{
     BatchCandidate, Contenders, WaitingItem, choose_preemptions, choose_starts, reserve,
 };
-pub use byte_budget::{ByteBudget, OverBudget, Share};
 pub use cells::{CellNumber, Cells, MAX_CELL_INSTANCES};
 pub use checked::{Label, ListenerAddr, MAX_LABEL_BYTES, MAX_SLOTS, OutOfRange, Slots, excerpt};
 pub use config::{
@@ -81,6 +80,7 @@
 pub use listing::Listing;
 pub use load::{Load, Placed};
 pub use members::{AddressEntry, MIN_REPORT_TIMEOUT, Member, Members, ReportUpdate, addresses};
+pub use memory::{ByteBudget, OverBudget, Plan, Share};
 pub use open_items::{OpenItem, OpenItems, Phase, RunEnd, Step};
 pub use placement::{
     Candidate, Limits, Placement, is_limited, place, retry_after, starts_immediately,
--- a/gateway/src/byte_budget.rs
+++ b/gateway/src/memory/byte_budget.rs
@@ -1,7 +1,7 @@
-//! Bound of the memory for what backend servers send, over all runs together.
+//! Bound of the memory for what servers or clients send, over all of them together.
 //!
-//! A faulty server may send bytes without end, and all servers may do so at once. Each run has bounds
-//! of its own; this one is for their sum.
+//! A faulty server may send bytes without end, and all servers may do so at once; so may clients. Each run and
+//! each request has bounds of its own; this one is for their sum.
 
 use std::sync::Arc;
 use std::sync::atomic::{
@@ -9,21 +9,34 @@
     Ordering, //
 };
 
+use event_listener::{
+    Event,
+    EventListener, //
+};
 use snafu::{
     Snafu,
     ensure, //
 };
 
+/// Largest share that may use [`SMALL_PART`], in bytes.
+const SMALL_BYTES: usize = 64 << 10;
+
+/// Part of the limit, as a divisor, that is kept for small shares taken with [`Share::take`].
+const SMALL_PART: usize = 8;
+
 /// Bytes that all holders together may keep.
 ///
-/// The sum of all shares is at most twice the limit: beyond the limit a share grows only up to the
-/// limit divided by the number of holders, so that large shares do not end small ones.
+/// The sum of all shares is at most twice the limit: beyond the limit [`Share::resize`] grows a share only up to
+/// the limit divided by the number of holders, so that large shares do not end small ones. [`Share::take`] goes
+/// beyond the limit only for a single holder.
 #[derive(Debug)]
 pub struct ByteBudget {
     limit: usize,
     used: AtomicUsize,
     /// Number of shares that are not empty.
     holders: AtomicUsize,
+    /// Notified when a share becomes smaller.
+    freed: Event,
 }
 
 /// The bytes of all holders together exceed the limit.
@@ -43,6 +56,7 @@
             limit,
             used: AtomicUsize::new(0),
             holders: AtomicUsize::new(0),
+            freed: Event::new(),
         })
     }
 
@@ -51,6 +65,21 @@
         self.used.load(Ordering::Relaxed)
     }
 
+    /// Returns a listener for the next share that becomes smaller.
+    pub(crate) fn freed(&self) -> EventListener {
+        self.freed.listen()
+    }
+
+    /// Returns whether `bytes` more have room once `freeing` are released.
+    pub(crate) fn has_room_without(&self, freeing: usize, bytes: usize) -> bool {
+        let others = self.used().saturating_sub(freeing);
+        let limit = match bytes <= SMALL_BYTES {
+            true => self.limit,
+            false => self.limit - self.limit / SMALL_PART,
+        };
+        others == 0 || others.saturating_add(bytes) <= limit
+    }
+
     /// Returns an empty share.
     pub fn share(self: &Arc<Self>) -> Share {
         Share {
@@ -84,6 +113,18 @@
         Ok(())
     }
 
+    /// Grows the share to `bytes` within the limit, or beyond it if there is no other one. Fails without effect
+    /// if there is no room.
+    pub fn take(&mut self, bytes: usize) -> Result<(), OverBudget> {
+        if let Some(budget) = &self.budget {
+            let limit = budget.limit;
+            let has_room = bytes <= self.bytes || budget.has_room_without(self.bytes, bytes);
+            ensure!(has_room, OverBudgetSnafu { limit, bytes });
+        }
+        self.set(bytes);
+        Ok(())
+    }
+
     fn set(&mut self, bytes: usize) {
         let Some(budget) = &self.budget else {
             return;
@@ -99,6 +140,9 @@
         }
         budget.used.fetch_add(bytes, Ordering::Relaxed);
         budget.used.fetch_sub(self.bytes, Ordering::Relaxed);
+        if bytes < self.bytes {
+            budget.freed.notify(usize::MAX);
+        }
         self.bytes = bytes;
     }
 }
--- a/gateway/src/serve/admitted.rs
+++ b/gateway/src/serve/admitted.rs
@@ -10,6 +10,7 @@
     Organisation,
     Route, //
 };
+use crate::memory::Share;
 use crate::platform::CallHead;
 use crate::request_parts::RequestParts;
 
@@ -20,6 +21,8 @@
     /// What identifies it, and what it shares with others.
     pub(crate) parts: Arc<RequestParts>,
     pub(crate) body: Bytes,
+    /// Memory of the body, which is kept for further attempts.
+    pub(crate) _share: Share,
     pub(crate) route: Arc<Route>,
     pub(crate) service: String,
     pub(crate) organisation: Option<Arc<Organisation>>,
--- a/gateway/src/serve/housekeeping.rs
+++ b/gateway/src/serve/housekeeping.rs
@@ -11,6 +11,7 @@
 };
 use limpetweir_transport::sleep;
 
+use super::client_limits::Refusals;
 use super::lines::{
     LINES_DROPPED,
     LogOutput,
@@ -48,6 +49,7 @@
 ) {
     let mut text = std::fs::read_to_string(file).unwrap_or_default();
     let mut run_count = 0_u32;
+    let mut refusals = Refusals::default();
     loop {
         let (wall, steady) = (unix_ms(), node.now());
         sleep(HOUSEKEEPING_INTERVAL).await;
@@ -62,6 +64,7 @@
             node.metrics.lines_dropped(dropped);
             log_event!(LINES_DROPPED, "count={dropped}");
         }
+        refusals.observe(node);
         node.client.sweep();
         run_count += 1;
         if run_count.is_multiple_of(RUNS_PER_SETTINGS_CHECK)
--- a/gateway/src/serve/lines.rs
+++ b/gateway/src/serve/lines.rs
@@ -161,6 +161,8 @@
 pub(crate) const REQUEST_LOST: Event = Event::new(2509, Level::Error);
 /// A caller got the status and the headers of a response, and nothing behind them.
 pub(crate) const HEAD_ONLY: Event = Event::new(2517, Level::Error);
+/// Requests were refused for lack of memory for their bodies.
+pub(crate) const BODIES_REFUSED: Event = Event::new(2518, Level::Warn);
 /// Another backend server is asked for the rest of a silent stream.
 pub(crate) const OVERLAP_BEGAN: Event = Event::new(2515, Level::Info);
 /// One of the two backend servers of a silent stream has shown an event, or neither.
--- a/gateway/src/serve/metrics.rs
+++ b/gateway/src/serve/metrics.rs
@@ -57,6 +57,8 @@
     task_panics: Counter<u64>,
     task_age: Gauge<f64>,
     inputs_skipped: Counter<u64>,
+    client_limits: Counter<u64>,
+    body_bytes: Gauge<u64>,
 }
 
 impl Metrics {
@@ -146,6 +148,14 @@
                 "limpetweir_inputs_skipped",
                 "Records and messages whose processing panicked",
             ),
+            client_limits: counter(
+                "limpetweir_client_limits",
+                "Requests refused and connections closed because clients hold memory or connections, by cause",
+            ),
+            body_bytes: meter
+                .u64_gauge("limpetweir_body_bytes")
+                .with_description("Memory of the request bodies that are being read or kept")
+                .build(),
             registry,
             _provider: provider,
         })
@@ -252,6 +262,17 @@
         self.inputs_skipped.add(1, &[]);
     }
 
+    /// Counts requests refused and connections closed for `cause`.
+    pub(crate) fn client_limited(&self, cause: &'static str, count: u64) {
+        self.client_limits
+            .add(count, &[KeyValue::new("cause", cause)]);
+    }
+
+    /// Records the memory of the request bodies.
+    pub(crate) fn body_bytes(&self, bytes: usize) {
+        self.body_bytes.record(bytes as u64, &[]);
+    }
+
     /// Encodes all metrics in the Prometheus text format.
     pub(crate) fn render(&self) -> String {
         let families = self.registry.gather();
--- a/gateway/src/serve/mod.rs
+++ b/gateway/src/serve/mod.rs
@@ -8,6 +8,7 @@
 mod case_records;
 mod catch_up;
 mod choose;
+mod client_limits;
 mod crash_checks;
 mod crash_messages;
 mod crashes;
@@ -115,6 +116,7 @@
     serve_status, //
 };
 use self::tasks::start_tasks;
+use crate::memory::Plan;
 use crate::platform::{
     Dialect,
     Store,
@@ -268,8 +270,11 @@
             addr: peer,
         })?;
         let socket = Arc::new(socket);
+        let plan = Plan::new(settings.memory, settings.descriptors);
         let limits = ServerLimits {
             body_bytes: MAX_BODY,
+            connections: plan.callers,
+            heads_bytes: plan.heads,
             ..ServerLimits::default()
         };
         let shared = node.clone();
@@ -284,7 +289,12 @@
             .get_or_init(|| public.connection_limits().clone());
         let mut other_listeners = Vec::new();
         let shared = node.clone();
-        let peers = Server::start(spawner, peer, ServerLimits::default(), move |req| {
+        let limits = ServerLimits {
+            connections: plan.peers,
+            heads_bytes: plan.heads,
+            ..ServerLimits::default()
+        };
+        let peers = Server::start(spawner, peer, limits, move |req| {
             serve_peer(shared.clone(), req)
         });
         other_listeners.push(peers.context(ListenSnafu {
@@ -292,18 +302,26 @@
             addr: peer,
         })?);
         let listeners = [
-            ("readiness", settings.readiness),
-            ("directory", settings.directory),
-            ("metrics", settings.metrics),
+            ("readiness", settings.readiness, plan.probes),
+            ("directory", settings.directory, plan.peers),
+            ("metrics", settings.metrics, plan.probes),
         ];
-        for (purpose, addr) in listeners {
+        for (purpose, addr, connections) in listeners {
+            let limits = ServerLimits {
+                connections,
+                heads_bytes: plan.heads,
+                ..ServerLimits::default()
+            };
             let shared = node.clone();
-            let server = Server::start(spawner, addr, ServerLimits::default(), move |req| {
+            let server = Server::start(spawner, addr, limits, move |req| {
                 let node = shared.clone();
                 async move { serve_status(&node, req) }
             });
             other_listeners.push(server.context(ListenSnafu { purpose, addr })?);
         }
+        let listeners = other_listeners.iter().chain([&public]);
+        let released = listeners.map(|server| server.released().clone());
+        node.released.get_or_init(|| released.collect());
         let tasks = start_tasks(&node, &socket, queues);
         log_event!(
             STARTED,
--- a/gateway/src/serve/node.rs
+++ b/gateway/src/serve/node.rs
@@ -21,7 +21,8 @@
 use limpetweir_state::Timestamp;
 use limpetweir_transport::http::{
     Client,
-    ConnectionLimits, //
+    ConnectionLimits,
+    Released, //
 };
 use limpetweir_transport::{
     Clock,
@@ -36,7 +37,11 @@
 use super::supervisor::Supervisor;
 use super::write_request::WriteRequest;
 use crate::backend::BackendKey;
-use crate::byte_budget::ByteBudget;
+use crate::memory::{
+    Bodies,
+    ByteBudget,
+    Plan, //
+};
 use crate::platform::StoreError;
 use crate::settings::Settings;
 use crate::speed::PaceMeter;
@@ -53,11 +58,15 @@
     pub(crate) metrics: Arc<Metrics>,
     /// Limits of the connections of callers, once their listener is bound.
     pub(crate) caller_limits: OnceLock<Arc<ConnectionLimits>>,
+    /// Connections that the listeners have closed in favour of others, once the listeners are bound.
+    pub(crate) released: OnceLock<Vec<Arc<Released>>>,
     pub(crate) supervisor: Supervisor,
     /// Ends of the requests of callers.
     pub(crate) ends: Arc<Ends>,
     /// Memory for what backend servers send.
     pub(crate) output_budget: Arc<ByteBudget>,
+    /// Memory for request bodies.
+    pub(crate) bodies: Bodies,
     state: Mutex<State>,
     pub(crate) leaving: AtomicBool,
     /// The time in which this instance can still answer requests.
@@ -83,9 +92,6 @@
     pub(crate) writers: Vec<Sender<WriteRequest>>,
 }
 
-/// Part of the memory of the process that outputs may take up; twice as much in the worst case.
-const OUTPUT_MEMORY_DIVISOR: usize = 8;
-
 impl<P> Node<P> {
     pub(crate) fn new(
         platform: P,
@@ -98,7 +104,7 @@
         let mut state = State::new(&settings, writers.len());
         let metrics = Arc::new(metrics);
         state.update_reserved(&settings);
-        let output_budget = ByteBudget::new(settings.memory / OUTPUT_MEMORY_DIVISOR);
+        let plan = Plan::new(settings.memory, settings.descriptors);
         Self {
             platform,
             settings,
@@ -107,9 +113,11 @@
             boot: unix_ms(),
             client,
             caller_limits: OnceLock::new(),
+            released: OnceLock::new(),
             ends: Arc::new(Ends::new(metrics.clone())),
             metrics,
-            output_budget,
+            output_budget: ByteBudget::new(plan.outputs),
+            bodies: Bodies::new(plan.bodies),
             state: Mutex::new(state),
             leaving: AtomicBool::new(false),
             stop: StopWindow::default(),
--- a/gateway/src/serve/online.rs
+++ b/gateway/src/serve/online.rs
@@ -19,7 +19,6 @@
     BodyError,
     RequestBody, //
 };
-use limpetweir_transport::timeout_at;
 use rand::Rng;
 
 use super::admitted::Admitted;
@@ -54,6 +53,10 @@
     Route,
     RouteKind, //
 };
+use crate::memory::{
+    HeldBody,
+    ReadError, //
+};
 use crate::platform::{
     CallHead,
     Dialect,
@@ -147,14 +150,15 @@
         _ => caller_timeout.min(route.timeout),
     };
     let deadline = arrived + timeout;
-    let body = match read_body(node, body.limited(limit), deadline).await {
-        Ok(body) => body,
+    let held = match read_body(node, body.limited(limit), deadline).await {
+        Ok(held) => held,
         // The limit of the listener is not part of the configuration.
-        Err(BodyError::TooLarge { limit: exceeded }) if exceeded == limit => {
+        Err(ReadError::Body(BodyError::TooLarge { limit: exceeded })) if exceeded == limit => {
             return deny(node, &call, version, Denial::BodyTooLarge { limit }).into();
         }
-        Err(err) => return reject_body(&id, &err).into(),
+        Err(err) => return reject_body(node, &id, &err).into(),
     };
+    let HeldBody { bytes: body, share } = held;
     if let (RouteKind::Batch, Some(organisation)) = (route.kind, &organisation) {
         let longest = Instant::now() + forwarding::TIMEOUT;
         if let Some(response) = reject_late_in_stop(node, &id, longest) {
@@ -189,6 +193,7 @@
         head,
         call,
         body,
+        _share: share,
         service,
         route,
         organisation,
@@ -216,13 +221,12 @@
     node: &Node<P>,
     body: RequestBody,
     deadline: Instant,
-) -> Result<Bytes, BodyError> {
+) -> Result<HeldBody, ReadError> {
     let stopped = async {
         node.stop.ended().await;
-        Err(BodyError::Deadline)
+        Err(ReadError::Body(BodyError::Deadline))
     };
-    let read = timeout_at(deadline, future::or(body.collect_bytes(), stopped));
-    read.await.unwrap_or(Err(BodyError::Deadline))
+    future::or(node.bodies.read(body, deadline), stopped).await
 }
 
 async fn submit_job<P: Store + Dialect>(
--- a/gateway/src/serve/rejections.rs
+++ b/gateway/src/serve/rejections.rs
@@ -5,6 +5,10 @@
     Instant, //
 };
 
+use hyper::header::{
+    CONNECTION,
+    HeaderValue, //
+};
 use hyper::http::request;
 use hyper::{
     Response,
@@ -34,6 +38,7 @@
     forwarding,
     heads, //
 };
+use crate::memory::ReadError;
 use crate::placement::Candidate;
 use crate::platform::CallHead;
 use crate::routing::Denial;
@@ -186,7 +191,16 @@
     plain(StatusCode::GATEWAY_TIMEOUT, text)
 }
 
-pub(crate) fn reject_body(id: &str, err: &BodyError) -> Response<Body> {
+/// `Retry-After` of a request for whose body there is no memory; about the time in which bodies arrive.
+const NO_MEMORY_RETRY: Duration = Duration::from_millis(1_000);
+
+/// Returns the response to a request whose body was not read.
+pub(crate) fn reject_body<P>(node: &Node<P>, id: &str, err: &ReadError) -> Response<Body> {
+    let err = match err {
+        ReadError::Body(err) => err,
+        ReadError::NoRoom => return reject_without_memory(node, id, "no-memory"),
+        ReadError::Released => return reject_without_memory(node, id, "slow-body"),
+    };
     let status = match err {
         BodyError::TooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
         BodyError::Stalled { .. } | BodyError::Deadline => StatusCode::REQUEST_TIMEOUT,
@@ -200,6 +214,17 @@
     plain(status, &err.to_string())
 }
 
+/// Returns the response to a request that is refused for the memory of its body.
+fn reject_without_memory<P>(node: &Node<P>, id: &str, cause: &'static str) -> Response<Body> {
+    log::debug!("request={id} status=503 cause={cause}");
+    node.metrics.client_limited(cause, 1);
+    let text = "no memory for the body now; the request has not run";
+    let mut response = retry_later(StatusCode::SERVICE_UNAVAILABLE, text, NO_MEMORY_RETRY);
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(CONNECTION, close);
+    response
+}
+
 /// Returns the response to a request that another instance probes, or none now.
 pub(crate) fn reject_held<P>(
     node: &Node<P>,
--- a/gateway/src/serve/results.rs
+++ b/gateway/src/serve/results.rs
@@ -30,6 +30,7 @@
     log_event, //
 };
 use super::node::Node;
+use super::rejections::reject_body;
 use super::replies::plain;
 use super::state::State;
 use super::write_request::Reply;
@@ -55,6 +56,9 @@
 /// Time limit for writing the results of a peer; shorter than the time limit of the sender.
 const WRITE_TIMEOUT: Duration = Duration::from_millis(1_200);
 
+/// Longest time for the body of a request of a peer, which has given up by then.
+const READ_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Largest response with the outcomes of results in bytes; each takes about ten.
 const MAX_OUTCOMES_BYTES: usize = 256 << 10;
 
@@ -172,11 +176,12 @@
     node: &Arc<Node<P>>,
     body: RequestBody,
 ) -> Response<Body> {
-    let bytes = match body.collect_bytes().await {
-        Ok(bytes) => bytes,
-        Err(err) => return plain(StatusCode::BAD_REQUEST, &err.to_string()),
+    let deadline = Instant::now() + READ_TIMEOUT;
+    let held = match node.bodies.read(body, deadline).await {
+        Ok(held) => held,
+        Err(err) => return reject_body(node, "results", &err),
     };
-    let wire: Wire = match ciborium::from_reader(&bytes[..]) {
+    let wire: Wire = match ciborium::from_reader(&held.bytes[..]) {
         Ok(wire) => wire,
         Err(err) => return plain(StatusCode::BAD_REQUEST, &err.to_string()),
     };
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -58,6 +58,8 @@
     pub capacity: u32,
     /// Memory of the process in bytes.
     pub memory: usize,
+    /// Descriptors of the machine.
+    pub descriptors: usize,
     /// Listener for callers.
     pub public: SocketAddr,
     /// Listener for readiness checks.
@@ -125,6 +127,10 @@
 const DEFAULT_MEMORY_MB: u32 = 256;
 /// Smallest memory of a process in megabytes; one without requests has a tenth of that.
 const MIN_MEMORY_MB: u32 = 64;
+/// Descriptors of a machine without a setting.
+const DEFAULT_DESCRIPTORS: u32 = 4_096;
+/// Smallest number of descriptors; fewer leave none for callers beside files, peers and the store.
+const MIN_DESCRIPTORS: u32 = 400;
 
 #[derive(Deserialize)]
 struct Raw {
@@ -154,6 +160,8 @@
     cores: f64,
     /// Memory of the process in megabytes; one that exceeds it is killed.
     memory_mb: u32,
+    /// Descriptors of the machine, including those that the platform reserves for files.
+    descriptors: u32,
 }
 
 impl Default for RawMachine {
@@ -162,6 +170,7 @@
             cpu_share: 1.0,
             cores: 1.0,
             memory_mb: DEFAULT_MEMORY_MB,
+            descriptors: DEFAULT_DESCRIPTORS,
         }
     }
 }
@@ -292,6 +301,10 @@
             let reason = format!("must be at least {MIN_MEMORY_MB}");
             return Err(value("machine.memory_mb", reason));
         }
+        if raw.machine.descriptors < MIN_DESCRIPTORS {
+            let reason = format!("must be at least {MIN_DESCRIPTORS}");
+            return Err(value("machine.descriptors", reason));
+        }
         if !(1..=MAX_PARTITIONS).contains(&raw.store.partitions) {
             let reason = format!("must be 1 to {MAX_PARTITIONS}");
             return Err(value("store.partitions", reason));
@@ -333,6 +346,7 @@
             // The range was checked above, so the value fits.
             capacity: (cores * 1_000.0).round() as u32,
             memory: raw.machine.memory_mb as usize * 1_000_000,
+            descriptors: raw.machine.descriptors as usize,
             public: raw.listen.public,
             readiness: raw.listen.readiness,
             directory: raw.listen.directory,
--- a/gateway/tests/memory.rs
+++ b/gateway/tests/memory.rs
@@ -6,6 +6,7 @@
     InvalidOutput,
     MAX_EVENT_BYTES,
     OutputError,
+    Plan,
     Progress, //
 };
 use rstest::rstest;
@@ -98,3 +99,36 @@
     let raw: Vec<u8> = events.iter().flat_map(|event| event.raw.to_vec()).collect();
     assert_eq!(raw, bytes);
 }
+
+/// Guards against bodies that together use up the memory of an instance, and against a largest one that is
+/// refused although nothing else is held.
+#[test]
+fn bodies_stay_within_the_limit() {
+    let budget = ByteBudget::new(BUDGET);
+    let mut first = budget.share();
+    first.take(2 * BUDGET).expect("room for a single one");
+    let mut other = budget.share();
+    assert!(other.take(1).is_err());
+    drop(first);
+    let mut large: Vec<_> = (0..100).map(|_| budget.share()).collect();
+    let taken = large.iter_mut().map(|share| share.take(1_000_000).is_ok());
+    let taken = taken.filter(|taken| *taken).count();
+    assert!(taken > 0 && taken < 100, "{taken}");
+    assert!(budget.used() <= BUDGET, "{}", budget.used());
+    other.take(10_000).expect("room for a small one");
+}
+
+/// Guards against limits whose sum exceeds the machine.
+#[rstest]
+#[case::smallest(64, 400)]
+#[case::small(120, 3_000)]
+#[case::large(512, 10_000)]
+fn the_limits_fit_the_machine(#[case] memory_mb: usize, #[case] descriptors: usize) {
+    let memory = memory_mb * 1_000_000;
+    let plan = Plan::new(memory, descriptors);
+    let connections = plan.callers + 2 * plan.peers + 2 * plan.probes;
+    assert!(plan.callers + connections + 200 < descriptors, "{plan:?}");
+    let held = plan.outputs + plan.bodies + 5 * plan.heads;
+    assert!(held < memory - 24_000_000, "{plan:?}");
+    assert!(plan.callers >= 40 && plan.peers >= 10, "{plan:?}");
+}
--- a/transport/src/http/body.rs
+++ b/transport/src/http/body.rs
@@ -361,6 +361,34 @@
         self
     }
 
+    /// Returns the length that the head announces; `None` for chunks.
+    pub fn announced_len(&self) -> Option<u64> {
+        hyper::body::Body::size_hint(&self.inner).exact()
+    }
+
+    /// Returns an error if the head announces more than the limit.
+    pub fn check_len(&self) -> Result<(), BodyError> {
+        let limit = self.limit;
+        match self.announced_len() {
+            Some(len) if len > limit as u64 => Err(BodyError::TooLarge { limit }),
+            _ => Ok(()),
+        }
+    }
+
+    /// Returns the next part of the body, or `None` at its end.
+    pub async fn next_part(&mut self) -> Option<Result<Bytes, BodyError>> {
+        loop {
+            match self.frame().await? {
+                Ok(frame) => {
+                    if let Ok(bytes) = frame.into_data() {
+                        return Some(Ok(bytes));
+                    }
+                }
+                Err(err) => return Some(Err(err)),
+            }
+        }
+    }
+
     /// Reads the whole body.
     pub async fn collect_bytes(self) -> Result<Bytes, BodyError> {
         let declared_len = hyper::body::Body::size_hint(&self.inner).lower();
@@ -409,6 +437,7 @@
             }
             Poll::Ready(None) => {
                 this.has_ended = true;
+                this.activity.body_ended();
                 Poll::Ready(None)
             }
             Poll::Pending => {
--- a/transport/src/http/io.rs
+++ b/transport/src/http/io.rs
@@ -103,6 +103,9 @@
 /// and not reads, because one read may fill a buffer of several hundred kilobytes.
 const READ_BUDGET: usize = 64 << 10;
 
+/// Largest single read. The buffers of a connection grow with the size of its reads.
+const READ_BYTES: usize = 16 << 10;
+
 /// A stream that yields to other tasks after a budget of bytes was read.
 ///
 /// hyper reads the size of a chunk without a limit on its length. A peer that sends zeros there as
@@ -134,7 +137,7 @@
             cx.waker().wake_by_ref();
             return Poll::Pending;
         }
-        let len = buf.len().min(self.budget);
+        let len = buf.len().min(self.budget).min(READ_BYTES);
         let poll = Pin::new(&mut self.inner).poll_read(cx, &mut buf[..len]);
         self.budget = match &poll {
             Poll::Ready(Ok(read)) => self.budget - read,
--- a/transport/src/http/mod.rs
+++ b/transport/src/http/mod.rs
@@ -5,13 +5,19 @@
 mod client;
 mod io;
 mod limits;
+mod places;
 mod pool;
+mod release;
 mod server;
 mod sse;
 
 pub use body::{Body, BodyClosed, BodyError, BodySender, BoxError, RequestBody, read_all};
 pub use client::{Client, ClientError, ClientLimits, SendOptions, TrafficClass};
 pub use limits::{ConnectionLimits, HeadLimits};
+pub use places::{ReleaseCause, Released};
 pub use pool::ClientBody;
+pub use release::{
+    GRACE_TIME, Holder, PROGRESS_BYTES, Progress, STALL_TIME, Standing, first_to_release,
+};
 pub use server::{MaxHeadBytes, RemoteAddr, Server, ServerLimits};
 pub use sse::{DONE, Event, EventParser, EventReader, EventWriter, SseError};
--- a/transport/src/http/server.rs
+++ b/transport/src/http/server.rs
@@ -34,7 +34,10 @@
     FutureExt,
     future, //
 };
-use hyper::body::Incoming;
+use hyper::body::{
+    Body as _,
+    Incoming, //
+};
 use hyper::header::{
     CONNECTION,
     HeaderValue, //
@@ -68,6 +71,11 @@
     ConnectionLimits,
     HeadLimits, //
 };
+use super::places::{
+    Place,
+    Places,
+    Released, //
+};
 use crate::runtime::{
     Spawner,
     panic_message,
@@ -78,6 +86,9 @@
 /// Delay after a failed accept; the usual cause is that the process is out of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Time between two looks for a connection that can be closed in favour of a new one.
+const PLACE_RETRY_DELAY: Duration = Duration::from_millis(5);
+
 /// Most connections that are accepted from the queue of a listener before it is closed; the system
 /// queues no more than this by default.
 const MAX_QUEUED_CONNECTIONS: usize = 4_096;
@@ -97,9 +108,13 @@
     pub idle_timeout: Duration,
     /// Longest wait for data of a request body.
     pub body_timeout: Duration,
-    /// Largest number of open connections; further ones wait in the accept queue of the
-    /// system, and are accepted as the server stops.
+    /// Largest number of open connections. Beyond it, the one without a request or without progress for the
+    /// longest time is closed in favour of a new one. If there is none, further ones wait in the accept queue
+    /// of the system, and are accepted as the server stops.
     pub connections: usize,
+    /// Most bytes of request heads that are received at the same time on all connections. Beyond it, the
+    /// connection whose head began first is closed.
+    pub heads_bytes: usize,
 }
 
 impl Default for ServerLimits {
@@ -112,6 +127,7 @@
             idle_timeout: Duration::from_secs(30),
             body_timeout: Duration::from_secs(30),
             connections: 16_384,
+            heads_bytes: 64 << 20,
         }
     }
 }
@@ -131,6 +147,7 @@
     addr: SocketAddr,
     draining: Arc<AtomicBool>,
     connection_limits: Arc<ConnectionLimits>,
+    released: Arc<Released>,
     /// Closing it stops accepting and closes connections after their current request.
     stop: Sender<()>,
     /// Closed once the last connection has ended.
@@ -144,11 +161,24 @@
     limits: ServerLimits,
     draining: Arc<AtomicBool>,
     connection_limits: Arc<ConnectionLimits>,
+    places: Arc<Places>,
     stopped: Receiver<()>,
     /// Dropped with the last connection.
     _open: Sender<()>,
 }
 
+impl<H> Shared<H> {
+    /// Returns the activity and the place of a new connection.
+    fn watch(&self, remote: SocketAddr, is_stopping: bool) -> (Arc<Activity>, Place) {
+        let limits = self.connection_limits.clone();
+        let activity = Arc::new(Activity::new(limits, self.places.heads.clone()));
+        let place = self
+            .places
+            .enter(remote.ip(), activity.clone(), is_stopping);
+        (activity, place)
+    }
+}
+
 impl Server {
     /// Binds `addr`, whose port may be 0, and serves requests with `handler`.
     ///
@@ -175,11 +205,15 @@
         let connection_limits = Arc::new(connection_limits);
         let (stop, stopped) = async_channel::bounded(1);
         let (open, ended) = async_channel::bounded(1);
+        let places = Places::new(addr, limits.connections, limits.heads_bytes);
+        let places = Arc::new(places);
+        let released = places.released.clone();
         let shared = Arc::new(Shared {
             handler,
             limits,
             draining: draining.clone(),
             connection_limits: connection_limits.clone(),
+            places,
             stopped,
             _open: open,
         });
@@ -188,6 +222,7 @@
             addr,
             draining,
             connection_limits,
+            released,
             stop,
             ended,
             accept,
@@ -204,6 +239,11 @@
         &self.connection_limits
     }
 
+    /// Returns the number of connections that were closed in favour of others.
+    pub fn released(&self) -> &Arc<Released> {
+        &self.released
+    }
+
     /// Adds `Connection: close` to every further response; connections are still accepted.
     pub fn drain(&self) {
         self.draining.store(true, Ordering::Release);
@@ -233,12 +273,12 @@
     let mut connections: Vec<Task<()>> = Vec::new();
     let mut sweep_threshold = MIN_SWEEP_THRESHOLD;
     loop {
-        if connections.len() >= sweep_threshold.min(shared.limits.connections) {
+        if connections.len() >= sweep_threshold {
             connections.retain(|task| !task.is_finished());
-            sweep_threshold = (connections.len() * 2).max(MIN_SWEEP_THRESHOLD);
+            sweep_threshold = (connections.len() * 5 / 4).max(MIN_SWEEP_THRESHOLD);
         }
-        if connections.len() >= shared.limits.connections {
-            let check_at = Instant::now() + ACCEPT_RETRY_DELAY;
+        if shared.places.is_full() {
+            let check_at = Instant::now() + PLACE_RETRY_DELAY;
             if timeout_at(check_at, shared.stopped.recv()).await.is_some() {
                 break;
             }
@@ -252,7 +292,8 @@
         match future::or(stopped, accepted).await {
             None => break,
             Some(Ok((stream, remote))) => {
-                let connection = run_connection(stream, remote, shared.clone());
+                let watched = shared.watch(remote, false);
+                let connection = run_connection(stream, remote, shared.clone(), watched);
                 connections.push(spawner.spawn(catch_panic(remote, connection)));
             }
             Some(Err(err)) => {
@@ -268,7 +309,8 @@
         let accepted = accepted.and_then(|(stream, remote)| Ok((Async::new(stream)?, remote)));
         match accepted {
             Ok((stream, remote)) => {
-                let connection = run_connection(stream, remote, shared.clone());
+                let watched = shared.watch(remote, true);
+                let connection = run_connection(stream, remote, shared.clone(), watched);
                 connections.push(spawner.spawn(catch_panic(remote, connection)));
             }
             Err(err) if err.kind() == io::ErrorKind::WouldBlock => break,
@@ -303,8 +345,12 @@
 /// Number of connections below which ended ones are not removed from the list.
 const MIN_SWEEP_THRESHOLD: usize = 64;
 
-async fn run_connection<H, F>(stream: Async<TcpStream>, remote: SocketAddr, shared: Arc<Shared<H>>)
-where
+async fn run_connection<H, F>(
+    stream: Async<TcpStream>,
+    remote: SocketAddr,
+    shared: Arc<Shared<H>>,
+    watched: (Arc<Activity>, Place),
+) where
     H: Fn(Request<RequestBody>) -> F + Send + Sync + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
 {
@@ -312,10 +358,11 @@
     // previous write is acknowledged.
     let _ = stream.get_ref().set_nodelay(true);
     let stream = Arc::new(stream);
-    let activity = Arc::new(Activity::new(shared.connection_limits.clone()));
+    let places = &shared.places;
+    let (activity, _place) = watched;
     let service = service_fn(|req| handle_request(&shared, remote, activity.clone(), req));
     let limits = &shared.limits;
-    let io = WatchedStream::new(stream.clone(), activity.clone());
+    let io = WatchedStream::new(stream.clone(), activity.clone(), places.clone());
     let connection = http1::Builder::new()
         .timer(SmolTimer::new())
         // It would also bound the idle time. The expiry of the connection bounds both.
@@ -325,7 +372,15 @@
         .max_buf_size(limits.head_bytes.max(BUFFER_BYTES))
         .serve_connection(FuturesIo::new(YieldingStream::new(io)), service);
     let mut connection = std::pin::pin!(connection);
-    let expired = expiry(&activity, &shared.stopped);
+    let released = async {
+        activity.released().await;
+        // A request that crosses the close has to stay unread, as one that crosses the idle time-out.
+        match activity.is_idle() {
+            true => Expiry::Idle,
+            false => Expiry::Released,
+        }
+    };
+    let expired = future::or(expiry(&activity, &shared.stopped), released);
     let served = async { Err(connection.as_mut().await) };
     let result = match future::or(served, async { Ok(expired.await) }).await {
         Err(result) => result,
@@ -341,6 +396,10 @@
             log::debug!("LW1102 connection of {remote} ended early: incomplete request head");
             return;
         }
+        Ok(Expiry::Released) => {
+            log::debug!("LW1102 connection of {remote} ended early: released");
+            return;
+        }
     };
     if let Err(err) = result {
         log::debug!("LW1102 connection of {remote} ended early: {err}");
@@ -399,7 +458,8 @@
     H: Fn(Request<RequestBody>) -> F,
     F: Future<Output = Response<Body>>,
 {
-    let head_limits = activity.request_began();
+    let head_limits = activity.request_began(!req.body().is_end_stream());
+    activity.writable().await;
     let limits = &shared.limits;
     let mut req = req.map(|body| {
         RequestBody::new(
