--- a/gateway/src/serve/rejections.rs
+++ b/gateway/src/serve/rejections.rs
@@ -198,8 +198,8 @@
 pub(crate) fn reject_body<P>(node: &Node<P>, id: &str, err: &ReadError) -> Response<Body> {
     let err = match err {
         ReadError::Body(err) => err,
-        ReadError::NoRoom => return reject_without_memory(node, id, "no-memory"),
-        ReadError::Released => return reject_without_memory(node, id, "slow-body"),
+        ReadError::NoRoom => return reject_without_memory(node, "no-memory"),
+        ReadError::Released => return reject_without_memory(node, "slow-body"),
     };
     let status = match err {
         BodyError::TooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
@@ -214,9 +214,9 @@
     plain(status, &err.to_string())
 }
 
-/// Returns the response to a request that is refused for the memory of its body.
-fn reject_without_memory<P>(node: &Node<P>, id: &str, cause: &'static str) -> Response<Body> {
-    log::debug!("request={id} status=503 cause={cause}");
+/// Returns the response to a request that is refused for the memory of its body. It has no line of its own: many
+/// may come at once, and LW2518 counts them.
+fn reject_without_memory<P>(node: &Node<P>, cause: &'static str) -> Response<Body> {
     node.metrics.client_limited(cause, 1);
     let text = "no memory for the body now; the request has not run";
     let mut response = retry_later(StatusCode::SERVICE_UNAVAILABLE, text, NO_MEMORY_RETRY);
--- a/transport/src/http/body.rs
+++ b/transport/src/http/body.rs
@@ -36,6 +36,7 @@
 
 use super::activity::Activity;
 use super::pool::ClientBody;
+use super::sliced::next_slice;
 
 /// Largest size in bytes of the read buffer, of the write buffer and of the channel of a connection. All
 /// connections may fill theirs at once, so that these count more than the system calls of larger ones.
@@ -222,7 +223,16 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         match self.get_mut() {
-            Self::Full(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
+            Self::Full(slot) => {
+                let Some(bytes) = slot else {
+                    return Poll::Ready(None);
+                };
+                let slice = next_slice(bytes);
+                if bytes.is_empty() {
+                    *slot = None;
+                }
+                Poll::Ready(Some(Ok(Frame::data(slice))))
+            }
             Self::Channel(body) => body.poll_part(cx),
             Self::Upstream(body) => Pin::new(body.as_mut()).poll_frame(cx),
             Self::Boxed(body) => {
--- a/transport/src/http/client.rs
+++ b/transport/src/http/client.rs
@@ -13,7 +13,6 @@
 };
 
 use async_io::Async;
-use http_body_util::Full;
 use hyper::body::{
     Bytes,
     Incoming, //
@@ -47,6 +46,7 @@
     Connection,
     Pool, //
 };
+use super::sliced::SlicedBody;
 use crate::runtime::{
     Spawner,
     timeout_at, //
@@ -316,7 +316,7 @@
         &self,
         addr: SocketAddr,
         mut connection: Connection,
-        req: Request<Full<Bytes>>,
+        req: Request<SlicedBody>,
         options: SendOptions,
     ) -> Result<Response<ClientBody>, ClientError> {
         let written_before = connection.written.get();
@@ -375,8 +375,8 @@
 }
 
 /// Adds the `Host` header if it is missing.
-fn with_host(addr: SocketAddr, req: Request<Bytes>) -> Request<Full<Bytes>> {
-    let mut req = req.map(Full::new);
+fn with_host(addr: SocketAddr, req: Request<Bytes>) -> Request<SlicedBody> {
+    let mut req = req.map(SlicedBody::new);
     if !req.headers().contains_key(HOST)
         && let Ok(host) = HeaderValue::from_str(&addr.to_string())
     {
--- a/transport/src/http/mod.rs
+++ b/transport/src/http/mod.rs
@@ -9,6 +9,7 @@
 mod pool;
 mod release;
 mod server;
+mod sliced;
 mod sse;
 
 pub use body::{Body, BodyClosed, BodyError, BodySender, BoxError, RequestBody, read_all};
--- a/transport/src/http/pool.rs
+++ b/transport/src/http/pool.rs
@@ -28,7 +28,6 @@
     Timer, //
 };
 use futures_lite::FutureExt;
-use http_body_util::Full;
 use hyper::body::{
     Body,
     Bytes,
@@ -47,11 +46,12 @@
     WrittenBytes,
     is_open_and_unread, //
 };
+use super::sliced::SlicedBody;
 
 /// A client connection; dropping it closes the socket.
 #[derive(Debug)]
 pub(crate) struct Connection {
-    pub(crate) sender: SendRequest<Full<Bytes>>,
+    pub(crate) sender: SendRequest<SlicedBody>,
     /// Task that drives the connection; cancelled on drop.
     pub(crate) driver: Task<()>,
     pub(crate) written: WrittenBytes,
