--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -6,7 +6,6 @@
 mod admission;
 mod backend;
 mod batch;
-mod byte_budget;
 mod cells;
 mod checked;
 mod config;
@@ -28,6 +27,7 @@
 mod listing;
 mod load;
 mod members;
+mod memory;
 mod open_case;
 mod open_items;
 mod placement;
@@ -63,7 +63,6 @@
     BatchCandidate, Contenders, ItemPacing, PacingTimes, Preemption, Stop, StopCause, WaitingItem,
     choose_preemptions, choose_starts, one_slot_each, reserve,
 };
-pub use byte_budget::{ByteBudget, OverBudget, Share};
 pub use cells::{CellNumber, Cells, MAX_CELL_INSTANCES};
 pub use checked::{Label, ListenerAddr, MAX_LABEL_BYTES, MAX_SLOTS, OutOfRange, Slots, excerpt};
 pub use config::{
@@ -91,6 +90,7 @@
 pub use listing::Listing;
 pub use load::{Load, Placed};
 pub use members::{AddressEntry, MIN_REPORT_TIMEOUT, Member, Members, ReportUpdate, addresses};
+pub use memory::{ByteBudget, OverBudget, Plan, Share};
 pub use open_items::{OpenItem, OpenItems, Phase, RunEnd, Step};
 pub use placement::{
     Candidate, Limits, Placement, is_limited, place, retry_after, starts_immediately,
--- a/gateway/src/store_relay/gate.rs
+++ b/gateway/src/store_relay/gate.rs
@@ -6,7 +6,7 @@
     Ordering, //
 };
 
-use crate::byte_budget::{
+use crate::memory::{
     ByteBudget,
     Share, //
 };
--- a/transport/src/http/body.rs
+++ b/transport/src/http/body.rs
@@ -36,6 +36,7 @@
 
 use super::activity::Activity;
 use super::pool::ClientBody;
+use super::sliced::next_slice;
 
 /// Largest size in bytes of the read buffer, of the write buffer and of the channel of a connection. All
 /// connections may fill theirs at once, so that these count more than the system calls of larger ones.
@@ -222,7 +223,16 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         match self.get_mut() {
-            Self::Full(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
+            Self::Full(slot) => {
+                let Some(bytes) = slot else {
+                    return Poll::Ready(None);
+                };
+                let slice = next_slice(bytes);
+                if bytes.is_empty() {
+                    *slot = None;
+                }
+                Poll::Ready(Some(Ok(Frame::data(slice))))
+            }
             Self::Channel(body) => body.poll_part(cx),
             Self::Upstream(body) => Pin::new(body.as_mut()).poll_frame(cx),
             Self::Boxed(body) => {
@@ -361,6 +371,34 @@
         self
     }
 
+    /// Returns the length that the head announces; `None` for chunks.
+    pub fn announced_len(&self) -> Option<u64> {
+        hyper::body::Body::size_hint(&self.inner).exact()
+    }
+
+    /// Returns an error if the head announces more than the limit.
+    pub fn check_len(&self) -> Result<(), BodyError> {
+        let limit = self.limit;
+        match self.announced_len() {
+            Some(len) if len > limit as u64 => Err(BodyError::TooLarge { limit }),
+            _ => Ok(()),
+        }
+    }
+
+    /// Returns the next part of the body, or `None` at its end.
+    pub async fn next_part(&mut self) -> Option<Result<Bytes, BodyError>> {
+        loop {
+            match self.frame().await? {
+                Ok(frame) => {
+                    if let Ok(bytes) = frame.into_data() {
+                        return Some(Ok(bytes));
+                    }
+                }
+                Err(err) => return Some(Err(err)),
+            }
+        }
+    }
+
     /// Reads the whole body.
     pub async fn collect_bytes(self) -> Result<Bytes, BodyError> {
         let declared_len = hyper::body::Body::size_hint(&self.inner).lower();
@@ -409,6 +447,7 @@
             }
             Poll::Ready(None) => {
                 this.has_ended = true;
+                this.activity.body_ended();
                 Poll::Ready(None)
             }
             Poll::Pending => {
