gateway: the choice of a server takes the age of the counts into account

Instances choose the least loaded server at the same moment from counts that are some milliseconds to a quarter of a second old, so servers are overloaded in turn. With [placement] spread_stale_load, a request draws its place among the requests that others are expected to have placed since, from the rate in their reports and the age of these, and takes the slot that is then due. Without the setting, or with at most one expected request, the choice is the former one.

Metrics: limpetweir_placement_count_age_seconds and limpetweir_server_load.

--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -3,6 +3,7 @@
 //! The modules at the root make decisions with plain values and functions; `serve` does the I/O.
 //! The traits of `platform` hide the platform's names and formats.
 
+mod arrivals;
 mod backend;
 mod batch;
 mod byte_budget;
@@ -53,6 +54,7 @@
 mod sse;
 mod supervision;
 
+pub use arrivals::Arrivals;
 pub use backend::{Backend, BackendEntry, BackendKey, Backends, LeavingSource, RunKey};
 pub use batch::{
     BatchCandidate, Contenders, WaitingItem, choose_preemptions, choose_starts, reserve,
@@ -83,7 +85,8 @@
 pub use members::{AddressEntry, MIN_REPORT_TIMEOUT, Member, Members, ReportUpdate, addresses};
 pub use open_items::{OpenItem, OpenItems, Phase, RunEnd, Step};
 pub use placement::{
-    Candidate, Limits, Placement, is_limited, place, retry_after, starts_immediately,
+    Candidate, Limits, LoadSpread, Placement, Staleness, is_limited, place, place_stale,
+    retry_after, starts_immediately,
 };
 pub use platform::{
     AddressQuery, CallHead, DecodeError, Dialect, Forward, ItemRequest, JobCall, MAX_KEY_BYTES,
--- a/gateway/src/load.rs
+++ b/gateway/src/load.rs
@@ -102,13 +102,17 @@
         }
     }
 
-    /// Replaces the requests that a peer has placed by those in its report.
-    pub fn apply_report(&mut self, report: &Report, now: Timestamp) {
+    /// Replaces the requests that a peer has placed by those in its report. Returns how many online
+    /// requests it has placed since the last one, except those that have ended on the same server.
+    pub fn apply_report(&mut self, report: &Report, now: Timestamp) -> u32 {
         let peer = PeerLoad {
             online: report.online.clone(),
             batch: report.batch.clone(),
         };
         let before = self.peers.insert(report.name.clone(), peer);
+        // What a new peer has placed did not arrive just now.
+        let is_new = before.is_none();
+        let mut placed = 0_u32;
         let mut totals = HashMap::new();
         count(&mut totals, &report.online, &report.batch, 1);
         if let Some(before) = before {
@@ -116,9 +120,11 @@
         }
         // Only differences from the last report count as changes of a backend server.
         for (backend, (online, batch)) in totals {
+            placed = placed.saturating_add(to_count(online));
             self.add(backend, to_count(online), to_count(batch), now);
             self.subtract(backend, to_count(-online), to_count(-batch), now);
         }
+        if is_new { 0 } else { placed }
     }
 
     /// Drops the requests placed by a peer that is unreachable or was removed.
--- a/gateway/src/serve/choose.rs
+++ b/gateway/src/serve/choose.rs
@@ -42,8 +42,9 @@
     Candidate,
     Limits,
     Placement,
+    Staleness,
     is_limited,
-    place,
+    place_stale,
     retry_after,
     starts_immediately, //
 };
@@ -223,6 +224,7 @@
     };
     let before = state.load.placed(key);
     let limit = state.limits.limit(entry.run());
+    node.metrics.placed(state.arrivals.age(now));
     let known = state.knowledge(&admitted.parts);
     state.load.online_started(key, now);
     state.limits.sent(entry.run(), now);
@@ -293,7 +295,7 @@
     let running = running.fold(0, u32::saturating_add);
     let queued = online.map(|(n, slots)| n.saturating_sub(slots));
     let queued = queued.fold(0, u32::saturating_add);
-    let holding = Duration::from_secs_f64(state.mean_holding_s.clamp(0.05, 10.0));
+    let holding = state.mean_holding();
     Rejection {
         cause,
         retry_after: retry_after(running, queued, holding),
@@ -356,7 +358,12 @@
     if eligible == Eligible::AtOnce {
         found.retain(starts_immediately);
     }
-    let placement = place(&found, limits);
+    let staleness = match node.settings.spread_stale_load {
+        // The candidates draw from a generator with this seed, which is independent of its upper half.
+        true => state.staleness((state.draw_seed >> 32) as u32, now),
+        false => Staleness::FRESH,
+    };
+    let placement = place_stale(&found, limits, staleness);
     (found, placement)
 }
 
--- a/gateway/src/serve/metrics.rs
+++ b/gateway/src/serve/metrics.rs
@@ -25,6 +25,7 @@
     Background,
     OneShot, //
 };
+use crate::placement::LoadSpread;
 
 /// Upper bounds of the duration buckets in seconds; the latency objectives are between 0.3 and 0.5.
 const BUCKETS: [f64; 12] = [
@@ -52,6 +53,8 @@
     runs_withdrawn: Counter<u64>,
     cases_opened: Counter<u64>,
     limited_requests: Counter<u64>,
+    count_age: Histogram<f64>,
+    server_load: Gauge<f64>,
     lines_dropped: Counter<u64>,
     task_restarts: Counter<u64>,
     task_panics: Counter<u64>,
@@ -129,6 +132,14 @@
                 "limpetweir_limited_server_requests",
                 "Requests to backend servers with a limit, by kind",
             ),
+            count_age: histogram(
+                "limpetweir_placement_count_age_seconds",
+                "Mean age of the counts of requests from which a backend server was chosen",
+            ),
+            server_load: meter
+                .f64_gauge("limpetweir_server_load")
+                .with_description("Requests on the backend servers relative to their slots")
+                .build(),
             lines_dropped: counter("limpetweir_log_lines_dropped", "Log lines not written"),
             task_restarts: counter(
                 "limpetweir_task_restarts",
@@ -224,6 +235,20 @@
         self.limited_requests.add(1, &labels);
     }
 
+    /// Records the age of the counts from which a server was chosen.
+    pub(crate) fn placed(&self, age: Duration) {
+        self.count_age.record(age.as_secs_f64(), &[]);
+    }
+
+    /// Records the load of the servers as this instance sees it.
+    pub(crate) fn server_load(&self, spread: LoadSpread) {
+        let measures = [("mean", spread.mean), ("p95", spread.p95)];
+        for (measure, load) in measures {
+            let labels = [KeyValue::new("measure", measure)];
+            self.server_load.record(load, &labels);
+        }
+    }
+
     /// Counts dropped log lines.
     pub(crate) fn lines_dropped(&self, count: u64) {
         self.lines_dropped.add(count, &[]);
--- a/gateway/src/serve/pages.rs
+++ b/gateway/src/serve/pages.rs
@@ -88,7 +88,11 @@
         };
     }
     match head.uri.path() {
-        "/metrics" => replies::plain(StatusCode::OK, &node.metrics.render()),
+        "/metrics" => {
+            let spread = node.lock().load_spread();
+            node.metrics.server_load(spread);
+            replies::plain(StatusCode::OK, &node.metrics.render())
+        }
         _ => replies::plain(StatusCode::NOT_FOUND, "no such page"),
     }
 }
--- a/gateway/src/serve/peers.rs
+++ b/gateway/src/serve/peers.rs
@@ -87,6 +87,7 @@
         state.skipped.read(Topic::Instances, &record.key);
         state.members.remove(&record.key);
         state.load.remove_peer(&record.key, now);
+        state.arrivals.remove_peer(&record.key);
         state.quotas.remove_peer(&record.key);
         state.limits.remove_peer(&record.key);
         return;
@@ -208,7 +209,12 @@
         }
         ReportUpdate::Stale => return,
     };
-    state.load.apply_report(&report, now);
+    let placed = state.load.apply_report(&report, now);
+    if state.cells.is_own_instance(&name) {
+        state.arrivals.reported(&name, placed, now);
+    } else {
+        state.arrivals.remove_peer(&name);
+    }
     for (backend, remaining) in &report.suspects {
         let remaining = Duration::from_millis(u64::from(*remaining));
         state.load.suspect_reported(*backend, now + remaining);
@@ -297,6 +303,7 @@
             .collect();
         for (name, _) in &unreachable {
             state.load.remove_peer(name, now);
+            state.arrivals.remove_peer(name);
         }
         for name in state.members.sweep(now) {
             state.quotas.remove_peer(&name);
--- a/gateway/src/serve/reports.rs
+++ b/gateway/src/serve/reports.rs
@@ -111,7 +111,9 @@
         .filter(|(name, _)| state.cells.is_own_instance(name))
         .count();
     let near = u32::try_from(near).unwrap_or(u32::MAX);
-    MIN_COALESCE_TIME.max(COALESCE_TIME_PER_PEER * near)
+    let time = MIN_COALESCE_TIME.max(COALESCE_TIME_PER_PEER * near);
+    state.arrivals.set_gathering(time);
+    time
 }
 
 fn send_to<P>(
@@ -172,6 +174,7 @@
         limits: Some(state.limits.reports(now)),
         leaving_runs: state.backends.leaving_runs(),
     };
+    state.arrivals.sent(report.has_work(), now);
     let started = std::mem::take(&mut state.started_peers);
     let receivers = receivers(node, &state, &report, &started);
     (report, receivers)
--- a/gateway/src/serve/state.rs
+++ b/gateway/src/serve/state.rs
@@ -9,6 +9,7 @@
     SocketAddr, //
 };
 use std::sync::Arc;
+use std::time::Duration;
 
 use limpetweir_state::Timestamp;
 use rand::SeedableRng;
@@ -17,6 +18,7 @@
 use super::lost_run::LostRun;
 use super::restarts::Restarts;
 use super::run_handles::RunHandles;
+use crate::arrivals::Arrivals;
 use crate::backend::{
     BackendKey,
     Backends, //
@@ -37,6 +39,10 @@
     Members, //
 };
 use crate::open_items::OpenItems;
+use crate::placement::{
+    LoadSpread,
+    Staleness, //
+};
 use crate::platform::Record;
 use crate::positions::{
     CallKind,
@@ -89,6 +95,8 @@
     /// Offset up to which these have been read.
     pub(crate) instances_next: u64,
     pub(crate) load: Load,
+    /// Requests that instances of the own cell have placed and that are not in `load` yet.
+    pub(crate) arrivals: Arrivals,
     pub(crate) speeds: Speeds,
     pub(crate) outputs: Outputs,
     /// Crashes of backend servers and the parts of prompts that are held back.
@@ -166,6 +174,7 @@
             instances_read: false,
             instances_next: 0,
             load: Load::default(),
+            arrivals: Arrivals::default(),
             speeds: Speeds::default(),
             outputs: Outputs::default(),
             quarantine: Quarantine::default(),
@@ -369,6 +378,32 @@
         self.items_waiting || self.members.reachable(now).any(|r| r.waiting > 0)
     }
 
+    /// Returns the mean time for which an online request occupies a slot.
+    pub(crate) fn mean_holding(&self) -> Duration {
+        Duration::from_secs_f64(self.mean_holding_s.clamp(0.05, 10.0))
+    }
+
+    /// Returns what is expected to have changed since the counts of requests were made.
+    pub(crate) fn staleness(&self, draw: u32, now: Timestamp) -> Staleness {
+        let unseen = self.arrivals.unseen(now);
+        Staleness::draw(unseen, self.arrivals.age(now), self.mean_holding(), draw)
+    }
+
+    /// Returns how evenly requests and items are spread over the backend servers of the own cell.
+    pub(crate) fn load_spread(&self) -> LoadSpread {
+        let servers = self.backends.iter();
+        let servers = servers.filter(|b| self.cells.is_own_backend(b.key, &b.entry.zone));
+        let loads = servers.map(|b| {
+            let service = self
+                .config
+                .as_ref()
+                .and_then(|c| c.service(&b.entry.service));
+            let slots = b.entry.slots.or(service.map(|s| s.slots)).unwrap_or(1);
+            f64::from(self.load.placed(b.key).total()) / f64::from(slots.max(1))
+        });
+        LoadSpread::of(loads.collect())
+    }
+
     /// Returns the version of the configuration in force; 0 without one.
     pub(crate) fn config_version(&self) -> u64 {
         self.config.as_ref().map_or(0, |config| config.version())
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -80,6 +80,8 @@
     pub result_retention: Duration,
     /// Tolerance of the organisations' rate limits.
     pub tolerance: Tolerance,
+    /// Whether the choice of a server takes the age of the counts into account.
+    pub spread_stale_load: bool,
     /// Lowest level of log lines that are written.
     pub log_level: LevelFilter,
 }
@@ -142,6 +144,8 @@
     #[serde(default)]
     quota: RawQuota,
     #[serde(default)]
+    placement: RawPlacement,
+    #[serde(default)]
     log: RawLog,
 }
 
@@ -220,6 +224,13 @@
     }
 }
 
+#[derive(Default, Deserialize)]
+#[serde(default)]
+struct RawPlacement {
+    /// Whether the choice of a server takes the age of the counts into account.
+    spread_stale_load: bool,
+}
+
 #[derive(Deserialize)]
 struct RawLog {
     level: String,
@@ -356,6 +367,7 @@
                 overshoot: raw.quota.overshoot,
                 slack: raw.quota.slack,
             },
+            spread_stale_load: raw.placement.spread_stale_load,
             log_level: level,
         })
     }
