--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! The traits of `platform` hide the platform's names and formats.
 
 mod admission;
+mod arrivals;
 mod backend;
 mod batch;
 mod cells;
@@ -58,6 +59,7 @@
 mod warm_up;
 
 pub use admission::{HOLD, Level, MIN_USAGE, ServiceKey, Shares, ShortageReport, Shortages, Turn};
+pub use arrivals::Arrivals;
 pub use backend::{Backend, BackendEntry, BackendKey, Backends, LeavingSource, RunKey};
 pub use batch::{
     BatchCandidate, Contenders, ItemPacing, PacingTimes, Preemption, Stop, StopCause, WaitingItem,
@@ -93,7 +95,8 @@
 pub use memory::{ByteBudget, OverBudget, Plan, Share};
 pub use open_items::{OpenItem, OpenItems, Phase, RunEnd, Step};
 pub use placement::{
-    Candidate, Limits, Placement, is_limited, place, retry_after, starts_immediately,
+    Candidate, Limits, LoadSpread, Placement, Staleness, is_limited, place, place_stale,
+    retry_after, starts_immediately,
 };
 pub use platform::{
     AddressQuery, CallHead, DecodeError, Dialect, Forward, ItemRequest, JobCall, MAX_KEY_BYTES,
--- a/gateway/src/serve/metrics.rs
+++ b/gateway/src/serve/metrics.rs
@@ -28,6 +28,7 @@
 use crate::admission::Turn;
 use crate::batch::StopCause;
 use crate::evacuation::EvacuationSource;
+use crate::placement::LoadSpread;
 
 /// Upper bounds of the duration buckets in seconds; the latency objectives are between 0.3 and 0.5.
 const BUCKETS: [f64; 12] = [
@@ -60,6 +61,8 @@
     limited_requests: Counter<u64>,
     cold_servers: Gauge<u64>,
     cold_requests_denied: Counter<u64>,
+    count_age: Histogram<f64>,
+    server_load: Gauge<f64>,
     lines_dropped: Counter<u64>,
     task_restarts: Counter<u64>,
     task_panics: Counter<u64>,
@@ -160,6 +163,14 @@
                 "limpetweir_cold_server_requests_kept_away",
                 "Requests that the rate of a cold backend server with a free slot kept away from it",
             ),
+            count_age: histogram(
+                "limpetweir_placement_count_age_seconds",
+                "Mean age of the counts of requests from which a backend server was chosen",
+            ),
+            server_load: meter
+                .f64_gauge("limpetweir_server_load")
+                .with_description("Requests on the backend servers relative to their slots")
+                .build(),
             lines_dropped: counter("limpetweir_log_lines_dropped", "Log lines not written"),
             task_restarts: counter(
                 "limpetweir_task_restarts",
@@ -306,6 +317,20 @@
         self.cold_requests_denied.add(1, &[]);
     }
 
+    /// Records the age of the counts from which a server was chosen.
+    pub(crate) fn placed(&self, age: Duration) {
+        self.count_age.record(age.as_secs_f64(), &[]);
+    }
+
+    /// Records the load of the servers as this instance sees it.
+    pub(crate) fn server_load(&self, spread: LoadSpread) {
+        let measures = [("mean", spread.mean), ("p95", spread.p95)];
+        for (measure, load) in measures {
+            let labels = [KeyValue::new("measure", measure)];
+            self.server_load.record(load, &labels);
+        }
+    }
+
     /// Counts dropped log lines.
     pub(crate) fn lines_dropped(&self, count: u64) {
         self.lines_dropped.add(count, &[]);
--- a/gateway/src/serve/pages.rs
+++ b/gateway/src/serve/pages.rs
@@ -95,6 +95,8 @@
     match head.uri.path() {
         "/metrics" => {
             evacuation::record_ages(node);
+            let spread = node.lock().load_spread();
+            node.metrics.server_load(spread);
             replies::plain(StatusCode::OK, &node.metrics.render())
         }
         _ => replies::plain(StatusCode::NOT_FOUND, "no such page"),
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -87,6 +87,8 @@
     pub admission_by_priority: bool,
     /// When items are stopped for online requests.
     pub preemption: Preemption,
+    /// Whether the choice of a server takes the age of the counts into account.
+    pub spread_stale_load: bool,
     /// Lowest level of log lines that are written.
     pub log_level: LevelFilter,
 }
@@ -157,6 +159,8 @@
     #[serde(default)]
     batch: RawBatch,
     #[serde(default)]
+    placement: RawPlacement,
+    #[serde(default)]
     log: RawLog,
 }
 
@@ -251,6 +255,13 @@
     preemption: Preemption,
 }
 
+#[derive(Default, Deserialize)]
+#[serde(default)]
+struct RawPlacement {
+    /// Whether the choice of a server takes the age of the counts into account.
+    spread_stale_load: bool,
+}
+
 #[derive(Deserialize)]
 struct RawLog {
     level: String,
@@ -394,6 +405,7 @@
             },
             admission_by_priority: raw.admission.by_priority,
             preemption: raw.batch.preemption,
+            spread_stale_load: raw.placement.spread_stale_load,
             log_level: level,
         })
     }
