--- a/transport/src/http/activity.rs
+++ b/transport/src/http/activity.rs
@@ -111,8 +111,6 @@
     state: Mutex<State>,
     /// Notified when the connection is released.
     released: Event,
-    /// Notified when the system takes bytes of the response again.
-    writable: Event,
 }
 
 impl Drop for Activity {
@@ -144,7 +142,6 @@
                 is_released: false,
             }),
             released: Event::new(),
-            writable: Event::new(),
         }
     }
 
@@ -199,7 +196,6 @@
             state.is_blocked = false;
             let waker = state.unblocked.take();
             drop(state);
-            self.writable.notify(usize::MAX);
             waker.inspect(Waker::wake_by_ref);
         }
     }
@@ -213,18 +209,6 @@
         state.is_blocked
     }
 
-    /// Waits until the system takes the earlier responses, so that a caller that sends requests ahead and does
-    /// not read has no more than one response waiting.
-    pub(crate) async fn writable(&self) {
-        loop {
-            let writable = self.writable.listen();
-            if !self.lock().is_blocked {
-                return;
-            }
-            writable.await;
-        }
-    }
-
     /// Closes the connection in favour of others.
     pub(crate) fn release(&self) {
         self.lock().is_released = true;
--- a/transport/src/http/server.rs
+++ b/transport/src/http/server.rs
@@ -459,7 +459,6 @@
     F: Future<Output = Response<Body>>,
 {
     let head_limits = activity.request_began(!req.body().is_end_stream());
-    activity.writable().await;
     let limits = &shared.limits;
     let mut req = req.map(|body| {
         RequestBody::new(
