--- a/gateway/src/memory/plan.rs
+++ b/gateway/src/memory/plan.rs
@@ -1,7 +1,7 @@
 //! Division of the memory and the descriptors of a machine.
 //!
-//! All limits of what an instance holds for others derive from two settings, so that their sum fits whatever
-//! clients and backend servers send at the same time.
+//! All limits of what an instance holds for others derive from two settings, so that crowds of clients on all
+//! listeners at the same time stay within the machine.
 
 /// Descriptors of a machine that the platform reserves for files.
 const FILE_DESCRIPTORS: usize = 200;
