--- a/gateway/src/batch/pacing.rs
+++ b/gateway/src/batch/pacing.rs
@@ -28,7 +28,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PacingTimes {
     /// Time for which a server has more requests than slots before an item is stopped there. It covers
-    /// the delay of reports; a longer one saves a tenth of the stops and lets online requests wait.
+    /// the delay of reports; a longer one saves few stops and lets online requests wait.
     pub stop_after: Duration,
     /// Time for which items leave the slots of a server free that online requests have used. Online
     /// requests run a little longer.
--- a/gateway/tests/item_pacing.rs
+++ b/gateway/tests/item_pacing.rs
@@ -1,21 +1,27 @@
 //! Start and preemption of items that keep their slots while online requests vary.
 
+mod support;
+
 use std::collections::HashMap;
 use std::time::Duration;
 
 use limpetweir_gateway::{
     BackendKey,
     BatchCandidate,
+    BatchRun,
     Contenders,
     ItemKey,
     ItemPacing,
     Permit,
     Placed,
+    Preemption,
+    Report,
     WaitingItem,
     one_slot_each, //
 };
 use limpetweir_state::Timestamp;
 use rstest::rstest;
+use support::idle_report;
 
 const SLOTS: u32 = 8;
 const SERVERS: u32 = 11;
@@ -167,6 +173,32 @@
     assert_eq!(started, expected.filter(|(_, count)| *count > 0).collect());
 }
 
+/// Guards against two instances that fill the same slot, because an item arrived at one of them after its
+/// last report.
+#[rstest]
+#[case::idle(0, 0, false, false)]
+#[case::waiting(1, 0, true, true)]
+#[case::running(0, 1, false, true)]
+fn instances_that_run_items_contend_for_slots(
+    #[case] waiting: u32,
+    #[case] running: u64,
+    #[case] immediate: bool,
+    #[case] lasting: bool,
+) {
+    let run = |n| BatchRun {
+        item: ItemKey(n),
+        backend: BackendKey(1),
+        due: 0,
+    };
+    let report = Report {
+        waiting,
+        batch: (0..running).map(run).collect(),
+        ..idle_report("a")
+    };
+    assert_eq!(Preemption::Immediate.contends(&report), immediate);
+    assert_eq!(Preemption::Lasting.contends(&report), lasting);
+}
+
 /// Load pattern: two instances send a request to the same server within the delay of reports, and
 /// the next online request there ends some milliseconds later. Guards against an item that is
 /// stopped for it, against items that stay although the slots are needed for longer, and against
--- a/gateway/tests/open_items.rs
+++ b/gateway/tests/open_items.rs
@@ -246,6 +246,9 @@
     let waiting = items.waiting(Timestamp::default(), SUBMITTED + age);
     let item = waiting.iter().find(|w| w.item == key);
     assert_eq!(item.map(|w| w.late), Some(late));
+    let before = items.waiting(Timestamp::default(), SUBMITTED + age - 4_000);
+    let before = before.iter().find(|w| w.item == key);
+    assert_eq!(before.map(|w| (w.late, w.urgent)), Some((false, late)));
 }
 
 /// Guards against giving up an item for any reason other than failures of its backend servers.
