--- a/gateway/src/arrivals.rs
+++ b/gateway/src/arrivals.rs
@@ -19,7 +19,7 @@
 /// Time from a change to its processing by another instance, except the time in which changes are
 /// gathered. Machines with a tenth of a core are up to 30 ms late, and an instance that has just got
 /// work is not known yet to those that report to it.
-const TRANSFER: Duration = Duration::from_millis(15);
+const TRANSFER: Duration = Duration::from_millis(10);
 
 /// Requests that the instances of the own cell place, and the age of their reports.
 #[derive(Debug, Default)]
--- a/gateway/src/placement/choice.rs
+++ b/gateway/src/placement/choice.rs
@@ -37,7 +37,7 @@
     let chosen = match in_shard.min_by(order) {
         Some((_, shard)) => shard,
         None if staleness.rank == 0 => first,
-        None => slot_at(candidates, limits, staleness).unwrap_or(first),
+        None => slot_at(candidates, limits, staleness, best.class).unwrap_or(first),
     };
     Placement::Send(chosen.key)
 }
--- a/gateway/src/placement/spread.rs
+++ b/gateway/src/placement/spread.rs
@@ -15,17 +15,28 @@
 use super::choice::tie_order;
 use super::staleness::Staleness;
 
-/// Width of the interval of loads, relative to the slots, in which loads count as equal: an eighth of
-/// a request on a server with 8 slots.
-const RESOLUTION: f64 = 1.0 / 64.0;
+/// Number of intervals into which the loads above the least one are divided. Larger loads count to the
+/// last one.
+const INTERVALS: usize = 128;
 
-/// Returns the candidate whose slot the request gets, or `None` without room. A rank beyond all room
-/// starts again at the first slot, because other requests have ended meanwhile.
+/// Intervals per request and slot. Loads in the same one count as equal: an eighth of a request on a
+/// server with 8 slots.
+const RESOLUTION: f64 = 64.0;
+
+/// Returns the candidate whose slot the request gets, or `None` without room. `class` is the class of
+/// the first slot. A rank beyond all room starts again at the first slot, because other requests have
+/// ended meanwhile.
 pub(super) fn slot_at(
     candidates: &[Candidate],
     limits: Limits,
     staleness: Staleness,
+    class: u8,
 ) -> Option<&Candidate> {
+    let (rooms, total) = rooms_in(candidates, limits, staleness, class);
+    let rank = u64::from(staleness.rank);
+    if rank < total {
+        return due(rooms, rank);
+    }
     let mut totals = [0_u64; CLASSES];
     for (class, count) in candidates
         .iter()
@@ -33,26 +44,35 @@
     {
         totals[usize::from(class)] += u64::from(count);
     }
-    let (class, rank) = class_at(&totals, staleness.rank)?;
+    let (class, rank) = class_at(&totals, rank)?;
+    due(rooms_in(candidates, limits, staleness, class).0, rank)
+}
+
+/// Returns the rooms of a class with their candidates, and the number of requests that fit there.
+fn rooms_in(
+    candidates: &[Candidate],
+    limits: Limits,
+    staleness: Staleness,
+    class: u8,
+) -> (Vec<(Room, &Candidate)>, u64) {
     let mut rooms = Vec::with_capacity(candidates.len());
-    let of_class = |c| Some((staleness.apply(c).room_in(class, limits)?, c));
-    rooms.extend(candidates.iter().filter_map(of_class));
-    let (below, level) = level_at(&rooms, rank);
-    let before: u64 = rooms.iter().map(|(room, _)| room.slots_up_to(below)).sum();
-    rooms.retain(|(room, _)| room.slots_up_to(level) > room.slots_up_to(below));
-    let place = usize::try_from(rank.saturating_sub(before)).unwrap_or(usize::MAX);
-    let place = place.min(rooms.len().checked_sub(1)?);
-    let (_, (_, chosen), _) = rooms.select_nth_unstable_by(place, |(_, x), (_, y)| tie_order(x, y));
-    Some(chosen)
+    let mut total = 0;
+    for c in candidates {
+        if let Some(room) = staleness.apply(c).room_in(class, limits) {
+            total += u64::from(room.count);
+            rooms.push((room, c));
+        }
+    }
+    (rooms, total)
 }
 
 /// Returns the class in which the slot with this rank is, and its rank there. Suspected servers are
 /// used only if there are no others.
-fn class_at(totals: &[u64; CLASSES], rank: u32) -> Option<(u8, u64)> {
+fn class_at(totals: &[u64; CLASSES], rank: u64) -> Option<(u8, u64)> {
     let (suspected, others) = totals.split_last()?;
     let all: u64 = others.iter().sum();
-    let Some(mut rank) = u64::from(rank).checked_rem(all) else {
-        let rank = u64::from(rank).checked_rem(*suspected)?;
+    let Some(mut rank) = rank.checked_rem(all) else {
+        let rank = rank.checked_rem(*suspected)?;
         return Some((CLASSES as u8 - 1, rank));
     };
     for (class, total) in (0..).zip(others) {
@@ -64,42 +84,51 @@
     None
 }
 
-/// Returns an interval of loads: more than `rank` slots are up to its upper end, and not more than that
-/// are up to its lower end.
-fn level_at(rooms: &[(Room, &Candidate)], rank: u64) -> (f64, f64) {
-    let count = |level: f64| -> u64 { rooms.iter().map(|(r, _)| r.slots_up_to(level)).sum() };
+/// Returns the candidate with the slot at `rank`, in the order of loads and then of preference.
+fn due(mut rooms: Vec<(Room, &Candidate)>, rank: u64) -> Option<&Candidate> {
     let weights = rooms.iter().map(|(room, _)| room.weight);
-    let mut below = weights.fold(f64::INFINITY, f64::min) - RESOLUTION;
-    let tops = rooms.iter().map(|(room, _)| room.top());
-    let mut level = tops.fold(below, f64::max) + RESOLUTION;
-    while level - below > RESOLUTION {
-        let middle = (below + level) / 2.0;
-        // Large loads differ by more than the resolution of their type.
-        if middle <= below || middle >= level {
-            break;
-        }
-        if count(middle) > rank {
-            level = middle;
-        } else {
-            below = middle;
+    let least = weights.fold(f64::INFINITY, f64::min);
+    let mut slots = [0_u64; INTERVALS];
+    for (room, _) in &rooms {
+        // Further slots of one server are not due yet.
+        let count = u64::from(room.count).min(rank + 1);
+        for interval in room.intervals(least, count) {
+            slots[interval] += 1;
         }
     }
-    (below, level)
+    let mut before = 0;
+    let due = slots.iter().position(|slots| {
+        let is_due = before + slots > rank;
+        if !is_due {
+            before += slots;
+        }
+        is_due
+    })?;
+    rooms.retain(|(room, _)| {
+        let mut intervals = room.intervals(least, room.count.into());
+        intervals.find(|interval| *interval >= due) == Some(due)
+    });
+    let place = usize::try_from(rank - before).unwrap_or(usize::MAX);
+    let place = place.min(rooms.len().checked_sub(1)?);
+    let (_, (_, chosen), _) = rooms.select_nth_unstable_by(place, |(_, x), (_, y)| tie_order(x, y));
+    Some(chosen)
 }
 
 impl Room {
-    /// Returns how many slots have at most this load.
-    fn slots_up_to(&self, level: f64) -> u64 {
-        if level < self.weight {
-            return 0;
-        }
-        // The conversion saturates.
-        let further = ((level - self.weight) / self.step) as u64;
-        further.saturating_add(1).min(u64::from(self.count))
-    }
-
-    /// Returns the load with the last request that fits.
-    fn top(&self) -> f64 {
-        self.weight + self.step * f64::from(self.count.saturating_sub(1))
+    /// Returns the intervals of the first `count` slots. Those in the last interval are one.
+    fn intervals(self, least: f64, count: u64) -> impl Iterator<Item = usize> {
+        let step = self.step * RESOLUTION;
+        let mut load = (self.weight - least) * RESOLUTION;
+        let mut left = count;
+        std::iter::from_fn(move || {
+            left = left.checked_sub(1)?;
+            // The conversion saturates, and takes an undefined number as 0.
+            let interval = (load as usize).min(INTERVALS - 1);
+            if interval == INTERVALS - 1 {
+                left = 0;
+            }
+            load += step;
+            Some(interval)
+        })
     }
 }
--- a/gateway/tests/formats.rs
+++ b/gateway/tests/formats.rs
@@ -151,7 +151,11 @@
 #[case("10.0.0.9:90", "10.0.0.9:0", "store.address")]
 #[case("[jobs]", "[quota]\nwindow_s = 0\n[jobs]", "quota.window_s")]
 #[case("[jobs]", "[quota]\novershoot = -1\n[jobs]", "quota.overshoot")]
-#[case("[jobs]", "[placement]\nspread_stale_load = 1\n[jobs]", "spread_stale_load")]
+#[case(
+    "[jobs]",
+    "[placement]\nspread_stale_load = 1\n[jobs]",
+    "spread_stale_load"
+)]
 #[case("partitions = 8", "partitions = 0", "store.partitions")]
 #[case("record_bytes = 262144", "record_bytes = 12", "store.record_bytes")]
 #[case("grace_s = 8", "grace_s = 0", "stop.grace_s")]
