--- a/gateway/src/warm_up/cold_servers.rs
+++ b/gateway/src/warm_up/cold_servers.rs
@@ -26,10 +26,6 @@
 };
 use crate::server_limits::Purpose;
 
-/// Time after its start within which an instance uses nothing that others pass on, because it does not
-/// know what they have sent.
-const SETTLE_TIME: Timestamp = Timestamp::from_millis(1_200);
-
 /// Time after its start within which an instance that knows no other one sends nothing to cold servers.
 const ALONE_UNTIL: Timestamp = Timestamp::from_millis(3_000);
 
@@ -275,8 +271,7 @@
             Purpose::Online { .. } => 0.0,
             Purpose::Item => ONLINE_PART,
         };
-        let own_only = now < SETTLE_TIME;
-        let open = self.turns.open(run, per_s, unix_ms, own_only, skipped);
+        let open = self.turns.open(run, per_s, unix_ms, skipped);
         let used = known.pace.own_within(self.turns.turn(per_s), now);
         Some(used < open)
     }
--- a/gateway/src/warm_up/turns.rs
+++ b/gateway/src/warm_up/turns.rs
@@ -156,23 +156,14 @@
     }
 
     /// Returns how many requests to `run` belong to this instance at the time `unix_ms`, at `rate` per
-    /// second. If `own_only` is set, those passed on by others do not count. Each belongs to it from
-    /// the part `skipped` of a turn on.
-    pub(super) fn open(
-        &self,
-        run: RunKey,
-        rate: f64,
-        unix_ms: u64,
-        own_only: bool,
-        skipped: f64,
-    ) -> u64 {
+    /// second. Each belongs to it from the part `skipped` of a turn on.
+    pub(super) fn open(&self, run: RunKey, rate: f64, unix_ms: u64, skipped: f64) -> u64 {
         let Some(place) = self.place else {
             return 0;
         };
         let due = unix_ms as f64 / 1_000.0 * rate;
         let turn = self.turn(rate).as_secs_f64() * rate;
-        let ranks = if own_only { 1 } else { self.ranks() };
-        let open = (0..ranks).map(|rank| {
+        let open = (0..self.ranks()).map(|rank| {
             // The ranks are far apart, so that idle neighbours do not leave a request unused.
             let shift = (rank * self.count / self.ranks() + u64::from(run.0)) % self.count;
             let first = place + self.count - shift;
--- a/gateway/tests/warm_up.rs
+++ b/gateway/tests/warm_up.rs
@@ -335,6 +335,8 @@
 #[case::clocks_differ(Trouble { clocks_ms: 1_000, ..CALM }, 0)]
 #[case::read_late(Trouble { read_ms: 1_400, ..CALM }, 1_400)]
 #[case::restarted(Trouble { restarted: 0.2, ..CALM }, 0)]
+// What was sent in the second before the restart is not known.
+#[case::all_restarted(Trouble { restarted: 1.0, ..CALM }, 2_000)]
 #[case::items_wait(Trouble { items: true, ..CALM }, 0)]
 #[case::few_have_callers(Trouble { with_callers: 0.34, ..CALM }, 0)]
 #[case::all_were_idle(Trouble { idle_before: true, ..CALM }, 0)]
