gateway, transport: findings of a read-through

* An unreadable evacuation record that is read by range no longer counts as read: another instance would have taken the zone's absence from the report for a withdrawal.
* Zones beyond the limit are logged once and cause no reports; the test of them states what is logged for each number of zones.
* make_room no longer counts the memory that the asking body holds already.
* An attempt of a store call beside others that go on always costs an overlap, and the body of a relayed call has the time limit of its sender.
* Requests are held back only if there are candidates, and return times are kept by service.
* The heads of the five listeners take up a sixteenth of the memory together, as planned.
* Names and comments: HoldCause, OrganisationUsage, must_wait and others.

--- a/gateway/src/admission/mod.rs
+++ b/gateway/src/admission/mod.rs
@@ -7,9 +7,9 @@
 //! all of them hold back what comes after that level, so that the slots that get free are left to the
 //! requests that were refused.
 
-mod shares;
 mod shortage;
+mod usage;
 
-pub use shares::{MIN_USAGE, Shares};
 pub(crate) use shortage::WireShortage;
-pub use shortage::{HOLD, Level, ServiceKey, ShortageReport, Shortages, Turn};
+pub use shortage::{HOLD, HoldCause, Level, ServiceKey, ShortageReport, Shortages};
+pub use usage::{MIN_USAGE, OrganisationUsage};
--- a/gateway/src/admission/shortage.rs
+++ b/gateway/src/admission/shortage.rs
@@ -38,12 +38,9 @@
     pub over_share: bool,
 }
 
-/// Whether a request may be placed.
+/// Why a request is held back.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
-pub enum Turn {
-    /// No request that comes first was refused.
-    #[strum(serialize = "open")]
-    Open,
+pub enum HoldCause {
     /// One of an organisation within its share was refused: the request leaves the last slots to it.
     #[strum(serialize = "over-share")]
     Share,
@@ -93,8 +90,8 @@
 struct Refusals {
     /// The last one.
     last: Timestamp,
-    /// When the others were last told at once.
-    told: Timestamp,
+    /// When a report was last sent at once because of them.
+    last_report: Timestamp,
 }
 
 /// When requests of each service and level were last refused because there was no room.
@@ -115,9 +112,9 @@
         if let Some(refusals) = self.own.get_mut(&key) {
             refusals.last = now;
             // The refusals of a burst are told together.
-            let is_due = now.since(refusals.told) >= HOLD / 2;
+            let is_due = now.since(refusals.last_report) >= HOLD / 2;
             if is_due {
-                refusals.told = now;
+                refusals.last_report = now;
             }
             return is_due;
         }
@@ -126,7 +123,7 @@
         }
         let refusals = Refusals {
             last: now,
-            told: now,
+            last_report: now,
         };
         self.own.insert(key, refusals);
         true
@@ -134,25 +131,30 @@
 
     /// Returns whether any request of `service` was refused lately.
     pub fn is_short(&self, service: ServiceKey, now: Timestamp) -> bool {
-        self.lately(now).any(|(short, _)| short == service)
+        self.recent(now).any(|(short, _)| short == service)
     }
 
-    /// Returns whether a request of `service` may be placed.
-    pub fn turn(&self, service: ServiceKey, level: Level, now: Timestamp) -> Turn {
-        let refused = self.lately(now).filter(|(short, _)| *short == service);
+    /// Returns why a request of `service` is held back; `None` if it may be placed.
+    pub fn hold_cause(
+        &self,
+        service: ServiceKey,
+        level: Level,
+        now: Timestamp,
+    ) -> Option<HoldCause> {
+        let refused = self.recent(now).filter(|(short, _)| *short == service);
         match refused.map(|(_, level)| level).min() {
-            Some(first) if first.priority < level.priority => Turn::Priority,
-            Some(first) if first < level => Turn::Share,
-            _ => Turn::Open,
+            Some(first) if first.priority < level.priority => Some(HoldCause::Priority),
+            Some(first) if first < level => Some(HoldCause::Share),
+            _ => None,
         }
     }
 
-    fn lately(&self, now: Timestamp) -> impl Iterator<Item = (ServiceKey, Level)> {
+    fn recent(&self, now: Timestamp) -> impl Iterator<Item = (ServiceKey, Level)> {
         let own = self.own.iter().map(|(key, refusals)| (key, refusals.last));
         let reported = self.reported.iter().map(|(key, at)| (key, *at));
-        let lately = own.chain(reported);
-        let lately = lately.filter(move |(_, at)| now.since(*at) < HOLD);
-        lately.map(|(key, _)| *key)
+        let recent = own.chain(reported);
+        let recent = recent.filter(move |(_, at)| now.since(*at) < HOLD);
+        recent.map(|(key, _)| *key)
     }
 
     /// Returns what the other instances are to know: the first level that was refused at each service.
@@ -185,7 +187,7 @@
         for r in reports {
             let key = (r.service, r.level);
             if self.reported.len() >= MAX_SHORTAGES && !self.reported.contains_key(&key) {
-                return;
+                continue;
             }
             let at = now - r.age;
             let known = self.reported.entry(key).or_insert(at);
--- a/gateway/src/admission/shares.rs
+++ b/gateway/src/admission/usage.rs
@@ -39,13 +39,13 @@
 /// The share of an organisation follows from its rate in the configuration. Organisations that send
 /// nothing leave their shares to the others.
 #[derive(Debug, Default)]
-pub struct Shares {
+pub struct OrganisationUsage {
     usage: HashMap<OrganisationKey, Usage>,
     /// Rates of the organisations that have one, in requests per second.
     rates: HashMap<OrganisationKey, f64>,
 }
 
-impl Shares {
+impl OrganisationUsage {
     /// Applies the rates of a configuration.
     pub fn configure(&mut self, config: &Configuration) {
         let organisations = config.organisations().values();
--- a/gateway/src/batch/pacing.rs
+++ b/gateway/src/batch/pacing.rs
@@ -83,8 +83,8 @@
     }
 
     /// Assigns waiting items to the slots that online requests did not need recently, as
-    /// [`choose_starts`](super::choose_starts) does. Urgent items are assigned alone, to all slots that
-    /// are free now.
+    /// [`choose_starts`](super::choose_starts) does. If any item is urgent, only urgent ones are assigned:
+    /// recent peaks are ignored, and [`reserve`](super::reserve) is used in place of `reserve`.
     pub fn choose_starts(
         &mut self,
         waiting: &mut Vec<WaitingItem>,
--- a/gateway/src/evacuation/mod.rs
+++ b/gateway/src/evacuation/mod.rs
@@ -26,10 +26,10 @@
 /// memory that reports can take.
 pub const MAX_ZONES: usize = 1_024;
 
-/// Shortest `Retry-After` of a request for a service whose zones are evacuated.
+/// Shortest `Retry-After` of a request for a service whose zones are evacuated, before it is spread.
 const MIN_RETRY: Duration = Duration::from_secs(1);
 
-/// Longest `Retry-After` of such a request. A refusal costs little, and a caller should be back soon
+/// Longest `Retry-After` of such a request, before it is spread. A refusal costs little, and a caller should be back soon
 /// after the withdrawal.
 const MAX_RETRY: Duration = Duration::from_secs(15);
 
@@ -117,6 +117,8 @@
     /// Offset up to which `zones` is complete; `None` until a listing or a report tells it. It never
     /// decreases.
     complete_to: Option<u64>,
+    /// Offset up to which the records have been read from the store, also those that cannot be decoded.
+    read_to: Option<u64>,
     zones: BTreeMap<String, KnownZone>,
     /// Zones whose newest record cannot be read.
     unreadable: BTreeSet<String>,
@@ -209,9 +211,11 @@
             return Some(change_of(zone, change));
         }
         if self.zones.len() >= MAX_ZONES {
+            // Reported once, as each report of the others would repeat it.
+            let is_new = record.is_requested && !self.any_ignored;
             self.any_ignored |= record.is_requested;
             let ignored = ZoneChange::Ignored(offset);
-            return record.is_requested.then(|| change_of(zone, ignored));
+            return is_new.then(|| change_of(zone, ignored));
         }
         let known = KnownZone {
             offset,
@@ -234,21 +238,32 @@
         now: Timestamp,
     ) -> Vec<EvacuationChange> {
         let changes = self.withdraw(end, |zone| listed.contains(zone), now);
-        // A zone with an unreadable record may be evacuated or not, so others must not conclude from its
-        // absence that it is not.
-        let is_open = |zone: &String| self.unreadable.contains(zone) && !self.is_evacuated(zone);
-        if listed.iter().any(is_open) {
-            self.complete_to.get_or_insert(0);
-        } else {
-            self.raise(end);
+        self.unreadable.retain(|zone| listed.contains(zone));
+        if self.zones.len() < MAX_ZONES {
+            self.any_ignored = false;
         }
+        self.read_to = Some(self.read_to.unwrap_or(0).max(end));
+        self.complete();
         changes
     }
 
     /// Records that all records from `from` up to `to` have been read and applied.
     pub fn read(&mut self, from: u64, to: u64) {
-        if self.complete_to.is_some_and(|end| from <= end) {
-            self.raise(to);
+        if self.read_to.is_some_and(|end| from <= end) {
+            self.read_to = self.read_to.max(Some(to));
+            self.complete();
+        }
+    }
+
+    /// Takes over what has been read, unless a record of it is open: a zone with an unreadable record may
+    /// be evacuated or not, so others must not conclude from its absence that it is not.
+    fn complete(&mut self) {
+        let is_open = |zone: &String| !self.is_evacuated(zone);
+        match self.read_to {
+            Some(end) if !self.unreadable.iter().any(is_open) => self.raise(end),
+            _ => {
+                self.complete_to.get_or_insert(0);
+            }
         }
     }
 
@@ -341,8 +356,8 @@
 /// Returns the `Retry-After` of a request for a service whose zones have been evacuated for `age`; `draw`
 /// is a random number from 0 to 1.
 ///
-/// Nothing tells how long an evacuation lasts. With half of its age a caller returns a few times only,
-/// and after the withdrawal waits no longer than half of the evacuation. The draw spreads the callers, as
+/// Nothing tells how long an evacuation lasts. With a half to three quarters of its age a caller returns a few times only,
+/// and after the withdrawal waits no longer than that part of the evacuation. The draw spreads the callers, as
 /// the servers are cold when the zone comes back.
 pub fn retry_after(age: Duration, draw: f64) -> Duration {
     let half = (age / 2).clamp(MIN_RETRY, MAX_RETRY);
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -58,7 +58,9 @@
 mod supervision;
 mod warm_up;
 
-pub use admission::{HOLD, Level, MIN_USAGE, ServiceKey, Shares, ShortageReport, Shortages, Turn};
+pub use admission::{
+    HOLD, HoldCause, Level, MIN_USAGE, OrganisationUsage, ServiceKey, ShortageReport, Shortages,
+};
 pub use arrivals::Arrivals;
 pub use backend::{Backend, BackendEntry, BackendKey, Backends, LeavingSource, RunKey};
 pub use batch::{
--- a/gateway/src/memory/bodies.rs
+++ b/gateway/src/memory/bodies.rs
@@ -201,8 +201,10 @@
     fn make_room(&self, bytes: usize, but: u64) -> bool {
         let now = Instant::now();
         let mut readers = self.lock();
-        let freeing = readers.open.values().filter(|reader| reader.is_released);
-        let mut freeing: usize = freeing.map(|reader| reader.bytes).sum();
+        // `bytes` include those that the body holds already.
+        let freeing = readers.open.iter();
+        let freeing = freeing.filter(|(key, reader)| reader.is_released || **key == but);
+        let mut freeing: usize = freeing.map(|(_, reader)| reader.bytes).sum();
         while !self.budget.has_room_without(freeing, bytes) {
             let open = readers
                 .open
--- a/gateway/src/memory/byte_budget.rs
+++ b/gateway/src/memory/byte_budget.rs
@@ -41,7 +41,7 @@
 
 /// The bytes of all holders together exceed the limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
-#[snafu(display("all outputs together exceed {limit} bytes, and this one has {bytes}"))]
+#[snafu(display("all holders together exceed {limit} bytes, and this one would have {bytes}"))]
 pub struct OverBudget {
     /// Limit of all holders together, in bytes.
     limit: usize,
--- a/gateway/src/memory/plan.rs
+++ b/gateway/src/memory/plan.rs
@@ -9,12 +9,15 @@
 /// Descriptors of an instance for itself: listeners, the store, reports, signals and the log.
 const OWN_DESCRIPTORS: usize = 40;
 
-/// Memory in bytes of a process that serves nobody.
+/// Memory in bytes of a process without connections.
 const IDLE_MEMORY: usize = 24_000_000;
 
 /// Memory in bytes of an open connection with its buffers, and of the one to a backend server beside it.
 const CONNECTION_MEMORY: usize = 64 << 10;
 
+/// Listeners beside that of callers: for other instances, the readiness, the directory and the metrics.
+const OTHER_LISTENERS: usize = 4;
+
 /// Limits that derive from the memory and the descriptors of a machine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Plan {
@@ -22,8 +25,10 @@
     pub outputs: usize,
     /// Bytes of request bodies, from the first byte to the end of the response.
     pub bodies: usize,
-    /// Bytes of the request heads that a listener is receiving.
+    /// Bytes of the request heads that callers are sending.
     pub heads: usize,
+    /// Bytes of the request heads that each other listener is receiving.
+    pub other_heads: usize,
     /// Connections of callers. As many descriptors are left for connections to backend servers.
     pub callers: usize,
     /// Connections of other instances, and of those who ask for addresses.
@@ -47,7 +52,8 @@
         Self {
             outputs,
             bodies: rest / 2,
-            heads: rest / 16,
+            heads: rest / 32,
+            other_heads: rest / 32 / OTHER_LISTENERS,
             callers: (usable * 3 / 10).min(within_memory),
             peers: (usable / 10).min(within_memory / 4),
             probes: (usable / 20).min(within_memory / 8),
--- a/gateway/src/serve/admission.rs
+++ b/gateway/src/serve/admission.rs
@@ -13,9 +13,9 @@
 use super::node::Node;
 use super::state::State;
 use crate::admission::{
+    HoldCause,
     Level,
-    ServiceKey,
-    Turn, //
+    ServiceKey, //
 };
 use crate::batch::{
     WaitingItem,
@@ -37,7 +37,7 @@
     let key = organisation.map(|o| OrganisationKey::of(&o.name));
     Level {
         priority: priority.unwrap_or(admitted.route.priority),
-        over_share: key.is_some_and(|key| state.shares.is_over(key, now)),
+        over_share: key.is_some_and(|key| state.usage.is_over(key, now)),
     }
 }
 
@@ -49,20 +49,19 @@
     history: &AttemptHistory,
     candidates: &[Candidate],
     now: Timestamp,
-) -> Option<Turn> {
+) -> Option<HoldCause> {
     let service = ServiceKey::of(&admitted.service);
     let begun = history.runs > 0 || history.last_event.is_some();
     if !node.settings.admission_by_priority || begun || !state.shortages.is_short(service, now) {
         return None;
     }
-    let turn = state
-        .shortages
-        .turn(service, level(state, admitted, now), now);
-    match turn {
-        Turn::Open => None,
-        Turn::Priority => Some(turn),
-        Turn::Share => (!leaves_room(candidates)).then_some(turn),
-    }
+    let level = level(state, admitted, now);
+    let cause = state.shortages.hold_cause(service, level, now)?;
+    let holds = match cause {
+        HoldCause::Priority => true,
+        HoldCause::Share => !leaves_room(candidates),
+    };
+    holds.then_some(cause)
 }
 
 /// Returns whether more slots are free than the variation of the number of requests fills.
@@ -80,7 +79,7 @@
 pub(crate) fn placed(state: &mut State, admitted: &Admitted, now: Timestamp) {
     if let Some(organisation) = &admitted.organisation {
         let key = OrganisationKey::of(&organisation.name);
-        state.shares.admitted(key, 1, now);
+        state.usage.admitted(key, 1, now);
     }
 }
 
@@ -113,7 +112,9 @@
     let instances = (state.members.count() + 1) as f64;
     let remaining = admitted.deadline.saturating_duration_since(Instant::now());
     let longest = (remaining / 3).min(MAX_RETURN_TIME);
-    state.return_times.assign(now, rate / instances, longest)
+    let key = ServiceKey::of(&admitted.service);
+    let times = state.slot_times.entry(key).or_default();
+    times.assign(now, rate / instances, longest)
 }
 
 /// Removes the items that come after requests which were refused at their service.
@@ -130,7 +131,8 @@
     }
     waiting.retain(|w| {
         let level = item_level(state, w);
-        level.is_none_or(|level| state.shortages.turn(key, level, now) == Turn::Open)
+        let cause = level.and_then(|level| state.shortages.hold_cause(key, level, now));
+        cause.is_none()
     });
 }
 
--- a/gateway/src/serve/apply.rs
+++ b/gateway/src/serve/apply.rs
@@ -203,7 +203,9 @@
         None => config.begins(now),
     }
     state.quotas.configure(&config, now);
-    state.shares.configure(&config);
+    state.usage.configure(&config);
+    // Services that are gone are not kept.
+    state.slot_times.clear();
     caller_limits::apply(node, config.limits());
     cold_servers::configure(&mut state, &config, now);
     let version = config.version();
--- a/gateway/src/serve/choose.rs
+++ b/gateway/src/serve/choose.rs
@@ -195,12 +195,14 @@
     state.update_cells(&node.settings);
     cold_servers::refresh_senders(&mut state, now);
     let (candidates, placement) = find_placement(&state, node, admitted, history, eligible, now);
-    let held_back = (eligible == Eligible::All)
-        .then(|| admission::held_back(node, &state, admitted, history, &candidates, now));
-    if let Some(turn) = held_back.flatten() {
-        node.metrics.request_yielded(turn);
+    let may_wait =
+        eligible == Eligible::All && history.rejections < MAX_REJECTIONS && !candidates.is_empty();
+    let held_back =
+        may_wait.then(|| admission::held_back(node, &state, admitted, history, &candidates, now));
+    if let Some(hold) = held_back.flatten() {
+        node.metrics.request_yielded(hold);
         return Err(Rejection {
-            cause: turn.into(),
+            cause: hold.into(),
             ..rejection_when_full(node, &mut state, &candidates, admitted, "full", now)
         });
     }
--- a/gateway/src/serve/cold_servers.rs
+++ b/gateway/src/serve/cold_servers.rs
@@ -90,7 +90,7 @@
     limits.set_cold_senders(has_work, &others, now);
 }
 
-/// Updates them before a decision, while servers are cold.
+/// Updates the senders before a decision, while servers are cold.
 pub(crate) fn refresh_senders(state: &mut State, now: Timestamp) {
     if state.limits.cold().are_senders_old(now) {
         update_senders(state, now);
--- a/gateway/src/serve/evacuation.rs
+++ b/gateway/src/serve/evacuation.rs
@@ -134,7 +134,8 @@
             ),
         }
     }
-    if !changes.is_empty() {
+    let is_news = |c: &EvacuationChange| !matches!(c.change, ZoneChange::Ignored(_));
+    if changes.iter().any(is_news) {
         node.report_due.notify(usize::MAX);
     }
     // Items wait for a zone that is used again, and for the first knowledge of zones.
--- a/gateway/src/serve/metrics.rs
+++ b/gateway/src/serve/metrics.rs
@@ -25,7 +25,7 @@
     Background,
     OneShot, //
 };
-use crate::admission::Turn;
+use crate::admission::HoldCause;
 use crate::batch::StopCause;
 use crate::evacuation::EvacuationSource;
 use crate::placement::LoadSpread;
@@ -290,8 +290,8 @@
     }
 
     /// Counts a request that is refused because others come first.
-    pub(crate) fn request_yielded(&self, turn: Turn) {
-        let cause = KeyValue::new("cause", <&str>::from(turn));
+    pub(crate) fn request_yielded(&self, hold: HoldCause) {
+        let cause = KeyValue::new("cause", <&str>::from(hold));
         self.requests_yielded.add(1, &[cause]);
     }
 
--- a/gateway/src/serve/mod.rs
+++ b/gateway/src/serve/mod.rs
@@ -295,7 +295,7 @@
         let shared = node.clone();
         let limits = ServerLimits {
             connections: plan.peers,
-            heads_bytes: plan.heads,
+            heads_bytes: plan.other_heads,
             ..ServerLimits::default()
         };
         let peers = Server::start(spawner, peer, limits, move |req| {
@@ -313,7 +313,7 @@
         for (purpose, addr, connections) in listeners {
             let limits = ServerLimits {
                 connections,
-                heads_bytes: plan.heads,
+                heads_bytes: plan.other_heads,
                 ..ServerLimits::default()
             };
             let shared = node.clone();
--- a/gateway/src/serve/peers.rs
+++ b/gateway/src/serve/peers.rs
@@ -225,7 +225,7 @@
         .quotas
         .apply_report(&name, report.boot, &report.admitted, now);
     for (organisation, count) in admitted {
-        state.shares.admitted(organisation, count, now);
+        state.usage.admitted(organisation, count, now);
     }
     state.shortages.apply_report(&report.shortages, now);
     let limits = report.limits.as_deref().unwrap_or_default();
--- a/gateway/src/serve/state.rs
+++ b/gateway/src/serve/state.rs
@@ -19,7 +19,8 @@
 use super::restarts::Restarts;
 use super::run_handles::RunHandles;
 use crate::admission::{
-    Shares,
+    OrganisationUsage,
+    ServiceKey,
     Shortages, //
 };
 use crate::arrivals::Arrivals;
@@ -123,10 +124,12 @@
     pub(crate) digest_due: Vec<IpAddr>,
     pub(crate) quotas: Quotas,
     /// What organisations have recently been given, and services without room.
-    pub(crate) shares: Shares,
+    pub(crate) usage: OrganisationUsage,
     pub(crate) shortages: Shortages,
     /// Limits that backend servers state.
     pub(crate) limits: ServerLimits,
+    /// Times at which callers return that found no slot at a service of the configuration.
+    pub(crate) slot_times: HashMap<ServiceKey, ReturnTimes>,
     /// Times at which callers return that limits keep away.
     pub(crate) return_times: ReturnTimes,
     pub(crate) partitions: Vec<Partition>,
@@ -202,8 +205,9 @@
             item_leases: HashMap::new(),
             digest_due: Vec::new(),
             quotas: Quotas::new(settings.tolerance),
-            shares: Shares::default(),
+            usage: OrganisationUsage::default(),
             shortages: Shortages::default(),
+            slot_times: HashMap::new(),
             return_times: ReturnTimes::default(),
             limits: ServerLimits::new(&settings.name),
             replica_status: vec![ReplicaStatus::Inactive; partitions.len()],
--- a/gateway/src/serve/store_calls.rs
+++ b/gateway/src/serve/store_calls.rs
@@ -91,6 +91,7 @@
         });
         result
     }
+
     /// Records whether the store has answered a call of this instance.
     fn store_call_ended(&self, is_answered: bool, sent: Timestamp) {
         let now = self.now();
--- a/gateway/src/serve/store_relay.rs
+++ b/gateway/src/serve/store_relay.rs
@@ -194,17 +194,24 @@
                     }
                     return outcome;
                 }
-                starts = true;
+                // Another one beside those that go on is an overlap too.
+                starts = unanswered.is_empty() || take_overlap(node, &mut overlaps);
             }
             Some(None) => return Err(attempts.all_ended()),
             None => {
-                starts = node.lock().access.take_overlap();
-                overlaps += u32::from(starts);
+                starts = take_overlap(node, &mut overlaps);
             }
         }
     }
 }
 
+/// Returns whether an attempt may begin beside others, and counts it.
+fn take_overlap<P>(node: &Node<P>, overlaps: &mut u32) -> bool {
+    let is_granted = node.lock().access.take_overlap();
+    *overlaps += u32::from(is_granted);
+    is_granted
+}
+
 /// Records that the ways in `late` had not answered a call that began at `started` when a later one had.
 fn record_late<P: Store>(node: &Node<P>, late: &[&Way<Relay>], started: Timestamp) {
     let now = node.now();
@@ -323,6 +330,7 @@
         // The peer has not made the call; older builds do not know the path.
         status @ (StatusCode::BAD_REQUEST
         | StatusCode::NOT_FOUND
+        | StatusCode::REQUEST_TIMEOUT
         | StatusCode::LENGTH_REQUIRED
         | StatusCode::PAYLOAD_TOO_LARGE
         | StatusCode::SERVICE_UNAVAILABLE) => Err(not_done(format!("{addr}: status {status}"))),
@@ -345,7 +353,8 @@
         return refused(StatusCode::LENGTH_REQUIRED, "the length is missing");
     };
     // The encoding is at most a quarter larger than the records.
-    let most = node.settings.store.call_bytes / 4 * 5 + CALL_MARGIN_BYTES;
+    let most = (node.settings.store.call_bytes / 4).saturating_mul(5);
+    let most = most.saturating_add(CALL_MARGIN_BYTES);
     if bytes > most {
         return refused(StatusCode::PAYLOAD_TOO_LARGE, "the call is too large");
     }
@@ -358,9 +367,11 @@
         let text = "too many calls of peers are in progress";
         return refused(StatusCode::SERVICE_UNAVAILABLE, text);
     };
-    let body = match body.collect_bytes().await {
-        Ok(body) => body,
-        Err(err) => return refused(StatusCode::BAD_REQUEST, &err.to_string()),
+    // Later the sender has given up.
+    let body = match timeout_at(Instant::now() + TIMEOUT, body.collect_bytes()).await {
+        Some(Ok(body)) => body,
+        Some(Err(err)) => return refused(StatusCode::BAD_REQUEST, &err.to_string()),
+        None => return refused(StatusCode::REQUEST_TIMEOUT, "the call is late"),
     };
     let call = match JobsCall::decode(&body) {
         Ok(call) => call,
--- a/gateway/src/store_relay/gate.rs
+++ b/gateway/src/store_relay/gate.rs
@@ -15,7 +15,8 @@
 /// milliseconds, so this is more than it takes from one instance.
 const MAX_CALLS: usize = 16;
 
-/// Bytes that a call takes at least, for its answer: a page or a range of records has about 0.3 to 1 MB.
+/// Bytes that are reserved for a call whose request is smaller, for its answer. Answers have 0.3 to 1 MB,
+/// so the reservation is an estimate.
 const MIN_CALL_BYTES: usize = 512 << 10;
 
 /// Part of the memory of the process that these calls may take up; twice as much in the worst case.
--- a/gateway/tests/admission.rs
+++ b/gateway/tests/admission.rs
@@ -9,15 +9,15 @@
     Configuration,
     ConfigurationParts,
     HOLD,
+    HoldCause,
     Level,
     Organisation,
     OrganisationKey,
+    OrganisationUsage,
     Report,
     ServiceKey,
-    Shares,
     ShortageReport,
-    Shortages,
-    Turn, //
+    Shortages, //
 };
 use limpetweir_state::Timestamp;
 use rstest::rstest;
@@ -38,17 +38,20 @@
 
 /// Guards against a less urgent request that takes the slot for which a more urgent one was refused.
 #[rstest]
-#[case::more_urgent(level(0, false), Turn::Open)]
-#[case::more_urgent_over_its_share(level(0, true), Turn::Open)]
-#[case::same(level(1, false), Turn::Open)]
-#[case::same_over_its_share(level(1, true), Turn::Share)]
-#[case::less_urgent(level(2, false), Turn::Priority)]
-fn a_refusal_holds_back_what_comes_after(#[case] other: Level, #[case] expected: Turn) {
+#[case::more_urgent(level(0, false), None)]
+#[case::more_urgent_over_its_share(level(0, true), None)]
+#[case::same(level(1, false), None)]
+#[case::same_over_its_share(level(1, true), Some(HoldCause::Share))]
+#[case::less_urgent(level(2, false), Some(HoldCause::Priority))]
+fn a_refusal_holds_back_what_comes_after(
+    #[case] other: Level,
+    #[case] expected: Option<HoldCause>,
+) {
     let mut shortages = Shortages::default();
     shortages.refused(SERVICE, level(1, false), at(0));
-    assert_eq!(shortages.turn(SERVICE, other, at(99)), expected);
-    assert_eq!(shortages.turn(SERVICE, other, at(100)), Turn::Open);
-    assert_eq!(shortages.turn(ServiceKey(2), other, at(1)), Turn::Open);
+    assert_eq!(shortages.hold_cause(SERVICE, other, at(99)), expected);
+    assert_eq!(shortages.hold_cause(SERVICE, other, at(100)), None);
+    assert_eq!(shortages.hold_cause(ServiceKey(2), other, at(1)), None);
 }
 
 /// Guards against instances that decide differently, and against refusals that instances repeat to each
@@ -67,8 +70,11 @@
     let report = Report::decode(&report.encode()).expect("a valid report");
     for other in &mut fleet[1..] {
         other.apply_report(&report.shortages, at(8));
-        assert_eq!(other.turn(SERVICE, level(1, false), at(90)), Turn::Priority);
-        assert_eq!(other.turn(SERVICE, level(1, false), at(110)), Turn::Open);
+        assert_eq!(
+            other.hold_cause(SERVICE, level(1, false), at(90)),
+            Some(HoldCause::Priority)
+        );
+        assert_eq!(other.hold_cause(SERVICE, level(1, false), at(110)), None);
         assert!(other.reports(at(8)).is_empty());
     }
 }
@@ -99,7 +105,7 @@
     assert!(!shortages.is_short(ServiceKey(99_999), at(1)));
 }
 
-fn shares(rates: &[(&str, f64)]) -> Shares {
+fn shares(rates: &[(&str, f64)]) -> OrganisationUsage {
     let organisations = rates.iter().map(|(name, rate)| Organisation {
         name: (*name).to_owned(),
         keys: Vec::new(),
@@ -112,7 +118,7 @@
         organisations: organisations.collect(),
         ..ConfigurationParts::default()
     };
-    let mut shares = Shares::default();
+    let mut shares = OrganisationUsage::default();
     shares.configure(&Configuration::from(parts));
     shares
 }
--- a/gateway/tests/evacuation.rs
+++ b/gateway/tests/evacuation.rs
@@ -1,5 +1,6 @@
 //! Evacuations of zones: records, listings and reports in any order.
 
+use std::cmp::Ordering;
 use std::collections::BTreeSet;
 use std::time::Duration;
 
@@ -234,12 +235,20 @@
 fn reports_are_bounded_and_a_shortened_one_withdraws_nothing() {
     let mut one = Evacuations::default();
     let names: Vec<String> = (0..2 * MAX_ZONES).map(|n| format!("zone-{n:04}")).collect();
-    let mut ignored = 0;
     for (offset, zone) in (0..).zip(&names) {
-        let change = one.apply(&record(zone, true), offset, NOW).expect("one");
-        ignored += usize::from(matches!(change.change, ZoneChange::Ignored(_)));
+        let change = one.apply(&record(zone, true), offset, NOW);
+        let change = change.map(|change| change.change);
+        let number = usize::try_from(offset).expect("a small offset");
+        // Those beyond the limit are ignored, and the first of them is reported: each report of another
+        // instance would repeat the others.
+        let expected = match number.cmp(&MAX_ZONES) {
+            Ordering::Less => Some(ZoneChange::Requested(offset)),
+            Ordering::Equal => Some(ZoneChange::Ignored(offset)),
+            Ordering::Greater => None,
+        };
+        assert_eq!(change, expected);
+        assert_eq!(one.is_evacuated(zone), number < MAX_ZONES);
     }
-    assert_eq!(ignored, MAX_ZONES);
     one.listed(&names.iter().cloned().collect(), 9_999, NOW);
     let mut report: Report = support::idle_report("one");
     report.evacuations = Some(one.report());
@@ -307,3 +316,22 @@
     let after = evacuation_retry_after(Duration::from_secs(age), draw);
     assert_eq!(after, Duration::from_millis(ms));
 }
+
+/// Guards against others that withdraw an evacuation because an instance that can't read its record reports
+/// that it has read the record and knows of no evacuation.
+#[test]
+fn an_unreadable_record_that_is_read_leaves_the_zone_open() {
+    let mut evacuations = Evacuations::default();
+    evacuations.listed(&BTreeSet::new(), 10, NOW);
+    evacuations.unreadable("a");
+    evacuations.read(10, 11);
+    evacuations.read(11, 12);
+    assert_eq!(evacuations.report().complete_to, Some(10));
+    let record = EvacuationRecord {
+        zone: "a".to_owned(),
+        is_requested: false,
+    };
+    evacuations.apply(&record, 12, NOW);
+    evacuations.read(12, 13);
+    assert_eq!(evacuations.report().complete_to, Some(13));
+}
--- a/gateway/tests/memory.rs
+++ b/gateway/tests/memory.rs
@@ -128,7 +128,7 @@
     let plan = Plan::new(memory, descriptors);
     let connections = plan.callers + 2 * plan.peers + 2 * plan.probes;
     assert!(plan.callers + connections + 200 < descriptors, "{plan:?}");
-    let held = plan.outputs + plan.bodies + 5 * plan.heads;
+    let held = plan.outputs + plan.bodies + plan.heads + 4 * plan.other_heads;
     assert!(held < memory - 24_000_000, "{plan:?}");
     assert!(plan.callers >= 40 && plan.peers >= 10, "{plan:?}");
 }
--- a/transport/src/http/activity.rs
+++ b/transport/src/http/activity.rs
@@ -336,7 +336,7 @@
     Idle,
     /// A request head was not complete in time.
     Head,
-    /// The connection is released in favour of others.
+    /// The connection is released in favour of others, or its response stayed unread for too long.
     Released,
 }
 
--- a/transport/src/http/places.rs
+++ b/transport/src/http/places.rs
@@ -139,8 +139,8 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns whether a further connection has to wait: there is no place, and none that can be made.
-    pub(crate) fn is_full(&self) -> bool {
+    /// Releases a connection if the limit is reached, and returns whether a further one has to wait.
+    pub(crate) fn must_wait(&self) -> bool {
         let now = Instant::now();
         let mut state = self.lock();
         let open = state.open.len();
--- a/transport/src/http/server.rs
+++ b/transport/src/http/server.rs
@@ -113,7 +113,7 @@
     /// of the system, and are accepted as the server stops.
     pub connections: usize,
     /// Most bytes of request heads that are received at the same time on all connections. Beyond it, the
-    /// connection whose head began first is closed.
+    /// connection whose head began first is closed, unless it began within the last 100 ms.
     pub heads_bytes: usize,
 }
 
@@ -277,7 +277,7 @@
             connections.retain(|task| !task.is_finished());
             sweep_threshold = (connections.len() * 5 / 4).max(MIN_SWEEP_THRESHOLD);
         }
-        if shared.places.is_full() {
+        if shared.places.must_wait() {
             let check_at = Instant::now() + PLACE_RETRY_DELAY;
             if timeout_at(check_at, shared.stopped.recv()).await.is_some() {
                 break;
