gateway: instances without items don't observe the peaks of online requests

Cause: with batch.preemption = "lasting" each run of the scheduler, which follows each report, observed the online requests of all servers and compared their speeds twice, also on instances that are no replicas of jobs. Instances without open items skip it now, and the comparison is shared.

--- a/gateway/src/serve/items.rs
+++ b/gateway/src/serve/items.rs
@@ -72,6 +72,7 @@
 };
 use crate::report::ItemKey;
 use crate::server_limits::Purpose;
+use crate::speed::Slowness;
 
 /// Maximum time between two runs of the scheduler.
 const TICK: Duration = Duration::from_millis(50);
@@ -192,8 +193,11 @@
     let slowness = state.speeds.compare(now);
     let slow = |backend| slowness.is_slow(backend);
     let mut excess = state.load.excess(slots);
-    if paced {
-        let online = online_on_usable(state, now);
+    // Most instances of a large fleet are no replicas and have no items. A step for each server at each
+    // report would be most of their work.
+    let has_items = state.items.iter().next().is_some();
+    if paced && has_items {
+        let online = online_on_usable(state, &slowness, now);
         state.pacing.observe(&online, now);
         excess = state.pacing.excess(excess, now);
     }
@@ -254,8 +258,11 @@
 }
 
 /// Returns the online requests on the servers that items may use.
-fn online_on_usable(state: &State, now: Timestamp) -> HashMap<BackendKey, u32> {
-    let slowness = state.speeds.compare(now);
+fn online_on_usable(
+    state: &State,
+    slowness: &Slowness<'_>,
+    now: Timestamp,
+) -> HashMap<BackendKey, u32> {
     let usable = state
         .backends
         .iter()
