--- a/gateway/tests/placement.rs
+++ b/gateway/tests/placement.rs
@@ -1,15 +1,17 @@
 //! Placement of online requests on backend servers, and the time to return when all are full.
 
+#[path = "support/candidate.rs"]
+mod candidate;
+
 use std::time::Duration;
 
+use candidate::candidate;
 use limpetweir_gateway::{
     BackendKey,
     Candidate,
     Limits,
     Permit,
-    Placed,
     Placement,
-    RunKey,
     place,
     retry_after,
     starts_immediately, //
@@ -18,24 +20,6 @@
 
 const LIMITS: Limits = Limits { queue: 2 };
 
-fn candidate(n: u32, online: u32, batch: u32) -> Candidate {
-    Candidate {
-        key: BackendKey(n),
-        run: RunKey(n),
-        permit: Permit::Unlimited,
-        slots: 8,
-        placed: Placed { online, batch },
-        suspect: false,
-        tried: false,
-        slowness: 1.0,
-        connected: false,
-        local: false,
-        other_cell: false,
-        in_shard: false,
-        draw: n,
-    }
-}
-
 fn remote(n: u32, online: u32, batch: u32) -> Candidate {
     Candidate {
         other_cell: true,
--- a/gateway/tests/stale_load.rs
+++ b/gateway/tests/stale_load.rs
@@ -1,7 +1,11 @@
 //! Choice of a server from old counts, and the estimate of what is not counted yet.
 
+#[path = "support/candidate.rs"]
+mod candidate;
+
 use std::time::Duration;
 
+use candidate::candidate;
 use limpetweir_gateway::{
     Arrivals,
     BackendKey,
@@ -9,9 +13,7 @@
     Limits,
     LoadSpread,
     Permit,
-    Placed,
     Placement,
-    RunKey,
     Staleness,
     place,
     place_stale, //
@@ -21,24 +23,6 @@
 
 const LIMITS: Limits = Limits { queue: 2 };
 
-fn candidate(n: u32, online: u32, batch: u32) -> Candidate {
-    Candidate {
-        key: BackendKey(n),
-        run: RunKey(n),
-        permit: Permit::Unlimited,
-        slots: 8,
-        placed: Placed { online, batch },
-        suspect: false,
-        tried: false,
-        slowness: 1.0,
-        connected: false,
-        local: false,
-        other_cell: false,
-        in_shard: false,
-        draw: n,
-    }
-}
-
 fn at_rank(candidates: &[Candidate], rank: u32) -> Placement {
     let remaining = 1.0;
     place_stale(candidates, LIMITS, Staleness { rank, remaining })
