transport: the client reads the response of a server that has closed

Cause: a server that rejects a request early discards at most 1 MiB of its body, then closes the connection, which resets it. The next write of the client failed, and hyper gives the connection up at a failed write, although the response waits in the receive buffer. Whether it showed depended on whether the connection was read or written first.

Writes after the close are discarded now and not counted, and the read tells how the connection ended. Without the change both new tests fail.

--- a/transport/src/http/io.rs
+++ b/transport/src/http/io.rs
@@ -33,22 +33,56 @@
     }
 }
 
-/// A TCP stream that counts written bytes.
+/// A TCP stream that counts written bytes and stays readable after a failed write.
 ///
 /// The count decides the verdict on a failed request: a request of which no byte was written to the
 /// operating system cannot have run.
+///
+/// A server can answer and close the connection before it has read the whole request. The next write fails
+/// then, while the response waits in the receive buffer. hyper gives a connection up at a failed write, so
+/// what is written afterwards is discarded, and the read tells how the connection ended.
 #[derive(Debug)]
 pub(crate) struct CountedStream {
     inner: Arc<Async<TcpStream>>,
     written: WrittenBytes,
+    /// Whether the peer takes no more bytes. Discarded bytes are not counted as written.
+    is_write_closed: bool,
 }
 
 impl CountedStream {
     pub(crate) fn new(inner: Arc<Async<TcpStream>>, written: WrittenBytes) -> Self {
-        Self { inner, written }
+        Self {
+            inner,
+            written,
+            is_write_closed: false,
+        }
+    }
+
+    /// Counts what was written. A write of `len` bytes that failed because the peer has closed the
+    /// connection counts as complete for hyper.
+    fn written(&mut self, poll: Poll<io::Result<usize>>, len: usize) -> Poll<io::Result<usize>> {
+        match poll {
+            Poll::Ready(Ok(written)) => self.written.add(written),
+            Poll::Ready(Err(err)) if is_closed_by_peer(&err) => {
+                log::debug!(
+                    "LW1105 the peer closed a connection before the end of a request: {err}"
+                );
+                self.is_write_closed = true;
+                return Poll::Ready(Ok(len));
+            }
+            Poll::Ready(Err(_)) | Poll::Pending => {}
+        }
+        poll
     }
 }
 
+fn is_closed_by_peer(err: &io::Error) -> bool {
+    matches!(
+        err.kind(),
+        io::ErrorKind::BrokenPipe | io::ErrorKind::ConnectionReset
+    )
+}
+
 /// Returns whether an idle connection is still open and has no unread bytes.
 pub(crate) fn is_open_and_unread(stream: &Async<TcpStream>) -> bool {
     let peek_result = stream.get_ref().peek(&mut [0]);
@@ -67,27 +101,28 @@
 
 impl AsyncWrite for CountedStream {
     fn poll_write(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let poll = Pin::new(&mut &*self.inner).poll_write(cx, buf);
-        if let Poll::Ready(Ok(len)) = &poll {
-            self.written.add(*len);
+        if self.is_write_closed {
+            return Poll::Ready(Ok(buf.len()));
         }
-        poll
+        let poll = Pin::new(&mut &*self.inner).poll_write(cx, buf);
+        self.written(poll, buf.len())
     }
 
     fn poll_write_vectored(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let poll = Pin::new(&mut &*self.inner).poll_write_vectored(cx, bufs);
-        if let Poll::Ready(Ok(len)) = &poll {
-            self.written.add(*len);
+        let len = bufs.iter().map(|buf| buf.len()).sum();
+        if self.is_write_closed {
+            return Poll::Ready(Ok(len));
         }
-        poll
+        let poll = Pin::new(&mut &*self.inner).poll_write_vectored(cx, bufs);
+        self.written(poll, len)
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -172,3 +207,58 @@
         Pin::new(&mut self.inner).poll_close(cx)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use std::io::Write as _;
+    use std::net::TcpListener;
+
+    use async_io::block_on;
+    use futures_lite::{
+        AsyncReadExt,
+        AsyncWriteExt, //
+    };
+
+    use super::*;
+
+    /// Returns a stream whose peer has sent `response` and closed the connection with bytes unread, which
+    /// resets it.
+    async fn reset_after(response: &[u8]) -> CountedStream {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let addr = listener.local_addr().unwrap();
+        let stream = Async::<TcpStream>::connect(addr).await.unwrap();
+        let (mut peer, _) = listener.accept().unwrap();
+        (&stream).write_all(b"unread").await.unwrap();
+        peer.peek(&mut [0]).unwrap();
+        peer.write_all(response).unwrap();
+        drop(peer);
+        CountedStream::new(Arc::new(stream), WrittenBytes::default())
+    }
+
+    /// Guards against a response that is lost because the rest of the request can no longer be written.
+    #[test]
+    fn the_response_of_a_peer_that_has_closed_is_read() {
+        block_on(async {
+            let mut stream = reset_after(b"response").await;
+            stream.write_all(&[0; 64]).await.unwrap();
+            stream.write_all(&[0; 64]).await.unwrap();
+            assert!(stream.is_write_closed);
+            assert_eq!(stream.written.get(), 0, "discarded bytes count as written");
+            let mut response = vec![0; 8];
+            stream.read_exact(&mut response).await.unwrap();
+            assert_eq!(response, b"response");
+        });
+    }
+
+    /// Guards against a request that waits for a response after its connection has ended.
+    #[test]
+    fn a_connection_that_ends_without_response_is_seen_by_the_reader() {
+        block_on(async {
+            let mut stream = reset_after(b"").await;
+            stream.write_all(&[0; 64]).await.unwrap();
+            stream.write_all(&[0; 64]).await.unwrap();
+            let read = stream.read(&mut [0; 8]).await;
+            assert!(!matches!(read, Ok(1..)), "{read:?}");
+        });
+    }
+}
