gateway: an instance beside older builds waits for a peer that knows evacuations

Cause: the first report of a build without evacuations ended the wait of an instance that had just started, before a peer of this build or its own listing told that a zone is evacuated. It now ends the wait 3 s after the start. Without the change old_builds_are_trusted_after_a_while fails.

--- a/gateway/src/evacuation/mod.rs
+++ b/gateway/src/evacuation/mod.rs
@@ -33,6 +33,10 @@
 /// after the withdrawal.
 const MAX_RETRY: Duration = Duration::from_secs(15);
 
+/// Time after its start within which an instance waits for a listing or the report of a build that knows
+/// evacuations. Reports of all peers arrive in it.
+const WAIT_BESIDE_OLD_BUILDS: Timestamp = Timestamp::from_millis(3_000);
+
 /// Record about the evacuation of a zone.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EvacuationRecord {
@@ -276,7 +280,9 @@
     ) -> Vec<EvacuationChange> {
         let Some(report) = report else {
             // It says nothing about any zone. An instance that has no other peer must not wait forever.
-            self.complete_to.get_or_insert(0);
+            if now >= WAIT_BESIDE_OLD_BUILDS {
+                self.complete_to.get_or_insert(0);
+            }
             return Vec::new();
         };
         let mut changes = Vec::new();
