gateway: decode reports through a buffer of 256 bytes

The default buffer of the decoder has 4 KiB and is cleared for each report: 62 of 748 million instructions in 20 s of an instance among 80.

--- a/gateway/src/report.rs
+++ b/gateway/src/report.rs
@@ -30,6 +30,10 @@
 /// Version of the encoding; reports of another version are ignored.
 const WIRE_VERSION: u8 = 4;
 
+/// Size in bytes of the buffer of the decoder, through which texts pass in parts. The default of 4 KiB
+/// is cleared for each report, which takes longer than the decoding of most fields.
+const DECODER_BUFFER_BYTES: usize = 256;
+
 /// Hash of an item's identity, the same on all instances.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct ItemKey(pub u64);
@@ -332,7 +336,8 @@
         if bytes.len() > MAX_REPORT_BYTES {
             return None;
         }
-        let wire: Wire = ciborium::from_reader(bytes).ok()?;
+        let mut buffer = [0; DECODER_BUFFER_BYTES];
+        let wire: Wire = ciborium::de::from_reader_with_buffer(bytes, &mut buffer).ok()?;
         let report = (wire.0 == WIRE_VERSION).then(|| Self::from(wire))?;
         report.into_checked()
     }
