gateway: reports without counts do not touch the counts of their sender

Each report looked its sender up twice for the organisations and twice for the limits of servers, also without a count: 45 of 748 million instructions in 20 s of an instance among 80. A sender without counts has nothing that later counts are compared with, and its restart shows with the next count.

Instructions for a report: organisations 2,479 before and 2,100 after, limits 600 and 88.

--- a/gateway/src/fleet_rate.rs
+++ b/gateway/src/fleet_rate.rs
@@ -204,13 +204,18 @@
     ) -> Vec<(K, u64)> {
         let free = self.free_fraction();
         let mut taken = Vec::new();
-        if !self.peers.contains_key(peer) {
-            let taken = HashMap::new();
-            self.peers
-                .insert(peer.to_owned(), PeerCounts { boot, taken });
-        }
-        let Some(known) = self.peers.get_mut(peer) else {
+        let mut counts = counts.peekable();
+        // Without a count there is nothing to compare later ones with, and a restart shows with the next
+        // count.
+        if counts.peek().is_none() {
             return taken;
+        }
+        let known = match self.peers.get_mut(peer) {
+            Some(known) => known,
+            None => self.peers.entry(peer.to_owned()).or_insert(PeerCounts {
+                boot,
+                taken: HashMap::new(),
+            }),
         };
         if known.boot != boot {
             known.boot = boot;
