--- a/gateway/src/load.rs
+++ b/gateway/src/load.rs
@@ -1,6 +1,9 @@
 //! Requests that all instances have placed on each backend server.
 
-use std::collections::HashMap;
+use std::collections::{
+    BTreeMap,
+    HashMap, //
+};
 use std::time::Duration;
 
 use limpetweir_state::Timestamp;
@@ -61,6 +64,20 @@
     batch: Vec<BatchRun>,
 }
 
+impl PeerLoad {
+    fn of(report: &Report) -> Self {
+        Self {
+            online: report.online.clone(),
+            batch: report.batch.clone(),
+        }
+    }
+
+    /// Returns whether a report names the same requests in the same order.
+    fn is_that_of(&self, report: &Report) -> bool {
+        self.online == report.online && self.batch == report.batch
+    }
+}
+
 impl Load {
     /// Returns the requests placed on `backend`.
     pub fn placed(&self, backend: BackendKey) -> Placed {
@@ -105,15 +122,19 @@
     /// Replaces the requests that a peer has placed by those in its report. Returns how many online
     /// requests it has placed since the last one, except those that have ended on the same server.
     pub fn apply_report(&mut self, report: &Report, now: Timestamp) -> u32 {
-        let peer = PeerLoad {
-            online: report.online.clone(),
-            batch: report.batch.clone(),
+        let before = match self.peers.get_mut(&report.name) {
+            // Between two changes, periodic reports name the same requests.
+            Some(known) if known.is_that_of(report) => return 0,
+            Some(known) => Some(std::mem::replace(known, PeerLoad::of(report))),
+            None => {
+                let name = report.name.clone();
+                self.peers.insert(name, PeerLoad::of(report))
+            }
         };
-        let before = self.peers.insert(report.name.clone(), peer);
         // What a new peer has placed did not arrive just now.
         let is_new = before.is_none();
         let mut placed = 0_u32;
-        let mut totals = HashMap::new();
+        let mut totals = BTreeMap::new();
         count(&mut totals, &report.online, &report.batch, 1);
         if let Some(before) = before {
             count(&mut totals, &before.online, &before.batch, -1);
@@ -267,7 +288,7 @@
 
 /// Adds requests to the totals of backend servers, or subtracts them with a `sign` of -1.
 fn count(
-    totals: &mut HashMap<BackendKey, (i64, i64)>,
+    totals: &mut BTreeMap<BackendKey, (i64, i64)>,
     online: &[(BackendKey, u32)],
     batch: &[BatchRun],
     sign: i64,
