--- a/gateway/src/serve/state.rs
+++ b/gateway/src/serve/state.rs
@@ -65,10 +65,7 @@
     Quarantine, //
 };
 use crate::quota::Quotas;
-use crate::report::{
-    ItemKey,
-    Report, //
-};
+use crate::report::ItemKey;
 use crate::request_parts::RequestParts;
 use crate::return_times::ReturnTimes;
 use crate::server_limits::ServerLimits;
@@ -306,7 +303,7 @@
         used_cells: &HashSet<CellNumber>,
     ) -> bool {
         let uses_own_cell = || {
-            let mut used = member.report.iter().flat_map(Report::backends);
+            let mut used = member.report.iter().flat_map(|report| report.backends());
             used.any(|key| self.cell_of_backend(key) == self.cells.own())
         };
         let in_used_cell = || {
@@ -347,6 +344,18 @@
         }
     }
 
+    /// Returns whether a report of another instance may start or stop an item of this one, or lead to
+    /// the repetition of a read of the jobs. Without any of these, the scheduler runs after changes of
+    /// the jobs and at its ticks.
+    pub(crate) fn reports_concern_items(&self) -> bool {
+        let mut partitions = self.freshness.iter().zip(&self.replica_status);
+        self.items.iter().next().is_some()
+            || self.load.own_batch().next().is_some()
+            || partitions.any(|(freshness, status)| {
+                *status != ReplicaStatus::Inactive && freshness.is_peer_ahead()
+            })
+    }
+
     /// Returns the names of the peers that should handle a call about the jobs of `partition`
     /// instead of this instance.
     pub(crate) fn forward_targets(
