--- a/cli/src/args.rs
+++ b/cli/src/args.rs
@@ -1,10 +1,13 @@
 //! Definition of the command-line arguments.
 
+use std::ffi::OsString;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
 use clap::builder::{
+    OsStringValueParser,
     PossibleValue,
+    TypedValueParser,
     ValueParser, //
 };
 use clap::{
@@ -34,6 +37,11 @@
     LIMPETWEIR_OPERATOR_KEY.\n\nExit codes: 0 success, 1 the operation was refused or failed, \
     2 wrong usage.";
 
+const CHECK_HELP: &str = "The document has the product's own form (TOML) or the platform's (a JSON \
+    object). --against current takes the product's form, --servers the platform's.\n\nExit codes for \
+    the platform's form: 0 no findings, 1 warnings only, 2 errors or a file that cannot be read. For \
+    the product's form: 0 no findings, 1 otherwise.";
+
 /// The version that a publication replaces.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Base {
@@ -51,6 +59,24 @@
     version.map_err(|_| "use a version number or \"current\"".to_owned())
 }
 
+/// The document that a document is compared with.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Against {
+    /// The version in force when the command runs.
+    Current,
+    /// A file.
+    File(PathBuf),
+}
+
+impl From<OsString> for Against {
+    fn from(text: OsString) -> Self {
+        if text == "current" {
+            return Self::Current;
+        }
+        Self::File(text.into())
+    }
+}
+
 /// Returns a parser that validates an identifier and converts it to its type `T`.
 fn id_parser<T>() -> ValueParser
 where
@@ -235,13 +261,26 @@
         .value_name("ID")
         .value_parser(id_parser::<PublicationId>())
         .help("Identity of the publication; give it again to repeat one without an answer");
+    let against = Arg::new("against")
+        .long("against")
+        .value_name("FILE")
+        .value_parser(OsStringValueParser::new().map(Against::from))
+        .help("Also prints the differences to this document, or to the one in force (\"current\")");
+    let servers = Arg::new("servers")
+        .long("servers")
+        .value_name("N")
+        .value_parser(value_parser!(u32).range(1..))
+        .help("Backend servers of the fleet, to compare with the rates of all organisations");
     Command::new("config")
         .about("Checks, publishes and shows the configuration")
         .subcommand_required(true)
         .subcommand(
             Command::new("check")
-                .about("Reports every fault of a document")
-                .arg(document_arg()),
+                .about(
+                    "Reports errors of a document, entries without effect and contradicting limits",
+                )
+                .after_help(CHECK_HELP)
+                .args([document_arg(), against, servers]),
         )
         .subcommand(
             Command::new("publish")
--- a/cli/src/commands/config.rs
+++ b/cli/src/commands/config.rs
@@ -22,6 +22,7 @@
 };
 use super::{
     arg,
+    check,
     publish,
     subcommand,
     unknown_command, //
@@ -49,7 +50,7 @@
     let (name, matches) = subcommand(matches)?;
     let options = Options::new(matches)?;
     match name {
-        "check" => check(matches, &options),
+        "check" => check::run(matches, &options),
         "publish" => publish_file(matches, &options),
         "diff" => diff(matches, &options),
         "show" => show(&options),
@@ -89,27 +90,6 @@
     Ok((path.display().to_string(), read_text(path)?))
 }
 
-fn check(matches: &ArgMatches, options: &Options) -> Result<(), Error> {
-    let (file, text) = read_document(matches)?;
-    let result = check_document(&file, &text);
-    if options.json {
-        let faults = match &result {
-            Err(Error::Document { source, .. }) => source.faults(),
-            _ => &[],
-        };
-        output::json(&json!({"file": file, "valid": result.is_ok(), "faults": faults}))?;
-        return result.map(drop);
-    }
-    let cfg = result?;
-    let organisations = cfg.organisations().count();
-    let services = cfg.services().count();
-    let backends = cfg.backends().count();
-    output::line(&format!(
-        "{file}: valid; organisations: {organisations}, services: {services}, \
-         backend servers: {backends}"
-    ))
-}
-
 fn publish_file(matches: &ArgMatches, options: &Options) -> Result<(), Error> {
     let (file, document) = read_document(matches)?;
     check_document(&file, &document)?;
--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -1,6 +1,7 @@
 //! The subcommands of the tool.
 
 mod bound;
+mod check;
 mod complete;
 mod config;
 mod explain;
--- a/cli/src/error.rs
+++ b/cli/src/error.rs
@@ -1,9 +1,14 @@
 //! Errors of the commands and their exit codes.
 
+use std::ffi::OsStr;
 use std::io;
 use std::path::PathBuf;
 
-use limpetweir_protocol::ConfigDocumentError;
+use limpetweir_protocol::{
+    ConfigDocumentError,
+    Finding,
+    Severity, //
+};
 use limpetweir_simulation::PlanError;
 use limpetweir_state::Verdict;
 use serde_json::json;
@@ -22,6 +27,9 @@
 /// Exit code: the arguments or the environment are invalid or incomplete.
 pub const EXIT_USAGE: u8 = 2;
 
+/// Exit code of a check: the document has errors or cannot be read.
+pub const EXIT_INVALID: u8 = 2;
+
 /// An error that ends a command.
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub(crate)))]
@@ -40,6 +48,22 @@
         /// Error of the operating system.
         source: io::Error,
     },
+    /// A configuration document cannot be read.
+    #[snafu(display("cannot read {}: {source}", path.display()))]
+    ReadDocument {
+        /// The file.
+        path: PathBuf,
+        /// Error of the operating system.
+        source: io::Error,
+    },
+    /// A configuration document has findings.
+    #[snafu(display("{}", document_findings(file, findings)))]
+    Findings {
+        /// Name of the document.
+        file: String,
+        /// The findings, at least one.
+        findings: Vec<Finding>,
+    },
     /// A file or the standard output cannot be written.
     #[snafu(display("cannot write {}: {source}", path.display()))]
     Write {
@@ -182,6 +206,17 @@
     pub fn exit_code(&self) -> u8 {
         match self {
             Self::Usage { .. } => EXIT_USAGE,
+            // The product's documents keep the code of an operation that failed.
+            Self::ReadDocument { path, .. } if path.extension() != Some(OsStr::new("toml")) => {
+                EXIT_INVALID
+            }
+            Self::Findings { findings, .. } => {
+                let mut severities = findings.iter().map(|finding| finding.severity);
+                match severities.any(|severity| severity == Severity::Error) {
+                    true => EXIT_INVALID,
+                    false => EXIT_FAILED,
+                }
+            }
             _ => EXIT_FAILED,
         }
     }
@@ -192,7 +227,10 @@
         if !json {
             return match self {
                 // Each fault starts with `file:line:`, the format that editors parse.
-                Self::Document { .. } | Self::Items { .. } | Self::Plan { .. } => message,
+                Self::Document { .. }
+                | Self::Findings { .. }
+                | Self::Items { .. }
+                | Self::Plan { .. } => message,
                 _ => format!("error: {message}"),
             };
         }
@@ -237,6 +275,12 @@
     lines.join("\n")
 }
 
+fn document_findings(file: &str, findings: &[Finding]) -> String {
+    let findings = findings.iter();
+    let lines: Vec<String> = findings.map(|f| format!("{file}:{f}")).collect();
+    lines.join("\n")
+}
+
 fn plan_faults(file: &str, err: &PlanError) -> String {
     let faults = err.faults().iter();
     let lines: Vec<String> = faults
--- a/cli/src/options.rs
+++ b/cli/src/options.rs
@@ -136,11 +136,18 @@
 
 /// Reads a text file, or standard input for `-`.
 pub(crate) fn read_text(path: &Path) -> Result<String, Error> {
+    let text = read_bytes(path).and_then(|bytes| {
+        String::from_utf8(bytes).map_err(|cause| io::Error::new(io::ErrorKind::InvalidData, cause))
+    });
+    text.context(ReadSnafu { path })
+}
+
+/// Reads a file, or standard input for `-`.
+pub(crate) fn read_bytes(path: &Path) -> io::Result<Vec<u8>> {
     if path.as_os_str() != STDIN {
-        return fs::read_to_string(path).context(ReadSnafu { path });
+        return fs::read(path);
     }
-    let mut text = String::new();
-    let read = io::stdin().read_to_string(&mut text);
-    read.context(ReadSnafu { path })?;
-    Ok(text)
+    let mut bytes = Vec::new();
+    io::stdin().read_to_end(&mut bytes)?;
+    Ok(bytes)
 }
