--- a/cli/src/lib.rs
+++ b/cli/src/lib.rs
@@ -20,7 +20,7 @@
 
 use clap::ArgMatches;
 
-pub use error::{EXIT_FAILED, EXIT_USAGE, Error};
+pub use error::{EXIT_FAILED, EXIT_INVALID, EXIT_USAGE, Error};
 
 /// Runs the tool with the given arguments; the first one is the program name.
 pub fn run(args: impl IntoIterator<Item = OsString>) -> ExitCode {
