--- a/cli/tests/configuration_check.rs
+++ b/cli/tests/configuration_check.rs
@@ -84,7 +84,7 @@
     assert_eq!(ran.code, 2, "{ran:?}");
     let finding = &ran.json()["findings"][0];
     let expected = json!({"code": "not-utf8", "severity": "error", "line": 2, "column": 11,
-        "place": "document", "message": "the document is not UTF-8"});
+        "place": "document", "message": "not UTF-8: use UTF-8"});
     assert_eq!(*finding, expected);
     let ran = check(&["/nonexistent/file.json"]);
     assert_eq!(ran.code, 2, "{ran:?}");
