gateway: a run whose address another server has is told as leaving

Cause: a server that is replaced while the store is away keeps its entry, and its address answers 421 to requests that name the old one.

Such a run now counts as one that says that it leaves, and peers are told.

--- a/gateway/src/platform.rs
+++ b/gateway/src/platform.rs
@@ -236,6 +236,8 @@
     pub limit: StatedLimit,
     /// Whether the server says that it is about to leave.
     pub leaving: bool,
+    /// Whether another server has the address: it rejects requests that name this one.
+    pub misdirected: bool,
     /// Time for which the server says that it stays cold.
     pub cold_remaining: Option<ColdTime>,
 }
--- a/gateway/src/serve/heads.rs
+++ b/gateway/src/serve/heads.rs
@@ -97,7 +97,13 @@
         node.report_due.notify(usize::MAX);
     }
     let source = LeavingSource::Response;
-    if head.leaving && says_leaving(&mut state, run, source, now, "response") {
+    let teller = match head.misdirected {
+        // The entry of a server that has ended may be out of date for as long as the store is.
+        true => "misdirected",
+        false => "response",
+    };
+    let leaves = head.leaving || head.misdirected;
+    if leaves && says_leaving(&mut state, run, source, now, teller) {
         node.report_due.notify(usize::MAX);
     }
 }
