gateway: shares of a byte budget are reserved under one lock

Room was checked against one counter and taken from it in a second step, so two threads could each find room and exceed the limit together.

The sums are now behind one lock, and twice the limit is a hard bound.

--- a/gateway/src/memory/byte_budget.rs
+++ b/gateway/src/memory/byte_budget.rs
@@ -3,10 +3,11 @@
 //! A faulty server may send bytes without end, and all servers may do so at once; so may clients. Each run and
 //! each request has bounds of its own; this one is for their sum.
 
-use std::sync::Arc;
-use std::sync::atomic::{
-    AtomicUsize,
-    Ordering, //
+use std::sync::{
+    Arc,
+    Mutex,
+    MutexGuard,
+    PoisonError, //
 };
 
 use event_listener::{
@@ -26,19 +27,38 @@
 
 /// Bytes that all holders together may keep.
 ///
-/// The sum of all shares is at most twice the limit: beyond the limit [`Share::resize`] grows a share only up to
-/// the limit divided by the number of holders, so that large shares do not end small ones. [`Share::take`] goes
-/// beyond the limit only for a single holder.
+/// Beyond the limit [`Share::resize`] grows a share only up to the limit divided by the number of holders, so that
+/// large shares do not end small ones, and only while the sum of all shares is at most twice the limit.
+/// [`Share::take`] goes beyond the limit only for a single holder.
 #[derive(Debug)]
 pub struct ByteBudget {
     limit: usize,
-    used: AtomicUsize,
-    /// Number of shares that are not empty.
-    holders: AtomicUsize,
+    /// Room is checked and taken under one lock: two threads that only read the sum first could exceed the limit
+    /// together.
+    counts: Mutex<Counts>,
     /// Notified when a share becomes smaller.
     freed: Event,
 }
 
+/// Sums over all shares.
+#[derive(Clone, Copy, Debug, Default)]
+struct Counts {
+    used: usize,
+    /// Number of shares that are not empty.
+    holders: usize,
+}
+
+impl Counts {
+    fn set(&mut self, before: usize, bytes: usize) {
+        self.used = self.used - before + bytes;
+        match (before > 0, bytes > 0) {
+            (false, true) => self.holders += 1,
+            (true, false) => self.holders -= 1,
+            _ => {}
+        }
+    }
+}
+
 /// The bytes of all holders together exceed the limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
 #[snafu(display("all holders together exceed {limit} bytes, and this one would have {bytes}"))]
@@ -54,15 +74,18 @@
     pub fn new(limit: usize) -> Arc<Self> {
         Arc::new(Self {
             limit,
-            used: AtomicUsize::new(0),
-            holders: AtomicUsize::new(0),
+            counts: Mutex::default(),
             freed: Event::new(),
         })
     }
 
     /// Returns the bytes of all shares.
     pub fn used(&self) -> usize {
-        self.used.load(Ordering::Relaxed)
+        self.lock().used
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Counts> {
+        self.counts.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Returns a listener for the next share that becomes smaller.
@@ -72,7 +95,11 @@
 
     /// Returns whether `bytes` more have room once `freeing` are released.
     pub(crate) fn has_room_without(&self, freeing: usize, bytes: usize) -> bool {
-        let others = self.used().saturating_sub(freeing);
+        self.has_room_beside(self.used().saturating_sub(freeing), bytes)
+    }
+
+    /// Returns whether [`Share::take`] allows a share of `bytes` beside `others`.
+    fn has_room_beside(&self, others: usize, bytes: usize) -> bool {
         let limit = match bytes <= SMALL_BYTES {
             true => self.limit,
             false => self.limit - self.limit / SMALL_PART,
@@ -99,68 +126,62 @@
 impl Share {
     /// Changes the size of the share; fails without effect if there is no room for it.
     pub fn resize(&mut self, bytes: usize) -> Result<(), OverBudget> {
-        let Some(budget) = &self.budget else {
-            return Ok(());
-        };
-        if bytes > self.bytes {
-            let limit = budget.limit;
-            let others = budget.used().saturating_sub(self.bytes);
-            let holders = budget.holders.load(Ordering::Relaxed).max(1);
-            let has_room = others.saturating_add(bytes) <= limit || bytes <= limit / holders;
-            ensure!(has_room, OverBudgetSnafu { limit, bytes });
-        }
-        self.set(bytes);
-        Ok(())
+        self.change(bytes, |budget, others, holders| {
+            let most = budget.limit / holders.max(1);
+            let sum = others.saturating_add(bytes);
+            sum <= budget.limit || (bytes <= most && sum <= budget.limit * 2)
+        })
     }
 
     /// Grows the share to `bytes` within the limit, or beyond it if there is no other one. Fails without effect
     /// if there is no room.
     pub fn take(&mut self, bytes: usize) -> Result<(), OverBudget> {
-        if let Some(budget) = &self.budget {
-            let limit = budget.limit;
-            let has_room = bytes <= self.bytes || budget.has_room_without(self.bytes, bytes);
-            ensure!(has_room, OverBudgetSnafu { limit, bytes });
-        }
-        self.set(bytes);
-        Ok(())
+        self.change(bytes, |budget, others, _| {
+            budget.has_room_beside(others, bytes)
+        })
     }
 
-    fn set(&mut self, bytes: usize) {
+    /// Changes the size of the share; a growth needs the consent of `has_room`, which gets the bytes of all other
+    /// shares and the number of holders.
+    fn change(
+        &mut self,
+        bytes: usize,
+        has_room: impl FnOnce(&ByteBudget, usize, usize) -> bool,
+    ) -> Result<(), OverBudget> {
         let Some(budget) = &self.budget else {
-            return;
+            return Ok(());
         };
-        match (self.bytes > 0, bytes > 0) {
-            (false, true) => {
-                budget.holders.fetch_add(1, Ordering::Relaxed);
-            }
-            (true, false) => {
-                budget.holders.fetch_sub(1, Ordering::Relaxed);
-            }
-            _ => {}
-        }
-        budget.used.fetch_add(bytes, Ordering::Relaxed);
-        budget.used.fetch_sub(self.bytes, Ordering::Relaxed);
+        let limit = budget.limit;
+        let mut counts = budget.lock();
+        let others = counts.used - self.bytes;
+        let is_allowed = bytes <= self.bytes || has_room(budget, others, counts.holders);
+        ensure!(is_allowed, OverBudgetSnafu { limit, bytes });
+        counts.set(self.bytes, bytes);
+        drop(counts);
         if bytes < self.bytes {
             budget.freed.notify(usize::MAX);
         }
         self.bytes = bytes;
+        Ok(())
     }
 }
 
 impl Clone for Share {
     /// Returns a share of the same size; the copy is there, whether it fits or not.
     fn clone(&self) -> Self {
-        let mut share = Self {
+        if let Some(budget) = &self.budget {
+            budget.lock().set(0, self.bytes);
+        }
+        Self {
             budget: self.budget.clone(),
-            bytes: 0,
-        };
-        share.set(self.bytes);
-        share
+            bytes: self.bytes,
+        }
     }
 }
 
 impl Drop for Share {
     fn drop(&mut self) {
-        self.set(0);
+        // An empty share always has room.
+        let _ = self.resize(0);
     }
 }
--- a/gateway/tests/memory.rs
+++ b/gateway/tests/memory.rs
@@ -1,5 +1,10 @@
 //! Bounds of what is kept of the responses of backend servers.
 
+use std::sync::atomic::{
+    AtomicUsize,
+    Ordering, //
+};
+
 use limpetweir_gateway::{
     ByteBudget,
     EventReader,
@@ -118,6 +123,48 @@
     other.take(10_000).expect("room for a small one");
 }
 
+/// Guards against threads that each find room and exceed the limit together.
+#[test]
+fn threads_that_take_at_once_stay_within_the_limit() {
+    const THREADS: usize = 4;
+    const BYTES: usize = 100_000;
+    let budget = ByteBudget::new(BYTES * 8 / 7 + 1);
+    let holders = AtomicUsize::new(0);
+    std::thread::scope(|scope| {
+        for _ in 0..THREADS {
+            scope.spawn(|| {
+                for _ in 0..100_000 {
+                    let mut share = budget.share();
+                    if share.take(BYTES).is_err() {
+                        continue;
+                    }
+                    let others = holders.fetch_add(1, Ordering::SeqCst);
+                    // Leaves the others time to come into the gap between a check and a reservation.
+                    std::thread::yield_now();
+                    holders.fetch_sub(1, Ordering::SeqCst);
+                    assert_eq!(others, 0, "two shares in the room of one");
+                }
+            });
+        }
+    });
+    assert_eq!(budget.used(), 0);
+}
+
+/// Guards against shares that exceed twice the limit because each came when there were fewer holders.
+#[test]
+fn shares_that_come_one_after_the_other_stay_within_twice_the_limit() {
+    let budget = ByteBudget::new(BUDGET);
+    let mut shares = Vec::new();
+    for _ in 0..2_000 {
+        let mut share = budget.share();
+        let most = (1..=10).rev().map(|n| n * MAX_TEXT / 10);
+        if most.into_iter().any(|bytes| share.resize(bytes).is_ok()) {
+            shares.push(share);
+        }
+    }
+    assert!(budget.used() <= 2 * BUDGET, "{}", budget.used());
+}
+
 /// Guards against limits whose sum exceeds the machine.
 #[rstest]
 #[case::smallest(64, 400)]
