--- a/gateway/src/serve/node.rs
+++ b/gateway/src/serve/node.rs
@@ -107,8 +107,8 @@
         let mut state = State::new(&settings, writers.len());
         let metrics = Arc::new(metrics);
         state.update_reserved(&settings);
-        let relay_gate = RelayGate::new(settings.memory);
         let plan = Plan::new(settings.memory, settings.descriptors);
+        let relay_gate = RelayGate::new(plan.relayed_calls);
         Self {
             platform,
             settings,
--- a/gateway/src/store_relay/gate.rs
+++ b/gateway/src/store_relay/gate.rs
@@ -15,12 +15,8 @@
 /// milliseconds, so this is more than it takes from one instance.
 const MAX_CALLS: usize = 16;
 
-/// Bytes that are reserved for a call whose request is smaller, for its answer. Answers have 0.3 to 1 MB,
-/// so the reservation is an estimate.
-const MIN_CALL_BYTES: usize = 512 << 10;
-
-/// Part of the memory of the process that these calls may take up; twice as much in the worst case.
-const MEMORY_DIVISOR: usize = 16;
+/// Bytes that are reserved for a call whose request is smaller: those of the largest answer.
+const MIN_CALL_BYTES: usize = 1 << 20;
 
 /// The calls that are made for peers.
 #[derive(Debug)]
@@ -43,11 +39,11 @@
 }
 
 impl RelayGate {
-    /// Returns the gate of a process that has `memory` bytes.
-    pub fn new(memory: usize) -> Self {
+    /// Returns a gate for calls of `limit` bytes in total. A call that is larger is made alone.
+    pub fn new(limit: usize) -> Self {
         Self {
             calls: Arc::default(),
-            budget: ByteBudget::new(memory / MEMORY_DIVISOR),
+            budget: ByteBudget::new(limit),
         }
     }
 
@@ -63,7 +59,7 @@
             return None;
         }
         let bytes = bytes.max(MIN_CALL_BYTES);
-        admission.share.resize(bytes).ok()?;
+        admission.share.take(bytes).ok()?;
         Some(admission)
     }
 }
--- a/transport/src/http/mod.rs
+++ b/transport/src/http/mod.rs
@@ -15,7 +15,7 @@
 pub use body::{Body, BodyClosed, BodyError, BodySender, BoxError, RequestBody, read_all};
 pub use client::{Client, ClientError, ClientLimits, SendOptions, TrafficClass};
 pub use limits::{ConnectionLimits, HeadLimits};
-pub use places::{ReleaseCause, Released};
+pub use places::{ENDING_CONNECTIONS, ReleaseCause, Released};
 pub use pool::ClientBody;
 pub use release::{
     GRACE_TIME, Holder, PROGRESS_BYTES, Progress, STALL_TIME, Standing, first_to_release,
--- a/transport/src/http/places.rs
+++ b/transport/src/http/places.rs
@@ -32,7 +32,7 @@
 };
 
 /// Connections beyond the limit that are accepted while those that are released end.
-pub(crate) const ENDING_CONNECTIONS: usize = 8;
+pub const ENDING_CONNECTIONS: usize = 8;
 
 /// Shortest time between two log lines about released connections.
 const LINE_INTERVAL: Duration = Duration::from_secs(10);
