transport: responses that wait for their callers have shares of a budget, and a stalled link is no reason for release

A full listener closed a reader of which the system had taken no byte for 2 s, and what waited for slow readers had no bound but the number of connections. Now - a reader may be released after 5 s without progress.

--- a/transport/src/http/activity.rs
+++ b/transport/src/http/activity.rs
@@ -27,7 +27,8 @@
 use futures_lite::{
     AsyncRead,
     AsyncWrite,
-    FutureExt, //
+    FutureExt,
+    future, //
 };
 use hyper::body::{
     Bytes,
@@ -51,6 +52,14 @@
     Progress,
     Standing, //
 };
+use super::responses::{
+    Ask,
+    FREE_BYTES,
+    Reader,
+    Responses,
+    Step, //
+};
+use crate::runtime::timeout_at;
 
 /// Time that a new connection has for the first byte of its request once the server stops.
 const FIRST_BYTE_AFTER_STOP: Duration = Duration::from_millis(300);
@@ -66,6 +75,21 @@
 /// its buffer was read, which takes a caller on a narrow link many seconds.
 const UNREAD_TIME: Duration = Duration::from_secs(120);
 
+/// Time after which a write is tried again of which the system took nothing. The system reports room only when a
+/// third of its buffer is free, but takes bytes before, and these are the progress of a caller on a narrow link.
+const RETRY_TIME: Duration = Duration::from_millis(500);
+
+/// Time after which a response that waits for room looks again for a connection that can be released.
+const ROOM_RETRY_TIME: Duration = Duration::from_millis(250);
+
+/// Bytes of a response that a connection takes before it writes them.
+const WRITE_BYTES: usize = 16 << 10;
+
+/// Returns the share of a response with bytes in its channel and bytes to be written.
+fn share(queued: usize, unwritten: usize) -> usize {
+    (queued + unwritten).saturating_sub(FREE_BYTES)
+}
+
 /// Phase of a connection.
 #[derive(Clone, Copy, Debug)]
 enum Phase {
@@ -92,10 +116,18 @@
     ahead_bytes: usize,
     /// Bytes of the request received and bytes of the response taken by the system.
     progress: Progress,
-    /// Whether the system took no bytes of the response at the last try: the caller does not read.
-    is_blocked: bool,
+    /// Time of the last try to write at which the system took no bytes of the response; `None` if it took all.
+    blocked: Option<Instant>,
     /// Woken when the system takes bytes again.
     unblocked: Option<Waker>,
+    /// Bytes of the response in the channel of its body.
+    queued: usize,
+    /// Bytes of the response that the connection has and the system has not taken.
+    unwritten: usize,
+    /// Share of the response.
+    share: usize,
+    /// Whether the body waits for room.
+    is_waiting: bool,
     /// Woken when the response ends and more may be read.
     readable: Option<Waker>,
     /// Whether the connection is to be closed in favour of others.
@@ -108,27 +140,39 @@
     limits: Arc<ConnectionLimits>,
     /// Bytes of the heads on all connections of the server.
     heads: Arc<HeadBytes>,
+    /// Memory of the responses, and the key of the connection there.
+    responses: Arc<Responses>,
+    key: u64,
     state: Mutex<State>,
     /// Notified when the connection is released.
     released: Event,
+    /// Notified when the system takes bytes while the body waits for room.
+    written: Event,
 }
 
 impl Drop for Activity {
     fn drop(&mut self) {
         self.heads.remove(self.lock().head_bytes);
+        self.responses.leave(self.key);
     }
 }
 
 impl Activity {
-    pub(crate) fn new(limits: Arc<ConnectionLimits>, heads: Arc<HeadBytes>) -> Self {
+    pub(crate) fn new(
+        limits: Arc<ConnectionLimits>,
+        heads: Arc<HeadBytes>,
+        responses: Arc<Responses>,
+    ) -> Arc<Self> {
         let now = Instant::now();
         let phase = Phase::New {
             since: now,
             limit: limits.idle(),
         };
-        Self {
+        Arc::new_cyclic(|this| Self {
             limits,
             heads,
+            key: responses.enter(this.clone()),
+            responses,
             state: Mutex::new(State {
                 phase,
                 has_unread_body: false,
@@ -136,13 +180,18 @@
                 head_bytes: 0,
                 ahead_bytes: 0,
                 progress: Progress::new(now),
-                is_blocked: false,
+                blocked: None,
                 unblocked: None,
+                queued: 0,
+                unwritten: 0,
+                share: 0,
+                is_waiting: false,
                 readable: None,
                 is_released: false,
             }),
             released: Event::new(),
-        }
+            written: Event::new(),
+        })
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -187,26 +236,136 @@
     /// Records how many bytes of the response the system took; `None` if there was no room.
     fn bytes_written(&self, taken: Option<usize>) {
         let mut state = self.lock();
+        let now = Instant::now();
         let Some(len) = taken else {
-            state.is_blocked = true;
+            state.blocked = Some(now);
             return;
         };
-        state.progress.add(len, Instant::now());
-        if state.is_blocked {
-            state.is_blocked = false;
-            let waker = state.unblocked.take();
-            drop(state);
-            waker.inspect(Waker::wake_by_ref);
+        state.progress.add(len, now);
+        state.blocked = None;
+        // The head of the response and the sizes of its chunks are not counted.
+        state.unwritten = state.unwritten.saturating_sub(len);
+        self.shrink(&mut state);
+        let waker = state.unblocked.take();
+        let is_waiting = std::mem::take(&mut state.is_waiting);
+        drop(state);
+        if is_waiting {
+            self.written.notify(usize::MAX);
         }
+        waker.inspect(Waker::wake_by_ref);
     }
 
-    /// Returns whether the caller does not read its response; `cx` is woken once it does.
-    fn is_blocked(&self, cx: &Context<'_>) -> bool {
+    /// Returns whether the connection has enough of the response for now, because the caller does not read it or it
+    /// is still to be written; `cx` is woken once it needs more.
+    fn is_full(&self, cx: &Context<'_>) -> bool {
         let mut state = self.lock();
-        if state.is_blocked {
+        let is_full = state.blocked.is_some() || state.unwritten >= WRITE_BYTES;
+        if is_full {
             state.unblocked = Some(cx.waker().clone());
         }
-        state.is_blocked
+        is_full
+    }
+
+    /// Returns how the caller reads its response.
+    pub(crate) fn reader(&self) -> Reader {
+        let state = self.lock();
+        Reader {
+            is_blocked: state.blocked.is_some(),
+            progress: state.progress.at(),
+            is_released: state.is_released,
+        }
+    }
+
+    /// Returns whether a write is to be tried again now, or when; `None` if nothing is to be written.
+    fn retry(&self, now: Instant) -> Option<Result<(), Instant>> {
+        let mut state = self.lock();
+        let at = state.blocked? + RETRY_TIME;
+        if now < at {
+            return Some(Err(at));
+        }
+        state.blocked = Some(now);
+        Some(Ok(()))
+    }
+
+    /// Counts bytes in the channel of the response once there is room for them; returns whether there is. Without
+    /// room the connection is closed.
+    pub(crate) async fn reserve(&self, bytes: usize) -> bool {
+        let since = Instant::now();
+        loop {
+            let freed = self.responses.freed();
+            let written = self.written.listen();
+            let (share, progress) = {
+                let mut state = self.lock();
+                let share = share(state.queued + bytes, state.unwritten);
+                if share <= state.share || self.responses.grow(self.key, share) {
+                    state.share = state.share.max(share);
+                    state.queued += bytes;
+                    return true;
+                }
+                state.is_waiting = true;
+                (share, state.progress.at())
+            };
+            // A caller that reads frees the room itself, however slow its link is.
+            let ask = Ask {
+                key: self.key,
+                bytes: share,
+                since: since.max(progress),
+            };
+            match self.responses.make_room(ask) {
+                Step::Cut => {
+                    self.release();
+                    return false;
+                }
+                Step::Granted | Step::Release(_) => {}
+                Step::Wait => {
+                    // Others stall as time goes by.
+                    let changed = future::or(freed, written);
+                    timeout_at(Instant::now() + ROOM_RETRY_TIME, changed).await;
+                }
+            }
+        }
+    }
+
+    /// Counts bytes in the channel of the response, whether there is room or not.
+    pub(crate) fn add_queued(&self, bytes: usize) {
+        let mut state = self.lock();
+        state.queued += bytes;
+        self.grow(&mut state);
+    }
+
+    /// Removes bytes from the channel that are dropped.
+    pub(crate) fn remove_queued(&self, bytes: usize) {
+        let mut state = self.lock();
+        state.queued = state.queued.saturating_sub(bytes);
+        self.shrink(&mut state);
+    }
+
+    /// Records that the connection has taken bytes of the response to write them.
+    fn bytes_taken(&self, bytes: usize) {
+        let mut state = self.lock();
+        if state.unwritten == 0 {
+            // The server may have sent nothing for long, which says nothing about the caller.
+            state.progress = Progress::new(Instant::now());
+        }
+        state.queued = state.queued.saturating_sub(bytes);
+        state.unwritten += bytes;
+        self.grow(&mut state);
+    }
+
+    fn grow(&self, state: &mut State) {
+        let share = share(state.queued, state.unwritten);
+        if share > state.share {
+            state.share = share;
+            self.responses.set(self.key, share);
+        }
+    }
+
+    fn shrink(&self, state: &mut State) {
+        let share = share(state.queued, state.unwritten);
+        if share < state.share {
+            state.share = share;
+            self.responses.set(self.key, share);
+        }
     }
 
     /// Closes the connection in favour of others.
@@ -244,13 +403,12 @@
     pub(crate) fn standing(&self) -> (Standing, Instant) {
         let state = self.lock();
         match state.phase {
-            Phase::New { since, .. } | Phase::Idle { since, .. } if !state.is_blocked => {
+            Phase::New { since, .. } | Phase::Idle { since, .. } if state.blocked.is_none() => {
                 (Standing::Waiting, since)
             }
             Phase::Head { since, .. } => (Standing::Waiting, since),
-            _ if state.is_blocked || state.has_open_body => {
-                (Standing::Transferring, state.progress.at())
-            }
+            _ if state.blocked.is_some() => (Standing::Reading, state.progress.at()),
+            _ if state.has_open_body => (Standing::Transferring, state.progress.at()),
             _ => (Standing::Served, state.progress.at()),
         }
     }
@@ -283,6 +441,9 @@
             since: Instant::now(),
             limit,
         };
+        // A response to HEAD has a body that is not sent.
+        state.queued = 0;
+        self.shrink(&mut state);
         let waker = state.readable.take();
         drop(state);
         waker.inspect(Waker::wake_by_ref);
@@ -304,7 +465,7 @@
     /// began to stop.
     fn expires(&self, stopped: Option<Instant>) -> Option<(Expiry, Instant)> {
         let state = self.lock();
-        if state.is_blocked {
+        if state.blocked.is_some() {
             return Some((Expiry::Released, state.progress.at() + UNREAD_TIME));
         }
         let phase = state.phase;
@@ -364,6 +525,15 @@
             if at <= Instant::now() {
                 return Poll::Ready(expiry);
             }
+            let at = match activity.retry(Instant::now()) {
+                None => at,
+                Some(Err(retry_at)) => retry_at.min(at),
+                Some(Ok(())) => {
+                    // The connection is polled first, and writes what it has.
+                    cx.waker().wake_by_ref();
+                    return Poll::Pending;
+                }
+            };
             // A timer that fires early is kept: most connections become busy before it does.
             let timer = match &mut self.timer {
                 Some((fires, timer)) if *fires <= at => timer,
@@ -405,10 +575,15 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         // What the caller does not read stays where it is bounded.
-        if self.activity.is_blocked(cx) {
+        if self.activity.is_full(cx) {
             return Poll::Pending;
         }
-        Pin::new(&mut self.inner).poll_frame(cx)
+        let poll = Pin::new(&mut self.inner).poll_frame(cx);
+        if let Poll::Ready(Some(Ok(frame))) = &poll {
+            let len = frame.data_ref().map_or(0, Bytes::len);
+            self.activity.bytes_taken(len);
+        }
+        poll
     }
 
     fn is_end_stream(&self) -> bool {
--- a/transport/src/http/body.rs
+++ b/transport/src/http/body.rs
@@ -1,10 +1,11 @@
 //! Request and response bodies with limits.
 
 use std::pin::Pin;
-use std::sync::Arc;
-use std::sync::atomic::{
-    AtomicUsize,
-    Ordering, //
+use std::sync::{
+    Arc,
+    Mutex,
+    MutexGuard,
+    PoisonError, //
 };
 use std::task::{
     Context,
@@ -20,7 +21,8 @@
 use event_listener::Event;
 use futures_lite::{
     FutureExt,
-    Stream, //
+    Stream,
+    future, //
 };
 use http_body_util::BodyExt;
 use http_body_util::combinators::BoxBody;
@@ -128,18 +130,67 @@
 /// Bytes in the channel of a body.
 #[derive(Debug, Default)]
 struct Backlog {
-    bytes: AtomicUsize,
+    state: Mutex<BacklogState>,
     /// Notified when there is room again, and when the reader is dropped.
     drained: Event,
 }
 
+#[derive(Debug, Default)]
+struct BacklogState {
+    bytes: usize,
+    /// Whether the reader was dropped.
+    is_closed: bool,
+    /// Connection that the response is sent on.
+    activity: Option<Arc<Activity>>,
+}
+
 impl Backlog {
-    fn add(&self, len: usize) {
-        self.bytes.fetch_add(len, Ordering::AcqRel);
+    fn lock(&self) -> MutexGuard<'_, BacklogState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Counts the bytes for the connection too from now on.
+    fn attach(&self, activity: &Arc<Activity>) {
+        let mut state = self.lock();
+        activity.add_queued(state.bytes);
+        state.activity = Some(activity.clone());
+    }
+
+    /// Adds bytes once there is room for them; `None` if the reader was dropped.
+    async fn add(&self, len: usize) -> Option<()> {
+        let activity = self.lock().activity.clone();
+        if let Some(activity) = &activity
+            && !activity.reserve(len).await
+        {
+            return None;
+        }
+        let mut state = self.lock();
+        let reserved = activity.filter(|_| state.is_closed);
+        if let Some(activity) = reserved {
+            activity.remove_queued(len);
+            return None;
+        }
+        state.bytes += len;
+        Some(())
     }
 
+    /// Removes bytes that the connection has taken.
     fn remove(&self, len: usize) {
-        self.bytes.fetch_sub(len, Ordering::AcqRel);
+        let mut state = self.lock();
+        state.bytes = state.bytes.saturating_sub(len);
+        drop(state);
+        self.drained.notify(usize::MAX);
+    }
+
+    /// Drops all bytes; none are added any more.
+    fn close(&self) {
+        let mut state = self.lock();
+        state.is_closed = true;
+        let bytes = std::mem::take(&mut state.bytes);
+        if let Some(activity) = state.activity.take() {
+            activity.remove_queued(bytes);
+        }
+        drop(state);
         self.drained.notify(usize::MAX);
     }
 
@@ -147,7 +198,7 @@
     async fn room(&self, is_closed: impl Fn() -> bool) {
         loop {
             let drained = self.drained.listen();
-            if self.bytes.load(Ordering::Acquire) < BUFFER_BYTES || is_closed() {
+            if self.lock().bytes < BUFFER_BYTES || is_closed() {
                 return;
             }
             drained.await;
@@ -180,7 +231,7 @@
         let (tx, rx) = async_channel::bounded(CHANNEL_CAPACITY);
         let backlog = Arc::new(Backlog::default());
         if !first.is_empty() {
-            backlog.add(first.len());
+            backlog.lock().bytes = first.len();
             let sent = tx.try_send(Part::Data(first));
             debug_assert!(sent.is_ok(), "a new channel has room");
         }
@@ -192,6 +243,18 @@
         (BodySender { tx, backlog }, Self::Channel(body))
     }
 
+    /// Counts what the body holds for the connection that it is sent on. Returns whether there is room for it.
+    pub(crate) async fn attach(&self, activity: &Arc<Activity>) -> bool {
+        match self {
+            Self::Full(Some(bytes)) => activity.reserve(bytes.len()).await,
+            Self::Channel(body) => {
+                body.backlog.attach(activity);
+                true
+            }
+            Self::Full(None) | Self::Upstream(_) | Self::Boxed(_) => true,
+        }
+    }
+
     /// Returns a body that forwards the response body of another server.
     pub fn upstream(body: ClientBody) -> Self {
         Self::Upstream(Box::new(body))
@@ -285,7 +348,7 @@
 impl Drop for ChannelBody {
     fn drop(&mut self) {
         self.rx.close();
-        self.backlog.drained.notify(usize::MAX);
+        self.backlog.close();
     }
 }
 
@@ -314,7 +377,11 @@
             return Ok(());
         }
         self.backlog.room(|| self.tx.is_closed()).await;
-        self.backlog.add(bytes.len());
+        let added = future::or(self.backlog.add(bytes.len()), async {
+            self.tx.closed().await;
+            None
+        });
+        added.await.ok_or(BodyClosed)?;
         let sent = self.tx.send(Part::Data(bytes)).await;
         sent.map_err(|_| BodyClosed)
     }
--- a/transport/src/http/mod.rs
+++ b/transport/src/http/mod.rs
@@ -8,6 +8,7 @@
 mod places;
 mod pool;
 mod release;
+mod responses;
 mod server;
 mod sliced;
 mod sse;
@@ -18,7 +19,9 @@
 pub use places::{ENDING_CONNECTIONS, ReleaseCause, Released};
 pub use pool::ClientBody;
 pub use release::{
-    GRACE_TIME, Holder, PROGRESS_BYTES, Progress, STALL_TIME, Standing, first_to_release,
+    GRACE_TIME, Holder, PROGRESS_BYTES, Progress, READ_STALL_TIME, STALL_TIME, Standing,
+    first_to_release,
 };
+pub use responses::{Ask, CUT_TIME, FREE_BYTES, Reader, ResponseShares, Responses, Step};
 pub use server::{MaxHeadBytes, RemoteAddr, Server, ServerLimits};
 pub use sse::{DONE, Event, EventParser, EventReader, EventWriter, SseError};
--- a/transport/src/http/release.rs
+++ b/transport/src/http/release.rs
@@ -16,6 +16,10 @@
 /// [`PROGRESS_BYTES`] it stands for 128 bytes/s; callers on narrow links have 2,000 and more.
 pub const STALL_TIME: Duration = Duration::from_secs(2);
 
+/// Time without progress from which on a client that reads a response may be released. The link of an ordinary
+/// caller may stall for 4 s, and the system takes bytes again up to half a second later.
+pub const READ_STALL_TIME: Duration = Duration::from_secs(5);
+
 /// Time that a connection has for its first request head before it may be released.
 pub const GRACE_TIME: Duration = Duration::from_millis(100);
 
@@ -52,8 +56,10 @@
 pub enum Standing {
     /// It has no whole request head: it is new, idle or has sent a part of one.
     Waiting,
-    /// It sends the body of a request, or has not read its response so far.
+    /// It sends the body of a request.
     Transferring,
+    /// It has not read its response so far, and the system takes no more bytes for it.
+    Reading,
     /// Its request is being handled.
     Served,
 }
@@ -76,8 +82,11 @@
         let class = match self.standing {
             Standing::Waiting if idle >= STALL_TIME => Class::Idle,
             Standing::Transferring if idle >= STALL_TIME => Class::Stalled,
+            Standing::Reading if idle >= READ_STALL_TIME => Class::Stalled,
             Standing::Waiting if idle >= GRACE_TIME => Class::Fresh,
-            Standing::Waiting | Standing::Transferring | Standing::Served => return None,
+            Standing::Waiting | Standing::Transferring | Standing::Reading | Standing::Served => {
+                return None;
+            }
         };
         Some((class, !self.is_crowded, self.progress))
     }
--- a/transport/src/http/server.rs
+++ b/transport/src/http/server.rs
@@ -76,6 +76,7 @@
     Places,
     Released, //
 };
+use super::responses::Responses;
 use crate::runtime::{
     Spawner,
     panic_message,
@@ -162,6 +163,7 @@
     draining: Arc<AtomicBool>,
     connection_limits: Arc<ConnectionLimits>,
     places: Arc<Places>,
+    responses: Arc<Responses>,
     stopped: Receiver<()>,
     /// Dropped with the last connection.
     _open: Sender<()>,
@@ -171,7 +173,8 @@
     /// Returns the activity and the place of a new connection.
     fn watch(&self, remote: SocketAddr, is_stopping: bool) -> (Arc<Activity>, Place) {
         let limits = self.connection_limits.clone();
-        let activity = Arc::new(Activity::new(limits, self.places.heads.clone()));
+        let heads = self.places.heads.clone();
+        let activity = Activity::new(limits, heads, self.responses.clone());
         let place = self
             .places
             .enter(remote.ip(), activity.clone(), is_stopping);
@@ -180,7 +183,8 @@
 }
 
 impl Server {
-    /// Binds `addr`, whose port may be 0, and serves requests with `handler`.
+    /// Binds `addr`, whose port may be 0, and serves requests with `handler`. The memory of responses is not
+    /// limited.
     ///
     /// The future of a request is dropped when its caller closes the connection. Fails if the
     /// address cannot be bound.
@@ -194,6 +198,23 @@
         H: Fn(Request<RequestBody>) -> F + Send + Sync + 'static,
         F: Future<Output = Response<Body>> + Send + 'static,
     {
+        let responses = Responses::new(usize::MAX);
+        Self::start_within(spawner, addr, limits, &responses, handler)
+    }
+
+    /// The same with a limit of the memory of responses, which servers may share.
+    pub fn start_within<H, F>(
+        spawner: &Spawner,
+        addr: SocketAddr,
+        limits: ServerLimits,
+        responses: &Arc<Responses>,
+        handler: H,
+    ) -> io::Result<Self>
+    where
+        H: Fn(Request<RequestBody>) -> F + Send + Sync + 'static,
+        F: Future<Output = Response<Body>> + Send + 'static,
+    {
+        let responses = responses.clone();
         let listener = Async::<TcpListener>::bind(addr)?;
         let addr = listener.get_ref().local_addr()?;
         let draining = Arc::new(AtomicBool::new(false));
@@ -214,6 +235,7 @@
             draining: draining.clone(),
             connection_limits: connection_limits.clone(),
             places,
+            responses,
             stopped,
             _open: open,
         });
@@ -487,6 +509,8 @@
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
+    // Without room the connection is closed at the same time.
+    response.body().attach(&activity).await;
     Ok(response.map(|body| WatchedBody::new(body, activity)))
 }
 
--- a/transport/tests/release.rs
+++ b/transport/tests/release.rs
@@ -38,6 +38,8 @@
 #[case::crowded_address_first(&[(Standing::Waiting, 9_000, false), (Standing::Waiting, 3_000, true)], Some(1))]
 #[case::not_the_served(&[(Standing::Served, 60_000, true)], None)]
 #[case::not_the_steady(&[(Standing::Transferring, 1_900, true)], None)]
+#[case::a_caller_that_reads_nothing(&[(Standing::Reading, 5_000, false)], Some(0))]
+#[case::not_one_whose_link_stalls(&[(Standing::Reading, 4_600, true)], None)]
 #[case::not_the_new(&[(Standing::Waiting, 50, true)], None)]
 fn the_one_that_holds_for_nothing_goes_first(
     #[case] holders: &[(Standing, u32, bool)],
