gateway: the items of a submission count until their append, and responses within the plan

What a submission took between its parse and its append had no share: the strings and decoded bodies of the items, and their records. It now has twice the length of the body before the parse, and twice the items from then until the outcome of the append is known, also if the caller leaves meanwhile. Without room the submission is refused with 503 and has not run.

The five listeners share the part of the plan for responses (LW2519, limpetweir_response_bytes).

--- a/gateway/src/jobs/write.rs
+++ b/gateway/src/jobs/write.rs
@@ -21,6 +21,9 @@
 use super::table::Partition;
 use crate::platform::Record;
 
+/// Memory of a header of an item beside its name and value.
+const HEADER_MEMORY: usize = size_of::<(String, String)>();
+
 /// An item as a caller submits it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct NewItem {
@@ -36,6 +39,19 @@
     pub tokens: u64,
 }
 
+impl NewItem {
+    /// Returns the memory of the item in bytes, without the rounding of the allocator.
+    pub fn memory(&self) -> usize {
+        let headers = self.headers.iter();
+        let headers = headers.map(|(name, value)| name.len() + value.len() + HEADER_MEMORY);
+        size_of::<Self>()
+            + self.id.len()
+            + self.path.len()
+            + self.body.len()
+            + headers.sum::<usize>()
+    }
+}
+
 /// A job as a caller submits it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Submission {
--- a/gateway/src/memory/bodies.rs
+++ b/gateway/src/memory/bodies.rs
@@ -20,7 +20,10 @@
     Instant, //
 };
 
-use event_listener::Event;
+use event_listener::{
+    Event,
+    EventListener, //
+};
 use futures_lite::future;
 use hyper::body::Bytes;
 use limpetweir_transport::http::{
@@ -50,6 +53,9 @@
 /// First capacity of a body without a length, in bytes.
 const FIRST_CAPACITY: usize = 4 << 10;
 
+/// Key of no body.
+const NO_KEY: u64 = u64::MAX;
+
 /// Reason why a body was not read.
 #[derive(Debug)]
 pub(crate) enum ReadError {
@@ -188,13 +194,38 @@
                 entry.holds(bytes);
                 return Ok(());
             }
-            if !self.make_room(bytes, entry.key) {
-                return Err(ReadError::NoRoom);
-            }
-            if timeout_at(until, freed).await.is_none() {
-                return Err(ReadError::NoRoom);
+            self.wait_for_room(bytes, entry.key, freed, until).await?;
+        }
+    }
+
+    /// Returns a share of `bytes` for what is made of a body; releases bodies if there is no room.
+    pub(crate) async fn reserve(&self, bytes: usize) -> Result<Share, ReadError> {
+        let until = Instant::now() + RELEASE_TIME;
+        let mut share = self.budget.share();
+        loop {
+            let freed = self.budget.freed();
+            if share.take(bytes).is_ok() {
+                return Ok(share);
             }
+            let waited = self.wait_for_room(bytes, NO_KEY, freed, until).await;
+            waited.inspect_err(|_| {
+                self.refused.fetch_add(1, Ordering::Relaxed);
+            })?;
+        }
+    }
+
+    /// Releases bodies other than that of `but`, and waits for a change; fails if there are too few.
+    async fn wait_for_room(
+        &self,
+        bytes: usize,
+        but: u64,
+        freed: EventListener,
+        until: Instant,
+    ) -> Result<(), ReadError> {
+        if !self.make_room(bytes, but) || timeout_at(until, freed).await.is_none() {
+            return Err(ReadError::NoRoom);
         }
+        Ok(())
     }
 
     /// Releases bodies until `bytes` are free or about to be; returns whether there are enough.
--- a/gateway/src/serve/job_calls.rs
+++ b/gateway/src/serve/job_calls.rs
@@ -25,6 +25,7 @@
     Node,
     unix_ms, //
 };
+use super::rejections::reject_body;
 use super::replies::{
     json,
     plain,
@@ -38,10 +39,12 @@
 use crate::jobs::{
     Change,
     Job,
+    NewItem,
     Outcome,
     Submission,
     WriteError, //
 };
+use crate::memory::ReadError;
 use crate::platform::{
     CallHead,
     Dialect,
@@ -70,6 +73,12 @@
 /// confirmed and written.
 pub(crate) const LONGEST_CALL: Duration = Duration::from_millis(3_000);
 
+/// Copies of the body of a submission that its parse makes: the strings of the items, and their decoded bodies.
+const PARSE_COPIES: usize = 2;
+
+/// Copies of the items of a submission until their append: themselves, and their records.
+const APPEND_COPIES: usize = 2;
+
 /// Handles the submission of a job.
 pub(crate) async fn submit<P: Store + Dialect>(
     node: &Arc<Node<P>>,
@@ -79,6 +88,10 @@
     body: &Bytes,
 ) -> Response<Body> {
     let id = &call.request_id;
+    let mut share = match node.bodies.reserve(body.len() * PARSE_COPIES).await {
+        Ok(share) => share,
+        Err(err) => return reject_body(node, id, &err),
+    };
     let items = match node.platform.submission(body) {
         Ok(items) if !id.is_empty() => items,
         Ok(_) => {
@@ -91,6 +104,11 @@
         }
     };
     let count = items.len();
+    let memory: usize = items.iter().map(NewItem::memory).sum();
+    // Many small items may take more than the estimate, and are there already.
+    if share.take(memory * APPEND_COPIES).is_err() {
+        return reject_body(node, id, &ReadError::NoRoom);
+    }
     let submission = Submission {
         id: id.clone(),
         organisation: organisation.name.clone(),
@@ -102,7 +120,7 @@
     };
     let partition = node.partition_of(&organisation.name);
     let started = Instant::now();
-    let result = writer::write(node, partition, Change::Submit(submission)).await;
+    let result = writer::write_with(node, partition, Change::Submit(submission), share).await;
     let ms = started.elapsed().as_millis();
     match result {
         Ok(()) => {
--- a/gateway/src/serve/lines.rs
+++ b/gateway/src/serve/lines.rs
@@ -173,6 +173,8 @@
 pub(crate) const HEAD_ONLY: Event = Event::new(2517, Level::Error);
 /// Requests were refused for lack of memory for their bodies.
 pub(crate) const BODIES_REFUSED: Event = Event::new(2518, Level::Warn);
+/// Connections whose callers did not read their responses were closed, or responses were cut off, for lack of memory.
+pub(crate) const RESPONSES_ENDED: Event = Event::new(2519, Level::Warn);
 /// Another backend server is asked for the rest of a silent stream.
 pub(crate) const OVERLAP_BEGAN: Event = Event::new(2515, Level::Info);
 /// One of the two backend servers of a silent stream has shown an event, or neither.
--- a/gateway/src/serve/metrics.rs
+++ b/gateway/src/serve/metrics.rs
@@ -71,6 +71,7 @@
     zone_evacuated: Gauge<f64>,
     client_limits: Counter<u64>,
     body_bytes: Gauge<u64>,
+    response_bytes: Gauge<u64>,
 }
 
 impl Metrics {
@@ -202,6 +203,10 @@
                 .u64_gauge("limpetweir_body_bytes")
                 .with_description("Memory of the request bodies that are being read or kept")
                 .build(),
+            response_bytes: meter
+                .u64_gauge("limpetweir_response_bytes")
+                .with_description("Memory of the responses that wait for their callers")
+                .build(),
             registry,
             _provider: provider,
         })
@@ -380,6 +385,11 @@
         self.body_bytes.record(bytes as u64, &[]);
     }
 
+    /// Records the memory of the responses that wait for their callers.
+    pub(crate) fn response_bytes(&self, bytes: usize) {
+        self.response_bytes.record(bytes as u64, &[]);
+    }
+
     /// Encodes all metrics in the Prometheus text format.
     pub(crate) fn render(&self) -> String {
         let families = self.registry.gather();
--- a/gateway/src/serve/mod.rs
+++ b/gateway/src/serve/mod.rs
@@ -282,9 +282,13 @@
             ..ServerLimits::default()
         };
         let shared = node.clone();
-        let public = Server::start(spawner, settings.public, limits, move |req| {
-            online::handle(shared.clone(), req)
-        });
+        let public = Server::start_within(
+            spawner,
+            settings.public,
+            limits,
+            &node.responses,
+            move |req| online::handle(shared.clone(), req),
+        );
         let public = public.context(ListenSnafu {
             purpose: "callers",
             addr: settings.public,
@@ -298,7 +302,7 @@
             heads_bytes: plan.other_heads,
             ..ServerLimits::default()
         };
-        let peers = Server::start(spawner, peer, limits, move |req| {
+        let peers = Server::start_within(spawner, peer, limits, &node.responses, move |req| {
             serve_peer(shared.clone(), req)
         });
         other_listeners.push(peers.context(ListenSnafu {
@@ -317,7 +321,7 @@
                 ..ServerLimits::default()
             };
             let shared = node.clone();
-            let server = Server::start(spawner, addr, limits, move |req| {
+            let server = Server::start_within(spawner, addr, limits, &node.responses, move |req| {
                 let node = shared.clone();
                 async move { serve_status(&node, req) }
             });
--- a/gateway/src/serve/node.rs
+++ b/gateway/src/serve/node.rs
@@ -22,7 +22,8 @@
 use limpetweir_transport::http::{
     Client,
     ConnectionLimits,
-    Released, //
+    Released,
+    Responses, //
 };
 use limpetweir_transport::{
     Clock,
@@ -68,8 +69,10 @@
     pub(crate) output_budget: Arc<ByteBudget>,
     /// Store calls that are made for peers.
     pub(crate) relay_gate: RelayGate,
-    /// Memory for request bodies.
+    /// Memory for request bodies and the items of submissions.
     pub(crate) bodies: Bodies,
+    /// Memory for the responses that wait for their callers, on all listeners.
+    pub(crate) responses: Arc<Responses>,
     state: Mutex<State>,
     pub(crate) leaving: AtomicBool,
     /// The time in which this instance can still answer requests.
@@ -123,6 +126,7 @@
             relay_gate,
             output_budget: ByteBudget::new(plan.outputs),
             bodies: Bodies::new(plan.bodies),
+            responses: Responses::new(plan.responses),
             state: Mutex::new(state),
             leaving: AtomicBool::new(false),
             stop: StopWindow::default(),
--- a/gateway/src/serve/write_request.rs
+++ b/gateway/src/serve/write_request.rs
@@ -7,9 +7,14 @@
     Settled,
     WriteError, //
 };
+use crate::memory::Share;
 
-/// Channel for the outcome of a change.
-pub(crate) type Reply = Sender<Result<(), WriteError>>;
+/// The one who waits for the outcome of a change.
+pub(crate) struct Reply {
+    pub(crate) outcome: Sender<Result<(), WriteError>>,
+    /// Memory of the change. It is in the queue until the outcome is known, also if its caller has left.
+    pub(crate) _share: Share,
+}
 
 /// A change and the channel for its outcome.
 pub(crate) type WriteRequest = QueuedChange<Reply>;
@@ -18,6 +23,6 @@
 pub(crate) fn reply(settled: Vec<Settled<Reply>>) {
     for Settled { ticket, outcome } in settled {
         // Sending fails if the caller has disconnected.
-        let _ = ticket.try_send(outcome);
+        let _ = ticket.outcome.try_send(outcome);
     }
 }
--- a/gateway/src/serve/writer.rs
+++ b/gateway/src/serve/writer.rs
@@ -45,6 +45,7 @@
     WriteError,
     decide, //
 };
+use crate::memory::Share;
 use crate::platform::{
     Dialect,
     Record,
@@ -67,6 +68,16 @@
     node: &Node<P>,
     partition: usize,
     change: Change,
+) -> Result<(), WriteError> {
+    write_with(node, partition, change, Share::default()).await
+}
+
+/// The same for a change with a share of the memory, which is held until the outcome is known.
+pub(crate) async fn write_with<P>(
+    node: &Node<P>,
+    partition: usize,
+    change: Change,
+    share: Share,
 ) -> Result<(), WriteError> {
     limits(node).check(&change)?;
     let urgent = matches!(change, Change::Submit(_) | Change::End { .. });
@@ -76,7 +87,11 @@
         reason: "the process is shutting down".to_owned(),
     };
     let writer = node.writers.get(partition).ok_or_else(shutting_down)?;
-    let request = WriteRequest::new(change, deadline, tx);
+    let reply = Reply {
+        outcome: tx,
+        _share: share,
+    };
+    let request = WriteRequest::new(change, deadline, reply);
     writer.send(request).await.map_err(|_| shutting_down())?;
     outcome.recv().await.map_err(|_| shutting_down())?
 }
