--- a/transport/src/http/activity.rs
+++ b/transport/src/http/activity.rs
@@ -255,6 +255,18 @@
         waker.inspect(Waker::wake_by_ref);
     }
 
+    /// Records that the connection has written all that it has taken of the response. It flushes only then.
+    fn all_written(&self) {
+        let mut state = self.lock();
+        if state.unwritten > 0 {
+            state.unwritten = 0;
+            self.shrink(&mut state);
+            let waker = state.unblocked.take();
+            drop(state);
+            waker.inspect(Waker::wake_by_ref);
+        }
+    }
+
     /// Returns whether the connection has enough of the response for now, because the caller does not read it or it
     /// is still to be written; `cx` is woken once it needs more.
     fn is_full(&self, cx: &Context<'_>) -> bool {
@@ -667,6 +679,7 @@
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.activity.all_written();
         Pin::new(&mut &*self.inner).poll_flush(cx)
     }
 
