--- a/gateway/tests/memory.rs
+++ b/gateway/tests/memory.rs
@@ -10,6 +10,7 @@
     EventReader,
     InvalidOutput,
     MAX_EVENT_BYTES,
+    NewItem,
     OutputError,
     Plan,
     Progress, //
@@ -202,3 +203,16 @@
         assert!(50 * (64 << 10) <= plan.outputs, "{plan:?}");
     }
 }
+
+/// Guards against items that count less than what they hold.
+#[test]
+fn an_item_counts_with_all_its_parts() {
+    let item = NewItem {
+        id: "i".repeat(10),
+        path: "p".repeat(200),
+        headers: vec![("n".repeat(30), "v".repeat(4_000)); 2],
+        body: vec![b'x'; 50_000].into(),
+        tokens: 1,
+    };
+    assert!(item.memory() >= size_of::<NewItem>() + 10 + 200 + 2 * 4_030 + 50_000);
+}
