--- a/gateway/tests/memory.rs
+++ b/gateway/tests/memory.rs
@@ -1,10 +1,16 @@
 //! Bounds of what is kept of the responses of backend servers.
 
+use std::sync::atomic::{
+    AtomicUsize,
+    Ordering, //
+};
+
 use limpetweir_gateway::{
     ByteBudget,
     EventReader,
     InvalidOutput,
     MAX_EVENT_BYTES,
+    NewItem,
     OutputError,
     Plan,
     Progress, //
@@ -118,17 +124,95 @@
     other.take(10_000).expect("room for a small one");
 }
 
-/// Guards against limits whose sum exceeds the machine.
-#[rstest]
-#[case::smallest(64, 400)]
-#[case::small(120, 3_000)]
-#[case::large(512, 10_000)]
-fn the_limits_fit_the_machine(#[case] memory_mb: usize, #[case] descriptors: usize) {
-    let memory = memory_mb * 1_000_000;
-    let plan = Plan::new(memory, descriptors);
-    let connections = plan.callers + 2 * plan.peers + 2 * plan.probes;
-    assert!(plan.callers + connections + 200 < descriptors, "{plan:?}");
-    let held = plan.outputs + plan.bodies + plan.heads + 4 * plan.other_heads;
-    assert!(held < memory - 24_000_000, "{plan:?}");
-    assert!(plan.callers >= 40 && plan.peers >= 10, "{plan:?}");
+/// Guards against threads that each find room and exceed the limit together.
+#[test]
+fn threads_that_take_at_once_stay_within_the_limit() {
+    const THREADS: usize = 4;
+    const BYTES: usize = 100_000;
+    let budget = ByteBudget::new(BYTES * 8 / 7 + 1);
+    let holders = AtomicUsize::new(0);
+    std::thread::scope(|scope| {
+        for _ in 0..THREADS {
+            scope.spawn(|| {
+                for _ in 0..100_000 {
+                    let mut share = budget.share();
+                    if share.take(BYTES).is_err() {
+                        continue;
+                    }
+                    let others = holders.fetch_add(1, Ordering::SeqCst);
+                    // Leaves the others time to come into the gap between a check and a reservation.
+                    std::thread::yield_now();
+                    holders.fetch_sub(1, Ordering::SeqCst);
+                    assert_eq!(others, 0, "two shares in the room of one");
+                }
+            });
+        }
+    });
+    assert_eq!(budget.used(), 0);
+}
+
+/// Guards against shares that exceed twice the limit because each came when there were fewer holders.
+#[test]
+fn shares_that_come_one_after_the_other_stay_within_twice_the_limit() {
+    let budget = ByteBudget::new(BUDGET);
+    let mut shares = Vec::new();
+    for _ in 0..2_000 {
+        let mut share = budget.share();
+        let most = (1..=10).rev().map(|n| n * MAX_TEXT / 10);
+        if most.into_iter().any(|bytes| share.resize(bytes).is_ok()) {
+            shares.push(share);
+        }
+    }
+    assert!(budget.used() <= 2 * BUDGET, "{}", budget.used());
+}
+
+/// Guards against limits whose sum exceeds the machine, and against a limit below what the settings allow.
+#[test]
+fn the_limits_fit_every_machine() {
+    for memory_mb in (64..=512).chain([1_024, 4_096]) {
+        for descriptors in (400..3_000)
+            .step_by(100)
+            .chain((3_000..=10_250).step_by(50))
+        {
+            let memory = memory_mb * 1_000_000;
+            let plan = Plan::new(memory, descriptors);
+            assert!(plan.worst_case() <= memory, "{memory_mb} MB: {plan:?}");
+            let connections = plan.callers + 2 * plan.peers + 2 * plan.probes;
+            assert!(plan.callers + connections + 200 < descriptors, "{plan:?}");
+            assert!(plan.callers >= 40 && plan.peers >= 10, "{plan:?}");
+            // Calls of 2 MiB, for themselves.
+            assert!(plan.relayed_calls >= 2 << 20, "{memory_mb} MB: {plan:?}");
+        }
+    }
+}
+
+/// Guards against limits under which the smallest machine can no longer serve its load: the largest body beside
+/// 50 callers with bodies of 64 KiB, whose responses wait with 16 KiB each, and the items of a job of 2 MiB.
+#[test]
+fn the_smallest_machine_serves_the_largest_body_and_ordinary_callers() {
+    for descriptors in (3_000..=10_250).step_by(50) {
+        let plan = Plan::new(120_000_000, descriptors);
+        assert!(plan.callers >= 51, "{plan:?}");
+        let budget = ByteBudget::new(plan.bodies);
+        let mut shares: Vec<_> = (0..52).map(|_| budget.share()).collect();
+        let sizes = [4 << 20, 2 << 20].into_iter().chain([64 << 10; 50]);
+        for (share, bytes) in shares.iter_mut().zip(sizes) {
+            share.take(bytes).expect("room for a body");
+        }
+        assert!(50 * (16 << 10) <= plan.responses, "{plan:?}");
+        assert!(50 * (64 << 10) <= plan.outputs, "{plan:?}");
+    }
+}
+
+/// Guards against items that count less than what they hold.
+#[test]
+fn an_item_counts_with_all_its_parts() {
+    let item = NewItem {
+        id: "i".repeat(10),
+        path: "p".repeat(200),
+        headers: vec![("n".repeat(30), "v".repeat(4_000)); 2],
+        body: vec![b'x'; 50_000].into(),
+        tokens: 1,
+    };
+    assert!(item.memory() >= size_of::<NewItem>() + 10 + 200 + 2 * 4_030 + 50_000);
 }
