transport: keep the connection of a denied request whose body has arrived

Bodies that are announced as longer, and callers that wait for 100 Continue, are left as they are, so nothing changes for them.

--- a/transport/src/http/activity.rs
+++ b/transport/src/http/activity.rs
@@ -295,6 +295,13 @@
         state.has_open_body = false;
     }
 
+    /// Records that the rest of a dropped request body is received after all.
+    pub(crate) fn body_reopened(&self) {
+        let mut state = self.lock();
+        state.has_unread_body = false;
+        state.has_open_body = true;
+    }
+
     /// Returns whether the body of the last request was dropped before its end.
     pub(crate) fn has_unread_body(&self) -> bool {
         self.lock().has_unread_body
--- a/transport/src/http/body.rs
+++ b/transport/src/http/body.rs
@@ -1,11 +1,14 @@
 //! Request and response bodies with limits.
 
 use std::pin::Pin;
-use std::sync::Arc;
 use std::sync::atomic::{
     AtomicUsize,
     Ordering, //
 };
+use std::sync::{
+    Arc,
+    Weak, //
+};
 use std::task::{
     Context,
     Poll, //
@@ -37,6 +40,7 @@
 use super::activity::Activity;
 use super::pool::ClientBody;
 use super::sliced::next_slice;
+use super::unread::UnreadBody;
 
 /// Largest size in bytes of the read buffer, of the write buffer and of the channel of a connection. All
 /// connections may fill theirs at once, so that these count more than the system calls of larger ones.
@@ -336,7 +340,8 @@
 /// Reading fails if the body exceeds the limit, or if no data arrives within the read timeout.
 #[derive(Debug)]
 pub struct RequestBody {
-    inner: Incoming,
+    /// `None` once it was left to `unread`.
+    inner: Option<Incoming>,
     limit: usize,
     received: usize,
     timeout: Duration,
@@ -344,7 +349,11 @@
     timer: Option<Timer>,
     /// Whether the end was read.
     has_ended: bool,
+    /// Whether the connection has failed.
+    has_failed: bool,
     activity: Arc<Activity>,
+    /// Where the body is left if it is dropped before its end and before the response.
+    unread: Weak<UnreadBody>,
 }
 
 impl RequestBody {
@@ -353,15 +362,18 @@
         limit: usize,
         timeout: Duration,
         activity: Arc<Activity>,
+        unread: Weak<UnreadBody>,
     ) -> Self {
         Self {
             has_ended: inner.is_end_stream(),
-            inner,
+            has_failed: false,
+            inner: Some(inner),
             limit,
             received: 0,
             timeout,
             timer: None,
             activity,
+            unread,
         }
     }
 
@@ -373,7 +385,7 @@
 
     /// Returns the length that the head announces; `None` for chunks.
     pub fn announced_len(&self) -> Option<u64> {
-        hyper::body::Body::size_hint(&self.inner).exact()
+        hyper::body::Body::size_hint(self).exact()
     }
 
     /// Returns an error if the head announces more than the limit.
@@ -401,7 +413,7 @@
 
     /// Reads the whole body.
     pub async fn collect_bytes(self) -> Result<Bytes, BodyError> {
-        let declared_len = hyper::body::Body::size_hint(&self.inner).lower();
+        let declared_len = hyper::body::Body::size_hint(&self).lower();
         if declared_len > self.limit as u64 {
             return Err(BodyError::TooLarge { limit: self.limit });
         }
@@ -421,8 +433,15 @@
 
 impl Drop for RequestBody {
     fn drop(&mut self) {
-        if !self.has_ended {
-            self.activity.body_left_unread();
+        if self.has_ended {
+            return;
+        }
+        self.activity.body_left_unread();
+        if let Some(unread) = self.unread.upgrade()
+            && let Some(body) = self.inner.take()
+            && !self.has_failed
+        {
+            unread.put(body);
         }
     }
 }
@@ -436,13 +455,17 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         let this = self.get_mut();
-        match Pin::new(&mut this.inner).poll_frame(cx) {
+        let Some(inner) = &mut this.inner else {
+            return Poll::Ready(None);
+        };
+        match Pin::new(inner).poll_frame(cx) {
             Poll::Ready(Some(Ok(frame))) => {
                 let len = frame.data_ref().map_or(0, Bytes::len);
                 let counted = this.count_received(len);
                 Poll::Ready(Some(counted.map(|()| frame)))
             }
             Poll::Ready(Some(Err(source))) => {
+                this.has_failed = true;
                 Poll::Ready(Some(Err(BodyError::Interrupted { source })))
             }
             Poll::Ready(None) => {
@@ -461,11 +484,13 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        self.inner.is_end_stream()
+        self.inner.as_ref().is_none_or(Incoming::is_end_stream)
     }
 
     fn size_hint(&self) -> SizeHint {
-        self.inner.size_hint()
+        self.inner
+            .as_ref()
+            .map_or_else(SizeHint::default, Incoming::size_hint)
     }
 }
 
--- a/transport/src/http/mod.rs
+++ b/transport/src/http/mod.rs
@@ -11,6 +11,7 @@
 mod server;
 mod sliced;
 mod sse;
+mod unread;
 
 pub use body::{Body, BodyClosed, BodyError, BodySender, BoxError, RequestBody, read_all};
 pub use client::{Client, ClientError, ClientLimits, SendOptions, TrafficClass};
--- a/transport/src/http/server.rs
+++ b/transport/src/http/server.rs
@@ -13,11 +13,14 @@
     TcpStream, //
 };
 use std::panic::AssertUnwindSafe;
-use std::sync::Arc;
 use std::sync::atomic::{
     AtomicBool,
     Ordering, //
 };
+use std::sync::{
+    Arc,
+    Weak, //
+};
 use std::time::{
     Duration,
     Instant, //
@@ -40,6 +43,7 @@
 };
 use hyper::header::{
     CONNECTION,
+    EXPECT,
     HeaderValue, //
 };
 use hyper::server::conn::http1;
@@ -76,6 +80,10 @@
     Places,
     Released, //
 };
+use super::unread::{
+    UnreadBody,
+    take_arrived, //
+};
 use crate::runtime::{
     Spawner,
     panic_message,
@@ -460,12 +468,19 @@
 {
     let head_limits = activity.request_began(!req.body().is_end_stream());
     let limits = &shared.limits;
+    let unread = Arc::new(UnreadBody::default());
+    // Asking for the body of a caller that expects to be asked would make it send the body.
+    let left_to = match req.headers().contains_key(EXPECT) {
+        true => Weak::new(),
+        false => Arc::downgrade(&unread),
+    };
     let mut req = req.map(|body| {
         RequestBody::new(
             body,
             limits.body_bytes,
             limits.body_timeout,
             activity.clone(),
+            left_to,
         )
     });
     req.extensions_mut().insert(RemoteAddr(remote));
@@ -480,6 +495,13 @@
             (internal_error(), true)
         }
     };
+    if let Some(body) = unread.take() {
+        activity.body_reopened();
+        match take_arrived(body).await {
+            true => activity.body_ended(),
+            false => activity.body_left_unread(),
+        }
+    }
     // The connection is closed after a response that comes before the end of the body. A caller that is not
     // told sends its next request while the rest of the body is discarded.
     let closes = panicked || activity.has_unread_body();
--- a/transport/tests/connections.rs
+++ b/transport/tests/connections.rs
@@ -32,6 +32,7 @@
     Runtime,
     sleep, //
 };
+use rstest::rstest;
 
 /// Far longer than any expected wait of a test; reaching it means that the test hangs.
 const HANG_TIMEOUT: Duration = Duration::from_secs(30);
@@ -335,6 +336,58 @@
     assert!(response.ends_with("refused"), "{response:?}");
 }
 
+/// Guards against a denial that closes its connection although the whole body has arrived with its head or
+/// right after it, so that each denied call costs its caller a new connection.
+#[rstest]
+#[case::with_its_head("content-length: 8", &["all of i".to_owned()])]
+#[case::longer_than_a_read("content-length: 40000", &["a".repeat(40_000)])]
+#[case::in_parts("content-length: 8", &["all ", "of i"].map(str::to_owned))]
+#[case::chunks("transfer-encoding: chunked", &["4\r\nall \r\n", "4\r\nof i\r\n0\r\n\r\n"].map(str::to_owned))]
+fn a_body_that_has_arrived_does_not_close_its_connection(
+    #[case] framing: &str,
+    #[case] parts: &[String],
+) {
+    let runtime = Runtime::start(1).unwrap();
+    let server = start(&runtime, NEVER, NEVER);
+    // The executor thread is occupied until the request has arrived.
+    let mut blocking = Caller::connect(server.addr());
+    blocking.send("GET /block HTTP/1.1\r\nhost: a\r\n\r\n");
+    thread::sleep(BLOCKED / 4);
+    let mut caller = Caller::connect(server.addr());
+    caller.send(&format!(
+        "POST /ignore HTTP/1.1\r\nhost: a\r\n{framing}\r\n\r\n"
+    ));
+    for part in parts {
+        caller.send(part);
+    }
+    let response = caller.response().to_ascii_lowercase();
+    assert!(
+        !response.contains("\r\nconnection: close\r\n"),
+        "{response}"
+    );
+    caller.call();
+}
+
+/// Guards against a server that takes a body of any length for a request that it has denied, and against
+/// asking a caller for a body that nobody reads.
+#[rstest]
+#[case::long("content-length: 400000", &"a".repeat(400_000))]
+#[case::endless("transfer-encoding: chunked", &("fffff\r\n".to_owned() + &"a".repeat(400_000)))]
+#[case::expects("expect: 100-continue\r\ncontent-length: 8", "")]
+fn a_body_that_is_long_or_was_not_asked_for_closes_its_connection(
+    #[case] framing: &str,
+    #[case] body: &str,
+) {
+    let runtime = Runtime::start(1).unwrap();
+    let server = start(&runtime, NEVER, NEVER);
+    let mut caller = Caller::connect(server.addr());
+    let head = format!("POST /ignore HTTP/1.1\r\nhost: a\r\n{framing}\r\n\r\n");
+    caller.send(&(head + body));
+    let response = caller.rest().to_ascii_lowercase();
+    assert!(response.starts_with("http/1.1 200"), "{response}");
+    assert!(response.contains("\r\nconnection: close\r\n"), "{response}");
+}
+
 /// Guards against a connection that seems open after a response that came before the end of its body:
 /// the next request on it was read and discarded, and got neither an answer nor a refusal.
 #[test]
