gateway: use the lease of a suspected request once all others have acknowledged it

An instance used its claim 10 ms after it had told the others. Beside load messages take longer: two instances that claimed within 1 ms of each other had not read the claim of the other, and three copies ran. Now each instance acknowledges a claim unless an own one goes before it, and the claim is used once all reachable instances have acknowledged it, or after 150 ms if one does not answer (dead, cut off, older build). Of two claims at most one gets the acknowledgement of the other, whatever the delays are. Messages have numbers, so that an acknowledgement holds for one claim only and an older message does not replace a newer one; a message has all leases of its sender. The encoding has version 2, others ignore it.

Requests that are not suspected cause no message. A suspected one waits for a round trip instead of 10 ms.

--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -90,7 +90,7 @@
     Outcome, Partition, PassedOn, Pending, PreparedCall, QueuedChange, RecordError, Settled,
     Submission, WriteError, decide,
 };
-pub use leases::{LeaseNews, LeaseState, Leases};
+pub use leases::{CLAIM_TIMEOUT, ClaimState, LeaseAck, LeaseNews, LeaseReply, LeaseState, Leases};
 pub use listing::Listing;
 pub use load::{Load, Placed};
 pub use members::{AddressEntry, MIN_REPORT_TIMEOUT, Member, Members, ReportUpdate, addresses};
--- a/gateway/src/serve/crash_messages.rs
+++ b/gateway/src/serve/crash_messages.rs
@@ -115,12 +115,17 @@
     }
 }
 
-fn send_to<P>(node: &Node<P>, socket: &Async<UdpSocket>, bytes: &[u8], addrs: &[IpAddr]) {
+pub(crate) fn send_to<P>(
+    node: &Node<P>,
+    socket: &Async<UdpSocket>,
+    bytes: &[u8],
+    addrs: &[IpAddr],
+) {
     for addr in addrs {
         let addr = SocketAddr::new(*addr, node.settings.peer_port);
         if let Err(err) = socket.get_ref().send_to(bytes, addr) {
             // The news is repeated, and a later digest has it too.
-            log::debug!("cannot tell {addr} about crashes: {err}");
+            log::debug!("cannot tell {addr} about crashes or leases: {err}");
         }
     }
 }
--- a/gateway/src/serve/leases.rs
+++ b/gateway/src/serve/leases.rs
@@ -6,15 +6,17 @@
     Instant, //
 };
 
-use limpetweir_transport::{
-    sleep,
-    timeout_at, //
-};
+use limpetweir_transport::timeout_at;
 
 use super::choose::Rejection;
 use super::node::Node;
 use super::task_kinds::OneShot;
-use crate::leases::LeaseNews;
+use crate::leases::{
+    CLAIM_TIMEOUT,
+    ClaimState,
+    LeaseAck,
+    LeaseNews, //
+};
 use crate::platform::{
     Dialect,
     Store, //
@@ -24,9 +26,9 @@
 use crate::report::ItemKey;
 use crate::request_parts::RequestParts;
 
-/// Time after a claim in which claims of other instances arrive: messages are combined for 2 ms and take
-/// some more on their way.
-const SETTLE_TIME: Duration = Duration::from_millis(10);
+/// Time after which a claim is told again to instances that have not acknowledged it, as its message or the answer
+/// may be lost.
+const REPEAT_TIME: Duration = Duration::from_millis(60);
 
 /// Longest wait of a request for the run of another copy, which writes output or crashes its server well
 /// within this time.
@@ -80,11 +82,8 @@
             })
         };
         if let Some(lease) = lease {
-            changed(node);
-            sleep(SETTLE_TIME).await;
-            let mut state = node.lock();
-            if state.leases.confirm(lease.key) && state.knowledge(parts) == Knowledge::Suspected {
-                drop(state);
+            if settle(node, lease.key).await && node.lock().knowledge(parts) == Knowledge::Suspected
+            {
                 return Ok(Some(lease));
             }
         } else if Instant::now() >= give_up {
@@ -96,6 +95,30 @@
     }
 }
 
+/// Tells the others of a claim and waits for what they answer; returns whether the claim is in use now.
+async fn settle<P: Store + Dialect>(node: &Arc<Node<P>>, key: PartKey) -> bool {
+    let begin = Instant::now();
+    let mut repeat_at = Some(begin + REPEAT_TIME);
+    changed(node);
+    loop {
+        let look_again = node.suspicion_changed.listen();
+        {
+            let now = node.now();
+            let mut state = node.lock();
+            let peers = state.members.iter();
+            let peers = peers.filter(|(_, member)| member.is_reachable(now));
+            let names = peers.map(|(name, _)| name);
+            if state.leases.claim_state(key, names, now) != ClaimState::Open {
+                return state.leases.confirm(key);
+            }
+        }
+        let until = repeat_at.unwrap_or(begin + CLAIM_TIMEOUT);
+        if timeout_at(until, look_again).await.is_none() && repeat_at.take().is_some() {
+            changed(node);
+        }
+    }
+}
+
 /// Rejection of a request whose copy runs for long.
 const BUSY: Rejection = Rejection {
     cause: "suspected",
@@ -112,12 +135,10 @@
     item: ItemKey,
     key: PartKey,
 ) {
-    changed(node);
     let shared = node.clone();
     let confirm = async move {
-        sleep(SETTLE_TIME).await;
+        let is_own = settle(&shared, key).await;
         let mut state = shared.lock();
-        let is_own = state.leases.confirm(key);
         match state.item_leases.get_mut(&item) {
             Some(lease) if is_own => lease.is_confirmed = true,
             Some(_) => {
@@ -146,9 +167,18 @@
     }
 }
 
-/// Applies what another instance tells.
-pub(crate) fn hear<P>(node: &Node<P>, news: &LeaseNews) {
+/// Applies what another instance tells, and returns the messages that it is to be answered with.
+pub(crate) fn hear<P>(node: &Node<P>, news: &LeaseNews) -> Vec<Vec<u8>> {
     let now = node.now();
-    node.lock().leases.hear(news, now);
+    let reply = node.lock().leases.hear(news, now);
     node.suspicion_changed.notify(usize::MAX);
+    let ack = reply.ack.iter().map(LeaseAck::encode);
+    ack.chain(reply.own.iter().map(LeaseNews::encode)).collect()
+}
+
+/// Applies the acknowledgement of another instance.
+pub(crate) fn acknowledged<P>(node: &Node<P>, ack: &LeaseAck) {
+    if node.lock().leases.acknowledged(ack) {
+        node.suspicion_changed.notify(usize::MAX);
+    }
 }
--- a/gateway/src/serve/peers.rs
+++ b/gateway/src/serve/peers.rs
@@ -44,7 +44,10 @@
 use crate::crash_message::CaseRecord;
 use crate::crash_news::CrashNews;
 use crate::instance::InstanceRecord;
-use crate::leases::LeaseNews;
+use crate::leases::{
+    LeaseAck,
+    LeaseNews, //
+};
 use crate::members::{
     MIN_REPORT_TIMEOUT,
     ReportUpdate, //
@@ -157,7 +160,7 @@
         match received {
             Ok((len, from)) => {
                 let message = &buf[..len];
-                let apply = || apply_message(&node, message, from.ip());
+                let apply = || apply_message(&node, &socket, message, from.ip());
                 let input = format!("peer={from} bytes={len}");
                 node.supervisor.skip_on_panic(&input, apply);
             }
@@ -170,13 +173,24 @@
     }
 }
 
-fn apply_message<P: Store + Dialect>(node: &Arc<Node<P>>, message: &[u8], from: IpAddr) {
+fn apply_message<P: Store + Dialect>(
+    node: &Arc<Node<P>>,
+    socket: &Async<UdpSocket>,
+    message: &[u8],
+    from: IpAddr,
+) {
     if let Some(news) = CrashNews::decode(message) {
         crashes::merge(node, &news);
         return;
     }
     if let Some(news) = LeaseNews::decode(message) {
-        leases::hear(node, &news);
+        for reply in leases::hear(node, &news) {
+            crash_messages::send_to(node, socket, &reply, &[from]);
+        }
+        return;
+    }
+    if let Some(ack) = LeaseAck::decode(message) {
+        leases::acknowledged(node, &ack);
         return;
     }
     let report = Report::decode(message);
--- a/gateway/tests/containment/model.rs
+++ b/gateway/tests/containment/model.rs
@@ -199,7 +199,9 @@
             Event::Crash(instance, news) => {
                 self.instances[instance].quarantine.merge(&news, now);
             }
-            Event::Lease(instance, news) => self.instances[instance].leases.hear(&news, now),
+            Event::Lease(instance, news) => {
+                self.instances[instance].leases.hear(&news, now);
+            }
         }
     }
 
