gateway: a response without a length counts as lost if its server is gone at its end

A response with neither a length nor chunks ends with its connection. The system closes the connections of a server that crashes in the same way, so an item was listed as completed with a part of its text, and an online stream ended as if it were whole. Nothing in the response tells the two apart (docs/platform.md, Responses without a length). Afterwards a connection does: 50 ms after the end the server must accept one, unless it is leaving. Otherwise the run counts as lost: items and resumable streams go on at another server after the last event, others are cut. Responses with a length or chunks are not checked.

With the check inverted the four cases of a crash in unframed_responses fail.

--- a/gateway/src/serve/crash_checks.rs
+++ b/gateway/src/serve/crash_checks.rs
@@ -6,12 +6,20 @@
     Instant, //
 };
 
+use limpetweir_state::Timestamp;
 use limpetweir_transport::http::TrafficClass;
-use limpetweir_transport::timeout_at;
+use limpetweir_transport::{
+    sleep,
+    timeout_at, //
+};
 
 use super::crashes::server_crashed;
-use super::lost_run::LostRun;
+use super::lost_run::{
+    LostRun,
+    RunPlace, //
+};
 use super::node::Node;
+use super::state::State;
 use super::suspicion::unresponsive;
 use super::task_kinds::OneShot;
 use crate::backend::{
@@ -34,10 +42,7 @@
     let key = run.place.key;
     {
         let mut state = node.lock();
-        let backend = state.backends.get(key);
-        let leaves = backend.is_none_or(|backend| !backend.accepts_requests(run.at))
-            || state.backends.is_evacuated(&entry.zone);
-        if leaves {
+        if leaves(&state, &run.place, run.at) {
             // Its end was planned and says nothing about parts that many requests share, but a sound
             // request is not on the next server too that ends without any output.
             if !run.is_early {
@@ -71,6 +76,37 @@
         .spawn_once(OneShot::CheckServer, check, clean_up);
 }
 
+/// Time between the end of a response and the check whether its server is gone. The system closes the sockets of a
+/// process that ends one after the other, in any order; a check without a pause found the listener open in 1 of 20
+/// crashes beside load.
+const CLOSE_TIME: Duration = Duration::from_millis(50);
+
+/// Longest wait for a connection to a server that has ended a response without a length.
+const ACCEPT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Returns whether a backend server is gone that has just closed the connection of a response without a length
+/// and without chunks. Nothing else tells the end of such a response from a crash of its server: the system closes
+/// the connections of a process that ends like those of one that has finished. A server that neither accepts nor
+/// refuses a connection counts as gone too.
+///
+/// A server that leaves may finish its responses after it has closed its listener, so its refusal says nothing.
+pub(crate) async fn is_gone<P: Store + Dialect>(node: &Arc<Node<P>>, run: &RunPlace) -> bool {
+    sleep(CLOSE_TIME).await;
+    if leaves(&node.lock(), run, node.now()) {
+        return false;
+    }
+    let open = node.client.open(run.entry.addr, TrafficClass::Online);
+    let opened = timeout_at(Instant::now() + ACCEPT_TIMEOUT, open).await;
+    opened.is_none_or(|opened| opened.is_err_and(|err| err.is_refused()))
+}
+
+/// Returns whether the end of a backend server is planned.
+fn leaves(state: &State, run: &RunPlace, now: Timestamp) -> bool {
+    let backend = state.backends.get(run.key);
+    backend.is_none_or(|backend| !backend.accepts_requests(now))
+        || state.backends.is_evacuated(&run.entry.zone)
+}
+
 /// Guard of a check whether a server has crashed.
 struct CheckGuard<'a, P> {
     node: &'a Node<P>,
--- a/gateway/src/serve/item_run.rs
+++ b/gateway/src/serve/item_run.rs
@@ -6,6 +6,7 @@
     Instant, //
 };
 
+use hyper::Method;
 use limpetweir_state::Timestamp;
 use limpetweir_transport::http::{
     ClientBody,
@@ -21,7 +22,11 @@
 use super::heads;
 use super::heads::SentRequest;
 use super::node::Node;
-use super::relay::Interruption;
+use super::relay::{
+    ENDED_WITH_SERVER,
+    Interruption,
+    has_end, //
+};
 use super::run_watch::RunWatch;
 use super::stream::next_bytes;
 use crate::backend::{
@@ -116,6 +121,7 @@
             return (RunEnd::Broken, err.to_string());
         }
     };
+    let has_end = has_end(&Method::POST, &response);
     let (head, body) = response.into_parts();
     let status = head.status.as_u16();
     let sent = SentRequest {
@@ -132,7 +138,14 @@
         }
     };
     match status {
-        200 if decoded.events => collect_events(node, run.backend, body, progress, watch).await,
+        200 if decoded.events => {
+            let end = collect_events(node, run.backend, body, progress, watch).await;
+            if end.0 == RunEnd::Completed && !has_end && watch.is_server_gone().await {
+                watch.connection_lost(true);
+                return (RunEnd::Broken, ENDED_WITH_SERVER.to_owned());
+            }
+            end
+        }
         IMPOSSIBLE => (RunEnd::Impossible, format!("status {status}")),
         500 => (RunEnd::Failed, format!("status {status}")),
         _ => (RunEnd::Broken, format!("status {status}")),
--- a/gateway/src/serve/relay.rs
+++ b/gateway/src/serve/relay.rs
@@ -82,6 +82,9 @@
     is_framed || !has_body || method == Method::HEAD
 }
 
+/// Cause of the loss of a response whose end only the end of its connection shows.
+pub(crate) const ENDED_WITH_SERVER: &str = "a response without a length ended with its server";
+
 /// Splits a response into the status and the headers for the caller, and the body.
 pub(crate) fn forwarded<P: Dialect>(
     node: &Node<P>,
--- a/gateway/src/serve/run_watch.rs
+++ b/gateway/src/serve/run_watch.rs
@@ -143,6 +143,11 @@
         }
     }
 
+    /// Returns whether the server is gone that has closed the connection of this run.
+    pub(crate) async fn is_server_gone(&self) -> bool {
+        crash_checks::is_gone(&self.node, &self.place).await
+    }
+
     /// Records that the connection ended before the response did.
     pub(crate) fn connection_lost(&self, head: bool) {
         self.node.metrics.run_lost(self.outputs > 0);
--- a/gateway/src/serve/stream.rs
+++ b/gateway/src/serve/stream.rs
@@ -21,6 +21,7 @@
 use super::choose::PlacedRequest;
 use super::node::Node;
 use super::relay::{
+    ENDED_WITH_SERVER,
     Interruption,
     Relay,
     Source,
@@ -68,6 +69,8 @@
     /// Whether only the end of the connection ends the response, so that a loss before the first event
     /// looks like the end of a stream that another server has begun.
     has_open_end: bool,
+    /// Whether the body was read to its end.
+    has_ended: bool,
     /// When the last event was complete; bytes that complete no event are no progress.
     pub(crate) progressed: Instant,
     /// Earliest time at which another server is asked for the rest.
@@ -108,6 +111,7 @@
             held: Vec::new(),
             held_bytes: 0,
             has_open_end,
+            has_ended: false,
             progressed: Instant::now(),
             ask_at: Instant::now() + STALL_TIMEOUT,
             placed,
@@ -133,13 +137,17 @@
 
     async fn read_events(&mut self) -> Result<Read, Interruption> {
         loop {
+            if self.has_ended {
+                return self.end().await;
+            }
             let Some(body) = &mut self.body else {
                 let cause = "the response has been interrupted".to_owned();
                 return Err(Interruption::ConnectionLost(cause));
             };
             self.reader.check().map_err(invalid)?;
             let Some(bytes) = watched(&self.watch, body).await? else {
-                return self.end();
+                self.has_ended = true;
+                continue;
             };
             let events = self.reader.push(&bytes).map_err(invalid)?;
             for _ in events.iter().filter(|event| event.is_output()) {
@@ -193,13 +201,16 @@
     }
 
     /// Checks that a body that has ended is whole. A response without a length and without chunks
-    /// ends with its connection, whether it is complete or not.
-    fn end(&self) -> Result<Read, Interruption> {
+    /// ends with its connection, whether it is complete or not; it is not if its server is gone.
+    async fn end(&self) -> Result<Read, Interruption> {
         let lost = |cause: IncompleteOutput| Interruption::ConnectionLost(cause.to_string());
         self.reader.end().map_err(lost)?;
         if self.has_open_end && !self.watch.has_output() {
             return Err(lost(IncompleteOutput::WithoutEvent));
         }
+        if self.has_open_end && self.watch.is_server_gone().await {
+            return Err(Interruption::ConnectionLost(ENDED_WITH_SERVER.to_owned()));
+        }
         Ok(Read::End)
     }
 }
--- a/gateway/src/serve/whole.rs
+++ b/gateway/src/serve/whole.rs
@@ -9,6 +9,7 @@
 
 use super::choose::PlacedRequest;
 use super::relay::{
+    ENDED_WITH_SERVER,
     Interruption,
     Relay,
     Source,
@@ -35,9 +36,10 @@
     /// Whether bytes have been read. The run is not withdrawn any more then, whatever its status.
     has_begun: bool,
     is_success: bool,
-    /// Whether nothing but its end says that the body is whole: it has neither a length nor chunks, so it
-    /// ends with its connection, and no signature says that the server had the whole response.
+    /// Whether the body ends with its connection, as it has neither a length nor chunks.
     has_open_end: bool,
+    /// Whether a signature says that the server had the whole response.
+    is_signed: bool,
     /// Counts the request in the load of the server.
     _placed: PlacedRequest<P>,
 }
@@ -51,8 +53,14 @@
         };
         self.has_begun |= bytes.is_some();
         if bytes.is_none() && self.has_open_end {
-            let cause = "a response without a signature ended with its connection".to_owned();
-            return Err(Interruption::ConnectionLost(cause));
+            if !self.is_signed {
+                let cause = "a response without a signature ended with its connection".to_owned();
+                return Err(Interruption::ConnectionLost(cause));
+            }
+            // The server may have crashed while it sent the response.
+            if self.watch.is_server_gone().await {
+                return Err(Interruption::ConnectionLost(ENDED_WITH_SERVER.to_owned()));
+            }
         }
         if self.is_success {
             match bytes {
@@ -79,7 +87,8 @@
         WholeRun {
             has_begun: false,
             is_success: head.status().is_success(),
-            has_open_end: !has_end && !decoded.signed,
+            has_open_end: !has_end,
+            is_signed: decoded.signed,
             head,
             body,
             watch,
