--- a/transport/src/http/mod.rs
+++ b/transport/src/http/mod.rs
@@ -12,6 +12,7 @@
 mod server;
 mod sliced;
 mod sse;
+mod unread;
 
 pub use body::{Body, BodyClosed, BodyError, BodySender, BoxError, RequestBody, read_all};
 pub use client::{Client, ClientError, ClientLimits, SendOptions, TrafficClass};
