--- a/gateway/tests/batch.rs
+++ b/gateway/tests/batch.rs
@@ -405,6 +405,26 @@
     );
 }
 
+/// Guards against requests that a repeated report counts twice or moves the time of the last change for,
+/// and against a change that is not seen after it.
+#[test]
+fn a_repeated_report_changes_nothing() {
+    let at = Timestamp::from_millis;
+    let mut load = Load::default();
+    let first = report("p", &[(0, 3)], &[(9, 0, 5)]);
+    load.apply_report(&first, at(1));
+    assert_eq!(load.apply_report(&first, at(20)), 0);
+    assert_eq!(load.placed(backend(0)).total(), 4);
+    assert_eq!(load.unchanged_for(backend(0), at(21)).as_millis(), 20);
+    assert_eq!(
+        load.apply_report(&report("p", &[(0, 4)], &[(9, 0, 5)]), at(30)),
+        1
+    );
+    load.apply_report(&report("p", &[(0, 4)], &[(9, 1, 5)]), at(40));
+    assert_eq!(load.placed(backend(1)).total(), 1);
+    assert_eq!(load.placed(backend(0)).total(), 4);
+}
+
 /// Guards against counts that drift when reports replace each other, or when a peer is removed.
 #[test]
 fn a_report_replaces_the_one_before() {
--- a/gateway/tests/online.rs
+++ b/gateway/tests/online.rs
@@ -24,6 +24,7 @@
     ItemKey,
     LeavingSource,
     LimitReport,
+    MAX_LABEL_BYTES,
     Member,
     Members,
     Organisation,
@@ -198,6 +199,22 @@
     assert_eq!(fleet.admitted.len(), 9 * 4 * 10);
 }
 
+/// Guards against counts from before a restart of their sender that hide those after it, if the first
+/// report after the restart has no counts.
+#[test]
+fn counts_begin_anew_after_a_restart_without_counts() {
+    let mut quota = Quotas::default();
+    quota.configure(&config(10.0, 10.0), ms(0));
+    quota.set_unreachable(0, 2, ms(0));
+    let counts = |n| [(OrganisationKey::of("org"), n)];
+    assert!(quota.apply_report("a", 1, &[], ms(0)).is_empty());
+    assert_eq!(quota.apply_report("a", 1, &counts(3), ms(0)), counts(3));
+    assert!(quota.apply_report("a", 2, &[], ms(0)).is_empty());
+    assert_eq!(quota.apply_report("a", 2, &counts(2), ms(0)), counts(2));
+    let left = (0..10).filter(|_| quota.admit("org", ms(0)).is_ok());
+    assert_eq!(left.count(), 5);
+}
+
 /// Guards against a lowered limit that takes effect only after the previous burst is used up.
 #[test]
 fn a_lowered_limit_takes_effect_immediately() {
@@ -415,6 +432,18 @@
     assert_eq!(Report::decode(b"something else"), None);
 }
 
+/// Guards against reports that are lost because a text is longer than the buffer of the decoder.
+#[test]
+fn a_report_with_long_texts_is_decoded() {
+    let mut report = report(&"a".repeat(MAX_LABEL_BYTES), 1, 2);
+    report.evacuations = Some(EvacuationReport {
+        complete_to: Some(1),
+        zones: vec![("z".repeat(5_000), 1)],
+    });
+    let decoded = Report::decode(&report.encode()).expect("a report");
+    assert_eq!(decoded.name, report.name);
+}
+
 /// Guards against an old report that arrives late and replaces a newer one, and against ignoring
 /// the reports of a restarted instance, whose sequence numbers start again.
 #[test]
