gateway, transport: lines name the connection of each attempt

A refusal that a server writes twice can only be told from a refusal of the present attempt by the connection on which both came. LW2501, LW2503, LW2508 and LW2604 have its number and the requests that were sent on it before, so that the lines of a request that was refused and ran show whether an attempt had a new connection or that of an earlier attempt. No decision changes.

--- a/gateway/src/serve/attempt.rs
+++ b/gateway/src/serve/attempt.rs
@@ -1,5 +1,6 @@
 //! Attempts at backend servers: sending a request to the selected one, and what its failure means.
 
+use std::fmt;
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -9,6 +10,7 @@
 use limpetweir_transport::http::{
     ClientBody,
     ClientError,
+    ConnectionUse,
     SendOptions,
     TrafficClass, //
 };
@@ -24,6 +26,7 @@
     self, //
     SentRequest,
 };
+use super::lines::describe_connection;
 use super::node::Node;
 use super::relay::Source;
 use super::run_watch::{
@@ -42,13 +45,43 @@
     /// The backend server responded.
     Answered(Box<Source<P>>),
     /// The backend server did not run the request.
-    NotRun(String),
+    NotRun(Failure),
     /// No process listens at the address of the backend server.
-    Refused(String),
+    Refused(Failure),
     /// The backend server may have run the request.
-    MayHaveRun(String),
+    MayHaveRun(Failure),
     /// The connection ended, and the backend server may have run the request.
-    Lost(String),
+    Lost(Failure),
+}
+
+/// Why an attempt failed, and on which connection.
+#[derive(Debug)]
+pub(crate) struct Failure {
+    pub(crate) cause: String,
+    /// `None` if the request was not sent, or if the attempt ended before its connection was known.
+    sent_on: Option<ConnectionUse>,
+}
+
+impl Failure {
+    pub(crate) fn new(cause: impl Into<String>, sent_on: Option<ConnectionUse>) -> Self {
+        Self {
+            cause: cause.into(),
+            sent_on,
+        }
+    }
+}
+
+impl From<&ClientError> for Failure {
+    fn from(err: &ClientError) -> Self {
+        Self::new(err.to_string(), err.sent_on())
+    }
+}
+
+impl fmt::Display for Failure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let connection = describe_connection(self.sent_on);
+        write!(f, "cause=\"{}\"{connection}", self.cause)
+    }
 }
 
 /// Sends a request to the selected backend server and waits for the response head.
@@ -61,20 +94,21 @@
     let key = placed.key;
     let id = &admitted.call.request_id;
     if !evacuation::may_send(node, &placed.entry) {
-        return Attempt::NotRun(ZONE_EVACUATED.to_owned());
+        return Attempt::NotRun(Failure::new(ZONE_EVACUATED, None));
     }
-    let watch = RunWatch::new(node, id, &admitted.parts, placed.place());
+    let mut watch = RunWatch::new(node, id, &admitted.parts, placed.place());
     let sent = async { Some(send(node, admitted, history, &placed).await) };
     let withdrawn = async {
         watch.blamed().await;
         None
     };
     let Some(sent) = future::or(sent, withdrawn).await else {
-        return Attempt::MayHaveRun(WITHDRAWN.to_owned());
+        return Attempt::MayHaveRun(Failure::new(WITHDRAWN, None));
     };
     match sent {
         Ok(response) => {
             let (head, body) = response.into_parts();
+            let sent_on = Some(body.sent_on());
             let sent = SentRequest {
                 id,
                 entry: &placed.entry,
@@ -86,25 +120,27 @@
                     head: decoded,
                     placed,
                 })),
-                heads::Verdict::NotRun(cause) => Attempt::NotRun(cause),
+                heads::Verdict::NotRun(cause) => Attempt::NotRun(Failure::new(cause, sent_on)),
                 heads::Verdict::Foreign(cause) => {
                     body.close();
-                    Attempt::MayHaveRun(cause)
+                    Attempt::MayHaveRun(Failure::new(cause, sent_on))
                 }
             }
         }
         Err(err) => {
             unresponsive(node, key, &err);
+            let failure = Failure::from(&err);
             if err.is_lost_run() {
+                watch.set_sent_on(err.sent_on());
                 watch.connection_lost(false);
-                return Attempt::Lost(err.to_string());
+                return Attempt::Lost(failure);
             }
             if err.is_refused() {
-                return Attempt::Refused(err.to_string());
+                return Attempt::Refused(failure);
             }
             match err.verdict() {
-                Verdict::NotRun => Attempt::NotRun(err.to_string()),
-                Verdict::MayHaveRun | Verdict::Ran => Attempt::MayHaveRun(err.to_string()),
+                Verdict::NotRun => Attempt::NotRun(failure),
+                Verdict::MayHaveRun | Verdict::Ran => Attempt::MayHaveRun(failure),
             }
         }
     }
--- a/gateway/src/serve/find_response.rs
+++ b/gateway/src/serve/find_response.rs
@@ -54,7 +54,7 @@
         let placed = place(node, admitted, history).await?;
         let backend = placed.entry.clone();
         history.tried.push(placed.key);
-        let (verdict, cause) = match attempt(node, admitted, history, placed).await {
+        let (verdict, failure) = match attempt(node, admitted, history, placed).await {
             Attempt::Answered(source) => {
                 history.runs += 1;
                 let waiting = Relay {
@@ -64,6 +64,7 @@
                     history: &mut *history,
                     forwarded: Forwarded::default(),
                     backend: backend.id.clone(),
+                    sent_on: source.response.body().sent_on(),
                 };
                 // Most connections are idle, and each has room for the future of a request.
                 match Box::pin(waiting.first_output(*source)).await {
@@ -74,29 +75,29 @@
                     }
                 }
             }
-            Attempt::NotRun(cause) => {
+            Attempt::NotRun(failure) => {
                 history.rejections += 1;
-                (Verdict::NotRun, cause)
+                (Verdict::NotRun, failure)
             }
-            Attempt::Refused(cause) => (Verdict::NotRun, cause),
-            Attempt::MayHaveRun(cause) => {
+            Attempt::Refused(failure) => (Verdict::NotRun, failure),
+            Attempt::MayHaveRun(failure) => {
                 history.runs += 1;
-                (Verdict::MayHaveRun, cause)
+                (Verdict::MayHaveRun, failure)
             }
-            Attempt::Lost(cause) => {
+            Attempt::Lost(failure) => {
                 history.runs += 1;
                 history.silent_losses += 1;
-                (Verdict::MayHaveRun, cause)
+                (Verdict::MayHaveRun, failure)
             }
         };
         let id = &admitted.call.request_id;
         log_event!(
             ATTEMPT_FAILED,
-            "request={id} backend={} verdict={verdict} cause=\"{cause}\"",
+            "request={id} backend={} verdict={verdict} {failure}",
             backend.id
         );
         if verdict != Verdict::NotRun {
-            may_repeat(node, admitted, history, &cause).await?;
+            may_repeat(node, admitted, history, &failure.cause).await?;
         }
     }
 }
--- a/gateway/src/serve/first_output.rs
+++ b/gateway/src/serve/first_output.rs
@@ -4,6 +4,7 @@
 use hyper::Response;
 use hyper::body::Bytes;
 use limpetweir_state::Verdict;
+use limpetweir_transport::http::ConnectionUse;
 
 use super::lines::{
     ATTEMPT_FAILED,
@@ -33,6 +34,8 @@
     pub(crate) forwarded: Forwarded,
     /// Identifier of the server that the output comes from.
     pub(crate) backend: String,
+    /// Connection to it on which the request was sent.
+    pub(crate) sent_on: ConnectionUse,
 }
 
 /// The beginning of a response, and what follows it.
@@ -67,14 +70,16 @@
             let verdict = Verdict::MayHaveRun;
             log_event!(
                 ATTEMPT_FAILED,
-                "request={id} backend={} verdict={verdict} cause=\"{cause}\"",
-                self.backend
+                "request={id} backend={} verdict={verdict} cause=\"{cause}\" {}",
+                self.backend,
+                self.sent_on
             );
         }
         Ok(Started {
             output: output?,
             forwarded: self.forwarded,
             backend: self.backend,
+            sent_on: self.sent_on,
         })
     }
 
--- a/gateway/src/serve/item_run.rs
+++ b/gateway/src/serve/item_run.rs
@@ -115,6 +115,7 @@
     let response = match sent {
         Ok(response) => response,
         Err(err) => {
+            watch.set_sent_on(err.sent_on());
             if err.is_lost_run() {
                 watch.connection_lost(false);
             }
@@ -123,6 +124,7 @@
     };
     let has_end = has_end(&Method::POST, &response);
     let (head, body) = response.into_parts();
+    watch.set_sent_on(Some(body.sent_on()));
     let status = head.status.as_u16();
     let sent = SentRequest {
         id: &run.item.id,
--- a/gateway/src/serve/lines.rs
+++ b/gateway/src/serve/lines.rs
@@ -20,6 +20,7 @@
     Receiver,
     Sender, //
 };
+use limpetweir_transport::http::ConnectionUse;
 use log::{
     Level,
     LevelFilter,
@@ -201,6 +202,11 @@
 /// An append went through a peer.
 pub(crate) const STORE_CALL_RELAYED: Event = Event::new(2610, Level::Info);
 
+/// Returns the fields of a line about the connection of an attempt; empty if it is not known.
+pub(crate) fn describe_connection(sent_on: Option<ConnectionUse>) -> String {
+    sent_on.map_or_else(String::new, |sent_on| format!(" {sent_on}"))
+}
+
 /// Logger that sends lines to the writer thread.
 struct LineLogger {
     tx: Sender<String>,
--- a/gateway/src/serve/relay.rs
+++ b/gateway/src/serve/relay.rs
@@ -22,6 +22,7 @@
     Body,
     BodySender,
     ClientBody, //
+    ConnectionUse,
 };
 use limpetweir_transport::timeout_at;
 
@@ -157,6 +158,8 @@
     pub(crate) forwarded: Forwarded,
     /// Identifier of the backend server from which the response comes at present.
     pub(crate) backend: String,
+    /// Connection to it on which the request was sent.
+    pub(crate) sent_on: ConnectionUse,
 }
 
 /// Passes the head of a response on with its first output, and starts to relay the rest.
@@ -186,6 +189,7 @@
             history: &mut history,
             forwarded: started.forwarded,
             backend: started.backend,
+            sent_on: started.sent_on,
         };
         let end = relay.relay(rest, &sender, status).await;
         finish(open, end, sender, admitted.deadline).await;
@@ -292,10 +296,11 @@
         let admitted = self.admitted;
         log_event!(
             ANSWERED,
-            "request={} status={} backend={} first_ms={} ms={} events={} runs={} route={} version={}",
+            "request={} status={} backend={} {} first_ms={} ms={} events={} runs={} route={} version={}",
             admitted.call.request_id,
             status.as_u16(),
             self.backend,
+            self.sent_on,
             self.forwarded.first_ms(),
             admitted.arrived.elapsed().as_millis(),
             self.forwarded.events,
--- a/gateway/src/serve/rest.rs
+++ b/gateway/src/serve/rest.rs
@@ -10,7 +10,10 @@
 use limpetweir_transport::http::ClientError;
 
 use super::admitted::Admitted;
-use super::attempt::send;
+use super::attempt::{
+    Failure,
+    send, //
+};
 use super::attempt_history::AttemptHistory;
 use super::choose::PlacedRequest;
 use super::evacuation;
@@ -63,9 +66,10 @@
     if !evacuation::may_send(node, &placed.entry) {
         return Err(NoRest::Rejected);
     }
-    let (no_rest, verdict, cause) = match send(node, admitted, history, &placed).await {
+    let (no_rest, verdict, failure) = match send(node, admitted, history, &placed).await {
         Ok(response) => {
             let (head, body) = response.into_parts();
+            let sent_on = Some(body.sent_on());
             let sent = SentRequest {
                 id,
                 entry: &placed.entry,
@@ -85,12 +89,16 @@
                     body.close();
                     let status = head.status.as_u16();
                     let cause = format!("status {status}, not the rest of the stream");
-                    (NoRest::Ran, Verdict::Ran, cause)
+                    (NoRest::Ran, Verdict::Ran, Failure::new(cause, sent_on))
+                }
+                heads::Verdict::NotRun(cause) => {
+                    let failure = Failure::new(cause, sent_on);
+                    (NoRest::Rejected, Verdict::NotRun, failure)
                 }
-                heads::Verdict::NotRun(cause) => (NoRest::Rejected, Verdict::NotRun, cause),
                 heads::Verdict::Foreign(cause) => {
                     body.close();
-                    (NoRest::Ran, Verdict::MayHaveRun, cause)
+                    let failure = Failure::new(cause, sent_on);
+                    (NoRest::Ran, Verdict::MayHaveRun, failure)
                 }
             }
         }
@@ -99,13 +107,13 @@
             (
                 no_response(node, admitted, &placed, &err),
                 err.verdict(),
-                err.to_string(),
+                Failure::from(&err),
             )
         }
     };
     log_event!(
         ATTEMPT_FAILED,
-        "request={id} backend={backend} verdict={verdict} cause=\"{cause}\""
+        "request={id} backend={backend} verdict={verdict} {failure}"
     );
     Err(no_rest)
 }
@@ -119,7 +127,9 @@
 ) -> NoRest {
     if err.is_lost_run() {
         let id = &admitted.call.request_id;
-        RunWatch::new(node, id, &admitted.parts, placed.place()).connection_lost(false);
+        let mut watch = RunWatch::new(node, id, &admitted.parts, placed.place());
+        watch.set_sent_on(err.sent_on());
+        watch.connection_lost(false);
         return NoRest::Lost;
     }
     match err.verdict() {
--- a/gateway/src/serve/run_watch.rs
+++ b/gateway/src/serve/run_watch.rs
@@ -7,10 +7,12 @@
 };
 
 use futures_lite::future;
+use limpetweir_transport::http::ConnectionUse;
 
 use super::lines::{
     RUN_LOST,
     RUN_WITHDRAWN,
+    describe_connection,
     log_event, //
 };
 use super::lost_run::{
@@ -52,6 +54,8 @@
     outputs: u32,
     /// When the output was last recorded; set if there is any.
     recorded: Option<Instant>,
+    /// Connection of the run, once it is known.
+    sent_on: Option<ConnectionUse>,
 }
 
 impl<P: Store + Dialect> Drop for RunWatch<P> {
@@ -76,9 +80,20 @@
             place,
             outputs: 0,
             recorded: None,
+            sent_on: None,
         }
     }
 
+    /// Records the connection of the run.
+    pub(crate) fn set_sent_on(&mut self, sent_on: Option<ConnectionUse>) {
+        self.sent_on = sent_on;
+    }
+
+    /// Returns the connection of the run, if it is known.
+    pub(crate) fn sent_on(&self) -> Option<ConnectionUse> {
+        self.sent_on
+    }
+
     /// Returns the backend server of the run.
     pub(crate) fn key(&self) -> BackendKey {
         self.place.key
@@ -154,12 +169,13 @@
         let run = self.lost_run();
         log_event!(
             RUN_LOST,
-            "request={} backend={} parts={} {} head={head} outputs={}",
+            "request={} backend={} parts={} {} head={head} outputs={}{}",
             self.request,
             self.place.entry.id,
             list(self.parts.shared()),
             run.identity,
-            self.outputs
+            self.outputs,
+            describe_connection(self.sent_on)
         );
         crash_checks::run_lost(&self.node, run);
     }
--- a/gateway/src/serve/runs.rs
+++ b/gateway/src/serve/runs.rs
@@ -10,6 +10,7 @@
 use futures_lite::future;
 use hyper::Method;
 use limpetweir_state::Timestamp;
+use limpetweir_transport::http::ConnectionUse;
 
 use super::attempt_history::AttemptKind;
 use super::crash_checks;
@@ -25,6 +26,7 @@
     ITEM_STARTED,
     OUTPUT_TOO_LARGE,
     RECORD_SKIPPED,
+    describe_connection,
     log_event, //
 };
 use super::lost_run::RunPlace;
@@ -155,17 +157,18 @@
     let from = run.progress.events();
     log_start(&node, &run);
     let mut progress = std::mem::take(&mut run.progress);
-    let (end, cause) = run_until_stopped(&node, &run, &mut progress, stopped).await;
+    let (end, cause, sent_on) = run_until_stopped(&node, &run, &mut progress, stopped).await;
     let events = progress.events();
     let elapsed = started.elapsed();
     let name: &str = (&end).into();
     log_event!(
         ITEM_ENDED,
-        "item={} job={} backend={} end={name} events={events} ms={} cause=\"{cause}\"",
+        "item={} job={} backend={} end={name} events={events} ms={} cause=\"{cause}\"{}",
         run.item.id,
         run.job,
         run.entry.id,
-        elapsed.as_millis()
+        elapsed.as_millis(),
+        describe_connection(sent_on)
     );
     node.metrics.item(name, elapsed);
     let text = match end {
@@ -201,14 +204,14 @@
     );
 }
 
-/// Runs an item until its response or the run ends, and returns how and why. Records what the end says
-/// about the server.
+/// Runs an item until its response or the run ends, and returns how, why and on which connection. Records
+/// what the end says about the server.
 async fn run_until_stopped<P: Store + Dialect>(
     node: &Arc<Node<P>>,
     run: &ItemRun,
     progress: &mut Progress,
     stopped: Receiver<StopCause>,
-) -> (RunEnd, String) {
+) -> (RunEnd, String, Option<ConnectionUse>) {
     let stop = async {
         // The sender is dropped when another run of the item replaces this one.
         let cause = stopped.recv().await.unwrap_or(StopCause::RunsElsewhere);
@@ -246,7 +249,7 @@
         RunEnd::Silent => watch.dropped_in_silence(),
         RunEnd::Impossible | RunEnd::Failed | RunEnd::Rejected | RunEnd::Stopped => {}
     }
-    (end, cause)
+    (end, cause, watch.sent_on())
 }
 
 /// Ends the run of an item whose task has panicked. The item waits for another run, which continues
--- a/gateway/src/serve/stream.rs
+++ b/gateway/src/serve/stream.rs
@@ -96,14 +96,16 @@
         let Source {
             response, placed, ..
         } = source;
+        let id = &admitted.call.request_id;
         let has_open_end = !has_end(&admitted.head.method, &response);
         let (mut head, body) = forwarded(node, response);
+        let mut watch = RunWatch::new(node, id, &admitted.parts, placed.place());
+        watch.set_sent_on(Some(body.sent_on()));
         // Another server may continue the stream, so its total length is not known yet.
         head.headers_mut().remove(CONTENT_LENGTH);
-        let id = &admitted.call.request_id;
         Self {
             node: node.clone(),
-            watch: RunWatch::new(node, id, &admitted.parts, placed.place()),
+            watch,
             head,
             body: Some(body),
             reader: EventReader::after(last_event, &node.output_budget),
--- a/gateway/src/serve/takeover.rs
+++ b/gateway/src/serve/takeover.rs
@@ -290,6 +290,9 @@
             self.backend
         );
         self.backend.clone_from(to);
+        if let Some(sent_on) = run.watch.sent_on() {
+            self.sent_on = sent_on;
+        }
     }
 
     /// Corrects the number of runs, which counts an attempt from its start on.
--- a/gateway/src/serve/whole.rs
+++ b/gateway/src/serve/whole.rs
@@ -83,7 +83,8 @@
         let has_end = has_end(&self.admitted.head.method, &response);
         let (head, body) = forwarded(self.node, response);
         let id = &self.admitted.call.request_id;
-        let watch = RunWatch::new(self.node, id, &self.admitted.parts, placed.place());
+        let mut watch = RunWatch::new(self.node, id, &self.admitted.parts, placed.place());
+        watch.set_sent_on(Some(body.sent_on()));
         WholeRun {
             has_begun: false,
             is_success: head.status().is_success(),
--- a/transport/src/http/client.rs
+++ b/transport/src/http/client.rs
@@ -7,16 +7,17 @@
 };
 use std::pin::pin;
 use std::sync::Arc;
+use std::sync::atomic::{
+    AtomicU64,
+    Ordering, //
+};
 use std::time::{
     Duration,
     Instant, //
 };
 
 use async_io::Async;
-use hyper::body::{
-    Bytes,
-    Incoming, //
-};
+use hyper::body::Bytes;
 use hyper::client::conn::http1;
 use hyper::header::{
     HOST,
@@ -44,6 +45,7 @@
 use super::pool::{
     ClientBody,
     Connection,
+    ConnectionUse,
     Pool, //
 };
 use super::sliced::SlicedBody;
@@ -144,6 +146,8 @@
         addr: SocketAddr,
         /// Whether the request may have run.
         verdict: Verdict,
+        /// The connection, unless it was closed before the request was sent.
+        sent_on: Option<ConnectionUse>,
         /// Cause reported by hyper.
         source: hyper::Error,
     },
@@ -154,6 +158,8 @@
         addr: SocketAddr,
         /// Whether the request may have run.
         verdict: Verdict,
+        /// The connection, unless the deadline came before the request was sent.
+        sent_on: Option<ConnectionUse>,
     },
 }
 
@@ -174,6 +180,14 @@
         matches!(self, Self::Closed { verdict, .. } if *verdict != Verdict::NotRun)
     }
 
+    /// Returns the connection on which the request was sent.
+    pub fn sent_on(&self) -> Option<ConnectionUse> {
+        match self {
+            Self::Connect { .. } | Self::ConnectTimeout { .. } => None,
+            Self::Closed { sent_on, .. } | Self::Deadline { sent_on, .. } => *sent_on,
+        }
+    }
+
     /// Returns whether the request may have run.
     ///
     /// It is `NotRun` as long as no byte of the request was written to the operating system.
@@ -191,6 +205,8 @@
     spawner: Spawner,
     limits: ClientLimits,
     pool: Arc<Pool>,
+    /// Number of connections so far.
+    connections: Arc<AtomicU64>,
 }
 
 impl Client {
@@ -200,6 +216,7 @@
             spawner: spawner.clone(),
             limits,
             pool: Arc::new(Pool::new(limits.idle_connections, limits.idle_timeout)),
+            connections: Arc::default(),
         }
     }
 
@@ -215,8 +232,12 @@
         options: SendOptions,
     ) -> Result<Response<ClientBody>, ClientError> {
         if options.deadline.is_some_and(|at| at <= Instant::now()) {
-            let verdict = Verdict::NotRun;
-            return DeadlineSnafu { addr, verdict }.fail();
+            return DeadlineSnafu {
+                addr,
+                verdict: Verdict::NotRun,
+                sent_on: None,
+            }
+            .fail();
         }
         let req = with_host(addr, req);
         let key = (addr, options.class);
@@ -297,12 +318,15 @@
         let (sender, connection) = handshake.context(ClosedSnafu {
             addr,
             verdict: Verdict::NotRun,
+            sent_on: None,
         })?;
         let driver = self.spawner.spawn(async move {
             // The request in flight receives the same error and reports it.
             let _ = connection.await;
         });
         Ok(Connection {
+            number: self.connections.fetch_add(1, Ordering::Relaxed) + 1,
+            sent: 0,
             sender,
             driver,
             written,
@@ -320,6 +344,7 @@
         options: SendOptions,
     ) -> Result<Response<ClientBody>, ClientError> {
         let written_before = connection.written.get();
+        let sent_on = connection.count_request();
         let sending = connection.sender.send_request(req);
         let result = match options.deadline {
             Some(deadline) => timeout_at(deadline, sending).await,
@@ -329,29 +354,32 @@
             Some(Ok(response)) => {
                 connection.server_idle_timeout =
                     server_idle_timeout(response.headers()).or(connection.server_idle_timeout);
-                Ok(self.with_client_body(response, connection, addr, options))
+                let key = (addr, options.class);
+                Ok(response.map(|body| {
+                    let pool = &self.pool;
+                    ClientBody::new(body, connection, sent_on, pool, key, options.deadline)
+                }))
             }
             Some(Err(source)) => {
                 let verdict = close(connection, written_before).await;
-                Err(ClosedSnafu { addr, verdict }.into_error(source))
+                let closed = ClosedSnafu {
+                    addr,
+                    verdict,
+                    sent_on,
+                };
+                Err(closed.into_error(source))
             }
             None => {
                 let verdict = close(connection, written_before).await;
-                DeadlineSnafu { addr, verdict }.fail()
+                let deadline = DeadlineSnafu {
+                    addr,
+                    verdict,
+                    sent_on,
+                };
+                deadline.fail()
             }
         }
     }
-
-    fn with_client_body(
-        &self,
-        response: Response<Incoming>,
-        connection: Connection,
-        addr: SocketAddr,
-        options: SendOptions,
-    ) -> Response<ClientBody> {
-        let key = (addr, options.class);
-        response.map(|body| ClientBody::new(body, connection, &self.pool, key, options.deadline))
-    }
 }
 
 /// Closes a connection and returns the verdict on its request.
--- a/transport/src/http/mod.rs
+++ b/transport/src/http/mod.rs
@@ -18,7 +18,7 @@
 pub use client::{Client, ClientError, ClientLimits, SendOptions, TrafficClass};
 pub use limits::{ConnectionLimits, HeadLimits};
 pub use places::{ENDING_CONNECTIONS, ReleaseCause, Released};
-pub use pool::ClientBody;
+pub use pool::{ClientBody, ConnectionUse};
 pub use release::{
     GRACE_TIME, Holder, PROGRESS_BYTES, Progress, READ_STALL_TIME, STALL_TIME, Standing,
     first_to_release,
--- a/transport/src/http/pool.rs
+++ b/transport/src/http/pool.rs
@@ -1,6 +1,7 @@
 //! Pooled client connections and the response bodies that return them to the pool.
 
 use std::collections::HashMap;
+use std::fmt;
 use std::net::{
     SocketAddr,
     TcpStream, //
@@ -48,9 +49,28 @@
 };
 use super::sliced::SlicedBody;
 
+/// Connection on which a request was sent, and how far it was used before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConnectionUse {
+    /// Number of the connection; the client counts its connections from 1.
+    pub number: u64,
+    /// Number of requests that were sent on it before this one.
+    pub earlier: u32,
+}
+
+impl fmt::Display for ConnectionUse {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "connection={} earlier={}", self.number, self.earlier)
+    }
+}
+
 /// A client connection; dropping it closes the socket.
 #[derive(Debug)]
 pub(crate) struct Connection {
+    /// Number of the connection in its client.
+    pub(crate) number: u64,
+    /// Number of requests that were sent on it.
+    pub(crate) sent: u32,
     pub(crate) sender: SendRequest<SlicedBody>,
     /// Task that drives the connection; cancelled on drop.
     pub(crate) driver: Task<()>,
@@ -62,6 +82,16 @@
 }
 
 impl Connection {
+    /// Counts a request that is about to be sent.
+    pub(crate) fn count_request(&mut self) -> ConnectionUse {
+        let earlier = self.sent;
+        self.sent = self.sent.saturating_add(1);
+        ConnectionUse {
+            number: self.number,
+            earlier,
+        }
+    }
+
     /// Returns whether the connection is within the server's idle timeout, or within the client's
     /// `timeout` if the server sent none.
     fn is_fresh(&self, timeout: Duration) -> bool {
@@ -154,6 +184,7 @@
 pub struct ClientBody {
     incoming: Incoming,
     connection: Option<Connection>,
+    sent_on: ConnectionUse,
     pool: Weak<Pool>,
     key: Key,
     deadline: Option<Timer>,
@@ -163,6 +194,7 @@
     pub(crate) fn new(
         incoming: Incoming,
         connection: Connection,
+        sent_on: ConnectionUse,
         pool: &Arc<Pool>,
         key: Key,
         deadline: Option<Instant>,
@@ -170,12 +202,18 @@
         Self {
             incoming,
             connection: Some(connection),
+            sent_on,
             pool: Arc::downgrade(pool),
             key,
             deadline: deadline.map(Timer::at),
         }
     }
 
+    /// Returns the connection on which the request was sent.
+    pub fn sent_on(&self) -> ConnectionUse {
+        self.sent_on
+    }
+
     /// Closes the connection even if the response is complete, for servers whose responses are not
     /// trusted.
     pub fn close(mut self) {
