--- a/transport/src/http/body.rs
+++ b/transport/src/http/body.rs
@@ -38,7 +38,7 @@
 use snafu::Snafu;
 
 use super::activity::Activity;
-use super::pool::ClientBody;
+use super::client::ClientBody;
 use super::sliced::next_slice;
 use super::unread::UnreadBody;
 
--- a/transport/src/http/client.rs
+++ b/transport/src/http/client/mod.rs
@@ -1,5 +1,12 @@
 //! HTTP/1 client with a connection pool per address and traffic class.
 
+mod connection;
+mod pool;
+mod response_body;
+
+pub use self::connection::ConnectionUse;
+pub use self::response_body::ClientBody;
+
 use std::io;
 use std::net::{
     SocketAddr,
@@ -36,18 +43,14 @@
     Snafu, //
 };
 
+use self::connection::Connection;
+use self::pool::Pool;
 use super::body::BUFFER_BYTES;
 use super::io::{
     CountedStream,
     WrittenBytes, //
     YieldingStream,
 };
-use super::pool::{
-    ClientBody,
-    Connection,
-    ConnectionUse,
-    Pool, //
-};
 use super::sliced::SlicedBody;
 use crate::runtime::{
     Spawner,
--- a/transport/src/http/mod.rs
+++ b/transport/src/http/mod.rs
@@ -6,7 +6,6 @@
 mod io;
 mod limits;
 mod places;
-mod pool;
 mod release;
 mod responses;
 mod server;
@@ -15,10 +14,11 @@
 mod unread;
 
 pub use body::{Body, BodyClosed, BodyError, BodySender, BoxError, RequestBody, read_all};
-pub use client::{Client, ClientError, ClientLimits, SendOptions, TrafficClass};
+pub use client::{
+    Client, ClientBody, ClientError, ClientLimits, ConnectionUse, SendOptions, TrafficClass,
+};
 pub use limits::{ConnectionLimits, HeadLimits};
 pub use places::{ENDING_CONNECTIONS, ReleaseCause, Released};
-pub use pool::{ClientBody, ConnectionUse};
 pub use release::{
     GRACE_TIME, Holder, PROGRESS_BYTES, Progress, READ_STALL_TIME, STALL_TIME, Standing,
     first_to_release,
