gateway: heads of responses are counted by what they say and by their connection

limpetweir_response_heads tells how many heads belong to another request, and how many refusals came on connections that were used before. A refusal that is written twice and names a request that is under way again counts as a second refusal on a kept connection; the lines of the request then have the same connection number twice.

--- a/gateway/src/serve/heads.rs
+++ b/gateway/src/serve/heads.rs
@@ -4,6 +4,7 @@
 
 use hyper::http::response;
 use limpetweir_state::Timestamp;
+use limpetweir_transport::http::ConnectionUse;
 
 use super::choose::LimitsMet;
 use super::cold_servers;
@@ -40,10 +41,13 @@
     pub(crate) entry: &'a BackendEntry,
     /// When it was sent, or earlier.
     pub(crate) at: Timestamp,
+    /// Connection on which it was sent.
+    pub(crate) on: ConnectionUse,
 }
 
 /// What the head of a response says about the request that it was read for.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, strum::IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
 pub(crate) enum Verdict {
     /// It is the response to the request.
     Response(ResponseHead),
@@ -54,11 +58,22 @@
     Foreign(String),
 }
 
+/// Returns the verdict of a head and counts it, and applies what the server says about itself.
+pub(crate) fn examine<P: Dialect>(
+    node: &Arc<Node<P>>,
+    sent: SentRequest<'_>,
+    head: &response::Parts,
+) -> Verdict {
+    let verdict = judge(node, sent, head);
+    node.metrics.response_head((&verdict).into(), sent.on);
+    verdict
+}
+
 /// Returns the verdict of a head, and applies what the server says about itself.
 ///
 /// The identifier is compared first: a refusal of an earlier request, or one without an identifier,
 /// must not be taken for that of a request that the server runs.
-pub(crate) fn examine<P: Dialect>(
+fn judge<P: Dialect>(
     node: &Arc<Node<P>>,
     sent: SentRequest<'_>,
     head: &response::Parts,
--- a/gateway/src/serve/item_run.rs
+++ b/gateway/src/serve/item_run.rs
@@ -124,12 +124,14 @@
     };
     let has_end = has_end(&Method::POST, &response);
     let (head, body) = response.into_parts();
-    watch.set_sent_on(Some(body.sent_on()));
+    let on = body.sent_on();
+    watch.set_sent_on(Some(on));
     let status = head.status.as_u16();
     let sent = SentRequest {
         id: &run.item.id,
         entry: &run.entry,
         at: run.chosen_at,
+        on,
     };
     let decoded = match heads::examine(node, sent, &head) {
         heads::Verdict::Response(decoded) => decoded,
--- a/gateway/src/serve/metrics.rs
+++ b/gateway/src/serve/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use limpetweir_transport::http::ConnectionUse;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{
     Counter,
@@ -52,6 +53,7 @@
     store_call_time: Histogram<f64>,
     store_bytes: Counter<u64>,
     relayed_calls: Counter<u64>,
+    response_heads: Counter<u64>,
     runs_lost: Counter<u64>,
     suspected_runs: Counter<u64>,
     requests_released: Counter<u64>,
@@ -128,6 +130,11 @@
                 "limpetweir_relayed_store_calls",
                 "Store calls that a peer was asked to make, or that were made for a peer, by outcome",
             ),
+            response_heads: counter(
+                "limpetweir_response_heads",
+                "Heads of the responses of backend servers by what they say about the request and by whether \
+                 its connection was new",
+            ),
             runs_lost: counter(
                 "limpetweir_runs_lost",
                 "Runs whose connection ended before the answer, with or without output",
@@ -273,6 +280,16 @@
         self.relayed_calls.add(1, &labels);
     }
 
+    /// Counts the head of a response; `verdict` is what it says about its request.
+    pub(crate) fn response_head(&self, verdict: &'static str, on: ConnectionUse) {
+        let connection = if on.earlier == 0 { "new" } else { "kept" };
+        let labels = [
+            KeyValue::new("verdict", verdict),
+            KeyValue::new("connection", connection),
+        ];
+        self.response_heads.add(1, &labels);
+    }
+
     /// Counts a run whose connection ended before its response did.
     pub(crate) fn run_lost(&self, any_output: bool) {
         let output = if any_output { "some" } else { "none" };
--- a/gateway/src/serve/rest.rs
+++ b/gateway/src/serve/rest.rs
@@ -69,11 +69,13 @@
     let (no_rest, verdict, failure) = match send(node, admitted, history, &placed).await {
         Ok(response) => {
             let (head, body) = response.into_parts();
-            let sent_on = Some(body.sent_on());
+            let on = body.sent_on();
+            let sent_on = Some(on);
             let sent = SentRequest {
                 id,
                 entry: &placed.entry,
                 at: placed.chosen_at,
+                on,
             };
             match heads::examine(node, sent, &head) {
                 heads::Verdict::Response(decoded)
