transport: an identifier is sent once on each connection to a backend server

Cause: a response is matched to a request by its identifier, which names the request and not the attempt. A server may write a refusal once more, late; if the same identifier was sent again on the same connection, the copy was believed. The pool hands out the connection that was used last, so a request that is refused and sent again to its server soon gets the very connection of its refusal: items, the rest of a stream, identifiers that callers send again, and servers that come back under another id at the same address.

Change: a connection remembers the identifiers that were sent on it, and the pool does not hand it out for one of them. The client reads the identifier from the request itself, so no caller of the client can leave it out. Requests without an identifier, or with one that is not text, count as the same one. A connection is closed after 256 requests, so that it remembers at most 2 KiB. If all idle connections to a server have sent an identifier, the least recently used one is closed in favour of the new one, so that repeats do not add connections.

Weighed instead: closing each connection behind a refusal pays for refusals that never come again; believing no second refusal on a connection leaves the run going on; a connection without any refusal for what may run once leaves items and the rest of a stream as they are.

--- a/gateway/src/platform.rs
+++ b/gateway/src/platform.rs
@@ -6,7 +6,10 @@
 use std::time::Duration;
 
 use hyper::body::Bytes;
-use hyper::header::HeaderMap;
+use hyper::header::{
+    HeaderMap,
+    HeaderName, //
+};
 use hyper::{
     Request,
     http::{
@@ -324,6 +327,10 @@
     /// Decodes the registration of a backend server from its record.
     fn backend(&self, record: &Record) -> Result<BackendEntry, DecodeError>;
 
+    /// Returns the name of the header with the identifier of a request, which backend servers repeat in
+    /// their responses.
+    fn request_id_header(&self) -> HeaderName;
+
     /// Decodes the head of a caller's request.
     fn call(&self, head: &request::Parts) -> CallHead;
 
--- a/gateway/src/serve/choose.rs
+++ b/gateway/src/serve/choose.rs
@@ -451,9 +451,11 @@
             || state.outputs.is_silent(backend.key, now),
         tried: history.tried.contains(&backend.key),
         slowness: slowness.of(backend.key),
-        connected: node
-            .client
-            .has_idle(backend.entry.addr, TrafficClass::Online),
+        connected: node.client.has_idle(
+            backend.entry.addr,
+            TrafficClass::Online,
+            &admitted.call.request_id,
+        ),
         local: backend.entry.zone == node.settings.zone,
         other_cell,
         in_shard: shard.contains(&backend.run),
--- a/gateway/src/serve/mod.rs
+++ b/gateway/src/serve/mod.rs
@@ -260,7 +260,7 @@
             idle_timeout: IDLE_TIMEOUT,
             ..ClientLimits::default()
         };
-        let client = Client::new(spawner, limits);
+        let client = Client::with_request_id(spawner, limits, platform.request_id_header());
         let partitions = platform.partitions(Topic::Jobs);
         let channels = (0..partitions).map(|_| async_channel::unbounded());
         let (writers, queues): (Vec<_>, Vec<_>) = channels.unzip();
--- a/transport/src/http/client/connection.rs
+++ b/transport/src/http/client/connection.rs
@@ -12,6 +12,10 @@
 use async_io::Async;
 use hyper::client::conn::http1::SendRequest;
 
+use super::sent_requests::{
+    RequestKey,
+    SentRequests, //
+};
 use crate::http::io::{
     WrittenBytes,
     is_open_and_unread, //
@@ -44,6 +48,8 @@
     pub(crate) number: u64,
     /// Number of requests that were sent on it.
     pub(crate) sent: u32,
+    /// Those of them whose responses are told apart by their identifier.
+    pub(crate) sent_requests: SentRequests,
     pub(crate) sender: SendRequest<SlicedBody>,
     /// Task that drives the connection; cancelled on drop.
     pub(crate) driver: Task<()>,
@@ -55,16 +61,24 @@
 }
 
 impl Connection {
-    /// Counts a request that is about to be sent.
-    pub(crate) fn count_request(&mut self) -> ConnectionUse {
+    /// Records a request that is about to be sent.
+    pub(crate) fn record(&mut self, request: Option<RequestKey>) -> ConnectionUse {
         let earlier = self.sent;
         self.sent = self.sent.saturating_add(1);
+        if let Some(request) = request {
+            self.sent_requests.add(request);
+        }
         ConnectionUse {
             number: self.number,
             earlier,
         }
     }
 
+    /// Returns whether the response to `request` could be mistaken for a late copy of another one.
+    pub(crate) fn has_sent(&self, request: Option<RequestKey>) -> bool {
+        request.is_some_and(|request| self.sent_requests.contains(request))
+    }
+
     /// Returns whether a request can be sent: the connection is fresh, open and has no unread bytes.
     ///
     /// The socket itself is checked, because the connection's task may not have run since the
--- a/transport/src/http/client/mod.rs
+++ b/transport/src/http/client/mod.rs
@@ -3,6 +3,7 @@
 mod connection;
 mod pool;
 mod response_body;
+mod sent_requests;
 
 pub use self::connection::ConnectionUse;
 pub use self::response_body::ClientBody;
@@ -29,6 +30,7 @@
 use hyper::header::{
     HOST,
     HeaderMap,
+    HeaderName,
     HeaderValue, //
 };
 use hyper::{
@@ -44,7 +46,14 @@
 };
 
 use self::connection::Connection;
-use self::pool::Pool;
+use self::pool::{
+    Key,
+    Pool, //
+};
+use self::sent_requests::{
+    RequestKey,
+    SentRequests, //
+};
 use super::body::BUFFER_BYTES;
 use super::io::{
     CountedStream,
@@ -75,10 +84,21 @@
     Online,
     /// Items of batch jobs.
     Batch,
-    /// The log, the list and other platform services.
+    /// The log, the list, other platform services and peers, whose responses come in the order of the
+    /// requests.
     Platform,
 }
 
+impl TrafficClass {
+    /// Returns whether the server may send a response once more, where the next one is due.
+    fn may_repeat_responses(self) -> bool {
+        match self {
+            Self::Online | Self::Batch => true,
+            Self::Platform => false,
+        }
+    }
+}
+
 /// Limits of a client.
 #[derive(Clone, Copy, Debug)]
 pub struct ClientLimits {
@@ -210,16 +230,37 @@
     pool: Arc<Pool>,
     /// Number of connections so far.
     connections: Arc<AtomicU64>,
+    /// Header with the identifier of a request, which backend servers repeat in their responses.
+    request_id: Option<HeaderName>,
 }
 
 impl Client {
-    /// Creates a client without connections.
+    /// Creates a client without connections, for servers whose responses are told apart by something that is
+    /// unique to an attempt.
     pub fn new(spawner: &Spawner, limits: ClientLimits) -> Self {
+        Self::identified_by(spawner, limits, None)
+    }
+
+    /// Creates a client that sends an identifier in the header `name` only once on each connection to a
+    /// backend server.
+    ///
+    /// To be used where the identifier names a request and not one attempt: a server may write a response
+    /// once more, and only the connection tells it from that to another attempt.
+    pub fn with_request_id(spawner: &Spawner, limits: ClientLimits, name: HeaderName) -> Self {
+        Self::identified_by(spawner, limits, Some(name))
+    }
+
+    fn identified_by(
+        spawner: &Spawner,
+        limits: ClientLimits,
+        request_id: Option<HeaderName>,
+    ) -> Self {
         Self {
             spawner: spawner.clone(),
             limits,
             pool: Arc::new(Pool::new(limits.idle_connections, limits.idle_timeout)),
             connections: Arc::default(),
+            request_id,
         }
     }
 
@@ -244,8 +285,11 @@
         }
         let req = with_host(addr, req);
         let key = (addr, options.class);
-        if let Some(connection) = self.reuse(key, options.deadline).await {
-            let result = self.exchange(addr, connection, req.clone(), options).await;
+        let identifying = self.identifying_header(options.class);
+        let request = identifying.map(|name| RequestKey::from_headers(req.headers(), name));
+        if let Some(connection) = self.reuse(key, request, options.deadline).await {
+            let req = req.clone();
+            let result = self.exchange(addr, connection, req, request, options).await;
             match result {
                 Err(ClientError::Closed {
                     verdict: Verdict::NotRun,
@@ -255,7 +299,7 @@
             }
         }
         let connection = self.connect(addr, options.deadline).await?;
-        self.exchange(addr, connection, req, options).await
+        self.exchange(addr, connection, req, request, options).await
     }
 
     /// Opens a connection for later requests.
@@ -265,9 +309,17 @@
         Ok(())
     }
 
-    /// Returns whether an idle connection to `addr` exists, so that a request needs no new one.
-    pub fn has_idle(&self, addr: SocketAddr, class: TrafficClass) -> bool {
-        self.pool.has_idle((addr, class))
+    /// Returns whether an idle connection to `addr` exists on which the request with the identifier `id` can
+    /// be sent, so that it needs no new one.
+    pub fn has_idle(&self, addr: SocketAddr, class: TrafficClass, id: &str) -> bool {
+        let request = self.identifying_header(class).map(|_| RequestKey::of(id));
+        self.pool.has_idle((addr, class), request)
+    }
+
+    /// Returns the header that tells the responses of such a server apart; `None` if their order does.
+    fn identifying_header(&self, class: TrafficClass) -> Option<&HeaderName> {
+        let name = self.request_id.as_ref();
+        name.filter(|_| class.may_repeat_responses())
     }
 
     /// Closes idle connections past their idle timeout; to be called every few seconds.
@@ -278,13 +330,14 @@
     /// Takes a pooled connection and waits until it has completed its last response.
     async fn reuse(
         &self,
-        key: (SocketAddr, TrafficClass),
+        key: Key,
+        request: Option<RequestKey>,
         deadline: Option<Instant>,
     ) -> Option<Connection> {
         let ready_deadline = Instant::now() + REUSE_TIMEOUT;
         let ready_deadline =
             deadline.map_or(ready_deadline, |deadline| deadline.min(ready_deadline));
-        let mut connection = self.pool.take(key)?;
+        let mut connection = self.pool.take(key, request)?;
         let ready = timeout_at(ready_deadline, connection.sender.ready()).await;
         matches!(ready, Some(Ok(()))).then_some(connection)
     }
@@ -330,6 +383,7 @@
         Ok(Connection {
             number: self.connections.fetch_add(1, Ordering::Relaxed) + 1,
             sent: 0,
+            sent_requests: SentRequests::default(),
             sender,
             driver,
             written,
@@ -344,10 +398,11 @@
         addr: SocketAddr,
         mut connection: Connection,
         req: Request<SlicedBody>,
+        request: Option<RequestKey>,
         options: SendOptions,
     ) -> Result<Response<ClientBody>, ClientError> {
         let written_before = connection.written.get();
-        let sent_on = connection.count_request();
+        let sent_on = connection.record(request);
         let sending = connection.sender.send_request(req);
         let result = match options.deadline {
             Some(deadline) => timeout_at(deadline, sending).await,
--- a/transport/src/http/client/pool.rs
+++ b/transport/src/http/client/pool.rs
@@ -14,6 +14,7 @@
 
 use super::TrafficClass;
 use super::connection::Connection;
+use super::sent_requests::RequestKey;
 
 pub(super) type Key = (SocketAddr, TrafficClass);
 
@@ -38,28 +39,39 @@
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Takes the most recently used connection that is still open.
-    pub(crate) fn take(&self, key: Key) -> Option<Connection> {
+    /// Takes the most recently used connection that is still open and on which `request` was not sent yet.
+    ///
+    /// If it was sent on all of them, the least recently used one is closed in favour of the new connection
+    /// that the request needs. Otherwise an identifier that is refused again and again would fill the pool
+    /// with connections. It is closed first, as a server that refuses is often at its limit of connections.
+    pub(crate) fn take(&self, key: Key, request: Option<RequestKey>) -> Option<Connection> {
         let mut idle = self.lock();
         let connections = idle.get_mut(&key)?;
-        while let Some(connection) = connections.pop() {
-            if connection.is_usable(self.idle_timeout) {
-                return Some(connection);
+        for index in (0..connections.len()).rev() {
+            if !connections[index].is_usable(self.idle_timeout) {
+                connections.remove(index);
+            } else if !connections[index].has_sent(request) {
+                return Some(connections.remove(index));
             }
         }
-        idle.remove(&key);
+        if !connections.is_empty() {
+            connections.remove(0);
+        }
+        if connections.is_empty() {
+            idle.remove(&key);
+        }
         None
     }
 
-    /// Returns whether the pool has an idle connection within its idle timeout.
-    pub(crate) fn has_idle(&self, key: Key) -> bool {
+    /// Returns whether the pool has an idle connection within its idle timeout for `request`.
+    pub(crate) fn has_idle(&self, key: Key, request: Option<RequestKey>) -> bool {
         let idle = self.lock();
-        let connections = idle.get(&key);
-        connections.is_some_and(|list| list.iter().any(|c| c.is_fresh(self.idle_timeout)))
+        let mut connections = idle.get(&key).into_iter().flatten();
+        connections.any(|c| c.is_fresh(self.idle_timeout) && !c.has_sent(request))
     }
 
     pub(crate) fn put(&self, key: Key, mut connection: Connection) {
-        if connection.sender.is_closed() {
+        if connection.sender.is_closed() || connection.sent_requests.is_full() {
             return;
         }
         connection.idle_since = Instant::now();
