gateway: a refusal is passed on only if its server states that the request has not run

What callers saw: a server's own 408, 429 or 503 was passed on with the identifier of the request, also on a route that may run once only. These statuses promise a caller that its request has not run and never will, so it sends it again; a server states that only with its header for it, or with 421.

Cause: the verdict on a head was taken from the header alone, and what it does not cover counted as an ordinary response.

Change: a 408, 429 or 503 without the statement counts as one that may have run. Its connection is closed, and the caller gets 502, or another server is asked where the route allows it. The body and the signature of the server are not passed on, as the status is another one.

--- a/gateway/src/serve/attempt.rs
+++ b/gateway/src/serve/attempt.rs
@@ -123,7 +123,7 @@
                     placed,
                 })),
                 heads::Verdict::NotRun(cause) => Attempt::NotRun(Failure::new(cause, sent_on)),
-                heads::Verdict::Foreign(cause) => {
+                heads::Verdict::Foreign(cause) | heads::Verdict::Unstated(cause) => {
                     body.close();
                     Attempt::MayHaveRun(Failure::new(cause, sent_on))
                 }
--- a/gateway/src/serve/heads.rs
+++ b/gateway/src/serve/heads.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use hyper::StatusCode;
 use hyper::http::response;
 use limpetweir_state::Timestamp;
 use limpetweir_transport::http::ConnectionUse;
@@ -56,8 +57,18 @@
     /// The response belongs to another request, and says nothing about this one or its server. The
     /// connection must be closed.
     Foreign(String),
+    /// The status promises that the request has not run, but the server does not state it. The response
+    /// must not be passed on, and the connection must be closed.
+    Unstated(String),
 }
 
+/// Statuses with which a caller is told that its request has not run. 421 is one too, and states it by itself.
+const REFUSALS: [StatusCode; 3] = [
+    StatusCode::REQUEST_TIMEOUT,
+    StatusCode::TOO_MANY_REQUESTS,
+    StatusCode::SERVICE_UNAVAILABLE,
+];
+
 /// Returns the verdict of a head and counts it, and applies what the server says about itself.
 pub(crate) fn examine<P: Dialect>(
     node: &Arc<Node<P>>,
@@ -89,6 +100,11 @@
     if decoded.not_run {
         return Verdict::NotRun(format!("status {status}"));
     }
+    if REFUSALS.contains(&head.status) {
+        return Verdict::Unstated(format!(
+            "status {status} without a statement that it has not run"
+        ));
+    }
     Verdict::Response(decoded)
 }
 
--- a/gateway/src/serve/item_run.rs
+++ b/gateway/src/serve/item_run.rs
@@ -136,7 +136,7 @@
     let decoded = match heads::examine(node, sent, &head) {
         heads::Verdict::Response(decoded) => decoded,
         heads::Verdict::NotRun(cause) => return (RunEnd::Rejected, cause),
-        heads::Verdict::Foreign(cause) => {
+        heads::Verdict::Foreign(cause) | heads::Verdict::Unstated(cause) => {
             body.close();
             return (RunEnd::Broken, cause);
         }
--- a/gateway/src/serve/rest.rs
+++ b/gateway/src/serve/rest.rs
@@ -97,7 +97,7 @@
                     let failure = Failure::new(cause, sent_on);
                     (NoRest::Rejected, Verdict::NotRun, failure)
                 }
-                heads::Verdict::Foreign(cause) => {
+                heads::Verdict::Foreign(cause) | heads::Verdict::Unstated(cause) => {
                     body.close();
                     let failure = Failure::new(cause, sent_on);
                     (NoRest::Ran, Verdict::MayHaveRun, failure)
