--- a/gateway/src/serve/heads.rs
+++ b/gateway/src/serve/heads.rs
@@ -62,9 +62,10 @@
     Unstated(String),
 }
 
-/// Statuses with which a caller is told that its request has not run. 421 is one too, and states it by itself.
-const REFUSALS: [StatusCode; 3] = [
+/// Statuses with which a caller is told that its request has not run.
+const REFUSALS: [StatusCode; 4] = [
     StatusCode::REQUEST_TIMEOUT,
+    StatusCode::MISDIRECTED_REQUEST,
     StatusCode::TOO_MANY_REQUESTS,
     StatusCode::SERVICE_UNAVAILABLE,
 ];
