transport: a connection is closed before the one that replaces it is opened

What would be seen: a request whose identifier was sent on all kept connections to a server at its limit of connections is reset, counts as one that may have run, and its server as suspected.

Cause: the replaced connection was dropped, which only schedules its end; the new one was opened meanwhile.

Change: the pool hands the connection out to be closed, and the client waits until it is.

--- a/gateway/src/serve/relay.rs
+++ b/gateway/src/serve/relay.rs
@@ -21,8 +21,8 @@
 use limpetweir_transport::http::{
     Body,
     BodySender,
-    ClientBody, //
-    ConnectionUse,
+    ClientBody,
+    ConnectionUse, //
 };
 use limpetweir_transport::timeout_at;
 
--- a/transport/src/http/client/connection.rs
+++ b/transport/src/http/client/connection.rs
@@ -41,7 +41,7 @@
     }
 }
 
-/// A client connection; dropping it closes the socket.
+/// A client connection; dropping it closes the socket soon, once an executor drops its task.
 #[derive(Debug)]
 pub(crate) struct Connection {
     /// Number of the connection in its client.
@@ -74,7 +74,12 @@
         }
     }
 
-    /// Returns whether the response to `request` could be mistaken for a late copy of another one.
+    /// Closes the socket, and returns once it is closed.
+    pub(crate) async fn close(self) {
+        self.driver.cancel().await;
+    }
+
+    /// Returns whether `request` was sent, so that a response to it could be the late copy of an earlier one.
     pub(crate) fn has_sent(&self, request: Option<RequestKey>) -> bool {
         request.is_some_and(|request| self.sent_requests.contains(request))
     }
--- a/transport/src/http/client/mod.rs
+++ b/transport/src/http/client/mod.rs
@@ -48,7 +48,8 @@
 use self::connection::Connection;
 use self::pool::{
     Key,
-    Pool, //
+    Pool,
+    Taken, //
 };
 use self::sent_requests::{
     RequestKey,
@@ -235,8 +236,8 @@
 }
 
 impl Client {
-    /// Creates a client without connections, for servers whose responses are told apart by something that is
-    /// unique to an attempt.
+    /// Creates a client without connections, for servers that send no response twice or repeat something that
+    /// is unique to an attempt.
     pub fn new(spawner: &Spawner, limits: ClientLimits) -> Self {
         Self::identified_by(spawner, limits, None)
     }
@@ -337,7 +338,13 @@
         let ready_deadline = Instant::now() + REUSE_TIMEOUT;
         let ready_deadline =
             deadline.map_or(ready_deadline, |deadline| deadline.min(ready_deadline));
-        let mut connection = self.pool.take(key, request)?;
+        let mut connection = match self.pool.take(key, request)? {
+            Taken::Usable(connection) => connection,
+            Taken::ToClose(connection) => {
+                connection.close().await;
+                return None;
+            }
+        };
         let ready = timeout_at(ready_deadline, connection.sender.ready()).await;
         matches!(ready, Some(Ok(()))).then_some(connection)
     }
@@ -442,10 +449,11 @@
 
 /// Closes a connection and returns the verdict on its request.
 ///
-/// The driver is cancelled before the count is read, so that no byte can be written afterwards.
+/// It is closed before the count is read, so that no byte can be written afterwards.
 async fn close(connection: Connection, written_before: u64) -> Verdict {
-    connection.driver.cancel().await;
-    if connection.written.get() == written_before {
+    let written = connection.written.clone();
+    connection.close().await;
+    if written.get() == written_before {
         Verdict::NotRun
     } else {
         Verdict::MayHaveRun
--- a/transport/src/http/client/pool.rs
+++ b/transport/src/http/client/pool.rs
@@ -18,6 +18,16 @@
 
 pub(super) type Key = (SocketAddr, TrafficClass);
 
+/// Connection that was taken from the pool.
+#[derive(Debug)]
+pub(crate) enum Taken {
+    /// The request can be sent on it.
+    Usable(Connection),
+    /// It has to be closed before a new one is opened: a server that refuses is often at its limit of
+    /// connections.
+    ToClose(Connection),
+}
+
 /// Idle connections per address and traffic class.
 #[derive(Debug)]
 pub(crate) struct Pool {
@@ -41,26 +51,24 @@
 
     /// Takes the most recently used connection that is still open and on which `request` was not sent yet.
     ///
-    /// If it was sent on all of them, the least recently used one is closed in favour of the new connection
+    /// If it was sent on all of them, the least recently used one is taken to make room for the new connection
     /// that the request needs. Otherwise an identifier that is refused again and again would fill the pool
-    /// with connections. It is closed first, as a server that refuses is often at its limit of connections.
-    pub(crate) fn take(&self, key: Key, request: Option<RequestKey>) -> Option<Connection> {
+    /// with connections.
+    pub(crate) fn take(&self, key: Key, request: Option<RequestKey>) -> Option<Taken> {
         let mut idle = self.lock();
         let connections = idle.get_mut(&key)?;
         for index in (0..connections.len()).rev() {
             if !connections[index].is_usable(self.idle_timeout) {
                 connections.remove(index);
             } else if !connections[index].has_sent(request) {
-                return Some(connections.remove(index));
+                return Some(Taken::Usable(connections.remove(index)));
             }
         }
-        if !connections.is_empty() {
-            connections.remove(0);
-        }
+        let oldest = (!connections.is_empty()).then(|| connections.remove(0));
         if connections.is_empty() {
             idle.remove(&key);
         }
-        None
+        oldest.map(Taken::ToClose)
     }
 
     /// Returns whether the pool has an idle connection within its idle timeout for `request`.
--- a/transport/tests/request_identifiers.rs
+++ b/transport/tests/request_identifiers.rs
@@ -65,7 +65,7 @@
     }
 }
 
-/// Client and server on one thread, so that a dropped connection is closed before a later one is used.
+/// Client and server on one thread.
 struct Caller {
     client: Client,
     addr: SocketAddr,
@@ -157,6 +157,7 @@
 #[rstest]
 #[case(1, 1)]
 #[case(1, 6)]
+#[case(4, 1)]
 #[case(4, 6)]
 fn a_repeat_replaces_one(#[case] callers: usize, #[case] pooled: usize) {
     let caller = &start(true);
