gateway, platform: refusals without a statement are passed on where requests may run again

A 408, 429 or 503 without the statement was replaced on every route, though a response is to be passed on as it is and only requests that run once are promised anything by it: a route whose requests may run again passes it on as before. Found by review.

--- a/gateway/src/serve/attempt.rs
+++ b/gateway/src/serve/attempt.rs
@@ -115,6 +115,7 @@
                 entry: &placed.entry,
                 at: placed.chosen_at,
                 on,
+                runs_once: !admitted.route.idempotent(),
             };
             match heads::examine(node, sent, &head) {
                 heads::Verdict::Response(decoded) => Attempt::Answered(Box::new(Source {
--- a/gateway/src/serve/heads.rs
+++ b/gateway/src/serve/heads.rs
@@ -44,6 +44,8 @@
     pub(crate) at: Timestamp,
     /// Connection on which it was sent.
     pub(crate) on: ConnectionUse,
+    /// Whether it may run once only, so that its caller relies on a refusal.
+    pub(crate) runs_once: bool,
 }
 
 /// What the head of a response says about the request that it was read for.
@@ -57,8 +59,8 @@
     /// The response belongs to another request, and says nothing about this one or its server. The
     /// connection must be closed.
     Foreign(String),
-    /// The status promises that the request has not run, but the server does not state it. The response
-    /// must not be passed on, and the connection must be closed.
+    /// The status promises the caller of a request that may run once only that it has not run, but the
+    /// server does not state it. The response must not be passed on, and the connection must be closed.
     Unstated(String),
 }
 
@@ -101,7 +103,7 @@
     if decoded.not_run {
         return Verdict::NotRun(format!("status {status}"));
     }
-    if REFUSALS.contains(&head.status) {
+    if sent.runs_once && REFUSALS.contains(&head.status) {
         return Verdict::Unstated(format!(
             "status {status} without a statement that it has not run"
         ));
--- a/gateway/src/serve/item_run.rs
+++ b/gateway/src/serve/item_run.rs
@@ -132,6 +132,7 @@
         entry: &run.entry,
         at: run.chosen_at,
         on,
+        runs_once: false,
     };
     let decoded = match heads::examine(node, sent, &head) {
         heads::Verdict::Response(decoded) => decoded,
--- a/gateway/src/serve/rest.rs
+++ b/gateway/src/serve/rest.rs
@@ -76,6 +76,7 @@
                 entry: &placed.entry,
                 at: placed.chosen_at,
                 on,
+                runs_once: !admitted.route.idempotent(),
             };
             match heads::examine(node, sent, &head) {
                 heads::Verdict::Response(decoded)
