gateway: a head that is joined with that of another response belongs to no request

What callers could see: the status of one response with the identifier, the signature and the headers of another. Since a refusal of this kind was not believed any more, one for a request that may run again was passed on as it was.

Cause: only the statement "not run" of a joined head was disregarded, not its status and its other fields.

Change: a joined head counts as the response to another request, whatever its status: its connection is closed, the request may have run, and nothing that it says about its server is applied. The two places that describe a sent request to the verdict share one constructor.

--- a/gateway/src/platform.rs
+++ b/gateway/src/platform.rs
@@ -227,6 +227,9 @@
 pub struct ResponseHead {
     /// Identifier of the request that the response belongs to.
     pub request_id: Option<String>,
+    /// Whether it was cut off within a header and continues with the head of another response, so that its
+    /// status and its other fields may belong to different responses.
+    pub is_joined: bool,
     /// Whether the server reports that it did not run the request.
     pub not_run: bool,
     /// Whether the response has the server's signature.
--- a/gateway/src/serve/attempt.rs
+++ b/gateway/src/serve/attempt.rs
@@ -108,25 +108,18 @@
     match sent {
         Ok(response) => {
             let (head, body) = response.into_parts();
-            let on = body.sent_on();
-            let sent_on = Some(on);
-            let sent = SentRequest {
-                id,
-                entry: &placed.entry,
-                at: placed.chosen_at,
-                on,
-                runs_once: !admitted.route.idempotent(),
-            };
+            let sent = SentRequest::new(admitted, &placed, body.sent_on());
+            let failed = |cause| Failure::new(cause, Some(sent.sent_on));
             match heads::examine(node, sent, &head) {
                 heads::Verdict::Response(decoded) => Attempt::Answered(Box::new(Source {
                     response: Response::from_parts(head, body),
                     head: decoded,
                     placed,
                 })),
-                heads::Verdict::NotRun(cause) => Attempt::NotRun(Failure::new(cause, sent_on)),
+                heads::Verdict::NotRun(cause) => Attempt::NotRun(failed(cause)),
                 heads::Verdict::Foreign(cause) | heads::Verdict::Unstated(cause) => {
                     body.close();
-                    Attempt::MayHaveRun(Failure::new(cause, sent_on))
+                    Attempt::MayHaveRun(failed(cause))
                 }
             }
         }
--- a/gateway/src/serve/heads.rs
+++ b/gateway/src/serve/heads.rs
@@ -7,7 +7,11 @@
 use limpetweir_state::Timestamp;
 use limpetweir_transport::http::ConnectionUse;
 
-use super::choose::LimitsMet;
+use super::admitted::Admitted;
+use super::choose::{
+    LimitsMet,
+    PlacedRequest, //
+};
 use super::cold_servers;
 use super::lines::{
     BACKEND_LEAVES,
@@ -26,7 +30,8 @@
 };
 use crate::platform::{
     Dialect,
-    ResponseHead, //
+    ResponseHead,
+    Store, //
 };
 use crate::server_limit::{
     LimitChange,
@@ -42,12 +47,28 @@
     pub(crate) entry: &'a BackendEntry,
     /// When it was sent, or earlier.
     pub(crate) at: Timestamp,
-    /// Connection on which it was sent.
-    pub(crate) on: ConnectionUse,
+    pub(crate) sent_on: ConnectionUse,
     /// Whether it may run once only, so that its caller relies on a refusal.
     pub(crate) runs_once: bool,
 }
 
+impl<'a> SentRequest<'a> {
+    /// Describes a request of a caller.
+    pub(crate) fn new<P: Store + Dialect>(
+        admitted: &'a Admitted,
+        placed: &'a PlacedRequest<P>,
+        sent_on: ConnectionUse,
+    ) -> Self {
+        Self {
+            id: &admitted.call.request_id,
+            entry: &placed.entry,
+            at: placed.chosen_at,
+            sent_on,
+            runs_once: !admitted.route.idempotent(),
+        }
+    }
+}
+
 /// What the head of a response says about the request that it was read for.
 #[derive(Clone, Debug, PartialEq, strum::IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
@@ -56,18 +77,17 @@
     Response(ResponseHead),
     /// The server did not run the request.
     NotRun(String),
-    /// The response belongs to another request, and says nothing about this one or its server. The
-    /// connection must be closed.
+    /// The response belongs to another request, at least in part, and says nothing about this one or its
+    /// server. The connection must be closed.
     Foreign(String),
     /// The status promises the caller of a request that may run once only that it has not run, but the
     /// server does not state it. The response must not be passed on, and the connection must be closed.
     Unstated(String),
 }
 
-/// Statuses with which a caller is told that its request has not run.
-const REFUSALS: [StatusCode; 4] = [
+/// Statuses with which a caller is told that its request has not run. 421 is one too, and states it by itself.
+const REFUSALS: [StatusCode; 3] = [
     StatusCode::REQUEST_TIMEOUT,
-    StatusCode::MISDIRECTED_REQUEST,
     StatusCode::TOO_MANY_REQUESTS,
     StatusCode::SERVICE_UNAVAILABLE,
 ];
@@ -79,7 +99,7 @@
     head: &response::Parts,
 ) -> Verdict {
     let verdict = judge(node, sent, head);
-    node.metrics.response_head((&verdict).into(), sent.on);
+    node.metrics.response_head((&verdict).into(), sent.sent_on);
     verdict
 }
 
@@ -99,6 +119,11 @@
         let cause = format!("the response with status {status} belongs to another request");
         return Verdict::Foreign(cause);
     }
+    if decoded.is_joined {
+        let cause =
+            format!("the head with status {status} is joined with that of another response");
+        return Verdict::Foreign(cause);
+    }
     apply(node, sent, &decoded);
     if decoded.not_run {
         return Verdict::NotRun(format!("status {status}"));
--- a/gateway/src/serve/item_run.rs
+++ b/gateway/src/serve/item_run.rs
@@ -124,14 +124,14 @@
     };
     let has_end = has_end(&Method::POST, &response);
     let (head, body) = response.into_parts();
-    let on = body.sent_on();
-    watch.set_sent_on(Some(on));
+    let sent_on = body.sent_on();
+    watch.set_sent_on(Some(sent_on));
     let status = head.status.as_u16();
     let sent = SentRequest {
         id: &run.item.id,
         entry: &run.entry,
         at: run.chosen_at,
-        on,
+        sent_on,
         runs_once: false,
     };
     let decoded = match heads::examine(node, sent, &head) {
--- a/gateway/src/serve/rest.rs
+++ b/gateway/src/serve/rest.rs
@@ -69,15 +69,8 @@
     let (no_rest, verdict, failure) = match send(node, admitted, history, &placed).await {
         Ok(response) => {
             let (head, body) = response.into_parts();
-            let on = body.sent_on();
-            let sent_on = Some(on);
-            let sent = SentRequest {
-                id,
-                entry: &placed.entry,
-                at: placed.chosen_at,
-                on,
-                runs_once: !admitted.route.idempotent(),
-            };
+            let sent = SentRequest::new(admitted, &placed, body.sent_on());
+            let failed = |cause| Failure::new(cause, Some(sent.sent_on));
             match heads::examine(node, sent, &head) {
                 heads::Verdict::Response(decoded)
                     if decoded.events && head.status == StatusCode::OK =>
@@ -92,16 +85,12 @@
                     body.close();
                     let status = head.status.as_u16();
                     let cause = format!("status {status}, not the rest of the stream");
-                    (NoRest::Ran, Verdict::Ran, Failure::new(cause, sent_on))
-                }
-                heads::Verdict::NotRun(cause) => {
-                    let failure = Failure::new(cause, sent_on);
-                    (NoRest::Rejected, Verdict::NotRun, failure)
+                    (NoRest::Ran, Verdict::Ran, failed(cause))
                 }
+                heads::Verdict::NotRun(cause) => (NoRest::Rejected, Verdict::NotRun, failed(cause)),
                 heads::Verdict::Foreign(cause) | heads::Verdict::Unstated(cause) => {
                     body.close();
-                    let failure = Failure::new(cause, sent_on);
-                    (NoRest::Ran, Verdict::MayHaveRun, failure)
+                    (NoRest::Ran, Verdict::MayHaveRun, failed(cause))
                 }
             }
         }
