gateway: lines tell whether a copy of the jobs is whole, and its age

A caller of a report had read results of a job, and a later read of the same position got a page without one. LW2601 told after, listed and next of such a page, which is the same for a copy that is still being listed, for one that has not been read for seconds, and for one with a gap. It has loaded and age_ms now; LW2106 tells the end of a listing, its records and its time; LW2104 tells a result whose position does not follow, which was dropped without a line. No decision changes.

--- a/gateway/src/jobs/table.rs
+++ b/gateway/src/jobs/table.rs
@@ -1,5 +1,6 @@
 //! The jobs of one partition of the store, built from its records.
 
+use std::cmp::Ordering;
 use std::collections::{
     BTreeMap,
     HashMap, //
@@ -90,6 +91,19 @@
         tokens.fold(0, u64::saturating_add)
     }
 
+    /// Applies the result at `position`, unless it is known; fails if one before it is missing.
+    fn apply_result(&mut self, position: u32, record: ResultRecord) -> Result<(), String> {
+        let listed = self.results.len();
+        match (position as usize).cmp(&listed) {
+            Ordering::Less => Ok(()),
+            Ordering::Equal => {
+                self.add_result(record);
+                Ok(())
+            }
+            Ordering::Greater => Err(format!("only {listed} results precede it")),
+        }
+    }
+
     fn add_result(&mut self, record: ResultRecord) {
         // The index fits, because it was written by an instance as an index of the same list.
         let item = record.item as usize;
@@ -215,8 +229,10 @@
             JobKey::Result(id, position) => {
                 let result: ResultRecord = decode(record)?;
                 match self.jobs.get_mut(id) {
-                    Some(job) if position as usize == job.results.len() => job.add_result(result),
-                    Some(_) => {}
+                    Some(job) => job.apply_result(position, result).map_err(|reason| RecordError {
+                        key: record.key.clone(),
+                        reason,
+                    })?,
                     None => {
                         let early = self.early.entry(id.to_owned()).or_default();
                         early.results.insert(position, result);
--- a/gateway/src/serve/catch_up.rs
+++ b/gateway/src/serve/catch_up.rs
@@ -59,6 +59,7 @@
     partition: u32,
 ) -> Result<u64, StoreError> {
     loop {
+        let sent = node.now();
         let range = read_once(node, partition).await?;
         for (offset, record) in (range.from..).zip(&range.records) {
             if let Some(record) = record {
@@ -73,6 +74,7 @@
         }
         apply::mark_read(node, Topic::Jobs, partition, next);
         if next >= range.end {
+            node.lock().freshness[partition as usize].read_to_end(sent);
             return Ok(next);
         }
     }
--- a/gateway/src/serve/follow.rs
+++ b/gateway/src/serve/follow.rs
@@ -17,6 +17,7 @@
 use super::evacuation;
 use super::items;
 use super::lines::{
+    JOBS_LISTED,
     RECORD_SKIPPED,
     STORE_GAP,
     STORE_LOST,
@@ -278,6 +279,7 @@
         cursor.listing = Listing::default();
     }
     cursor.sent = node.now();
+    let started = cursor.sent;
     loop {
         let after = cursor.listing.after();
         let page = match topic {
@@ -299,6 +301,13 @@
     cursor.loaded = true;
     if topic == Topic::Jobs {
         node.lock().partitions[partition as usize].end_listing(cursor.next);
+        log_event!(
+            JOBS_LISTED,
+            "partition={partition} next={} records={} ms={}",
+            cursor.next,
+            listing.keys().len(),
+            node.now().since(started).as_millis()
+        );
         items::jobs_changed(node);
     } else {
         mark_read(node, topic, partition, cursor.next);
@@ -337,6 +346,9 @@
     if topic == Topic::Configuration {
         evacuation::read(node, range.from, cursor.next);
     }
+    if topic == Topic::Jobs && cursor.next >= range.end {
+        node.lock().freshness[partition as usize].read_to_end(cursor.sent);
+    }
     if topic == Topic::Configuration && cursor.next >= range.end {
         confirm_config(node, cursor.as_of(count > 0, node.now()));
     }
--- a/gateway/src/serve/job_calls.rs
+++ b/gateway/src/serve/job_calls.rs
@@ -253,11 +253,15 @@
                 return repeat_elsewhere(id, OUTDATED_COPY);
             }
             if timed_out && job.results.len() <= after && !complete {
-                let next = state.partitions[partition].next();
-                let listed = job.results.len();
+                let known = &state.partitions[partition];
+                let age = state.freshness[partition].age(node.now());
                 log_event!(
                     JOB_CALL,
-                    "job={id} call=results status=200 after={after} listed={listed} partition={partition} next={next}"
+                    "job={id} call=results status=200 after={after} listed={} partition={partition} next={} loaded={} age_ms={}",
+                    job.results.len(),
+                    known.next(),
+                    known.is_loaded(),
+                    age.map_or_else(|| "none".to_owned(), |age| age.as_millis().to_string())
                 );
             }
             if job.results.len() > after || complete || timed_out {
