--- a/gateway/src/jobs/table.rs
+++ b/gateway/src/jobs/table.rs
@@ -229,10 +229,13 @@
             JobKey::Result(id, position) => {
                 let result: ResultRecord = decode(record)?;
                 match self.jobs.get_mut(id) {
-                    Some(job) => job.apply_result(position, result).map_err(|reason| RecordError {
-                        key: record.key.clone(),
-                        reason,
-                    })?,
+                    Some(job) => {
+                        job.apply_result(position, result)
+                            .map_err(|reason| RecordError {
+                                key: record.key.clone(),
+                                reason,
+                            })?
+                    }
                     None => {
                         let early = self.early.entry(id.to_owned()).or_default();
                         early.results.insert(position, result);
