gateway: jobs are read from a partition only once it is listed whole

What callers saw: results of a job had been read, and a later read of one of their positions got a page without results, status 200.

Cause: an instance that lists the jobs after its start answered for the jobs that it had seen so far. Keys of jobs and of their items sort before the keys of results, so in a listing of several pages a job is there before its results; if the store is slow or rejects later pages, for seconds. Whether the partition was loaded was a flag beside the jobs that each reader had to ask for: reads of results did not, and neither did the list of open items, which began to run items that had results already.

Change: LoadedPartition is the only view of the jobs of a partition, and only a loaded partition hands it out. Open items of a partition that is listed again stay as they are; those of one that is dropped are forgotten.

Unit tests: the view is absent until the end of a first and of a repeated listing, and items with results are not open meanwhile.

--- a/gateway/src/jobs/mod.rs
+++ b/gateway/src/jobs/mod.rs
@@ -25,6 +25,7 @@
     ItemResult,
     Job,
     JobItem,
+    LoadedPartition,
     Partition, //
 };
 pub use write::{
--- a/gateway/src/jobs/queue.rs
+++ b/gateway/src/jobs/queue.rs
@@ -11,7 +11,7 @@
 use snafu::Snafu;
 
 use super::record::RecordError;
-use super::table::Partition;
+use super::table::LoadedPartition;
 use super::write::{
     Change,
     Decision,
@@ -322,7 +322,7 @@
     /// in progress. Those that need no call, or cannot be written, get their outcome.
     pub fn prepare(
         &mut self,
-        state: &Partition,
+        state: LoadedPartition<'_>,
         limits: CallLimits,
         mut decide: impl FnMut(&mut Pending, &Change) -> Result<Decision, RecordError>,
     ) -> PreparedCall {
@@ -339,7 +339,7 @@
                 self.waiting.push_back(queued);
                 continue;
             }
-            let is_known = self.is_known(state, &queued);
+            let is_known = self.is_known(Some(state), &queued);
             let outcome = match decide(&mut pending, &queued.change) {
                 Ok(Decision::Append(new)) => match limits.size(&new) {
                     Ok(size) if bytes + size > limits.call_bytes => {
@@ -444,15 +444,15 @@
     }
 
     /// Decides the changes whose outcome was unknown on what has been read, and gives those whose
-    /// callers no longer wait an outcome.
-    pub fn settle_known(&mut self, state: &Partition, now: Timestamp) {
+    /// callers no longer wait an outcome. `state` is `None` while the partition is not loaded.
+    pub fn settle_known(&mut self, state: Option<LoadedPartition<'_>>, now: Timestamp) {
         for mut queued in std::mem::take(&mut self.waiting) {
             let has_expired = queued.deadline.is_some_and(|deadline| deadline <= now);
             if queued.unknown.is_none() && !has_expired {
                 self.waiting.push_back(queued);
                 continue;
             }
-            if state.is_loaded() && queued.change.is_done(state) {
+            if state.is_some_and(|state| queued.change.is_done(state)) {
                 self.settle(queued, Ok(()));
                 continue;
             }
@@ -475,14 +475,14 @@
     /// Returns whether `state` shows if the change has taken effect, so that no earlier append of it
     /// can still do so. An append succeeds only at its offset and as a whole, so this holds once all
     /// its records have been read, or the partition up to an end behind its offset.
-    fn is_known(&self, state: &Partition, queued: &QueuedChange<T>) -> bool {
+    fn is_known(&self, state: Option<LoadedPartition<'_>>, queued: &QueuedChange<T>) -> bool {
         let Some(append) = queued.unknown else {
             return true;
         };
-        let next = state.next();
-        let is_read =
-            next >= append.end || (next >= self.read_to_end && self.read_to_end > append.at);
-        state.is_loaded() && is_read
+        state.is_some_and(|state| {
+            let next = state.next();
+            next >= append.end || (next >= self.read_to_end && self.read_to_end > append.at)
+        })
     }
 
     /// Submissions and ends come first, because callers wait for them.
--- a/gateway/src/jobs/table.rs
+++ b/gateway/src/jobs/table.rs
@@ -118,7 +118,8 @@
     }
 }
 
-/// The jobs of one partition.
+/// The jobs of one partition. They are read through [`loaded`](Self::loaded) only: a listing contains
+/// jobs before their results, so until its end neither a job nor a result that is missing means anything.
 #[derive(Debug, Default)]
 pub struct Partition {
     jobs: HashMap<String, Job>,
@@ -134,6 +135,35 @@
     listing: bool,
 }
 
+/// The jobs of a partition of which all records before its next offset have been read.
+#[derive(Clone, Copy, Debug)]
+pub struct LoadedPartition<'a>(&'a Partition);
+
+impl<'a> LoadedPartition<'a> {
+    /// Returns the offset of the next record.
+    pub fn next(self) -> u64 {
+        self.0.next
+    }
+
+    /// Returns the job called `id`.
+    pub fn get(self, id: &str) -> Option<&'a Job> {
+        self.0.jobs.get(id)
+    }
+
+    /// Returns all jobs.
+    pub fn iter(self) -> impl Iterator<Item = (&'a String, &'a Job)> {
+        self.0.jobs.iter()
+    }
+
+    /// Returns the tokens that an organisation has waiting on a route.
+    pub fn waiting_tokens(self, organisation: &str, route: &str) -> u64 {
+        let jobs = self.0.jobs.values();
+        let jobs = jobs.filter(|j| j.organisation == organisation && j.route == route);
+        let tokens = jobs.map(Job::waiting_tokens);
+        tokens.fold(0, u64::saturating_add)
+    }
+}
+
 #[derive(Debug, Default)]
 struct EarlyRecords {
     header: Option<JobRecord>,
@@ -178,22 +208,9 @@
         self.next = self.next.max(next);
     }
 
-    /// Returns the job called `id`.
-    pub fn get(&self, id: &str) -> Option<&Job> {
-        self.jobs.get(id)
-    }
-
-    /// Returns all jobs.
-    pub fn iter(&self) -> impl Iterator<Item = (&String, &Job)> {
-        self.jobs.iter()
-    }
-
-    /// Returns the tokens that an organisation has waiting on a route.
-    pub fn waiting_tokens(&self, organisation: &str, route: &str) -> u64 {
-        let jobs = self.jobs.values();
-        let jobs = jobs.filter(|j| j.organisation == organisation && j.route == route);
-        let tokens = jobs.map(Job::waiting_tokens);
-        tokens.fold(0, u64::saturating_add)
+    /// Returns the jobs if all records before [`next`](Self::next) have been read.
+    pub fn loaded(&self) -> Option<LoadedPartition<'_>> {
+        self.loaded.then_some(LoadedPartition(self))
     }
 
     /// Applies a record. Applying a record again has no further effect.
--- a/gateway/src/jobs/write.rs
+++ b/gateway/src/jobs/write.rs
@@ -18,7 +18,7 @@
     ResultRecord,
     encode, //
 };
-use super::table::Partition;
+use super::table::LoadedPartition;
 use crate::platform::Record;
 
 /// Memory of a header of an item beside its name and value.
@@ -125,7 +125,7 @@
 
 impl Change {
     /// Returns whether the change has taken effect.
-    pub fn is_done(&self, state: &Partition) -> bool {
+    pub fn is_done(&self, state: LoadedPartition<'_>) -> bool {
         match self {
             Self::Submit(submission) => state.get(&submission.id).is_some(),
             Self::Finish { job, item, .. } => {
@@ -160,7 +160,7 @@
 ///
 /// Records larger than `record_bytes` are split where the format allows it.
 pub fn decide(
-    state: &Partition,
+    state: LoadedPartition<'_>,
     pending: &mut Pending,
     change: &Change,
     record_bytes: usize,
@@ -217,7 +217,7 @@
 }
 
 fn submit(
-    state: &Partition,
+    state: LoadedPartition<'_>,
     submission: &Submission,
     record_bytes: usize,
 ) -> Result<Decision, RecordError> {
@@ -290,7 +290,7 @@
     parts
 }
 
-fn remove(state: &Partition, job: &str) -> Decision {
+fn remove(state: LoadedPartition<'_>, job: &str) -> Decision {
     let Some(known) = state.get(job) else {
         return Decision::Done;
     };
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -87,9 +87,9 @@
 pub use item_output::{OutputError, Progress};
 pub use item_time::ItemTime;
 pub use jobs::{
-    CallEnd, CallLimits, Change, ChangeQueue, Decision, ItemResult, Job, JobItem, JobKey, NewItem,
-    Outcome, Partition, PassedOn, Pending, PreparedCall, QueuedChange, RecordError, Settled,
-    Submission, WriteError, decide,
+    CallEnd, CallLimits, Change, ChangeQueue, Decision, ItemResult, Job, JobItem, JobKey,
+    LoadedPartition, NewItem, Outcome, Partition, PassedOn, Pending, PreparedCall, QueuedChange,
+    RecordError, Settled, Submission, WriteError, decide,
 };
 pub use leases::{CLAIM_TIMEOUT, ClaimState, LeaseAck, LeaseNews, LeaseReply, LeaseState, Leases};
 pub use listing::Listing;
--- a/gateway/src/open_items.rs
+++ b/gateway/src/open_items.rs
@@ -157,7 +157,8 @@
     }
 
     /// Updates the set of open items from `partitions`, and distributes those of each partition
-    /// among its `instances`. Returns the running items that need no run any more.
+    /// among its `instances`. Returns the running items that need no run any more. While a partition
+    /// is not loaded, its items stay as they are.
     pub fn refresh(
         &mut self,
         partitions: &[Partition],
@@ -168,7 +169,17 @@
     ) -> Vec<ItemKey> {
         self.version = config.map_or(0, Configuration::version);
         let mut previous = std::mem::take(&mut self.items);
+        let loaded = |partition: usize| partitions.get(partition)?.loaded();
+        let unlisted = previous.extract_if(|_, item| loaded(item.partition).is_none());
+        self.items = unlisted.collect();
+        for (key, item) in &mut self.items {
+            let names = instances.get(item.partition).into_iter().flatten();
+            item.owned = owner(key.0, names.map(String::as_str)) == Some(me);
+        }
         for (partition, state) in partitions.iter().enumerate() {
+            let Some(state) = state.loaded() else {
+                continue;
+            };
             let names = instances.get(partition).map_or(&[][..], Vec::as_slice);
             let before = self.instances.get(partition).map_or(&[][..], Vec::as_slice);
             let same_instances = before == names;
@@ -196,6 +207,11 @@
         ended.map(|(key, _)| *key).collect()
     }
 
+    /// Removes the items of a partition that this instance no longer reads.
+    pub fn forget(&mut self, partition: usize) {
+        self.items.retain(|_, item| item.partition != partition);
+    }
+
     /// Returns whether this instance runs or finishes an item of `partition`.
     pub fn is_busy(&self, partition: usize) -> bool {
         let busy = |item: &OpenItem| item.partition == partition && item.phase != Phase::Waiting;
--- a/gateway/src/serve/admission.rs
+++ b/gateway/src/serve/admission.rs
@@ -137,7 +137,7 @@
 
 fn item_level(state: &State, waiting: &WaitingItem) -> Option<Level> {
     let item = state.items.get(waiting.item)?;
-    let job = state.partitions.get(item.partition)?.get(&item.job)?;
+    let job = state.job(item.partition, &item.job)?;
     let config = state.config.as_ref()?;
     let organisation = config.organisations().get(&job.organisation);
     let priority = organisation.and_then(|o| o.priority);
--- a/gateway/src/serve/items.rs
+++ b/gateway/src/serve/items.rs
@@ -143,6 +143,7 @@
         ReplicaStatus::ActiveUntil(end) if end > now || busy => ReplicaStatus::ActiveUntil(end),
         ReplicaStatus::ActiveUntil(_) => {
             state.partitions[partition] = Partition::default();
+            state.items.forget(partition);
             ReplicaStatus::Inactive
         }
         ReplicaStatus::Inactive => ReplicaStatus::Inactive,
@@ -426,7 +427,8 @@
         owner(hash, all) == Some(me)
     };
     let partitions = state.partitions.iter().enumerate();
-    let jobs = partitions.flat_map(|(n, p)| p.iter().map(move |(id, job)| (n, id, job)));
+    let loaded = partitions.filter_map(|(n, known)| Some((n, known.loaded()?)));
+    let jobs = loaded.flat_map(|(n, known)| known.iter().map(move |(id, job)| (n, id, job)));
     let expired_jobs = jobs.filter(|(_, id, job)| {
         job.submitted < before && job.open().next().is_none() && responsible(id)
     });
--- a/gateway/src/serve/job_calls.rs
+++ b/gateway/src/serve/job_calls.rs
@@ -217,10 +217,8 @@
     organisation: &Organisation,
 ) -> Option<bool> {
     let state = node.lock();
-    let known = &state.partitions[partition];
-    let job = known.get(job);
-    let exists = job.is_some_and(|job| job.organisation == organisation.name);
-    (exists || known.is_loaded()).then_some(exists)
+    let job = state.partitions[partition].loaded()?.get(job);
+    Some(job.is_some_and(|job| job.organisation == organisation.name))
 }
 
 async fn results<P: Store + Dialect>(
@@ -235,7 +233,7 @@
         let changed = node.jobs_changed.listen();
         {
             let state = node.lock();
-            let Some(job) = state.partitions[partition].get(id) else {
+            let Some(job) = state.job(partition, id) else {
                 return repeat_elsewhere(id, PARTITION_DROPPED);
             };
             let complete = job.results.len() >= job.items.len();
@@ -257,10 +255,9 @@
                 let age = state.freshness[partition].age(node.now());
                 log_event!(
                     JOB_CALL,
-                    "job={id} call=results status=200 after={after} listed={} partition={partition} next={} loaded={} age_ms={}",
+                    "job={id} call=results status=200 after={after} listed={} partition={partition} next={} age_ms={}",
                     job.results.len(),
                     known.next(),
-                    known.is_loaded(),
                     age.map_or_else(|| "none".to_owned(), |age| age.as_millis().to_string())
                 );
             }
@@ -306,7 +303,7 @@
 
 fn content<P>(node: &Arc<Node<P>>, partition: usize, job: &str, item: &str) -> Response<Body> {
     let state = node.lock();
-    let Some(known) = state.partitions[partition].get(job) else {
+    let Some(known) = state.job(partition, job) else {
         return repeat_elsewhere(job, PARTITION_DROPPED);
     };
     match known.items.iter().find(|i| i.id == item) {
--- a/gateway/src/serve/runs.rs
+++ b/gateway/src/serve/runs.rs
@@ -119,7 +119,7 @@
 
 fn prepare(state: &State, key: ItemKey, backend: BackendKey, now: Timestamp) -> Option<ItemRun> {
     let open = state.items.get(key)?;
-    let job = state.partitions.get(open.partition)?.get(&open.job)?;
+    let job = state.job(open.partition, &open.job)?;
     let route = state.config.as_ref()?.route_named(&job.route)?;
     let entry = state.backends.get(backend)?.entry.clone();
     // Items run on the services that the route names in the configuration in force.
--- a/gateway/src/serve/state.rs
+++ b/gateway/src/serve/state.rs
@@ -38,7 +38,10 @@
 use crate::config_freshness::ConfigFreshness;
 use crate::evacuation::Evacuations;
 use crate::instance::Instance;
-use crate::jobs::Partition;
+use crate::jobs::{
+    Job,
+    Partition, //
+};
 use crate::leases::Leases;
 use crate::load::Load;
 use crate::members::{
@@ -313,6 +316,11 @@
         self.cells.is_own_instance(name) || in_used_cell() || uses_own_cell()
     }
 
+    /// Returns a job of a partition that is loaded.
+    pub(crate) fn job(&self, partition: usize, id: &str) -> Option<&Job> {
+        self.partitions.get(partition)?.loaded()?.get(id)
+    }
+
     /// Returns the positions up to which this instance has read its partitions. One that it cannot
     /// load is among them, so that the others run its items.
     pub(crate) fn positions(&self) -> Vec<Position> {
--- a/gateway/src/serve/suspected_items.rs
+++ b/gateway/src/serve/suspected_items.rs
@@ -93,7 +93,8 @@
 ) -> Option<Arc<RequestParts>> {
     let open = state.items.get_mut(key)?;
     if open.parts.is_none() {
-        let job = state.partitions.get(open.partition)?.get(&open.job)?;
+        let jobs = state.partitions.get(open.partition)?.loaded()?;
+        let job = jobs.get(&open.job)?;
         let item = job.items.get(open.index)?;
         let parts = runs::item_parts(&node.platform, item, &job.organisation, &job.host);
         open.parts = Some(Arc::new(parts));
--- a/gateway/src/serve/writer.rs
+++ b/gateway/src/serve/writer.rs
@@ -147,7 +147,7 @@
         results::forward(&node, partition as usize, &mut accepted).await;
         append_next(&node, partition, &mut accepted).await;
         let now = node.now();
-        accepted.settle_known(&node.lock().partitions[partition as usize], now);
+        accepted.settle_known(node.lock().partitions[partition as usize].loaded(), now);
         reply(accepted.take_settled());
     }
 }
@@ -235,14 +235,14 @@
     // The other half of a record is reserved for the encoding overhead of its items.
     let part_bytes = node.settings.store.record_bytes / 2;
     let state = node.lock();
-    let state = &state.partitions[partition as usize];
+    let known = &state.partitions[partition as usize];
     // A partition that was dropped meanwhile says nothing about its jobs.
-    if !state.is_loaded() {
+    let Some(state) = known.loaded() else {
         return PreparedCall {
-            at: state.next(),
+            at: known.next(),
             records: Vec::new(),
         };
-    }
+    };
     queue.prepare(state, limits(node), |pending, change| {
         let decide = AssertUnwindSafe(|| decide(state, pending, change, part_bytes));
         // The change would panic after a restart of the writer too, and stop all others.
--- a/gateway/tests/change_queue.rs
+++ b/gateway/tests/change_queue.rs
@@ -1,6 +1,9 @@
 //! The decisions of the writer of the jobs, over all orders of a few events, with a store that is a
 //! model.
 
+#[path = "support/partition.rs"]
+mod partition;
+
 use std::time::Duration;
 
 use hyper::body::Bytes;
@@ -28,6 +31,11 @@
     TestRunner, //
 };
 
+use partition::{
+    empty,
+    jobs, //
+};
+
 const LIMITS: CallLimits = CallLimits {
     record_bytes: 4_096,
     call_bytes: 16_384,
@@ -142,17 +150,13 @@
 }
 
 fn prepare(queue: &mut ChangeQueue<usize>, state: &Partition) -> PreparedCall {
-    queue.prepare(state, LIMITS, |pending: &mut Pending, change: &Change| {
-        decide(state, pending, change, LIMITS.record_bytes / 2)
-    })
-}
-
-/// An empty partition that has been read.
-fn loaded() -> Partition {
-    let mut partition = Partition::default();
-    partition.begin_listing();
-    partition.end_listing(0);
-    partition
+    queue.prepare(
+        jobs(state),
+        LIMITS,
+        |pending: &mut Pending, change: &Change| {
+            decide(jobs(state), pending, change, LIMITS.record_bytes / 2)
+        },
+    )
 }
 
 struct World {
@@ -176,8 +180,8 @@
     fn new() -> Self {
         let mut world = Self {
             log: Vec::new(),
-            truth: loaded(),
-            known: loaded(),
+            truth: empty(),
+            known: empty(),
             late: Vec::new(),
             queue: ChangeQueue::default(),
             changes: Vec::new(),
@@ -315,7 +319,7 @@
                 self.queue.read_to_end(self.known.next());
             }
             Step::Wait(ms) => self.now = self.now + Duration::from_millis(*ms),
-            Step::Settle => self.queue.settle_known(&self.known, self.now),
+            Step::Settle => self.queue.settle_known(self.known.loaded(), self.now),
         }
         self.check_settled();
     }
@@ -324,7 +328,7 @@
         for settled in self.queue.take_settled() {
             let change = &self.changes[settled.ticket];
             match settled.outcome {
-                Ok(()) => assert!(change.is_done(&self.truth), "not there: {change:?}"),
+                Ok(()) => assert!(change.is_done(jobs(&self.truth)), "not there: {change:?}"),
                 Err(WriteError::Unknown { .. }) => {}
                 Err(_) => self.denied.push(settled.ticket),
             }
@@ -332,7 +336,7 @@
         for ticket in &self.denied {
             let change = &self.changes[*ticket];
             assert!(
-                !change.is_done(&self.truth),
+                !change.is_done(jobs(&self.truth)),
                 "denied, and there: {change:?}"
             );
         }
--- a/gateway/tests/fuzz/main.rs
+++ b/gateway/tests/fuzz/main.rs
@@ -2,5 +2,7 @@
 
 mod bytes;
 mod messages;
+#[path = "../support/partition.rs"]
+mod partition;
 mod records;
 mod texts;
--- a/gateway/tests/fuzz/records.rs
+++ b/gateway/tests/fuzz/records.rs
@@ -17,6 +17,10 @@
     fuzz,
     mutated, //
 };
+use super::partition::{
+    empty,
+    jobs, //
+};
 
 /// Keys of records of the job, of another one and of none.
 const KEYS: [&str; 12] = [
@@ -56,7 +60,7 @@
 }
 
 fn append(state: &mut Partition, change: &Change) -> Vec<Record> {
-    let decision = decide(state, &mut Pending::default(), change, RECORD_BYTES);
+    let decision = decide(jobs(state), &mut Pending::default(), change, RECORD_BYTES);
     let Ok(Decision::Append(records)) = decision else {
         panic!("expected records and got {decision:?}");
     };
@@ -68,7 +72,7 @@
 
 /// Returns the records of a job with one result.
 fn records() -> Vec<Record> {
-    let mut state = Partition::default();
+    let mut state = empty();
     let mut records = append(&mut state, &Change::Submit(submission()));
     let finish = Change::Finish {
         job: "job".to_owned(),
@@ -92,7 +96,7 @@
     let inputs = prop::collection::vec(inputs, 1..4);
     let mut applied = 0;
     fuzz(0x6c77_0203, inputs, |odd| {
-        let mut state = Partition::default();
+        let mut state = empty();
         // Odd records before, between and after the good ones.
         let mut good = records.iter();
         for (key, value) in &odd {
@@ -109,7 +113,7 @@
             state.apply(record).expect("a record of this format");
         }
         let bytes: usize = odd.iter().map(|(_, value)| value.len()).sum();
-        for (_, job) in state.iter() {
+        for (_, job) in jobs(&state).iter() {
             assert!(job.results.len() <= job.items.len());
             assert!(job.results.iter().all(|r| r.item < job.items.len()));
             assert!(job.items.len() <= bytes + 3);
--- a/gateway/tests/jobs.rs
+++ b/gateway/tests/jobs.rs
@@ -1,5 +1,8 @@
 //! The fold of batch jobs, and the records appended for their changes.
 
+#[path = "support/partition.rs"]
+mod partition;
+
 use hyper::body::Bytes;
 use limpetweir_gateway::{
     Change,
@@ -14,6 +17,11 @@
 };
 use rstest::rstest;
 
+use partition::{
+    empty,
+    jobs, //
+};
+
 /// Largest record in these tests.
 const RECORD_BYTES: usize = 64 << 10;
 
@@ -50,7 +58,7 @@
 
 fn records(state: &Partition, change: &Change) -> Vec<Record> {
     let mut pending = Pending::default();
-    match decide(state, &mut pending, change, RECORD_BYTES) {
+    match decide(jobs(state), &mut pending, change, RECORD_BYTES) {
         Ok(Decision::Append(records)) => records,
         other => panic!("expected records and got {other:?}"),
     }
@@ -63,7 +71,7 @@
 }
 
 fn with_job(items: usize) -> Partition {
-    let mut state = Partition::default();
+    let mut state = empty();
     apply(&mut state, &Change::Submit(submission("job", items)));
     state
 }
@@ -73,7 +81,7 @@
 fn a_repeated_submission_has_no_effect() {
     let state = with_job(2);
     let again = Change::Submit(submission("job", 2));
-    let decision = decide(&state, &mut Pending::default(), &again, RECORD_BYTES);
+    let decision = decide(jobs(&state), &mut Pending::default(), &again, RECORD_BYTES);
     assert_eq!(decision, Ok(Decision::Done));
 }
 
@@ -83,13 +91,13 @@
     let mut state = with_job(2);
     apply(&mut state, &finish("job", 1));
     let decision = decide(
-        &state,
+        jobs(&state),
         &mut Pending::default(),
         &finish("job", 1),
         RECORD_BYTES,
     );
     assert_eq!(decision, Ok(Decision::Done));
-    let job = state.get("job").expect("the job");
+    let job = jobs(&state).get("job").expect("the job");
     assert_eq!(job.results.len(), 1);
     assert_eq!(job.results[0].item, 1);
 }
@@ -101,27 +109,32 @@
     let mut pending = Pending::default();
     let mut keys = Vec::new();
     for index in [2, 0] {
-        let decision = decide(&state, &mut pending, &finish("job", index), RECORD_BYTES);
+        let decision = decide(
+            jobs(&state),
+            &mut pending,
+            &finish("job", index),
+            RECORD_BYTES,
+        );
         let Ok(Decision::Append(records)) = decision else {
             panic!("expected records and got {decision:?}");
         };
         keys.extend(records.into_iter().map(|record| record.key));
     }
     assert_eq!(keys, ["r/job/0000", "r/job/0001"]);
-    let again = decide(&state, &mut pending, &finish("job", 2), RECORD_BYTES);
+    let again = decide(jobs(&state), &mut pending, &finish("job", 2), RECORD_BYTES);
     assert_eq!(again, Ok(Decision::Deferred));
 }
 
 /// Guards against two submissions in one append that together exceed the limit of waiting tokens.
 #[test]
 fn a_second_submission_waits_for_the_next_append() {
-    let state = Partition::default();
+    let state = empty();
     let mut pending = Pending::default();
     let first = Change::Submit(submission("a", 6));
     let second = Change::Submit(submission("b", 6));
-    let decision = decide(&state, &mut pending, &first, RECORD_BYTES);
+    let decision = decide(jobs(&state), &mut pending, &first, RECORD_BYTES);
     assert!(matches!(decision, Ok(Decision::Append(_))));
-    let decision = decide(&state, &mut pending, &second, RECORD_BYTES);
+    let decision = decide(jobs(&state), &mut pending, &second, RECORD_BYTES);
     assert_eq!(decision, Ok(Decision::Deferred));
 }
 
@@ -131,7 +144,7 @@
 fn only_open_items_count_as_waiting() {
     let mut state = with_job(6);
     let other = Change::Submit(submission("other", 6));
-    let decision = decide(&state, &mut Pending::default(), &other, RECORD_BYTES);
+    let decision = decide(jobs(&state), &mut Pending::default(), &other, RECORD_BYTES);
     assert_eq!(decision, Ok(Decision::OverTokenLimit { waiting: 600 }));
     for index in 0..2 {
         apply(&mut state, &finish("job", index));
@@ -150,11 +163,11 @@
             job: "job".to_owned(),
         },
     );
-    let job = state.get("job").expect("the job");
+    let job = jobs(&state).get("job").expect("the job");
     assert!(job.ended);
     assert_eq!(job.open().count(), 0);
     assert_eq!(job.results.len(), 1);
-    assert_eq!(state.waiting_tokens("org", "route"), 0);
+    assert_eq!(jobs(&state).waiting_tokens("org", "route"), 0);
 }
 
 /// Guards against errors with a listing, which is in the order of keys: parts and results may
@@ -163,7 +176,7 @@
 #[case(false)]
 #[case(true)]
 fn records_may_arrive_in_another_order(#[case] reversed: bool) {
-    let mut state = Partition::default();
+    let mut state = empty();
     let mut all = Vec::new();
     for change in [
         Change::Submit(submission("job", 3)),
@@ -181,11 +194,11 @@
     } else {
         all.sort_by(|a, b| a.key.cmp(&b.key));
     }
-    let mut listed = Partition::default();
+    let mut listed = empty();
     for record in &all {
         listed.apply(record).expect("a record of this format");
     }
-    let job = listed.get("job").expect("the job");
+    let job = jobs(&listed).get("job").expect("the job");
     let order: Vec<usize> = job.results.iter().map(|result| result.item).collect();
     assert_eq!(order, [2, 0]);
     assert_eq!(job.items.len(), 3);
@@ -203,7 +216,7 @@
     for record in &first {
         state.apply(record).expect("a record of this format");
     }
-    assert_eq!(state.get("job").expect("the job").results.len(), 2);
+    assert_eq!(jobs(&state).get("job").expect("the job").results.len(), 2);
 }
 
 /// Guards against records that exceed the size limit of the store.
@@ -212,7 +225,7 @@
     let mut large = submission("job", 0);
     large.items = (0..20).map(|n| item(&format!("item-{n}"), 9_000)).collect();
     large.waiting_tokens = None;
-    let mut state = Partition::default();
+    let mut state = empty();
     let records = records(&state, &Change::Submit(large));
     assert!(records.len() > 3);
     assert!(
@@ -221,10 +234,10 @@
             .all(|record| record.value.len() <= RECORD_BYTES)
     );
     for record in &records {
-        assert!(state.get("job").is_none());
+        assert!(jobs(&state).get("job").is_none());
         state.apply(record).expect("a record of this format");
     }
-    let items = &state.get("job").expect("the job").items;
+    let items = &jobs(&state).get("job").expect("the job").items;
     let names: Vec<&str> = items.iter().map(|item| item.id.as_str()).collect();
     assert_eq!(names[..3], ["item-0", "item-1", "item-2"]);
     assert_eq!(names.len(), 20);
@@ -243,7 +256,7 @@
     for record in &removals {
         state.apply(record).expect("a removal");
     }
-    assert!(state.get("job").is_none());
+    assert!(jobs(&state).get("job").is_none());
 }
 
 /// Guards against a record of another program that stops reading.
@@ -258,7 +271,36 @@
         value: Bytes::from_static(value),
     };
     assert!(state.apply(&record).is_err());
-    assert_eq!(state.get("job").expect("the job").items.len(), 1);
+    assert_eq!(jobs(&state).get("job").expect("the job").items.len(), 1);
+}
+
+/// Guards against a page without results that a caller has read already: a listing contains a job
+/// before its results, and may take seconds between two of its pages.
+#[test]
+fn a_partition_that_is_being_listed_tells_nothing_of_its_jobs() {
+    let mut written = empty();
+    let mut all = records(&written, &Change::Submit(submission("job", 3)));
+    for record in &all {
+        written.apply(record).expect("a record of this format");
+    }
+    for index in 0..3 {
+        let result = records(&written, &finish("job", index));
+        written.apply(&result[0]).expect("a record of this format");
+        all.extend(result);
+    }
+    all.sort_by(|a, b| a.key.cmp(&b.key));
+    let mut listed = Partition::default();
+    for listing in 0..2 {
+        listed.set_missed();
+        listed.begin_listing();
+        for record in &all {
+            assert!(listed.loaded().is_none(), "listing {listing}");
+            listed.apply(record).expect("a record of this format");
+        }
+        listed.end_listing(all.len() as u64);
+        let job = jobs(&listed).get("job").expect("the job");
+        assert_eq!(job.results.len(), 3, "listing {listing}");
+    }
 }
 
 /// Guards against a partition that counts as read although its state was reset during the listing.
@@ -283,14 +325,14 @@
     large.items.iter_mut().for_each(|i| i.tokens = u64::MAX / 2);
     let state = with_job(2);
     let change = Change::Submit(large.clone());
-    let decision = decide(&state, &mut Pending::default(), &change, RECORD_BYTES);
+    let decision = decide(jobs(&state), &mut Pending::default(), &change, RECORD_BYTES);
     assert_eq!(decision, Ok(Decision::OverTokenLimit { waiting: 200 }));
     large.waiting_tokens = None;
     let mut state = with_job(2);
     apply(&mut state, &Change::Submit(large));
-    assert_eq!(state.waiting_tokens("org", "route"), u64::MAX);
+    assert_eq!(jobs(&state).waiting_tokens("org", "route"), u64::MAX);
     let more = Change::Submit(submission("more", 1));
-    let decision = decide(&state, &mut Pending::default(), &more, RECORD_BYTES);
+    let decision = decide(jobs(&state), &mut Pending::default(), &more, RECORD_BYTES);
     let waiting = u64::MAX;
     assert_eq!(decision, Ok(Decision::OverTokenLimit { waiting }));
 }
@@ -301,14 +343,17 @@
 fn a_result_of_no_item_is_not_written() {
     let mut state = with_job(2);
     let mut pending = Pending::default();
-    let decision = decide(&state, &mut pending, &finish("job", 99), RECORD_BYTES);
+    let decision = decide(jobs(&state), &mut pending, &finish("job", 99), RECORD_BYTES);
     assert_eq!(decision, Ok(Decision::NoJob));
-    let decision = decide(&state, &mut pending, &finish("job", 0), RECORD_BYTES);
+    let decision = decide(jobs(&state), &mut pending, &finish("job", 0), RECORD_BYTES);
     let Ok(Decision::Append(records)) = decision else {
         panic!("expected records and got {decision:?}");
     };
     for record in records {
         state.apply(&record).expect("a record of this format");
     }
-    assert_eq!(state.get("job").map(|job| job.results.len()), Some(1));
+    assert_eq!(
+        jobs(&state).get("job").map(|job| job.results.len()),
+        Some(1)
+    );
 }
--- a/gateway/tests/open_items.rs
+++ b/gateway/tests/open_items.rs
@@ -1,5 +1,8 @@
 //! Open items: their assignment to instances, the step after a run, and when they are given up.
 
+#[path = "support/partition.rs"]
+mod partition;
+
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -30,6 +33,11 @@
 use limpetweir_state::Timestamp;
 use rstest::rstest;
 
+use partition::{
+    empty,
+    jobs, //
+};
+
 /// Time of the submission in Unix milliseconds.
 const SUBMITTED: u64 = 1_000_000;
 
@@ -78,9 +86,9 @@
         waiting_tokens: None,
         items: items.collect(),
     };
-    let mut state = Partition::default();
+    let mut state = empty();
     let change = Change::Submit(submission);
-    let decision = decide(&state, &mut Pending::default(), &change, 1 << 20);
+    let decision = decide(jobs(&state), &mut Pending::default(), &change, 1 << 20);
     let Ok(Decision::Append(records)) = decision else {
         panic!("expected records and got {decision:?}");
     };
@@ -289,3 +297,35 @@
     assert_eq!(items.waiting(Timestamp::default(), SUBMITTED).len(), 20);
     assert_eq!(items.held().len(), 20);
 }
+
+/// Guards against items with results that run again while the partition is listed, and against the
+/// loss of partial output while it is listed once more.
+#[test]
+fn items_stay_as_they_are_while_their_partition_is_listed() {
+    let config = config();
+    let mut known = partition(4);
+    let mut items = OpenItems::default();
+    let mut refresh = |known: &Partition, me: &str, names: &[Vec<String>]| {
+        let known = std::slice::from_ref(known);
+        let ended = items.refresh(known, Some(&config), me, names, Timestamp::default());
+        assert!(ended.is_empty());
+        let owned = items.waiting(Timestamp::default(), SUBMITTED).len();
+        (items.iter().count(), owned)
+    };
+    assert_eq!(refresh(&known, "a", &names(&["a"])), (4, 4));
+    known.set_missed();
+    known.begin_listing();
+    assert_eq!(refresh(&known, "a", &names(&["a"])), (4, 4));
+    assert_eq!(refresh(&known, "a", &names(&["b"])), (4, 0));
+    let mut listed = Partition::default();
+    listed.begin_listing();
+    let mut none = OpenItems::default();
+    none.refresh(
+        &[listed],
+        Some(&config),
+        "a",
+        &names(&["a"]),
+        Timestamp::default(),
+    );
+    assert_eq!(none.iter().count(), 0);
+}
