gateway: a missing job or result is told only after a read that the call waited for

What callers saw: a result that one instance had returned was missing in a page of another one more than a second later, status 200 without results.

Cause: at the end of its wait a read was answered with what the copy of the instance had. Nothing told how old that copy was: only reports of peers, which may be lost, are not sent at each tick and are read late by a starved process, say that an instance is behind. A 404 for an unknown job was confirmed by a read of the partition up to its end; a page without results, the same statement about the store, was not.

Change: both need a Confirmation, which only a read gives that was sent after the call arrived, and reached the end of the partition. All callers of a partition share one such read. It takes the place of the comparison with what peers report. If it is not answered within a second (80 ms once a stopping instance must answer), the caller gets 503 with a time to return. The wait for results begins as the call arrives, so that an unknown job does not add to it.

--- a/gateway/src/positions.rs
+++ b/gateway/src/positions.rs
@@ -77,8 +77,6 @@
     observed: Option<(u64, Timestamp)>,
     /// Own offset from which a read was last repeated.
     repeated_from: Option<u64>,
-    /// When the last read that reached the end of the partition was sent.
-    confirmed: Option<Timestamp>,
 }
 
 impl PartitionFreshness {
@@ -123,17 +121,6 @@
         }
     }
 
-    /// Records that a read sent at `sent` has reached the end of the partition.
-    pub fn read_to_end(&mut self, sent: Timestamp) {
-        self.confirmed = self.confirmed.max(Some(sent));
-    }
-
-    /// Returns the time since a read was sent that has reached the end of the partition; `None` if
-    /// there was none.
-    pub fn age(&self, now: Timestamp) -> Option<Duration> {
-        Some(now.since(self.confirmed?))
-    }
-
     /// Returns whether a peer has read more than this instance, so that a read may have to be repeated.
     pub fn is_peer_ahead(&self) -> bool {
         self.behind.is_some()
--- a/gateway/src/serve/catch_up.rs
+++ b/gateway/src/serve/catch_up.rs
@@ -4,8 +4,14 @@
 //! for each of them would transfer the same records hundreds of times, while all reads of the fleet
 //! share the bandwidth of the store.
 
+use std::fmt;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use limpetweir_transport::timeout_at;
 
 use super::apply;
 use super::node::Node;
@@ -59,7 +65,6 @@
     partition: u32,
 ) -> Result<u64, StoreError> {
     loop {
-        let sent = node.now();
         let range = read_once(node, partition).await?;
         for (offset, record) in (range.from..).zip(&range.records) {
             if let Some(record) = record {
@@ -74,7 +79,6 @@
         }
         apply::mark_read(node, Topic::Jobs, partition, next);
         if next >= range.end {
-            node.lock().freshness[partition as usize].read_to_end(sent);
             return Ok(next);
         }
     }
@@ -105,12 +109,39 @@
     })
 }
 
-/// Reads the partition up to its current end. Afterwards a job that is missing here does not exist,
-/// as long as the partition is loaded.
+/// Proof that a partition was read to its end after a call had arrived. What its loaded copy lacks is
+/// not in the store either, and may be told as missing.
+#[derive(Debug)]
+pub(crate) struct Confirmation {
+    partition: usize,
+    /// End of the partition.
+    end: u64,
+    /// Duration of the read.
+    elapsed: Duration,
+}
+
+impl fmt::Display for Confirmation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (partition, end) = (self.partition, self.end);
+        let ms = self.elapsed.as_millis();
+        write!(f, "partition={partition} end={end} confirm_ms={ms}")
+    }
+}
+
+/// Reads the partition up to its current end; `None` if the store does not respond within `timeout`,
+/// or the partition is not loaded.
 pub(crate) async fn confirm<P: Store + Dialect>(
     node: &Arc<Node<P>>,
     partition: usize,
-) -> Result<(), StoreError> {
+    timeout: Duration,
+) -> Option<Confirmation> {
+    let started = Instant::now();
     // The number of partitions is far below the maximum of the type.
-    catch_up(node, partition as u32).await.map(|_| ())
+    let read = catch_up(node, partition as u32);
+    let end = timeout_at(started + timeout, read).await?.ok()?;
+    Some(Confirmation {
+        partition,
+        end,
+        elapsed: started.elapsed(),
+    })
 }
--- a/gateway/src/serve/follow.rs
+++ b/gateway/src/serve/follow.rs
@@ -346,9 +346,6 @@
     if topic == Topic::Configuration {
         evacuation::read(node, range.from, cursor.next);
     }
-    if topic == Topic::Jobs && cursor.next >= range.end {
-        node.lock().freshness[partition as usize].read_to_end(cursor.sent);
-    }
     if topic == Topic::Configuration && cursor.next >= range.end {
         confirm_config(node, cursor.as_of(count > 0, node.now()));
     }
--- a/gateway/src/serve/job_calls.rs
+++ b/gateway/src/serve/job_calls.rs
@@ -15,7 +15,10 @@
 use limpetweir_transport::http::Body;
 use limpetweir_transport::timeout_at;
 
-use super::catch_up;
+use super::catch_up::{
+    self,
+    Confirmation, //
+};
 use super::lines::{
     JOB_CALL,
     JOB_REFUSED,
@@ -52,7 +55,6 @@
     ResultView,
     Store, //
 };
-use crate::positions::CallKind;
 
 /// Maximum size of a page of results in bytes of text; a page contains at least one result.
 const PAGE_BYTES: usize = 900 << 10;
@@ -66,9 +68,12 @@
 /// `Retry-After` of a job that exceeds the limit of waiting tokens; items end continuously.
 const LIMIT_RETRY: Duration = Duration::from_millis(1_000);
 
-/// Time limit for the confirmation by the store that a job does not exist.
+/// Time limit for the confirmation by the store that a job or a result does not exist.
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// The same once a stopping instance must answer; shorter than the time after which the call gets 504.
+const LAST_CONFIRM_TIMEOUT: Duration = Duration::from_millis(80);
+
 /// Longest time of a call about an existing job without a wait for results: it is forwarded, or
 /// confirmed and written.
 pub(crate) const LONGEST_CALL: Duration = Duration::from_millis(3_000);
@@ -174,36 +179,44 @@
     let partition = node.partition_of(&organisation.name);
     let (JobCall::Results { job, .. } | JobCall::Content { job, .. } | JobCall::End { job }) =
         &call;
+    let arrived = Instant::now();
     if exists(node, partition, job, organisation) != Some(true) {
-        let confirmed = catch_up::confirm(node, partition);
-        let confirmed = timeout_at(Instant::now() + CONFIRM_TIMEOUT, confirmed).await;
-        if !matches!(confirmed, Some(Ok(()))) {
+        let confirmation = catch_up::confirm(node, partition, confirm_timeout(node)).await;
+        let Some(confirmation) = confirmation else {
             log_event!(
                 JOB_REFUSED,
                 "job={job} status=503 cause=\"unknown here, and the store does not respond\""
             );
             let text = "it is not known whether the job exists";
             return retry_later(StatusCode::SERVICE_UNAVAILABLE, text, STORE_RETRY);
-        }
+        };
         match exists(node, partition, job, organisation) {
             Some(true) => {}
-            Some(false) => return no_such_job(job, partition),
+            Some(false) => return no_such_job(job, &confirmation),
             None => return repeat_elsewhere(job, PARTITION_DROPPED),
         }
     }
     match call {
         JobCall::Results { job, after, wait } => {
-            results(node, partition, &job, after, wait.min(MAX_WAIT)).await
+            let deadline = arrived + wait.min(MAX_WAIT);
+            results(node, partition, &job, after, deadline).await
         }
         JobCall::Content { job, item } => content(node, partition, &job, &item),
         JobCall::End { job } => end(node, partition, job).await,
     }
 }
 
-fn no_such_job(job: &str, partition: usize) -> Response<Body> {
+fn confirm_timeout<P>(node: &Node<P>) -> Duration {
+    let left = node.stop.remaining();
+    left.map_or(CONFIRM_TIMEOUT, |left| {
+        CONFIRM_TIMEOUT.min(left + LAST_CONFIRM_TIMEOUT)
+    })
+}
+
+fn no_such_job(job: &str, confirmation: &Confirmation) -> Response<Body> {
     log_event!(
         JOB_REFUSED,
-        "job={job} status=404 cause=no-such-job partition={partition}"
+        "job={job} status=404 cause=no-such-job {confirmation}"
     );
     plain(StatusCode::NOT_FOUND, "no such job")
 }
@@ -226,47 +239,74 @@
     partition: usize,
     id: &str,
     after: usize,
-    wait: Duration,
+    deadline: Instant,
 ) -> Response<Body> {
-    let deadline = Instant::now() + wait;
     loop {
         let changed = node.jobs_changed.listen();
-        {
-            let state = node.lock();
-            let Some(job) = state.job(partition, id) else {
-                return repeat_elsewhere(id, PARTITION_DROPPED);
-            };
-            let complete = job.results.len() >= job.items.len();
-            // A stopping instance answers with the results that it has.
-            let timed_out = Instant::now() >= deadline || node.stop.is_over();
-            let peer_ahead = || {
-                !state
-                    .forward_targets(partition, CallKind::Read, node.now())
-                    .is_empty()
-            };
-            if timed_out && job.results.len() <= after && !complete && peer_ahead() {
-                return repeat_elsewhere(id, "a peer has read more of the partition");
-            }
-            if timed_out && job.results.len() < after && !complete {
-                return repeat_elsewhere(id, OUTDATED_COPY);
-            }
-            if timed_out && job.results.len() <= after && !complete {
-                let known = &state.partitions[partition];
-                let age = state.freshness[partition].age(node.now());
-                log_event!(
-                    JOB_CALL,
-                    "job={id} call=results status=200 after={after} listed={} partition={partition} next={} age_ms={}",
-                    job.results.len(),
-                    known.next(),
-                    age.map_or_else(|| "none".to_owned(), |age| age.as_millis().to_string())
-                );
-            }
-            if job.results.len() > after || complete || timed_out {
-                return page(node, job, after);
-            }
+        match find_results(node, partition, id, after) {
+            Found::Page(page) => return page,
+            Found::Nothing { .. } => {}
+            Found::Dropped => return repeat_elsewhere(id, PARTITION_DROPPED),
+        }
+        // A stopping instance waits no longer.
+        if Instant::now() >= deadline || node.stop.is_over() {
+            break;
         }
         timeout_at(deadline, future::or(changed, node.stop.ended())).await;
     }
+    let Some(confirmation) = catch_up::confirm(node, partition, confirm_timeout(node)).await else {
+        return repeat_elsewhere(id, "no result here, and the store does not respond");
+    };
+    match find_results(node, partition, id, after) {
+        Found::Page(page) => page,
+        Found::Nothing { listed, total } if listed >= after => {
+            empty_page(node, id, after, total, &confirmation)
+        }
+        Found::Nothing { .. } => repeat_elsewhere(id, BEYOND_RESULTS),
+        Found::Dropped => repeat_elsewhere(id, PARTITION_DROPPED),
+    }
+}
+
+/// What the copy of a partition has of the results of a job from a position on.
+enum Found {
+    /// A page of them; an empty one if the job is complete.
+    Page(Response<Body>),
+    /// None of them; the job has `listed` results of `total`.
+    Nothing { listed: usize, total: usize },
+    /// The partition is not loaded any more.
+    Dropped,
+}
+
+fn find_results<P: Store + Dialect>(
+    node: &Arc<Node<P>>,
+    partition: usize,
+    id: &str,
+    after: usize,
+) -> Found {
+    let state = node.lock();
+    let Some(job) = state.job(partition, id) else {
+        return Found::Dropped;
+    };
+    let (listed, total) = (job.results.len(), job.items.len());
+    if listed > after || listed >= total {
+        return Found::Page(page(node, job, after));
+    }
+    Found::Nothing { listed, total }
+}
+
+/// Returns the page of a job that has no result at `after` yet.
+fn empty_page<P: Store + Dialect>(
+    node: &Arc<Node<P>>,
+    id: &str,
+    after: usize,
+    total: usize,
+    confirmation: &Confirmation,
+) -> Response<Body> {
+    log_event!(
+        JOB_CALL,
+        "job={id} call=results status=200 after={after} {confirmation}"
+    );
+    json(node.platform.results(total, after, &[]))
 }
 
 /// Returns the response to a call that another instance must handle, because it has read more of
@@ -277,8 +317,8 @@
     retry_later(StatusCode::SERVICE_UNAVAILABLE, text, STORE_RETRY)
 }
 
-/// Cause of a rejection because another instance has returned results that are missing here.
-const OUTDATED_COPY: &str = "the caller has read more results than are known here";
+/// Cause of a rejection because the caller asks for a position behind the next result.
+const BEYOND_RESULTS: &str = "the caller has read more results than are in the store";
 
 /// Cause of a rejection because the partition was dropped while the call was being handled.
 const PARTITION_DROPPED: &str = "this instance dropped the partition";
