gateway: a read that was sent since a call arrived confirms what is missing

Each page without results led to a read of the store at the end of its wait.

Change: a partition knows when the last read was sent that has reached its end, by the reader of its records or for a caller or writer. If that was after the call arrived, there is nothing left to read. The time is forgotten when records were missed or the partition is dropped. The comparison is strict, and it is the time of sending that counts: while a machine is suspended its clock stands still, and a response from before may be read after the calls that arrived meanwhile.

--- a/gateway/src/jobs/table.rs
+++ b/gateway/src/jobs/table.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 
 use hyper::body::Bytes;
+use limpetweir_state::Timestamp;
 
 use super::record::{
     ItemRecord,
@@ -133,6 +134,8 @@
     loaded: bool,
     /// Whether a listing of all records is being applied.
     listing: bool,
+    /// When the last read was sent that reached the end of the partition.
+    current_at: Option<Timestamp>,
 }
 
 /// The jobs of a partition of which all records before its next offset have been read.
@@ -145,6 +148,13 @@
         self.0.next
     }
 
+    /// Returns whether all that was in the store at `since` is here: a read that was sent later has
+    /// reached the end of the partition. The time of its response would say less, because the clock
+    /// stands still while the machine is suspended.
+    pub fn is_current_since(self, since: Timestamp) -> bool {
+        self.0.current_at > Some(since)
+    }
+
     /// Returns the job called `id`.
     pub fn get(self, id: &str) -> Option<&'a Job> {
         self.0.jobs.get(id)
@@ -201,6 +211,15 @@
     /// Marks the partition as incomplete after records were missed, so that it is listed again.
     pub fn set_missed(&mut self) {
         self.loaded = false;
+        self.current_at = None;
+    }
+
+    /// Records that a read sent at `sent` has reached the end of the partition, after its records were
+    /// applied.
+    pub fn read_to_end(&mut self, sent: Timestamp) {
+        if self.loaded {
+            self.current_at = self.current_at.max(Some(sent));
+        }
     }
 
     /// Advances the offset after records were applied.
--- a/gateway/src/serve/catch_up.rs
+++ b/gateway/src/serve/catch_up.rs
@@ -11,6 +11,7 @@
     Instant, //
 };
 
+use limpetweir_state::Timestamp;
 use limpetweir_transport::timeout_at;
 
 use super::apply;
@@ -65,6 +66,7 @@
     partition: u32,
 ) -> Result<u64, StoreError> {
     loop {
+        let sent = node.now();
         let range = read_once(node, partition).await?;
         for (offset, record) in (range.from..).zip(&range.records) {
             if let Some(record) = record {
@@ -79,6 +81,7 @@
         }
         apply::mark_read(node, Topic::Jobs, partition, next);
         if next >= range.end {
+            node.lock().partitions[partition as usize].read_to_end(sent);
             return Ok(next);
         }
     }
@@ -116,7 +119,7 @@
     partition: usize,
     /// End of the partition.
     end: u64,
-    /// Duration of the read.
+    /// Time for which the call has waited for it; zero if the partition had been read by then.
     elapsed: Duration,
 }
 
@@ -128,13 +131,21 @@
     }
 }
 
-/// Reads the partition up to its current end; `None` if the store does not respond within `timeout`,
-/// or the partition is not loaded.
+/// Reads the partition up to its current end, unless that was done since the call arrived at `since`;
+/// `None` if the store does not respond within `timeout`, or the partition is not loaded.
 pub(crate) async fn confirm<P: Store + Dialect>(
     node: &Arc<Node<P>>,
     partition: usize,
+    since: Timestamp,
     timeout: Duration,
 ) -> Option<Confirmation> {
+    if let Some(end) = current_end(node, partition, since) {
+        return Some(Confirmation {
+            partition,
+            end,
+            elapsed: Duration::ZERO,
+        });
+    }
     let started = Instant::now();
     // The number of partitions is far below the maximum of the type.
     let read = catch_up(node, partition as u32);
@@ -145,3 +156,10 @@
         elapsed: started.elapsed(),
     })
 }
+
+/// Returns the end of a partition that has been read up to it since `since`.
+fn current_end<P>(node: &Node<P>, partition: usize, since: Timestamp) -> Option<u64> {
+    let state = node.lock();
+    let loaded = state.partitions[partition].loaded()?;
+    loaded.is_current_since(since).then(|| loaded.next())
+}
--- a/gateway/src/serve/follow.rs
+++ b/gateway/src/serve/follow.rs
@@ -350,4 +350,7 @@
         confirm_config(node, cursor.as_of(count > 0, node.now()));
     }
     mark_read(node, topic, partition, cursor.next);
+    if topic == Topic::Jobs && cursor.next >= range.end {
+        node.lock().partitions[partition as usize].read_to_end(cursor.sent);
+    }
 }
--- a/gateway/src/serve/job_calls.rs
+++ b/gateway/src/serve/job_calls.rs
@@ -12,6 +12,7 @@
     Response,
     StatusCode, //
 };
+use limpetweir_state::Timestamp;
 use limpetweir_transport::http::Body;
 use limpetweir_transport::timeout_at;
 
@@ -179,9 +180,10 @@
     let partition = node.partition_of(&organisation.name);
     let (JobCall::Results { job, .. } | JobCall::Content { job, .. } | JobCall::End { job }) =
         &call;
-    let arrived = Instant::now();
+    let arrived = node.now();
+    let called = Instant::now();
     if exists(node, partition, job, organisation) != Some(true) {
-        let confirmation = catch_up::confirm(node, partition, confirm_timeout(node)).await;
+        let confirmation = catch_up::confirm(node, partition, arrived, confirm_timeout(node)).await;
         let Some(confirmation) = confirmation else {
             log_event!(
                 JOB_REFUSED,
@@ -198,8 +200,15 @@
     }
     match call {
         JobCall::Results { job, after, wait } => {
-            let deadline = arrived + wait.min(MAX_WAIT);
-            results(node, partition, &job, after, deadline).await
+            let deadline = called + wait.min(MAX_WAIT);
+            let read = ResultsRead {
+                partition,
+                job: &job,
+                after,
+                arrived,
+                deadline,
+            };
+            results(node, read).await
         }
         JobCall::Content { job, item } => content(node, partition, &job, &item),
         JobCall::End { job } => end(node, partition, job).await,
@@ -234,33 +243,43 @@
     Some(job.is_some_and(|job| job.organisation == organisation.name))
 }
 
-async fn results<P: Store + Dialect>(
-    node: &Arc<Node<P>>,
+/// A read of the results of a job.
+#[derive(Clone, Copy, Debug)]
+struct ResultsRead<'a> {
     partition: usize,
-    id: &str,
+    job: &'a str,
+    /// Position of the first result.
     after: usize,
+    /// When the call arrived.
+    arrived: Timestamp,
+    /// Time until which the caller waits for a result.
     deadline: Instant,
-) -> Response<Body> {
+}
+
+async fn results<P: Store + Dialect>(node: &Arc<Node<P>>, read: ResultsRead<'_>) -> Response<Body> {
+    let id = read.job;
     loop {
         let changed = node.jobs_changed.listen();
-        match find_results(node, partition, id, after) {
+        match find_results(node, read) {
             Found::Page(page) => return page,
             Found::Nothing { .. } => {}
             Found::Dropped => return repeat_elsewhere(id, PARTITION_DROPPED),
         }
         // A stopping instance waits no longer.
-        if Instant::now() >= deadline || node.stop.is_over() {
+        if Instant::now() >= read.deadline || node.stop.is_over() {
             break;
         }
-        timeout_at(deadline, future::or(changed, node.stop.ended())).await;
+        timeout_at(read.deadline, future::or(changed, node.stop.ended())).await;
     }
-    let Some(confirmation) = catch_up::confirm(node, partition, confirm_timeout(node)).await else {
-        return repeat_elsewhere(id, "no result here, and the store does not respond");
+    let timeout = confirm_timeout(node);
+    let confirmation = catch_up::confirm(node, read.partition, read.arrived, timeout).await;
+    let Some(confirmation) = confirmation else {
+        return repeat_elsewhere(id, UNCONFIRMED);
     };
-    match find_results(node, partition, id, after) {
+    match find_results(node, read) {
         Found::Page(page) => page,
-        Found::Nothing { listed, total } if listed >= after => {
-            empty_page(node, id, after, total, &confirmation)
+        Found::Nothing { listed, total } if listed >= read.after => {
+            empty_page(node, read, total, &confirmation)
         }
         Found::Nothing { .. } => repeat_elsewhere(id, BEYOND_RESULTS),
         Found::Dropped => repeat_elsewhere(id, PARTITION_DROPPED),
@@ -277,19 +296,14 @@
     Dropped,
 }
 
-fn find_results<P: Store + Dialect>(
-    node: &Arc<Node<P>>,
-    partition: usize,
-    id: &str,
-    after: usize,
-) -> Found {
+fn find_results<P: Store + Dialect>(node: &Arc<Node<P>>, read: ResultsRead<'_>) -> Found {
     let state = node.lock();
-    let Some(job) = state.job(partition, id) else {
+    let Some(job) = state.job(read.partition, read.job) else {
         return Found::Dropped;
     };
     let (listed, total) = (job.results.len(), job.items.len());
-    if listed > after || listed >= total {
-        return Found::Page(page(node, job, after));
+    if listed > read.after || listed >= total {
+        return Found::Page(page(node, job, read.after));
     }
     Found::Nothing { listed, total }
 }
@@ -297,11 +311,11 @@
 /// Returns the page of a job that has no result at `after` yet.
 fn empty_page<P: Store + Dialect>(
     node: &Arc<Node<P>>,
-    id: &str,
-    after: usize,
+    read: ResultsRead<'_>,
     total: usize,
     confirmation: &Confirmation,
 ) -> Response<Body> {
+    let (id, after) = (read.job, read.after);
     log_event!(
         JOB_CALL,
         "job={id} call=results status=200 after={after} {confirmation}"
@@ -317,6 +331,9 @@
     retry_later(StatusCode::SERVICE_UNAVAILABLE, text, STORE_RETRY)
 }
 
+/// Cause of a rejection because it is not known whether there are further results.
+const UNCONFIRMED: &str = "no result here, and the store does not respond";
+
 /// Cause of a rejection because the caller asks for a position behind the next result.
 const BEYOND_RESULTS: &str = "the caller has read more results than are in the store";
 
--- a/gateway/tests/jobs.rs
+++ b/gateway/tests/jobs.rs
@@ -15,6 +15,7 @@
     Submission,
     decide, //
 };
+use limpetweir_state::Timestamp;
 use rstest::rstest;
 
 use partition::{
@@ -303,6 +304,27 @@
     }
 }
 
+/// Guards against a statement about results that rests on a read from before the question, or on one
+/// from before records were missed.
+#[test]
+fn a_partition_is_current_since_the_last_read_to_its_end_was_sent() {
+    let ms = Timestamp::from_millis;
+    let mut state = Partition::default();
+    state.read_to_end(ms(1));
+    state.begin_listing();
+    state.end_listing(0);
+    assert!(!jobs(&state).is_current_since(ms(0)));
+    state.read_to_end(ms(2));
+    state.read_to_end(ms(1));
+    assert!(jobs(&state).is_current_since(ms(1)));
+    assert!(!jobs(&state).is_current_since(ms(2)));
+    state.set_missed();
+    state.read_to_end(ms(3));
+    state.begin_listing();
+    state.end_listing(0);
+    assert!(!jobs(&state).is_current_since(ms(0)));
+}
+
 /// Guards against a partition that counts as read although its state was reset during the listing.
 #[test]
 fn a_partition_that_was_reset_is_listed_again() {
