gateway: a result is not moved up over a gap

A caller could get a result at another position from an instance that listed the records than from one that read them one by one. If the record of a result cannot be decoded and the next one was appended with it, a reader skips the next one too; the result is written again. An instance whose listing had passed the key of the job before its submission kept the next result until the job was complete, and then listed the kept results without regard to their positions, so that the second one took the first position; the record that was written again was ignored there.

Kept results are applied as if read with the job known: one behind a gap is skipped. a_result_is_not_moved_up_over_a_gap failed before ([1] instead of [0]) and passes.

--- a/gateway/src/jobs/table.rs
+++ b/gateway/src/jobs/table.rs
@@ -315,8 +315,9 @@
             results: Vec::new(),
             ended: early.ended,
         };
-        for result in early.results.into_values() {
-            job.add_result(result);
+        for (position, result) in early.results {
+            // One behind a gap is skipped, as by a copy that knew the job when it read the result.
+            let _ = job.apply_result(position, result);
         }
         self.jobs.insert(id.to_owned(), job);
     }
--- a/gateway/tests/jobs.rs
+++ b/gateway/tests/jobs.rs
@@ -379,3 +379,30 @@
         Some(1)
     );
 }
+
+/// Guards against a result at another position than at the other instances, which show none there yet:
+/// the record of the first result is damaged, and the second one was listed before the job.
+#[test]
+fn a_result_is_not_moved_up_over_a_gap() {
+    let mut written = empty();
+    let submitted = records(&written, &Change::Submit(submission("job", 3)));
+    for record in &submitted {
+        written.apply(record).expect("a record of this format");
+    }
+    let mut first = records(&written, &finish("job", 0)).remove(0);
+    let mut second = records(&written, &finish("job", 1)).remove(0);
+    second.key = "r/job/0001".to_owned();
+    let rewritten = first.clone();
+    first.value = Bytes::from_static(b"damaged");
+    let mut listed = Partition::default();
+    listed.begin_listing();
+    assert!(listed.apply(&first).is_err());
+    listed.apply(&second).expect("a record of this format");
+    listed.end_listing(0);
+    for record in submitted.iter().chain([&rewritten]) {
+        listed.apply(record).expect("a record of this format");
+    }
+    let job = jobs(&listed).get("job").expect("the job");
+    let order: Vec<usize> = job.results.iter().map(|result| result.item).collect();
+    assert_eq!(order, [0]);
+}
