gateway: a listing skips the results that a reader skips

A caller could get a result at a position where the other instances show none, and show another one later. A result behind one that cannot be decoded is skipped by an instance that reads the records in their order; its position is written again. A listing contains the newest record of each key in the order of keys, so the newer record that closed the gap came on a page before the older one behind it, which was then used: the copy had one more result than the others, and kept it when another one was written at its position.

Not in it: jobs that are removed between the last read and a repeated listing.

--- a/gateway/src/jobs/table.rs
+++ b/gateway/src/jobs/table.rs
@@ -69,6 +69,8 @@
     pub keys: Vec<ItemKey>,
     /// Whether each item has a result.
     done: Vec<bool>,
+    /// Offset of the last result; 0 without one.
+    newest: u64,
 }
 
 impl Job {
@@ -93,23 +95,36 @@
     }
 
     /// Applies the result at `position`, unless it is known; fails if one before it is missing.
-    fn apply_result(&mut self, position: u32, record: ResultRecord) -> Result<(), String> {
+    ///
+    /// A result that is older than the one before it fails too. It was behind a gap when it was written, and
+    /// an instance that reads all records in their order has skipped it. In a listing the newer record that
+    /// closed the gap may come first.
+    fn apply_result(
+        &mut self,
+        position: u32,
+        offset: u64,
+        record: ResultRecord,
+    ) -> Result<(), String> {
         let listed = self.results.len();
         match (position as usize).cmp(&listed) {
             Ordering::Less => Ok(()),
+            Ordering::Equal if offset < self.newest => {
+                Err("it is older than the one before it".to_owned())
+            }
             Ordering::Equal => {
-                self.add_result(record);
+                self.add_result(offset, record);
                 Ok(())
             }
             Ordering::Greater => Err(format!("only {listed} results precede it")),
         }
     }
 
-    fn add_result(&mut self, record: ResultRecord) {
+    fn add_result(&mut self, offset: u64, record: ResultRecord) {
         // The index fits, because it was written by an instance as an index of the same list.
         let item = record.item as usize;
         if item < self.done.len() && !self.done[item] {
             self.done[item] = true;
+            self.newest = offset;
             self.results.push(ItemResult {
                 item,
                 outcome: record.outcome,
@@ -177,7 +192,8 @@
 #[derive(Debug, Default)]
 struct EarlyRecords {
     header: Option<JobRecord>,
-    results: BTreeMap<u32, ResultRecord>,
+    /// Results and their offsets by position.
+    results: BTreeMap<u32, (u64, ResultRecord)>,
     ended: bool,
 }
 
@@ -232,8 +248,8 @@
         self.loaded.then_some(LoadedPartition(self))
     }
 
-    /// Applies a record. Applying a record again has no further effect.
-    pub fn apply(&mut self, record: &Record) -> Result<(), RecordError> {
+    /// Applies the record at `offset`. Applying a record again has no further effect.
+    pub fn apply(&mut self, offset: u64, record: &Record) -> Result<(), RecordError> {
         let Some(key) = JobKey::parse(&record.key) else {
             return Err(RecordError {
                 key: record.key.clone(),
@@ -265,16 +281,15 @@
             JobKey::Result(id, position) => {
                 let result: ResultRecord = decode(record)?;
                 match self.jobs.get_mut(id) {
-                    Some(job) => {
-                        job.apply_result(position, result)
-                            .map_err(|reason| RecordError {
-                                key: record.key.clone(),
-                                reason,
-                            })?
-                    }
+                    Some(job) => job
+                        .apply_result(position, offset, result)
+                        .map_err(|reason| RecordError {
+                            key: record.key.clone(),
+                            reason,
+                        })?,
                     None => {
                         let early = self.early.entry(id.to_owned()).or_default();
-                        early.results.insert(position, result);
+                        early.results.insert(position, (offset, result));
                     }
                 }
             }
@@ -314,10 +329,11 @@
             items,
             results: Vec::new(),
             ended: early.ended,
+            newest: 0,
         };
-        for (position, result) in early.results {
+        for (position, (offset, result)) in early.results {
             // One behind a gap is skipped, as by a copy that knew the job when it read the result.
-            let _ = job.apply_result(position, result);
+            let _ = job.apply_result(position, offset, result);
         }
         self.jobs.insert(id.to_owned(), job);
     }
--- a/gateway/src/serve/apply.rs
+++ b/gateway/src/serve/apply.rs
@@ -57,7 +57,7 @@
     if !known.is_loaded() || offset < known.next() {
         return;
     }
-    if let Err(err) = known.apply(record) {
+    if let Err(err) = known.apply(offset, record) {
         skip_record(&mut state, Topic::Jobs, &record.key, &err);
     }
 }
@@ -123,7 +123,7 @@
         Topic::Instances => super::peers::apply_record(node, record),
         Topic::Jobs => {
             let mut state = node.lock();
-            if let Err(err) = state.partitions[partition as usize].apply(record) {
+            if let Err(err) = state.partitions[partition as usize].apply(offset, record) {
                 skip_record(&mut state, topic, &record.key, &err);
             }
         }
--- a/gateway/tests/change_queue.rs
+++ b/gateway/tests/change_queue.rs
@@ -32,6 +32,7 @@
 };
 
 use partition::{
+    apply_next,
     empty,
     jobs, //
 };
@@ -203,10 +204,9 @@
 
     fn append(&mut self, records: Vec<Record>) {
         for record in records {
-            self.truth.apply(&record).expect("a record of a job");
+            apply_next(&mut self.truth, &record).expect("a record of a job");
             self.log.push(record);
         }
-        self.truth.advance(self.log.len() as u64);
     }
 
     /// Executes an append if its condition holds.
@@ -222,9 +222,8 @@
         let next = self.known.next() as usize;
         let end = self.log.len().min(next.saturating_add(most));
         for record in &self.log[next..end] {
-            self.known.apply(record).expect("a record of a job");
+            apply_next(&mut self.known, record).expect("a record of a job");
         }
-        self.known.advance(end as u64);
     }
 
     fn push(&mut self, change: Change) {
--- a/gateway/tests/fuzz/records.rs
+++ b/gateway/tests/fuzz/records.rs
@@ -18,6 +18,7 @@
     mutated, //
 };
 use super::partition::{
+    apply_next,
     empty,
     jobs, //
 };
@@ -65,7 +66,7 @@
         panic!("expected records and got {decision:?}");
     };
     for record in &records {
-        state.apply(record).expect("a record of this format");
+        apply_next(state, record).expect("a record of this format");
     }
     records
 }
@@ -104,13 +105,13 @@
                 key: (*key).to_owned(),
                 value: value.clone().into(),
             };
-            applied += usize::from(state.apply(&odd).is_ok());
+            applied += usize::from(apply_next(&mut state, &odd).is_ok());
             if let Some(record) = good.next() {
-                state.apply(record).expect("a record of this format");
+                apply_next(&mut state, record).expect("a record of this format");
             }
         }
         for record in good {
-            state.apply(record).expect("a record of this format");
+            apply_next(&mut state, record).expect("a record of this format");
         }
         let bytes: usize = odd.iter().map(|(_, value)| value.len()).sum();
         for (_, job) in jobs(&state).iter() {
--- a/gateway/tests/jobs.rs
+++ b/gateway/tests/jobs.rs
@@ -19,6 +19,7 @@
 use rstest::rstest;
 
 use partition::{
+    apply_next,
     empty,
     jobs, //
 };
@@ -67,7 +68,7 @@
 
 fn apply(state: &mut Partition, change: &Change) {
     for record in records(state, change) {
-        state.apply(&record).expect("a record of this format");
+        apply_next(state, &record).expect("a record of this format");
     }
 }
 
@@ -186,18 +187,21 @@
     ] {
         let new = records(&state, &change);
         for record in &new {
-            state.apply(record).expect("a record of this format");
+            apply_next(&mut state, record).expect("a record of this format");
         }
         all.extend(new);
     }
+    let mut all: Vec<(u64, Record)> = (0..).zip(all).collect();
     if reversed {
         all.reverse();
     } else {
-        all.sort_by(|a, b| a.key.cmp(&b.key));
+        all.sort_by(|(_, a), (_, b)| a.key.cmp(&b.key));
     }
     let mut listed = empty();
-    for record in &all {
-        listed.apply(record).expect("a record of this format");
+    for (offset, record) in &all {
+        listed
+            .apply(*offset, record)
+            .expect("a record of this format");
     }
     let job = jobs(&listed).get("job").expect("the job");
     let order: Vec<usize> = job.results.iter().map(|result| result.item).collect();
@@ -211,11 +215,11 @@
     let mut state = with_job(3);
     let first = records(&state, &finish("job", 0));
     for record in first.iter().chain(&first) {
-        state.apply(record).expect("a record of this format");
+        apply_next(&mut state, record).expect("a record of this format");
     }
     apply(&mut state, &finish("job", 1));
     for record in &first {
-        state.apply(record).expect("a record of this format");
+        apply_next(&mut state, record).expect("a record of this format");
     }
     assert_eq!(jobs(&state).get("job").expect("the job").results.len(), 2);
 }
@@ -236,7 +240,7 @@
     );
     for record in &records {
         assert!(jobs(&state).get("job").is_none());
-        state.apply(record).expect("a record of this format");
+        apply_next(&mut state, record).expect("a record of this format");
     }
     let items = &jobs(&state).get("job").expect("the job").items;
     let names: Vec<&str> = items.iter().map(|item| item.id.as_str()).collect();
@@ -255,7 +259,7 @@
     let removals = records(&state, &remove);
     assert!(removals.iter().all(|record| record.value.is_empty()));
     for record in &removals {
-        state.apply(record).expect("a removal");
+        apply_next(&mut state, record).expect("a removal");
     }
     assert!(jobs(&state).get("job").is_none());
 }
@@ -271,7 +275,7 @@
         key: key.replace("j/job", "j/other"),
         value: Bytes::from_static(value),
     };
-    assert!(state.apply(&record).is_err());
+    assert!(apply_next(&mut state, &record).is_err());
     assert_eq!(jobs(&state).get("job").expect("the job").items.len(), 1);
 }
 
@@ -282,21 +286,24 @@
     let mut written = empty();
     let mut all = records(&written, &Change::Submit(submission("job", 3)));
     for record in &all {
-        written.apply(record).expect("a record of this format");
+        apply_next(&mut written, record).expect("a record of this format");
     }
     for index in 0..3 {
         let result = records(&written, &finish("job", index));
-        written.apply(&result[0]).expect("a record of this format");
+        apply_next(&mut written, &result[0]).expect("a record of this format");
         all.extend(result);
     }
-    all.sort_by(|a, b| a.key.cmp(&b.key));
+    let mut all: Vec<(u64, Record)> = (0..).zip(all).collect();
+    all.sort_by(|(_, a), (_, b)| a.key.cmp(&b.key));
     let mut listed = Partition::default();
     for listing in 0..2 {
         listed.set_missed();
         listed.begin_listing();
-        for record in &all {
+        for (offset, record) in &all {
             assert!(listed.loaded().is_none(), "listing {listing}");
-            listed.apply(record).expect("a record of this format");
+            listed
+                .apply(*offset, record)
+                .expect("a record of this format");
         }
         listed.end_listing(all.len() as u64);
         let job = jobs(&listed).get("job").expect("the job");
@@ -372,7 +379,7 @@
         panic!("expected records and got {decision:?}");
     };
     for record in records {
-        state.apply(&record).expect("a record of this format");
+        apply_next(&mut state, &record).expect("a record of this format");
     }
     assert_eq!(
         jobs(&state).get("job").map(|job| job.results.len()),
@@ -380,29 +387,60 @@
     );
 }
 
-/// Guards against a result at another position than at the other instances, which show none there yet:
-/// the record of the first result is damaged, and the second one was listed before the job.
-#[test]
-fn a_result_is_not_moved_up_over_a_gap() {
-    let mut written = empty();
-    let submitted = records(&written, &Change::Submit(submission("job", 3)));
-    for record in &submitted {
-        written.apply(record).expect("a record of this format");
+/// Returns a log in which the first of two results that were appended at once is damaged, and was
+/// written again.
+fn log_with_gap() -> Vec<Record> {
+    let mut state = empty();
+    let mut log = records(&state, &Change::Submit(submission("job", 3)));
+    for record in &log {
+        apply_next(&mut state, record).expect("a record of this format");
     }
-    let mut first = records(&written, &finish("job", 0)).remove(0);
-    let mut second = records(&written, &finish("job", 1)).remove(0);
+    let mut first = records(&state, &finish("job", 0)).remove(0);
+    let mut second = records(&state, &finish("job", 1)).remove(0);
     second.key = "r/job/0001".to_owned();
     let rewritten = first.clone();
     first.value = Bytes::from_static(b"damaged");
+    log.extend([first, second, rewritten]);
+    log
+}
+
+fn listed_items(state: &Partition) -> Vec<usize> {
+    let job = jobs(state).get("job").expect("the job");
+    job.results.iter().map(|result| result.item).collect()
+}
+
+/// Guards against a result at another position than at the other instances, which show none there yet:
+/// the record of the first result is damaged, and the second one was listed before the job.
+#[test]
+fn a_result_is_not_moved_up_over_a_gap() {
+    let log = log_with_gap();
     let mut listed = Partition::default();
     listed.begin_listing();
-    assert!(listed.apply(&first).is_err());
-    listed.apply(&second).expect("a record of this format");
+    assert!(listed.apply(2, &log[2]).is_err());
+    listed.apply(3, &log[3]).expect("a record of this format");
     listed.end_listing(0);
-    for record in submitted.iter().chain([&rewritten]) {
-        listed.apply(record).expect("a record of this format");
+    for (record, is_used) in log.iter().zip([true, true, false, false, true]) {
+        assert_eq!(apply_next(&mut listed, record).is_ok(), is_used);
     }
-    let job = jobs(&listed).get("job").expect("the job");
-    let order: Vec<usize> = job.results.iter().map(|result| result.item).collect();
-    assert_eq!(order, [0]);
+    assert_eq!(listed_items(&listed), [0]);
+}
+
+/// Guards against a result at a position where the other instances show none, and then another one:
+/// it was skipped behind a gap, and a listing contains the record that closed the gap before it.
+#[test]
+fn a_result_behind_a_gap_is_not_used_once_the_gap_is_closed() {
+    let log = log_with_gap();
+    let mut followed = empty();
+    for (record, is_used) in log.iter().zip([true, true, false, false, true]) {
+        assert_eq!(apply_next(&mut followed, record).is_ok(), is_used);
+    }
+    let mut listed = Partition::default();
+    listed.begin_listing();
+    for (offset, is_used) in [(1, true), (0, true), (4, true), (3, false)] {
+        let applied = listed.apply(offset, &log[offset as usize]);
+        assert_eq!(applied.is_ok(), is_used);
+    }
+    listed.end_listing(5);
+    assert_eq!(listed_items(&listed), [0]);
+    assert_eq!(listed_items(&followed), [0]);
 }
--- a/gateway/tests/open_items.rs
+++ b/gateway/tests/open_items.rs
@@ -34,6 +34,7 @@
 use rstest::rstest;
 
 use partition::{
+    apply_next,
     empty,
     jobs, //
 };
@@ -93,7 +94,7 @@
         panic!("expected records and got {decision:?}");
     };
     for record in records {
-        state.apply(&record).expect("a record of this format");
+        apply_next(&mut state, &record).expect("a record of this format");
     }
     state
 }
--- a/gateway/tests/support/partition.rs
+++ b/gateway/tests/support/partition.rs
@@ -2,7 +2,9 @@
 
 use limpetweir_gateway::{
     LoadedPartition,
-    Partition, //
+    Partition,
+    Record,
+    RecordError, //
 };
 
 /// Returns a partition without records that has been read.
@@ -17,3 +19,10 @@
 pub(crate) fn jobs(partition: &Partition) -> LoadedPartition<'_> {
     partition.loaded().expect("a partition that has been read")
 }
+
+/// Applies the next record of the store.
+pub(crate) fn apply_next(partition: &mut Partition, record: &Record) -> Result<(), RecordError> {
+    let offset = partition.next();
+    partition.advance(offset + 1);
+    partition.apply(offset, record)
+}
