gateway: an interrupted listing confirms the configuration as of its first page

Callers could get a final 401 or 404 for a key or a route of a version that had been published seconds before, from an instance that had just started or whose history had been trimmed.

Cause: a listing that was interrupted continues at a later page, and the time of the continuation counted as the time at which the store had shown the configuration, which may be on the first page.

Evidence: outdated_configuration::an_interrupted_listing_does_not_confirm_its_first_page. The later page is refused for 2 s, version 2 is published meanwhile, then the store answers pages but no reads. Before: 404 and 401 (both cases, confirmed_ms=20 and 18). After: only 503 until version 2 is in force.

Change: the time is that of the request for the first page.

--- a/gateway/src/serve/follow.rs
+++ b/gateway/src/serve/follow.rs
@@ -102,7 +102,7 @@
     lost: bool,
     /// Whether the last read was interrupted because a peer has read more.
     interrupted: bool,
-    /// When the last read was sent.
+    /// When the last read was sent, or the request for the first page of the last listing.
     sent: Timestamp,
     /// Time for which the last read asked the store to wait.
     wait: Duration,
@@ -278,8 +278,11 @@
     if topic == Topic::Jobs && node.lock().partitions[partition as usize].begin_listing() {
         cursor.listing = Listing::default();
     }
-    cursor.sent = node.now();
-    let started = cursor.sent;
+    let started = node.now();
+    // What the pages lack is known as of the first one, however much later a listing continues.
+    if cursor.listing.after().is_none() {
+        cursor.sent = started;
+    }
     loop {
         let after = cursor.listing.after();
         let page = match topic {
