gateway: a peer's result is not dropped because its job was not read yet

An item that had run was neither listed nor run again until its instance stopped.

Cause: while the store rejects an instance, it passes results on to a peer. The peer answered "no such job" from its copy, of whatever age. The sender takes that for a job that was removed, and drops the result; the item stays in the phase of its writing, in which no instance runs it.

Evidence: results_of_peers::a_result_is_written_for_a_job_that_was_not_read_yet. Another replica appends a job, the store does not complete the waiting read, and a peer sends a result of the job. Before: 207 with "NoJob" and no record. After: 200 and one record. That the sender then never lists the item is by reading (runs::finish, open_items), not by a run.

Change: if the job of a result is not known, the partition is read to its end first; without an answer of the store within 600 ms the request is refused with 503, and the sender tries again. A job that does not exist is still told as such (second case of the test).

--- a/gateway/src/serve/results.rs
+++ b/gateway/src/serve/results.rs
@@ -25,6 +25,7 @@
     Serialize, //
 };
 
+use super::catch_up;
 use super::lines::{
     RESULTS_PASSED_ON,
     log_event, //
@@ -56,6 +57,10 @@
 /// Time limit for writing the results of a peer; shorter than the time limit of the sender.
 const WRITE_TIMEOUT: Duration = Duration::from_millis(1_200);
 
+/// Time limit for the confirmation by the store that a job does not exist; it leaves the rest of
+/// [`WRITE_TIMEOUT`] for the append.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(600);
+
 /// Longest time for the body of a request of a peer, which has given up by then.
 const READ_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -171,6 +176,13 @@
     }
 }
 
+/// Returns whether this instance knows the jobs of all results. It may have read less than the sender.
+fn knows_jobs<P>(node: &Node<P>, wire: &Wire) -> bool {
+    let state = node.lock();
+    let mut results = wire.results.iter();
+    results.all(|result| state.job(wire.partition, &result.job).is_some())
+}
+
 /// Handles a request of a peer to write its results.
 pub(crate) async fn receive<P: Store + Dialect>(
     node: &Arc<Node<P>>,
@@ -198,6 +210,14 @@
         return plain(StatusCode::SERVICE_UNAVAILABLE, "the store does not answer");
     }
     let deadline = Instant::now() + WRITE_TIMEOUT;
+    if !knows_jobs(node, &wire) {
+        // The sender drops a result without a job, so its absence must not be that from an old copy.
+        let confirmation = catch_up::confirm(node, partition, node.now(), CONFIRM_TIMEOUT).await;
+        if confirmation.is_none() {
+            let text = "it is not known whether the jobs exist";
+            return plain(StatusCode::SERVICE_UNAVAILABLE, text);
+        }
+    }
     let writes = wire.results.into_iter().map(|result| {
         let change = Change::Finish {
             job: result.job,
