gateway: a job whose removal was missed leaves the copy of its partition

A read of a removed job got pages for ever at one instance, and 404 at the others. By reading: had its results been missed too, its items would have run again and counted as waiting against the limit of its organisation. A job that was submitted again under the same identifier kept its old items there.

Cause: after records were missed because the history was trimmed, a partition is listed again and its jobs were kept. A listing has no record of a removed job, so nothing took the job out of the copy.

Change: a new listing begins without jobs. Nothing can read them meanwhile, as the partition is not loaded, and open items stay as they are until its end.

--- a/gateway/src/jobs/table.rs
+++ b/gateway/src/jobs/table.rs
@@ -209,9 +209,16 @@
     }
 
     /// Starts a listing of all records; returns whether it is a new one, and not the continuation
-    /// of a listing that was interrupted.
+    /// of a listing that was interrupted. A new one begins without jobs: it has no record of those
+    /// whose removal was missed.
     pub fn begin_listing(&mut self) -> bool {
-        !std::mem::replace(&mut self.listing, true)
+        let is_new = !std::mem::replace(&mut self.listing, true);
+        if is_new {
+            self.jobs.clear();
+            self.parts.clear();
+            self.early.clear();
+        }
+        is_new
     }
 
     /// Ends a listing and marks all records before `next` as read. Without a listing in progress
--- a/gateway/tests/jobs.rs
+++ b/gateway/tests/jobs.rs
@@ -347,6 +347,26 @@
     assert!(!state.is_loaded());
 }
 
+/// Guards against a job that stays in a copy forever because its removal was missed: its open items would
+/// run again and count as waiting.
+#[test]
+fn a_job_that_is_not_listed_any_more_is_removed() {
+    let mut state = with_job(2);
+    let other = records(&state, &Change::Submit(submission("other", 3)));
+    state.set_missed();
+    assert!(state.begin_listing());
+    for (offset, record) in (9..).zip(&other) {
+        assert!(!state.begin_listing(), "a listing that continues");
+        state
+            .apply(offset, record)
+            .expect("a record of this format");
+    }
+    state.end_listing(20);
+    let listed: Vec<&String> = jobs(&state).iter().map(|(id, _)| id).collect();
+    assert_eq!(listed, ["other"]);
+    assert_eq!(jobs(&state).waiting_tokens("org", "route"), 300);
+}
+
 /// Guards against a sum of tokens that overflows, with which a job passes the limit of its route.
 #[test]
 fn tokens_of_any_number_count_against_the_limit() {
