gateway: results outlast their retention time by the difference of clocks

A result that had been read could be missing seconds before statusS after the submission.

Evidence: jobs::a_job_outlasts_its_retention_by_the_difference_of_clocks. Run with a margin of 0 (the rule as it was): the cases at_the_end and clocks_apart failed. With 10 s: passed.

Change: Job::may_be_removed has a margin of 10 s. A result that stays longer takes memory only.

--- a/gateway/src/jobs/table.rs
+++ b/gateway/src/jobs/table.rs
@@ -6,6 +6,7 @@
     HashMap, //
 };
 use std::sync::Arc;
+use std::time::Duration;
 
 use hyper::body::Bytes;
 use limpetweir_state::Timestamp;
@@ -22,6 +23,11 @@
 use crate::platform::Record;
 use crate::report::ItemKey;
 
+/// Time for which a job stays beyond the retention time of its results. The submission and the removal are
+/// timed by the wall clocks of two instances, which may be seconds apart or be set while they run. A result
+/// must not disappear early, and one that stays longer takes memory only.
+const REMOVAL_MARGIN: Duration = Duration::from_secs(10);
+
 /// One item of a job.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct JobItem {
@@ -83,6 +89,14 @@
             .map(|(index, _)| index)
     }
 
+    /// Returns whether the job may be removed at the Unix time `unix_ms`: no item needs a run, and its
+    /// results have been kept for `retention` by the clock of any instance.
+    pub fn may_be_removed(&self, unix_ms: u64, retention: Duration) -> bool {
+        let kept = retention.saturating_add(REMOVAL_MARGIN).as_millis();
+        let kept = u64::try_from(kept).unwrap_or(u64::MAX);
+        self.submitted < unix_ms.saturating_sub(kept) && self.open().next().is_none()
+    }
+
     /// Returns whether the item at `index` has a result.
     pub fn has_result(&self, index: usize) -> bool {
         self.done.get(index).copied().unwrap_or(false)
--- a/gateway/src/serve/items.rs
+++ b/gateway/src/serve/items.rs
@@ -412,8 +412,7 @@
 /// Returns the expired jobs that this instance is responsible for, with their partitions.
 fn expired_jobs<P>(node: &Arc<Node<P>>) -> Vec<(usize, String)> {
     let now = node.now();
-    let keep = node.settings.result_retention.as_millis();
-    let before = unix_ms().saturating_sub(u64::try_from(keep).unwrap_or(u64::MAX));
+    let (unix_ms, retention) = (unix_ms(), node.settings.result_retention);
     let state = node.lock();
     let me = node.settings.name.as_str();
     let names: Vec<&str> = state
@@ -429,8 +428,7 @@
     let partitions = state.partitions.iter().enumerate();
     let loaded = partitions.filter_map(|(n, known)| Some((n, known.loaded()?)));
     let jobs = loaded.flat_map(|(n, known)| known.iter().map(move |(id, job)| (n, id, job)));
-    let expired_jobs = jobs.filter(|(_, id, job)| {
-        job.submitted < before && job.open().next().is_none() && responsible(id)
-    });
+    let expired_jobs =
+        jobs.filter(|(_, id, job)| job.may_be_removed(unix_ms, retention) && responsible(id));
     expired_jobs.map(|(n, id, _)| (n, id.clone())).collect()
 }
--- a/gateway/tests/jobs.rs
+++ b/gateway/tests/jobs.rs
@@ -3,6 +3,8 @@
 #[path = "support/partition.rs"]
 mod partition;
 
+use std::time::Duration;
+
 use hyper::body::Bytes;
 use limpetweir_gateway::{
     Change,
@@ -24,6 +26,9 @@
     jobs, //
 };
 
+/// Time of the submissions in Unix milliseconds.
+const SUBMITTED: u64 = 1_000;
+
 /// Largest record in these tests.
 const RECORD_BYTES: usize = 64 << 10;
 
@@ -43,7 +48,7 @@
         organisation: "org".to_owned(),
         route: "route".to_owned(),
         host: "host".to_owned(),
-        submitted: 1_000,
+        submitted: SUBMITTED,
         waiting_tokens: Some(1_000),
         items: (0..items).map(|n| item(&format!("item-{n}"), 10)).collect(),
     }
@@ -224,6 +229,26 @@
     assert_eq!(jobs(&state).get("job").expect("the job").results.len(), 2);
 }
 
+/// Guards against results that are removed early because the clock of the instance which accepted the job is
+/// behind, or that of the instance which removes it is ahead; and against jobs that are never removed.
+#[rstest]
+#[case::at_the_end(Duration::ZERO, false)]
+#[case::clocks_apart(Duration::from_secs(5), false)]
+#[case::long_after(Duration::from_secs(60), true)]
+fn a_job_outlasts_its_retention_by_the_difference_of_clocks(
+    #[case] after: Duration,
+    #[case] is_removed: bool,
+) {
+    let retention = Duration::from_secs(120);
+    let mut state = with_job(1);
+    let now = Duration::from_millis(SUBMITTED + 1) + retention + after;
+    let unix_ms = u64::try_from(now.as_millis()).expect("a time");
+    let job = |state: &Partition| jobs(state).get("job").expect("the job").clone();
+    assert!(!job(&state).may_be_removed(unix_ms, retention));
+    apply(&mut state, &finish("job", 0));
+    assert_eq!(job(&state).may_be_removed(unix_ms, retention), is_removed);
+}
+
 /// Guards against records that exceed the size limit of the store.
 #[test]
 fn a_large_job_is_split_and_put_together_again() {
