gateway: a record of a job counts as read in the step in which it is applied

What callers could see: a page without a result that had been read, or 404 for a job, from a copy that counted as whole and current.

Cause: the reader of a partition, its writer and reads for callers apply records side by side, and each of them counted its range as read once it had gone through it. Records are skipped while the partition is not loaded. If a listing ended while another reader was within its range, records between the end of the listing and the end of the range were skipped and counted as read, and the read confirmed the copy. The window is the loop over the records of one read.

Change: Partition::take_next counts a record as read only if it is the next one, under the lock under which it is applied. A range with a gap leaves the rest to the next read, and does not confirm the copy. A header that is read twice cannot bring back a job that was removed in between.

--- a/gateway/src/jobs/table.rs
+++ b/gateway/src/jobs/table.rs
@@ -251,17 +251,21 @@
         self.current_at = None;
     }
 
-    /// Records that a read sent at `sent` has reached the end of the partition, after its records were
-    /// applied.
-    pub fn read_to_end(&mut self, sent: Timestamp) {
-        if self.loaded {
+    /// Records that a read sent at `sent` has found the end of the partition at `end`, after its records
+    /// were applied.
+    pub fn read_to_end(&mut self, sent: Timestamp, end: u64) {
+        if self.loaded && self.next >= end {
             self.current_at = self.current_at.max(Some(sent));
         }
     }
 
-    /// Advances the offset after records were applied.
-    pub fn advance(&mut self, next: u64) {
-        self.next = self.next.max(next);
+    /// Counts the record at `offset` as read if it is the next one; returns whether it is, so that it must
+    /// be applied. Records that arrived while the partition was not loaded are missing after the listing
+    /// that loaded it, and those behind them are read again.
+    pub fn take_next(&mut self, offset: u64) -> bool {
+        let is_next = self.loaded && offset == self.next;
+        self.next += u64::from(is_next);
+        is_next
     }
 
     /// Returns the jobs if all records before [`next`](Self::next) have been read.
--- a/gateway/src/serve/apply.rs
+++ b/gateway/src/serve/apply.rs
@@ -33,33 +33,49 @@
     Topic, //
 };
 
-/// Applies a record of a job, unless this instance has applied it already when it appended it.
-pub(crate) fn apply_job<P: Store + Dialect>(
+/// Applies the records of a partition of the jobs from offset `from` on, but for those that are known
+/// already; `None` is one that cannot be read. The reader of the partition, its writer and reads for callers
+/// apply records side by side, so each record counts as read in the step in which it is applied.
+pub(crate) fn apply_jobs<'a, P: Store + Dialect>(
     node: &Arc<Node<P>>,
     partition: u32,
-    offset: u64,
-    record: &Record,
+    from: u64,
+    records: impl IntoIterator<Item = Option<&'a Record>>,
 ) {
-    let input = format!("topic=jobs partition={partition} offset={offset}");
-    let apply = || apply_new_job(node, partition, offset, record);
-    node.supervisor.skip_on_panic(&input, apply);
+    let mut changed = false;
+    for (offset, record) in (from..).zip(records) {
+        let input = format_args!("topic=jobs partition={partition} offset={offset}");
+        let apply = || changed |= apply_next_job(node, partition, offset, record);
+        node.supervisor.skip_on_panic(input, apply);
+    }
+    if !changed {
+        return;
+    }
+    let mut state = node.lock();
+    let next = state.partitions[partition as usize].next();
+    state.freshness[partition as usize].advanced(next);
+    drop(state);
+    items::jobs_changed(node);
 }
 
-fn apply_new_job<P: Store + Dialect>(
+/// Applies a record if it is the next one of the partition, and returns whether it is.
+fn apply_next_job<P>(
     node: &Arc<Node<P>>,
     partition: u32,
     offset: u64,
-    record: &Record,
-) {
+    record: Option<&Record>,
+) -> bool {
     let mut state = node.lock();
     let known = &mut state.partitions[partition as usize];
-    // A partition that was dropped meanwhile must be listed before anything is applied to it.
-    if !known.is_loaded() || offset < known.next() {
-        return;
+    if !known.take_next(offset) {
+        return false;
     }
-    if let Err(err) = known.apply(offset, record) {
+    if let Some(record) = record
+        && let Err(err) = known.apply(offset, record)
+    {
         skip_record(&mut state, Topic::Jobs, &record.key, &err);
     }
+    true
 }
 
 /// Records that a record of a topic is not used, and logs it unless it is known.
@@ -137,30 +153,13 @@
     state.config_freshness.confirmed(version, as_of);
 }
 
-/// Records that the partition has been read up to `next`, and does the work that depends on it.
-pub(crate) fn mark_read<P: Store + Dialect>(
-    node: &Arc<Node<P>>,
-    topic: Topic,
-    partition: u32,
-    next: u64,
-) {
+/// Records that a topic has been read up to `next`, and does the work that depends on it.
+pub(crate) fn mark_read<P: Store + Dialect>(node: &Arc<Node<P>>, topic: Topic, next: u64) {
     let now = node.now();
     match topic {
-        // Confirmed with the time of the read, see `confirm_config`.
-        Topic::Configuration => {}
-        Topic::Jobs => {
-            let mut state = node.lock();
-            let known = &mut state.partitions[partition as usize];
-            let changed = known.is_loaded() && next > known.next();
-            if changed {
-                known.advance(next);
-                state.freshness[partition as usize].advanced(next);
-            }
-            drop(state);
-            if changed {
-                items::jobs_changed(node);
-            }
-        }
+        // Confirmed with the time of the read, see `confirm_config`; counted as they are applied, see
+        // `apply_jobs`.
+        Topic::Configuration | Topic::Jobs => {}
         Topic::Backends => {
             let removed = node.lock().backends.sweep(now);
             for id in removed {
--- a/gateway/src/serve/catch_up.rs
+++ b/gateway/src/serve/catch_up.rs
@@ -22,8 +22,7 @@
     Dialect,
     RecordRange,
     Store,
-    StoreError,
-    Topic, //
+    StoreError, //
 };
 
 /// Reads the partition up to its current end and returns the end offset. Callers that wait at the
@@ -68,20 +67,16 @@
     loop {
         let sent = node.now();
         let range = read_once(node, partition).await?;
-        for (offset, record) in (range.from..).zip(&range.records) {
-            if let Some(record) = record {
-                apply::apply_job(node, partition, offset, record);
-            }
-        }
-        let next = range.from + range.records.len() as u64;
-        if range.records.is_empty() && next < range.end {
+        if range.records.is_empty() && range.from < range.end {
             return Err(StoreError::NotDone {
                 reason: "the store returned none of the records before its end".to_owned(),
             });
         }
-        apply::mark_read(node, Topic::Jobs, partition, next);
+        let records = range.records.iter().map(Option::as_ref);
+        apply::apply_jobs(node, partition, range.from, records);
+        let next = next_offset(node, partition)?;
         if next >= range.end {
-            node.lock().partitions[partition as usize].read_to_end(sent);
+            node.lock().partitions[partition as usize].read_to_end(sent, range.end);
             return Ok(next);
         }
     }
--- a/gateway/src/serve/follow.rs
+++ b/gateway/src/serve/follow.rs
@@ -8,7 +8,7 @@
 use limpetweir_transport::sleep;
 
 use super::apply::{
-    apply_job,
+    apply_jobs,
     apply_record,
     confirm_config,
     mark_read, //
@@ -313,7 +313,7 @@
         );
         items::jobs_changed(node);
     } else {
-        mark_read(node, topic, partition, cursor.next);
+        mark_read(node, topic, cursor.next);
     }
     if topic == Topic::Configuration {
         evacuation::listed(node, &listing);
@@ -337,7 +337,7 @@
     let count = range.records.len() as u64;
     for (offset, record) in (range.from..).zip(&range.records) {
         match record {
-            Some(record) if topic == Topic::Jobs => apply_job(node, partition, offset, record),
+            Some(_) if topic == Topic::Jobs => {}
             Some(record) => apply_record(node, topic, partition, offset, record),
             None => log_event!(
                 RECORD_SKIPPED,
@@ -352,8 +352,10 @@
     if topic == Topic::Configuration && cursor.next >= range.end {
         confirm_config(node, cursor.as_of(count > 0, node.now()));
     }
-    mark_read(node, topic, partition, cursor.next);
-    if topic == Topic::Jobs && cursor.next >= range.end {
-        node.lock().partitions[partition as usize].read_to_end(cursor.sent);
+    if topic == Topic::Jobs {
+        let records = range.records.iter().map(Option::as_ref);
+        apply_jobs(node, partition, range.from, records);
+        node.lock().partitions[partition as usize].read_to_end(cursor.sent, range.end);
     }
+    mark_read(node, topic, cursor.next);
 }
--- a/gateway/src/serve/writer.rs
+++ b/gateway/src/serve/writer.rs
@@ -50,8 +50,7 @@
     Dialect,
     Record,
     Store,
-    StoreError,
-    Topic, //
+    StoreError, //
 };
 
 /// Time limit for writing a submission or an end; the caller waits for four seconds.
@@ -264,11 +263,5 @@
     at: u64,
     records: &[Record],
 ) {
-    // The end that the store returns may be behind later records of other instances, so it is
-    // computed from the offset of the append.
-    let end = at + records.len() as u64;
-    for (offset, record) in (at..).zip(records) {
-        apply::apply_job(node, partition, offset, record);
-    }
-    apply::mark_read(node, Topic::Jobs, partition, end);
+    apply::apply_jobs(node, partition, at, records.iter().map(Some));
 }
--- a/gateway/tests/jobs.rs
+++ b/gateway/tests/jobs.rs
@@ -342,21 +342,46 @@
 fn a_partition_is_current_since_the_last_read_to_its_end_was_sent() {
     let ms = Timestamp::from_millis;
     let mut state = Partition::default();
-    state.read_to_end(ms(1));
+    state.read_to_end(ms(1), 0);
     state.begin_listing();
     state.end_listing(0);
     assert!(!jobs(&state).is_current_since(ms(0)));
-    state.read_to_end(ms(2));
-    state.read_to_end(ms(1));
+    state.read_to_end(ms(2), 0);
+    state.read_to_end(ms(1), 0);
     assert!(jobs(&state).is_current_since(ms(1)));
     assert!(!jobs(&state).is_current_since(ms(2)));
     state.set_missed();
-    state.read_to_end(ms(3));
+    state.read_to_end(ms(3), 0);
     state.begin_listing();
     state.end_listing(0);
     assert!(!jobs(&state).is_current_since(ms(0)));
 }
 
+/// Two readers apply records, and a listing ends while one of them is within its range. Guards against records
+/// that count as read although they arrived before the partition was loaded.
+#[test]
+fn records_that_arrive_during_a_listing_are_read_again() {
+    let ms = Timestamp::from_millis;
+    let mut state = empty();
+    for offset in 0..2 {
+        assert!(state.take_next(offset));
+    }
+    state.set_missed();
+    state.begin_listing();
+    // The listing ends at 3, behind two records of the range from 2 to 6.
+    assert!(!state.take_next(2));
+    assert!(!state.take_next(3));
+    state.end_listing(3);
+    assert!(!state.take_next(4));
+    assert!(!state.take_next(5));
+    state.read_to_end(ms(1), 6);
+    assert_eq!(state.next(), 3);
+    assert!(!jobs(&state).is_current_since(ms(0)));
+    assert!((3..6).all(|offset| state.take_next(offset)));
+    state.read_to_end(ms(2), 6);
+    assert!(jobs(&state).is_current_since(ms(1)));
+}
+
 /// Guards against a partition that counts as read although its state was reset during the listing.
 #[test]
 fn a_partition_that_was_reset_is_listed_again() {
--- a/gateway/tests/support/partition.rs
+++ b/gateway/tests/support/partition.rs
@@ -23,6 +23,6 @@
 /// Applies the next record of the store.
 pub(crate) fn apply_next(partition: &mut Partition, record: &Record) -> Result<(), RecordError> {
     let offset = partition.next();
-    partition.advance(offset + 1);
+    assert!(partition.take_next(offset));
     partition.apply(offset, record)
 }
