gateway: a copy of the jobs that lacks no record is not listed again

What callers could see: 503 for the jobs of a partition until it had been listed again, although the copy had all records.

Cause: the read with which the reader waits for records is sent from an offset that appends and reads for callers have passed meanwhile. If the store drops its history before that offset is returned, the read fails, and any such failure gave the copy up.

Change: the copy is given up only if its next offset is before the first one that the store still has. If a read for a caller finds that, the reader is woken instead of waiting for records for up to two seconds.

--- a/gateway/src/jobs/table.rs
+++ b/gateway/src/jobs/table.rs
@@ -245,10 +245,16 @@
         }
     }
 
-    /// Marks the partition as incomplete after records were missed, so that it is listed again.
-    pub fn set_missed(&mut self) {
+    /// Marks the partition as incomplete if records were missed because those before `first` were removed
+    /// from the history, so that it is listed again. Returns whether it was marked: a read from an older
+    /// offset may fail although the others have gone on.
+    pub fn set_missed(&mut self, first: u64) -> bool {
+        if !self.loaded || self.next >= first {
+            return false;
+        }
         self.loaded = false;
         self.current_at = None;
+        true
     }
 
     /// Records that a read sent at `sent` has found the end of the partition at `end`, after its records
--- a/gateway/src/serve/catch_up.rs
+++ b/gateway/src/serve/catch_up.rs
@@ -88,8 +88,11 @@
 ) -> Result<RecordRange, StoreError> {
     let next = next_offset(node, partition)?;
     let result = store_relay::read(node, partition, next).await;
-    if matches!(result, Err(StoreError::Trimmed { .. })) {
-        node.lock().partitions[partition as usize].set_missed();
+    if let Err(StoreError::Trimmed { first }) = result
+        && node.lock().partitions[partition as usize].set_missed(first)
+    {
+        // The reader lists the partition again instead of waiting for records.
+        node.jobs_behind[partition as usize].notify(usize::MAX);
     }
     result
 }
--- a/gateway/src/serve/follow.rs
+++ b/gateway/src/serve/follow.rs
@@ -176,6 +176,13 @@
                     sleep(timing.pause_with_peers(readers)).await;
                 }
             }
+            // The read was sent from an older offset than others of the jobs, which have gone on.
+            Err(StoreError::Trimmed { first })
+                if topic == Topic::Jobs
+                    && !node.lock().partitions[partition as usize].set_missed(first) =>
+            {
+                sleep(RETRY_PAUSE).await;
+            }
             Err(StoreError::Trimmed { first }) => {
                 log_event!(
                     STORE_GAP,
@@ -183,9 +190,6 @@
                     cursor.next
                 );
                 cursor.loaded = false;
-                if topic == Topic::Jobs {
-                    node.lock().partitions[partition as usize].set_missed();
-                }
             }
             Err(err) => {
                 if !std::mem::replace(&mut cursor.lost, true) {
--- a/gateway/tests/copies.rs
+++ b/gateway/tests/copies.rs
@@ -198,7 +198,7 @@
             Step::Page(size) if !is_loaded => self.page(*size),
             Step::Read(most) if is_loaded => self.read(*most),
             Step::Missed(size) if is_loaded => {
-                self.listed.set_missed();
+                self.listed.set_missed(u64::MAX);
                 self.page(*size);
             }
             Step::Page(_) | Step::Read(_) | Step::Missed(_) => {}
--- a/gateway/tests/jobs.rs
+++ b/gateway/tests/jobs.rs
@@ -322,7 +322,7 @@
     all.sort_by(|(_, a), (_, b)| a.key.cmp(&b.key));
     let mut listed = Partition::default();
     for listing in 0..2 {
-        listed.set_missed();
+        listed.set_missed(u64::MAX);
         listed.begin_listing();
         for (offset, record) in &all {
             assert!(listed.loaded().is_none(), "listing {listing}");
@@ -350,13 +350,25 @@
     state.read_to_end(ms(1), 0);
     assert!(jobs(&state).is_current_since(ms(1)));
     assert!(!jobs(&state).is_current_since(ms(2)));
-    state.set_missed();
+    state.set_missed(u64::MAX);
     state.read_to_end(ms(3), 0);
     state.begin_listing();
     state.end_listing(0);
     assert!(!jobs(&state).is_current_since(ms(0)));
 }
 
+/// Guards against a copy that is given up, and answers nothing until it is listed again, because a read from
+/// an older offset than that of others fails.
+#[test]
+fn a_copy_that_lacks_no_record_stays_loaded() {
+    let mut state = empty();
+    assert!((0..3).all(|offset| state.take_next(offset)));
+    assert!(!state.set_missed(3));
+    assert!(state.is_loaded());
+    assert!(state.set_missed(4));
+    assert!(!state.is_loaded());
+}
+
 /// Two readers apply records, and a listing ends while one of them is within its range. Guards against records
 /// that count as read although they arrived before the partition was loaded.
 #[test]
@@ -366,7 +378,7 @@
     for offset in 0..2 {
         assert!(state.take_next(offset));
     }
-    state.set_missed();
+    state.set_missed(u64::MAX);
     state.begin_listing();
     // The listing ends at 3, behind two records of the range from 2 to 6.
     assert!(!state.take_next(2));
@@ -390,7 +402,7 @@
     state.end_listing(7);
     assert!(state.is_loaded());
     assert_eq!(state.next(), 7);
-    state.set_missed();
+    state.set_missed(u64::MAX);
     state.begin_listing();
     state = Partition::default();
     state.end_listing(9);
@@ -403,7 +415,7 @@
 fn a_job_that_is_not_listed_any_more_is_removed() {
     let mut state = with_job(2);
     let other = records(&state, &Change::Submit(submission("other", 3)));
-    state.set_missed();
+    state.set_missed(u64::MAX);
     assert!(state.begin_listing());
     for (offset, record) in (9..).zip(&other) {
         assert!(!state.begin_listing(), "a listing that continues");
--- a/gateway/tests/open_items.rs
+++ b/gateway/tests/open_items.rs
@@ -314,7 +314,7 @@
         (items.iter().count(), owned)
     };
     assert_eq!(refresh(&known, "a", &names(&["a"])), (4, 4));
-    known.set_missed();
+    known.set_missed(u64::MAX);
     known.begin_listing();
     assert_eq!(refresh(&known, "a", &names(&["a"])), (4, 4));
     assert_eq!(refresh(&known, "a", &names(&["b"])), (4, 0));
