gateway: a listing that ends before what was read does not count as whole

What callers could see: 404 for a job.

Cause: a partition was loaded at the end of any listing, and kept the higher of the two offsets. A first page without records, as for a topic that does not exist, made a loaded copy without jobs, which the next read confirmed.

Change: a listing whose end is before the offset that had been read is repeated once. The second one counts, so that an instance does not list forever.

Evidence: jobs::a_listing_that_ends_before_what_was_read_is_repeated; 57 tests of the fold, copies, open items and the change queue pass.

--- a/gateway/src/jobs/table.rs
+++ b/gateway/src/jobs/table.rs
@@ -237,11 +237,11 @@
 
     /// Ends a listing and marks all records before `next` as read. Without a listing in progress
     /// this has no effect: a partition that was reset since lacks the first records of the listing
-    /// and must be listed again.
+    /// and must be listed again. One that ends before what was read is repeated once.
     pub fn end_listing(&mut self, next: u64) {
         if std::mem::take(&mut self.listing) {
-            self.next = self.next.max(next);
-            self.loaded = true;
+            self.loaded = next >= self.next;
+            self.next = next;
         }
     }
 
--- a/gateway/tests/jobs.rs
+++ b/gateway/tests/jobs.rs
@@ -369,6 +369,19 @@
     assert!(!state.is_loaded());
 }
 
+/// Guards against a copy without jobs that counts as whole because a listing ended before what had been read.
+#[test]
+fn a_listing_that_ends_before_what_was_read_is_repeated() {
+    let mut state = empty();
+    assert!((0..3).all(|offset| state.take_next(offset)));
+    state.set_missed(u64::MAX);
+    for is_loaded in [false, true] {
+        assert!(state.begin_listing());
+        state.end_listing(0);
+        assert_eq!(state.is_loaded(), is_loaded);
+    }
+}
+
 /// Two readers apply records, and a listing ends while one of them is within its range. Guards against records
 /// that count as read although they arrived before the partition was loaded.
 #[test]
