gateway: items of a partition that is being listed neither start nor are given up

What callers could see: an item listed as given up although its route is in force, and items of other partitions that start late.

Cause: open items of a partition that is listed again kept the terms of the configuration under which the partition was read, while the items as a whole counted as of the newest version; one whose route was missing then could be given up once the newer version was confirmed. Those that waited were offered to the scheduler, which counted free slots for them and then found no job to run.

Change: such items are marked until their partition is loaded.

Evidence: open_items::items_stay_as_they_are_while_their_partition_is_listed has 20 items waiting and given up without the mark.

--- a/gateway/src/open_items.rs
+++ b/gateway/src/open_items.rs
@@ -72,6 +72,9 @@
     pub owned: bool,
     /// Whether `owned` has been computed.
     owner_computed: bool,
+    /// Whether its partition is loaded. Until it is, the item may have a result that is not known here, and
+    /// its terms may be outdated.
+    is_listed: bool,
     /// State at this instance.
     pub phase: Phase,
     /// Partial output.
@@ -158,7 +161,7 @@
 
     /// Updates the set of open items from `partitions`, and distributes those of each partition
     /// among its `instances`. Returns the running items that need no run any more. While a partition
-    /// is not loaded, its items stay as they are.
+    /// is not loaded, its items stay, and those that wait neither start nor are given up.
     pub fn refresh(
         &mut self,
         partitions: &[Partition],
@@ -173,6 +176,7 @@
         let unlisted = previous.extract_if(|_, item| loaded(item.partition).is_none());
         self.items = unlisted.collect();
         for (key, item) in &mut self.items {
+            item.is_listed = false;
             let names = instances.get(item.partition).into_iter().flatten();
             item.owned = owner(key.0, names.map(String::as_str)) == Some(me);
         }
@@ -189,6 +193,7 @@
                     let mut item = previous
                         .remove(&key)
                         .unwrap_or_else(|| OpenItem::new(id, partition, index));
+                    item.is_listed = true;
                     item.apply_terms(job, config, now);
                     if !same_instances || !item.owner_computed {
                         item.owner_computed = true;
@@ -222,6 +227,7 @@
     pub fn waiting(&self, now: Timestamp, unix_ms: u64) -> Vec<WaitingItem> {
         let ready = |item: &OpenItem| {
             item.runs_here()
+                && item.is_listed
                 && item.phase == Phase::Waiting
                 && item.not_before <= now
                 && item.give_up > unix_ms
@@ -263,7 +269,7 @@
         let expired = |item: &OpenItem| {
             let late = unix_ms > item.give_up.saturating_add(GIVE_UP_MARGIN_MS);
             let given_up = late || item.route_is_removed(confirmed);
-            item.runs_here() && item.phase == Phase::Waiting && given_up
+            item.runs_here() && item.is_listed && item.phase == Phase::Waiting && given_up
         };
         let expired = self.items.iter().filter(|(_, item)| expired(item));
         expired.map(|(key, _)| *key).collect()
@@ -356,6 +362,7 @@
             orphaned_since: None,
             owned: false,
             owner_computed: false,
+            is_listed: true,
             phase: Phase::Waiting,
             progress: Progress::default(),
             failures: 0,
--- a/gateway/tests/open_items.rs
+++ b/gateway/tests/open_items.rs
@@ -23,6 +23,7 @@
     Pending,
     Phase,
     Progress,
+    Record,
     Route,
     RouteKind,
     RunEnd,
@@ -70,7 +71,7 @@
     })
 }
 
-fn partition(items: usize) -> Partition {
+fn records(items: usize) -> Vec<Record> {
     let items = (0..items).map(|n| NewItem {
         id: format!("item-{n}"),
         path: "/p/1".to_owned(),
@@ -87,12 +88,18 @@
         waiting_tokens: None,
         items: items.collect(),
     };
-    let mut state = empty();
     let change = Change::Submit(submission);
+    let state = empty();
     let decision = decide(jobs(&state), &mut Pending::default(), &change, 1 << 20);
     let Ok(Decision::Append(records)) = decision else {
         panic!("expected records and got {decision:?}");
     };
+    records
+}
+
+fn partition(items: usize) -> Partition {
+    let mut state = empty();
+    let records = records(items);
     for record in records {
         apply_next(&mut state, &record).expect("a record of this format");
     }
@@ -299,34 +306,56 @@
     assert_eq!(items.held().len(), 20);
 }
 
-/// Guards against items with results that run again while the partition is listed, and against the
-/// loss of partial output while it is listed once more.
+/// Guards against the loss of partial output while a partition is listed again, and against items that take
+/// slots or are given up on the terms of an older configuration meanwhile.
 #[test]
 fn items_stay_as_they_are_while_their_partition_is_listed() {
     let config = config();
-    let mut known = partition(4);
-    let mut items = OpenItems::default();
-    let mut refresh = |known: &Partition, me: &str, names: &[Vec<String>]| {
+    let now = Timestamp::default();
+    let mut items = open("a", &["a"], None);
+    let keys: Vec<ItemKey> = items.iter().map(|(key, _)| *key).collect();
+    for key in &keys {
+        run(&mut items, *key, &RunEnd::Stopped, 3);
+    }
+    let mut listed = partition(20);
+    listed.set_missed(u64::MAX);
+    for known in [&listed, &partition(20)] {
         let known = std::slice::from_ref(known);
-        let ended = items.refresh(known, Some(&config), me, names, Timestamp::default());
+        let ended = items.refresh(known, Some(&config), "a", &names(&["a"]), now);
         assert!(ended.is_empty());
-        let owned = items.waiting(Timestamp::default(), SUBMITTED).len();
-        (items.iter().count(), owned)
-    };
-    assert_eq!(refresh(&known, "a", &names(&["a"])), (4, 4));
-    known.set_missed(u64::MAX);
-    known.begin_listing();
-    assert_eq!(refresh(&known, "a", &names(&["a"])), (4, 4));
-    assert_eq!(refresh(&known, "a", &names(&["b"])), (4, 0));
+        assert_eq!(items.held().len(), 20);
+        let is_loaded = known[0].is_loaded();
+        let waiting = items.waiting(now, SUBMITTED).len();
+        assert_eq!(waiting, if is_loaded { 20 } else { 0 });
+        let late = items.expired(u64::MAX, CONFIRMED).len();
+        assert_eq!(late, if is_loaded { 20 } else { 0 });
+    }
+}
+
+/// Guards against items that run again although they have results, because a listing contains jobs before
+/// their results.
+#[test]
+fn items_of_a_job_that_is_being_listed_are_not_open() {
     let mut listed = Partition::default();
     listed.begin_listing();
-    let mut none = OpenItems::default();
-    none.refresh(
-        &[listed],
-        Some(&config),
-        "a",
-        &names(&["a"]),
-        Timestamp::default(),
-    );
-    assert_eq!(none.iter().count(), 0);
+    for (offset, record) in (0..).zip(records(20)) {
+        listed
+            .apply(offset, &record)
+            .expect("a record of this format");
+    }
+    let mut items = OpenItems::default();
+    let mut open = |known: &Partition| {
+        let known = std::slice::from_ref(known);
+        items.refresh(
+            known,
+            Some(&config()),
+            "a",
+            &names(&["a"]),
+            Timestamp::default(),
+        );
+        items.iter().count()
+    };
+    assert_eq!(open(&listed), 0);
+    listed.end_listing(9);
+    assert_eq!(open(&listed), 20);
 }
