gateway: an item whose result a peer has dropped waits again

An instance that the store rejects passes results on to a peer. One of an older build may answer that the job does not exist because it has not read it; then the item stayed in the phase of its writing, in which no instance runs it, and kept its partition from being dropped. It waits again now. If the job has been removed, the item is gone with it, and this has no effect.

By reading and review only; there is no stand-in of an older peer.

--- a/gateway/src/serve/runs.rs
+++ b/gateway/src/serve/runs.rs
@@ -308,8 +308,12 @@
                 run.route
             );
         }
-        // The job has been removed meanwhile.
-        Err(WriteError::NoJob) => {}
+        // The job has been removed meanwhile, and with it the item; if it is still there, a peer of an older
+        // build has not read the job yet.
+        Err(WriteError::NoJob) => {
+            let now = node.now();
+            node.lock().items.not_listed(run.key, false, now);
+        }
         Err(err) => {
             log_event!(RECORD_SKIPPED, "item={id} job={job} cause=\"{err:?}\"");
             // Another run gives the same result if it can't be written.
