--- a/gateway/src/jobs/table.rs
+++ b/gateway/src/jobs/table.rs
@@ -76,7 +76,7 @@
     /// Whether each item has a result.
     done: Vec<bool>,
     /// Offset of the last result; 0 without one.
-    newest: u64,
+    last_result_at: u64,
 }
 
 impl Job {
@@ -90,7 +90,7 @@
     }
 
     /// Returns whether the job may be removed at the Unix time `unix_ms`: no item needs a run, and its
-    /// results have been kept for `retention` by the clock of any instance.
+    /// results have been kept for `retention` by the clock of another instance, up to the margin.
     pub fn may_be_removed(&self, unix_ms: u64, retention: Duration) -> bool {
         let kept = retention.saturating_add(REMOVAL_MARGIN).as_millis();
         let kept = u64::try_from(kept).unwrap_or(u64::MAX);
@@ -122,7 +122,7 @@
         let listed = self.results.len();
         match (position as usize).cmp(&listed) {
             Ordering::Less => Ok(()),
-            Ordering::Equal if offset < self.newest => {
+            Ordering::Equal if offset < self.last_result_at => {
                 Err("it is older than the one before it".to_owned())
             }
             Ordering::Equal => {
@@ -138,7 +138,7 @@
         let item = record.item as usize;
         if item < self.done.len() && !self.done[item] {
             self.done[item] = true;
-            self.newest = offset;
+            self.last_result_at = offset;
             self.results.push(ItemResult {
                 item,
                 outcome: record.outcome,
@@ -360,7 +360,7 @@
             items,
             results: Vec::new(),
             ended: early.ended,
-            newest: 0,
+            last_result_at: 0,
         };
         for (position, (offset, result)) in early.results {
             // One behind a gap is skipped, as by a copy that knew the job when it read the result.
--- a/gateway/src/serve/job_calls.rs
+++ b/gateway/src/serve/job_calls.rs
@@ -187,7 +187,7 @@
         let Some(confirmation) = confirmation else {
             log_event!(
                 JOB_REFUSED,
-                "job={job} status=503 cause=\"unknown here, and the store does not respond\""
+                "job={job} status=503 cause=\"unknown here, and no read of the store has confirmed that\""
             );
             let text = "it is not known whether the job exists";
             return retry_later(StatusCode::SERVICE_UNAVAILABLE, text, STORE_RETRY);
@@ -195,7 +195,7 @@
         match exists(node, partition, job, organisation) {
             Some(true) => {}
             Some(false) => return no_such_job(job, &confirmation),
-            None => return repeat_elsewhere(job, PARTITION_DROPPED),
+            None => return repeat_elsewhere(job, NOT_LOADED),
         }
     }
     match call {
@@ -215,6 +215,7 @@
     }
 }
 
+/// Returns the time for a confirmation by the store, which is shorter at the end of a stop.
 fn confirm_timeout<P>(node: &Node<P>) -> Duration {
     let left = node.stop.remaining();
     left.map_or(CONFIRM_TIMEOUT, |left| {
@@ -263,7 +264,7 @@
         match find_results(node, read) {
             Found::Page(page) => return page,
             Found::Nothing { .. } => {}
-            Found::Dropped => return repeat_elsewhere(id, PARTITION_DROPPED),
+            Found::Unknown => return repeat_elsewhere(id, NOT_LOADED),
         }
         // A stopping instance waits no longer.
         if Instant::now() >= read.deadline || node.stop.is_over() {
@@ -282,7 +283,7 @@
             empty_page(node, read, total, &confirmation)
         }
         Found::Nothing { .. } => repeat_elsewhere(id, BEYOND_RESULTS),
-        Found::Dropped => repeat_elsewhere(id, PARTITION_DROPPED),
+        Found::Unknown => repeat_elsewhere(id, NOT_LOADED),
     }
 }
 
@@ -292,14 +293,14 @@
     Page(Response<Body>),
     /// None of them; the job has `listed` results of `total`.
     Nothing { listed: usize, total: usize },
-    /// The partition is not loaded any more.
-    Dropped,
+    /// The partition is not loaded any more, or the job has been removed.
+    Unknown,
 }
 
 fn find_results<P: Store + Dialect>(node: &Arc<Node<P>>, read: ResultsRead<'_>) -> Found {
     let state = node.lock();
     let Some(job) = state.job(read.partition, read.job) else {
-        return Found::Dropped;
+        return Found::Unknown;
     };
     let (listed, total) = (job.results.len(), job.items.len());
     if listed > read.after || listed >= total {
@@ -323,22 +324,22 @@
     json(node.platform.results(total, after, &[]))
 }
 
-/// Returns the response to a call that another instance must handle, because it has read more of
-/// the job.
+/// Rejects a call about a job of which another instance may know more.
 fn repeat_elsewhere(job: &str, cause: &str) -> Response<Body> {
     log_event!(JOB_REFUSED, "job={job} status=503 cause=\"{cause}\"");
-    let text = "another instance answers for the job now";
+    let text = "another instance may know more of the job";
     retry_later(StatusCode::SERVICE_UNAVAILABLE, text, STORE_RETRY)
 }
 
 /// Cause of a rejection because it is not known whether there are further results.
-const UNCONFIRMED: &str = "no result here, and the store does not respond";
+const UNCONFIRMED: &str = "no result here, and no read of the store has confirmed that";
 
 /// Cause of a rejection because the caller asks for a position behind the next result.
 const BEYOND_RESULTS: &str = "the caller has read more results than are in the store";
 
-/// Cause of a rejection because the partition was dropped while the call was being handled.
-const PARTITION_DROPPED: &str = "this instance dropped the partition";
+/// Cause of a rejection because the partition was dropped or missed records while the call was being
+/// handled.
+const NOT_LOADED: &str = "the job is not known here any more";
 
 fn page<P: Store + Dialect>(node: &Arc<Node<P>>, job: &Job, after: usize) -> Response<Body> {
     let mut bytes = 0;
@@ -361,7 +362,7 @@
 fn content<P>(node: &Arc<Node<P>>, partition: usize, job: &str, item: &str) -> Response<Body> {
     let state = node.lock();
     let Some(known) = state.job(partition, job) else {
-        return repeat_elsewhere(job, PARTITION_DROPPED);
+        return repeat_elsewhere(job, NOT_LOADED);
     };
     match known.items.iter().find(|i| i.id == item) {
         Some(item) => Response::new(Body::from(item.body.clone())),
--- a/gateway/src/serve/results.rs
+++ b/gateway/src/serve/results.rs
@@ -211,7 +211,7 @@
     }
     let deadline = Instant::now() + WRITE_TIMEOUT;
     if !knows_jobs(node, &wire) {
-        // The sender drops a result without a job, so its absence must not be that from an old copy.
+        // The sender gives up a result whose job does not exist, so an outdated copy must not say that.
         let confirmation = catch_up::confirm(node, partition, node.now(), CONFIRM_TIMEOUT).await;
         if confirmation.is_none() {
             let text = "it is not known whether the jobs exist";
