transport: a reset during the upload interrupts a response without a length

What callers saw: on another system of this kind, a server answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written; the caller got that part as a complete response. This system did the same if the caller read slowly.

Cause: the system reports a reset to one call only. The failed write of the request took it and was passed over, because the response may still wait in the receive buffer. The read behind it returned the end of the connection, which is the end of a response without a length. While the caller reads, the read comes first and is told of the reset; while it does not, hyper only writes.

Change: after a write that failed with a reset the read returns the reset in place of the end. After a broken pipe the end stays one: the peer had closed its direction before.

A response with a length that is reset behind its end is still read.

--- a/transport/src/http/io.rs
+++ b/transport/src/http/io.rs
@@ -40,13 +40,16 @@
 ///
 /// A server can answer and close the connection before it has read the whole request. The next write fails
 /// then, while the response waits in the receive buffer. hyper gives a connection up at a failed write, so
-/// what is written afterwards is discarded, and the read tells how the connection ended.
+/// what is written afterwards is discarded, and the read tells how the connection ended. The system reports
+/// a reset only once, so the read repeats what the write was told: a response without a length would seem to
+/// end there.
 #[derive(Debug)]
 pub(crate) struct CountedStream {
     inner: Arc<Async<TcpStream>>,
     written: WrittenBytes,
-    /// Whether the peer takes no more bytes. Discarded bytes are not counted as written.
-    is_write_closed: bool,
+    /// The error of the write after which the peer takes no more bytes. Discarded bytes are not counted as
+    /// written.
+    write_error: Option<io::ErrorKind>,
 }
 
 impl CountedStream {
@@ -54,7 +57,7 @@
         Self {
             inner,
             written,
-            is_write_closed: false,
+            write_error: None,
         }
     }
 
@@ -67,7 +70,7 @@
                 log::debug!(
                     "LW1105 the peer closed a connection before the end of a request: {err}"
                 );
-                self.is_write_closed = true;
+                self.write_error = Some(err.kind());
                 return Poll::Ready(Ok(len));
             }
             Poll::Ready(Err(_)) | Poll::Pending => {}
@@ -95,7 +98,14 @@
         cx: &mut Context<'_>,
         buf: &mut [u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut &*self.inner).poll_read(cx, buf)
+        let poll = Pin::new(&mut &*self.inner).poll_read(cx, buf);
+        match (&poll, self.write_error) {
+            // After a broken pipe the end is genuine: the peer had closed its direction before the reset.
+            (Poll::Ready(Ok(0)), Some(io::ErrorKind::ConnectionReset)) if !buf.is_empty() => {
+                Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()))
+            }
+            _ => poll,
+        }
     }
 }
 
@@ -105,7 +115,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        if self.is_write_closed {
+        if self.write_error.is_some() {
             return Poll::Ready(Ok(buf.len()));
         }
         let poll = Pin::new(&mut &*self.inner).poll_write(cx, buf);
@@ -118,7 +128,7 @@
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let len = bufs.iter().map(|buf| buf.len()).sum();
-        if self.is_write_closed {
+        if self.write_error.is_some() {
             return Poll::Ready(Ok(len));
         }
         let poll = Pin::new(&mut &*self.inner).poll_write_vectored(cx, bufs);
@@ -242,7 +252,7 @@
             let mut stream = reset_after(b"response").await;
             stream.write_all(&[0; 64]).await.unwrap();
             stream.write_all(&[0; 64]).await.unwrap();
-            assert!(stream.is_write_closed);
+            assert_eq!(stream.write_error, Some(io::ErrorKind::ConnectionReset));
             assert_eq!(stream.written.get(), 0, "discarded bytes count as written");
             let mut response = vec![0; 8];
             stream.read_exact(&mut response).await.unwrap();
