gateway: an instance whose record is in the store does not write it again

Calls about jobs got 503, "no replica responds", from 36 to 71 s, 3,500 to 4,200 of them a second, although two instances had listed all partitions at 38.4 s.

Cause: each instance wrote its record at its start, whether the store had it or not, and again 0.4 s after each attempt that was not answered within 1 s. Its queue was full until the store was fast again, and a listing of the same partition waits for it: at 65 instances it timed out (LW2101) from 37 s on and succeeded at 70 s (LW2102). So they knew no other instance and no replica.

Change: the record is written only if the topic, once read, lacks it or has another one. After a failed append the instance waits for 0.8 to 1.6 s, in which the next read of the topic shows whether it was executed, then twice as long each time, up to 6.4 s, spread at random. An instance whose record is removed by the late deregistration of its earlier process writes it again, and before was missing in the topic until its next start.

--- a/gateway/src/serve/apply.rs
+++ b/gateway/src/serve/apply.rs
@@ -169,9 +169,12 @@
         }
         Topic::Instances => {
             let mut state = node.lock();
-            state.instances_read = true;
+            let is_first = !std::mem::replace(&mut state.instances_read, true);
             state.instances_next = next;
             super::peers::update_unreachable(&mut state, now);
+            if is_first {
+                node.registration_changed.notify(usize::MAX);
+            }
             let unsettled = state
                 .replica_status
                 .iter()
--- a/gateway/src/serve/mod.rs
+++ b/gateway/src/serve/mod.rs
@@ -34,6 +34,7 @@
 mod pages;
 mod peers;
 mod quota_levels;
+mod registration;
 mod rejections;
 mod relay;
 mod replies;
@@ -384,7 +385,7 @@
         // A short grace period leaves less time.
         sleep(ACCEPT_AFTER_STOP.min(node.settings.grace / 2)).await;
         let whole = self.public.close(end).await;
-        if let Err(err) = peers::deregister(&node).await {
+        if let Err(err) = registration::deregister(&node).await {
             log::debug!("cannot remove the record of this instance: {err}");
         }
         let open = node.ends.open();
--- a/gateway/src/serve/node.rs
+++ b/gateway/src/serve/node.rs
@@ -94,6 +94,8 @@
     pub(crate) jobs_changed: Signal,
     /// Notified when items may have to start or stop.
     pub(crate) balance_due: Signal,
+    /// Notified when the record of this instance may have to be written.
+    pub(crate) registration_changed: Signal,
     /// Queues of the writer tasks, one for each partition of the jobs.
     pub(crate) writers: Vec<Sender<WriteRequest>>,
 }
@@ -138,6 +140,7 @@
             catch_ups: writers.iter().map(|_| SharedRead::default()).collect(),
             jobs_changed: Signal::new(),
             balance_due: Signal::new(),
+            registration_changed: Signal::new(),
             writers,
         }
     }
--- a/gateway/src/serve/peers.rs
+++ b/gateway/src/serve/peers.rs
@@ -37,6 +37,7 @@
     log_event, //
 };
 use super::node::Node;
+use super::registration;
 use super::state::ReplicaStatus;
 use super::supervisor::Steps;
 use super::task_kinds::OneShot;
@@ -56,7 +57,6 @@
     Dialect,
     Record,
     Store,
-    StoreError,
     Topic, //
 };
 use crate::report::Report;
@@ -74,20 +74,18 @@
 /// Path of the configuration on the peer port.
 pub(crate) const CONFIG_PATH: &str = "/configuration";
 
-/// Pause after a failed write of this instance's record.
-const REGISTER_RETRY: Duration = Duration::from_millis(400);
-
 /// Applies a record of an instance from the store.
 pub(crate) fn apply_record<P: Store + Dialect>(node: &Arc<Node<P>>, record: &Record) {
     if CaseRecord::has_key(&record.key) {
         case_records::apply_record(node, record);
         return;
     }
+    let now = node.now();
+    let mut state = node.lock();
     if record.key == node.settings.name {
+        registration::apply_record(node, &mut state, record);
         return;
     }
-    let now = node.now();
-    let mut state = node.lock();
     if record.value.is_empty() {
         state.skipped.read(Topic::Instances, &record.key);
         state.members.remove(&record.key);
@@ -108,44 +106,6 @@
     }
 }
 
-/// Writes the record of this instance, with retries until the store accepts it.
-pub(crate) async fn register<P: Store + Dialect>(node: Arc<Node<P>>, steps: Arc<Steps>) {
-    let settings = &node.settings;
-    let content = InstanceRecord {
-        addr: settings.address,
-        capacity: settings.capacity,
-        zone: settings.zone.clone(),
-    };
-    let record = Record {
-        key: settings.name.clone(),
-        value: Bytes::from(content.to_string()),
-    };
-    let records = [record];
-    while let Err(err) = append(&node, &records).await {
-        log::debug!("cannot write the record of this instance: {err}");
-        steps.step();
-        sleep(REGISTER_RETRY).await;
-    }
-}
-
-/// Removes the record of this instance. One attempt suffices, as the peers detect the missing
-/// reports in any case.
-pub(crate) async fn deregister<P: Store + Dialect>(node: &Arc<Node<P>>) -> Result<(), StoreError> {
-    let record = Record {
-        key: node.settings.name.clone(),
-        value: Bytes::new(),
-    };
-    append(node, &[record]).await
-}
-
-async fn append<P: Store + Dialect>(
-    node: &Arc<Node<P>>,
-    records: &[Record],
-) -> Result<(), StoreError> {
-    let result = node.append_records(Topic::Instances, 0, None, records);
-    result.await.map(|_| ())
-}
-
 /// Receives the reports of the other instances.
 pub(crate) async fn receive<P: Store + Dialect>(
     node: Arc<Node<P>>,
--- /dev/null
+++ b/gateway/src/serve/registration.rs
@@ -0,0 +1,96 @@
+//! The record in the store by which the other instances discover this one.
+//!
+//! Load pattern: a fleet that has lost power starts as a whole. The records of all instances are in one
+//! partition, which processes one append at a time, and reads of it wait for them. Records that are in the
+//! store already are therefore not written again.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::body::Bytes;
+use limpetweir_transport::sleep;
+use rand::Rng;
+
+use super::node::Node;
+use super::state::State;
+use super::supervisor::Steps;
+use crate::instance::InstanceRecord;
+use crate::platform::{
+    Dialect,
+    Record,
+    Store,
+    StoreError,
+    Topic, //
+};
+
+/// Pause after the first failed append. It doubles with each further one. Half of it is longer than the pause
+/// between two reads of the instances, which show whether the append was executed.
+const FIRST_RETRY_PAUSE: Duration = Duration::from_millis(1_600);
+
+/// Longest pause after a failed append. Meanwhile the others discover this instance by its reports.
+const MAX_RETRY_PAUSE: Duration = Duration::from_millis(6_400);
+
+/// The record of this instance as it was last read or written; empty without one.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Registration(Bytes);
+
+/// Keeps the record of this instance in the store until the instance stops.
+pub(crate) async fn register<P: Store + Dialect>(node: Arc<Node<P>>, steps: Arc<Steps>) {
+    let settings = &node.settings;
+    let content = InstanceRecord {
+        addr: settings.address,
+        capacity: settings.capacity,
+        zone: settings.zone.clone(),
+    };
+    let value = Bytes::from(content.to_string());
+    let mut pause = FIRST_RETRY_PAUSE;
+    loop {
+        let changed = node.registration_changed.listen();
+        if !is_due(&node, &value) {
+            steps.idle();
+            changed.await;
+            continue;
+        }
+        match append(&node, value.clone()).await {
+            Ok(()) => {
+                node.lock().registration = Registration(value.clone());
+                pause = FIRST_RETRY_PAUSE;
+            }
+            Err(err) => {
+                log::debug!("cannot write the record of this instance: {err}");
+                steps.step();
+                // Instances that have started together do not try again together.
+                let spread = node.lock().rng.random_range(0.5..1.0);
+                sleep(pause.mul_f64(spread)).await;
+                pause = MAX_RETRY_PAUSE.min(pause * 2);
+            }
+        }
+        steps.step();
+    }
+}
+
+/// Returns whether the store lacks the record, as far as is known.
+fn is_due<P>(node: &Node<P>, value: &Bytes) -> bool {
+    let state = node.lock();
+    !node.is_leaving() && state.instances_read && state.registration.0 != value
+}
+
+/// Applies the record of this instance from the store. It may be the removal by an earlier process, which
+/// the store has executed late.
+pub(crate) fn apply_record<P>(node: &Node<P>, state: &mut State, record: &Record) {
+    state.registration = Registration(record.value.clone());
+    node.registration_changed.notify(usize::MAX);
+}
+
+/// Removes the record of this instance. One attempt suffices, as the peers detect the missing
+/// reports in any case.
+pub(crate) async fn deregister<P: Store + Dialect>(node: &Arc<Node<P>>) -> Result<(), StoreError> {
+    append(node, Bytes::new()).await
+}
+
+async fn append<P: Store + Dialect>(node: &Arc<Node<P>>, value: Bytes) -> Result<(), StoreError> {
+    let key = node.settings.name.clone();
+    let records = [Record { key, value }];
+    let result = node.append_records(Topic::Instances, 0, None, &records);
+    result.await.map(|_| ())
+}
--- a/gateway/src/serve/state.rs
+++ b/gateway/src/serve/state.rs
@@ -16,6 +16,7 @@
 use rand::rngs::SmallRng;
 
 use super::lost_run::LostRun;
+use super::registration::Registration;
 use super::restarts::Restarts;
 use super::run_handles::RunHandles;
 use crate::admission::{
@@ -104,6 +105,8 @@
     pub(crate) instances_read: bool,
     /// Offset up to which these have been read.
     pub(crate) instances_next: u64,
+    /// The record of this instance among them.
+    pub(crate) registration: Registration,
     pub(crate) load: Load,
     /// Requests that instances of the own cell have placed and that are not in `load` yet.
     pub(crate) arrivals: Arrivals,
@@ -193,6 +196,7 @@
             started_peers: Vec::new(),
             instances_read: false,
             instances_next: 0,
+            registration: Registration::default(),
             load: Load::default(),
             arrivals: Arrivals::default(),
             speeds: Speeds::default(),
--- a/gateway/src/serve/tasks.rs
+++ b/gateway/src/serve/tasks.rs
@@ -23,6 +23,7 @@
     items,
     peers,
     quota_levels,
+    registration,
     reports,
     writer, //
 };
@@ -44,7 +45,7 @@
         start_reader(node, Topic::Configuration, 0),
         start_reader(node, Topic::Backends, 0),
         start_reader(node, Topic::Instances, 0),
-        start_task(node, Background::Register, peers::register),
+        start_task(node, Background::Register, registration::register),
         start_task(node, Background::AdoptLevels, quota_levels::adopt),
         start_task(node, Background::WatchPeers, peers::watch),
         start_task(node, Background::Scheduler, items::schedule),
