gateway: items start only from a recent copy of their partition

Cause: the same as that of the missing results, a decision from a copy whose age nobody asks for. After a listing a partition counts as loaded, and its items start at once; but what was written since the first page is read only after that. Keys of the ends of jobs sort first, so an end that is written during a listing is always missing. The other path to the same: an instance that the store turns away starts the items of which it has a part of the output, for as long as that lasts.

Change: a partition knows a time at which nothing was in the store that is not here: the sending of the last read that has reached its end, or the end of a wait in vain. Items start only if it is at most 2.7 s ago, or no peer is answered by the store, so that nobody can have written. The first read after a listing does not wait. An instance that the store turns away reads through a peer if it has items to run, not only if it is alone.

--- a/gateway/src/jobs/table.rs
+++ b/gateway/src/jobs/table.rs
@@ -165,6 +165,9 @@
     listing: bool,
     /// When the last read was sent that reached the end of the partition.
     current_at: Option<Timestamp>,
+    /// A time at which nothing was in the store that is not here, as far as is known. It is later than
+    /// `current_at` after a read that has waited for records in vain.
+    complete_at: Option<Timestamp>,
 }
 
 /// The jobs of a partition of which all records before its next offset have been read.
@@ -184,6 +187,12 @@
         self.0.current_at > Some(since)
     }
 
+    /// Returns for how long there may have been something in the store that is not here; `None` if the
+    /// partition has not been read to its end since it was listed. A listing is as old as its first page.
+    pub fn age(self, now: Timestamp) -> Option<Duration> {
+        self.0.complete_at.map(|at| now.since(at))
+    }
+
     /// Returns the job called `id`.
     pub fn get(self, id: &str) -> Option<&'a Job> {
         self.0.jobs.get(id)
@@ -254,6 +263,7 @@
         }
         self.loaded = false;
         self.current_at = None;
+        self.complete_at = None;
         true
     }
 
@@ -262,6 +272,14 @@
     pub fn read_to_end(&mut self, sent: Timestamp, end: u64) {
         if self.loaded && self.next >= end {
             self.current_at = self.current_at.max(Some(sent));
+            self.complete_at = self.complete_at.max(Some(sent));
+        }
+    }
+
+    /// Records that a read has waited until `until` for records behind `end` in vain.
+    pub fn waited(&mut self, until: Timestamp, end: u64) {
+        if self.loaded && self.next >= end {
+            self.complete_at = self.complete_at.max(Some(until));
         }
     }
 
--- a/gateway/src/open_items.rs
+++ b/gateway/src/open_items.rs
@@ -223,6 +223,12 @@
         self.items.values().any(busy)
     }
 
+    /// Returns whether this instance is to run an item of `partition`.
+    pub fn runs_any_here(&self, partition: usize) -> bool {
+        let mut items = self.items.values();
+        items.any(|item| item.partition == partition && item.runs_here())
+    }
+
     /// Returns the waiting items of this instance that may start now.
     pub fn waiting(&self, now: Timestamp, unix_ms: u64) -> Vec<WaitingItem> {
         let ready = |item: &OpenItem| {
--- a/gateway/src/serve/follow.rs
+++ b/gateway/src/serve/follow.rs
@@ -102,6 +102,8 @@
     lost: bool,
     /// Whether the last read was interrupted because a peer has read more.
     interrupted: bool,
+    /// Whether the last call ended a listing.
+    listed: bool,
     /// When the last read was sent, or the request for the first page of the last listing.
     sent: Timestamp,
     /// Time for which the last read asked the store to wait.
@@ -214,14 +216,14 @@
 }
 
 /// Returns whether a peer makes the reads of a partition of the jobs: the store turns this instance away,
-/// and the other replicas too, which callers would be forwarded to otherwise.
+/// and the other replicas too, which callers would be forwarded to otherwise, or this one has items to run.
 fn reads_through_peer<P>(node: &Node<P>, partition: u32) -> bool {
     let now = node.now();
     let state = node.lock();
     let others = state.forward_targets(partition as usize, CallKind::Submit, now);
-    let is_alone = others.is_empty();
+    let is_concerned = others.is_empty() || state.items.runs_any_here(partition as usize);
     drop(state);
-    is_alone && store_relay::is_needed(node)
+    is_concerned && store_relay::is_needed(node)
 }
 
 /// Reads the next records; returns `None` if the read was interrupted because a peer has read more.
@@ -232,8 +234,10 @@
     cursor: &mut Cursor,
 ) -> Option<Result<RecordRange, StoreError>> {
     // After a failed call the read does not wait, because only an immediate response shows that the
-    // store is available again. After an interrupted one there are records to return.
-    let wait = if cursor.lost || cursor.interrupted {
+    // store is available again. After an interrupted one there are records to return. After a listing
+    // only a read shows what was written meanwhile.
+    let listed = std::mem::take(&mut cursor.listed);
+    let wait = if cursor.lost || cursor.interrupted || listed {
         Duration::ZERO
     } else {
         timing(topic).wait
@@ -306,6 +310,7 @@
     let listing = std::mem::take(&mut cursor.listing);
     cursor.next = listing.end();
     cursor.loaded = true;
+    cursor.listed = true;
     if topic == Topic::Jobs {
         node.lock().partitions[partition as usize].end_listing(cursor.next);
         log_event!(
@@ -359,7 +364,13 @@
     if topic == Topic::Jobs {
         let records = range.records.iter().map(Option::as_ref);
         apply_jobs(node, partition, range.from, records);
-        node.lock().partitions[partition as usize].read_to_end(cursor.sent, range.end);
+        let mut state = node.lock();
+        let known = &mut state.partitions[partition as usize];
+        known.read_to_end(cursor.sent, range.end);
+        let waited = cursor.sent + cursor.wait;
+        if count == 0 && waited <= node.now() {
+            known.waited(waited, range.end);
+        }
     }
     mark_read(node, topic, cursor.next);
 }
--- a/gateway/src/serve/items.rs
+++ b/gateway/src/serve/items.rs
@@ -210,7 +210,7 @@
     if node.is_leaving() {
         return;
     }
-    let mut waiting = state.items.waiting(now, unix_ms());
+    let mut waiting = state.waiting_items(now, unix_ms());
     state.items_waiting = !waiting.is_empty();
     if !waiting.is_empty() {
         let handled_by_peers = handled_by_peers(state, me, now);
--- a/gateway/src/serve/reports.rs
+++ b/gateway/src/serve/reports.rs
@@ -137,7 +137,7 @@
     let now = node.now();
     let mut state = node.lock();
     state.update_cells(&node.settings);
-    let waiting = state.items.waiting(now, unix_ms());
+    let waiting = state.waiting_items(now, unix_ms());
     let in_time = waiting.iter().filter(|w| !w.late).count();
     let suspects = state.load.suspects(now).into_iter();
     let suspects = suspects.chain(state.outputs.recently_dropped(now));
--- a/gateway/src/serve/state.rs
+++ b/gateway/src/serve/state.rs
@@ -29,7 +29,10 @@
     BackendKey,
     Backends, //
 };
-use crate::batch::ItemPacing;
+use crate::batch::{
+    ItemPacing,
+    WaitingItem, //
+};
 use crate::cells::{
     CellNumber,
     Cells, //
@@ -79,6 +82,10 @@
 use crate::speed::Speeds;
 use crate::store_relay::StoreAccess;
 
+/// Longest age of the copy of a partition from which items start. Items of a job that its caller has ended must
+/// not start three seconds later.
+const MAX_START_AGE: Duration = Duration::from_millis(2_700);
+
 /// Mutable state of an instance, on which routing, placement and scheduling are based.
 #[derive(Debug)]
 pub(crate) struct State {
@@ -325,6 +332,22 @@
         self.partitions.get(partition)?.loaded()?.get(id)
     }
 
+    /// Returns the waiting items of this instance that may start now: what is known of their job is recent, or no
+    /// peer is answered by the store, so that nothing can have been written since.
+    pub(crate) fn waiting_items(&self, now: Timestamp, unix_ms: u64) -> Vec<WaitingItem> {
+        let any_writes = self.members.reachable(now).any(|r| r.store_answers);
+        let may_start = |partition: usize| {
+            let age = self.partitions[partition].loaded()?.age(now)?;
+            Some(!any_writes || age <= MAX_START_AGE)
+        };
+        let may_start = (0..self.partitions.len()).map(|n| may_start(n) == Some(true));
+        let may_start: Vec<bool> = may_start.collect();
+        let mut waiting = self.items.waiting(now, unix_ms);
+        let partition = |item| Some(self.items.get(item)?.partition);
+        waiting.retain(|w| partition(w.item).is_some_and(|n| may_start[n]));
+        waiting
+    }
+
     /// Returns the positions up to which this instance has read its partitions. One that it cannot
     /// load is among them, so that the others run its items.
     pub(crate) fn positions(&self) -> Vec<Position> {
--- a/gateway/tests/jobs.rs
+++ b/gateway/tests/jobs.rs
@@ -357,6 +357,27 @@
     assert!(!jobs(&state).is_current_since(ms(0)));
 }
 
+/// Guards against items that start from what was in the store before a long listing, or before the last read
+/// that waited in vain.
+#[test]
+fn a_partition_is_as_old_as_the_last_read_that_has_shown_its_end() {
+    let ms = Timestamp::from_millis;
+    let age = |state: &Partition| jobs(state).age(ms(10)).map(|age| age.as_millis());
+    let mut state = empty();
+    assert_eq!(age(&state), None, "after a listing");
+    state.read_to_end(ms(2), 0);
+    assert_eq!(age(&state), Some(8));
+    state.waited(ms(6), 0);
+    state.read_to_end(ms(4), 0);
+    assert_eq!(age(&state), Some(4));
+    state.waited(ms(9), 1);
+    assert_eq!(age(&state), Some(4), "a read behind the copy");
+    state.set_missed(u64::MAX);
+    state.begin_listing();
+    state.end_listing(0);
+    assert_eq!(age(&state), None, "after another listing");
+}
+
 /// Guards against a copy that is given up, and answers nothing until it is listed again, because a read from
 /// an older offset than that of others fails.
 #[test]
