gateway: instances of a large fleet settle after they have read who the others are

Cause: an instance of a large fleet is a replica only 0.6 s after its start, because until it has heard of the others it would choose itself for all partitions. The time was counted from the start of the process.

Change: the 0.6 s are counted from the time at which the instances were first read.

--- a/gateway/src/serve/apply.rs
+++ b/gateway/src/serve/apply.rs
@@ -169,7 +169,8 @@
         }
         Topic::Instances => {
             let mut state = node.lock();
-            let is_first = !std::mem::replace(&mut state.instances_read, true);
+            let is_first = state.instances_read_at.is_none();
+            state.instances_read_at.get_or_insert(now);
             state.instances_next = next;
             super::peers::update_unreachable(&mut state, now);
             if is_first {
--- a/gateway/src/serve/evacuation.rs
+++ b/gateway/src/serve/evacuation.rs
@@ -147,7 +147,7 @@
 pub(crate) fn report_unknown<P>(node: &Node<P>) {
     let mut state = node.lock();
     let state = &mut *state;
-    if !state.instances_read {
+    if state.instances_read_at.is_none() {
         return;
     }
     let in_use = |zone: &str| {
--- a/gateway/src/serve/items.rs
+++ b/gateway/src/serve/items.rs
@@ -81,10 +81,9 @@
 /// fleet most instances have none.
 const IDLE_TICK: Duration = Duration::from_millis(250);
 
-/// Time after its start within which an instance has received the reports of the others. Before
-/// that, in a large fleet that starts as a whole, every instance would list all jobs at the same
-/// time.
-const SETTLE_TIME: Timestamp = Timestamp::from_millis(600);
+/// Time within which an instance has received the reports of the others, once it knows them. Before that,
+/// in a large fleet that starts as a whole, every instance would list all jobs at the same time.
+const SETTLE_TIME: Duration = Duration::from_millis(600);
 
 /// Time for which an instance stays a replica of a partition after others have been selected. It
 /// covers a listing of the store and the time in which the views of the instances differ.
@@ -104,7 +103,10 @@
     }
     instances.sort_by_key(|instance| instance.name);
     let large = state.members.count() >= FULL_REPLICATION_LIMIT;
-    let settled = state.instances_read && (!large || now >= SETTLE_TIME);
+    let settle_time = if large { SETTLE_TIME } else { Duration::ZERO };
+    let settled = state
+        .instances_read_at
+        .is_some_and(|read_at| now >= read_at + settle_time);
     let partitions = 0..state.partitions.len();
     let replicas: Vec<Vec<&str>> = partitions.map(|n| replicas(n, &instances)).collect();
     let runners = replicas.iter().enumerate();
--- a/gateway/src/serve/peers.rs
+++ b/gateway/src/serve/peers.rs
@@ -257,7 +257,7 @@
 /// Updates the number of unreachable instances in the quotas, once the existing ones are known.
 pub(crate) fn update_unreachable(state: &mut super::state::State, now: Timestamp) {
     let (unreachable, all) = state.members.unreachable_count(now);
-    if !state.instances_read && all == 1 {
+    if state.instances_read_at.is_none() && all == 1 {
         return;
     }
     state.quotas.set_unreachable(unreachable, all, now);
--- a/gateway/src/serve/registration.rs
+++ b/gateway/src/serve/registration.rs
@@ -72,7 +72,7 @@
 /// Returns whether the store lacks the record, as far as is known.
 fn is_due<P>(node: &Node<P>, value: &Bytes) -> bool {
     let state = node.lock();
-    !node.is_leaving() && state.instances_read && state.registration.0 != value
+    !node.is_leaving() && state.instances_read_at.is_some() && state.registration.0 != value
 }
 
 /// Applies the record of this instance from the store. It may be the removal by an earlier process, which
--- a/gateway/src/serve/rejections.rs
+++ b/gateway/src/serve/rejections.rs
@@ -87,7 +87,7 @@
         let freshness = &state.config_freshness;
         let unknown_until = state.config.as_ref().and_then(|c| c.unknown_until());
         // Without other instances no other version is in use.
-        let is_alone = state.instances_read && state.members.count() == 0;
+        let is_alone = state.instances_read_at.is_some() && state.members.count() == 0;
         let unknown_until = unknown_until.filter(|_| !is_alone);
         let is_current = freshness.is_current(version, now);
         (is_current, freshness.age(now), unknown_until)
--- a/gateway/src/serve/state.rs
+++ b/gateway/src/serve/state.rs
@@ -108,8 +108,8 @@
     cells_version: Option<u64>,
     /// Instances that have started and were not sent a report of this one yet.
     pub(crate) started_peers: Vec<String>,
-    /// Whether the records of the instances have been read.
-    pub(crate) instances_read: bool,
+    /// When the records of the instances were first read.
+    pub(crate) instances_read_at: Option<Timestamp>,
     /// Offset up to which these have been read.
     pub(crate) instances_next: u64,
     /// The record of this instance among them.
@@ -201,7 +201,7 @@
             cells: Cells::default(),
             cells_version: None,
             started_peers: Vec::new(),
-            instances_read: false,
+            instances_read_at: None,
             instances_next: 0,
             registration: Registration::default(),
             load: Load::default(),
