--- a/gateway/src/serve/follow.rs
+++ b/gateway/src/serve/follow.rs
@@ -170,7 +170,7 @@
                         cursor.next
                     );
                 }
-                if !timing.pause.is_zero() {
+                if !timing.pause.is_zero() && !cursor.listed {
                     // In a large fleet only a few instances are replicas of a partition of the
                     // jobs, so the pause of their reads does not depend on the size of the fleet.
                     let peers = node.lock().members.count();
