gateway: the task that keeps the record of an instance never ends

Since it waits for a removal of the record in place of ending, so that an end without a panic is a fault and the task starts again. It counts a step before each append, not while it waits.

--- a/gateway/src/serve/registration.rs
+++ b/gateway/src/serve/registration.rs
@@ -51,6 +51,7 @@
             changed.await;
             continue;
         }
+        steps.step();
         match append(&node, value.clone()).await {
             Ok(()) => {
                 node.lock().registration = Registration(value.clone());
@@ -58,14 +59,12 @@
             }
             Err(err) => {
                 log::debug!("cannot write the record of this instance: {err}");
-                steps.step();
                 // Instances that have started together do not try again together.
                 let spread = node.lock().rng.random_range(0.5..1.0);
                 sleep(pause.mul_f64(spread)).await;
                 pause = MAX_RETRY_PAUSE.min(pause * 2);
             }
         }
-        steps.step();
     }
 }
 
--- a/gateway/src/serve/task_kinds.rs
+++ b/gateway/src/serve/task_kinds.rs
@@ -48,7 +48,7 @@
 
     /// Returns whether the task ends when its work is done.
     pub(crate) fn is_finite(self) -> bool {
-        matches!(self, Self::Register | Self::AdoptLevels)
+        self == Self::AdoptLevels
     }
 
     /// Returns whether routing and placement depend on what the task reads.
