--- a/gateway/src/serve/state.rs
+++ b/gateway/src/serve/state.rs
@@ -336,15 +336,17 @@
     /// peer is answered by the store, so that nothing can have been written since.
     pub(crate) fn waiting_items(&self, now: Timestamp, unix_ms: u64) -> Vec<WaitingItem> {
         let any_writes = self.members.reachable(now).any(|r| r.store_answers);
-        let may_start = |partition: usize| {
-            let age = self.partitions[partition].loaded()?.age(now)?;
+        let is_recent = |known: &Partition| {
+            let age = known.loaded()?.age(now)?;
             Some(!any_writes || age <= MAX_START_AGE)
         };
-        let may_start = (0..self.partitions.len()).map(|n| may_start(n) == Some(true));
-        let may_start: Vec<bool> = may_start.collect();
+        let partitions = self.partitions.iter();
+        let recent: Vec<bool> = partitions
+            .map(|known| is_recent(known) == Some(true))
+            .collect();
         let mut waiting = self.items.waiting(now, unix_ms);
         let partition = |item| Some(self.items.get(item)?.partition);
-        waiting.retain(|w| partition(w.item).is_some_and(|n| may_start[n]));
+        waiting.retain(|w| partition(w.item).is_some_and(|n| recent[n]));
         waiting
     }
 
