gateway: a topic that stays lost says so again; calls without an answer are counted

Cause of the blindness: LW2101 is written once until a topic is regained, so 48 s of failed calls leave no line, and limpetweir_store_calls counts rejected calls and those that were given up while the store worked on them as one.

Change: LW2107 after 2 s of failures and again after 4, 8 and each 10 s, with attempts, time and the last cause; outcomes ok, rejected and unanswered. A call whose condition did not hold, or whose content was refused, counts as ok: the store has answered it. No decision changes.

--- a/gateway/src/serve/follow.rs
+++ b/gateway/src/serve/follow.rs
@@ -22,6 +22,7 @@
     STORE_GAP,
     STORE_LOST,
     STORE_REGAINED,
+    STORE_STILL_LOST,
     log_event, //
 };
 use super::node::Node;
@@ -38,6 +39,10 @@
     Topic, //
 };
 use crate::positions::CallKind;
+use crate::store_load::{
+    CallTarget,
+    Outage, //
+};
 
 /// Pause after a failed call. Outages last seconds, and every call has a cost.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
@@ -200,6 +205,7 @@
                         "topic={topic} partition={partition} cause=\"{err}\""
                     );
                 }
+                report_outage(&node, topic, partition, &err);
                 if topic == Topic::Backends {
                     let now = node.now();
                     node.lock().backends.record_outage(now);
@@ -215,6 +221,20 @@
     }
 }
 
+/// Logs from time to time that the reads of a topic go on to fail.
+fn report_outage<P>(node: &Node<P>, topic: Topic, partition: u32, err: &StoreError) {
+    let now = node.now();
+    let target = CallTarget::read(topic, partition);
+    let Some(Outage { attempts, lasted }) = node.lock().store_load.take_report(target, now) else {
+        return;
+    };
+    log_event!(
+        STORE_STILL_LOST,
+        "topic={topic} partition={partition} attempts={attempts} ms={} cause=\"{err}\"",
+        lasted.as_millis()
+    );
+}
+
 /// Returns whether a peer makes the reads of a partition of the jobs: the store turns this instance away,
 /// and the other replicas too, which callers would be forwarded to otherwise, or this one has items to run.
 fn reads_through_peer<P>(node: &Node<P>, partition: u32) -> bool {
--- a/gateway/src/serve/lines.rs
+++ b/gateway/src/serve/lines.rs
@@ -99,6 +99,8 @@
 pub(crate) const STORE_GAP: Event = Event::new(2103, Level::Warn);
 /// A record of the store could not be decoded.
 pub(crate) const RECORD_SKIPPED: Event = Event::new(2104, Level::Warn);
+/// Reads of a topic from the store go on to fail.
+pub(crate) const STORE_STILL_LOST: Event = Event::new(2107, Level::Warn);
 /// A partition of the jobs is listed whole.
 pub(crate) const JOBS_LISTED: Event = Event::new(2106, Level::Warn);
 /// An append was rejected, or its outcome is unknown.
--- a/gateway/src/serve/metrics.rs
+++ b/gateway/src/serve/metrics.rs
@@ -264,7 +264,7 @@
     pub(crate) fn store_call(&self, outcome: &CallOutcome) {
         let topic: &'static str = outcome.topic.into();
         let call: &'static str = outcome.call.into();
-        let result = if outcome.ok { "ok" } else { "failed" };
+        let result: &'static str = outcome.end.into();
         let topic = KeyValue::new("topic", topic);
         let call = KeyValue::new("call", call);
         let result = KeyValue::new("outcome", result);
--- a/gateway/src/serve/state.rs
+++ b/gateway/src/serve/state.rs
@@ -81,6 +81,7 @@
 use crate::silence::Outputs;
 use crate::skipped_records::SkippedRecords;
 use crate::speed::Speeds;
+use crate::store_load::StoreLoad;
 use crate::store_relay::StoreAccess;
 
 /// Longest age of the copy of a partition from which items start. Items of a job that its caller has ended must
@@ -165,6 +166,8 @@
     pub(crate) rng: SmallRng,
     /// Whether the store answers this instance.
     pub(crate) access: StoreAccess,
+    /// Which calls to the store fail.
+    pub(crate) store_load: StoreLoad,
     /// Seed of the random choices for the current request.
     pub(crate) draw_seed: u64,
     /// Moving average of the time that an online request occupies a slot, in seconds.
@@ -241,6 +244,7 @@
             pacing: ItemPacing::default(),
             rng: SmallRng::from_os_rng(),
             access: StoreAccess::default(),
+            store_load: StoreLoad::default(),
             draw_seed: 0,
             // A typical response takes a little less than a second.
             mean_holding_s: 0.75,
--- a/gateway/src/serve/store_calls.rs
+++ b/gateway/src/serve/store_calls.rs
@@ -14,7 +14,8 @@
 use super::node::Node;
 use super::store_call::{
     CallOutcome,
-    StoreCall, //
+    StoreCall,
+    StoreCallEnd, //
 };
 use crate::platform::{
     Page,
@@ -24,6 +25,7 @@
     StoreError,
     Topic, //
 };
+use crate::store_load::CallTarget;
 
 impl<P: Store> Node<P> {
     /// Reads the records of a partition from offset `from` on; `call` is the purpose of the read.
@@ -38,14 +40,17 @@
         let started = Instant::now();
         let sent = self.now();
         let result = self.platform.read(topic, partition, from, wait).await;
-        self.store_call_ended(is_answer(&result), sent);
-        self.metrics.store_call(&CallOutcome {
-            call,
-            topic,
-            ok: result.is_ok(),
-            elapsed: started.elapsed().saturating_sub(wait),
-            bytes: result.as_ref().map_or(0, RecordRange::bytes),
-        });
+        self.store_call_ended(
+            CallTarget::read(topic, partition),
+            sent,
+            &CallOutcome {
+                call,
+                topic,
+                end: StoreCallEnd::from(&result),
+                elapsed: started.elapsed().saturating_sub(wait),
+                bytes: result.as_ref().map_or(0, RecordRange::bytes),
+            },
+        );
         result
     }
 
@@ -59,14 +64,17 @@
         let started = Instant::now();
         let sent = self.now();
         let result = self.platform.newest(topic, partition, after).await;
-        self.store_call_ended(is_answer(&result), sent);
-        self.metrics.store_call(&CallOutcome {
-            call: StoreCall::List,
-            topic,
-            ok: result.is_ok(),
-            elapsed: started.elapsed(),
-            bytes: result.as_ref().map_or(0, Page::bytes),
-        });
+        self.store_call_ended(
+            CallTarget::read(topic, partition),
+            sent,
+            &CallOutcome {
+                call: StoreCall::List,
+                topic,
+                end: StoreCallEnd::from(&result),
+                elapsed: started.elapsed(),
+                bytes: result.as_ref().map_or(0, Page::bytes),
+            },
+        );
         result
     }
 
@@ -81,21 +89,32 @@
         let started = Instant::now();
         let sent = self.now();
         let result = self.platform.append(topic, partition, at, records).await;
-        self.store_call_ended(is_answer(&result), sent);
-        self.metrics.store_call(&CallOutcome {
-            call: StoreCall::Append,
-            topic,
-            ok: result.is_ok(),
-            elapsed: started.elapsed(),
-            bytes: 0,
-        });
+        self.store_call_ended(
+            CallTarget::append(topic, partition),
+            sent,
+            &CallOutcome {
+                call: StoreCall::Append,
+                topic,
+                end: StoreCallEnd::from(&result),
+                elapsed: started.elapsed(),
+                bytes: 0,
+            },
+        );
         result
     }
 
-    /// Records whether the store has answered a call of this instance.
-    fn store_call_ended(&self, is_answered: bool, sent: Timestamp) {
+    /// Records the end of a call of this instance that was sent at `sent`.
+    fn store_call_ended(&self, target: CallTarget, sent: Timestamp, outcome: &CallOutcome) {
+        self.metrics.store_call(outcome);
+        let is_answered = outcome.end == StoreCallEnd::Ok;
         let now = self.now();
-        let has_changed = self.lock().access.call_ended(is_answered, sent, now);
+        let mut state = self.lock();
+        match is_answered {
+            true => state.store_load.answered(target),
+            false => state.store_load.failed(target, now),
+        }
+        let has_changed = state.access.call_ended(is_answered, sent, now);
+        drop(state);
         if has_changed {
             self.access_changed(is_answered);
         }
@@ -115,16 +134,3 @@
         self.report_due.notify(usize::MAX);
     }
 }
-
-/// Returns whether the result shows that the store serves this instance.
-fn is_answer<T>(result: &Result<T, StoreError>) -> bool {
-    match result {
-        Ok(_)
-        | Err(
-            StoreError::OffsetMismatch | StoreError::Refused { .. } | StoreError::Trimmed { .. },
-        ) => true,
-        Err(
-            StoreError::NotDone { .. } | StoreError::Unknown { .. } | StoreError::Failed { .. },
-        ) => false,
-    }
-}
