gateway: whoever is reached may be a replica, also while it cannot serve callers

Cause: replicas were selected among the instances that are ready for callers, and the instance itself. Without a listed backend server nobody is ready, so each of 69 instances selected itself for all four partitions and listed all jobs. A question of membership was answered by readiness to serve.

Change: replicas are selected among all instances that are reached and neither stop nor step back; those that serve callers are preferred. Items are run by replicas that serve callers, if there are any. Calls about jobs go to any instance that reports the partition, so jobs can be read while no server is known. An instance of a large fleet is a replica once it has been selected for 0.6 s, so that instances that become ready one after the other do not list the jobs in turn; this takes the place of the 0.6 s after the first read of the instances. A call that is forwarded uses the selection that is known in place of a new one.

--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -110,7 +110,7 @@
 pub use prompt::{PartKey, PromptParts};
 pub use quarantine::{CaseChange, Hold, ItemTurn, Knowledge, Quarantine};
 pub use quota::{OrganisationKey, OverQuota, Quotas, Tolerance};
-pub use replicas::{owner, replicas};
+pub use replicas::{ReplicaCandidates, owner, replicas};
 pub use report::{BatchRun, ItemKey, Report};
 pub use report_schedule::{OutgoingReport, PeerRelation, Receiver, ReportSchedule};
 pub use request_parts::{RequestContent, RequestParts};
--- a/gateway/src/replicas.rs
+++ b/gateway/src/replicas.rs
@@ -30,30 +30,58 @@
 /// Largest number of replicas of a partition in a fleet that is divided into cells.
 const MAX_REPLICAS: usize = 6;
 
+/// Instances among which the replicas are selected, each list sorted by name.
+///
+/// Whoever is reached may hold a copy of the jobs, also if it cannot serve callers for want of a backend server.
+/// If only those that serve callers counted, each instance of a fleet in which nobody does would select
+/// itself for all partitions.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ReplicaCandidates<'a> {
+    /// Instances that serve callers, which are preferred.
+    pub ready: Vec<Instance<'a>>,
+    /// Instances that do not.
+    pub others: Vec<Instance<'a>>,
+}
+
+impl<'a> ReplicaCandidates<'a> {
+    fn len(&self) -> usize {
+        self.ready.len() + self.others.len()
+    }
+
+    /// Returns all of them, each with whether it serves callers.
+    fn iter(&self) -> impl Iterator<Item = (Instance<'a>, bool)> {
+        let ready = self.ready.iter().map(|i| (*i, true));
+        ready.chain(self.others.iter().map(|i| (*i, false)))
+    }
+}
+
 /// The replicas of all partitions of the jobs.
 ///
 /// Load pattern: an instance of a large fleet hears hundreds of reports per second, and selects among
 /// hundreds of instances. It selects again only if these are others than before.
 #[derive(Debug, Default)]
 pub(crate) struct ReplicaTable {
-    /// Instances among which the replicas were selected.
-    instances: Vec<KnownInstance>,
+    /// Instances among which the replicas were selected, each with whether it serves callers.
+    candidates: Vec<(KnownInstance, bool)>,
     /// Replicas of each partition, the preferred one first.
     replicas: Vec<Vec<String>>,
 }
 
 impl ReplicaTable {
-    /// Selects the replicas of `partitions` among `instances`; returns whether these are others than
+    /// Selects the replicas of `partitions` among `candidates`; returns whether these are others than
     /// before.
-    pub(crate) fn select(&mut self, partitions: usize, instances: &[Instance<'_>]) -> bool {
-        let known = self.instances.iter().map(Instance::from);
-        if self.replicas.len() == partitions && known.eq(instances.iter().copied()) {
+    pub(crate) fn select(&mut self, partitions: usize, candidates: &ReplicaCandidates<'_>) -> bool {
+        let known = self.candidates.iter();
+        let known = known.map(|(instance, is_ready)| (Instance::from(instance), *is_ready));
+        if self.replicas.len() == partitions && known.eq(candidates.iter()) {
             return false;
         }
         let owned = |names: Vec<&str>| names.into_iter().map(str::to_owned).collect();
-        let replicas = (0..partitions).map(|n| owned(replicas(n, instances)));
+        let replicas = (0..partitions).map(|n| owned(replicas(n, candidates)));
         self.replicas = replicas.collect();
-        self.instances = instances.iter().map(KnownInstance::from).collect();
+        let known = candidates.iter();
+        let known = known.map(|(instance, is_ready)| (KnownInstance::from(&instance), is_ready));
+        self.candidates = known.collect();
         true
     }
 
@@ -63,48 +91,50 @@
     }
 }
 
-/// Returns the replicas of a partition of the jobs, the preferred one first. In a large fleet large
-/// machines are preferred: a replica runs many items, and on a small machine the process was paused
-/// for seconds. In a fleet with cells the replicas are in different zones, so that the items of
-/// each partition are spread over the cells.
-pub fn replicas<'a>(partition: usize, instances: &[Instance<'a>]) -> Vec<&'a str> {
-    if instances.len() <= FULL_REPLICATION_LIMIT {
-        return instances.iter().map(|i| i.name).collect();
+/// Returns the replicas of a partition of the jobs, the preferred one first. In a large fleet instances
+/// that serve callers are preferred, and of these large machines: a replica runs many items, and on a
+/// small machine the process was paused for seconds. In a fleet with cells the replicas are in
+/// different zones, so that the items of each partition are spread over the cells.
+pub fn replicas<'a>(partition: usize, candidates: &ReplicaCandidates<'a>) -> Vec<&'a str> {
+    if candidates.len() <= FULL_REPLICATION_LIMIT {
+        return candidates.iter().map(|(i, _)| i.name).collect();
     }
     let key = (partition as u64).to_be_bytes();
-    let largest = instances.iter().map(|i| i.capacity).max().unwrap_or(0);
-    let rank = |i: &Instance<'a>| {
+    let capacities = candidates.iter().map(|(i, _)| i.capacity);
+    let largest = capacities.max().unwrap_or(0);
+    let rank = |(i, is_ready): &(Instance<'a>, bool)| {
         let large = is_large(i.capacity, largest);
-        Reverse((large, rendezvous_score(&key, i.name), i.name))
+        Reverse((*is_ready, large, rendezvous_score(&key, i.name), i.name))
     };
-    let mut replicas = instances.to_vec();
+    let mut replicas: Vec<(Instance<'a>, bool)> = candidates.iter().collect();
     replicas.sort_by_cached_key(rank);
     let mut count = REPLICAS;
-    if instances.len() > MAX_CELL_INSTANCES {
-        let zones: BTreeSet<&str> = instances.iter().map(|i| i.zone).collect();
+    if candidates.len() > MAX_CELL_INSTANCES {
+        let zones: BTreeSet<&str> = candidates.iter().map(|(i, _)| i.zone).collect();
         count = zones.len().clamp(REPLICAS, MAX_REPLICAS);
         replicas = spread_over_zones(replicas, largest);
     }
     replicas.truncate(count);
-    replicas.into_iter().map(|i| i.name).collect()
+    replicas.into_iter().map(|(i, _)| i.name).collect()
 }
 
-/// Sorts `instances` so that the first large one of every zone precedes the second one of any zone,
-/// and all small ones come last.
-fn spread_over_zones<'a>(instances: Vec<Instance<'a>>, largest: u32) -> Vec<Instance<'a>> {
+/// Sorts instances that serve callers so that the first large one of every zone precedes the second one of
+/// any zone, and all small ones come last. Instances that do not serve callers follow in the same order.
+fn spread_over_zones<'a>(
+    instances: Vec<(Instance<'a>, bool)>,
+    largest: u32,
+) -> Vec<(Instance<'a>, bool)> {
     let mut seen: BTreeMap<&str, usize> = BTreeMap::new();
-    let ranked = instances.into_iter().map(|instance| {
+    let ranked = instances.into_iter().map(|(instance, is_ready)| {
         let before = seen.entry(instance.zone).or_default();
         *before += 1;
-        (!is_large(instance.capacity, largest), *before, instance)
+        let small = !is_large(instance.capacity, largest);
+        ((!is_ready, small, *before), (instance, is_ready))
     });
-    let mut ranked: Vec<(bool, usize, Instance<'a>)> = ranked.collect();
+    let mut ranked: Vec<_> = ranked.collect();
     // The sort is stable, so instances of the same rank keep their order.
-    ranked.sort_by_key(|(small, before, _)| (*small, *before));
-    ranked
-        .into_iter()
-        .map(|(_, _, instance)| instance)
-        .collect()
+    ranked.sort_by_key(|(rank, _)| *rank);
+    ranked.into_iter().map(|(_, instance)| instance).collect()
 }
 
 /// Returns the instance among `names` that is responsible for `key`, by rendezvous hashing.
--- a/gateway/src/report.rs
+++ b/gateway/src/report.rs
@@ -304,6 +304,12 @@
             || self.waiting > 0
     }
 
+    /// Returns whether the instance may hold a copy of the jobs: it is neither about to stop, nor leaves the
+    /// callers to others because its readers stand still.
+    pub fn may_hold_jobs(&self) -> bool {
+        self.ready || !(self.leaving || self.stalled)
+    }
+
     /// Returns the backend servers on which the instance has requests.
     pub fn backends(&self) -> impl Iterator<Item = BackendKey> {
         let online = self.online.iter().map(|(key, _)| *key);
--- a/gateway/src/serve/forwarding.rs
+++ b/gateway/src/serve/forwarding.rs
@@ -44,7 +44,6 @@
     Store, //
 };
 use crate::positions::CallKind;
-use crate::replicas::replicas;
 
 /// Header of a call that another instance has forwarded; it is not forwarded again. The value is the
 /// version of the configuration that allows the call. Older builds send 1, and no version in force
@@ -214,7 +213,8 @@
     }
     if !is_loaded_here {
         // New replicas may not have reported the partition yet, so the selected ones are tried too.
-        chosen.extend(replicas(partition, &state.ready_peers(now)));
+        let selected = state.replicas.partitions().get(partition);
+        chosen.extend(selected.into_iter().flatten().map(String::as_str));
     }
     let public = |name: &str| Some(state.members.get(name)?.report.as_ref()?.public);
     let mut addrs: Vec<SocketAddr> = chosen.into_iter().filter_map(public).collect();
--- a/gateway/src/serve/items.rs
+++ b/gateway/src/serve/items.rs
@@ -67,9 +67,13 @@
 };
 use crate::replicas::{
     FULL_REPLICATION_LIMIT,
+    ReplicaCandidates,
     owner, //
 };
-use crate::report::ItemKey;
+use crate::report::{
+    ItemKey,
+    Report, //
+};
 use crate::server_limits::Purpose;
 use crate::speed::Slowness;
 
@@ -80,8 +84,9 @@
 /// fleet most instances have none.
 const IDLE_TICK: Duration = Duration::from_millis(250);
 
-/// Time within which an instance has received the reports of the others, once it knows them. Before that,
-/// in a large fleet that starts as a whole, every instance would list all jobs at the same time.
+/// Time for which an instance of a large fleet is selected before it becomes a replica. It hears of the
+/// others one after the other, once it knows them, and they become ready one after the other. Each instance
+/// that is selected for a moment only would list the jobs in vain.
 const SETTLE_TIME: Duration = Duration::from_millis(600);
 
 /// Time for which an instance stays a replica of a partition after others have been selected. It
@@ -114,16 +119,20 @@
     select_replicas(node, state, now);
     let large = state.members.count() >= FULL_REPLICATION_LIMIT;
     let settle_time = if large { SETTLE_TIME } else { Duration::ZERO };
-    let settled = state
-        .instances_read_at
-        .is_some_and(|read_at| now >= read_at + settle_time);
+    let knows_others = state.instances_read_at.is_some();
     let runners = state.runners(me);
     let before = state.replica_status.clone();
     for partition in 0..state.partitions.len() {
         let replicas = &state.replicas.partitions()[partition];
-        let chosen = settled && replicas.iter().any(|name| name == me);
-        let busy = state.items.is_busy(partition);
-        update_replica_status(state, partition, chosen, busy, now);
+        let chosen = knows_others && replicas.iter().any(|name| name == me);
+        let since = state.selected_since[partition].unwrap_or(now);
+        state.selected_since[partition] = chosen.then_some(since);
+        let selection = match chosen {
+            true if now >= since + settle_time => Selection::Settled,
+            true => Selection::Recent,
+            false => Selection::No,
+        };
+        update_replica_status(state, partition, selection, now);
     }
     let config = state.config.as_deref();
     let ended = state
@@ -135,32 +144,53 @@
     state.replica_status != before
 }
 
-/// Selects the replicas among the instances that are ready.
+/// Selects the replicas among the instances that are reached, and this one.
 fn select_replicas<P>(node: &Node<P>, state: &mut State, now: Timestamp) {
     let steps_back = node.steps_back(state);
-    let ready = state.members.reachable(now).filter(|r| r.ready);
-    let mut instances: Vec<Instance<'_>> = ready.map(Instance::from).collect();
-    if !steps_back || instances.is_empty() {
-        instances.push(node.settings.instance());
+    let reached = state.members.reachable(now).filter(|r| r.may_hold_jobs());
+    let (ready, others): (Vec<&Report>, Vec<&Report>) = reached.partition(|r| r.ready);
+    let mut candidates = ReplicaCandidates {
+        ready: ready.into_iter().map(Instance::from).collect(),
+        others: others.into_iter().map(Instance::from).collect(),
+    };
+    if !steps_back || (candidates.ready.is_empty() && candidates.others.is_empty()) {
+        let own = match state.can_serve() {
+            true => &mut candidates.ready,
+            false => &mut candidates.others,
+        };
+        own.push(node.settings.instance());
+        own.sort_by_key(|instance| instance.name);
     }
-    instances.sort_by_key(|instance| instance.name);
-    if state.replicas.select(state.partitions.len(), &instances) {
+    if state.replicas.select(state.partitions.len(), &candidates) {
         node.metrics.replicas_selected();
     }
 }
 
+/// Whether this instance is selected as a replica of a partition.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Selection {
+    No,
+    /// It has been selected a moment ago.
+    Recent,
+    /// It has been selected for the time to settle.
+    Settled,
+}
+
 /// Makes this instance a replica of a partition, or drops the partition once the others have had
 /// the time to load it.
 fn update_replica_status(
     state: &mut State,
     partition: usize,
-    chosen: bool,
-    busy: bool,
+    selection: Selection,
     now: Timestamp,
 ) {
+    let busy = state.items.is_busy(partition);
     let status = &mut state.replica_status[partition];
     *status = match *status {
-        _ if chosen => ReplicaStatus::Active,
+        ReplicaStatus::Inactive if selection == Selection::Settled => ReplicaStatus::Active,
+        ReplicaStatus::Inactive => ReplicaStatus::Inactive,
+        // It has the partition, so nothing needs to be listed.
+        _ if selection != Selection::No => ReplicaStatus::Active,
         ReplicaStatus::Active => ReplicaStatus::ActiveUntil(now + HANDOVER_TIME),
         ReplicaStatus::ActiveUntil(end) if end > now || busy => ReplicaStatus::ActiveUntil(end),
         ReplicaStatus::ActiveUntil(_) => {
@@ -168,7 +198,6 @@
             state.items.forget(partition);
             ReplicaStatus::Inactive
         }
-        ReplicaStatus::Inactive => ReplicaStatus::Inactive,
     };
 }
 
--- a/gateway/src/serve/state.rs
+++ b/gateway/src/serve/state.rs
@@ -41,7 +41,6 @@
 use crate::config_fetch::ConfigFetch;
 use crate::config_freshness::ConfigFreshness;
 use crate::evacuation::Evacuations;
-use crate::instance::Instance;
 use crate::jobs::{
     Job,
     Partition, //
@@ -152,6 +151,8 @@
     pub(crate) partitions: Vec<Partition>,
     /// Instances that are to be the replicas of each partition.
     pub(crate) replicas: ReplicaTable,
+    /// Since when this instance has been selected as a replica of each partition, in their order.
+    pub(crate) selected_since: Vec<Option<Timestamp>>,
     /// Whether this instance is a replica of each partition, in their order.
     pub(crate) replica_status: Vec<ReplicaStatus>,
     /// Freshness of each partition, in their order.
@@ -235,6 +236,7 @@
             return_times: ReturnTimes::default(),
             limits: ServerLimits::new(&settings.name),
             replicas: ReplicaTable::default(),
+            selected_since: vec![None; partitions.len()],
             replica_status: vec![ReplicaStatus::Inactive; partitions.len()],
             freshness: vec![PartitionFreshness::default(); partitions.len()],
             partitions,
@@ -415,8 +417,8 @@
     ) -> Vec<&str> {
         let known = &self.partitions[partition];
         let own = known.is_loaded().then(|| known.next());
-        let ready = self.members.reachable(now).filter(|r| r.ready);
-        let peers = ready.filter_map(|r| {
+        let holders = self.members.reachable(now).filter(|r| r.may_hold_jobs());
+        let peers = holders.filter_map(|r| {
             let mut positions = r.positions.iter();
             let position = positions.find(|p| p.partition as usize == partition)?;
             Some((r.name.as_str(), *position))
@@ -424,17 +426,16 @@
         forward_targets(own, &self.freshness[partition], kind, peers, now)
     }
 
-    /// Returns the other instances that may be replicas of the jobs.
-    pub(crate) fn ready_peers(&self, now: Timestamp) -> Vec<Instance<'_>> {
-        let ready = self.members.reachable(now).filter(|r| r.ready);
-        ready.map(Instance::from).collect()
-    }
-
     /// Returns the instances among the replicas of each partition that run its items; `me` is this one.
+    /// Those that do not serve callers know no backend server, unless none serves any.
     pub(crate) fn runners(&self, me: &str) -> Vec<Vec<String>> {
         let partitions = self.replicas.partitions().iter().enumerate();
         let runners = partitions.map(|(partition, replicas)| {
-            let replicas = replicas.iter().map(String::as_str);
+            let mut replicas: Vec<&str> = replicas.iter().map(String::as_str).collect();
+            if replicas.iter().any(|name| self.is_ready(name, me)) {
+                replicas.retain(|name| self.is_ready(name, me));
+            }
+            let replicas = replicas.into_iter();
             let replicas = replicas.map(|name| (name, self.reads(partition, name, me)));
             let runners = runners(&replicas.collect::<Vec<_>>()).into_iter();
             runners.map(str::to_owned).collect()
@@ -442,6 +443,13 @@
         runners.collect()
     }
 
+    /// Returns whether the instance `name` serves callers. This one counts as if it did: as long as it does not,
+    /// its items wait, and the others run them.
+    fn is_ready(&self, name: &str, me: &str) -> bool {
+        let report = self.members.get(name).and_then(|m| m.report.as_ref());
+        name == me || report.is_some_and(|report| report.ready)
+    }
+
     /// Returns whether the instance `name` is answered by the store when it reads `partition`; `None` if it
     /// is not known.
     fn reads(&self, partition: usize, name: &str, me: &str) -> Option<bool> {
--- a/gateway/tests/cells.rs
+++ b/gateway/tests/cells.rs
@@ -14,6 +14,7 @@
     Instance,
     MAX_CELL_INSTANCES,
     Members,
+    ReplicaCandidates,
     Report,
     replicas, //
 };
@@ -150,7 +151,11 @@
     let zone = |name: &str| mixed.iter().find(|i| i.name == name).map(|i| i.zone);
     let capacity = |name: &str| mixed.iter().find(|i| i.name == name).map(|i| i.capacity);
     for partition in 0..4 {
-        let chosen = replicas(partition, &mixed);
+        let candidates = ReplicaCandidates {
+            ready: mixed.clone(),
+            ..ReplicaCandidates::default()
+        };
+        let chosen = replicas(partition, &candidates);
         let zones: HashSet<_> = chosen.iter().map(|name| zone(name)).collect();
         assert_eq!((chosen.len(), zones.len()), (5, 5));
         assert!(chosen.iter().all(|name| capacity(name) == Some(500)));
--- a/gateway/tests/online.rs
+++ b/gateway/tests/online.rs
@@ -31,6 +31,7 @@
     OrganisationKey,
     Position,
     Quotas,
+    ReplicaCandidates,
     Report,
     ReportUpdate,
     RunKey,
@@ -519,15 +520,15 @@
     let names: Vec<String> = (0..82).map(|n| format!("gateway-{n}")).collect();
     let names: Vec<&str> = names.iter().map(String::as_str).collect();
     let all_equal = instances(&names, &[]);
-    assert_eq!(replicas(0, &all_equal[..17]).len(), 17);
+    assert_eq!(replicas(0, &ready(&all_equal[..17])).len(), 17);
     let mut all = Vec::new();
     for partition in 0..4 {
-        let chosen = replicas(partition, &all_equal);
+        let chosen = replicas(partition, &ready(&all_equal));
         assert_eq!(chosen.len(), 4);
         // The loss of the preferred replica does not change the others.
         let mut rest = all_equal.clone();
         rest.retain(|i| i.name != chosen[0]);
-        assert_eq!(replicas(partition, &rest)[..3], chosen[1..]);
+        assert_eq!(replicas(partition, &ready(&rest))[..3], chosen[1..]);
         all.extend(chosen);
     }
     all.sort_unstable();
@@ -535,6 +536,35 @@
     assert!(all.len() > 8, "{all:?}");
 }
 
+/// Returns candidates that all serve callers.
+fn ready<'a>(instances: &[Instance<'a>]) -> ReplicaCandidates<'a> {
+    ReplicaCandidates {
+        ready: instances.to_vec(),
+        others: Vec::new(),
+    }
+}
+
+/// Guards against a fleet in which nobody serves callers, and in which each instance therefore selects itself as
+/// the replica of all partitions.
+#[test]
+fn replicas_are_few_while_few_instances_serve_callers() {
+    let names: Vec<String> = (0..59).map(|n| format!("gateway-{n}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let all = instances(&names, &names[10..30]);
+    for serving in [0, 1, 3, 4, 30] {
+        let candidates = ReplicaCandidates {
+            ready: all[..serving].to_vec(),
+            others: all[serving..].to_vec(),
+        };
+        for partition in 0..4 {
+            let chosen = replicas(partition, &candidates);
+            assert_eq!(chosen.len(), 4, "{serving} instances serve callers");
+            let preferred = chosen.iter().filter(|name| names[..serving].contains(name));
+            assert_eq!(preferred.count(), serving.min(4));
+        }
+    }
+}
+
 fn record(addr: IpAddr) -> InstanceRecord {
     InstanceRecord {
         addr,
@@ -561,10 +591,10 @@
     let names: Vec<String> = (0..59).map(|n| format!("gateway-{n}")).collect();
     let names: Vec<&str> = names.iter().map(String::as_str).collect();
     for partition in 0..4 {
-        let chosen = replicas(partition, &instances(&names, &names[10..30]));
+        let chosen = replicas(partition, &ready(&instances(&names, &names[10..30])));
         assert!(chosen.iter().all(|name| names[10..30].contains(name)));
         // With too few large machines small ones are replicas as well.
-        let chosen = replicas(partition, &instances(&names, &names[10..12]));
+        let chosen = replicas(partition, &ready(&instances(&names, &names[10..12])));
         assert_eq!(chosen.len(), 4);
         assert!(names[10..12].iter().all(|name| chosen[..2].contains(name)));
     }
