gateway: one owner of the load on the store decides pauses and when a page is requested

Cause: the store sends what it has taken in order, lets a call wait for up to 2 s and rejects further ones. A page of a listing was given up after 1 s and begun again after 300 ms. Once more is asked for than the store sends in a second, all that it sends is for clients that have given up: 79 pages of 1 MB a second, its whole bandwidth, from 37 to 85 s, and none of any topic arrives. Every caller of the store had a pause and a patience of its own, and none of them counted what an attempt costs the others.

Change: gateway/src/store_load knows the outcomes of all calls by topic, partition and access. Pauses grow until a call is answered, and are spread; follow, writer, registration and case_records have none of their own any more. After a failed or slow page the next one is requested only when a small call to the partition has been answered, and is waited for as long as the store may take. A page is requested in one way at a time, directly or through a peer, and is not overtaken by itself.

Why this works: a page that is requested finds a queue of less than a second and is waited for three, so what the store sends arrives, and each round makes progress. What is small and given up costs the store next to nothing. The equilibrium of many instances that list is a queue in which other calls are answered in time.

--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -125,7 +125,7 @@
 pub use skipped_records::SkippedRecords;
 pub use speed::{PaceMeter, SLOW_FACTOR, Slowness, Speeds};
 pub use sse::{BlockKind, Event, InvalidEventStream, MAX_EVENT_BYTES, MAX_EVENT_NUMBER, Splitter};
-pub use store_load::{Access, CallTarget, Outage, StoreLoad};
+pub use store_load::{Access, BeforePage, CallTarget, Outage, StoreLoad};
 pub use store_relay::{
     Admission, Attempts, JobsAnswer, JobsCall, RelayError, RelayGate, RelayPeer, StoreAccess, Way,
     ways,
--- a/gateway/src/platform.rs
+++ b/gateway/src/platform.rs
@@ -140,12 +140,20 @@
     /// Returns the number of partitions of a topic.
     fn partitions(&self, topic: Topic) -> u32;
 
-    /// Lists the newest record of each key after the key `after`.
+    /// Returns whether a partition answers, by a call that returns no records.
+    fn probe(
+        &self,
+        topic: Topic,
+        partition: u32,
+    ) -> impl Future<Output = Result<(), StoreError>> + Send;
+
+    /// Lists the newest record of each key after the key `after`; the call is given up after `timeout`.
     fn newest(
         &self,
         topic: Topic,
         partition: u32,
         after: Option<&str>,
+        timeout: Duration,
     ) -> impl Future<Output = Result<Page, StoreError>> + Send;
 
     /// Reads records from `from` on; waits up to `wait` for the first one.
--- a/gateway/src/serve/case_records.rs
+++ b/gateway/src/serve/case_records.rs
@@ -40,6 +40,7 @@
 };
 use crate::prompt::PartKey;
 use crate::quarantine::CaseChange;
+use crate::store_load::CallTarget;
 
 /// Longest wait for the store to grant a probe; the caller waits meanwhile.
 const CLAIM_TIMEOUT: Duration = Duration::from_millis(200);
@@ -47,8 +48,7 @@
 /// Time between two attempts of this instance to claim a probe.
 const CLAIM_PAUSE: Duration = Duration::from_millis(500);
 
-/// Time between two attempts to write the record of a case, and their number.
-const STORE_RETRY: Duration = Duration::from_millis(500);
+/// Number of attempts to write the record of a case.
 const MAX_STORE_ATTEMPTS: u32 = 60;
 
 fn record(case: &Case) -> Record {
@@ -107,7 +107,7 @@
             Ok(_) => return,
             Err(err) => log::debug!("cannot write the record of a case: {err}"),
         }
-        sleep(STORE_RETRY).await;
+        sleep(node.store_pause(CallTarget::append(Topic::Instances, 0))).await;
     }
     log_event!(CASE_NOT_STORED, "{}", describe(&case));
 }
--- a/gateway/src/serve/follow.rs
+++ b/gateway/src/serve/follow.rs
@@ -44,8 +44,8 @@
     Outage, //
 };
 
-/// Pause after a failed call. Outages last seconds, and every call has a cost.
-const RETRY_PAUSE: Duration = Duration::from_millis(300);
+/// Pause after a read from an offset that others have passed meanwhile.
+const OLD_OFFSET_PAUSE: Duration = Duration::from_millis(300);
 
 /// Timing of the reads of a topic.
 #[derive(Clone, Copy, Debug)]
@@ -188,7 +188,7 @@
                 if topic == Topic::Jobs
                     && !node.lock().partitions[partition as usize].set_missed(first) =>
             {
-                sleep(RETRY_PAUSE).await;
+                sleep(OLD_OFFSET_PAUSE).await;
             }
             Err(StoreError::Trimmed { first }) => {
                 log_event!(
@@ -215,7 +215,8 @@
                     let _ = catch_up::catch_up(&node, partition).await;
                     steps.step();
                 }
-                sleep(RETRY_PAUSE).await;
+                let target = CallTarget::read(topic, partition);
+                sleep(node.store_pause(target)).await;
             }
         }
     }
--- a/gateway/src/serve/registration.rs
+++ b/gateway/src/serve/registration.rs
@@ -5,11 +5,9 @@
 //! store already are therefore not written again.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use hyper::body::Bytes;
 use limpetweir_transport::sleep;
-use rand::Rng;
 
 use super::node::Node;
 use super::state::State;
@@ -22,13 +20,7 @@
     StoreError,
     Topic, //
 };
-
-/// Pause after the first failed append. It doubles with each further one. Half of it is longer than the pause
-/// between two reads of the instances, which show whether the append was executed.
-const FIRST_RETRY_PAUSE: Duration = Duration::from_millis(1_600);
-
-/// Longest pause after a failed append. Meanwhile the others discover this instance by its reports.
-const MAX_RETRY_PAUSE: Duration = Duration::from_millis(6_400);
+use crate::store_load::CallTarget;
 
 /// The record of this instance as it was last read or written; empty without one.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -43,7 +35,6 @@
         zone: settings.zone.clone(),
     };
     let value = Bytes::from(content.to_string());
-    let mut pause = FIRST_RETRY_PAUSE;
     loop {
         let changed = node.registration_changed.listen();
         if !is_due(&node, &value) {
@@ -55,14 +46,11 @@
         match append(&node, value.clone()).await {
             Ok(()) => {
                 node.lock().registration = Registration(value.clone());
-                pause = FIRST_RETRY_PAUSE;
             }
             Err(err) => {
                 log::debug!("cannot write the record of this instance: {err}");
-                // Instances that have started together do not try again together.
-                let spread = node.lock().rng.random_range(0.5..1.0);
-                sleep(pause.mul_f64(spread)).await;
-                pause = MAX_RETRY_PAUSE.min(pause * 2);
+                // Meanwhile the others discover this instance by its reports.
+                sleep(node.store_pause(CallTarget::append(Topic::Instances, 0))).await;
             }
         }
     }
--- a/gateway/src/serve/store_call.rs
+++ b/gateway/src/serve/store_call.rs
@@ -17,6 +17,8 @@
     CatchUp,
     /// A page of the newest record of each key.
     List,
+    /// A small call that shows whether a partition answers.
+    Probe,
     /// An append.
     Append,
 }
--- a/gateway/src/serve/store_calls.rs
+++ b/gateway/src/serve/store_calls.rs
@@ -6,6 +6,7 @@
 };
 
 use limpetweir_state::Timestamp;
+use rand::Rng;
 
 use super::lines::{
     STORE_ACCESS,
@@ -25,7 +26,13 @@
     StoreError,
     Topic, //
 };
-use crate::store_load::CallTarget;
+use crate::store_load::{
+    BeforePage,
+    CallTarget, //
+};
+
+/// Longest time for which the store lets a call wait for those before it; it rejects further ones.
+pub(crate) const MAX_STORE_QUEUE_TIME: Duration = Duration::from_secs(2);
 
 impl<P: Store> Node<P> {
     /// Reads the records of a partition from offset `from` on; `call` is the purpose of the read.
@@ -55,29 +62,74 @@
     }
 
     /// Returns a page of the newest records of a partition.
+    ///
+    /// A page is large, and the store sends it also if it is given up. So it is requested only after the
+    /// partition has answered, if calls fail or the store is busy, and waited for as long as the store
+    /// may take.
     pub(crate) async fn list_records(
         &self,
         topic: Topic,
         partition: u32,
         after: Option<&str>,
     ) -> Result<Page, StoreError> {
+        let target = CallTarget::read(topic, partition);
+        let before = self.lock().store_load.before_page(target);
+        if before == BeforePage::Probe {
+            self.probe_partition(topic, partition).await?;
+        }
+        let timeout = match before {
+            BeforePage::Nothing | BeforePage::Probe => {
+                self.settings.store.timeout + MAX_STORE_QUEUE_TIME
+            }
+            BeforePage::Unknown => self.settings.store.timeout,
+        };
         let started = Instant::now();
         let sent = self.now();
-        let result = self.platform.newest(topic, partition, after).await;
-        self.store_call_ended(
-            CallTarget::read(topic, partition),
-            sent,
-            &CallOutcome {
-                call: StoreCall::List,
-                topic,
-                end: StoreCallEnd::from(&result),
-                elapsed: started.elapsed(),
-                bytes: result.as_ref().map_or(0, Page::bytes),
-            },
-        );
+        let result = self.platform.newest(topic, partition, after, timeout).await;
+        let elapsed = started.elapsed();
+        let outcome = CallOutcome {
+            call: StoreCall::List,
+            topic,
+            end: StoreCallEnd::from(&result),
+            elapsed,
+            bytes: result.as_ref().map_or(0, Page::bytes),
+        };
+        self.store_call_ended(target, sent, &outcome);
+        if outcome.end == StoreCallEnd::Ok {
+            self.lock().store_load.page_answered(target, elapsed);
+        }
         result
     }
 
+    /// Returns whether a partition answers within the time limit of an ordinary call. An answer does not end
+    /// a series of failed calls, so that the pauses grow until a page arrives.
+    async fn probe_partition(&self, topic: Topic, partition: u32) -> Result<(), StoreError> {
+        let started = Instant::now();
+        let sent = self.now();
+        let result = self.platform.probe(topic, partition).await;
+        let outcome = CallOutcome {
+            call: StoreCall::Probe,
+            topic,
+            end: StoreCallEnd::from(&result),
+            elapsed: started.elapsed(),
+            bytes: 0,
+        };
+        match outcome.end {
+            StoreCallEnd::Ok => self.metrics.store_call(&outcome),
+            StoreCallEnd::Rejected | StoreCallEnd::Unanswered => {
+                self.store_call_ended(CallTarget::read(topic, partition), sent, &outcome);
+            }
+        }
+        result
+    }
+
+    /// Returns the pause before the next call about a target of which the last one has failed.
+    pub(crate) fn store_pause(&self, target: CallTarget) -> Duration {
+        let mut state = self.lock();
+        let spread = state.rng.random_range(0.0..1.0);
+        state.store_load.pause(target, spread)
+    }
+
     /// Appends records to a partition, if its end is at `at`.
     pub(crate) async fn append_records(
         &self,
--- a/gateway/src/serve/store_relay.rs
+++ b/gateway/src/serve/store_relay.rs
@@ -31,7 +31,11 @@
 };
 use super::node::Node;
 use super::replies::plain;
-use super::store_call::StoreCall;
+use super::store_call::{
+    StoreCall,
+    StoreCallEnd, //
+};
+use super::store_calls::MAX_STORE_QUEUE_TIME;
 use crate::checked::excerpt;
 use crate::platform::{
     Dialect,
@@ -61,6 +65,11 @@
 /// Time limit of a request to a peer; its own call to the store may take one second.
 const TIMEOUT: Duration = Duration::from_millis(1_200);
 
+/// The same for a page, which the peer may request after a small call.
+const PAGE_TIMEOUT: Duration = TIMEOUT
+    .saturating_mul(2)
+    .saturating_add(MAX_STORE_QUEUE_TIME);
+
 /// Largest response with an outcome in bytes: a page of 1 MB in an encoding that needs a little more.
 const MAX_OUTCOME_BYTES: usize = 4 << 20;
 
@@ -104,7 +113,13 @@
     after: Option<&str>,
 ) -> Result<Page, StoreError> {
     let after = after.map(str::to_owned);
-    match attempt(node, &JobsCall::List { partition, after }).await? {
+    let call = JobsCall::List { partition, after };
+    // A page is large, so it is requested in one way only, and never twice at the same time. After a failure
+    // another way may be the first one.
+    let way = chosen_ways(node).into_iter().next().unwrap_or(Way::Direct);
+    let result = make(node, &way, &call).await;
+    log_relayed(node, &call, &way, &result);
+    match result? {
         JobsAnswer::Page(page) => Ok(page),
         JobsAnswer::Appended(_) | JobsAnswer::Range(_) => Err(other_answer()),
     }
@@ -267,13 +282,21 @@
         Way::Direct => make_directly(node, call).await,
         Way::Peer(peer) => {
             let result = send(node, peer.addr, call).await;
+            let now = node.now();
+            let mut state = node.lock();
+            match StoreCallEnd::from(&result) {
+                StoreCallEnd::Ok => state.store_load.answered(call.target()),
+                StoreCallEnd::Rejected | StoreCallEnd::Unanswered => {
+                    state.store_load.failed(call.target(), now);
+                }
+            }
             if matches!(
                 result,
                 Err(StoreError::NotDone { .. } | StoreError::Unknown { .. })
             ) {
-                let now = node.now();
-                node.lock().access.peer_failed(&peer.name, now);
+                state.access.peer_failed(&peer.name, now);
             }
+            drop(state);
             result
         }
     }
@@ -314,7 +337,11 @@
     let not_done = |reason: String| StoreError::NotDone { reason };
     let req = Request::post(STORE_CALLS_PATH).body(call.encode());
     let req = req.map_err(|err| not_done(err.to_string()))?;
-    let options = SendOptions::within(TrafficClass::Platform, TIMEOUT);
+    let timeout = match call {
+        JobsCall::List { .. } => PAGE_TIMEOUT,
+        JobsCall::Append { .. } | JobsCall::Read { .. } => TIMEOUT,
+    };
+    let options = SendOptions::within(TrafficClass::Platform, timeout);
     let response = node.client.send(addr, req, options).await;
     let response = response.map_err(|err| match err.verdict().allows_retry(false) {
         true => not_done(err.to_string()),
--- a/gateway/src/serve/writer.rs
+++ b/gateway/src/serve/writer.rs
@@ -50,14 +50,16 @@
     Dialect,
     Record,
     Store,
-    StoreError, //
+    StoreError,
+    Topic, //
 };
+use crate::store_load::CallTarget;
 
 /// Time limit for writing a submission or an end; the caller waits for four seconds.
 const CALL_TIMEOUT: Duration = Duration::from_millis(2_000);
 
-/// Pause after a failed call.
-const RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// Time between two looks at a partition that is not loaded.
+const UNLOADED_PAUSE: Duration = Duration::from_millis(200);
 
 /// Time in which results are combined into one append.
 const RESULT_DELAY: Duration = Duration::from_millis(60);
@@ -175,7 +177,7 @@
 ) {
     let loaded = node.lock().partitions[partition as usize].is_loaded();
     if !loaded {
-        sleep(RETRY_PAUSE).await;
+        sleep(UNLOADED_PAUSE).await;
         return;
     }
     let PreparedCall { at, records } = prepare(node, partition, queue);
@@ -205,13 +207,15 @@
         return;
     }
     if err != StoreError::OffsetMismatch {
-        sleep(RETRY_PAUSE).await;
+        let target = CallTarget::append(Topic::Jobs, partition);
+        sleep(node.store_pause(target)).await;
     }
     // The next decisions depend on the records that were appended meanwhile.
     match catch_up::catch_up(node, partition).await {
         Ok(next) => queue.read_to_end(next),
         Err(_) => {
-            sleep(RETRY_PAUSE).await;
+            let target = CallTarget::read(Topic::Jobs, partition);
+            sleep(node.store_pause(target)).await;
         }
     }
 }
--- a/gateway/src/store_relay/call.rs
+++ b/gateway/src/store_relay/call.rs
@@ -14,8 +14,10 @@
     Page,
     Record,
     RecordRange,
-    StoreError, //
+    StoreError,
+    Topic, //
 };
+use crate::store_load::CallTarget;
 
 /// Largest offset of a record, so that sums of offsets and numbers of records do not overflow.
 const MAX_OFFSET: u64 = 1 << 62;
@@ -260,6 +262,16 @@
         }
     }
 
+    /// Returns what the call is about.
+    pub(crate) fn target(&self) -> CallTarget {
+        match self {
+            Self::Append { partition, .. } => CallTarget::append(Topic::Jobs, *partition),
+            Self::Read { partition, .. } | Self::List { partition, .. } => {
+                CallTarget::read(Topic::Jobs, *partition)
+            }
+        }
+    }
+
     /// Returns the kind of the call, for log lines and metrics.
     pub fn kind(&self) -> &'static str {
         match self {
