gateway: an answered probe shows that the store serves this instance

The end of each call is recorded in one place now, by the kind of the call; no other decision changes.

--- a/gateway/src/serve/store_calls.rs
+++ b/gateway/src/serve/store_calls.rs
@@ -86,40 +86,36 @@
         let started = Instant::now();
         let sent = self.now();
         let result = self.platform.newest(topic, partition, after, timeout).await;
-        let elapsed = started.elapsed();
-        let outcome = CallOutcome {
-            call: StoreCall::List,
-            topic,
-            end: StoreCallEnd::from(&result),
-            elapsed,
-            bytes: result.as_ref().map_or(0, Page::bytes),
-        };
-        self.store_call_ended(target, sent, &outcome);
-        if outcome.end == StoreCallEnd::Ok {
-            self.lock().store_load.page_answered(target, elapsed);
-        }
+        self.store_call_ended(
+            target,
+            sent,
+            &CallOutcome {
+                call: StoreCall::List,
+                topic,
+                end: StoreCallEnd::from(&result),
+                elapsed: started.elapsed(),
+                bytes: result.as_ref().map_or(0, Page::bytes),
+            },
+        );
         result
     }
 
-    /// Returns whether a partition answers within the time limit of an ordinary call. An answer does not end
-    /// a series of failed calls, so that the pauses grow until a page arrives.
+    /// Returns an error unless a partition answers within the time limit of an ordinary call.
     async fn probe_partition(&self, topic: Topic, partition: u32) -> Result<(), StoreError> {
         let started = Instant::now();
         let sent = self.now();
         let result = self.platform.probe(topic, partition).await;
-        let outcome = CallOutcome {
-            call: StoreCall::Probe,
-            topic,
-            end: StoreCallEnd::from(&result),
-            elapsed: started.elapsed(),
-            bytes: 0,
-        };
-        match outcome.end {
-            StoreCallEnd::Ok => self.metrics.store_call(&outcome),
-            StoreCallEnd::Rejected | StoreCallEnd::Unanswered => {
-                self.store_call_ended(CallTarget::read(topic, partition), sent, &outcome);
-            }
-        }
+        self.store_call_ended(
+            CallTarget::read(topic, partition),
+            sent,
+            &CallOutcome {
+                call: StoreCall::Probe,
+                topic,
+                end: StoreCallEnd::from(&result),
+                elapsed: started.elapsed(),
+                bytes: 0,
+            },
+        );
         result
     }
 
@@ -161,9 +157,14 @@
         let is_answered = outcome.end == StoreCallEnd::Ok;
         let now = self.now();
         let mut state = self.lock();
-        match is_answered {
-            true => state.store_load.answered(target),
-            false => state.store_load.failed(target, now),
+        match outcome.call {
+            _ if !is_answered => state.store_load.failed(target, now),
+            StoreCall::List => state.store_load.page_answered(target, outcome.elapsed),
+            // The pauses grow until a page arrives.
+            StoreCall::Probe => {}
+            StoreCall::Read | StoreCall::CatchUp | StoreCall::Append => {
+                state.store_load.answered(target);
+            }
         }
         let has_changed = state.access.call_ended(is_answered, sent, now);
         drop(state);
