--- a/gateway/src/platform.rs
+++ b/gateway/src/platform.rs
@@ -140,7 +140,7 @@
     /// Returns the number of partitions of a topic.
     fn partitions(&self, topic: Topic) -> u32;
 
-    /// Returns whether a partition answers, by a call that returns no records.
+    /// Returns an error unless a partition answers a call that returns no records.
     fn probe(
         &self,
         topic: Topic,
--- a/gateway/src/store_load/calls.rs
+++ b/gateway/src/store_load/calls.rs
@@ -30,7 +30,7 @@
 /// What must precede the request for a page of a listing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BeforePage {
-    /// Nothing: the partition has answered a moment ago.
+    /// Nothing: the partition has answered the last call.
     Nothing,
     /// Nothing, but it is not known whether the partition answers.
     Unknown,
@@ -53,6 +53,7 @@
     failures: Option<Failures>,
     /// Whether the last page took so long that others may be kept from the store.
     is_busy: bool,
+    /// Whether any call has been answered.
     is_answered: bool,
 }
 
