gateway: calls about jobs are not forwarded to an instance without a configuration

If it is the only one that reports more than the own copy, the call was answered with its 503 in place of the own answer. A report names the version in force, so such an instance is not asked.

--- a/gateway/src/report.rs
+++ b/gateway/src/report.rs
@@ -310,6 +310,12 @@
         self.ready || !(self.leaving || self.stalled)
     }
 
+    /// Returns whether the instance may answer calls about the jobs that it holds. Without a configuration it
+    /// knows no key.
+    pub fn may_answer_job_calls(&self) -> bool {
+        self.ready || (self.may_hold_jobs() && self.version > 0)
+    }
+
     /// Returns the backend servers on which the instance has requests.
     pub fn backends(&self) -> impl Iterator<Item = BackendKey> {
         let online = self.online.iter().map(|(key, _)| *key);
--- a/gateway/src/serve/state.rs
+++ b/gateway/src/serve/state.rs
@@ -417,7 +417,8 @@
     ) -> Vec<&str> {
         let known = &self.partitions[partition];
         let own = known.is_loaded().then(|| known.next());
-        let holders = self.members.reachable(now).filter(|r| r.may_hold_jobs());
+        let reached = self.members.reachable(now);
+        let holders = reached.filter(|r| r.may_answer_job_calls());
         let peers = holders.filter_map(|r| {
             let mut positions = r.positions.iter();
             let position = positions.find(|p| p.partition as usize == partition)?;
--- a/gateway/tests/cells.rs
+++ b/gateway/tests/cells.rs
@@ -162,6 +162,32 @@
     }
 }
 
+/// Guards against calls about jobs that are forwarded to an instance which knows no key, and against copies at
+/// instances that stop or whose readers stand still.
+#[rstest]
+#[case::serves_callers(true, false, false, 0, (true, true))]
+#[case::knows_no_server(false, false, false, 3, (true, true))]
+#[case::knows_no_configuration(false, false, false, 0, (true, false))]
+#[case::stops(false, true, false, 3, (false, false))]
+#[case::stands_still(false, false, true, 3, (false, false))]
+fn who_may_hold_jobs_and_answer_calls_about_them(
+    #[case] ready: bool,
+    #[case] leaving: bool,
+    #[case] stalled: bool,
+    #[case] version: u64,
+    #[case] expected: (bool, bool),
+) {
+    let report = Report {
+        ready,
+        leaving,
+        stalled,
+        version,
+        ..idle_report("one")
+    };
+    let may = (report.may_hold_jobs(), report.may_answer_job_calls());
+    assert_eq!(may, expected);
+}
+
 /// Guards against an instance of another cell that counts as unreachable between two of its
 /// reports, and against callers that are directed to it until it counts as unreachable.
 #[rstest]
