gateway: pauses that grow and are spread have a type of their own

The pauses of the load on the store were the only users so far. The fetch of the configuration from a peer needs the same. No change of behaviour: the tests of the load on the store are as they were.

--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 mod admission;
 mod arrivals;
 mod backend;
+mod backoff;
 mod batch;
 mod cells;
 mod checked;
