gateway: the configuration is sent to few peers at once, and asked for with growing pauses

What callers would see: after a start of the whole fleet beside a store that answers only a few instances, all others have no configuration and answer 503 for as long as the store stays away.

All instances ask the one peer that reports a newer version together, wait for 500 ms and ask again after 100 ms, with constants. A configuration has up to 256 KiB; a link of 30 Mbit/s sends 1.8 MB in 500 ms, 28 kB to each of 68. Nobody gets a whole one, and what was sent is lost with the connection.

Change: an instance sends the configuration to four peers at a time and answers 503 at once to further ones. Pauses between fetches grow from 100 to 800 ms and are spread, so that those who are rejected cost a small machine little; the time limit grows from 500 ms to 2 s, so that four transfers end on a slower link too. A place of a receiver that hangs is free after 2 s. A response that is no 200 is named in LW2203 (it was "the response is no record"). An older instance takes the 503 for a failed fetch and asks again.

--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -11,8 +11,8 @@
 mod cells;
 mod checked;
 mod config;
-mod config_fetch;
 mod config_freshness;
+mod config_transfer;
 mod crash_evidence;
 mod crash_message;
 mod crash_news;
@@ -76,8 +76,8 @@
     BatchTerms, CallerLimits, Configuration, ConfigurationParts, MAX_VERSION, Organisation, Route,
     RouteKind, Service,
 };
-pub use config_fetch::ConfigFetch;
 pub use config_freshness::ConfigFreshness;
+pub use config_transfer::{ConfigFetch, ConfigSend, ConfigSends};
 pub use crash_message::{CaseRecord, CaseRecordError};
 pub use crash_news::{Case, Cleared, Crash, CrashKey, CrashNews};
 pub use evacuation::{
--- a/gateway/src/serve/node.rs
+++ b/gateway/src/serve/node.rs
@@ -38,6 +38,7 @@
 use super::supervisor::Supervisor;
 use super::write_request::WriteRequest;
 use crate::backend::BackendKey;
+use crate::config_transfer::ConfigSends;
 use crate::memory::{
     Bodies,
     ByteBudget,
@@ -69,6 +70,8 @@
     pub(crate) output_budget: Arc<ByteBudget>,
     /// Store calls that are made for peers.
     pub(crate) relay_gate: RelayGate,
+    /// The configuration on its way to peers.
+    pub(crate) config_sends: ConfigSends,
     /// Memory for request bodies and the items of submissions.
     pub(crate) bodies: Bodies,
     /// Memory for the responses that wait for their callers, on all listeners.
@@ -128,6 +131,7 @@
             ends: Arc::new(Ends::new(metrics.clone())),
             metrics,
             relay_gate,
+            config_sends: ConfigSends::default(),
             output_budget: ByteBudget::new(plan.outputs),
             bodies: Bodies::new(plan.bodies),
             responses: Responses::new(plan.responses),
--- a/gateway/src/serve/pages.rs
+++ b/gateway/src/serve/pages.rs
@@ -43,13 +43,7 @@
 ) -> Response<Body> {
     let (head, body) = req.into_parts();
     match (head.method.clone(), head.uri.path()) {
-        (Method::GET, peers::CONFIG_PATH) => {
-            let record = node.lock().config_record.clone();
-            let body = record.map_or_else(Body::empty, |record| {
-                Body::from(peers::encode_record(&record))
-            });
-            Response::new(body)
-        }
+        (Method::GET, peers::CONFIG_PATH) => peers::send_config(&node),
         (Method::GET, quota_levels::LEVELS_PATH) => Response::new(quota_levels::encode(&node)),
         (Method::POST, results::RESULTS_PATH) => results::receive(&node, body).await,
         (Method::POST, store_relay::STORE_CALLS_PATH) => {
--- a/gateway/src/serve/peers.rs
+++ b/gateway/src/serve/peers.rs
@@ -12,10 +12,16 @@
     Instant, //
 };
 
-use hyper::Request;
+use http_body_util::BodyExt;
 use hyper::body::Bytes;
+use hyper::{
+    Request,
+    Response,
+    StatusCode, //
+};
 use limpetweir_state::Timestamp;
 use limpetweir_transport::http::{
+    Body,
     SendOptions,
     TrafficClass, //
 };
@@ -23,6 +29,7 @@
     sleep,
     timeout_at, //
 };
+use rand::Rng;
 
 use super::apply;
 use super::case_records;
@@ -42,6 +49,7 @@
 };
 use super::node::Node;
 use super::registration;
+use super::replies;
 use super::state::ReplicaStatus;
 use super::supervisor::Steps;
 use super::task_kinds::OneShot;
@@ -74,9 +82,6 @@
 /// leads to grows with their number.
 const COALESCE_TIME_PER_PEER: Duration = Duration::from_micros(100);
 
-/// Time limit of a fetch from a peer.
-pub(crate) const FETCH_TIMEOUT: Duration = Duration::from_millis(500);
-
 /// Maximum size of a fetched configuration in bytes.
 const MAX_CONFIG_BYTES: usize = 8 << 20;
 
@@ -207,7 +212,7 @@
     evacuation::apply_report(node, &mut state, &report, now);
     state.config_freshness.reported(version);
     let own_version = state.config_version();
-    let fetches = state.config_fetch.begin(version, own_version, now);
+    let fetch_time = state.config_fetch.begin(version, own_version, now);
     let concerns_items = state.reports_concern_items();
     state.members_changed |= changed;
     drop(state);
@@ -217,11 +222,11 @@
     if changed {
         node.members_changed.notify(usize::MAX);
     }
-    if fetches {
+    if let Some(limit) = fetch_time {
         let shared = node.clone();
         let name = name.to_owned();
         let fetch = async move {
-            fetch_config(&shared, name, from).await;
+            fetch_config(&shared, name, from, limit).await;
             end_fetch(&shared);
         };
         let shared = node.clone();
@@ -238,7 +243,9 @@
 /// Lets the next fetch of a configuration begin.
 fn end_fetch<P>(node: &Node<P>) {
     let now = node.now();
-    node.lock().config_fetch.end(now);
+    let mut state = node.lock();
+    let spread = state.rng.random_range(0.0..1.0);
+    state.config_fetch.end(now, spread);
 }
 
 /// Updates the number of unreachable instances in the quotas, once the existing ones are known.
@@ -349,14 +356,43 @@
     unreachable.collect()
 }
 
+/// Sends the configuration in force to a peer, unless enough others are being sent it.
+pub(crate) fn send_config<P>(node: &Node<P>) -> Response<Body> {
+    let record = node.lock().config_record.clone();
+    let Some(record) = record else {
+        return Response::new(Body::empty());
+    };
+    let Some(send) = node.config_sends.admit(node.now()) else {
+        let text = "the configuration is being sent to others";
+        return replies::plain(StatusCode::SERVICE_UNAVAILABLE, text);
+    };
+    let body = Body::from(encode_record(&record));
+    // The send ends with the body.
+    let body = body.map_frame(move |frame| {
+        let _held = &send;
+        frame
+    });
+    Response::new(Body::boxed(body))
+}
+
 /// Fetches the configuration from a peer that has a newer one.
-async fn fetch_config<P: Store + Dialect>(node: &Arc<Node<P>>, peer: String, addr: IpAddr) {
+async fn fetch_config<P: Store + Dialect>(
+    node: &Arc<Node<P>>,
+    peer: String,
+    addr: IpAddr,
+    limit: Duration,
+) {
     let addr = SocketAddr::new(addr, node.settings.peer_port);
     let Ok(req) = Request::get(CONFIG_PATH).body(Bytes::new()) else {
         return;
     };
-    let options = SendOptions::within(TrafficClass::Platform, FETCH_TIMEOUT);
+    let options = SendOptions::within(TrafficClass::Platform, limit);
     let body = match node.client.send(addr, req, options).await {
+        Ok(response) if response.status() != StatusCode::OK => {
+            let status = response.status().as_u16();
+            log_event!(CONFIG_FETCH_FAILED, "peer={peer} cause=\"status {status}\"");
+            return;
+        }
         Ok(response) => response.into_body().collect_bytes(MAX_CONFIG_BYTES).await,
         Err(err) => {
             log_event!(CONFIG_FETCH_FAILED, "peer={peer} cause=\"{err}\"");
@@ -385,7 +421,7 @@
 }
 
 /// Encodes a record for a peer: its key, a line feed and its value.
-pub(crate) fn encode_record(record: &Record) -> Bytes {
+fn encode_record(record: &Record) -> Bytes {
     let mut buf = Vec::with_capacity(record.key.len() + 1 + record.value.len());
     buf.extend_from_slice(record.key.as_bytes());
     buf.push(b'\n');
--- a/gateway/src/serve/quota_levels.rs
+++ b/gateway/src/serve/quota_levels.rs
@@ -18,7 +18,6 @@
     log_event, //
 };
 use super::node::Node;
-use super::peers::FETCH_TIMEOUT;
 use super::supervisor::Steps;
 use crate::platform::{
     Dialect,
@@ -36,6 +35,9 @@
 /// The instances of a fleet that starts as a whole have no levels of their own yet.
 const MIN_AGE_DIFFERENCE: Duration = Duration::from_millis(2_000);
 
+/// Time limit of a fetch from a peer.
+const FETCH_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Pause between two attempts to adopt levels, and their maximum number after a start.
 const RETRY_PAUSE: Duration = Duration::from_millis(40);
 const MAX_ATTEMPTS: u32 = 25;
--- a/gateway/src/serve/state.rs
+++ b/gateway/src/serve/state.rs
@@ -38,8 +38,8 @@
     Cells, //
 };
 use crate::config::Configuration;
-use crate::config_fetch::ConfigFetch;
 use crate::config_freshness::ConfigFreshness;
+use crate::config_transfer::ConfigFetch;
 use crate::evacuation::Evacuations;
 use crate::jobs::{
     Job,
