gateway: what was sent while an earlier version may be in use is not denied because it is decided later

What callers see: after a change that withdraws a route or a key, a request that is sent some milliseconds before the end of the two seconds in which another instance may still use the earlier version gets 404 or 401, after which callers do not come again, in place of 503.

Cause: the time until which the earlier version counts is compared with the time of the decision. A request is read and decided later than it was sent, by some milliseconds beside load.

Change: an earlier version counts for 250 ms more. A request for what was withdrawn gets 503 for that much longer; none is run by the older version.

--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -146,9 +146,15 @@
     pub limits: Option<CallerLimits>,
 }
 
-/// Time from the use of a version at this instance by which no other instance uses an older one. A
-/// version must be in force everywhere two seconds after its publication.
-const REPLACED_TIME: Duration = Duration::from_millis(2_000);
+/// Time after its publication in which a version must be in force everywhere.
+const APPLY_TIME: Duration = Duration::from_millis(2_000);
+
+/// Time from the sending of a request to the decision about it.
+const ARRIVAL_TIME: Duration = Duration::from_millis(250);
+
+/// Time from the use of a version at this instance by which no request arrives that was sent while
+/// another instance used an older one.
+const REPLACED_TIME: Duration = APPLY_TIME.saturating_add(ARRIVAL_TIME);
 
 /// Most earlier versions that are kept; more than the operators publish within [`REPLACED_TIME`].
 const MAX_EARLIER: usize = 8;
@@ -157,8 +163,8 @@
 #[derive(Clone, Debug)]
 pub struct Configuration {
     version: u64,
-    /// Earlier versions, newest first, and the time until which other instances may use them. None
-    /// of them has earlier ones itself.
+    /// Earlier versions, newest first, and the time until which requests arrive that other instances may
+    /// allow by them. None of them has earlier ones itself.
     earlier: Vec<(Timestamp, Arc<Configuration>)>,
     /// Time until which other instances may use earlier versions that this one has never had.
     unknown_until: Option<Timestamp>,
--- a/gateway/tests/routing.rs
+++ b/gateway/tests/routing.rs
@@ -14,6 +14,7 @@
     RouteKind,
     destination, //
 };
+use limpetweir_state::Timestamp;
 use rstest::rstest;
 
 fn route(name: &str, public: bool) -> Route {
@@ -34,6 +35,11 @@
 }
 
 fn config() -> Configuration {
+    with_routes(1, &["open", "closed"])
+}
+
+/// Returns a configuration with these routes, of which `open` is public.
+fn with_routes(version: u64, routes: &[&str]) -> Configuration {
     let organisation = Organisation {
         name: "org".to_owned(),
         keys: vec!["key-1".to_owned()],
@@ -42,8 +48,8 @@
         priority: None,
     };
     Configuration::from(ConfigurationParts {
-        version: 1,
-        routes: vec![route("open", true), route("closed", false)],
+        version,
+        routes: routes.iter().map(|r| route(r, *r == "open")).collect(),
         organisations: vec![organisation],
         ..ConfigurationParts::default()
     })
@@ -99,3 +105,20 @@
         expected.map(|(name, organisation)| (name.to_owned(), organisation.map(str::to_owned)));
     assert_eq!(describe(found), expected);
 }
+
+/// A request is sent just before the end of the two seconds in which another instance may use the version that
+/// has its route, and is decided about 200 ms later. Guards against its denial.
+#[test]
+fn a_request_that_was_sent_in_time_is_not_denied() {
+    let mut config = with_routes(2, &["closed"]);
+    config.replaces(&with_routes(1, &["open", "closed"]), Timestamp::default());
+    let head = CallHead {
+        host: "one.example".to_owned(),
+        ..CallHead::default()
+    };
+    let Err(denial) = destination(&config, &head, "/open/1", || None) else {
+        panic!("the route is removed");
+    };
+    let decided = Timestamp::default() + Duration::from_millis(2_200);
+    assert!(denial.allowed_until() > Some(decided), "{denial:?}");
+}
