--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -166,7 +166,7 @@
     /// Earlier versions, newest first, and the time until which requests arrive that other instances may
     /// allow by them. None of them has earlier ones itself.
     earlier: Vec<(Timestamp, Arc<Configuration>)>,
-    /// Time until which other instances may use earlier versions that this one has never had.
+    /// The same time for earlier versions that this instance has never had.
     unknown_until: Option<Timestamp>,
     services: HashMap<String, Service>,
     limits: Option<CallerLimits>,
@@ -236,12 +236,14 @@
         self.unknown_until = Some(now + REPLACED_TIME);
     }
 
-    /// Returns the time until which other instances may use versions that this one has never had.
+    /// Returns the time until which requests arrive that other instances may allow by versions that this
+    /// one has never had.
     pub fn unknown_until(&self) -> Option<Timestamp> {
         self.unknown_until
     }
 
-    /// Returns the earlier versions that other instances may use, newest first, and until when.
+    /// Returns the earlier versions that other instances may use, newest first, and the time until which
+    /// requests arrive that they may allow.
     pub fn earlier(&self) -> impl Iterator<Item = (Timestamp, &Self)> {
         let earlier = self.earlier.iter();
         earlier.map(|(until, config)| (*until, config.as_ref()))
--- a/gateway/src/routing.rs
+++ b/gateway/src/routing.rs
@@ -48,13 +48,13 @@
     },
     /// The same as [`NoRoute`](Self::NoRoute), but an earlier version has a route.
     RouteRemoved {
-        /// Time until which other instances may use the earlier version.
+        /// Time until which requests arrive that other instances may allow by the earlier version.
         until: Timestamp,
     },
     /// The key belongs to no organisation, or to one without access, but an earlier version allows
     /// the request.
     KeyRemoved {
-        /// Time until which other instances may use the earlier version.
+        /// Time until which requests arrive that other instances may allow by the earlier version.
         until: Timestamp,
     },
     /// The body is longer than the operators allow.
@@ -65,7 +65,8 @@
 }
 
 impl Denial {
-    /// Returns the time until which an earlier version that allows the request may be in use.
+    /// Returns the time until which requests like this one arrive that other instances may allow by an
+    /// earlier version.
     pub fn allowed_until(self) -> Option<Timestamp> {
         match self {
             Self::RouteRemoved { until } | Self::KeyRemoved { until } => Some(until),
