Review: an engine that answers 421 for its weights is lost to all callers

Claim: a request with X-Expected-Version that no engine has gets 421 at up to four engines, and each answer is taken for the word of the engine that it leaves. Four such requests take twelve engines out of use at all instances. A job accepted afterwards is never run (LOST).

--- /dev/null
+++ b/review/second/version.rs
@@ -0,0 +1,89 @@
+//! A client asks for a version of the weights that no engine has.
+
+use std::io;
+use std::path::Path;
+use std::thread;
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use crate::End;
+use crate::engine::Output;
+use crate::net;
+use crate::record::Record;
+use crate::site::{
+    ONLINE_HOST,
+    Site,
+    field,
+    job_body,
+    key,
+    read_results,
+    submit, //
+};
+
+/// Requests of the client, one each 200 ms.
+const REQUESTS: usize = 20;
+const PAUSE: Duration = Duration::from_millis(200);
+
+/// Time after which the items of a job are to be listed, and the quiet time behind it.
+const FINISH_TIME: Duration = Duration::from_secs(18);
+const QUIET_TIME: Duration = Duration::from_secs(5);
+
+/// Sends an online request; returns the status, 0 without a response.
+fn ask(site: &Site, n: usize, tenant: usize, version: Option<&str>) -> u16 {
+    let (key, id) = (key(tenant), format!("9c41d07be2a3{tenant:02x}{n:02x}"));
+    let mut headers = vec![
+        ("Host", ONLINE_HOST),
+        ("X-Api-Key", key.as_str()),
+        ("X-Request-Identifier", id.as_str()),
+        ("X-Model", "m"),
+        ("X-Token-Usage", "450,80"),
+        ("X-Prompt-Prefix", "5c1e07a2:100,91bd3f06:100,e4402b7d:250"),
+        ("X-Deadline-Milliseconds", "5000"),
+    ];
+    headers.extend(version.map(|version| ("X-Expected-Version", version)));
+    let timeout = Duration::from_secs(6);
+    let answer = net::call(site.frontend(n), "POST", "/lohu930/2f", &headers, b"{}", timeout);
+    answer.map_or(0, |answer| answer.status())
+}
+
+/// The requests of the client cannot be served. A job that another client submits afterwards is to be done.
+pub fn outdated(root: &Path, folder: &Path, record: &Record, trouble: bool) -> io::Result<End> {
+    let output = Output {
+        events: 34,
+        bytes: 60,
+        pause: Duration::from_millis(5),
+    };
+    let site = Site::start(root, folder, 3, 300, &output, record)?;
+    let version = if trouble { "2" } else { "1" };
+    for n in 0..REQUESTS {
+        let status = ask(&site, n, 0, Some(version));
+        record.line(&format!("request {n} for version {version} of the weights: {status}"));
+        thread::sleep(PAUSE);
+    }
+    let (tenant, job, items) = (1, "7c41e09b52d6a3f8", 10);
+    let statuses = submit(&site, 0, tenant, job, &job_body(job, items, 1_500), 6);
+    record.line(&format!("job {job} of another tenant: {statuses:?}"));
+    if statuses.last() != Some(&202) {
+        return Ok(End::NotRun("the job was not accepted".to_owned()));
+    }
+    let until = Instant::now() + FINISH_TIME + QUIET_TIME;
+    let mut listed = 0;
+    let mut n = 0;
+    while Instant::now() < until && listed < items {
+        thread::sleep(Duration::from_millis(500));
+        n += 1;
+        let page = read_results(site.frontend(n), tenant, job, 0);
+        listed = page.ok().and_then(|page| field(&page, "nextToken")).unwrap_or(listed);
+    }
+    record.line(&format!("{listed} of {items} items are listed"));
+    for n in 0..6 {
+        let status = ask(&site, n, 2, None);
+        record.line(&format!("ordinary request {n} of a third tenant: {status}"));
+    }
+    Ok(match listed < items {
+        true => End::Broken,
+        false => End::Held,
+    })
+}
