Review: a result is completed with a part of its output

Claim: an engine that leaves as planned and exits closes the connections of its items between two events. If the response has neither a length nor chunks, each of these items is listed as completed with the events so far (MIXED).

--- a/review/second/engine.rs
+++ b/review/second/engine.rs
@@ -11,6 +11,10 @@
     TcpStream, //
 };
 use std::sync::Arc;
+use std::sync::atomic::{
+    AtomicBool,
+    Ordering, //
+};
 use std::thread;
 use std::time::Duration;
 
@@ -34,6 +38,8 @@
     pub bytes: usize,
     /// Pause before each event.
     pub pause: Duration,
+    /// Whether the response has chunks; otherwise it ends with its connection.
+    pub is_framed: bool,
 }
 
 #[derive(Clone)]
@@ -41,6 +47,8 @@
     pub id: String,
     pub addr: SocketAddr,
     output: Arc<Output>,
+    /// Whether its process has exited.
+    has_exited: Arc<AtomicBool>,
     record: Record,
 }
 
@@ -50,11 +58,15 @@
             id: id.to_owned(),
             addr: listener.local_addr().expect("an address"),
             output: Arc::new(output),
+            has_exited: Arc::default(),
             record: record.clone(),
         };
         let shared = engine.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                if shared.has_exited.load(Ordering::Acquire) {
+                    return;
+                }
                 let engine = shared.clone();
                 thread::spawn(move || engine.serve(stream));
             }
@@ -62,6 +74,13 @@
         engine
     }
 
+    /// Ends as a process that exits: its connections and its listener are closed.
+    pub fn exit(&self) {
+        self.has_exited.store(true, Ordering::Release);
+        // Ends the wait of the listener.
+        let _ = TcpStream::connect(self.addr);
+    }
+
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let Ok(mut writer) = stream.try_clone() else {
@@ -69,11 +88,13 @@
         };
         let mut reader = BufReader::new(stream);
         while let Ok(Some(mut request)) = read_head(&mut reader) {
-            if read_body(&mut reader, &mut request, false).is_err()
-                || self.answer(&mut writer, &request).is_err()
-            {
+            if read_body(&mut reader, &mut request, false).is_err() {
                 return;
             }
+            match self.answer(&mut writer, &request) {
+                Ok(()) if self.output.is_framed => {}
+                _ => return,
+            }
         }
     }
 
@@ -99,17 +120,32 @@
             return write_response(writer, 404, &headers, b"no such resource");
         }
         let last = request.header("last-event-id").and_then(|n| n.parse().ok());
+        let framing = match self.output.is_framed {
+            true => "Transfer-Encoding: chunked",
+            false => "Connection: close",
+        };
         let head = format!(
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Identifier: {id}\r\n\
-             X-Response-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n"
+             X-Response-Signature: s\r\n{framing}\r\n\r\n"
         );
         writer.write_all(head.as_bytes())?;
         for number in last.unwrap_or(0) + 1..=self.output.events {
             thread::sleep(self.output.pause);
+            if self.has_exited.load(Ordering::Acquire) {
+                let text = format!("{} exits beside {id}, after event {}", self.id, number - 1);
+                self.record.line(&text);
+                return Err(io::ErrorKind::ConnectionAborted.into());
+            }
             let data = format!("{number:x>width$}", width = self.output.bytes);
             let event = format!("id: {number}\ndata: {data}\n\n");
-            write!(writer, "{:x}\r\n{event}\r\n", event.len())?;
+            match self.output.is_framed {
+                true => write!(writer, "{:x}\r\n{event}\r\n", event.len())?,
+                false => writer.write_all(event.as_bytes())?,
+            }
+        }
+        match self.output.is_framed {
+            true => writer.write_all(b"0\r\n\r\n"),
+            false => Ok(()),
         }
-        writer.write_all(b"0\r\n\r\n")
     }
 }
--- a/review/second/main.rs
+++ b/review/second/main.rs
@@ -1,6 +1,7 @@
 //! Runs one case of the review: starts the stand-ins and the instances, and checks the promise.
 
 mod engine;
+mod exit;
 mod memory;
 mod net;
 mod platform;
@@ -42,6 +43,7 @@
         "jobs" => memory::jobs(&root, &folder, &record, trouble),
         "pages" => memory::pages(&root, &folder, &record, trouble),
         "route" => route::removed(&root, &folder, &record, trouble),
+        "exit" => exit::planned(&root, &folder, &record, trouble),
         "version" => version::outdated(&root, &folder, &record, trouble),
         _ => Ok(End::NotRun("no such case".to_owned())),
     };
--- a/review/second/memory.rs
+++ b/review/second/memory.rs
@@ -74,6 +74,7 @@
         events: 40,
         bytes: 60,
         pause: Duration::from_millis(5),
+        is_framed: true,
     };
     let site = Arc::new(Site::start(root, folder, 3, MEMORY_MB, &output, record)?);
     let item_bytes = if trouble { LARGE_ITEM } else { ORDINARY_ITEM };
@@ -157,6 +158,7 @@
         events: 237,
         bytes: 60,
         pause: Duration::from_millis(1),
+        is_framed: true,
     };
     let site = Site::start(root, folder, 2, MEMORY_MB, &output, record)?;
     let (tenant, job, items) = (0, "7c41e09b52d6a3f8", 100);
--- a/review/second/route.rs
+++ b/review/second/route.rs
@@ -23,6 +23,7 @@
         events: 20,
         bytes: 60,
         pause: Duration::from_millis(2),
+        is_framed: true,
     };
     let site = Site::start(root, folder, 3, 300, &output, record)?;
     let (tenant, job, items) = (0, "7c41e09b52d6a3f8", 10);
--- a/review/second/site.rs
+++ b/review/second/site.rs
@@ -36,7 +36,7 @@
 pub struct Site {
     pub store: Store,
     pub platform: Platform,
-    _engines: Vec<Engine>,
+    pub engines: Vec<Engine>,
 }
 
 pub fn key(tenant: usize) -> String {
@@ -64,6 +64,14 @@
     )
 }
 
+fn entry(engine: &Engine, n: usize, state: &str) -> String {
+    let zone = ["alfold-a", "alfold-b", "alfold-c"][n % 3];
+    format!(
+        r#"{{"service":"huvo11a","address":"{}","zone":"{zone}","version":1,"slots":8,"state":"{state}","coldRemainingMs":0,"sequence":1,"born":1765000000000}}"#,
+        engine.addr
+    )
+}
+
 impl Site {
     pub fn start(
         root: &Path,
@@ -79,19 +87,14 @@
         let mut engines = Vec::new();
         for n in 0..12 {
             let engine = Engine::start(&format!("i-{n:08x}"), listen()?, output.clone(), record);
-            let zone = ["alfold-a", "alfold-b", "alfold-c"][n % 3];
-            let entry = format!(
-                r#"{{"service":"huvo11a","address":"{}","zone":"{zone}","version":1,"slots":8,"state":"ready","coldRemainingMs":0,"sequence":1,"born":1765000000000}}"#,
-                engine.addr
-            );
-            store.put("keyed.servers", &engine.id, &entry);
+            store.put("keyed.servers", &engine.id, &entry(&engine, n, "ready"));
             engines.push(engine);
         }
         let platform = Platform::start(root, folder, machines, memory_mb, store.addr, record)?;
         let site = Self {
             store,
             platform,
-            _engines: engines,
+            engines,
         };
         match site.platform.wait_ready(Duration::from_secs(20)) {
             true => Ok(site),
@@ -99,6 +102,17 @@
         }
     }
 
+    /// Writes the entry of an engine with another state, as the engine does.
+    pub fn enter(&self, n: usize, state: &str) {
+        let engine = &self.engines[n];
+        self.store.put("keyed.servers", &engine.id, &entry(engine, n, state));
+    }
+
+    /// Removes the entry of an engine.
+    pub fn remove(&self, n: usize) {
+        self.store.put("keyed.servers", &self.engines[n].id, "");
+    }
+
     /// Address of an instance.
     pub fn frontend(&self, n: usize) -> SocketAddr {
         self.platform.machines[n % self.platform.machines.len()].frontend
--- a/review/second/version.rs
+++ b/review/second/version.rs
@@ -54,6 +54,7 @@
         events: 34,
         bytes: 60,
         pause: Duration::from_millis(5),
+        is_framed: true,
     };
     let site = Site::start(root, folder, 3, 300, &output, record)?;
     let version = if trouble { "2" } else { "1" };
