--- a/review/second/main.rs
+++ b/review/second/main.rs
@@ -7,6 +7,7 @@
 mod platform;
 mod record;
 mod route;
+mod silence;
 mod site;
 mod store;
 mod version;
@@ -44,6 +45,7 @@
         "pages" => memory::pages(&root, &folder, &record, trouble),
         "route" => route::removed(&root, &folder, &record, trouble),
         "exit" => exit::planned(&root, &folder, &record, trouble),
+        "silence" => silence::silenced(&root, &folder, &record, trouble),
         "version" => version::outdated(&root, &folder, &record, trouble),
         _ => Ok(End::NotRun("no such case".to_owned())),
     };
--- a/review/second/site.rs
+++ b/review/second/site.rs
@@ -165,3 +165,20 @@
     let digits: String = rest.chars().take_while(char::is_ascii_digit).collect();
     digits.parse().ok()
 }
+
+/// Sends an online request with a key; returns the status, 0 without a response.
+pub fn online(addr: SocketAddr, key: &str, id: &str, version: Option<&str>) -> u16 {
+    let mut headers = vec![
+        ("Host", ONLINE_HOST),
+        ("X-Api-Key", key),
+        ("X-Request-Identifier", id),
+        ("X-Model", "m"),
+        ("X-Token-Usage", "450,80"),
+        ("X-Prompt-Prefix", "5c1e07a2:100,91bd3f06:100,e4402b7d:250"),
+        ("X-Deadline-Milliseconds", "5000"),
+    ];
+    headers.extend(version.map(|version| ("X-Expected-Version", version)));
+    let timeout = Duration::from_secs(6);
+    let answer = net::call(addr, "POST", "/lohu930/2f", &headers, b"{}", timeout);
+    answer.map_or(0, |answer| answer.status())
+}
--- a/review/second/store.rs
+++ b/review/second/store.rs
@@ -13,6 +13,10 @@
     TcpListener,
     TcpStream, //
 };
+use std::sync::atomic::{
+    AtomicUsize,
+    Ordering, //
+};
 use std::sync::{
     Arc,
     Condvar,
@@ -70,6 +74,8 @@
 pub struct Store {
     pub addr: SocketAddr,
     shared: Arc<(Mutex<State>, Condvar)>,
+    /// Number of times that the open connections went silent.
+    silences: Arc<AtomicUsize>,
 }
 
 impl Store {
@@ -77,6 +83,7 @@
         let store = Self {
             addr: listener.local_addr().expect("an address"),
             shared: Arc::default(),
+            silences: Arc::default(),
         };
         let shared = store.clone();
         thread::spawn(move || {
@@ -102,7 +109,13 @@
         self.shared.0.lock().expect("the state").bytes
     }
 
+    /// Lets all open connections go silent for good, without a reset; new ones work.
+    pub fn silence(&self) {
+        self.silences.fetch_add(1, Ordering::AcqRel);
+    }
+
     fn serve(&self, stream: TcpStream) {
+        let accepted = self.silences.load(Ordering::Acquire);
         let _ = stream.set_nodelay(true);
         let Ok(mut writer) = stream.try_clone() else {
             return;
@@ -112,7 +125,13 @@
             if read_body(&mut reader, &mut request, false).is_err() {
                 return;
             }
+            if self.silences.load(Ordering::Acquire) != accepted {
+                thread::sleep(Duration::from_secs(600));
+            }
             let (status, body) = self.handle(&request);
+            if self.silences.load(Ordering::Acquire) != accepted {
+                thread::sleep(Duration::from_secs(600));
+            }
             if write_response(&mut writer, status, &[], &body).is_err() || writer.flush().is_err() {
                 return;
             }
--- a/review/second/version.rs
+++ b/review/second/version.rs
@@ -10,14 +10,13 @@
 
 use crate::End;
 use crate::engine::Output;
-use crate::net;
 use crate::record::Record;
 use crate::site::{
-    ONLINE_HOST,
     Site,
     field,
     job_body,
     key,
+    online,
     read_results,
     submit, //
 };
@@ -32,20 +31,8 @@
 
 /// Sends an online request; returns the status, 0 without a response.
 fn ask(site: &Site, n: usize, tenant: usize, version: Option<&str>) -> u16 {
-    let (key, id) = (key(tenant), format!("9c41d07be2a3{tenant:02x}{n:02x}"));
-    let mut headers = vec![
-        ("Host", ONLINE_HOST),
-        ("X-Api-Key", key.as_str()),
-        ("X-Request-Identifier", id.as_str()),
-        ("X-Model", "m"),
-        ("X-Token-Usage", "450,80"),
-        ("X-Prompt-Prefix", "5c1e07a2:100,91bd3f06:100,e4402b7d:250"),
-        ("X-Deadline-Milliseconds", "5000"),
-    ];
-    headers.extend(version.map(|version| ("X-Expected-Version", version)));
-    let timeout = Duration::from_secs(6);
-    let answer = net::call(site.frontend(n), "POST", "/lohu930/2f", &headers, b"{}", timeout);
-    answer.map_or(0, |answer| answer.status())
+    let id = format!("9c41d07be2a3{tenant:02x}{n:02x}");
+    online(site.frontend(n), &key(tenant), &id, version)
 }
 
 /// The requests of the client cannot be served. A job that another client submits afterwards is to be done.
