--- a/review/second/engine.rs
+++ b/review/second/engine.rs
@@ -110,7 +110,8 @@
         }
         let version = request.header("x-expected-version");
         if version.is_some_and(|version| version != WEIGHTS_VERSION) {
-            self.record.count("requests for other weights at engines, answered 421");
+            self.record
+                .count("requests for other weights at engines, answered 421");
             let headers = [("X-Request-Identifier", id), ("X-Not-Executed", "1")];
             return write_response(writer, 421, &headers, b"");
         }
--- a/review/second/exit.rs
+++ b/review/second/exit.rs
@@ -48,7 +48,9 @@
         for n in 0..LEAVING {
             site.enter(n, "draining");
         }
-        record.line(&format!("{LEAVING} engines are draining, by the store's acknowledgement"));
+        record.line(&format!(
+            "{LEAVING} engines are draining, by the store's acknowledgement"
+        ));
         thread::sleep(DRAIN_TIME);
         for n in 0..LEAVING {
             site.engines[n].exit();
@@ -70,11 +72,16 @@
     let mut broken = 0;
     for (item, state, events) in &results {
         if state == "completed" && *events != whole {
-            record.line(&format!("item {item} is completed with {events} of {whole} events"));
+            record.line(&format!(
+                "item {item} is completed with {events} of {whole} events"
+            ));
             broken += 1;
         }
     }
-    record.line(&format!("{} of {items} items are listed, {broken} with a part of their output", results.len()));
+    record.line(&format!(
+        "{} of {items} items are listed, {broken} with a part of their output",
+        results.len()
+    ));
     Ok(match broken {
         0 if results.len() < items => End::NotRun("the job is not done in time".to_owned()),
         0 => End::Held,
--- a/review/second/memory.rs
+++ b/review/second/memory.rs
@@ -49,7 +49,10 @@
     for machine in &site.platform.machines {
         let ends = machine.kills.lock().expect("the kills").len();
         let peak = *machine.peak.lock().expect("the peak") as f64 / 1e6;
-        record.line(&format!("{}: {ends} ends for its memory, peak {peak:.0} MB", machine.name));
+        record.line(&format!(
+            "{}: {ends} ends for its memory, peak {peak:.0} MB",
+            machine.name
+        ));
         faulty += usize::from(ends >= FAULT_ENDS);
         all += ends;
     }
@@ -84,24 +87,32 @@
         .map(|_| {
             let (site, record) = (site.clone(), record.clone());
             let (accepted, next) = (accepted.clone(), next.clone());
-            thread::spawn(move || loop {
-                let n = next.fetch_add(1, Ordering::Relaxed);
-                if n >= JOBS {
-                    return;
-                }
-                let (tenant, job) = (n % TENANTS, format!("7c41e09b52d6{n:04x}"));
-                let body = job_body(&job, ITEMS, item_bytes);
-                let statuses = submit(&site, n, tenant, &job, &body, 3);
-                record.line(&format!("job {job} of {} bytes: {statuses:?}", body.len()));
-                if statuses.last() == Some(&202) {
-                    accepted.lock().expect("the jobs").push((tenant, job));
+            thread::spawn(move || {
+                loop {
+                    let n = next.fetch_add(1, Ordering::Relaxed);
+                    if n >= JOBS {
+                        return;
+                    }
+                    let (tenant, job) = (n % TENANTS, format!("7c41e09b52d6{n:04x}"));
+                    let body = job_body(&job, ITEMS, item_bytes);
+                    let statuses = submit(&site, n, tenant, &job, &body, 3);
+                    record.line(&format!("job {job} of {} bytes: {statuses:?}", body.len()));
+                    if statuses.last() == Some(&202) {
+                        accepted.lock().expect("the jobs").push((tenant, job));
+                    }
                 }
             })
         })
         .collect();
-    clients.into_iter().for_each(|client| client.join().expect("a client"));
+    clients
+        .into_iter()
+        .for_each(|client| client.join().expect("a client"));
     let accepted = std::mem::take(&mut *accepted.lock().expect("the jobs"));
-    record.line(&format!("{} jobs accepted, {} bytes in the store", accepted.len(), site.store.bytes()));
+    record.line(&format!(
+        "{} jobs accepted, {} bytes in the store",
+        accepted.len(),
+        site.store.bytes()
+    ));
     thread::sleep(FINISH_TIME);
     // A job counts as lost if no instance can read it in the rest of the time.
     let until = Instant::now() + Duration::from_secs(15);
@@ -222,7 +233,9 @@
         }
     });
     let count = open.lock().expect("the callers").len();
-    record.line(&format!("{count} callers have asked for the page and do not read"));
+    record.line(&format!(
+        "{count} callers have asked for the page and do not read"
+    ));
     thread::sleep(until.saturating_duration_since(Instant::now()));
 }
 
--- a/review/second/net.rs
+++ b/review/second/net.rs
@@ -77,7 +77,9 @@
     let mut out = Vec::new();
     let mut at = 0;
     while at < bytes.len() {
-        let hex = (bytes[at] == b'%').then(|| text.get(at + 1..at + 3)).flatten();
+        let hex = (bytes[at] == b'%')
+            .then(|| text.get(at + 1..at + 3))
+            .flatten();
         match hex.and_then(|hex| u8::from_str_radix(hex, 16).ok()) {
             Some(byte) => {
                 out.push(byte);
@@ -161,7 +163,10 @@
     headers: &[(&str, &str)],
     body: &[u8],
 ) -> io::Result<()> {
-    let mut head = format!("HTTP/1.1 {status} Status\r\nContent-Length: {}\r\n", body.len());
+    let mut head = format!(
+        "HTTP/1.1 {status} Status\r\nContent-Length: {}\r\n",
+        body.len()
+    );
     for (name, value) in headers {
         head += &format!("{name}: {value}\r\n");
     }
--- a/review/second/platform.rs
+++ b/review/second/platform.rs
@@ -79,7 +79,9 @@
         let is_free = (1..=machines).all(|n| {
             let ports = [FRONTEND, READINESS, DIRECTORY, METRICS, PEER];
             let addr = [127, network.0, network.1, n];
-            ports.iter().all(|port| TcpListener::bind((std::net::Ipv4Addr::from(addr), *port)).is_ok())
+            ports
+                .iter()
+                .all(|port| TcpListener::bind((std::net::Ipv4Addr::from(addr), *port)).is_ok())
         });
         if is_free {
             return Ok(network);
@@ -101,22 +103,36 @@
         let network = free_network(machines)?;
         let template = fs::read_to_string(root.join("platform/settings.toml.in"))?;
         let ip = |n: u8| format!("127.{}.{}.{n}", network.0, network.1);
-        let seeds: Vec<String> = (1..=machines.min(3)).map(|n| format!("\"{}:18683\"", ip(n))).collect();
+        let seeds: Vec<String> = (1..=machines.min(3))
+            .map(|n| format!("\"{}:18683\"", ip(n)))
+            .collect();
         let mut all = Vec::new();
         for n in 1..=machines {
             let quoted = |text: String| format!("\"{text}\"");
             let fields = [
                 ("nodeName|json", quoted(format!("frontend-{n}"))),
-                ("zone|json", quoted(format!("alfold-{}", char::from(b'a' + (n - 1) % 3)))),
+                (
+                    "zone|json",
+                    quoted(format!("alfold-{}", char::from(b'a' + (n - 1) % 3))),
+                ),
                 ("ipAddress|json", quoted(ip(n))),
                 ("seeds|json", format!("[{}]", seeds.join(","))),
                 ("limits.cpuShare", "0.5".to_owned()),
                 ("limits.cores", "1".to_owned()),
                 ("limits.memoryMb", memory_mb.to_string()),
                 ("limits.fileDescriptors", "8200".to_owned()),
-                ("listenAddresses.frontend|json", quoted(format!("{}:{FRONTEND}", ip(n)))),
-                ("listenAddresses.readiness|json", quoted(format!("{}:{READINESS}", ip(n)))),
-                ("listenAddresses.directory|json", quoted(format!("{}:{DIRECTORY}", ip(n)))),
+                (
+                    "listenAddresses.frontend|json",
+                    quoted(format!("{}:{FRONTEND}", ip(n))),
+                ),
+                (
+                    "listenAddresses.readiness|json",
+                    quoted(format!("{}:{READINESS}", ip(n))),
+                ),
+                (
+                    "listenAddresses.directory|json",
+                    quoted(format!("{}:{DIRECTORY}", ip(n))),
+                ),
                 ("internalPorts.0", PEER.to_string()),
                 ("platform.address|json", quoted(store.to_string())),
                 ("platform.recordBytes", "262144".to_owned()),
@@ -132,7 +148,9 @@
                 text = text.replace(&format!("{{{{{name}}}}}"), value);
             }
             if text.contains("{{") {
-                return Err(io::Error::other("the template has a field that is not known here"));
+                return Err(io::Error::other(
+                    "the template has a field that is not known here",
+                ));
             }
             let settings = folder.join(format!("settings-{n}.toml"));
             fs::write(&settings, text)?;
@@ -179,7 +197,11 @@
                 };
                 if let Ok(Some(status)) = running.try_wait() {
                     record.line(&format!("{} ended by itself: {status}", machine.name));
-                    machine.kills.lock().expect("the kills").push(Instant::now());
+                    machine
+                        .kills
+                        .lock()
+                        .expect("the kills")
+                        .push(Instant::now());
                 } else {
                     let rss = resident(running.id());
                     let mut peak = machine.peak.lock().expect("the peak");
@@ -189,10 +211,17 @@
                     }
                     let mb = rss as f64 / 1e6;
                     let name = &machine.name;
-                    record.line(&format!("{name} has {mb:.0} MB, over its {} MiB: killed", limit >> 20));
+                    record.line(&format!(
+                        "{name} has {mb:.0} MB, over its {} MiB: killed",
+                        limit >> 20
+                    ));
                     let _ = running.kill();
                     let _ = running.wait();
-                    machine.kills.lock().expect("the kills").push(Instant::now());
+                    machine
+                        .kills
+                        .lock()
+                        .expect("the kills")
+                        .push(Instant::now());
                 }
                 *child = None;
                 drop(child);
@@ -237,13 +266,23 @@
 
 impl Machine {
     pub fn is_ready(&self) -> bool {
-        let answer = net::call(self.readiness, "GET", "/readiness", &[("Host", "r")], b"", Duration::from_secs(1));
+        let answer = net::call(
+            self.readiness,
+            "GET",
+            "/readiness",
+            &[("Host", "r")],
+            b"",
+            Duration::from_secs(1),
+        );
         answer.is_ok_and(|answer| answer.status() == 200)
     }
 }
 
 fn spawn(root: &Path, machine: &Machine) -> io::Result<()> {
-    let log = fs::OpenOptions::new().create(true).append(true).open(&machine.log)?;
+    let log = fs::OpenOptions::new()
+        .create(true)
+        .append(true)
+        .open(&machine.log)?;
     let child = Command::new(root.join("target/release/limpetweird"))
         .arg("gateway")
         .env_clear()
@@ -255,7 +294,10 @@
         .spawn()?;
     // The script ends what is left if it is interrupted.
     let pids = machine.log.with_file_name("pids");
-    let mut pids = fs::OpenOptions::new().create(true).append(true).open(pids)?;
+    let mut pids = fs::OpenOptions::new()
+        .create(true)
+        .append(true)
+        .open(pids)?;
     writeln!(pids, "{}", child.id())?;
     *machine.child.lock().expect("the process") = Some(child);
     Ok(())
--- a/review/second/route.rs
+++ b/review/second/route.rs
@@ -32,19 +32,29 @@
     thread::sleep(Duration::from_secs(5));
     for n in 0..3 {
         let page = read_results(site.frontend(n), tenant, job, 0)?;
-        record.line(&format!("instance {n}: {} nextToken={:?}", page.status(), field(&page, "nextToken")));
+        record.line(&format!(
+            "instance {n}: {} nextToken={:?}",
+            page.status(),
+            field(&page, "nextToken")
+        ));
         if page.status() != 200 || field(&page, "nextToken") != Some(items) {
             return Ok(End::NotRun("the job is not done".to_owned()));
         }
     }
     // A version is written in both runs; only one of them removes the route.
     site.store.put("keyed.op", "config", &manifest(9, !trouble));
-    record.line(&format!("version 9 is acknowledged, with the batch route: {}", !trouble));
+    record.line(&format!(
+        "version 9 is acknowledged, with the batch route: {}",
+        !trouble
+    ));
     thread::sleep(Duration::from_secs(6));
     let mut broken = false;
     for n in 0..3 {
         let page = read_results(site.frontend(n), tenant, job, 0)?;
-        let text = String::from_utf8_lossy(&page.body).chars().take(60).collect::<String>();
+        let text = String::from_utf8_lossy(&page.body)
+            .chars()
+            .take(60)
+            .collect::<String>();
         record.line(&format!("instance {n}: {} {text}", page.status()));
         broken |= matches!(page.status(), 404 | 410);
     }
--- a/review/second/silence.rs
+++ b/review/second/silence.rs
@@ -66,7 +66,11 @@
     }
     thread::sleep(REVOKE_AFTER);
     let revoked = key(3);
-    site.store.put("keyed.op", "config", &manifest(9, true).replace(&revoked, "another-key-of-the-tenant"));
+    site.store.put(
+        "keyed.op",
+        "config",
+        &manifest(9, true).replace(&revoked, "another-key-of-the-tenant"),
+    );
     let acknowledged = Instant::now();
     record.line("version 9 is acknowledged: the key of tenant 3 is taken away");
     let from = (acknowledged + APPLY).max(silent_at + STABILITY);
@@ -80,7 +84,10 @@
             let status = online(machine.frontend, &revoked, &id, None);
             if sent >= from && status == 200 {
                 broken += 1;
-                record.line(&format!("{}: request {id} with the old key: {status}, too late", machine.name));
+                record.line(&format!(
+                    "{}: request {id} with the old key: {status}, too late",
+                    machine.name
+                ));
             } else {
                 record.count(&format!("{} answered {status}", machine.name));
             }
--- a/review/second/site.rs
+++ b/review/second/site.rs
@@ -105,7 +105,8 @@
     /// Writes the entry of an engine with another state, as the engine does.
     pub fn enter(&self, n: usize, state: &str) {
         let engine = &self.engines[n];
-        self.store.put("keyed.servers", &engine.id, &entry(engine, n, state));
+        self.store
+            .put("keyed.servers", &engine.id, &entry(engine, n, state));
     }
 
     /// Removes the entry of an engine.
@@ -133,13 +134,33 @@
 }
 
 /// Submits a job until it is accepted or the tries are used up, each at another instance. Returns the statuses.
-pub fn submit(site: &Site, at: usize, tenant: usize, job: &str, body: &str, tries: usize) -> Vec<u16> {
+pub fn submit(
+    site: &Site,
+    at: usize,
+    tenant: usize,
+    job: &str,
+    body: &str,
+    tries: usize,
+) -> Vec<u16> {
     let key = key(tenant);
-    let headers = [("Host", JOBS_HOST), ("X-Api-Key", &key), ("X-Request-Identifier", job), ("X-Deadline-Milliseconds", "4000"), ("Content-Type", "application/json")];
+    let headers = [
+        ("Host", JOBS_HOST),
+        ("X-Api-Key", &key),
+        ("X-Request-Identifier", job),
+        ("X-Deadline-Milliseconds", "4000"),
+        ("Content-Type", "application/json"),
+    ];
     let mut statuses = Vec::new();
     for n in 0..tries {
         let timeout = Duration::from_secs(5);
-        let answer = net::call(site.frontend(at + n), "POST", "/pule252/7c41e0", &headers, body.as_bytes(), timeout);
+        let answer = net::call(
+            site.frontend(at + n),
+            "POST",
+            "/pule252/7c41e0",
+            &headers,
+            body.as_bytes(),
+            timeout,
+        );
         let status = answer.map_or(0, |answer| answer.status());
         statuses.push(status);
         if status == 202 {
@@ -151,11 +172,23 @@
 }
 
 /// Reads the results of a job from a position on.
-pub fn read_results(addr: SocketAddr, tenant: usize, job: &str, after: usize) -> io::Result<Message> {
+pub fn read_results(
+    addr: SocketAddr,
+    tenant: usize,
+    job: &str,
+    after: usize,
+) -> io::Result<Message> {
     let key = key(tenant);
     let headers = [("Host", JOBS_HOST), ("X-Api-Key", key.as_str())];
     let target = format!("/lots/{job}?after={after}");
-    net::call(addr, "GET", &target, &headers, b"", Duration::from_millis(2_500))
+    net::call(
+        addr,
+        "GET",
+        &target,
+        &headers,
+        b"",
+        Duration::from_millis(2_500),
+    )
 }
 
 /// Returns the number that a page of results has in a field.
--- a/review/second/store.rs
+++ b/review/second/store.rs
@@ -159,7 +159,9 @@
         let mut records = Vec::new();
         let mut rest = body;
         while !rest.is_empty() {
-            let len = rest.get(..4).map(|b| u32::from_be_bytes(b.try_into().expect("4 bytes")));
+            let len = rest
+                .get(..4)
+                .map(|b| u32::from_be_bytes(b.try_into().expect("4 bytes")));
             let len = len.unwrap_or(u32::MAX) as usize;
             let Some(record) = rest.get(4..4 + len).filter(|r| r.len() <= RECORD_BYTES) else {
                 return (400, Vec::new());
@@ -168,7 +170,10 @@
             let Some(key) = record.get(1..1 + key_len) else {
                 return (400, Vec::new());
             };
-            records.push((String::from_utf8_lossy(key).into_owned(), &record[1 + key_len..]));
+            records.push((
+                String::from_utf8_lossy(key).into_owned(),
+                &record[1 + key_len..],
+            ));
             rest = &rest[4 + len..];
         }
         if body.len() > CALL_BYTES + 4 * records.len() {
@@ -194,7 +199,13 @@
         (200, answer.into_bytes())
     }
 
-    fn read(&self, key: &(String, u32), from: usize, most: usize, wait: Duration) -> (u16, Vec<u8>) {
+    fn read(
+        &self,
+        key: &(String, u32),
+        from: usize,
+        most: usize,
+        wait: Duration,
+    ) -> (u16, Vec<u8>) {
         let until = Instant::now() + wait;
         let (state, grown) = &*self.shared;
         let mut state = state.lock().expect("the state");
@@ -239,7 +250,9 @@
             }
             bytes += value.len();
             let value = base64(value);
-            items.push(format!("{{\"key\":\"{key}\",\"value\":\"{value}\",\"offset\":{offset}}}"));
+            items.push(format!(
+                "{{\"key\":\"{key}\",\"value\":\"{value}\",\"offset\":{offset}}}"
+            ));
         }
         let end = partition.records.len();
         let items = items.join(",");
--- a/review/second/version.rs
+++ b/review/second/version.rs
@@ -47,7 +47,9 @@
     let version = if trouble { "2" } else { "1" };
     for n in 0..REQUESTS {
         let status = ask(&site, n, 0, Some(version));
-        record.line(&format!("request {n} for version {version} of the weights: {status}"));
+        record.line(&format!(
+            "request {n} for version {version} of the weights: {status}"
+        ));
         thread::sleep(PAUSE);
     }
     let (tenant, job, items) = (1, "7c41e09b52d6a3f8", 10);
@@ -63,7 +65,10 @@
         thread::sleep(Duration::from_millis(500));
         n += 1;
         let page = read_results(site.frontend(n), tenant, job, 0);
-        listed = page.ok().and_then(|page| field(&page, "nextToken")).unwrap_or(listed);
+        listed = page
+            .ok()
+            .and_then(|page| field(&page, "nextToken"))
+            .unwrap_or(listed);
     }
     record.line(&format!("{listed} of {items} items are listed"));
     for n in 0..6 {
